--- /dev/null
+++ b/api/problem.go
@@ -0,0 +1,118 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// ProblemContentType is the media type of a Problem (RFC 9457).
+const ProblemContentType = "application/problem+json"
+
+// Problem is the error body of every refusal and every unknown outcome.
+// It is also the error type inside the daemon and in the client.
+type Problem struct {
+	// Type is a stable URN: "urn:tacktally:reason:" and the reason.
+	Type string `json:"type"`
+	// Title is the reason in words.
+	Title string `json:"title"`
+	// Status is the HTTP status, 400 to 599.
+	Status int `json:"status"`
+	// Detail tells what happened and names the remedy.
+	Detail string `json:"detail"`
+	// Outcome of the request: not-run or unknown.
+	Outcome Outcome `json:"outcome"`
+	// AttemptOutcome is not-run when this sending, other than earlier ones under
+	// the same key, was given to no upstream and to no other instance. A caller
+	// whose every sending under a key ended so knows that the request didn't run.
+	AttemptOutcome Outcome `json:"attemptOutcome,omitempty"`
+	// Reason is the typed reason.
+	Reason Reason `json:"reason"`
+	// RequestID names the request in the logs.
+	RequestID string `json:"requestId,omitempty"`
+	// RetryAfterSeconds says when to come back; 0 when a repeat won't help.
+	RetryAfterSeconds int `json:"retryAfterSeconds,omitempty"`
+	// IdempotencyKey is an issued key, present with the reason key_required.
+	IdempotencyKey string `json:"idempotencyKey,omitempty"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s (%s): %s", p.Reason, p.Outcome, p.Detail)
+}
+
+// WithRetryAfter returns a copy with a time to come back, rounded up to whole seconds.
+func (p *Problem) WithRetryAfter(d time.Duration) *Problem {
+	c := *p
+	c.RetryAfterSeconds = int((d + time.Second - 1) / time.Second)
+	if c.RetryAfterSeconds < 1 {
+		c.RetryAfterSeconds = 1
+	}
+	return &c
+}
+
+// Refuse builds a Problem with outcome not-run.
+func Refuse(r Reason, format string, args ...any) *Problem {
+	return newProblem(NotRun, r, fmt.Sprintf(format, args...))
+}
+
+// LeaveUnknown builds a Problem with outcome unknown.
+func LeaveUnknown(r Reason, format string, args ...any) *Problem {
+	return newProblem(Unknown, r, fmt.Sprintf(format, args...))
+}
+
+// ForAttempt returns a copy that says this sending was not run.
+func (p *Problem) ForAttempt() *Problem {
+	c := *p
+	c.AttemptOutcome = NotRun
+	return &c
+}
+
+func newProblem(o Outcome, r Reason, detail string) *Problem {
+	return &Problem{
+		Type:    "urn:tacktally:reason:" + string(r),
+		Title:   http.StatusText(r.HTTPStatus()),
+		Status:  r.HTTPStatus(),
+		Detail:  detail,
+		Outcome: o,
+		Reason:  r,
+	}
+}
+
+var statusByReason = map[Reason]int{
+	ReasonInvalidRequest:    http.StatusBadRequest,
+	ReasonBodyTooLarge:      http.StatusRequestEntityTooLarge,
+	ReasonUnknownAPIKey:     http.StatusUnauthorized,
+	ReasonTierNotAllowed:    http.StatusForbidden,
+	ReasonUnknownTier:       http.StatusBadRequest,
+	ReasonUnknownModel:      http.StatusNotFound,
+	ReasonUnknownService:    http.StatusNotFound,
+	ReasonPromptTooLong:     http.StatusBadRequest,
+	ReasonDeadlinePast:      http.StatusBadRequest,
+	ReasonKeyRequired:       http.StatusPreconditionRequired,
+	ReasonKeyInvalid:        http.StatusBadRequest,
+	ReasonKeyMismatch:       http.StatusUnprocessableEntity,
+	ReasonKeyLimit:          http.StatusTooManyRequests,
+	ReasonQueueFull:         http.StatusTooManyRequests,
+	ReasonDisplaced:         http.StatusTooManyRequests,
+	ReasonPredictedLate:     http.StatusTooManyRequests,
+	ReasonOrganisationLimit: http.StatusTooManyRequests,
+	ReasonKeyExpired:        http.StatusConflict,
+	ReasonIssuerGone:        http.StatusConflict,
+	ReasonNotFirstAttempt:   http.StatusConflict,
+	ReasonAnswerEvicted:     http.StatusGone,
+	ReasonUpstreamLost:      http.StatusBadGateway,
+	ReasonUpstreamCut:       http.StatusBadGateway,
+	ReasonUpstreamGarbage:   http.StatusBadGateway,
+	ReasonUpstreamRefused:   http.StatusBadGateway,
+	ReasonUpstreamTimeout:   http.StatusGatewayTimeout,
+	ReasonDeadlineExpired:   http.StatusGatewayTimeout,
+}
+
+// HTTPStatus returns the status that goes with the reason; 503 where none is listed.
+func (r Reason) HTTPStatus() int {
+	if s, ok := statusByReason[r]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/cmd/tacktally/main.go
@@ -0,0 +1,13 @@
+// Command tacktally is the operators' command line.
+//
+// Exit codes: 0 done, 1 the call failed or a document was rejected, 2 the
+// arguments are wrong.
+package main
+
+import (
+	"os"
+
+	"github.com/tacktally/tacktally/internal/cli"
+)
+
+func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,141 @@
+// Package balancer chooses the upstream that a request is sent to.
+//
+// Picker is the interface; Predictive is the one the daemon uses. RoundRobin,
+// LeastOutstanding and PowerOfTwo are the baselines it is measured against.
+//
+// Nothing here is safe for concurrent use; the scheduler holds its lock.
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/estimate"
+	"github.com/tacktally/tacktally/internal/prefix"
+)
+
+// PrefillHorizon is how much unread prompt work, in time, an engine is given at
+// most beside its first request. It bounds what can no longer be reordered.
+const PrefillHorizon = 250 * time.Millisecond
+
+// Upstream is what one instance knows of one upstream.
+type Upstream struct {
+	// Address as IP:port.
+	Address string
+	// Zone is its availability zone.
+	Zone string
+	// Speed and Window are learned.
+	Speed  estimate.Speed
+	Window estimate.Window
+	// Memory holds the prompt prefixes it likely has in its cache.
+	Memory *prefix.Memory
+	// Pending is the prompt tokens sent whose first token hasn't come.
+	Pending int
+	// Running is the requests sent and not ended.
+	Running int
+	// Reported is the number of sequences it reported last, of all instances.
+	Reported int
+	// Leaving upstreams get nothing new.
+	Leaving bool
+	// AvoidUntil is set after failures; a single request tests it afterwards.
+	AvoidUntil time.Time
+	// Failures in a row.
+	Failures int
+}
+
+// HasRoom tells whether it may be sent so many more prompt tokens now.
+func (u *Upstream) HasRoom(now time.Time, tokens int) bool {
+	if u.Leaving || now.Before(u.AvoidUntil) || u.Running >= u.Window.Size() {
+		return false
+	}
+	if u.Failures > 0 && u.Running > 0 {
+		return false
+	}
+	bound := u.Speed.Prefill() * PrefillHorizon.Seconds()
+	return u.Pending == 0 || float64(u.Pending+tokens) <= bound
+}
+
+// Usable tells whether it may get work at all.
+func (u *Upstream) Usable(now time.Time) bool {
+	return !u.Leaving && !now.Before(u.AvoidUntil)
+}
+
+// Work is what the choice needs to know of a request.
+type Work struct {
+	// Prompt and Output are tokens; Output is what is expected.
+	Prompt int
+	Output int
+	// Chain is the prompt's prefix sums.
+	Chain []uint64
+}
+
+// Uncached returns the prompt tokens that the upstream likely has to read.
+func (w Work) Uncached(u *Upstream) int {
+	if u.Memory == nil || len(w.Chain) == 0 {
+		return w.Prompt
+	}
+	return max(w.Prompt-u.Memory.Cached(w.Chain)*prefix.BlockTokens, 1)
+}
+
+// Choice is an upstream and what was assumed of it.
+type Choice struct {
+	Upstream *Upstream
+	// Uncached prompt tokens.
+	Uncached int
+}
+
+// Picker chooses among upstreams. It returns no upstream when none may be used now.
+type Picker interface {
+	Pick(now time.Time, upstreams []*Upstream, w Work) Choice
+}
+
+// RoundRobin takes the upstreams in turn.
+type RoundRobin struct{ next int }
+
+// Pick implements Picker.
+func (p *RoundRobin) Pick(now time.Time, upstreams []*Upstream, w Work) Choice {
+	for range upstreams {
+		u := upstreams[p.next%len(upstreams)]
+		p.next++
+		if u.Usable(now) {
+			return Choice{Upstream: u, Uncached: w.Uncached(u)}
+		}
+	}
+	return Choice{}
+}
+
+// LeastOutstanding takes the upstream with the fewest requests sent and not ended.
+type LeastOutstanding struct{}
+
+// Pick implements Picker.
+func (LeastOutstanding) Pick(now time.Time, upstreams []*Upstream, w Work) Choice {
+	var best *Upstream
+	for _, u := range upstreams {
+		if u.Usable(now) && (best == nil || u.Running < best.Running) {
+			best = u
+		}
+	}
+	if best == nil {
+		return Choice{}
+	}
+	return Choice{Upstream: best, Uncached: w.Uncached(best)}
+}
+
+// PowerOfTwo draws two upstreams and takes the one with fewer requests.
+type PowerOfTwo struct{ Random *rand.Rand }
+
+// Pick implements Picker.
+func (p *PowerOfTwo) Pick(now time.Time, upstreams []*Upstream, w Work) Choice {
+	if len(upstreams) == 0 {
+		return Choice{}
+	}
+	a := upstreams[p.Random.IntN(len(upstreams))]
+	b := upstreams[p.Random.IntN(len(upstreams))]
+	if !a.Usable(now) || (b.Usable(now) && b.Running < a.Running) {
+		a = b
+	}
+	if !a.Usable(now) {
+		return LeastOutstanding{}.Pick(now, upstreams, w)
+	}
+	return Choice{Upstream: a, Uncached: w.Uncached(a)}
+}
--- /dev/null
+++ b/internal/callerapi/server.go
@@ -0,0 +1,290 @@
+// Package callerapi is the HTTP interface that callers use.
+//
+//	POST /v1/chat/completions, /v1/completions   OpenAI-compatible model requests
+//	GET  /v1/models                              the models served
+//	POST /v1/idempotency-keys                    issued keys, ?count=N of them
+//	ANY  /services/NAME/PATH                     calls to plain services
+//
+// Every answer carries its outcome; errors are RFC 9457 problems.
+package callerapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/gateway"
+	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/settings"
+	"github.com/tacktally/tacktally/internal/telemetry"
+)
+
+// maxKeysPerCall bounds the keys issued by one call.
+const maxKeysPerCall = 100
+
+// Server is the callers' API. Safe for concurrent use.
+type Server struct {
+	gateway  *gateway.Gateway
+	holder   *config.Holder
+	metrics  *telemetry.Metrics
+	settings settings.Callers
+	instance string
+	inFlight atomic.Int64
+	mux      *http.ServeMux
+}
+
+// New returns the callers' API of an instance.
+func New(g *gateway.Gateway, h *config.Holder, m *telemetry.Metrics, s settings.Callers, instance string) *Server {
+	srv := &Server{gateway: g, holder: h, metrics: m, settings: s, instance: instance, mux: http.NewServeMux()}
+	srv.mux.HandleFunc("POST /v1/chat/completions", srv.serve)
+	srv.mux.HandleFunc("POST /v1/completions", srv.serve)
+	srv.mux.HandleFunc(request.ServicePrefix, srv.serve)
+	srv.mux.HandleFunc("GET /v1/models", srv.models)
+	srv.mux.HandleFunc("POST /v1/idempotency-keys", srv.keys)
+	srv.mux.HandleFunc("/", srv.unknownPath)
+	return srv
+}
+
+// InFlight returns how many requests of callers are held.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, h *http.Request) { s.mux.ServeHTTP(w, h) }
+
+func (s *Server) unknownPath(w http.ResponseWriter, h *http.Request) {
+	p := api.Refuse(api.ReasonInvalidRequest, "%s %s is no call of this API; see /v1/chat/completions, /v1/completions, /v1/models, /v1/idempotency-keys and /services/NAME/", h.Method, h.URL.Path)
+	p.Status = http.StatusNotFound
+	s.refuse(w, request.NewID(), p)
+}
+
+// refuse counts and writes a refusal made before the gateway was asked.
+func (s *Server) refuse(w http.ResponseWriter, id string, p *api.Problem) {
+	s.metrics.Refused(p.Reason)
+	s.writeProblem(w, id, p)
+}
+
+func (s *Server) writeProblem(w http.ResponseWriter, id string, p *api.Problem) {
+	c := *p
+	c.RequestID = id
+	header := w.Header()
+	header.Set("Content-Type", api.ProblemContentType)
+	header.Set(api.HeaderOutcome, string(c.Outcome))
+	header.Set(api.HeaderReason, string(c.Reason))
+	header.Set(api.HeaderRequestID, id)
+	header.Set(api.HeaderInstance, s.instance)
+	if c.AttemptOutcome != "" {
+		header.Set(api.HeaderAttemptOutcome, string(c.AttemptOutcome))
+	}
+	if c.IdempotencyKey != "" {
+		header.Set(api.HeaderIssuedKey, c.IdempotencyKey)
+	}
+	if c.RetryAfterSeconds > 0 {
+		header.Set("Retry-After", strconv.Itoa(c.RetryAfterSeconds))
+	}
+	w.WriteHeader(c.Status)
+	_ = json.MarshalWrite(w, &c)
+}
+
+// serve serves a model request or a call to a service.
+func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
+	if n := s.inFlight.Add(1); n > int64(s.settings.MaxInFlight) {
+		s.inFlight.Add(-1)
+		s.refuse(w, request.NewID(), api.Refuse(api.ReasonQueueFull, "this instance holds %d requests; come back later", n-1).WithRetryAfter(time.Second))
+		return
+	}
+	defer s.inFlight.Add(-1)
+	snapshot := s.holder.Current()
+	if snapshot == nil {
+		s.refuse(w, request.NewID(), api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; come back shortly").WithRetryAfter(time.Second))
+		return
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(time.Duration(s.settings.ReadTimeout)))
+	r, problem := request.Decode(time.Now(), h, snapshot, s.settings.MaxBodyBytes)
+	if problem != nil {
+		s.refuse(w, r.ID, problem)
+		return
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	b := s.gateway.Handle(h.Context(), snapshot, r)
+	out := &writer{server: s, response: w, control: control, request: r}
+	out.follow(h.Context(), b)
+}
+
+// models lists the models in OpenAI's form.
+func (s *Server) models(w http.ResponseWriter, h *http.Request) {
+	snapshot, _, problem := s.caller(h)
+	if problem != nil {
+		s.refuse(w, request.NewID(), problem)
+		return
+	}
+	list := modelList{Object: "list", Data: []model{}}
+	for _, name := range snapshot.Models() {
+		list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: "tacktally"})
+	}
+	writeJSON(w, list)
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// KeyList is the answer of POST /v1/idempotency-keys.
+type KeyList struct {
+	Keys []string `json:"keys"`
+}
+
+func (s *Server) keys(w http.ResponseWriter, h *http.Request) {
+	_, org, problem := s.caller(h)
+	if problem != nil {
+		s.refuse(w, request.NewID(), problem)
+		return
+	}
+	count := 1
+	if text := h.URL.Query().Get("count"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxKeysPerCall {
+			s.refuse(w, request.NewID(), api.Refuse(api.ReasonInvalidRequest, "count is %q; ask for 1 to %d keys", text, maxKeysPerCall))
+			return
+		}
+		count = n
+	}
+	list := KeyList{}
+	for range count {
+		key, problem := s.gateway.Issue(org.Name, "")
+		if problem != nil && len(list.Keys) == 0 {
+			s.refuse(w, request.NewID(), problem)
+			return
+		}
+		if problem == nil {
+			list.Keys = append(list.Keys, key)
+		}
+	}
+	writeJSON(w, list)
+}
+
+func (s *Server) caller(h *http.Request) (*config.Snapshot, *config.Organisation, *api.Problem) {
+	snapshot := s.holder.Current()
+	if snapshot == nil {
+		return nil, nil, api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; come back shortly").WithRetryAfter(time.Second)
+	}
+	org, problem := request.Authenticate(h, snapshot)
+	return snapshot, org, problem
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.MarshalWrite(w, v)
+}
+
+// writer passes one answer to its caller.
+type writer struct {
+	server   *Server
+	response http.ResponseWriter
+	control  *http.ResponseController
+	request  *request.Request
+	headed   bool
+	stream   bool
+}
+
+// follow writes the answer as it is made, until it ends or the caller has gone.
+func (w *writer) follow(ctx context.Context, b *answer.Buffer) {
+	reader := b.Reader()
+	for {
+		event, err := reader.Next(ctx)
+		if err != nil {
+			return
+		}
+		switch {
+		case event.Head != nil:
+			w.head(event.Head, b.Ended())
+		case event.Piece != nil:
+			if !w.piece(event.Piece) {
+				return
+			}
+		case event.End != nil:
+			w.end(event.End)
+			return
+		}
+	}
+}
+
+func (w *writer) head(h *answer.Head, end *answer.End) {
+	w.headed = true
+	w.stream = h.ContentType == "text/event-stream" || w.request.Stream
+	header := w.response.Header()
+	for field, values := range h.Header {
+		header[http.CanonicalHeaderKey(field)] = values
+	}
+	if h.ContentType != "" {
+		header.Set("Content-Type", h.ContentType)
+	}
+	header.Set(api.HeaderRequestID, w.request.ID)
+	header.Set(api.HeaderInstance, h.Instance)
+	header.Set(api.HeaderUpstream, h.Upstream)
+	header.Set(api.HeaderRevision, strconv.FormatInt(h.Revision, 10))
+	if end != nil && end.Problem == nil {
+		header.Set(api.HeaderOutcome, string(api.Answered))
+	} else {
+		header.Add("Trailer", api.HeaderOutcome)
+		header.Add("Trailer", api.HeaderReason)
+	}
+	w.response.WriteHeader(h.Status)
+	w.flush()
+}
+
+func (w *writer) piece(p []byte) bool {
+	_ = w.control.SetWriteDeadline(time.Now().Add(time.Duration(w.server.settings.WriteTimeout)))
+	if _, err := w.response.Write(p); err != nil {
+		return false
+	}
+	w.flush()
+	return true
+}
+
+func (w *writer) flush() { _ = w.control.Flush() }
+
+// end closes the answer. One that broke off after its head must not look whole:
+// a stream gets an error event, any other has its connection cut.
+func (w *writer) end(e *answer.End) {
+	if e.Problem == nil {
+		w.response.Header().Set(api.HeaderOutcome, string(api.Answered))
+		return
+	}
+	if !w.headed {
+		w.server.writeProblem(w.response, w.request.ID, e.Problem)
+		return
+	}
+	if !w.stream {
+		panic(http.ErrAbortHandler)
+	}
+	w.response.Header().Set(api.HeaderOutcome, string(e.Problem.Outcome))
+	w.response.Header().Set(api.HeaderReason, string(e.Problem.Reason))
+	p := *e.Problem
+	p.RequestID = w.request.ID
+	content, err := json.Marshal(errorEvent{Error: &p})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.piece(append(append([]byte("event: error\ndata: "), content...), "\n\n"...))
+}
+
+// errorEvent closes a stream that broke off. OpenAI's clients read the field error.
+type errorEvent struct {
+	Error *api.Problem `json:"error"`
+}
--- /dev/null
+++ b/internal/certificates/certificates.go
@@ -0,0 +1,129 @@
+// Package certificates makes TLS configurations from files that are read again
+// when they change, so that certificates are renewed without a restart.
+package certificates
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/settings"
+)
+
+// checkEvery is how often a file's time of change is looked at, at most.
+const checkEvery = time.Second
+
+// Server returns the configuration of a listener. With a client CA it lets in
+// only clients with a certificate that the CA signed.
+func Server(t settings.TLS) (*tls.Config, error) {
+	f := &files{names: t}
+	if err := f.load(); err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			certificate, pool := f.current()
+			c := &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*certificate}, NextProtos: []string{"http/1.1"}}
+			if pool != nil {
+				c.ClientAuth = tls.RequireAndVerifyClientCert
+				c.ClientCAs = pool
+			}
+			return c, nil
+		},
+	}, nil
+}
+
+// Client returns the configuration with which an instance dials its peers: it
+// shows its certificate and wants one of the same CA. Peers are dialled by IP
+// number, so that their certificates must name it.
+func Client(t settings.TLS) (*tls.Config, error) {
+	if t.ClientCAFile == "" {
+		return nil, errors.New("peers.tls.clientCAFile is missing; name the CA that signs the instances' certificates")
+	}
+	f := &files{names: t}
+	if err := f.load(); err != nil {
+		return nil, err
+	}
+	_, pool := f.current()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		RootCAs:    pool,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			certificate, _ := f.current()
+			return certificate, nil
+		},
+	}, nil
+}
+
+// files holds what was last read. Safe for concurrent use.
+type files struct {
+	names settings.TLS
+
+	mu          sync.Mutex
+	certificate *tls.Certificate
+	pool        *x509.CertPool
+	changed     time.Time
+	checked     time.Time
+}
+
+func (f *files) load() error {
+	certificate, err := tls.LoadX509KeyPair(f.names.CertificateFile, f.names.KeyFile)
+	if err != nil {
+		return fmt.Errorf("certificate %s can't be used; give a matching certificate and key: %w", f.names.CertificateFile, err)
+	}
+	pool, err := loadPool(f.names.ClientCAFile)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.certificate, f.pool = &certificate, pool
+	return nil
+}
+
+func loadPool(name string) (*x509.CertPool, error) {
+	if name == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("clientCAFile can't be read; name a readable file: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(content) {
+		return nil, fmt.Errorf("clientCAFile %s holds no certificate; give PEM", name)
+	}
+	return pool, nil
+}
+
+// current returns what the files hold. While they can't be read, as in the midst
+// of a renewal, what was read before stays in use.
+func (f *files) current() (*tls.Certificate, *x509.CertPool) {
+	if f.isDue() {
+		_ = f.load()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.certificate, f.pool
+}
+
+func (f *files) isDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if now.Sub(f.checked) < checkEvery {
+		return false
+	}
+	f.checked = now
+	info, err := os.Stat(f.names.CertificateFile)
+	if err != nil || !info.ModTime().After(f.changed) {
+		return false
+	}
+	f.changed = info.ModTime()
+	return true
+}
--- /dev/null
+++ b/internal/config/snapshot.go
@@ -0,0 +1,212 @@
+package config
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tacktally/tacktally/api"
+)
+
+// Snapshot is one accepted document with the indexes that serving needs.
+// It is immutable and safe for concurrent use.
+type Snapshot struct {
+	// Revision under which the platform published the content.
+	Revision int64
+	// Content is the document as published.
+	Content []byte
+	// Document is the decoded content.
+	Document *api.Document
+
+	organisations map[string]*Organisation
+	byKeyHash     map[string]*Organisation
+	tiers         map[string]*Tier
+	setByModel    map[string]*EngineSet
+	services      map[string]*Service
+	models        []string
+}
+
+// Organisation is an organisation ready to serve under.
+type Organisation struct {
+	Name            string
+	Share           float64
+	TokensPerSecond float64
+	CallerChosenIDs api.CallerIDPolicy
+	DefaultTier     *Tier
+	tiers           map[string]*Tier
+}
+
+// Tier returns the tier of that name if the organisation may use it.
+func (o *Organisation) Tier(name string) (*Tier, bool) {
+	t, ok := o.tiers[name]
+	return t, ok
+}
+
+// Tier is a tier ready to serve under.
+type Tier struct {
+	Name string
+	// Rank 0 is the most important.
+	Rank int
+	// Timeout of a request that names none.
+	Timeout time.Duration
+	// FirstToken is the time to the first token that counts as in time; 0 is none.
+	FirstToken time.Duration
+}
+
+// EngineSet is an engine set ready to serve under.
+type EngineSet struct {
+	Name            string
+	Models          []string
+	MaxPromptTokens int
+	MaxOutputTokens int
+	ChecksFencing   bool
+	Adapters        []api.Adapter
+}
+
+// Service is a plain service ready to serve under.
+type Service struct {
+	Name         string
+	MaxBodyBytes int
+	CostTokens   int
+	calls        []call
+}
+
+// NonIdempotent tells whether the operator declared the call as one that runs
+// at most once. Path is the path below the service's prefix.
+func (s *Service) NonIdempotent(method, path string) bool {
+	for _, c := range s.calls {
+		if c.method == method && strings.HasPrefix(path, c.prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// Accept decodes, validates and indexes a published value.
+func Accept(revision int64, content []byte) (*Snapshot, error) {
+	doc, err := Decode(content)
+	if err != nil {
+		return nil, err
+	}
+	if err := Validate(doc); err != nil {
+		return nil, err
+	}
+	s := &Snapshot{Revision: revision, Content: content, Document: doc}
+	s.indexTiers()
+	s.indexOrganisations()
+	s.indexEngineSets()
+	s.indexServices()
+	return s, nil
+}
+
+func (s *Snapshot) indexTiers() {
+	s.tiers = make(map[string]*Tier, len(s.Document.Tiers))
+	for _, t := range s.Document.Tiers {
+		s.tiers[t.Metadata.Name] = &Tier{
+			Name:       t.Metadata.Name,
+			Rank:       t.Spec.Rank,
+			Timeout:    time.Duration(t.Spec.TimeoutMillis) * time.Millisecond,
+			FirstToken: time.Duration(t.Spec.FirstTokenMillis) * time.Millisecond,
+		}
+	}
+}
+
+func (s *Snapshot) indexOrganisations() {
+	s.organisations = make(map[string]*Organisation, len(s.Document.Organisations))
+	s.byKeyHash = make(map[string]*Organisation)
+	for _, o := range s.Document.Organisations {
+		org := &Organisation{
+			Name:            o.Metadata.Name,
+			Share:           cmp.Or(o.Spec.Share, 1),
+			TokensPerSecond: o.Spec.TokensPerSecond,
+			CallerChosenIDs: cmp.Or(o.Spec.CallerChosenIDs, api.CallerIDsRefused),
+			DefaultTier:     s.tiers[o.Spec.Tiers[0]],
+			tiers:           make(map[string]*Tier, len(o.Spec.Tiers)),
+		}
+		for _, name := range o.Spec.Tiers {
+			org.tiers[name] = s.tiers[name]
+		}
+		s.organisations[org.Name] = org
+		for _, h := range o.Spec.APIKeyHashes {
+			s.byKeyHash[h] = org
+		}
+	}
+}
+
+func (s *Snapshot) indexEngineSets() {
+	s.setByModel = make(map[string]*EngineSet)
+	for _, e := range s.Document.EngineSets {
+		set := &EngineSet{
+			Name:            e.Metadata.Name,
+			Models:          e.Spec.Models,
+			MaxPromptTokens: e.Spec.MaxPromptTokens,
+			MaxOutputTokens: e.Spec.MaxOutputTokens,
+			ChecksFencing:   e.Spec.ChecksFencing,
+			Adapters:        e.Spec.Adapters,
+		}
+		for _, m := range e.Spec.Models {
+			s.setByModel[m] = set
+			s.models = append(s.models, m)
+		}
+	}
+	slices.Sort(s.models)
+}
+
+func (s *Snapshot) indexServices() {
+	s.services = make(map[string]*Service, len(s.Document.Services))
+	for _, d := range s.Document.Services {
+		svc := &Service{
+			Name:         d.Metadata.Name,
+			MaxBodyBytes: cmp.Or(d.Spec.MaxBodyBytes, defaultServiceBody),
+			CostTokens:   cmp.Or(d.Spec.CostTokens, 1),
+		}
+		for _, text := range d.Spec.NonIdempotent {
+			c, _ := parseCall(text) // Validate has checked it.
+			svc.calls = append(svc.calls, c)
+		}
+		s.services[svc.Name] = svc
+	}
+}
+
+// HashAPIKey returns the form in which API keys are published: SHA-256 in hex.
+func HashAPIKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// OrganisationByAPIKey finds the owner of an API key. Looking the key up by its
+// hash takes a time that tells nothing of the keys that exist.
+func (s *Snapshot) OrganisationByAPIKey(key string) (*Organisation, bool) {
+	o, ok := s.byKeyHash[HashAPIKey(key)]
+	return o, ok
+}
+
+// Organisation returns an organisation by name.
+func (s *Snapshot) Organisation(name string) (*Organisation, bool) {
+	o, ok := s.organisations[name]
+	return o, ok
+}
+
+// Tier returns a tier by name.
+func (s *Snapshot) Tier(name string) (*Tier, bool) {
+	t, ok := s.tiers[name]
+	return t, ok
+}
+
+// EngineSetByModel returns the set that serves a model.
+func (s *Snapshot) EngineSetByModel(model string) (*EngineSet, bool) {
+	e, ok := s.setByModel[model]
+	return e, ok
+}
+
+// Service returns a service by name.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	d, ok := s.services[name]
+	return d, ok
+}
+
+// Models lists the models served, sorted.
+func (s *Snapshot) Models() []string { return s.models }
--- /dev/null
+++ b/internal/config/validate.go
@@ -0,0 +1,211 @@
+package config
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+
+	"github.com/tacktally/tacktally/api"
+)
+
+// Bounds that Validate checks.
+const (
+	maxTimeoutMillis   = 3_600_000
+	maxServiceBody     = 64 << 20
+	maxTokensPerPrompt = 10_000_000
+	maxTiers           = 32
+	defaultServiceBody = 1 << 20
+)
+
+var (
+	namePattern  = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	modelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$`)
+	hashPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// Validate checks a decoded document and returns every fault, in the order of
+// the document, or nil.
+func Validate(doc *api.Document) error {
+	v := &validator{}
+	tiers := v.tiers(doc.Tiers)
+	v.organisations(doc.Organisations, tiers)
+	v.engineSets(doc.EngineSets)
+	v.services(doc.Services)
+	if len(v.faults) == 0 {
+		return nil
+	}
+	return &RejectedError{Faults: v.faults}
+}
+
+type validator struct {
+	faults []FieldError
+}
+
+func (v *validator) add(path, format string, args ...any) {
+	v.faults = append(v.faults, FieldError{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+// name checks a resource's name and that it is the first of its kind.
+func (v *validator) name(path, name string, seen map[string]bool) {
+	if !namePattern.MatchString(name) {
+		v.add(path+"/metadata/name", "%q is no name; use 1 to 63 of a-z, 0-9 and -", name)
+		return
+	}
+	if seen[name] {
+		v.add(path+"/metadata/name", "%q is declared twice; remove or rename one", name)
+	}
+	seen[name] = true
+}
+
+func (v *validator) within(path string, value, low, high int, unit string) {
+	if value < low || value > high {
+		v.add(path, "is %d; set %d to %d %s", value, low, high, unit)
+	}
+}
+
+func (v *validator) tiers(tiers []api.Tier) map[string]bool {
+	seen := map[string]bool{}
+	ranks := map[int]string{}
+	if len(tiers) == 0 {
+		v.add("/tiers", "is empty; declare at least one tier")
+	}
+	if len(tiers) > maxTiers {
+		v.add("/tiers", "has %d tiers; declare at most %d", len(tiers), maxTiers)
+	}
+	for i, t := range tiers {
+		path := fmt.Sprintf("/tiers/%d", i)
+		v.name(path, t.Metadata.Name, seen)
+		v.within(path+"/spec/timeoutMillis", t.Spec.TimeoutMillis, 1, maxTimeoutMillis, "milliseconds")
+		v.within(path+"/spec/firstTokenMillis", t.Spec.FirstTokenMillis, 0, maxTimeoutMillis, "milliseconds")
+		v.within(path+"/spec/rank", t.Spec.Rank, 0, maxTiers-1, "with 0 the most important")
+		if other, ok := ranks[t.Spec.Rank]; ok {
+			v.add(path+"/spec/rank", "is %d, as that of tier %q; give each tier its own rank", t.Spec.Rank, other)
+		}
+		ranks[t.Spec.Rank] = t.Metadata.Name
+	}
+	return seen
+}
+
+func (v *validator) organisations(orgs []api.Organisation, tiers map[string]bool) {
+	seen := map[string]bool{}
+	hashes := map[string]string{}
+	for i, o := range orgs {
+		path := fmt.Sprintf("/organisations/%d", i)
+		v.name(path, o.Metadata.Name, seen)
+		v.apiKeys(path+"/spec/apiKeyHashes", o, hashes)
+		v.tierReferences(path+"/spec/tiers", o.Spec.Tiers, tiers)
+		if o.Spec.Share < 0 {
+			v.add(path+"/spec/share", "is %g; set a weight above 0, or leave it out for 1", o.Spec.Share)
+		}
+		if o.Spec.TokensPerSecond < 0 {
+			v.add(path+"/spec/tokensPerSecond", "is %g; set tokens per second above 0, or leave it out for no bound", o.Spec.TokensPerSecond)
+		}
+		switch o.Spec.CallerChosenIDs {
+		case "", api.CallerIDsRefused, api.CallerIDsFirstAttempt:
+		default:
+			v.add(path+"/spec/callerChosenIDs", "is %q; use %q or %q", o.Spec.CallerChosenIDs, api.CallerIDsRefused, api.CallerIDsFirstAttempt)
+		}
+	}
+}
+
+func (v *validator) apiKeys(path string, o api.Organisation, owners map[string]string) {
+	for i, h := range o.Spec.APIKeyHashes {
+		at := fmt.Sprintf("%s/%d", path, i)
+		if !hashPattern.MatchString(h) {
+			v.add(at, "is no SHA-256 sum; give 64 lower-case hex digits (tacktally hash-key prints one)")
+			continue
+		}
+		if owner, ok := owners[h]; ok {
+			v.add(at, "is also a key of organisation %q; give each its own", owner)
+		}
+		owners[h] = o.Metadata.Name
+	}
+}
+
+func (v *validator) tierReferences(path string, names []string, tiers map[string]bool) {
+	if len(names) == 0 {
+		v.add(path, "is empty; name at least one tier, the default first")
+	}
+	for i, name := range names {
+		if !tiers[name] {
+			v.add(fmt.Sprintf("%s/%d", path, i), "names tier %q, which isn't declared; declare it under /tiers or correct the name", name)
+		}
+	}
+}
+
+func (v *validator) engineSets(sets []api.EngineSet) {
+	seen := map[string]bool{}
+	models := map[string]string{}
+	for i, s := range sets {
+		path := fmt.Sprintf("/engineSets/%d", i)
+		v.name(path, s.Metadata.Name, seen)
+		v.within(path+"/spec/maxPromptTokens", s.Spec.MaxPromptTokens, 1, maxTokensPerPrompt, "tokens")
+		v.within(path+"/spec/maxOutputTokens", s.Spec.MaxOutputTokens, 1, maxTokensPerPrompt, "tokens")
+		if len(s.Spec.Models) == 0 {
+			v.add(path+"/spec/models", "is empty; name the models it serves")
+		}
+		for j, m := range s.Spec.Models {
+			at := fmt.Sprintf("%s/spec/models/%d", path, j)
+			if !modelPattern.MatchString(m) {
+				v.add(at, "%q is no model name; use letters, digits and . _ : / -", m)
+			}
+			if owner, ok := models[m]; ok {
+				v.add(at, "model %q belongs to set %q already; list it once", m, owner)
+			}
+			models[m] = s.Metadata.Name
+		}
+		v.adapters(path+"/spec/adapters", s.Spec.Adapters)
+	}
+}
+
+func (v *validator) adapters(path string, adapters []api.Adapter) {
+	seen := map[string]bool{}
+	for i, a := range adapters {
+		at := fmt.Sprintf("%s/%d", path, i)
+		if !modelPattern.MatchString(a.Name) {
+			v.add(at+"/name", "%q is no adapter name; use letters, digits and . _ : / -", a.Name)
+		}
+		if a.Version == "" {
+			v.add(at+"/version", "is empty; name the version to load")
+		}
+		if seen[a.Name] {
+			v.add(at+"/name", "%q is listed twice; keep one version", a.Name)
+		}
+		seen[a.Name] = true
+	}
+}
+
+func (v *validator) services(services []api.Service) {
+	seen := map[string]bool{}
+	for i, s := range services {
+		path := fmt.Sprintf("/services/%d", i)
+		v.name(path, s.Metadata.Name, seen)
+		v.within(path+"/spec/maxBodyBytes", s.Spec.MaxBodyBytes, 0, maxServiceBody, "bytes")
+		v.within(path+"/spec/costTokens", s.Spec.CostTokens, 0, maxTokensPerPrompt, "tokens")
+		for j, call := range s.Spec.NonIdempotent {
+			if _, err := parseCall(call); err != nil {
+				v.add(fmt.Sprintf("%s/spec/nonIdempotent/%d", path, j), "%v", err)
+			}
+		}
+	}
+}
+
+// call is a method and a path prefix.
+type call struct {
+	method string
+	prefix string
+}
+
+var callMethods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true,
+	http.MethodPut: true, http.MethodPatch: true, http.MethodDelete: true,
+}
+
+func parseCall(text string) (call, error) {
+	method, prefix, ok := strings.Cut(text, " ")
+	if !ok || !callMethods[method] || !strings.HasPrefix(prefix, "/") {
+		return call{}, fmt.Errorf("%q is no call; write a method, a space and a path, such as \"POST /release\"", text)
+	}
+	return call{method: method, prefix: prefix}, nil
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,352 @@
+// Package daemon wires the parts of one instance together and runs it.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/phuslu/log"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/callerapi"
+	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/dispatch"
+	"github.com/tacktally/tacktally/internal/gateway"
+	"github.com/tacktally/tacktally/internal/idempotency"
+	"github.com/tacktally/tacktally/internal/operatorapi"
+	"github.com/tacktally/tacktally/internal/pause"
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/settings"
+	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/upstream"
+	"github.com/tacktally/tacktally/internal/watch"
+)
+
+// maxRanks bounds the tiers of which heartbeats tell the queue.
+const maxRanks = 8
+
+// Daemon is one running instance.
+type Daemon struct {
+	settings    *settings.Settings
+	address     string
+	incarnation idempotency.Incarnation
+	started     time.Time
+	log         *log.Logger
+	metrics     *telemetry.Metrics
+	holder      *config.Holder
+	changes     *watch.Log
+	register    *idempotency.Register
+	pauses      *pause.Detector
+	platform    *platform.Client
+	upstreams   *upstream.Client
+	dispatcher  *dispatch.Dispatcher
+	gateway     *gateway.Gateway
+	mesh        *peer.Mesh
+	callers     *callerapi.Server
+	instances   *instanceList
+	listeners   listeners
+	drained     chan struct{}
+	drainOnce   sync.Once
+}
+
+// New builds a daemon and opens its listeners. Run serves them.
+func New(s *settings.Settings, logTo io.Writer) (*Daemon, error) {
+	d := &Daemon{
+		settings:    s,
+		address:     s.Peers.Advertise,
+		incarnation: idempotency.NewIncarnation(),
+		started:     time.Now(),
+		metrics:     telemetry.NewMetrics(),
+		holder:      config.NewHolder(),
+		changes:     watch.NewLog(),
+		pauses:      pause.NewDetector(),
+		platform:    platform.NewClient(s.Platform.URL, time.Duration(s.Platform.Wait)),
+		upstreams:   upstream.NewClient(time.Duration(s.Upstreams.ConnectTimeout)),
+		drained:     make(chan struct{}),
+	}
+	d.log = telemetry.NewLogger(logTo, s.Log.Level, d.address)
+	d.instances = newInstanceList()
+	clock := idempotency.NewClock()
+	lifetime := time.Duration(s.Idempotency.KeyLifetime)
+	d.register = idempotency.NewRegister(idempotency.Limits{
+		Lifetime:       lifetime,
+		MaxEntries:     s.Idempotency.MaxEntries,
+		MaxAnswerBytes: s.Idempotency.MaxAnswerBytes,
+	}, clock)
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Instance: d.address,
+		Zone:     s.Zone,
+		Limits:   queue.Limits{MaxItems: s.Queue.MaxItems, MaxBytes: s.Queue.MaxBytes},
+		Budget:   s.Upstreams.RetryBudget,
+		Client:   d.upstreams,
+		Pauses:   d.pauses,
+		Metrics:  d.metrics,
+		Log:      d.log,
+		Pressure: func(set string, rank int) { d.mesh.Press(peer.Pressure{Set: set, Rank: rank}) },
+		Leaving:  d.upstreamLeaving,
+		Refresh:  d.refreshInstances,
+	})
+	d.gateway = gateway.New(gateway.Options{
+		Issuer:     idempotency.NewIssuer(d.address, d.incarnation, clock),
+		Register:   d.register,
+		Clock:      clock,
+		Lifetime:   lifetime,
+		Holder:     d.holder,
+		Dispatcher: d.dispatcher,
+		Metrics:    d.metrics,
+		Log:        d.log,
+	})
+	d.callers = callerapi.New(d.gateway, d.holder, d.metrics, s.Callers, d.address)
+	d.gauges()
+	return d, d.listeners.open(s)
+}
+
+func (d *Daemon) gauges() {
+	d.metrics.Gauge("tacktally_in_flight", func() float64 { return float64(d.dispatcher.InFlight()) })
+	d.metrics.Gauge("tacktally_keys_reserved", func() float64 { return float64(d.register.Stats().Reserved) })
+	d.metrics.Gauge("tacktally_answer_bytes", func() float64 { return float64(d.register.Stats().AnswerBytes) })
+	d.metrics.Gauge("tacktally_revision", func() float64 { return float64(d.holder.Revision()) })
+	d.metrics.Gauge("tacktally_peers_reachable", func() float64 { return float64(d.reachablePeers()) })
+}
+
+func (d *Daemon) reachablePeers() int {
+	n := 0
+	for _, p := range d.mesh.Peers() {
+		if p.Reachable {
+			n++
+		}
+	}
+	return n
+}
+
+// Address returns the peer address.
+func (d *Daemon) Address() string { return d.address }
+
+// CallerAddress returns where callers are listened to.
+func (d *Daemon) CallerAddress() string { return d.listeners.callers.Addr().String() }
+
+// OperatorAddress returns where operators are listened to.
+func (d *Daemon) OperatorAddress() string { return d.listeners.operators.Addr().String() }
+
+// Run serves until ctx ends or an operator drains the instance, and then shuts
+// down gracefully: it refuses new work with a time to come back, finishes what is
+// in flight, tells its peers, and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	token, err := readToken(d.settings.Operators.TokenFile)
+	if err != nil {
+		return err
+	}
+	life, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.mesh = peer.NewMesh(peer.Options{
+		Address:      d.address,
+		Listen:       d.settings.Peers.Address,
+		Zone:         d.settings.Zone,
+		Incarnation:  uint64(d.incarnation),
+		Heartbeat:    time.Duration(d.settings.Peers.Heartbeat),
+		SuspectAfter: time.Duration(d.settings.Peers.SuspectAfter),
+		Handler:      (*peerHandler)(d),
+		Log:          d.log,
+		TLS:          d.listeners.peerClientTLS,
+	})
+	d.gateway.SetPeers(d.mesh)
+	d.mesh.SetPeers(d.settings.Peers.Seeds)
+	var background sync.WaitGroup
+	background.Go(func() { d.pauses.Run(life) })
+	background.Go(func() { d.watchConfig(life) })
+	background.Go(func() { d.watchInstances(life) })
+	operators := operatorapi.New(d, d.holder, d.changes, d.metrics, token)
+	servers := d.listeners.serve(d.settings, d.callers, operators, d.mesh)
+	d.log.Info().Str("event", "started").Str("zone", d.settings.Zone).Str("version", Version()).
+		Str("callers", d.CallerAddress()).Str("operators", d.OperatorAddress()).Msg("")
+	select {
+	case <-ctx.Done():
+	case <-d.drained:
+	}
+	d.shutDown(servers)
+	cancel()
+	d.mesh.Close()
+	servers.close()
+	d.upstreams.Close()
+	d.platform.Close()
+	background.Wait()
+	d.log.Info().Str("event", "stopped").Msg("")
+	return nil
+}
+
+// Drain begins a graceful shutdown.
+func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.drained) }) }
+
+// shutDown refuses new work and waits for what is in flight.
+func (d *Daemon) shutDown(s *servers) {
+	d.gateway.Drain()
+	d.mesh.Announce()
+	d.log.Info().Str("event", "draining").Int("in_flight", d.dispatcher.InFlight()).Msg("")
+	ctx := context.Background()
+	if t := time.Duration(d.settings.Drain.Timeout); t > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, t)
+		defer cancel()
+	}
+	d.waitIdle(ctx)
+	s.shutDownCallers(ctx)
+}
+
+const idlePoll = 10 * time.Millisecond
+
+func (d *Daemon) waitIdle(ctx context.Context) {
+	t := time.NewTicker(idlePoll)
+	defer t.Stop()
+	for d.dispatcher.InFlight() > 0 || d.callers.InFlight() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			d.log.Warn().Str("event", "drain_timeout").Int("in_flight", d.dispatcher.InFlight()).Msg("")
+			return
+		}
+	}
+}
+
+func readToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("operators.tokenFile can't be read; name a readable file: %w", err)
+	}
+	token := strings.TrimSpace(string(content))
+	if token == "" {
+		return "", errors.New("operators.tokenFile is empty; write the token into it")
+	}
+	return token, nil
+}
+
+// Version returns the module's version as built.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "devel"
+	}
+	return info.Main.Version
+}
+
+// Status implements operatorapi.Instance.
+func (d *Daemon) Status() operatorapi.Status {
+	snapshot, since, rejected := d.holder.Status()
+	s := operatorapi.Status{
+		Address:     d.address,
+		Zone:        d.settings.Zone,
+		Incarnation: uint64(d.incarnation),
+		Version:     Version(),
+		Started:     d.started,
+		Since:       since,
+		Rejected:    rejected,
+		ListVersion: d.instances.version(),
+		Draining:    d.gateway.Draining(),
+		InFlight:    d.dispatcher.InFlight(),
+		Keys:        d.register.Stats(),
+		Peers:       d.mesh.Peers(),
+	}
+	if snapshot != nil {
+		s.Revision = snapshot.Revision
+	}
+	return s
+}
+
+// Upstreams implements operatorapi.Instance.
+func (d *Daemon) Upstreams(set string) []dispatch.UpstreamStatus { return d.dispatcher.Upstreams(set) }
+
+// Queued implements operatorapi.Instance.
+func (d *Daemon) Queued(set string, ranks int) []int {
+	if q := d.dispatcher.Queued(ranks)[set]; q != nil {
+		return q
+	}
+	return make([]int, ranks)
+}
+
+// peerHandler is the daemon as its peers use it.
+type peerHandler Daemon
+
+// Serve implements peer.Handler.
+func (p *peerHandler) Serve(ctx context.Context, r *request.Request) *answer.Buffer {
+	return p.gateway.ServePeer(ctx, r)
+}
+
+// State implements peer.Handler.
+func (p *peerHandler) State() *peer.State {
+	s := &peer.State{}
+	if c := p.holder.Current(); c != nil {
+		s.Revision = c.Revision
+		s.Content = c.Content
+	}
+	l := p.instances.current()
+	s.ListVersion = l.Version
+	if l.Version > 0 {
+		s.List, _ = json.Marshal(l.Instances) // instances always encode
+	}
+	return s
+}
+
+// Learn implements peer.Handler.
+func (p *peerHandler) Learn(from string, s *peer.State) {
+	d := (*Daemon)(p)
+	if s.Revision > 0 {
+		d.offer(s.Revision, s.Content, "peer "+from)
+	}
+	if s.ListVersion > 0 {
+		l := platform.List{Version: s.ListVersion}
+		if json.Unmarshal(s.List, &l.Instances) == nil {
+			d.useInstances(l)
+		}
+	}
+}
+
+// Heartbeat implements peer.Handler.
+func (p *peerHandler) Heartbeat() *peer.Heartbeat {
+	return &peer.Heartbeat{
+		Revision:    p.holder.Revision(),
+		ListVersion: p.instances.version(),
+		Draining:    p.gateway.Draining(),
+		Leaving:     p.instances.saidLeaving(),
+		InFlight:    p.dispatcher.InFlight(),
+		Queued:      p.dispatcher.Queued(maxRanks),
+	}
+}
+
+// Heard implements peer.Handler.
+func (p *peerHandler) Heard(from string, h *peer.Heartbeat) {
+	for _, address := range h.Leaving {
+		p.dispatcher.MarkLeaving(address)
+	}
+	if h.Revision > p.holder.Revision() || h.ListVersion > p.instances.version() {
+		p.mesh.FetchSoon(from)
+	}
+}
+
+// Pressure implements peer.Handler.
+func (p *peerHandler) Pressure(pr peer.Pressure) { p.dispatcher.ShedLower(pr.Set, pr.Rank) }
+
+// tcpListen opens a listener and names the setting when it can't.
+func tcpListen(setting, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s can't be listened on; free it or choose another: %w", setting, address, err)
+	}
+	return l, nil
+}
+
+var _ http.Handler = (*peer.Mesh)(nil)
--- /dev/null
+++ b/internal/daemon/follow.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/platform"
+)
+
+// watchConfig follows the document at the platform until ctx ends.
+func (d *Daemon) watchConfig(ctx context.Context) {
+	d.platform.WatchConfig(ctx, d.settings.Platform.ConfigKey,
+		func(revision int64, content []byte) { d.offer(revision, content, "platform") },
+		func(err error) { d.platformFailed("configuration", err) })
+}
+
+func (d *Daemon) platformFailed(what string, err error) {
+	d.metrics.Count("tacktally_platform_errors_total")
+	d.log.Warn().Str("event", "platform_unavailable").Str("reading", what).Str("cause", err.Error()).Msg("")
+}
+
+// offer takes a published value from the platform or a peer.
+func (d *Daemon) offer(revision int64, content []byte, from string) {
+	accepted, err := d.holder.Offer(time.Now(), revision, content)
+	switch {
+	case errors.Is(err, config.ErrOlderRevision):
+		d.metrics.Count("tacktally_config_older_total")
+		d.log.Warn().Str("event", "config_older").Int64("revision", revision).Str("from", from).Msg("")
+	case errors.Is(err, config.ErrConflict):
+		d.metrics.Count("tacktally_config_conflicts_total")
+		d.log.Error().Str("event", "config_conflict").Int64("revision", revision).Str("from", from).Str("cause", err.Error()).Msg("")
+	case err != nil:
+		d.metrics.Count("tacktally_config_rejected_total")
+		d.log.Error().Str("event", "config_rejected").Int64("revision", revision).Str("from", from).Str("cause", err.Error()).Msg("")
+	case accepted:
+		d.changes.Add(d.holder.Current())
+		d.metrics.Count("tacktally_config_accepted_total")
+		d.log.Info().Str("event", "config_accepted").Int64("revision", revision).Str("from", from).Msg("")
+		if d.mesh != nil {
+			d.mesh.Announce() // peers cut off from the platform fetch it at once
+		}
+	}
+}
+
+// watchInstances follows the instance list at the platform until ctx ends.
+func (d *Daemon) watchInstances(ctx context.Context) {
+	d.platform.WatchInstances(ctx, d.useInstances, func(err error) { d.platformFailed("instances", err) })
+}
+
+// refreshInstances reads the list anew, after a pause.
+func (d *Daemon) refreshInstances(ctx context.Context) {
+	l, err := d.platform.Instances(ctx)
+	if err != nil {
+		d.platformFailed("instances", err)
+		return
+	}
+	d.useInstances(l)
+}
+
+// useInstances takes a list unless a newer one is in use.
+func (d *Daemon) useInstances(l platform.List) {
+	if !d.instances.replace(l) {
+		return
+	}
+	d.dispatcher.SetInstances(l.Instances)
+	for _, address := range d.instances.saidLeaving() {
+		d.dispatcher.MarkLeaving(address)
+	}
+	d.mesh.SetPeers(peerAddresses(l, d.settings.Peers.Seeds))
+	d.mesh.Announce()
+	d.log.Info().Str("event", "instances").Int64("version", l.Version).Int("count", len(l.Instances)).Msg("")
+}
+
+// upstreamLeaving notes that an upstream said itself that it leaves.
+func (d *Daemon) upstreamLeaving(address string) {
+	if d.instances.sayLeaving(address) {
+		d.log.Info().Str("event", "upstream_leaving").Str("upstream", address).Msg("")
+		d.mesh.Announce()
+	}
+}
+
+func peerAddresses(l platform.List, seeds []string) []string {
+	out := slices.Clone(seeds)
+	for _, i := range l.Instances {
+		if i.Set == "" {
+			out = append(out, i.Address)
+		}
+	}
+	return out
+}
+
+// saidLeavingFor is how long an upstream's own word is passed on to the peers,
+// who may be behind with the list.
+const saidLeavingFor = time.Minute
+
+// instanceList holds the newest list. Safe for concurrent use.
+type instanceList struct {
+	mu      sync.Mutex
+	list    platform.List
+	leaving map[string]time.Time // upstreams that said themselves that they leave
+}
+
+func newInstanceList() *instanceList {
+	return &instanceList{leaving: map[string]time.Time{}}
+}
+
+func (i *instanceList) current() platform.List {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.list
+}
+
+func (i *instanceList) version() int64 { return i.current().Version }
+
+// replace takes a list that is newer than the one in use.
+func (i *instanceList) replace(l platform.List) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if l.Version <= i.list.Version {
+		return false
+	}
+	i.list = l
+	return true
+}
+
+// sayLeaving returns true when it is news.
+func (i *instanceList) sayLeaving(address string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	_, known := i.leaving[address]
+	i.leaving[address] = time.Now()
+	return !known
+}
+
+func (i *instanceList) saidLeaving() []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var out []string
+	for address, at := range i.leaving {
+		if time.Since(at) > saidLeavingFor {
+			delete(i.leaving, address)
+			continue
+		}
+		out = append(out, address)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/internal/daemon/listeners.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/certificates"
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/settings"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	operatorMaxHeader = 16 << 10
+)
+
+// listeners are the three doors of a daemon: callers, operators and peers.
+type listeners struct {
+	callers       net.Listener
+	operators     net.Listener
+	peers         net.Listener
+	peerClientTLS *tls.Config
+}
+
+func (l *listeners) open(s *settings.Settings) error {
+	var err error
+	if l.callers, err = listen("callers.address", s.Callers.Address, s.Callers.TLS); err != nil {
+		return err
+	}
+	if l.operators, err = listen("operators.address", s.Operators.Address, s.Operators.TLS); err != nil {
+		return err
+	}
+	if l.peers, err = listen("peers.address", s.Peers.Address, s.Peers.TLS); err != nil {
+		return err
+	}
+	if s.Peers.TLS != nil {
+		l.peerClientTLS, err = certificates.Client(*s.Peers.TLS)
+	}
+	return err
+}
+
+func listen(setting, address string, t *settings.TLS) (net.Listener, error) {
+	l, err := tcpListen(setting, address)
+	if err != nil || t == nil {
+		return l, err
+	}
+	c, err := certificates.Server(*t)
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return tls.NewListener(l, c), nil
+}
+
+// servers are the running HTTP servers.
+type servers struct {
+	callers   *http.Server
+	operators *http.Server
+	peers     *http.Server
+}
+
+func (l *listeners) serve(s *settings.Settings, callers, operators http.Handler, mesh *peer.Mesh) *servers {
+	peers := http.NewServeMux()
+	peers.Handle(peer.Path, mesh)
+	out := &servers{
+		callers:   newServer(callers, s.Callers.MaxHeaderBytes),
+		operators: newServer(operators, operatorMaxHeader),
+		peers:     newServer(peers, operatorMaxHeader),
+	}
+	go out.callers.Serve(l.callers)     //nolint:errcheck // ends with close
+	go out.operators.Serve(l.operators) //nolint:errcheck // ends with close
+	go out.peers.Serve(l.peers)         //nolint:errcheck // ends with close
+	return out
+}
+
+func newServer(h http.Handler, maxHeader int) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    maxHeader,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// shutDownCallers closes the callers' door once their answers are written.
+func (s *servers) shutDownCallers(ctx context.Context) { _ = s.callers.Shutdown(ctx) }
+
+func (s *servers) close() {
+	s.callers.Close()
+	s.operators.Close()
+	s.peers.Close()
+}
--- /dev/null
+++ b/internal/demo/traffic.go
@@ -0,0 +1,162 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/dghubble/sling"
+
+	"github.com/tacktally/tacktally/api"
+)
+
+const (
+	// wordsLow and wordsHigh bound a prompt: lengths differ a hundredfold.
+	wordsLow  = 20
+	wordsHigh = 2000
+	maxOutput = 64
+)
+
+var tiers = []string{tierUrgent, tierNormal, tierBatch}
+
+// traffic sends requests and counts their outcomes.
+type traffic struct {
+	o      Options
+	url    string
+	client *http.Client
+
+	mu    sync.Mutex
+	tally map[string]*tally
+}
+
+// tally is what became of a tier's requests.
+type tally struct {
+	sent, answered, notRun, unknown int
+	first                           *hdrhistogram.Histogram // ms to the first byte
+}
+
+func newTraffic(o Options, url string) *traffic {
+	t := &traffic{o: o, url: url, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}, tally: map[string]*tally{}}
+	for _, name := range tiers {
+		t.tally[name] = &tally{first: hdrhistogram.New(1, 120_000, 2)}
+	}
+	return t
+}
+
+// run sends at the rate until ctx ends, and reports as it goes.
+func (t *traffic) run(ctx context.Context) {
+	send := time.NewTicker(time.Duration(float64(time.Second) / max(t.o.Rate, 0.1)))
+	defer send.Stop()
+	report := time.NewTicker(reportEvery)
+	defer report.Stop()
+	var sent sync.WaitGroup
+	for {
+		select {
+		case <-send.C:
+			sent.Go(func() { t.request(ctx) })
+		case <-report.C:
+			t.report()
+		case <-ctx.Done():
+			sent.Wait()
+			t.report()
+			return
+		}
+	}
+}
+
+func (t *traffic) request(ctx context.Context) {
+	tier := tiers[rand.IntN(len(tiers))]
+	if rand.IntN(8) == 0 {
+		t.book(ctx, tier)
+		return
+	}
+	words := wordsLow + int(float64(wordsHigh-wordsLow)*rand.Float64()*rand.Float64()*rand.Float64())
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
+		model, 4+rand.IntN(maxOutput), strings.Repeat("crate ", words))
+	t.do(ctx, tier, "/v1/chat/completions", body, "")
+}
+
+// book confirms a booking, which must run at most once: the first answer is 428
+// with a key, the second confirms under it.
+func (t *traffic) book(ctx context.Context, tier string) {
+	body := fmt.Sprintf(`{"lorry":%d}`, rand.IntN(1000))
+	if key := t.do(ctx, "", "/services/"+bookings+"/confirm", body, ""); key != "" {
+		t.do(ctx, tier, "/services/"+bookings+"/confirm", body, key)
+	}
+}
+
+// do sends one request, counts it under the tier unless that is empty, and
+// returns the issued key of a 428.
+func (t *traffic) do(ctx context.Context, tier, path, body, key string) string {
+	s := sling.New().Base(t.url).Post(path).Body(bytes.NewReader([]byte(body))).
+		Set("Authorization", "Bearer "+apiKey).Set(api.HeaderTier, tier)
+	if key != "" {
+		s = s.Set(api.HeaderIdempotencyKey, key)
+	}
+	h, err := s.Request()
+	if err != nil {
+		return ""
+	}
+	begun := time.Now()
+	response, err := t.client.Do(h.WithContext(ctx))
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	_, _ = reader.Peek(1)
+	first := time.Since(begun)
+	_, err = io.Copy(io.Discard, reader)
+	outcome := api.Outcome(response.Header.Get(api.HeaderOutcome))
+	if last := response.Trailer.Get(api.HeaderOutcome); last != "" {
+		outcome = api.Outcome(last)
+	}
+	if err == nil && ctx.Err() == nil && tier != "" {
+		t.count(tier, outcome, first)
+	}
+	if response.StatusCode == http.StatusPreconditionRequired {
+		return keyOf(response)
+	}
+	return ""
+}
+
+func keyOf(r *http.Response) string { return r.Header.Get(api.HeaderIssuedKey) }
+
+func (t *traffic) count(tier string, o api.Outcome, first time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.tally[tier]
+	c.sent++
+	switch o {
+	case api.Answered:
+		c.answered++
+		_ = c.first.RecordValue(max(first.Milliseconds(), 1))
+	case api.NotRun:
+		c.notRun++
+	default:
+		c.unknown++
+	}
+}
+
+func (t *traffic) report() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := tabwriter.NewWriter(t.o.Out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "tier\tended\tanswered\tnot-run\tunknown\tfirst byte p50\tp95\t")
+	for _, name := range tiers {
+		c := t.tally[name]
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d ms\t%d ms\t\n", name, c.sent, c.answered, c.notRun, c.unknown,
+			c.first.ValueAtQuantile(50), c.first.ValueAtQuantile(95))
+	}
+	_ = w.Flush()
+	fmt.Fprintln(t.o.Out)
+}
--- /dev/null
+++ b/internal/dispatch/attempts.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/scheduler"
+	"github.com/tacktally/tacktally/internal/upstream"
+)
+
+// attempts makes the sendings of one request.
+type attempts struct {
+	dispatcher   *Dispatcher
+	snapshot     *config.Snapshot
+	request      *request.Request
+	buffer       *answer.Buffer
+	pool         *pool
+	tier         *config.Tier
+	organisation *config.Organisation
+	started      time.Time
+
+	exclude string
+	resumes int
+	// mayHaveRun is set once a sending was lost after it was written.
+	mayHaveRun bool
+}
+
+// run sends the request until it ends, and returns how.
+func (a *attempts) run(ctx context.Context) answer.End {
+	if a.request.LastEventID != "" {
+		return a.resumeForCaller(ctx)
+	}
+	a.dispatcher.budget.deposit()
+	var last upstream.Result
+	for range maxAttempts {
+		grant, problem := a.acquire(ctx)
+		if problem != nil {
+			return a.givenUp(problem)
+		}
+		result := a.send(ctx, grant, a.call(grant))
+		if result.Status == upstream.Cut && a.mayResume(result) {
+			return a.resume(ctx, grant.Upstream.Address, result)
+		}
+		if !a.retry(grant, result) {
+			return a.ended(result)
+		}
+		last = result
+	}
+	return a.ended(last)
+}
+
+func (a *attempts) ended(r upstream.Result) answer.End {
+	end := a.end(r)
+	if end.Problem == nil {
+		return end
+	}
+	return a.givenUp(end.Problem)
+}
+
+// givenUp makes sure that a request that may have run is never called not-run.
+func (a *attempts) givenUp(p *api.Problem) answer.End {
+	if p.Outcome == api.NotRun && a.mayHaveRun {
+		p = api.LeaveUnknown(api.ReasonUpstreamLost, "an upstream lost the request, and another try was given up: %s", p.Detail).WithRetryAfter(time.Second)
+	}
+	return answer.End{Problem: p}
+}
+
+func (a *attempts) acquire(ctx context.Context) (*scheduler.Grant, *api.Problem) {
+	a.dispatcher.refresh(ctx)
+	r := a.request
+	return a.pool.acquire(ctx, &scheduler.Request{
+		Rank:         a.tier.Rank,
+		Organisation: r.Organisation,
+		Share:        a.organisation.Share,
+		Arrived:      a.started,
+		Deadline:     r.Deadline,
+		FirstToken:   a.tier.FirstToken,
+		Prompt:       r.Prompt,
+		Output:       r.Output,
+		Chain:        r.Chain,
+		Bytes:        len(r.Body),
+		Exclude:      a.exclude,
+	})
+}
+
+func (a *attempts) call(g *scheduler.Grant) upstream.Call {
+	return upstream.Call{
+		Address:  g.Upstream.Address,
+		Request:  a.request,
+		Instance: a.dispatcher.o.Instance,
+		Revision: a.snapshot.Revision,
+		Guard:    a.guard(),
+	}
+}
+
+// guard returns the check made right before the first byte is written: that the
+// process wasn't paused since now, and that the deadline hasn't passed.
+func (a *attempts) guard() func() error {
+	epoch := a.dispatcher.o.Pauses.Epoch()
+	return func() error {
+		if a.dispatcher.o.Pauses.Epoch() != epoch {
+			return errPaused
+		}
+		if !time.Now().Before(a.request.Deadline) {
+			return context.DeadlineExceeded
+		}
+		return nil
+	}
+}
+
+// send makes one call and tells the scheduler how it went.
+func (a *attempts) send(ctx context.Context, g *scheduler.Grant, call upstream.Call) upstream.Result {
+	var once sync.Once
+	first := func(observed bool) {
+		once.Do(func() {
+			if observed {
+				a.dispatcher.o.Metrics.FirstToken(a.tier.Name, time.Since(a.started))
+			}
+			a.pool.apply(func(now time.Time) scheduler.Decisions { return a.pool.core.FirstToken(now, g) })
+		})
+	}
+	call.OnFirst = func() { first(true) }
+	if !a.request.Stream && a.request.Kind != request.Service {
+		// A whole answer doesn't show its first token: the prompt counts as read
+		// after the time predicted for it.
+		t := time.AfterFunc(g.Predicted(), func() {
+			a.pool.apply(func(now time.Time) scheduler.Decisions { return a.pool.core.AssumeFirstToken(now, g) })
+		})
+		defer t.Stop()
+		call.OnFirst = func() {}
+	}
+	result := a.dispatcher.o.Client.Do(ctx, call, a.buffer)
+	a.mayHaveRun = a.mayHaveRun || result.Status == upstream.Lost
+	a.learn(g, result)
+	return result
+}
+
+func (a *attempts) learn(g *scheduler.Grant, result upstream.Result) {
+	core := a.pool.core
+	a.pool.apply(func(now time.Time) scheduler.Decisions {
+		switch result.Status {
+		case upstream.Done:
+			return core.Done(now, g, result.Output)
+		case upstream.Busy:
+			return core.Busy(now, g)
+		case upstream.Cancelled, upstream.Timeout:
+			return core.Cancelled(now, g)
+		case upstream.NotWritten:
+			if isOwnDoing(result.Err) {
+				return core.Cancelled(now, g)
+			}
+			return core.Failed(now, g)
+		default:
+			return core.Failed(now, g)
+		}
+	})
+	if result.Leaving {
+		a.pool.markLeaving(g.Upstream.Address)
+		if a.dispatcher.o.Leaving != nil {
+			a.dispatcher.o.Leaving(g.Upstream.Address)
+		}
+	}
+}
+
+// isOwnDoing tells an end on our side from a failure of the upstream.
+func isOwnDoing(err error) bool {
+	return errors.Is(err, errPaused) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+}
+
+// retry decides whether the request is sent again, elsewhere.
+func (a *attempts) retry(g *scheduler.Grant, result upstream.Result) bool {
+	d := a.dispatcher
+	switch result.Status {
+	case upstream.NotWritten:
+		a.exclude = g.Upstream.Address
+		d.retried(a.request, api.RetryConnect, result.Err)
+		return true
+	case upstream.Busy:
+		if a.buffer.Started() || !d.budget.withdraw() {
+			return false
+		}
+		a.exclude = g.Upstream.Address
+		d.retried(a.request, api.RetryUpstreamBusy, result.Err)
+		return true
+	case upstream.Lost:
+		if a.request.NonIdempotent || a.buffer.Started() || !d.budget.withdraw() {
+			return false
+		}
+		a.exclude = g.Upstream.Address
+		d.retried(a.request, api.RetryUpstreamLost, result.Err)
+		return true
+	default:
+		return false
+	}
+}
+
+// end words the end of a request that isn't sent again.
+func (a *attempts) end(r upstream.Result) answer.End {
+	switch r.Status {
+	case upstream.Done:
+		return answer.End{}
+	case upstream.NotWritten:
+		return answer.End{Problem: api.Refuse(api.ReasonUnreachable, "no upstream could be reached (%v); come back later", r.Err).WithRetryAfter(time.Second)}
+	case upstream.Busy:
+		return answer.End{Problem: api.Refuse(api.ReasonUpstreamRefused, "the upstreams refuse work (%v); come back later", r.Err).WithRetryAfter(max(r.RetryAfter, time.Second))}
+	case upstream.Timeout:
+		return answer.End{Problem: api.LeaveUnknown(api.ReasonUpstreamTimeout, "the deadline passed while the upstream worked; allow more time, and check what it did before you send it under a new key")}
+	case upstream.Cut:
+		return answer.End{Problem: api.LeaveUnknown(api.ReasonUpstreamCut, "the upstream ended its answer early (%v); check what it did, or resume with Last-Event-ID", r.Err)}
+	case upstream.Garbage:
+		return answer.End{Problem: api.LeaveUnknown(api.ReasonUpstreamGarbage, "the upstream's answer breaks its protocol (%v); check what it did, and tell your operator", r.Err)}
+	case upstream.Cancelled:
+		return answer.End{Problem: api.LeaveUnknown(api.ReasonCallerGone, "the caller closed the connection while the upstream worked")}
+	default:
+		return answer.End{Problem: api.LeaveUnknown(api.ReasonUpstreamLost, "the connection broke after the request was written (%v); check what it did before you send it under a new key", r.Err)}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,259 @@
+// Package dispatch serves a request at this instance: it waits for its turn, is
+// sent to an upstream, and its answer is written to a buffer.
+//
+// What may be retried: a request of which nothing was written, always; an
+// idempotent one that was refused or lost, within a budget; a stream that was
+// cut, by resuming it at its engine. A non-idempotent request of which a byte
+// was written is never sent again.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/pause"
+	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/scheduler"
+	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/upstream"
+)
+
+const (
+	// prefillWeight is the daemon's weight of uncached prompt; see balancer.Predictive.
+	prefillWeight = 1.0
+	// memoryBlocks bounds the remembered prefix blocks of one engine.
+	memoryBlocks = 2048
+	// maxAttempts bounds the sendings of one request.
+	maxAttempts = 4
+	// maxResumes bounds how often one stream is resumed.
+	maxResumes = 3
+	// refreshWait bounds how long requests wait for a fresh instance list after
+	// a pause.
+	refreshWait = time.Second
+)
+
+var errPaused = errors.New("the instance was paused since the decision")
+
+// Options of a Dispatcher.
+type Options struct {
+	// Instance is this instance's peer address.
+	Instance string
+	// Zone is its availability zone; only upstreams of it are used.
+	Zone    string
+	Limits  queue.Limits
+	Budget  float64
+	Client  *upstream.Client
+	Pauses  *pause.Detector
+	Metrics *telemetry.Metrics
+	Log     *log.Logger
+	// Pressure tells the peers of the zone that work of this rank was shed for
+	// lack of capacity. It must not block. May be nil.
+	Pressure func(set string, rank int)
+	// Leaving tells the peers that an upstream said itself that it leaves. It
+	// must not block. May be nil.
+	Leaving func(address string)
+	// Refresh reads the instance list anew; it is called after a pause. May be nil.
+	Refresh func(ctx context.Context)
+}
+
+// Dispatcher serves requests at this instance. Safe for concurrent use.
+type Dispatcher struct {
+	o      Options
+	budget *retryBudget
+	flying atomic.Int64
+
+	mu      sync.Mutex
+	pools   map[string]*pool
+	members map[string][]scheduler.Member
+
+	refreshMu    sync.Mutex
+	refreshEpoch uint64
+}
+
+// New returns a dispatcher without upstreams.
+func New(o Options) *Dispatcher {
+	return &Dispatcher{
+		o:       o,
+		budget:  newRetryBudget(o.Budget),
+		pools:   map[string]*pool{},
+		members: map[string][]scheduler.Member{},
+	}
+}
+
+// SetInstances takes a new instance list.
+func (d *Dispatcher) SetInstances(list []platform.Instance) {
+	sets := map[string][]scheduler.Member{}
+	for _, i := range list {
+		if i.Set == "" || i.Zone != d.o.Zone {
+			continue
+		}
+		sets[i.Set] = append(sets[i.Set], scheduler.Member{
+			Address: i.Address,
+			Zone:    i.Zone,
+			Leaving: i.State == platform.Leaving,
+		})
+	}
+	d.mu.Lock()
+	d.members = sets
+	pools := make(map[string]*pool, len(d.pools))
+	for name, p := range d.pools {
+		pools[name] = p
+	}
+	d.mu.Unlock()
+	for name, p := range pools {
+		p.setMembers(sets[name])
+	}
+}
+
+// MarkLeaving stops new work to an upstream, at a peer's word.
+func (d *Dispatcher) MarkLeaving(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		p.markLeaving(address)
+	}
+}
+
+// ShedLower gives up waiting work of lower tiers than rank, at a peer's word.
+func (d *Dispatcher) ShedLower(set string, rank int) {
+	d.mu.Lock()
+	p := d.pools[set]
+	d.mu.Unlock()
+	if p != nil {
+		p.apply(func(time.Time) scheduler.Decisions { return p.core.ShedLower(rank) })
+	}
+}
+
+// InFlight returns how many requests are being served here.
+func (d *Dispatcher) InFlight() int { return int(d.flying.Load()) }
+
+// Queued returns how many requests of each rank wait, by set.
+func (d *Dispatcher) Queued(ranks int) map[string][]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string][]int, len(d.pools))
+	for name, p := range d.pools {
+		out[name] = p.queued(ranks)
+	}
+	return out
+}
+
+// Upstreams returns what is known of the upstreams of a set.
+func (d *Dispatcher) Upstreams(set string) []UpstreamStatus { return d.pool(set).status() }
+
+func (d *Dispatcher) pool(name string) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[name]
+	if p != nil {
+		return p
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	core := scheduler.New(scheduler.Options{
+		Picker:       balancer.NewPredictive(prefillWeight, random),
+		Limits:       d.o.Limits,
+		MemoryBlocks: memoryBlocks,
+	})
+	core.SetMembers(d.members[name])
+	p = newPool(name, core, func(rank int) {
+		if d.o.Pressure != nil {
+			d.o.Pressure(name, rank)
+		}
+	})
+	d.pools[name] = p
+	return p
+}
+
+// Serve serves a request under a snapshot and writes its answer to the buffer,
+// which it finishes. It blocks until then.
+func (d *Dispatcher) Serve(ctx context.Context, s *config.Snapshot, r *request.Request, b *answer.Buffer) {
+	d.flying.Add(1)
+	defer d.flying.Add(-1)
+	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, context.DeadlineExceeded)
+	defer cancel()
+	started := time.Now()
+	end := d.serve(ctx, s, r, b, started)
+	b.Finish(end)
+	d.record(r, end, time.Since(started))
+}
+
+func (d *Dispatcher) record(r *request.Request, end answer.End, took time.Duration) {
+	d.o.Metrics.Ended(r.Tier, end.Outcome(), took)
+	event := d.o.Log.Info().Str("event", "request_ended").Str("request", r.ID).
+		Str("organisation", r.Organisation).Str("tier", r.Tier).
+		Str("outcome", string(end.Outcome())).Dur("took", took)
+	if end.Problem != nil {
+		d.o.Metrics.Refused(end.Problem.Reason)
+		event = event.Str("reason", string(end.Problem.Reason))
+	}
+	event.Msg("")
+}
+
+// serve resolves the request under the snapshot and makes its attempts.
+func (d *Dispatcher) serve(ctx context.Context, s *config.Snapshot, r *request.Request, b *answer.Buffer, started time.Time) answer.End {
+	set, problem := setOf(s, r)
+	if problem != nil {
+		return answer.End{Problem: problem}
+	}
+	tier, ok := s.Tier(r.Tier)
+	if !ok {
+		return answer.End{Problem: api.Refuse(api.ReasonUnknownTier, "tier %q isn't declared in revision %d; send the request again", r.Tier, s.Revision)}
+	}
+	org, ok := s.Organisation(r.Organisation)
+	if !ok {
+		return answer.End{Problem: api.Refuse(api.ReasonUnknownAPIKey, "organisation %q isn't declared in revision %d; ask your operator", r.Organisation, s.Revision)}
+	}
+	a := &attempts{
+		dispatcher: d, snapshot: s, request: r, buffer: b, pool: d.pool(set),
+		tier: tier, organisation: org, started: started,
+	}
+	return a.run(ctx)
+}
+
+func setOf(s *config.Snapshot, r *request.Request) (string, *api.Problem) {
+	if r.Kind == request.Service {
+		if _, ok := s.Service(r.Service); !ok {
+			return "", api.Refuse(api.ReasonUnknownService, "service %q isn't declared in revision %d; ask your operator", r.Service, s.Revision)
+		}
+		return r.Service, nil
+	}
+	set, ok := s.EngineSetByModel(r.Model)
+	if !ok {
+		return "", api.Refuse(api.ReasonUnknownModel, "model %q isn't served in revision %d; GET /v1/models lists those that are", r.Model, s.Revision)
+	}
+	return set.Name, nil
+}
+
+// refresh reads the instance list anew once for each pause, and makes the other
+// requests wait for it.
+func (d *Dispatcher) refresh(ctx context.Context) {
+	epoch := d.o.Pauses.Epoch()
+	d.refreshMu.Lock()
+	defer d.refreshMu.Unlock()
+	if d.refreshEpoch >= epoch || d.o.Refresh == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshWait)
+	defer cancel()
+	d.o.Refresh(ctx)
+	d.refreshEpoch = epoch
+}
+
+func (d *Dispatcher) retried(r *request.Request, reason api.Reason, cause error) {
+	d.o.Metrics.Retried(reason)
+	d.o.Log.Warn().Str("event", "retry").Str("request", r.ID).Str("reason", string(reason)).
+		Str("cause", fmt.Sprint(cause)).Msg("")
+}
--- /dev/null
+++ b/internal/estimate/speed.go
@@ -0,0 +1,105 @@
+// Package estimate learns how fast an upstream is and how much work it should
+// be given at once.
+//
+// Speed learns two rates: prompt tokens read a second, and the time between
+// output tokens as a function of how many sequences run. Window learns how many
+// sequences may be outstanding. Both learn from this instance's own requests
+// only; the work of other instances shows as a slower upstream, so instances
+// that share one come to share it without agreement.
+//
+// Nothing here is safe for concurrent use; the scheduler holds its lock.
+package estimate
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// initialPrefill is assumed of an engine not yet observed, in tokens a second.
+	initialPrefill = 4000
+	// initialInterval is assumed between output tokens.
+	initialInterval = 30 * time.Millisecond
+	// minSpeed and maxSpeed bound the learned prefill rate, in tokens a second.
+	minSpeed = 20
+	maxSpeed = 5_000_000
+	// fastGain is the weight of the first observations, slowGain of later ones.
+	fastGain = 0.5
+	slowGain = 0.15
+	// fastObservations is how many observations weigh fastGain.
+	fastObservations = 8
+	// maxStep bounds the factor by which one observation moves a rate.
+	maxStep = 3.0
+	// intervalPerSequence is the share by which one more running sequence
+	// stretches the time between tokens, until observed otherwise.
+	intervalPerSequence = 0.01
+)
+
+// Speed is what is learned of one upstream's speed.
+type Speed struct {
+	prefill      float64 // tokens a second
+	interval     float64 // seconds between output tokens
+	observed     int
+	observedStep int
+	errorLog     float64 // smoothed absolute log error of first-token predictions
+}
+
+// NewSpeed returns the assumptions of an upstream not yet observed.
+func NewSpeed() Speed {
+	return Speed{prefill: initialPrefill, interval: initialInterval.Seconds(), errorLog: math.Ln2}
+}
+
+// Prefill returns the learned rate of reading prompts, in tokens a second.
+func (s *Speed) Prefill() float64 { return s.prefill }
+
+// Interval returns the learned time between output tokens.
+func (s *Speed) Interval() time.Duration { return seconds(s.interval) }
+
+// FirstToken predicts the time to read so many prompt tokens.
+func (s *Speed) FirstToken(tokens int) time.Duration {
+	return seconds(float64(tokens)/s.prefill + s.interval)
+}
+
+// Decode predicts the time to write so many tokens after the first, if extra
+// sequences join those that run now.
+func (s *Speed) Decode(tokens, extra int) time.Duration {
+	stretch := 1 + intervalPerSequence*float64(extra)
+	return seconds(float64(tokens) * s.interval * stretch)
+}
+
+// ErrorFactor returns the factor by which predictions of the first token are
+// typically off, 1 or more.
+func (s *Speed) ErrorFactor() float64 { return math.Exp(s.errorLog) }
+
+// ObserveFirstToken learns from the time that a first token took when so many
+// prompt tokens, those of earlier requests included, were to be read before it.
+func (s *Speed) ObserveFirstToken(tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	predicted := s.FirstToken(tokens).Seconds()
+	ratio := clamp(predicted/took.Seconds(), 1/maxStep, maxStep)
+	s.errorLog += slowGain * (math.Abs(math.Log(ratio)) - s.errorLog)
+	s.prefill = clamp(s.prefill*math.Pow(ratio, s.gain(&s.observed)), minSpeed, maxSpeed)
+}
+
+// ObserveInterval learns from the mean time between the output tokens of a stream.
+func (s *Speed) ObserveInterval(interval time.Duration) {
+	if interval <= 0 {
+		return
+	}
+	ratio := clamp(interval.Seconds()/s.interval, 1/maxStep, maxStep)
+	s.interval *= math.Pow(ratio, s.gain(&s.observedStep))
+}
+
+func (s *Speed) gain(observations *int) float64 {
+	*observations++
+	if *observations <= fastObservations {
+		return fastGain
+	}
+	return slowGain
+}
+
+func clamp(x, low, high float64) float64 { return math.Min(math.Max(x, low), high) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,201 @@
+// Package peer links the instances of the system with each other.
+//
+// Each instance dials every other one it knows, and sends its requests and
+// heartbeats on the link it dialled; the other side answers on that link. A link
+// is a WebSocket connection with one CBOR frame a message. Requests share it by
+// stream number, with flow control for each stream. A frame that is malformed,
+// too large or of an unknown version closes the link with a typed error; the
+// requests on it are sent again on a new link, which is safe because the issuer
+// of a key recognises repeats.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+// Version of the frames. A link carries frames of one version only.
+const Version = 1
+
+// MaxFrameBytes bounds a frame: the largest request body and its terms.
+const MaxFrameBytes = 8 << 20
+
+// Type of a frame.
+type Type uint8
+
+// The types. Stream is 0 for those that concern the link as a whole.
+const (
+	// TypeHello is the first frame in each direction.
+	TypeHello Type = iota + 1
+	// TypeHeartbeat is sent by the dialling side.
+	TypeHeartbeat
+	// TypeOpen sends a request on a new stream.
+	TypeOpen
+	// TypeHead, TypeData and TypeEnd are the answer to it.
+	TypeHead
+	TypeData
+	TypeEnd
+	// TypeCredit lets the answering side send so many more bytes.
+	TypeCredit
+	// TypeCancel says that the answer is no longer wanted.
+	TypeCancel
+	// TypeFetch asks for the configuration and the instance list.
+	TypeFetch
+	// TypeState answers it.
+	TypeState
+	// TypePressure says that work of a rank was shed for lack of capacity.
+	TypePressure
+	typeLast
+)
+
+// Errors that close a link.
+var (
+	ErrMalformedFrame = errors.New("malformed frame; run the same version on all instances")
+	ErrUnknownVersion = errors.New("frame of an unknown version; run the same version on all instances")
+	ErrUnknownType    = errors.New("frame of an unknown type; run the same version on all instances")
+)
+
+// Frame is one message on a link. Type tells which of the fields are set.
+type Frame struct {
+	Version   uint8            `cbor:"1,keyasint"`
+	Type      Type             `cbor:"2,keyasint"`
+	Stream    uint64           `cbor:"3,keyasint,omitempty"`
+	Hello     *Hello           `cbor:"4,keyasint,omitempty"`
+	Heartbeat *Heartbeat       `cbor:"5,keyasint,omitempty"`
+	Request   *request.Request `cbor:"6,keyasint,omitempty"`
+	Head      *answer.Head     `cbor:"7,keyasint,omitempty"`
+	Data      []byte           `cbor:"8,keyasint,omitempty"`
+	End       *answer.End      `cbor:"9,keyasint,omitempty"`
+	Credit    int              `cbor:"10,keyasint,omitempty"`
+	State     *State           `cbor:"11,keyasint,omitempty"`
+	Pressure  *Pressure        `cbor:"12,keyasint,omitempty"`
+}
+
+// Hello names the sender.
+type Hello struct {
+	Address     string `cbor:"1,keyasint"`
+	Zone        string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"`
+}
+
+// Heartbeat tells the peers what they need to know of an instance.
+type Heartbeat struct {
+	// Revision is the highest accepted configuration revision.
+	Revision int64 `cbor:"1,keyasint"`
+	// ListVersion is the version of the instance list it uses.
+	ListVersion int64 `cbor:"2,keyasint"`
+	// Draining instances take no new work.
+	Draining bool `cbor:"3,keyasint,omitempty"`
+	// Leaving upstreams, by their own word.
+	Leaving []string `cbor:"4,keyasint,omitempty"`
+	// InFlight is the number of requests it serves.
+	InFlight int `cbor:"5,keyasint,omitempty"`
+	// Queued work by set and rank.
+	Queued map[string][]int `cbor:"6,keyasint,omitempty"`
+}
+
+// State is what one instance hands over to another.
+type State struct {
+	// Revision and Content of the configuration; Revision 0 when it has none.
+	Revision int64  `cbor:"1,keyasint"`
+	Content  []byte `cbor:"2,keyasint,omitempty"`
+	// ListVersion and List of instances, as JSON; ListVersion 0 when it has none.
+	ListVersion int64  `cbor:"3,keyasint"`
+	List        []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// Pressure says that work of Rank was shed for lack of capacity in Set.
+type Pressure struct {
+	Set  string `cbor:"1,keyasint"`
+	Rank int    `cbor:"2,keyasint"`
+}
+
+var (
+	encoder = mustEncMode()
+	decoder = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic("peer: " + err.Error())
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 16,
+	}.DecMode()
+	if err != nil {
+		panic("peer: " + err.Error())
+	}
+	return m
+}
+
+// Encode encodes a frame under the current version.
+func Encode(f *Frame) ([]byte, error) {
+	f.Version = Version
+	b, err := encoder.Marshal(f)
+	if err != nil {
+		return nil, fmt.Errorf("peer: frame of type %d doesn't encode: %w", f.Type, err)
+	}
+	return b, nil
+}
+
+// Decode decodes a frame and checks that it carries what its type needs.
+func Decode(b []byte) (*Frame, error) {
+	var f Frame
+	if err := decoder.Unmarshal(b, &f); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformedFrame, err)
+	}
+	if f.Version != Version {
+		return nil, fmt.Errorf("%w: %d", ErrUnknownVersion, f.Version)
+	}
+	return &f, f.check()
+}
+
+func (f *Frame) check() error {
+	complete := true
+	onStream := true
+	switch f.Type {
+	case TypeHello:
+		complete, onStream = f.Hello != nil, false
+	case TypeHeartbeat:
+		complete, onStream = f.Heartbeat != nil, false
+	case TypePressure:
+		complete, onStream = f.Pressure != nil, false
+	case TypeOpen:
+		complete = f.Request != nil && f.Request.Timeout < maxRemaining
+	case TypeHead:
+		complete = f.Head != nil && f.Head.Status >= 200 && f.Head.Status <= 599
+	case TypeData:
+		complete = len(f.Data) > 0
+	case TypeEnd:
+		complete = f.End != nil
+	case TypeCredit:
+		complete = f.Credit > 0
+	case TypeState:
+		complete = f.State != nil
+	case TypeCancel, TypeFetch:
+	default:
+		return fmt.Errorf("%w: %d", ErrUnknownType, f.Type)
+	}
+	if !complete || (onStream && f.Stream == 0) {
+		return fmt.Errorf("%w: type %d lacks what it needs", ErrMalformedFrame, f.Type)
+	}
+	return nil
+}
+
+// maxRemaining bounds the time left that a request may name.
+const maxRemaining = 2 * time.Hour
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/tacktally/tacktally/internal/answer"
+)
+
+const (
+	// window is how many bytes of an answer may be under way on a stream.
+	window = answer.UnheldWindow
+	// maxDataBytes bounds the data of one frame.
+	maxDataBytes = 32 << 10
+	// writeTimeout bounds the writing of one frame; a link slower is closed.
+	writeTimeout = 10 * time.Second
+	// outboxFrames bounds the frames waiting to be written.
+	outboxFrames = 256
+)
+
+// ErrLinkClosed: the link ended. What was sent on it may or may not have arrived.
+var ErrLinkClosed = errors.New("the link to the peer was closed")
+
+// link is one connection. Its frames are written by one goroutine and read by
+// another; send may be called by any.
+type link struct {
+	conn   *websocket.Conn
+	out    chan []byte
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu      sync.Mutex
+	streams map[uint64]*stream // streams opened by this side
+	next    uint64
+}
+
+// stream is a request that this side sent, and the frames of its answer. Credit
+// bounds what waits in inbox.
+type stream struct {
+	inbox chan *Frame
+}
+
+const (
+	// minCharge is what a piece counts for at least against the window, so that
+	// many small pieces can't fill an inbox.
+	minCharge = 256
+	// inboxFrames holds a whole window of the smallest pieces, the head and the
+	// end, so that a slow reader of one stream never blocks the link.
+	inboxFrames = window/minCharge + 8
+)
+
+// charge is what a piece of so many bytes counts for against the window.
+func charge(bytes int) int { return max(bytes, minCharge) }
+
+func newLink(ctx context.Context, conn *websocket.Conn) *link {
+	conn.SetReadLimit(MaxFrameBytes)
+	ctx, cancel := context.WithCancelCause(ctx)
+	return &link{
+		conn:    conn,
+		out:     make(chan []byte, outboxFrames),
+		ctx:     ctx,
+		cancel:  cancel,
+		streams: map[uint64]*stream{},
+	}
+}
+
+// run writes and reads until the link ends, and returns why. Handle is called
+// for each frame in turn and must not block for long.
+func (l *link) run(handle func(*Frame) error) error {
+	go l.writeLoop()
+	err := l.readLoop(handle)
+	l.cancel(fmt.Errorf("%w: %w", ErrLinkClosed, err))
+	l.conn.CloseNow()
+	return err
+}
+
+func (l *link) readLoop(handle func(*Frame) error) error {
+	for {
+		f, err := l.readFrame()
+		if err != nil {
+			return err
+		}
+		if err := handle(f); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *link) readFrame() (*Frame, error) {
+	kind, b, err := l.conn.Read(l.ctx)
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, fmt.Errorf("%w: a text message", ErrMalformedFrame)
+	}
+	return Decode(b)
+}
+
+func (l *link) writeLoop() {
+	for {
+		select {
+		case b := <-l.out:
+			ctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
+			err := l.conn.Write(ctx, websocket.MessageBinary, b)
+			cancel()
+			if err != nil {
+				l.cancel(fmt.Errorf("%w: %w", ErrLinkClosed, err))
+				l.conn.CloseNow()
+				return
+			}
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// send hands a frame to the writer. It blocks while the outbox is full.
+func (l *link) send(ctx context.Context, f *Frame) error {
+	b, err := Encode(f)
+	if err != nil {
+		return err
+	}
+	select {
+	case l.out <- b:
+		return nil
+	case <-l.ctx.Done():
+		return context.Cause(l.ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// trySend hands a frame to the writer if the outbox has room.
+func (l *link) trySend(f *Frame) bool {
+	b, err := Encode(f)
+	if err != nil {
+		return false
+	}
+	select {
+	case l.out <- b:
+		return true
+	default:
+		return false
+	}
+}
+
+// open starts a stream of this side.
+func (l *link) open() (uint64, *stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	s := &stream{inbox: make(chan *Frame, inboxFrames)}
+	l.streams[l.next] = s
+	return l.next, s
+}
+
+func (l *link) closeStream(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.streams, id)
+}
+
+// deliver hands a frame to the stream it belongs to. Frames of a stream already
+// closed are dropped.
+func (l *link) deliver(f *Frame) {
+	l.mu.Lock()
+	s := l.streams[f.Stream]
+	l.mu.Unlock()
+	if s == nil {
+		return
+	}
+	select {
+	case s.inbox <- f:
+	case <-l.ctx.Done():
+	}
+}
+
+// next waits for the next frame of a stream.
+func (l *link) nextFrame(ctx context.Context, s *stream) (*Frame, error) {
+	select {
+	case f := <-s.inbox:
+		return f, nil
+	default:
+	}
+	select {
+	case f := <-s.inbox:
+		return f, nil
+	case <-l.ctx.Done():
+		return nil, context.Cause(l.ctx)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/peer/mesh.go
@@ -0,0 +1,362 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/coder/websocket"
+	"github.com/phuslu/log"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+// Handler is what a mesh serves its peers with. No method may block but Serve's
+// context may be used for waiting within the buffer's making.
+type Handler interface {
+	// Serve serves a request that a peer forwarded.
+	Serve(ctx context.Context, r *request.Request) *answer.Buffer
+	// State returns what is handed over to a peer that lacks it.
+	State() *State
+	// Learn takes over what a peer handed over.
+	Learn(from string, s *State)
+	// Heartbeat returns what to tell the peers now.
+	Heartbeat() *Heartbeat
+	// Heard is called for each heartbeat of a peer.
+	Heard(from string, h *Heartbeat)
+	// Pressure is called when a peer shed work for lack of capacity.
+	Pressure(p Pressure)
+}
+
+// Options of a Mesh.
+type Options struct {
+	// Address under which peers reach this instance, and where it listens.
+	Address     string
+	Listen      string
+	Zone        string
+	Incarnation uint64
+	Heartbeat   time.Duration
+	// SuspectAfter is the silence after which a peer isn't reachable.
+	SuspectAfter time.Duration
+	Handler      Handler
+	Log          *log.Logger
+	// TLS makes links with wss; nil makes them plain.
+	TLS *tls.Config
+}
+
+const (
+	dialTimeout = 2 * time.Second
+	firstRedial = 50 * time.Millisecond
+	maxRedial   = 2 * time.Second
+	// fetchTimeout bounds the handing over of state.
+	fetchTimeout = 2 * time.Second
+)
+
+// ErrUnreachable: no link to the peer is up.
+var ErrUnreachable = errors.New("no link to the peer")
+
+// Status of a peer, for operators.
+type Status struct {
+	Address     string    `json:"address"`
+	Zone        string    `json:"zone"`
+	Incarnation uint64    `json:"incarnation,string"`
+	Linked      bool      `json:"linked"`
+	LastHeard   time.Time `json:"lastHeard"`
+	Revision    int64     `json:"revision"`
+	Draining    bool      `json:"draining"`
+	Reachable   bool      `json:"reachable"`
+}
+
+// Mesh holds the links of one instance. Safe for concurrent use.
+type Mesh struct {
+	o      Options
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	peers    map[string]*peerState
+	fetching bool
+}
+
+type peerState struct {
+	hello     Hello
+	lastHeard time.Time
+	last      Heartbeat
+	link      *link // dialled by this side, nil while down
+	stop      context.CancelFunc
+}
+
+// NewMesh returns a mesh without peers. Close ends it.
+func NewMesh(o Options) *Mesh {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Mesh{o: o, ctx: ctx, cancel: cancel, peers: map[string]*peerState{}}
+	m.wg.Go(m.beat)
+	return m
+}
+
+// Close ends all links.
+func (m *Mesh) Close() {
+	m.cancel()
+	m.wg.Wait()
+}
+
+func (m *Mesh) hello() *Hello {
+	return &Hello{Address: m.o.Address, Zone: m.o.Zone, Incarnation: m.o.Incarnation}
+}
+
+// SetPeers sets the peers to be linked to. Links to others are closed.
+func (m *Mesh) SetPeers(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, p := range m.peers {
+		if p.stop != nil && !slices.Contains(addresses, address) {
+			p.stop()
+			delete(m.peers, address)
+		}
+	}
+	for _, address := range addresses {
+		if address == m.o.Address || m.ctx.Err() != nil {
+			continue
+		}
+		p := m.peers[address]
+		if p == nil {
+			p = &peerState{hello: Hello{Address: address}}
+			m.peers[address] = p
+		}
+		if p.stop == nil {
+			ctx, stop := context.WithCancel(m.ctx)
+			p.stop = stop
+			m.wg.Go(func() { m.keepLinked(ctx, address) })
+		}
+	}
+}
+
+// keepLinked dials a peer again and again until ctx ends.
+func (m *Mesh) keepLinked(ctx context.Context, address string) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstRedial
+	pause.MaxInterval = maxRedial
+	for ctx.Err() == nil {
+		up, err := m.dial(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		m.linkEnded(address, "dialled", err)
+		if up {
+			pause.Reset()
+		}
+		t := time.NewTimer(pause.NextBackOff())
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+// dial makes a link and runs it until it ends. Up tells whether it came up.
+func (m *Mesh) dial(ctx context.Context, address string) (up bool, err error) {
+	scheme := "ws://"
+	if m.o.TLS != nil {
+		scheme = "wss://"
+	}
+	transport := &http.Transport{TLSClientConfig: m.o.TLS, DialContext: m.dialer().DialContext, DisableKeepAlives: true}
+	client := &http.Client{Transport: transport}
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, _, err := websocket.Dial(dialCtx, scheme+address+Path, &websocket.DialOptions{
+		HTTPClient:      client,
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return false, err
+	}
+	l := newLink(ctx, conn)
+	if err := l.send(ctx, &Frame{Type: TypeHello, Hello: m.hello()}); err != nil {
+		conn.CloseNow()
+		return false, err
+	}
+	err = l.run(func(f *Frame) error { return m.handleDialled(l, address, f) })
+	m.mu.Lock()
+	if p := m.peers[address]; p != nil && p.link == l {
+		p.link = nil
+	}
+	m.mu.Unlock()
+	return true, err
+}
+
+// dialer makes links come from the IP number of the peers' listener, so that
+// rules of the network can name it.
+func (m *Mesh) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if a, err := netip.ParseAddrPort(m.o.Listen); err == nil && !a.Addr().IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: a.Addr().AsSlice()}
+	}
+	return d
+}
+
+// handleDialled handles a frame on a link that this side dialled.
+func (m *Mesh) handleDialled(l *link, address string, f *Frame) error {
+	if f.Type != TypeHello {
+		l.deliver(f)
+		return nil
+	}
+	if f.Hello.Address != address {
+		return fmt.Errorf("%w: dialled %s, which calls itself %s; correct its peers.advertise", ErrMalformedFrame, address, f.Hello.Address)
+	}
+	m.heard(*f.Hello, l)
+	l.trySend(&Frame{Type: TypeHeartbeat, Heartbeat: m.o.Handler.Heartbeat()})
+	return nil
+}
+
+// heard notes a hello; with a link, that the link to the peer is up.
+func (m *Mesh) heard(h Hello, l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[h.Address]
+	if p == nil {
+		p = &peerState{}
+		m.peers[h.Address] = p
+	}
+	if p.hello.Incarnation != h.Incarnation {
+		p.last = Heartbeat{}
+	}
+	p.hello = h
+	p.lastHeard = time.Now()
+	if l != nil {
+		p.link = l
+	}
+}
+
+func (m *Mesh) heartbeat(from string, h *Heartbeat) {
+	if from == "" {
+		return
+	}
+	m.mu.Lock()
+	if p := m.peers[from]; p != nil {
+		p.lastHeard = time.Now()
+		p.last = *h
+	}
+	m.mu.Unlock()
+	m.o.Handler.Heard(from, h)
+}
+
+func (m *Mesh) linkEnded(address, side string, err error) {
+	if m.ctx.Err() != nil {
+		return
+	}
+	m.o.Log.Debug().Str("event", "peer_link_down").Str("peer", address).Str("side", side).Str("cause", fmt.Sprint(err)).Msg("")
+}
+
+// beat sends heartbeats until the mesh is closed.
+func (m *Mesh) beat() {
+	t := time.NewTicker(m.o.Heartbeat)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			m.closeSilent()
+			m.Announce()
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
+// closeSilent closes links to peers not heard of for SuspectAfter, so that what
+// waits on them is told.
+func (m *Mesh) closeSilent() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.link != nil && time.Since(p.lastHeard) > m.o.SuspectAfter {
+			p.link.cancel(errSilent)
+			p.link = nil
+		}
+	}
+}
+
+var errSilent = errors.New("the peer was silent for too long")
+
+// Announce sends a heartbeat to every linked peer now.
+func (m *Mesh) Announce() {
+	f := &Frame{Type: TypeHeartbeat, Heartbeat: m.o.Handler.Heartbeat()}
+	for _, l := range m.links() {
+		l.trySend(f)
+	}
+}
+
+// Press tells every linked peer of the zone that work was shed for lack of capacity.
+func (m *Mesh) Press(p Pressure) {
+	for _, l := range m.links() {
+		l.trySend(&Frame{Type: TypePressure, Pressure: &p})
+	}
+}
+
+func (m *Mesh) links() []*link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*link
+	for _, p := range m.peers {
+		if p.link != nil {
+			out = append(out, p.link)
+		}
+	}
+	return out
+}
+
+func (m *Mesh) linkTo(address string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[address]; p != nil {
+		return p.link
+	}
+	return nil
+}
+
+// Peers returns the state of all known peers, sorted by address.
+func (m *Mesh) Peers() []Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Status, 0, len(m.peers))
+	for address, p := range m.peers {
+		out = append(out, Status{
+			Address:     address,
+			Zone:        p.hello.Zone,
+			Incarnation: p.hello.Incarnation,
+			Linked:      p.link != nil,
+			LastHeard:   p.lastHeard,
+			Revision:    p.last.Revision,
+			Draining:    p.last.Draining,
+			Reachable:   p.link != nil && time.Since(p.lastHeard) < m.o.SuspectAfter,
+		})
+	}
+	slices.SortFunc(out, func(a, b Status) int {
+		if a.Address < b.Address {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Incarnation returns the incarnation a peer last named itself with, 0 when it
+// has never been heard.
+func (m *Mesh) Incarnation(address string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.peers[address]; p != nil {
+		return p.hello.Incarnation
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/peer/serve.go
@@ -0,0 +1,184 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/coder/websocket"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+// Path under which an instance accepts links.
+const Path = "/peer"
+
+// maxStreams bounds the requests served at once on one link.
+const maxStreams = 4096
+
+// ServeHTTP accepts a link from a peer and serves it until it ends.
+func (m *Mesh) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	conn, err := websocket.Accept(w, h, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	l := newLink(m.ctx, conn)
+	s := &served{mesh: m, link: l, cancels: map[uint64]*servedStream{}}
+	defer s.endAll()
+	err = l.run(s.handle)
+	m.linkEnded(s.peer, "accepted", err)
+}
+
+// served is a link that a peer dialled.
+type served struct {
+	mesh *Mesh
+	link *link
+	peer string
+
+	mu      sync.Mutex
+	cancels map[uint64]*servedStream
+}
+
+type servedStream struct {
+	cancel context.CancelFunc
+	credit *credit
+}
+
+func (s *served) handle(f *Frame) error {
+	switch f.Type {
+	case TypeHello:
+		s.peer = f.Hello.Address
+		s.mesh.heard(*f.Hello, nil)
+		return s.link.send(s.link.ctx, &Frame{Type: TypeHello, Hello: s.mesh.hello()})
+	case TypeHeartbeat:
+		s.mesh.heartbeat(s.peer, f.Heartbeat)
+	case TypePressure:
+		s.mesh.o.Handler.Pressure(*f.Pressure)
+	case TypeFetch:
+		return s.link.send(s.link.ctx, &Frame{Type: TypeState, Stream: f.Stream, State: s.mesh.o.Handler.State()})
+	case TypeOpen:
+		s.start(f)
+	case TypeCancel:
+		s.stop(f.Stream)
+	case TypeCredit:
+		s.mu.Lock()
+		st := s.cancels[f.Stream]
+		s.mu.Unlock()
+		if st != nil {
+			st.credit.add(f.Credit)
+		}
+	}
+	return nil
+}
+
+// start serves a request in a goroutine of its own.
+func (s *served) start(f *Frame) {
+	ctx, cancel := context.WithCancel(s.link.ctx)
+	st := &servedStream{cancel: cancel, credit: newCredit(window)}
+	s.mu.Lock()
+	full := len(s.cancels) >= maxStreams
+	if !full {
+		s.cancels[f.Stream] = st
+	}
+	s.mu.Unlock()
+	if full {
+		cancel()
+		s.link.cancel(ErrLinkClosed)
+		return
+	}
+	go s.serve(ctx, f.Stream, f.Request, st)
+}
+
+func (s *served) serve(ctx context.Context, id uint64, r *request.Request, st *servedStream) {
+	defer s.stop(id)
+	b := s.mesh.o.Handler.Serve(ctx, r)
+	reader := b.Reader()
+	for {
+		event, err := reader.Next(ctx)
+		if err != nil {
+			return
+		}
+		if err := s.sendEvent(ctx, id, event, st.credit); err != nil {
+			return
+		}
+		if event.End != nil {
+			return
+		}
+	}
+}
+
+func (s *served) sendEvent(ctx context.Context, id uint64, event answer.Event, c *credit) error {
+	switch {
+	case event.Head != nil:
+		return s.link.send(ctx, &Frame{Type: TypeHead, Stream: id, Head: event.Head})
+	case event.End != nil:
+		return s.link.send(ctx, &Frame{Type: TypeEnd, Stream: id, End: event.End})
+	}
+	for rest := event.Piece; len(rest) > 0; {
+		n := min(len(rest), maxDataBytes)
+		if err := c.take(ctx, charge(n)); err != nil {
+			return err
+		}
+		if err := s.link.send(ctx, &Frame{Type: TypeData, Stream: id, Data: rest[:n]}); err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	return nil
+}
+
+func (s *served) stop(id uint64) {
+	s.mu.Lock()
+	st := s.cancels[id]
+	delete(s.cancels, id)
+	s.mu.Unlock()
+	if st != nil {
+		st.cancel()
+	}
+}
+
+func (s *served) endAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, st := range s.cancels {
+		st.cancel()
+		delete(s.cancels, id)
+	}
+}
+
+// credit is the number of bytes that may be sent. Safe for concurrent use.
+type credit struct {
+	mu    sync.Mutex
+	left  int
+	added chan struct{}
+}
+
+func newCredit(n int) *credit { return &credit{left: n, added: make(chan struct{})} }
+
+func (c *credit) add(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.left = min(c.left+n, window)
+	close(c.added)
+	c.added = make(chan struct{})
+}
+
+// take blocks until n bytes may be sent.
+func (c *credit) take(ctx context.Context, n int) error {
+	for {
+		c.mu.Lock()
+		if c.left >= n {
+			c.left -= n
+			c.mu.Unlock()
+			return nil
+		}
+		added := c.added
+		c.mu.Unlock()
+		select {
+		case <-added:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,201 @@
+// Package platform reads what the platform publishes: the configuration document
+// and the list of instances. It never writes.
+//
+// The service's protocol, as the stand-in in internal/standin/platform speaks it:
+//
+//	GET /v1/config/KEY                      the value now
+//	GET /v1/config/KEY?after=REV&wait=SECS  the value once it differs from REV, or 304
+//	GET /v1/instances[?after=VERSION&wait=SECS]  the same for the instance list
+//
+// A value comes with its revision in the header Revision.
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/dghubble/sling"
+	"github.com/go-json-experiment/json"
+)
+
+// HeaderRevision carries a value's revision.
+const HeaderRevision = "Revision"
+
+const (
+	maxValueBytes = 1 << 20
+	// watchSlack is what a watch may take beyond its waiting time.
+	watchSlack = 5 * time.Second
+	// firstBackoff and maxBackoff bound the pause after a failed call.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+)
+
+// State of an instance in the list.
+type State string
+
+// The states.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Instance is an entry of the platform's list: an instance of the system or an
+// upstream.
+type Instance struct {
+	// Address as IP:port: the peer address of an instance of the system, or
+	// where an upstream serves.
+	Address string `json:"address"`
+	// Zone is its availability zone.
+	Zone string `json:"zone"`
+	// Set is the engine set or service an upstream belongs to; empty for an
+	// instance of the system.
+	Set string `json:"set,omitzero"`
+	// State is live or leaving.
+	State State `json:"state"`
+}
+
+// List is the instance list under a version.
+type List struct {
+	Version   int64
+	Instances []Instance
+}
+
+// ErrUnavailable: the service didn't answer as it should.
+var ErrUnavailable = errors.New("the platform's service is unavailable; serving goes on with what is known")
+
+// Client reads the platform's service. Safe for concurrent use.
+type Client struct {
+	http *http.Client
+	base string
+	wait time.Duration
+}
+
+// NewClient returns a client. Wait is how long one watch call waits.
+func NewClient(base string, wait time.Duration) *Client {
+	return &Client{
+		base: base,
+		wait: wait,
+		http: &http.Client{Timeout: wait + watchSlack, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// params of a watch.
+type params struct {
+	After int64 `url:"after,omitempty"`
+	Wait  int64 `url:"wait,omitempty"`
+}
+
+// get reads a value. With after set, it waits until the value has another
+// revision, and returns a nil content when it stays the same.
+func (c *Client) get(ctx context.Context, path string, after int64, wait time.Duration) (revision int64, content []byte, err error) {
+	s := sling.New().Base(c.base).Get(path)
+	if wait > 0 {
+		s = s.QueryStruct(params{After: after, Wait: int64(wait / time.Second)})
+	}
+	h, err := s.Request()
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	response, err := c.http.Do(h.WithContext(ctx))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return after, nil, nil
+	}
+	if response.StatusCode != http.StatusOK {
+		return 0, nil, fmt.Errorf("%w: it answered %s to %s", ErrUnavailable, response.Status, path)
+	}
+	revision, err = strconv.ParseInt(response.Header.Get(HeaderRevision), 10, 64)
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: no revision with %s", ErrUnavailable, path)
+	}
+	content, err = io.ReadAll(io.LimitReader(response.Body, maxValueBytes+1))
+	if err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return revision, content, nil
+}
+
+// Instances reads the instance list now.
+func (c *Client) Instances(ctx context.Context) (List, error) {
+	revision, content, err := c.get(ctx, "/v1/instances", 0, 0)
+	if err != nil {
+		return List{}, err
+	}
+	return decodeList(revision, content)
+}
+
+func decodeList(version int64, content []byte) (List, error) {
+	l := List{Version: version}
+	if err := json.Unmarshal(content, &l.Instances); err != nil {
+		return l, fmt.Errorf("%w: the instance list is not readable: %w", ErrUnavailable, err)
+	}
+	return l, nil
+}
+
+// WatchConfig calls f with the value of key, at once and at each change, until
+// ctx ends. Failures go to onError, and the watch goes on.
+func (c *Client) WatchConfig(ctx context.Context, key string, f func(revision int64, content []byte), onError func(error)) {
+	c.watch(ctx, "/v1/config/"+key, f, onError)
+}
+
+// WatchInstances calls f with the list, at once and at each change, until ctx ends.
+func (c *Client) WatchInstances(ctx context.Context, f func(List), onError func(error)) {
+	c.watch(ctx, "/v1/instances", func(version int64, content []byte) {
+		l, err := decodeList(version, content)
+		if err != nil {
+			onError(err)
+			return
+		}
+		f(l)
+	}, onError)
+}
+
+func (c *Client) watch(ctx context.Context, path string, f func(int64, []byte), onError func(error)) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstBackoff
+	pause.MaxInterval = maxBackoff
+	var after int64
+	wait := time.Duration(0) // the first call returns at once
+	for ctx.Err() == nil {
+		revision, content, err := c.get(ctx, path, after, wait)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			onError(err)
+			if !sleep(ctx, pause.NextBackOff()) {
+				return
+			}
+			continue
+		}
+		pause.Reset()
+		wait = c.wait
+		if content != nil {
+			after = revision
+			f(revision, content)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/prefix/prefix.go
@@ -0,0 +1,82 @@
+// Package prefix remembers which prompt prefixes an engine has likely in its
+// cache.
+//
+// A prompt is cut into blocks of BlockBytes; Chain sums each block together with
+// all before it, so that two prompts share sums exactly as far as they share
+// their beginning. Memory is a bounded, least-recently-used set of sums for one
+// engine. It holds hints: engines evict on their own and tell it late.
+package prefix
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// BlockBytes is the size of a block of prompt text.
+	BlockBytes = 256
+	// BytesPerToken is the assumed mean length of a token's text.
+	BytesPerToken = 4
+	// BlockTokens is the size of a block in tokens.
+	BlockTokens = BlockBytes / BytesPerToken
+	// maxBlocks bounds a chain, for the hundredfold prompt.
+	maxBlocks = 1024
+)
+
+// Chain returns one sum for each whole block of the prompt.
+func Chain(prompt []byte) []uint64 {
+	n := min(len(prompt)/BlockBytes, maxBlocks)
+	sums := make([]uint64, 0, n)
+	d := xxhash.New()
+	for i := range n {
+		_, _ = d.Write(prompt[i*BlockBytes : (i+1)*BlockBytes])
+		sums = append(sums, d.Sum64())
+	}
+	return sums
+}
+
+// Memory is what one engine likely holds. Not safe for concurrent use.
+type Memory struct {
+	blocks *simplelru.LRU[uint64, struct{}]
+}
+
+// NewMemory returns a memory of at most so many blocks.
+func NewMemory(blocks int) *Memory {
+	lru, err := simplelru.NewLRU[uint64, struct{}](max(blocks, 1), nil)
+	if err != nil {
+		panic("prefix: a positive size always makes a cache: " + err.Error())
+	}
+	return &Memory{blocks: lru}
+}
+
+// Cached returns how many leading blocks of the chain the engine likely holds.
+func (m *Memory) Cached(chain []uint64) int {
+	low, high := 0, len(chain)
+	for low < high {
+		mid := (low + high + 1) / 2
+		if m.blocks.Contains(chain[mid-1]) {
+			low = mid
+		} else {
+			high = mid - 1
+		}
+	}
+	return low
+}
+
+// Add records that the engine has read the prompt of the chain. The beginning
+// is made the most recent, since engines too evict the ends of prompts first.
+func (m *Memory) Add(chain []uint64) {
+	for i := len(chain) - 1; i >= 0; i-- {
+		m.blocks.Add(chain[i], struct{}{})
+	}
+}
+
+// Drop records that the engine has evicted the blocks.
+func (m *Memory) Drop(blocks []uint64) {
+	for _, b := range blocks {
+		m.blocks.Remove(b)
+	}
+}
+
+// Clear forgets all, after the engine's restart.
+func (m *Memory) Clear() { m.blocks.Purge() }
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,110 @@
+// Package request holds the type of a caller's request inside the daemon, and
+// reads it from HTTP.
+package request
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/idempotency"
+	"github.com/tacktally/tacktally/internal/prefix"
+)
+
+// Kind tells which protocol a request speaks.
+type Kind uint8
+
+// The kinds.
+const (
+	Chat Kind = iota + 1
+	Completion
+	Service
+)
+
+// Attempt tells what the caller says of a caller-chosen ID.
+type Attempt uint8
+
+// The attempts.
+const (
+	// AttemptUnmarked: the caller doesn't say; it may be a repeat.
+	AttemptUnmarked Attempt = iota
+	// AttemptFirst: the caller sends it for the first time.
+	AttemptFirst
+	// AttemptRepeat: the caller has sent it before.
+	AttemptRepeat
+)
+
+// Request is one request of a caller. It travels between instances as CBOR.
+// It is not changed once decoded.
+type Request struct {
+	// ID names the request in logs and answers.
+	ID   string `cbor:"1,keyasint"`
+	Kind Kind   `cbor:"2,keyasint"`
+	// Organisation that the API key belongs to.
+	Organisation string `cbor:"3,keyasint"`
+	Tier         string `cbor:"4,keyasint"`
+	// Timeout is the time left when the request was sent to this instance. It
+	// travels instead of a deadline, so that clocks needn't agree.
+	Timeout time.Duration `cbor:"5,keyasint"`
+	// NonIdempotent requests run at most once, under Key.
+	NonIdempotent bool `cbor:"6,keyasint,omitempty"`
+	// Key is an issued key or a caller-chosen ID; Attempt goes with the latter.
+	Key     string  `cbor:"7,keyasint,omitempty"`
+	Attempt Attempt `cbor:"8,keyasint,omitempty"`
+	// JoinOnly asks only for the answer of an earlier sending; the body is absent.
+	JoinOnly bool `cbor:"9,keyasint,omitempty"`
+	// Sum is the fingerprint of what is asked.
+	Sum idempotency.Fingerprint `cbor:"10,keyasint"`
+	// Body as the caller sent it.
+	Body []byte `cbor:"11,keyasint,omitempty"`
+
+	// Model requests: the model, whether the answer is streamed, the length of
+	// the prompt and the limit of the output in tokens, and the resume token.
+	Model       string `cbor:"12,keyasint,omitempty"`
+	Stream      bool   `cbor:"13,keyasint,omitempty"`
+	Prompt      int    `cbor:"14,keyasint,omitempty"`
+	Output      int    `cbor:"15,keyasint,omitempty"`
+	LastEventID string `cbor:"16,keyasint,omitempty"`
+
+	// Service requests: the service, the call below its prefix, and its header.
+	Service string              `cbor:"17,keyasint,omitempty"`
+	Method  string              `cbor:"18,keyasint,omitempty"`
+	Path    string              `cbor:"19,keyasint,omitempty"`
+	Query   string              `cbor:"20,keyasint,omitempty"`
+	Header  map[string][]string `cbor:"21,keyasint,omitempty"`
+
+	// Chain is the prompt's prefix sums.
+	Chain []uint64 `cbor:"22,keyasint,omitempty"`
+	// Deadline on this instance's clock; set when it is received.
+	Deadline time.Time `cbor:"-"`
+}
+
+// Received sets the deadline from the time left.
+func (r *Request) Received(now time.Time) { r.Deadline = now.Add(r.Timeout) }
+
+// ForPeer returns a copy to send to another instance now.
+func (r *Request) ForPeer(now time.Time) *Request {
+	c := *r
+	c.Timeout = r.Deadline.Sub(now)
+	return &c
+}
+
+// seal sums what is asked: all that changes what an upstream would do.
+func (r *Request) seal() {
+	h := sha256.New()
+	for _, part := range []string{r.Organisation, r.Model, r.Service, r.Method, r.Path, r.Query} {
+		var length [4]byte
+		binary.BigEndian.PutUint32(length[:], uint32(len(part)))
+		h.Write(length[:])
+		h.Write([]byte(part))
+	}
+	h.Write([]byte{byte(r.Kind)})
+	h.Write(r.Body)
+	h.Sum(r.Sum[:0])
+}
+
+// chain sums the prompt's prefixes and estimates its length in tokens.
+func (r *Request) chain(prompt []byte) {
+	r.Chain = prefix.Chain(prompt)
+	r.Prompt = max(len(prompt)/prefix.BytesPerToken, 1)
+}
--- /dev/null
+++ b/internal/scheduler/admit.go
@@ -0,0 +1,144 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/queue"
+)
+
+const (
+	// lateFactor is how far the predicted wait must pass the time there is
+	// before a request is refused on a prediction alone.
+	lateFactor = 1.3
+	// minRetryAfter is the shortest time to come back.
+	minRetryAfter = time.Second
+	// maxRetryAfter is the longest.
+	maxRetryAfter = 60 * time.Second
+)
+
+// Submit takes a new request: it is granted, queued or shed, and it may displace
+// a less important one.
+func (c *Core) Submit(now time.Time, r *Request) Decisions {
+	var d Decisions
+	if !c.hasUsable(r) {
+		c.shed(&d, r, api.ReasonNoUpstream, "no upstream is in service; come back later, or check the platform's instance list")
+		return d
+	}
+	if c.options.Unqueued {
+		c.sendUnqueued(now, r, &d)
+		return d
+	}
+	startBy := c.startBy(r)
+	if startBy.Before(now) {
+		c.shed(&d, r, api.ReasonPredictedLate, "even an idle upstream would answer too late; allow more time or send less")
+		return d
+	}
+	r.item = &queue.Item{
+		Rank:         r.Rank,
+		Organisation: r.Organisation,
+		Share:        r.Share,
+		StartBy:      startBy,
+		Work:         c.work(r),
+		Bytes:        r.Bytes,
+		Value:        r,
+	}
+	if !c.admit(now, r, &d) {
+		return d
+	}
+	c.queue.Push(r.item)
+	c.pump(now, &d)
+	return d
+}
+
+// admit makes room for the request, or sheds it.
+func (c *Core) admit(now time.Time, r *Request, d *Decisions) bool {
+	wait := c.predictedWait(r)
+	slack := r.item.StartBy.Sub(now)
+	if float64(wait) > lateFactor*float64(slack) {
+		c.shedLower(r.Rank, d)
+		c.shed(d, r, api.ReasonPredictedLate, "the queue is too long for it to be in time; come back after the time given")
+		return false
+	}
+	for !c.queue.HasRoom(r.Bytes) {
+		victim := c.queue.Displace(r.Rank)
+		if victim == nil {
+			c.shed(d, r, api.ReasonQueueFull, "the queue is full; come back after the time given")
+			return false
+		}
+		c.shedDisplaced(victim, d)
+	}
+	return true
+}
+
+// shedLower gives up all waiting work of lower tiers, because work of this rank
+// is about to be shed: a higher tier is never shed before a lower one.
+func (c *Core) shedLower(rank int, d *Decisions) {
+	for _, it := range c.queue.Lower(rank) {
+		c.shedDisplaced(it, d)
+	}
+}
+
+// ShedLower is called when a peer of the zone is about to shed work of this rank
+// for the same upstreams.
+func (c *Core) ShedLower(rank int) Decisions {
+	var d Decisions
+	c.shedLower(rank, &d)
+	return d
+}
+
+func (c *Core) shedDisplaced(it *queue.Item, d *Decisions) {
+	c.shed(d, it.Value.(*Request), api.ReasonDisplaced, "work of a higher tier needs the capacity; come back after the time given")
+}
+
+func (c *Core) shed(d *Decisions, r *Request, reason api.Reason, detail string) {
+	p := api.Refuse(reason, "%s", detail).WithRetryAfter(c.retryAfter(r))
+	d.Sheds = append(d.Sheds, Shed{Request: r, Problem: p})
+}
+
+// startBy is the latest start that lets the answer be in time, on an upstream of
+// middling speed.
+func (c *Core) startBy(r *Request) time.Time {
+	first, whole := c.typical(r)
+	startBy := r.Deadline.Add(-whole)
+	if r.FirstToken > 0 {
+		byFirst := r.Arrived.Add(r.FirstToken - first)
+		if byFirst.Before(startBy) {
+			return byFirst
+		}
+	}
+	return startBy
+}
+
+// typical predicts the first token and the whole answer on the better half of
+// the upstreams, idle.
+func (c *Core) typical(r *Request) (first, whole time.Duration) {
+	var firsts, wholes []time.Duration
+	output := c.outputs.expect(r.Output)
+	for _, u := range c.sampleUpstreams() {
+		f := u.Speed.FirstToken(r.Prompt)
+		firsts = append(firsts, f)
+		wholes = append(wholes, f+u.Speed.Decode(output, 0))
+	}
+	if len(firsts) == 0 {
+		return 0, 0
+	}
+	slices.Sort(firsts)
+	slices.Sort(wholes)
+	return firsts[len(firsts)/4], wholes[len(wholes)/4]
+}
+
+// predictedWait is the time until all work that goes first has been sent.
+func (c *Core) predictedWait(r *Request) time.Duration {
+	rate := c.drain.rate()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(c.queue.WorkAhead(r.Rank) / rate * float64(time.Second))
+}
+
+// retryAfter is when the work now waiting will have drained.
+func (c *Core) retryAfter(r *Request) time.Duration {
+	return min(max(c.predictedWait(r), minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,178 @@
+// Package scheduler decides when a request goes to which upstream, and which
+// requests are refused.
+//
+// Core is one set's scheduler as a plain state machine: each method takes the
+// time and returns what is to be done. The dispatcher drives it with the clock,
+// the experiments with virtual time. Engines admit what they are sent in order
+// of arrival, so the queue stays here, and each engine gets only as much as
+// keeps it busy.
+//
+// Not safe for concurrent use.
+package scheduler
+
+import (
+	"time"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/prefix"
+	"github.com/tacktally/tacktally/internal/queue"
+)
+
+// Options of a Core.
+type Options struct {
+	// Picker chooses upstreams.
+	Picker balancer.Picker
+	// Limits bounds the queue.
+	Limits queue.Limits
+	// MemoryBlocks bounds the remembered prefix blocks of one upstream; 0 is none.
+	MemoryBlocks int
+	// Unqueued sends each request at once to whatever the picker names, without
+	// tiers or limits. The baselines run like that.
+	Unqueued bool
+}
+
+// Request is what the scheduler knows of a request.
+type Request struct {
+	// Rank of its tier; 0 is the most important.
+	Rank         int
+	Organisation string
+	Share        float64
+	// Arrived, and the Deadline of the whole answer.
+	Arrived  time.Time
+	Deadline time.Time
+	// FirstToken is the time in which the first token counts as in time; 0 is none.
+	FirstToken time.Duration
+	// Prompt tokens and the limit of Output tokens.
+	Prompt int
+	Output int
+	// Chain is the prompt's prefix sums.
+	Chain []uint64
+	// Bytes it holds while it waits.
+	Bytes int
+	// Exclude is an upstream that failed it already.
+	Exclude string
+	// Value is the caller's.
+	Value any
+
+	item *queue.Item
+}
+
+// Grant lets a request be sent to an upstream now.
+type Grant struct {
+	Request  *Request
+	Upstream *balancer.Upstream
+	// Sent is when it was granted.
+	Sent time.Time
+
+	uncached   int
+	ahead      int // prompt tokens to be read before its first token, its own included
+	predicted  time.Duration
+	firstToken time.Time
+	released   bool // uncached no longer counts as pending
+}
+
+// Predicted returns the time in which the first token was expected.
+func (g *Grant) Predicted() time.Duration { return g.predicted }
+
+// Uncached returns the prompt tokens that the upstream was assumed to read.
+func (g *Grant) Uncached() int { return g.uncached }
+
+// Shed is a request given up before it was sent.
+type Shed struct {
+	Request *Request
+	Problem *api.Problem
+}
+
+// Decisions is what is to be done after a call.
+type Decisions struct {
+	Grants []*Grant
+	Sheds  []Shed
+}
+
+// Core schedules the requests of one set of upstreams.
+type Core struct {
+	options   Options
+	queue     *queue.Queue
+	upstreams []*balancer.Upstream
+	drain     drainRate
+	outputs   outputRatio
+}
+
+// New returns a Core without upstreams.
+func New(o Options) *Core {
+	return &Core{options: o, queue: queue.New(o.Limits), outputs: newOutputRatio()}
+}
+
+// Member is an upstream as a list names it.
+type Member struct {
+	Address string
+	Zone    string
+	Leaving bool
+}
+
+// SetMembers replaces the list of upstreams. What was learned of those that stay
+// is kept. Those gone from the list get nothing new.
+func (c *Core) SetMembers(members []Member) {
+	known := make(map[string]*balancer.Upstream, len(c.upstreams))
+	for _, u := range c.upstreams {
+		known[u.Address] = u
+	}
+	next := make([]*balancer.Upstream, 0, len(members))
+	for _, m := range members {
+		u := known[m.Address]
+		if u == nil {
+			u = newUpstream(m, c.options.MemoryBlocks)
+		}
+		delete(known, m.Address)
+		u.Leaving = m.Leaving
+		next = append(next, u)
+	}
+	for _, gone := range known {
+		gone.Leaving = true
+	}
+	c.upstreams = next
+}
+
+func newUpstream(m Member, blocks int) *balancer.Upstream {
+	u := &balancer.Upstream{Address: m.Address, Zone: m.Zone}
+	u.Speed, u.Window = newEstimates()
+	if blocks > 0 {
+		u.Memory = prefix.NewMemory(blocks)
+	}
+	return u
+}
+
+// MarkLeaving stops new work to an upstream at its own word or a peer's.
+func (c *Core) MarkLeaving(address string) {
+	for _, u := range c.upstreams {
+		if u.Address == address {
+			u.Leaving = true
+		}
+	}
+}
+
+// Upstreams returns the upstreams. The caller must not change them.
+func (c *Core) Upstreams() []*balancer.Upstream { return c.upstreams }
+
+// Queued returns how many requests of each rank wait, up to the given rank.
+func (c *Core) Queued(ranks int) []int {
+	out := make([]int, ranks)
+	for r := range out {
+		out[r] = c.queue.LenOf(r)
+	}
+	return out
+}
+
+// NextExpiry returns when a waiting request will have to be given up.
+func (c *Core) NextExpiry() (time.Time, bool) { return c.queue.EarliestStartBy() }
+
+// hasUsable tells whether any upstream may get work, now or once it has room.
+func (c *Core) hasUsable(r *Request) bool {
+	for _, u := range c.eligible(r) {
+		if !u.Leaving {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scheduler/serve.go
@@ -0,0 +1,233 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/estimate"
+)
+
+const (
+	// lateFirstToken is how far past its prediction a first token must come to
+	// count as a sign of too much work.
+	lateFirstToken = 150 * time.Millisecond
+	// lateFirstTokenFactor is the same as a factor; both must be passed.
+	lateFirstTokenFactor = 1.5
+	// maxInterval is the time between output tokens past which an upstream is
+	// given fewer sequences.
+	maxInterval = 52 * time.Millisecond
+	// avoidFirst and avoidMost bound how long a failing upstream gets nothing.
+	avoidFirst = 500 * time.Millisecond
+	avoidMost  = 30 * time.Second
+	// maxSampleUpstreams bounds the upstreams looked at for a typical speed.
+	maxSampleUpstreams = 64
+	// outputWeight is what an output token counts for in prompt tokens.
+	outputWeight = 4
+)
+
+func newEstimates() (estimate.Speed, estimate.Window) {
+	return estimate.NewSpeed(), estimate.NewWindow()
+}
+
+// Poll gives up what can no longer be in time and sends what has room.
+func (c *Core) Poll(now time.Time) Decisions {
+	var d Decisions
+	c.expire(now, &d)
+	c.pump(now, &d)
+	return d
+}
+
+func (c *Core) expire(now time.Time, d *Decisions) {
+	for _, it := range c.queue.Expired(now) {
+		r := it.Value.(*Request)
+		c.shedLower(r.Rank, d)
+		c.shed(d, r, api.ReasonDeadlineExpired, "no upstream had room in time; come back after the time given")
+	}
+}
+
+// Cancel removes a waiting request whose caller has gone. It returns false when
+// the request doesn't wait.
+func (c *Core) Cancel(r *Request) bool {
+	return r.item != nil && c.queue.Remove(r.item)
+}
+
+// pump sends waiting work while the next in order finds an upstream with room.
+func (c *Core) pump(now time.Time, d *Decisions) {
+	for {
+		it := c.queue.Next(now)
+		if it == nil {
+			c.drain.idle(now)
+			return
+		}
+		r := it.Value.(*Request)
+		choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(r))
+		if choice.Upstream == nil {
+			return
+		}
+		c.queue.Take(now, it)
+		c.drain.sent(now, it.Work, c.queue.Len() > 0)
+		d.Grants = append(d.Grants, c.grant(now, r, choice))
+	}
+}
+
+func (c *Core) sendUnqueued(now time.Time, r *Request, d *Decisions) {
+	choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(r))
+	if choice.Upstream == nil {
+		c.shed(d, r, api.ReasonNoUpstream, "no upstream is in service; come back later, or check the platform's instance list")
+		return
+	}
+	d.Grants = append(d.Grants, c.grant(now, r, choice))
+}
+
+// eligible leaves out the upstream that failed the request already, where there
+// is another.
+func (c *Core) eligible(r *Request) []*balancer.Upstream {
+	if r.Exclude == "" || len(c.upstreams) < 2 {
+		return c.upstreams
+	}
+	rest := make([]*balancer.Upstream, 0, len(c.upstreams))
+	for _, u := range c.upstreams {
+		if u.Address != r.Exclude {
+			rest = append(rest, u)
+		}
+	}
+	return rest
+}
+
+func (c *Core) describe(r *Request) balancer.Work {
+	return balancer.Work{Prompt: r.Prompt, Output: c.outputs.expect(r.Output), Chain: r.Chain}
+}
+
+func (c *Core) work(r *Request) float64 {
+	return float64(r.Prompt + outputWeight*c.outputs.expect(r.Output))
+}
+
+func (c *Core) grant(now time.Time, r *Request, choice balancer.Choice) *Grant {
+	u := choice.Upstream
+	u.Pending += choice.Uncached
+	u.Running++
+	if u.Memory != nil {
+		u.Memory.Add(r.Chain)
+	}
+	return &Grant{
+		Request:   r,
+		Upstream:  u,
+		Sent:      now,
+		uncached:  choice.Uncached,
+		ahead:     u.Pending,
+		predicted: u.Speed.FirstToken(u.Pending),
+	}
+}
+
+// FirstToken records the first token of an answer, or the head of a service's.
+func (c *Core) FirstToken(now time.Time, g *Grant) Decisions {
+	if g.firstToken.IsZero() {
+		g.firstToken = now
+		u := g.Upstream
+		c.release(g)
+		took := now.Sub(g.Sent)
+		if isLate(took, g.predicted) {
+			u.Window.Late(now)
+		} else {
+			u.Window.Good(u.Running)
+		}
+		u.Speed.ObserveFirstToken(g.ahead, took)
+		u.Failures = 0
+	}
+	return c.Poll(now)
+}
+
+// AssumeFirstToken counts the prompt as read, where the first token can't be seen.
+func (c *Core) AssumeFirstToken(now time.Time, g *Grant) Decisions {
+	c.release(g)
+	return c.Poll(now)
+}
+
+func (c *Core) release(g *Grant) {
+	if g.released {
+		return
+	}
+	g.released = true
+	g.Upstream.Pending -= g.uncached
+}
+
+func isLate(took, predicted time.Duration) bool {
+	return took > predicted+lateFirstToken && float64(took) > lateFirstTokenFactor*float64(predicted)
+}
+
+// Done records the end of an answer with so many output tokens.
+func (c *Core) Done(now time.Time, g *Grant, output int) Decisions {
+	c.end(g)
+	c.outputs.observe(g.Request.Output, output)
+	if !g.firstToken.IsZero() && output > 1 {
+		interval := now.Sub(g.firstToken) / time.Duration(output-1)
+		g.Upstream.Speed.ObserveInterval(interval)
+		if interval > maxInterval && g.Upstream.Running > 1 {
+			g.Upstream.Window.Late(now)
+		}
+	}
+	return c.Poll(now)
+}
+
+// Cancelled records that the caller went away; nothing is learned of it.
+func (c *Core) Cancelled(now time.Time, g *Grant) Decisions {
+	c.end(g)
+	return c.Poll(now)
+}
+
+// Failed records that the upstream failed: it is avoided for a time that doubles
+// with each failure in a row.
+func (c *Core) Failed(now time.Time, g *Grant) Decisions {
+	c.end(g)
+	u := g.Upstream
+	u.Failures++
+	pause := avoidFirst << min(u.Failures-1, 10)
+	u.AvoidUntil = now.Add(min(pause, avoidMost))
+	u.Window.Reset()
+	if u.Memory != nil {
+		u.Memory.Clear()
+	}
+	return c.Poll(now)
+}
+
+// Busy records that the upstream refused the request for lack of room.
+func (c *Core) Busy(now time.Time, g *Grant) Decisions {
+	c.end(g)
+	g.Upstream.Window.Late(now)
+	return c.Poll(now)
+}
+
+func (c *Core) end(g *Grant) {
+	g.Upstream.Running--
+	c.release(g)
+}
+
+func (c *Core) sampleUpstreams() []*balancer.Upstream {
+	if len(c.upstreams) <= maxSampleUpstreams {
+		return c.upstreams
+	}
+	return c.upstreams[:maxSampleUpstreams]
+}
+
+// outputRatio learns which share of its output limit an answer uses.
+type outputRatio struct{ ratio float64 }
+
+const (
+	initialOutputRatio = 0.5
+	outputRatioGain    = 0.05
+)
+
+func newOutputRatio() outputRatio { return outputRatio{ratio: initialOutputRatio} }
+
+func (o *outputRatio) expect(limit int) int {
+	return int(math.Ceil(o.ratio * float64(limit)))
+}
+
+func (o *outputRatio) observe(limit, output int) {
+	if limit <= 0 {
+		return
+	}
+	o.ratio += outputRatioGain * (min(float64(output)/float64(limit), 1) - o.ratio)
+}
--- /dev/null
+++ b/internal/settings/provision.go
@@ -0,0 +1,150 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+)
+
+// Provision fills in the defaults.
+func (s *Settings) Provision() {
+	s.Callers.provision()
+	s.Peers.provision()
+	p := &s.Platform
+	p.ConfigKey = cmp.Or(p.ConfigKey, "tacktally")
+	p.Wait = cmp.Or(p.Wait, Duration(30*time.Second))
+	p.MaxListAge = cmp.Or(p.MaxListAge, Duration(3*time.Second))
+	i := &s.Idempotency
+	i.KeyLifetime = cmp.Or(i.KeyLifetime, Duration(10*time.Minute))
+	i.MaxEntries = cmp.Or(i.MaxEntries, 20_000)
+	i.MaxAnswerBytes = cmp.Or(i.MaxAnswerBytes, 8<<20)
+	s.Queue.MaxItems = cmp.Or(s.Queue.MaxItems, 2000)
+	s.Queue.MaxBytes = cmp.Or(s.Queue.MaxBytes, 64<<20)
+	u := &s.Upstreams
+	u.ConnectTimeout = cmp.Or(u.ConnectTimeout, Duration(time.Second))
+	u.RetryBudget = cmp.Or(u.RetryBudget, 0.1)
+	u.WeightLoadsPerMinute = cmp.Or(u.WeightLoadsPerMinute, 6)
+	s.Log.Level = cmp.Or(s.Log.Level, "info")
+}
+
+func (c *Callers) provision() {
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, 4<<20)
+	c.MaxHeaderBytes = cmp.Or(c.MaxHeaderBytes, 16<<10)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, Duration(15*time.Second))
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, Duration(30*time.Second))
+	c.MaxInFlight = cmp.Or(c.MaxInFlight, 4096)
+}
+
+func (p *Peers) provision() {
+	p.Advertise = cmp.Or(p.Advertise, p.Address)
+	p.Heartbeat = cmp.Or(p.Heartbeat, Duration(500*time.Millisecond))
+	p.SuspectAfter = cmp.Or(p.SuspectAfter, Duration(2*time.Second))
+}
+
+// Validate checks provisioned settings and returns Faults or nil.
+func (s *Settings) Validate() error {
+	c := &checker{}
+	if s.Zone == "" {
+		c.add("/zone", "is missing; name the availability zone")
+	}
+	c.address("/callers/address", s.Callers.Address)
+	c.address("/operators/address", s.Operators.Address)
+	c.address("/peers/address", s.Peers.Address)
+	c.reachable("/peers/advertise", s.Peers.Advertise)
+	for i, seed := range s.Peers.Seeds {
+		c.reachable(fmt.Sprintf("/peers/seeds/%d", i), seed)
+	}
+	c.url("/platform/url", s.Platform.URL)
+	c.tls("/callers/tls", s.Callers.TLS)
+	c.tls("/operators/tls", s.Operators.TLS)
+	c.tls("/peers/tls", s.Peers.TLS)
+	c.operators(s.Operators)
+	c.numbers(s)
+	if len(c.faults) == 0 {
+		return nil
+	}
+	return c.faults
+}
+
+type checker struct{ faults Faults }
+
+func (c *checker) add(path, format string, args ...any) {
+	c.faults = append(c.faults, path+" "+fmt.Sprintf(format, args...))
+}
+
+func (c *checker) address(path, text string) {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		c.add(path, "is %q; write IP:port, such as 10.0.0.5:8080", text)
+	}
+}
+
+// reachable checks an address that others connect to.
+func (c *checker) reachable(path, text string) {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+		c.add(path, "is %q; write the IP:port at which peers reach it", text)
+	}
+}
+
+func (c *checker) url(path, text string) {
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		c.add(path, "is %q; write a URL, such as http://10.0.0.2:9000", text)
+	}
+}
+
+func (c *checker) tls(path string, t *TLS) {
+	if t == nil {
+		return
+	}
+	if t.CertificateFile == "" || t.KeyFile == "" {
+		c.add(path, "needs both certificateFile and keyFile")
+	}
+}
+
+func (c *checker) operators(o Operators) {
+	a, err := netip.ParseAddrPort(o.Address)
+	if err == nil && !a.Addr().IsLoopback() && o.TokenFile == "" {
+		c.add("/operators/tokenFile", "is missing; give a token file, or listen on a loopback address")
+	}
+}
+
+func (c *checker) numbers(s *Settings) {
+	c.positive("/callers/maxBodyBytes", s.Callers.MaxBodyBytes)
+	c.positive("/callers/maxHeaderBytes", int64(s.Callers.MaxHeaderBytes))
+	c.positive("/callers/maxInFlight", int64(s.Callers.MaxInFlight))
+	c.positive("/callers/readTimeout", int64(s.Callers.ReadTimeout))
+	c.positive("/callers/writeTimeout", int64(s.Callers.WriteTimeout))
+	c.positive("/peers/heartbeat", int64(s.Peers.Heartbeat))
+	c.positive("/platform/wait", int64(s.Platform.Wait))
+	c.positive("/platform/maxListAge", int64(s.Platform.MaxListAge))
+	c.positive("/idempotency/keyLifetime", int64(s.Idempotency.KeyLifetime))
+	c.positive("/idempotency/maxEntries", int64(s.Idempotency.MaxEntries))
+	c.positive("/idempotency/maxAnswerBytes", s.Idempotency.MaxAnswerBytes)
+	c.positive("/queue/maxItems", int64(s.Queue.MaxItems))
+	c.positive("/queue/maxBytes", s.Queue.MaxBytes)
+	c.positive("/upstreams/connectTimeout", int64(s.Upstreams.ConnectTimeout))
+	c.positive("/upstreams/weightLoadsPerMinute", int64(s.Upstreams.WeightLoadsPerMinute))
+	if s.Peers.SuspectAfter < 2*s.Peers.Heartbeat {
+		c.add("/peers/suspectAfter", "is less than two heartbeats; raise it")
+	}
+	if s.Upstreams.RetryBudget < 0 || s.Upstreams.RetryBudget > 1 {
+		c.add("/upstreams/retryBudget", "is %g; set a share from 0 to 1", s.Upstreams.RetryBudget)
+	}
+	if s.Drain.Timeout < 0 {
+		c.add("/drain/timeout", "is negative; set a time, or 0 for none")
+	}
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		c.add("/log/level", "is %q; use debug, info, warn or error", s.Log.Level)
+	}
+}
+
+func (c *checker) positive(path string, value int64) {
+	if value <= 0 {
+		c.add(path, "must be above 0")
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,193 @@
+// Package settings reads the daemon's settings file.
+//
+// The file is JSON and maps one to one to Settings. Load reports every fault at
+// once, each with the path of the field and what mends it.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+)
+
+// Duration is a time.Duration written as text, such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is no duration; write a number and a unit, such as \"1.5s\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Settings of one tacktallyd.
+type Settings struct {
+	// Zone is the availability zone this instance stands in. Required.
+	Zone string `json:"zone"`
+	// Callers is the listener for callers' requests.
+	Callers Callers `json:"callers"`
+	// Operators is the listener for the resource API, metrics and health.
+	Operators Operators `json:"operators"`
+	// Peers is the listener for, and the links to, other instances.
+	Peers Peers `json:"peers"`
+	// Platform is where configuration and the instance list are read.
+	Platform Platform `json:"platform"`
+	// Idempotency bounds the register of keys.
+	Idempotency Idempotency `json:"idempotency"`
+	// Queue bounds waiting work.
+	Queue Queue `json:"queue"`
+	// Upstreams holds what concerns calls to engines and services.
+	Upstreams Upstreams `json:"upstreams"`
+	// Drain bounds a graceful shutdown.
+	Drain Drain `json:"drain"`
+	// Log sets what is logged.
+	Log Log `json:"log"`
+}
+
+// Callers is the listener for callers.
+type Callers struct {
+	// Address to listen on, IP:port. Required.
+	Address string `json:"address"`
+	// TLS certificate; plain HTTP where absent.
+	TLS *TLS `json:"tls,omitzero"`
+	// MaxBodyBytes bounds a model request's body. Default 4 MiB.
+	MaxBodyBytes int64 `json:"maxBodyBytes,omitzero"`
+	// MaxHeaderBytes bounds a request's header. Default 16 KiB.
+	MaxHeaderBytes int `json:"maxHeaderBytes,omitzero"`
+	// ReadTimeout is the time a caller has to send its whole request. Default 15s.
+	ReadTimeout Duration `json:"readTimeout,omitzero"`
+	// WriteTimeout is the time a caller has to take one piece of an answer. Default 30s.
+	WriteTimeout Duration `json:"writeTimeout,omitzero"`
+	// MaxInFlight bounds requests held at once. Default 4096.
+	MaxInFlight int `json:"maxInFlight,omitzero"`
+}
+
+// Operators is the listener for operators.
+type Operators struct {
+	// Address to listen on, IP:port. Required.
+	Address string `json:"address"`
+	// TLS certificate; plain HTTP where absent.
+	TLS *TLS `json:"tls,omitzero"`
+	// TokenFile holds the bearer token that operators send. Without one the
+	// listener must be on a loopback address.
+	TokenFile string `json:"tokenFile,omitzero"`
+}
+
+// Peers is the listener for other instances.
+type Peers struct {
+	// Address to listen on, IP:port. Required.
+	Address string `json:"address"`
+	// Advertise is the IP:port under which peers reach it. Default: Address.
+	Advertise string `json:"advertise,omitzero"`
+	// Seeds are peers to link to beside those of the instance list.
+	Seeds []string `json:"seeds,omitzero"`
+	// TLS is used both ways, and peers must show a certificate of ClientCAFile.
+	TLS *TLS `json:"tls,omitzero"`
+	// Heartbeat is the time between heartbeats. Default 500ms.
+	Heartbeat Duration `json:"heartbeat,omitzero"`
+	// SuspectAfter is the silence after which a peer is not used. Default 2s.
+	SuspectAfter Duration `json:"suspectAfter,omitzero"`
+}
+
+// TLS names certificate files. They are read again when they change.
+type TLS struct {
+	CertificateFile string `json:"certificateFile"`
+	KeyFile         string `json:"keyFile"`
+	// ClientCAFile, where given, makes clients show a certificate that it signed.
+	ClientCAFile string `json:"clientCAFile,omitzero"`
+}
+
+// Platform is the platform's configuration service.
+type Platform struct {
+	// URL of the service, such as http://10.0.0.2:9000. Required.
+	URL string `json:"url"`
+	// ConfigKey names the value with the document. Default "tacktally".
+	ConfigKey string `json:"configKey,omitzero"`
+	// Wait is how long one watch call waits. Default 30s.
+	Wait Duration `json:"wait,omitzero"`
+	// MaxListAge is the age past which a paused instance refreshes the instance
+	// list before it uses it. Default 3s.
+	MaxListAge Duration `json:"maxListAge,omitzero"`
+}
+
+// Idempotency bounds the register of keys.
+type Idempotency struct {
+	// KeyLifetime is how long an issued key can be used. Default 10m.
+	KeyLifetime Duration `json:"keyLifetime,omitzero"`
+	// MaxEntries bounds the keys in use. Default 20000.
+	MaxEntries int `json:"maxEntries,omitzero"`
+	// MaxAnswerBytes bounds the held answers of all keys. Default 8 MiB.
+	MaxAnswerBytes int64 `json:"maxAnswerBytes,omitzero"`
+}
+
+// Queue bounds waiting work.
+type Queue struct {
+	// MaxItems bounds waiting requests per engine set or service. Default 2000.
+	MaxItems int `json:"maxItems,omitzero"`
+	// MaxBytes bounds their bodies. Default 64 MiB.
+	MaxBytes int64 `json:"maxBytes,omitzero"`
+}
+
+// Upstreams holds what concerns calls to engines and services.
+type Upstreams struct {
+	// ConnectTimeout bounds the making of a connection. Default 1s.
+	ConnectTimeout Duration `json:"connectTimeout,omitzero"`
+	// RetryBudget is the share of first attempts that may be retried. Default 0.1.
+	RetryBudget float64 `json:"retryBudget,omitzero"`
+	// WeightLoadsPerMinute bounds the orders to load weights that this
+	// availability zone gives. Default 6.
+	WeightLoadsPerMinute int `json:"weightLoadsPerMinute,omitzero"`
+}
+
+// Drain bounds a graceful shutdown.
+type Drain struct {
+	// Timeout after which requests still in flight are given up. 0, the default,
+	// waits until the last one's deadline.
+	Timeout Duration `json:"timeout,omitzero"`
+}
+
+// Log sets what is logged.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `json:"level,omitzero"`
+}
+
+// Load reads and checks a settings file. The error joins every fault found.
+func Load(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings can't be read; name an existing file with --settings: %w", err)
+	}
+	return Parse(content)
+}
+
+// Parse reads and checks settings, and fills in the defaults.
+func Parse(content []byte) (*Settings, error) {
+	var s Settings
+	err := json.Unmarshal(content, &s, json.RejectUnknownMembers(true))
+	if err != nil {
+		var semantic *json.SemanticError
+		if errors.As(err, &semantic) && errors.Is(semantic.Err, json.ErrUnknownName) {
+			return nil, fmt.Errorf("%s: is no known setting; remove it or correct its name", semantic.JSONPointer)
+		}
+		return nil, fmt.Errorf("settings are not valid: %w", err)
+	}
+	s.Provision()
+	return &s, s.Validate()
+}
+
+// Faults joins the faults of settings.
+type Faults []string
+
+// Error implements error.
+func (f Faults) Error() string { return "settings: " + strings.Join(f, "; ") }
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,389 @@
+package engine
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/prefix"
+	"github.com/tacktally/tacktally/internal/upstream"
+)
+
+const (
+	defaultOutput = 16
+	tagDigits     = 8
+)
+
+// Faults is what a test makes an engine do wrong. Zero values do nothing.
+type Faults struct {
+	// Refuse answers 503 before anything runs.
+	Refuse bool
+	// CutAfter breaks the connection after so many events of a stream, once.
+	CutAfter int
+	// Garbage answers something that isn't of the protocol.
+	Garbage bool
+	// Hold is received from before each answer begins.
+	Hold <-chan struct{}
+	// HoldToken is received from before each token after the first.
+	HoldToken <-chan struct{}
+	// Leaving is said with each answer.
+	Leaving bool
+}
+
+// Server is an engine behind HTTP. Safe for concurrent use.
+type Server struct {
+	mux *http.ServeMux
+
+	mu      sync.Mutex
+	model   *Model
+	faults  Faults
+	streams map[string]*run
+	wake    chan struct{}
+	started int
+	stop    chan struct{}
+	once    sync.Once
+}
+
+// run is one request at the engine.
+type run struct {
+	id       string
+	owner    string
+	tag      string
+	sequence *Sequence
+	buffer   *answer.Buffer
+}
+
+// NewServer starts an engine. Close stops it.
+func NewServer(s Spec) *Server {
+	e := &Server{
+		mux:     http.NewServeMux(),
+		model:   NewModel(s),
+		streams: map[string]*run{},
+		wake:    make(chan struct{}, 1),
+		stop:    make(chan struct{}),
+	}
+	e.mux.HandleFunc("POST /v1/completions", e.complete)
+	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	e.mux.HandleFunc("GET /v1/streams/{id}", e.resume)
+	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.cancel)
+	go e.loop()
+	return e
+}
+
+// Close stops the engine.
+func (e *Server) Close() { e.once.Do(func() { close(e.stop) }) }
+
+// SetFaults changes what goes wrong from now on.
+func (e *Server) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// SetSlow makes the engine so many times slower.
+func (e *Server) SetSlow(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.model.SetSlow(factor)
+}
+
+// Started returns how many runs were begun.
+func (e *Server) Started() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.started
+}
+
+// PromptRead returns how many prompt tokens were read.
+func (e *Server) PromptRead() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model.PromptRead
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Server) ServeHTTP(w http.ResponseWriter, h *http.Request) { e.mux.ServeHTTP(w, h) }
+
+// loop steps the model in real time while there is work.
+func (e *Server) loop() {
+	for {
+		e.mu.Lock()
+		idle := e.model.Idle()
+		var took time.Duration
+		var wrote []*Sequence
+		if !idle {
+			took, wrote = e.model.Step()
+		}
+		e.mu.Unlock()
+		if idle {
+			select {
+			case <-e.wake:
+			case <-e.stop:
+				return
+			}
+			continue
+		}
+		t := time.NewTimer(took)
+		select {
+		case <-t.C:
+		case <-e.stop:
+			t.Stop()
+			return
+		}
+		for _, s := range wrote {
+			s.Value.(*run).write()
+		}
+	}
+}
+
+func (r *run) write() {
+	n := r.sequence.Written()
+	content, _ := json.Marshal(chunk(r, n))
+	_ = r.buffer.Write(context.Background(), fmt.Appendf(nil, "data: %s\n\n", content))
+	if n >= r.sequence.Output {
+		r.buffer.Finish(answer.End{})
+	}
+}
+
+// Token returns the text of token n of the answer to a body. Tests use it to see
+// that a caller got the whole answer to its own request.
+func Token(body []byte, n int) string { return tagOf(body) + "." + strconv.Itoa(n) + " " }
+
+func tagOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])[:tagDigits]
+}
+
+type completionChunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+func chunk(r *run, n int) completionChunk {
+	text := r.tag + "." + strconv.Itoa(n) + " "
+	return completionChunk{
+		ID:      r.id,
+		Object:  "chat.completion.chunk",
+		Choices: []choice{{Text: text, Delta: &message{Role: "assistant", Content: text}}},
+	}
+}
+
+type body struct {
+	Model     string         `json:"model"`
+	Messages  jsontext.Value `json:"messages"`
+	Prompt    jsontext.Value `json:"prompt"`
+	Stream    bool           `json:"stream"`
+	MaxTokens int            `json:"max_tokens"`
+}
+
+func (e *Server) complete(w http.ResponseWriter, h *http.Request) {
+	content, err := io.ReadAll(h.Body)
+	if err != nil {
+		return
+	}
+	var b body
+	if err := json.Unmarshal(content, &b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	faults := e.currentFaults()
+	if faults.Hold != nil {
+		select {
+		case <-faults.Hold:
+		case <-h.Context().Done():
+			return
+		}
+	}
+	if faults.Leaving {
+		w.Header().Set(upstream.HeaderLeaving, "true")
+	}
+	switch {
+	case faults.Refuse:
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "full", http.StatusServiceUnavailable)
+		return
+	case faults.Garbage:
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, "{\"choices\": [}")
+		return
+	}
+	r := e.start(content, b, h.Header.Get(upstream.HeaderOwner))
+	if b.Stream {
+		e.stream(w, h, r, 0)
+		return
+	}
+	e.whole(w, h, r, b)
+}
+
+func (e *Server) currentFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+func (e *Server) start(content []byte, b body, owner string) *run {
+	prompt := b.Prompt
+	if len(b.Messages) > 0 {
+		prompt = b.Messages
+	}
+	output := b.MaxTokens
+	if output <= 0 {
+		output = defaultOutput
+	}
+	r := &run{id: rand.Text(), owner: owner, tag: tagOf(content), buffer: answer.New(true)}
+	r.sequence = &Sequence{
+		Prompt: max(len(prompt)/prefix.BytesPerToken, 1),
+		Output: output,
+		Chain:  prefix.Chain(prompt),
+		Value:  r,
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.started++
+	e.streams[r.id] = r
+	e.model.Add(r.sequence)
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return r
+}
+
+func (e *Server) whole(w http.ResponseWriter, h *http.Request, r *run, b body) {
+	if _, err := r.buffer.Wait(h.Context()); err != nil {
+		return
+	}
+	text := ""
+	for n := 1; n <= r.sequence.Output; n++ {
+		text += r.tag + "." + strconv.Itoa(n) + " "
+	}
+	stop := "stop"
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.MarshalWrite(w, completionChunk{
+		ID:      r.id,
+		Object:  "chat.completion",
+		Model:   b.Model,
+		Choices: []choice{{Text: text, Message: &message{Role: "assistant", Content: text}, FinishReason: &stop}},
+		Usage:   &usage{PromptTokens: r.sequence.Prompt, CompletionTokens: r.sequence.Output, TotalTokens: r.sequence.Prompt + r.sequence.Output},
+	})
+}
+
+// stream writes the events after the offset.
+func (e *Server) stream(w http.ResponseWriter, h *http.Request, r *run, offset int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(upstream.HeaderStreamID, r.id)
+	control := http.NewResponseController(w)
+	reader := r.buffer.Reader()
+	for n := 0; ; {
+		event, err := reader.Next(h.Context())
+		if err != nil {
+			return
+		}
+		if event.End != nil {
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			return
+		}
+		n++
+		if n <= offset {
+			continue
+		}
+		if n > 1 && !e.holdToken(h.Context()) {
+			return
+		}
+		if e.cutNow(n) {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(event.Piece); err != nil {
+			return
+		}
+		_ = control.Flush()
+	}
+}
+
+func (e *Server) holdToken(ctx context.Context) bool {
+	hold := e.currentFaults().HoldToken
+	if hold == nil {
+		return true
+	}
+	select {
+	case <-hold:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Server) cutNow(events int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.CutAfter == 0 || events <= e.faults.CutAfter {
+		return false
+	}
+	e.faults.CutAfter = 0
+	return true
+}
+
+func (e *Server) find(h *http.Request) *run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.streams[h.PathValue("id")]
+	if r == nil || r.owner != h.Header.Get(upstream.HeaderOwner) {
+		return nil
+	}
+	return r
+}
+
+func (e *Server) resume(w http.ResponseWriter, h *http.Request) {
+	r := e.find(h)
+	offset, err := strconv.Atoi(h.URL.Query().Get("offset"))
+	if r == nil || err != nil {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = io.WriteString(w, `{"error":{"message":"no such stream"}}`)
+		return
+	}
+	e.stream(w, h, r, offset)
+}
+
+func (e *Server) cancel(w http.ResponseWriter, h *http.Request) {
+	if r := e.find(h); r != nil {
+		e.mu.Lock()
+		e.model.Cancel(r.sequence)
+		e.mu.Unlock()
+		r.buffer.Finish(answer.End{})
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/upstream/relay.go
@@ -0,0 +1,224 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+const (
+	contentTypeEvents = "text/event-stream"
+	contentTypeJSON   = "application/json"
+	doneEvent         = "data: [DONE]"
+	maxEventBytes     = 1 << 20
+)
+
+// passedBack are the fields of a service's answer that reach the caller.
+var passedBack = []string{"Cache-Control", "Content-Language", "Etag", "Last-Modified", "Location", "Retry-After"}
+
+// relay passes one answer on.
+func relay(ctx context.Context, call Call, response *http.Response, b *answer.Buffer) Result {
+	if isBusy(call, response) {
+		return Result{Status: Busy, RetryAfter: retryAfter(response), Err: fmt.Errorf("upstream answered %s", response.Status)}
+	}
+	head := answer.Head{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Upstream:    call.Address,
+		Instance:    call.Instance,
+		Revision:    call.Revision,
+	}
+	if call.Request.Kind == request.Service {
+		head.Header = copyHeader(response.Header)
+		call.OnFirst()
+		b.Start(head)
+		return relayBytes(ctx, response.Body, b)
+	}
+	media, _, _ := mime.ParseMediaType(head.ContentType)
+	switch {
+	case media == contentTypeEvents && response.StatusCode == http.StatusOK:
+		relayer := &eventRelay{call: call, buffer: b, head: head, events: call.Events, stream: response.Header.Get(HeaderStreamID)}
+		return relayer.run(ctx, response.Body)
+	case media == contentTypeJSON:
+		return relayWhole(ctx, response.Body, b, head)
+	default:
+		return Result{Status: Garbage, Err: fmt.Errorf("a model engine answered with content type %q", head.ContentType)}
+	}
+}
+
+func isBusy(call Call, response *http.Response) bool {
+	if call.Request.Kind == request.Service || call.Request.NonIdempotent {
+		return false
+	}
+	return response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable
+}
+
+func retryAfter(response *http.Response) time.Duration {
+	n, err := strconv.Atoi(response.Header.Get("Retry-After"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+func copyHeader(from http.Header) map[string][]string {
+	out := map[string][]string{}
+	for _, field := range passedBack {
+		if v := from.Values(field); len(v) > 0 {
+			out[field] = v
+		}
+	}
+	return out
+}
+
+func relayBytes(ctx context.Context, body io.Reader, b *answer.Buffer) Result {
+	for {
+		piece := make([]byte, pieceBytes)
+		n, err := body.Read(piece)
+		if n > 0 {
+			if werr := b.Write(ctx, piece[:n:n]); werr != nil {
+				return Result{Status: statusOfError(ctx, true, Cut), Err: werr}
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return Result{Status: Done}
+		}
+		if err != nil {
+			return Result{Status: statusOfError(ctx, true, Cut), Err: err}
+		}
+	}
+}
+
+// usage is what is read of a whole answer.
+type usage struct {
+	Usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+// relayWhole passes an answer on only when all of it has come and it is JSON.
+func relayWhole(ctx context.Context, body io.Reader, b *answer.Buffer, head answer.Head) Result {
+	content, err := io.ReadAll(io.LimitReader(body, maxWholeAnswer+1))
+	if err != nil {
+		return Result{Status: statusOfError(ctx, true, Lost), Err: err}
+	}
+	if len(content) > maxWholeAnswer {
+		return Result{Status: Garbage, Err: fmt.Errorf("the answer is larger than %d bytes", maxWholeAnswer)}
+	}
+	if !jsontext.Value(content).IsValid() {
+		return Result{Status: Garbage, Err: errors.New("the answer is no valid JSON")}
+	}
+	b.Start(head)
+	if err := b.Write(ctx, content); err != nil {
+		return Result{Status: statusOfError(ctx, true, Cut), Err: err}
+	}
+	var u usage
+	_ = json.Unmarshal(content, &u) // an answer without usage counts no tokens
+	return Result{Status: Done, Output: u.Usage.CompletionTokens}
+}
+
+// eventRelay passes a stream of server-sent events on, and gives each an ID with
+// which any instance can resume it.
+type eventRelay struct {
+	call   Call
+	buffer *answer.Buffer
+	head   answer.Head
+	stream string
+	events int // events relayed, those before a resume included
+	tokens int
+	first  bool
+}
+
+func (e *eventRelay) run(ctx context.Context, body io.Reader) Result {
+	if e.stream == "" {
+		e.stream = e.call.StreamID
+	}
+	reader := bufio.NewReaderSize(body, pieceBytes)
+	for {
+		event, err := readEvent(reader)
+		if err != nil {
+			return e.result(statusOfError(ctx, true, Cut), err)
+		}
+		if event == nil {
+			return e.result(Garbage, fmt.Errorf("an event is larger than %d bytes", maxEventBytes))
+		}
+		done := bytes.HasPrefix(event, []byte(doneEvent))
+		if !done && !bytes.HasPrefix(event, []byte("data: ")) {
+			return e.result(Garbage, errors.New("an event has no data"))
+		}
+		if !e.first {
+			e.first = true
+			e.call.OnFirst()
+			e.buffer.Start(e.head)
+		}
+		if err := e.pass(ctx, event, done); err != nil {
+			return e.result(statusOfError(ctx, true, Cut), err)
+		}
+		if done {
+			return e.result(Done, nil)
+		}
+	}
+}
+
+func (e *eventRelay) pass(ctx context.Context, event []byte, done bool) error {
+	if !done {
+		e.events++
+		e.tokens++
+		event = append(e.eventID(), event...)
+	}
+	return e.buffer.Write(ctx, event)
+}
+
+func (e *eventRelay) eventID() []byte {
+	if e.stream == "" {
+		return nil
+	}
+	token := ResumeToken{Upstream: e.call.Address, StreamID: e.stream, Events: e.events}
+	return append(append([]byte("id: "), token.String()...), '\n')
+}
+
+func (e *eventRelay) result(s Status, err error) Result {
+	return Result{Status: s, Err: err, Output: e.tokens, StreamID: e.stream, Events: e.events}
+}
+
+// readEvent reads up to and with the blank line that ends an event. It returns
+// nil without error for an event that is too large.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			err = nil
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		blank := len(bytes.TrimRight(line, "\r\n")) == 0
+		if blank && len(event) == 0 {
+			continue
+		}
+		event = append(event, line...)
+		if blank {
+			return event, nil
+		}
+		if len(event) > maxEventBytes {
+			return nil, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/resume.go
@@ -0,0 +1,56 @@
+package upstream
+
+import (
+	"encoding/base64"
+	"errors"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// ErrBadResumeToken: a Last-Event-ID that no instance made.
+var ErrBadResumeToken = errors.New("the Last-Event-ID is none of ours; send the id of the last event received, or leave it out to start anew")
+
+// ResumeToken names a place in a stream at its engine. It is the id of the
+// server-sent events, so that any instance can resume the stream.
+type ResumeToken struct {
+	Upstream string `cbor:"1,keyasint"`
+	StreamID string `cbor:"2,keyasint"`
+	Events   int    `cbor:"3,keyasint"`
+}
+
+// String encodes the token for an event's id field.
+func (t ResumeToken) String() string {
+	b, err := cbor.Marshal(t)
+	if err != nil {
+		panic("upstream: a resume token always encodes: " + err.Error())
+	}
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// ParseResumeToken decodes a token. The caller must check that the upstream is
+// one it may call.
+func ParseResumeToken(text string) (ResumeToken, error) {
+	var t ResumeToken
+	b, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || cbor.Unmarshal(b, &t) != nil {
+		return t, ErrBadResumeToken
+	}
+	if _, err := netip.ParseAddrPort(t.Upstream); err != nil || !plainID(t.StreamID) || t.Events < 0 {
+		return t, ErrBadResumeToken
+	}
+	return t, nil
+}
+
+func plainID(id string) bool {
+	if id == "" || len(id) > 128 {
+		return false
+	}
+	for _, c := range id {
+		ok := c == '-' || c == '_' || ('0' <= c && c <= '9') || ('a' <= c && c <= 'z') || ('A' <= c && c <= 'Z')
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,178 @@
+// Package watch turns accepted snapshots into a log of changes to resources,
+// which watchers follow from a revision.
+package watch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/config"
+)
+
+// maxEvents bounds the changes remembered.
+const maxEvents = 4096
+
+// ErrTooOld: changes since the revision are no longer all known. List again and
+// watch from the revision of the list.
+var ErrTooOld = errors.New("the revision is too old to watch from; list again and watch from the list's revision")
+
+// Type of a change.
+type Type string
+
+// The types.
+const (
+	Added    Type = "added"
+	Modified Type = "modified"
+	Deleted  Type = "deleted"
+)
+
+// Event is one change of one resource.
+type Event struct {
+	Type     Type           `json:"type"`
+	Revision int64          `json:"revision"`
+	Kind     api.Kind       `json:"kind"`
+	Name     string         `json:"name"`
+	Object   jsontext.Value `json:"object,omitzero"`
+}
+
+// Log remembers the latest changes. Safe for concurrent use.
+type Log struct {
+	mu       sync.Mutex
+	current  map[id]jsontext.Value
+	revision int64
+	oldest   int64 // changes after this revision are all known
+	events   []Event
+	changed  chan struct{}
+}
+
+type id struct {
+	kind api.Kind
+	name string
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{current: map[id]jsontext.Value{}, changed: make(chan struct{})} }
+
+// Add takes the next accepted snapshot.
+func (l *Log) Add(s *config.Snapshot) {
+	next := flatten(s.Document)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.Revision <= l.revision {
+		return
+	}
+	if l.revision == 0 {
+		l.oldest = s.Revision // nothing is known of what was before
+	} else {
+		l.events = append(l.events, diff(l.current, next, s.Revision)...)
+	}
+	l.trim()
+	l.current = next
+	l.revision = s.Revision
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *Log) trim() {
+	if excess := len(l.events) - maxEvents; excess > 0 {
+		l.oldest = l.events[excess-1].Revision
+		l.events = append([]Event(nil), l.events[excess:]...)
+	}
+}
+
+// Next returns the changes of a kind after a revision, and the revision they
+// lead to. It blocks until there is a later revision or ctx ends. An empty kind
+// stands for all.
+func (l *Log) Next(ctx context.Context, kind api.Kind, after int64) ([]Event, int64, error) {
+	for {
+		l.mu.Lock()
+		if after < l.oldest {
+			l.mu.Unlock()
+			return nil, 0, ErrTooOld
+		}
+		if after < l.revision {
+			defer l.mu.Unlock()
+			return l.since(kind, after), l.revision, nil
+		}
+		changed := l.changed
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (l *Log) since(kind api.Kind, after int64) []Event {
+	var out []Event
+	for _, e := range l.events {
+		if e.Revision > after && (kind == "" || e.Kind == kind) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func diff(old, next map[id]jsontext.Value, revision int64) []Event {
+	var out []Event
+	for key, object := range next {
+		before, existed := old[key]
+		switch {
+		case !existed:
+			out = append(out, Event{Type: Added, Revision: revision, Kind: key.kind, Name: key.name, Object: object})
+		case !bytes.Equal(before, object):
+			out = append(out, Event{Type: Modified, Revision: revision, Kind: key.kind, Name: key.name, Object: object})
+		}
+	}
+	for key := range old {
+		if _, still := next[key]; !still {
+			out = append(out, Event{Type: Deleted, Revision: revision, Kind: key.kind, Name: key.name})
+		}
+	}
+	return out
+}
+
+func flatten(d *api.Document) map[id]jsontext.Value {
+	out := map[id]jsontext.Value{}
+	for _, o := range d.Organisations {
+		out[id{api.KindOrganisation, o.Metadata.Name}] = encode(Redact(o))
+	}
+	for _, t := range d.Tiers {
+		out[id{api.KindTier, t.Metadata.Name}] = encode(t)
+	}
+	for _, e := range d.EngineSets {
+		out[id{api.KindEngineSet, e.Metadata.Name}] = encode(e)
+	}
+	for _, s := range d.Services {
+		out[id{api.KindService, s.Metadata.Name}] = encode(s)
+	}
+	return out
+}
+
+// redactedDigits is how much of a key's hash is shown: enough to tell keys apart.
+const redactedDigits = 8
+
+// Redact shortens the hashes of an organisation's keys for showing.
+func Redact(o api.Organisation) api.Organisation {
+	hashes := make([]string, len(o.Spec.APIKeyHashes))
+	for i, h := range o.Spec.APIKeyHashes {
+		hashes[i] = h[:min(redactedDigits, len(h))] + "…"
+	}
+	o.Spec.APIKeyHashes = hashes
+	return o
+}
+
+func encode(v any) jsontext.Value {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("watch: a resource always encodes: " + err.Error())
+	}
+	return b
+}
