--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -23,6 +23,8 @@
 const (
 	defaultOutput = 16
 	tagDigits     = 8
+	// keptRuns bounds the runs that can be resumed and are told by Runs.
+	keptRuns = 4096
 )
 
 // Faults is what a test makes an engine do wrong. Zero values do nothing.
@@ -49,8 +51,9 @@
 	model   *Model
 	faults  Faults
 	streams map[string]*run
+	order   []string // of streams, oldest first
 	wake    chan struct{}
-	started int
+	bodies  []string
 	stop    chan struct{}
 	once    sync.Once
 }
@@ -98,11 +101,11 @@
 	e.model.SetSlow(factor)
 }
 
-// Started returns how many runs were begun.
-func (e *Server) Started() int {
+// Runs returns the bodies of the runs begun so far.
+func (e *Server) Runs() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.started
+	return append([]string(nil), e.bodies...)
 }
 
 // PromptRead returns how many prompt tokens were read.
@@ -272,8 +275,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.started++
-	e.streams[r.id] = r
+	e.remember(string(content), r)
 	e.model.Add(r.sequence)
 	select {
 	case e.wake <- struct{}{}:
@@ -282,6 +284,18 @@
 	return r
 }
 
+// remember keeps the latest runs. The caller holds the lock.
+func (e *Server) remember(body string, r *run) {
+	e.bodies = append(e.bodies, body)
+	e.order = append(e.order, r.id)
+	e.streams[r.id] = r
+	if len(e.order) > keptRuns {
+		delete(e.streams, e.order[0])
+		e.order = e.order[1:]
+		e.bodies = e.bodies[1:]
+	}
+}
+
 func (e *Server) whole(w http.ResponseWriter, h *http.Request, r *run, b body) {
 	if _, err := r.buffer.Wait(h.Context()); err != nil {
 		return
