--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -24,6 +24,7 @@
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/upstream"
 )
 
 // maxKeysPerCall bounds the keys issued by one call.
@@ -32,7 +33,6 @@
 // Server is the callers' API. Safe for concurrent use.
 type Server struct {
 	gateway  *gateway.Gateway
-	holder   *config.Holder
 	metrics  *telemetry.Metrics
 	settings settings.Callers
 	instance string
@@ -41,8 +41,8 @@
 }
 
 // New returns the callers' API of an instance.
-func New(g *gateway.Gateway, h *config.Holder, m *telemetry.Metrics, s settings.Callers, instance string) *Server {
-	srv := &Server{gateway: g, holder: h, metrics: m, settings: s, instance: instance, mux: http.NewServeMux()}
+func New(g *gateway.Gateway, m *telemetry.Metrics, s settings.Callers, instance string) *Server {
+	srv := &Server{gateway: g, metrics: m, settings: s, instance: instance, mux: http.NewServeMux()}
 	srv.mux.HandleFunc("POST /v1/chat/completions", srv.serve)
 	srv.mux.HandleFunc("POST /v1/completions", srv.serve)
 	srv.mux.HandleFunc(request.ServicePrefix, srv.serve)
@@ -100,7 +100,7 @@
 		return
 	}
 	defer s.inFlight.Add(-1)
-	snapshot := s.holder.Current()
+	snapshot := s.gateway.Snapshot(h.Context())
 	if snapshot == nil {
 		s.refuse(w, request.NewID(), api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; come back shortly").WithRetryAfter(time.Second))
 		return
@@ -179,7 +179,7 @@
 }
 
 func (s *Server) caller(h *http.Request) (*config.Snapshot, *config.Organisation, *api.Problem) {
-	snapshot := s.holder.Current()
+	snapshot := s.gateway.Snapshot(h.Context())
 	if snapshot == nil {
 		return nil, nil, api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; come back shortly").WithRetryAfter(time.Second)
 	}
@@ -249,6 +249,9 @@
 }
 
 func (w *writer) piece(p []byte) bool {
+	if w.alreadySeen(p) {
+		return true
+	}
 	_ = w.control.SetWriteDeadline(time.Now().Add(time.Duration(w.server.settings.WriteTimeout)))
 	if _, err := w.response.Write(p); err != nil {
 		return false
@@ -257,6 +260,20 @@
 	return true
 }
 
+// alreadySeen tells an event that the caller had before the one it resumes from.
+// Such events come when a repeat joins a run whose answer is held from its start.
+func (w *writer) alreadySeen(event []byte) bool {
+	if w.request.LastEventID == "" {
+		return false
+	}
+	last, err := upstream.ParseResumeToken(w.request.LastEventID)
+	if err != nil {
+		return false
+	}
+	t, ok := upstream.EventToken(event)
+	return ok && t.StreamID == last.StreamID && t.Events <= last.Events
+}
+
 func (w *writer) flush() { _ = w.control.Flush() }
 
 // end closes the answer. One that broke off after its head must not look whole:
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/go-json-experiment/json"
@@ -73,9 +74,20 @@
 	if e.Err != nil {
 		return fmt.Sprintf("holds an unfit value (%v); see the resource reference for its type", e.Err)
 	}
-	return fmt.Sprintf("holds a JSON %v where a %v is wanted", e.JSONKind, e.GoType)
+	return fmt.Sprintf("holds %s where %s is wanted; see the resource reference", jsonWords[e.JSONKind], goWords[e.GoType.Kind()])
 }
 
+// jsonWords names what stands in a document, goWords what is wanted there.
+var (
+	jsonWords = map[jsontext.Kind]string{
+		'n': "null", 't': "true", 'f': "false", '"': "a string", '0': "a number", '{': "an object", '[': "an array",
+	}
+	goWords = map[reflect.Kind]string{
+		reflect.Bool: "true or false", reflect.Int: "a whole number", reflect.Float64: "a number",
+		reflect.String: "a string", reflect.Struct: "an object", reflect.Slice: "an array",
+	}
+)
+
 func rejected(path, message string) *RejectedError {
 	return &RejectedError{Faults: []FieldError{{Path: path, Message: message}}}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,10 @@
 // maxRanks bounds the tiers of which heartbeats tell the queue.
 const maxRanks = 8
 
+// refreshPatience bounds how long requests wait, after a pause, for the
+// configuration and the instance list to be read anew.
+const refreshPatience = time.Second
+
 // Daemon is one running instance.
 type Daemon struct {
 	settings    *settings.Settings
@@ -86,18 +90,18 @@
 		MaxEntries:     s.Idempotency.MaxEntries,
 		MaxAnswerBytes: s.Idempotency.MaxAnswerBytes,
 	}, clock)
+	gate := &pause.Gate{Detector: d.pauses, Refresh: d.refresh, Patience: refreshPatience}
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Instance: d.address,
 		Zone:     s.Zone,
 		Limits:   queue.Limits{MaxItems: s.Queue.MaxItems, MaxBytes: s.Queue.MaxBytes},
 		Budget:   s.Upstreams.RetryBudget,
 		Client:   d.upstreams,
-		Pauses:   d.pauses,
 		Metrics:  d.metrics,
 		Log:      d.log,
 		Pressure: func(set string, rank int) { d.mesh.Press(peer.Pressure{Set: set, Rank: rank}) },
 		Leaving:  d.upstreamLeaving,
-		Refresh:  d.refreshInstances,
+		Gate:     gate,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Issuer:     idempotency.NewIssuer(d.address, d.incarnation, clock),
@@ -106,10 +110,11 @@
 		Lifetime:   lifetime,
 		Holder:     d.holder,
 		Dispatcher: d.dispatcher,
+		Gate:       gate,
 		Metrics:    d.metrics,
 		Log:        d.log,
 	})
-	d.callers = callerapi.New(d.gateway, d.holder, d.metrics, s.Callers, d.address)
+	d.callers = callerapi.New(d.gateway, d.metrics, s.Callers, d.address)
 	d.gauges()
 	return d, d.listeners.open(s)
 }
@@ -166,8 +171,11 @@
 	d.mesh.SetPeers(d.settings.Peers.Seeds)
 	var background sync.WaitGroup
 	background.Go(func() { d.pauses.Run(life) })
-	background.Go(func() { d.watchConfig(life) })
 	background.Go(func() { d.watchInstances(life) })
+	background.Go(func() {
+		d.askPeers(life)
+		d.watchConfig(life)
+	})
 	operators := operatorapi.New(d, d.holder, d.changes, d.metrics, token)
 	servers := d.listeners.serve(d.settings, d.callers, operators, d.mesh)
 	d.log.Info().Str("event", "started").Str("zone", d.settings.Zone).Str("version", Version()).
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -51,14 +51,50 @@
 	d.platform.WatchInstances(ctx, d.useInstances, func(err error) { d.platformFailed("instances", err) })
 }
 
-// refreshInstances reads the list anew, after a pause.
-func (d *Daemon) refreshInstances(ctx context.Context) {
-	l, err := d.platform.Instances(ctx)
-	if err != nil {
-		d.platformFailed("instances", err)
-		return
+// refresh reads configuration and list anew, after a pause: from the platform, and
+// from the peers, of which one may know better.
+func (d *Daemon) refresh(ctx context.Context) {
+	d.log.Warn().Str("event", "woke_from_pause").Msg("")
+	d.metrics.Count("tacktally_pauses_total")
+	var reads sync.WaitGroup
+	reads.Go(func() {
+		l, err := d.platform.Instances(ctx)
+		if err != nil {
+			d.platformFailed("instances", err)
+			return
+		}
+		d.useInstances(l)
+	})
+	reads.Go(func() {
+		revision, content, err := d.platform.Config(ctx, d.settings.Platform.ConfigKey)
+		if err != nil {
+			d.platformFailed("configuration", err)
+			return
+		}
+		d.offer(revision, content, "platform")
+	})
+	reads.Go(func() { d.mesh.FetchAny(ctx) })
+	reads.Wait()
+}
+
+const (
+	// listPatience bounds how long a starting instance waits for the list.
+	listPatience = 500 * time.Millisecond
+	// peersPatience bounds how long it waits for its peers' configuration.
+	peersPatience = time.Second
+)
+
+// askPeers takes over what the peers know, before the platform, which may be
+// stale, is believed.
+func (d *Daemon) askPeers(ctx context.Context) {
+	select {
+	case <-d.instances.first:
+	case <-time.After(listPatience):
+	case <-ctx.Done():
 	}
-	d.useInstances(l)
+	ctx, cancel := context.WithTimeout(ctx, peersPatience)
+	defer cancel()
+	d.mesh.FetchAll(ctx)
 }
 
 // useInstances takes a list unless a newer one is in use.
@@ -67,9 +103,6 @@
 		return
 	}
 	d.dispatcher.SetInstances(l.Instances)
-	for _, address := range d.instances.saidLeaving() {
-		d.dispatcher.MarkLeaving(address)
-	}
 	d.mesh.SetPeers(peerAddresses(l, d.settings.Peers.Seeds))
 	d.mesh.Announce()
 	d.log.Info().Str("event", "instances").Int64("version", l.Version).Int("count", len(l.Instances)).Msg("")
@@ -101,11 +134,12 @@
 type instanceList struct {
 	mu      sync.Mutex
 	list    platform.List
+	first   chan struct{}        // closed at the first list
 	leaving map[string]time.Time // upstreams that said themselves that they leave
 }
 
 func newInstanceList() *instanceList {
-	return &instanceList{leaving: map[string]time.Time{}}
+	return &instanceList{first: make(chan struct{}), leaving: map[string]time.Time{}}
 }
 
 func (i *instanceList) current() platform.List {
@@ -123,6 +157,9 @@
 	if l.Version <= i.list.Version {
 		return false
 	}
+	if i.list.Version == 0 {
+		close(i.first)
+	}
 	i.list = l
 	return true
 }
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -72,7 +72,7 @@
 }
 
 func (a *attempts) acquire(ctx context.Context) (*scheduler.Grant, *api.Problem) {
-	a.dispatcher.refresh(ctx)
+	a.dispatcher.o.Gate.Pass(ctx)
 	r := a.request
 	return a.pool.acquire(ctx, &scheduler.Request{
 		Rank:         a.tier.Rank,
@@ -102,9 +102,10 @@
 // guard returns the check made right before the first byte is written: that the
 // process wasn't paused since now, and that the deadline hasn't passed.
 func (a *attempts) guard() func() error {
-	epoch := a.dispatcher.o.Pauses.Epoch()
+	pauses := a.dispatcher.o.Gate.Detector
+	epoch := pauses.Epoch()
 	return func() error {
-		if a.dispatcher.o.Pauses.Epoch() != epoch {
+		if pauses.Epoch() != epoch {
 			return errPaused
 		}
 		if !time.Now().Before(a.request.Deadline) {
@@ -161,7 +162,7 @@
 		}
 	})
 	if result.Leaving {
-		a.pool.markLeaving(g.Upstream.Address)
+		a.dispatcher.MarkLeaving(g.Upstream.Address)
 		if a.dispatcher.o.Leaving != nil {
 			a.dispatcher.o.Leaving(g.Upstream.Address)
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,9 +41,9 @@
 	maxAttempts = 4
 	// maxResumes bounds how often one stream is resumed.
 	maxResumes = 3
-	// refreshWait bounds how long requests wait for a fresh instance list after
-	// a pause.
-	refreshWait = time.Second
+	// ownWordFor is how long the word of an upstream that it leaves counts beside
+	// the list, which lags.
+	ownWordFor = time.Minute
 )
 
 var errPaused = errors.New("the instance was paused since the decision")
@@ -56,7 +57,6 @@
 	Limits  queue.Limits
 	Budget  float64
 	Client  *upstream.Client
-	Pauses  *pause.Detector
 	Metrics *telemetry.Metrics
 	Log     *log.Logger
 	// Pressure tells the peers of the zone that work of this rank was shed for
@@ -65,8 +65,8 @@
 	// Leaving tells the peers that an upstream said itself that it leaves. It
 	// must not block. May be nil.
 	Leaving func(address string)
-	// Refresh reads the instance list anew; it is called after a pause. May be nil.
-	Refresh func(ctx context.Context)
+	// Gate is passed before each decision.
+	Gate *pause.Gate
 }
 
 // Dispatcher serves requests at this instance. Safe for concurrent use.
@@ -78,9 +78,7 @@
 	mu      sync.Mutex
 	pools   map[string]*pool
 	members map[string][]scheduler.Member
-
-	refreshMu    sync.Mutex
-	refreshEpoch uint64
+	leaving map[string]time.Time // upstreams that said themselves that they leave
 }
 
 // New returns a dispatcher without upstreams.
@@ -90,6 +88,7 @@
 		budget:  newRetryBudget(o.Budget),
 		pools:   map[string]*pool{},
 		members: map[string][]scheduler.Member{},
+		leaving: map[string]time.Time{},
 	}
 }
 
@@ -107,21 +106,31 @@
 		})
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.members = sets
-	pools := make(map[string]*pool, len(d.pools))
 	for name, p := range d.pools {
-		pools[name] = p
+		p.setMembers(d.membersOf(name))
 	}
-	d.mu.Unlock()
-	for name, p := range pools {
-		p.setMembers(sets[name])
+}
+
+// membersOf returns the members of a set by the list and by the upstreams' own
+// word; whichever says first that one leaves, counts. The caller holds the lock.
+func (d *Dispatcher) membersOf(set string) []scheduler.Member {
+	out := slices.Clone(d.members[set])
+	for i := range out {
+		said, ok := d.leaving[out[i].Address]
+		if ok && time.Since(said) < ownWordFor {
+			out[i].Leaving = true
+		}
 	}
+	return out
 }
 
-// MarkLeaving stops new work to an upstream, at a peer's word.
+// MarkLeaving stops new work to an upstream, at its own word or a peer's.
 func (d *Dispatcher) MarkLeaving(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.leaving[address] = time.Now()
 	for _, p := range d.pools {
 		p.markLeaving(address)
 	}
@@ -167,7 +176,7 @@
 		Limits:       d.o.Limits,
 		MemoryBlocks: memoryBlocks,
 	})
-	core.SetMembers(d.members[name])
+	core.SetMembers(d.membersOf(name))
 	p = newPool(name, core, func(rank int) {
 		if d.o.Pressure != nil {
 			d.o.Pressure(name, rank)
@@ -237,21 +246,6 @@
 	return set.Name, nil
 }
 
-// refresh reads the instance list anew once for each pause, and makes the other
-// requests wait for it.
-func (d *Dispatcher) refresh(ctx context.Context) {
-	epoch := d.o.Pauses.Epoch()
-	d.refreshMu.Lock()
-	defer d.refreshMu.Unlock()
-	if d.refreshEpoch >= epoch || d.o.Refresh == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, refreshWait)
-	defer cancel()
-	d.o.Refresh(ctx)
-	d.refreshEpoch = epoch
-}
-
 func (d *Dispatcher) retried(r *request.Request, reason api.Reason, cause error) {
 	d.o.Metrics.Retried(reason)
 	d.o.Log.Warn().Str("event", "retry").Str("request", r.ID).Str("reason", string(reason)).
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -57,7 +57,7 @@
 		if sent {
 			g.o.Metrics.Retried(api.RetryPeerLink)
 		}
-		pause(ctx)
+		waitToRetry(ctx)
 	}
 }
 
@@ -69,7 +69,7 @@
 	return p.ForAttempt()
 }
 
-func pause(ctx context.Context) {
+func waitToRetry(ctx context.Context) {
 	t := time.NewTimer(forwardPause)
 	defer t.Stop()
 	select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/idempotency"
+	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/telemetry"
@@ -43,6 +44,7 @@
 	Lifetime   time.Duration
 	Holder     *config.Holder
 	Dispatcher Dispatcher
+	Gate       *pause.Gate
 	Metrics    *telemetry.Metrics
 	Log        *log.Logger
 }
@@ -66,6 +68,13 @@
 // Draining tells whether Drain was called.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
+// Snapshot returns the configuration in force, or nil before the first. After a
+// pause it is read anew first.
+func (g *Gateway) Snapshot(ctx context.Context) *config.Snapshot {
+	g.o.Gate.Pass(ctx)
+	return g.o.Holder.Current()
+}
+
 // Issue returns a key for the organisation.
 func (g *Gateway) Issue(organisation, requestID string) (string, *api.Problem) {
 	if g.Draining() {
@@ -110,6 +119,7 @@
 	if r.JoinOnly {
 		return g.joinHere(r)
 	}
+	g.o.Gate.Pass(ctx)
 	s := g.o.Holder.Current()
 	if s == nil {
 		return g.refuse(r, refuseUnconfigured())
--- /dev/null
+++ b/internal/idempotency/idempotency_test.go
@@ -0,0 +1,114 @@
+package idempotency
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/answer"
+)
+
+var limits = Limits{Lifetime: time.Minute, MaxEntries: 3, MaxAnswerBytes: 10}
+
+func TestKeysAreVerified(t *testing.T) {
+	is := is.New(t)
+	clock := NewClock()
+	mine := NewIssuer("10.0.0.1:7003", NewIncarnation(), clock)
+	other := NewIssuer("10.0.0.1:7003", mine.Incarnation(), clock)
+	key := mine.Issue("gebremedhin", "booking-7", time.Minute)
+	c, err := mine.Verify(key)
+	is.NoErr(err)
+	is.Equal(c.Organisation, "gebremedhin")
+	is.Equal(c.RequestID, "booking-7")
+	is.True(mine.Own(c))
+	_, err = other.Verify(key) // another secret, as after a restart
+	is.Equal(err, ErrForged)
+	body, mac, _ := strings.Cut(key, ".")
+	_, err = mine.Verify(body + "x." + mac)
+	is.True(err != nil)
+	_, err = Parse("booking-7")
+	is.Equal(err, ErrNotIssued)
+	is.True(key != mine.Issue("gebremedhin", "booking-7", time.Minute)) // each key is its own
+}
+
+// uses is a table of sendings under keys, in virtual time.
+func TestRegister(t *testing.T) {
+	type step struct {
+		wait    time.Duration
+		key     string
+		org     string
+		sum     byte
+		first   bool
+		reason  api.Reason
+		finish  string       // body written to the answer
+		problem *api.Problem // end of the answer, after finish
+	}
+	refused := api.Refuse(api.ReasonQueueFull, "full")
+	for name, steps := range map[string][]step{
+		"a repeat joins":                       {{key: "a", first: true}, {key: "a"}},
+		"a repeat after the end gets it":       {{key: "a", first: true, finish: "1234"}, {key: "a"}},
+		"another body is refused":              {{key: "a", first: true}, {key: "a", sum: 1, reason: api.ReasonKeyMismatch}},
+		"another organisation is refused":      {{key: "a", first: true, finish: "1234"}, {key: "a", org: "x", reason: api.ReasonKeyMismatch}},
+		"a refused key stays refused":          {{key: "a", first: true, problem: refused}, {key: "a"}},
+		"an expired key never runs":            {{wait: time.Minute, key: "a", reason: api.ReasonKeyExpired}},
+		"an expired use is forgotten":          {{key: "a", first: true, finish: "1"}, {wait: time.Minute, key: "a", reason: api.ReasonKeyExpired}},
+		"a running use outlives its key":       {{key: "a", first: true}, {wait: 2 * time.Minute, key: "a"}},
+		"the oldest answer is dropped":         {{key: "a", first: true, finish: "123456"}, {key: "b", first: true, finish: "123456"}, {key: "a", reason: api.ReasonAnswerEvicted}, {key: "b"}},
+		"an answer over the bound is not held": {{key: "a", first: true, finish: "12345678901"}, {key: "a", reason: api.ReasonAnswerEvicted}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := NewRegister(limits, NewClock())
+				for _, s := range steps {
+					<-time.After(s.wait) // virtual time
+					b, first, problem := r.Begin(Use{Key: s.key, Organisation: "o" + s.org, Fingerprint: Fingerprint{s.sum}, Expiry: limits.Lifetime})
+					if s.reason != "" {
+						is.Equal(problem.Reason, s.reason)
+						continue
+					}
+					is.True(problem == nil)
+					is.Equal(first, s.first)
+					if s.finish != "" {
+						is.NoErr(b.Write(t.Context(), []byte(s.finish)))
+					}
+					if s.finish != "" || s.problem != nil {
+						b.Finish(answer.End{Problem: s.problem})
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestIssuedKeysAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := NewRegister(limits, NewClock())
+		for range limits.MaxEntries {
+			is.True(r.Reserve() == nil)
+			<-time.After(time.Second) // virtual time
+		}
+		p := r.Reserve()
+		is.Equal(p.Reason, api.ReasonKeyLimit)
+		is.Equal(p.RetryAfterSeconds, 57) // when the first one expires
+		<-time.After(57 * time.Second)    // virtual time
+		is.True(r.Reserve() == nil)
+		is.Equal(r.Stats().Reserved, limits.MaxEntries)
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	issuer := NewIssuer("10.0.0.1:7003", 9, NewClock())
+	f.Add(issuer.Issue("gebremedhin", "", time.Minute))
+	f.Add("ttk1.AA.AA")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := issuer.Verify(text); err == nil && !strings.HasPrefix(text, keyPrefix) {
+			t.Error("verified something that is no key")
+		}
+	})
+}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/answer"
@@ -79,6 +80,46 @@
 	return nil
 }
 
+// linkPoll is how often FetchAll looks whether a link has come up.
+const linkPoll = 10 * time.Millisecond
+
+// FetchAll fetches the state of every peer that is to be linked to, waiting for
+// its link, until ctx ends.
+func (m *Mesh) FetchAll(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, p := range m.Peers() {
+		all.Go(func() { m.fetchWhenLinked(ctx, p.Address) })
+	}
+	all.Wait()
+}
+
+func (m *Mesh) fetchWhenLinked(ctx context.Context, address string) {
+	t := time.NewTicker(linkPoll)
+	defer t.Stop()
+	for m.Fetch(ctx, address) != nil {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// FetchAny fetches the state of the linked peers until one has answered or ctx ends.
+func (m *Mesh) FetchAny(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, p := range m.Peers() {
+		all.Go(func() {
+			if m.Fetch(ctx, p.Address) == nil {
+				cancel()
+			}
+		})
+	}
+	all.Wait()
+}
+
 // FetchSoon fetches a peer's state in the background, one fetch at a time.
 func (m *Mesh) FetchSoon(address string) {
 	m.mu.Lock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -136,6 +136,11 @@
 	return decodeList(revision, content)
 }
 
+// Config reads the value of key now.
+func (c *Client) Config(ctx context.Context, key string) (revision int64, content []byte, err error) {
+	return c.get(ctx, "/v1/config/"+key, 0, 0)
+}
+
 func decodeList(version int64, content []byte) (List, error) {
 	l := List{Version: version}
 	if err := json.Unmarshal(content, &l.Instances); err != nil {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -90,7 +90,7 @@
 		Context:    log.NewContext(nil).Str("instance", instance).Value(),
 		Writer: &log.ConsoleWriter{
 			Writer:    w,
-			Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter,
+			Formatter: formatPairs,
 		},
 	}
 }
--- a/internal/upstream/resume.go
+++ b/internal/upstream/resume.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"encoding/base64"
 	"errors"
 	"net/netip"
@@ -42,6 +43,18 @@
 	return t, nil
 }
 
+// EventToken returns the token in the id field of an event that an instance
+// relayed.
+func EventToken(event []byte) (ResumeToken, bool) {
+	rest, ok := bytes.CutPrefix(event, []byte("id: "))
+	if !ok {
+		return ResumeToken{}, false
+	}
+	id, _, _ := bytes.Cut(rest, []byte("\n"))
+	t, err := ParseResumeToken(string(id))
+	return t, err == nil
+}
+
 func plainID(id string) bool {
 	if id == "" || len(id) > 128 {
 		return false
