Attack the upstream client, the request decoder and the peer link

Cause: nothing tested that net/http never repeats a non-idempotent request, nor what a bad frame or a slow reader does to a link.

Found: a link that had ended was still handed out until its reader noticed, so a forward right after a loss failed at once. The test failed first; linkTo now leaves out ended links. Credit was sent for each small piece; it is now sent for a quarter of the window.

--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -23,13 +23,14 @@
 	if err := l.send(ctx, &Frame{Type: TypeOpen, Stream: id, Request: r.ForPeer(time.Now())}); err != nil {
 		return false, err
 	}
+	a := &arrival{link: l, id: id, buffer: b}
 	for {
 		f, err := l.nextFrame(ctx, s)
 		if err != nil {
 			l.trySend(&Frame{Type: TypeCancel, Stream: id})
 			return true, err
 		}
-		done, err := l.relay(ctx, id, f, b)
+		done, err := a.take(ctx, f)
 		if err != nil {
 			l.trySend(&Frame{Type: TypeCancel, Stream: id})
 			return true, err
@@ -40,18 +41,32 @@
 	}
 }
 
-// relay passes one frame of an answer on.
-func (l *link) relay(ctx context.Context, id uint64, f *Frame, b *answer.Buffer) (done bool, err error) {
+// arrival is an answer that comes in on a stream.
+type arrival struct {
+	link   *link
+	id     uint64
+	buffer *answer.Buffer
+	taken  int // bytes read since credit was last given
+}
+
+// take passes one frame on, and gives credit for what was read.
+func (a *arrival) take(ctx context.Context, f *Frame) (done bool, err error) {
 	switch f.Type {
 	case TypeHead:
-		b.Start(*f.Head)
+		a.buffer.Start(*f.Head)
 	case TypeData:
-		if err := b.Write(ctx, f.Data); err != nil {
+		if err := a.buffer.Write(ctx, f.Data); err != nil {
 			return false, err
 		}
-		return false, l.send(ctx, &Frame{Type: TypeCredit, Stream: id, Credit: charge(len(f.Data))})
+		a.taken += charge(len(f.Data))
+		if a.taken < creditAfter {
+			return false, nil
+		}
+		err := a.link.send(ctx, &Frame{Type: TypeCredit, Stream: a.id, Credit: a.taken})
+		a.taken = 0
+		return false, err
 	case TypeEnd:
-		b.Finish(*f.End)
+		a.buffer.Finish(*f.End)
 		return true, nil
 	}
 	return false, nil
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -46,6 +46,9 @@
 }
 
 const (
+	// creditAfter is how much is read before credit is given for it. The sender
+	// always has the rest of the window meanwhile.
+	creditAfter = window / 4
 	// minCharge is what a piece counts for at least against the window, so that
 	// many small pieces can't fill an inbox.
 	minCharge = 256
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -318,7 +318,7 @@
 func (m *Mesh) linkTo(address string) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p := m.peers[address]; p != nil {
+	if p := m.peers[address]; p != nil && p.link != nil && p.link.ctx.Err() == nil {
 		return p.link
 	}
 	return nil
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,270 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+// handler answers each request with what its Path asks for.
+type handler struct {
+	hold    chan struct{}
+	begun   chan struct{} // received from when a held request has come
+	served  atomic.Int32
+	learned chan *State
+}
+
+func (h *handler) Serve(ctx context.Context, r *request.Request) *answer.Buffer {
+	h.served.Add(1)
+	b := answer.New(false)
+	go func() {
+		if r.Path == "/held" {
+			h.begun <- struct{}{}
+			select {
+			case <-h.hold:
+			case <-ctx.Done():
+				return
+			}
+		}
+		b.Start(answer.Head{Status: 200})
+		for _, piece := range strings.SplitAfter(string(r.Body), ";") {
+			_ = b.Write(ctx, []byte(piece))
+		}
+		b.Finish(answer.End{})
+	}()
+	return b
+}
+
+func (h *handler) State() *State            { return &State{Revision: 7, Content: []byte("seven")} }
+func (h *handler) Learn(_ string, s *State) { h.learned <- s }
+func (h *handler) Heartbeat() *Heartbeat    { return &Heartbeat{Revision: 7} }
+func (h *handler) Heard(string, *Heartbeat) {}
+func (h *handler) Pressure(Pressure)        {}
+
+// pair is two linked instances.
+type pair struct {
+	a, b     *Mesh
+	ha, hb   *handler
+	addressB string
+}
+
+func newMesh(t *testing.T, h *handler) (*Mesh, string) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(nil)
+	address := server.Listener.Addr().String()
+	m := NewMesh(Options{Address: address, Heartbeat: 20 * time.Millisecond, SuspectAfter: time.Minute, Handler: h, Log: &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Incarnation: 1})
+	server.Config.Handler = m
+	server.Start()
+	t.Cleanup(func() {
+		m.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return m, address
+}
+
+func newPair(t *testing.T) *pair {
+	p := &pair{ha: &handler{learned: make(chan *State, 9)}, hb: &handler{hold: make(chan struct{}), begun: make(chan struct{})}}
+	var addressA string
+	p.a, addressA = newMesh(t, p.ha)
+	p.b, p.addressB = newMesh(t, p.hb)
+	p.a.SetPeers([]string{p.addressB})
+	p.b.SetPeers([]string{addressA})
+	p.waitLinked(t)
+	return p
+}
+
+func (p *pair) waitLinked(t *testing.T) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for p.a.linkTo(p.addressB) == nil {
+		select {
+		case <-tick.C:
+		case <-t.Context().Done():
+			t.Fatal("never linked")
+		}
+	}
+}
+
+func (p *pair) forward(ctx context.Context, path, body string) (string, error) {
+	b := answer.New(true)
+	_, err := p.a.Forward(ctx, p.addressB, &request.Request{ID: "r", Path: path, Body: []byte(body), Deadline: time.Now().Add(time.Minute)}, b)
+	if err != nil {
+		return "", err
+	}
+	var out bytes.Buffer
+	reader := b.Reader()
+	for {
+		event, err := reader.Next(ctx)
+		if err != nil {
+			return "", err
+		}
+		out.Write(event.Piece)
+		if event.End != nil {
+			return out.String(), nil
+		}
+	}
+}
+
+// Many answers at once on one link, larger than the window and in many small
+// pieces, each come whole to the request they belong to.
+func TestForwardKeepsAnswersApart(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	var all sync.WaitGroup
+	for i := range 40 {
+		all.Go(func() {
+			body := strings.Repeat(fmt.Sprintf("answer %d;", i), 3_000)
+			if i%2 == 0 {
+				body = strings.Repeat(fmt.Sprint(i), 700_000)
+			}
+			got, err := p.forward(t.Context(), "/", body)
+			if err != nil || got != body {
+				t.Errorf("answer %d: %d of %d bytes, %v", i, len(got), len(body), err)
+			}
+		})
+	}
+	all.Wait()
+	is.Equal(p.hb.served.Load(), int32(40))
+}
+
+// A stream whose reader doesn't read holds up no other on the link.
+func TestSlowReaderBlocksNoOther(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	unread := answer.New(false)
+	stuck := make(chan error, 1)
+	go func() {
+		_, err := p.a.Forward(ctx, p.addressB, &request.Request{Path: "/", Body: bytes.Repeat([]byte("x;"), 1<<20), Deadline: time.Now().Add(time.Minute)}, unread)
+		stuck <- err
+	}()
+	for range 10 {
+		got, err := p.forward(t.Context(), "/", "hello")
+		is.NoErr(err)
+		is.Equal(got, "hello")
+	}
+	cancel()
+	is.True(<-stuck != nil)
+}
+
+func TestFetchHandsStateOver(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	is.NoErr(p.a.Fetch(t.Context(), p.addressB))
+	s := <-p.ha.learned
+	is.Equal(s.Revision, int64(7))
+	is.Equal(string(s.Content), "seven")
+}
+
+// A link that ends tells those who wait on it, and comes back by itself.
+func TestLinkEndsAndReturns(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := p.forward(t.Context(), "/held", "x")
+		failed <- err
+	}()
+	l := p.a.linkTo(p.addressB)
+	<-p.hb.begun
+	l.cancel(errSilent)
+	is.True(errors.Is(<-failed, errSilent))
+	p.waitLinked(t)
+	got, err := p.forward(t.Context(), "/", "again")
+	is.NoErr(err)
+	is.Equal(got, "again")
+}
+
+// A bad frame closes its link, on either side, and only that.
+func TestBadFramesCloseTheLink(t *testing.T) {
+	old, _ := Encode(&Frame{Type: TypeCancel, Stream: 1})
+	for name, message := range map[string][]byte{
+		"garbage":           []byte("garbage"),
+		"unknown version":   bytes.Replace(old, []byte{1, 1}, []byte{1, 99 & 0x17}, 1),
+		"open without body": mustEncode(t, &Frame{Type: TypeOpen, Stream: 1}),
+		"too large":         make([]byte, MaxFrameBytes+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := &handler{}
+			_, address := newMesh(t, h)
+			conn, _, err := websocket.Dial(t.Context(), "ws://"+address+Path, nil)
+			is.NoErr(err)
+			defer conn.CloseNow()
+			_ = conn.Write(t.Context(), websocket.MessageBinary, message)
+			_, _, err = conn.Read(t.Context())
+			is.True(err != nil) // closed by the other side
+			is.Equal(h.served.Load(), int32(0))
+		})
+	}
+}
+
+func TestDecodeNamesTheFault(t *testing.T) {
+	is := is.New(t)
+	version := mustEncode(t, &Frame{Type: TypeCancel, Stream: 1})
+	version[2] = 9
+	for want, message := range map[error][]byte{
+		ErrMalformedFrame: []byte("x"),
+		ErrUnknownVersion: version,
+		ErrUnknownType:    mustEncode(t, &Frame{Type: typeLast, Stream: 1}),
+	} {
+		_, err := Decode(message)
+		is.True(errors.Is(err, want))
+	}
+}
+
+func mustEncode(t testing.TB, f *Frame) []byte {
+	t.Helper()
+	b, err := Encode(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func FuzzDecode(f *testing.F) {
+	p := api.Refuse(api.ReasonDraining, "draining")
+	for _, frame := range []*Frame{
+		{Type: TypeHello, Hello: &Hello{Address: "10.0.0.1:1", Incarnation: 3}},
+		{Type: TypeHeartbeat, Heartbeat: &Heartbeat{Queued: map[string][]int{"a": {1, 2}}}},
+		{Type: TypeOpen, Stream: 1, Request: &request.Request{ID: "r", Body: []byte("x")}},
+		{Type: TypeEnd, Stream: 1, End: &answer.End{Problem: p}},
+	} {
+		f.Add(mustEncode(f, frame))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		frame, err := Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := Encode(frame)
+		if err != nil {
+			t.Fatalf("a decoded frame doesn't encode: %v", err)
+		}
+		if _, err := Decode(again); err != nil {
+			t.Fatalf("an encoded frame doesn't decode: %v", err)
+		}
+	})
+}
+
+var _ http.Handler = (*Mesh)(nil)
--- /dev/null
+++ b/internal/upstream/client_test.go
@@ -0,0 +1,233 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+// rawUpstream answers each connection with a function, and counts the requests it
+// has read.
+type rawUpstream struct {
+	listener net.Listener
+	read     atomic.Int32
+}
+
+func listenRaw(t *testing.T, serve func(u *rawUpstream, n int, c net.Conn, r *bufio.Reader)) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	u := &rawUpstream{listener: l}
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(u, n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return u
+}
+
+// readRequest reads one whole request and counts it.
+func (u *rawUpstream) readRequest(r *bufio.Reader) bool {
+	h, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, h.Body)
+	u.read.Add(1)
+	return true
+}
+
+func allow() error { return nil }
+
+func service(method string, nonIdempotent bool) *request.Request {
+	return &request.Request{ID: "req-1", Kind: request.Service, Service: "s", Method: method, Path: "/release", Body: []byte("x"), NonIdempotent: nonIdempotent}
+}
+
+func model(stream bool) *request.Request {
+	return &request.Request{ID: "req-1", Kind: request.Chat, Model: "m", Stream: stream, Body: []byte(`{}`)}
+}
+
+func do(t *testing.T, c *Client, address string, r *request.Request, guard func() error) (Result, *answer.Buffer) {
+	t.Helper()
+	b := answer.New(true)
+	res := c.Do(t.Context(), Call{Address: address, Request: r, Guard: guard, OnFirst: func() {}}, b)
+	return res, b
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// A non-idempotent request is written at most once, whatever the upstream does
+// and whichever method it has.
+func TestNonIdempotentIsWrittenOnce(t *testing.T) {
+	closeAfterRequest := func(u *rawUpstream, _ int, _ net.Conn, r *bufio.Reader) { u.readRequest(r) }
+	for name, c := range map[string]struct {
+		method string
+		serve  func(u *rawUpstream, n int, c net.Conn, r *bufio.Reader)
+		status Status
+	}{
+		"closed after the request": {"POST", closeAfterRequest, Lost},
+		"GET closed after it":      {"GET", closeAfterRequest, Lost},
+		"reset": {"POST", func(u *rawUpstream, _ int, c net.Conn, r *bufio.Reader) {
+			u.readRequest(r)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}, Lost},
+		"redirected to itself": {"POST", func(u *rawUpstream, _ int, c net.Conn, r *bufio.Reader) {
+			u.readRequest(r)
+			fmt.Fprintf(c, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /release\r\nContent-Length: 0\r\n\r\n")
+		}, Done},
+		"asked to come back": {"POST", func(u *rawUpstream, _ int, c net.Conn, r *bufio.Reader) {
+			u.readRequest(r)
+			fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n")
+		}, Done},
+		"misdirected": {"POST", func(u *rawUpstream, _ int, c net.Conn, r *bufio.Reader) {
+			u.readRequest(r)
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		}, Done},
+		"cut in the answer": {"POST", func(u *rawUpstream, _ int, c net.Conn, r *bufio.Reader) {
+			u.readRequest(r)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nok")
+		}, Cut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := listenRaw(t, c.serve)
+			client := NewClient(time.Second)
+			defer client.Close()
+			// An idempotent call first, so that a connection could be reused.
+			_, _ = do(t, client, u.listener.Addr().String(), service("POST", false), allow)
+			before := u.read.Load()
+			res, _ := do(t, client, u.listener.Addr().String(), service(c.method, true), allow)
+			is.Equal(res.Status, c.status)
+			is.Equal(u.read.Load()-before, int32(1)) // written once
+		})
+	}
+}
+
+// The upstream closes a kept connection just as the next request is written: the
+// case in which net/http repeats a request that it may.
+func TestKeptConnectionIsNotUsedForNonIdempotent(t *testing.T) {
+	is := is.New(t)
+	u := listenRaw(t, func(u *rawUpstream, n int, c net.Conn, r *bufio.Reader) {
+		if u.readRequest(r) && n == 0 {
+			_, _ = io.WriteString(c, okAnswer)
+			u.readRequest(r) // reads a second request on the connection and closes
+		}
+	})
+	client := NewClient(time.Second)
+	defer client.Close()
+	address := u.listener.Addr().String()
+	res, _ := do(t, client, address, service("POST", false), allow)
+	is.Equal(res.Status, Done)
+	res, _ = do(t, client, address, service("POST", true), allow)
+	is.Equal(res.Status, Lost)
+	is.Equal(u.read.Load(), int32(2))
+}
+
+func TestGuardIsAskedBeforeTheFirstByte(t *testing.T) {
+	is := is.New(t)
+	u := listenRaw(t, func(u *rawUpstream, _ int, _ net.Conn, r *bufio.Reader) { u.readRequest(r) })
+	stale := errors.New("stale")
+	client := NewClient(time.Second)
+	defer client.Close()
+	for _, nonIdempotent := range []bool{true, false} {
+		res, _ := do(t, client, u.listener.Addr().String(), service("POST", nonIdempotent), func() error { return stale })
+		is.Equal(res.Status, NotWritten)
+		is.True(errors.Is(res.Err, stale))
+	}
+	is.Equal(u.read.Load(), int32(0))
+}
+
+func TestRefusedConnectionIsNotWritten(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l.Close()
+	for _, nonIdempotent := range []bool{true, false} {
+		res, _ := do(t, NewClient(time.Second), l.Addr().String(), service("POST", nonIdempotent), allow)
+		is.Equal(res.Status, NotWritten)
+	}
+}
+
+// Answers of model engines, good and bad.
+func TestModelAnswers(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nConnection: close\r\n%s\r\n%s"
+	for name, c := range map[string]struct {
+		stream bool
+		answer string
+		status Status
+		output int
+	}{
+		"whole":              {false, fmt.Sprintf(head, "application/json", "", `{"usage":{"completion_tokens":3}}`), Done, 3},
+		"stream":             {true, fmt.Sprintf(head, "text/event-stream", "", "data: a\n\ndata: b\n\ndata: [DONE]\n\n"), Done, 2},
+		"broken JSON":        {false, fmt.Sprintf(head, "application/json", "", `{"usage":`), Garbage, 0},
+		"no JSON":            {false, fmt.Sprintf(head, "text/html", "", `<html>`), Garbage, 0},
+		"cut whole":          {false, fmt.Sprintf(head, "application/json", "Content-Length: 50\r\n", `{}`), Lost, 0},
+		"stream without end": {true, fmt.Sprintf(head, "text/event-stream", "", "data: a\n\n"), Cut, 1},
+		"half an event":      {true, fmt.Sprintf(head, "text/event-stream", "", "data: a\n\ndata: b"), Cut, 1},
+		"event of no data":   {true, fmt.Sprintf(head, "text/event-stream", "", "hello\n\n"), Garbage, 0},
+		"full":               {true, "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", Busy, 0},
+		"no HTTP":            {true, "SSH-2.0-OpenSSH\r\n", Lost, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := listenRaw(t, func(u *rawUpstream, _ int, conn net.Conn, r *bufio.Reader) {
+				if u.readRequest(r) {
+					_, _ = io.WriteString(conn, c.answer)
+				}
+			})
+			client := NewClient(time.Second)
+			defer client.Close()
+			res, _ := do(t, client, u.listener.Addr().String(), model(c.stream), allow)
+			is.Equal(res.Status, c.status)
+			is.Equal(res.Output, c.output)
+		})
+	}
+}
+
+func TestResumeTokens(t *testing.T) {
+	is := is.New(t)
+	token := ResumeToken{Upstream: "10.0.0.9:9002", StreamID: "abc-1", Events: 7}
+	back, err := ParseResumeToken(token.String())
+	is.NoErr(err)
+	is.Equal(back, token)
+	for _, bad := range []ResumeToken{
+		{Upstream: "example.org:80", StreamID: "a"}, {Upstream: "10.0.0.9:1", StreamID: "../x"},
+		{Upstream: "10.0.0.9:1", StreamID: "a", Events: -1}, {},
+	} {
+		_, err := ParseResumeToken(bad.String())
+		is.Equal(err, ErrBadResumeToken)
+	}
+	got, ok := EventToken([]byte("id: " + token.String() + "\ndata: x\n\n"))
+	is.True(ok)
+	is.Equal(got, token)
+}
+
+func FuzzParseResumeToken(f *testing.F) {
+	f.Add(ResumeToken{Upstream: "10.0.0.9:9002", StreamID: "abc", Events: 7}.String())
+	f.Fuzz(func(t *testing.T, text string) {
+		if token, err := ParseResumeToken(text); err == nil && !plainID(token.StreamID) {
+			t.Error("a token with an ID that isn't plain")
+		}
+	})
+}
