Attack the other promises under faults

Cause: configuration, drain, leaving upstreams, cut zones, tier order, resumed streams and caller-chosen IDs had mechanisms and no attacks.

--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -298,12 +298,7 @@
 }
 
 func (p *process) status() (s status) {
-	r, err := p.fleet.client.Get("http://" + p.ip + ":7002/v1/status")
-	if err != nil {
-		return s
-	}
-	defer r.Body.Close()
-	_ = json.UnmarshalRead(r.Body, &s)
+	p.read("/v1/status", &s)
 	return s
 }
 
@@ -427,3 +422,13 @@
 	}
 	return list.Keys[0]
 }
+
+// read gets a page of a daemon's resource API.
+func (p *process) read(path string, into any) {
+	r, err := p.fleet.client.Get("http://" + p.ip + ":7002" + path)
+	if err != nil {
+		return
+	}
+	defer r.Body.Close()
+	_ = json.UnmarshalRead(r.Body, into)
+}
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,188 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/queue"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newCore(maxItems int, addresses ...string) *Core {
+	c := New(Options{
+		Picker:       balancer.NewPredictive(1, rand.New(rand.NewPCG(1, 2))),
+		Limits:       queue.Limits{MaxItems: maxItems, MaxBytes: 1 << 20},
+		MemoryBlocks: 100,
+	})
+	var members []Member
+	for _, a := range addresses {
+		members = append(members, Member{Address: a, Zone: "bole"})
+	}
+	c.SetMembers(members)
+	return c
+}
+
+func ask(rank int, seconds int) *Request {
+	return &Request{Rank: rank, Organisation: "a", Share: 1, Arrived: start, Deadline: start.Add(time.Duration(seconds) * time.Second), Prompt: 100, Output: 10}
+}
+
+// occupy grants requests until the next one is queued.
+func occupy(c *Core) (running []*Grant) {
+	for {
+		d := c.Submit(start, ask(0, 3600))
+		if len(d.Grants) == 0 {
+			return running
+		}
+		running = append(running, d.Grants...)
+	}
+}
+
+func TestNothingIsSentToALeavingUpstream(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100, "a", "b")
+	c.SetMembers([]Member{{Address: "a", Leaving: true}, {Address: "b"}})
+	for _, g := range occupy(c) {
+		is.Equal(g.Upstream.Address, "b")
+	}
+	c = newCore(100, "a")
+	c.MarkLeaving("a")
+	d := c.Submit(start, ask(0, 9))
+	is.Equal(d.Sheds[0].Problem.Reason, api.ReasonNoUpstream)
+}
+
+func TestAQueuedRequestGoesWhenThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100, "a")
+	running := occupy(c)
+	low, high := ask(2, 3600), ask(1, 3600)
+	is.Equal(len(c.Submit(start, low).Grants), 0)
+	is.Equal(len(c.Submit(start, high).Grants), 0)
+	var order []*Request
+	for _, g := range running {
+		c.FirstToken(start.Add(time.Millisecond), g)
+		for _, next := range c.Done(start.Add(time.Second), g, 10).Grants {
+			order = append(order, next.Request)
+		}
+	}
+	is.True(len(order) >= 3)
+	is.Equal(order[1], high) // after the one that occupy left waiting
+	is.Equal(order[2], low)
+}
+
+func TestLateIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100, "a")
+	long := ask(0, 1)
+	long.Prompt = 1_000_000
+	d := c.Submit(start, long)
+	is.Equal(d.Sheds[0].Problem.Reason, api.ReasonPredictedLate)
+	is.True(d.Sheds[0].Problem.RetryAfterSeconds > 0)
+	occupy(c)
+	waiting := ask(0, 2)
+	is.Equal(len(c.Submit(start, waiting).Sheds), 0)
+	d = c.Poll(start.Add(2 * time.Second))
+	is.Equal(d.Sheds[0].Request, waiting)
+	is.Equal(d.Sheds[0].Problem.Reason, api.ReasonDeadlineExpired)
+}
+
+func TestFailingUpstreamIsAvoidedAndTested(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100, "a")
+	g := c.Submit(start, ask(0, 3600)).Grants[0]
+	c.Failed(start, g)
+	is.Equal(len(c.Submit(start, ask(0, 3600)).Grants), 0)
+	is.Equal(len(c.Submit(start, ask(0, 3600)).Grants), 0)
+	d := c.Poll(start.Add(avoidFirst))
+	is.Equal(len(d.Grants), 1) // a single request tests it
+	c.FirstToken(start.Add(avoidFirst+time.Millisecond), d.Grants[0])
+	is.Equal(c.upstreams[0].Failures, 0)
+}
+
+func TestCancelledLeavesNothingBehind(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100, "a")
+	running := occupy(c)
+	r := ask(1, 3600)
+	c.Submit(start, r)
+	is.True(c.Cancel(r))
+	is.True(!c.Cancel(r))
+	for len(running) > 0 {
+		d := c.Cancelled(start, running[0])
+		running = append(running[1:], d.Grants...)
+	}
+	is.Equal(c.upstreams[0].Running, 0)
+	is.Equal(c.upstreams[0].Pending, 0)
+}
+
+// Whatever comes, a higher tier is never shed for load while a lower one waits,
+// nothing is decided twice, and upstreams end with nothing outstanding.
+func TestShedsTheLowestFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCore(rapid.IntRange(1, 6).Draw(t, "room"), "a", "b")
+		now := start
+		var running []*Grant
+		decided := map[*Request]bool{}
+		check := func(d Decisions) {
+			for _, g := range d.Grants {
+				if decided[g.Request] {
+					t.Fatal("a request was decided twice")
+				}
+				decided[g.Request] = true
+				running = append(running, g)
+			}
+			for _, s := range d.Sheds {
+				if decided[s.Request] {
+					t.Fatal("a request was decided twice")
+				}
+				decided[s.Request] = true
+				if s.Problem.Outcome != api.NotRun || s.Problem.RetryAfterSeconds < 1 {
+					t.Fatalf("shed without a time to come back: %v", s.Problem)
+				}
+				if lowest := c.queue.LowestRank(); lowest > s.Request.Rank && s.Problem.Reason != api.ReasonDisplaced {
+					t.Fatalf("rank %d was shed with %s while rank %d waits", s.Request.Rank, s.Problem.Reason, lowest)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "operations") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			switch {
+			case rapid.IntRange(0, 2).Draw(t, "operation") > 0 || len(running) == 0:
+				r := ask(rapid.IntRange(0, 3).Draw(t, "rank"), 0)
+				r.Arrived = now
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(500, 5000).Draw(t, "deadline")) * time.Millisecond)
+				check(c.Submit(now, r))
+			default:
+				g := running[0]
+				running = running[1:]
+				switch rapid.IntRange(0, 3).Draw(t, "end") {
+				case 0:
+					check(c.Failed(now, g))
+				case 1:
+					check(c.Busy(now, g))
+				default:
+					check(c.FirstToken(now, g))
+					check(c.Done(now, g, 10))
+				}
+			}
+			check(c.Poll(now))
+		}
+		check(c.Poll(now.Add(time.Hour)))
+		for len(running) > 0 {
+			g := running[0]
+			running = running[1:]
+			check(c.Cancelled(now, g))
+		}
+		for _, u := range c.upstreams {
+			if u.Running != 0 || u.Pending != 0 {
+				t.Fatalf("%s is left with %d running, %d pending", u.Address, u.Running, u.Pending)
+			}
+		}
+	})
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -91,6 +91,7 @@
 	}
 	_, _ = io.WriteString(w, Answer(string(body)))
 	if f.CutBody {
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 }
