Test the command line and the hard edges of input

Found: with -o json the command line decoded an answer that it had indented in place, and failed; a link to a peer not heard of lately was still used in the moment before it was closed, so that a key of a cut-off issuer was at times reported as perhaps sent. Both failed first and are mended: the link is left out as soon as the peer counts as unreachable.

Ruled out: a longer wait in the test, which would have hidden the second.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/go-json-experiment/json"
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/standin/engine"
+	"github.com/tacktally/tacktally/internal/standin/rig"
+)
+
+var spec = engine.Spec{PrefillPerSecond: 1e6, Slots: 4, ChunkTokens: 512, CacheBlocks: 8}
+
+func start(t *testing.T) (r *rig.Rig, run func(args ...string) (int, string, string)) {
+	t.Helper()
+	r, err := rig.Start(rig.Options{Engines: []engine.Spec{spec}, Daemons: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	address := "http://" + r.Daemons[0].OperatorAddress()
+	return r, func(args ...string) (int, string, string) {
+		var out, errOut bytes.Buffer
+		code := Run(append([]string{"--address", address}, args...), &out, &errOut)
+		return code, out.String(), errOut.String()
+	}
+}
+
+func TestCommands(t *testing.T) {
+	_, run := start(t)
+	good := write(t, rig.Document())
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"tiers":[{"metadata":{"name":"x"},"spec":{"rank":-1,"timeoutMillis":0}}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		want []string // in the output or the error
+	}{
+		"help":            {[]string{"--help"}, ExitDone, []string{"validate", "Exit codes"}},
+		"get":             {[]string{"get", "EngineSet"}, ExitDone, []string{"booking-desk", "IN FORCE"}},
+		"get by plural":   {[]string{"get", "tiers"}, ExitDone, []string{"live", "desk", "tagging"}},
+		"get one as JSON": {[]string{"-o", "json", "get", "Organisation", "gebremedhin"}, ExitDone, []string{"…"}},
+		"get unknown":     {[]string{"get", "Tier", "gold"}, ExitFailed, []string{"list the kind"}},
+		"get no kind":     {[]string{"get", "Gold"}, ExitFailed, []string{"use Organisation"}},
+		"validate":        {[]string{"validate", good}, ExitDone, []string{"accepted"}},
+		"validate faults": {[]string{"validate", bad}, ExitFailed, []string{"/tiers/0/spec/rank", "/tiers/0/spec/timeoutMillis", "mend the faults"}},
+		"validate absent": {[]string{"validate", "none.json"}, ExitFailed, []string{"name a readable file"}},
+		"explain":         {[]string{"explain", "--organisation", "gebremedhin", "--model", rig.Model}, ExitDone, []string{"desk (rank 1", "1 upstreams"}},
+		"explain a call":  {[]string{"explain", "--organisation", "gebremedhin", "--service", "bookings", "--path", "/confirm"}, ExitDone, []string{"needs an issued key"}},
+		"explain nothing": {[]string{"explain", "--organisation", "gebremedhin"}, ExitFailed, []string{"model="}},
+		"status":          {[]string{"status"}, ExitDone, []string{"in bole", "revision 1"}},
+		"unknown command": {[]string{"gte"}, ExitUsage, []string{"gte"}},
+		"missing option":  {[]string{"explain"}, ExitUsage, []string{"organisation"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			code, out, errOut := run(c.args...)
+			is.Equal(code, c.code)
+			for _, want := range c.want {
+				is.True(strings.Contains(out+errOut, want))
+			}
+			is.True(!strings.Contains(out, "2c26b46b68ffc68ff99b453c1d")) // no whole hash of a key
+		})
+	}
+}
+
+func TestNoInstance(t *testing.T) {
+	is := is.New(t)
+	var out, errOut bytes.Buffer
+	is.Equal(Run([]string{"--address", "http://127.0.0.1:1", "status"}, &out, &errOut), ExitFailed)
+	is.True(strings.Contains(errOut.String(), "name another with --address"))
+}
+
+func write(t *testing.T, document any) string {
+	t.Helper()
+	content, err := json.Marshal(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "document.json")
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// A watch from a list's revision shows each change once; one from before what is
+// known says to list again.
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	r, run := start(t)
+	d := rig.Document()
+	d.Tiers[0].Spec.TimeoutMillis = 7
+	d.Services = nil
+	content, err := json.Marshal(d)
+	is.NoErr(err)
+	reader, writer := io.Pipe()
+	go Run([]string{"--address", "http://" + r.Daemons[0].OperatorAddress(), "watch", "--after", "1"}, writer, io.Discard)
+	r.Platform.Publish(2, content)
+	lines := bufio.NewReader(reader)
+	seen := map[string]bool{}
+	for range 2 {
+		line, err := lines.ReadString('\n')
+		is.NoErr(err)
+		seen[strings.TrimSpace(line)] = true
+	}
+	is.True(seen["2\tmodified\tTier\tlive"])
+	is.True(seen["2\tdeleted\tService\tbookings"])
+	code, _, errOut := run("watch", "--after", "-1")
+	is.Equal(code, ExitFailed)
+	is.True(strings.Contains(errOut, "list again"))
+	code, _, _ = run("drain")
+	is.Equal(code, ExitDone)
+}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -74,7 +74,7 @@
 			return false, err
 		}
 		fmt.Fprintf(s.out, "%s\n", v)
-		return true, json.Unmarshal(content, into)
+		return true, json.Unmarshal(v, into)
 	}
 	return false, json.Unmarshal(content, into)
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -318,12 +318,18 @@
 func (m *Mesh) linkTo(address string) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p := m.peers[address]; p != nil && p.link != nil && p.link.ctx.Err() == nil {
+	if p := m.peers[address]; p != nil && m.isReachable(p) {
 		return p.link
 	}
 	return nil
 }
 
+// isReachable tells whether the link is up and the peer was heard of lately. The
+// caller holds the lock.
+func (m *Mesh) isReachable(p *peerState) bool {
+	return p.link != nil && p.link.ctx.Err() == nil && time.Since(p.lastHeard) < m.o.SuspectAfter
+}
+
 // Peers returns the state of all known peers, sorted by address.
 func (m *Mesh) Peers() []Status {
 	m.mu.Lock()
@@ -338,7 +344,7 @@
 			LastHeard:   p.lastHeard,
 			Revision:    p.last.Revision,
 			Draining:    p.last.Draining,
-			Reachable:   p.link != nil && time.Since(p.lastHeard) < m.o.SuspectAfter,
+			Reachable:   m.isReachable(p),
 		})
 	}
 	slices.SortFunc(out, func(a, b Status) int {
