Read answers in pieces of 4 KiB

Cause: each answer took buffers of 32 KiB, most of them nearly empty. Ruled out: a pool of buffers, since held answers own their pieces.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -39,7 +39,7 @@
 
 const (
 	maxWholeAnswer  = 16 << 20
-	pieceBytes      = 32 << 10
+	pieceBytes      = 4 << 10
 	maxIdlePerHost  = 64
 	idleConnTimeout = 90 * time.Second
 )
