--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -21,6 +21,7 @@
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/demo"
 	"github.com/tacktally/tacktally/internal/operatorapi"
+	"github.com/tacktally/tacktally/internal/slopes"
 	"github.com/tacktally/tacktally/internal/watch"
 )
 
@@ -322,6 +323,11 @@
 	return nil
 }
 
+type slopesCommand struct{ session *session }
+
+// Execute implements flags.Commander.
+func (c *slopesCommand) Execute([]string) error { return slopes.Write(c.session.out, slopes.All()) }
+
 type demoCommand struct {
 	session  *session
 	Duration time.Duration `long:"duration" value-name:"TIME" description:"End after this time; at an interrupt where left out"`
--- /dev/null
+++ b/internal/slopes/parts.go
@@ -0,0 +1,248 @@
+package slopes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/idempotency"
+	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/scheduler"
+)
+
+var (
+	organisationSizes = []int{500, 1000, 2000, 4000}
+	listSizes         = []int{100, 1000, 10_000}
+	upstreamSizes     = []int{50, 1000, 10_000}
+	queueSizes        = []int{500, 1000, 2000}
+	keySizes          = []int{2000, 8000, 32_000}
+)
+
+// document declares so many organisations, with two API keys each.
+func document(organisations int) []byte {
+	d := api.Document{
+		Tiers:      []api.Tier{{Metadata: api.Metadata{Name: "desk"}, Spec: api.TierSpec{TimeoutMillis: 1000}}},
+		EngineSets: []api.EngineSet{{Metadata: api.Metadata{Name: "readers"}, Spec: api.EngineSetSpec{Models: []string{"m"}, MaxPromptTokens: 9, MaxOutputTokens: 9}}},
+	}
+	for i := range organisations {
+		d.Organisations = append(d.Organisations, api.Organisation{
+			Metadata: api.Metadata{Name: fmt.Sprintf("organisation-%d", i)},
+			Spec: api.OrganisationSpec{
+				APIKeyHashes:    []string{config.HashAPIKey(fmt.Sprint("a", i))},
+				Tiers:           []string{"desk"},
+				TokensPerSecond: 1000,
+			},
+		})
+	}
+	content, err := json.Marshal(&d)
+	if err != nil {
+		panic("slopes: a document always encodes: " + err.Error())
+	}
+	return content
+}
+
+func accept(content []byte) *config.Snapshot {
+	s, err := config.Accept(1, content)
+	if err != nil {
+		panic("slopes: the document is valid: " + err.Error())
+	}
+	return s
+}
+
+func configurationBytes() Slope {
+	return measure("configuration document", "bytes", "organisation", organisationSizes, func(n int) float64 {
+		return float64(len(document(n)))
+	})
+}
+
+func configurationTime() Slope {
+	return measure("accepting a configuration", "µs", "organisation", organisationSizes, func(n int) float64 {
+		content := document(n)
+		return timeOf(func() { accept(content) })
+	})
+}
+
+func configurationMemory() Slope {
+	return measure("accepted configuration", "bytes", "organisation", organisationSizes, func(n int) float64 {
+		return memoryOf(func() any { return accept(document(n)) })
+	})
+}
+
+func list(n int) []platform.Instance {
+	out := make([]platform.Instance, n)
+	for i := range out {
+		out[i] = platform.Instance{Address: fmt.Sprintf("10.0.%d.%d:9001", i/250, i%250), Zone: "bole", Set: "readers", State: platform.Live}
+	}
+	return out
+}
+
+func encodeList(n int) []byte {
+	content, err := json.Marshal(list(n))
+	if err != nil {
+		panic("slopes: a list always encodes: " + err.Error())
+	}
+	return content
+}
+
+func listBytes() Slope {
+	return measure("instance list", "bytes", "entry", listSizes, func(n int) float64 { return float64(len(encodeList(n))) })
+}
+
+func listTime() Slope {
+	return measure("taking an instance list", "µs", "entry", listSizes, func(n int) float64 {
+		content := encodeList(n)
+		c := newCore(0)
+		return timeOf(func() {
+			var l []platform.Instance
+			_ = json.Unmarshal(content, &l)
+			c.SetMembers(members(l))
+		})
+	})
+}
+
+func members(l []platform.Instance) []scheduler.Member {
+	out := make([]scheduler.Member, len(l))
+	for i, e := range l {
+		out[i] = scheduler.Member{Address: e.Address, Zone: e.Zone}
+	}
+	return out
+}
+
+const memoryBlocks = 2048
+
+func newCore(upstreams int) *scheduler.Core {
+	c := scheduler.New(scheduler.Options{
+		Picker:       balancer.NewPredictive(1, rand.New(rand.NewPCG(1, 2))),
+		Limits:       queue.Limits{MaxItems: 1 << 20, MaxBytes: 1 << 40},
+		MemoryBlocks: memoryBlocks,
+	})
+	c.SetMembers(members(list(upstreams)))
+	return c
+}
+
+func upstreamMemory() Slope {
+	return measure("state of an upstream, new", "bytes", "upstream", upstreamSizes, func(n int) float64 {
+		return memoryOf(func() any { return newCore(n) })
+	})
+}
+
+func filledUpstreamMemory() Slope {
+	return measure("state of an upstream, full prefix memory", "bytes", "upstream", []int{10, 50, 200}, func(n int) float64 {
+		return memoryOf(func() any {
+			c := newCore(n)
+			for _, u := range c.Upstreams() {
+				chain := make([]uint64, memoryBlocks)
+				for i := range chain {
+					chain[i] = rand.Uint64()
+				}
+				u.Memory.Add(chain)
+			}
+			return c
+		})
+	})
+}
+
+func sample(i int) *scheduler.Request {
+	now := time.Now()
+	return &scheduler.Request{
+		Rank: i % 4, Organisation: fmt.Sprint("organisation-", i%100), Share: 1,
+		Arrived: now, Deadline: now.Add(time.Hour), Prompt: 500, Output: 200, Bytes: 2000,
+		Chain: []uint64{1, uint64(i), uint64(i) + 1, uint64(i) + 2},
+	}
+}
+
+// decisionTime is one whole turn of a request: submit, grant, first token, done.
+func decisionTime() Slope {
+	return measure("one decision (submit to done)", "µs", "upstream", upstreamSizes, func(n int) float64 {
+		c := newCore(n)
+		i := 0
+		return timeOf(func() {
+			now := time.Now()
+			i++
+			d := c.Submit(now, sample(i))
+			if len(d.Grants) == 1 {
+				c.FirstToken(now, d.Grants[0])
+				c.Done(now, d.Grants[0], 1)
+			}
+		})
+	})
+}
+
+// full returns a core of one upstream with so many requests waiting.
+func full(n int) *scheduler.Core {
+	c := newCore(1)
+	for i := 0; ; i++ {
+		c.Submit(time.Now(), sample(i))
+		waiting := 0
+		for _, k := range c.Queued(4) {
+			waiting += k
+		}
+		if waiting >= n {
+			return c
+		}
+	}
+}
+
+func queueMemory() Slope {
+	return measure("waiting request, without its body", "bytes", "request", queueSizes, func(n int) float64 {
+		return memoryOf(func() any { return full(n) })
+	})
+}
+
+func queueTime() Slope {
+	return measure("entering and leaving a queue", "µs", "request waiting", queueSizes, func(n int) float64 {
+		c := full(n)
+		i := 0
+		return timeOf(func() {
+			i++
+			r := sample(i)
+			c.Submit(time.Now(), r)
+			c.Cancel(r)
+		})
+	})
+}
+
+func newRegister(n int) *idempotency.Register {
+	return idempotency.NewRegister(idempotency.Limits{Lifetime: time.Hour, MaxEntries: 2 * n, MaxAnswerBytes: 1 << 40}, idempotency.NewClock())
+}
+
+func use(r *idempotency.Register, i int) {
+	r.Reserve()
+	b, _, _ := r.Begin(idempotency.Use{Key: fmt.Sprintf("ttk1.%0200d", i), Organisation: "organisation", Expiry: time.Hour})
+	if b != nil {
+		b.Finish(answer.End{})
+	}
+}
+
+func keyMemory() Slope {
+	return measure("key in use, without its answer", "bytes", "key", keySizes, func(n int) float64 {
+		return memoryOf(func() any {
+			r := newRegister(n)
+			for i := range n {
+				use(r, i)
+			}
+			return r
+		})
+	})
+}
+
+func keyTime() Slope {
+	return measure("issuing and verifying a key", "µs", "key in use", keySizes, func(n int) float64 {
+		r := newRegister(n)
+		for i := range n {
+			use(r, i)
+		}
+		issuer := idempotency.NewIssuer("10.0.0.1:7003", 1, idempotency.NewClock())
+		return timeOf(func() {
+			r.Reserve()
+			_, _ = issuer.Verify(issuer.Issue("organisation", "", time.Hour))
+		})
+	})
+}
--- /dev/null
+++ b/internal/slopes/peers.go
@@ -0,0 +1,147 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+var meshSizes = []int{4, 8, 16, 24}
+
+const (
+	// beats is the heartbeats a second of the measured meshes, more than the
+	// daemon's two so that they outweigh the rest.
+	beats = 50
+	// observed is how long a mesh is observed.
+	observed = time.Second
+	setsTold = 30
+)
+
+// heartbeat tells of so many sets with work waiting.
+func heartbeat(sets int) *peer.Heartbeat {
+	h := &peer.Heartbeat{Revision: 1 << 30, ListVersion: 1 << 30, InFlight: 200, Queued: map[string][]int{}}
+	for i := range sets {
+		h.Queued[fmt.Sprintf("engine-set-%d", i)] = []int{0, 10, 200, 1000}
+	}
+	return h
+}
+
+func heartbeatBytes() Slope {
+	return measure("heartbeat", "bytes", "set with work waiting", []int{0, 10, 30}, func(n int) float64 {
+		b, err := peer.Encode(&peer.Frame{Type: peer.TypeHeartbeat, Heartbeat: heartbeat(n)})
+		if err != nil {
+			panic("slopes: a heartbeat always encodes: " + err.Error())
+		}
+		return float64(len(b))
+	})
+}
+
+// quietHandler sends heartbeats and takes no notice of others'.
+type quietHandler struct{}
+
+func (quietHandler) Serve(context.Context, *request.Request) *answer.Buffer { return answer.New(true) }
+func (quietHandler) State() *peer.State                                     { return &peer.State{} }
+func (quietHandler) Learn(string, *peer.State)                              {}
+func (quietHandler) Heartbeat() *peer.Heartbeat                             { return heartbeat(setsTold) }
+func (quietHandler) Heard(string, *peer.Heartbeat)                          {}
+func (quietHandler) Pressure(peer.Pressure)                                 {}
+
+// meshes is a full mesh of instances in this process.
+type meshes struct {
+	all     []*peer.Mesh
+	servers []*http.Server
+}
+
+func newMeshes(n int) *meshes {
+	m := &meshes{}
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic("slopes: no free port on loopback: " + err.Error())
+		}
+		address := l.Addr().String()
+		mesh := peer.NewMesh(peer.Options{
+			Address: address, Heartbeat: time.Second / beats, SuspectAfter: time.Minute, Incarnation: 1,
+			Handler: quietHandler{}, Log: &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		})
+		s := &http.Server{Handler: mesh, ReadHeaderTimeout: time.Second}
+		go s.Serve(l) //nolint:errcheck // ends with close
+		m.all = append(m.all, mesh)
+		m.servers = append(m.servers, s)
+		addresses = append(addresses, address)
+	}
+	for _, mesh := range m.all {
+		mesh.SetPeers(addresses)
+	}
+	m.waitLinked()
+	return m
+}
+
+func (m *meshes) waitLinked() {
+	for _, mesh := range m.all {
+		for {
+			linked := 0
+			for _, p := range mesh.Peers() {
+				if p.Linked {
+					linked++
+				}
+			}
+			if linked == len(m.all)-1 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func (m *meshes) close() {
+	for _, mesh := range m.all {
+		mesh.Close()
+	}
+	for _, s := range m.servers {
+		s.Close()
+	}
+}
+
+// peerProcessor is the processor time of one heartbeat to one peer, sending and
+// receiving together, by the number of peers.
+func peerProcessor() Slope {
+	return measure("heartbeats of one instance, a round", "µs", "peer", meshSizes, func(n int) float64 {
+		m := newMeshes(n)
+		defer m.close()
+		before := processorTime()
+		time.Sleep(observed)
+		spent := processorTime() - before
+		rounds := observed.Seconds() * beats * float64(n)
+		return float64(spent.Microseconds()) / rounds
+	})
+}
+
+func peerMemory() Slope {
+	return measure("links of one instance, both directions", "bytes", "peer", meshSizes, func(n int) float64 {
+		var m *meshes
+		total := memoryOf(func() any {
+			m = newMeshes(n)
+			return m
+		})
+		m.close()
+		return total / float64(n)
+	})
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
