Measure the policy in virtual time beside three baselines

Cause: nothing measured goodput by tier and wasted prefill. Ruled out: a simulator of the cluster; only the decision packages, a seeded workload and stand-in engines of one zone are in it. Change: tacktally experiment: two deployments, five scenarios, four policies, five seeds, a table; a predicate counts sheds of a higher tier while reachable lower work is queued.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -20,6 +20,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/demo"
+	"github.com/tacktally/tacktally/internal/experiment"
 	"github.com/tacktally/tacktally/internal/operatorapi"
 	"github.com/tacktally/tacktally/internal/slopes"
 	"github.com/tacktally/tacktally/internal/watch"
@@ -323,6 +324,17 @@
 	return nil
 }
 
+type experimentCommand struct {
+	session *session
+	Seeds   []uint64 `long:"seed" default:"1" default:"2" default:"3" default:"4" default:"5" description:"Seed of a run; give it again for more"`
+}
+
+// Execute implements flags.Commander.
+func (c *experimentCommand) Execute([]string) error {
+	rows := experiment.All(experiment.Policies(), c.Seeds)
+	return experiment.Write(c.session.out, rows, c.Seeds)
+}
+
 type slopesCommand struct{ session *session }
 
 // Execute implements flags.Commander.
--- /dev/null
+++ b/internal/experiment/world.go
@@ -0,0 +1,327 @@
+package experiment
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/scheduler"
+	"github.com/tacktally/tacktally/internal/standin/engine"
+)
+
+const (
+	// hop is the time between an instance and an engine or a peer, one way.
+	hop = 500 * time.Microsecond
+	// pollEvery is how often an instance looks at the clock.
+	pollEvery = 20 * time.Millisecond
+	// memoryBlocks is what an instance remembers of an engine's cache.
+	memoryBlocks = 2048
+	instances    = 2
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// event is something that happens at a time. Equal times keep their order.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].order < h[j].order)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// world is one run: engines, instances and requests in virtual time.
+type world struct {
+	policy    Policy
+	now       time.Duration
+	events    eventHeap
+	scheduled int
+	engines   map[string]*simEngine
+	instances []*simInstance
+	cut       bool // the instances can't hear each other
+	readOnce  map[uint64]bool
+	jobs      []*job
+	result    *Result
+}
+
+// simEngine steps a model engine.
+type simEngine struct {
+	world    *world
+	address  string
+	model    *engine.Model
+	stepping bool
+}
+
+// simInstance is an instance's scheduler.
+type simInstance struct {
+	world *world
+	core  *scheduler.Core
+	dead  bool
+}
+
+// job is one request on its way.
+type job struct {
+	arrival  *arrival
+	instance *simInstance
+	request  *scheduler.Request
+	grant    *scheduler.Grant
+	sequence *engine.Sequence
+	first    time.Duration // since its arrival, 0 before the first token
+	ended    bool
+	counted  bool // its prompt is counted
+
+	readAgain int // prompt tokens read that some engine had read before
+}
+
+func newWorld(d Deployment, p Policy, seed uint64) *world {
+	w := &world{policy: p, engines: map[string]*simEngine{}, readOnce: map[uint64]bool{}, result: newResult()}
+	var members []scheduler.Member
+	for i, s := range d.engines {
+		address := string(rune('A' + i))
+		w.engines[address] = &simEngine{world: w, address: address, model: engine.NewModel(s)}
+		members = append(members, scheduler.Member{Address: address})
+	}
+	for i := range instances {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		core := scheduler.New(scheduler.Options{
+			Picker:       p.Picker(random),
+			Limits:       queue.Limits{MaxItems: 2000, MaxBytes: 1 << 40},
+			MemoryBlocks: memoryBlocks,
+			Unqueued:     p.Unqueued,
+		})
+		core.SetMembers(members)
+		w.instances = append(w.instances, &simInstance{world: w, core: core})
+	}
+	return w
+}
+
+func (w *world) at(t time.Duration, do func()) {
+	w.scheduled++
+	heap.Push(&w.events, event{at: t, order: w.scheduled, do: do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+func (w *world) clock() time.Time { return epoch.Add(w.now) }
+
+// run lets everything happen until nothing is left.
+func (w *world) run() {
+	for w.events.Len() > 0 {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+}
+
+// poll makes an instance look at the clock until the end.
+func (w *world) poll(i *simInstance, until time.Duration) {
+	if w.now > until || i.dead {
+		return
+	}
+	i.apply(i.core.Poll(w.clock()))
+	w.after(pollEvery, func() { w.poll(i, until) })
+}
+
+// arrive gives a request to an instance.
+func (w *world) arrive(a *arrival, i *simInstance) {
+	j := &job{arrival: a, instance: i}
+	w.result.offered(a)
+	w.jobs = append(w.jobs, j)
+	w.submit(j)
+	w.at(a.at+a.class.timeout, func() { w.timeOut(j) })
+}
+
+func (w *world) submit(j *job) {
+	c := j.arrival.class
+	j.request = &scheduler.Request{
+		Rank:         c.tier,
+		Organisation: j.arrival.organisation,
+		Share:        1,
+		Arrived:      epoch.Add(j.arrival.at),
+		Deadline:     epoch.Add(j.arrival.at + c.timeout),
+		FirstToken:   c.firstToken,
+		Prompt:       j.arrival.prompt,
+		Output:       c.limit,
+		Chain:        j.arrival.chain,
+		Bytes:        j.arrival.prompt * 4,
+		Value:        j,
+	}
+	j.instance.apply(j.instance.core.Submit(w.clock(), j.request))
+}
+
+// apply carries out what a core decided.
+func (i *simInstance) apply(d scheduler.Decisions) {
+	w := i.world
+	for _, g := range d.Grants {
+		j := g.Request.Value.(*job)
+		j.grant = g
+		w.after(hop, func() { w.engines[g.Upstream.Address].begin(j) })
+	}
+	for _, s := range d.Sheds {
+		j := s.Request.Value.(*job)
+		j.ended = true
+		w.result.shed(j, s.Problem.Reason)
+		if forLoad(s.Problem.Reason) {
+			w.press(i, s.Request.Rank)
+		}
+	}
+}
+
+func forLoad(r api.Reason) bool {
+	return r == api.ReasonQueueFull || r == api.ReasonPredictedLate || r == api.ReasonDeadlineExpired
+}
+
+// press lets the other instances within reach shed lower work first.
+func (w *world) press(from *simInstance, rank int) {
+	for _, i := range w.instances {
+		if i != from && !i.dead && !w.cut {
+			i.apply(i.core.ShedLower(rank))
+		}
+	}
+	w.checkShed(from, rank)
+}
+
+// checkShed counts a violation when work of a rank is shed for load while an
+// instance within reach holds lower work.
+func (w *world) checkShed(from *simInstance, rank int) {
+	for _, i := range w.instances {
+		if i.dead || (i != from && w.cut) {
+			continue
+		}
+		queued := i.core.Queued(ranks)
+		for lower := rank + 1; lower < ranks; lower++ {
+			if queued[lower] > 0 {
+				w.result.Violations++
+				return
+			}
+		}
+	}
+}
+
+// begin admits a request at the engine.
+func (e *simEngine) begin(j *job) {
+	if j.ended {
+		return
+	}
+	j.sequence = &engine.Sequence{Prompt: j.arrival.prompt, Output: j.arrival.output, Chain: j.arrival.chain, Value: j}
+	e.model.Add(j.sequence)
+	e.step()
+}
+
+// step makes the next step, whose tokens come when it is over.
+func (e *simEngine) step() {
+	if e.stepping || e.model.Idle() {
+		return
+	}
+	e.stepping = true
+	took, wrote := e.model.Step()
+	written := make([]int, len(wrote))
+	for i, s := range wrote {
+		written[i] = s.Written()
+	}
+	e.world.after(took, func() {
+		e.stepping = false
+		for i, s := range wrote {
+			e.wrote(s.Value.(*job), written[i])
+		}
+		e.step()
+	})
+}
+
+// wrote passes a token to the instance.
+func (e *simEngine) wrote(j *job, n int) {
+	w := e.world
+	if n == 1 {
+		w.result.read(w, j)
+		w.after(hop, func() { w.firstToken(j) })
+	}
+	if n >= j.sequence.Output {
+		w.after(hop, func() { w.done(j) })
+	}
+}
+
+func (w *world) firstToken(j *job) {
+	if j.ended || j.instance.dead {
+		return
+	}
+	j.first = w.now - j.arrival.at
+	j.instance.apply(j.instance.core.FirstToken(w.clock(), j.grant))
+}
+
+func (w *world) done(j *job) {
+	if j.ended || j.instance.dead {
+		return
+	}
+	j.ended = true
+	w.result.answered(w, j)
+	j.instance.apply(j.instance.core.Done(w.clock(), j.grant, j.arrival.output))
+}
+
+// timeOut ends a request whose caller waits no longer; the engine is told.
+func (w *world) timeOut(j *job) {
+	if j.ended || j.instance.dead {
+		return
+	}
+	j.ended = true
+	w.result.late(w, j)
+	if j.grant == nil {
+		j.instance.core.Cancel(j.request)
+		return
+	}
+	if j.sequence != nil {
+		w.engines[j.grant.Upstream.Address].model.Cancel(j.sequence)
+	}
+	j.instance.apply(j.instance.core.Cancelled(w.clock(), j.grant))
+}
+
+// kill ends an instance: its callers turn to another one, its engines are cut off.
+func (w *world) kill(i *simInstance, jobs []*job) {
+	i.dead = true
+	for _, j := range jobs {
+		if j.instance != i || j.ended {
+			continue
+		}
+		j.ended = true
+		if j.sequence != nil {
+			w.engines[j.grant.Upstream.Address].model.Cancel(j.sequence)
+			w.result.wasted(j)
+		}
+		again := &job{arrival: j.arrival, instance: w.instances[1]}
+		w.jobs = append(w.jobs, again)
+		w.after(hop, func() { w.submit(again) })
+		w.at(j.arrival.at+j.arrival.class.timeout, func() { w.timeOut(again) })
+	}
+}
+
+// Policy is a way to schedule.
+type Policy struct {
+	Name     string
+	Picker   func(random *rand.Rand) balancer.Picker
+	Unqueued bool
+}
+
+// Policies are what is measured: the daemon's own, and the baselines.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "tacktally", Picker: func(r *rand.Rand) balancer.Picker { return balancer.NewPredictive(1, r) }},
+		{Name: "round robin", Unqueued: true, Picker: func(*rand.Rand) balancer.Picker { return &balancer.RoundRobin{} }},
+		{Name: "least outstanding", Unqueued: true, Picker: func(*rand.Rand) balancer.Picker { return balancer.LeastOutstanding{} }},
+		{Name: "power of two", Unqueued: true, Picker: func(r *rand.Rand) balancer.Picker { return &balancer.PowerOfTwo{Random: r} }},
+	}
+}
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -37,9 +37,13 @@
 	Value any
 
 	toRead  int
+	read    int
 	written int
 }
 
+// Read returns the prompt tokens read for it, those in the cache left out.
+func (s *Sequence) Read() int { return s.read }
+
 // Written returns the output tokens written so far.
 func (s *Sequence) Written() int { return s.written }
 
@@ -99,6 +103,7 @@
 	for _, s := range m.running {
 		n := min(s.toRead, m.spec.ChunkTokens-read)
 		s.toRead -= n
+		s.read += n
 		read += n
 		if s.toRead > 0 {
 			continue
