Tell other instances at once of long prompts (experiment)

Cause: tier 0 in Colombo was late in 2.8% of a burst. The late ones sat behind long prompts that the other instance had sent to the same engine: each instance knew of its own pending prompts alone.

Change: an instance tells its pending prompt tokens by upstream with each heartbeat, and at once when a prompt takes 100 ms or more to read.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -31,6 +31,8 @@
 	Memory *prefix.Memory
 	// Pending is the prompt tokens sent whose first token hasn't come.
 	Pending int
+	// OthersPending is the same of other instances, as they told last.
+	OthersPending int
 	// Running is the requests sent and not ended.
 	Running int
 	// Reported is the number of sequences it reported last, of all instances.
@@ -52,9 +54,14 @@
 		return false
 	}
 	bound := u.Speed.Prefill() * PrefillHorizon.Seconds()
-	return u.Pending == 0 || float64(u.Pending+tokens) <= bound
+	ahead := u.Ahead()
+	return ahead == 0 || float64(ahead+tokens) <= bound
 }
 
+// Ahead returns the prompt tokens, of all instances as far as known, that it has
+// to read before those of a new request.
+func (u *Upstream) Ahead() int { return u.Pending + u.OthersPending }
+
 // Usable tells whether it may get work at all.
 func (u *Upstream) Usable(now time.Time) bool {
 	return !u.Leaving && !now.Before(u.AvoidUntil)
--- a/internal/balancer/predictive.go
+++ b/internal/balancer/predictive.go
@@ -60,7 +60,7 @@
 }
 
 func (p *Predictive) cost(u *Upstream, w Work, uncached int) time.Duration {
-	first := u.Speed.FirstToken(u.Pending + uncached)
+	first := u.Speed.FirstToken(u.Ahead() + uncached)
 	reading := time.Duration(float64(u.Speed.FirstToken(uncached)) * p.PrefillWeight)
 	return first + reading + u.Speed.Decode(w.Output, 1)
 }
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -38,7 +38,14 @@
 			w.engines["A"].model.SetSlow(slowFactor)
 			w.engines["D"].model.SetSlow(slowFactor)
 		}},
-		{Name: "burst, zone cut off", burst: true, fault: func(w *world, _ func() []*job) { w.cut = true }},
+		{Name: "burst, zone cut off", burst: true, fault: func(w *world, _ func() []*job) {
+			w.cut = true
+			w.after(suspectAfter, func() {
+				for _, i := range w.instances {
+					w.forget(i)
+				}
+			})
+		}},
 		{Name: "burst, instance killed", burst: true, fault: func(w *world, jobs func() []*job) { w.kill(w.instances[0], jobs()) }},
 	}
 }
@@ -72,6 +79,7 @@
 	}
 	for _, i := range w.instances {
 		w.at(0, func() { w.poll(i, lastArrival+longest) })
+		w.at(0, func() { w.beat(i, lastArrival+longest) })
 	}
 	if s.fault != nil {
 		w.at(faultAt, func() { s.fault(w, func() []*job { return w.jobs }) })
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -20,6 +20,10 @@
 	// memoryBlocks is what an instance remembers of an engine's cache.
 	memoryBlocks = 2048
 	instances    = 2
+	// heartbeat is the time between two, and suspectAfter the silence after which
+	// what an instance told is forgotten.
+	heartbeat    = 500 * time.Millisecond
+	suspectAfter = 2 * time.Second
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -72,6 +76,7 @@
 type simInstance struct {
 	world *world
 	core  *scheduler.Core
+	name  string
 	dead  bool
 }
 
@@ -106,7 +111,7 @@
 			Unqueued:     p.Unqueued,
 		})
 		core.SetMembers(members)
-		w.instances = append(w.instances, &simInstance{world: w, core: core})
+		w.instances = append(w.instances, &simInstance{world: w, core: core, name: string(rune('0' + i))})
 	}
 	return w
 }
@@ -172,6 +177,9 @@
 		j := g.Request.Value.(*job)
 		j.grant = g
 		w.after(hop, func() { w.engines[g.Upstream.Address].begin(j) })
+		if i.core.IsLong(g) {
+			i.tell()
+		}
 	}
 	for _, s := range d.Sheds {
 		j := s.Request.Value.(*job)
@@ -183,6 +191,36 @@
 	}
 }
 
+// tell lets the other instances know what is pending, after a hop.
+func (i *simInstance) tell() {
+	w := i.world
+	if w.policy.Unqueued || i.dead {
+		return
+	}
+	pending := i.core.Pending()
+	for _, other := range w.instances {
+		if other == i || w.cut {
+			continue
+		}
+		w.after(hop, func() {
+			if other.dead || w.cut {
+				return
+			}
+			other.core.SetOthers(i.name, pending)
+			other.apply(other.core.Poll(w.clock()))
+		})
+	}
+}
+
+// beat tells the other instances regularly, until the end.
+func (w *world) beat(i *simInstance, until time.Duration) {
+	if w.now > until || i.dead {
+		return
+	}
+	i.tell()
+	w.after(heartbeat, func() { w.beat(i, until) })
+}
+
 func forLoad(r api.Reason) bool {
 	return r == api.ReasonQueueFull || r == api.ReasonPredictedLate || r == api.ReasonDeadlineExpired
 }
@@ -261,7 +299,11 @@
 		return
 	}
 	j.first = w.now - j.arrival.at
+	long := j.instance.core.IsLong(j.grant)
 	j.instance.apply(j.instance.core.FirstToken(w.clock(), j.grant))
+	if long {
+		j.instance.tell()
+	}
 }
 
 func (w *world) done(j *job) {
@@ -293,6 +335,7 @@
 // kill ends an instance: its callers turn to another one, its engines are cut off.
 func (w *world) kill(i *simInstance, jobs []*job) {
 	i.dead = true
+	w.after(suspectAfter, func() { w.forget(i) })
 	for _, j := range jobs {
 		if j.instance != i || j.ended {
 			continue
@@ -309,6 +352,15 @@
 	}
 }
 
+// forget drops what an instance told.
+func (w *world) forget(gone *simInstance) {
+	for _, i := range w.instances {
+		if i != gone {
+			i.core.SetOthers(gone.name, nil)
+		}
+	}
+}
+
 // Policy is a way to schedule.
 type Policy struct {
 	Name     string
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,13 +95,14 @@
 	options   Options
 	queue     *queue.Queue
 	upstreams []*balancer.Upstream
+	others    map[string]map[string]int // pending prompt tokens by instance and upstream
 	drain     drainRate
 	outputs   outputRatio
 }
 
 // New returns a Core without upstreams.
 func New(o Options) *Core {
-	return &Core{options: o, queue: queue.New(o.Limits), outputs: newOutputRatio()}
+	return &Core{options: o, queue: queue.New(o.Limits), others: map[string]map[string]int{}, outputs: newOutputRatio()}
 }
 
 // Member is an upstream as a list names it.
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -116,8 +116,8 @@
 		Upstream:  u,
 		Sent:      now,
 		uncached:  choice.Uncached,
-		ahead:     u.Pending,
-		predicted: u.Speed.FirstToken(u.Pending),
+		ahead:     u.Ahead(),
+		predicted: u.Speed.FirstToken(u.Ahead()),
 	}
 }
 
