Send next, among a few of a tier, the one whose prompt is cached (experiment)

Change: engines' cache events reach all instances (500 ms late, 10% lost); the weight of prefill is 3; of the first 8 waiting items of the tier, the one goes with the largest cached share, unless one must start within 300 ms.

The goodput of the lowest tier hangs on how often tier 1 sheds, which is looked at next.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -91,9 +91,12 @@
 	Uncached int
 }
 
-// Picker chooses among upstreams. It returns no upstream when none may be used now.
+// Picker chooses among upstreams.
 type Picker interface {
+	// Pick returns no upstream when none may be used now. It changes nothing.
 	Pick(now time.Time, upstreams []*Upstream, w Work) Choice
+	// Sent is called when a choice is followed.
+	Sent(u *Upstream, w Work)
 }
 
 // RoundRobin takes the upstreams in turn.
@@ -101,9 +104,8 @@
 
 // Pick implements Picker.
 func (p *RoundRobin) Pick(now time.Time, upstreams []*Upstream, w Work) Choice {
-	for range upstreams {
-		u := upstreams[p.next%len(upstreams)]
-		p.next++
+	for i := range upstreams {
+		u := upstreams[(p.next+i)%len(upstreams)]
 		if u.Usable(now) {
 			return Choice{Upstream: u, Uncached: w.Uncached(u)}
 		}
@@ -111,6 +113,9 @@
 	return Choice{}
 }
 
+// Sent implements Picker.
+func (p *RoundRobin) Sent(*Upstream, Work) { p.next++ }
+
 // LeastOutstanding takes the upstream with the fewest requests sent and not ended.
 type LeastOutstanding struct{}
 
@@ -128,6 +133,9 @@
 	return Choice{Upstream: best, Uncached: w.Uncached(best)}
 }
 
+// Sent implements Picker.
+func (LeastOutstanding) Sent(*Upstream, Work) {}
+
 // PowerOfTwo draws two upstreams and takes the one with fewer requests.
 type PowerOfTwo struct{ Random *rand.Rand }
 
@@ -146,3 +154,6 @@
 	}
 	return Choice{Upstream: a, Uncached: w.Uncached(a)}
 }
+
+// Sent implements Picker.
+func (*PowerOfTwo) Sent(*Upstream, Work) {}
--- a/internal/balancer/predictive.go
+++ b/internal/balancer/predictive.go
@@ -53,9 +53,6 @@
 		}
 	}
 	p.each(upstreams, w, consider)
-	if best.Upstream != nil {
-		p.remember(best.Upstream, w)
-	}
 	return best
 }
 
@@ -86,8 +83,9 @@
 	}
 }
 
-// remember records who was sent the prefix, at the lengths that each looks up.
-func (p *Predictive) remember(u *Upstream, w Work) {
+// Sent implements Picker. It records who was sent the prefix, at the lengths that
+// each looks up.
+func (p *Predictive) Sent(u *Upstream, w Work) {
 	for at := len(w.Chain); at > 0; at /= 2 {
 		p.affinity.Add(w.Chain[at-1], u)
 	}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -21,6 +21,8 @@
 	// answers that weren't in time.
 	PromptRead   int
 	PromptWasted int
+	// PromptAgain is the part of PromptWasted that was read again.
+	PromptAgain int
 	// First tokens, in ms, of tier 0 and of all.
 	FirstTop, FirstAll *hdrhistogram.Histogram
 	// Violations counts sheds of a higher tier for load while a reachable
@@ -55,6 +57,7 @@
 		w.readOnce[b] = true
 	}
 	r.PromptWasted += min(again, read)
+	r.PromptAgain += min(again, read)
 	j.readAgain = min(again, read)
 }
 
@@ -119,6 +122,7 @@
 	}
 	r.PromptRead += o.PromptRead
 	r.PromptWasted += o.PromptWasted
+	r.PromptAgain += o.PromptAgain
 	r.Violations += o.Violations
 	r.FirstTop.Merge(o.FirstTop)
 	r.FirstAll.Merge(o.FirstAll)
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -134,11 +134,11 @@
 func Write(out io.Writer, rows []Row, seeds []uint64) error {
 	fmt.Fprintf(out, "seeds %v; goodput by tier in %% of the requests offered; wasted prefill in %% of the prompt tokens read\n", seeds)
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "zone\tscenario\tpolicy\ttier 0\ttier 1\ttier 2\ttier 3\tall\twasted\tfirst token p50/p95 ms, tier 0\tall\tsheds by tier\tviolations")
+	fmt.Fprintln(w, "zone\tscenario\tpolicy\ttier 0\ttier 1\ttier 2\ttier 3\tall\twasted\tagain\tlate by tier\tfirst token p50/p95 ms, tier 0\tall\tsheds by tier\tviolations")
 	for _, r := range rows {
 		x := r.Result
-		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d/%d\t%d/%d\t%s\t%d\n", r.Deployment, r.Scenario, r.Policy,
-			100*x.Goodput(0), 100*x.Goodput(1), 100*x.Goodput(2), 100*x.Goodput(3), 100*x.Total(), 100*x.Wasted(),
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%v\t%d/%d\t%d/%d\t%s\t%d\n", r.Deployment, r.Scenario, r.Policy,
+			100*x.Goodput(0), 100*x.Goodput(1), 100*x.Goodput(2), 100*x.Goodput(3), 100*x.Total(), 100*x.Wasted(), 100*float64(x.PromptAgain)/float64(max(x.PromptRead, 1)), x.Late,
 			x.FirstTop.ValueAtQuantile(50), x.FirstTop.ValueAtQuantile(95), x.FirstAll.ValueAtQuantile(50), x.FirstAll.ValueAtQuantile(95),
 			sheds(x), x.Violations)
 	}
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -20,6 +20,10 @@
 	// memoryBlocks is what an instance remembers of an engine's cache.
 	memoryBlocks = 2048
 	instances    = 2
+	// cacheEventLag is how late engines tell of their caches, cacheEventGap the
+	// share of the events that is lost.
+	cacheEventLag = 500 * time.Millisecond
+	cacheEventGap = 0.1
 	// heartbeat is the time between two, and suspectAfter the silence after which
 	// what an instance told is forgotten.
 	heartbeat    = 500 * time.Millisecond
@@ -102,6 +106,7 @@
 		w.engines[address] = &simEngine{world: w, address: address, model: engine.NewModel(s)}
 		members = append(members, scheduler.Member{Address: address})
 	}
+	w.publishCacheEvents(rand.New(rand.NewPCG(seed, 99)))
 	for i := range instances {
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
 		core := scheduler.New(scheduler.Options{
@@ -116,6 +121,24 @@
 	return w
 }
 
+// publishCacheEvents lets every engine tell of its cache, late and with gaps.
+func (w *world) publishCacheEvents(random *rand.Rand) {
+	for address, e := range w.engines {
+		e.model.OnCache(func(added, dropped []uint64) {
+			if random.Float64() < cacheEventGap {
+				return
+			}
+			w.after(cacheEventLag, func() {
+				for _, i := range w.instances {
+					if !i.dead && !w.policy.Unqueued {
+						i.core.CacheEvent(address, added, dropped)
+					}
+				}
+			})
+		})
+	}
+}
+
 func (w *world) at(t time.Duration, do func()) {
 	w.scheduled++
 	heap.Push(&w.events, event{at: t, order: w.scheduled, do: do})
@@ -371,7 +394,7 @@
 // Policies are what is measured: the daemon's own, and the baselines.
 func Policies() []Policy {
 	return []Policy{
-		{Name: "tacktally", Picker: func(r *rand.Rand) balancer.Picker { return balancer.NewPredictive(1, r) }},
+		{Name: "tacktally", Picker: func(r *rand.Rand) balancer.Picker { return balancer.NewPredictive(3, r) }},
 		{Name: "round robin", Unqueued: true, Picker: func(*rand.Rand) balancer.Picker { return &balancer.RoundRobin{} }},
 		{Name: "least outstanding", Unqueued: true, Picker: func(*rand.Rand) balancer.Picker { return balancer.LeastOutstanding{} }},
 		{Name: "power of two", Unqueued: true, Picker: func(r *rand.Rand) balancer.Picker { return &balancer.PowerOfTwo{Random: r} }},
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -41,8 +41,16 @@
 }
 
 // NewMemory returns a memory of at most so many blocks.
-func NewMemory(blocks int) *Memory {
-	lru, err := simplelru.NewLRU[uint64, struct{}](max(blocks, 1), nil)
+func NewMemory(blocks int) *Memory { return NewObservedMemory(blocks, nil) }
+
+// NewObservedMemory returns a memory that calls dropped for each block that it
+// gives up; the stand-in engines publish their cache events from it.
+func NewObservedMemory(blocks int, dropped func(block uint64)) *Memory {
+	var onDrop simplelru.EvictCallback[uint64, struct{}]
+	if dropped != nil {
+		onDrop = func(block uint64, _ struct{}) { dropped(block) }
+	}
+	lru, err := simplelru.NewLRU(max(blocks, 1), onDrop)
 	if err != nil {
 		panic("prefix: a positive size always makes a cache: " + err.Error())
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -10,6 +10,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -147,6 +148,25 @@
 	return nil
 }
 
+// Peek returns up to n items of the most important tier waiting: the one that goes
+// next, and others by their latest start, whatever their organisations have had.
+func (q *Queue) Peek(now time.Time, n int) []*Item {
+	next := q.Next(now)
+	if next == nil {
+		return nil
+	}
+	out := []*Item{next}
+	for _, ln := range q.levels[next.Rank].order {
+		for _, it := range ln.items[:min(n, len(ln.items))] {
+			if it != next {
+				out = append(out, it)
+			}
+		}
+	}
+	slices.SortStableFunc(out[1:], func(a, b *Item) int { return a.StartBy.Compare(b.StartBy) })
+	return out[:min(n, len(out))]
+}
+
 // Take removes a waiting item that is about to be served.
 func (q *Queue) Take(now time.Time, it *Item) {
 	lv := q.levels[it.Rank]
--- a/internal/scheduler/others.go
+++ b/internal/scheduler/others.go
@@ -24,6 +24,16 @@
 	return out
 }
 
+// CacheEvent takes an engine's word on its cache, which comes late and with gaps.
+func (c *Core) CacheEvent(address string, added, dropped []uint64) {
+	for _, u := range c.upstreams {
+		if u.Address == address && u.Memory != nil {
+			u.Memory.Add(added)
+			u.Memory.Drop(dropped)
+		}
+	}
+}
+
 // SetOthers takes what another instance has told of its pending prompt tokens; a
 // nil map forgets the instance.
 func (c *Core) SetOthers(instance string, pending map[string]int) {
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -7,6 +7,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/estimate"
+	"github.com/tacktally/tacktally/internal/queue"
 )
 
 const (
@@ -23,6 +24,11 @@
 	avoidMost  = 30 * time.Second
 	// maxSampleUpstreams bounds the upstreams looked at for a typical speed.
 	maxSampleUpstreams = 64
+	// lookahead is how many waiting items of a tier are looked at for one whose
+	// prompt is cached.
+	lookahead = 8
+	// urgent is the time to its latest start from which on an item isn't passed over.
+	urgent = 300 * time.Millisecond
 	// outputWeight is what an output token counts for in prompt tokens.
 	outputWeight = 4
 )
@@ -55,21 +61,41 @@
 
 // pump sends waiting work while the next in order finds an upstream with room.
 func (c *Core) pump(now time.Time, d *Decisions) {
-	for {
-		it := c.queue.Next(now)
+	for c.queue.Len() > 0 {
+		it, choice := c.next(now)
 		if it == nil {
-			c.drain.idle(now)
 			return
 		}
+		c.queue.Take(now, it)
+		c.drain.sent(now, it.Work, c.queue.Len() > 0)
+		d.Grants = append(d.Grants, c.grant(now, it.Value.(*Request), choice))
+	}
+	c.drain.idle(now)
+}
+
+// next returns the item to send now and where to, or nil when none can be sent.
+// Among the first few of a tier, the one goes first of whose prompt an upstream
+// with room holds the largest share, so that less is read again; but none that
+// must start soon is passed over.
+func (c *Core) next(now time.Time) (*queue.Item, balancer.Choice) {
+	var best *queue.Item
+	var chosen balancer.Choice
+	bestShare := -1.0
+	for _, it := range c.queue.Peek(now, lookahead) {
 		r := it.Value.(*Request)
 		choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(r))
 		if choice.Upstream == nil {
-			return
+			continue
+		}
+		if it.StartBy.Sub(now) < urgent {
+			return it, choice
+		}
+		cached := 1 - float64(choice.Uncached)/float64(r.Prompt)
+		if cached > bestShare {
+			best, chosen, bestShare = it, choice, cached
 		}
-		c.queue.Take(now, it)
-		c.drain.sent(now, it.Work, c.queue.Len() > 0)
-		d.Grants = append(d.Grants, c.grant(now, r, choice))
 	}
+	return best, chosen
 }
 
 func (c *Core) sendUnqueued(now time.Time, r *Request, d *Decisions) {
@@ -106,6 +132,7 @@
 
 func (c *Core) grant(now time.Time, r *Request, choice balancer.Choice) *Grant {
 	u := choice.Upstream
+	c.options.Picker.Sent(u, c.describe(r))
 	u.Pending += choice.Uncached
 	u.Running++
 	if u.Memory != nil {
--- a/internal/standin/engine/model.go
+++ b/internal/standin/engine/model.go
@@ -54,6 +54,8 @@
 	waiting []*Sequence
 	running []*Sequence
 	cache   *prefix.Memory
+	dropped []uint64
+	onCache func(added, dropped []uint64)
 
 	// PromptRead counts prompt tokens read.
 	PromptRead int
@@ -63,9 +65,15 @@
 
 // NewModel returns an idle engine with an empty cache.
 func NewModel(s Spec) *Model {
-	return &Model{spec: s, slow: 1, cache: prefix.NewMemory(s.CacheBlocks)}
+	m := &Model{spec: s, slow: 1}
+	m.cache = prefix.NewObservedMemory(s.CacheBlocks, func(b uint64) { m.dropped = append(m.dropped, b) })
+	return m
 }
 
+// OnCache registers who is told of the blocks that came into the cache and of
+// those that were dropped for them.
+func (m *Model) OnCache(f func(added, dropped []uint64)) { m.onCache = f }
+
 // SetSlow makes every step take so many times longer.
 func (m *Model) SetSlow(factor float64) { m.slow = factor }
 
@@ -109,7 +117,7 @@
 			continue
 		}
 		if s.written == 0 {
-			m.cache.Add(s.Chain)
+			m.keep(s.Chain)
 		}
 		s.written++
 		wrote = append(wrote, s)
@@ -125,6 +133,15 @@
 	return time.Duration(float64(took) * m.slow), wrote
 }
 
+// keep takes a prompt that was read into the cache.
+func (m *Model) keep(chain []uint64) {
+	m.dropped = nil
+	m.cache.Add(chain)
+	if m.onCache != nil {
+		m.onCache(chain, m.dropped)
+	}
+}
+
 func (m *Model) admit() {
 	for len(m.waiting) > 0 && len(m.running) < m.spec.Slots {
 		s := m.waiting[0]
