Weigh decoding less, hold a floor under pressure, and name hopeless deadlines

Cause 1: when quiet, prompts were read again because a faster engine was taken over the one that holds the prompt, for the time to write the answer. Change: that time counts 0.3.

Cause 2: between a peer's word that it sheds and the next, lower work was queued again. Change: for 1 s it is sent at once or not at all.

Change: a request that even an idle upstream would answer too late has a reason of its own, deadline_too_short; one that is late only now sheds lower work first. An upstream hardly observed is not a reason to refuse.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -38,6 +38,7 @@
 	ReasonQueueFull         Reason = "queue_full"
 	ReasonDisplaced         Reason = "displaced_by_higher_tier"
 	ReasonPredictedLate     Reason = "predicted_late"
+	ReasonDeadlineTooShort  Reason = "deadline_too_short"
 	ReasonDeadlineExpired   Reason = "deadline_expired"
 	ReasonOrganisationLimit Reason = "organisation_limit"
 	ReasonDraining          Reason = "draining"
@@ -85,7 +86,7 @@
 	ReasonUnknownTier, ReasonUnknownModel, ReasonUnknownService, ReasonPromptTooLong,
 	ReasonDeadlinePast, ReasonKeyRequired, ReasonKeyInvalid, ReasonKeyMismatch,
 	ReasonKeyLimit, ReasonNoConfiguration, ReasonNoUpstream, ReasonQueueFull,
-	ReasonDisplaced, ReasonPredictedLate, ReasonDeadlineExpired, ReasonOrganisationLimit,
+	ReasonDisplaced, ReasonPredictedLate, ReasonDeadlineTooShort, ReasonDeadlineExpired, ReasonOrganisationLimit,
 	ReasonDraining, ReasonCallerGone, ReasonUpstreamRefused, ReasonUnreachable, ReasonPaused,
 	ReasonKeyExpired, ReasonIssuerGone, ReasonIssuerUnreachable, ReasonNotFirstAttempt,
 	ReasonUpstreamLost, ReasonUpstreamCut, ReasonUpstreamGarbage, ReasonUpstreamTimeout,
--- a/api/problem.go
+++ b/api/problem.go
@@ -96,6 +96,7 @@
 	ReasonQueueFull:         http.StatusTooManyRequests,
 	ReasonDisplaced:         http.StatusTooManyRequests,
 	ReasonPredictedLate:     http.StatusTooManyRequests,
+	ReasonDeadlineTooShort:  http.StatusBadRequest,
 	ReasonOrganisationLimit: http.StatusTooManyRequests,
 	ReasonKeyExpired:        http.StatusConflict,
 	ReasonIssuerGone:        http.StatusConflict,
--- a/api/resources.go
+++ b/api/resources.go
@@ -91,6 +91,10 @@
 	MaxPromptTokens int `json:"maxPromptTokens"`
 	// MaxOutputTokens applies to a request that names no limit.
 	MaxOutputTokens int `json:"maxOutputTokens"`
+	// PrefillWeight is how much the choice of an engine minds reading a prompt
+	// again: 0 to 20, 3 by default. Higher wastes less prefill, lower answers
+	// sooner.
+	PrefillWeight *float64 `json:"prefillWeight,omitzero"`
 	// ChecksFencing tells whether the engines refuse an order with an old
 	// fencing number.
 	ChecksFencing bool `json:"checksFencing,omitzero"`
--- a/internal/balancer/predictive.go
+++ b/internal/balancer/predictive.go
@@ -12,16 +12,21 @@
 	scanAll = 64
 	// sampled is how many are looked at when there are more.
 	sampled = 32
+	// decodeWeight is what the time to write the answer counts for. A faster
+	// answer is good, but an answer in time on the engine that holds the prompt
+	// saves reading it again.
+	decodeWeight = 0.3
 	// affinityEntries bounds the memory of who was sent which prefix.
 	affinityEntries = 8192
 )
 
 // Predictive takes the upstream with the least predicted cost: the time to the
-// first token, the time to write the answer, and once more the time it spends on
-// reading the prompt, which others wait for. Only upstreams with room count.
+// first token, a part of the time to write the answer, and again the time it
+// spends on reading the prompt, which others wait for. Only upstreams with room
+// count.
 type Predictive struct {
-	// PrefillWeight is how much more the reading of uncached prompt counts; 1
-	// counts it once more. Higher wastes less prefill, lower answers sooner.
+	// PrefillWeight is how often the reading of uncached prompt counts beside the
+	// time to the first token. Higher wastes less prefill, lower answers sooner.
 	PrefillWeight float64
 	// Random draws the sample among many upstreams.
 	Random *rand.Rand
@@ -59,7 +64,8 @@
 func (p *Predictive) cost(u *Upstream, w Work, uncached int) time.Duration {
 	first := u.Speed.FirstToken(u.Ahead() + uncached)
 	reading := time.Duration(float64(u.Speed.FirstToken(uncached)) * p.PrefillWeight)
-	return first + reading + u.Speed.Decode(w.Output, 1)
+	writing := time.Duration(float64(u.Speed.Decode(w.Output, 1)) * decodeWeight)
+	return first + reading + writing
 }
 
 // each calls f for the upstreams to look at: all of a few; of many, those that
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -326,12 +327,19 @@
 
 type experimentCommand struct {
 	session *session
+	Policy  string   `long:"policy" description:"Run this policy alone; all where left out"`
 	Seeds   []uint64 `long:"seed" default:"1" default:"2" default:"3" default:"4" default:"5" description:"Seed of a run; give it again for more"`
 }
 
 // Execute implements flags.Commander.
 func (c *experimentCommand) Execute([]string) error {
-	rows := experiment.All(experiment.Policies(), c.Seeds)
+	policies := slices.DeleteFunc(experiment.Policies(), func(p experiment.Policy) bool {
+		return c.Policy != "" && p.Name != c.Policy
+	})
+	if len(policies) == 0 {
+		return fmt.Errorf("no policy is named %q; leave --policy out to see all", c.Policy)
+	}
+	rows := experiment.All(policies, c.Seeds)
 	return experiment.Write(c.session.out, rows, c.Seeds)
 }
 
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -62,10 +62,15 @@
 	Models          []string
 	MaxPromptTokens int
 	MaxOutputTokens int
+	PrefillWeight   float64
 	ChecksFencing   bool
 	Adapters        []api.Adapter
 }
 
+// DefaultPrefillWeight applies to engine sets that declare none; see
+// docs/design/policy.md for its measure.
+const DefaultPrefillWeight = 3
+
 // Service is a plain service ready to serve under.
 type Service struct {
 	Name         string
@@ -144,9 +149,13 @@
 			Models:          e.Spec.Models,
 			MaxPromptTokens: e.Spec.MaxPromptTokens,
 			MaxOutputTokens: e.Spec.MaxOutputTokens,
+			PrefillWeight:   DefaultPrefillWeight,
 			ChecksFencing:   e.Spec.ChecksFencing,
 			Adapters:        e.Spec.Adapters,
 		}
+		if e.Spec.PrefillWeight != nil {
+			set.PrefillWeight = *e.Spec.PrefillWeight
+		}
 		for _, m := range e.Spec.Models {
 			s.setByModel[m] = set
 			s.models = append(s.models, m)
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -15,6 +15,7 @@
 	maxServiceBody     = 64 << 20
 	maxTokensPerPrompt = 10_000_000
 	maxTiers           = 32
+	maxPrefillWeight   = 20
 	defaultServiceBody = 1 << 20
 )
 
@@ -155,6 +156,9 @@
 			}
 			models[m] = s.Metadata.Name
 		}
+		if w := s.Spec.PrefillWeight; w != nil && (*w < 0 || *w > maxPrefillWeight) {
+			v.add(path+"/spec/prefillWeight", "is %g; set 0 to %d, or leave it out for %d", *w, maxPrefillWeight, DefaultPrefillWeight)
+		}
 		v.adapters(path+"/spec/adapters", s.Spec.Adapters)
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -142,7 +142,7 @@
 	p := d.pools[set]
 	d.mu.Unlock()
 	if p != nil {
-		p.apply(func(time.Time) scheduler.Decisions { return p.core.ShedLower(rank) })
+		p.apply(func(now time.Time) scheduler.Decisions { return p.core.ShedLower(now, rank) })
 	}
 }
 
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -39,6 +39,8 @@
 type Speed struct {
 	prefill      float64 // tokens a second
 	interval     float64 // seconds between output tokens
+	bestPrefill  float64 // highest rate learned so far
+	bestInterval float64 // shortest time learned so far
 	observed     int
 	observedStep int
 	errorLog     float64 // smoothed absolute log error of first-token predictions
@@ -46,9 +48,25 @@
 
 // NewSpeed returns the assumptions of an upstream not yet observed.
 func NewSpeed() Speed {
-	return Speed{prefill: initialPrefill, interval: initialInterval.Seconds(), errorLog: math.Ln2}
+	s := Speed{prefill: initialPrefill, interval: initialInterval.Seconds(), errorLog: math.Ln2}
+	s.bestPrefill, s.bestInterval = s.prefill, s.interval
+	return s
 }
 
+// Idle predicts the first token and the whole of an answer by an upstream that has
+// nothing else to do, from the best that was learned of it. Of an upstream hardly
+// observed the best is expected, so that it can be.
+func (s *Speed) Idle(prompt, output int) (first, whole time.Duration) {
+	if !s.Known() {
+		return 0, 0
+	}
+	read := float64(prompt)/s.bestPrefill + s.bestInterval
+	return seconds(read), seconds(read + float64(output)*s.bestInterval)
+}
+
+// Known tells whether it was observed often enough to refuse work on its account.
+func (s *Speed) Known() bool { return s.observed >= fastObservations }
+
 // Prefill returns the learned rate of reading prompts, in tokens a second.
 func (s *Speed) Prefill() float64 { return s.prefill }
 
@@ -81,6 +99,7 @@
 	ratio := clamp(predicted/took.Seconds(), 1/maxStep, maxStep)
 	s.errorLog += slowGain * (math.Abs(math.Log(ratio)) - s.errorLog)
 	s.prefill = clamp(s.prefill*math.Pow(ratio, s.gain(&s.observed)), minSpeed, maxSpeed)
+	s.bestPrefill = max(s.bestPrefill, s.prefill)
 }
 
 // ObserveInterval learns from the mean time between the output tokens of a stream.
@@ -90,6 +109,7 @@
 	}
 	ratio := clamp(interval.Seconds()/s.interval, 1/maxStep, maxStep)
 	s.interval *= math.Pow(ratio, s.gain(&s.observedStep))
+	s.bestInterval = min(s.bestInterval, s.interval)
 }
 
 func (s *Speed) gain(observations *int) float64 {
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -38,7 +38,7 @@
 			w.engines["A"].model.SetSlow(slowFactor)
 			w.engines["D"].model.SetSlow(slowFactor)
 		}},
-		{Name: "burst, zone cut off", burst: true, fault: func(w *world, _ func() []*job) {
+		{Name: "burst, instances cut apart", burst: true, fault: func(w *world, _ func() []*job) {
 			w.cut = true
 			w.after(suspectAfter, func() {
 				for _, i := range w.instances {
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -30,9 +30,14 @@
 		c.sendUnqueued(now, r, &d)
 		return d
 	}
+	if !c.feasible(now, r) {
+		c.shed(&d, r, api.ReasonDeadlineTooShort, "even an idle upstream would answer too late; allow more time or send less")
+		return d
+	}
 	startBy := c.startBy(r)
 	if startBy.Before(now) {
-		c.shed(&d, r, api.ReasonPredictedLate, "even an idle upstream would answer too late; allow more time or send less")
+		c.shedLower(r.Rank, &d)
+		c.shed(&d, r, api.ReasonPredictedLate, "the upstreams are too slow now for it to be in time; come back after the time given")
 		return d
 	}
 	r.item = &queue.Item{
@@ -49,6 +54,9 @@
 	}
 	c.queue.Push(r.item)
 	c.pump(now, &d)
+	if c.floor.excludes(now, r.Rank) && c.queue.Remove(r.item) {
+		c.shedDisplaced(r.item, &d)
+	}
 	return d
 }
 
@@ -80,9 +88,27 @@
 	}
 }
 
+// floorHold is how long lower work isn't queued after a peer has told that work
+// of a rank is shed.
+const floorHold = time.Second
+
+// floor keeps lower work out of the queue while a peer sheds higher work.
+type floor struct {
+	rank  int
+	until time.Time
+}
+
+// excludes tells whether work of a rank may not wait now.
+func (f floor) excludes(now time.Time, rank int) bool {
+	return rank > f.rank && now.Before(f.until)
+}
+
 // ShedLower is called when a peer of the zone is about to shed work of this rank
-// for the same upstreams.
-func (c *Core) ShedLower(rank int) Decisions {
+// for the same upstreams. For a while lower work is sent at once or not at all.
+func (c *Core) ShedLower(now time.Time, rank int) Decisions {
+	if !c.floor.excludes(now, rank) {
+		c.floor = floor{rank: rank, until: now.Add(floorHold)}
+	}
 	var d Decisions
 	c.shedLower(rank, &d)
 	return d
@@ -97,6 +123,20 @@
 	d.Sheds = append(d.Sheds, Shed{Request: r, Problem: p})
 }
 
+// feasible tells whether any upstream could answer in time if it had nothing else
+// to do.
+func (c *Core) feasible(now time.Time, r *Request) bool {
+	output := c.outputs.expect(r.Output)
+	for _, u := range c.sampleUpstreams() {
+		first, whole := u.Speed.Idle(r.Prompt, output)
+		inTime := r.FirstToken == 0 || !now.Add(first).After(r.Arrived.Add(r.FirstToken))
+		if inTime && !now.Add(whole).After(r.Deadline) {
+			return true
+		}
+	}
+	return false
+}
+
 // startBy is the latest start that lets the answer be in time, on an upstream of
 // middling speed.
 func (c *Core) startBy(r *Request) time.Time {
@@ -117,6 +157,11 @@
 	var firsts, wholes []time.Duration
 	output := c.outputs.expect(r.Output)
 	for _, u := range c.sampleUpstreams() {
+		if !u.Speed.Known() {
+			firsts = append(firsts, 0)
+			wholes = append(wholes, 0)
+			continue
+		}
 		f := u.Speed.FirstToken(r.Prompt)
 		firsts = append(firsts, f)
 		wholes = append(wholes, f+u.Speed.Decode(output, 0))
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -96,6 +96,7 @@
 	queue     *queue.Queue
 	upstreams []*balancer.Upstream
 	others    map[string]map[string]int // pending prompt tokens by instance and upstream
+	floor     floor
 	drain     drainRate
 	outputs   outputRatio
 }
