Tell peers of long prompts, and relieve them of lower work before a refusal

Operators set prefillWeight for an engine set.

Figures: the new test of two instances failed first (1 request of the lower tier still waited when the higher was refused) and passes 3 times in a row.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,7 +110,8 @@
 		Client:   d.upstreams,
 		Metrics:  d.metrics,
 		Log:      d.log,
-		Pressure: func(set string, rank int) { d.mesh.Press(peer.Pressure{Set: set, Rank: rank}) },
+		Pressure: d.press,
+		Announce: func() { d.mesh.Announce() },
 		Leaving:  d.upstreamLeaving,
 		Gate:     gate,
 	})
@@ -338,6 +339,7 @@
 		Leaving:     p.instances.saidLeaving(),
 		InFlight:    p.dispatcher.InFlight(),
 		Queued:      p.dispatcher.Queued(maxRanks),
+		Pending:     p.dispatcher.Pending(),
 	}
 }
 
@@ -346,6 +348,7 @@
 	for _, address := range h.Leaving {
 		p.dispatcher.MarkLeaving(address)
 	}
+	p.dispatcher.SetOthers(from, h.Pending)
 	if h.Revision > p.holder.Revision() || h.ListVersion > p.instances.version() {
 		p.mesh.FetchSoon(from)
 	}
@@ -354,6 +357,19 @@
 // Pressure implements peer.Handler.
 func (p *peerHandler) Pressure(pr peer.Pressure) { p.dispatcher.ShedLower(pr.Set, pr.Rank) }
 
+// Silent implements peer.Handler.
+func (p *peerHandler) Silent(address string) { p.dispatcher.SetOthers(address, nil) }
+
+// pressPatience bounds how long a refusal waits for the peers to shed lower work.
+const pressPatience = 100 * time.Millisecond
+
+// press lets the peers of the zone shed lower work first.
+func (d *Daemon) press(set string, rank int) {
+	ctx, cancel := context.WithTimeout(context.Background(), pressPatience)
+	defer cancel()
+	d.mesh.Press(ctx, peer.Pressure{Set: set, Rank: rank})
+}
+
 // tcpListen opens a listener and names the setting when it can't.
 func tcpListen(setting, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -123,7 +123,7 @@
 			if observed {
 				a.dispatcher.o.Metrics.FirstToken(a.tier.Name, time.Since(a.started))
 			}
-			a.pool.apply(func(now time.Time) scheduler.Decisions { return a.pool.core.FirstToken(now, g) })
+			a.pool.firstToken(g)
 		})
 	}
 	call.OnFirst = func() { first(true) }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -33,8 +34,6 @@
 )
 
 const (
-	// prefillWeight is the daemon's weight of uncached prompt; see balancer.Predictive.
-	prefillWeight = 1.0
 	// memoryBlocks bounds the remembered prefix blocks of one engine.
 	memoryBlocks = 2048
 	// maxAttempts bounds the sendings of one request.
@@ -59,9 +58,13 @@
 	Client  *upstream.Client
 	Metrics *telemetry.Metrics
 	Log     *log.Logger
-	// Pressure tells the peers of the zone that work of this rank was shed for
-	// lack of capacity. It must not block. May be nil.
+	// Pressure tells the peers of the zone that work of this rank is about to be
+	// shed for lack of capacity, and returns when none within reach holds lower
+	// work. May be nil.
 	Pressure func(set string, rank int)
+	// Announce tells the peers at once what is pending here, because a long prompt
+	// was sent or read. It must not block. May be nil.
+	Announce func()
 	// Leaving tells the peers that an upstream said itself that it leaves. It
 	// must not block. May be nil.
 	Leaving func(address string)
@@ -171,21 +174,43 @@
 		return p
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	core := scheduler.New(scheduler.Options{
-		Picker:       balancer.NewPredictive(prefillWeight, random),
-		Limits:       d.o.Limits,
-		MemoryBlocks: memoryBlocks,
-	})
+	picker := balancer.NewPredictive(config.DefaultPrefillWeight, random)
+	core := scheduler.New(scheduler.Options{Picker: picker, Limits: d.o.Limits, MemoryBlocks: memoryBlocks})
 	core.SetMembers(d.membersOf(name))
-	p = newPool(name, core, func(rank int) {
-		if d.o.Pressure != nil {
-			d.o.Pressure(name, rank)
-		}
-	})
+	p = newPool(name, core, picker)
+	p.announce = d.o.Announce
+	if d.o.Pressure != nil {
+		p.press = func(rank int) { d.o.Pressure(name, rank) }
+	}
 	d.pools[name] = p
 	return p
 }
 
+// Pending returns the prompt tokens sent to upstreams and not read yet.
+func (d *Dispatcher) Pending() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]int{}
+	for _, p := range d.pools {
+		p.addPending(out)
+	}
+	return out
+}
+
+// SetOthers takes what another instance has told of its pending prompt tokens; a
+// nil map forgets the instance.
+func (d *Dispatcher) SetOthers(instance string, pending map[string]int) {
+	d.mu.Lock()
+	pools := slices.Collect(maps.Values(d.pools))
+	d.mu.Unlock()
+	for _, p := range pools {
+		p.apply(func(now time.Time) scheduler.Decisions {
+			p.core.SetOthers(instance, pending)
+			return p.core.Poll(now)
+		})
+	}
+}
+
 // Serve serves a request under a snapshot and writes its answer to the buffer,
 // which it finishes. It blocks until then.
 func (d *Dispatcher) Serve(ctx context.Context, s *config.Snapshot, r *request.Request, b *answer.Buffer) {
@@ -213,10 +238,12 @@
 
 // serve resolves the request under the snapshot and makes its attempts.
 func (d *Dispatcher) serve(ctx context.Context, s *config.Snapshot, r *request.Request, b *answer.Buffer, started time.Time) answer.End {
-	set, problem := setOf(s, r)
+	set, weight, problem := setOf(s, r)
 	if problem != nil {
 		return answer.End{Problem: problem}
 	}
+	pool := d.pool(set)
+	pool.setPrefillWeight(weight)
 	tier, ok := s.Tier(r.Tier)
 	if !ok {
 		return answer.End{Problem: api.Refuse(api.ReasonUnknownTier, "tier %q isn't declared in revision %d; send the request again", r.Tier, s.Revision)}
@@ -226,24 +253,26 @@
 		return answer.End{Problem: api.Refuse(api.ReasonUnknownAPIKey, "organisation %q isn't declared in revision %d; ask your operator", r.Organisation, s.Revision)}
 	}
 	a := &attempts{
-		dispatcher: d, snapshot: s, request: r, buffer: b, pool: d.pool(set),
+		dispatcher: d, snapshot: s, request: r, buffer: b, pool: pool,
 		tier: tier, organisation: org, started: started,
 	}
 	return a.run(ctx)
 }
 
-func setOf(s *config.Snapshot, r *request.Request) (string, *api.Problem) {
+// setOf returns the set of upstreams that serve the request, and how much the
+// choice among them minds reading a prompt again.
+func setOf(s *config.Snapshot, r *request.Request) (name string, prefillWeight float64, problem *api.Problem) {
 	if r.Kind == request.Service {
 		if _, ok := s.Service(r.Service); !ok {
-			return "", api.Refuse(api.ReasonUnknownService, "service %q isn't declared in revision %d; ask your operator", r.Service, s.Revision)
+			return "", 0, api.Refuse(api.ReasonUnknownService, "service %q isn't declared in revision %d; ask your operator", r.Service, s.Revision)
 		}
-		return r.Service, nil
+		return r.Service, 0, nil
 	}
 	set, ok := s.EngineSetByModel(r.Model)
 	if !ok {
-		return "", api.Refuse(api.ReasonUnknownModel, "model %q isn't served in revision %d; GET /v1/models lists those that are", r.Model, s.Revision)
+		return "", 0, api.Refuse(api.ReasonUnknownModel, "model %q isn't served in revision %d; GET /v1/models lists those that are", r.Model, s.Revision)
 	}
-	return set.Name, nil
+	return set.Name, set.PrefillWeight, nil
 }
 
 func (d *Dispatcher) retried(r *request.Request, reason api.Reason, cause error) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
@@ -16,22 +19,39 @@
 // pool drives one scheduler.Core with the clock. Safe for concurrent use.
 type pool struct {
 	name string
-	// onShed is called, without locks held, with the rank of work shed for load.
-	onShed func(rank int)
+	// press tells the peers that work of a rank is about to be shed for load, and
+	// returns when none within reach holds lower work. May be nil.
+	press func(rank int)
+	// announce tells the peers at once what is pending. May be nil.
+	announce func()
+
+	mu      sync.Mutex
+	core    *scheduler.Core
+	picker  *balancer.Predictive
+	timer   *time.Timer
+	pressed pressed
+}
 
-	mu    sync.Mutex
-	core  *scheduler.Core
-	timer *time.Timer
+// pressed is the last time that the peers were told of pressure. Done is closed
+// when none within reach holds lower work any more.
+type pressed struct {
+	rank int
+	at   time.Time
+	done chan struct{}
 }
 
+// pressAgain is the age from which on the peers are told again. They hold lower
+// work back for longer than that.
+const pressAgain = 500 * time.Millisecond
+
 // turn is what a waiting request is told: one of the two is set.
 type turn struct {
 	grant   *scheduler.Grant
 	problem *api.Problem
 }
 
-func newPool(name string, core *scheduler.Core, onShed func(int)) *pool {
-	p := &pool{name: name, core: core, onShed: onShed}
+func newPool(name string, core *scheduler.Core, picker *balancer.Predictive) *pool {
+	p := &pool{name: name, core: core, picker: picker}
 	p.timer = time.AfterFunc(time.Hour, p.poll)
 	p.timer.Stop()
 	return p
@@ -73,8 +93,24 @@
 	p.mu.Lock()
 	d := step(time.Now())
 	p.schedule()
+	long := slices.ContainsFunc(d.Grants, p.core.IsLong)
 	p.mu.Unlock()
 	p.carryOut(d)
+	if long && p.announce != nil {
+		p.announce()
+	}
+}
+
+// firstToken records a first token, and tells the peers when a long prompt was read.
+func (p *pool) firstToken(g *scheduler.Grant) {
+	long := false
+	p.apply(func(now time.Time) scheduler.Decisions {
+		long = p.core.IsLong(g)
+		return p.core.FirstToken(now, g)
+	})
+	if long && p.announce != nil {
+		p.announce()
+	}
 }
 
 // schedule sets the timer while work waits. The caller holds the lock.
@@ -95,13 +131,35 @@
 		g.Request.Value.(chan turn) <- turn{grant: g}
 	}
 	for _, s := range d.Sheds {
-		s.Request.Value.(chan turn) <- turn{problem: s.Problem}
-		if shedForLoad(s.Problem.Reason) && p.onShed != nil {
-			p.onShed(s.Request.Rank)
+		tell := func() { s.Request.Value.(chan turn) <- turn{problem: s.Problem} }
+		if p.press == nil || !shedForLoad(s.Problem.Reason) {
+			tell()
+			continue
 		}
+		go func() { // lower work that waits at peers goes first
+			<-p.relieved(s.Request.Rank)
+			tell()
+		}()
 	}
 }
 
+// relieved returns a channel that is closed when no peer within reach holds work
+// lower than a rank. The peers are told unless they hold it back already.
+func (p *pool) relieved(rank int) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pressed.done != nil && p.pressed.rank <= rank && time.Since(p.pressed.at) < pressAgain {
+		return p.pressed.done
+	}
+	done := make(chan struct{})
+	p.pressed = pressed{rank: rank, at: time.Now(), done: done}
+	go func() {
+		p.press(rank)
+		close(done)
+	}()
+	return done
+}
+
 func shedForLoad(r api.Reason) bool {
 	return r == api.ReasonQueueFull || r == api.ReasonPredictedLate || r == api.ReasonDeadlineExpired
 }
@@ -119,6 +177,18 @@
 	p.core.MarkLeaving(address)
 }
 
+func (p *pool) addPending(to map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.Copy(to, p.core.Pending())
+}
+
+func (p *pool) setPrefillWeight(w float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.picker.PrefillWeight = w
+}
+
 func (p *pool) queued(ranks int) []int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/faults/promises_test.go
+++ b/internal/faults/promises_test.go
@@ -318,6 +318,49 @@
 	}
 }
 
+// The same across instances of a zone: before work of a higher tier is refused at
+// one, the lower work that waits at the other is given up.
+func TestHigherTierIsNeverShedBeforeLowerWorkOfAPeer(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newTunedFleet(t, func(s *settings.Settings) { s.Queue.MaxItems = 1 }, "fort", "fort")
+	hold := make(chan struct{})
+	f.service.SetFaults(service.Faults{Hold: hold})
+	var all sync.WaitGroup
+	lower := make(chan reply, 99)
+	for i, tier := range []string{"counter", "desk"} { // 8 are sent by each, 1 waits
+		p := f.daemons[i]
+		for n := 1; n <= 9; n++ {
+			all.Go(func() {
+				r := p.send(call{path: lookup, body: tier, tier: tier})
+				if r.problem.Reason == api.ReasonDisplaced {
+					lower <- r
+				}
+			})
+			f.eventually("it is held", func() bool { return p.status().InFlight == n })
+		}
+	}
+	r := f.daemons[0].send(call{path: lookup, body: "x", tier: "counter"})
+	is.Equal(r.problem.Reason, api.ReasonQueueFull)
+	is.Equal(f.daemons[1].queued(1), 0) // nothing lower waits any more
+	is.Equal((<-lower).outcome, api.NotRun)
+	// Nor is lower work taken to wait while the other is under pressure.
+	is.Equal(f.daemons[1].send(call{path: lookup, body: "y", tier: "desk"}).problem.Reason, api.ReasonDisplaced)
+	close(hold)
+	all.Wait()
+}
+
+// queued returns how many calls of a rank wait for the service at a daemon.
+func (p *process) queued(rank int) int {
+	var r struct {
+		Status struct {
+			Queued []int `json:"queued"`
+		} `json:"status"`
+	}
+	p.read("/v1/resources/Service/"+claims, &r)
+	return r.Status.Queued[rank]
+}
+
 // A connection that breaks after the request ran: unknown and once for a
 // non-idempotent request, sent again for an idempotent one.
 func TestBrokenUpstream(t *testing.T) {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -74,24 +74,44 @@
 
 // Fetch asks a peer for its state and hands it to the Handler.
 func (m *Mesh) Fetch(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return m.ask(ctx, address, &Frame{Type: TypeFetch}, func(f *Frame) {
+		if f.State != nil {
+			m.o.Handler.Learn(address, f.State)
+		}
+	})
+}
+
+// Press tells every peer of the zone within reach that work is about to be shed
+// for lack of capacity, and waits until each holds no lower work, or ctx ends.
+func (m *Mesh) Press(ctx context.Context, p Pressure) {
+	var all sync.WaitGroup
+	for _, peer := range m.Peers() {
+		if peer.Reachable && peer.Zone == m.o.Zone {
+			all.Go(func() { _ = m.ask(ctx, peer.Address, &Frame{Type: TypePressure, Pressure: &p}, func(*Frame) {}) })
+		}
+	}
+	all.Wait()
+}
+
+// ask sends a frame on a stream of its own and hands over the frame that answers it.
+func (m *Mesh) ask(ctx context.Context, address string, f *Frame, answer func(*Frame)) error {
 	l := m.linkTo(address)
 	if l == nil {
 		return fmt.Errorf("%w %s", ErrUnreachable, address)
 	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
 	id, s := l.open()
 	defer l.closeStream(id)
-	if err := l.send(ctx, &Frame{Type: TypeFetch, Stream: id}); err != nil {
+	f.Stream = id
+	if err := l.send(ctx, f); err != nil {
 		return err
 	}
-	f, err := l.nextFrame(ctx, s)
+	reply, err := l.nextFrame(ctx, s)
 	if err != nil {
 		return err
 	}
-	if f.State != nil {
-		m.o.Handler.Learn(address, f.State)
-	}
+	answer(reply)
 	return nil
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -49,8 +49,10 @@
 	TypeFetch
 	// TypeState answers it.
 	TypeState
-	// TypePressure says that work of a rank was shed for lack of capacity.
+	// TypePressure says that work of a rank is about to be shed for lack of
+	// capacity; TypeRelieved answers that no lower work waits any more.
 	TypePressure
+	TypeRelieved
 	typeLast
 )
 
@@ -98,6 +100,8 @@
 	InFlight int `cbor:"5,keyasint,omitempty"`
 	// Queued work by set and rank.
 	Queued map[string][]int `cbor:"6,keyasint,omitempty"`
+	// Pending prompt tokens by upstream: sent and not read yet.
+	Pending map[string]int `cbor:"7,keyasint,omitempty"`
 }
 
 // State is what one instance hands over to another.
@@ -110,7 +114,7 @@
 	List        []byte `cbor:"4,keyasint,omitempty"`
 }
 
-// Pressure says that work of Rank was shed for lack of capacity in Set.
+// Pressure says that work of Rank is about to be shed for lack of capacity in Set.
 type Pressure struct {
 	Set  string `cbor:"1,keyasint"`
 	Rank int    `cbor:"2,keyasint"`
@@ -174,7 +178,7 @@
 	case TypeHeartbeat:
 		complete, onStream = f.Heartbeat != nil, false
 	case TypePressure:
-		complete, onStream = f.Pressure != nil, false
+		complete = f.Pressure != nil
 	case TypeOpen:
 		complete = f.Request != nil && f.Request.Timeout < maxRemaining
 	case TypeHead:
@@ -187,7 +191,7 @@
 		complete = f.Credit > 0
 	case TypeState:
 		complete = f.State != nil
-	case TypeCancel, TypeFetch:
+	case TypeCancel, TypeFetch, TypeRelieved:
 	default:
 		return fmt.Errorf("%w: %d", ErrUnknownType, f.Type)
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -33,8 +33,10 @@
 	Heartbeat() *Heartbeat
 	// Heard is called for each heartbeat of a peer.
 	Heard(from string, h *Heartbeat)
-	// Pressure is called when a peer shed work for lack of capacity.
+	// Pressure is called when a peer is about to shed work for lack of capacity.
 	Pressure(p Pressure)
+	// Silent is called once when a peer wasn't heard of for SuspectAfter.
+	Silent(address string)
 }
 
 // Options of a Mesh.
@@ -91,6 +93,7 @@
 type peerState struct {
 	hello     Hello
 	lastHeard time.Time
+	silent    bool // the handler was told
 	last      Heartbeat
 	link      *link // dialled by this side, nil while down
 	stop      context.CancelFunc
@@ -276,14 +279,30 @@
 // closeSilent closes links to peers not heard of for SuspectAfter, so that what
 // waits on them is told.
 func (m *Mesh) closeSilent() {
+	for _, address := range m.dropSilent() {
+		m.o.Handler.Silent(address)
+	}
+}
+
+// dropSilent returns the peers that are silent since the last call.
+func (m *Mesh) dropSilent() (news []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if p.link != nil && time.Since(p.lastHeard) > m.o.SuspectAfter {
+	for address, p := range m.peers {
+		if time.Since(p.lastHeard) <= m.o.SuspectAfter {
+			p.silent = false
+			continue
+		}
+		if !p.silent {
+			p.silent = true
+			news = append(news, address)
+		}
+		if p.link != nil {
 			p.link.cancel(errSilent)
 			p.link = nil
 		}
 	}
+	return news
 }
 
 var errSilent = errors.New("the peer was silent for too long")
@@ -296,13 +315,6 @@
 	}
 }
 
-// Press tells every linked peer of the zone that work was shed for lack of capacity.
-func (m *Mesh) Press(p Pressure) {
-	for _, l := range m.links() {
-		l.trySend(&Frame{Type: TypePressure, Pressure: &p})
-	}
-}
-
 func (m *Mesh) links() []*link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -57,6 +57,7 @@
 func (h *handler) Heartbeat() *Heartbeat    { return &Heartbeat{Revision: 7} }
 func (h *handler) Heard(string, *Heartbeat) {}
 func (h *handler) Pressure(Pressure)        {}
+func (h *handler) Silent(string)            {}
 
 // pair is two linked instances.
 type pair struct {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -55,6 +55,7 @@
 		s.mesh.heartbeat(s.peer, f.Heartbeat)
 	case TypePressure:
 		s.mesh.o.Handler.Pressure(*f.Pressure)
+		return s.link.send(s.link.ctx, &Frame{Type: TypeRelieved, Stream: f.Stream})
 	case TypeFetch:
 		return s.link.send(s.link.ctx, &Frame{Type: TypeState, Stream: f.Stream, State: s.mesh.o.Handler.State()})
 	case TypeOpen:
--- a/internal/slopes/peers.go
+++ b/internal/slopes/peers.go
@@ -55,6 +55,7 @@
 func (quietHandler) Heartbeat() *peer.Heartbeat                             { return heartbeat(setsTold) }
 func (quietHandler) Heard(string, *peer.Heartbeat)                          {}
 func (quietHandler) Pressure(peer.Pressure)                                 {}
+func (quietHandler) Silent(string)                                          {}
 
 // meshes is a full mesh of instances in this process.
 type meshes struct {
