Follow cache events, and never say not-run without the issuer

The cause: what an instance refuses before it asks the key's issuer says nothing of other sendings. Ruled out: the register and the forwarding, whose refusals the same histories never contradicted.

Change: such a refusal of a request under a key is unknown, with attemptOutcome not-run; the client reads it. A test of three such refusals (tier, full, no configuration) failed first.

--- a/api/problem.go
+++ b/api/problem.go
@@ -68,6 +68,14 @@
 	return &c
 }
 
+// UnderKey words a refusal that was made without asking the issuer of the key that
+// the request came with: this sending didn't run, but another may have.
+func (p *Problem) UnderKey() *Problem {
+	c := p.ForAttempt()
+	c.Outcome = Unknown
+	return c
+}
+
 func newProblem(o Outcome, r Reason, detail string) *Problem {
 	return &Problem{
 		Type:    "urn:tacktally:reason:" + string(r),
--- a/client/client.go
+++ b/client/client.go
@@ -297,6 +297,8 @@
 		return true
 	case p.AttemptOutcome == api.NotRun && p.Reason == api.ReasonIssuerUnreachable:
 		return true
+	case p.AttemptOutcome == api.NotRun:
+		return p.RetryAfterSeconds > 0 // under the same key, which may have been sent before
 	}
 	s.uncertain = true
 	if !s.request.NonIdempotent {
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -61,11 +61,15 @@
 func (s *Server) unknownPath(w http.ResponseWriter, h *http.Request) {
 	p := api.Refuse(api.ReasonInvalidRequest, "%s %s is no call of this API; see /v1/chat/completions, /v1/completions, /v1/models, /v1/idempotency-keys and /services/NAME/", h.Method, h.URL.Path)
 	p.Status = http.StatusNotFound
-	s.refuse(w, request.NewID(), p)
+	s.refuse(w, h, request.NewID(), p)
 }
 
-// refuse counts and writes a refusal made before the gateway was asked.
-func (s *Server) refuse(w http.ResponseWriter, id string, p *api.Problem) {
+// refuse counts and writes a refusal made before the gateway was asked. Whether a
+// request under a key ran, only the key's issuer knows.
+func (s *Server) refuse(w http.ResponseWriter, h *http.Request, id string, p *api.Problem) {
+	if h.Header.Get(api.HeaderIdempotencyKey) != "" {
+		p = p.UnderKey()
+	}
 	s.metrics.Refused(p.Reason)
 	s.writeProblem(w, id, p)
 }
@@ -96,20 +100,20 @@
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
 	if n := s.inFlight.Add(1); n > int64(s.settings.MaxInFlight) {
 		s.inFlight.Add(-1)
-		s.refuse(w, request.NewID(), api.Refuse(api.ReasonQueueFull, "this instance holds %d requests; come back later", n-1).WithRetryAfter(time.Second))
+		s.refuse(w, h, request.NewID(), api.Refuse(api.ReasonQueueFull, "this instance holds %d requests; come back later", n-1).WithRetryAfter(time.Second))
 		return
 	}
 	defer s.inFlight.Add(-1)
 	snapshot := s.gateway.Snapshot(h.Context())
 	if snapshot == nil {
-		s.refuse(w, request.NewID(), api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; come back shortly").WithRetryAfter(time.Second))
+		s.refuse(w, h, request.NewID(), api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; come back shortly").WithRetryAfter(time.Second))
 		return
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(time.Duration(s.settings.ReadTimeout)))
 	r, problem := request.Decode(time.Now(), h, snapshot, s.settings.MaxBodyBytes)
 	if problem != nil {
-		s.refuse(w, r.ID, problem)
+		s.refuse(w, h, r.ID, problem)
 		return
 	}
 	_ = control.SetReadDeadline(time.Time{})
@@ -122,7 +126,7 @@
 func (s *Server) models(w http.ResponseWriter, h *http.Request) {
 	snapshot, _, problem := s.caller(h)
 	if problem != nil {
-		s.refuse(w, request.NewID(), problem)
+		s.refuse(w, h, request.NewID(), problem)
 		return
 	}
 	list := modelList{Object: "list", Data: []model{}}
@@ -152,14 +156,14 @@
 func (s *Server) keys(w http.ResponseWriter, h *http.Request) {
 	_, org, problem := s.caller(h)
 	if problem != nil {
-		s.refuse(w, request.NewID(), problem)
+		s.refuse(w, h, request.NewID(), problem)
 		return
 	}
 	count := 1
 	if text := h.URL.Query().Get("count"); text != "" {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 1 || n > maxKeysPerCall {
-			s.refuse(w, request.NewID(), api.Refuse(api.ReasonInvalidRequest, "count is %q; ask for 1 to %d keys", text, maxKeysPerCall))
+			s.refuse(w, h, request.NewID(), api.Refuse(api.ReasonInvalidRequest, "count is %q; ask for 1 to %d keys", text, maxKeysPerCall))
 			return
 		}
 		count = n
@@ -168,7 +172,7 @@
 	for range count {
 		key, problem := s.gateway.Issue(org.Name, "")
 		if problem != nil && len(list.Keys) == 0 {
-			s.refuse(w, request.NewID(), problem)
+			s.refuse(w, h, request.NewID(), problem)
 			return
 		}
 		if problem == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/cacheevents"
 	"github.com/tacktally/tacktally/internal/callerapi"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/dispatch"
@@ -61,6 +62,7 @@
 	mesh        *peer.Mesh
 	callers     *callerapi.Server
 	instances   *instanceList
+	caches      *cacheevents.Follower
 	listeners   listeners
 	token       string // of operators
 	drained     chan struct{}
@@ -139,6 +141,7 @@
 	})
 	d.gateway.SetPeers(d.mesh)
 	d.callers = callerapi.New(d.gateway, d.metrics, s.Callers, d.address)
+	d.caches = cacheevents.NewFollower(d.dispatcher)
 	d.gauges()
 	return d, nil
 }
@@ -194,6 +197,7 @@
 	}
 	d.shutDown(servers)
 	cancel()
+	d.caches.Close()
 	d.mesh.Close()
 	servers.close()
 	d.upstreams.Close()
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -40,6 +40,7 @@
 		d.changes.Add(d.holder.Current())
 		d.metrics.Count("tacktally_config_accepted_total")
 		d.log.Info().Str("event", "config_accepted").Int64("revision", revision).Str("from", from).Msg("")
+		d.followCaches()
 		d.mesh.Announce() // peers cut off from the platform fetch it at once
 	}
 }
@@ -101,11 +102,31 @@
 		return
 	}
 	d.dispatcher.SetInstances(l.Instances)
+	d.followCaches()
 	d.mesh.SetPeers(peerAddresses(l, d.settings.Peers.Seeds))
 	d.mesh.Announce()
 	d.log.Info().Str("event", "instances").Int64("version", l.Version).Int("count", len(l.Instances)).Msg("")
 }
 
+// followCaches follows the caches of the zone's engines that are declared and live.
+func (d *Daemon) followCaches() {
+	s := d.holder.Current()
+	if s == nil {
+		return
+	}
+	engines := map[string]bool{}
+	for _, e := range s.Document.EngineSets {
+		engines[e.Metadata.Name] = true
+	}
+	var addresses []string
+	for _, i := range d.instances.current().Instances {
+		if engines[i.Set] && i.Zone == d.settings.Zone && i.State == platform.Live {
+			addresses = append(addresses, i.Address)
+		}
+	}
+	d.caches.SetEngines(addresses)
+}
+
 // upstreamLeaving notes that an upstream said itself that it leaves.
 func (d *Daemon) upstreamLeaving(address string) {
 	if d.instances.sayLeaving(address) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -111,6 +111,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.members = sets
+	for name := range sets {
+		d.poolOf(name) // so that what engines and peers tell finds it
+	}
 	for name, p := range d.pools {
 		p.setMembers(d.membersOf(name))
 	}
@@ -169,15 +172,20 @@
 func (d *Dispatcher) pool(name string) *pool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.pools[name]
-	if p != nil {
+	return d.poolOf(name)
+}
+
+// poolOf returns the pool of a set, new where there was none. The caller holds the
+// lock.
+func (d *Dispatcher) poolOf(name string) *pool {
+	if p := d.pools[name]; p != nil {
 		return p
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	picker := balancer.NewPredictive(config.DefaultPrefillWeight, random)
 	core := scheduler.New(scheduler.Options{Picker: picker, Limits: d.o.Limits, MemoryBlocks: memoryBlocks})
 	core.SetMembers(d.membersOf(name))
-	p = newPool(name, core, picker)
+	p := newPool(core, picker)
 	p.announce = d.o.Announce
 	if d.o.Pressure != nil {
 		p.press = func(rank int) { d.o.Pressure(name, rank) }
@@ -197,6 +205,28 @@
 	return out
 }
 
+// CacheEvent implements cacheevents.Sink.
+func (d *Dispatcher) CacheEvent(address string, added, dropped []uint64) {
+	d.o.Metrics.Count("tacktally_cache_events_total")
+	d.eachCore(func(c *scheduler.Core) { c.CacheEvent(address, added, dropped) })
+}
+
+// CacheCleared implements cacheevents.Sink.
+func (d *Dispatcher) CacheCleared(address string) {
+	d.eachCore(func(c *scheduler.Core) { c.CacheCleared(address) })
+}
+
+// eachCore calls f for each scheduler under its lock.
+func (d *Dispatcher) eachCore(f func(*scheduler.Core)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		p.mu.Lock()
+		f(p.core)
+		p.mu.Unlock()
+	}
+}
+
 // SetOthers takes what another instance has told of its pending prompt tokens; a
 // nil map forgets the instance.
 func (d *Dispatcher) SetOthers(instance string, pending map[string]int) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -18,7 +18,6 @@
 
 // pool drives one scheduler.Core with the clock. Safe for concurrent use.
 type pool struct {
-	name string
 	// press tells the peers that work of a rank is about to be shed for load, and
 	// returns when none within reach holds lower work. May be nil.
 	press func(rank int)
@@ -50,8 +49,8 @@
 	problem *api.Problem
 }
 
-func newPool(name string, core *scheduler.Core, picker *balancer.Predictive) *pool {
-	p := &pool{name: name, core: core, picker: picker}
+func newPool(core *scheduler.Core, picker *balancer.Predictive) *pool {
+	p := &pool{core: core, picker: picker}
 	p.timer = time.AfterFunc(time.Hour, p.poll)
 	p.timer.Stop()
 	return p
--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -243,7 +243,7 @@
 	if r.outcome == "" {
 		return
 	}
-	c.record.Answer(history.Answer{Key: c.body, Outcome: r.outcome, Body: text(r.body), Sent: begun, Got: time.Now()})
+	c.record.Answer(history.Answer{Key: c.body, Outcome: r.outcome, Reason: r.problem.Reason, Body: text(r.body), Sent: begun, Got: time.Now()})
 }
 
 // text leaves out the event IDs of a stream, which name the run and not its content.
--- a/internal/faults/promises_test.go
+++ b/internal/faults/promises_test.go
@@ -384,6 +384,44 @@
 	is.True(p.metric(`tacktally_retries_total{reason="retry_upstream_lost"}`) >= 1)
 }
 
+// An instance that refuses before it has asked the issuer can't know whether
+// another sending ran.
+func TestRefusalWithoutTheIssuerIsNeverNotRun(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newTunedFleet(t, func(s *settings.Settings) { s.Callers.MaxInFlight = 1 }, "fort", "fort")
+	issuer, other := f.daemons[0], f.daemons[1]
+	key := issuer.issue()
+	again := call{path: release, body: "a", key: key}
+	is.Equal(issuer.send(again).body, service.Answer("a"))
+	uncertain := func(r reply, reason api.Reason) {
+		t.Helper()
+		is.Equal(r.problem.Reason, reason)
+		is.Equal(r.outcome, api.Unknown)
+		is.Equal(r.problem.AttemptOutcome, api.NotRun)
+	}
+	tierless := again
+	tierless.tier = "gold"
+	uncertain(other.send(tierless), api.ReasonTierNotAllowed)
+	// The issuer itself, full.
+	arrived, hold := make(chan service.Call), make(chan struct{})
+	f.service.SetFaults(service.Faults{Arrived: arrived, Hold: hold})
+	held := make(chan reply)
+	go func() { held <- issuer.send(call{path: lookup, body: "b"}) }()
+	<-arrived
+	uncertain(issuer.send(again), api.ReasonQueueFull)
+	close(hold)
+	<-held
+	// An instance that has no configuration yet.
+	f.platform.SetDown(true)
+	cut(issuer, other)
+	other.kill()
+	other.start()
+	f.eventually("it listens", func() bool { return other.send(again).status != 0 })
+	uncertain(other.send(again), api.ReasonNoConfiguration)
+	is.Equal(f.runs("a"), 1)
+}
+
 func TestCutAnswerNeverLooksWhole(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- /dev/null
+++ b/internal/faults/random_test.go
@@ -0,0 +1,145 @@
+package faults
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/history"
+	"github.com/tacktally/tacktally/internal/standin/service"
+)
+
+var (
+	randomRuns = flag.Int("random-runs", 3, "number of random concurrent runs")
+	randomSeed = flag.Uint64("random-seed", 1, "seed of the first random run")
+)
+
+// Callers send and repeat requests through every instance while faults come and
+// go at random; the history must hold the promises. A number of runs is made in
+// CI, more with -random-runs.
+func TestRandomConcurrentRuns(t *testing.T) {
+	for n := range *randomRuns {
+		seed := *randomSeed + uint64(n)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomly(t, seed)
+		})
+	}
+}
+
+const (
+	randomCallers  = 6
+	randomRequests = 12 // of each caller
+	randomFaults   = 10
+)
+
+func runRandomly(t *testing.T, seed uint64) {
+	f := newFleet(t, "fort", "fort", "pettah")
+	record := history.NewRecorder()
+	var callers sync.WaitGroup
+	done := make(chan struct{})
+	for i := range randomCallers {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		callers.Go(func() {
+			for n := range randomRequests {
+				f.sendRandomly(record, random, i, fmt.Sprintf("request %d of caller %d", n, i))
+			}
+		})
+	}
+	go func() {
+		callers.Wait()
+		close(done)
+	}()
+	f.strikeRandomly(rand.New(rand.NewPCG(seed, 99)), done)
+	<-done
+	f.service.SetFaults(service.Faults{})
+	for _, c := range f.service.Calls() {
+		record.Dispatch(history.Dispatch{Key: c.Body, At: c.At})
+	}
+	for _, v := range record.Check() {
+		t.Errorf("seed %d: %v", seed, v)
+	}
+	if !record.Linearizable() {
+		t.Errorf("seed %d: the history is not that of a register that takes each key at most once", seed)
+	}
+}
+
+// sendRandomly sends one request under one key up to four times, at times twice at
+// once, through any instances.
+func (f *fleet) sendRandomly(record *history.Recorder, random *rand.Rand, caller int, body string) {
+	key, ok := f.issueAnywhere(random)
+	if !ok {
+		return
+	}
+	record.Expect(body, service.Answer(body))
+	var all sync.WaitGroup
+	for range 1 + random.IntN(4) {
+		p := f.daemons[random.IntN(len(f.daemons))]
+		send := func() {
+			begun := time.Now()
+			r := p.send(call{path: release, body: body, key: key, timeout: 300 * time.Millisecond})
+			if r.outcome != "" {
+				record.Answer(history.Answer{Key: body, Caller: caller, Outcome: r.outcome, Reason: r.problem.Reason, Body: r.body, Sent: begun, Got: time.Now()})
+			}
+		}
+		if random.IntN(2) == 0 {
+			all.Go(send)
+		} else {
+			send()
+		}
+	}
+	all.Wait()
+}
+
+// issueAnywhere asks instances in turn for a key, and gives up after some.
+func (f *fleet) issueAnywhere(random *rand.Rand) (string, bool) {
+	for range 5 {
+		p := f.daemons[random.IntN(len(f.daemons))]
+		r := p.send(call{path: release, body: "x", timeout: 300 * time.Millisecond})
+		if r.problem.IdempotencyKey != "" {
+			return r.problem.IdempotencyKey, true
+		}
+	}
+	return "", false
+}
+
+// strikeRandomly lets faults come and go until the callers are done.
+func (f *fleet) strikeRandomly(random *rand.Rand, done <-chan struct{}) {
+	tick := time.NewTicker(60 * time.Millisecond)
+	defer tick.Stop()
+	for n := range randomFaults {
+		select {
+		case <-tick.C:
+		case <-done:
+			return
+		}
+		a := f.daemons[random.IntN(len(f.daemons))]
+		b := f.daemons[random.IntN(len(f.daemons))]
+		switch random.IntN(7) {
+		case 0:
+			a.kill()
+			a.start()
+		case 1:
+			a.freeze()
+			<-tick.C
+			a.wake()
+		case 2:
+			cut(a, b)
+			<-tick.C
+			heal(a, b)
+		case 3:
+			f.platform.SetDown(n%2 == 0)
+		case 4:
+			f.publish(int64(random.IntN(20) + 1))
+		case 5:
+			f.service.SetFaults(service.Faults{Break: n%2 == 0})
+		case 6:
+			a.platWire.Cut("")
+			<-tick.C
+			a.platWire.Heal("")
+		}
+	}
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -24,6 +24,8 @@
 	Caller int
 	// Outcome told; empty when the caller got no answer.
 	Outcome api.Outcome
+	// Reason told with it, for the reader of a violation.
+	Reason api.Reason
 	// Body of the answer when the outcome is answered.
 	Body string
 	// Sent and Got are when the sending began and its answer came.
@@ -113,7 +115,7 @@
 	switch a.Outcome {
 	case api.NotRun:
 		if ran > 0 {
-			out = append(out, Violation{NotRunTrue, a.Key, fmt.Sprintf("caller %d was told not-run", a.Caller)})
+			out = append(out, Violation{NotRunTrue, a.Key, fmt.Sprintf("caller %d was told not-run (%s)", a.Caller, a.Reason)})
 		}
 	case api.Answered:
 		if ran == 0 {
--- a/internal/scheduler/others.go
+++ b/internal/scheduler/others.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// CacheCleared forgets what an engine's cache held, after its restart.
+func (c *Core) CacheCleared(address string) {
+	for _, u := range c.upstreams {
+		if u.Address == address && u.Memory != nil {
+			u.Memory.Clear()
+		}
+	}
+}
+
 // SetOthers takes what another instance has told of its pending prompt tokens; a
 // nil map forgets the instance.
 func (c *Core) SetOthers(instance string, pending map[string]int) {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -76,6 +76,9 @@
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 	}
+	events := newEventLog()
+	e.model.OnCache(events.add)
+	e.mux.Handle("GET /v1/cache-events", events)
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("GET /v1/streams/{id}", e.resume)
