Give orders to engines, fenced by the accepted revision

Ruled out: electing one instance (no consensus); orders from every instance (they would exceed the weight store's rate).

Change: the instance of the lowest address within reach gives a zone's orders; the revision is the fencing number; engines that don't check it are ordered only after the platform has just confirmed the revision and only without a pause since; what is loaded is read back each second; loads keep a rate.

While two parts of a zone don't hear each other each keeps the rate for itself, so the store may see up to as many times the rate as there are parts.

--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -25,6 +25,7 @@
 	byKeyHash     map[string]*Organisation
 	tiers         map[string]*Tier
 	setByModel    map[string]*EngineSet
+	sets          []*EngineSet
 	services      map[string]*Service
 	models        []string
 }
@@ -156,6 +157,7 @@
 		if e.Spec.PrefillWeight != nil {
 			set.PrefillWeight = *e.Spec.PrefillWeight
 		}
+		s.sets = append(s.sets, set)
 		for _, m := range e.Spec.Models {
 			s.setByModel[m] = set
 			s.models = append(s.models, m)
@@ -217,5 +219,8 @@
 	return d, ok
 }
 
+// EngineSets lists the engine sets in the document's order.
+func (s *Snapshot) EngineSets() []*EngineSet { return s.sets }
+
 // Models lists the models served, sorted.
 func (s *Snapshot) Models() []string { return s.models }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/tacktally/tacktally/internal/gateway"
 	"github.com/tacktally/tacktally/internal/idempotency"
 	"github.com/tacktally/tacktally/internal/operatorapi"
+	"github.com/tacktally/tacktally/internal/orders"
 	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/platform"
@@ -182,6 +183,9 @@
 	d.mesh.SetPeers(d.settings.Peers.Seeds)
 	var background sync.WaitGroup
 	background.Go(func() { d.pauses.Run(life) })
+	background.Go(func() {
+		orders.NewGiver(d, d.settings.Upstreams.WeightLoadsPerMinute, d.metrics, d.log).Run(life)
+	})
 	background.Go(func() { d.watchInstances(life) })
 	background.Go(func() {
 		d.askPeers(life)
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -114,15 +114,9 @@
 	if s == nil {
 		return
 	}
-	engines := map[string]bool{}
-	for _, e := range s.Document.EngineSets {
-		engines[e.Metadata.Name] = true
-	}
 	var addresses []string
-	for _, i := range d.instances.current().Instances {
-		if engines[i.Set] && i.Zone == d.settings.Zone && i.State == platform.Live {
-			addresses = append(addresses, i.Address)
-		}
+	for _, set := range s.EngineSets() {
+		addresses = append(addresses, d.Engines(set.Name)...)
 	}
 	d.caches.SetEngines(addresses)
 }
--- /dev/null
+++ b/internal/daemon/orders.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/orders"
+	"github.com/tacktally/tacktally/internal/platform"
+)
+
+var errPausedSince = errors.New("the instance was paused since the platform confirmed its revision")
+
+// Snapshot implements orders.Instance.
+func (d *Daemon) Snapshot(ctx context.Context) *config.Snapshot { return d.gateway.Snapshot(ctx) }
+
+// Engines implements orders.Instance: the live members of a set in this zone.
+func (d *Daemon) Engines(set string) []string {
+	var out []string
+	for _, i := range d.instances.current().Instances {
+		if i.Set == set && i.Zone == d.settings.Zone && i.State == platform.Live {
+			out = append(out, i.Address)
+		}
+	}
+	return out
+}
+
+// GivesOrders implements orders.Instance: the one of the lowest address among those
+// of the zone that are reachable and don't drain.
+func (d *Daemon) GivesOrders() bool {
+	if d.gateway.Draining() {
+		return false
+	}
+	for _, p := range d.mesh.Peers() {
+		if p.Zone == d.settings.Zone && p.Reachable && !p.Draining && p.Address < d.address {
+			return false
+		}
+	}
+	return true
+}
+
+// Confirm implements orders.Instance.
+func (d *Daemon) Confirm(ctx context.Context, revision int64) (stillFresh func() error, err error) {
+	epoch := d.pauses.Epoch()
+	current, _, err := d.platform.Config(ctx, d.settings.Platform.ConfigKey)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", orders.ErrNotCurrent, err)
+	}
+	if current != revision || d.holder.Revision() != revision {
+		return nil, fmt.Errorf("%w: it has revision %d, this instance acts on %d", orders.ErrNotCurrent, current, revision)
+	}
+	return func() error {
+		if d.pauses.Epoch() != epoch {
+			return errPausedSince
+		}
+		return nil
+	}, nil
+}
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -162,7 +162,11 @@
 }
 
 // document is the configuration; note sets revisions apart.
-func document(note string) []byte {
+func document(note string) []byte { return documentWith(note, api.EngineSetSpec{}) }
+
+// documentWith adds to the engine set what a test declares of it.
+func documentWith(note string, set api.EngineSetSpec) []byte {
+	set.Models, set.MaxPromptTokens, set.MaxOutputTokens = []string{modelName}, 100_000, 100
 	tier := func(name string, rank int) api.Tier {
 		return api.Tier{Metadata: api.Metadata{Name: name}, Spec: api.TierSpec{Rank: rank, TimeoutMillis: 10_000}}
 	}
@@ -176,7 +180,7 @@
 			}},
 		},
 		Tiers:      []api.Tier{tier("counter", 0), tier("desk", 1), tier("note-"+note, 2)},
-		EngineSets: []api.EngineSet{{Metadata: api.Metadata{Name: readers}, Spec: api.EngineSetSpec{Models: []string{modelName}, MaxPromptTokens: 100_000, MaxOutputTokens: 100}}},
+		EngineSets: []api.EngineSet{{Metadata: api.Metadata{Name: readers}, Spec: set}},
 		Services:   []api.Service{{Metadata: api.Metadata{Name: claims}, Spec: api.ServiceSpec{NonIdempotent: []string{"POST /release"}}}},
 	})
 	if err != nil {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -45,6 +45,9 @@
 
 // Server is an engine behind HTTP. Safe for concurrent use.
 type Server struct {
+	// Orders is what it has loaded at others' orders.
+	Orders Orders
+
 	mux *http.ServeMux
 
 	mu      sync.Mutex
@@ -79,6 +82,7 @@
 	events := newEventLog()
 	e.model.OnCache(events.add)
 	e.mux.Handle("GET /v1/cache-events", events)
+	e.Orders.register(e.mux)
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("GET /v1/streams/{id}", e.resume)
