--- a/api/resources.go
+++ b/api/resources.go
@@ -23,16 +23,22 @@
 // Document is what operators publish at the platform's configuration service:
 // every resource, as one JSON value of at most 1 MB.
 type Document struct {
+	// Organisations whose requests are served.
 	Organisations []Organisation `json:"organisations"`
-	Tiers         []Tier         `json:"tiers"`
-	EngineSets    []EngineSet    `json:"engineSets"`
-	Services      []Service      `json:"services"`
+	// Tiers of importance; at least one.
+	Tiers []Tier `json:"tiers"`
+	// EngineSets are the sets of unlike model engines.
+	EngineSets []EngineSet `json:"engineSets"`
+	// Services are the plain services.
+	Services []Service `json:"services"`
 }
 
 // Organisation is a paying or internal party whose requests the system serves.
 type Organisation struct {
-	Metadata Metadata         `json:"metadata"`
-	Spec     OrganisationSpec `json:"spec"`
+	// Metadata names it.
+	Metadata Metadata `json:"metadata"`
+	// Spec is what is declared of it.
+	Spec OrganisationSpec `json:"spec"`
 }
 
 // OrganisationSpec is what an operator declares of an organisation.
@@ -62,8 +68,10 @@
 
 // Tier is a level of importance. All queued work of a higher tier goes first.
 type Tier struct {
+	// Metadata names it.
 	Metadata Metadata `json:"metadata"`
-	Spec     TierSpec `json:"spec"`
+	// Spec is what is declared of it.
+	Spec TierSpec `json:"spec"`
 }
 
 // TierSpec is what an operator declares of a tier.
@@ -78,8 +86,10 @@
 
 // EngineSet is a set of unlike model engines that serve the same models.
 type EngineSet struct {
-	Metadata Metadata      `json:"metadata"`
-	Spec     EngineSetSpec `json:"spec"`
+	// Metadata names it.
+	Metadata Metadata `json:"metadata"`
+	// Spec is what is declared of it.
+	Spec EngineSetSpec `json:"spec"`
 }
 
 // EngineSetSpec is what an operator declares of a set of engines. Its members
@@ -104,14 +114,18 @@
 
 // Adapter is a set of weights that an engine loads beside its model.
 type Adapter struct {
-	Name    string `json:"name"`
+	// Name of the adapter; once in a set.
+	Name string `json:"name"`
+	// Version to have loaded.
 	Version string `json:"version"`
 }
 
 // Service is a set of plain upstreams behind one path prefix.
 type Service struct {
-	Metadata Metadata    `json:"metadata"`
-	Spec     ServiceSpec `json:"spec"`
+	// Metadata names it.
+	Metadata Metadata `json:"metadata"`
+	// Spec is what is declared of it.
+	Spec ServiceSpec `json:"spec"`
 }
 
 // ServiceSpec is what an operator declares of a service. It is reached at
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,8 +101,10 @@
 
 // TLS names certificate files. They are read again when they change.
 type TLS struct {
+	// CertificateFile holds the certificate and its chain, in PEM.
 	CertificateFile string `json:"certificateFile"`
-	KeyFile         string `json:"keyFile"`
+	// KeyFile holds the certificate's key, in PEM.
+	KeyFile string `json:"keyFile"`
 	// ClientCAFile, where given, makes clients show a certificate that it signed.
 	ClientCAFile string `json:"clientCAFile,omitzero"`
 }
