Test TLS, and take up a renewal that was seen half written

Cause: nothing attacked TLS. Found: a certificate read between the writing of its two files was refused and, since its time was noted first, never read again. The test of a renewal in two steps failed first; the time is noted after a whole read.

--- a/internal/certificates/certificates.go
+++ b/internal/certificates/certificates.go
@@ -104,26 +104,34 @@
 // current returns what the files hold. While they can't be read, as in the midst
 // of a renewal, what was read before stays in use.
 func (f *files) current() (*tls.Certificate, *x509.CertPool) {
-	if f.isDue() {
-		_ = f.load()
+	if changed, due := f.isDue(); due && f.load() == nil {
+		f.mu.Lock()
+		f.changed = changed
+		f.mu.Unlock()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.certificate, f.pool
 }
 
-func (f *files) isDue() bool {
+// isDue tells whether the files have changed since they were last read whole, and
+// when the later of the two did.
+func (f *files) isDue() (changed time.Time, due bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
 	if now.Sub(f.checked) < checkEvery {
-		return false
+		return changed, false
 	}
 	f.checked = now
-	info, err := os.Stat(f.names.CertificateFile)
-	if err != nil || !info.ModTime().After(f.changed) {
-		return false
+	for _, name := range []string{f.names.CertificateFile, f.names.KeyFile} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return changed, false
+		}
+		if info.ModTime().After(changed) {
+			changed = info.ModTime()
+		}
 	}
-	f.changed = info.ModTime()
-	return true
+	return changed, changed.After(f.changed)
 }
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -434,3 +434,12 @@
 	defer r.Body.Close()
 	_ = json.UnmarshalRead(r.Body, into)
 }
+
+// startSecure adds a daemon whose listeners may speak TLS, and doesn't wait for it.
+func (f *fleet) startSecure(tune func(*settings.Settings)) {
+	p := &process{fleet: f, ip: f.ip(10), zone: "fort", tune: tune}
+	p.peerWire = f.relay(p.ip+":7004", p.ip+":7003")
+	p.platWire = f.relay(p.ip+":7005", f.ip(1)+":9000")
+	f.daemons = append(f.daemons, p)
+	p.start()
+}
