Send idempotent requests to another zone that has room

Cause: a zone without upstreams, or with a full queue, refused work while another zone was idle. Ruled out: sending non-idempotent work on (its key is the issuer's); sending on more than once. Change: what is refused for lack of room goes once to the least busy reachable instance of a zone where nothing waits for the set; the request's age travels, so that its first-token limit counts from its arrival. Heartbeats leave out sets without waiting work. One wait function stands in place of five; the daemon's file is split by job.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -107,6 +107,8 @@
 	RetryUpstreamLost Reason = "retry_upstream_lost"
 	// RetryPeerLink: the link to a key's issuer broke; the request was sent again on a new one.
 	RetryPeerLink Reason = "retry_peer_link"
+	// RetryOtherZone: the availability zone had no room; another zone took it.
+	RetryOtherZone Reason = "retry_other_zone"
 	// RetryResume: a broken stream was resumed at its engine.
 	RetryResume Reason = "retry_stream_resumed"
 )
@@ -126,5 +128,5 @@
 
 // RetryReasons lists every reason of a retry.
 var RetryReasons = []Reason{
-	RetryConnect, RetryUpstreamBusy, RetryUpstreamLost, RetryPeerLink, RetryResume,
+	RetryConnect, RetryUpstreamBusy, RetryUpstreamLost, RetryPeerLink, RetryOtherZone, RetryResume,
 }
--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 	"github.com/go-json-experiment/json"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 // Defaults of Options.
@@ -130,8 +131,8 @@
 				return result, nil
 			}
 		}
-		wait, again := s.judge(err)
-		if !again || !sleep(ctx, wait) {
+		pause, again := s.judge(err)
+		if !again || !wait.For(ctx, pause) {
 			return nil, s.failed(ctx)
 		}
 	}
@@ -265,20 +266,20 @@
 }
 
 // judge decides after a failed attempt whether to send again, and when.
-func (s *sending) judge(err error) (wait time.Duration, again bool) {
-	wait = retryPause
+func (s *sending) judge(err error) (pause time.Duration, again bool) {
+	pause = retryPause
 	var p *api.Problem
 	if errors.As(err, &p) {
 		s.problem, s.err = p, nil
 		if p.RetryAfterSeconds > 0 {
-			wait = time.Duration(p.RetryAfterSeconds) * time.Second
+			pause = time.Duration(p.RetryAfterSeconds) * time.Second
 		}
 		again = s.judgeProblem(p)
 	} else {
 		s.err = err
 		again = true // the same key, so that it joins an earlier sending
 	}
-	return wait, again && s.attempts < s.client.o.MaxAttempts
+	return pause, again && s.attempts < s.client.o.MaxAttempts
 }
 
 func (s *sending) judgeProblem(p *api.Problem) bool {
@@ -362,14 +363,3 @@
 	}
 	return list.Keys, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/client/stream.go
+++ b/client/stream.go
@@ -12,6 +12,7 @@
 	"github.com/go-json-experiment/json"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 const (
@@ -55,8 +56,8 @@
 				return s.sending.failed(s.ctx)
 			}
 		}
-		wait, again := s.sending.judge(err)
-		if !again || !sleep(s.ctx, wait) {
+		pause, again := s.sending.judge(err)
+		if !again || !wait.For(s.ctx, pause) {
 			return s.sending.failed(s.ctx)
 		}
 	}
@@ -129,9 +130,9 @@
 // isn't begun anew: its user has seen a part already.
 func (s *Stream) reconnect(cause error) error {
 	s.response.Body.Close()
-	wait, again := s.sending.judge(cause)
+	pause, again := s.sending.judge(cause)
 	s.sending.uncertain = true
-	if s.sending.lastID == "" || !again || !sleep(s.ctx, wait) {
+	if s.sending.lastID == "" || !again || !wait.For(s.ctx, pause) {
 		return s.sending.failed(s.ctx)
 	}
 	return s.connect()
--- a/internal/cacheevents/cacheevents.go
+++ b/internal/cacheevents/cacheevents.go
@@ -19,12 +19,14 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/dghubble/sling"
 	"github.com/go-json-experiment/json"
+
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 const (
-	// wait is how long one call waits for events, and slack what it may take more.
-	wait  = 20 * time.Second
-	slack = 5 * time.Second
+	// longPoll is how long one call waits for events, and slack what it may take more.
+	longPoll = 20 * time.Second
+	slack    = 5 * time.Second
 	// pauseBetween bounds how often one engine is asked.
 	pauseBetween = 100 * time.Millisecond
 	firstBackoff = time.Second
@@ -70,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Follower{
 		sink:   sink,
-		http:   &http.Client{Timeout: wait + slack, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		http:   &http.Client{Timeout: longPoll + slack, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 		ctx:    ctx,
 		cancel: cancel,
 		stops:  map[string]context.CancelFunc{},
@@ -123,12 +125,7 @@
 			pause.Reset()
 			after = f.take(address, after, batch)
 		}
-		t := time.NewTimer(next)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		wait.For(ctx, next)
 	}
 }
 
@@ -150,7 +147,7 @@
 
 func (f *Follower) ask(ctx context.Context, address string, after int64) (b Batch, err error) {
 	h, err := sling.New().Base("http://" + address).Get("/v1/cache-events").
-		QueryStruct(params{After: after, Wait: int64(wait / time.Second)}).Request()
+		QueryStruct(params{After: after, Wait: int64(longPoll / time.Second)}).Request()
 	if err != nil {
 		return b, err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,18 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/go-json-experiment/json"
 	"github.com/phuslu/log"
 
-	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/cacheevents"
 	"github.com/tacktally/tacktally/internal/callerapi"
 	"github.com/tacktally/tacktally/internal/config"
@@ -31,7 +27,6 @@
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/platform"
 	"github.com/tacktally/tacktally/internal/queue"
-	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/upstream"
@@ -121,6 +116,7 @@
 		Pressure: d.press,
 		Announce: func() { d.mesh.Announce() },
 		Leaving:  d.upstreamLeaving,
+		Spill:    d.spill,
 		Gate:     gate,
 
 		Organisations: d.organisations,
@@ -273,130 +269,3 @@
 	}
 	return info.Main.Version
 }
-
-// Status implements operatorapi.Instance.
-func (d *Daemon) Status() operatorapi.Status {
-	snapshot, since, rejected := d.holder.Status()
-	s := operatorapi.Status{
-		Address:     d.address,
-		Zone:        d.settings.Zone,
-		Incarnation: uint64(d.incarnation),
-		Version:     Version(),
-		Started:     d.started,
-		Since:       since,
-		Rejected:    rejected,
-		ListVersion: d.instances.version(),
-		Draining:    d.gateway.Draining(),
-		InFlight:    d.dispatcher.InFlight(),
-		Keys:        d.register.Stats(),
-		Peers:       d.mesh.Peers(),
-	}
-	if snapshot != nil {
-		s.Revision = snapshot.Revision
-	}
-	return s
-}
-
-// Upstreams implements operatorapi.Instance.
-func (d *Daemon) Upstreams(set string) []dispatch.UpstreamStatus { return d.dispatcher.Upstreams(set) }
-
-// Queued implements operatorapi.Instance.
-func (d *Daemon) Queued(set string, ranks int) []int {
-	if q := d.dispatcher.Queued(ranks)[set]; q != nil {
-		return q
-	}
-	return make([]int, ranks)
-}
-
-// peerHandler is the daemon as its peers use it.
-type peerHandler Daemon
-
-// Serve implements peer.Handler.
-func (p *peerHandler) Serve(ctx context.Context, r *request.Request) *answer.Buffer {
-	return p.gateway.ServePeer(ctx, r)
-}
-
-// State implements peer.Handler.
-func (p *peerHandler) State() *peer.State {
-	s := &peer.State{}
-	if c := p.holder.Current(); c != nil {
-		s.Revision = c.Revision
-		s.Content = c.Content
-	}
-	l := p.instances.current()
-	s.ListVersion = l.Version
-	if l.Version > 0 {
-		s.List, _ = json.Marshal(l.Instances) // instances always encode
-	}
-	return s
-}
-
-// Learn implements peer.Handler.
-func (p *peerHandler) Learn(from string, s *peer.State) {
-	d := (*Daemon)(p)
-	if s.Revision > 0 {
-		d.offer(s.Revision, s.Content, "peer "+from)
-	}
-	if s.ListVersion > 0 {
-		l := platform.List{Version: s.ListVersion}
-		if json.Unmarshal(s.List, &l.Instances) == nil {
-			d.useInstances(l)
-		}
-	}
-}
-
-// Heartbeat implements peer.Handler.
-func (p *peerHandler) Heartbeat() *peer.Heartbeat {
-	return &peer.Heartbeat{
-		Revision:    p.holder.Revision(),
-		ListVersion: p.instances.version(),
-		Draining:    p.gateway.Draining(),
-		Leaving:     p.instances.saidLeaving(),
-		InFlight:    p.dispatcher.InFlight(),
-		Queued:      p.dispatcher.Queued(maxRanks),
-		Pending:     p.dispatcher.Pending(),
-		Demand:      p.organisations.Demands(time.Now()),
-	}
-}
-
-// Heard implements peer.Handler.
-func (p *peerHandler) Heard(from string, h *peer.Heartbeat) {
-	for _, address := range h.Leaving {
-		p.dispatcher.MarkLeaving(address)
-	}
-	p.dispatcher.SetOthers(from, h.Pending)
-	p.organisations.Heard(from, h.Demand)
-	if h.Revision > p.holder.Revision() || h.ListVersion > p.instances.version() {
-		p.mesh.FetchSoon(from)
-	}
-}
-
-// Pressure implements peer.Handler.
-func (p *peerHandler) Pressure(pr peer.Pressure) { p.dispatcher.ShedLower(pr.Set, pr.Rank) }
-
-// Silent implements peer.Handler.
-func (p *peerHandler) Silent(address string) {
-	p.dispatcher.SetOthers(address, nil)
-	p.organisations.Silent(address)
-}
-
-// pressPatience bounds how long a refusal waits for the peers to shed lower work.
-const pressPatience = 100 * time.Millisecond
-
-// press lets the peers of the zone shed lower work first.
-func (d *Daemon) press(set string, rank int) {
-	ctx, cancel := context.WithTimeout(context.Background(), pressPatience)
-	defer cancel()
-	d.mesh.Press(ctx, peer.Pressure{Set: set, Rank: rank})
-}
-
-// tcpListen opens a listener and names the setting when it can't.
-func tcpListen(setting, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("%s %s can't be listened on; free it or choose another: %w", setting, address, err)
-	}
-	return l, nil
-}
-
-var _ http.Handler = (*peer.Mesh)(nil)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -104,3 +105,12 @@
 	s.operators.Close()
 	s.peers.Close()
 }
+
+// tcpListen opens a listener and names the setting when it can't.
+func tcpListen(setting, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s can't be listened on; free it or choose another: %w", setting, address, err)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+// peerHandler is the daemon as its peers use it.
+type peerHandler Daemon
+
+// Serve implements peer.Handler.
+func (p *peerHandler) Serve(ctx context.Context, r *request.Request) *answer.Buffer {
+	return p.gateway.ServePeer(ctx, r)
+}
+
+// State implements peer.Handler.
+func (p *peerHandler) State() *peer.State {
+	s := &peer.State{}
+	if c := p.holder.Current(); c != nil {
+		s.Revision = c.Revision
+		s.Content = c.Content
+	}
+	l := p.instances.current()
+	s.ListVersion = l.Version
+	if l.Version > 0 {
+		s.List, _ = json.Marshal(l.Instances) // instances always encode
+	}
+	return s
+}
+
+// Learn implements peer.Handler.
+func (p *peerHandler) Learn(from string, s *peer.State) {
+	d := (*Daemon)(p)
+	if s.Revision > 0 {
+		d.offer(s.Revision, s.Content, "peer "+from)
+	}
+	if s.ListVersion > 0 {
+		l := platform.List{Version: s.ListVersion}
+		if json.Unmarshal(s.List, &l.Instances) == nil {
+			d.useInstances(l)
+		}
+	}
+}
+
+// Heartbeat implements peer.Handler.
+func (p *peerHandler) Heartbeat() *peer.Heartbeat {
+	return &peer.Heartbeat{
+		Revision:    p.holder.Revision(),
+		ListVersion: p.instances.version(),
+		Draining:    p.gateway.Draining(),
+		Leaving:     p.instances.saidLeaving(),
+		InFlight:    p.dispatcher.InFlight(),
+		Queued:      p.dispatcher.Queued(maxRanks),
+		Pending:     p.dispatcher.Pending(),
+		Demand:      p.organisations.Demands(time.Now()),
+	}
+}
+
+// Heard implements peer.Handler.
+func (p *peerHandler) Heard(from string, h *peer.Heartbeat) {
+	for _, address := range h.Leaving {
+		p.dispatcher.MarkLeaving(address)
+	}
+	p.dispatcher.SetOthers(from, h.Pending)
+	p.organisations.Heard(from, h.Demand)
+	if h.Revision > p.holder.Revision() || h.ListVersion > p.instances.version() {
+		p.mesh.FetchSoon(from)
+	}
+}
+
+// Pressure implements peer.Handler.
+func (p *peerHandler) Pressure(pr peer.Pressure) { p.dispatcher.ShedLower(pr.Set, pr.Rank) }
+
+// Silent implements peer.Handler.
+func (p *peerHandler) Silent(address string) {
+	p.dispatcher.SetOthers(address, nil)
+	p.organisations.Silent(address)
+}
+
+// pressPatience bounds how long a refusal waits for the peers to shed lower work.
+const pressPatience = 100 * time.Millisecond
+
+// press lets the peers of the zone shed lower work first.
+func (d *Daemon) press(set string, rank int) {
+	ctx, cancel := context.WithTimeout(context.Background(), pressPatience)
+	defer cancel()
+	d.mesh.Press(ctx, peer.Pressure{Set: set, Rank: rank})
+}
--- /dev/null
+++ b/internal/daemon/spill.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/request"
+)
+
+// spill implements dispatch.Spiller: it sends a request to the least busy instance
+// of another availability zone where nothing waits for the set.
+func (d *Daemon) spill(ctx context.Context, set string, r *request.Request, b *answer.Buffer) (done, sent bool) {
+	address, ok := d.roomElsewhere(set)
+	if !ok {
+		return false, false
+	}
+	sent, err := d.mesh.Forward(ctx, address, r, b)
+	if err == nil {
+		return true, true
+	}
+	d.log.Warn().Str("event", "spill_failed").Str("request", r.ID).Str("peer", address).Str("cause", err.Error()).Msg("")
+	return false, sent
+}
+
+func (d *Daemon) roomElsewhere(set string) (address string, ok bool) {
+	var best peer.Status
+	for _, p := range d.mesh.Peers() {
+		if !p.Reachable || p.Draining || p.Zone == d.settings.Zone || p.Queued[set] != nil {
+			continue
+		}
+		if best.Address == "" || p.InFlight < best.InFlight {
+			best = p
+		}
+	}
+	return best.Address, best.Address != ""
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"github.com/tacktally/tacktally/internal/dispatch"
+	"github.com/tacktally/tacktally/internal/operatorapi"
+)
+
+// Status implements operatorapi.Instance.
+func (d *Daemon) Status() operatorapi.Status {
+	snapshot, since, rejected := d.holder.Status()
+	s := operatorapi.Status{
+		Address:     d.address,
+		Zone:        d.settings.Zone,
+		Incarnation: uint64(d.incarnation),
+		Version:     Version(),
+		Started:     d.started,
+		Since:       since,
+		Rejected:    rejected,
+		ListVersion: d.instances.version(),
+		Draining:    d.gateway.Draining(),
+		InFlight:    d.dispatcher.InFlight(),
+		Keys:        d.register.Stats(),
+		Peers:       d.mesh.Peers(),
+	}
+	if snapshot != nil {
+		s.Revision = snapshot.Revision
+	}
+	return s
+}
+
+// Upstreams implements operatorapi.Instance.
+func (d *Daemon) Upstreams(set string) []dispatch.UpstreamStatus { return d.dispatcher.Upstreams(set) }
+
+// Queued implements operatorapi.Instance.
+func (d *Daemon) Queued(set string, ranks int) []int {
+	if q := d.dispatcher.Queued(ranks)[set]; q != nil {
+		return q
+	}
+	return make([]int, ranks)
+}
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -21,9 +21,9 @@
 	request      *request.Request
 	buffer       *answer.Buffer
 	pool         *pool
+	set          string
 	tier         *config.Tier
 	organisation *config.Organisation
-	started      time.Time
 
 	exclude string
 	resumes int
@@ -43,30 +43,33 @@
 	for range maxAttempts {
 		grant, problem := a.acquire(ctx)
 		if problem != nil {
-			return a.givenUp(problem)
+			return a.givenUp(ctx, problem)
 		}
 		result := a.send(ctx, grant, a.call(grant))
 		if result.Status == upstream.Cut && a.mayResume(result) {
 			return a.resume(ctx, grant.Upstream.Address, result)
 		}
 		if !a.retry(grant, result) {
-			return a.ended(result)
+			return a.ended(ctx, result)
 		}
 		last = result
 	}
-	return a.ended(last)
+	return a.ended(ctx, last)
 }
 
-func (a *attempts) ended(r upstream.Result) answer.End {
+func (a *attempts) ended(ctx context.Context, r upstream.Result) answer.End {
 	end := a.end(r)
 	if end.Problem == nil {
 		return end
 	}
-	return a.givenUp(end.Problem)
+	return a.givenUp(ctx, end.Problem)
 }
 
 // givenUp makes sure that a request that may have run is never called not-run.
-func (a *attempts) givenUp(p *api.Problem) answer.End {
+func (a *attempts) givenUp(ctx context.Context, p *api.Problem) answer.End {
+	if end, spilled := a.spill(ctx, p); spilled {
+		return end
+	}
 	if p.Outcome == api.NotRun && a.mayHaveRun {
 		p = api.LeaveUnknown(api.ReasonUpstreamLost, "an upstream lost the request, and another try was given up: %s", p.Detail).WithRetryAfter(time.Second)
 	}
@@ -80,7 +83,7 @@
 		Rank:         a.tier.Rank,
 		Organisation: r.Organisation,
 		Share:        a.organisation.Share,
-		Arrived:      a.started,
+		Arrived:      r.Arrived,
 		Deadline:     r.Deadline,
 		FirstToken:   a.tier.FirstToken,
 		Prompt:       r.Prompt,
@@ -123,7 +126,7 @@
 	first := func(observed bool) {
 		once.Do(func() {
 			if observed {
-				a.dispatcher.o.Metrics.FirstToken(a.tier.Name, time.Since(a.started))
+				a.dispatcher.o.Metrics.FirstToken(a.tier.Name, time.Since(a.request.Arrived))
 			}
 			a.pool.firstToken(g)
 		})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,6 +69,8 @@
 	// Leaving tells the peers that an upstream said itself that it leaves. It
 	// must not block. May be nil.
 	Leaving func(address string)
+	// Spill sends requests that the zone has no room for to another. May be nil.
+	Spill Spiller
 	// Organisations bounds what each organisation may use over all instances.
 	Organisations *orglimit.Limiter
 	// Gate is passed before each decision.
@@ -158,13 +160,17 @@
 // InFlight returns how many requests are being served here.
 func (d *Dispatcher) InFlight() int { return int(d.flying.Load()) }
 
-// Queued returns how many requests of each rank wait, by set.
+// Queued returns how many requests of each rank wait, by set; sets without any are
+// left out.
 func (d *Dispatcher) Queued(ranks int) map[string][]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[string][]int, len(d.pools))
+	out := map[string][]int{}
 	for name, p := range d.pools {
-		out[name] = p.queued(ranks)
+		queued := p.queued(ranks)
+		if slices.ContainsFunc(queued, func(n int) bool { return n > 0 }) {
+			out[name] = queued
+		}
 	}
 	return out
 }
@@ -287,7 +293,7 @@
 	}
 	a := &attempts{
 		dispatcher: d, snapshot: s, request: r, buffer: b, pool: pool,
-		tier: tier, organisation: org, started: started,
+		set: set, tier: tier, organisation: org,
 	}
 	ask := orglimit.Ask{
 		Organisation: org.Name,
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -8,6 +8,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/upstream"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 // resumePause is the time between two tries to resume a stream.
@@ -24,7 +25,7 @@
 	for a.mayResume(cut) {
 		a.resumes++
 		a.dispatcher.retried(a.request, api.RetryResume, cut.Err)
-		if !sleep(ctx, time.Duration(a.resumes-1)*resumePause) {
+		if !wait.For(ctx, time.Duration(a.resumes-1)*resumePause) {
 			break
 		}
 		result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(address, cut.StreamID, cut.Events), a.buffer)
@@ -79,14 +80,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/idempotency"
 	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 const (
@@ -57,7 +58,7 @@
 		if sent {
 			g.o.Metrics.Retried(api.RetryPeerLink)
 		}
-		waitToRetry(ctx)
+		wait.For(ctx, forwardPause)
 	}
 }
 
@@ -68,12 +69,3 @@
 	}
 	return p.ForAttempt()
 }
-
-func waitToRetry(ctx context.Context) {
-	t := time.NewTimer(forwardPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -182,7 +182,7 @@
 	case TypePressure:
 		complete = f.Pressure != nil
 	case TypeOpen:
-		complete = f.Request != nil && f.Request.Timeout < maxRemaining
+		complete = f.Request != nil && f.Request.Timeout < maxRemaining && f.Request.Age >= 0 && f.Request.Age < maxRemaining
 	case TypeHead:
 		complete = f.Head != nil && f.Head.Status >= 200 && f.Head.Status <= 599
 	case TypeData:
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -18,6 +18,7 @@
 
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 // Handler is what a mesh serves its peers with. No method may block but Serve's
@@ -76,6 +77,9 @@
 	Revision    int64     `json:"revision"`
 	Draining    bool      `json:"draining"`
 	Reachable   bool      `json:"reachable"`
+	InFlight    int       `json:"inFlight"`
+	// Queued work by set and rank, as told last.
+	Queued map[string][]int `json:"queued,omitempty"`
 }
 
 // Mesh holds the links of one instance. Safe for concurrent use.
@@ -158,12 +162,7 @@
 		if up {
 			pause.Reset()
 		}
-		t := time.NewTimer(pause.NextBackOff())
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		wait.For(ctx, pause.NextBackOff())
 	}
 }
 
@@ -356,6 +355,8 @@
 			LastHeard:   p.lastHeard,
 			Revision:    p.last.Revision,
 			Draining:    p.last.Draining,
+			InFlight:    p.last.InFlight,
+			Queued:      p.last.Queued,
 			Reachable:   m.isReachable(p),
 		})
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -105,9 +105,16 @@
 	}
 }
 
+// held returns a request that has just been received.
+func held(path string, body []byte) *request.Request {
+	r := &request.Request{ID: "r", Path: path, Body: body, Timeout: time.Minute}
+	r.Received(time.Now())
+	return r
+}
+
 func (p *pair) forward(ctx context.Context, path, body string) (string, error) {
 	b := answer.New(true)
-	_, err := p.a.Forward(ctx, p.addressB, &request.Request{ID: "r", Path: path, Body: []byte(body), Deadline: time.Now().Add(time.Minute)}, b)
+	_, err := p.a.Forward(ctx, p.addressB, held(path, []byte(body)), b)
 	if err != nil {
 		return "", err
 	}
@@ -156,7 +163,7 @@
 	unread := answer.New(false)
 	stuck := make(chan error, 1)
 	go func() {
-		_, err := p.a.Forward(ctx, p.addressB, &request.Request{Path: "/", Body: bytes.Repeat([]byte("x;"), 1<<20), Deadline: time.Now().Add(time.Minute)}, unread)
+		_, err := p.a.Forward(ctx, p.addressB, held("/", bytes.Repeat([]byte("x;"), 1<<20)), unread)
 		stuck <- err
 	}()
 	for range 10 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,6 +22,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/dghubble/sling"
 	"github.com/go-json-experiment/json"
+
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 // HeaderRevision carries a value's revision.
@@ -172,35 +174,24 @@
 	pause.InitialInterval = firstBackoff
 	pause.MaxInterval = maxBackoff
 	var after int64
-	wait := time.Duration(0) // the first call returns at once
+	longPoll := time.Duration(0) // the first call returns at once
 	for ctx.Err() == nil {
-		revision, content, err := c.get(ctx, path, after, wait)
+		revision, content, err := c.get(ctx, path, after, longPoll)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
 			}
 			onError(err)
-			if !sleep(ctx, pause.NextBackOff()) {
+			if !wait.For(ctx, pause.NextBackOff()) {
 				return
 			}
 			continue
 		}
 		pause.Reset()
-		wait = c.wait
+		longPoll = c.wait
 		if content != nil {
 			after = revision
 			f(revision, content)
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -75,17 +75,29 @@
 
 	// Chain is the prompt's prefix sums.
 	Chain []uint64 `cbor:"22,keyasint,omitempty"`
-	// Deadline on this instance's clock; set when it is received.
+	// Age is the time since the caller's sending arrived, when it was sent to this
+	// instance.
+	Age time.Duration `cbor:"23,keyasint,omitempty"`
+	// Spilled requests came from another availability zone that had no room; they
+	// are not sent on again.
+	Spilled bool `cbor:"24,keyasint,omitempty"`
+
+	// Arrived and Deadline on this instance's clock; set when it is received.
+	Arrived  time.Time `cbor:"-"`
 	Deadline time.Time `cbor:"-"`
 }
 
-// Received sets the deadline from the time left.
-func (r *Request) Received(now time.Time) { r.Deadline = now.Add(r.Timeout) }
+// Received sets the times on this instance's clock.
+func (r *Request) Received(now time.Time) {
+	r.Arrived = now.Add(-r.Age)
+	r.Deadline = now.Add(r.Timeout)
+}
 
 // ForPeer returns a copy to send to another instance now.
 func (r *Request) ForPeer(now time.Time) *Request {
 	c := *r
 	c.Timeout = r.Deadline.Sub(now)
+	c.Age = now.Sub(r.Arrived)
 	return &c
 }
 
