Take organisations in parts, so that 12,000 of them fit

Cause: 12,000 organisations are 2.1 MB, and the platform holds values of 1 MB; each change meant the whole document again. Ruled out: several documents under revisions of their own (what is in force would be a mixture that nobody published).

--- a/api/resources.go
+++ b/api/resources.go
@@ -21,8 +21,12 @@
 }
 
 // Document is what operators publish at the platform's configuration service:
-// every resource, as one JSON value of at most 1 MB.
+// every resource, as one JSON value of at most 1 MB. Organisations that don't fit
+// stand in parts, which are values of their own.
 type Document struct {
+	// Parts with further organisations. Publish a part before the document that
+	// names it, under a key that is never used again, such as one with its sum.
+	Parts []PartReference `json:"parts,omitzero"`
 	// Organisations whose requests are served.
 	Organisations []Organisation `json:"organisations"`
 	// Tiers of importance; at least one.
@@ -33,6 +37,20 @@
 	Services []Service `json:"services"`
 }
 
+// PartReference names a part and fixes its content.
+type PartReference struct {
+	// Key of the part's value at the platform's configuration service.
+	Key string `json:"key"`
+	// SHA256 is the sum of the part's content, in lower-case hex.
+	SHA256 string `json:"sha256"`
+}
+
+// Part is a value of at most 1 MB with some of the organisations.
+type Part struct {
+	// Organisations declared in this part.
+	Organisations []Organisation `json:"organisations"`
+}
+
 // Organisation is a paying or internal party whose requests the system serves.
 type Organisation struct {
 	// Metadata names it.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -21,7 +21,7 @@
 
 func TestExampleIsAccepted(t *testing.T) {
 	is := is.New(t)
-	s, err := Accept(7, []byte(example(t)))
+	s, err := Accept(7, []byte(example(t)), nil)
 	is.NoErr(err)
 	is.Equal(s.Revision, int64(7))
 	org, ok := s.OrganisationByAPIKey("foo")
@@ -56,12 +56,12 @@
 			is := is.New(t)
 			text := example(t)
 			is.True(strings.Contains(text, c.old))
-			_, err := Accept(1, []byte(strings.Replace(text, c.old, c.new, 1)))
+			_, err := Accept(1, []byte(strings.Replace(text, c.old, c.new, 1)), nil)
 			var r *RejectedError
 			is.True(errors.As(err, &r))
 			is.True(strings.HasPrefix(r.Faults[0].Path, c.path))
 			is.True(strings.Contains(r.Faults[0].Message, c.remedy))
-			_, again := Accept(1, []byte(strings.Replace(text, c.old, c.new, 1)))
+			_, again := Accept(1, []byte(strings.Replace(text, c.old, c.new, 1)), nil)
 			is.Equal(err.Error(), again.Error()) // a pure function of the content
 		})
 	}
@@ -69,7 +69,7 @@
 
 func TestTooLargeIsRejected(t *testing.T) {
 	is := is.New(t)
-	_, err := Accept(1, make([]byte, MaxDocumentBytes+1))
+	_, err := Accept(1, make([]byte, MaxDocumentBytes+1), nil)
 	is.True(strings.Contains(err.Error(), "publish at most"))
 }
 
@@ -98,7 +98,7 @@
 			is := is.New(t)
 			h := NewHolder()
 			for _, o := range c.offers {
-				accepted, err := h.Offer(time.Now(), o.revision, o.content)
+				accepted, err := h.Offer(time.Now(), o.revision, o.content, nil)
 				is.Equal(accepted, o.accepted)
 				var r *RejectedError
 				if errors.As(o.err, &r) {
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -44,18 +44,32 @@
 // Decode reads a document strictly: unknown fields, duplicate fields, wrong
 // types and trailing data are rejected with the path of the field.
 func Decode(content []byte) (*api.Document, error) {
-	if len(content) > MaxDocumentBytes {
-		return nil, rejected("", fmt.Sprintf("is %d bytes; publish at most %d", len(content), MaxDocumentBytes))
-	}
 	var doc api.Document
-	err := json.Unmarshal(content, &doc, json.RejectUnknownMembers(true))
-	if err != nil {
-		return nil, decodeFault(err)
+	if err := decodeStrictly(content, &doc); err != nil {
+		return nil, err
 	}
 	return &doc, nil
 }
 
-func decodeFault(err error) error {
+func decodeStrictly(content []byte, into any) *RejectedError {
+	if len(content) > MaxDocumentBytes {
+		return rejected("", fmt.Sprintf("is %d bytes; publish at most %d, with organisations in parts", len(content), MaxDocumentBytes))
+	}
+	if err := json.Unmarshal(content, into, json.RejectUnknownMembers(true)); err != nil {
+		return decodeFault(err)
+	}
+	return nil
+}
+
+// under returns the faults with a path before theirs.
+func (e *RejectedError) under(path string) *RejectedError {
+	for i := range e.Faults {
+		e.Faults[i].Path = path + e.Faults[i].Path
+	}
+	return e
+}
+
+func decodeFault(err error) *RejectedError {
 	var semantic *json.SemanticError
 	if errors.As(err, &semantic) {
 		return rejected(string(semantic.JSONPointer), semanticMessage(semantic))
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -43,14 +43,19 @@
 
 // Offer takes a published value from any source: the platform or a peer.
 // It returns true when the value was accepted as a new revision, and nil and
-// false when it is the one already held.
-func (h *Holder) Offer(now time.Time, revision int64, content []byte) (bool, error) {
+// false when it is the one already held. Parts holds what is at hand of its parts;
+// those of the snapshot held needn't be in it. A *MissingPartsError asks for more.
+func (h *Holder) Offer(now time.Time, revision int64, content []byte, parts Parts) (bool, error) {
 	if accepted, err, done := h.compare(now, revision, content); done {
 		return accepted, err
 	}
-	next, err := Accept(revision, bytes.Clone(content))
+	next, err := acceptAfter(h.Current(), revision, bytes.Clone(content), parts)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	var missing *MissingPartsError
+	if errors.As(err, &missing) {
+		return false, missing
+	}
 	if err != nil {
 		h.reject(now, revision, err)
 		return false, fmt.Errorf("revision %d: %w", revision, err)
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -18,9 +19,10 @@
 	Revision int64
 	// Content is the document as published.
 	Content []byte
-	// Document is the decoded content.
+	// Document is the decoded content, with the organisations of all parts.
 	Document *api.Document
 
+	parts         map[string]*part
 	organisations map[string]*Organisation
 	byKeyHash     map[string]*Organisation
 	tiers         map[string]*Tier
@@ -91,16 +93,33 @@
 	return false
 }
 
-// Accept decodes, validates and indexes a published value.
-func Accept(revision int64, content []byte) (*Snapshot, error) {
+// Accept decodes, validates and indexes a published value and its parts. The error
+// is a *RejectedError, or a *MissingPartsError when parts aren't at hand.
+func Accept(revision int64, content []byte, parts Parts) (*Snapshot, error) {
+	return acceptAfter(nil, revision, content, parts)
+}
+
+// acceptAfter is Accept, and uses again what an earlier snapshot has decoded.
+func acceptAfter(earlier *Snapshot, revision int64, content []byte, contents Parts) (*Snapshot, error) {
 	doc, err := Decode(content)
 	if err != nil {
 		return nil, err
 	}
-	if err := Validate(doc); err != nil {
+	var known map[string]*part
+	if earlier != nil {
+		known = earlier.parts
+	}
+	parts, err := takeParts(doc, contents, known)
+	if err != nil {
+		return nil, err
+	}
+	if err := validate(doc, parts); err != nil {
 		return nil, err
 	}
-	s := &Snapshot{Revision: revision, Content: content, Document: doc}
+	for _, r := range doc.Parts {
+		doc.Organisations = append(doc.Organisations, parts[r.SHA256].organisations...)
+	}
+	s := &Snapshot{Revision: revision, Content: content, Document: doc, parts: parts}
 	s.indexTiers()
 	s.indexOrganisations()
 	s.indexEngineSets()
@@ -108,6 +127,21 @@
 	return s, nil
 }
 
+// Parts returns the contents of the document's parts, but for those whose sums the
+// caller has.
+func (s *Snapshot) Parts(have []string) Parts {
+	out := Parts{}
+	for sum, p := range s.parts {
+		if !slices.Contains(have, sum) {
+			out[sum] = p.content
+		}
+	}
+	return out
+}
+
+// PartSums lists the sums of the document's parts.
+func (s *Snapshot) PartSums() []string { return slices.Collect(maps.Keys(s.parts)) }
+
 func (s *Snapshot) indexTiers() {
 	s.tiers = make(map[string]*Tier, len(s.Document.Tiers))
 	for _, t := range s.Document.Tiers {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -25,12 +25,18 @@
 	hashPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
-// Validate checks a decoded document and returns every fault, in the order of
-// the document, or nil.
-func Validate(doc *api.Document) error {
-	v := &validator{}
+// validate checks a decoded document and its parts and returns every fault, in the
+// order of the document, or nil.
+func validate(doc *api.Document, parts map[string]*part) error {
+	v := &validator{organisationNames: map[string]bool{}, keyOwners: map[string]string{}}
+	v.partReferences(doc.Parts)
 	tiers := v.tiers(doc.Tiers)
-	v.organisations(doc.Organisations, tiers)
+	v.organisations("", doc.Organisations, tiers)
+	for i, r := range doc.Parts {
+		if p := parts[r.SHA256]; p != nil {
+			v.organisations(fmt.Sprintf("/parts/%d", i), p.organisations, tiers)
+		}
+	}
 	v.engineSets(doc.EngineSets)
 	v.services(doc.Services)
 	if len(v.faults) == 0 {
@@ -41,6 +47,9 @@
 
 type validator struct {
 	faults []FieldError
+	// organisationNames and keyOwners are those met so far, in all parts.
+	organisationNames map[string]bool
+	keyOwners         map[string]string
 }
 
 func (v *validator) add(path, format string, args ...any) {
@@ -88,13 +97,11 @@
 	return seen
 }
 
-func (v *validator) organisations(orgs []api.Organisation, tiers map[string]bool) {
-	seen := map[string]bool{}
-	hashes := map[string]string{}
+func (v *validator) organisations(within string, orgs []api.Organisation, tiers map[string]bool) {
 	for i, o := range orgs {
-		path := fmt.Sprintf("/organisations/%d", i)
-		v.name(path, o.Metadata.Name, seen)
-		v.apiKeys(path+"/spec/apiKeyHashes", o, hashes)
+		path := fmt.Sprintf("%s/organisations/%d", within, i)
+		v.name(path, o.Metadata.Name, v.organisationNames)
+		v.apiKeys(path+"/spec/apiKeyHashes", o, v.keyOwners)
 		v.tierReferences(path+"/spec/tiers", o.Spec.Tiers, tiers)
 		if o.Spec.Share < 0 {
 			v.add(path+"/spec/share", "is %g; set a weight above 0, or leave it out for 1", o.Spec.Share)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,6 +65,8 @@
 	listeners     listeners
 	token         string // of operators
 	drained       chan struct{}
+	life          context.Context // ends with end, when Run does
+	end           context.CancelFunc
 	drainOnce     sync.Once
 }
 
@@ -95,6 +97,7 @@
 
 		organisations: orglimit.NewLimiter(),
 	}
+	d.life, d.end = context.WithCancel(context.Background())
 	d.log = telemetry.NewLogger(logTo, s.Log.Level, d.address)
 	d.instances = newInstanceList()
 	clock := idempotency.NewClock()
@@ -182,8 +185,8 @@
 // down gracefully: it refuses new work with a time to come back, finishes what is
 // in flight, tells its peers, and returns.
 func (d *Daemon) Run(ctx context.Context) {
-	life, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	life := d.life
+	defer d.end()
 	d.mesh.SetPeers(d.settings.Peers.Seeds)
 	var background sync.WaitGroup
 	background.Go(func() { d.pauses.Run(life) })
@@ -204,7 +207,7 @@
 	case <-d.drained:
 	}
 	d.shutDown(servers)
-	cancel()
+	d.end()
 	d.caches.Close()
 	d.mesh.Close()
 	servers.close()
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 // watchConfig follows the document at the platform until ctx ends.
 func (d *Daemon) watchConfig(ctx context.Context) {
 	d.platform.WatchConfig(ctx, d.settings.Platform.ConfigKey,
-		func(revision int64, content []byte) { d.offer(revision, content, "platform") },
+		func(revision int64, content []byte) { d.offer(ctx, revision, content, nil, "platform") },
 		func(err error) { d.platformFailed("configuration", err) })
 }
 
@@ -23,10 +26,19 @@
 	d.log.Warn().Str("event", "platform_unavailable").Str("reading", what).Str("cause", err.Error()).Msg("")
 }
 
-// offer takes a published value from the platform or a peer.
-func (d *Daemon) offer(revision int64, content []byte, from string) {
-	accepted, err := d.holder.Offer(time.Now(), revision, content)
+// offer takes a published value from the platform or a peer. Parts that the giver
+// didn't hand over are read from the platform.
+func (d *Daemon) offer(ctx context.Context, revision int64, content []byte, parts config.Parts, from string) {
+	accepted, err := d.holder.Offer(time.Now(), revision, content, parts)
+	var missing *config.MissingPartsError
+	if errors.As(err, &missing) {
+		accepted, err = d.holder.Offer(time.Now(), revision, content, d.readParts(ctx, parts, missing.References))
+	}
 	switch {
+	case errors.As(err, &missing):
+		d.metrics.Count("tacktally_config_parts_missing_total")
+		d.log.Error().Str("event", "config_parts_missing").Int64("revision", revision).Str("from", from).Str("cause", err.Error()).Msg("")
+		go d.offerLater(revision, content, from)
 	case errors.Is(err, config.ErrOlderRevision):
 		d.metrics.Count("tacktally_config_older_total")
 		d.log.Warn().Str("event", "config_older").Int64("revision", revision).Str("from", from).Msg("")
@@ -45,6 +57,30 @@
 	}
 }
 
+// partsPause is the time until a document whose parts were missing is tried again.
+const partsPause = time.Second
+
+func (d *Daemon) offerLater(revision int64, content []byte, from string) {
+	if wait.For(d.life, partsPause) && d.holder.Revision() < revision {
+		d.offer(d.life, revision, content, nil, from)
+	}
+}
+
+// readParts adds parts read from the platform to those at hand.
+func (d *Daemon) readParts(ctx context.Context, have config.Parts, wanted []api.PartReference) config.Parts {
+	out := config.Parts{}
+	maps.Copy(out, have)
+	for _, r := range wanted {
+		_, content, err := d.platform.Config(ctx, r.Key)
+		if err != nil {
+			d.platformFailed("part "+r.Key, err)
+			continue
+		}
+		out[r.SHA256] = content
+	}
+	return out
+}
+
 // watchInstances follows the instance list at the platform until ctx ends.
 func (d *Daemon) watchInstances(ctx context.Context) {
 	d.platform.WatchInstances(ctx, d.useInstances, func(err error) { d.platformFailed("instances", err) })
@@ -70,7 +106,7 @@
 			d.platformFailed("configuration", err)
 			return
 		}
-		d.offer(revision, content, "platform")
+		d.offer(ctx, revision, content, nil, "platform")
 	})
 	reads.Go(func() { d.mesh.FetchAny(ctx) })
 	reads.Wait()
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -21,11 +21,12 @@
 }
 
 // State implements peer.Handler.
-func (p *peerHandler) State() *peer.State {
+func (p *peerHandler) State(have []string) *peer.State {
 	s := &peer.State{}
 	if c := p.holder.Current(); c != nil {
 		s.Revision = c.Revision
 		s.Content = c.Content
+		s.Parts = c.Parts(have)
 	}
 	l := p.instances.current()
 	s.ListVersion = l.Version
@@ -35,11 +36,19 @@
 	return s
 }
 
+// Parts implements peer.Handler.
+func (p *peerHandler) Parts() []string {
+	if c := p.holder.Current(); c != nil {
+		return c.PartSums()
+	}
+	return nil
+}
+
 // Learn implements peer.Handler.
 func (p *peerHandler) Learn(from string, s *peer.State) {
 	d := (*Daemon)(p)
 	if s.Revision > 0 {
-		d.offer(s.Revision, s.Content, "peer "+from)
+		d.offer(d.life, s.Revision, s.Content, s.Parts, "peer "+from)
 	}
 	if s.ListVersion > 0 {
 		l := platform.List{Version: s.ListVersion}
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -1,6 +1,10 @@
 package daemon
 
 import (
+	"context"
+	"errors"
+
+	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/dispatch"
 	"github.com/tacktally/tacktally/internal/operatorapi"
 )
@@ -38,3 +42,17 @@
 	}
 	return make([]int, ranks)
 }
+
+// Try implements operatorapi.Instance.
+func (d *Daemon) Try(ctx context.Context, content []byte) error {
+	var have config.Parts
+	if c := d.holder.Current(); c != nil {
+		have = c.Parts(nil)
+	}
+	_, err := config.Accept(1, content, have)
+	var missing *config.MissingPartsError
+	if errors.As(err, &missing) {
+		_, err = config.Accept(1, content, d.readParts(ctx, have, missing.References))
+	}
+	return err
+}
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -13,6 +13,7 @@
 package operatorapi
 
 import (
+	"context"
 	"crypto/subtle"
 	"errors"
 	"io"
@@ -40,6 +41,9 @@
 	Upstreams(set string) []dispatch.UpstreamStatus
 	// Queued work of a set or service by rank.
 	Queued(set string, ranks int) []int
+	// Try accepts a document without putting it in force; its parts are read from
+	// the platform.
+	Try(ctx context.Context, content []byte) error
 	// Drain begins a graceful shutdown.
 	Drain()
 }
@@ -306,13 +310,16 @@
 		fail(w, http.StatusBadRequest, "the document could not be read whole; send it again")
 		return
 	}
-	_, err = config.Accept(1, content)
+	err = s.instance.Try(h.Context(), content)
 	var rejected *config.RejectedError
-	if errors.As(err, &rejected) {
+	switch {
+	case errors.As(err, &rejected):
 		writeJSON(w, Validation{Faults: rejected.Faults})
-		return
+	case err != nil:
+		writeJSON(w, Validation{Faults: []config.FieldError{{Path: "/parts", Message: err.Error()}}})
+	default:
+		writeJSON(w, Validation{Accepted: true})
 	}
-	writeJSON(w, Validation{Accepted: true})
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.instance.Status()) }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -76,7 +76,7 @@
 func (m *Mesh) Fetch(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	return m.ask(ctx, address, &Frame{Type: TypeFetch}, func(f *Frame) {
+	return m.ask(ctx, address, &Frame{Type: TypeFetch, Fetch: &Fetch{Parts: m.o.Handler.Parts()}}, func(f *Frame) {
 		if f.State != nil {
 			m.o.Handler.Learn(address, f.State)
 		}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -77,6 +77,7 @@
 	Credit    int              `cbor:"10,keyasint,omitempty"`
 	State     *State           `cbor:"11,keyasint,omitempty"`
 	Pressure  *Pressure        `cbor:"12,keyasint,omitempty"`
+	Fetch     *Fetch           `cbor:"13,keyasint,omitempty"`
 }
 
 // Hello names the sender.
@@ -106,11 +107,19 @@
 	Demand map[string]float64 `cbor:"8,keyasint,omitempty"`
 }
 
+// Fetch asks for the state.
+type Fetch struct {
+	// Parts of the configuration that the asking instance has, by their sums.
+	Parts []string `cbor:"1,keyasint,omitempty"`
+}
+
 // State is what one instance hands over to another.
 type State struct {
 	// Revision and Content of the configuration; Revision 0 when it has none.
 	Revision int64  `cbor:"1,keyasint"`
 	Content  []byte `cbor:"2,keyasint,omitempty"`
+	// Parts that the asking instance lacks, by their sums.
+	Parts map[string][]byte `cbor:"5,keyasint,omitempty"`
 	// ListVersion and List of instances, as JSON; ListVersion 0 when it has none.
 	ListVersion int64  `cbor:"3,keyasint"`
 	List        []byte `cbor:"4,keyasint,omitempty"`
@@ -193,7 +202,9 @@
 		complete = f.Credit > 0
 	case TypeState:
 		complete = f.State != nil
-	case TypeCancel, TypeFetch, TypeRelieved:
+	case TypeFetch:
+		complete = f.Fetch != nil
+	case TypeCancel, TypeRelieved:
 	default:
 		return fmt.Errorf("%w: %d", ErrUnknownType, f.Type)
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -26,8 +26,10 @@
 type Handler interface {
 	// Serve serves a request that a peer forwarded.
 	Serve(ctx context.Context, r *request.Request) *answer.Buffer
-	// State returns what is handed over to a peer that lacks it.
-	State() *State
+	// State returns what is handed over to a peer that has some parts already.
+	State(have []string) *State
+	// Parts returns the sums of the parts of the configuration at hand.
+	Parts() []string
 	// Learn takes over what a peer handed over.
 	Learn(from string, s *State)
 	// Heartbeat returns what to tell the peers now.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -52,7 +52,8 @@
 	return b
 }
 
-func (h *handler) State() *State            { return &State{Revision: 7, Content: []byte("seven")} }
+func (h *handler) State([]string) *State    { return &State{Revision: 7, Content: []byte("seven")} }
+func (h *handler) Parts() []string          { return nil }
 func (h *handler) Learn(_ string, s *State) { h.learned <- s }
 func (h *handler) Heartbeat() *Heartbeat    { return &Heartbeat{Revision: 7} }
 func (h *handler) Heard(string, *Heartbeat) {}
--- a/internal/request/decode_test.go
+++ b/internal/request/decode_test.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := config.Accept(1, content)
+	s, err := config.Accept(1, content, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/slopes/parts.go
+++ b/internal/slopes/parts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -50,7 +51,7 @@
 }
 
 func accept(content []byte) *config.Snapshot {
-	s, err := config.Accept(1, content)
+	s, err := config.Accept(1, content, nil)
 	if err != nil {
 		panic("slopes: the document is valid: " + err.Error())
 	}
@@ -70,6 +71,65 @@
 	})
 }
 
+// changeTime is the acceptance of a change in one of 64 parts.
+func changeTime() Slope {
+	const parts = 64
+	return measure("accepting a change in one of 64 parts", "µs", "organisation", []int{3000, 6000, 12_000}, func(n int) float64 {
+		h := config.NewHolder()
+		contents := config.Parts{}
+		var refs []api.PartReference
+		for i := range parts {
+			content := partDocument(i, n/parts)
+			contents[config.SumPart(content)] = content
+			refs = append(refs, api.PartReference{Key: fmt.Sprint(i), SHA256: config.SumPart(content)})
+		}
+		other := partDocument(parts, n/parts)
+		contents[config.SumPart(other)] = other
+		revision := int64(0)
+		return timeOf(func() {
+			revision++
+			changed := slices.Clone(refs)
+			if revision%2 == 0 {
+				changed[0].SHA256 = config.SumPart(other)
+			}
+			if _, err := h.Offer(time.Now(), revision, mainDocument(changed), contents); err != nil {
+				panic("slopes: the document is valid: " + err.Error())
+			}
+		})
+	})
+}
+
+// partDocument is a part with organisations of its own names.
+func partDocument(part, organisations int) []byte {
+	var d api.Document
+	if err := json.Unmarshal(document(organisations), &d); err != nil {
+		panic("slopes: a document always decodes: " + err.Error())
+	}
+	for i := range d.Organisations {
+		name := fmt.Sprintf("p%d-%d", part, i)
+		d.Organisations[i].Metadata.Name = name
+		d.Organisations[i].Spec.APIKeyHashes[0] = config.HashAPIKey(name)
+	}
+	content, err := json.Marshal(api.Part{Organisations: d.Organisations})
+	if err != nil {
+		panic("slopes: a part always encodes: " + err.Error())
+	}
+	return content
+}
+
+func mainDocument(refs []api.PartReference) []byte {
+	var d api.Document
+	if err := json.Unmarshal(document(0), &d); err != nil {
+		panic("slopes: a document always decodes: " + err.Error())
+	}
+	d.Parts = refs
+	content, err := json.Marshal(&d)
+	if err != nil {
+		panic("slopes: a document always encodes: " + err.Error())
+	}
+	return content
+}
+
 func configurationMemory() Slope {
 	return measure("accepted configuration", "bytes", "organisation", organisationSizes, func(n int) float64 {
 		return memoryOf(func() any { return accept(document(n)) })
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -54,7 +54,7 @@
 // All measures every slope. It takes about half a minute.
 func All() []Slope {
 	return []Slope{
-		configurationBytes(), configurationTime(), configurationMemory(),
+		configurationBytes(), configurationTime(), changeTime(), configurationMemory(),
 		listBytes(), listTime(), subsetTime(),
 		upstreamMemory(), filledUpstreamMemory(), decisionTime(),
 		queueMemory(), queueTime(),
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	down     bool
 	config   value
 	list     value
+	parts    map[string][]byte // by key
 	changed  chan struct{}
 	calls    int
 	listHeld *value // the list shown while it lags
@@ -31,7 +33,7 @@
 }
 
 // New returns a service that holds nothing.
-func New() *Service { return &Service{changed: make(chan struct{})} }
+func New() *Service { return &Service{changed: make(chan struct{}), parts: map[string][]byte{}} }
 
 func (s *Service) update(f func()) {
 	s.mu.Lock()
@@ -46,6 +48,11 @@
 	s.update(func() { s.config = value{revision, content} })
 }
 
+// PublishPart puts a value under another key than the document's.
+func (s *Service) PublishPart(key string, content []byte) {
+	s.update(func() { s.parts[key] = content })
+}
+
 // SetInstances puts the list under the next version.
 func (s *Service) SetInstances(list []platform.Instance) {
 	content, err := json.Marshal(list)
@@ -81,6 +88,10 @@
 	s.mu.Lock()
 	s.calls++
 	s.mu.Unlock()
+	if part := s.part(h.URL.Path); part != nil {
+		answer(w, value{1, part})
+		return
+	}
 	after, _ := strconv.ParseInt(h.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(h.URL.Query().Get("wait"))
 	timeout := time.NewTimer(time.Duration(wait) * time.Second)
@@ -106,6 +117,16 @@
 	}
 }
 
+// part returns the value of a part's path, or nil.
+func (s *Service) part(path string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil
+	}
+	return s.parts[strings.TrimPrefix(path, "/v1/config/")]
+}
+
 func (s *Service) look(list bool) (v value, down bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
