--- /dev/null
+++ b/cmd/tacktallyd/main_test.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// argumentsVariable makes the test binary run as tacktallyd with the arguments in it.
+const argumentsVariable = "TACKTALLYD_TEST_ARGUMENTS"
+
+func TestMain(m *testing.M) {
+	if text, ok := os.LookupEnv(argumentsVariable); ok {
+		os.Args = append(os.Args[:1], strings.Fields(text)...)
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+func command(arguments string) *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), argumentsVariable+"="+arguments)
+	return c
+}
+
+func settingsFile(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+const alone = `{"zone": "bole", "callers": {"address": "127.0.0.1:0"}, "operators": {"address": "127.0.0.1:0"},
+	"peers": {"address": "127.0.0.1:0", "advertise": "127.0.0.1:9"}, "platform": {"url": "http://127.0.0.1:9"}}`
+
+func TestExitCodes(t *testing.T) {
+	good := settingsFile(t, alone)
+	bad := settingsFile(t, `{"zone": ""}`)
+	taken := settingsFile(t, strings.Replace(alone, "127.0.0.1:0", "203.0.113.1:1", 1))
+	for name, c := range map[string]struct {
+		arguments string
+		code      int
+		want      string
+	}{
+		"version":        {"--version", 0, "tacktallyd"},
+		"help":           {"--help", 0, "--settings"},
+		"check":          {"--check -s " + good, 0, "valid"},
+		"check faults":   {"--check -s " + bad, exitSettings, "/zone is missing; name the availability zone; /callers/address"},
+		"no file":        {"-s none.json", exitSettings, "name an existing file"},
+		"unknown option": {"--chekc", exitSettings, "chekc"},
+		"can't listen":   {"-s " + taken, exitFailed, "choose another"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			run := command(c.arguments)
+			out, _ := run.CombinedOutput()
+			is.Equal(run.ProcessState.ExitCode(), c.code)
+			is.True(strings.Contains(string(out), c.want))
+		})
+	}
+}
+
+// One signal shuts down gracefully, and the end is told.
+func TestSignalShutsDown(t *testing.T) {
+	is := is.New(t)
+	run := command("-s " + settingsFile(t, alone))
+	log, err := run.StderrPipe()
+	is.NoErr(err)
+	is.NoErr(run.Start())
+	lines := bufio.NewScanner(log)
+	seen := ""
+	for lines.Scan() {
+		seen += lines.Text() + "\n"
+		if strings.Contains(lines.Text(), "event=started") {
+			is.NoErr(run.Process.Signal(syscall.SIGTERM))
+		}
+	}
+	is.NoErr(run.Wait())
+	is.True(strings.Contains(seen, "event=draining"))
+	is.True(strings.Contains(seen, "event=stopped"))
+}
