--- a/api/problem.go
+++ b/api/problem.go
@@ -31,7 +31,7 @@
 	// RequestID names the request in the logs.
 	RequestID string `json:"requestId,omitempty"`
 	// RetryAfterSeconds says when to come back; 0 when a repeat won't help.
-	RetryAfterSeconds int `json:"retryAfterSeconds,omitempty"`
+	RetryAfterSeconds int `json:"retryAfterSeconds,omitzero"`
 	// IdempotencyKey is an issued key, present with the reason key_required.
 	IdempotencyKey string `json:"idempotencyKey,omitempty"`
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -10,7 +10,6 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 )
 
@@ -155,16 +154,30 @@
 	if next == nil {
 		return nil
 	}
-	out := []*Item{next}
+	out := append(make([]*Item, 0, n), next)
 	for _, ln := range q.levels[next.Rank].order {
 		for _, it := range ln.items[:min(n, len(ln.items))] {
 			if it != next {
-				out = append(out, it)
+				out = insertByStart(out, it, n)
 			}
 		}
 	}
-	slices.SortStableFunc(out[1:], func(a, b *Item) int { return a.StartBy.Compare(b.StartBy) })
-	return out[:min(n, len(out))]
+	return out
+}
+
+// insertByStart puts an item into its place after the first of at most n.
+func insertByStart(list []*Item, it *Item, n int) []*Item {
+	if len(list) == n {
+		if n == 1 || !it.StartBy.Before(list[n-1].StartBy) {
+			return list
+		}
+		list = list[:n-1]
+	}
+	list = append(list, it)
+	for i := len(list) - 1; i > 1 && it.StartBy.Before(list[i-1].StartBy); i-- {
+		list[i], list[i-1] = list[i-1], list[i]
+	}
+	return list
 }
 
 // Take removes a waiting item that is about to be served.
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -62,6 +62,9 @@
 // pump sends waiting work while the next in order finds an upstream with room.
 func (c *Core) pump(now time.Time, d *Decisions) {
 	for c.queue.Len() > 0 {
+		if !c.anyRoom(now) {
+			return
+		}
 		it, choice := c.next(now)
 		if it == nil {
 			return
@@ -73,6 +76,17 @@
 	c.drain.idle(now)
 }
 
+// anyRoom tells whether any upstream may be sent even the smallest prompt, so that
+// a full zone costs no search for a choice.
+func (c *Core) anyRoom(now time.Time) bool {
+	for _, u := range c.upstreams {
+		if u.HasRoom(now, 1) {
+			return true
+		}
+	}
+	return false
+}
+
 // next returns the item to send now and where to, or nil when none can be sent.
 // Among the first few of a tier, the one goes first of whose prompt an upstream
 // with room holds the largest share, so that less is read again; but none that
--- a/internal/slopes/parts.go
+++ b/internal/slopes/parts.go
@@ -256,6 +256,35 @@
 	})
 }
 
+// busyDecisionTime is a turn while many wait: one request ends, the next is chosen
+// among the first few and sent, and another one comes.
+func busyDecisionTime() Slope {
+	return measure("one decision while 1000 wait", "µs", "upstream", []int{10, 50, 200}, func(n int) float64 {
+		c := newCore(n)
+		var running []*scheduler.Grant
+		i := 0
+		submit := func() {
+			i++
+			running = append(running, c.Submit(time.Now(), sample(i)).Grants...)
+		}
+		for waiting := 0; waiting < 1000; {
+			submit()
+			waiting = 0
+			for _, k := range c.Queued(4) {
+				waiting += k
+			}
+		}
+		return timeOf(func() {
+			now := time.Now()
+			g := running[0]
+			running = running[1:]
+			running = append(running, c.FirstToken(now, g).Grants...)
+			running = append(running, c.Done(now, g, 1).Grants...)
+			submit()
+		})
+	})
+}
+
 // full returns a core of one upstream with so many requests waiting.
 func full(n int) *scheduler.Core {
 	c := newCore(1)
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -56,7 +56,7 @@
 	return []Slope{
 		configurationBytes(), configurationTime(), changeTime(), configurationMemory(),
 		listBytes(), listTime(), subsetTime(),
-		upstreamMemory(), filledUpstreamMemory(), decisionTime(),
+		upstreamMemory(), filledUpstreamMemory(), decisionTime(), busyDecisionTime(),
 		queueMemory(), queueTime(),
 		keyMemory(), keyTime(),
 		heartbeatBytes(), peerProcessor(), peerMemory(),
