Reach instances that the list lacks, and bound what one party may take

Cause, found on reading: an instance that a lagging list lacked was linked to by nobody, so its keys could not be used elsewhere; one organisation could use up all keys of an instance; one answer held for repeats had no bound; a stream past its deadline went on at its engine; a retry after a pause was counted as a failed connection.

Change: whoever is heard of is dialled back, and dropped after a minute's silence if the list lacks it; an organisation has at most half of the keys; a held answer has at most 32 MiB; streams past their deadline are cancelled at the engine; retry_paused is a reason of its own.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -101,6 +101,8 @@
 const (
 	// RetryConnect: an upstream could not be connected to; another was tried.
 	RetryConnect Reason = "retry_connect_failed"
+	// RetryPaused: the instance was paused between the decision and the write; it was decided anew.
+	RetryPaused Reason = "retry_paused"
 	// RetryUpstreamBusy: an upstream refused for lack of room; another was tried.
 	RetryUpstreamBusy Reason = "retry_upstream_busy"
 	// RetryUpstreamLost: an upstream lost an idempotent request; another was tried.
@@ -128,5 +130,5 @@
 
 // RetryReasons lists every reason of a retry.
 var RetryReasons = []Reason{
-	RetryConnect, RetryUpstreamBusy, RetryUpstreamLost, RetryPeerLink, RetryOtherZone, RetryResume,
+	RetryConnect, RetryPaused, RetryUpstreamBusy, RetryUpstreamLost, RetryPeerLink, RetryOtherZone, RetryResume,
 }
--- a/internal/answer/buffer.go
+++ b/internal/answer/buffer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/tacktally/tacktally/api"
@@ -17,6 +18,12 @@
 // Buffer that isn't held.
 const UnheldWindow = 256 << 10
 
+// MaxHeld bounds one answer that is held whole, in bytes.
+const MaxHeld = 32 << 20
+
+// ErrTooLarge: a held answer passes MaxHeld.
+var ErrTooLarge = errors.New("the answer to a non-idempotent request is larger than 32 MiB, more than an instance holds for repeats; let the service answer with less, such as a reference")
+
 // Head is the start of an answer.
 type Head struct {
 	// Status is the HTTP status, 200 to 599.
@@ -108,7 +115,8 @@
 }
 
 // Write appends a piece, which the Buffer then owns. On a Buffer that isn't held
-// it blocks while the reader is UnheldWindow bytes behind, until ctx ends.
+// it blocks while the reader is UnheldWindow bytes behind, until ctx ends; on one
+// that is, it returns ErrTooLarge past MaxHeld.
 func (b *Buffer) Write(ctx context.Context, piece []byte) error {
 	for {
 		b.mu.Lock()
@@ -116,6 +124,10 @@
 			b.mu.Unlock()
 			return nil
 		}
+		if b.held && b.bytes+len(piece) > MaxHeld {
+			b.mu.Unlock()
+			return ErrTooLarge
+		}
 		if b.held || b.bytes < UnheldWindow {
 			b.pieces = append(b.pieces, piece)
 			b.bytes += len(piece)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -142,12 +142,26 @@
 		call.OnFirst = func() {}
 	}
 	result := a.dispatcher.o.Client.Do(ctx, call, a.buffer)
+	if result.Status == upstream.Timeout && result.StreamID != "" {
+		go a.cancelStream(g.Upstream.Address, result.StreamID)
+	}
 	a.output += result.Output
 	a.mayHaveRun = a.mayHaveRun || result.Status == upstream.Lost
 	a.learn(g, result)
 	return result
 }
 
+// cancelTimeout bounds the call that cancels a stream.
+const cancelTimeout = 2 * time.Second
+
+// cancelStream stops a run whose deadline has passed: its answer is of no use. The
+// run of a caller that went away is left to go on, since it may be resumed.
+func (a *attempts) cancelStream(address, stream string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	a.dispatcher.o.Client.CancelStream(ctx, address, stream, a.request.Organisation)
+}
+
 func (a *attempts) learn(g *scheduler.Grant, result upstream.Result) {
 	core := a.pool.core
 	a.pool.apply(func(now time.Time) scheduler.Decisions {
@@ -185,6 +199,10 @@
 	d := a.dispatcher
 	switch result.Status {
 	case upstream.NotWritten:
+		if errors.Is(result.Err, errPaused) {
+			d.retried(a.request, api.RetryPaused, result.Err)
+			return true
+		}
 		a.exclude = g.Upstream.Address
 		d.retried(a.request, api.RetryConnect, result.Err)
 		return true
--- a/internal/gateway/callerchosen.go
+++ b/internal/gateway/callerchosen.go
@@ -42,7 +42,7 @@
 	if g.Draining() {
 		return g.refuse(r, refuseDraining())
 	}
-	if problem := g.o.Register.Reserve(); problem != nil {
+	if problem := g.o.Register.Reserve(r.Organisation); problem != nil {
 		return g.refuse(r, problem)
 	}
 	return g.begin(s, r, u)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 	if g.Draining() {
 		return "", refuseDraining()
 	}
-	if problem := g.o.Register.Reserve(); problem != nil {
+	if problem := g.o.Register.Reserve(organisation); problem != nil {
 		return "", problem
 	}
 	return g.o.Issuer.Issue(organisation, requestID, g.o.Lifetime), nil
--- a/internal/idempotency/idempotency_test.go
+++ b/internal/idempotency/idempotency_test.go
@@ -1,6 +1,7 @@
 package idempotency
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -89,19 +90,29 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := NewRegister(limits, NewClock())
-		for range limits.MaxEntries {
-			is.True(r.Reserve() == nil)
+		for i := range limits.MaxEntries {
+			is.True(r.Reserve(fmt.Sprint(i)) == nil)
 			<-time.After(time.Second) // virtual time
 		}
-		p := r.Reserve()
+		p := r.Reserve("another")
 		is.Equal(p.Reason, api.ReasonKeyLimit)
 		is.Equal(p.RetryAfterSeconds, 57) // when the first one expires
 		<-time.After(57 * time.Second)    // virtual time
-		is.True(r.Reserve() == nil)
+		is.True(r.Reserve("another") == nil)
 		is.Equal(r.Stats().Reserved, limits.MaxEntries)
 	})
 }
 
+func TestOneOrganisationLeavesKeysToOthers(t *testing.T) {
+	is := is.New(t)
+	r := NewRegister(Limits{Lifetime: time.Minute, MaxEntries: 10}, NewClock())
+	for range 5 {
+		is.True(r.Reserve("large") == nil)
+	}
+	is.Equal(r.Reserve("large").Reason, api.ReasonKeyLimit)
+	is.True(r.Reserve("small") == nil)
+}
+
 func FuzzParse(f *testing.F) {
 	issuer := NewIssuer("10.0.0.1:7003", 9, NewClock())
 	f.Add(issuer.Issue("gebremedhin", "", time.Minute))
--- a/internal/idempotency/register.go
+++ b/internal/idempotency/register.go
@@ -59,33 +59,39 @@
 	answers  *list.List // of *entry, oldest answer first
 	bytes    int64
 	reserved int
+	// reservedBy counts reservations by organisation.
+	reservedBy map[string]int
 }
 
 // expiry frees a reservation (key is empty) or forgets a key.
 type expiry struct {
-	at  time.Duration
-	key string
+	at           time.Duration
+	key          string
+	organisation string
 }
 
 // NewRegister returns an empty register.
 func NewRegister(limits Limits, clock *Clock) *Register {
-	return &Register{limits: limits, clock: clock, entries: map[string]*entry{}, answers: list.New()}
+	return &Register{limits: limits, clock: clock, entries: map[string]*entry{}, answers: list.New(), reservedBy: map[string]int{}}
 }
 
-// Reserve keeps room for a key about to be issued. The room is freed when the
-// key expires, so that a key once issued always finds room.
-func (r *Register) Reserve() *api.Problem {
+// Reserve keeps room for a key about to be issued to an organisation. The room is
+// freed when the key expires, so that a key once issued always finds room. One
+// organisation may have half of all, so that the others find some.
+func (r *Register) Reserve(organisation string) *api.Problem {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Elapsed()
 	r.forget(now)
-	if r.reserved >= r.limits.MaxEntries {
+	own := r.reservedBy[organisation]
+	if r.reserved >= r.limits.MaxEntries || own >= max(r.limits.MaxEntries/2, 1) {
 		wait := r.expiries[0].at - now
 		return api.Refuse(api.ReasonKeyLimit,
-			"%d idempotency keys are issued and not expired; come back later or raise idempotency.maxEntries", r.reserved).WithRetryAfter(wait)
+			"%d idempotency keys are issued and not expired, %d of them to %s; come back later or raise idempotency.maxEntries", r.reserved, own, organisation).WithRetryAfter(wait)
 	}
 	r.reserved++
-	r.expiries = append(r.expiries, expiry{at: now + r.limits.Lifetime})
+	r.reservedBy[organisation]++
+	r.expiries = append(r.expiries, expiry{at: now + r.limits.Lifetime, organisation: organisation})
 	return nil
 }
 
@@ -176,7 +182,7 @@
 		}
 		done++
 		if x.key == "" {
-			r.reserved--
+			r.free(x.organisation)
 			continue
 		}
 		if e := r.entries[x.key]; e != nil && e.held == nil && !e.evicted {
@@ -194,6 +200,14 @@
 	}
 }
 
+func (r *Register) free(organisation string) {
+	r.reserved--
+	r.reservedBy[organisation]--
+	if r.reservedBy[organisation] == 0 {
+		delete(r.reservedBy, organisation)
+	}
+}
+
 // insertExpiry keeps the order. Keys nearly always expire in the order in which
 // they were issued, so the search from the end is short.
 func insertExpiry(list []expiry, x expiry) []expiry {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -62,6 +62,9 @@
 	dialTimeout = 2 * time.Second
 	firstRedial = 50 * time.Millisecond
 	maxRedial   = 2 * time.Second
+	// forgetAfter is the silence after which a peer that isn't on the list is no
+	// longer dialled.
+	forgetAfter = time.Minute
 	// fetchTimeout bounds the handing over of state.
 	fetchTimeout = 2 * time.Second
 )
@@ -98,6 +101,8 @@
 
 type peerState struct {
 	hello     Hello
+	since     time.Time // it is known
+	listed    bool
 	lastHeard time.Time
 	silent    bool // the handler was told
 	last      Heartbeat
@@ -123,33 +128,37 @@
 	return &Hello{Address: m.o.Address, Zone: m.o.Zone, Incarnation: m.o.Incarnation}
 }
 
-// SetPeers sets the peers to be linked to. Links to others are closed.
+// SetPeers sets the peers to be linked to. One that isn't among them any more, or
+// isn't yet, is linked to as long as it is heard of: the list lags.
 func (m *Mesh) SetPeers(addresses []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for address, p := range m.peers {
-		if p.stop != nil && !slices.Contains(addresses, address) {
-			p.stop()
-			delete(m.peers, address)
-		}
+	for _, p := range m.peers {
+		p.listed = false
 	}
 	for _, address := range addresses {
-		if address == m.o.Address || m.ctx.Err() != nil {
-			continue
-		}
-		p := m.peers[address]
-		if p == nil {
-			p = &peerState{hello: Hello{Address: address}}
-			m.peers[address] = p
-		}
-		if p.stop == nil {
-			ctx, stop := context.WithCancel(m.ctx)
-			p.stop = stop
-			m.wg.Go(func() { m.keepLinked(ctx, address) })
+		if p := m.link(address); p != nil {
+			p.listed = true
 		}
 	}
 }
 
+// link returns the state of a peer, new where it wasn't known, and keeps dialling
+// it. The caller holds the lock. It returns nil for this instance itself.
+func (m *Mesh) link(address string) *peerState {
+	if address == m.o.Address || m.ctx.Err() != nil {
+		return nil
+	}
+	p := m.peers[address]
+	if p == nil {
+		ctx, stop := context.WithCancel(m.ctx)
+		p = &peerState{hello: Hello{Address: address}, since: time.Now(), stop: stop}
+		m.peers[address] = p
+		m.wg.Go(func() { m.keepLinked(ctx, address) })
+	}
+	return p
+}
+
 // keepLinked dials a peer again and again until ctx ends.
 func (m *Mesh) keepLinked(ctx context.Context, address string) {
 	pause := backoff.NewExponentialBackOff()
@@ -227,10 +236,9 @@
 func (m *Mesh) heard(h Hello, l *link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.peers[h.Address]
+	p := m.link(h.Address)
 	if p == nil {
-		p = &peerState{}
-		m.peers[h.Address] = p
+		return
 	}
 	if p.hello.Incarnation != h.Incarnation {
 		p.last = Heartbeat{}
@@ -302,6 +310,10 @@
 			p.link.cancel(errSilent)
 			p.link = nil
 		}
+		if !p.listed && time.Since(p.since) > forgetAfter && time.Since(p.lastHeard) > forgetAfter {
+			p.stop()
+			delete(m.peers, address)
+		}
 	}
 	return news
 }
--- a/internal/slopes/parts.go
+++ b/internal/slopes/parts.go
@@ -324,7 +324,7 @@
 }
 
 func use(r *idempotency.Register, i int) {
-	r.Reserve()
+	r.Reserve(fmt.Sprint("organisation-", i%10))
 	b, _, _ := r.Begin(idempotency.Use{Key: fmt.Sprintf("ttk1.%0200d", i), Organisation: "organisation", Expiry: time.Hour})
 	if b != nil {
 		b.Finish(answer.End{})
@@ -351,7 +351,7 @@
 		}
 		issuer := idempotency.NewIssuer("10.0.0.1:7003", 1, idempotency.NewClock())
 		return timeOf(func() {
-			r.Reserve()
+			r.Reserve("organisation")
 			_, _ = issuer.Verify(issuer.Issue("organisation", "", time.Hour))
 		})
 	})
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -50,15 +50,16 @@
 
 	mux *http.ServeMux
 
-	mu      sync.Mutex
-	model   *Model
-	faults  Faults
-	streams map[string]*run
-	order   []string // of streams, oldest first
-	wake    chan struct{}
-	bodies  []string
-	stop    chan struct{}
-	once    sync.Once
+	mu        sync.Mutex
+	model     *Model
+	faults    Faults
+	streams   map[string]*run
+	order     []string // of streams, oldest first
+	wake      chan struct{}
+	bodies    []string
+	cancelled int
+	stop      chan struct{}
+	once      sync.Once
 }
 
 // run is one request at the engine.
@@ -115,6 +116,13 @@
 	return append([]string(nil), e.bodies...)
 }
 
+// Cancelled returns how many runs were cancelled.
+func (e *Server) Cancelled() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cancelled
+}
+
 // PromptRead returns how many prompt tokens were read.
 func (e *Server) PromptRead() int {
 	e.mu.Lock()
@@ -403,6 +411,7 @@
 	if r := e.find(h); r != nil {
 		e.mu.Lock()
 		e.model.Cancel(r.sequence)
+		e.cancelled++
 		e.mu.Unlock()
 		r.buffer.Finish(answer.End{})
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -268,10 +268,10 @@
 	return s
 }
 
-// CancelStream tells an engine to stop a stream. Failures are of no consequence:
-// the engine stops by itself when nobody reads.
-func (c *Client) CancelStream(ctx context.Context, address, streamID string) {
-	h, err := sling.New().Base("http://" + address).Delete("/v1/streams/" + streamID).Request()
+// CancelStream tells an engine to stop an organisation's stream. A failure is of no
+// consequence but for the engine's time.
+func (c *Client) CancelStream(ctx context.Context, address, streamID, organisation string) {
+	h, err := sling.New().Base("http://"+address).Delete("/v1/streams/"+streamID).Set(HeaderOwner, organisation).Request()
 	if err != nil {
 		return
 	}
