Let random runs stream from engines, and see that nothing is left over

Cause: random histories held calls to a service alone, and nobody looked whether an instance ends with nothing outstanding. Change: half of the requests are non-idempotent streams; engines cut, garble and refuse; at the end every daemon must hold no request and count none as outstanding; each run tells how many answers of each outcome it had.

--- a/internal/faults/matrix_test.go
+++ b/internal/faults/matrix_test.go
@@ -280,15 +280,15 @@
 			c.record.Dispatch(history.Dispatch{Key: c.body, At: call.At})
 		}
 	}
-	for _, body := range c.fleet.engine.Runs() {
-		if body == c.body {
-			c.record.Dispatch(history.Dispatch{Key: c.body})
+	for _, run := range c.fleet.engine.Runs() {
+		if run.Body == c.body {
+			c.record.Dispatch(history.Dispatch{Key: c.body, At: run.At})
 		}
 	}
 	for _, v := range c.record.Check() {
 		t.Errorf("%v", v)
 	}
-	if !c.model && !c.record.Linearizable() {
+	if !c.record.Linearizable() {
 		t.Error("the history is not that of a register that takes each key at most once")
 	}
 }
--- a/internal/faults/random_test.go
+++ b/internal/faults/random_test.go
@@ -8,7 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/history"
+	"github.com/tacktally/tacktally/internal/standin/engine"
 	"github.com/tacktally/tacktally/internal/standin/service"
 )
 
@@ -45,7 +47,7 @@
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
 		callers.Go(func() {
 			for n := range randomRequests {
-				f.sendRandomly(record, random, i, fmt.Sprintf("request %d of caller %d", n, i))
+				f.sendRandomly(record, random, i, newTask(random, fmt.Sprintf("request %d of caller %d", n, i)))
 			}
 		})
 	}
@@ -59,30 +61,81 @@
 	for _, c := range f.service.Calls() {
 		record.Dispatch(history.Dispatch{Key: c.Body, At: c.At})
 	}
+	for _, r := range f.engine.Runs() {
+		record.Dispatch(history.Dispatch{Key: r.Body, At: r.At})
+	}
+	t.Logf("seed %d: %s", seed, record.Summary())
 	for _, v := range record.Check() {
 		t.Errorf("seed %d: %v", seed, v)
 	}
 	if !record.Linearizable() {
 		t.Errorf("seed %d: the history is not that of a register that takes each key at most once", seed)
 	}
+	for _, p := range f.daemons {
+		f.eventually(fmt.Sprintf("seed %d: nothing is left over at %s", seed, p.ip), p.isIdle)
+	}
+}
+
+// isIdle tells whether a daemon holds no request and counts none as outstanding.
+func (p *process) isIdle() bool {
+	if s := p.status(); s.Revision == 0 || s.InFlight > 0 {
+		return false
+	}
+	for _, path := range []string{"/v1/resources/Service/" + claims, "/v1/resources/EngineSet/" + readers} {
+		var r struct {
+			Status struct {
+				Upstreams []struct {
+					Running int `json:"running"`
+					Pending int `json:"pendingPromptTokens"`
+				} `json:"upstreams"`
+			} `json:"status"`
+		}
+		p.read(path, &r)
+		for _, u := range r.Status.Upstreams {
+			if u.Running != 0 || u.Pending != 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// task is what one request asks for, and the only right answer.
+type task struct {
+	path, body, answer string
+	nonIdempotent      map[string]string // header of one that isn't declared so
+}
+
+// newTask is a call that may not be repeated, or a streamed model request that may
+// not be.
+func newTask(random *rand.Rand, name string) task {
+	if random.IntN(2) == 0 {
+		return task{path: release, body: name, answer: service.Answer(name)}
+	}
+	body := prompt(name, true)
+	whole := ""
+	for n := 1; n <= 4; n++ {
+		whole += engine.Token([]byte(body), n)
+	}
+	return task{path: chat, body: body, answer: whole, nonIdempotent: map[string]string{api.HeaderNonIdempotent: "true"}}
 }
 
 // sendRandomly sends one request under one key up to four times, at times twice at
 // once, through any instances.
-func (f *fleet) sendRandomly(record *history.Recorder, random *rand.Rand, caller int, body string) {
+func (f *fleet) sendRandomly(record *history.Recorder, random *rand.Rand, caller int, do task) {
 	key, ok := f.issueAnywhere(random)
 	if !ok {
 		return
 	}
-	record.Expect(body, service.Answer(body))
+	record.Expect(do.body, do.answer)
 	var all sync.WaitGroup
 	for range 1 + random.IntN(4) {
 		p := f.daemons[random.IntN(len(f.daemons))]
 		send := func() {
 			begun := time.Now()
-			r := p.send(call{path: release, body: body, key: key, timeout: 300 * time.Millisecond})
+			r := p.send(call{path: do.path, body: do.body, key: key, timeout: 300 * time.Millisecond, header: do.nonIdempotent})
 			if r.outcome != "" {
-				record.Answer(history.Answer{Key: body, Caller: caller, Outcome: r.outcome, Reason: r.problem.Reason, Body: r.body, Sent: begun, Got: time.Now()})
+				record.Answer(history.Answer{Key: do.body, Caller: caller, Outcome: r.outcome, Reason: r.problem.Reason, Body: text(r.body), Sent: begun, Got: time.Now()})
 			}
 		}
 		if random.IntN(2) == 0 {
@@ -118,7 +171,7 @@
 		}
 		a := f.daemons[random.IntN(len(f.daemons))]
 		b := f.daemons[random.IntN(len(f.daemons))]
-		switch random.IntN(7) {
+		switch random.IntN(9) {
 		case 0:
 			a.kill()
 			a.start()
@@ -136,6 +189,12 @@
 			f.publish(int64(random.IntN(20) + 1))
 		case 5:
 			f.service.SetFaults(service.Faults{Break: n%2 == 0})
+		case 7:
+			f.engine.SetFaults(engine.Faults{CutAfter: 1 + random.IntN(3)})
+		case 8:
+			f.engine.SetFaults(engine.Faults{Garbage: n%2 == 0, Refuse: n%2 == 1})
+			<-tick.C
+			f.engine.SetFaults(engine.Faults{})
 		case 6:
 			a.platWire.Cut("")
 			<-tick.C
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -70,6 +70,19 @@
 	r.dispatches = append(r.dispatches, d)
 }
 
+// Summary words how many dispatches and answers of each outcome there are, so that
+// a reader sees what a run was about.
+func (r *Recorder) Summary() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := map[api.Outcome]int{}
+	for _, a := range r.answers {
+		count[a.Outcome]++
+	}
+	return fmt.Sprintf("%d dispatches; answers: %d answered, %d not-run, %d unknown",
+		len(r.dispatches), count[api.Answered], count[api.NotRun], count[api.Unknown])
+}
+
 // Violation is one broken promise.
 type Violation struct {
 	Promise string
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -56,7 +56,7 @@
 	streams   map[string]*run
 	order     []string // of streams, oldest first
 	wake      chan struct{}
-	bodies    []string
+	begun     []Run
 	cancelled int
 	stop      chan struct{}
 	once      sync.Once
@@ -109,11 +109,17 @@
 	e.model.SetSlow(factor)
 }
 
-// Runs returns the bodies of the runs begun so far.
-func (e *Server) Runs() []string {
+// Run is a run as the engine saw it.
+type Run struct {
+	Body string
+	At   time.Time
+}
+
+// Runs returns the runs begun so far.
+func (e *Server) Runs() []Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]string(nil), e.bodies...)
+	return append([]Run(nil), e.begun...)
 }
 
 // Cancelled returns how many runs were cancelled.
@@ -301,13 +307,13 @@
 
 // remember keeps the latest runs. The caller holds the lock.
 func (e *Server) remember(body string, r *run) {
-	e.bodies = append(e.bodies, body)
+	e.begun = append(e.begun, Run{Body: body, At: time.Now()})
 	e.order = append(e.order, r.id)
 	e.streams[r.id] = r
 	if len(e.order) > keptRuns {
 		delete(e.streams, e.order[0])
 		e.order = e.order[1:]
-		e.bodies = e.bodies[1:]
+		e.begun = e.begun[1:]
 	}
 }
 
