--- a/internal/faults/random_test.go
+++ b/internal/faults/random_test.go
@@ -34,7 +34,7 @@
 
 const (
 	randomCallers  = 6
-	randomRequests = 12 // of each caller
+	randomRequests = 40 // of each caller
 	randomFaults   = 10
 )
 
@@ -47,6 +47,7 @@
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
 		callers.Go(func() {
 			for n := range randomRequests {
+				<-time.After(time.Duration(random.IntN(40)) * time.Millisecond) // spread over the faults
 				f.sendRandomly(record, random, i, newTask(random, fmt.Sprintf("request %d of caller %d", n, i)))
 			}
 		})
