Let the bound on requests held go by tiers

Cause, found on reading: past callers.maxInFlight a request of the highest tier was refused while lower work waited, against the promise. Ruled out: a reserve by tier (the lowest would lose room also when quiet). Change: past the bound a request displaces a waiting one of a lower tier, or is refused; only past twice the bound is one refused unread.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -98,12 +98,12 @@
 
 // serve serves a model request or a call to a service.
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
-	if n := s.inFlight.Add(1); n > int64(s.settings.MaxInFlight) {
-		s.inFlight.Add(-1)
-		s.refuse(w, h, request.NewID(), api.Refuse(api.ReasonQueueFull, "this instance holds %d requests; come back later", n-1).WithRetryAfter(time.Second))
+	held := int(s.inFlight.Add(1))
+	defer s.inFlight.Add(-1)
+	if held > hardFactor*s.settings.MaxInFlight {
+		s.refuse(w, h, request.NewID(), refuseFull(held))
 		return
 	}
-	defer s.inFlight.Add(-1)
 	snapshot := s.gateway.Snapshot(h.Context())
 	if snapshot == nil {
 		s.refuse(w, h, request.NewID(), api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; come back shortly").WithRetryAfter(time.Second))
@@ -117,11 +117,29 @@
 		return
 	}
 	_ = control.SetReadDeadline(time.Time{})
+	if held > s.settings.MaxInFlight && !s.makeRoom(snapshot, r) {
+		s.refuse(w, h, r.ID, refuseFull(held))
+		return
+	}
 	b := s.gateway.Handle(h.Context(), snapshot, r)
 	out := &writer{server: s, response: w, control: control, request: r}
 	out.follow(h.Context(), b)
 }
 
+// hardFactor is how many times callers.maxInFlight requests are read at once, so
+// that their tiers are known, before any is refused unread.
+const hardFactor = 2
+
+func refuseFull(held int) *api.Problem {
+	return api.Refuse(api.ReasonQueueFull, "this instance holds %d requests; come back later", held-1).WithRetryAfter(time.Second)
+}
+
+// makeRoom gives up a waiting request of a lower tier for one of a higher.
+func (s *Server) makeRoom(snapshot *config.Snapshot, r *request.Request) bool {
+	tier, ok := snapshot.Tier(r.Tier)
+	return ok && s.gateway.Displace(tier.Rank)
+}
+
 // models lists the models in OpenAI's form.
 func (s *Server) models(w http.ResponseWriter, h *http.Request) {
 	snapshot, _, problem := s.caller(h)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -185,6 +185,21 @@
 	}
 }
 
+// Displace gives up the least important request that waits in any set and is of a
+// lower tier than rank. It returns false when there is none.
+func (d *Dispatcher) Displace(rank int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var worst *pool
+	lowest := rank
+	for _, p := range d.pools {
+		if r := p.lowestRank(); r > lowest {
+			worst, lowest = p, r
+		}
+	}
+	return worst != nil && worst.displace(rank)
+}
+
 // InFlight returns how many requests are being served here.
 func (d *Dispatcher) InFlight() int { return int(d.flying.Load()) }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -176,6 +176,22 @@
 	p.core.MarkLeaving(address)
 }
 
+func (p *pool) lowestRank() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.LowestRank()
+}
+
+// displace gives up one waiting request of a lower tier than rank.
+func (p *pool) displace(rank int) (displaced bool) {
+	p.apply(func(time.Time) scheduler.Decisions {
+		d := p.core.Displace(rank)
+		displaced = len(d.Sheds) > 0
+		return d
+	})
+	return displaced
+}
+
 func (p *pool) addPending(to map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/faults/promises_test.go
+++ b/internal/faults/promises_test.go
@@ -318,6 +318,30 @@
 	}
 }
 
+// The bound of an instance on requests held goes by tiers too.
+func TestFullInstanceTakesHigherTiers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newTunedFleet(t, func(s *settings.Settings) { s.Callers.MaxInFlight = 9 }, "fort")
+	p := f.daemons[0]
+	hold := make(chan struct{})
+	f.service.SetFaults(service.Faults{Hold: hold})
+	var all sync.WaitGroup
+	lower := make(chan reply, 99)
+	for n := 1; n <= 9; n++ { // 8 are sent, 1 waits
+		all.Go(func() { lower <- p.send(call{path: lookup, body: "low", tier: "desk"}) })
+		f.eventually("it is held", func() bool { return p.status().InFlight == n })
+	}
+	is.Equal(p.send(call{path: lookup, body: "x", tier: "desk"}).problem.Reason, api.ReasonQueueFull)
+	higher := make(chan reply)
+	go func() { higher <- p.send(call{path: lookup, body: "high", tier: "counter"}) }()
+	is.Equal((<-lower).problem.Reason, api.ReasonDisplaced)
+	is.Equal(p.send(call{path: lookup, body: "x", tier: "counter"}).problem.Reason, api.ReasonQueueFull) // nothing lower waits
+	close(hold)
+	is.Equal((<-higher).outcome, api.Answered)
+	all.Wait()
+}
+
 // The same across instances of a zone: before work of a higher tier is refused at
 // one, the lower work that waits at the other is given up.
 func TestHigherTierIsNeverShedBeforeLowerWorkOfAPeer(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,9 @@
 // Dispatcher serves a request at this instance and finishes the buffer.
 type Dispatcher interface {
 	Serve(ctx context.Context, s *config.Snapshot, r *request.Request, b *answer.Buffer)
+	// Displace gives up the least important waiting request that is of a lower
+	// tier than rank, and returns false when there is none.
+	Displace(rank int) bool
 }
 
 // Peers forwards to other instances.
@@ -75,6 +78,9 @@
 	return g.o.Holder.Current()
 }
 
+// Displace makes room for a request of a tier by giving up one of a lower tier.
+func (g *Gateway) Displace(rank int) bool { return g.o.Dispatcher.Displace(rank) }
+
 // Issue returns a key for the organisation.
 func (g *Gateway) Issue(organisation, requestID string) (string, *api.Problem) {
 	if g.Draining() {
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -88,6 +88,19 @@
 	}
 }
 
+// LowestRank returns the least important rank that waits, or -1.
+func (c *Core) LowestRank() int { return c.queue.LowestRank() }
+
+// Displace gives up the least important waiting request of a lower tier than rank,
+// if there is one.
+func (c *Core) Displace(rank int) Decisions {
+	var d Decisions
+	if victim := c.queue.Displace(rank); victim != nil {
+		c.shedDisplaced(victim, &d)
+	}
+	return d
+}
+
 // floorHold is how long lower work isn't queued after a peer has told that work
 // of a rank is shed.
 const floorHold = time.Second
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -68,7 +68,8 @@
 	ReadTimeout Duration `json:"readTimeout,omitzero"`
 	// WriteTimeout is the time a caller has to take one piece of an answer. Default 30s.
 	WriteTimeout Duration `json:"writeTimeout,omitzero"`
-	// MaxInFlight bounds requests held at once. Default 4096.
+	// MaxInFlight bounds requests held at once; past it a request displaces a
+	// waiting one of a lower tier, or is refused. Default 4096.
 	MaxInFlight int `json:"maxInFlight,omitzero"`
 }
 
