Build the daemon's parts in functions of their own

Cause: daemon.New had 82 lines, and its fields stood in no order. Change: fields by what they are for; one function for each part; a comment of the peers' handler says what may not block.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,31 +43,39 @@
 // Daemon is one running instance.
 type Daemon struct {
 	settings    *settings.Settings
+	listeners   listeners
+	token       string // of operators
 	address     string
 	incarnation idempotency.Incarnation
 	started     time.Time
 	log         *log.Logger
 	metrics     *telemetry.Metrics
-	holder      *config.Holder
-	changes     *watch.Log
-	register    *idempotency.Register
-	pauses      *pause.Detector
-	platform    *platform.Client
-	upstreams   *upstream.Client
-	dispatcher  *dispatch.Dispatcher
-	gateway     *gateway.Gateway
-	mesh        *peer.Mesh
-	callers     *callerapi.Server
-	instances   *instanceList
-	caches      *cacheevents.Follower
 
+	// What it believes, and when that must be read anew.
+	holder    *config.Holder
+	changes   *watch.Log
+	instances *instanceList
+	pauses    *pause.Detector
+	gate      *pause.Gate
+
+	// What it calls.
+	platform  *platform.Client
+	upstreams *upstream.Client
+	caches    *cacheevents.Follower
+	mesh      *peer.Mesh
+
+	// What serves requests.
+	clock         *idempotency.Clock
+	register      *idempotency.Register
 	organisations *orglimit.Limiter
-	listeners     listeners
-	token         string // of operators
-	drained       chan struct{}
-	life          context.Context // ends with end, when Run does
-	end           context.CancelFunc
-	drainOnce     sync.Once
+	dispatcher    *dispatch.Dispatcher
+	gateway       *gateway.Gateway
+	callers       *callerapi.Server
+
+	drained   chan struct{}
+	drainOnce sync.Once
+	life      context.Context // ends with end, when Run does
+	end       context.CancelFunc
 }
 
 // New builds a daemon and opens its listeners. Run serves them.
@@ -81,62 +89,81 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings:    s,
-		listeners:   l,
-		token:       token,
-		address:     l.advertised(s.Peers),
-		incarnation: idempotency.NewIncarnation(),
-		started:     time.Now(),
-		metrics:     telemetry.NewMetrics(),
-		holder:      config.NewHolder(),
-		changes:     watch.NewLog(),
-		pauses:      pause.NewDetector(),
-		platform:    platform.NewClient(s.Platform.URL, time.Duration(s.Platform.Wait)),
-		upstreams:   upstream.NewClient(time.Duration(s.Upstreams.ConnectTimeout)),
-		drained:     make(chan struct{}),
-
+		settings:      s,
+		listeners:     l,
+		token:         token,
+		address:       l.advertised(s.Peers),
+		incarnation:   idempotency.NewIncarnation(),
+		started:       time.Now(),
+		metrics:       telemetry.NewMetrics(),
+		holder:        config.NewHolder(),
+		changes:       watch.NewLog(),
+		instances:     newInstanceList(),
+		pauses:        pause.NewDetector(),
+		platform:      platform.NewClient(s.Platform.URL, time.Duration(s.Platform.Wait)),
+		upstreams:     upstream.NewClient(time.Duration(s.Upstreams.ConnectTimeout)),
+		clock:         idempotency.NewClock(),
 		organisations: orglimit.NewLimiter(),
+		drained:       make(chan struct{}),
 	}
 	d.life, d.end = context.WithCancel(context.Background())
 	d.log = telemetry.NewLogger(logTo, s.Log.Level, d.address)
-	d.instances = newInstanceList()
-	clock := idempotency.NewClock()
-	lifetime := time.Duration(s.Idempotency.KeyLifetime)
-	d.register = idempotency.NewRegister(idempotency.Limits{
-		Lifetime:       lifetime,
-		MaxEntries:     s.Idempotency.MaxEntries,
-		MaxAnswerBytes: s.Idempotency.MaxAnswerBytes,
-	}, clock)
-	gate := &pause.Gate{Detector: d.pauses, Refresh: d.refresh, Patience: refreshPatience}
-	d.dispatcher = dispatch.New(dispatch.Options{
-		Instance: d.address,
-		Zone:     s.Zone,
-		Subset:   s.Upstreams.Subset,
-		Limits:   queue.Limits{MaxItems: s.Queue.MaxItems, MaxBytes: s.Queue.MaxBytes},
-		Budget:   s.Upstreams.RetryBudget,
-		Client:   d.upstreams,
-		Metrics:  d.metrics,
-		Log:      d.log,
-		Pressure: d.press,
-		Announce: func() { d.mesh.Announce() },
-		Leaving:  d.upstreamLeaving,
-		Spill:    d.spill,
-		Gate:     gate,
+	d.gate = &pause.Gate{Detector: d.pauses, Refresh: d.refresh, Patience: refreshPatience}
+	d.dispatcher = d.newDispatcher()
+	d.gateway = d.newGateway()
+	d.mesh = d.newMesh()
+	d.gateway.SetPeers(d.mesh)
+	d.callers = callerapi.New(d.gateway, d.metrics, s.Callers, d.address)
+	d.caches = cacheevents.NewFollower(d.dispatcher)
+	d.gauges()
+	return d, nil
+}
 
+func (d *Daemon) newDispatcher() *dispatch.Dispatcher {
+	s := d.settings
+	return dispatch.New(dispatch.Options{
+		Instance:      d.address,
+		Zone:          s.Zone,
+		Subset:        s.Upstreams.Subset,
+		Limits:        queue.Limits{MaxItems: s.Queue.MaxItems, MaxBytes: s.Queue.MaxBytes},
+		Budget:        s.Upstreams.RetryBudget,
+		Client:        d.upstreams,
+		Metrics:       d.metrics,
+		Log:           d.log,
+		Pressure:      d.press,
+		Announce:      func() { d.mesh.Announce() },
+		Leaving:       d.upstreamLeaving,
+		Spill:         d.spill,
 		Organisations: d.organisations,
+		Gate:          d.gate,
 	})
-	d.gateway = gateway.New(gateway.Options{
-		Issuer:     idempotency.NewIssuer(d.address, d.incarnation, clock),
+}
+
+// newGateway builds the gateway and the register of keys that it uses.
+func (d *Daemon) newGateway() *gateway.Gateway {
+	s := d.settings.Idempotency
+	lifetime := time.Duration(s.KeyLifetime)
+	d.register = idempotency.NewRegister(idempotency.Limits{
+		Lifetime:       lifetime,
+		MaxEntries:     s.MaxEntries,
+		MaxAnswerBytes: s.MaxAnswerBytes,
+	}, d.clock)
+	return gateway.New(gateway.Options{
+		Issuer:     idempotency.NewIssuer(d.address, d.incarnation, d.clock),
 		Register:   d.register,
-		Clock:      clock,
+		Clock:      d.clock,
 		Lifetime:   lifetime,
 		Holder:     d.holder,
 		Dispatcher: d.dispatcher,
-		Gate:       gate,
+		Gate:       d.gate,
 		Metrics:    d.metrics,
 		Log:        d.log,
 	})
-	d.mesh = peer.NewMesh(peer.Options{
+}
+
+func (d *Daemon) newMesh() *peer.Mesh {
+	s := d.settings
+	return peer.NewMesh(peer.Options{
 		Address:      d.address,
 		Listen:       s.Peers.Address,
 		Zone:         s.Zone,
@@ -147,11 +174,6 @@
 		Log:          d.log,
 		TLS:          d.listeners.peerClientTLS,
 	})
-	d.gateway.SetPeers(d.mesh)
-	d.callers = callerapi.New(d.gateway, d.metrics, s.Callers, d.address)
-	d.caches = cacheevents.NewFollower(d.dispatcher)
-	d.gauges()
-	return d, nil
 }
 
 func (d *Daemon) gauges() {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -21,8 +21,9 @@
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
-// Handler is what a mesh serves its peers with. No method may block but Serve's
-// context may be used for waiting within the buffer's making.
+// Handler is what a mesh serves its peers with. Its methods are called by several
+// goroutines at once and must not block; Serve returns a buffer that is still being
+// made.
 type Handler interface {
 	// Serve serves a request that a peer forwarded.
 	Serve(ctx context.Context, r *request.Request) *answer.Buffer
