Shrink windows by 11% at a late first token

Cause: with two engines slow, tier 1 in Addis had 85% in time while windows stood below what the engines could do. Change: the factor of a decrease is 0.89 in place of 0.85.

--- a/internal/estimate/window.go
+++ b/internal/estimate/window.go
@@ -8,7 +8,7 @@
 	minWindow     = 1
 	maxWindow     = 1024
 	// decrease is the factor of a window at a sign of too much work.
-	decrease = 0.85
+	decrease = 0.89
 	// decreasePause is the least time between two decreases, so that one excess
 	// isn't answered more than once.
 	decreasePause = 250 * time.Millisecond
