--- /dev/null
+++ b/internal/faults/configuration_test.go
@@ -0,0 +1,74 @@
+package faults
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/pause"
+)
+
+func TestConfigurationReachesEveryInstanceAndNeverReverts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort", "pettah")
+	all := func(revision int64) {
+		t.Helper()
+		for _, p := range f.daemons {
+			f.eventually(fmt.Sprintf("%s has revision %d", p.ip, revision), func() bool { return p.status().Revision == revision })
+		}
+	}
+	f.daemons[2].platWire.Cut("") // learns from its peers alone
+	f.publish(3)
+	all(3)
+	f.platform.Publish(2, document("stale"))
+	f.eventually("the stale value is seen", func() bool { return f.daemons[0].metric("tacktally_config_older_total") > 0 })
+	all(3)
+	f.platform.Publish(3, document("another"))
+	f.eventually("the conflict is reported", func() bool { return f.daemons[0].metric("tacktally_config_conflicts_total") > 0 })
+	f.platform.Publish(4, []byte(`{"tiers": 7}`))
+	f.eventually("the fault is reported", func() bool { return f.daemons[0].metric("tacktally_config_rejected_total") > 0 })
+	all(3)
+	// An instance that starts while the platform is stale must not serve under
+	// what the platform says while a peer knows better.
+	f.publish(1)
+	f.daemons[0].kill()
+	f.daemons[0].start()
+	f.daemons[0].waitReady()
+	is.Equal(f.daemons[0].status().Revision, int64(3))
+	f.publish(5)
+	all(5)
+}
+
+func TestStartsFromPeersWhileThePlatformIsDown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	f.platform.SetDown(true)
+	f.daemons[0].kill()
+	f.daemons[0].start()
+	f.daemons[0].waitReady()
+	is.Equal(f.daemons[0].status().Revision, int64(1))
+	f.eventually("it serves", func() bool { return f.daemons[0].send(call{path: lookup, body: "q"}).outcome == api.Answered })
+}
+
+func TestWokenInstanceServesUnderWhatIsInForce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	frozen := f.daemons[1]
+	frozen.freeze()
+	f.publish(4)
+	f.eventually("the other has it", func() bool { return f.daemons[0].status().Revision == 4 })
+	<-time.After(pause.Threshold + 200*time.Millisecond) // the length of the fault
+	early := make(chan reply, 1)
+	go func() { early <- frozen.send(call{path: lookup, body: "q"}) }()
+	frozen.wake()
+	r := <-early
+	is.Equal(r.outcome, api.Answered)
+	is.Equal(r.header.Get(api.HeaderRevision), "4")
+	is.True(frozen.metric("tacktally_pauses_total") > 0)
+}
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -350,8 +350,11 @@
 	key     string
 	attempt string
 	timeout time.Duration
-	tier    string
-	header  map[string]string
+	// hasty callers give up soon after the timeout, since the instance may be frozen
+	// or cut off; others wait for its answer.
+	hasty  bool
+	tier   string
+	header map[string]string
 }
 
 // send sends a request to a daemon and reads the whole answer. The reply of a
@@ -381,7 +384,8 @@
 	client := p.fleet.client
 	if c.timeout > 0 {
 		set(api.HeaderTimeout, c.timeout.String())
-		// A frozen or cut instance can't tell that the time is over.
+	}
+	if c.hasty {
 		client = &http.Client{Transport: client.Transport, Timeout: c.timeout + 300*time.Millisecond}
 	}
 	r, err := client.Do(h)
--- /dev/null
+++ b/internal/faults/keys_test.go
@@ -0,0 +1,117 @@
+package faults
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/settings"
+	"github.com/tacktally/tacktally/internal/standin/service"
+)
+
+// An instance that refuses before it has asked the issuer can't know whether
+// another sending ran.
+func TestRefusalWithoutTheIssuerIsNeverNotRun(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newTunedFleet(t, func(s *settings.Settings) { s.Callers.MaxInFlight = 1 }, "fort", "fort")
+	issuer, other := f.daemons[0], f.daemons[1]
+	key := issuer.issue()
+	again := call{path: release, body: "a", key: key}
+	is.Equal(issuer.send(again).body, service.Answer("a"))
+	uncertain := func(r reply, reason api.Reason) {
+		t.Helper()
+		is.Equal(r.problem.Reason, reason)
+		is.Equal(r.outcome, api.Unknown)
+		is.Equal(r.problem.AttemptOutcome, api.NotRun)
+	}
+	tierless := again
+	tierless.tier = "gold"
+	uncertain(other.send(tierless), api.ReasonTierNotAllowed)
+	// The issuer itself, full.
+	arrived, hold := make(chan service.Call), make(chan struct{})
+	f.service.SetFaults(service.Faults{Arrived: arrived, Hold: hold})
+	held := make(chan reply)
+	go func() { held <- issuer.send(call{path: lookup, body: "b"}) }()
+	<-arrived
+	uncertain(issuer.send(again), api.ReasonQueueFull)
+	close(hold)
+	<-held
+	// An instance that has no configuration yet.
+	f.platform.SetDown(true)
+	cut(issuer, other)
+	other.kill()
+	other.start()
+	f.eventually("it listens", func() bool { return other.send(again).status != 0 })
+	uncertain(other.send(again), api.ReasonNoConfiguration)
+	is.Equal(f.runs("a"), 1)
+}
+
+func TestCallerChosenIDs(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "fort", "fort", "pettah")
+	first, other := f.daemons[0], f.daemons[2]
+	for name, c := range map[string]struct {
+		before, send *call // sent to first, then send to other
+		reason       api.Reason
+		runs         int
+	}{
+		"first attempt runs":                    {nil, &call{attempt: "1"}, "", 1},
+		"a repeat finds it elsewhere":           {&call{attempt: "1"}, &call{attempt: "2"}, "", 1},
+		"an unmarked one finds it":              {&call{attempt: "1"}, &call{}, "", 1},
+		"OpenAI's mark counts":                  {nil, &call{header: map[string]string{api.HeaderRetryCount: "0"}}, "", 1},
+		"a repeat nobody holds":                 {nil, &call{attempt: "2"}, api.ReasonNotFirstAttempt, 0},
+		"an unmarked one nobody holds":          {nil, &call{}, api.ReasonNotFirstAttempt, 0},
+		"another body under the ID":             {&call{attempt: "1"}, &call{attempt: "2", body: "changed"}, api.ReasonKeyMismatch, 1},
+		"not allowed to the other organisation": {nil, &call{attempt: "1", apiKey: otherKey}, api.ReasonKeyRequired, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			id := "id of " + name
+			with := func(c *call) call {
+				c.path, c.key = release, id
+				if c.body == "" {
+					c.body = name
+				}
+				return *c
+			}
+			if c.before != nil {
+				is.Equal(first.send(with(c.before)).body, service.Answer(name))
+			}
+			r := other.send(with(c.send))
+			is.Equal(r.problem.Reason, c.reason)
+			if c.reason == "" {
+				is.Equal(r.body, service.Answer(name))
+			}
+			is.Equal(f.runs(name), c.runs)
+			is.Equal(f.runs("changed"), 0)
+		})
+	}
+}
+
+// A plain caller without a key needs one more round trip and nothing else.
+func TestKeyIsGivenWith428(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	r := f.daemons[0].send(call{path: release, body: "a"})
+	is.Equal(r.status, http.StatusPreconditionRequired)
+	is.Equal(r.outcome, api.NotRun)
+	key := r.problem.IdempotencyKey
+	is.Equal(f.daemons[1].send(call{path: release, body: "a", key: key}).body, service.Answer("a"))
+	for name, c := range map[string]call{
+		"another body":         {path: release, body: "b", key: key},
+		"another organisation": {path: release, body: "a", key: key, apiKey: otherKey},
+	} {
+		for _, p := range f.daemons {
+			is.Equal(p.send(c).problem.Reason, api.ReasonKeyMismatch) // a stranger never sees the answer
+		}
+		_ = name
+	}
+	forged := key[:len(key)-4] + "AAAA"
+	is.Equal(f.daemons[0].send(call{path: release, body: "f", key: forged}).problem.Reason, api.ReasonKeyInvalid)
+	is.Equal(f.runs("a"), 1)
+	is.Equal(f.runs("b")+f.runs("f"), 0)
+}
