Pass paths as they are, refuse unknown methods, and read streams by the standard

Cause, found on reading: a service's path was resolved against its base, unescaped, so that an escaped question mark became a query and a doubled slash could name another host; a method that the daemon doesn't know was sent as POST; a stream with comments, ids or "data:" without a space was called garbage.

Change: URLs are built from parts, with the path as the caller escaped it; declared non-idempotent calls are matched on the unescaped path; unknown methods are refused; events are read field by field, and the engine's ids are left out.

--- a/client/stream.go
+++ b/client/stream.go
@@ -95,9 +95,10 @@
 	id := ""
 	failed := false
 	for s.lines.Scan() {
-		line := s.lines.Bytes()
+		field, value, _ := bytes.Cut(s.lines.Bytes(), []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
 		switch {
-		case len(line) == 0 && data != nil:
+		case len(field) == 0 && len(value) == 0 && data != nil:
 			if failed {
 				return nil, problemOf(data)
 			}
@@ -105,12 +106,12 @@
 				s.sending.lastID = id
 			}
 			return data, nil
-		case bytes.HasPrefix(line, []byte("data: ")):
-			data = append(data, line[len("data: "):]...)
-		case bytes.HasPrefix(line, []byte("id: ")):
-			id = string(line[len("id: "):])
-		case bytes.Equal(line, []byte("event: error")):
-			failed = true
+		case string(field) == "data":
+			data = append(data, value...)
+		case string(field) == "id":
+			id = string(value)
+		case string(field) == "event":
+			failed = string(value) == "error"
 		}
 	}
 	return nil, errors.Join(errIncomplete, s.lines.Err())
--- a/internal/request/decode.go
+++ b/internal/request/decode.go
@@ -217,6 +217,12 @@
 // passedHeaders are the fields of a service request that reach the service.
 var passedHeaders = []string{"Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match", "User-Agent"}
 
+// serviceMethods are the methods that are passed to services.
+var serviceMethods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true,
+	http.MethodPut: true, http.MethodPatch: true, http.MethodDelete: true,
+}
+
 func (r *Request) decodeService(h *http.Request, s *config.Snapshot) *api.Problem {
 	r.Kind = Service
 	name, path, _ := strings.Cut(strings.TrimPrefix(h.URL.Path, ServicePrefix), "/")
@@ -224,8 +230,13 @@
 	if !ok {
 		return api.Refuse(api.ReasonUnknownService, "no service is named %q; ask your operator which are declared", name)
 	}
+	if !serviceMethods[r.Method] {
+		return api.Refuse(api.ReasonInvalidRequest, "method %s isn't passed to services; use GET, HEAD, POST, PUT, PATCH or DELETE", r.Method)
+	}
+	_, rawPath, _ := strings.Cut(strings.TrimPrefix(h.URL.EscapedPath(), ServicePrefix), "/")
 	r.Service = name
 	r.Path = "/" + path
+	r.RawPath = "/" + rawPath
 	r.Query = h.URL.RawQuery
 	r.Prompt = svc.CostTokens
 	r.NonIdempotent = r.NonIdempotent || svc.NonIdempotent(r.Method, r.Path)
--- a/internal/request/decode_test.go
+++ b/internal/request/decode_test.go
@@ -57,6 +57,10 @@
 	is.True(r.NonIdempotent) // by the operator's word
 	is.Equal(r.Path+"?"+r.Query, "/confirm?lorry=3")
 	is.Equal(r.Tier, "desk") // the organisation's default
+	r, problem = Decode(now, ask("POST", "/services/bookings/%63onfirm%2F7", "x"), snapshot(t), maxBody)
+	is.True(problem == nil)
+	is.True(r.NonIdempotent) // however it is escaped
+	is.Equal(r.RawPath, "/%63onfirm%2F7")
 }
 
 // Bad input gets a typed reason and a remedy.
@@ -82,6 +86,7 @@
 		"invalid UTF-8":     {ask("POST", chat, "{\"model\":\"a\xff\"}"), api.ReasonInvalidRequest, "UTF-8"},
 		"wrong type":        {ask("POST", chat, `{"model":7,"messages":[]}`), api.ReasonInvalidRequest, "wrong type"},
 		"no output":         {ask("POST", chat, `{"model":"move-planner","max_tokens":0,"messages":[]}`), api.ReasonInvalidRequest, "at least 1"},
+		"method":            {ask("OPTIONS", "/services/bookings/confirm", ""), api.ReasonInvalidRequest, "use GET"},
 		"body too large":    {ask("POST", chat, `"`+strings.Repeat("x", maxBody)), api.ReasonBodyTooLarge, "send less"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -75,6 +75,9 @@
 
 	// Chain is the prompt's prefix sums.
 	Chain []uint64 `cbor:"22,keyasint,omitempty"`
+	// RawPath is Path as the caller escaped it.
+	RawPath string `cbor:"25,keyasint,omitempty"`
+
 	// Age is the time since the caller's sending arrived, when it was sent to this
 	// instance.
 	Age time.Duration `cbor:"23,keyasint,omitempty"`
@@ -104,7 +107,7 @@
 // seal sums what is asked: all that changes what an upstream would do.
 func (r *Request) seal() {
 	h := sha256.New()
-	for _, part := range []string{r.Organisation, r.Model, r.Service, r.Method, r.Path, r.Query} {
+	for _, part := range []string{r.Organisation, r.Model, r.Service, r.Method, r.Path, r.RawPath, r.Query} {
 		var length [4]byte
 		binary.BigEndian.PutUint32(length[:], uint32(len(part)))
 		h.Write(length[:])
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -224,7 +225,7 @@
 	case call.StreamID != "":
 		s = s.Get("/v1/streams/" + call.StreamID + "?offset=" + strconv.Itoa(call.Events))
 	case r.Kind == request.Service:
-		s = serviceCall(s, r)
+		s = serviceCall(s, call.Address, r)
 	case r.Kind == request.Chat:
 		s = s.Post("/v1/chat/completions").Body(bytes.NewReader(r.Body)).Set("Content-Type", "application/json")
 	default:
@@ -237,12 +238,11 @@
 	return h.WithContext(ctx), nil
 }
 
-func serviceCall(s *sling.Sling, r *request.Request) *sling.Sling {
-	target := r.Path
-	if r.Query != "" {
-		target += "?" + r.Query
-	}
-	s = s.Path(target)
+// serviceCall passes a call on. Its URL is built from parts and not resolved against
+// the base, so that no path can name another host.
+func serviceCall(s *sling.Sling, address string, r *request.Request) *sling.Sling {
+	u := url.URL{Scheme: "http", Host: address, Path: r.Path, RawPath: r.RawPath, RawQuery: r.Query}
+	target := u.String()
 	switch r.Method {
 	case http.MethodGet:
 		s = s.Get(target)
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -185,6 +185,7 @@
 		"cut whole":          {false, fmt.Sprintf(head, "application/json", "Content-Length: 50\r\n", `{}`), Lost, 0},
 		"stream without end": {true, fmt.Sprintf(head, "text/event-stream", "", "data: a\n\n"), Cut, 1},
 		"half an event":      {true, fmt.Sprintf(head, "text/event-stream", "", "data: a\n\ndata: b"), Cut, 1},
+		"comments and ids":   {true, fmt.Sprintf(head, "text/event-stream", "", ": hello\n\nid: 7\nevent: x\ndata:a\n\n: still here\n\ndata: b\r\n\r\ndata: [DONE]\n\n"), Done, 2},
 		"event of no data":   {true, fmt.Sprintf(head, "text/event-stream", "", "hello\n\n"), Garbage, 0},
 		"full":               {true, "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", Busy, 0},
 		"no HTTP":            {true, "SSH-2.0-OpenSSH\r\n", Lost, 0},
@@ -205,6 +206,33 @@
 	}
 }
 
+// Paths reach the service as the caller wrote them, and never another host.
+func TestPathsArePassedAsTheyAre(t *testing.T) {
+	is := is.New(t)
+	var seen []string
+	u := listenRaw(t, func(u *rawUpstream, _ int, c net.Conn, r *bufio.Reader) {
+		h, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		seen = append(seen, h.Method+" "+h.RequestURI)
+		_, _ = io.WriteString(c, okAnswer)
+	})
+	client := NewClient(time.Second)
+	for _, c := range []struct{ method, path, raw, query, want string }{
+		{"GET", "/a b", "/a%20b", "x=1&y=%26", "GET /a%20b?x=1&y=%26"},
+		{"POST", "/a?b", "/a%3Fb", "", "POST /a%3Fb"},
+		{"PUT", "/a/b", "/a%2Fb", "", "PUT /a%2Fb"},
+		{"DELETE", "//example.org/x", "//example.org/x", "", "DELETE //example.org/x"},
+	} {
+		r := service(c.method, true)
+		r.Path, r.RawPath, r.Query, r.Body = c.path, c.raw, c.query, nil
+		res, _ := do(t, client, u.listener.Addr().String(), r, allow)
+		is.Equal(res.Status, Done)
+		is.Equal(seen[len(seen)-1], c.want)
+	}
+}
+
 func TestResumeTokens(t *testing.T) {
 	is := is.New(t)
 	token := ResumeToken{Upstream: "10.0.0.9:9002", StreamID: "abc-1", Events: 7}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -9,6 +9,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -155,10 +156,14 @@
 		if event == nil {
 			return e.result(Garbage, fmt.Errorf("an event is larger than %d bytes", maxEventBytes))
 		}
-		done := bytes.HasPrefix(event, []byte(doneEvent))
-		if !done && !bytes.HasPrefix(event, []byte("data: ")) {
-			return e.result(Garbage, errors.New("an event has no data"))
+		event, hasData, ok := cleanEvent(event)
+		if !ok {
+			return e.result(Garbage, errors.New("a line of the stream is none of an event"))
 		}
+		if !hasData {
+			continue // a comment that keeps the connection alive
+		}
+		done := bytes.Contains(event, []byte(doneEvent))
 		if !e.first {
 			e.first = true
 			e.call.OnFirst()
@@ -194,6 +199,36 @@
 	return Result{Status: s, Err: err, Output: e.tokens, StreamID: e.stream, Events: e.events}
 }
 
+// fields that an event's lines may begin with, ":" being a comment. Those named id
+// are left out: the daemon gives events its own.
+var (
+	dataField   = []byte("data:")
+	idField     = []byte("id:")
+	otherFields = [][]byte{[]byte(":"), []byte("event:"), []byte("retry:")}
+)
+
+// cleanEvent checks the lines of an event and leaves out its id. HasData is false
+// for one that holds comments alone.
+func cleanEvent(event []byte) (clean []byte, hasData, ok bool) {
+	for line := range bytes.Lines(event) {
+		switch {
+		case bytes.HasPrefix(line, dataField):
+			hasData = true
+		case bytes.HasPrefix(line, idField):
+			continue
+		case len(bytes.TrimRight(line, "\r\n")) == 0, hasAnyPrefix(line, otherFields):
+		default:
+			return nil, false, false
+		}
+		clean = append(clean, line...)
+	}
+	return clean, hasData, true
+}
+
+func hasAnyPrefix(line []byte, prefixes [][]byte) bool {
+	return slices.ContainsFunc(prefixes, func(p []byte) bool { return bytes.HasPrefix(line, p) })
+}
+
 // readEvent reads up to and with the blank line that ends an event. It returns
 // nil without error for an event that is too large.
 func readEvent(r *bufio.Reader) ([]byte, error) {
