--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -68,7 +68,7 @@
 
 // fleet is daemons in processes of their own before stand-ins in this one.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	network  string // first three numbers of its addresses
 	platform *standinplatform.Service
 	service  *service.Service
@@ -94,11 +94,11 @@
 var networks atomic.Int32
 
 // newFleet starts one daemon for each zone named, each with upstreams of its zone.
-func newFleet(t *testing.T, zones ...string) *fleet {
+func newFleet(t testing.TB, zones ...string) *fleet {
 	return newTunedFleet(t, nil, zones...)
 }
 
-func newTunedFleet(t *testing.T, tune func(*settings.Settings), zones ...string) *fleet {
+func newTunedFleet(t testing.TB, tune func(*settings.Settings), zones ...string) *fleet {
 	t.Helper()
 	n := networks.Add(1)
 	f := &fleet{
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 const bufferBytes = 32 << 10
@@ -18,6 +19,8 @@
 	listener net.Listener
 	target   string
 
+	passed atomic.Int64
+
 	mu    sync.Mutex
 	cuts  map[string]bool // by source IP; "" cuts all
 	conns map[*pair]bool
@@ -53,6 +56,9 @@
 	}
 }
 
+// Passed returns how many bytes have passed, both ways.
+func (r *Relay) Passed() int64 { return r.passed.Load() }
+
 // Cut lets nothing pass for connections from the source IP; "" stands for all.
 func (r *Relay) Cut(source string) {
 	r.mu.Lock()
@@ -142,6 +148,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 && !r.isCut(p) {
+			r.passed.Add(int64(n))
 			if _, werr := to.Write(buffer[:n]); werr != nil {
 				return
 			}
