Test a caller that doesn't read its answer

Cause: the bound on the time to take an answer had no test. Change: a caller that reads nothing is let go after callers.writeTimeout; a repeat under its key gets the whole 12 MB, and it ran once. tacktally_callers_held shows what callers hold.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,6 +178,7 @@
 
 func (d *Daemon) gauges() {
 	d.metrics.Gauge("tacktally_in_flight", func() float64 { return float64(d.dispatcher.InFlight()) })
+	d.metrics.Gauge("tacktally_callers_held", func() float64 { return float64(d.callers.InFlight()) })
 	d.metrics.Gauge("tacktally_keys_reserved", func() float64 { return float64(d.register.Stats().Reserved) })
 	d.metrics.Gauge("tacktally_answer_bytes", func() float64 { return float64(d.register.Stats().AnswerBytes) })
 	d.metrics.Gauge("tacktally_revision", func() float64 { return float64(d.holder.Revision()) })
--- a/internal/faults/edges_test.go
+++ b/internal/faults/edges_test.go
@@ -14,6 +14,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/standin/engine"
+	"github.com/tacktally/tacktally/internal/standin/service"
 )
 
 // raw writes bytes to a daemon's callers' listener and returns all it answers.
@@ -57,6 +58,29 @@
 	is.New(t).Equal(p.send(call{path: lookup, body: "still serving"}).outcome, api.Answered)
 }
 
+// A caller that doesn't read its answer is let go, and a repeat under its key gets
+// the whole answer.
+func TestSlowCallerIsLetGo(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newTunedFleet(t, func(s *settings.Settings) {
+		s.Callers.WriteTimeout = settings.Duration(300 * time.Millisecond)
+		s.Idempotency.MaxAnswerBytes = 16 << 20
+	}, "fort")
+	p := f.daemons[0]
+	key := p.issue()
+	body := strings.Repeat("x", 12<<20)
+	conn, err := net.Dial("tcp", p.ip+":7001")
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s", release, apiKey, key, len(body), body)
+	is.NoErr(err)
+	f.eventually("it has run", func() bool { return len(f.service.Calls()) == 1 })
+	f.eventually("the caller is let go", func() bool { return p.metric("tacktally_callers_held") == 0 })
+	is.Equal(p.send(call{path: release, body: body, key: key}).body, service.Answer(body))
+	is.Equal(len(f.service.Calls()), 1)
+}
+
 // What an engine does wrong is told with a typed error, and other requests go on.
 func TestHardEdgesOfEngines(t *testing.T) {
 	t.Parallel()
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -181,7 +181,7 @@
 		},
 		Tiers:      []api.Tier{tier("counter", 0), tier("desk", 1), tier("note-"+note, 2)},
 		EngineSets: []api.EngineSet{{Metadata: api.Metadata{Name: readers}, Spec: set}},
-		Services:   []api.Service{{Metadata: api.Metadata{Name: claims}, Spec: api.ServiceSpec{NonIdempotent: []string{"POST /release"}}}},
+		Services:   []api.Service{{Metadata: api.Metadata{Name: claims}, Spec: api.ServiceSpec{NonIdempotent: []string{"POST /release"}, MaxBodyBytes: 16 << 20}}},
 	})
 	if err != nil {
 		panic(err)
