Run every stand-in as a process, and take up a renewed CA when dialling

Cause: the whole path had run with its stand-ins in one process; a renewed CA was read only by listeners; nothing showed what a woken instance sends to an upstream that began to leave meanwhile. Change: a test of two daemons, the platform, two unlike engines and a service, each a process; the configuration of TLS is made anew for each link that is dialled; a test of a frozen instance and a leaving upstream. Processes end with their test.

--- a/internal/certificates/certificates.go
+++ b/internal/certificates/certificates.go
@@ -38,10 +38,10 @@
 	}, nil
 }
 
-// Client returns the configuration with which an instance dials its peers: it
-// shows its certificate and wants one of the same CA. Peers are dialled by IP
-// number, so that their certificates must name it.
-func Client(t settings.TLS) (*tls.Config, error) {
+// Client returns what makes the configuration of each dialling to a peer: the
+// instance shows its certificate and wants one of the same CA. Peers are dialled by
+// IP number, so that their certificates must name it.
+func Client(t settings.TLS) (func() *tls.Config, error) {
 	if t.ClientCAFile == "" {
 		return nil, errors.New("peers.tls.clientCAFile is missing; name the CA that signs the instances' certificates")
 	}
@@ -49,14 +49,9 @@
 	if err := f.load(); err != nil {
 		return nil, err
 	}
-	_, pool := f.current()
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13,
-		RootCAs:    pool,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			certificate, _ := f.current()
-			return certificate, nil
-		},
+	return func() *tls.Config {
+		certificate, pool := f.current()
+		return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, Certificates: []tls.Certificate{*certificate}}
 	}, nil
 }
 
@@ -124,7 +119,10 @@
 		return changed, false
 	}
 	f.checked = now
-	for _, name := range []string{f.names.CertificateFile, f.names.KeyFile} {
+	for _, name := range []string{f.names.CertificateFile, f.names.KeyFile, f.names.ClientCAFile} {
+		if name == "" {
+			continue
+		}
 		info, err := os.Stat(name)
 		if err != nil {
 			return changed, false
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -25,7 +25,7 @@
 	callers       net.Listener
 	operators     net.Listener
 	peers         net.Listener
-	peerClientTLS *tls.Config
+	peerClientTLS func() *tls.Config // nil for plain links
 }
 
 func (l *listeners) open(s *settings.Settings) error {
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -36,6 +36,9 @@
 	if path := os.Getenv(roleVariable); path != "" {
 		os.Exit(runDaemon(path))
 	}
+	if role := os.Getenv(standInVariable); role != "" {
+		os.Exit(runStandIn(role, os.Getenv(addressVariable)))
+	}
 	os.Exit(m.Run())
 }
 
@@ -223,7 +226,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.command = exec.Command(os.Args[0])
+	p.command = selfCommand()
 	p.command.Env = append(os.Environ(), roleVariable+"="+path)
 	p.command.Stderr = p.log
 	if err := p.command.Start(); err != nil {
@@ -249,6 +252,13 @@
 	}
 }
 
+// selfCommand runs this binary again. The process ends with the test.
+func selfCommand() *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return c
+}
+
 func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
 
 func (p *process) kill() {
--- a/internal/faults/shutdown_test.go
+++ b/internal/faults/shutdown_test.go
@@ -6,10 +6,12 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/platform"
 	"github.com/tacktally/tacktally/internal/standin/engine"
 	"github.com/tacktally/tacktally/internal/standin/service"
@@ -88,6 +90,30 @@
 	}
 }
 
+// A frozen instance that wakes sends nothing to an upstream that began to leave
+// meanwhile.
+func TestWokenInstanceSendsNothingToALeavingUpstream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	second := service.New()
+	f.list = append(f.list, platform.Instance{Address: f.serve(f.ip(200)+":9001", second), Zone: "fort", Set: claims, State: platform.Live})
+	f.platform.SetInstances(f.list)
+	p := f.daemons[1]
+	f.eventually("the list is in use", func() bool { return p.status().ListVersion == 2 })
+	p.freeze()
+	f.leave(f.ip(100) + ":9001")
+	<-time.After(pause.Threshold + 200*time.Millisecond) // the length of the fault
+	var early sync.WaitGroup
+	for range 10 {
+		early.Go(func() { p.send(call{path: lookup, body: "early"}) })
+	}
+	p.wake()
+	early.Wait()
+	is.Equal(len(f.service.Calls()), 0)
+	is.Equal(len(second.Calls()), 10)
+}
+
 func (f *fleet) leave(address string) {
 	for i := range f.list {
 		if f.list[i].Address == address {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -55,8 +55,8 @@
 	SuspectAfter time.Duration
 	Handler      Handler
 	Log          *log.Logger
-	// TLS makes links with wss; nil makes them plain.
-	TLS *tls.Config
+	// TLS makes the configuration of each link that is dialled; nil makes links plain.
+	TLS func() *tls.Config
 }
 
 const (
@@ -181,10 +181,11 @@
 // dial makes a link and runs it until it ends. Up tells whether it came up.
 func (m *Mesh) dial(ctx context.Context, address string) (up bool, err error) {
 	scheme := "ws://"
+	transport := &http.Transport{DialContext: m.dialer().DialContext, DisableKeepAlives: true}
 	if m.o.TLS != nil {
 		scheme = "wss://"
+		transport.TLSClientConfig = m.o.TLS()
 	}
-	transport := &http.Transport{TLSClientConfig: m.o.TLS, DialContext: m.dialer().DialContext, DisableKeepAlives: true}
 	client := &http.Client{Transport: transport}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
