Go on with a forwarded answer when its link is back

Cause: a forwarded answer whose link broke in its midst ended as unknown, though the issuer held it whole; and the time to wait for a link counted from the request's beginning. Change: the request is sent again; the issuer's answer comes from its start, and what was passed on is left out. The wait counts from the loss of the link.

--- a/internal/answer/buffer.go
+++ b/internal/answer/buffer.go
@@ -61,6 +61,7 @@
 	pieces  [][]byte
 	dropped int // pieces already taken by the reader of a Buffer that isn't held
 	bytes   int // bytes in pieces
+	written int // bytes ever written
 	end     *End
 	changed chan struct{}
 	onEnd   func(End, int)
@@ -114,6 +115,13 @@
 	return b.head != nil
 }
 
+// Written returns how many bytes were ever written.
+func (b *Buffer) Written() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.written
+}
+
 // Write appends a piece, which the Buffer then owns. On a Buffer that isn't held
 // it blocks while the reader is UnheldWindow bytes behind, until ctx ends; on one
 // that is, it returns ErrTooLarge past MaxHeld.
@@ -131,6 +139,7 @@
 		if b.held || b.bytes < UnheldWindow {
 			b.pieces = append(b.pieces, piece)
 			b.bytes += len(piece)
+			b.written += len(piece)
 			b.wake()
 			b.mu.Unlock()
 			return nil
--- a/internal/faults/answers_test.go
+++ b/internal/faults/answers_test.go
@@ -91,6 +91,34 @@
 	is.True(p.metric(`tacktally_retries_total{reason="retry_upstream_lost"}`) >= 1)
 }
 
+// A forwarded answer whose link breaks in its midst goes on when the link is back:
+// the caller sees nothing of it.
+func TestForwardedAnswerOutlivesItsLink(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	issuer, entry := f.daemons[0], f.daemons[1]
+	hold := make(chan struct{})
+	f.engine.SetFaults(engine.Faults{HoldToken: hold})
+	body := prompt("a long dossier", true)
+	key := issuer.issue()
+	got := make(chan reply)
+	go func() { got <- entry.send(call{path: chat, body: body, key: key}) }()
+	hold <- struct{}{} // two tokens have come
+	cut(issuer, entry)
+	f.eventually("they are apart", func() bool { return entry.reachable() == 0 })
+	heal(issuer, entry)
+	close(hold)
+	r := <-got
+	is.Equal(r.outcome, api.Answered)
+	whole := ""
+	for n := 1; n <= 4; n++ {
+		whole += engine.Token([]byte(body), n)
+	}
+	is.Equal(text(r.body), whole)
+	is.Equal(len(f.engine.Runs()), 1)
+}
+
 func TestCutAnswerNeverLooksWhole(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -19,7 +19,8 @@
 )
 
 // forward sends the request to the issuer of its key. It is sent again when the
-// link breaks, which is safe: the issuer knows the key and joins the repeat.
+// link breaks, which is safe: the issuer knows the key and joins the repeat, whose
+// answer is gone on with where it broke.
 func (g *Gateway) forward(ctx context.Context, claims idempotency.Claims, r *request.Request) *answer.Buffer {
 	b := answer.New(false)
 	go func() {
@@ -35,7 +36,7 @@
 }
 
 func (g *Gateway) forwardUntilAnswered(ctx context.Context, claims idempotency.Claims, r *request.Request, b *answer.Buffer) *api.Problem {
-	patience := time.Now().Add(forwardPatience)
+	var linkless time.Time // since when there was no link
 	everSent := false
 	for {
 		if known := g.peers.Incarnation(claims.Issuer); known != 0 && known != uint64(claims.Incarnation) {
@@ -46,12 +47,10 @@
 			return nil
 		}
 		everSent = everSent || sent
-		if b.Started() {
-			// Part of the answer was passed on already. A repeat by the caller
-			// joins at the issuer and gets the whole.
-			return api.LeaveUnknown(api.ReasonIssuerUnreachable, "the link to the issuing instance broke during the answer (%v); repeat the request with the same key", err).WithRetryAfter(time.Second)
+		if sent || linkless.IsZero() {
+			linkless = time.Now()
 		}
-		if ctx.Err() != nil || time.Now().After(patience) {
+		if ctx.Err() != nil || time.Since(linkless) > forwardPatience {
 			p := api.LeaveUnknown(api.ReasonIssuerUnreachable, "the instance that issued the key can't be reached (%v); repeat the request with the same key later, or check what it did", err).WithRetryAfter(time.Second)
 			return forAttempt(p, everSent)
 		}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -13,6 +13,10 @@
 // Forward sends a request to a peer and relays the answer into the buffer, which
 // it finishes unless it returns an error. Sent tells, with an error, whether the
 // request may have reached the peer. It blocks until the answer ends.
+//
+// A buffer that holds a part of the answer already, from an earlier call under the
+// same key, is gone on with: the peer gives the same answer from its start, and what
+// was passed on is left out.
 func (m *Mesh) Forward(ctx context.Context, address string, r *request.Request, b *answer.Buffer) (sent bool, err error) {
 	l := m.linkTo(address)
 	if l == nil {
@@ -23,7 +27,7 @@
 	if err := l.send(ctx, &Frame{Type: TypeOpen, Stream: id, Request: r.ForPeer(time.Now())}); err != nil {
 		return false, err
 	}
-	a := &arrival{link: l, id: id, buffer: b}
+	a := &arrival{link: l, id: id, buffer: b, skip: b.Written()}
 	for {
 		f, err := l.nextFrame(ctx, s)
 		if err != nil {
@@ -47,6 +51,7 @@
 	id     uint64
 	buffer *answer.Buffer
 	taken  int // bytes read since credit was last given
+	skip   int // bytes of the answer that the buffer has had already
 }
 
 // take passes one frame on, and gives credit for what was read.
@@ -55,7 +60,7 @@
 	case TypeHead:
 		a.buffer.Start(*f.Head)
 	case TypeData:
-		if err := a.buffer.Write(ctx, f.Data); err != nil {
+		if err := a.write(ctx, f.Data); err != nil {
 			return false, err
 		}
 		a.taken += charge(len(f.Data))
@@ -72,6 +77,15 @@
 	return false, nil
 }
 
+func (a *arrival) write(ctx context.Context, data []byte) error {
+	n := min(a.skip, len(data))
+	a.skip -= n
+	if n == len(data) {
+		return nil
+	}
+	return a.buffer.Write(ctx, data[n:])
+}
+
 // Fetch asks a peer for its state and hands it to the Handler.
 func (m *Mesh) Fetch(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
