--- /dev/null
+++ b/internal/answer/buffer_test.go
@@ -0,0 +1,81 @@
+package answer
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+)
+
+// read follows a buffer to its end.
+func read(ctx context.Context, b *Buffer) (body string, end *End, err error) {
+	r := b.Reader()
+	for {
+		e, err := r.Next(ctx)
+		if err != nil {
+			return body, nil, err
+		}
+		body += string(e.Piece)
+		if e.End != nil {
+			return body, e.End, nil
+		}
+	}
+}
+
+// Readers that come before, during and after the making of a held answer each get
+// the whole.
+func TestHeldAnswerIsReadWholeByAll(t *testing.T) {
+	is := is.New(t)
+	b := New(true)
+	var all sync.WaitGroup
+	check := func() {
+		body, end, err := read(t.Context(), b)
+		if err != nil || body != strings.Repeat("piece ", 100) || end.Outcome() != api.Answered {
+			t.Errorf("%q %v %v", body, end, err)
+		}
+	}
+	for range 5 {
+		all.Go(check)
+	}
+	b.Start(Head{Status: 200})
+	for i := range 100 {
+		is.NoErr(b.Write(t.Context(), []byte("piece ")))
+		if i%20 == 0 {
+			all.Go(check)
+		}
+	}
+	b.Finish(End{})
+	b.Finish(End{Problem: api.Refuse(api.ReasonDraining, "too late")}) // ignored
+	check()
+	all.Wait()
+}
+
+// A writer waits for the reader of an answer that isn't held, and its memory is
+// freed as it is read.
+func TestUnheldAnswerIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := New(false)
+	ctx, cancel := context.WithCancel(t.Context())
+	piece := make([]byte, UnheldWindow)
+	is.NoErr(b.Write(ctx, piece))
+	cancel()
+	is.True(errors.Is(b.Write(ctx, piece), context.Canceled)) // nobody has read
+	r := b.Reader()
+	_, err := r.Next(t.Context())
+	is.NoErr(err)
+	is.Equal(b.bytes, 0)
+	is.NoErr(b.Write(t.Context(), piece))
+	is.Equal(b.Written(), 2*UnheldWindow)
+}
+
+func TestHeldAnswerHasABound(t *testing.T) {
+	is := is.New(t)
+	b := New(true)
+	is.NoErr(b.Write(t.Context(), make([]byte, MaxHeld)))
+	is.Equal(b.Write(t.Context(), []byte("x")), ErrTooLarge)
+}
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -26,7 +26,6 @@
 	current  *Snapshot
 	since    time.Time
 	rejected *Rejection
-	changed  chan struct{}
 }
 
 // Rejection is the latest published value that was not accepted.
@@ -38,7 +37,7 @@
 
 // NewHolder returns a Holder without a snapshot.
 func NewHolder() *Holder {
-	return &Holder{changed: make(chan struct{})}
+	return &Holder{}
 }
 
 // Offer takes a published value from any source: the platform or a peer.
@@ -65,8 +64,6 @@
 	}
 	h.current = next
 	h.since = now
-	close(h.changed)
-	h.changed = make(chan struct{})
 	return true, nil
 }
 
@@ -118,10 +115,3 @@
 	defer h.mu.Unlock()
 	return h.current, h.since, h.rejected
 }
-
-// Changed returns a channel that is closed at the next change of snapshot.
-func (h *Holder) Changed() <-chan struct{} {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.changed
-}
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -43,12 +43,11 @@
 	bestInterval float64 // shortest time learned so far
 	observed     int
 	observedStep int
-	errorLog     float64 // smoothed absolute log error of first-token predictions
 }
 
 // NewSpeed returns the assumptions of an upstream not yet observed.
 func NewSpeed() Speed {
-	s := Speed{prefill: initialPrefill, interval: initialInterval.Seconds(), errorLog: math.Ln2}
+	s := Speed{prefill: initialPrefill, interval: initialInterval.Seconds()}
 	s.bestPrefill, s.bestInterval = s.prefill, s.interval
 	return s
 }
@@ -85,10 +84,6 @@
 	return seconds(float64(tokens) * s.interval * stretch)
 }
 
-// ErrorFactor returns the factor by which predictions of the first token are
-// typically off, 1 or more.
-func (s *Speed) ErrorFactor() float64 { return math.Exp(s.errorLog) }
-
 // ObserveFirstToken learns from the time that a first token took when so many
 // prompt tokens, those of earlier requests included, were to be read before it.
 func (s *Speed) ObserveFirstToken(tokens int, took time.Duration) {
@@ -97,7 +92,6 @@
 	}
 	predicted := s.FirstToken(tokens).Seconds()
 	ratio := clamp(predicted/took.Seconds(), 1/maxStep, maxStep)
-	s.errorLog += slowGain * (math.Abs(math.Log(ratio)) - s.errorLog)
 	s.prefill = clamp(s.prefill*math.Pow(ratio, s.gain(&s.observed)), minSpeed, maxSpeed)
 	s.bestPrefill = max(s.bestPrefill, s.prefill)
 }
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -20,19 +20,14 @@
 
 // Detector notices pauses. Safe for concurrent use.
 type Detector struct {
-	mu     sync.Mutex
-	last   time.Time
-	epoch  uint64
-	onWake []func(time.Duration)
+	mu    sync.Mutex
+	last  time.Time
+	epoch uint64
 }
 
 // NewDetector returns a detector that has just seen the process alive.
 func NewDetector() *Detector { return &Detector{last: time.Now()} }
 
-// OnWake registers a function called in a goroutine of its own after each pause.
-// Not to be called after Run.
-func (d *Detector) OnWake(f func(paused time.Duration)) { d.onWake = append(d.onWake, f) }
-
 // Epoch checks for a pause up to this moment and returns the number of pauses so
 // far. Whichever goroutine runs first after a wake-up notices it.
 func (d *Detector) Epoch() uint64 {
@@ -43,9 +38,6 @@
 	d.last = now
 	if gap > Threshold {
 		d.epoch++
-		for _, f := range d.onWake {
-			go f(gap)
-		}
 	}
 	return d.epoch
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -75,9 +75,6 @@
 // Predicted returns the time in which the first token was expected.
 func (g *Grant) Predicted() time.Duration { return g.predicted }
 
-// Uncached returns the prompt tokens that the upstream was assumed to read.
-func (g *Grant) Uncached() int { return g.uncached }
-
 // Shed is a request given up before it was sent.
 type Shed struct {
 	Request *Request
