--- a/cmd/tacktallyd/main_test.go
+++ b/cmd/tacktallyd/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -9,7 +11,13 @@
 	"syscall"
 	"testing"
 
+	"github.com/go-json-experiment/json"
 	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/platform"
+	standinplatform "github.com/tacktally/tacktally/internal/standin/platform"
+	"github.com/tacktally/tacktally/internal/standin/rig"
+	"github.com/tacktally/tacktally/internal/standin/service"
 )
 
 // argumentsVariable makes the test binary run as tacktallyd with the arguments in it.
@@ -88,3 +96,66 @@
 	is.True(strings.Contains(seen, "event=draining"))
 	is.True(strings.Contains(seen, "event=stopped"))
 }
+
+// A second signal ends a shutdown that waits for requests in flight, with an exit
+// code of its own.
+func TestSecondSignalCutsTheShutdownShort(t *testing.T) {
+	is := is.New(t)
+	arrived, hold := make(chan service.Call, 1), make(chan struct{})
+	defer close(hold)
+	upstream := service.New()
+	upstream.SetFaults(service.Faults{Arrived: arrived, Hold: hold})
+	serve := func(h http.Handler) string {
+		s := httptest.NewServer(h)
+		t.Cleanup(s.CloseClientConnections)
+		return s.URL
+	}
+	upstreamAt := serve(upstream)
+	p := standinplatform.New()
+	document, err := json.Marshal(rig.Document())
+	is.NoErr(err)
+	p.Publish(1, document)
+	p.SetInstances([]platform.Instance{{Address: strings.TrimPrefix(upstreamAt, "http://"), Zone: "bole", Set: rig.Bookings, State: platform.Live}})
+	run := command("-s " + settingsFile(t, strings.Replace(alone, "http://127.0.0.1:9", serve(p), 1)))
+	log, err := run.StderrPipe()
+	is.NoErr(err)
+	is.NoErr(run.Start())
+	lines := bufio.NewScanner(log)
+	callers := ""
+	for lines.Scan() {
+		for _, pair := range strings.Fields(lines.Text()) {
+			if rest, ok := strings.CutPrefix(pair, "callers="); ok {
+				callers = rest
+			}
+		}
+		switch {
+		case strings.Contains(lines.Text(), "event=instances"):
+			go post(callers)
+			<-arrived
+			is.NoErr(run.Process.Signal(syscall.SIGTERM))
+		case strings.Contains(lines.Text(), "event=draining"):
+			is.NoErr(run.Process.Signal(syscall.SIGTERM))
+		}
+	}
+	_ = run.Wait()
+	is.Equal(run.ProcessState.ExitCode(), exitForced)
+}
+
+// post calls the service until the daemon, which has just its list, serves it.
+func post(callers string) {
+	for {
+		h, err := http.NewRequest(http.MethodPost, "http://"+callers+"/services/"+rig.Bookings+"/lookup", nil)
+		if err != nil {
+			return
+		}
+		h.Header.Set("Authorization", "Bearer "+rig.APIKey)
+		r, err := http.DefaultClient.Do(h)
+		if err != nil {
+			return
+		}
+		r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
