Order models and roles too

Cause: engines accept orders to load models and to change role; adapters alone could be declared. Change: an engine set declares loadModels and role; the giver of orders compares what an engine has with what is declared and orders what is missing, fenced and read back as before; loads of weights keep the store's rate, a change of role doesn't count.

--- a/api/resources.go
+++ b/api/resources.go
@@ -126,10 +126,25 @@
 	// ChecksFencing tells whether the engines refuse an order with an old
 	// fencing number.
 	ChecksFencing bool `json:"checksFencing,omitzero"`
-	// Adapters that the engines should have loaded, by name and version.
+	// LoadModels orders the engines to load the set's models.
+	LoadModels bool `json:"loadModels,omitzero"`
+	// Adapters that the engines are ordered to have loaded, by name and version.
 	Adapters []Adapter `json:"adapters,omitzero"`
+	// Role that the engines are ordered to take: "mixed", "prefill" or "decode"; none
+	// is ordered where it is left out.
+	Role EngineRole `json:"role,omitzero"`
 }
 
+// EngineRole is what an engine does of a request.
+type EngineRole string
+
+// The roles.
+const (
+	RoleMixed   EngineRole = "mixed"
+	RolePrefill EngineRole = "prefill"
+	RoleDecode  EngineRole = "decode"
+)
+
 // Adapter is a set of weights that an engine loads beside its model.
 type Adapter struct {
 	// Name of the adapter; once in a set.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,6 +50,7 @@
 		{"key in clear", `"2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae"`, `"foo"`, "/organisations/0/spec/apiKeyHashes/0", "hash-key"},
 		{"bad call", `"POST /confirm"`, `"confirm"`, "/services/0/spec/nonIdempotent/0", "write a method"},
 		{"negative share", `"share": 2`, `"share": -2`, "/organisations/0/spec/share", "above 0"},
+		{"unknown role", `"checksFencing": true`, `"role": "both"`, "/engineSets/0/spec/role", "or leave it out"},
 		{"no output", `"maxOutputTokens": 1024`, `"maxOutputTokens": 0`, "/engineSets/0/spec/maxOutputTokens", "tokens"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -71,7 +71,9 @@
 	MaxOutputTokens int
 	PrefillWeight   float64
 	ChecksFencing   bool
+	LoadModels      bool
 	Adapters        []api.Adapter
+	Role            api.EngineRole
 }
 
 // DefaultPrefillWeight applies to engine sets that declare none; see
@@ -193,7 +195,9 @@
 			MaxOutputTokens: e.Spec.MaxOutputTokens,
 			PrefillWeight:   DefaultPrefillWeight,
 			ChecksFencing:   e.Spec.ChecksFencing,
+			LoadModels:      e.Spec.LoadModels,
 			Adapters:        e.Spec.Adapters,
+			Role:            e.Spec.Role,
 		}
 		if e.Spec.PrefillWeight != nil {
 			set.PrefillWeight = *e.Spec.PrefillWeight
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -203,6 +203,11 @@
 			v.add(path+"/spec/prefillWeight", "is %g; set 0 to %d, or leave it out for %d", *w, maxPrefillWeight, DefaultPrefillWeight)
 		}
 		v.adapters(path+"/spec/adapters", s.Spec.Adapters)
+		switch s.Spec.Role {
+		case "", api.RoleMixed, api.RolePrefill, api.RoleDecode:
+		default:
+			v.add(path+"/spec/role", "is %q; use %q, %q or %q, or leave it out", s.Spec.Role, api.RoleMixed, api.RolePrefill, api.RoleDecode)
+		}
 	}
 }
 
--- a/internal/faults/orders_test.go
+++ b/internal/faults/orders_test.go
@@ -22,7 +22,7 @@
 }
 
 func (f *fleet) loaded(version string) func() bool {
-	return func() bool { return f.engine.Orders.Loaded()["inventory"] == version }
+	return func() bool { return f.engine.Orders.State().Adapters["inventory"] == version }
 }
 
 // revisions never fall in the orders that an engine has taken.
@@ -91,6 +91,21 @@
 	f.eventually("it is loaded again", f.loaded("v2"))
 }
 
+// Models are loaded and roles taken as declared, once.
+func TestModelsAndRolesAreOrdered(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	f.engine.Orders.SetChecksFencing(true)
+	f.platform.Publish(2, documentWith("roles", api.EngineSetSpec{ChecksFencing: true, LoadModels: true, Role: api.RoleDecode}))
+	f.eventually("model and role are as declared", func() bool {
+		s := f.engine.Orders.State()
+		return len(s.Models) == 1 && s.Models[0] == modelName && s.Role == api.RoleDecode
+	})
+	f.eventually("another round was made", func() bool { return f.daemons[0].metric("tacktally_order_rounds_total") > 3 })
+	is.Equal(len(f.engine.Orders.Taken()), 2)
+}
+
 // Loads keep the store's rate.
 func TestWeightLoadsKeepTheRate(t *testing.T) {
 	t.Parallel()
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -22,6 +22,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -29,6 +30,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/telemetry"
 )
@@ -41,17 +43,59 @@
 	maxStateBytes = 1 << 20
 )
 
-// State is what an engine has loaded: versions by adapter.
+// State is what an engine has loaded and does.
 type State struct {
-	Fencing  int64             `json:"fencing"`
+	Fencing int64    `json:"fencing"`
+	Models  []string `json:"models"`
+	// Adapters loaded, their versions by name.
 	Adapters map[string]string `json:"adapters"`
+	Role     api.EngineRole    `json:"role"`
 }
 
-// Order makes an engine load a version of an adapter.
+// Kind of an order.
+type Kind string
+
+// The kinds.
+const (
+	LoadModel   Kind = "load-model"
+	LoadAdapter Kind = "load-adapter"
+	TakeRole    Kind = "take-role"
+)
+
+// Order makes an engine load a model or a version of an adapter, or take a role.
 type Order struct {
-	Fencing int64  `json:"fencing"`
-	Adapter string `json:"adapter"`
-	Version string `json:"version"`
+	Fencing int64 `json:"fencing"`
+	Kind    Kind  `json:"kind"`
+	// Name of the model, adapter or role.
+	Name string `json:"name"`
+	// Version of an adapter.
+	Version string `json:"version,omitzero"`
+}
+
+// missing returns the orders that bring an engine to what is declared of its set.
+func missing(set *config.EngineSet, s State) []Order {
+	var out []Order
+	if set.LoadModels {
+		for _, m := range set.Models {
+			if !slices.Contains(s.Models, m) {
+				out = append(out, Order{Kind: LoadModel, Name: m})
+			}
+		}
+	}
+	for _, a := range set.Adapters {
+		if s.Adapters[a.Name] != a.Version {
+			out = append(out, Order{Kind: LoadAdapter, Name: a.Name, Version: a.Version})
+		}
+	}
+	if set.Role != "" && set.Role != s.Role {
+		out = append(out, Order{Kind: TakeRole, Name: string(set.Role)})
+	}
+	return out
+}
+
+// ordersAnything tells whether anything is declared that engines can lack.
+func ordersAnything(set *config.EngineSet) bool {
+	return set.LoadModels || len(set.Adapters) > 0 || set.Role != ""
 }
 
 // Errors of an order.
@@ -117,8 +161,9 @@
 	if s == nil || !g.instance.GivesOrders() {
 		return
 	}
+	g.metrics.Count("tacktally_order_rounds_total")
 	for _, set := range s.EngineSets() {
-		if len(set.Adapters) == 0 {
+		if !ordersAnything(set) {
 			continue
 		}
 		for _, address := range g.instance.Engines(set.Name) {
@@ -140,20 +185,17 @@
 	if err != nil {
 		return err
 	}
-	for _, a := range set.Adapters {
-		if state.Adapters[a.Name] == a.Version {
-			continue
-		}
-		if !g.loads.Allow() {
+	for _, o := range missing(set, state) {
+		if o.Kind != TakeRole && !g.loads.Allow() {
 			g.metrics.Count("tacktally_orders_deferred_total")
 			return nil // the next rounds go on
 		}
-		o := Order{Fencing: revision, Adapter: a.Name, Version: a.Version}
+		o.Fencing = revision
 		if err := g.order(ctx, set, address, o); err != nil {
 			return err
 		}
 		g.metrics.Count("tacktally_orders_total")
-		g.log.Info().Str("event", "ordered").Str("engine", address).Str("adapter", a.Name).Str("version", a.Version).Int64("revision", revision).Msg("")
+		g.log.Info().Str("event", "ordered").Str("engine", address).Str("kind", string(o.Kind)).Str("name", o.Name).Str("version", o.Version).Int64("revision", revision).Msg("")
 	}
 	return nil
 }
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -3,10 +3,12 @@
 import (
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/go-json-experiment/json"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/orders"
 )
 
@@ -32,11 +34,14 @@
 	return append([]orders.Order(nil), o.taken...)
 }
 
-// Loaded returns the versions loaded, by adapter.
-func (o *Orders) Loaded() map[string]string {
+// State returns what is loaded, and the role.
+func (o *Orders) State() orders.State {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return maps.Clone(o.state.Adapters)
+	s := o.state
+	s.Adapters = maps.Clone(s.Adapters)
+	s.Models = slices.Clone(s.Models)
+	return s
 }
 
 // register adds the calls of the protocol.
@@ -66,10 +71,17 @@
 	}
 	o.taken = append(o.taken, order)
 	o.state.Fencing = max(o.state.Fencing, order.Fencing)
-	if o.state.Adapters == nil {
-		o.state.Adapters = map[string]string{}
+	switch order.Kind {
+	case orders.LoadModel:
+		o.state.Models = append(o.state.Models, order.Name)
+	case orders.TakeRole:
+		o.state.Role = api.EngineRole(order.Name)
+	case orders.LoadAdapter:
+		if o.state.Adapters == nil {
+			o.state.Adapters = map[string]string{}
+		}
+		o.state.Adapters[order.Name] = order.Version
 	}
-	o.state.Adapters[order.Adapter] = order.Version
 }
 
 // Forget drops what is loaded, as if the engine had begun anew.
