Show each promise's test a wrong version of its mechanism

Cause: only at-most-once had been run against a naive version. Change: 15 wrong versions were tried on a scratch copy. Two were caught by no test: a shutdown that doesn't wait (callers' connections hid it) and a queue that doesn't predict lateness; each has a test now that fails on it.

--- a/internal/faults/shutdown_test.go
+++ b/internal/faults/shutdown_test.go
@@ -52,6 +52,27 @@
 	is.Equal(f.runs("new"), 0)
 }
 
+// A shutdown also waits for what no caller of its own waits for: a request that
+// another instance forwarded, and one whose caller has gone but may come back.
+func TestShutdownWaitsForForwardedRequests(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	leaving, other := f.daemons[0], f.daemons[1]
+	arrived, hold := make(chan service.Call, 9), make(chan struct{})
+	f.service.SetFaults(service.Faults{Arrived: arrived, Hold: hold})
+	key := leaving.issue()
+	got := make(chan reply)
+	go func() { got <- other.send(call{path: release, body: "a", key: key}) }()
+	<-arrived
+	leaving.signal(syscall.SIGTERM)
+	f.eventually("it drains", func() bool { return leaving.status().Draining })
+	close(hold)
+	is.Equal((<-got).body, service.Answer("a"))
+	<-leaving.exited
+	is.Equal(leaving.command.ProcessState.ExitCode(), 0)
+}
+
 // An upstream that leaves gets no new work, whoever says so first: the list, or
 // the upstream itself while the list lags.
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -98,6 +98,34 @@
 	is.Equal(d.Sheds[0].Problem.Reason, api.ReasonDeadlineExpired)
 }
 
+// A request that the work ahead would make late is refused when it comes, not when
+// its time is over.
+func TestPredictedLateIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1000, "a")
+	running := occupy(c)
+	for range 200 {
+		c.Submit(start, ask(0, 3600))
+	}
+	now := start
+	for range 40 { // one a 100 ms leaves the queue
+		now = now.Add(100 * time.Millisecond)
+		g := running[0]
+		running = append(running[1:], c.FirstToken(now, g).Grants...)
+		running = append(running, c.Done(now, g, 10).Grants...)
+	}
+	short := ask(0, 0)
+	short.Arrived, short.Deadline = now, now.Add(2*time.Second)
+	d := c.Submit(now, short)
+	is.Equal(len(d.Sheds), 1)
+	is.Equal(d.Sheds[0].Request, short)
+	is.Equal(d.Sheds[0].Problem.Reason, api.ReasonPredictedLate)
+	is.True(d.Sheds[0].Problem.RetryAfterSeconds >= 10) // 160 wait, 10 leave a second
+	long := ask(0, 0)
+	long.Arrived, long.Deadline = now, now.Add(time.Minute)
+	is.Equal(len(c.Submit(now, long).Sheds), 0)
+}
+
 func TestFailingUpstreamIsAvoidedAndTested(t *testing.T) {
 	is := is.New(t)
 	c := newCore(100, "a")
