--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -123,6 +123,9 @@
 	}
 	b := s.gateway.Handle(h.Context(), snapshot, r)
 	out := &writer{server: s, response: w, control: control, request: r}
+	if last, err := upstream.ParseResumeToken(r.LastEventID); err == nil {
+		out.resumed = &last
+	}
 	out.follow(h.Context(), b)
 }
 
@@ -222,6 +225,8 @@
 	request  *request.Request
 	headed   bool
 	stream   bool
+	// resumed is the event that the caller had last, nil for a new stream.
+	resumed *upstream.ResumeToken
 }
 
 // follow writes the answer as it is made, until it ends or the caller has gone.
@@ -285,15 +290,11 @@
 // alreadySeen tells an event that the caller had before the one it resumes from.
 // Such events come when a repeat joins a run whose answer is held from its start.
 func (w *writer) alreadySeen(event []byte) bool {
-	if w.request.LastEventID == "" {
-		return false
-	}
-	last, err := upstream.ParseResumeToken(w.request.LastEventID)
-	if err != nil {
+	if w.resumed == nil {
 		return false
 	}
 	t, ok := upstream.EventToken(event)
-	return ok && t.StreamID == last.StreamID && t.Events <= last.Events
+	return ok && t.StreamID == w.resumed.StreamID && t.Events <= w.resumed.Events
 }
 
 func (w *writer) flush() { _ = w.control.Flush() }
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -20,7 +20,7 @@
 	operatorMaxHeader = 16 << 10
 )
 
-// listeners are the three doors of a daemon: callers, operators and peers.
+// listeners are the three of a daemon: for callers, operators and peers.
 type listeners struct {
 	callers       net.Listener
 	operators     net.Listener
@@ -97,7 +97,7 @@
 	}
 }
 
-// shutDownCallers closes the callers' door once their answers are written.
+// shutDownCallers closes the callers' listener once their answers are written.
 func (s *servers) shutDownCallers(ctx context.Context) { _ = s.callers.Shutdown(ctx) }
 
 func (s *servers) close() {
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -11,7 +11,10 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/pause"
+	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
 // Nothing is written on a grant that was asked for before a pause, nor past the
@@ -81,3 +84,47 @@
 	is.Equal((&attempts{request: r, output: 60}).unused(lost), 0)
 	is.Equal((&attempts{request: r, spilled: true}).unused(answer.End{}), 0)
 }
+
+// A new list lets a long prompt go, which is told to the peers with a heartbeat that
+// reads the queues: neither may wait for the other.
+func TestNewListWhileALongPromptWaits(t *testing.T) {
+	is := is.New(t)
+	var d *Dispatcher
+	told := make(chan struct{}, 9)
+	d = New(Options{
+		Zone: "bole", Subset: 48, Limits: queue.Limits{MaxItems: 99, MaxBytes: 1 << 20},
+		Announce: func() {
+			d.Queued(1)
+			d.Pending()
+			told <- struct{}{}
+		},
+	})
+	list := []platform.Instance{{Address: "10.0.0.1:1", Zone: "bole", Set: "readers", State: platform.Live}}
+	d.SetInstances(list)
+	p := d.pool("readers")
+	submit := func(prompt int) chan turn {
+		turns := make(chan turn, 1)
+		now := time.Now()
+		r := &scheduler.Request{Organisation: "a", Share: 1, Arrived: now, Deadline: now.Add(time.Hour), Prompt: prompt, Output: 1, Value: turns}
+		p.apply(func(now time.Time) scheduler.Decisions { return p.core.Submit(now, r) })
+		return turns
+	}
+	for len(submit(1)) > 0 { // until one has to wait
+	}
+	long := submit(100_000)
+	is.Equal(len(long), 0)
+	done := make(chan struct{})
+	go func() {
+		list = append(list, platform.Instance{Address: "10.0.0.2:1", Zone: "bole", Set: "readers", State: platform.Live})
+		list = append(list, platform.Instance{Address: "10.0.0.3:1", Zone: "bole", Set: "readers", State: platform.Live})
+		d.SetInstances(list)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("SetInstances never returned")
+	}
+	is.Equal(len(long), 1)
+	is.True(len(told) > 0)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,8 +107,24 @@
 	}
 }
 
-// SetInstances takes a new instance list.
+// SetInstances takes a new instance list, and sends what it gives room for.
 func (d *Dispatcher) SetInstances(list []platform.Instance) {
+	d.takeList(list)
+	for _, p := range d.allPools() {
+		p.poll()
+	}
+}
+
+// allPools returns the pools there are. A pool must not be made to act while the lock
+// is held: what it decides may be told to the peers with a heartbeat, which asks for
+// all queues.
+func (d *Dispatcher) allPools() []*pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.pools))
+}
+
+func (d *Dispatcher) takeList(list []platform.Instance) {
 	sets := d.ownMembers(list)
 	all := map[listed]bool{}
 	for _, i := range list {
@@ -188,11 +204,9 @@
 // Displace gives up the least important request that waits in any set and is of a
 // lower tier than rank. It returns false when there is none.
 func (d *Dispatcher) Displace(rank int) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	var worst *pool
 	lowest := rank
-	for _, p := range d.pools {
+	for _, p := range d.allPools() {
 		if r := p.lowestRank(); r > lowest {
 			worst, lowest = p, r
 		}
@@ -304,10 +318,7 @@
 // SetOthers takes what another instance has told of its pending prompt tokens; a
 // nil map forgets the instance.
 func (d *Dispatcher) SetOthers(instance string, pending map[string]int) {
-	d.mu.Lock()
-	pools := slices.Collect(maps.Values(d.pools))
-	d.mu.Unlock()
-	for _, p := range pools {
+	for _, p := range d.allPools() {
 		p.apply(func(now time.Time) scheduler.Decisions {
 			p.core.SetOthers(instance, pending)
 			return p.core.Poll(now)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -164,10 +164,9 @@
 }
 
 func (p *pool) setMembers(members []scheduler.Member) {
-	p.apply(func(now time.Time) scheduler.Decisions {
-		p.core.SetMembers(members)
-		return p.core.Poll(now)
-	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.SetMembers(members)
 }
 
 func (p *pool) markLeaving(address string) {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -27,10 +27,10 @@
 // other while they are within reach.
 func TestViolationsAreSeen(t *testing.T) {
 	is := is.New(t)
-	deaf := Policies()[0]
-	deaf.deaf = true
+	unrelieved := Policies()[0]
+	unrelieved.unrelieved = true
 	burst := Scenarios()[1]
-	is.True(Run(Colombo(), burst, deaf, 7).Violations > 0)
+	is.True(Run(Colombo(), burst, unrelieved, 7).Violations > 0)
 }
 
 // Every request offered ends in one way.
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -253,7 +253,7 @@
 // press lets the other instances within reach shed lower work first.
 func (w *world) press(from *simInstance, rank int) {
 	for _, i := range w.instances {
-		if i != from && !i.dead && !w.cut && !w.policy.deaf {
+		if i != from && !i.dead && !w.cut && !w.policy.unrelieved {
 			i.apply(i.core.ShedLower(w.clock(), rank))
 		}
 	}
@@ -403,7 +403,7 @@
 	Picker   func(random *rand.Rand) balancer.Picker
 	Unqueued bool
 
-	deaf bool // peers don't relieve each other: breaks the promise, for a test
+	unrelieved bool // peers don't relieve each other: breaks the promise, for a test
 }
 
 // Policies are what is measured: the daemon's own, and the baselines.
