--- a/internal/faults/random_test.go
+++ b/internal/faults/random_test.go
@@ -172,7 +172,7 @@
 		}
 		a := f.daemons[random.IntN(len(f.daemons))]
 		b := f.daemons[random.IntN(len(f.daemons))]
-		switch random.IntN(9) {
+		switch random.IntN(10) {
 		case 0:
 			a.kill()
 			a.start()
@@ -192,6 +192,8 @@
 			f.service.SetFaults(service.Faults{Break: n%2 == 0})
 		case 7:
 			f.engine.SetFaults(engine.Faults{CutAfter: 1 + random.IntN(3)})
+		case 9:
+			f.platform.SetInstances(f.list) // the same under a new version
 		case 8:
 			f.engine.SetFaults(engine.Faults{Garbage: n%2 == 0, Refuse: n%2 == 1})
 			<-tick.C
