Add the routing table, the view of what is published, and exchanges with upstreams

Cause: the users' platform publishes routes by host and prefix, keys that come and go, and upstreams that register themselves; the product knew none of these. Change: internal/routing checks and indexes a configuration as a whole; internal/view holds it as a lease whose age counts from the read that proved it, never goes back, and keeps upstreams whose entries lapsed in an outage for a while; internal/exchange says of each failed exchange how far it got. Ruled out: net/http's Transport, which repeats by its own rules and hides bytes after an answer.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -20,6 +20,8 @@
 
 // Upstream is what one instance knows of one upstream.
 type Upstream struct {
+	// ID tells it apart from others that have or had its address.
+	ID string
 	// Address as IP:port.
 	Address string
 	// Zone is its availability zone.
@@ -35,8 +37,11 @@
 	OthersPending int
 	// Running is the requests sent and not ended.
 	Running int
-	// Reported is the number of sequences it reported last, of all instances.
-	Reported int
+	// OthersRunning is the same of other instances, as they told last.
+	OthersRunning int
+	// Slots is how many requests it runs at once for all instances; 0 is unknown,
+	// and the window is learned.
+	Slots int
 	// Leaving upstreams get nothing new.
 	Leaving bool
 	// AvoidUntil is set after failures; a single request tests it afterwards.
@@ -47,7 +52,7 @@
 
 // HasRoom tells whether it may be sent so many more prompt tokens now.
 func (u *Upstream) HasRoom(now time.Time, tokens int) bool {
-	if u.Leaving || now.Before(u.AvoidUntil) || u.Running >= u.Window.Size() {
+	if !u.Usable(now) || u.isFull() {
 		return false
 	}
 	if u.Failures > 0 && u.Running > 0 {
@@ -58,6 +63,22 @@
 	return ahead == 0 || float64(ahead+tokens) <= bound
 }
 
+// isFull tells whether it runs as many requests as it is to be given.
+func (u *Upstream) isFull() bool {
+	if u.Slots > 0 {
+		return u.Running+u.OthersRunning >= u.Slots
+	}
+	return u.Running >= u.Window.Size()
+}
+
+// Occupancy is the share of its slots that are taken, 0 where they aren't known.
+func (u *Upstream) Occupancy() float64 {
+	if u.Slots == 0 {
+		return 0
+	}
+	return float64(u.Running+u.OthersRunning) / float64(u.Slots)
+}
+
 // Ahead returns the prompt tokens, of all instances as far as known, that it has
 // to read before those of a new request.
 func (u *Upstream) Ahead() int { return u.Pending + u.OthersPending }
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -5,8 +5,8 @@
 	"errors"
 
 	"github.com/tacktally/tacktally/internal/config"
-	"github.com/tacktally/tacktally/internal/dispatch"
 	"github.com/tacktally/tacktally/internal/operatorapi"
+	"github.com/tacktally/tacktally/internal/pool"
 )
 
 // Status implements operatorapi.Instance.
@@ -33,7 +33,7 @@
 }
 
 // Upstreams implements operatorapi.Instance.
-func (d *Daemon) Upstreams(set string) []dispatch.UpstreamStatus { return d.dispatcher.Upstreams(set) }
+func (d *Daemon) Upstreams(set string) []pool.UpstreamStatus { return d.dispatcher.Upstreams(set) }
 
 // Queued implements operatorapi.Instance.
 func (d *Daemon) Queued(set string, ranks int) []int {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -9,6 +9,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/upstream"
@@ -20,7 +21,7 @@
 	snapshot     *config.Snapshot
 	request      *request.Request
 	buffer       *answer.Buffer
-	pool         *pool
+	pool         *pool.Pool
 	set          string
 	tier         *config.Tier
 	organisation *config.Organisation
@@ -84,7 +85,7 @@
 	gate.Pass(ctx)
 	a.epoch = gate.Detector.Epoch()
 	r := a.request
-	return a.pool.acquire(ctx, &scheduler.Request{
+	return a.pool.Acquire(ctx, &scheduler.Request{
 		Rank:         a.tier.Rank,
 		Organisation: r.Organisation,
 		Share:        a.organisation.Share,
@@ -125,13 +126,13 @@
 func (a *attempts) send(ctx context.Context, g *scheduler.Grant, call upstream.Call) upstream.Result {
 	call.OnFirst = sync.OnceFunc(func() {
 		a.dispatcher.o.Metrics.FirstToken(a.tier.Name, time.Since(a.request.Arrived))
-		a.pool.firstToken(g)
+		a.pool.FirstToken(g)
 	})
 	if !a.request.Stream && a.request.Kind != request.Service {
 		// A whole answer doesn't show its first token: the prompt counts as read
 		// after the time predicted for it.
 		t := time.AfterFunc(g.Predicted(), func() {
-			a.pool.apply(func(now time.Time) scheduler.Decisions { return a.pool.core.AssumeFirstToken(now, g) })
+			a.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions { return core.AssumeFirstToken(now, g) })
 		})
 		defer t.Stop()
 		call.OnFirst = func() {}
@@ -158,8 +159,7 @@
 }
 
 func (a *attempts) learn(g *scheduler.Grant, result upstream.Result) {
-	core := a.pool.core
-	a.pool.apply(func(now time.Time) scheduler.Decisions {
+	a.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
 		switch result.Status {
 		case upstream.Done:
 			return core.Done(now, g, result.Output)
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -12,6 +12,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -102,11 +103,11 @@
 	list := []platform.Instance{{Address: "10.0.0.1:1", Zone: "bole", Set: "readers", State: platform.Live}}
 	d.SetInstances(list)
 	p := d.pool("readers")
-	submit := func(prompt int) chan turn {
-		turns := make(chan turn, 1)
+	submit := func(prompt int) chan pool.Turn {
+		turns := make(chan pool.Turn, 1)
 		now := time.Now()
 		r := &scheduler.Request{Organisation: "a", Share: 1, Arrived: now, Deadline: now.Add(time.Hour), Prompt: prompt, Output: 1, Value: turns}
-		p.apply(func(now time.Time) scheduler.Decisions { return p.core.Submit(now, r) })
+		p.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions { return core.Submit(now, r) })
 		return turns
 	}
 	for len(submit(1)) > 0 { // until one has to wait
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	"github.com/tacktally/tacktally/internal/orglimit"
 	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -87,7 +88,7 @@
 	flying atomic.Int64
 
 	mu      sync.Mutex
-	pools   map[string]*pool
+	pools   map[string]*pool.Pool
 	members map[string][]scheduler.Member
 	listed  map[listed]bool      // every upstream of the list, also those not used here
 	leaving map[string]time.Time // upstreams that said themselves that they leave
@@ -101,7 +102,7 @@
 	return &Dispatcher{
 		o:       o,
 		budget:  newRetryBudget(o.Budget),
-		pools:   map[string]*pool{},
+		pools:   map[string]*pool.Pool{},
 		members: map[string][]scheduler.Member{},
 		leaving: map[string]time.Time{},
 	}
@@ -111,14 +112,14 @@
 func (d *Dispatcher) SetInstances(list []platform.Instance) {
 	d.takeList(list)
 	for _, p := range d.allPools() {
-		p.poll()
+		p.Poll()
 	}
 }
 
 // allPools returns the pools there are. A pool must not be made to act while the lock
 // is held: what it decides may be told to the peers with a heartbeat, which asks for
 // all queues.
-func (d *Dispatcher) allPools() []*pool {
+func (d *Dispatcher) allPools() []*pool.Pool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.Collect(maps.Values(d.pools))
@@ -140,7 +141,7 @@
 		d.poolOf(name) // so that what engines and peers tell finds it
 	}
 	for name, p := range d.pools {
-		p.setMembers(d.membersOf(name))
+		p.SetMembers(d.membersOf(name))
 	}
 }
 
@@ -187,7 +188,7 @@
 	defer d.mu.Unlock()
 	d.leaving[address] = time.Now()
 	for _, p := range d.pools {
-		p.markLeaving(address)
+		p.MarkLeaving(address)
 	}
 }
 
@@ -197,21 +198,21 @@
 	p := d.pools[set]
 	d.mu.Unlock()
 	if p != nil {
-		p.apply(func(now time.Time) scheduler.Decisions { return p.core.ShedLower(now, rank) })
+		p.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions { return core.ShedLower(now, rank) })
 	}
 }
 
 // Displace gives up the least important request that waits in any set and is of a
 // lower tier than rank. It returns false when there is none.
 func (d *Dispatcher) Displace(rank int) bool {
-	var worst *pool
+	var worst *pool.Pool
 	lowest := rank
 	for _, p := range d.allPools() {
-		if r := p.lowestRank(); r > lowest {
+		if r := p.LowestRank(); r > lowest {
 			worst, lowest = p, r
 		}
 	}
-	return worst != nil && worst.displace(rank)
+	return worst != nil && worst.Displace(rank)
 }
 
 // InFlight returns how many requests are being served here.
@@ -224,7 +225,7 @@
 	defer d.mu.Unlock()
 	out := map[string][]int{}
 	for name, p := range d.pools {
-		queued := p.queued(ranks)
+		queued := p.Queued(ranks)
 		if slices.ContainsFunc(queued, func(n int) bool { return n > 0 }) {
 			out[name] = queued
 		}
@@ -233,9 +234,9 @@
 }
 
 // Upstreams returns what is known of the upstreams of a set.
-func (d *Dispatcher) Upstreams(set string) []UpstreamStatus { return d.pool(set).status() }
+func (d *Dispatcher) Upstreams(set string) []pool.UpstreamStatus { return d.pool(set).Status() }
 
-func (d *Dispatcher) pool(name string) *pool {
+func (d *Dispatcher) pool(name string) *pool.Pool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.poolOf(name)
@@ -243,7 +244,7 @@
 
 // poolOf returns the pool of a set, new where there was none. The caller holds the
 // lock.
-func (d *Dispatcher) poolOf(name string) *pool {
+func (d *Dispatcher) poolOf(name string) *pool.Pool {
 	if p := d.pools[name]; p != nil {
 		return p
 	}
@@ -251,11 +252,11 @@
 	picker := balancer.NewPredictive(config.DefaultPrefillWeight, random)
 	core := scheduler.New(scheduler.Options{Picker: picker, Limits: d.o.Limits, MemoryBlocks: memoryBlocks})
 	core.SetMembers(d.membersOf(name))
-	p := newPool(core, picker)
-	p.announce = d.o.Announce
+	o := pool.Options{Core: core, Picker: picker, Announce: d.o.Announce}
 	if d.o.Pressure != nil {
-		p.press = func(rank int) { d.o.Pressure(name, rank) }
+		o.Press = func(rank int) { d.o.Pressure(name, rank) }
 	}
+	p := pool.New(o)
 	d.pools[name] = p
 	return p
 }
@@ -266,7 +267,7 @@
 	defer d.mu.Unlock()
 	out := map[string]int{}
 	for _, p := range d.pools {
-		p.addPending(out)
+		p.AddPending(out)
 	}
 	return out
 }
@@ -309,9 +310,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.pools {
-		p.mu.Lock()
-		f(p.core)
-		p.mu.Unlock()
+		p.View(f)
 	}
 }
 
@@ -319,9 +318,9 @@
 // nil map forgets the instance.
 func (d *Dispatcher) SetOthers(instance string, pending map[string]int) {
 	for _, p := range d.allPools() {
-		p.apply(func(now time.Time) scheduler.Decisions {
-			p.core.SetOthers(instance, pending)
-			return p.core.Poll(now)
+		p.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
+			core.SetOthers(instance, scheduler.Load{Pending: pending})
+			return core.Poll(now)
 		})
 	}
 }
@@ -358,7 +357,7 @@
 		return answer.End{Problem: problem}
 	}
 	pool := d.pool(set)
-	pool.setPrefillWeight(weight)
+	pool.SetPrefillWeight(weight)
 	tier, ok := s.Tier(r.Tier)
 	if !ok {
 		return answer.End{Problem: api.Refuse(api.ReasonUnknownTier, "tier %q isn't declared in revision %d; send the request again", r.Tier, s.Revision)}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,228 @@
+// Package exchange makes one HTTP/1.1 exchange with an upstream at a time, on
+// connections that it keeps, and says exactly how far an exchange that failed got.
+//
+// The parsing is net/http's. Its Transport isn't used: it sends again by its own
+// rules, hides bytes that follow an answer, and doesn't tell what was written.
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Errors that tell how far an exchange got.
+var (
+	// ErrNotSent: no byte of the request was written. It can't have run.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrNoAnswer: the request was written, in part at least, and no answer came.
+	// It may have run.
+	ErrNoAnswer = errors.New("no answer came after the request was sent")
+	// ErrGarbage: what came is no answer to the request. It may have run.
+	ErrGarbage = errors.New("what came is no answer to the request")
+	// ErrCut: the answer ended early.
+	ErrCut = errors.New("the answer ended early")
+)
+
+const (
+	// inlineBody is the body size up to which the request is written before the
+	// answer is read; it fits any socket buffer. A larger one is written beside.
+	inlineBody = 8 << 10
+	// readBuffer is the size of a connection's read buffer: most heads and events
+	// fit.
+	readBuffer = 4 << 10
+	// maxStrays bounds the answers of other requests skipped on one connection.
+	maxStrays = 2
+	// maxStrayBytes bounds the body of one that is read over.
+	maxStrayBytes = 64 << 10
+	// maxInterim bounds the 1xx answers skipped.
+	maxInterim = 4
+)
+
+// Request is what is sent.
+type Request struct {
+	Method string
+	// Target as it stands in the request line.
+	Target string
+	Host   string
+	// Header without Host, Content-Length and what concerns one connection only.
+	Header http.Header
+	Body   []byte
+	// Answers tells whether a head answers this request; nil takes any.
+	Answers func(http.Header) bool
+}
+
+// Answer is the head of an answer, with the body to be read.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length of the body, -1 where the head doesn't say.
+	Length int64
+	// Reused tells that the connection had served before.
+	Reused bool
+
+	conn     *conn
+	response *http.Response
+	stop     func() bool // detaches the connection from the context
+	ended    bool
+}
+
+// Read reads the body. It returns io.EOF at its end, or an error that wraps ErrCut.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.response.Body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if err != io.EOF { //nolint:errorlint // net/http returns it bare
+		return n, fmt.Errorf("%w: %w", ErrCut, err)
+	}
+	a.ended = true
+	return n, io.EOF
+}
+
+// Close ends the exchange. The connection is kept if the answer was read to its end
+// and nothing else came; otherwise it is closed, which tells the upstream to stop.
+func (a *Answer) Close() {
+	detached := a.stop()
+	if a.ended && detached && a.conn.reusable(a.response) {
+		a.conn.keep(a.Header)
+		return
+	}
+	a.conn.close()
+}
+
+// conn is one connection to an upstream.
+type conn struct {
+	net     net.Conn
+	reader  *bufio.Reader
+	pool    *Pool
+	used    bool       // it has served an exchange
+	expires time.Time  // idle ones aren't used from then on
+	written chan error // of a body written beside; nil when written inline
+	strays  int        // answers of other requests that came
+}
+
+func (c *conn) close() {
+	_ = c.net.Close() // it is given up whatever it says
+	c.pool.closed()
+}
+
+// do writes the request and reads the head of its answer.
+func (c *conn) do(ctx context.Context, r *Request) (*Answer, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
+	response, err := c.roundTrip(r)
+	if err != nil {
+		stop()
+		c.close()
+		return nil, err
+	}
+	return &Answer{
+		Status:   response.StatusCode,
+		Header:   response.Header,
+		Length:   response.ContentLength,
+		Reused:   c.used,
+		conn:     c,
+		response: response,
+		stop:     stop,
+	}, nil
+}
+
+func (c *conn) roundTrip(r *Request) (*http.Response, error) {
+	if err := c.write(r); err != nil {
+		return nil, err
+	}
+	for {
+		response, err := c.readHead(r.Method)
+		if err != nil {
+			return nil, err
+		}
+		if r.Answers == nil || r.Answers(response.Header) {
+			return response, nil
+		}
+		if err := c.skip(response); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// skip reads over the answer of another request.
+func (c *conn) skip(response *http.Response) error {
+	c.strays++
+	if c.strays > maxStrays {
+		return fmt.Errorf("%w: answers of other requests came", ErrGarbage)
+	}
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
+	if err != nil {
+		return fmt.Errorf("%w: the answer of another request broke off: %w", ErrGarbage, err)
+	}
+	return nil
+}
+
+func (c *conn) readHead(method string) (*http.Response, error) {
+	for range maxInterim {
+		if _, err := c.reader.Peek(1); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		}
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrGarbage, err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: too many interim answers", ErrGarbage)
+}
+
+// write sends the request. Where nothing was written the error wraps ErrNotSent.
+func (c *conn) write(r *Request) error {
+	head := encodeHead(r)
+	c.written = nil
+	if len(r.Body) <= inlineBody {
+		return sent(c.net.Write(append(head, r.Body...)))
+	}
+	if err := sent(c.net.Write(head)); err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	c.written = done
+	go func() {
+		_, err := c.net.Write(r.Body)
+		done <- err
+	}()
+	return nil
+}
+
+func sent(n int, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case n == 0:
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	default:
+		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+	}
+}
+
+// reusable tells whether the next exchange may use the connection.
+func (c *conn) reusable(response *http.Response) bool {
+	if response.Close || c.strays > 0 || c.reader.Buffered() > 0 {
+		return false
+	}
+	if c.written == nil {
+		return true
+	}
+	select {
+	case err := <-c.written:
+		return err == nil
+	default: // the rest of the body is still due
+		return false
+	}
+}
+
+func newReader(n net.Conn) *bufio.Reader { return bufio.NewReaderSize(n, readBuffer) }
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -231,7 +231,7 @@
 			if other.dead || w.cut {
 				return
 			}
-			other.core.SetOthers(i.name, pending)
+			other.core.SetOthers(i.name, scheduler.Load{Pending: pending})
 			other.apply(other.core.Poll(w.clock()))
 		})
 	}
@@ -392,7 +392,7 @@
 func (w *world) forget(gone *simInstance) {
 	for _, i := range w.instances {
 		if i != gone {
-			i.core.SetOthers(gone.name, nil)
+			i.core.SetOthers(gone.name, scheduler.Load{})
 		}
 	}
 }
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -26,9 +26,9 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/config"
-	"github.com/tacktally/tacktally/internal/dispatch"
 	"github.com/tacktally/tacktally/internal/idempotency"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/watch"
 )
@@ -38,7 +38,7 @@
 	// Status of the instance now.
 	Status() Status
 	// Upstreams of a set or service, as this instance knows them.
-	Upstreams(set string) []dispatch.UpstreamStatus
+	Upstreams(set string) []pool.UpstreamStatus
 	// Queued work of a set or service by rank.
 	Queued(set string, ranks int) []int
 	// Try accepts a document without putting it in force; its parts are read from
@@ -135,8 +135,8 @@
 	// Instances by the revision they told last.
 	Instances []InstanceRevision `json:"instances"`
 	// Upstreams of an engine set or service, and its queue by tier rank.
-	Upstreams []dispatch.UpstreamStatus `json:"upstreams,omitempty"`
-	Queued    []int                     `json:"queued,omitempty"`
+	Upstreams []pool.UpstreamStatus `json:"upstreams,omitempty"`
+	Queued    []int                 `json:"queued,omitempty"`
 }
 
 // InstanceRevision is the revision in force at one instance.
--- a/internal/dispatch/pool.go
+++ b/internal/pool/pool.go
@@ -1,4 +1,6 @@
-package dispatch
+// Package pool drives one scheduler.Core with the clock, for goroutines that wait for
+// their turn.
+package pool
 
 import (
 	"context"
@@ -16,12 +18,20 @@
 // upstreams that are avoided no longer and for work that can't be in time.
 const pollInterval = 20 * time.Millisecond
 
-// pool drives one scheduler.Core with the clock. Safe for concurrent use.
-type pool struct {
-	// press tells the peers that work of a rank is about to be shed for load, and
+// Options of a Pool.
+type Options struct {
+	Core   *scheduler.Core
+	Picker *balancer.Predictive
+	// Press tells the peers that work of a rank is about to be shed for load, and
 	// returns when none within reach holds lower work. May be nil.
-	press func(rank int)
-	// announce tells the peers at once what is pending. May be nil.
+	Press func(rank int)
+	// Announce tells the peers at once what is pending. It must not block. May be nil.
+	Announce func()
+}
+
+// Pool drives one scheduler.Core with the clock. Safe for concurrent use.
+type Pool struct {
+	press    func(rank int)
 	announce func()
 
 	mu      sync.Mutex
@@ -43,27 +53,28 @@
 // work back for longer than that.
 const pressAgain = 500 * time.Millisecond
 
-// turn is what a waiting request is told: one of the two is set.
-type turn struct {
-	grant   *scheduler.Grant
-	problem *api.Problem
+// Turn is what a waiting request is told: one of the two is set.
+type Turn struct {
+	Grant   *scheduler.Grant
+	Problem *api.Problem
 }
 
-func newPool(core *scheduler.Core, picker *balancer.Predictive) *pool {
-	p := &pool{core: core, picker: picker}
-	p.timer = time.AfterFunc(time.Hour, p.poll)
+// New returns a pool around a core, which nothing else may use any more.
+func New(o Options) *Pool {
+	p := &Pool{press: o.Press, announce: o.Announce, core: o.Core, picker: o.Picker}
+	p.timer = time.AfterFunc(time.Hour, p.Poll)
 	p.timer.Stop()
 	return p
 }
 
-// acquire blocks until the request may be sent, is shed, or ctx ends.
-func (p *pool) acquire(ctx context.Context, r *scheduler.Request) (*scheduler.Grant, *api.Problem) {
-	turns := make(chan turn, 1)
+// Acquire blocks until the request may be sent, is shed, or ctx ends.
+func (p *Pool) Acquire(ctx context.Context, r *scheduler.Request) (*scheduler.Grant, *api.Problem) {
+	turns := make(chan Turn, 1)
 	r.Value = turns
-	p.apply(func(now time.Time) scheduler.Decisions { return p.core.Submit(now, r) })
+	p.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions { return core.Submit(now, r) })
 	select {
 	case t := <-turns:
-		return t.grant, t.problem
+		return t.Grant, t.Problem
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
@@ -73,11 +84,11 @@
 		return nil, endedWaiting(ctx)
 	}
 	t := <-turns // it was decided at the same moment
-	if t.grant != nil {
-		p.apply(func(now time.Time) scheduler.Decisions { return p.core.Cancelled(now, t.grant) })
+	if t.Grant != nil {
+		p.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions { return core.Cancelled(now, t.Grant) })
 		return nil, endedWaiting(ctx)
 	}
-	return nil, t.problem
+	return nil, t.Problem
 }
 
 func endedWaiting(ctx context.Context) *api.Problem {
@@ -87,10 +98,10 @@
 	return api.Refuse(api.ReasonCallerGone, "the caller closed the connection while the request waited")
 }
 
-// apply runs one step of the core and carries out what it decided.
-func (p *pool) apply(step func(now time.Time) scheduler.Decisions) {
+// Apply runs one step of the core under the lock and carries out what it decided.
+func (p *Pool) Apply(step func(now time.Time, core *scheduler.Core) scheduler.Decisions) {
 	p.mu.Lock()
-	d := step(time.Now())
+	d := step(time.Now(), p.core)
 	p.schedule()
 	long := slices.ContainsFunc(d.Grants, p.core.IsLong)
 	p.mu.Unlock()
@@ -100,12 +111,12 @@
 	}
 }
 
-// firstToken records a first token, and tells the peers when a long prompt was read.
-func (p *pool) firstToken(g *scheduler.Grant) {
+// FirstToken records a first token, and tells the peers when a long prompt was read.
+func (p *Pool) FirstToken(g *scheduler.Grant) {
 	long := false
-	p.apply(func(now time.Time) scheduler.Decisions {
-		long = p.core.IsLong(g)
-		return p.core.FirstToken(now, g)
+	p.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
+		long = core.IsLong(g)
+		return core.FirstToken(now, g)
 	})
 	if long && p.announce != nil {
 		p.announce()
@@ -113,7 +124,7 @@
 }
 
 // schedule sets the timer while work waits. The caller holds the lock.
-func (p *pool) schedule() {
+func (p *Pool) schedule() {
 	if _, waiting := p.core.NextExpiry(); waiting {
 		p.timer.Reset(pollInterval)
 		return
@@ -121,16 +132,17 @@
 	p.timer.Stop()
 }
 
-func (p *pool) poll() {
-	p.apply(func(now time.Time) scheduler.Decisions { return p.core.Poll(now) })
+// Poll gives up what can no longer be in time and sends what has room.
+func (p *Pool) Poll() {
+	p.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions { return core.Poll(now) })
 }
 
-func (p *pool) carryOut(d scheduler.Decisions) {
+func (p *Pool) carryOut(d scheduler.Decisions) {
 	for _, g := range d.Grants {
-		g.Request.Value.(chan turn) <- turn{grant: g}
+		g.Request.Value.(chan Turn) <- Turn{Grant: g}
 	}
 	for _, s := range d.Sheds {
-		tell := func() { s.Request.Value.(chan turn) <- turn{problem: s.Problem} }
+		tell := func() { s.Request.Value.(chan Turn) <- Turn{Problem: s.Problem} }
 		if p.press == nil || !shedForLoad(s.Problem.Reason) {
 			tell()
 			continue
@@ -144,7 +156,7 @@
 
 // relieved returns a channel that is closed when no peer within reach holds work
 // lower than a rank. The peers are told unless they hold it back already.
-func (p *pool) relieved(rank int) <-chan struct{} {
+func (p *Pool) relieved(rank int) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.pressed.done != nil && p.pressed.rank <= rank && time.Since(p.pressed.at) < pressAgain {
@@ -163,47 +175,60 @@
 	return r == api.ReasonQueueFull || r == api.ReasonPredictedLate || r == api.ReasonDeadlineExpired
 }
 
-func (p *pool) setMembers(members []scheduler.Member) {
+// View calls f with the core under the lock. F must not change what waits.
+func (p *Pool) View(f func(core *scheduler.Core)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.core)
+}
+
+// SetMembers replaces the upstreams.
+func (p *Pool) SetMembers(members []scheduler.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.core.SetMembers(members)
 }
 
-func (p *pool) markLeaving(address string) {
+// MarkLeaving stops new work to an upstream.
+func (p *Pool) MarkLeaving(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.core.MarkLeaving(address)
 }
 
-func (p *pool) lowestRank() int {
+// LowestRank returns the least important rank that waits, or -1.
+func (p *Pool) LowestRank() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.core.LowestRank()
 }
 
-// displace gives up one waiting request of a lower tier than rank.
-func (p *pool) displace(rank int) (displaced bool) {
-	p.apply(func(time.Time) scheduler.Decisions {
-		d := p.core.Displace(rank)
+// Displace gives up one waiting request of a lower tier than rank.
+func (p *Pool) Displace(rank int) (displaced bool) {
+	p.Apply(func(_ time.Time, core *scheduler.Core) scheduler.Decisions {
+		d := core.Displace(rank)
 		displaced = len(d.Sheds) > 0
 		return d
 	})
 	return displaced
 }
 
-func (p *pool) addPending(to map[string]int) {
+// AddPending adds the prompt tokens sent to upstreams and not read yet.
+func (p *Pool) AddPending(to map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.Copy(to, p.core.Pending())
 }
 
-func (p *pool) setPrefillWeight(w float64) {
+// SetPrefillWeight sets how much the choice minds reading a prompt again.
+func (p *Pool) SetPrefillWeight(w float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.picker.PrefillWeight = w
 }
 
-func (p *pool) queued(ranks int) []int {
+// Queued returns how many requests of each rank wait.
+func (p *Pool) Queued(ranks int) []int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.core.Queued(ranks)
@@ -222,7 +247,8 @@
 	AvoidedUntil   time.Time `json:"avoidedUntil,omitzero"`
 }
 
-func (p *pool) status() []UpstreamStatus {
+// Status returns what is known of the upstreams.
+func (p *Pool) Status() []UpstreamStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []UpstreamStatus
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -12,7 +12,7 @@
 	// lateFactor is how far the predicted wait must pass the time there is
 	// before a request is refused on a prediction alone.
 	lateFactor = 1.3
-	// minRetryAfter is the shortest time to come back.
+	// minRetryAfter is the shortest time to come back, unless set otherwise.
 	minRetryAfter = time.Second
 	// maxRetryAfter is the longest.
 	maxRetryAfter = 60 * time.Second
@@ -155,15 +155,22 @@
 func (c *Core) startBy(r *Request) time.Time {
 	first, whole := c.typical(r)
 	startBy := r.Deadline.Add(-whole)
+	if r.Patience > 0 {
+		startBy = earlier(startBy, r.Arrived.Add(r.Patience))
+	}
 	if r.FirstToken > 0 {
-		byFirst := r.Arrived.Add(r.FirstToken - first)
-		if byFirst.Before(startBy) {
-			return byFirst
-		}
+		startBy = earlier(startBy, r.Arrived.Add(r.FirstToken-first))
 	}
 	return startBy
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // typical predicts the first token and the whole answer on the better half of
 // the upstreams, idle.
 func (c *Core) typical(r *Request) (first, whole time.Duration) {
@@ -198,5 +205,5 @@
 
 // retryAfter is when the work now waiting will have drained.
 func (c *Core) retryAfter(r *Request) time.Duration {
-	return min(max(c.predictedWait(r), minRetryAfter), maxRetryAfter)
+	return min(max(c.predictedWait(r), c.options.MinRetryAfter), maxRetryAfter)
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -11,6 +11,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -30,6 +31,9 @@
 	// Unqueued sends each request at once to whatever the picker names, without
 	// tiers or limits. The baselines run like that.
 	Unqueued bool
+	// MinRetryAfter is the shortest time to come back that is told; a second where
+	// absent.
+	MinRetryAfter time.Duration
 }
 
 // Request is what the scheduler knows of a request.
@@ -50,7 +54,9 @@
 	Chain []uint64
 	// Bytes it holds while it waits.
 	Bytes int
-	// Exclude is an upstream that failed it already.
+	// Patience is how long it may wait for room; 0 is as long as it can be in time.
+	Patience time.Duration
+	// Exclude is an upstream that failed it already, by its ID.
 	Exclude string
 	// Value is the caller's.
 	Value any
@@ -92,7 +98,7 @@
 	options   Options
 	queue     *queue.Queue
 	upstreams []*balancer.Upstream
-	others    map[string]map[string]int // pending prompt tokens by instance and upstream
+	others    map[string]Load // by instance
 	floor     floor
 	drain     drainRate
 	outputs   outputRatio
@@ -100,41 +106,51 @@
 
 // New returns a Core without upstreams.
 func New(o Options) *Core {
-	return &Core{options: o, queue: queue.New(o.Limits), others: map[string]map[string]int{}, outputs: newOutputRatio()}
+	o.MinRetryAfter = cmp.Or(o.MinRetryAfter, minRetryAfter)
+	return &Core{options: o, queue: queue.New(o.Limits), others: map[string]Load{}, outputs: newOutputRatio()}
 }
 
 // Member is an upstream as a list names it.
 type Member struct {
+	// ID tells apart upstreams that have the same address one after the other;
+	// the address where absent.
+	ID      string
 	Address string
 	Zone    string
+	// Slots is how many requests it runs at once for all instances; 0 is unknown.
+	Slots   int
 	Leaving bool
 }
 
+func (m Member) id() string { return cmp.Or(m.ID, m.Address) }
+
 // SetMembers replaces the list of upstreams. What was learned of those that stay
 // is kept. Those gone from the list get nothing new.
 func (c *Core) SetMembers(members []Member) {
 	known := make(map[string]*balancer.Upstream, len(c.upstreams))
 	for _, u := range c.upstreams {
-		known[u.Address] = u
+		known[u.ID] = u
 	}
 	next := make([]*balancer.Upstream, 0, len(members))
 	for _, m := range members {
-		u := known[m.Address]
+		u := known[m.id()]
 		if u == nil {
 			u = newUpstream(m, c.options.MemoryBlocks)
 		}
-		delete(known, m.Address)
+		delete(known, m.id())
 		u.Leaving = m.Leaving
+		u.Slots = m.Slots
 		next = append(next, u)
 	}
 	for _, gone := range known {
 		gone.Leaving = true
 	}
 	c.upstreams = next
+	c.countOthers()
 }
 
 func newUpstream(m Member, blocks int) *balancer.Upstream {
-	u := &balancer.Upstream{Address: m.Address, Zone: m.Zone}
+	u := &balancer.Upstream{ID: m.id(), Address: m.Address, Zone: m.Zone}
 	u.Speed, u.Window = newEstimates()
 	if blocks > 0 {
 		u.Memory = prefix.NewMemory(blocks)
@@ -143,9 +159,9 @@
 }
 
 // MarkLeaving stops new work to an upstream at its own word or a peer's.
-func (c *Core) MarkLeaving(address string) {
+func (c *Core) MarkLeaving(id string) {
 	for _, u := range c.upstreams {
-		if u.Address == address {
+		if u.ID == id {
 			u.Leaving = true
 		}
 	}
--- a/internal/scheduler/others.go
+++ b/internal/scheduler/others.go
@@ -18,7 +18,7 @@
 	out := map[string]int{}
 	for _, u := range c.upstreams {
 		if u.Pending > 0 {
-			out[u.Address] = u.Pending
+			out[u.ID] = u.Pending
 		}
 	}
 	return out
@@ -27,7 +27,7 @@
 // CacheEvent takes an engine's word on its cache, which comes late and with gaps.
 func (c *Core) CacheEvent(address string, added, dropped []uint64) {
 	for _, u := range c.upstreams {
-		if u.Address == address && u.Memory != nil {
+		if u.ID == address && u.Memory != nil {
 			u.Memory.Add(added)
 			u.Memory.Drop(dropped)
 		}
@@ -37,24 +37,49 @@
 // CacheCleared forgets what an engine's cache held, after its restart.
 func (c *Core) CacheCleared(address string) {
 	for _, u := range c.upstreams {
-		if u.Address == address && u.Memory != nil {
+		if u.ID == address && u.Memory != nil {
 			u.Memory.Clear()
 		}
 	}
 }
 
-// SetOthers takes what another instance has told of its pending prompt tokens; a
-// nil map forgets the instance.
-func (c *Core) SetOthers(instance string, pending map[string]int) {
-	if pending == nil {
+// Load is what an instance tells of its work at the upstreams, by their IDs.
+type Load struct {
+	// Pending prompt tokens sent and not read yet.
+	Pending map[string]int
+	// Running requests sent and not ended.
+	Running map[string]int
+}
+
+// Load returns this instance's work at each upstream that has any.
+func (c *Core) Load() Load {
+	l := Load{Pending: c.Pending(), Running: map[string]int{}}
+	for _, u := range c.upstreams {
+		if u.Running > 0 {
+			l.Running[u.ID] = u.Running
+		}
+	}
+	return l
+}
+
+// SetOthers takes what another instance has told of its load; the zero Load forgets
+// the instance.
+func (c *Core) SetOthers(instance string, l Load) {
+	if l.Pending == nil && l.Running == nil {
 		delete(c.others, instance)
 	} else {
-		c.others[instance] = pending
+		c.others[instance] = l
 	}
+	c.countOthers()
+}
+
+func (c *Core) countOthers() {
 	for _, u := range c.upstreams {
 		u.OthersPending = 0
-		for _, p := range c.others {
-			u.OthersPending += p[u.Address]
+		u.OthersRunning = 0
+		for _, l := range c.others {
+			u.OthersPending += l.Pending[u.ID]
+			u.OthersRunning += l.Running[u.ID]
 		}
 	}
 }
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -129,7 +129,7 @@
 	}
 	rest := make([]*balancer.Upstream, 0, len(c.upstreams))
 	for _, u := range c.upstreams {
-		if u.Address != r.Exclude {
+		if u.ID != r.Exclude {
 			rest = append(rest, u)
 		}
 	}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,249 @@
+// Package view holds what an instance believes of the routed configuration and of
+// the upstreams, from where it learned it, and as of when.
+//
+// Belief comes from a Source and from peers. The configuration never goes back to an
+// older revision within a process. Its age is counted on the steady clock from the
+// moment at which the read that proved it was sent, so that it can serve as a lease:
+// see Fresh.
+package view
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/telemetry"
+)
+
+// Source reads the configuration and the upstreams from where they are published.
+type Source interface {
+	// Run tells the sink what is published, until ctx ends. It blocks.
+	Run(ctx context.Context, sink Sink)
+	// Decode turns a published configuration into a document.
+	Decode(content []byte) (*routing.Document, error)
+}
+
+// Sink takes what a Source reads. Its methods may be called by several goroutines.
+type Sink interface {
+	// Configuration is what was published under a revision, as of a time: the moment
+	// at which the read was sent.
+	Configuration(revision int64, content []byte, asOf time.Time)
+	// Upstreams is the whole list.
+	Upstreams(list []Upstream)
+	// Changes are what happened to the list since, in order.
+	Changes(changes []Change)
+	// Reached and Unreachable tell whether the source answers.
+	Reached()
+	Unreachable(reading string, err error)
+}
+
+// Upstream is one process that runs requests. A restart is another upstream.
+type Upstream struct {
+	// ID names this start of it.
+	ID string `cbor:"1,keyasint"`
+	// Service that it belongs to.
+	Service string `cbor:"2,keyasint"`
+	// Address as IP:port. Another upstream may take it over later.
+	Address string `cbor:"3,keyasint"`
+	// Zone is its availability zone.
+	Zone string `cbor:"4,keyasint"`
+	// Slots is how many requests it runs at once.
+	Slots int `cbor:"5,keyasint"`
+	// Leaving upstreams get nothing new.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Revision of its entry; higher is newer.
+	Revision int64 `cbor:"7,keyasint"`
+}
+
+// Change is one change of the list.
+type Change struct {
+	// Gone is set, with ID and revision alone, when the upstream left the list.
+	Gone     bool
+	Upstream Upstream
+}
+
+// Options of a View.
+type Options struct {
+	Source Source
+	// Lease is how old the configuration may be for requests under an API key.
+	Lease time.Duration
+	// Settle is the time after a return of the source in which upstreams that are
+	// missing from the list may come back to it.
+	Settle time.Duration
+	// OnUpstreams is called with the whole list after a change of it, one call at a
+	// time.
+	OnUpstreams func([]Upstream)
+	// OnTable is called after a new configuration came into force.
+	OnTable func(*routing.Table)
+	Metrics *telemetry.Metrics
+	Log     *log.Logger
+}
+
+// View is what one instance believes. Safe for concurrent use.
+type View struct {
+	o Options
+
+	mu            sync.Mutex
+	configuration Configuration
+	table         *routing.Table
+	asOf          time.Time
+	upstreams     roster
+	reachable     bool
+	everReached   bool
+}
+
+// Configuration is a published configuration as it is handed to peers.
+type Configuration struct {
+	Revision int64
+	Content  []byte
+}
+
+// New returns a View that knows nothing.
+func New(o Options) *View {
+	return &View{o: o, upstreams: newRoster()}
+}
+
+// Run follows the source until ctx ends.
+func (v *View) Run(ctx context.Context) { v.o.Source.Run(ctx, v) }
+
+// Table returns the configuration in force and its age, or nil while none is known.
+func (v *View) Table() (*routing.Table, time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table == nil {
+		return nil, 0
+	}
+	return v.table, time.Since(v.asOf)
+}
+
+// Fresh tells whether a configuration of this age may still decide on API keys.
+func (v *View) Fresh(age time.Duration) bool { return age < v.o.Lease }
+
+// Configuration takes what the source published. It implements Sink.
+func (v *View) Configuration(revision int64, content []byte, asOf time.Time) {
+	v.offer(Configuration{Revision: revision, Content: content}, asOf, "source")
+}
+
+// Learn takes a configuration that a peer handed over.
+func (v *View) Learn(c Configuration, asOf time.Time, peer string) {
+	if c.Revision > 0 {
+		v.offer(c, asOf, "peer "+peer)
+	}
+}
+
+// Published returns the configuration for a peer, and its age.
+func (v *View) Published() (Configuration, time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table == nil {
+		return Configuration{}, 0
+	}
+	return v.configuration, time.Since(v.asOf)
+}
+
+// Revision returns the revision in force, 0 while there is none.
+func (v *View) Revision() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.configuration.Revision
+}
+
+// Age returns how old the configuration is; Known is false while there is none.
+func (v *View) Age() (age time.Duration, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.asOf), v.table != nil
+}
+
+// offer takes a configuration from any side: an older one is ignored, the same one
+// is confirmed, a newer one comes into force if it is valid.
+func (v *View) offer(c Configuration, asOf time.Time, from string) {
+	if v.confirm(c, asOf, from) {
+		return
+	}
+	table, err := v.build(c.Content)
+	if err != nil {
+		v.o.Metrics.Count("tacktally_config_rejected_total")
+		v.o.Log.Error().Str("event", "config_rejected").Int64("revision", c.Revision).Str("from", from).Str("cause", err.Error()).Msg("")
+		return
+	}
+	if !v.accept(c, table, asOf) {
+		return
+	}
+	v.o.Metrics.Count("tacktally_config_accepted_total")
+	v.o.Log.Info().Str("event", "config_accepted").Int64("revision", c.Revision).Int64("version", table.Version).
+		Int("routes", table.Routes()).Dur("age", time.Since(asOf)).Str("from", from).Msg("")
+	if v.o.OnTable != nil {
+		v.o.OnTable(table)
+	}
+}
+
+// confirm handles all but newer configurations, and tells whether it did.
+func (v *View) confirm(c Configuration, asOf time.Time, from string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case c.Revision > v.configuration.Revision:
+		return false
+	case c.Revision < v.configuration.Revision:
+		v.o.Metrics.Count("tacktally_config_older_total")
+		v.o.Log.Warn().Str("event", "config_older").Int64("revision", c.Revision).
+			Int64("in_force", v.configuration.Revision).Str("from", from).Msg("")
+	case asOf.After(v.asOf):
+		v.asOf = asOf
+	}
+	return true
+}
+
+func (v *View) build(content []byte) (*routing.Table, error) {
+	d, err := v.o.Source.Decode(content)
+	if err != nil {
+		return nil, fmt.Errorf("publish a configuration that decodes: %w", err)
+	}
+	return routing.Build(d)
+}
+
+func (v *View) accept(c Configuration, table *routing.Table, asOf time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if c.Revision <= v.configuration.Revision {
+		return false // another offer was faster
+	}
+	v.configuration = c
+	v.table = table
+	v.asOf = asOf
+	return true
+}
+
+// Reached implements Sink.
+func (v *View) Reached() {
+	v.mu.Lock()
+	back := !v.reachable
+	first := !v.everReached
+	v.reachable = true
+	v.everReached = true
+	if back && !first {
+		v.upstreams.settleBy(time.Now().Add(v.o.Settle))
+		time.AfterFunc(v.o.Settle, v.settle)
+	}
+	v.mu.Unlock()
+	if back {
+		v.o.Log.Info().Str("event", "source_reached").Bool("first", first).Msg("")
+	}
+}
+
+// Unreachable implements Sink.
+func (v *View) Unreachable(reading string, err error) {
+	v.mu.Lock()
+	lost := v.reachable
+	v.reachable = false
+	v.mu.Unlock()
+	v.o.Metrics.Count("tacktally_source_errors_total")
+	if lost {
+		v.o.Log.Warn().Str("event", "source_lost").Str("reading", reading).Str("cause", err.Error()).Msg("")
+	}
+}
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,139 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/telemetry"
+)
+
+// source decodes a content as the name of its only route.
+type source struct{}
+
+func (source) Run(ctx context.Context, _ Sink) { <-ctx.Done() }
+
+func (source) Decode(content []byte) (*routing.Document, error) {
+	if len(content) == 0 {
+		return nil, errors.New("it is empty")
+	}
+	return &routing.Document{
+		Services: []routing.Service{{Name: "s"}},
+		Routes: []routing.Route{{
+			Name: string(content), Host: "h", Prefix: "/", Kind: routing.Idempotent,
+			Timeout: time.Second, MaxAttempts: 1, Split: []routing.Share{{Service: "s", Weight: 1}},
+		}},
+	}, nil
+}
+
+func newView(onUpstreams func([]Upstream)) *View {
+	return New(Options{
+		Source: source{}, Lease: 5 * time.Second, Settle: 2 * time.Second, OnUpstreams: onUpstreams,
+		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
+	})
+}
+
+func inForce(v *View) string {
+	table, _ := v.Table()
+	if table == nil {
+		return ""
+	}
+	return table.Match("h", "/").Name
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	v := newView(nil)
+	now := time.Now()
+	is.Equal(inForce(v), "")
+	v.Configuration(7, []byte("seven"), now)
+	v.Configuration(6, []byte("six"), now.Add(time.Second))
+	is.Equal(inForce(v), "seven")
+	v.Learn(Configuration{Revision: 5, Content: []byte("five")}, now.Add(time.Second), "p")
+	is.Equal(inForce(v), "seven")
+	v.Learn(Configuration{Revision: 8, Content: []byte("eight")}, now, "p")
+	is.Equal(inForce(v), "eight")
+}
+
+func TestInvalidConfigurationLeavesWhatIsInForce(t *testing.T) {
+	is := is.New(t)
+	v := newView(nil)
+	v.Configuration(7, []byte("seven"), time.Now())
+	v.Configuration(8, nil, time.Now())
+	is.Equal(inForce(v), "seven")
+	is.Equal(v.Revision(), int64(7))
+}
+
+func TestAgeCountsFromTheNewestProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := newView(nil)
+		v.Configuration(7, []byte("seven"), time.Now().Add(-time.Second))
+		_, age := v.Table()
+		is.Equal(age, time.Second)
+		v.Configuration(7, []byte("seven"), time.Now())
+		v.Learn(Configuration{Revision: 7}, time.Now().Add(-3*time.Second), "p") // older proof
+		_, age = v.Table()
+		is.Equal(age, time.Duration(0))
+		<-time.After(5 * time.Second)
+		_, age = v.Table()
+		is.True(!v.Fresh(age)) // the lease is over
+	})
+}
+
+func ids(list []Upstream) (out []string) {
+	for _, u := range list {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+func TestEntriesThatLapseInAnOutageMayComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var list []Upstream
+		v := newView(func(l []Upstream) { list = l })
+		v.Reached()
+		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "c", Revision: 3, Leaving: true}})
+		v.Unreachable("list", errors.New("down"))
+		v.Reached()
+		v.Upstreams(nil)
+		is.Equal(ids(list), []string{"a", "b"}) // c said that it leaves
+		v.Changes([]Change{{Upstream: Upstream{ID: "a", Revision: 9}}})
+		<-time.After(2 * time.Second)
+		synctest.Wait()
+		is.Equal(ids(list), []string{"a"}) // b didn't come back
+	})
+}
+
+func TestEntriesThatVanishWhileTheSourceAnswersAreGone(t *testing.T) {
+	is := is.New(t)
+	var list []Upstream
+	v := newView(func(l []Upstream) { list = l })
+	v.Reached()
+	v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}})
+	v.Changes([]Change{{Gone: true, Upstream: Upstream{ID: "a", Revision: 3}}})
+	is.Equal(ids(list), []string{"b"})
+}
+
+func TestOlderNewsOfAnUpstreamChangesNothing(t *testing.T) {
+	is := is.New(t)
+	var list []Upstream
+	v := newView(func(l []Upstream) { list = l })
+	v.Reached()
+	v.LearnUpstreams([]Upstream{{ID: "a", Revision: 5, Leaving: true}}, 8, "p")
+	v.Changes([]Change{
+		{Upstream: Upstream{ID: "a", Revision: 4}},
+		{Upstream: Upstream{ID: "b", Revision: 6}}, // gone by 8
+	})
+	is.Equal(ids(list), []string{"a"})
+	is.True(list[0].Leaving)
+	v.LearnUpstreams(nil, 7, "p") // an older list
+	is.Equal(ids(list), []string{"a"})
+}
