Bound quotas by a bucket that each instance has a replica of

Ruled out: a lag of the view, since shares were all heard (no peer was lost). Change: each instance keeps a replica of the whole bucket and takes out what the others tell; unheard instances are left their static part. A change of the configuration never makes its proof older.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,10 +13,10 @@
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/internal/idempotency"
-	"github.com/tacktally/tacktally/internal/orglimit"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/proxy"
 	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/quota"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
@@ -28,9 +28,9 @@
 	// memoryShare is the part of the process's memory from which on the garbage
 	// collector works harder. The rest is for the kernel's buffers.
 	memoryShare = 0.5
-	// quotaUse is the part of the overage that is used, so that peers whose view of
-	// the demand lags a heartbeat don't pass it together.
-	quotaUse = 0.8
+	// quotaUse is the part of the overage by which an organisation's rate is raised.
+	// The rest is for what several instances grant within a heartbeat.
+	quotaUse = 0.2
 	// tidyInterval is how often idle connections are looked at.
 	tidyInterval = time.Second
 	// askPeersShare is the part of the lease past which the peers are asked for a
@@ -61,7 +61,7 @@
 
 	view   *view.View
 	fleet  *proxy.Fleet
-	quotas *orglimit.Limiter
+	quotas *quota.Limiter
 	proxy  *proxy.Handler
 	mesh   *peer.Mesh
 	ready  readiness
@@ -76,7 +76,7 @@
 		incarnation: idempotency.NewIncarnation(),
 		output:      telemetry.NewBounded(o.LogTo),
 		metrics:     telemetry.NewMetrics(),
-		quotas:      orglimit.NewLimiter(),
+		quotas:      quota.New(time.Now()),
 	}
 	if err := i.listeners.open(s); err != nil {
 		return nil, err
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -72,7 +72,7 @@
 		InFlight:    i.proxy.InFlight(),
 		Pending:     load.Pending,
 		Running:     load.Running,
-		Demand:      i.quotas.Demands(time.Now()),
+		Used:        i.quotas.Used(),
 		Members:     i.members(),
 	}
 }
@@ -92,7 +92,7 @@
 func (p *peers) Heard(from string, h *peer.Heartbeat) {
 	i := p.instance
 	i.fleet.SetOthers(from, scheduler.Load{Pending: h.Pending, Running: h.Running})
-	i.quotas.Heard(from, h.Demand)
+	i.quotas.Heard(from, i.mesh.Incarnation(from), h.Used)
 	i.mesh.Meet(h.Members)
 	if h.Revision > i.view.Revision() || h.ListVersion > i.view.ListRevision() {
 		i.mesh.FetchSoon(from)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -107,6 +107,8 @@
 	Demand map[string]float64 `cbor:"8,keyasint,omitempty"`
 	// Running requests by upstream: sent and not ended.
 	Running map[string]int `cbor:"9,keyasint,omitempty"`
+	// Used is what each organisation was granted since the instance started, in tokens.
+	Used map[string]int64 `cbor:"11,keyasint,omitempty"`
 	// Members are the peers that the sender has heard of lately, itself left out.
 	// Where no list of instances is published they are found by these.
 	Members []string `cbor:"10,keyasint,omitempty"`
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -14,7 +14,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
-	"github.com/tacktally/tacktally/internal/orglimit"
+	"github.com/tacktally/tacktally/internal/quota"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
@@ -39,9 +39,8 @@
 	Fleet    *Fleet
 	Protocol Protocol
 	// Quotas bounds what each organisation may use over all instances, and
-	// QuotaFactor is how much of its quota it may use: a limit that is kept over a
-	// longer window may be passed in a short one.
-	Quotas      *orglimit.Limiter
+	// QuotaFactor is how many times its rate it may use.
+	Quotas      *quota.Limiter
 	QuotaFactor float64
 	// Doubt is the age of the configuration from which on nothing is refused for
 	// lacking in it: it may have been added since.
@@ -237,12 +236,8 @@
 		return nil
 	}
 	j.tokens = j.size(o)
-	granted, wait := j.handler.o.Quotas.Take(j.arrived, orglimit.Ask{
-		Organisation: o.Name,
-		Total:        o.TokensPerSecond * j.handler.o.QuotaFactor,
-		Tokens:       j.tokens,
-		Top:          j.rank() == 0,
-	})
+	limit := quota.Limit{Rate: o.TokensPerSecond * j.handler.o.QuotaFactor, Burst: o.BurstTokens}
+	granted, wait := j.handler.o.Quotas.Take(j.arrived, o.Name, limit, j.tokens)
 	if granted {
 		return nil
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -215,7 +215,9 @@
 	}
 	v.configuration = c
 	v.table = table
-	v.asOf = asOf
+	if asOf.After(v.asOf) {
+		v.asOf = asOf // or what was proved of the older one holds of this one too
+	}
 	return true
 }
 
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -87,6 +87,18 @@
 	})
 }
 
+// A watch that waited for long brings a change. The configuration before it was proved
+// meanwhile, and holds all that was taken away until then; the new one does so too.
+func TestAChangeKeepsTheAgeThatWasProved(t *testing.T) {
+	is := is.New(t)
+	v := newView(nil)
+	proved := time.Now()
+	v.Configuration(7, []byte("seven"), proved)
+	v.Configuration(8, []byte("eight"), proved.Add(-8*time.Second))
+	_, age := v.Table()
+	is.True(v.Fresh(age))
+}
+
 func ids(list []Upstream) (out []string) {
 	for _, u := range list {
 		out = append(out, u.ID)
