Choose upstreams by the latency objective

Change: a picker that weighs the first token past the objective and the end past the deadline, reading, crowding and distance; events are counted as tokens and callers' estimates used; silence is held against the prediction; a late answer still counts, so it isn't refused on a prediction of its end.

--- /dev/null
+++ b/internal/balancer/aimed_test.go
@@ -0,0 +1,62 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/estimate"
+)
+
+// engine returns an upstream that was seen to read so many prompt tokens a second and
+// to take so long between output tokens.
+func engine(id string, prefill float64, interval time.Duration, running int) *Upstream {
+	u := &Upstream{ID: id, Zone: "bole", Slots: 10, Running: running, Speed: estimate.NewSpeed()}
+	for range 200 {
+		u.Speed.ObserveInterval(interval)
+		u.Speed.ObserveFirstToken(10_000, time.Duration(10_000/prefill*float64(time.Second))+interval)
+	}
+	return u
+}
+
+func TestAimedChoosesByTheObjective(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		fastRunning, slowRunning int
+		work                     Work
+		want                     string
+	}{
+		"a long prompt goes to the engine that reads it in time, however crowded": {
+			9, 0, Work{Prompt: 30_000, FirstIn: 800 * time.Millisecond, EndIn: 15 * second}, "fast"},
+		"a short prompt spares the crowded engine":              {9, 0, Work{Prompt: 500, FirstIn: 800 * time.Millisecond, EndIn: 15 * second}, "slow"},
+		"a full engine gets nothing":                            {10, 9, Work{Prompt: 30_000, FirstIn: 800 * time.Millisecond, EndIn: 15 * second}, "slow"},
+		"a long answer goes where it can end before its time":   {3, 0, Work{Prompt: 500, Output: 2000, FirstIn: 800 * time.Millisecond, EndIn: 15 * second}, "fast"},
+		"of two idle ones the one that reads the prompt faster": {0, 0, Work{Prompt: 3000, FirstIn: 800 * time.Millisecond, EndIn: 15 * second}, "fast"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &Aimed{Zone: "bole", Weights: DefaultAimedWeights}
+			fast := engine("fast", 100_000, 3*time.Millisecond, c.fastRunning)
+			slow := engine("slow", 16_000, 13*time.Millisecond, c.slowRunning)
+			is.Equal(p.Pick(time.Now(), []*Upstream{slow, fast}, c.work).Upstream.ID, c.want)
+		})
+	}
+}
+
+func TestAimedPrefersItsOwnZoneAmongEquals(t *testing.T) {
+	is := is.New(t)
+	p := &Aimed{Zone: "merkato", FarCost: 5 * time.Millisecond, Weights: DefaultAimedWeights}
+	far := &Upstream{ID: "far", Zone: "bole", Slots: 6}
+	near := &Upstream{ID: "near", Zone: "merkato", Slots: 6}
+	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, Work{}).Upstream.ID, "near")
+	near.Running = 1 // a slot of six counts more than the distance
+	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, Work{}).Upstream.ID, "far")
+}
+
+func TestAimedGivesNothingWhereAllAreFull(t *testing.T) {
+	is := is.New(t)
+	p := &Aimed{Weights: DefaultAimedWeights}
+	full := &Upstream{ID: "full", Slots: 6, Running: 2, OthersRunning: 4}
+	is.True(p.Pick(time.Now(), []*Upstream{full}, Work{}).Upstream == nil)
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -58,6 +58,9 @@
 	if u.Failures > 0 && u.Running > 0 {
 		return false
 	}
+	if u.Slots > 0 {
+		return true // its slots bound what it is sent
+	}
 	bound := u.Speed.Prefill() * PrefillHorizon.Seconds()
 	ahead := u.Ahead()
 	return ahead == 0 || float64(ahead+tokens) <= bound
@@ -95,6 +98,10 @@
 	Output int
 	// Chain is the prompt's prefix sums.
 	Chain []uint64
+	// FirstIn is the time in which the first token is in time, EndIn that in which
+	// the whole answer is; 0 where there is no such bound.
+	FirstIn time.Duration
+	EndIn   time.Duration
 }
 
 // Uncached returns the prompt tokens that the upstream likely has to read.
--- a/internal/balancer/predictive.go
+++ b/internal/balancer/predictive.go
@@ -16,10 +16,6 @@
 	// answer is good, but an answer in time on the engine that holds the prompt
 	// saves reading it again.
 	decodeWeight = 0.3
-	// crowdingCost is what an upstream whose slots are all taken counts for more than
-	// an idle one. Of the order of a short answer, so that equal upstreams fill up
-	// evenly; learned speeds go before it.
-	crowdingCost = 20 * time.Millisecond
 	// affinityEntries bounds the memory of who was sent which prefix.
 	affinityEntries = 8192
 )
@@ -32,10 +28,6 @@
 	// PrefillWeight is how often the reading of uncached prompt counts beside the
 	// time to the first token. Higher wastes less prefill, lower answers sooner.
 	PrefillWeight float64
-	// Zone is this instance's availability zone, and FarCost what an upstream of
-	// another counts for in time; 0 where zones don't matter.
-	Zone    string
-	FarCost time.Duration
 	// Random draws the sample among many upstreams.
 	Random *rand.Rand
 
@@ -73,16 +65,7 @@
 	first := u.Speed.FirstToken(u.Ahead() + uncached)
 	reading := time.Duration(float64(u.Speed.FirstToken(uncached)) * p.PrefillWeight)
 	writing := time.Duration(float64(u.Speed.Decode(w.Output, 1)) * decodeWeight)
-	crowding := time.Duration(u.Occupancy() * float64(crowdingCost))
-	return first + reading + writing + crowding + p.far(u)
-}
-
-// far is what the distance to the upstream counts for.
-func (p *Predictive) far(u *Upstream) time.Duration {
-	if u.Zone == p.Zone {
-		return 0
-	}
-	return p.FarCost
+	return first + reading + writing
 }
 
 // each calls f for the upstreams to look at: all of a few; of many, those that
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -20,7 +20,8 @@
 
 // Options of a Pool.
 type Options struct {
-	Core   *scheduler.Core
+	Core *scheduler.Core
+	// Picker of the core, where its weight is to be changed. May be nil.
 	Picker *balancer.Predictive
 	// Press tells the peers that work of a rank is about to be shed for load, and
 	// returns when none within reach holds lower work. May be nil.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -18,8 +18,10 @@
 	// time when the caller comes back.
 	patienceShare = 0.24
 	// silenceFactor is how many times the latency objective an upstream may take to
-	// begin an answer that may be had elsewhere.
-	silenceFactor = 2.5
+	// begin an answer that may be had elsewhere, and predictedFactor how many times
+	// what was predicted of it, whichever is more: a long prompt is no silence.
+	silenceFactor   = 2.5
+	predictedFactor = 3
 	// maxUnsent bounds the connections that fail before a request is given up.
 	maxUnsent = 3
 )
@@ -100,8 +102,11 @@
 		Arrived:      j.arrived,
 		Deadline:     j.deadline,
 		Patience:     j.patience(),
+		Aim:          j.route.Target,
+		LateIsWorth:  true,
 		Prompt:       j.call.Prompt,
 		Output:       j.call.Output,
+		Expected:     j.call.Expected,
 		Chain:        chain(j.call.Parts),
 		Bytes:        len(j.body),
 		Exclude:      exclude,
@@ -165,7 +170,7 @@
 	s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
 		switch r.status {
 		case done:
-			return core.Done(now, g, 0)
+			return core.Done(now, g, j.outputTokens())
 		case notRun:
 			return core.Busy(now, g)
 		case misdirected:
@@ -184,6 +189,14 @@
 	}
 }
 
+// outputTokens is how many tokens the last answer had, as far as its events tell.
+func (j *job) outputTokens() int {
+	if service := j.table.Service(j.service); service != nil {
+		return j.events * service.EventTokens
+	}
+	return 0
+}
+
 // ended words the end of a request that isn't sent again.
 func (j *job) ended(r result) *api.Problem {
 	switch r.status {
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -2,13 +2,11 @@
 
 import (
 	"maps"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/balancer"
-	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/queue"
@@ -130,9 +128,7 @@
 	if s := f.services[name]; s != nil {
 		return s
 	}
-	picker := balancer.NewPredictive(config.DefaultPrefillWeight, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	picker.Zone = f.o.Zone
-	picker.FarCost = f.o.FarCost
+	picker := &balancer.Aimed{Zone: f.o.Zone, FarCost: f.o.FarCost, Weights: balancer.DefaultAimedWeights}
 	core := scheduler.New(scheduler.Options{
 		Picker:        picker,
 		Limits:        f.o.Limits,
@@ -140,7 +136,7 @@
 		MinRetryAfter: minRetryAfter,
 	})
 	s := &service{
-		pool:    pool.New(pool.Options{Core: core, Picker: picker}),
+		pool:    pool.New(pool.Options{Core: core}),
 		repeats: retrybudget.New(f.o.Repeats.Split(f.instances)),
 	}
 	f.services[name] = s
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -101,9 +101,12 @@
 	attempts   int
 	upstream   string // the last one it was sent to
 	mayHaveRun bool
-	passed     bool   // a part of an answer was passed on
-	after      string // last event passed on
-	status     int    // passed on
+	passed     bool          // a part of an answer was passed on
+	after      string        // last event passed on
+	events     int           // of the last answer
+	granted    time.Duration // from arrival until it was last sent
+	first      time.Duration // from arrival until the answer began
+	status     int           // passed on
 }
 
 // admit finds out what the request is and whether it may run.
@@ -302,7 +305,8 @@
 		event = event.Str("organisation", j.organisation.Name).Int("tokens", j.tokens)
 	}
 	event.Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
-		Str("upstream", j.upstream).Dur("took", took).Msg("")
+		Str("upstream", j.upstream).Int("prompt", j.call.Prompt).Dur("sent_after", j.granted).Dur("first_after", j.first).
+		Int("events", j.events).Dur("took", took).Msg("")
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -46,10 +46,11 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(context.Canceled)
-	silence := j.watchSilence(cancel)
+	silence := j.watchSilence(g, cancel)
 	defer silence.stop()
 	j.attempts++
 	j.upstream = g.Upstream.ID
+	j.granted = time.Since(j.arrived)
 	answer, err := connections.Do(ctx, j.exchangeRequest(g, left))
 	if err != nil {
 		status, err := statusOf(ctx, err)
@@ -63,7 +64,8 @@
 	defer answer.Close()
 	r := &relay{job: j, ctx: ctx, answer: answer, silence: silence, first: func() {
 		s.pool.FirstToken(g)
-		j.handler.o.Metrics.FirstToken(j.route.Kind.String(), time.Since(j.arrived))
+		j.first = time.Since(j.arrived)
+		j.handler.o.Metrics.FirstToken(j.route.Kind.String(), j.first)
 	}}
 	return r.run()
 }
@@ -93,11 +95,11 @@
 	pause time.Duration
 }
 
-func (j *job) watchSilence(cancel context.CancelCauseFunc) silence {
+func (j *job) watchSilence(g *scheduler.Grant, cancel context.CancelCauseFunc) silence {
 	if !j.route.MayRepeat() || j.attempts+1 >= j.route.MaxAttempts || j.route.Target == 0 {
 		return silence{}
 	}
-	first := time.Duration(silenceFactor * float64(j.route.Target))
+	first := max(time.Duration(silenceFactor*float64(j.route.Target)), predictedFactor*g.Predicted())
 	return silence{
 		timer: time.AfterFunc(first, func() { cancel(errSilent) }),
 		pause: pauseFactor * j.route.MaxPause,
@@ -193,6 +195,7 @@
 func (r *relay) events() result {
 	reader := bufio.NewReaderSize(r.answer, eventBuffer)
 	control := http.NewResponseController(r.job.w)
+	r.job.events = 0
 	begun := false
 	for {
 		event, err := sse.Read(reader, maxEventBytes)
@@ -204,6 +207,7 @@
 				begun = true
 				r.first()
 			}
+			r.job.events++
 			r.silence.heard()
 			if w := r.event(event); w.status != done {
 				return w
--- a/internal/proxy/seam.go
+++ b/internal/proxy/seam.go
@@ -46,6 +46,8 @@
 	Sized  bool
 	Prompt int
 	Output int
+	// Expected is the caller's estimate of the output's length; 0 where there is none.
+	Expected int
 	// Parts of the prompt in order. Requests share the first ones.
 	Parts []Part
 	// After is the ID of the last event that the caller has of a stream; empty from
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -103,6 +103,9 @@
 	// CacheTokens is the memory of one engine for prompts and answers, in tokens;
 	// 0 for services that are no engines.
 	CacheTokens int
+	// EventTokens is how many tokens one event of an engine's stream holds; 0 where
+	// events don't tell.
+	EventTokens int
 }
 
 // Limits bound what callers may send.
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -31,7 +31,7 @@
 		c.sendUnqueued(now, r, &d)
 		return d
 	}
-	if !c.feasible(now, r) {
+	if !r.LateIsWorth && !c.feasible(now, r) {
 		c.shed(&d, r, api.ReasonDeadlineTooShort, "even an idle upstream would answer too late; allow more time or send less")
 		return d
 	}
@@ -155,7 +155,7 @@
 // feasible tells whether any upstream could answer in time if it had nothing else
 // to do.
 func (c *Core) feasible(now time.Time, r *Request) bool {
-	output := c.outputs.expect(r.Output)
+	output := c.output(r)
 	for _, u := range c.sampleUpstreams() {
 		first, whole := u.Speed.Idle(r.Prompt, output)
 		inTime := r.FirstToken == 0 || !now.Add(first).After(r.Arrived.Add(r.FirstToken))
@@ -169,11 +169,15 @@
 // startBy is the latest start that lets the answer be in time, on an upstream of
 // middling speed.
 func (c *Core) startBy(r *Request) time.Time {
-	first, whole := c.typical(r)
-	startBy := r.Deadline.Add(-whole)
+	startBy := r.Deadline
 	if r.Patience > 0 {
-		startBy = earlier(startBy, r.Arrived.Add(r.Patience))
+		startBy = r.Arrived.Add(r.Patience)
+	}
+	if r.LateIsWorth {
+		return startBy
 	}
+	first, whole := c.typical(r)
+	startBy = earlier(startBy, r.Deadline.Add(-whole))
 	if r.FirstToken > 0 {
 		startBy = earlier(startBy, r.Arrived.Add(r.FirstToken-first))
 	}
@@ -191,7 +195,7 @@
 // the upstreams, idle.
 func (c *Core) typical(r *Request) (first, whole time.Duration) {
 	var firsts, wholes []time.Duration
-	output := c.outputs.expect(r.Output)
+	output := c.output(r)
 	for _, u := range c.sampleUpstreams() {
 		if !u.Speed.Known() {
 			firsts = append(firsts, 0)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -50,12 +50,20 @@
 	// Prompt tokens and the limit of Output tokens.
 	Prompt int
 	Output int
+	// Expected output tokens by the caller's own estimate; 0 where there is none.
+	Expected int
 	// Chain is the prompt's prefix sums.
 	Chain []uint64
 	// Bytes it holds while it waits.
 	Bytes int
 	// Patience is how long it may wait for room; 0 is as long as it can be in time.
 	Patience time.Duration
+	// Aim is the objective for the first token, which the choice of an upstream goes
+	// by; 0 is none. Unlike FirstToken, nothing is refused for it.
+	Aim time.Duration
+	// LateIsWorth tells that a late answer is still of use, so that it isn't refused
+	// because its end is predicted too late.
+	LateIsWorth bool
 	// Exclude is an upstream that failed it already, by its ID.
 	Exclude string
 	// Value is the caller's.
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -97,7 +97,7 @@
 	bestShare := -1.0
 	for _, it := range c.queue.Peek(now, lookahead) {
 		r := it.Value.(*Request)
-		choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(r))
+		choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(now, r))
 		if choice.Upstream == nil {
 			continue
 		}
@@ -113,7 +113,7 @@
 }
 
 func (c *Core) sendUnqueued(now time.Time, r *Request, d *Decisions) {
-	choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(r))
+	choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(now, r))
 	if choice.Upstream == nil {
 		c.shed(d, r, api.ReasonNoUpstream, "no upstream is in service; come back later, or check the platform's instance list")
 		return
@@ -136,17 +136,29 @@
 	return rest
 }
 
-func (c *Core) describe(r *Request) balancer.Work {
-	return balancer.Work{Prompt: r.Prompt, Output: c.outputs.expect(r.Output), Chain: r.Chain}
+// output is the number of output tokens that is expected of an answer.
+func (c *Core) output(r *Request) int {
+	if r.Expected > 0 {
+		return r.Expected
+	}
+	return c.outputs.expect(r.Output)
+}
+
+func (c *Core) describe(now time.Time, r *Request) balancer.Work {
+	w := balancer.Work{Prompt: r.Prompt, Output: c.output(r), Chain: r.Chain, EndIn: r.Deadline.Sub(now)}
+	if r.Aim > 0 {
+		w.FirstIn = max(r.Arrived.Add(r.Aim).Sub(now), 1) // late already: the sooner the better
+	}
+	return w
 }
 
 func (c *Core) work(r *Request) float64 {
-	return float64(r.Prompt + outputWeight*c.outputs.expect(r.Output))
+	return float64(r.Prompt + outputWeight*c.output(r))
 }
 
 func (c *Core) grant(now time.Time, r *Request, choice balancer.Choice) *Grant {
 	u := choice.Upstream
-	c.options.Picker.Sent(u, c.describe(r))
+	c.options.Picker.Sent(u, c.describe(now, r))
 	u.Pending += choice.Uncached
 	u.Running++
 	if u.Memory != nil {
