--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -23,6 +23,9 @@
 const (
 	// bodyTimeout is the time a caller has to send a body whose head has come.
 	bodyTimeout = 15 * time.Second
+	// refusedBodyLinger is how long a connection whose body was refused unread stays
+	// open, so that the answer arrives before the reset.
+	refusedBodyLinger = 500 * time.Millisecond
 	// defaultMaxBody bounds a body where the configuration has no limit.
 	defaultMaxBody = 4 << 20
 	// comeBackSoon is told where waiting a moment may mend it: another instance may
@@ -199,14 +202,15 @@
 	if most == 0 {
 		most = defaultMaxBody
 	}
+	control := http.NewResponseController(j.w)
 	if j.http.ContentLength > most {
 		j.w.Header().Set("Connection", "close")
+		_ = control.SetReadDeadline(time.Now().Add(refusedBodyLinger)) // without it the connection stays open for the body
 		return api.Refuse(api.ReasonBodyTooLarge, "the body has %d bytes; at most %d are allowed", j.http.ContentLength, most)
 	}
 	if j.http.ContentLength == 0 {
 		return nil
 	}
-	control := http.NewResponseController(j.w)
 	stall := time.AfterFunc(bodyTimeout, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	defer stall.Stop()
 	body := http.MaxBytesReader(j.w, j.http.Body, most)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -57,6 +57,48 @@
 	is.Equal(d.Sheds[0].Problem.Reason, api.ReasonNoUpstream)
 }
 
+// A request to a plain service has no prompt. It must not wait until it is urgent.
+func TestARequestWithoutAPromptIsSentAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100, "a")
+	r := ask(0, 3600)
+	r.Prompt, r.Output = 0, 0
+	is.Equal(len(c.Submit(start, r).Grants), 1)
+}
+
+func TestSlotsBoundWhatAllInstancesSend(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100)
+	c.SetMembers([]Member{{ID: "u", Address: "a", Slots: 10}})
+	c.SetOthers("p", Load{Running: map[string]int{"u": 7, "other": 9}})
+	is.Equal(len(occupy(c)), 3)
+	c.SetOthers("p", Load{})
+	is.Equal(len(c.Poll(start).Grants), 1) // the one that was queued
+}
+
+func TestAnUpstreamThatTookOverAnAddressIsAnother(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100)
+	c.SetMembers([]Member{{ID: "old", Address: "a", Slots: 2}})
+	is.Equal(len(occupy(c)), 2)
+	c.SetMembers([]Member{{ID: "new", Address: "a", Slots: 2}})
+	is.Equal(c.Upstreams()[0].Running, 0)
+}
+
+func TestPatienceBoundsTheWait(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100)
+	c.SetMembers([]Member{{ID: "u", Address: "a", Slots: 1}})
+	occupy(c)
+	r := ask(0, 3600)
+	r.LateIsWorth = true
+	r.Patience = 200 * time.Millisecond
+	is.Equal(len(c.Submit(start, r).Sheds), 0)
+	is.Equal(len(c.Poll(start.Add(100 * time.Millisecond)).Sheds), 0)
+	d := c.Poll(start.Add(201 * time.Millisecond))
+	is.Equal(d.Sheds[0].Problem.Reason, api.ReasonDeadlineExpired)
+}
+
 func TestAQueuedRequestGoesWhenThereIsRoom(t *testing.T) {
 	is := is.New(t)
 	c := newCore(100, "a")
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -104,14 +104,21 @@
 		if it.StartBy.Sub(now) < urgent {
 			return it, choice
 		}
-		cached := 1 - float64(choice.Uncached)/float64(r.Prompt)
-		if cached > bestShare {
+		if cached := cachedShare(r, choice); cached > bestShare {
 			best, chosen, bestShare = it, choice, cached
 		}
 	}
 	return best, chosen
 }
 
+// cachedShare is the share of a prompt that the upstream holds; 0 without a prompt.
+func cachedShare(r *Request, choice balancer.Choice) float64 {
+	if r.Prompt == 0 {
+		return 0
+	}
+	return 1 - float64(choice.Uncached)/float64(r.Prompt)
+}
+
 func (c *Core) sendUnqueued(now time.Time, r *Request, d *Decisions) {
 	choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(now, r))
 	if choice.Upstream == nil {
