--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 	settings    *settings.Settings
 	address     string
 	incarnation idempotency.Incarnation
+	started     time.Time
 	output      *telemetry.Bounded
 	log         *log.Logger
 	metrics     *telemetry.Metrics
@@ -71,8 +72,8 @@
 	s := o.Settings
 	i := &Instance{
 		settings:    s,
-		address:     s.Peers.Advertise,
 		incarnation: idempotency.NewIncarnation(),
+		started:     time.Now(),
 		output:      telemetry.NewBounded(o.LogTo),
 		metrics:     telemetry.NewMetrics(),
 		quotas:      quota.New(time.Now()),
@@ -80,6 +81,7 @@
 	if err := i.listeners.open(s); err != nil {
 		return nil, err
 	}
+	i.address = i.listeners.advertised(s.Peers)
 	i.log = telemetry.NewLogger(i.output, s.Log.Level, i.address)
 	i.fleet = i.newFleet()
 	i.view = view.New(view.Options{
@@ -156,9 +158,27 @@
 		return age.Seconds()
 	})
 	i.metrics.Gauge("tacktally_peers_known", func() float64 { return float64(len(i.mesh.Peers())) })
+	i.metrics.Gauge("tacktally_reads_source", func() float64 {
+		if i.reading.active() {
+			return 1
+		}
+		return 0
+	})
 	i.metrics.Gauge("tacktally_log_lines_dropped", func() float64 { return float64(i.output.Dropped()) })
 }
 
+// Address returns the peer address.
+func (i *Instance) Address() string { return i.address }
+
+// CallerAddress returns where callers are listened to.
+func (i *Instance) CallerAddress() string { return i.listeners.callers.Addr().String() }
+
+// ReadyAddress returns where readiness checks are answered.
+func (i *Instance) ReadyAddress() string { return i.listeners.ready.Addr().String() }
+
+// MetricsAddress returns where metrics are served.
+func (i *Instance) MetricsAddress() string { return i.listeners.metrics.Addr().String() }
+
 // Run serves until ctx ends, and then shuts down: see shutDown.
 func (i *Instance) Run(ctx context.Context) {
 	life, end := context.WithCancel(context.Background())
--- a/internal/entry/reading.go
+++ b/internal/entry/reading.go
@@ -137,15 +137,27 @@
 func (i *Instance) askPeers(ctx context.Context) {
 	lease := float64(i.settings.Routed.Lease)
 	for wait.For(ctx, askInterval) {
-		age, known := i.view.Age()
-		if known && float64(age) < askShare*lease {
+		age := float64(i.unproved())
+		if age < askShare*lease {
 			continue
 		}
-		if reader := i.reading.reader(i.settings.Zone, i.mesh.Peers()); reader != "" && known && float64(age) < alarmShare*lease {
+		reader := i.reading.reader(i.settings.Zone, i.mesh.Peers())
+		if reader != "" && age < alarmShare*lease {
 			i.mesh.FetchSoon(reader)
 			continue
 		}
-		i.reading.alarm(time.Now())
+		if age >= alarmShare*lease {
+			i.reading.alarm(time.Now())
+		}
 		i.mesh.FetchAny(ctx)
 	}
 }
+
+// unproved is the age of the configuration; while there is none, the time since the
+// start, within which the others of the zone may read it.
+func (i *Instance) unproved() time.Duration {
+	if age, known := i.view.Age(); known {
+		return age
+	}
+	return time.Since(i.started)
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -90,6 +91,15 @@
 	return err
 }
 
+// advertised returns where peers reach the instance. Port 0, which only tests use,
+// becomes the port listened on.
+func (l *listeners) advertised(p settings.Peers) string {
+	if strings.HasSuffix(p.Advertise, ":0") {
+		return l.peers.Addr().String()
+	}
+	return p.Advertise
+}
+
 func listen(setting, address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
