Send a request elsewhere however long its first upstream took to fail

Ruled out: slow upstreams, as the refusal worded it: none ran anything. Change: what failed at one upstream may wait until its deadline; connections are given up after 300 ms on the users' platform, where one takes a few milliseconds.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -101,7 +101,7 @@
 		Share:        1,
 		Arrived:      j.arrived,
 		Deadline:     j.deadline,
-		Patience:     j.patience(),
+		Patience:     j.patience(exclude != ""),
 		Aim:          j.route.Target,
 		LateIsWorth:  true,
 		Prompt:       j.call.Prompt,
@@ -113,10 +113,11 @@
 	}
 }
 
-// patience is how long after its arrival the request may wait for room. One that was
-// sent already waits until its deadline: refusing it now would promise too much.
-func (j *job) patience() time.Duration {
-	if j.attempts > 0 || j.route.Target == 0 {
+// patience is how long after its arrival the request may wait for room. One that failed
+// at an upstream already waits until its deadline: that took its time, and refusing it
+// now may promise too much.
+func (j *job) patience(again bool) time.Duration {
+	if again || j.route.Target == 0 {
 		return 0
 	}
 	return time.Duration(patienceShare * float64(j.route.Target))
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/view"
 )
 
 func TestAnswersArePassedOnUnchanged(t *testing.T) {
@@ -160,6 +161,25 @@
 	}
 }
 
+// Finding out that an upstream can't be reached takes longer than a request waits for
+// room. The others still have room for it.
+func TestARequestThatCouldNotBeSentGoesElsewhereHoweverLongThatTook(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	for i := range r.document.Routes {
+		r.document.Routes[i].Target = time.Millisecond // its patience is over before any failure
+	}
+	r.publish(0)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	r.upstream("b", says("ok"))
+	r.upstreams = append([]view.Upstream{{ID: "a", Service: "s", Address: gone.Addr().String(), Slots: 8, Revision: 9}}, r.upstreams...)
+	r.view.Upstreams(r.upstreams)
+	gone.Close()
+	is.Equal(r.get("once").status, 200)
+	is.Equal(r.arrived(), "b")
+}
+
 func TestAttemptsAreBounded(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
