--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -31,9 +31,6 @@
 	tcpUserTimeout = 0x12
 )
 
-// ErrFull: the upstream has as many connections as it is to have.
-var ErrFull = errors.New("no further connection to the upstream is allowed")
-
 // Pool keeps the connections to one upstream. Safe for concurrent use.
 type Pool struct {
 	address string
--- a/internal/routing/build.go
+++ b/internal/routing/build.go
@@ -48,8 +48,8 @@
 }
 
 func (b *builder) limits(l Limits) {
-	if l.MaxBodyBytes < 0 || l.MaxHeaderBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
-		b.fault("limits: none may be negative")
+	if l.MaxBodyBytes < 0 {
+		b.fault("limits: the body's may not be negative")
 	}
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -96,13 +96,6 @@
 // Service is a set of upstreams that requests are sent to.
 type Service struct {
 	Name string
-	// HealthPath answers health checks.
-	HealthPath string
-	// MaxConnections that one upstream accepts of all instances; 0 is unknown.
-	MaxConnections int
-	// CacheTokens is the memory of one engine for prompts and answers, in tokens;
-	// 0 for services that are no engines.
-	CacheTokens int
 	// EventTokens is how many tokens one event of an engine's stream holds; 0 where
 	// events don't tell.
 	EventTokens int
@@ -110,10 +103,8 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes of a request; 0 where none is set.
+	MaxBodyBytes int64
 }
 
 // Document is the configuration as published, decoded and not yet checked.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -89,7 +89,7 @@
 			d.Organisations = append(d.Organisations, Organisation{Name: "o", Keys: []string{"k1"}})
 		}, "hold the same key"},
 		"negative quota":        {func(d *Document) { d.Organisations[0].TokensPerSecond = -1 }, "negative quota"},
-		"negative limit":        {func(d *Document) { d.Limits.MaxBodyBytes = -1 }, "none may be negative"},
+		"negative limit":        {func(d *Document) { d.Limits.MaxBodyBytes = -1 }, "may not be negative"},
 		"organisation nameless": {func(d *Document) { d.Organisations[0].Name = "" }, "has no name"},
 	} {
 		t.Run(name, func(t *testing.T) {
