Let few instances of a large fleet share an upstream

Change: past 10 instances each uses a subset of about 8 upstreams, by the rendezvous hash that the own interface uses, so that about 8 instances share each.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,6 +122,7 @@
 func (i *Instance) newFleet() *proxy.Fleet {
 	s := i.settings
 	return proxy.NewFleet(proxy.FleetOptions{
+		Instance:       i.address,
 		Zone:           s.Zone,
 		FarCost:        time.Duration(s.Routed.FarCost),
 		Local:          net.ParseIP(s.Routed.LocalIP),
@@ -214,8 +215,11 @@
 func (i *Instance) tidy(ctx context.Context) {
 	for wait.For(ctx, tidyInterval) {
 		i.fleet.CloseExpired(time.Now())
-		n := len(i.mesh.Peers()) + 1
-		i.fleet.SetInstances(n)
-		i.quotas.SetInstances(n)
+		instances := []string{i.address}
+		for _, p := range i.mesh.Peers() {
+			instances = append(instances, p.Address)
+		}
+		i.fleet.SetInstances(instances)
+		i.quotas.SetInstances(len(instances))
 	}
 }
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
+	"github.com/tacktally/tacktally/internal/subset"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
 )
@@ -22,10 +24,19 @@
 	// minRetryAfter is the shortest time to come back that a caller is told. Callers
 	// come back within their deadline, which may be a second.
 	minRetryAfter = 100 * time.Millisecond
+	// manyInstances is the number of instances past which each uses only some of the
+	// upstreams. Where many share one, each sees the same free slot, a heartbeat old,
+	// and all of them fill it.
+	manyInstances = 10
+	// subsetSize is about how many upstreams of a service each uses then. With as many
+	// instances as upstreams, about as many share each.
+	subsetSize = 8
 )
 
 // FleetOptions of a Fleet.
 type FleetOptions struct {
+	// Instance is this instance's peer address.
+	Instance string
 	// Zone is this instance's availability zone; upstreams of others count FarCost
 	// more.
 	Zone    string
@@ -48,7 +59,8 @@
 	mu          sync.Mutex
 	services    map[string]*service
 	connections map[string]*exchange.Pool // by upstream ID
-	instances   int
+	instances   []string                  // peer addresses, this one's included, sorted
+	list        []view.Upstream
 }
 
 // service is the upstreams of one service.
@@ -63,39 +75,77 @@
 		o:           o,
 		services:    map[string]*service{},
 		connections: map[string]*exchange.Pool{},
-		instances:   1,
+		instances:   []string{o.Instance},
 	}
 }
 
 // SetUpstreams takes the whole list, and sends what it gives room for.
 func (f *Fleet) SetUpstreams(list []view.Upstream) {
-	members := map[string][]scheduler.Member{}
-	for _, u := range list {
-		m := scheduler.Member{ID: u.ID, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Leaving: u.Leaving}
-		members[u.Service] = append(members[u.Service], m)
+	f.mu.Lock()
+	f.list = list
+	f.connect(list)
+	services := f.share()
+	f.mu.Unlock()
+	poll(services)
+}
+
+// SetInstances takes the peer addresses of the instances that share the upstreams, this
+// one's included.
+func (f *Fleet) SetInstances(addresses []string) {
+	slices.Sort(addresses)
+	f.mu.Lock()
+	if slices.Equal(addresses, f.instances) {
+		f.mu.Unlock()
+		return
+	}
+	f.instances = addresses
+	for _, s := range f.services {
+		s.repeats.SetOptions(f.o.Repeats.Split(len(addresses)))
 	}
-	for _, s := range f.update(list, members) {
+	services := f.share()
+	f.mu.Unlock()
+	poll(services)
+}
+
+// poll lets services send what has room. It is called without the lock.
+func poll(services []*service) {
+	for _, s := range services {
 		s.pool.Poll()
 	}
 }
 
-// update makes the services and connections be those of the list, and returns the
-// services. They are polled without the lock.
-func (f *Fleet) update(list []view.Upstream, members map[string][]scheduler.Member) []*service {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// share gives each service its upstreams: all of them, or this instance's subset where
+// many share them. It returns the services. The caller holds the lock.
+func (f *Fleet) share() []*service {
+	members := map[string][]scheduler.Member{}
+	for _, u := range f.list {
+		m := scheduler.Member{ID: u.ID, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Leaving: u.Leaving}
+		members[u.Service] = append(members[u.Service], m)
+	}
 	for name := range members {
 		f.serviceOf(name)
 	}
 	var out []*service
 	for name, s := range f.services {
-		s.pool.SetMembers(members[name])
+		s.pool.SetMembers(f.subset(members[name]))
 		out = append(out, s)
 	}
-	f.connect(list)
 	return out
 }
 
+// subset returns the members that this instance uses. The caller holds the lock.
+func (f *Fleet) subset(members []scheduler.Member) []scheduler.Member {
+	if len(f.instances) <= manyInstances {
+		return members
+	}
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	used := subset.Of(f.o.Instance, f.instances, ids, subsetSize)
+	return slices.DeleteFunc(members, func(m scheduler.Member) bool { return !slices.Contains(used, m.ID) })
+}
+
 // connect keeps a pool of connections for each upstream of the list. The caller holds
 // the lock.
 func (f *Fleet) connect(list []view.Upstream) {
@@ -137,7 +187,7 @@
 	})
 	s := &service{
 		pool:    pool.New(pool.Options{Core: core}),
-		repeats: retrybudget.New(f.o.Repeats.Split(f.instances)),
+		repeats: retrybudget.New(f.o.Repeats.Split(len(f.instances))),
 	}
 	f.services[name] = s
 	return s
@@ -150,16 +200,6 @@
 	return f.connections[id]
 }
 
-// SetInstances takes the number of instances that share the upstreams.
-func (f *Fleet) SetInstances(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.instances = n
-	for _, s := range f.services {
-		s.repeats.SetOptions(f.o.Repeats.Split(n))
-	}
-}
-
 // SetOthers takes what another instance has told of its load; the zero Load forgets
 // the instance.
 func (f *Fleet) SetOthers(instance string, l scheduler.Load) {
