Keep missing upstreams only after an outage for all

Ruled out: a late watch (all others had the change within 2 ms), a lost peer. Change: what is missing at the store's return is kept only if nobody within hearing could prove the configuration for two heartbeats of the upstreams: then entries may have lapsed. Its test fails with the old rule.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,9 @@
 	// memoryShare is the part of the process's memory from which on the garbage
 	// collector works harder. The rest is for the kernel's buffers.
 	memoryShare = 0.5
+	// lapseBeats is how many heartbeats of an upstream an outage of the source must last
+	// for entries to lapse in it: they do after three, of which one may have been due.
+	lapseBeats = 2
 	// quotaUse is the part of the overage by which an organisation's rate is raised.
 	// The rest is for what several instances grant within a heartbeat.
 	quotaUse = 0.2
@@ -88,6 +91,7 @@
 		Source:      o.Source,
 		Lease:       time.Duration(s.Routed.Lease),
 		Settle:      time.Duration(s.Routed.Settle),
+		Lapse:       lapseBeats * time.Duration(s.Routed.UpstreamHeartbeat),
 		OnUpstreams: i.upstreamsChanged,
 		OnTable:     func(*routing.Table) { i.tell() },
 		Metrics:     i.metrics,
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -38,6 +38,7 @@
 	r.ProveEvery = cmp.Or(r.ProveEvery, Duration(1500*time.Millisecond))
 	r.InForce = cmp.Or(r.InForce, Duration(2*time.Second))
 	r.Settle = cmp.Or(r.Settle, Duration(2*time.Second))
+	r.UpstreamHeartbeat = cmp.Or(r.UpstreamHeartbeat, Duration(time.Second))
 	r.Grace = cmp.Or(r.Grace, Duration(8*time.Second))
 	r.RetryShare = cmp.Or(r.RetryShare, 0.1)
 	r.RetryExtra = cmp.Or(r.RetryExtra, 20)
@@ -144,6 +145,7 @@
 	}
 	c.positive("/routed/inForce", int64(r.InForce))
 	c.positive("/routed/settle", int64(r.Settle))
+	c.positive("/routed/upstreamHeartbeat", int64(r.UpstreamHeartbeat))
 	c.positive("/routed/grace", int64(r.Grace))
 	c.positive("/routed/retryWindow", int64(r.RetryWindow))
 	c.positive("/routed/memoryMB", int64(r.MemoryMB))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -195,6 +195,9 @@
 	// Settle is the time after a return of the store in which upstreams that lapsed
 	// meanwhile come back to the list. Default 2s.
 	Settle Duration `json:"settle,omitzero"`
+	// UpstreamHeartbeat is the time between two renewals of an upstream's entry in the
+	// store. Default 1s.
+	UpstreamHeartbeat Duration `json:"upstreamHeartbeat,omitzero"`
 	// Grace is the time from the signal to end until the process is killed. Default 8s.
 	Grace Duration `json:"grace,omitzero"`
 	// RetryShare, RetryExtra and RetryWindow bound what all instances send again to
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -74,6 +74,9 @@
 	// Settle is the time after a return of the source in which upstreams that are
 	// missing from the list may come back to it.
 	Settle time.Duration
+	// Lapse is the shortest outage of the source in which entries may lapse though
+	// their upstreams live.
+	Lapse time.Duration
 	// OnUpstreams is called with the whole list after a change of it, one call at a
 	// time.
 	OnUpstreams func([]Upstream)
@@ -228,7 +231,7 @@
 	first := !v.everReached
 	v.reachable = true
 	v.everReached = true
-	if back && !first {
+	if back && !first && v.wasAway() {
 		v.upstreams.settleBy(time.Now().Add(v.o.Settle))
 		time.AfterFunc(v.o.Settle, v.settle)
 	}
@@ -238,6 +241,13 @@
 	}
 }
 
+// wasAway tells whether the source was away for all, so that entries may have lapsed:
+// not even a peer could prove the configuration. Otherwise only this instance didn't
+// reach it, and what is missing is gone. The caller holds the lock.
+func (v *View) wasAway() bool {
+	return v.table != nil && time.Since(v.asOf) >= v.o.Lapse
+}
+
 // Unreachable implements Sink.
 func (v *View) Unreachable(reading string, err error) {
 	v.mu.Lock()
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -34,7 +34,7 @@
 
 func newView(onUpstreams func([]Upstream)) *View {
 	return New(Options{
-		Source: source{}, Lease: 5 * time.Second, Settle: 2 * time.Second, OnUpstreams: onUpstreams,
+		Source: source{}, Lease: 5 * time.Second, Settle: 2 * time.Second, Lapse: 2 * time.Second, OnUpstreams: onUpstreams,
 		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
 	})
 }
@@ -112,8 +112,10 @@
 		var list []Upstream
 		v := newView(func(l []Upstream) { list = l })
 		v.Reached()
+		v.Configuration(7, []byte("seven"), time.Now())
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "c", Revision: 3, Leaving: true}})
 		v.Unreachable("list", errors.New("down"))
+		<-time.After(3 * time.Second) // and nobody else reached it either
 		v.Reached()
 		v.Upstreams(nil)
 		is.Equal(ids(list), []string{"a", "b"}) // c said that it leaves
@@ -124,6 +126,25 @@
 	})
 }
 
+// An instance that the source turned away, or that was cut off from it, heard from its
+// peers that it was there. What it finds missing then is gone.
+func TestEntriesThatVanishWhileAPeerReachedTheSourceAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var list []Upstream
+		v := newView(func(l []Upstream) { list = l })
+		v.Reached()
+		v.Configuration(7, []byte("seven"), time.Now())
+		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}})
+		v.Unreachable("list", errors.New("turned away"))
+		<-time.After(9 * time.Second)
+		v.Learn(Configuration{Revision: 7}, time.Now().Add(-time.Second), "p")
+		v.Reached()
+		v.Upstreams([]Upstream{{ID: "b", Revision: 2}})
+		is.Equal(ids(list), []string{"b"})
+	})
+}
+
 func TestEntriesThatVanishWhileTheSourceAnswersAreGone(t *testing.T) {
 	is := is.New(t)
 	var list []Upstream
