--- a/cmd/tacktallyd/main_test.go
+++ b/cmd/tacktallyd/main_test.go
@@ -81,7 +81,7 @@
 func TestSignalShutsDown(t *testing.T) {
 	is := is.New(t)
 	run := command("-s " + settingsFile(t, alone))
-	log, err := run.StderrPipe()
+	log, err := run.StdoutPipe()
 	is.NoErr(err)
 	is.NoErr(run.Start())
 	lines := bufio.NewScanner(log)
@@ -117,7 +117,7 @@
 	p.Publish(1, document)
 	p.SetInstances([]platform.Instance{{Address: strings.TrimPrefix(upstreamAt, "http://"), Zone: "bole", Set: rig.Bookings, State: platform.Live}})
 	run := command("-s " + settingsFile(t, strings.Replace(alone, "http://127.0.0.1:9", serve(p), 1)))
-	log, err := run.StderrPipe()
+	log, err := run.StdoutPipe()
 	is.NoErr(err)
 	is.NoErr(run.Start())
 	lines := bufio.NewScanner(log)
