Open listeners in one place, and keep malformed entries apart from a lost source

The new instance opened and advertised its listeners with copies of the daemon's functions; an upstream's entry that can't be read was told as a loss of the source, which it isn't. Change: internal/listen for both; a Sink is told of malformed entries by themselves.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/tacktally/tacktally/internal/dispatch"
 	"github.com/tacktally/tacktally/internal/gateway"
 	"github.com/tacktally/tacktally/internal/idempotency"
+	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/operatorapi"
 	"github.com/tacktally/tacktally/internal/orders"
 	"github.com/tacktally/tacktally/internal/orglimit"
@@ -92,7 +93,7 @@
 		settings:      s,
 		listeners:     l,
 		token:         token,
-		address:       l.advertised(s.Peers),
+		address:       listen.Advertised(s.Peers.Advertise, l.peers),
 		incarnation:   idempotency.NewIncarnation(),
 		started:       time.Now(),
 		metrics:       telemetry.NewMetrics(),
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/certificates"
+	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/settings"
 )
@@ -30,13 +29,13 @@
 
 func (l *listeners) open(s *settings.Settings) error {
 	var err error
-	if l.callers, err = listen("callers.address", s.Callers.Address, s.Callers.TLS); err != nil {
+	if l.callers, err = open("callers.address", s.Callers.Address, s.Callers.TLS); err != nil {
 		return err
 	}
-	if l.operators, err = listen("operators.address", s.Operators.Address, s.Operators.TLS); err != nil {
+	if l.operators, err = open("operators.address", s.Operators.Address, s.Operators.TLS); err != nil {
 		return err
 	}
-	if l.peers, err = listen("peers.address", s.Peers.Address, s.Peers.TLS); err != nil {
+	if l.peers, err = open("peers.address", s.Peers.Address, s.Peers.TLS); err != nil {
 		return err
 	}
 	if s.Peers.TLS != nil {
@@ -45,17 +44,9 @@
 	return err
 }
 
-// advertised returns where peers reach the instance. Port 0, which only stand-ins
-// use, becomes the port listened on.
-func (l *listeners) advertised(p settings.Peers) string {
-	if strings.HasSuffix(p.Advertise, ":0") {
-		return l.peers.Addr().String()
-	}
-	return p.Advertise
-}
-
-func listen(setting, address string, t *settings.TLS) (net.Listener, error) {
-	l, err := tcpListen(setting, address)
+// open opens a listener, with TLS where a certificate is set.
+func open(setting, address string, t *settings.TLS) (net.Listener, error) {
+	l, err := listen.TCP(setting, address)
 	if err != nil || t == nil {
 		return l, err
 	}
@@ -105,12 +96,3 @@
 	s.operators.Close()
 	s.peers.Close()
 }
-
-// tcpListen opens a listener and names the setting when it can't.
-func tcpListen(setting, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("%s %s can't be listened on; free it or choose another: %w", setting, address, err)
-	}
-	return l, nil
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/internal/idempotency"
+	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/proxy"
 	"github.com/tacktally/tacktally/internal/queue"
@@ -84,7 +85,7 @@
 	if err := i.listeners.open(s); err != nil {
 		return nil, err
 	}
-	i.address = i.listeners.advertised(s.Peers)
+	i.address = listen.Advertised(s.Peers.Advertise, i.listeners.peers)
 	i.log = telemetry.NewLogger(i.output, s.Log.Level, i.address)
 	i.fleet = i.newFleet()
 	i.view = view.New(view.Options{
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/view"
@@ -78,36 +77,19 @@
 
 func (l *listeners) open(s *settings.Settings) error {
 	var err error
-	if l.callers, err = listen("callers.address", s.Callers.Address); err != nil {
+	if l.callers, err = listen.TCP("callers.address", s.Callers.Address); err != nil {
 		return err
 	}
-	if l.ready, err = listen("routed.ready", s.Routed.Ready); err != nil {
+	if l.ready, err = listen.TCP("routed.ready", s.Routed.Ready); err != nil {
 		return err
 	}
-	if l.peers, err = listen("peers.address", s.Peers.Address); err != nil {
+	if l.peers, err = listen.TCP("peers.address", s.Peers.Address); err != nil {
 		return err
 	}
-	l.metrics, err = listen("routed.metrics", s.Routed.Metrics)
+	l.metrics, err = listen.TCP("routed.metrics", s.Routed.Metrics)
 	return err
 }
 
-// advertised returns where peers reach the instance. Port 0, which only tests use,
-// becomes the port listened on.
-func (l *listeners) advertised(p settings.Peers) string {
-	if strings.HasSuffix(p.Advertise, ":0") {
-		return l.peers.Addr().String()
-	}
-	return p.Advertise
-}
-
-func listen(setting, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("%s %s can't be listened on; free it or choose another: %w", setting, address, err)
-	}
-	return l, nil
-}
-
 // servers are the running HTTP servers.
 type servers struct {
 	callers *http.Server
--- /dev/null
+++ b/internal/listen/listen.go
@@ -0,0 +1,26 @@
+// Package listen opens the listeners that settings name.
+package listen
+
+import (
+	"fmt"
+	"net"
+	"strings"
+)
+
+// TCP opens a listener and names the setting when it can't.
+func TCP(setting, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%s %s can't be listened on; free it or choose another: %w", setting, address, err)
+	}
+	return l, nil
+}
+
+// Advertised returns the address under which others reach a listener. Port 0, which
+// only stand-ins and tests use, becomes the port listened on.
+func Advertised(advertise string, l net.Listener) string {
+	if strings.HasSuffix(advertise, ":0") {
+		return l.Addr().String()
+	}
+	return advertise
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -39,6 +39,8 @@
 	// Reached and Unreachable tell whether the source answers.
 	Reached()
 	Unreachable(reading string, err error)
+	// Malformed tells of a published entry that makes no sense and is left out.
+	Malformed(err error)
 }
 
 // Upstream is one process that runs requests. A restart is another upstream.
@@ -259,3 +261,9 @@
 		v.o.Log.Warn().Str("event", "source_lost").Str("reading", reading).Str("cause", err.Error()).Msg("")
 	}
 }
+
+// Malformed implements Sink.
+func (v *View) Malformed(err error) {
+	v.o.Metrics.Count("tacktally_source_malformed_total")
+	v.o.Log.Error().Str("event", "entry_malformed").Str("cause", err.Error()).Msg("it is left out; mend what registers it")
+}
