Let a service's retry budget start empty

Cause: found on the last reading: until an instance knows its peers it held the budget of one instance alone, half of the whole bound, so that a start of all instances at once could pass it together. Ruled out: raising it later alone, which SetOptions did, a second too late. Change: a budget starts empty and is earned by first attempts and time. Its test fails without it.

--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -188,12 +188,20 @@
 	})
 	s := &service{
 		pool:    pool.New(pool.Options{Core: core}),
-		repeats: retrybudget.New(f.o.Repeats.Split(len(f.instances))),
+		repeats: retrybudget.New(f.startingRepeats()),
 	}
 	f.services[name] = s
 	return s
 }
 
+// startingRepeats is the budget of a service that is new here. It starts empty: the peers
+// that share the bound may not be known yet, and before a restart it may have been used.
+func (f *Fleet) startingRepeats() retrybudget.Options {
+	o := f.o.Repeats.Split(len(f.instances))
+	o.Floor = 0
+	return o
+}
+
 // connectionsTo returns the connections to an upstream, or nil once it is gone.
 func (f *Fleet) connectionsTo(id string) *exchange.Pool {
 	f.mu.Lock()
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
@@ -53,3 +55,13 @@
 		is.Equal(n, 7)
 	}
 }
+
+// After a start an instance doesn't know yet with how many it shares the budget.
+func TestAStartBringsNoRepeatsOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	f := NewFleet(FleetOptions{
+		Instance: "10.0.0.1:1", Limits: queue.Limits{MaxItems: 1}, Metrics: telemetry.NewMetrics(),
+		Repeats: retrybudget.Slack{Share: 0.2, Extra: 60, Window: time.Hour},
+	})
+	is.True(!f.service("s").repeats.Withdraw())
+}
