Mend failures that an upstream answers with, and judge upstreams by signs of life

Ruled out: passing failures on is no rule of the protocol; nothing limits a repeat but the route's attempts and the service's budget.

Change: a failure of the upstream's own is held while an idempotent request, or a stream that may be resumed, is tried elsewhere; where nothing mends it, the upstream's answer is passed on. An upstream that has sent anything within 300 ms isn't avoided for one lost answer, and one that is avoided is used again when something comes from it. The share of failures of each upstream counts in the choice (1 s for one that fails all).

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -117,6 +117,8 @@
 	RetryUpstreamSilent Reason = "retry_upstream_silent"
 	// RetryOtherZone: the availability zone had no room; another zone took it.
 	RetryOtherZone Reason = "retry_other_zone"
+	// RetryUpstreamFailed: an upstream answered an idempotent request with a failure of its own; another was tried.
+	RetryUpstreamFailed Reason = "retry_upstream_failed"
 	// RetryResume: a broken stream was resumed at its engine.
 	RetryResume Reason = "retry_stream_resumed"
 )
@@ -136,5 +138,5 @@
 
 // RetryReasons lists every reason of a retry.
 var RetryReasons = []Reason{
-	RetryConnect, RetryPaused, RetryUpstreamBusy, RetryUpstreamLost, RetryPeerLink, RetryUpstreamSilent, RetryOtherZone, RetryResume,
+	RetryConnect, RetryPaused, RetryUpstreamBusy, RetryUpstreamLost, RetryPeerLink, RetryUpstreamSilent, RetryUpstreamFailed, RetryOtherZone, RetryResume,
 }
--- a/internal/balancer/aimed.go
+++ b/internal/balancer/aimed.go
@@ -27,6 +27,9 @@
 	// Crowding is what an upstream whose slots are all taken counts for more than an
 	// idle one.
 	Crowding time.Duration
+	// Failing is what an upstream that fails all it is sent counts for more than one
+	// that fails nothing.
+	Failing time.Duration
 	// Margin multiplies predictions before they are held against the objective.
 	Margin float64
 }
@@ -38,6 +41,7 @@
 	Unfinished: 0.1,
 	Reading:    0.3,
 	Crowding:   300 * time.Millisecond,
+	Failing:    time.Second,
 	Margin:     1,
 }
 
@@ -62,7 +66,7 @@
 func (*Aimed) Sent(*Upstream, Work) {}
 
 func (p *Aimed) cost(u *Upstream, w Work, uncached int) time.Duration {
-	cost := scale(u.Occupancy(), p.Weights.Crowding)
+	cost := scale(u.Occupancy(), p.Weights.Crowding) + scale(u.FailureShare, p.Weights.Failing)
 	if u.Zone != p.Zone {
 		cost += p.FarCost
 	}
--- a/internal/balancer/aimed_test.go
+++ b/internal/balancer/aimed_test.go
@@ -54,6 +54,19 @@
 	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, Work{}).Upstream.ID, "far")
 }
 
+func TestAimedSparesAnUpstreamThatFails(t *testing.T) {
+	is := is.New(t)
+	p := &Aimed{Zone: "bole", Weights: DefaultAimedWeights}
+	grey := &Upstream{ID: "grey", Zone: "bole", Slots: 10}
+	sound := &Upstream{ID: "sound", Zone: "bole", Slots: 10, Running: 5}
+	is.Equal(p.Pick(time.Now(), []*Upstream{grey, sound}, Work{}).Upstream.ID, "grey")
+	for i := range 10 { // every second request fails
+		grey.ObserveEnd(i%2 == 0)
+		sound.ObserveEnd(false)
+	}
+	is.Equal(p.Pick(time.Now(), []*Upstream{grey, sound}, Work{}).Upstream.ID, "sound")
+}
+
 func TestAimedGivesNothingWhereAllAreFull(t *testing.T) {
 	is := is.New(t)
 	p := &Aimed{Weights: DefaultAimedWeights}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/estimate"
@@ -46,17 +47,54 @@
 	Leaving bool
 	// AvoidUntil is set after failures; a single request tests it afterwards.
 	AvoidUntil time.Time
-	// Failures in a row.
+	// Failures in a row, the last of them at FailedAt.
 	Failures int
+	FailedAt time.Time
+	// FailureShare is the share of its latest requests that failed, smoothed.
+	FailureShare float64
+
+	heardLock sync.Mutex
+	heard     time.Time // when it last sent something
+}
+
+// Heard records that the upstream has just sent something. Unlike all else here it may be
+// called by several goroutines.
+func (u *Upstream) Heard(now time.Time) {
+	u.heardLock.Lock()
+	defer u.heardLock.Unlock()
+	u.heard = now
 }
 
+// HeardAfter tells whether the upstream has sent something after a time.
+func (u *Upstream) HeardAfter(t time.Time) bool {
+	u.heardLock.Lock()
+	defer u.heardLock.Unlock()
+	return u.heard.After(t)
+}
+
+// failureGain is the weight of one request in FailureShare: an upstream that fails half
+// of what it is sent shows within five requests.
+const failureGain = 0.15
+
+// ObserveEnd records whether a request to it failed.
+func (u *Upstream) ObserveEnd(failed bool) {
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	u.FailureShare += failureGain * (outcome - u.FailureShare)
+}
+
+// isSuspect tells whether it has failed, and nothing has come from it since.
+func (u *Upstream) isSuspect() bool { return u.Failures > 0 && !u.HeardAfter(u.FailedAt) }
+
 // HasRoom tells whether it may be sent so many more prompt tokens now.
 func (u *Upstream) HasRoom(now time.Time, tokens int) bool {
 	if !u.Usable(now) || u.isFull() {
 		return false
 	}
-	if u.Failures > 0 && u.Running > 0 {
-		return false
+	if u.isSuspect() && u.Running > 0 {
+		return false // one request tests it
 	}
 	if u.Slots > 0 {
 		return true // its slots bound what it is sent
@@ -88,7 +126,8 @@
 
 // Usable tells whether it may get work at all.
 func (u *Upstream) Usable(now time.Time) bool {
-	return !u.Leaving && !now.Before(u.AvoidUntil)
+	avoided := now.Before(u.AvoidUntil) && !u.HeardAfter(u.FailedAt)
+	return !u.Leaving && !avoided
 }
 
 // Work is what the choice needs to know of a request.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -35,6 +36,8 @@
 	err    error
 	// retryAfter is the upstream's word on when to come back; 0 without one.
 	retryAfter time.Duration
+	// failure is the upstream's own failure that wasn't passed on; nil without one.
+	failure *heldAnswer
 }
 
 // status of a sending.
@@ -55,6 +58,8 @@
 	garbage
 	// cut: the answer broke off after a part of it was passed on.
 	cut
+	// failed: the upstream answered with a failure of its own, which is held.
+	failed
 	// callerGone: the caller closed its connection.
 	callerGone
 	// outOfTime: the deadline passed.
@@ -72,13 +77,16 @@
 	for {
 		grant, problem := s.pool.Acquire(ctx, j.schedulerRequest(exclude))
 		if problem != nil {
-			return j.givenUp(problem)
+			return j.orFailure(j.givenUp(problem))
 		}
 		r := j.send(ctx, s, grant)
 		j.learn(s, grant, r)
 		if r.status == notSent {
 			unsent++
 		}
+		if r.failure != nil {
+			j.failure = r.failure
+		}
 		reason, again := j.again(ctx, s, r, unsent)
 		if !again {
 			return j.ended(r)
@@ -147,6 +155,8 @@
 		return api.RetryConnect, unsent < maxUnsent
 	case notRun, misdirected:
 		return api.RetryUpstreamBusy, j.mayGoOn() && s.repeats.Withdraw()
+	case failed:
+		return api.RetryUpstreamFailed, j.route.MayRepeat() && j.mayGoOn() && s.repeats.Withdraw()
 	case lost, garbage, cut:
 		reason := api.RetryUpstreamLost
 		if errors.Is(r.err, errSilent) {
@@ -171,6 +181,9 @@
 	s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
 		switch r.status {
 		case done:
+			if j.status >= http.StatusInternalServerError {
+				return core.Erred(now, g)
+			}
 			return core.Done(now, g, j.outputTokens())
 		case notRun:
 			return core.Busy(now, g)
@@ -179,8 +192,12 @@
 			return core.Cancelled(now, g)
 		case callerGone, outOfTime:
 			return core.Cancelled(now, g)
-		default:
+		case failed:
+			return core.Erred(now, g)
+		case notSent:
 			return core.Failed(now, g)
+		default:
+			return core.Lost(now, g)
 		}
 	})
 	if r.status != done {
@@ -199,7 +216,19 @@
 }
 
 // ended words the end of a request that isn't sent again.
-func (j *job) ended(r result) *api.Problem {
+func (j *job) ended(r result) *api.Problem { return j.orFailure(j.problem(r)) }
+
+// orFailure passes on the failure that an upstream answered with, in place of a problem
+// of this instance's own: it says more, and is signed.
+func (j *job) orFailure(p *api.Problem) *api.Problem {
+	if p == nil || j.failure == nil || j.passed || p.Reason == api.ReasonCallerGone {
+		return p
+	}
+	return j.passFailure()
+}
+
+// problem is what a sending that isn't followed by another one ends with.
+func (j *job) problem(r result) *api.Problem {
 	switch r.status {
 	case done:
 		return nil
@@ -207,6 +236,8 @@
 		return j.givenUp(api.Refuse(api.ReasonUnreachable, "no upstream could be reached (%v); come back after the time given", r.err).WithRetryAfter(comeBackSoon))
 	case notRun, misdirected:
 		return j.givenUp(api.Refuse(api.ReasonUpstreamRefused, "the upstream refused the request (%v); come back after the time given", r.err).WithRetryAfter(max(r.retryAfter, comeBackSoon)))
+	case failed:
+		return api.LeaveUnknown(api.ReasonUpstreamLost, "the upstream answered with a failure: %v", r.err)
 	case garbage:
 		return api.LeaveUnknown(api.ReasonUpstreamGarbage, "the upstream's answer can't be passed on: %v", r.err)
 	case cut:
@@ -234,7 +265,7 @@
 
 var statusNames = map[status]string{
 	done: "done", notSent: "not_sent", notRun: "not_run", misdirected: "misdirected", lost: "lost",
-	garbage: "garbage", cut: "cut", callerGone: "caller_gone", outOfTime: "out_of_time",
+	garbage: "garbage", cut: "cut", failed: "failed", callerGone: "caller_gone", outOfTime: "out_of_time",
 }
 
 // String returns the status as logs show it.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -110,6 +110,7 @@
 	granted    time.Duration // from arrival until it was last sent
 	first      time.Duration // from arrival until the answer began
 	status     int           // passed on
+	failure    *heldAnswer   // the last failure that an upstream answered with, not passed on
 }
 
 // admit finds out what the request is and whether it may run.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -62,7 +63,8 @@
 		return result{status: status, err: err}
 	}
 	defer answer.Close()
-	r := &relay{job: j, ctx: ctx, answer: answer, silence: silence, first: func() {
+	g.Upstream.Heard(time.Now())
+	r := &relay{job: j, ctx: ctx, answer: answer, silence: silence, heard: func() { g.Upstream.Heard(time.Now()) }, first: func() {
 		s.pool.FirstToken(g)
 		j.first = time.Since(j.arrived)
 		j.handler.o.Metrics.FirstToken(j.route.Kind.String(), j.first)
@@ -129,7 +131,8 @@
 	ctx     context.Context
 	answer  *exchange.Answer
 	silence silence
-	first   func() // called when the answer begins
+	first   func() // called when a success begins
+	heard   func() // called when something of it has come
 }
 
 func (r *relay) run() result {
@@ -167,19 +170,24 @@
 	if err != nil {
 		return r.broke(err)
 	}
-	r.first()
+	if r.answer.Status < http.StatusInternalServerError {
+		r.first() // a failure comes sooner than an answer does
+	}
 	if len(held) <= heldBytes {
-		r.head(int64(len(held)))
-		return r.write(held)
+		whole := &heldAnswer{status: r.answer.Status, header: r.answer.Header, body: held}
+		if r.job.mayBeMended(whole) {
+			return result{status: failed, err: fmt.Errorf("status %d", whole.status), failure: whole}
+		}
+		return r.job.passOn(whole)
 	}
-	r.head(r.answer.Length)
-	if w := r.write(held); w.status != done {
+	r.job.writeHead(r.answer.Status, r.answer.Header, r.answer.Length)
+	if w := r.job.write(held); w.status != done {
 		return w
 	}
 	piece := make([]byte, copyBytes)
 	for {
 		n, err := r.answer.Read(piece)
-		if w := r.write(piece[:n]); w.status != done {
+		if w := r.job.write(piece[:n]); w.status != done {
 			return w
 		}
 		if errors.Is(err, io.EOF) {
@@ -209,6 +217,7 @@
 			}
 			r.job.events++
 			r.silence.heard()
+			r.heard()
 			if w := r.event(event); w.status != done {
 				return w
 			}
@@ -232,7 +241,7 @@
 		return result{status: done}
 	}
 	r.begin()
-	if w := r.write(event); w.status != done {
+	if w := r.job.write(event); w.status != done {
 		return w
 	}
 	if numbered {
@@ -249,15 +258,42 @@
 // begin passes the head of a stream on, once.
 func (r *relay) begin() {
 	if !r.job.passed {
-		r.head(-1)
+		r.job.writeHead(r.answer.Status, r.answer.Header, -1)
+	}
+}
+
+// heldAnswer is a whole answer that wasn't passed on yet.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// mayBeMended tells whether an answer is a failure of the upstream's own, and the request
+// may be had at another one.
+func (j *job) mayBeMended(a *heldAnswer) bool {
+	return a.status >= http.StatusInternalServerError && j.route.MayRepeat() && j.mayGoOn()
+}
+
+// passOn passes a whole answer on.
+func (j *job) passOn(a *heldAnswer) result {
+	j.writeHead(a.status, a.header, int64(len(a.body)))
+	return j.write(a.body)
+}
+
+// passFailure passes on the failure that was held while another upstream was tried.
+func (j *job) passFailure() *api.Problem {
+	if r := j.passOn(j.failure); r.status != done {
+		return api.LeaveUnknown(api.ReasonCallerGone, "the caller closed the connection")
 	}
+	return nil
 }
 
-// head passes the head on. Length is that of the body, -1 where it isn't known.
-func (r *relay) head(length int64) {
-	out := r.job.w.Header()
+// writeHead passes a head on. Length is that of the body, -1 where it isn't known.
+func (j *job) writeHead(status int, header http.Header, length int64) {
+	out := j.w.Header()
 	closing := out.Get("Connection")
-	for name, values := range exchange.EndToEnd(r.answer.Header) {
+	for name, values := range exchange.EndToEnd(header) {
 		out[name] = values
 	}
 	if closing != "" {
@@ -272,13 +308,13 @@
 	if length >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	r.job.passed = true
-	r.job.status = r.answer.Status
-	r.job.w.WriteHeader(r.answer.Status)
+	j.passed = true
+	j.status = status
+	j.w.WriteHeader(status)
 }
 
-func (r *relay) write(piece []byte) result {
-	if _, err := r.job.w.Write(piece); err != nil {
+func (j *job) write(piece []byte) result {
+	if _, err := j.w.Write(piece); err != nil {
 		return result{status: callerGone, err: err}
 	}
 	return result{status: done}
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -233,6 +233,12 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// fails answers with a failure of its own, after it has run the request.
+func fails(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "sorry")
+}
+
 // hijack takes the connection over after the request was read.
 func hijack(f func(c net.Conn)) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -181,6 +181,42 @@
 	is.Equal(c.upstreams[0].Failures, 0)
 }
 
+// An answer that gets lost says little of an upstream that goes on sending others.
+func TestAnUpstreamThatLivesIsNotAvoidedForOneLostAnswer(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100, "a")
+	first := c.Submit(start, ask(0, 3600)).Grants[0]
+	lost := c.Submit(start, ask(0, 3600)).Grants[0]
+	first.Upstream.Heard(start.Add(10 * time.Millisecond))
+	c.Lost(start.Add(20*time.Millisecond), lost)
+	is.Equal(len(c.Submit(start.Add(20*time.Millisecond), ask(0, 3600)).Grants), 1)
+	is.True(first.Upstream.FailureShare > 0) // it is remembered all the same
+	silent := start.Add(20*time.Millisecond + aliveFor)
+	c.Lost(silent, first)
+	is.Equal(len(c.Submit(silent, ask(0, 3600)).Grants), 0) // nothing else has come
+}
+
+// An upstream that is avoided and runs requests still is used again as soon as one of
+// them shows that it lives.
+func TestASignOfLifeEndsTheAvoidance(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100)
+	c.SetMembers([]Member{{ID: "u", Address: "a", Slots: 10}})
+	running := c.Submit(start, ask(0, 3600)).Grants[0]
+	c.Failed(start, c.Submit(start, ask(0, 3600)).Grants[0])
+	is.Equal(len(c.Submit(start, ask(0, 3600)).Grants), 0)
+	running.Upstream.Heard(start.Add(time.Millisecond))
+	is.Equal(len(c.Poll(start.Add(2*time.Millisecond)).Grants), 1)
+}
+
+// A failure that an upstream answers with comes fast and shows that it lives.
+func TestAnAnsweredFailureAvoidsNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100, "a")
+	c.Erred(start, c.Submit(start, ask(0, 3600)).Grants[0])
+	is.Equal(len(c.Submit(start, ask(0, 3600)).Grants), 1)
+}
+
 func TestCancelledLeavesNothingBehind(t *testing.T) {
 	is := is.New(t)
 	c := newCore(100, "a")
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -22,6 +22,9 @@
 	// avoidFirst and avoidMost bound how long a failing upstream gets nothing.
 	avoidFirst = 500 * time.Millisecond
 	avoidMost  = 30 * time.Second
+	// aliveFor is how long after its last sign an upstream counts as alive when one
+	// answer gets lost: some pauses between the events of a stream.
+	aliveFor = 300 * time.Millisecond
 	// maxSampleUpstreams bounds the upstreams looked at for a typical speed.
 	maxSampleUpstreams = 64
 	// lookahead is how many waiting items of a tier are looked at for one whose
@@ -220,6 +223,7 @@
 // Done records the end of an answer with so many output tokens.
 func (c *Core) Done(now time.Time, g *Grant, output int) Decisions {
 	c.end(g)
+	g.Upstream.ObserveEnd(false)
 	c.outputs.observe(g.Request.Output, output)
 	if !g.firstToken.IsZero() && output > 1 {
 		interval := now.Sub(g.firstToken) / time.Duration(output-1)
@@ -237,12 +241,31 @@
 	return c.Poll(now)
 }
 
-// Failed records that the upstream failed: it is avoided for a time that doubles
-// with each failure in a row.
+// Erred records that the upstream answered with a failure of its own: it lives.
+func (c *Core) Erred(now time.Time, g *Grant) Decisions {
+	c.end(g)
+	g.Upstream.ObserveEnd(true)
+	return c.Poll(now)
+}
+
+// Lost records that the request was sent and its answer got lost. An upstream that has
+// sent something else just now lives; any other one is avoided.
+func (c *Core) Lost(now time.Time, g *Grant) Decisions {
+	g.Upstream.ObserveEnd(true)
+	if g.Upstream.HeardAfter(now.Add(-aliveFor)) {
+		c.end(g)
+		return c.Poll(now)
+	}
+	return c.Failed(now, g)
+}
+
+// Failed records that the upstream can't be reached, or is silent: it is avoided for a
+// time that doubles with each failure in a row.
 func (c *Core) Failed(now time.Time, g *Grant) Decisions {
 	c.end(g)
 	u := g.Upstream
 	u.Failures++
+	u.FailedAt = now
 	pause := avoidFirst << min(u.Failures-1, 10)
 	u.AvoidUntil = now.Add(min(pause, avoidMost))
 	u.Window.Reset()
