Give shards owners in fleets of any size, and choose by the zone a request came to

And an owner preferred upstreams of its own availability zone for requests of all.

Change: the threshold is gone; a slot request names the availability zone it came to, and the choice counts upstreams of others as farther from there.

--- a/internal/balancer/aimed.go
+++ b/internal/balancer/aimed.go
@@ -8,9 +8,8 @@
 // crowded, so that room is left on fast ones for prompts that only they can read in
 // time.
 type Aimed struct {
-	// Zone is this instance's availability zone, and FarCost what an upstream of
-	// another counts for in time.
-	Zone    string
+	// FarCost is what an upstream of another availability zone than the request's counts
+	// for in time.
 	FarCost time.Duration
 	// Weights of what a choice costs.
 	Weights AimedWeights
@@ -67,7 +66,7 @@
 
 func (p *Aimed) cost(u *Upstream, w Work, uncached int) time.Duration {
 	cost := scale(u.Occupancy(), p.Weights.Crowding) + scale(u.FailureShare, p.Weights.Failing)
-	if u.Zone != p.Zone {
+	if u.Zone != w.Zone {
 		cost += p.FarCost
 	}
 	if w.Prompt == 0 {
--- a/internal/balancer/aimed_test.go
+++ b/internal/balancer/aimed_test.go
@@ -36,7 +36,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := &Aimed{Zone: "bole", Weights: DefaultAimedWeights}
+			p := &Aimed{Weights: DefaultAimedWeights}
 			fast := engine("fast", 100_000, 3*time.Millisecond, c.fastRunning)
 			slow := engine("slow", 16_000, 13*time.Millisecond, c.slowRunning)
 			is.Equal(p.Pick(time.Now(), []*Upstream{slow, fast}, c.work).Upstream.ID, c.want)
@@ -46,17 +46,17 @@
 
 func TestAimedPrefersItsOwnZoneAmongEquals(t *testing.T) {
 	is := is.New(t)
-	p := &Aimed{Zone: "merkato", FarCost: 5 * time.Millisecond, Weights: DefaultAimedWeights}
+	p := &Aimed{FarCost: 5 * time.Millisecond, Weights: DefaultAimedWeights}
 	far := &Upstream{ID: "far", Zone: "bole", Slots: 6}
 	near := &Upstream{ID: "near", Zone: "merkato", Slots: 6}
-	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, Work{}).Upstream.ID, "near")
+	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, Work{Zone: "merkato"}).Upstream.ID, "near")
 	near.Running = 1 // a slot of six counts more than the distance
-	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, Work{}).Upstream.ID, "far")
+	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, Work{Zone: "merkato"}).Upstream.ID, "far")
 }
 
 func TestAimedSparesAnUpstreamThatFails(t *testing.T) {
 	is := is.New(t)
-	p := &Aimed{Zone: "bole", Weights: DefaultAimedWeights}
+	p := &Aimed{Weights: DefaultAimedWeights}
 	grey := &Upstream{ID: "grey", Zone: "bole", Slots: 10}
 	sound := &Upstream{ID: "sound", Zone: "bole", Slots: 10, Running: 5}
 	is.Equal(p.Pick(time.Now(), []*Upstream{grey, sound}, Work{}).Upstream.ID, "grey")
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -141,6 +141,8 @@
 	// the whole answer is; 0 where there is no such bound.
 	FirstIn time.Duration
 	EndIn   time.Duration
+	// Zone is the availability zone that the request came to.
+	Zone string
 }
 
 // Uncached returns the prompt tokens that the upstream likely has to read.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,7 +134,6 @@
 	return proxy.NewFleet(proxy.FleetOptions{
 		Instance:       i.address,
 		Cores:          s.Routed.Cores,
-		OwnersFrom:     s.Routed.OwnersFrom,
 		Zone:           s.Zone,
 		FarCost:        time.Duration(s.Routed.FarCost),
 		Local:          net.ParseIP(s.Routed.LocalIP),
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -40,6 +40,8 @@
 	Bytes int `cbor:"14,keyasint,omitempty"`
 	// Exclude is an upstream that failed the request already.
 	Exclude string `cbor:"15,keyasint,omitempty"`
+	// Zone is the availability zone that the request came to.
+	Zone string `cbor:"16,keyasint,omitempty"`
 }
 
 // PromptPart is a part of a prompt that other prompts may begin with too.
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -38,10 +38,6 @@
 	// more.
 	Zone    string
 	FarCost time.Duration
-	// OwnersFrom is the number of instances from which on shards have owners. Where many
-	// instances share an upstream, each sees the same free slot, a heartbeat old, and
-	// all of them fill it.
-	OwnersFrom int
 	// Local is the IP number that connections come from; nil leaves it to the kernel.
 	Local net.IP
 	// ConnectTimeout bounds the making of a connection.
@@ -56,10 +52,11 @@
 // Fleet is the upstreams of all services, as this instance uses them. Safe for
 // concurrent use.
 //
-// The upstreams of a service are cut into shards. In a small fleet each instance
-// schedules its own requests on all of them, by what the others tell of their load. In a
-// large one a shard is scheduled by one instance, its owner, and the others ask it for
-// slots: see owners.
+// The upstreams of a service are cut into shards. Each is scheduled by one instance, its
+// owner, and the others ask it for slots: where many instances decide by what the others
+// have told, each sees the same free slot, a heartbeat old, and all of them fill it. Only
+// requests without a prompt, which are short, are scheduled by the instance that they come
+// to.
 type Fleet struct {
 	o FleetOptions
 
@@ -237,7 +234,7 @@
 }
 
 func (f *Fleet) newShard(service string, index int) *shard {
-	picker := &balancer.Aimed{Zone: f.o.Zone, FarCost: f.o.FarCost, Weights: balancer.DefaultAimedWeights}
+	picker := &balancer.Aimed{FarCost: f.o.FarCost, Weights: balancer.DefaultAimedWeights}
 	core := scheduler.New(scheduler.Options{
 		Picker:        picker,
 		Limits:        f.o.Limits,
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -25,7 +25,7 @@
 		list = append(list, view.Upstream{ID: fmt.Sprintf("i-%d", i), Service: "s", Address: "127.0.0.1:1", Slots: 9})
 	}
 	f := NewFleet(FleetOptions{
-		Instance: address, Limits: queue.Limits{MaxItems: 1}, OwnersFrom: 11,
+		Instance: address, Limits: queue.Limits{MaxItems: 1},
 		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
 	})
 	f.UseSlots(noSlots{})
@@ -71,12 +71,19 @@
 	is.Equal(len(named), 1)
 }
 
-func TestEachInstanceOfASmallFleetSchedulesForItself(t *testing.T) {
+func TestAnInstanceWithoutPeersSchedulesForItself(t *testing.T) {
+	is := is.New(t)
+	shard, owners := fleetOf("10.0.0.0:1", instances(1)).shardAndOwners(generation())
+	is.Equal(len(owners), 0)
+	shard.pool.View(func(core *scheduler.Core) { is.Equal(len(core.Upstreams()), 60) })
+}
+
+// Whoever is asked schedules on all upstreams of the shard.
+func TestEachInstanceKnowsAllUpstreams(t *testing.T) {
 	is := is.New(t)
 	all := instances(7)
 	for _, i := range all {
-		shard, owners := fleetOf(i.Address, all).shardAndOwners(generation())
-		is.Equal(len(owners), 0)
+		shard, _ := fleetOf(i.Address, all).shardAndOwners(generation())
 		shard.pool.View(func(core *scheduler.Core) { is.Equal(len(core.Upstreams()), 60) })
 	}
 }
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -47,6 +47,7 @@
 		f.distrust(owner, w, err)
 	}
 	w.request.Chain = chain(w.parts)
+	w.request.Zone = f.o.Zone
 	grant, problem := shard.pool.Acquire(ctx, w.request)
 	if problem != nil {
 		return nil, problem
@@ -62,7 +63,7 @@
 	instances := f.instances
 	f.mu.Unlock()
 	shard := draw(s.shards)
-	if f.slots == nil || len(instances) < f.o.OwnersFrom || w.request.Prompt == 0 {
+	if f.slots == nil || len(instances) == 1 || w.request.Prompt == 0 {
 		return shard, nil
 	}
 	k := shardKey{service: w.service, index: shard.index}
@@ -83,7 +84,7 @@
 
 // ask asks the owner of a shard for a slot. The error says that it didn't decide.
 func (f *Fleet) ask(ctx context.Context, owner string, s *shard, w *want) (lease, *api.Problem, error) {
-	slot, refusal, err := f.slots.AcquireSlot(ctx, owner, slotRequest(time.Now(), s, w), ackWithin)
+	slot, refusal, err := f.slots.AcquireSlot(ctx, owner, f.slotRequest(time.Now(), s, w), ackWithin)
 	switch {
 	case err != nil:
 		return nil, nil, err
@@ -95,7 +96,7 @@
 	return l, nil, nil
 }
 
-func slotRequest(now time.Time, s *shard, w *want) *peer.SlotRequest {
+func (f *Fleet) slotRequest(now time.Time, s *shard, w *want) *peer.SlotRequest {
 	r := w.request
 	out := &peer.SlotRequest{
 		Service:      s.service,
@@ -112,6 +113,7 @@
 		Expected:     r.Expected,
 		Bytes:        r.Bytes,
 		Exclude:      r.Exclude,
+		Zone:         f.o.Zone,
 	}
 	for _, p := range w.parts {
 		out.Parts = append(out.Parts, peer.PromptPart{Sum: p.Sum, Tokens: p.Tokens})
@@ -140,6 +142,7 @@
 		Chain:        chain(parts),
 		Bytes:        r.Bytes,
 		Exclude:      r.Exclude,
+		Zone:         r.Zone,
 	}
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -64,6 +64,8 @@
 	// LateIsWorth tells that a late answer is still of use, so that it isn't refused
 	// because its end is predicted too late.
 	LateIsWorth bool
+	// Zone is the availability zone that it came to.
+	Zone string
 	// Exclude is an upstream that failed it already, by its ID.
 	Exclude string
 	// Value is the caller's.
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -155,7 +155,7 @@
 }
 
 func (c *Core) describe(now time.Time, r *Request) balancer.Work {
-	w := balancer.Work{Prompt: r.Prompt, Output: c.output(r), Chain: r.Chain, EndIn: r.Deadline.Sub(now)}
+	w := balancer.Work{Prompt: r.Prompt, Output: c.output(r), Chain: r.Chain, EndIn: r.Deadline.Sub(now), Zone: r.Zone}
 	if r.Aim > 0 {
 		w.FirstIn = max(r.Arrived.Add(r.Aim).Sub(now), 1) // late already: the sooner the better
 	}
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -45,7 +45,6 @@
 	r.RetryWindow = cmp.Or(r.RetryWindow, Duration(10*time.Second))
 	r.FarCost = cmp.Or(r.FarCost, Duration(5*time.Millisecond))
 	r.Cores = cmp.Or(r.Cores, 1)
-	r.OwnersFrom = cmp.Or(r.OwnersFrom, 11)
 	r.MemoryMB = cmp.Or(r.MemoryMB, 256)
 }
 
@@ -151,7 +150,6 @@
 	c.positive("/routed/grace", int64(r.Grace))
 	c.positive("/routed/retryWindow", int64(r.RetryWindow))
 	c.positive("/routed/memoryMB", int64(r.MemoryMB))
-	c.positive("/routed/ownersFrom", int64(r.OwnersFrom))
 	if r.Cores < 0 {
 		c.add("/routed/cores", "is %g; set the cores that the process has, such as 0.4", r.Cores)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -215,9 +215,6 @@
 	// Cores is the processor time that the process has, in cores. Instances with more of
 	// it schedule for others more often. Default 1.
 	Cores float64 `json:"cores,omitzero"`
-	// OwnersFrom is the number of instances from which on each shard of upstreams is
-	// scheduled by one of them, which the others ask for slots. Default 11.
-	OwnersFrom int `json:"ownersFrom,omitzero"`
 	// MemoryMB is the memory of the process in MiB; the garbage collector works
 	// harder from half of it on. Default 256.
 	MemoryMB int `json:"memoryMB,omitzero"`
