Add a soak of real processes, and let a repeated SIGTERM cut nothing

Supervisors and series of planned work repeat the signal.

Change: after the first signal only an interrupt ends the shutdown. SIGHUP is handled before anything listens, since it would end a process that has just started.

--- a/cmd/tacktallyd/main.go
+++ b/cmd/tacktallyd/main.go
@@ -1,7 +1,7 @@
 // Command tacktallyd is the daemon that runs on an entry instance.
 //
 // Exit codes: 0 after a graceful shutdown, 1 when it can't run, 2 when its
-// arguments or settings are wrong, 3 when a second signal cut the shutdown short.
+// arguments or settings are wrong, 3 when an interrupt cut the shutdown short.
 package main
 
 import (
@@ -66,7 +66,9 @@
 }
 
 func serve(path string, s *settings.Settings) int {
-	i, err := build(path, s)
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP) // before anything listens: unhandled, it would end the process
+	i, err := build(path, s, hangUps)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "tacktallyd:", err)
 		return exitFailed
@@ -77,15 +79,25 @@
 	go func() {
 		<-signals
 		stop()
-		<-signals
+		awaitInterrupt(signals)
 		os.Exit(exitForced)
 	}()
 	i.Run(ctx)
 	return 0
 }
 
+// awaitInterrupt blocks until an operator interrupts the shutdown. Supervisors repeat
+// SIGTERM, which must not cut requests that run.
+func awaitInterrupt(signals <-chan os.Signal) {
+	for s := range signals {
+		if s == syscall.SIGINT {
+			return
+		}
+	}
+}
+
 // build makes the instance that the settings ask for.
-func build(path string, s *settings.Settings) (instance, error) {
+func build(path string, s *settings.Settings, hangUps <-chan os.Signal) (instance, error) {
 	if s.Routed == nil {
 		return daemon.New(s, os.Stdout)
 	}
@@ -98,6 +110,6 @@
 	if err != nil {
 		return nil, err
 	}
-	go reload(path, i)
+	go reload(path, hangUps, i)
 	return i, nil
 }
--- a/cmd/tacktallyd/reload.go
+++ b/cmd/tacktallyd/reload.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/entry"
@@ -15,11 +13,9 @@
 // signal. Seeds are all that is taken over, and are needed only when links are lost.
 const reloadInterval = 5 * time.Second
 
-// reload hands changed settings to the instance, at a SIGHUP and when the file has
-// changed, for as long as the process runs.
-func reload(path string, i *entry.Instance) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
+// reload hands changed settings to the instance, at a SIGHUP, which comes on hangUps, and
+// when the file has changed, for as long as the process runs.
+func reload(path string, hangUps <-chan os.Signal, i *entry.Instance) {
 	changes := time.NewTicker(reloadInterval)
 	last, _ := os.ReadFile(path) // it was read a moment ago
 	for {
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,80 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+)
+
+// Process is a program that is started again whenever it ends, until Stop. Only the
+// process that it has started itself is ever signalled. Safe for concurrent use.
+type Process struct {
+	command []string
+	log     io.Writer
+
+	mu      sync.Mutex
+	running *exec.Cmd
+	ended   chan struct{} // closed when running has ended
+	stopped bool
+}
+
+// StartProcess starts a program. Its output goes to log.
+func StartProcess(log io.Writer, command ...string) (*Process, error) {
+	p := &Process{command: command, log: log}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p, p.start()
+}
+
+// start starts the program. The caller holds the lock.
+func (p *Process) start() error {
+	c := exec.Command(p.command[0], p.command[1:]...)
+	c.Stdout, c.Stderr = p.log, p.log
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("starting %s: %w", p.command[0], err)
+	}
+	p.running = c
+	p.ended = make(chan struct{})
+	go p.reap(c, p.ended)
+	return nil
+}
+
+// reap waits for the end of a process and starts the next one.
+func (p *Process) reap(c *exec.Cmd, ended chan struct{}) {
+	err := c.Wait()
+	fmt.Fprintf(p.log, "soak: process %d ended: %v\n", c.Process.Pid, err)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(ended)
+	if p.stopped {
+		return
+	}
+	if err := p.start(); err != nil {
+		fmt.Fprintln(p.log, "soak:", err)
+	}
+}
+
+// Signal sends a signal to the process that runs now.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.ended:
+	default:
+		_ = p.running.Process.Signal(s) // one that has just ended needs none
+	}
+}
+
+// Stop ends the process for good, at once, and waits for its end.
+func (p *Process) Stop() {
+	p.mu.Lock()
+	p.stopped = true
+	ended := p.ended
+	p.mu.Unlock()
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.Signal(os.Kill.(syscall.Signal)))
+	<-ended
+}
