Bound callers' connections by the descriptors of the process

Cause: callers' connections weren't bounded in number; a process out of descriptors can't reach its upstreams and peers any more, and 8,000 idle ones cost 11 KB each (trial of the frame).

Change: settings name the descriptors (routed.maxFiles, from the platform's limits); callers' connections take at most 0.6 of those that aren't kept for files. Those beyond wait in the kernel's queue until one is closed (golang.org/x/net/netutil).

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/settings"
@@ -26,6 +28,9 @@
 	// endMargin is the time before the end of the grace at which what still runs is
 	// given up, so that the process ends itself.
 	endMargin = 300 * time.Millisecond
+	// callersShare is the part of the descriptors that callers' connections may take. The
+	// rest is for upstreams and peers. 8,000 idle connections cost 11 KB each.
+	callersShare = 0.6
 	// idlePoll is how often an instance that shuts down looks whether it is idle.
 	idlePoll = 20 * time.Millisecond
 )
@@ -80,6 +85,7 @@
 	if l.callers, err = listen.TCP("callers.address", s.Callers.Address); err != nil {
 		return err
 	}
+	l.callers = netutil.LimitListener(l.callers, mostCallers(s.Routed.MaxFiles))
 	if l.ready, err = listen.TCP("routed.ready", s.Routed.Ready); err != nil {
 		return err
 	}
@@ -90,6 +96,11 @@
 	return err
 }
 
+// mostCallers is how many connections of callers are open at once, of so many descriptors.
+func mostCallers(files int) int {
+	return max(int(callersShare*float64(files-settings.ReservedFiles)), 1)
+}
+
 // servers are the running HTTP servers.
 type servers struct {
 	callers *http.Server
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -33,6 +33,9 @@
 	}
 }
 
+// ReservedFiles is the number of descriptors that are kept for files.
+const ReservedFiles = 200
+
 func (r *Routed) provision() {
 	r.Lease = cmp.Or(r.Lease, Duration(5*time.Second))
 	r.ProveEvery = cmp.Or(r.ProveEvery, Duration(1500*time.Millisecond))
@@ -45,6 +48,7 @@
 	r.RetryWindow = cmp.Or(r.RetryWindow, Duration(10*time.Second))
 	r.FarCost = cmp.Or(r.FarCost, Duration(5*time.Millisecond))
 	r.Cores = cmp.Or(r.Cores, 1)
+	r.MaxFiles = cmp.Or(r.MaxFiles, 4096)
 	r.MemoryMB = cmp.Or(r.MemoryMB, 256)
 }
 
@@ -150,6 +154,9 @@
 	c.positive("/routed/grace", int64(r.Grace))
 	c.positive("/routed/retryWindow", int64(r.RetryWindow))
 	c.positive("/routed/memoryMB", int64(r.MemoryMB))
+	if r.MaxFiles <= ReservedFiles {
+		c.add("/routed/maxFiles", "is %d; allow more than the %d that aren't connections", r.MaxFiles, ReservedFiles)
+	}
 	if r.Cores < 0 {
 		c.add("/routed/cores", "is %g; set the cores that the process has, such as 0.4", r.Cores)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -215,6 +215,10 @@
 	// Cores is the processor time that the process has, in cores. Instances with more of
 	// it schedule for others more often. Default 1.
 	Cores float64 `json:"cores,omitzero"`
+	// MaxFiles is how many descriptors the process may open. Callers' connections take
+	// 0.6 of what is left beside 200 for files; those beyond wait until one is closed.
+	// Default 4096.
+	MaxFiles int `json:"maxFiles,omitzero"`
 	// MemoryMB is the memory of the process in MiB; the garbage collector works
 	// harder from half of it on. Default 256.
 	MemoryMB int `json:"memoryMB,omitzero"`
