--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -80,9 +79,6 @@
 	// forgetAfter is the silence after which a peer that isn't on the list is no
 	// longer dialled.
 	forgetAfter = time.Minute
-	// membersTold is how many peers one that knows fewer is told at a time. All that it
-	// is linked to tell it some, so that it knows all of them within seconds.
-	membersTold = 16
 	// fetchTimeout bounds the handing over of state.
 	fetchTimeout = 2 * time.Second
 )
@@ -165,16 +161,6 @@
 	}
 }
 
-// meet links to peers that another one knows, beside those of SetPeers, as long as
-// they are heard of.
-func (m *Mesh) meet(addresses []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, address := range addresses {
-		m.link(address)
-	}
-}
-
 // link returns the state of a peer, new where it wasn't known, and keeps dialling
 // it. The caller holds the lock. It returns nil for this instance itself.
 func (m *Mesh) link(address string) *peerState {
@@ -299,42 +285,6 @@
 	m.o.Handler.Heard(from, h)
 }
 
-// Known returns the number of peers that this instance knows.
-func (m *Mesh) Known() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.peers)
-}
-
-// TellMembers tells a peer some of the others within reach, drawn at random, if it says
-// that it knows fewer.
-func (m *Mesh) TellMembers(to string, known int) {
-	l, others := m.others(to)
-	if l == nil || len(others)+1 <= known { // this instance is one of those that it knows
-		return
-	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), membersTold)]
-	l.trySend(&Frame{Type: TypeMembers, Members: &Members{Addresses: others}}) // or with its next heartbeat
-}
-
-// others returns the link to a peer, and the peers within reach beside it.
-func (m *Mesh) others(to string) (*link, []string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p := m.peers[to]
-	if p == nil || !m.isReachable(p) {
-		return nil, nil
-	}
-	var out []string
-	for address, p := range m.peers {
-		if address != to && m.isReachable(p) {
-			out = append(out, address)
-		}
-	}
-	return p.link, out
-}
-
 func (m *Mesh) linkEnded(address, side string, err error) {
 	if m.ctx.Err() != nil {
 		return
