Let an instance that starts count the fleet by what its seeds say

Sums of tokens over the log show it: 1.3 and 1.9 million tokens of one organisation within half a second of two losses of all instances, all granted by instances to themselves (rate: 1.05 million a second). Until it looked at its peers for the first time, 0.2 s after its start, each took itself for the whole, settled fleet, and granted a tenth of a burst and a large request on debt.

Change: an instance hasn't settled from its first moment on; while it starts its share is of the largest fleet that any peer tells of (hello and heartbeats), debts of all that start are bounded together, and its rate is 1.6 times its share, since callers that were cut off come back at once. Tests failed first (an instance had settled when it was made; debt had no bound).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,6 +131,7 @@
 	})
 	i.fleet.UseSlots(i.mesh)
 	i.quotas.UsePeers(i.mesh)
+	i.followInstances() // it hasn't settled
 	i.gauges()
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Routed.MemoryMB<<20)))
 	return i, nil
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/proxy"
+	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/settings"
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// nothing is a source and a protocol that know nothing.
+type nothing struct{}
+
+func (nothing) Run(ctx context.Context, _ view.Sink)     { <-ctx.Done() }
+func (nothing) Decode([]byte) (*routing.Document, error) { return nil, errors.New("nothing") }
+func (nothing) ReadCall(*http.Request) (proxy.Call, error) {
+	return proxy.Call{}, errors.New("nothing")
+}
+func (nothing) Prepare(http.Header, proxy.Sending)                 {}
+func (nothing) Answers(http.Header, string) bool                   { return false }
+func (nothing) ReadHead(int, http.Header) proxy.Head               { return proxy.Head{} }
+func (nothing) WriteProblem(w http.ResponseWriter, _ *api.Problem) { w.WriteHeader(http.StatusTeapot) }
+
+// From its first request on an instance must not take itself for the whole fleet: 87 of
+// them, all just started, granted an organisation a rate and more each.
+func TestAnInstanceHasNotSettledWhenItStarts(t *testing.T) {
+	is := is.New(t)
+	s := &settings.Settings{
+		Zone:    "bole",
+		Callers: settings.Callers{Address: "127.0.0.1:0"},
+		Peers:   settings.Peers{Address: "127.0.0.1:0", Advertise: "127.0.0.1:9"},
+		Routed:  &settings.Routed{Store: "127.0.0.1:9", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0"},
+	}
+	s.Provision()
+	i, err := New(Options{Settings: s, Source: nothing{}, Protocol: nothing{}, LogTo: io.Discard})
+	is.NoErr(err)
+	t.Cleanup(i.mesh.Close)
+	is.True(!i.fleet.Settled())
+}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -23,6 +23,23 @@
 	return len(m.peers)
 }
 
+// FleetSize is the number of instances, this one included, by the largest number that any
+// peer has told of; 0 while there are peers and none was heard of.
+func (m *Mesh) FleetSize() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.peers) == 0 {
+		return 1
+	}
+	size := 0
+	for _, p := range m.peers {
+		if !p.lastHeard.IsZero() {
+			size = max(size, len(m.peers)+1, p.hello.Known+1, p.last.Known+1)
+		}
+	}
+	return size
+}
+
 // TellMembers tells a peer some of the others within reach, drawn at random, if it says
 // that it knows fewer.
 func (m *Mesh) TellMembers(to string, known int) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -487,3 +487,17 @@
 	_, err = p.a.TakeQuota(t.Context(), "127.0.0.1:1", &QuotaRequest{Organisation: "crews", Rate: 1}, time.Minute)
 	is.True(errors.Is(err, ErrUnreachable))
 }
+
+// An instance that has just started knows its seeds, and by their word how many there are.
+func TestTheSizeOfAFleetIsToldByWhoKnowsMost(t *testing.T) {
+	is := is.New(t)
+	m := NewMesh(Options{Address: "127.0.0.1:1", Heartbeat: time.Hour, SuspectAfter: time.Hour, Handler: &handler{}, Log: &log.Logger{Level: log.FatalLevel}})
+	t.Cleanup(m.Close)
+	is.Equal(m.FleetSize(), 1) // alone
+	m.SetPeers([]string{"127.0.0.1:2", "127.0.0.1:3"})
+	is.Equal(m.FleetSize(), 0) // nobody has said anything
+	m.heard(Hello{Address: "127.0.0.1:2", Known: 80}, nil)
+	is.Equal(m.FleetSize(), 81)
+	m.heartbeat("127.0.0.1:2", &Heartbeat{Known: 86})
+	is.Equal(m.FleetSize(), 87)
+}
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -165,15 +165,8 @@
 	return float64(n) / float64(len(f.instances))
 }
 
-// instancesKnown is the number of instances, this one included.
-func (f *Fleet) instancesKnown() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.instances)
-}
-
-// isSettled tells whether this instance has run long enough to know the others.
-func (f *Fleet) isSettled() bool {
+// Settled tells whether this instance has run long enough to know the others.
+func (f *Fleet) Settled() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.ContainsFunc(f.instances, func(i Instance) bool { return i.Address == f.o.Instance && i.Settled })
--- a/internal/proxy/quotas.go
+++ b/internal/proxy/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/peer"
@@ -13,6 +14,9 @@
 type QuotaPeers interface {
 	TakeQuota(ctx context.Context, address string, r *peer.QuotaRequest, within time.Duration) (*peer.QuotaReply, error)
 	ReturnQuota(address string, r *peer.QuotaReturn)
+	// FleetSize is the number of instances as far as known; 0 while this one, which isn't
+	// alone, has heard of none.
+	FleetSize() int
 }
 
 // Quotas bounds what each organisation uses over all instances: one of them, which all work
@@ -30,7 +34,7 @@
 // NewQuotas returns the quotas of an instance that was started at a time. Rates are
 // multiplied by factor.
 func NewQuotas(started time.Time, factor float64, fleet *Fleet) *Quotas {
-	return &Quotas{limiter: quota.New(), starting: quota.NewStarting(started), factor: factor, fleet: fleet}
+	return &Quotas{limiter: quota.New(), starting: quota.NewStarting(started.Add(startingPause)), factor: factor, fleet: fleet}
 }
 
 // UsePeers lets the quotas ask other instances. It is called once, before requests come.
@@ -71,18 +75,45 @@
 	return q.takeOwn(r)
 }
 
-// startingRate is the part of its share of the rate that an instance grants until it has
-// settled: it doesn't know all of those with which it shares, nor what was used before.
-const startingRate = 0.4
+const (
+	// startingRate is what an instance grants until it has settled, in its share of the
+	// rate: callers that were cut off all come back at once. It doesn't know what was used
+	// before. The users' bounds leave about a second of the rate, and what nobody used
+	// while the fleet was down, for each of two starts within a window; in this time and
+	// in buckets that are taken over about that is granted.
+	startingRate = 1.6
+	// startingDebt is the debt, in seconds of the rate, into which all that start may run
+	// together.
+	startingDebt = 0.2
+	// startingPause is how long after its start an instance grants nothing by itself: until
+	// its seeds have said how many there are.
+	startingPause = 50 * time.Millisecond
+)
+
+// takeStarting takes tokens of this instance's share while it starts.
+func (q *Quotas) takeStarting(r *peer.QuotaRequest) (granted bool, wait time.Duration) {
+	size := q.fleetSize()
+	if size == 0 {
+		return false, comeBackSoon
+	}
+	limit := quota.Limit{Rate: startingRate * r.Rate, Burst: r.Burst, Debt: startingDebt * r.Rate}
+	return q.starting.Take(time.Now(), r.Organisation, limit.Part(1/float64(size)), r.Tokens)
+}
+
+func (q *Quotas) fleetSize() int {
+	if q.peers == nil {
+		return 1
+	}
+	return q.peers.FleetSize()
+}
 
 // takeOwn takes tokens of what this instance may grant by itself.
 func (q *Quotas) takeOwn(r *peer.QuotaRequest) (*tokens, time.Duration) {
-	t := &tokens{organisation: r.Organisation, n: r.Tokens, starting: !q.fleet.isSettled()}
+	t := &tokens{organisation: r.Organisation, n: r.Tokens, starting: !q.fleet.Settled()}
 	var granted bool
 	var wait time.Duration
 	if t.starting {
-		limit := quota.Limit{Rate: r.Rate, Burst: r.Burst}.Part(startingRate / float64(q.fleet.instancesKnown()))
-		granted, wait = q.starting.Take(time.Now(), r.Organisation, limit, r.Tokens)
+		granted, wait = q.takeStarting(r)
 	} else {
 		reply := q.Serve(r)
 		granted, wait = reply.Granted, reply.Wait
@@ -102,8 +133,8 @@
 
 // Serve grants tokens out of this instance's bucket, to itself or to a peer.
 func (q *Quotas) Serve(r *peer.QuotaRequest) *peer.QuotaReply {
-	limit := quota.Limit{Rate: r.Rate, Burst: r.Burst}.Part(q.fleet.partInReach())
-	granted, wait := q.limiter.Take(time.Now(), r.Organisation, limit, r.Tokens)
+	limit := quota.Limit{Rate: r.Rate, Burst: r.Burst, Debt: math.Inf(1)}
+	granted, wait := q.limiter.Take(time.Now(), r.Organisation, limit.Part(q.fleet.partInReach()), r.Tokens)
 	return &peer.QuotaReply{Granted: granted, Wait: wait}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -15,7 +15,7 @@
 // another instance may have kept it until now, and have used up a burst. While a fleet
 // starts, a bucket may change hands a few times, and a fleet may start twice in a window: a
 // quarter broke the quota then (wijesinghe-lfp trouble-3).
-const startingShare = 0.1
+const startingShare = 0.15
 
 // Limit is what an organisation may use.
 type Limit struct {
@@ -23,10 +23,15 @@
 	Rate float64
 	// Burst may be used beyond it at once.
 	Burst float64
+	// Debt is what a grant may go below an empty bucket, so that a large request isn't held
+	// off for ever. It is paid off before anything else is granted.
+	Debt float64
 }
 
 // Part returns a part of the limit.
-func (l Limit) Part(part float64) Limit { return Limit{Rate: l.Rate * part, Burst: l.Burst * part} }
+func (l Limit) Part(part float64) Limit {
+	return Limit{Rate: l.Rate * part, Burst: l.Burst * part, Debt: l.Debt * part}
+}
 
 // Limiter keeps buckets. Safe for concurrent use.
 type Limiter struct {
@@ -51,8 +56,7 @@
 	return &Limiter{started: started, buckets: map[string]*bucket{}}
 }
 
-// Take grants an organisation tokens. When it doesn't, wait is when to come back. A grant
-// may run into debt, so that a large request isn't held off for ever.
+// Take grants an organisation tokens. When it doesn't, wait is when to come back.
 func (l *Limiter) Take(now time.Time, name string, limit Limit, tokens int) (granted bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -62,8 +66,8 @@
 		l.buckets[name] = b
 	}
 	b.fill(now, limit)
-	if b.level <= 0 {
-		return false, needs(1-b.level, limit.Rate)
+	if needed := max(float64(tokens)-limit.Debt, 1); b.level < needed {
+		return false, needs(needed-b.level, limit.Rate)
 	}
 	b.level -= float64(tokens)
 	return true, 0
