Take the clock out of the test of requests that couldn't be sent

The request was then refused as late before anything was tried, which the test doesn't mean.

Change: what the test relied on the clock for, that no patience but the deadline binds after a failed sending, is now asserted of the request that the scheduler gets; that the request goes elsewhere is asserted as before, with the usual objective.

Left, found by this: a request that comes to an owner later than its patience, since an owner of tokens was silent for 150 ms, say, is refused though there may be room.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/view"
 )
 
@@ -186,14 +187,15 @@
 	}
 }
 
-// Finding out that an upstream can't be reached takes longer than a request waits for
-// room. The others still have room for it.
+// Finding out that an upstream can't be reached may take longer than a request waits for
+// room. The others still have room for it: once a sending has failed, only the deadline
+// bounds the wait.
 func TestARequestThatCouldNotBeSentGoesElsewhereHoweverLongThatTook(t *testing.T) {
 	is := is.New(t)
+	j := job{route: &routing.Route{Target: time.Second}}
+	is.Equal(j.schedulerRequest("").Patience, time.Duration(patienceShare*float64(time.Second)))
+	is.Equal(j.schedulerRequest("a").Patience, time.Duration(0)) // none but the deadline
 	r := newRig(t)
-	for i := range r.document.Routes {
-		r.document.Routes[i].Target = time.Millisecond // its patience is over before any failure
-	}
 	r.publish(0)
 	gone, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
