--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,8 +40,8 @@
 	// soon after their seeds do.
 	quotaSettle = 500 * time.Millisecond
 	// farEvery is how many heartbeats apart peers of other availability zones are told of
-	// load and of what organisations used. With each it made 0.17 of the 0.2 GB that
-	// crossed zones in half a minute of 63 instances.
+	// load. It is part of what brought bytes between zones from 0.28 to 0.12 GB on a
+	// loaded day of 87 instances.
 	farEvery = 2
 	// tidyInterval is how often idle connections are looked at.
 	tidyInterval = time.Second
