--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -24,6 +24,7 @@
 func (nothing) ReadCall(*http.Request) (proxy.Call, error) {
 	return proxy.Call{}, errors.New("nothing")
 }
+func (nothing) Forward(h http.Header) http.Header                  { return h.Clone() }
 func (nothing) Prepare(http.Header, proxy.Sending)                 {}
 func (nothing) Answers(http.Header, string) bool                   { return false }
 func (nothing) ReadHead(int, http.Header) proxy.Head               { return proxy.Head{} }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -13,7 +13,6 @@
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/api"
-	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
@@ -129,7 +128,7 @@
 		return problem
 	}
 	j.service = j.route.Choose(rand.Float64())
-	j.header = exchange.EndToEnd(j.http.Header)
+	j.header = j.handler.o.Protocol.Forward(j.http.Header)
 	j.deadline = j.arrived.Add(j.timeout() - answerMargin)
 	if problem := j.readBody(); problem != nil {
 		return problem
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -47,8 +48,13 @@
 	return c, nil
 }
 
+func (plain) Forward(h http.Header) http.Header {
+	out := exchange.EndToEnd(h)
+	out.Del("Key")
+	return out
+}
+
 func (plain) Prepare(h http.Header, s Sending) {
-	h.Del("Key")
 	h.Set("Upstream", s.Upstream)
 	h.Set("Organisation", s.Organisation)
 	h.Set("Timeout", s.Left.String())
@@ -66,6 +72,7 @@
 func (plain) WriteProblem(w http.ResponseWriter, p *api.Problem) {
 	w.Header().Set("Reason", string(p.Reason))
 	w.Header().Set("Outcome", string(p.Outcome))
+	w.Header().Set("Detail", p.Detail)
 	if p.RetryAfter > 0 {
 		w.Header().Set("Retry-After", p.RetryAfter.String())
 	}
--- a/internal/proxy/seam.go
+++ b/internal/proxy/seam.go
@@ -23,7 +23,10 @@
 	// ReadCall reads what a caller says of its request. An error means that the
 	// request is malformed.
 	ReadCall(r *http.Request) (Call, error)
-	// Prepare turns a caller's headers, of which h is a copy, into those of a sending.
+	// Forward returns, as a new header, what of a caller's headers an upstream may get:
+	// not what concerns one connection, and nothing that only Prepare may set.
+	Forward(h http.Header) http.Header
+	// Prepare adds to h, a copy of what Forward returned, what one sending carries.
 	Prepare(h http.Header, s Sending)
 	// Answers tells whether a head answers the request of the ID.
 	Answers(h http.Header, id string) bool
