Notice connections that went silent, and accept callers at the bound

Cause: open connections may go silent for good without a reset while new ones work. To callers and peers nothing bounded that (a peer's own link kept it reachable while the link to it was dead); a watch of the store missed all changes for up to 21 s; kept connections to upstreams waited 3 s for a lost write and for ever without one. And an instance at its bound of callers' connections stopped accepting while it said that it was ready. Change: keepalive bounds every TCP connection to 3 s. A peer link that leaves two requests in a row unanswered and brings no frame for 0.7 s is ended. At the bound of callers' connections the one idle for longest makes room; while all are at work a new one is closed unread, and counted. A silenced TCP connection can't be had on loopback.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,7 +90,7 @@
 		output:      telemetry.NewBounded(o.LogTo),
 		metrics:     telemetry.NewMetrics(),
 	}
-	if err := i.listeners.open(s); err != nil {
+	if err := i.listeners.open(s, i.metrics); err != nil {
 		return nil, err
 	}
 	i.address = listen.Advertised(s.Peers.Advertise, i.listeners.peers)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -8,11 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/settings"
+	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
 	"github.com/tacktally/tacktally/internal/wait"
 )
@@ -74,18 +73,18 @@
 
 // listeners of an instance.
 type listeners struct {
-	callers net.Listener
+	callers *listen.Callers
 	ready   net.Listener
 	peers   net.Listener
 	metrics net.Listener
 }
 
-func (l *listeners) open(s *settings.Settings) error {
-	var err error
-	if l.callers, err = listen.TCP("callers.address", s.Callers.Address); err != nil {
+func (l *listeners) open(s *settings.Settings, m *telemetry.Metrics) error {
+	callers, err := listen.TCP("callers.address", s.Callers.Address)
+	if err != nil {
 		return err
 	}
-	l.callers = netutil.LimitListener(l.callers, mostCallers(s.Routed.MaxFiles))
+	l.callers = listen.NewCallers(callers, mostCallers(s.Routed.MaxFiles), func() { m.Count("tacktally_connections_refused_total") })
 	if l.ready, err = listen.TCP("routed.ready", s.Routed.Ready); err != nil {
 		return err
 	}
@@ -111,17 +110,18 @@
 	mesh := http.NewServeMux()
 	mesh.Handle(peer.Path, i.mesh)
 	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { i.metrics.Write(w) })
-	s := &servers{callers: i.start(l.callers, i.proxy)}
-	s.others = []*http.Server{i.start(l.ready, &i.ready), i.start(l.peers, mesh), i.start(l.metrics, metrics)}
+	s := &servers{callers: i.start(l.callers, i.proxy, l.callers.State)}
+	s.others = []*http.Server{i.start(l.ready, &i.ready, nil), i.start(l.peers, mesh, nil), i.start(l.metrics, metrics, nil)}
 	return s
 }
 
-func (i *Instance) start(l net.Listener, h http.Handler) *http.Server {
+func (i *Instance) start(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *http.Server {
 	s := &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    i.settings.Callers.MaxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnState:         state,
 	}
 	go func() {
 		err := s.Serve(l)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/keepalive"
 )
 
 const (
@@ -24,11 +26,6 @@
 	// idleShare is the part of the upstream's own idle time that is used, so that
 	// a request doesn't cross its closing.
 	idleShare = 0.6
-	// userTimeout is how long sent bytes may stay unacknowledged before the kernel
-	// gives a connection up: a machine without power answers nothing.
-	userTimeout = 3 * time.Second
-	// tcpUserTimeout is the socket option of it, in milliseconds.
-	tcpUserTimeout = 0x12
 )
 
 // Pool keeps the connections to one upstream. Safe for concurrent use.
@@ -58,21 +55,13 @@
 
 // NewPool returns a pool without connections.
 func NewPool(o Options) *Pool {
-	d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: false}, KeepAlive: -1, Control: setUserTimeout}
+	d := &net.Dialer{KeepAliveConfig: keepalive.Config(), Control: keepalive.Control}
 	if o.Local != nil {
 		d.LocalAddr = &net.TCPAddr{IP: o.Local}
 	}
 	return &Pool{address: o.Address, dialer: d, timeout: o.ConnectTimeout, opened: o.Opened}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 // Do makes one exchange and returns the head of the answer. It blocks until then.
 // The end of ctx breaks the exchange off, also while the body is read.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
--- /dev/null
+++ b/internal/keepalive/keepalive_test.go
@@ -0,0 +1,51 @@
+package keepalive
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// options reads what the kernel was told of a connection.
+func options(t *testing.T, c net.Conn) map[string]int {
+	t.Helper()
+	is := is.New(t)
+	raw, err := c.(syscall.Conn).SyscallConn()
+	is.NoErr(err)
+	out := map[string]int{}
+	get := func(fd uintptr, level, option int) int {
+		v, err := syscall.GetsockoptInt(int(fd), level, option)
+		is.NoErr(err)
+		return v
+	}
+	is.NoErr(raw.Control(func(fd uintptr) {
+		out["keepalive"] = get(fd, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE)
+		out["idle"] = get(fd, syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE)
+		out["interval"] = get(fd, syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL)
+		out["probes"] = get(fd, syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT)
+		out["unacknowledged"] = get(fd, syscall.IPPROTO_TCP, tcpUserTimeout)
+	}))
+	return out
+}
+
+// A silenced connection can't be had on loopback, where the kernel answers for itself: that
+// the kernel is told of the bounds, on both sides, is what can be shown here.
+func TestBothSidesOfAConnectionAreBounded(t *testing.T) {
+	is := is.New(t)
+	want := map[string]int{"keepalive": 1, "idle": 1, "interval": 1, "probes": 2, "unacknowledged": 2000}
+	plain, err := (&net.ListenConfig{KeepAliveConfig: Config()}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := Listener(plain)
+	defer l.Close()
+	dialled, err := (&net.Dialer{KeepAliveConfig: Config(), Control: Control}).Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer dialled.Close()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	is.Equal(options(t, dialled), want)
+	is.Equal(options(t, accepted), want)
+}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -2,18 +2,22 @@
 package listen
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"strings"
+
+	"github.com/tacktally/tacktally/internal/keepalive"
 )
 
-// TCP opens a listener and names the setting when it can't.
+// TCP opens a listener and names the setting when it can't. A connection whose other side
+// is gone ends within keepalive.DeadAfter.
 func TCP(setting, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := (&net.ListenConfig{KeepAliveConfig: keepalive.Config()}).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%s %s can't be listened on; free it or choose another: %w", setting, address, err)
 	}
-	return l, nil
+	return keepalive.Listener(l), nil
 }
 
 // Advertised returns the address under which others reach a listener. Port 0, which
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -124,6 +125,9 @@
 	}
 	reply, err := l.nextFrame(ctx, s)
 	if err != nil {
+		if errors.Is(context.Cause(ctx), ErrNoReply) {
+			l.miss(time.Now())
+		}
 		return err
 	}
 	answer(reply)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -34,9 +34,38 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
-	mu      sync.Mutex
-	streams map[uint64]*stream // streams opened by this side
-	next    uint64
+	mu         sync.Mutex
+	streams    map[uint64]*stream // streams opened by this side
+	next       uint64
+	heard      time.Time // when the last frame came
+	unanswered int       // requests in a row to which none came in time
+}
+
+const (
+	// maxUnanswered requests in a row without a reply, and quietFor without any frame,
+	// make a link dead: one that was silenced without a reset stays open while frames
+	// come on the one that the peer dialled. A peer that is merely slow replies late.
+	maxUnanswered = 2
+	quietFor      = 700 * time.Millisecond
+)
+
+// hear notes that a frame came.
+func (l *link) hear(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = now
+	l.unanswered = 0
+}
+
+// miss notes that a request got no reply in time, and ends the link if it is dead.
+func (l *link) miss(now time.Time) {
+	l.mu.Lock()
+	l.unanswered++
+	dead := l.unanswered >= maxUnanswered && now.Sub(l.heard) >= quietFor
+	l.mu.Unlock()
+	if dead {
+		l.cancel(errSilent)
+	}
 }
 
 // stream is a request that this side sent, and the frames of its answer. Credit
@@ -69,6 +98,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		streams: map[uint64]*stream{},
+		heard:   time.Now(),
 	}
 }
 
@@ -88,6 +118,7 @@
 		if err != nil {
 			return err
 		}
+		l.hear(time.Now())
 		if err := handle(f); err != nil {
 			return err
 		}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/keepalive"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/wait"
 )
@@ -231,7 +232,7 @@
 // dialer makes links come from the IP number of the peers' listener, so that
 // rules of the network can name it.
 func (m *Mesh) dialer() *net.Dialer {
-	d := &net.Dialer{Timeout: dialTimeout}
+	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive.Config(), Control: keepalive.Control}
 	if a, err := netip.ParseAddrPort(m.o.Listen); err == nil && !a.Addr().IsUnspecified() {
 		d.LocalAddr = &net.TCPAddr{IP: a.Addr().AsSlice()}
 	}
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -116,7 +116,11 @@
 	}
 	f, err := l.nextFrame(ackCtx, s)
 	if err != nil {
-		return nil, causeOf(ackCtx, err)
+		err = causeOf(ackCtx, err)
+		if errors.Is(err, ErrNoReply) {
+			l.miss(time.Now())
+		}
+		return nil, err
 	}
 	if f.Type == TypeSlotQueued {
 		if f, err = l.nextFrame(ctx, s); err != nil {
--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -45,6 +46,45 @@
 	is.Equal(<-p.hb.slots, "gone") // it is told that the slot isn't wanted any more
 }
 
+// A link may go silent without a reset while the one that the peer dialled lives: requests
+// that get no reply end it, so that it is dialled anew.
+func TestALinkThatAnswersNothingIsEnded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		misses int
+		quiet  time.Duration
+		dead   bool
+	}{
+		{"one lost reply", 1, time.Minute, false},
+		{"silent", 2, quietFor, true},
+		{"slow, but other frames come", 5, quietFor - time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t)
+			l := p.a.linkTo(p.addressB)
+			now := time.Now().Add(time.Hour) // past all frames that may still come
+			l.hear(now)
+			for range c.misses {
+				l.miss(now.Add(c.quiet))
+			}
+			is.Equal(l.ctx.Err() != nil, c.dead)
+		})
+	}
+}
+
+func TestRequestsWithoutAReplyCountAgainstTheirLink(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	l := p.a.linkTo(p.addressB)
+	l.hear(time.Now().Add(-time.Hour))
+	for range maxUnanswered {
+		_, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "silent"}, time.Millisecond)
+		is.True(errors.Is(err, ErrNoReply))
+	}
+	is.True(errors.Is(context.Cause(l.ctx), errSilent))
+}
+
 func TestASlotIsGivenBackByTheEndOfItsLink(t *testing.T) {
 	is := is.New(t)
 	p := newPair(t)
