Refuse keys past the lease only where the deployment asks for it

Cause: the template rendered the lease wherever a bound for revocation stood, also where revocation need not bind (strict_revoke false): with the store silent or away all requests under a key were refused after 5 s that could have been served. The lease still paces the reading, and what was taken away counts as soon as it is known.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -99,6 +99,7 @@
 	i.view = view.New(view.Options{
 		Source:      o.Source,
 		Lease:       time.Duration(s.Routed.Lease),
+		ServeStale:  s.Routed.StaleKeys == settings.ServeStaleKeys,
 		Settle:      time.Duration(s.Routed.Settle),
 		Lapse:       lapseBeats * time.Duration(s.Routed.UpstreamHeartbeat),
 		OnUpstreams: i.upstreamsChanged,
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -38,6 +38,7 @@
 
 func (r *Routed) provision() {
 	r.Lease = cmp.Or(r.Lease, Duration(5*time.Second))
+	r.StaleKeys = cmp.Or(r.StaleKeys, RefuseStaleKeys)
 	r.ProveEvery = cmp.Or(r.ProveEvery, Duration(1500*time.Millisecond))
 	r.InForce = cmp.Or(r.InForce, Duration(2*time.Second))
 	r.Settle = cmp.Or(r.Settle, Duration(2*time.Second))
@@ -144,6 +145,9 @@
 		c.add("/routed/localIP", "is %q; write an IP number, such as 10.0.0.5", r.LocalIP)
 	}
 	c.positive("/routed/lease", int64(r.Lease))
+	if r.StaleKeys != RefuseStaleKeys && r.StaleKeys != ServeStaleKeys {
+		c.add("/routed/staleKeys", "is %q; use refuse or serve", r.StaleKeys)
+	}
 	c.positive("/routed/proveEvery", int64(r.ProveEvery))
 	if r.ProveEvery >= r.Lease {
 		c.add("/routed/proveEvery", "is no less than the lease; lower it, or no key is ever accepted")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -172,6 +172,15 @@
 	Level string `json:"level,omitzero"`
 }
 
+// StaleKeys says what becomes of requests under an API key once the lease is over.
+type StaleKeys string
+
+// The choices of StaleKeys.
+const (
+	RefuseStaleKeys StaleKeys = "refuse"
+	ServeStaleKeys  StaleKeys = "serve"
+)
+
 // Routed is what an instance that serves routed requests needs beside the rest.
 type Routed struct {
 	// Store is where configuration and upstreams are read, IP:port. Required.
@@ -186,6 +195,11 @@
 	// Lease is the age past which the configuration decides on no API key any more:
 	// the time within which a key that was taken away must be refused. Default 5s.
 	Lease Duration `json:"lease,omitzero"`
+	// StaleKeys chooses, for requests under an API key once the lease is over, between
+	// security and going on: "refuse" until the configuration is proved anew, so that no
+	// key serves after it was taken away, or "serve" by the newest configuration at hand,
+	// so that an outage of the store refuses nobody. Default refuse.
+	StaleKeys StaleKeys `json:"staleKeys,omitzero"`
 	// ProveEvery is the time between two reads that prove the configuration: each
 	// starts the lease anew. Default 1.5s.
 	ProveEvery Duration `json:"proveEvery,omitzero"`
@@ -216,7 +230,7 @@
 	// it schedule for others more often. Default 1.
 	Cores float64 `json:"cores,omitzero"`
 	// MaxFiles is how many descriptors the process may open. Callers' connections take
-	// 0.6 of what is left beside 200 for files; those beyond wait until one is closed.
+	// 0.6 of what is left beside 200 for files; for those beyond, idle ones are closed.
 	// Default 4096.
 	MaxFiles int `json:"maxFiles,omitzero"`
 	// MemoryMB is the memory of the process in MiB; the garbage collector works
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -73,6 +73,8 @@
 	Source Source
 	// Lease is how old the configuration may be for requests under an API key.
 	Lease time.Duration
+	// ServeStale lets it decide on them past the lease, too.
+	ServeStale bool
 	// Settle is the time after a return of the source in which upstreams that are
 	// missing from the list may come back to it.
 	Settle time.Duration
@@ -126,7 +128,7 @@
 }
 
 // Fresh tells whether a configuration of this age may still decide on API keys.
-func (v *View) Fresh(age time.Duration) bool { return age < v.o.Lease }
+func (v *View) Fresh(age time.Duration) bool { return age < v.o.Lease || v.o.ServeStale }
 
 // Configuration takes what the source published. It implements Sink.
 func (v *View) Configuration(revision int64, content []byte, asOf time.Time) {
