--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -207,6 +207,21 @@
 	is.Equal(r.arrived(), "b")
 }
 
+// Whoever looks for the cause of a refusal finds what the upstream said.
+func TestAnUpstreamsRefusalsAreToldApart(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.publish(0)
+	r.upstream("a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusTooManyRequests)
+		_, _ = io.WriteString(w, "too many\n")
+	})
+	body := r.get("once").header.Get("Detail")
+	is.True(strings.Contains(body, "status 429 too many"))
+	is.Equal(r.handler.o.Metrics.Value(`tacktally_upstream_refusals_total{status="429"}`), uint64(2)) // the route allows two attempts
+}
+
 func TestAttemptsAreBounded(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -143,11 +144,10 @@
 	success := r.answer.Status >= 200 && r.answer.Status < 300
 	switch {
 	case head.Misdirected:
-		r.drain()
+		r.refusal()
 		return result{status: misdirected, err: errors.New("another upstream has the address")}
 	case head.NotRun:
-		r.drain()
-		return result{status: notRun, err: fmt.Errorf("status %d", r.answer.Status), retryAfter: head.RetryAfter}
+		return result{status: notRun, err: r.refusal(), retryAfter: head.RetryAfter}
 	}
 	r.job.mayHaveRun = true
 	switch {
@@ -162,9 +162,16 @@
 	}
 }
 
-// drain reads the short body of a refusal, so that the connection can be kept.
-func (r *relay) drain() {
+// refusalBytes is how much of a refusal's body is noted: its cause, if it names one.
+const refusalBytes = 200
+
+// refusal counts an upstream's refusal and returns its cause, by status and body. It reads
+// the short body to its end, so that the connection can be kept.
+func (r *relay) refusal() error {
+	r.job.handler.o.Metrics.Count(fmt.Sprintf("tacktally_upstream_refusals_total{status=\"%d\"}", r.answer.Status))
+	body, _ := io.ReadAll(io.LimitReader(r.answer, refusalBytes))
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.answer, copyBytes)) // what isn't read closes the connection
+	return fmt.Errorf("status %d %s", r.answer.Status, strings.TrimSpace(string(body)))
 }
 
 // whole passes on an answer that is no stream, held until it is whole if it is small.
