--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,9 +32,6 @@
 	// lapseBeats is how many heartbeats of an upstream an outage of the source must last
 	// for entries to lapse in it: they do after three, of which one may have been due.
 	lapseBeats = 2
-	// quotaUse is the part of the overage by which an organisation's rate is raised.
-	// The rest is for instances that don't reach the one that keeps a bucket.
-	quotaUse = 0.2
 	// quotaSettle is how long after its start an instance keeps no quotas for others:
 	// until it knows them. All of a fleet start within 0.3 s, and know each other
 	// soon after their seeds do.
@@ -107,7 +104,8 @@
 		Metrics:     i.metrics,
 		Log:         i.log,
 	})
-	i.quotas = proxy.NewQuotas(i.started, 1+quotaUse*s.Routed.QuotaOverage, i.fleet)
+	allowance := proxy.QuotaAllowance{Share: s.Routed.QuotaOverage, Tokens: s.Routed.QuotaSlack, Window: time.Duration(s.Routed.QuotaWindow)}
+	i.quotas = proxy.NewQuotas(i.started, allowance, i.fleet)
 	i.proxy = proxy.New(proxy.Options{
 		View:     i.view,
 		Fleet:    i.fleet,
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -212,7 +212,7 @@
 			known[i].MayOwn = known[i].InReach
 			known[i].Settled = age > 0
 		}
-		q := NewQuotas(time.Now(), 1, fleetOf(self.Address, known))
+		q := NewQuotas(time.Now(), QuotaAllowance{}, fleetOf(self.Address, known))
 		q.UsePeers(quotaLink{k, self.Address})
 		k.quotas[self.Address] = q
 	}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -308,7 +308,7 @@
 		event = event.Int("tokens", j.tokens.n).Str("quota_owner", j.tokens.owner)
 	}
 	event.Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
-		Str("upstream", j.upstream).Str("owner", j.owner).Int("prompt", j.call.Prompt).Dur("sent_after", j.granted).Dur("first_after", j.first).
+		Str("upstream", j.upstream).Str("owner", j.owner).Int("prompt", j.call.Prompt).Dur("timeout", j.call.Timeout).Dur("sent_after", j.granted).Dur("first_after", j.first).
 		Int("events", j.events).Dur("took", took).Msg("")
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
--- a/internal/proxy/quotas.go
+++ b/internal/proxy/quotas.go
@@ -26,15 +26,37 @@
 type Quotas struct {
 	limiter  *quota.Limiter
 	starting *quota.Limiter // used until this instance has settled
-	factor   float64
+	allowed  QuotaAllowance
 	fleet    *Fleet
 	peers    QuotaPeers // nil until there are any
 }
 
-// NewQuotas returns the quotas of an instance that was started at a time. Rates are
-// multiplied by factor.
-func NewQuotas(started time.Time, factor float64, fleet *Fleet) *Quotas {
-	return &Quotas{limiter: quota.New(), starting: quota.NewStarting(started.Add(startingPause)), factor: factor, fleet: fleet}
+// QuotaAllowance is what an organisation may use beyond its quota in any Window: a Share of
+// the quota, and so many Tokens more.
+type QuotaAllowance struct {
+	Share  float64
+	Tokens float64
+	Window time.Duration
+}
+
+// allowanceUse is the part of the allowance by which rates are raised. What an organisation
+// may use and is refused is lost to its callers; the rest of the allowance is for what
+// instances grant while they start, while a bucket changes hands, and for repeats.
+const allowanceUse = 0.5
+
+// raise returns the rate at which a bucket fills of an organisation's own rate. The tokens
+// of the allowance don't apply to organisations whose quota counts requests.
+func (a QuotaAllowance) raise(o *routing.Organisation) float64 {
+	rate := o.TokensPerSecond * (1 + allowanceUse*a.Share)
+	if o.CountsRequests || a.Window == 0 {
+		return rate
+	}
+	return rate + allowanceUse*a.Tokens/a.Window.Seconds()
+}
+
+// NewQuotas returns the quotas of an instance that was started at a time.
+func NewQuotas(started time.Time, allowed QuotaAllowance, fleet *Fleet) *Quotas {
+	return &Quotas{limiter: quota.New(), starting: quota.NewStarting(started.Add(startingPause)), allowed: allowed, fleet: fleet}
 }
 
 // UsePeers lets the quotas ask other instances. It is called once, before requests come.
@@ -56,7 +78,7 @@
 // Take takes tokens of an organisation. When it can't, wait is when to come back. It blocks
 // until the owner has answered.
 func (q *Quotas) Take(ctx context.Context, id string, o *routing.Organisation, n int) (taken *tokens, wait time.Duration) {
-	r := &peer.QuotaRequest{Organisation: o.Name, Rate: o.TokensPerSecond * q.factor, Burst: o.BurstTokens, Tokens: n}
+	r := &peer.QuotaRequest{Organisation: o.Name, Rate: q.allowed.raise(o), Burst: o.BurstTokens, Tokens: n}
 	for _, owner := range q.owners(o.Name) {
 		if owner == q.fleet.o.Instance {
 			break
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -140,7 +140,7 @@
 	})
 	r.view = view.New(view.Options{Source: documents{}, Lease: leaseTime, Settle: time.Second, OnUpstreams: r.fleet.SetUpstreams, Metrics: metrics, Log: log})
 	r.handler = New(Options{
-		View: r.view, Fleet: r.fleet, Protocol: plain{}, Quotas: NewQuotas(time.Now().Add(-time.Hour), 1, r.fleet),
+		View: r.view, Fleet: r.fleet, Protocol: plain{}, Quotas: NewQuotas(time.Now().Add(-time.Hour), QuotaAllowance{}, r.fleet),
 		Doubt: doubt, Metrics: metrics, Log: log,
 	})
 	r.server = httptest.NewServer(r.handler)
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -47,6 +47,7 @@
 	r.RetryShare = cmp.Or(r.RetryShare, 0.1)
 	r.RetryExtra = cmp.Or(r.RetryExtra, 20)
 	r.RetryWindow = cmp.Or(r.RetryWindow, Duration(10*time.Second))
+	r.QuotaWindow = cmp.Or(r.QuotaWindow, Duration(8*time.Second))
 	r.FarCost = cmp.Or(r.FarCost, Duration(5*time.Millisecond))
 	r.Cores = cmp.Or(r.Cores, 1)
 	r.MaxFiles = cmp.Or(r.MaxFiles, 4096)
@@ -167,8 +168,9 @@
 	if r.RetryShare < 0 || r.RetryShare > 1 {
 		c.add("/routed/retryShare", "is %g; set a share from 0 to 1", r.RetryShare)
 	}
-	if r.RetryExtra < 0 || r.QuotaOverage < 0 || r.FarCost < 0 {
-		c.add("/routed", "has a negative retryExtra, quotaOverage or farCost; set 0 or more")
+	c.positive("/routed/quotaWindow", int64(r.QuotaWindow))
+	if r.RetryExtra < 0 || r.QuotaOverage < 0 || r.QuotaSlack < 0 || r.FarCost < 0 {
+		c.add("/routed", "has a negative retryExtra, quotaOverage, quotaSlack or farCost; set 0 or more")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -220,9 +220,13 @@
 	RetryShare  float64  `json:"retryShare,omitzero"`
 	RetryExtra  float64  `json:"retryExtra,omitzero"`
 	RetryWindow Duration `json:"retryWindow,omitzero"`
-	// QuotaOverage is the share by which organisations may pass their quotas for a
-	// while. Default 0.
-	QuotaOverage float64 `json:"quotaOverage,omitzero"`
+	// QuotaOverage and QuotaSlack are what organisations may pass their quotas by in any
+	// QuotaWindow: a share of the quota, and so many tokens more. A half of both is granted
+	// at the start; the rest is for instances that start or don't reach each other.
+	// Default 0, 0 and 8s.
+	QuotaOverage float64  `json:"quotaOverage,omitzero"`
+	QuotaSlack   float64  `json:"quotaSlack,omitzero"`
+	QuotaWindow  Duration `json:"quotaWindow,omitzero"`
 	// FarCost is what an upstream of another availability zone counts for in time.
 	// Default 5ms.
 	FarCost Duration `json:"farCost,omitzero"`
