Teach the soak silent connections, callers that leave and forged headers

Cause: the new rules were tested one by one, not under random faults. The ledger names headers that got through and, under planned work, requests that ran over half a second after their caller had left; it has tests with forged histories now.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -19,6 +19,8 @@
 	// Events of a stream that it asks for; 0 for an answer that is no stream.
 	Events int
 	Sent   time.Time
+	// Left is when its caller closed the connection; zero if it didn't.
+	Left time.Time
 }
 
 // Answer is what a caller got.
@@ -38,6 +40,7 @@
 	answers  map[string]Answer
 	runs     map[string][]time.Time
 	revoked  []span
+	forged   []string
 }
 
 // span is a time within which keys were taken away; the end is zero while it lasts.
@@ -63,6 +66,23 @@
 	l.runs[id] = append(l.runs[id], time.Now())
 }
 
+// Forged records that an upstream got a header that only the system may set, as a caller
+// had sent it.
+func (l *Ledger) Forged(id, header string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forged = append(l.forged, fmt.Sprintf("%s reached an upstream with the caller's %s", id, header))
+}
+
+// Left records that the caller of a request closes its connection.
+func (l *Ledger) Left(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.requests[id]
+	r.Left = time.Now()
+	l.requests[id] = r
+}
+
 // Answered records what a caller got.
 func (l *Ledger) Answered(id string, a Answer) {
 	l.mu.Lock()
@@ -109,7 +129,7 @@
 func (l *Ledger) Check(lease time.Duration) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []string
+	out := slices.Clone(l.forged)
 	for id, runs := range l.runs {
 		r, known := l.requests[id]
 		switch {
@@ -163,13 +183,23 @@
 	return fmt.Sprintf("%d sent, %d ran, answers by status: %v", len(l.requests), len(l.runs), statuses)
 }
 
-// CheckPlanned returns the requests that ran and whose callers got no whole answer, which
-// no planned work excuses.
+// goneSlack is how long after its caller left a request may still reach an upstream.
+const goneSlack = 500 * time.Millisecond
+
+// CheckPlanned returns what no planned work excuses: requests that ran and whose callers
+// stayed and got no whole answer, and requests that ran long after their callers had left.
 func (l *Ledger) CheckPlanned() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []string
 	for id, a := range l.answers {
+		r := l.requests[id]
+		if !r.Left.IsZero() {
+			if runs := l.runs[id]; len(runs) > 0 && runs[len(runs)-1].After(r.Left.Add(goneSlack)) {
+				out = append(out, fmt.Sprintf("%s ran %v after its caller had left", id, runs[len(runs)-1].Sub(r.Left)))
+			}
+			continue
+		}
 		if len(l.runs[id]) > 0 && (a.Status == 0 || !a.Complete) {
 			out = append(out, fmt.Sprintf("%s ran and was lost: status %d, complete %v", id, a.Status, a.Complete))
 		}
--- /dev/null
+++ b/internal/soak/ledger_test.go
@@ -0,0 +1,49 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A ledger that finds nothing proves something only if it finds what is wrong.
+func TestTheLedgerFindsBrokenPromises(t *testing.T) {
+	for name, c := range map[string]struct {
+		history func(l *Ledger)
+		want    string
+	}{
+		"twice":            {func(l *Ledger) { l.Sent(Request{ID: "1", Once: true}); l.Ran("1"); l.Ran("1") }, "ran 2 times"},
+		"never sent":       {func(l *Ledger) { l.Ran("1") }, "no caller sent it"},
+		"a false promise":  {func(l *Ledger) { l.Sent(Request{ID: "1", Once: true}); l.Ran("1"); l.Answered("1", Answer{Status: 503}) }, "was refused"},
+		"another's answer": {func(l *Ledger) { l.Sent(Request{ID: "1"}); l.Ran("1"); l.Answered("1", Answer{Status: 200, Body: "answer to 2", Complete: true}) }, "in place of"},
+		"a forged header":  {func(l *Ledger) { l.Sent(Request{ID: "1"}); l.Forged("1", "Kv-From") }, "Kv-From"},
+		"a lost answer":    {func(l *Ledger) { l.Sent(Request{ID: "1"}); l.Ran("1"); l.Answered("1", Answer{}) }, "was lost"},
+		"work for nobody": {func(l *Ledger) {
+			l.Sent(Request{ID: "1"})
+			l.Left("1")
+			l.runs["1"] = []time.Time{time.Now().Add(2 * goneSlack)}
+			l.Answered("1", Answer{})
+		}, "after its caller had left"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger()
+			c.history(l)
+			found := strings.Join(append(l.Check(time.Second), l.CheckPlanned()...), "; ")
+			if !strings.Contains(found, c.want) {
+				t.Errorf("found %q, not %q", found, c.want)
+			}
+		})
+	}
+}
+
+func TestTheLedgerExcusesCallersThatLeft(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.Sent(Request{ID: "1"})
+	l.Ran("1")
+	l.Left("1")
+	l.Answered("1", Answer{})
+	is.Equal(len(l.Check(time.Second))+len(l.CheckPlanned()), 0)
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -44,6 +44,9 @@
 	Revoke Fault = "revoke"
 	// Change publishes a new version of the configuration.
 	Change Fault = "change"
+	// Stuck makes the connections that are open now, to the source, to an upstream or to a
+	// process for its peers, go silent for good; new ones work.
+	Stuck Fault = "stuck"
 )
 
 // Mix is how often each fault comes, in proportion.
@@ -51,7 +54,7 @@
 
 // Any is a mix of all faults.
 var Any = Mix{
-	Kill: 4, Terminate: 4, Pause: 4, Reload: 2, SourceAway: 3, SourceLink: 3, UpstreamLink: 4, PeerLink: 4, Replace: 2, Revoke: 2, Change: 3,
+	Kill: 4, Terminate: 4, Pause: 4, Reload: 2, SourceAway: 3, SourceLink: 3, UpstreamLink: 4, PeerLink: 4, Replace: 2, Revoke: 2, Change: 3, Stuck: 3,
 }
 
 // Planned is a mix of what operators do without a fault.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -46,6 +46,7 @@
 	harms   []*harm       // those in force; the last one counts
 	changed chan struct{} // closed at each change
 	conns   map[*net.TCPConn]struct{}
+	stuck   map[*net.TCPConn]struct{} // those that are silent for good
 	closed  bool
 }
 
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]struct{}{}}
+	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]struct{}{}, stuck: map[*net.TCPConn]struct{}{}}
 	go p.accept()
 	return p, nil
 }
@@ -91,6 +92,15 @@
 	}
 }
 
+// Silence makes all connections that are open now silent for good, without a reset.
+func (p *Proxy) Silence() {
+	p.change(func() {
+		for c := range p.conns {
+			p.stuck[c] = struct{}{}
+		}
+	})
+}
+
 // Close ends the proxy and resets its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close() // nothing is accepted any more either way
@@ -178,7 +188,7 @@
 	buffer := make([]byte, piece)
 	for {
 		n, err := from.Read(buffer)
-		p.hold(forward)
+		p.hold(from, forward)
 		if n > 0 {
 			if _, failed := to.Write(buffer[:n]); failed != nil {
 				err = failed
@@ -196,11 +206,12 @@
 	}
 }
 
-// hold blocks for as long as the mode doesn't let a piece pass.
-func (p *Proxy) hold(forward bool) {
+// hold blocks for as long as a piece of a connection may not pass.
+func (p *Proxy) hold(from *net.TCPConn, forward bool) {
 	for {
 		mode, changed, closed := p.state()
 		switch {
+		case p.isStuck(from) && !closed:
 		case closed || mode == Pass || mode == Resets || (mode == OneWay && forward):
 			return
 		case mode == Slow:
@@ -211,11 +222,19 @@
 	}
 }
 
+func (p *Proxy) isStuck(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, stuck := p.stuck[c]
+	return stuck
+}
+
 func (p *Proxy) end(conns ...*net.TCPConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range conns {
 		reset(c)
 		delete(p.conns, c)
+		delete(p.stuck, c)
 	}
 }
