Count no request twice when a link goes silent, and tell owners of strays soon

An instance that ended a silent link told what it ran by lost grants in its heartbeats, while the owner, on whose side the link lived on until its keepalive, still counted and told the same requests: each counted twice, for 2.5 s. Besides, an owner counts what others granted before they knew it by heartbeats a half or a whole second old. Change: a new link of a peer ends the one that it dialled before. Instances tell an owner every 0.2 s what runs in its shard that it hasn't granted, until it has ended.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +76,8 @@
 	ready  readiness
 
 	reading reading
+	// strayOwners are those that were told last of what runs in their shards.
+	strayOwners []string
 }
 
 // New builds an instance and opens its listeners. Run serves them.
@@ -237,6 +240,7 @@
 	tidied := time.Now()
 	for wait.For(ctx, instancesInterval) {
 		i.followInstances()
+		i.tellOwners()
 		if time.Since(tidied) >= tidyInterval {
 			tidied = time.Now()
 			i.fleet.CloseExpired(tidied)
@@ -244,6 +248,21 @@
 	}
 }
 
+// tellOwners tells the owners of shards of what runs in them that they haven't granted, until
+// it has ended. Heartbeats alone come a half or a whole second apart.
+func (i *Instance) tellOwners() {
+	owners := i.fleet.StrayOwners()
+	for _, owner := range owners {
+		i.mesh.Tell(owner)
+	}
+	for _, owner := range i.strayOwners {
+		if !slices.Contains(owners, owner) {
+			i.mesh.Tell(owner) // that nothing of it runs any more
+		}
+	}
+	i.strayOwners = owners
+}
+
 // followInstances tells the fleet which instances are known.
 func (i *Instance) followInstances() {
 	instances := []proxy.Instance{{Address: i.address, Cores: i.settings.Routed.Cores, InReach: true, MayOwn: !i.ready.draining.Load(), Settled: time.Since(i.started) >= quotaSettle}}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -114,6 +114,7 @@
 
 	mu       sync.Mutex
 	peers    map[string]*peerState
+	accepted map[string]*link // the last link that each peer dialled
 	fetching bool
 }
 
@@ -132,7 +133,7 @@
 // NewMesh returns a mesh without peers. Close ends it.
 func NewMesh(o Options) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &Mesh{o: o, started: time.Now(), ctx: ctx, cancel: cancel, peers: map[string]*peerState{}}
+	m := &Mesh{o: o, started: time.Now(), ctx: ctx, cancel: cancel, peers: map[string]*peerState{}, accepted: map[string]*link{}}
 	m.wg.Go(m.beat)
 	return m
 }
@@ -343,6 +344,13 @@
 
 var errSilent = errors.New("the peer was silent for too long")
 
+// Tell sends a whole heartbeat to one peer now, if it is within reach.
+func (m *Mesh) Tell(address string) {
+	if l := m.linkTo(address); l != nil {
+		l.trySend(&Frame{Type: TypeHeartbeat, Heartbeat: m.o.Handler.Heartbeat()}) // or the next one says it
+	}
+}
+
 // Announce sends a heartbeat to every linked peer now; a brief one to those of other
 // availability zones, unless they are always sent whole ones.
 func (m *Mesh) Announce() { m.announce(m.o.FarEvery <= 1) }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -28,9 +29,35 @@
 	s := &served{mesh: m, link: l, cancels: map[uint64]*servedStream{}}
 	defer s.endAll()
 	err = l.run(s.handle)
+	m.releaseAccepted(s.peer, l)
 	m.linkEnded(s.peer, "accepted", err)
 }
 
+// errReplaced ends a link whose peer has dialled another one.
+var errReplaced = errors.New("the peer has dialled another link")
+
+// noteAccepted notes the link that a peer dialled. The one before is dead to the peer, also
+// where this side hasn't noticed: what the peer holds on it would count here and, told by
+// the peer, once more.
+func (m *Mesh) noteAccepted(address string, l *link) {
+	m.mu.Lock()
+	before := m.accepted[address]
+	m.accepted[address] = l
+	m.mu.Unlock()
+	if before != nil && before != l {
+		before.cancel(errReplaced)
+	}
+}
+
+// releaseAccepted forgets a link that has ended, unless another one took its place.
+func (m *Mesh) releaseAccepted(address string, l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.accepted[address] == l {
+		delete(m.accepted, address)
+	}
+}
+
 // served is a link that a peer dialled.
 type served struct {
 	mesh *Mesh
@@ -51,6 +78,7 @@
 	switch f.Type {
 	case TypeHello:
 		s.peer = f.Hello.Address
+		s.mesh.noteAccepted(s.peer, s.link)
 		s.mesh.heard(*f.Hello, nil)
 		return s.link.send(s.link.ctx, &Frame{Type: TypeHello, Hello: s.mesh.hello()})
 	case TypeHeartbeat:
--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -85,6 +85,23 @@
 	is.True(errors.Is(context.Cause(l.ctx), errSilent))
 }
 
+// A peer whose link went silent dials another one. What it holds on the old one counts no
+// longer on the side that hasn't noticed its end.
+func TestANewLinkOfAPeerEndsTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	slot, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	silenced := p.a.linkTo(p.addressB)
+	p.a.mu.Lock()
+	p.a.peers[p.addressB].link = nil // as after its end, which the other side doesn't see
+	p.a.mu.Unlock()
+	go func() { _, _ = p.a.dial(p.a.ctx, p.addressB) }()
+	is.Equal(<-p.hb.slots, "gone")
+	<-silenced.ctx.Done()
+	is.True(slot.Lost())
+}
+
 func TestASlotIsGivenBackByTheEndOfItsLink(t *testing.T) {
 	is := is.New(t)
 	p := newPair(t)
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -308,6 +308,36 @@
 	return total
 }
 
+// StrayOwners returns the owners of shards in which requests run that they haven't granted:
+// by this instance's own grants, from before it knew them or while it couldn't reach them,
+// or by those of an owner that is gone. They count them by heartbeats alone, as old as
+// those are, and take slots for taken that have become free.
+func (f *Fleet) StrayOwners() []string {
+	var out []string
+	lost := f.leases.lost()
+	for _, s := range f.all() {
+		owners := f.ownersOf(shardKey{service: s.service, index: s.index})
+		if len(owners) == 0 || owners[0] == f.o.Instance || slices.Contains(out, owners[0]) {
+			continue
+		}
+		if s.hasStrays(lost) {
+			out = append(out, owners[0])
+		}
+	}
+	return out
+}
+
+// hasStrays tells whether any request runs in the shard by this instance's own grants, or
+// by those of an owner that is gone, which lost counts by upstream.
+func (s *shard) hasStrays(lost map[string]int) (found bool) {
+	s.pool.View(func(core *scheduler.Core) {
+		found = slices.ContainsFunc(core.Upstreams(), func(u *balancer.Upstream) bool {
+			return u.Running > 0 || (len(lost) > 0 && lost[u.ID] > 0)
+		})
+	})
+	return found
+}
+
 // CloseExpired closes connections that were idle for too long.
 func (f *Fleet) CloseExpired(now time.Time) {
 	f.mu.Lock()
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -293,3 +293,19 @@
 	taken, _ = all.quotas["10.0.0.4:1"].Take(t.Context(), "3", o, 1)
 	is.True(taken != nil)
 }
+
+// What an instance granted before it knew the owner of a shard, the owner counts by
+// heartbeats alone: it is told more often until all of it has ended.
+func TestOwnersAreToldOfWhatTheyHaveNotGranted(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf("10.0.0.1:1", instances(1))
+	f.SetInstances([]Instance{{Address: "10.0.0.1:1", InReach: true, MayOwn: true}})
+	is.Equal(len(f.StrayOwners()), 0)
+	l, problem := f.Acquire(t.Context(), generation())
+	is.True(problem == nil)
+	is.Equal(len(f.StrayOwners()), 0) // it schedules by itself
+	f.SetInstances([]Instance{{Address: "10.0.0.1:1", InReach: true}, {Address: "10.0.0.2:1", InReach: true, MayOwn: true}})
+	is.Equal(f.StrayOwners(), []string{"10.0.0.2:1"})
+	l.End(scheduler.Completed, 1)
+	is.Equal(len(f.StrayOwners()), 0)
+}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -14,12 +14,20 @@
 		history func(l *Ledger)
 		want    string
 	}{
-		"twice":            {func(l *Ledger) { l.Sent(Request{ID: "1", Once: true}); l.Ran("1"); l.Ran("1") }, "ran 2 times"},
-		"never sent":       {func(l *Ledger) { l.Ran("1") }, "no caller sent it"},
-		"a false promise":  {func(l *Ledger) { l.Sent(Request{ID: "1", Once: true}); l.Ran("1"); l.Answered("1", Answer{Status: 503}) }, "was refused"},
-		"another's answer": {func(l *Ledger) { l.Sent(Request{ID: "1"}); l.Ran("1"); l.Answered("1", Answer{Status: 200, Body: "answer to 2", Complete: true}) }, "in place of"},
-		"a forged header":  {func(l *Ledger) { l.Sent(Request{ID: "1"}); l.Forged("1", "Kv-From") }, "Kv-From"},
-		"a lost answer":    {func(l *Ledger) { l.Sent(Request{ID: "1"}); l.Ran("1"); l.Answered("1", Answer{}) }, "was lost"},
+		"twice":      {func(l *Ledger) { l.Sent(Request{ID: "1", Once: true}); l.Ran("1"); l.Ran("1") }, "ran 2 times"},
+		"never sent": {func(l *Ledger) { l.Ran("1") }, "no caller sent it"},
+		"a false promise": {func(l *Ledger) {
+			l.Sent(Request{ID: "1", Once: true})
+			l.Ran("1")
+			l.Answered("1", Answer{Status: 503})
+		}, "was refused"},
+		"another's answer": {func(l *Ledger) {
+			l.Sent(Request{ID: "1"})
+			l.Ran("1")
+			l.Answered("1", Answer{Status: 200, Body: "answer to 2", Complete: true})
+		}, "in place of"},
+		"a forged header": {func(l *Ledger) { l.Sent(Request{ID: "1"}); l.Forged("1", "Kv-From") }, "Kv-From"},
+		"a lost answer":   {func(l *Ledger) { l.Sent(Request{ID: "1"}); l.Ran("1"); l.Answered("1", Answer{}) }, "was lost"},
 		"work for nobody": {func(l *Ledger) {
 			l.Sent(Request{ID: "1"})
 			l.Left("1")
