Count failures of one cause once, and test avoided upstreams within four seconds

Change: a request that was sent before the last failure was known doesn't count again; the time of avoidance is 4 s at most. Tests: ten failures of one moment count once; twenty in a row avoid for 4 s.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -229,6 +229,37 @@
 	is.Equal(len(c.Poll(start.Add(2*time.Millisecond)).Grants), 1)
 }
 
+// Requests that were under way together fail of one cause: the upstream is tested again as
+// soon as after a single failure.
+func TestFailuresOfOneCauseCountOnce(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100)
+	c.SetMembers([]Member{{ID: "u", Address: "a", Slots: 10}})
+	var running []*Grant
+	for range 10 {
+		running = append(running, c.Submit(start, ask(0, 3600)).Grants[0])
+	}
+	cut := start.Add(time.Second)
+	for _, g := range running {
+		c.Failed(cut, g)
+	}
+	is.Equal(len(c.Submit(cut, ask(0, 3600)).Grants), 0)
+	is.Equal(len(c.Poll(cut.Add(avoidFirst)).Grants), 1)
+}
+
+// However often it failed, an upstream that is back is found within a bound.
+func TestAnUpstreamIsAvoidedForABoundedTime(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100)
+	c.SetMembers([]Member{{ID: "u", Address: "a", Slots: 10}})
+	now := start
+	for range 20 {
+		c.Failed(now, c.Submit(now, ask(0, 3600)).Grants[0])
+		now = now.Add(avoidMost)
+	}
+	is.Equal(len(c.Submit(now, ask(0, 3600)).Grants), 1)
+}
+
 // A failure that an upstream answers with comes fast and shows that it lives.
 func TestAnAnsweredFailureAvoidsNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -19,9 +19,11 @@
 	// maxInterval is the time between output tokens past which an upstream is
 	// given fewer sequences.
 	maxInterval = 52 * time.Millisecond
-	// avoidFirst and avoidMost bound how long a failing upstream gets nothing.
+	// avoidFirst and avoidMost bound how long a failing upstream gets nothing. One that is
+	// still away costs the request that tests it a connection that isn't made, each
+	// avoidMost; one that is back stays unused for so long at most.
 	avoidFirst = 500 * time.Millisecond
-	avoidMost  = 30 * time.Second
+	avoidMost  = 4 * time.Second
 	// aliveFor is how long after its last sign an upstream counts as alive when one
 	// answer gets lost: some pauses between the events of a stream.
 	aliveFor = 300 * time.Millisecond
@@ -264,10 +266,14 @@
 }
 
 // Failed records that the upstream can't be reached, or is silent: it is avoided for a
-// time that doubles with each failure in a row.
+// time that doubles with each failure in a row. What was sent before the last failure was
+// known fails for the same cause, and says nothing new.
 func (c *Core) Failed(now time.Time, g *Grant) Decisions {
 	c.end(g)
 	u := g.Upstream
+	if u.Failures > 0 && g.Sent.Before(u.FailedAt) {
+		return c.Poll(now)
+	}
 	u.Failures++
 	u.FailedAt = now
 	pause := avoidFirst << min(u.Failures-1, 10)
