Test avoided upstreams as soon as a peer is back within reach

Change: when more instances are within reach than before, each avoided upstream is tested by one request at once. Tests: in the scheduler, and for a fleet that gets a peer back.

--- a/internal/balancer/aimed.go
+++ b/internal/balancer/aimed.go
@@ -33,8 +33,8 @@
 	Margin float64
 }
 
-// DefaultAimedWeights were chosen on days of the users' bench; docs/design/policy.md
-// has the trials.
+// DefaultAimedWeights earn the most credit for answers in time on loaded days of the
+// deployments that docs/design/policy.md compares them on, with the trials.
 var DefaultAimedWeights = AimedWeights{
 	Late:       5,
 	Unfinished: 0.1,
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -125,11 +125,28 @@
 // SetInstances takes the instances that share the upstreams, this one included.
 func (f *Fleet) SetInstances(instances []Instance) {
 	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.Address, b.Address) })
+	if f.setInstances(instances) {
+		f.testAvoided()
+	}
+}
+
+// testAvoided lets upstreams that are avoided be tested now. An instance that was cut off
+// believes that those on the other side fail; it may own their shard again as soon as it is
+// back, and would refuse all requests to them for as long as it avoids them.
+func (f *Fleet) testAvoided() {
+	for _, s := range f.all() {
+		s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions { return core.TestAvoided(now) })
+	}
+}
+
+// setInstances takes the instances and tells whether one of them came within reach.
+func (f *Fleet) setInstances(instances []Instance) (reached bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if slices.Equal(instances, f.instances) {
-		return
+		return false
 	}
+	reached = inReach(instances) > inReach(f.instances)
 	if len(instances) != len(f.instances) {
 		for _, s := range f.services {
 			s.repeats.SetOptions(f.o.Repeats.Split(len(instances)))
@@ -137,6 +154,16 @@
 	}
 	f.instances = instances
 	f.owners.forget()
+	return reached
+}
+
+func inReach(instances []Instance) (n int) {
+	for _, i := range instances {
+		if i.InReach {
+			n++
+		}
+	}
+	return n
 }
 
 // InstancesInReach returns how many instances may schedule for others, this one included.
@@ -156,13 +183,7 @@
 func (f *Fleet) partInReach() float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
-	for _, i := range f.instances {
-		if i.InReach {
-			n++
-		}
-	}
-	return float64(n) / float64(len(f.instances))
+	return float64(inReach(f.instances)) / float64(len(f.instances))
 }
 
 // Settled tells whether this instance has run long enough to know the others.
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -339,3 +339,31 @@
 	f.CountLost()
 	is.Equal(running(), 0)
 }
+
+// An instance that was cut off may own a shard again once it is back, and must not go on
+// believing that the upstreams on the other side fail.
+func TestUpstreamsAreTestedAgainOnceAPeerIsBackInReach(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf("10.0.0.1:1", instances(1))
+	other := Instance{Address: "10.0.0.2:1"}
+	f.SetInstances([]Instance{{Address: "10.0.0.1:1", InReach: true, MayOwn: true}, other})
+	avoided := func() (n int) {
+		f.shardAt("s", 0).pool.View(func(core *scheduler.Core) {
+			for _, u := range core.Upstreams() {
+				if u.AvoidUntil.After(time.Now()) {
+					n++
+				}
+			}
+		})
+		return n
+	}
+	for range 3 {
+		l, problem := f.Acquire(t.Context(), generation())
+		is.True(problem == nil)
+		l.End(scheduler.Unreachable, 0)
+	}
+	is.Equal(avoided(), 3)
+	other.InReach = true
+	f.SetInstances([]Instance{{Address: "10.0.0.1:1", InReach: true, MayOwn: true}, other})
+	is.Equal(avoided(), 0)
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -13,8 +13,8 @@
 
 // startingShare is the part of its burst that a bucket holds when it is first used here:
 // another instance may have kept it until now, and have used up a burst. While a fleet
-// starts, a bucket may change hands a few times, and a fleet may start twice in a window: a
-// quarter broke the quota then (wijesinghe-lfp trouble-3).
+// starts, a bucket may change hands a few times, and a fleet may start twice in a window:
+// with a quarter, two starts within four seconds passed a quota of 8 s and a quarter more.
 const startingShare = 0.15
 
 // Limit is what an organisation may use.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -260,6 +260,20 @@
 	is.Equal(len(c.Submit(now, ask(0, 3600)).Grants), 1)
 }
 
+// Once a cut may have healed, an avoided upstream is tested by one request.
+func TestAnAvoidedUpstreamIsTestedOnceACutMayHaveHealed(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100)
+	c.SetMembers([]Member{{ID: "u", Address: "a", Slots: 10}})
+	c.Failed(start, c.Submit(start, ask(0, 3600)).Grants[0])
+	c.Submit(start, ask(0, 3600))
+	c.Submit(start, ask(0, 3600))
+	healed := start.Add(time.Millisecond)
+	d := c.TestAvoided(healed)
+	is.Equal(len(d.Grants), 1)
+	is.Equal(len(c.FirstToken(healed, d.Grants[0]).Grants), 1) // it lives
+}
+
 // A failure that an upstream answers with comes fast and shows that it lives.
 func TestAnAnsweredFailureAvoidsNothing(t *testing.T) {
 	is := is.New(t)
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -285,6 +285,17 @@
 	return c.Poll(now)
 }
 
+// TestAvoided lets upstreams that are avoided be tested now, by one request each. It is
+// called when a cut may have healed: what failed may have been the way to them.
+func (c *Core) TestAvoided(now time.Time) Decisions {
+	for _, u := range c.upstreams {
+		if u.AvoidUntil.After(now) {
+			u.AvoidUntil = now
+		}
+	}
+	return c.Poll(now)
+}
+
 // Busy records that the upstream refused the request for lack of room.
 func (c *Core) Busy(now time.Time, g *Grant) Decisions {
 	c.end(g)
