--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -55,3 +55,13 @@
 	l.Answered("1", Answer{})
 	is.Equal(len(l.Check(time.Second))+len(l.CheckPlanned()), 0)
 }
+
+func TestStallsAreNotedFromABoundOn(t *testing.T) {
+	is := is.New(t)
+	var s Stalls
+	now := time.Now()
+	s.look(now, now.Add(stallFrom-1))
+	is.Equal(s.String(), "")
+	s.look(now, now.Add(stallFrom))
+	is.True(strings.HasPrefix(s.String(), "250ms before "))
+}
