Tell a request's story and count outcomes from logs

Cause: on-call engineers have only logs and metrics; to find who had refused a request for quota, or whether an upstream failed others too, took four greps. Change: tacktally trace prints the lines of a request and those before them that may have decided how it ended; tacktally outcomes counts how requests ended over time by reason, route, organisation, service or instance, as a table and an SVG plot (gonum.org/v1/plot). Lines may have a collector's prefix. Tests: parsing, causes, counts, a wrong date, the commands, a fuzz target.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -73,6 +73,44 @@
 	}
 }
 
+// What on-call engineers have after the fact is logs alone.
+func TestLogsTellTheStoryOfARequestAndOutcomes(t *testing.T) {
+	dir := t.TempDir()
+	log := filepath.Join(dir, "log")
+	content := "time=2026-02-03T12:00:01.000Z instance=a event=shard_owner service=\"quota of crews\" owner=b\n" +
+		"time=2026-02-03T12:00:02.000Z instance=a event=request_ended request=1 reason=organisation_limit organisation=crews took=4\n"
+	if err := os.WriteFile(log, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	empty := filepath.Join(dir, "empty")
+	if err := os.WriteFile(empty, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	plot := filepath.Join(dir, "plot.svg")
+	for name, c := range map[string]struct {
+		args []string
+		code int
+		want string
+	}{
+		"trace":             {[]string{"trace", "--log", log, "1"}, ExitDone, "who kept the organisation's bucket"},
+		"trace nothing":     {[]string{"trace", "--log", log, "7"}, ExitFailed, "give the logs of all instances"},
+		"no log":            {[]string{"trace", "--log", filepath.Join(dir, "none"), "1"}, ExitFailed, "name a readable file"},
+		"no lines":          {[]string{"outcomes", "--log", empty}, ExitFailed, "name files with lines"},
+		"outcomes":          {[]string{"outcomes", "--log", log, "--plot", plot}, ExitDone, "organisation_limit"},
+		"outcomes, no step": {[]string{"outcomes", "--log", log, "--step", "0s"}, ExitFailed, "above 0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out, errOut bytes.Buffer
+			is.Equal(Run(c.args, &out, &errOut), c.code)
+			is.True(strings.Contains(out.String()+errOut.String(), c.want))
+		})
+	}
+	if _, err := os.Stat(plot); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestNoInstance(t *testing.T) {
 	is := is.New(t)
 	var out, errOut bytes.Buffer
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,91 @@
+// Package logs reads the logs of instances after the fact: the story of one request, and
+// what became of all of them over time.
+package logs
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxLine bounds one line of a log.
+const maxLine = 1 << 20
+
+// Line is one line of a log.
+type Line struct {
+	Time     time.Time
+	Instance string
+	Event    string
+	// Fields are all pairs of the line, by key.
+	Fields map[string]string
+	// Text is the line as it was written.
+	Text string
+}
+
+// Milliseconds reads a time field; 0 where it is absent or no number.
+func (l *Line) Milliseconds(key string) time.Duration {
+	ms, err := strconv.ParseFloat(l.Fields[key], 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Read reads the lines of a log, and skips what isn't one. Lines may have something before
+// their first pair, as collectors of logs put it there.
+func Read(r io.Reader) ([]Line, error) {
+	var out []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		if l, ok := parse(scanner.Text()); ok {
+			out = append(out, l)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("the log can't be read to its end: %w", err)
+	}
+	return out, nil
+}
+
+// Sort orders the lines of several logs by time.
+func Sort(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+}
+
+func parse(text string) (Line, bool) {
+	at := strings.Index(text, "time=")
+	if at < 0 {
+		return Line{}, false
+	}
+	text = text[at:]
+	l := Line{Fields: map[string]string{}, Text: text}
+	for rest := text; rest != ""; {
+		var key, value string
+		key, value, rest = nextPair(rest)
+		l.Fields[key] = value
+	}
+	t, err := time.Parse(time.RFC3339, l.Fields["time"])
+	if err != nil || l.Fields["event"] == "" {
+		return Line{}, false
+	}
+	l.Time, l.Instance, l.Event = t, l.Fields["instance"], l.Fields["event"]
+	return l, true
+}
+
+// nextPair cuts the first pair off. A value that isn't quoted as Go quotes it is taken as it
+// stands.
+func nextPair(text string) (key, value, rest string) {
+	key, after, _ := strings.Cut(text, "=")
+	if quoted, err := strconv.QuotedPrefix(after); err == nil {
+		if plain, err := strconv.Unquote(quoted); err == nil {
+			return key, plain, strings.TrimLeft(after[len(quoted):], " ")
+		}
+	}
+	value, rest, _ = strings.Cut(after, " ")
+	return key, value, strings.TrimLeft(rest, " ")
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,105 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const log = `time=2026-02-03T12:00:01.000Z level=info instance=a event=shard_owner service="quota of crews" shard=0 owner=b
+not a line of ours
+  4.2 front-a time=2026-02-03T12:00:02.000Z level=info instance=b event=request_ended request=2 reason=deadline_expired detail="rank 1, 2 waiting" service=s organisation=crews took=1500.5
+time=2026-02-03T12:00:03.000Z level=info instance=a event=request_ended request=1 reason=organisation_limit detail="used \"all\"" organisation=crews service=s took=4
+time=2026-02-03T12:00:03.100Z level=info instance=a event=sending_failed request=3 upstream=u status=lost cause=reset
+time=2026-02-03T12:00:03.200Z level=info instance=b event=sending_failed request=4 upstream=u status=lost cause=reset
+time=2026-02-03T12:00:03.300Z level=info instance=a event=request_ended request=3 organisation=crews service=s took=100
+time=2026-02-03T12:00:04.000Z level=info instance=a event=shard_owner service="quota of crews" shard=0 owner=c
+`
+
+func read(t *testing.T) []Line {
+	t.Helper()
+	lines, err := Read(strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	Sort(lines)
+	return lines
+}
+
+func TestLinesAreReadWithTheirPairs(t *testing.T) {
+	is := is.New(t)
+	lines := read(t)
+	is.Equal(len(lines), 7)
+	is.Equal(lines[0].Fields["service"], "quota of crews")
+	is.Equal(lines[1].Event, "request_ended")
+	is.Equal(lines[1].Milliseconds("took"), 1500500*time.Microsecond)
+	is.Equal(lines[2].Fields["detail"], `used "all"`)
+}
+
+func TestALineThatEndsEarlyIsReadAsFarAsItGoes(t *testing.T) {
+	is := is.New(t)
+	lines, err := Read(strings.NewReader(`time=2026-02-03T12:00:01.000Z event=stopped cause="half` + "\ntime=never event=x\n"))
+	is.NoErr(err)
+	is.Equal(len(lines), 1)
+	is.Equal(lines[0].Fields["cause"], `"half`)
+}
+
+func TestAStoryHasItsLinesAndWhatDecided(t *testing.T) {
+	for request, want := range map[string]struct {
+		lines int
+		why   string
+		text  string
+	}{
+		"1": {1, "who kept the organisation's bucket", "owner=b"}, // the later change came after it
+		"3": {2, "1 other sendings to u failed within 2s", "request=3"},
+		"9": {0, "", ""},
+	} {
+		t.Run(request, func(t *testing.T) {
+			is := is.New(t)
+			s := StoryOf(read(t), request)
+			is.Equal(len(s.Lines), want.lines)
+			if want.why == "" {
+				is.Equal(len(s.Causes), 0)
+				return
+			}
+			is.Equal(s.Causes[0].Why, want.why)
+			is.True(strings.Contains(s.Causes[0].Line.Text, want.text))
+		})
+	}
+}
+
+func TestOutcomesAreCountedByArrival(t *testing.T) {
+	is := is.New(t)
+	o, err := OutcomesBy(read(t), "reason", time.Second)
+	is.NoErr(err)
+	is.Equal(len(o.Names), 3)
+	is.Equal(o.Counts["deadline_expired"], []int{1, 0, 0}) // it arrived 1.5 s before its end
+	is.Equal(o.Counts["organisation_limit"], []int{0, 0, 1})
+	is.Equal(o.Total(served), 1)
+	var svg bytes.Buffer
+	is.NoErr(o.WriteSVG(&svg))
+	is.True(strings.Contains(svg.String(), "<svg"))
+}
+
+func TestOneWrongDateMakesNoTableOfYears(t *testing.T) {
+	is := is.New(t)
+	lines := read(t)
+	lines[1].Time = lines[1].Time.AddDate(100, 0, 0)
+	_, err := OutcomesBy(lines, "reason", time.Second)
+	is.True(err != nil)
+}
+
+func FuzzLinesNeverPanic(f *testing.F) {
+	for _, line := range strings.Split(log, "\n") {
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, err := Read(strings.NewReader(text))
+		if err == nil {
+			_, _ = OutcomesBy(lines, "reason", time.Hour) // an error is as good
+		}
+	})
+}
--- /dev/null
+++ b/internal/logs/plot.go
@@ -0,0 +1,49 @@
+package logs
+
+import (
+	"fmt"
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+	// plotLines bounds the lines: the most frequent ones.
+	plotLines = 8
+)
+
+// WriteSVG draws the requests of each name over time.
+func (o Outcomes) WriteSVG(w io.Writer) error {
+	p := plot.New()
+	p.Title.Text = "requests by how they ended"
+	p.X.Label.Text = "seconds from " + o.Start.Format("15:04:05")
+	p.Y.Label.Text = fmt.Sprintf("requests that arrived within %v", o.Step)
+	p.Legend.Top = true
+	for i, name := range o.Names[:min(len(o.Names), plotLines)] {
+		points := make(plotter.XYs, len(o.Counts[name]))
+		for j, n := range o.Counts[name] {
+			points[j].X = float64(j) * o.Step.Seconds()
+			points[j].Y = float64(n)
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return fmt.Errorf("%s can't be drawn: %w", name, err)
+		}
+		line.Color = plotutil.Color(i)
+		line.Width = vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(name, line)
+	}
+	drawn, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return err
+	}
+	_, err = drawn.WriteTo(w)
+	return err
+}
--- /dev/null
+++ b/internal/logs/story.go
@@ -0,0 +1,87 @@
+package logs
+
+import (
+	"fmt"
+	"time"
+)
+
+// Story is what logs tell of one request.
+type Story struct {
+	// Lines are those that name it, in the order of their times.
+	Lines []Line
+	// Causes are what happened before, and may have decided how it ended.
+	Causes []Cause
+}
+
+// Cause is a line that may explain how a request ended.
+type Cause struct {
+	Why  string
+	Line Line
+}
+
+// around is how far from a failed sending others at the same upstream are looked for.
+const around = 2 * time.Second
+
+// StoryOf returns the story of a request from lines in the order of their times. It has no
+// lines if none names the request.
+func StoryOf(lines []Line, request string) Story {
+	var s Story
+	for _, l := range lines {
+		if l.Fields["request"] == request {
+			s.Lines = append(s.Lines, l)
+		}
+	}
+	for _, l := range s.Lines {
+		s.Causes = append(s.Causes, causesOf(lines, l)...)
+	}
+	return s
+}
+
+// causesOf looks for what decided on one line of a request.
+func causesOf(lines []Line, l Line) []Cause {
+	if l.Event == "sending_failed" {
+		return failuresAt(lines, l)
+	}
+	if l.Event != "request_ended" {
+		return nil
+	}
+	switch l.Fields["reason"] {
+	case "organisation_limit":
+		return last(lines, l, "shard_owner", "service", "quota of "+l.Fields["organisation"], "who kept the organisation's bucket")
+	case "deadline_expired", "displaced_by_higher_tier", "predicted_late", "queue_full", "no_upstream":
+		return last(lines, l, "shard_owner", "service", l.Fields["service"], "who scheduled the service's upstreams")
+	case "stale_configuration", "no_configuration":
+		return append(last(lines, l, "source_lost", "instance", l.Instance, "the store was lost"),
+			last(lines, l, "config_accepted", "instance", l.Instance, "the configuration in force")...)
+	case "no_route", "unknown_api_key":
+		return last(lines, l, "config_accepted", "instance", l.Instance, "the configuration in force")
+	}
+	return nil
+}
+
+// last returns the last line of an event, with a value, that its instance wrote before.
+func last(lines []Line, before Line, event, key, value, why string) []Cause {
+	for i := len(lines) - 1; i >= 0; i-- {
+		l := lines[i]
+		if l.Time.After(before.Time) || l.Event != event || l.Instance != before.Instance || l.Fields[key] != value {
+			continue
+		}
+		return []Cause{{Why: why, Line: l}}
+	}
+	return nil
+}
+
+// failuresAt counts the other sendings that failed at the same upstream about then.
+func failuresAt(lines []Line, failed Line) []Cause {
+	n := 0
+	for _, l := range lines {
+		same := l.Event == "sending_failed" && l.Fields["upstream"] == failed.Fields["upstream"] && l.Fields["request"] != failed.Fields["request"]
+		if same && l.Time.Sub(failed.Time).Abs() <= around {
+			n++
+		}
+	}
+	if n == 0 {
+		return nil
+	}
+	return []Cause{{Why: fmt.Sprintf("%d other sendings to %s failed within %v", n, failed.Fields["upstream"], around), Line: failed}}
+}
