--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -17,13 +17,19 @@
 	interval = time.Second
 	// probes is how many asks may stay unanswered: one may get lost.
 	probes = 2
-	// unacknowledged is how long sent bytes may stay without an acknowledgement. Three
-	// retransmissions that get lost in a row, as one in 30,000 does on a link that loses
-	// 3% of its packets, take 1.4 s.
+	// unacknowledged is how long bytes sent on a dialled connection may stay without an
+	// acknowledgement. Three retransmissions that get lost in a row, as one in 30,000 does
+	// on a link that loses 3% of its packets, take 1.4 s.
 	unacknowledged = 2 * time.Second
-	// DeadAfter is the time within which a dead connection ends with an error, whether
-	// something was sent on it or not.
-	DeadAfter = idle + probes*interval
+	// unread is the same for accepted connections. The kernel counts it also while the
+	// other side lives and doesn't read, so it bounds how long a caller may pause within a
+	// large answer.
+	unread = 10 * time.Second
+	// DeadAfter is the time within which a dead connection ends with an error: a dialled
+	// one, and an accepted one on which nothing was sent. One on which something was sent
+	// ends within UnreadAfter.
+	DeadAfter   = idle + probes*interval
+	UnreadAfter = unread
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, in milliseconds.
 	tcpUserTimeout = 0x12
 )
@@ -34,7 +40,9 @@
 }
 
 // Control bounds how long sent bytes may stay unacknowledged. It is for net.Dialer.
-func Control(_, _ string, raw syscall.RawConn) error {
+func Control(_, _ string, raw syscall.RawConn) error { return bound(raw, unacknowledged) }
+
+func bound(raw syscall.RawConn, unacknowledged time.Duration) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
 		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledged.Milliseconds()))
@@ -57,7 +65,7 @@
 	}
 	if t, ok := c.(syscall.Conn); ok {
 		if raw, err := t.SyscallConn(); err == nil {
-			_ = Control("", "", raw)
+			_ = bound(raw, unread)
 		}
 	}
 	return c, nil
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -47,5 +47,6 @@
 	is.NoErr(err)
 	defer accepted.Close()
 	is.Equal(options(t, dialled), want)
+	want["unacknowledged"] = 10_000 // a caller may pause within an answer
 	is.Equal(options(t, accepted), want)
 }
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -11,7 +11,7 @@
 )
 
 // TCP opens a listener and names the setting when it can't. A connection whose other side
-// is gone ends within keepalive.DeadAfter.
+// is gone ends within keepalive.UnreadAfter.
 func TCP(setting, address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{KeepAliveConfig: keepalive.Config()}).Listen(context.Background(), "tcp", address)
 	if err != nil {
