--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -138,30 +138,28 @@
 	r.fleet.SetInstances([]Instance{{Address: "", InReach: true, Settled: true}, {Address: "10.0.0.1:1", InReach: true, MayOwn: true, Settled: true}})
 }
 
-func TestACallerThatLeavesWhileThePeerThatOwnsTheShardDecidesIsSentNowhere(t *testing.T) {
-	is := is.New(t)
-	r := newRig(t)
-	r.publish(0)
-	r.upstream("a", says("ok"))
-	peers := waitingPeers{make(chan struct{})}
-	r.fleet.UseSlots(peers)
-	r.another()
-	r.leave(r.request("POST", "/once/x", "body"), peers.asked, 0)
-	is.Equal(r.arrived(), "")
-}
-
-func TestACallerThatLeavesWhileThePeerThatKeepsItsQuotaDecidesIsSentNowhere(t *testing.T) {
-	is := is.New(t)
-	r := newRig(t)
-	r.document.Organisations[0].TokensPerSecond = 1000
-	r.publish(0)
-	r.upstream("a", says("ok"))
-	peers := waitingPeers{make(chan struct{})}
-	r.handler.o.Quotas.UsePeers(peers)
-	r.fleet.UseSlots(peers)
-	r.another()
-	r.leave(r.request("POST", "/once/x", "body", "Prompt", "9"), peers.asked, 0)
-	is.Equal(r.arrived(), "")
+func TestACallerThatLeavesWhileAPeerDecidesIsSentNowhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		tokensPerSecond float64
+		ask             func(r *rig, peers waitingPeers)
+	}{
+		"on its slot":  {0, func(*rig, waitingPeers) {}},
+		"on its quota": {1000, func(r *rig, peers waitingPeers) { r.handler.o.Quotas.UsePeers(peers) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			r.document.Organisations[0].TokensPerSecond = c.tokensPerSecond
+			r.publish(0)
+			r.upstream("a", says("ok"))
+			peers := waitingPeers{make(chan struct{})}
+			r.fleet.UseSlots(peers)
+			c.ask(r, peers)
+			r.another()
+			r.leave(r.request("POST", "/once/x", "body", "Prompt", "9"), peers.asked, 0)
+			is.Equal(r.arrived(), "")
+		})
+	}
 }
 
 // The upstream sees the end of its connection, which stops its work.
