Let logs tell which upstream left, by which list a request was sent, and how old it was

Cause: the record of the incident can't tell a list that is old from one that differs under the same revision, or from a request that was held up: its lines count entries, and say nothing of the list that a request was sent by. Change: the source tells up to which of its revisions a list is complete, and each proof of it, so that a list has an age; nothing decides by it yet. 'upstreams' names what changed, 'request_ended' and 'sending_failed' name the lists of the owner and the sender, and two gauges show the list. Conclusion: no decision changes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -160,7 +160,7 @@
 }
 
 // upstreamsChanged uses a new list and tells the peers of it.
-func (i *Instance) upstreamsChanged(list []view.Upstream) {
+func (i *Instance) upstreamsChanged(list view.List) {
 	i.fleet.SetUpstreams(list)
 	i.tell()
 }
@@ -180,6 +180,8 @@
 		age, _ := i.view.Age()
 		return age.Seconds()
 	})
+	i.metrics.Gauge("tacktally_list_version", func() float64 { return float64(i.view.ListRevision()) })
+	i.metrics.Gauge("tacktally_list_age_seconds", func() float64 { return i.view.ListAge().Seconds() })
 	i.metrics.Gauge("tacktally_peers_known", func() float64 { return float64(len(i.mesh.Peers())) })
 	i.metrics.Gauge("tacktally_instances_in_reach", func() float64 { return float64(i.fleet.InstancesInReach()) })
 	i.metrics.Gauge("tacktally_reads_source", func() float64 {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -27,16 +27,16 @@
 func (p *peers) State(f *peer.Fetch) *peer.State {
 	v := p.instance.view
 	configuration, age := v.Published()
-	list, listRevision := v.List()
-	s := &peer.State{Revision: configuration.Revision, Age: age, ListVersion: listRevision}
+	list := v.List()
+	s := &peer.State{Revision: configuration.Revision, Age: age, ListVersion: list.Version}
 	if f.Revision != configuration.Revision {
 		s.Content = configuration.Content
 	}
-	if f.ListVersion == listRevision {
+	if f.ListVersion == list.Version {
 		s.ListVersion = 0 // nothing to hand over
 		return s
 	}
-	encoded, err := cbor.Marshal(list)
+	encoded, err := cbor.Marshal(list.Upstreams)
 	if err != nil {
 		p.instance.log.Error().Str("event", "list_not_encoded").Str("cause", err.Error()).Msg("")
 		s.ListVersion = 0
--- a/internal/logs/story.go
+++ b/internal/logs/story.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -34,6 +36,9 @@
 	for _, l := range s.Lines {
 		s.Causes = append(s.Causes, causesOf(lines, l)...)
 	}
+	for _, upstream := range upstreamsOf(s.Lines) {
+		s.Causes = append(s.Causes, leavingOf(lines, upstream)...)
+	}
 	return s
 }
 
@@ -71,6 +76,37 @@
 	return nil
 }
 
+// upstreamsOf returns the upstreams that lines of a request name, in order.
+func upstreamsOf(lines []Line) []string {
+	var out []string
+	for _, l := range lines {
+		if u := l.Fields["upstream"]; u != "" && !slices.Contains(out, u) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// leavingOf returns, for each instance, the first line that says that an upstream leaves or
+// isn't listed any more. An instance that sent to it later than others heard of it was late.
+func leavingOf(lines []Line, upstream string) []Cause {
+	var out []Cause
+	told := map[string]bool{}
+	for _, l := range lines {
+		if l.Event != "upstreams" || told[l.Instance] {
+			continue
+		}
+		for change := range strings.SplitSeq(l.Fields["changed"], ", ") {
+			id, state, _ := strings.Cut(change, " ")
+			if id == upstream && state != "ready" {
+				told[l.Instance] = true
+				out = append(out, Cause{Why: fmt.Sprintf("when %s took %s off its choice (%s)", l.Instance, id, state), Line: l})
+			}
+		}
+	}
+	return out
+}
+
 // failuresAt counts the other sendings that failed at the same upstream about then.
 func failuresAt(lines []Line, failed Line) []Cause {
 	n := 0
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -60,6 +60,8 @@
 	Predicted time.Duration `cbor:"2,keyasint,omitempty"`
 	// Running is how many requests the upstream runs, this one included.
 	Running int `cbor:"3,keyasint,omitempty"`
+	// ListVersion is the version of the list from which the upstream was chosen, for logs.
+	ListVersion int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // SlotRefusal gives the request up. It hasn't run.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -192,7 +192,7 @@
 	l.End(endingOf(r.status, j.status), output)
 	if r.status != done {
 		j.handler.o.Log.Info().Str("event", "sending_failed").Str("request", j.call.ID).Str("upstream", l.Upstream()).
-			Str("owner", l.Owner()).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
+			Str("owner", l.Owner()).Int64("owner_list", l.ListVersion()).Int64("list", j.sentBy.own).Dur("list_age", j.sentBy.age).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
 
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -63,7 +63,7 @@
 	services    map[string]*service
 	connections map[string]*exchange.Pool // by upstream ID
 	instances   []Instance                // this one included, by address
-	list        []view.Upstream
+	list        view.List
 	leaving     map[string]bool // by upstream ID
 	slots       Slots           // nil until there are peers
 
@@ -111,14 +111,14 @@
 }
 
 // SetUpstreams takes the whole list, and sends what it gives room for.
-func (f *Fleet) SetUpstreams(list []view.Upstream) {
+func (f *Fleet) SetUpstreams(list view.List) {
 	f.mu.Lock()
 	f.list = list
 	f.leaving = map[string]bool{}
-	for _, u := range list {
+	for _, u := range list.Upstreams {
 		f.leaving[u.ID] = u.Leaving
 	}
-	f.connect(list)
+	f.connect(list.Upstreams)
 	shards := f.share()
 	f.mu.Unlock()
 	poll(shards)
@@ -206,7 +206,7 @@
 // share gives each shard its upstreams, and returns all shards. The caller holds the lock.
 func (f *Fleet) share() []*shard {
 	members := map[string][]scheduler.Member{}
-	for _, u := range f.list {
+	for _, u := range f.list.Upstreams {
 		m := scheduler.Member{ID: u.ID, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Leaving: u.Leaving}
 		members[u.Service] = append(members[u.Service], m)
 	}
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -30,7 +30,7 @@
 		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
 	})
 	f.UseSlots(noSlots{})
-	f.SetUpstreams(list)
+	f.SetUpstreams(view.List{Version: 1, Upstreams: list})
 	f.SetInstances(slices.Clone(instances))
 	return f
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -100,6 +100,7 @@
 	attempts   int
 	upstream   string // the last one it was sent to
 	owner      string // the instance that granted it, empty for this one
+	sentBy     lists  // the lists of upstreams by which it was last sent
 	mayHaveRun bool
 	passed     bool          // a part of an answer was passed on
 	after      string        // last event passed on
@@ -308,7 +309,8 @@
 		event = event.Int("tokens", j.tokens.n).Str("quota_owner", j.tokens.owner)
 	}
 	event.Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
-		Str("upstream", j.upstream).Str("owner", j.owner).Int("prompt", j.call.Prompt).Dur("timeout", j.call.Timeout).Dur("sent_after", j.granted).Dur("first_after", j.first).
+		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.sentBy.owner).Int64("list", j.sentBy.own).
+		Dur("list_age", j.sentBy.age).Int("prompt", j.call.Prompt).Dur("timeout", j.call.Timeout).Dur("sent_after", j.granted).Dur("first_after", j.first).
 		Int("events", j.events).Dur("took", took).Msg("")
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -201,7 +201,7 @@
 	is.NoErr(err)
 	r.upstream("b", says("ok"))
 	r.upstreams = append([]view.Upstream{{ID: "a", Service: "s", Address: gone.Addr().String(), Slots: 8, Revision: 9}}, r.upstreams...)
-	r.view.Upstreams(r.upstreams)
+	r.list()
 	gone.Close()
 	is.Equal(r.get("once").status, 200)
 	is.Equal(r.arrived(), "b")
@@ -411,7 +411,7 @@
 	r.upstream("b", says("ok"))
 	r.upstreams[0].Leaving = true
 	r.upstreams[0].Revision = 9
-	r.view.Upstreams(r.upstreams)
+	r.list()
 	is.Equal(r.get("safe").status, 200)
 	is.Equal(r.arrived(), "b")
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -32,11 +32,19 @@
 	pauseFactor = 4
 )
 
+// lists are the versions of the owner's and this instance's list of upstreams by which a
+// request is sent, and how old this one is, for logs.
+type lists struct {
+	owner, own int64
+	age        time.Duration
+}
+
 // errUnsigned: a success that no upstream has signed.
 var errUnsigned = errors.New("a success without the upstream's signature")
 
 // send makes one sending and relays its answer.
 func (j *job) send(ctx context.Context, l lease) result {
+	j.sentBy = lists{owner: l.ListVersion(), own: j.handler.o.View.ListRevision(), age: j.handler.o.View.ListAge()}
 	if err := j.handler.o.Fleet.mayBeSent(l.Upstream()); err != nil {
 		return result{status: notUsable, err: err}
 	}
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -98,6 +98,7 @@
 	server    *httptest.Server
 	document  routing.Document
 	upstreams []view.Upstream
+	revision  int64 // of the list
 
 	mu       sync.Mutex
 	arrivals []*http.Request // at all upstreams, in order
@@ -176,7 +177,16 @@
 		s.Close()
 	})
 	r.upstreams = append(r.upstreams, view.Upstream{ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 8, Revision: int64(len(r.upstreams) + 1)})
-	r.view.Upstreams(r.upstreams)
+	r.list()
+}
+
+// list publishes the upstreams, each time at a higher revision.
+func (r *rig) list() {
+	for _, u := range r.upstreams {
+		r.revision = max(r.revision, u.Revision)
+	}
+	r.revision++
+	r.view.Upstreams(r.upstreams, r.revision, time.Now())
 }
 
 // arrived returns the IDs of the upstreams that were sent something, in order.
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -52,7 +52,7 @@
 	if problem != nil {
 		return nil, problem
 	}
-	return &ownLease{shard: shard, grant: grant}, nil
+	return &ownLease{shard: shard, grant: grant, listVersion: f.listVersion()}, nil
 }
 
 // shardAndOwners returns a shard and who schedules it; no owner means this instance.
@@ -182,7 +182,7 @@
 
 // serveGrant tells the peer its slot and returns how the request ended.
 func (f *Fleet) serveGrant(ctx context.Context, sh *shard, r *peer.SlotRequest, s *peer.SlotStream, g *scheduler.Grant) (scheduler.Ending, int) {
-	err := s.Granted(ctx, peer.SlotGrant{Upstream: g.Upstream.ID, Predicted: g.Predicted(), Running: g.Running})
+	err := s.Granted(ctx, peer.SlotGrant{Upstream: g.Upstream.ID, Predicted: g.Predicted(), Running: g.Running, ListVersion: f.listVersion()})
 	f.logSlot(r, s.Peer, "granted", g.Upstream.ID, err)
 	for err == nil {
 		var release *peer.SlotRelease
@@ -236,12 +236,21 @@
 	}
 }
 
+// listVersion returns the version of the list that upstreams are chosen from.
+func (f *Fleet) listVersion() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list.Version
+}
+
 // lease is the right to send one request to an upstream. End is called once.
 type lease interface {
 	// Upstream by its ID.
 	Upstream() string
 	// Owner is the instance that granted it, empty for this one.
 	Owner() string
+	// ListVersion is the version of the list by which it was granted.
+	ListVersion() int64
 	// Predicted is the time in which the first token is expected.
 	Predicted() time.Duration
 	// FirstToken and Heard record that the first token, or anything else, has come.
@@ -253,12 +262,14 @@
 
 // ownLease is granted by this instance.
 type ownLease struct {
-	shard *shard
-	grant *scheduler.Grant
+	shard       *shard
+	grant       *scheduler.Grant
+	listVersion int64
 }
 
 func (l *ownLease) Upstream() string                   { return l.grant.Upstream.ID }
 func (l *ownLease) Owner() string                      { return "" }
+func (l *ownLease) ListVersion() int64                 { return l.listVersion }
 func (l *ownLease) Predicted() time.Duration           { return l.grant.Predicted() }
 func (l *ownLease) FirstToken()                        { l.shard.pool.FirstToken(l.grant) }
 func (l *ownLease) Heard()                             { l.grant.Upstream.Heard(time.Now()) }
@@ -282,6 +293,7 @@
 
 func (l *peerLease) Upstream() string         { return l.grant.Upstream }
 func (l *peerLease) Owner() string            { return l.owner }
+func (l *peerLease) ListVersion() int64       { return l.grant.ListVersion }
 func (l *peerLease) Predicted() time.Duration { return l.grant.Predicted }
 func (l *peerLease) FirstToken()              { l.slot.Started() }
 func (l *peerLease) Heard()                   {} // the owner hears of first tokens and endings
--- /dev/null
+++ b/internal/view/differences.go
@@ -0,0 +1,70 @@
+package view
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// mostNamed bounds the upstreams that one line of the log names.
+const mostNamed = 12
+
+// state is what a list says of one upstream, as logs show it.
+type state string
+
+// The states of an upstream.
+const (
+	unlisted state = "gone"
+	listed   state = "ready"
+	leaving  state = "leaving"
+	lapsed   state = "missing"
+)
+
+// states returns the state of each upstream of the list.
+func (r *roster) states() map[string]state {
+	out := make(map[string]state, len(r.entries))
+	for id, u := range r.entries {
+		out[id] = r.stateOf(id, u)
+	}
+	return out
+}
+
+func (r *roster) stateOf(id string, u Upstream) state {
+	switch {
+	case r.missing[id]:
+		return lapsed
+	case u.Leaving:
+		return leaving
+	default:
+		return listed
+	}
+}
+
+// age is the time since the list was shown to be current last, 0 if it never was.
+func (r *roster) age() time.Duration {
+	if r.asOf.IsZero() {
+		return 0
+	}
+	return time.Since(r.asOf)
+}
+
+// differences names the upstreams whose state has changed, in order, with the new one.
+func differences(before, after map[string]state) string {
+	var out []string
+	for id := range before {
+		if after[id] == "" {
+			out = append(out, id+" "+string(unlisted))
+		}
+	}
+	for id, s := range after {
+		if before[id] != s {
+			out = append(out, id+" "+string(s))
+		}
+	}
+	slices.Sort(out)
+	if more := len(out) - mostNamed; more > 0 {
+		out = append(out[:mostNamed], fmt.Sprintf("%d more", more))
+	}
+	return strings.Join(out, ", ")
+}
--- a/internal/view/roster.go
+++ b/internal/view/roster.go
@@ -13,6 +13,8 @@
 // missing until the source has been back for a while.
 type roster struct {
 	revision int64
+	complete int64     // revision of the source up to which changes are known
+	asOf     time.Time // when the read was sent that showed the list to be current last
 	entries  map[string]Upstream
 	missing  map[string]bool
 	settles  time.Time // until then, what vanishes is missing and not gone
@@ -102,21 +104,47 @@
 	return out
 }
 
+// prove notes that the source was at a revision when a read was sent at asOf.
+func (r *roster) prove(revision int64, asOf time.Time) {
+	if revision <= r.complete && asOf.After(r.asOf) {
+		r.asOf = asOf
+	}
+}
+
 // Upstreams implements Sink: it takes the whole list. Its revision is that of the
 // newest entry.
-func (v *View) Upstreams(list []Upstream) {
+func (v *View) Upstreams(list []Upstream, complete int64, asOf time.Time) {
 	revision := v.ListRevision()
 	for _, u := range list {
 		revision = max(revision, u.Revision)
 	}
-	v.change("source", func(r *roster, now time.Time) { r.replace(now, list, revision) })
+	v.change("source", func(r *roster, now time.Time) {
+		r.replace(now, list, revision)
+		r.complete = max(r.complete, complete)
+		r.prove(complete, asOf)
+	})
 }
 
 // Changes implements Sink.
-func (v *View) Changes(changes []Change) {
-	if len(changes) > 0 {
-		v.change("source", func(r *roster, now time.Time) { r.apply(now, changes) })
+func (v *View) Changes(changes []Change, complete int64, asOf time.Time) {
+	if len(changes) == 0 {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.upstreams.complete = max(v.upstreams.complete, complete)
+		return
 	}
+	v.change("source", func(r *roster, now time.Time) {
+		r.apply(now, changes)
+		r.complete = max(r.complete, complete)
+		r.prove(complete, asOf)
+	})
+}
+
+// Current implements Sink.
+func (v *View) Current(revision int64, asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.upstreams.prove(revision, asOf)
 }
 
 // LearnUpstreams takes a peer's list if it is newer than the one at hand.
@@ -139,20 +167,31 @@
 func (v *View) change(from string, f func(*roster, time.Time)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	f(&v.upstreams, time.Now())
-	list := v.upstreams.list()
-	v.o.Log.Info().Str("event", "upstreams").Int64("revision", v.upstreams.revision).Int("count", len(list)).
-		Int("missing", len(v.upstreams.missing)).Str("from", from).Msg("")
+	r := &v.upstreams
+	before := r.states()
+	f(r, time.Now())
+	list := r.list()
+	v.o.Log.Info().Str("event", "upstreams").Int64("revision", r.revision).Int64("complete", r.complete).
+		Dur("age", r.age()).Int("count", len(list)).Int("missing", len(r.missing)).
+		Str("changed", differences(before, r.states())).Str("from", from).Msg("")
 	if v.o.OnUpstreams != nil {
-		v.o.OnUpstreams(list)
+		v.o.OnUpstreams(List{Version: r.revision, Upstreams: list})
 	}
 }
 
-// List returns the list for a peer and its revision, 0 while there is none.
-func (v *View) List() ([]Upstream, int64) {
+// List returns the list for a peer.
+func (v *View) List() List {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return List{Version: v.upstreams.revision, Upstreams: v.upstreams.list()}
+}
+
+// ListAge returns how long ago the read was sent that showed the list to be current last; 0
+// while there is no list.
+func (v *View) ListAge() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.upstreams.list(), v.upstreams.revision
+	return v.upstreams.age()
 }
 
 // ListRevision returns the revision of the list, 0 while there is none.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -32,10 +32,14 @@
 	// Configuration is what was published under a revision, as of a time: the moment
 	// at which the read was sent.
 	Configuration(revision int64, content []byte, asOf time.Time)
-	// Upstreams is the whole list.
-	Upstreams(list []Upstream)
-	// Changes are what happened to the list since, in order.
-	Changes(changes []Change)
+	// Upstreams is the whole list, as the source had it at a revision. The read was sent
+	// at asOf.
+	Upstreams(list []Upstream, revision int64, asOf time.Time)
+	// Changes are what happened to the list since, in order, up to a revision.
+	Changes(changes []Change, revision int64, asOf time.Time)
+	// Current is the source's revision, as a read shows it that was sent at asOf. A list
+	// that is complete up to it is proved current.
+	Current(revision int64, asOf time.Time)
 	// Reached and Unreachable tell whether the source answers.
 	Reached()
 	Unreachable(reading string, err error)
@@ -61,6 +65,13 @@
 	Revision int64 `cbor:"7,keyasint"`
 }
 
+// List is the list of upstreams.
+type List struct {
+	// Version of the list; higher is newer. 0 is none.
+	Version   int64
+	Upstreams []Upstream
+}
+
 // Change is one change of the list.
 type Change struct {
 	// Gone is set, with ID and revision alone, when the upstream left the list.
@@ -83,7 +94,7 @@
 	Lapse time.Duration
 	// OnUpstreams is called with the whole list after a change of it, one call at a
 	// time.
-	OnUpstreams func([]Upstream)
+	OnUpstreams func(List)
 	// OnTable is called after a new configuration came into force.
 	OnTable func(*routing.Table)
 	Metrics *telemetry.Metrics
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +34,7 @@
 	}, nil
 }
 
-func newView(onUpstreams func([]Upstream)) *View {
+func newView(onUpstreams func(List)) *View {
 	return New(Options{
 		Source: source{}, Lease: 5 * time.Second, Settle: 2 * time.Second, Lapse: 2 * time.Second, OnUpstreams: onUpstreams,
 		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
@@ -110,16 +112,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := newView(func(l []Upstream) { list = l })
+		v := newView(func(l List) { list = l.Upstreams })
 		v.Reached()
 		v.Configuration(7, []byte("seven"), time.Now())
-		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "c", Revision: 3, Leaving: true}})
+		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "c", Revision: 3, Leaving: true}}, 3, time.Now())
 		v.Unreachable("list", errors.New("down"))
 		<-time.After(3 * time.Second) // and nobody else reached it either
 		v.Reached()
-		v.Upstreams(nil)
+		v.Upstreams(nil, 6, time.Now())
 		is.Equal(ids(list), []string{"a", "b"}) // c said that it leaves
-		v.Changes([]Change{{Upstream: Upstream{ID: "a", Revision: 9}}})
+		v.Changes([]Change{{Upstream: Upstream{ID: "a", Revision: 9}}}, 9, time.Now())
 		<-time.After(2 * time.Second)
 		synctest.Wait()
 		is.Equal(ids(list), []string{"a"}) // b didn't come back
@@ -132,15 +134,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := newView(func(l []Upstream) { list = l })
+		v := newView(func(l List) { list = l.Upstreams })
 		v.Reached()
 		v.Configuration(7, []byte("seven"), time.Now())
-		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}})
+		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
 		v.Unreachable("list", errors.New("turned away"))
 		<-time.After(9 * time.Second)
 		v.Learn(Configuration{Revision: 7}, time.Now().Add(-time.Second), "p")
 		v.Reached()
-		v.Upstreams([]Upstream{{ID: "b", Revision: 2}})
+		v.Upstreams([]Upstream{{ID: "b", Revision: 2}}, 3, time.Now())
 		is.Equal(ids(list), []string{"b"})
 	})
 }
@@ -148,23 +150,55 @@
 func TestEntriesThatVanishWhileTheSourceAnswersAreGone(t *testing.T) {
 	is := is.New(t)
 	var list []Upstream
-	v := newView(func(l []Upstream) { list = l })
+	v := newView(func(l List) { list = l.Upstreams })
 	v.Reached()
-	v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}})
-	v.Changes([]Change{{Gone: true, Upstream: Upstream{ID: "a", Revision: 3}}})
+	v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
+	v.Changes([]Change{{Gone: true, Upstream: Upstream{ID: "a", Revision: 3}}}, 3, time.Now())
 	is.Equal(ids(list), []string{"b"})
 }
 
+// The log says of each change which upstreams it concerns, and how old the list was.
+func TestTheLogNamesWhatChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var log strings.Builder
+		v := New(Options{Source: source{}, Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(&log, "info", "test")})
+		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
+		<-time.After(2 * time.Second)
+		v.Current(2, time.Now())
+		v.Current(3, time.Now().Add(time.Second)) // the list may lack what came at 3
+		<-time.After(time.Second)
+		is.Equal(v.ListAge(), time.Second)
+		v.Changes([]Change{
+			{Upstream: Upstream{ID: "a", Revision: 3, Leaving: true}}, {Upstream: Upstream{ID: "c", Revision: 4}}, {Gone: true, Upstream: Upstream{ID: "b", Revision: 5}},
+		}, 5, time.Now())
+		lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+		is.True(strings.Contains(lines[0], `changed="a ready, b ready"`))
+		is.True(strings.Contains(lines[1], `complete=5`))
+		is.True(strings.Contains(lines[1], `changed="a leaving, b gone, c ready"`))
+	})
+}
+
+// A line names a bounded number of upstreams.
+func TestTheLogCountsWhatItDoesNotName(t *testing.T) {
+	is := is.New(t)
+	after := map[string]state{}
+	for i := range mostNamed + 3 {
+		after[fmt.Sprint("i-", i)] = listed
+	}
+	is.True(strings.HasSuffix(differences(nil, after), ", 3 more"))
+}
+
 func TestOlderNewsOfAnUpstreamChangesNothing(t *testing.T) {
 	is := is.New(t)
 	var list []Upstream
-	v := newView(func(l []Upstream) { list = l })
+	v := newView(func(l List) { list = l.Upstreams })
 	v.Reached()
 	v.LearnUpstreams([]Upstream{{ID: "a", Revision: 5, Leaving: true}}, 8, "p")
 	v.Changes([]Change{
 		{Upstream: Upstream{ID: "a", Revision: 4}},
 		{Upstream: Upstream{ID: "b", Revision: 6}}, // gone by 8
-	})
+	}, 6, time.Now())
 	is.Equal(ids(list), []string{"a"})
 	is.True(list[0].Leaving)
 	v.LearnUpstreams(nil, 7, "p") // an older list
