Reproduce requests at upstreams that have left, with real processes, failing

Cause: named by what fails. Today's daemon notices a silent watch, but up to 2.5 s late, and 3.3 s where the reads beside it are silent too. In a fleet of 12 in 2 zones, where most learn, today's daemon also fails where the history was dropped: hypothesis 2; deterministic tests show four sequences of it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,6 +180,7 @@
 		age, _ := i.view.Age()
 		return age.Seconds()
 	})
+	i.metrics.Gauge("tacktally_upstreams_listed", func() float64 { return float64(len(i.view.List().Upstreams)) })
 	i.metrics.Gauge("tacktally_list_version", func() float64 { return float64(i.view.ListRevision()) })
 	i.metrics.Gauge("tacktally_list_age_seconds", func() float64 { return i.view.ListAge().Seconds() })
 	i.metrics.Gauge("tacktally_peers_known", func() float64 { return float64(len(i.mesh.Peers())) })
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -56,6 +56,23 @@
 	is.Equal(len(l.Check(time.Second))+len(l.CheckPlanned()), 0)
 }
 
+// A request that reaches an upstream late is found, but for the time for which the machine
+// stood still.
+func TestLateArrivalsAtUpstreamsThatLeftAreFound(t *testing.T) {
+	is := is.New(t)
+	d, now := NewDepartures(), time.Now()
+	var stalls Stalls
+	d.Left("u", "removed")
+	d.left["u"] = now.Add(-3 * time.Second)
+	d.Reached("1", "v") // it stays
+	is.Equal(len(d.Check(0, &stalls)), 0)
+	d.Reached("2", "u")
+	is.Equal(len(d.Check(4*time.Second, &stalls)), 0)
+	is.Equal(len(d.Check(2*time.Second, &stalls)), 1)
+	stalls.look(now.Add(-5*time.Second), now.Add(-1500*time.Millisecond)) // half of it before it left
+	is.Equal(len(d.Check(2*time.Second, &stalls)), 0)
+}
+
 func TestStallsAreNotedFromABoundOn(t *testing.T) {
 	is := is.New(t)
 	var s Stalls
--- a/internal/soak/stalls.go
+++ b/internal/soak/stalls.go
@@ -19,9 +19,12 @@
 // from a machine that stood still. Safe for concurrent use.
 type Stalls struct {
 	mu    sync.Mutex
-	noted []string
+	noted []stall
 }
 
+// stall is a time in which the machine stood still.
+type stall struct{ from, to time.Time }
+
 // Watch looks at the clock until ctx ends.
 func (s *Stalls) Watch(ctx context.Context) {
 	tick := time.NewTicker(stallTick)
@@ -42,7 +45,7 @@
 	if gap := now.Sub(last); gap >= stallFrom {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.noted = append(s.noted, fmt.Sprintf("%v before %s", gap.Round(time.Millisecond), now.Format("15:04:05.000")))
+		s.noted = append(s.noted, stall{from: last, to: now})
 	}
 }
 
@@ -50,5 +53,26 @@
 func (s *Stalls) String() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return strings.Join(s.noted, ", ")
+	var out []string
+	for _, n := range s.noted {
+		out = append(out, fmt.Sprintf("%v before %s", n.to.Sub(n.from).Round(time.Millisecond), n.to.Format("15:04:05.000")))
+	}
+	return strings.Join(out, ", ")
+}
+
+// Within returns for how long of a time the machine stood still.
+func (s *Stalls) Within(from, to time.Time) (still time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.noted {
+		begin, end := n.from, n.to
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		still += max(end.Sub(begin), 0)
+	}
+	return still
 }
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -189,6 +189,73 @@
 	is.True(strings.HasSuffix(differences(nil, after), ", 3 more"))
 }
 
+// handOver gives one instance's list to another, as when it asks for it.
+func handOver(from, to *View) {
+	l := from.List()
+	to.LearnUpstreams(l.Upstreams, l.Version, "p")
+}
+
+// Upstreams that had left went on getting requests from instances that learn the list from
+// others: it had changed at the others under the version that it had before, or was handed
+// over with what was missing from it as if it were there. Each case ends with what both must
+// list after the peer has asked again.
+func TestAPeerLearnsEveryContentOfAList(t *testing.T) {
+	outage := func(v *View) {
+		v.Unreachable("list", errors.New("down"))
+		<-time.After(3 * time.Second)
+		v.Reached()
+	}
+	for name, c := range map[string]struct {
+		play func(reads, learns *View)
+		want []string
+	}{
+		"read anew without an upstream that wasn't the newest": {func(reads, learns *View) {
+			reads.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "c", Revision: 3}}, 3, time.Now())
+			handOver(reads, learns)
+			reads.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "c", Revision: 3}}, 5, time.Now())
+		}, []string{"a", "c"}},
+		"a change older than the newest entry of a later page": {func(reads, learns *View) {
+			reads.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "z", Revision: 9}}, 5, time.Now())
+			handOver(reads, learns)
+			reads.Changes([]Change{{Gone: true, Upstream: Upstream{ID: "a", Revision: 7}}, {Upstream: Upstream{ID: "z", Revision: 9}}}, 9, time.Now())
+		}, []string{"z"}},
+		"missing after an outage, handed over, and given up": {func(reads, learns *View) {
+			reads.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
+			outage(reads)
+			reads.Upstreams([]Upstream{{ID: "b", Revision: 2}, {ID: "c", Revision: 4}}, 5, time.Now())
+			handOver(reads, learns)
+			<-time.After(3 * time.Second)
+		}, []string{"b", "c"}},
+		"given up here, and missing for the time being there": {func(reads, learns *View) {
+			list := []Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}
+			reads.Upstreams(list, 2, time.Now())
+			learns.Upstreams(list, 2, time.Now())
+			outage(reads)
+			reads.Upstreams(list[1:], 4, time.Now())
+			learns.Upstreams(list[1:], 4, time.Now()) // no outage for it
+			reads.Changes([]Change{{Upstream: Upstream{ID: "c", Revision: 6}}}, 6, time.Now())
+			handOver(reads, learns)
+			<-time.After(3 * time.Second)
+		}, []string{"b", "c"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				reads, learns := newView(nil), newView(nil)
+				for _, v := range []*View{reads, learns} {
+					v.Reached()
+					v.Configuration(7, []byte("seven"), time.Now())
+				}
+				c.play(reads, learns)
+				handOver(reads, learns)
+				synctest.Wait()
+				is.Equal(ids(reads.List().Upstreams), c.want)
+				is.Equal(ids(learns.List().Upstreams), c.want)
+			})
+		})
+	}
+}
+
 func TestOlderNewsOfAnUpstreamChangesNothing(t *testing.T) {
 	is := is.New(t)
 	var list []Upstream
