Notice connections to the store that went silent within the time that leaving upstreams allow

Changes of the list come on one watch. When its connection goes silent without a reset, nothing fails: the configuration is proved by other reads, and up to an instance hears of no change for 21 s. Since a watch is given up once a read shows a newer revision, but reads came every 1.5 s, the verdict took 0.5 s, then a pause and a read: past the 2 s within which a leaving upstream must get nothing new. Where the reads are silent too, a read had to time out first (1.2 s). Change: that time is a setting (routed.leaveWithin, from the deployment's bound), and reads prove the list twice within it.

--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -36,10 +36,15 @@
 // ReservedFiles is the number of descriptors that are kept for files.
 const ReservedFiles = 200
 
+// maxProveEvery bounds how rarely reads prove what is believed: the lease that they renew is
+// some seconds.
+const maxProveEvery = Duration(1500 * time.Millisecond)
+
 func (r *Routed) provision() {
 	r.Lease = cmp.Or(r.Lease, Duration(5*time.Second))
 	r.StaleKeys = cmp.Or(r.StaleKeys, RefuseStaleKeys)
-	r.ProveEvery = cmp.Or(r.ProveEvery, Duration(1500*time.Millisecond))
+	r.LeaveWithin = cmp.Or(r.LeaveWithin, Duration(2*time.Second))
+	r.ProveEvery = cmp.Or(r.ProveEvery, min(r.LeaveWithin/2, maxProveEvery))
 	r.InForce = cmp.Or(r.InForce, Duration(2*time.Second))
 	r.Settle = cmp.Or(r.Settle, Duration(2*time.Second))
 	r.UpstreamHeartbeat = cmp.Or(r.UpstreamHeartbeat, Duration(time.Second))
@@ -149,10 +154,14 @@
 	if r.StaleKeys != RefuseStaleKeys && r.StaleKeys != ServeStaleKeys {
 		c.add("/routed/staleKeys", "is %q; use refuse or serve", r.StaleKeys)
 	}
+	c.positive("/routed/leaveWithin", int64(r.LeaveWithin))
 	c.positive("/routed/proveEvery", int64(r.ProveEvery))
 	if r.ProveEvery >= r.Lease {
 		c.add("/routed/proveEvery", "is no less than the lease; lower it, or no key is ever accepted")
 	}
+	if r.ProveEvery >= r.LeaveWithin {
+		c.add("/routed/proveEvery", "is no less than leaveWithin; lower it, or upstreams that left may get requests for longer")
+	}
 	c.positive("/routed/inForce", int64(r.InForce))
 	c.positive("/routed/settle", int64(r.Settle))
 	c.positive("/routed/upstreamHeartbeat", int64(r.UpstreamHeartbeat))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -200,8 +200,12 @@
 	// key serves after it was taken away, or "serve" by the newest configuration at hand,
 	// so that an outage of the store refuses nobody. Default refuse.
 	StaleKeys StaleKeys `json:"staleKeys,omitzero"`
-	// ProveEvery is the time between two reads that prove the configuration: each
-	// starts the lease anew. Default 1.5s.
+	// LeaveWithin is the time within which an upstream whose leaving is published must get
+	// nothing new. Default 2s.
+	LeaveWithin Duration `json:"leaveWithin,omitzero"`
+	// ProveEvery is the time between two reads that prove the configuration and the list of
+	// upstreams: each starts the lease anew, and shows changes that another connection should
+	// have brought. Default the half of LeaveWithin, 1.5s at most.
 	ProveEvery Duration `json:"proveEvery,omitzero"`
 	// InForce is the time within which a published configuration must be in force;
 	// past that age nothing is refused for lacking in it. Default 2s.
