Let a fetch that hangs hold up no news that another peer has

An instance that learns fetches from whoever announced something newer, one at a time; on a link that went silent that fetch hung for 2 s, and what other peers announced meanwhile was passed over. The link was not even counted as silent. Change: a fetch in the background holds back others for 0.3 s only, and one that ends without a reply counts against its link. Test: peer.TestAPeerThatDoesNotAnswerHoldsUpNoOther; before, the news came after the hung fetch.

--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -89,7 +89,7 @@
 
 // Fetch asks a peer for its state and hands it to the Handler.
 func (m *Mesh) Fetch(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeoutCause(ctx, fetchTimeout, ErrNoReply)
 	defer cancel()
 	asked := time.Now()
 	return m.ask(ctx, address, &Frame{Type: TypeFetch, Fetch: m.o.Handler.Fetch()}, func(f *Frame) {
@@ -174,18 +174,20 @@
 	all.Wait()
 }
 
-// FetchSoon fetches a peer's state in the background, one fetch at a time.
+// FetchSoon fetches a peer's state in the background, unless another fetch has just begun.
 func (m *Mesh) FetchSoon(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.fetching || m.ctx.Err() != nil {
+	held := m.fetches > 0 && time.Since(m.fetched) < fetchPatience
+	if held || m.ctx.Err() != nil {
 		return
 	}
-	m.fetching = true
+	m.fetches++
+	m.fetched = time.Now()
 	m.wg.Go(func() {
 		err := m.Fetch(m.ctx, address)
 		m.mu.Lock()
-		m.fetching = false
+		m.fetches--
 		m.mu.Unlock()
 		if err != nil && m.ctx.Err() == nil {
 			m.o.Log.Warn().Str("event", "fetch_failed").Str("peer", address).Str("cause", err.Error()).Msg("")
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -80,8 +80,14 @@
 	// forgetAfter is the silence after which a peer that isn't on the list is no
 	// longer dialled.
 	forgetAfter = time.Minute
-	// fetchTimeout bounds the handing over of state.
+	// fetchTimeout bounds the handing over of state. A link on which nothing comes in it may
+	// be dead.
 	fetchTimeout = 2 * time.Second
+	// fetchPatience is how long a fetch in the background holds back others: a fleet in which
+	// all announce the same change hands it over once, and a link that went silent holds up no
+	// news that others have. Peers answer within some milliseconds, and one whose processor
+	// is held back within a tenth of a second.
+	fetchPatience = 300 * time.Millisecond
 )
 
 // ErrUnreachable: no link to the peer is up.
@@ -115,7 +121,8 @@
 	mu       sync.Mutex
 	peers    map[string]*peerState
 	accepted map[string]*link // the last link that each peer dialled
-	fetching bool
+	fetches  int              // that are under way in the background
+	fetched  time.Time        // when the last of them began
 }
 
 type peerState struct {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -105,7 +105,7 @@
 	addressB string
 }
 
-func newMesh(t *testing.T, h *handler) (*Mesh, string) {
+func newMesh(t *testing.T, h Handler) (*Mesh, string) {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
 	address := server.Listener.Addr().String()
@@ -224,6 +224,45 @@
 }
 
 // A link that ends tells those who wait on it, and comes back by itself.
+// stuck is a peer that says nothing of its state.
+type stuck struct {
+	handler
+	asked chan struct{}
+}
+
+func (s *stuck) State(*Fetch) *State {
+	close(s.asked)
+	<-s.hold
+	return &State{}
+}
+
+// A fetch on a link that went silent holds up no news that another peer has.
+func TestAPeerThatDoesNotAnswerHoldsUpNoOther(t *testing.T) {
+	is := is.New(t)
+	h := &handler{learned: make(chan *State, 9)}
+	a, _ := newMesh(t, h)
+	silent := &stuck{handler: handler{hold: make(chan struct{})}, asked: make(chan struct{})}
+	_, silentAt := newMesh(t, silent)
+	_, answersAt := newMesh(t, &handler{})
+	defer close(silent.hold)
+	a.SetPeers([]string{silentAt, answersAt})
+	eventually(t, func() bool { return a.linkTo(silentAt) != nil && a.linkTo(answersAt) != nil })
+	a.FetchSoon(silentAt)
+	<-silent.asked
+	eventually(t, func() bool {
+		a.FetchSoon(answersAt)
+		return len(h.learned) > 0
+	})
+	is.Equal((<-h.learned).Revision, int64(7))
+	is.Equal(a.linkTo(silentAt).unansweredNow(), 0) // its fetch is still under way
+}
+
+func (l *link) unansweredNow() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unanswered
+}
+
 func TestLinkEndsAndReturns(t *testing.T) {
 	is := is.New(t)
 	p := newPair(t)
