Give each content of the list of upstreams a version of its own, and an age

The version of a list was the highest revision of an entry in it. A list that was read anew without an upstream kept it, and peers with that version took no notice; one that was missing for the time being was handed over as if it were listed, so that a peer which had given it up listed it again, for good. And nobody but a reader could tell that its list was old: the configuration had an age and was asked for again, the list had none. Class: what is believed of the source must come with what proves it (up to which of its revisions, as of when), or it can't be compared, nor be known to be old. Change: the version is the source's revision at which the content last changed: that of a change, or that of the read that found a difference. Missing upstreams are handed over as missing, with the time that they have left. The list's age travels with it; whoever learns asks again once it is older than half of routed.leaveWithin.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,8 +181,11 @@
 		return age.Seconds()
 	})
 	i.metrics.Gauge("tacktally_upstreams_listed", func() float64 { return float64(len(i.view.List().Upstreams)) })
-	i.metrics.Gauge("tacktally_list_version", func() float64 { return float64(i.view.ListRevision()) })
-	i.metrics.Gauge("tacktally_list_age_seconds", func() float64 { return i.view.ListAge().Seconds() })
+	i.metrics.Gauge("tacktally_list_version", func() float64 { return float64(i.view.ListVersion()) })
+	i.metrics.Gauge("tacktally_list_age_seconds", func() float64 {
+		age, _ := i.view.ListAge()
+		return age.Seconds()
+	})
 	i.metrics.Gauge("tacktally_peers_known", func() float64 { return float64(len(i.mesh.Peers())) })
 	i.metrics.Gauge("tacktally_instances_in_reach", func() float64 { return float64(i.fleet.InstancesInReach()) })
 	i.metrics.Gauge("tacktally_reads_source", func() float64 {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -28,12 +28,11 @@
 	v := p.instance.view
 	configuration, age := v.Published()
 	list := v.List()
-	s := &peer.State{Revision: configuration.Revision, Age: age, ListVersion: list.Version}
+	s := &peer.State{Revision: configuration.Revision, Age: age, ListVersion: list.Version, ListAge: time.Since(list.AsOf)}
 	if f.Revision != configuration.Revision {
 		s.Content = configuration.Content
 	}
-	if f.ListVersion == list.Version {
-		s.ListVersion = 0 // nothing to hand over
+	if f.ListVersion >= list.Version {
 		return s
 	}
 	encoded, err := cbor.Marshal(list.Upstreams)
@@ -43,13 +42,14 @@
 		return s
 	}
 	s.List = encoded
+	s.Missing = list.Missing
 	return s
 }
 
 // Fetch implements peer.Handler.
 func (p *peers) Fetch() *peer.Fetch {
 	v := p.instance.view
-	return &peer.Fetch{Revision: v.Revision(), ListVersion: v.ListRevision()}
+	return &peer.Fetch{Revision: v.Revision(), ListVersion: v.ListVersion()}
 }
 
 // Learn implements peer.Handler. What the peer says was true when it was asked, or
@@ -57,15 +57,14 @@
 func (p *peers) Learn(from string, asked time.Time, s *peer.State) {
 	v := p.instance.view
 	v.Learn(view.Configuration{Revision: s.Revision, Content: s.Content}, asked.Add(-s.Age), from)
-	if s.ListVersion == 0 {
-		return
-	}
-	var list []view.Upstream
-	if err := cbor.Unmarshal(s.List, &list); err != nil {
-		p.instance.log.Warn().Str("event", "list_not_readable").Str("peer", from).Str("cause", err.Error()).Msg("run the same version on all instances")
-		return
+	list := view.List{Version: s.ListVersion, AsOf: asked.Add(-s.ListAge), Missing: s.Missing}
+	if len(s.List) > 0 {
+		if err := cbor.Unmarshal(s.List, &list.Upstreams); err != nil {
+			p.instance.log.Warn().Str("event", "list_not_readable").Str("peer", from).Str("cause", err.Error()).Msg("run the same version on all instances")
+			return
+		}
 	}
-	v.LearnUpstreams(list, s.ListVersion, from)
+	v.LearnUpstreams(list, from)
 }
 
 // Heartbeat implements peer.Handler.
@@ -74,12 +73,13 @@
 	load := i.fleet.Load()
 	return &peer.Heartbeat{
 		Revision:    i.view.Revision(),
-		ListVersion: i.view.ListRevision(),
+		ListVersion: i.view.ListVersion(),
 		Draining:    i.ready.draining.Load(),
 		InFlight:    i.proxy.InFlight(),
 		Running:     load.Running,
 		Reads:       i.reading.active(),
 		Known:       i.mesh.Known(),
+		SteadyMS:    int(min(i.view.SteadyFor(), maxSteady).Milliseconds()),
 	}
 }
 
@@ -91,13 +91,20 @@
 	}
 	i.mesh.TellMembers(from, h.Known)
 	i.reading.heard(from, h.Reads)
+	if h.SteadyMS > 0 {
+		i.view.SourceWasThere(time.Duration(h.SteadyMS)*time.Millisecond, from)
+	}
 	if i.isBehind(h) {
 		i.catchUp(from, h)
 	}
 }
 
+// maxSteady bounds the time that is told for which the source was reached all the time: two
+// bytes of each heartbeat. An outage and the time to settle after it last for some seconds.
+const maxSteady = time.Minute
+
 func (i *Instance) isBehind(h *peer.Heartbeat) bool {
-	return h.Revision > i.view.Revision() || h.ListVersion > i.view.ListRevision()
+	return h.Revision > i.view.Revision() || h.ListVersion > i.view.ListVersion()
 }
 
 // farPatience is how long an instance that hears of something newer from another
--- a/internal/entry/reading.go
+++ b/internal/entry/reading.go
@@ -17,11 +17,15 @@
 	// turnInterval is how often an instance looks whether it is to read.
 	turnInterval = 250 * time.Millisecond
 	// askShare is the part of the lease past which an instance that doesn't read asks
-	// a reader for a younger proof of the configuration.
-	askShare = 0.3
-	// alarmShare is the part of the lease past which it asks all peers, and reads
+	// a reader for a younger proof of the configuration, and askListShare the part of the time
+	// within which upstreams that leave must get nothing new past which it does so for the
+	// list. What peers announce comes sooner; this is for links that bring nothing any more.
+	askShare     = 0.3
+	askListShare = 0.5
+	// alarmShare and alarmListShare are the parts past which it asks all peers, and reads
 	// itself.
-	alarmShare = 0.5
+	alarmShare     = 0.5
+	alarmListShare = 1.0
 	// alarmHold is how long it goes on reading then, so that it doesn't begin and end
 	// in turn.
 	alarmHold = 10 * time.Second
@@ -132,32 +136,59 @@
 	follow.Wait()
 }
 
-// askPeers keeps the configuration proved: by a reader of the zone, and by anybody once
-// that fails.
+// askPeers keeps the configuration and the list proved: by a reader of the zone, and by
+// anybody once that fails.
 func (i *Instance) askPeers(ctx context.Context) {
-	lease := float64(i.settings.Routed.Lease)
 	for wait.For(ctx, askInterval) {
-		age := float64(i.unproved())
-		if age < askShare*lease {
+		old := i.howOld()
+		if old == fresh {
 			continue
 		}
 		reader := i.reading.reader(i.settings.Zone, i.mesh.Peers())
-		if reader != "" && age < alarmShare*lease {
+		if reader != "" && old == ageing {
 			i.mesh.FetchSoon(reader)
 			continue
 		}
-		if age >= alarmShare*lease {
+		if old == tooOld {
 			i.reading.alarm(time.Now())
 		}
 		i.mesh.FetchAny(ctx)
 	}
 }
 
-// unproved is the age of the configuration; while there is none, the time since the
-// start, within which the others of the zone may read it.
-func (i *Instance) unproved() time.Duration {
-	if age, known := i.view.Age(); known {
-		return age
+// oldness is how old something is that peers can prove.
+type oldness int
+
+// What is ageing is asked for, what is too old alarms.
+const (
+	fresh oldness = iota
+	ageing
+	tooOld
+)
+
+// howOld tells how old the older of the configuration and the list is. While there is none,
+// its age is the time since the start, within which the others of the zone may read it.
+func (i *Instance) howOld() oldness {
+	configuration, known := i.view.Age()
+	if !known {
+		configuration = time.Since(i.started)
+	}
+	list, known := i.view.ListAge()
+	if !known {
+		list = time.Since(i.started)
+	}
+	r := i.settings.Routed
+	return max(oldnessOf(configuration, time.Duration(r.Lease), askShare, alarmShare),
+		oldnessOf(list, time.Duration(r.LeaveWithin), askListShare, alarmListShare))
+}
+
+func oldnessOf(age, bound time.Duration, ask, alarm float64) oldness {
+	switch part := float64(age) / float64(bound); {
+	case part >= alarm:
+		return tooOld
+	case part >= ask:
+		return ageing
+	default:
+		return fresh
 	}
-	return time.Since(i.started)
 }
--- a/internal/entry/reading_test.go
+++ b/internal/entry/reading_test.go
@@ -49,6 +49,14 @@
 	is.True(!r.due(now.Add(alarmHold), "10.0.0.5:1", "bole", peers))
 }
 
+func TestFromWhichAgeOnPeersAreAsked(t *testing.T) {
+	for age, want := range map[time.Duration]oldness{
+		0: fresh, 999 * time.Millisecond: fresh, time.Second: ageing, 1999 * time.Millisecond: ageing, 2 * time.Second: tooOld, time.Hour: tooOld,
+	} {
+		is.New(t).Equal(oldnessOf(age, 2*time.Second, askListShare, alarmListShare), want)
+	}
+}
+
 func TestTheReaderOfTheZoneIsAsked(t *testing.T) {
 	is := is.New(t)
 	var r reading
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -62,7 +62,7 @@
 	switch {
 	case r.draining.Load():
 		return stateDraining
-	case !known || r.view.ListRevision() == 0:
+	case !known || r.view.ListVersion() == 0:
 		return stateStarting
 	case !r.view.Fresh(age):
 		return stateOutOfTouch
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -74,11 +74,11 @@
 // An upstream left, one instance heard of it and another went on sending.
 func TestAStoryTellsWhoHadHeardThatTheUpstreamLeft(t *testing.T) {
 	is := is.New(t)
-	lines, err := Read(strings.NewReader(`time=2026-02-03T12:00:01.000Z instance=a event=upstreams revision=4 changed="u ready, v ready" from=source
-time=2026-02-03T12:00:02.000Z instance=b event=upstreams revision=5 changed="u leaving" from=source
-time=2026-02-03T12:00:03.000Z instance=b event=upstreams revision=6 changed="u gone, w ready" from=source
+	lines, err := Read(strings.NewReader(`time=2026-02-03T12:00:01.000Z instance=a event=upstreams version=4 changed="u ready, v ready" from=source
+time=2026-02-03T12:00:02.000Z instance=b event=upstreams version=5 changed="u leaving" from=source
+time=2026-02-03T12:00:03.000Z instance=b event=upstreams version=6 changed="u gone, w ready" from=source
 time=2026-02-03T12:00:05.000Z instance=a event=request_ended request=1 upstream=u list=4 list_age=4000
-time=2026-02-03T12:00:09.000Z instance=a event=upstreams revision=6 changed="u gone" from="peer b"
+time=2026-02-03T12:00:09.000Z instance=a event=upstreams version=6 changed="u gone" from="peer b"
 `))
 	is.NoErr(err)
 	s := StoryOf(lines, "1")
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -150,6 +150,9 @@
 	Reads bool `cbor:"12,keyasint,omitempty"`
 	// Brief heartbeats leave out what is told of load and organisations.
 	Brief bool `cbor:"13,keyasint,omitempty"`
+	// SteadyMS is for how many milliseconds the sender, or a peer of it, has reached the
+	// source all the time; a minute at most.
+	SteadyMS int `cbor:"14,keyasint,omitempty"`
 }
 
 // brief returns what peers of other availability zones are told between two whole
@@ -162,6 +165,7 @@
 		InFlight:    h.InFlight,
 		Known:       h.Known,
 		Reads:       h.Reads,
+		SteadyMS:    h.SteadyMS,
 		Brief:       true,
 	}
 }
@@ -191,9 +195,16 @@
 	// Parts that the asking instance lacks, by their sums.
 	Parts map[string][]byte `cbor:"5,keyasint,omitempty"`
 	// ListVersion and List of instances, as JSON, or of upstreams, as CBOR, where
-	// those alone are published; ListVersion 0 when it has none.
+	// those alone are published; ListVersion 0 when it has none. An asking instance that
+	// has that version of upstreams gets no list.
 	ListVersion int64  `cbor:"3,keyasint"`
 	List        []byte `cbor:"4,keyasint,omitempty"`
+	// ListAge is the time since the read was sent that showed the list of upstreams to be
+	// current last.
+	ListAge time.Duration `cbor:"7,keyasint,omitempty"`
+	// Missing are the upstreams of List that lapsed around an outage of the source, with the
+	// time in which they may still come back.
+	Missing map[string]time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Pressure says that work of Rank is about to be shed for lack of capacity in Set.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -44,7 +44,8 @@
 
 // send makes one sending and relays its answer.
 func (j *job) send(ctx context.Context, l lease) result {
-	j.sentBy = lists{owner: l.ListVersion(), own: j.handler.o.View.ListRevision(), age: j.handler.o.View.ListAge()}
+	age, _ := j.handler.o.View.ListAge()
+	j.sentBy = lists{owner: l.ListVersion(), own: j.handler.o.View.ListVersion(), age: age}
 	if err := j.handler.o.Fleet.mayBeSent(l.Upstream()); err != nil {
 		return result{status: notUsable, err: err}
 	}
--- a/internal/view/differences.go
+++ b/internal/view/differences.go
@@ -31,8 +31,9 @@
 }
 
 func (r *roster) stateOf(id string, u Upstream) state {
+	_, missing := r.missing[id]
 	switch {
-	case r.missing[id]:
+	case missing:
 		return lapsed
 	case u.Leaving:
 		return leaving
--- a/internal/view/roster.go
+++ b/internal/view/roster.go
@@ -2,201 +2,226 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
 
 // roster is the list of upstreams with what is missing from it for the time being.
 //
+// The source numbers all its changes by one revision. The list's version is the revision at
+// which its content last changed, as far as this instance can know: that of a change, or that
+// of the whole list that was read and found to differ. So of two lists with unlike content
+// one has the higher version, and whoever has the other takes it. The highest revision of
+// an entry wouldn't do: a list that loses an entry keeps it.
+//
 // Upstreams renew their entries at the source; while it is away, entries lapse
 // though their upstreams live. So an entry that vanishes around an outage is kept as
-// missing until the source has been back for a while.
+// missing until the source has been back for a while, and is handed to peers as such.
 type roster struct {
-	revision int64
+	version  int64
 	complete int64     // revision of the source up to which changes are known
 	asOf     time.Time // when the read was sent that showed the list to be current last
 	entries  map[string]Upstream
-	missing  map[string]bool
-	settles  time.Time // until then, what vanishes is missing and not gone
+	missing  map[string]time.Time // until when each may come back
+	settles  time.Time            // until then, what vanishes is missing and not gone
 }
 
 func newRoster() roster {
-	return roster{entries: map[string]Upstream{}, missing: map[string]bool{}}
+	return roster{entries: map[string]Upstream{}, missing: map[string]time.Time{}}
 }
 
 func (r *roster) settleBy(t time.Time) { r.settles = t }
 
-// replace takes a whole list that is complete up to a revision. Entries that changed
-// later stay as they are.
+// replace takes a whole list as the source had it at a revision. Entries that changed later
+// stay as they are. A list from before the last change that is known is of no use.
 func (r *roster) replace(now time.Time, list []Upstream, revision int64) {
-	listed := make(map[string]bool, len(list))
-	for _, u := range list {
-		listed[u.ID] = true
-		r.put(u)
+	if revision < r.version {
+		return
 	}
-	for id, u := range r.entries {
-		if !listed[id] && u.Revision <= revision {
-			r.vanish(now, id)
-		}
+	changed := r.putAll(list)
+	if r.vanishOthers(now, list, revision) {
+		changed = true
 	}
-	r.revision = max(r.revision, revision)
+	if changed {
+		r.version = revision
+	}
+	r.complete = max(r.complete, revision)
 }
 
-// apply takes changes in order. What is older than the list at hand changes nothing.
-func (r *roster) apply(now time.Time, changes []Change) {
+// apply takes changes in order, which are complete up to a revision. What is older than the
+// list at hand changes nothing.
+func (r *roster) apply(now time.Time, changes []Change, complete int64) {
 	for _, c := range changes {
-		u := c.Upstream
-		known, listed := r.entries[u.ID]
+		if r.applyOne(now, c) {
+			r.version = max(r.version, c.Upstream.Revision)
+		}
+	}
+	r.complete = max(r.complete, complete)
+}
+
+func (r *roster) applyOne(now time.Time, c Change) (changed bool) {
+	u := c.Upstream
+	known, listed := r.entries[u.ID]
+	switch {
+	case listed && u.Revision <= known.Revision:
+		return false
+	case !listed && u.Revision <= r.complete:
+		return false
+	case c.Gone:
+		return r.vanish(now, u.ID)
+	default:
+		return r.put(u)
+	}
+}
+
+// learn takes a peer's list if it is newer. What is missing from it for the time being is
+// missing here, too; what this instance has given up already isn't taken back.
+func (r *roster) learn(now time.Time, l List) {
+	if l.Version <= r.version {
+		return
+	}
+	first := r.version == 0
+	for _, u := range l.Upstreams {
+		left, lapsed := l.Missing[u.ID]
+		_, listed := r.entries[u.ID]
 		switch {
-		case listed && u.Revision < known.Revision:
-		case !listed && u.Revision <= r.revision:
-		case c.Gone:
-			r.vanish(now, u.ID)
-		default:
+		case !lapsed:
 			r.put(u)
+		case listed || first:
+			r.lapse(u, now.Add(left))
 		}
-		r.revision = max(r.revision, u.Revision)
 	}
+	r.vanishOthers(now, l.Upstreams, l.Version)
+	r.version = l.Version
+	r.complete = max(r.complete, l.Version)
+}
+
+func (r *roster) putAll(list []Upstream) (changed bool) {
+	for _, u := range list {
+		if r.put(u) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// put takes an entry unless a newer one is known, and tells whether anything but its
+// revision has changed.
+func (r *roster) put(u Upstream) (changed bool) {
+	known, listed := r.entries[u.ID]
+	if u.Revision < known.Revision {
+		return false
+	}
+	_, wasMissing := r.missing[u.ID]
+	r.entries[u.ID] = u
+	delete(r.missing, u.ID)
+	known.Revision = u.Revision
+	return !listed || wasMissing || known != u
 }
 
-func (r *roster) put(u Upstream) {
+// lapse takes an entry that is missing at a peer.
+func (r *roster) lapse(u Upstream, until time.Time) {
 	if u.Revision < r.entries[u.ID].Revision {
 		return
 	}
 	r.entries[u.ID] = u
-	delete(r.missing, u.ID)
+	if at, missing := r.missing[u.ID]; !missing || until.Before(at) {
+		r.missing[u.ID] = until
+	}
+}
+
+// vanishOthers lets what a whole list lacks vanish, unless it changed after the list's
+// revision.
+func (r *roster) vanishOthers(now time.Time, list []Upstream, revision int64) (changed bool) {
+	named := make(map[string]bool, len(list))
+	for _, u := range list {
+		named[u.ID] = true
+	}
+	for id, u := range r.entries {
+		if !named[id] && u.Revision <= revision && r.vanish(now, id) {
+			changed = true
+		}
+	}
+	return changed
 }
 
 // vanish removes an entry, or notes it as missing while the list settles. One that
 // said that it leaves has left.
-func (r *roster) vanish(now time.Time, id string) {
-	u, known := r.entries[id]
-	if !known {
-		return
+func (r *roster) vanish(now time.Time, id string) (changed bool) {
+	u, listed := r.entries[id]
+	if !listed {
+		return false
 	}
 	if now.Before(r.settles) && !u.Leaving {
-		r.missing[id] = true
-		return
+		_, already := r.missing[id]
+		if !already {
+			r.missing[id] = r.settles
+		}
+		return !already
 	}
 	delete(r.entries, id)
 	delete(r.missing, id)
+	return true
 }
 
-// settle gives up what is still missing once the time for it is over.
+// settle gives up what is missing for too long.
 func (r *roster) settle(now time.Time) (gone int) {
-	if now.Before(r.settles) {
-		return 0
-	}
-	gone = len(r.missing)
-	for id := range r.missing {
-		delete(r.entries, id)
+	for id, until := range r.missing {
+		if !now.Before(until) {
+			delete(r.entries, id)
+			delete(r.missing, id)
+			gone++
+		}
 	}
-	clear(r.missing)
 	return gone
 }
 
-func (r *roster) list() []Upstream {
-	out := make([]Upstream, 0, len(r.entries))
-	for _, u := range r.entries {
-		out = append(out, u)
+// giveUpMissing gives up what would settle at a time or later, and stops settling then.
+func (r *roster) giveUpMissing(from time.Time) {
+	for id, until := range r.missing {
+		if !until.Before(from) {
+			delete(r.entries, id)
+			delete(r.missing, id)
+		}
 	}
-	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
-// prove notes that the source was at a revision when a read was sent at asOf.
-func (r *roster) prove(revision int64, asOf time.Time) {
-	if revision <= r.complete && asOf.After(r.asOf) {
-		r.asOf = asOf
+	if !r.settles.Before(from) {
+		r.settles = time.Time{}
 	}
 }
 
-// Upstreams implements Sink: it takes the whole list. Its revision is that of the
-// newest entry.
-func (v *View) Upstreams(list []Upstream, complete int64, asOf time.Time) {
-	revision := v.ListRevision()
-	for _, u := range list {
-		revision = max(revision, u.Revision)
+// nextSettle returns when the next missing upstream is to be given up, if there is one.
+func (r *roster) nextSettle() (time.Time, bool) {
+	if len(r.missing) == 0 {
+		return time.Time{}, false
 	}
-	v.change("source", func(r *roster, now time.Time) {
-		r.replace(now, list, revision)
-		r.complete = max(r.complete, complete)
-		r.prove(complete, asOf)
-	})
+	return slices.MinFunc(slices.Collect(maps.Values(r.missing)), time.Time.Compare), true
 }
 
-// Changes implements Sink.
-func (v *View) Changes(changes []Change, complete int64, asOf time.Time) {
-	if len(changes) == 0 {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		v.upstreams.complete = max(v.upstreams.complete, complete)
-		return
+// prove notes that the source was at a revision when a read was sent at asOf.
+func (r *roster) prove(revision int64, asOf time.Time) {
+	if revision <= r.complete && asOf.After(r.asOf) {
+		r.asOf = asOf
 	}
-	v.change("source", func(r *roster, now time.Time) {
-		r.apply(now, changes)
-		r.complete = max(r.complete, complete)
-		r.prove(complete, asOf)
-	})
 }
 
-// Current implements Sink.
-func (v *View) Current(revision int64, asOf time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.upstreams.prove(revision, asOf)
-}
-
-// LearnUpstreams takes a peer's list if it is newer than the one at hand.
-func (v *View) LearnUpstreams(list []Upstream, revision int64, peer string) {
-	if revision <= v.ListRevision() {
-		return
-	}
-	v.change("peer "+peer, func(r *roster, now time.Time) {
-		if revision > r.revision {
-			r.replace(now, list, revision)
+// handOver returns the list as a peer gets it.
+func (r *roster) handOver(now time.Time) List {
+	l := List{Version: r.version, AsOf: r.asOf, Upstreams: r.list()}
+	for id, until := range r.missing {
+		if l.Missing == nil {
+			l.Missing = map[string]time.Duration{}
 		}
-	})
-}
-
-// settle is called when the time for missing upstreams to come back is over.
-func (v *View) settle() {
-	v.change("settled", func(r *roster, now time.Time) { r.settle(now) })
-}
-
-func (v *View) change(from string, f func(*roster, time.Time)) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	r := &v.upstreams
-	before := r.states()
-	f(r, time.Now())
-	list := r.list()
-	v.o.Log.Info().Str("event", "upstreams").Int64("revision", r.revision).Int64("complete", r.complete).
-		Dur("age", r.age()).Int("count", len(list)).Int("missing", len(r.missing)).
-		Str("changed", differences(before, r.states())).Str("from", from).Msg("")
-	if v.o.OnUpstreams != nil {
-		v.o.OnUpstreams(List{Version: r.revision, Upstreams: list})
+		l.Missing[id] = max(until.Sub(now), 0)
 	}
+	return l
 }
 
-// List returns the list for a peer.
-func (v *View) List() List {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return List{Version: v.upstreams.revision, Upstreams: v.upstreams.list()}
-}
-
-// ListAge returns how long ago the read was sent that showed the list to be current last; 0
-// while there is no list.
-func (v *View) ListAge() time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.upstreams.age()
-}
-
-// ListRevision returns the revision of the list, 0 while there is none.
-func (v *View) ListRevision() int64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.upstreams.revision
+func (r *roster) list() []Upstream {
+	out := make([]Upstream, 0, len(r.entries))
+	for _, u := range r.entries {
+		out = append(out, u)
+	}
+	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return out
 }
--- /dev/null
+++ b/internal/view/upstreams.go
@@ -0,0 +1,113 @@
+package view
+
+import "time"
+
+// Upstreams implements Sink: it takes the whole list.
+func (v *View) Upstreams(list []Upstream, revision int64, asOf time.Time) {
+	v.change("source", func(r *roster, now time.Time) {
+		r.replace(now, list, revision)
+		r.prove(revision, asOf)
+	})
+}
+
+// Changes implements Sink.
+func (v *View) Changes(changes []Change, complete int64, asOf time.Time) {
+	v.change("source", func(r *roster, now time.Time) {
+		r.apply(now, changes, complete)
+		r.prove(complete, asOf)
+	})
+}
+
+// Current implements Sink.
+func (v *View) Current(revision int64, asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.upstreams.prove(revision, asOf)
+}
+
+// LearnUpstreams takes a peer's list if it is newer than the one at hand. One of the same
+// version proves that the one at hand is as current as the peer's; it needs no upstreams.
+func (v *View) LearnUpstreams(l List, peer string) {
+	if l.Version < v.ListVersion() || l.Version == 0 {
+		return
+	}
+	v.change("peer "+peer, func(r *roster, now time.Time) {
+		r.learn(now, l)
+		if l.Version == r.version {
+			r.prove(r.complete, l.AsOf)
+		}
+	})
+}
+
+// SourceWasThere takes a peer's word that the source was there all the time for so long. What
+// is missing after an outage within it didn't lapse, but has left: an instance whose own
+// connections failed would otherwise go on using it until it has settled.
+func (v *View) SourceWasThere(steady time.Duration, peer string) {
+	v.mu.Lock()
+	settles := v.upstreams.settles.After(time.Now()) || len(v.upstreams.missing) > 0
+	v.mu.Unlock()
+	if !settles {
+		return
+	}
+	v.change("steady peer "+peer, func(r *roster, now time.Time) {
+		r.giveUpMissing(now.Add(v.o.Settle + v.o.Lapse - steady))
+	})
+}
+
+// settle gives up what is missing for too long.
+func (v *View) settle() {
+	v.change("settled", func(r *roster, now time.Time) { r.settle(now) })
+}
+
+// change changes the list. Who uses it is told, and the log, if anything has.
+func (v *View) change(from string, f func(*roster, time.Time)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := &v.upstreams
+	before, version := r.states(), r.version
+	f(r, time.Now())
+	if next, some := r.nextSettle(); some {
+		v.settleAt(next)
+	}
+	changed := differences(before, r.states())
+	if changed == "" && version == r.version {
+		return
+	}
+	v.o.Log.Info().Str("event", "upstreams").Int64("version", r.version).Int64("complete", r.complete).
+		Dur("age", r.age()).Int("count", len(r.entries)).Int("missing", len(r.missing)).
+		Str("changed", changed).Str("from", from).Msg("")
+	if v.o.OnUpstreams != nil {
+		v.o.OnUpstreams(r.handOver(time.Now()))
+	}
+}
+
+// settleAt lets settle be called at a time. The caller holds the lock.
+func (v *View) settleAt(t time.Time) {
+	if v.settling == nil {
+		v.settling = time.AfterFunc(time.Until(t), v.settle)
+		return
+	}
+	v.settling.Reset(time.Until(t))
+}
+
+// List returns the list for a peer.
+func (v *View) List() List {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.upstreams.handOver(time.Now())
+}
+
+// ListVersion returns the version of the list, 0 while there is none.
+func (v *View) ListVersion() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.upstreams.version
+}
+
+// ListAge returns how long ago the read was sent that showed the list to be current last;
+// known is false while there is no list.
+func (v *View) ListAge() (age time.Duration, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.upstreams.age(), v.upstreams.version > 0
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -67,9 +67,15 @@
 
 // List is the list of upstreams.
 type List struct {
-	// Version of the list; higher is newer. 0 is none.
-	Version   int64
+	// Version is the source's revision at which the content last changed. Of two lists with
+	// unlike content one has the higher version; 0 is none.
+	Version int64
+	// AsOf is when the read was sent that showed the list to be current last.
+	AsOf      time.Time
 	Upstreams []Upstream
+	// Missing are those of them that lapsed around an outage of the source, by ID, with the
+	// time in which they may still come back.
+	Missing map[string]time.Duration
 }
 
 // Change is one change of the list.
@@ -109,7 +115,9 @@
 	configuration Configuration
 	table         *routing.Table
 	asOf          time.Time
+	steadySince   time.Time // no gap between two proofs since was as long as Lapse
 	upstreams     roster
+	settling      *time.Timer // nil until an upstream was missing
 	reachable     bool
 	everReached   bool
 }
@@ -211,8 +219,8 @@
 		v.o.Metrics.Count("tacktally_config_older_total")
 		v.o.Log.Warn().Str("event", "config_older").Int64("revision", c.Revision).
 			Int64("in_force", v.configuration.Revision).Str("from", from).Msg("")
-	case asOf.After(v.asOf):
-		v.asOf = asOf
+	default:
+		v.prove(asOf)
 	}
 	return true
 }
@@ -233,12 +241,33 @@
 	}
 	v.configuration = c
 	v.table = table
-	if asOf.After(v.asOf) {
-		v.asOf = asOf // or what was proved of the older one holds of this one too
-	}
+	v.prove(asOf) // or what was proved of the older one holds of this one too
 	return true
 }
 
+// prove notes when the read was sent that proved the configuration. The caller holds the
+// lock.
+func (v *View) prove(asOf time.Time) {
+	if !asOf.After(v.asOf) {
+		return
+	}
+	if asOf.Sub(v.asOf) >= v.o.Lapse {
+		v.steadySince = asOf
+	}
+	v.asOf = asOf
+}
+
+// SteadyFor returns for how long the configuration was proved all the time, without a gap in
+// which entries may lapse; 0 within such a gap.
+func (v *View) SteadyFor() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table == nil || v.wasAway() {
+		return 0
+	}
+	return time.Since(v.steadySince)
+}
+
 // Reached implements Sink.
 func (v *View) Reached() {
 	v.mu.Lock()
@@ -248,7 +277,6 @@
 	v.everReached = true
 	if back && !first && v.wasAway() {
 		v.upstreams.settleBy(time.Now().Add(v.o.Settle))
-		time.AfterFunc(v.o.Settle, v.settle)
 	}
 	v.mu.Unlock()
 	if back {
@@ -258,7 +286,8 @@
 
 // wasAway tells whether the source was away for all, so that entries may have lapsed:
 // not even a peer could prove the configuration. Otherwise only this instance didn't
-// reach it, and what is missing is gone. The caller holds the lock.
+// reach it, and what is missing is gone. Where peers didn't tell of their proofs yet, it
+// may be wrong; see SourceWasThere. The caller holds the lock.
 func (v *View) wasAway() bool {
 	return v.table != nil && time.Since(v.asOf) >= v.o.Lapse
 }
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -147,6 +147,51 @@
 	})
 }
 
+// An instance alone found the source away, since its connections had gone silent, and keeps
+// what it misses as after an outage for all. A peer that reached the source all the time says
+// so: what is missing has left. One that reached it for a shorter time can't know.
+func TestAPeerThatReachedTheSourceEndsTheWaitForWhatIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var list []Upstream
+		v := newView(func(l List) { list = l.Upstreams })
+		v.Reached()
+		v.Configuration(7, []byte("seven"), time.Now())
+		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
+		v.Unreachable("list", errors.New("silent"))
+		<-time.After(3 * time.Second)
+		v.Reached()
+		v.Upstreams([]Upstream{{ID: "a", Revision: 1}}, 4, time.Now())
+		is.Equal(ids(list), []string{"a", "b"})
+		v.SourceWasThere(time.Second, "p")
+		is.Equal(ids(list), []string{"a", "b"})
+		v.SourceWasThere(2*time.Second, "p")
+		is.Equal(ids(list), []string{"a"})
+		v.Changes([]Change{{Gone: true, Upstream: Upstream{ID: "a", Revision: 5}}}, 5, time.Now())
+		is.Equal(len(list), 0) // it doesn't settle any more
+	})
+}
+
+// Time counts as steady while proofs come without a gap in which entries may lapse.
+func TestForHowLongTheSourceWasReachedAllTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := newView(nil)
+		proveFor := func(span time.Duration) {
+			for end := time.Now().Add(span); time.Now().Before(end); <-time.After(time.Second) {
+				v.Configuration(7, []byte("seven"), time.Now())
+			}
+		}
+		is.Equal(v.SteadyFor(), time.Duration(0))
+		proveFor(5 * time.Second)
+		is.Equal(v.SteadyFor(), 5*time.Second)
+		<-time.After(1500 * time.Millisecond)
+		is.Equal(v.SteadyFor(), time.Duration(0)) // no proof for 2.5 s
+		proveFor(3 * time.Second)
+		is.Equal(v.SteadyFor(), 3*time.Second)
+	})
+}
+
 func TestEntriesThatVanishWhileTheSourceAnswersAreGone(t *testing.T) {
 	is := is.New(t)
 	var list []Upstream
@@ -168,7 +213,9 @@
 		v.Current(2, time.Now())
 		v.Current(3, time.Now().Add(time.Second)) // the list may lack what came at 3
 		<-time.After(time.Second)
-		is.Equal(v.ListAge(), time.Second)
+		age, known := v.ListAge()
+		is.True(known)
+		is.Equal(age, time.Second)
 		v.Changes([]Change{
 			{Upstream: Upstream{ID: "a", Revision: 3, Leaving: true}}, {Upstream: Upstream{ID: "c", Revision: 4}}, {Gone: true, Upstream: Upstream{ID: "b", Revision: 5}},
 		}, 5, time.Now())
@@ -191,8 +238,7 @@
 
 // handOver gives one instance's list to another, as when it asks for it.
 func handOver(from, to *View) {
-	l := from.List()
-	to.LearnUpstreams(l.Upstreams, l.Version, "p")
+	to.LearnUpstreams(from.List(), "p")
 }
 
 // Upstreams that had left went on getting requests from instances that learn the list from
@@ -261,13 +307,13 @@
 	var list []Upstream
 	v := newView(func(l List) { list = l.Upstreams })
 	v.Reached()
-	v.LearnUpstreams([]Upstream{{ID: "a", Revision: 5, Leaving: true}}, 8, "p")
+	v.LearnUpstreams(List{Version: 8, Upstreams: []Upstream{{ID: "a", Revision: 5, Leaving: true}}}, "p")
 	v.Changes([]Change{
 		{Upstream: Upstream{ID: "a", Revision: 4}},
 		{Upstream: Upstream{ID: "b", Revision: 6}}, // gone by 8
 	}, 6, time.Now())
 	is.Equal(ids(list), []string{"a"})
 	is.True(list[0].Leaving)
-	v.LearnUpstreams(nil, 7, "p") // an older list
+	v.LearnUpstreams(List{Version: 7}, "p") // an older list
 	is.Equal(ids(list), []string{"a"})
 }
