Reset what is given up, and look at the list again right before the first byte

Between the look at the list and the first byte lay the making of a connection (0.3 s at most). And a request that was given up was left to the kernel, which repeats what a path has lost, up to 2 s later. Change: an exchange asks whether its request may be sent once the connection is there; one that breaks off ends its connection with a reset, so that nothing of it arrives any more. Tests: exchange.TestWhatIsGivenUpIsReset (red before), TestARequestThatMayNotBeSentAnyMoreIsNotWritten, proxy.TestAnUpstreamThatLeavesBeforeTheFirstByteGetsNothing. That late arrivals of this kind were part of the incident is suspected, not shown.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -55,6 +55,9 @@
 	Body   []byte
 	// Answers tells whether a head answers this request; nil takes any.
 	Answers func(http.Header) bool
+	// MaySend is asked once a connection is there, right before the first byte is written: an
+	// error of it means that nothing is sent. Nil always may.
+	MaySend func() error
 }
 
 // Answer is the head of an answer, with the body to be read.
@@ -89,11 +92,14 @@
 // and nothing else came; otherwise it is closed, which tells the upstream to stop.
 func (a *Answer) Close() {
 	detached := a.stop()
-	if a.ended && detached && a.conn.reusable(a.response) {
+	switch {
+	case !a.ended || !detached:
+		a.conn.abort()
+	case a.conn.reusable(a.response):
 		a.conn.keep(a.Header)
-		return
+	default:
+		a.conn.close()
 	}
-	a.conn.close()
 }
 
 // conn is one connection to an upstream.
@@ -112,13 +118,29 @@
 	c.pool.closed()
 }
 
+// abort closes the connection with a reset, so that the kernel discards what hasn't arrived.
+// Otherwise a request that a path has held up would reach its upstream, which may have left
+// meanwhile, after it was given up.
+func (c *conn) abort() {
+	if t, ok := c.net.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // one that is gone already needs none
+	}
+	c.close()
+}
+
 // do writes the request and reads the head of its answer.
 func (c *conn) do(ctx context.Context, r *Request) (*Answer, error) {
+	if r.MaySend != nil {
+		if err := r.MaySend(); err != nil {
+			c.close()
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
 	response, err := c.roundTrip(r)
 	if err != nil {
 		stop()
-		c.close()
+		c.abort()
 		return nil, err
 	}
 	return &Answer{
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -297,6 +297,29 @@
 	}
 }
 
+// Whether a request may be sent is asked when there is a connection, which may take its time,
+// and nothing is written if it may not.
+func TestARequestThatMayNotBeSentAnyMoreIsNotWritten(t *testing.T) {
+	is := is.New(t)
+	connected, ended := make(chan struct{}), make(chan error, 1)
+	p := newPool(server(t, func(_ net.Conn, r *bufio.Reader, _ int) {
+		close(connected)
+		_, err := r.ReadByte()
+		ended <- err
+	}))
+	left := errors.New("it has left")
+	r := get("1")
+	r.MaySend = func() error {
+		<-connected
+		return left
+	}
+	_, err := p.Do(context.Background(), r)
+	is.True(errors.Is(err, ErrNotSent))
+	is.True(errors.Is(err, left))
+	is.Equal(<-ended, io.EOF)
+	is.Equal(p.Open(), 0)
+}
+
 func TestIdleConnectionsThatTheUpstreamClosedAreNotUsed(t *testing.T) {
 	is := is.New(t)
 	closed := make(chan struct{})
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -264,6 +264,8 @@
 func statusOf(ctx context.Context, err error) (status, error) {
 	cause := context.Cause(ctx)
 	switch {
+	case errors.Is(err, errNotUsable):
+		return notUsable, err
 	case errors.Is(err, exchange.ErrNotSent):
 		return notSent, err
 	case errors.Is(cause, errSilent):
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -403,6 +404,36 @@
 	is.True(strings.Contains(string(whole), "Connection: close"))
 }
 
+// meanwhile is a protocol whose Prepare, which comes before a connection is made, does
+// something else, too.
+type meanwhile struct {
+	plain
+	do func()
+}
+
+func (m meanwhile) Prepare(h http.Header, s Sending) {
+	m.plain.Prepare(h, s)
+	m.do()
+}
+
+// An upstream leaves after a request was checked and before a connection to it is there. The
+// request is sent elsewhere, and its only attempt isn't used up.
+func TestAnUpstreamThatLeavesBeforeTheFirstByteGetsNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.publish(0)
+	r.upstream("a", says("ok"))
+	r.upstream("b", says("ok"))
+	leave := sync.OnceFunc(func() {
+		r.upstreams[0].Leaving = true
+		r.upstreams[0].Revision = 9
+		r.list()
+	})
+	r.handler.o.Protocol = meanwhile{do: leave}
+	is.Equal(r.get("once").status, 200)
+	is.Equal(r.arrived(), "b")
+}
+
 func TestALeavingUpstreamGetsNothingNew(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -68,7 +68,7 @@
 	answer, err := connections.Do(ctx, j.exchangeRequest(l, left))
 	if err != nil {
 		status, err := statusOf(ctx, err)
-		if status == notSent {
+		if status == notSent || status == notUsable {
 			j.attempts--
 		} else {
 			j.mayHaveRun = true
@@ -100,6 +100,7 @@
 		Header:  header,
 		Body:    j.body,
 		Answers: func(h http.Header) bool { return p.Answers(h, j.call.ID) },
+		MaySend: func() error { return j.handler.o.Fleet.mayBeSent(l.Upstream()) },
 	}
 }
 
--- a/internal/proxy/slots.go
+++ b/internal/proxy/slots.go
@@ -217,8 +217,11 @@
 	return shards[index%len(shards)]
 }
 
+// errNotUsable: an upstream that was granted may not be sent to, by this instance's list.
+var errNotUsable = errors.New("the upstream may not be sent to")
+
 // errNotListed: the upstream of a grant isn't on this instance's list.
-var errNotListed = errors.New("the upstream isn't on the list")
+var errNotListed = fmt.Errorf("%w: it isn't on the list", errNotUsable)
 
 // mayBeSent tells whether an upstream that was granted may be sent to, by this instance's
 // own list: the one that granted it may know less.
@@ -230,7 +233,7 @@
 	case !listed:
 		return errNotListed
 	case leaving:
-		return fmt.Errorf("upstream %s is leaving", id)
+		return fmt.Errorf("%w: %s is leaving", errNotUsable, id)
 	default:
 		return nil
 	}
