Give a silent watch of the own interface up within 4 s

Change: a watch waits for 3 s by default (30 s), and a second more (5 s); its connections have the kernel's keepalive, as all others. Test: platform.TestByDefaultASilentWatchIsGivenUpInTime, red before.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/dghubble/sling"
 	"github.com/go-json-experiment/json"
 
+	"github.com/tacktally/tacktally/internal/keepalive"
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
@@ -31,8 +33,11 @@
 
 const (
 	maxValueBytes = 1 << 20
-	// watchSlack is what a watch may take beyond its waiting time.
-	watchSlack = 5 * time.Second
+	// watchSlack is what a watch may take beyond its waiting time. A connection that went silent
+	// without a reset is noticed by that alone.
+	watchSlack = time.Second
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = time.Second
 	// firstBackoff and maxBackoff bound the pause after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 5 * time.Second
@@ -80,11 +85,11 @@
 
 // NewClient returns a client. Wait is how long one watch call waits.
 func NewClient(base string, wait time.Duration) *Client {
-	return &Client{
-		base: base,
-		wait: wait,
-		http: &http.Client{Timeout: wait + watchSlack, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive.Config(), Control: keepalive.Control}).DialContext,
+		MaxIdleConnsPerHost: 4,
 	}
+	return &Client{base: base, wait: wait, http: &http.Client{Timeout: wait + watchSlack, Transport: transport}}
 }
 
 // Close closes idle connections.
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -14,7 +14,7 @@
 	s.Peers.provision()
 	p := &s.Platform
 	p.ConfigKey = cmp.Or(p.ConfigKey, "tacktally")
-	p.Wait = cmp.Or(p.Wait, Duration(30*time.Second))
+	p.Wait = cmp.Or(p.Wait, Duration(3*time.Second))
 	p.MaxListAge = cmp.Or(p.MaxListAge, Duration(3*time.Second))
 	i := &s.Idempotency
 	i.KeyLifetime = cmp.Or(i.KeyLifetime, Duration(10*time.Minute))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,7 +120,8 @@
 	URL string `json:"url"`
 	// ConfigKey names the value with the document. Default "tacktally".
 	ConfigKey string `json:"configKey,omitzero"`
-	// Wait is how long one watch call waits. Default 30s.
+	// Wait is how long one watch call waits. One that went silent is noticed a second later;
+	// 570 instances with two watches make 380 calls a second. Default 3s.
 	Wait Duration `json:"wait,omitzero"`
 	// MaxListAge is the age past which a paused instance refreshes the instance
 	// list before it uses it. Default 3s.
