--- a/internal/entry/reading.go
+++ b/internal/entry/reading.go
@@ -19,7 +19,8 @@
 	// askShare is the part of the lease past which an instance that doesn't read asks
 	// a reader for a younger proof of the configuration, and askListShare the part of the time
 	// within which upstreams that leave must get nothing new past which it does so for the
-	// list. What peers announce comes sooner; this is for links that bring nothing any more.
+	// list: a reader's own proof is up to a half of that time old. What peers announce comes
+	// sooner; this is for links that bring nothing any more.
 	askShare     = 0.3
 	askListShare = 0.5
 	// alarmShare and alarmListShare are the parts past which it asks all peers, and reads
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -116,9 +116,7 @@
 		v.Reached()
 		v.Configuration(7, []byte("seven"), time.Now())
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "c", Revision: 3, Leaving: true}}, 3, time.Now())
-		v.Unreachable("list", errors.New("down"))
-		<-time.After(3 * time.Second) // and nobody else reached it either
-		v.Reached()
+		outage(v) // and nobody else reached it either
 		v.Upstreams(nil, 6, time.Now())
 		is.Equal(ids(list), []string{"a", "b"}) // c said that it leaves
 		v.Changes([]Change{{Upstream: Upstream{ID: "a", Revision: 9}}}, 9, time.Now())
@@ -158,9 +156,7 @@
 		v.Reached()
 		v.Configuration(7, []byte("seven"), time.Now())
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
-		v.Unreachable("list", errors.New("silent"))
-		<-time.After(3 * time.Second)
-		v.Reached()
+		outage(v)
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}}, 4, time.Now())
 		is.Equal(ids(list), []string{"a", "b"})
 		v.SourceWasThere(time.Second, "p")
@@ -236,6 +232,13 @@
 	is.True(strings.HasSuffix(differences(nil, after), ", 3 more"))
 }
 
+// outage lets the source be away for long enough for entries to lapse.
+func outage(v *View) {
+	v.Unreachable("list", errors.New("down"))
+	<-time.After(3 * time.Second)
+	v.Reached()
+}
+
 // handOver gives one instance's list to another, as when it asks for it.
 func handOver(from, to *View) {
 	to.LearnUpstreams(from.List(), "p")
@@ -246,11 +249,6 @@
 // over with what was missing from it as if it were there. Each case ends with what both must
 // list after the peer has asked again.
 func TestAPeerLearnsEveryContentOfAList(t *testing.T) {
-	outage := func(v *View) {
-		v.Unreachable("list", errors.New("down"))
-		<-time.After(3 * time.Second)
-		v.Reached()
-	}
 	for name, c := range map[string]struct {
 		play func(reads, learns *View)
 		want []string
