Test that a lease is of use until its upstream leaves

Cause: the look at the list right before the first byte had tests beside fleet only. Change: a test of fleet.MayBeSent and of the list that a lease names.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -367,3 +368,19 @@
 	f.SetInstances([]Instance{{Address: "10.0.0.1:1", InReach: true, MayOwn: true}, other})
 	is.Equal(avoided(), 0)
 }
+
+// A lease says by which list it was granted, and is of use until its upstream leaves or is gone.
+func TestALeaseIsOfUseUntilItsUpstreamLeaves(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf("10.0.0.0:1", instances(1))
+	l, problem := f.Acquire(t.Context(), generation())
+	is.True(problem == nil)
+	is.Equal(l.ListVersion(), int64(1))
+	is.NoErr(f.MayBeSent(l.Upstream()))
+	list := view.List{Version: 2, Upstreams: []view.Upstream{{ID: l.Upstream(), Service: "s", Address: "127.0.0.1:1", Slots: 9, Leaving: true}}}
+	f.SetUpstreams(list)
+	is.True(errors.Is(f.MayBeSent(l.Upstream()), ErrNotUsable))
+	f.SetUpstreams(view.List{Version: 3})
+	is.True(errors.Is(f.MayBeSent(l.Upstream()), ErrNotUsable))
+	l.End(scheduler.Cancelled, 0)
+}
