End connections whose bytes stay unacknowledged after 1.5 s

Cause: a path that loses packets holds a request up until the kernel gives the connection up, 2 s after it was written: with the time until a leaving is known that is over the 2 s within which an upstream that leaves must get nothing new. Change: 1.5 s on dialled connections. Three retransmissions in a row still fit (0.2, 0.6 and 1.4 s), so no more connections end on links that lose some packets. Test: keepalive.TestBothSidesOfAConnectionAreBounded, tightened.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -19,8 +19,10 @@
 	probes = 2
 	// unacknowledged is how long bytes sent on a dialled connection may stay without an
 	// acknowledgement. Three retransmissions that get lost in a row, as one in 30,000 does
-	// on a link that loses 3% of its packets, take 1.4 s.
-	unacknowledged = 2 * time.Second
+	// on a link that loses 3% of its packets, take 1.4 s. It also bounds how late a request
+	// that a path holds up may still arrive, which is to be less than the 2 s within which an
+	// upstream that leaves must get nothing new.
+	unacknowledged = 1500 * time.Millisecond
 	// unread is the same for accepted connections. The kernel counts it also while the
 	// other side lives and doesn't read, so it bounds how long a caller may pause within a
 	// large answer.
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -35,7 +35,7 @@
 // the kernel is told of the bounds, on both sides, is what can be shown here.
 func TestBothSidesOfAConnectionAreBounded(t *testing.T) {
 	is := is.New(t)
-	want := map[string]int{"keepalive": 1, "idle": 1, "interval": 1, "probes": 2, "unacknowledged": 2000}
+	want := map[string]int{"keepalive": 1, "idle": 1, "interval": 1, "probes": 2, "unacknowledged": 1500}
 	plain, err := (&net.ListenConfig{KeepAliveConfig: Config()}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	l := Listener(plain)
