--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -41,6 +41,14 @@
 	})
 }
 
+// inTouch returns a view that has reached its source and has a configuration.
+func inTouch(onUpstreams func(List)) *View {
+	v := newView(onUpstreams)
+	v.Reached()
+	v.Configuration(7, []byte("seven"), time.Now())
+	return v
+}
+
 func inForce(v *View) string {
 	table, _ := v.Table()
 	if table == nil {
@@ -112,9 +120,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := newView(func(l List) { list = l.Upstreams })
-		v.Reached()
-		v.Configuration(7, []byte("seven"), time.Now())
+		v := inTouch(func(l List) { list = l.Upstreams })
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "c", Revision: 3, Leaving: true}}, 3, time.Now())
 		outage(v) // and nobody else reached it either
 		v.Upstreams(nil, 6, time.Now())
@@ -132,9 +138,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := newView(func(l List) { list = l.Upstreams })
-		v.Reached()
-		v.Configuration(7, []byte("seven"), time.Now())
+		v := inTouch(func(l List) { list = l.Upstreams })
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
 		v.Unreachable("list", errors.New("turned away"))
 		<-time.After(9 * time.Second)
@@ -152,9 +156,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := newView(func(l List) { list = l.Upstreams })
-		v.Reached()
-		v.Configuration(7, []byte("seven"), time.Now())
+		v := inTouch(func(l List) { list = l.Upstreams })
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
 		outage(v)
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}}, 4, time.Now())
@@ -285,11 +287,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				reads, learns := newView(nil), newView(nil)
-				for _, v := range []*View{reads, learns} {
-					v.Reached()
-					v.Configuration(7, []byte("seven"), time.Now())
-				}
+				reads, learns := inTouch(nil), inTouch(nil)
 				c.play(reads, learns)
 				handOver(reads, learns)
 				synctest.Wait()
