Wait until the server has noted a connection as idle, in a test that hung

Cause: a caller has its answer before the server notes that the connection is idle, so that of two answered connections the second may be noted first; the test expected the first to be idle for longest, and waited for the wrong one to end. Change: the test waits for the note of the first before it asks on the second. The assertions are unchanged. Conclusion: a fault of the test alone.

--- a/internal/listen/callers_test.go
+++ b/internal/listen/callers_test.go
@@ -19,18 +19,25 @@
 	refused atomic.Int32
 	begun   chan struct{}
 	release chan struct{}
+	idle    chan struct{} // received from when the server has noted that a connection is idle
 }
 
 func serve(t *testing.T, most int) *bounded {
 	t.Helper()
-	b := &bounded{t: t, begun: make(chan struct{}, 9), release: make(chan struct{})}
+	b := &bounded{t: t, begun: make(chan struct{}, 9), release: make(chan struct{}), idle: make(chan struct{}, 9)}
 	l, err := TCP("test", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	b.address = l.Addr().String()
 	callers := NewCallers(l, most, func() { b.refused.Add(1) })
-	s := &http.Server{ConnState: callers.State, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	state := func(conn net.Conn, now http.ConnState) {
+		callers.State(conn, now)
+		if now == http.StateIdle {
+			b.idle <- struct{}{}
+		}
+	}
+	s := &http.Server{ConnState: state, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/hold" {
 			b.begun <- struct{}{}
 			<-b.release
@@ -75,6 +82,7 @@
 	for _, c := range []*caller{first, second} {
 		is.NoErr(c.ask("/"))
 		is.True(c.answered())
+		<-b.idle // an answer comes before the server notes that its connection is idle
 	}
 	third := b.dial()
 	is.NoErr(third.ask("/"))
