--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -27,6 +27,8 @@
 	Address string
 	// Zone is its availability zone.
 	Zone string
+	// Born tells its processes apart, where it is known.
+	Born int64
 	// Speed and Window are learned.
 	Speed  estimate.Speed
 	Window estimate.Window
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -61,8 +61,8 @@
 
 	mu          sync.Mutex
 	services    map[string]*service
-	connections map[string]*exchange.Pool // by upstream ID
-	instances   []Instance                // this one included, by address
+	connections map[string]connections // by upstream ID
+	instances   []Instance             // this one included, by address
 	list        view.List
 	leaving     map[string]bool // by upstream ID
 	slots       Slots           // nil until there are peers
@@ -105,7 +105,7 @@
 	return &Fleet{
 		o:           o,
 		services:    map[string]*service{},
-		connections: map[string]*exchange.Pool{},
+		connections: map[string]connections{},
 		instances:   []Instance{{Address: o.Instance, Cores: o.Cores, InReach: true, MayOwn: true, Settled: true}},
 	}
 }
@@ -207,7 +207,7 @@
 func (f *Fleet) share() []*shard {
 	members := map[string][]scheduler.Member{}
 	for _, u := range f.list.Upstreams {
-		m := scheduler.Member{ID: u.ID, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Leaving: u.Leaving}
+		m := scheduler.Member{ID: u.ID, Address: u.Address, Zone: u.Zone, Slots: u.Slots, Leaving: u.Leaving, Born: u.Born}
 		members[u.Service] = append(members[u.Service], m)
 	}
 	for name := range members {
@@ -242,25 +242,40 @@
 	}
 }
 
-// connect keeps a pool of connections for each upstream of the list. The caller holds
-// the lock.
+// connect keeps a pool of connections for each upstream of the list. One that has started
+// again, or elsewhere, gets a new one. The caller holds the lock.
 func (f *Fleet) connect(list []view.Upstream) {
 	gone := maps.Clone(f.connections)
 	for _, u := range list {
-		delete(gone, u.ID)
-		if f.connections[u.ID] == nil {
-			f.connections[u.ID] = exchange.NewPool(exchange.Options{
-				Address:        u.Address,
-				Local:          f.o.Local,
-				ConnectTimeout: f.o.ConnectTimeout,
-				Opened:         func() { f.o.Metrics.Count("tacktally_upstream_connections_total") },
-			})
+		if c := gone[u.ID]; c.address == u.Address && c.born == u.Born {
+			delete(gone, u.ID)
 		}
 	}
-	for id, p := range gone {
-		p.Close()
+	for id, c := range gone {
+		c.pool.Close()
 		delete(f.connections, id)
 	}
+	for _, u := range list {
+		if _, connected := f.connections[u.ID]; !connected {
+			f.connections[u.ID] = f.newConnections(u)
+		}
+	}
+}
+
+// connections are those to one process of an upstream.
+type connections struct {
+	address string
+	born    int64
+	pool    *exchange.Pool
+}
+
+func (f *Fleet) newConnections(u view.Upstream) connections {
+	return connections{address: u.Address, born: u.Born, pool: exchange.NewPool(exchange.Options{
+		Address:        u.Address,
+		Local:          f.o.Local,
+		ConnectTimeout: f.o.ConnectTimeout,
+		Opened:         func() { f.o.Metrics.Count("tacktally_upstream_connections_total") },
+	})}
 }
 
 // Repeats returns the budget out of which requests to a service are sent again.
@@ -302,7 +317,7 @@
 func (f *Fleet) ConnectionsTo(id string) *exchange.Pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.connections[id]
+	return f.connections[id].pool
 }
 
 // SetOthers takes what another instance has told of its load; the zero Load forgets
@@ -379,8 +394,8 @@
 func (f *Fleet) CloseExpired(now time.Time) {
 	f.mu.Lock()
 	pools := make([]*exchange.Pool, 0, len(f.connections))
-	for _, p := range f.connections {
-		pools = append(pools, p)
+	for _, c := range f.connections {
+		pools = append(pools, c.pool)
 	}
 	f.mu.Unlock()
 	for _, p := range pools {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -133,12 +133,15 @@
 	// Slots is how many requests it runs at once for all instances; 0 is unknown.
 	Slots   int
 	Leaving bool
+	// Born tells its processes apart, where it is known.
+	Born int64
 }
 
 func (m Member) id() string { return cmp.Or(m.ID, m.Address) }
 
 // SetMembers replaces the list of upstreams. What was learned of those that stay
-// is kept. Those gone from the list get nothing new.
+// is kept. Those gone from the list get nothing new. One that has started again under its ID
+// is another upstream: what runs by grants of before doesn't run there any more.
 func (c *Core) SetMembers(members []Member) {
 	known := make(map[string]*balancer.Upstream, len(c.upstreams))
 	for _, u := range c.upstreams {
@@ -148,10 +151,11 @@
 	byID := make(map[string]*balancer.Upstream, len(members))
 	for _, m := range members {
 		u := known[m.id()]
-		if u == nil {
+		if u == nil || u.Born != m.Born {
 			u = newUpstream(m, c.options.MemoryBlocks)
+		} else {
+			delete(known, m.id())
 		}
-		delete(known, m.id())
 		u.Leaving = m.Leaving
 		u.Slots = m.Slots
 		next = append(next, u)
@@ -166,7 +170,7 @@
 }
 
 func newUpstream(m Member, blocks int) *balancer.Upstream {
-	u := &balancer.Upstream{ID: m.id(), Address: m.Address, Zone: m.Zone}
+	u := &balancer.Upstream{ID: m.id(), Address: m.Address, Zone: m.Zone, Born: m.Born}
 	u.Speed, u.Window = newEstimates()
 	if blocks > 0 {
 		u.Memory = prefix.NewMemory(blocks)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -63,6 +63,9 @@
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Revision of its entry; higher is newer.
 	Revision int64 `cbor:"7,keyasint"`
+	// Born tells its processes apart: one that starts again under its ID holds and knows
+	// nothing of what the one before did. 0 where it isn't told.
+	Born int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // List is the list of upstreams.
@@ -120,6 +123,7 @@
 	settling      *time.Timer // nil until an upstream was missing
 	reachable     bool
 	everReached   bool
+	malformed     map[string]bool // causes that were logged
 }
 
 // Configuration is a published configuration as it is handed to peers.
@@ -304,8 +308,29 @@
 	}
 }
 
-// Malformed implements Sink.
+// mostMalformed bounds the entries that make no sense of which it is remembered that the log
+// names them.
+const mostMalformed = 64
+
+// Malformed implements Sink. Each is logged once, however often it is read.
 func (v *View) Malformed(err error) {
 	v.o.Metrics.Count("tacktally_source_malformed_total")
+	if v.isLogged(err.Error()) {
+		return
+	}
 	v.o.Log.Error().Str("event", "entry_malformed").Str("cause", err.Error()).Msg("it is left out; mend what registers it")
 }
+
+// isLogged tells whether a malformed entry was logged before, and notes that it is.
+func (v *View) isLogged(cause string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.malformed[cause] {
+		return true
+	}
+	if v.malformed == nil || len(v.malformed) >= mostMalformed {
+		v.malformed = map[string]bool{}
+	}
+	v.malformed[cause] = true
+	return false
+}
