--- /dev/null
+++ b/internal/peer/sparse_test.go
@@ -0,0 +1,226 @@
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"github.com/tacktally/tacktally/internal/membership"
+)
+
+// sparseMesh is an instance of a fleet with few links.
+type sparseMesh struct {
+	*Mesh
+	handler *handler
+	server  *httptest.Server
+}
+
+// newSparseMesh starts an instance that knows some seeds. Its heartbeats come once an hour:
+// what is told otherwise is seen alone.
+func newSparseMesh(t *testing.T, zone string, seeds ...string) *sparseMesh {
+	t.Helper()
+	h := &handler{hold: make(chan struct{}), slots: make(chan string, 9)}
+	close(h.hold)
+	server := httptest.NewUnstartedServer(nil)
+	s := &sparseMesh{handler: h, server: server}
+	s.Mesh = NewMesh(Options{
+		Address: server.Listener.Addr().String(), Zone: zone, Incarnation: 1, Heartbeat: time.Hour, SuspectAfter: time.Hour,
+		Sparse: true, Handler: h, Log: &log.Logger{Level: log.FatalLevel},
+	})
+	server.Config.Handler = s.Mesh
+	server.Start()
+	t.Cleanup(s.end)
+	s.SetPeers(append([]string{s.o.Address}, seeds...))
+	return s
+}
+
+func (s *sparseMesh) end() {
+	s.Close()
+	s.server.CloseClientConnections()
+	s.server.Close()
+}
+
+// inReach is how many others it believes to be within reach.
+func (s *sparseMesh) inReach() (n int) {
+	for _, p := range s.Peers() {
+		if p.Reachable {
+			n++
+		}
+	}
+	return n
+}
+
+// One link serves a pair: whichever side dialled it, both ask for slots on it.
+func TestOneLinkServesBothDirections(t *testing.T) {
+	is := is.New(t)
+	a := newSparseMesh(t, "bole")
+	b := newSparseMesh(t, "merkato", a.o.Address)
+	eventually(t, func() bool { return a.IsLinked(b.o.Address) && b.IsLinked(a.o.Address) })
+	for _, pair := range [][2]*sparseMesh{{a, b}, {b, a}} {
+		slot, _, err := pair[0].AcquireSlot(t.Context(), pair[1].o.Address, &SlotRequest{Service: "free"}, time.Minute)
+		is.NoErr(err)
+		slot.Release(SlotRelease{Ending: 3, Output: 40})
+		is.Equal(<-pair[1].handler.slots, "released 3 40")
+		reply, err := pair[0].TakeQuota(t.Context(), pair[1].o.Address, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 1}, time.Minute)
+		is.NoErr(err)
+		is.True(reply != nil)
+	}
+}
+
+// Instances of one zone link to its hubs alone, and know all others by them. One to which no
+// link is kept is linked to on use.
+func TestALinkIsMadeOnUse(t *testing.T) {
+	is := is.New(t)
+	const n = 12
+	all := []*sparseMesh{newSparseMesh(t, "bole")}
+	for range n - 1 {
+		all = append(all, newSparseMesh(t, "bole", all[0].o.Address))
+	}
+	for _, m := range all {
+		eventually(t, func() bool { return m.inReach() == n-1 })
+	}
+	var from, to *sparseMesh
+	eventually(t, func() bool {
+		for _, a := range all {
+			for _, b := range all {
+				if a != b && a.Role().Hub < 0 && b.Role().Hub < 0 && !a.IsLinked(b.o.Address) {
+					from, to = a, b
+					return true
+				}
+			}
+		}
+		return false
+	})
+	slot, _, err := from.AcquireSlot(t.Context(), to.o.Address, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	slot.Release(SlotRelease{Ending: 3})
+	is.Equal(<-to.handler.slots, "released 3 0")
+	is.True(from.IsLinked(to.o.Address))
+	is.True(to.IsLinked(from.o.Address))
+}
+
+// Nobody listens at the address: whoever asks is told at once.
+func TestALinkThatCanNotBeMadeIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	gone := l.Addr().String()
+	l.Close()
+	a := newSparseMesh(t, "bole")
+	for range 2 { // the second one isn't even tried again so soon
+		_, _, err = a.AcquireSlot(t.Context(), gone, &SlotRequest{Service: "free"}, time.Hour)
+		is.True(errors.Is(err, ErrUnreachable))
+	}
+}
+
+// A slot is asked for at an instance that accepts connections and says nothing.
+func TestALinkThatDoesNotComeUpIsWaitedForAsLongAsAReply(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	a := newSparseMesh(t, "bole")
+	_, _, err = a.AcquireSlot(t.Context(), l.Addr().String(), &SlotRequest{Service: "free"}, 10*time.Millisecond)
+	is.True(errors.Is(err, ErrNoReply))
+}
+
+// Two that dial each other at the same time keep a link.
+func TestCrossingDialsLeaveALink(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		a := newSparseMesh(t, "bole")
+		b := newSparseMesh(t, "merkato")
+		errs := make(chan error, 2)
+		ask := func(from, to *sparseMesh) {
+			_, _, err := from.AcquireSlot(t.Context(), to.o.Address, &SlotRequest{Service: "free"}, time.Minute)
+			errs <- err
+		}
+		go ask(a, b)
+		go ask(b, a)
+		is.NoErr(<-errs)
+		is.NoErr(<-errs)
+		is.True(a.IsLinked(b.o.Address))
+		is.True(b.IsLinked(a.o.Address))
+		a.end()
+		b.end()
+	}
+}
+
+// A link that the peer no longer has would hold what the peer held on it: the one that the
+// peer dials in its place ends it.
+func TestALinkThatThePeerHasLostIsEnded(t *testing.T) {
+	is := is.New(t)
+	a := newSparseMesh(t, "bole")
+	b := newSparseMesh(t, "merkato")
+	_, _, err := a.AcquireSlot(t.Context(), b.o.Address, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	a.mu.Lock()
+	old := a.peers[b.o.Address].link
+	old.since = old.since.Add(-crossedWithin) // it is no crossing of dials
+	a.mu.Unlock()
+	b.mu.Lock()
+	delete(b.accepted, a.o.Address)
+	b.mu.Unlock()
+	_, _, err = b.AcquireSlot(t.Context(), a.o.Address, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	<-old.ctx.Done()
+	is.True(a.IsLinked(b.o.Address))
+}
+
+// A link that nobody uses is ended by the side that dialled it, one on which something is
+// open isn't.
+func TestAnUnusedLinkIsEnded(t *testing.T) {
+	is := is.New(t)
+	a := newSparseMesh(t, "bole")
+	b := newSparseMesh(t, "bole")
+	slot, _, err := a.AcquireSlot(t.Context(), b.o.Address, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	endUnused := func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		later := time.Now().Add(2 * unusedAfter)
+		a.sparse.plan = membership.NewOverlay(time.Now(), membership.Member{Address: a.o.Address, Zone: "elsewhere"}, nil) // it wants no links
+		a.endUnused(later, b.o.Address, a.peers[b.o.Address], false)
+	}
+	endUnused()
+	is.True(!slot.Lost())
+	slot.Release(SlotRelease{Ending: 3})
+	is.Equal(<-b.handler.slots, "released 3 0")
+	endUnused()
+	is.True(slot.Lost())
+}
+
+// Another process under the same address is known as that as soon as it is linked to.
+func TestARestartedPeerIsAnotherProcess(t *testing.T) {
+	is := is.New(t)
+	a := newSparseMesh(t, "bole")
+	for incarnation := range uint64(3) {
+		now := time.Now()
+		a.mu.Lock()
+		a.sparse.plan.Link(now, membership.Member{Address: "10.0.0.7:1", Zone: "merkato", Incarnation: incarnation + 1, Started: now})
+		a.mu.Unlock()
+		is.Equal(a.Incarnation("10.0.0.7:1"), incarnation+1)
+		is.Equal(a.Zone("10.0.0.7:1"), "merkato")
+	}
+}
+
+// What a telling holds comes through a frame.
+func TestATellingPassesAFrame(t *testing.T) {
+	is := is.New(t)
+	told := &membership.Telling{Kind: membership.Reached, Full: true, News: []membership.News{
+		{Address: "10.0.0.7:1", Zone: "bole", Incarnation: 5, Cores: 0.4, Age: time.Second, Draining: true}, {Address: "10.0.0.8:1", Gone: true},
+	}}
+	b, err := Encode(&Frame{Type: TypeMembership, Membership: told})
+	is.NoErr(err)
+	f, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(fmt.Sprint(*f.Membership), fmt.Sprint(*told))
+	_, err = Decode(mustEncode(t, &Frame{Type: TypeMembership}))
+	is.True(errors.Is(err, ErrMalformedFrame))
+}
