Drop the frames that named members to instances linked to all

Cause: since links are few, tellings say which instances there are; nothing sent the frames any more but to the own interface, whose instances are listed.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -89,7 +89,6 @@
 	if !h.Brief {
 		i.fleet.SetOthers(from, scheduler.Load{Running: h.Running})
 	}
-	i.mesh.TellMembers(from, h.Known)
 	i.reading.heard(from, h.Reads)
 	if h.SteadyMS > 0 {
 		i.view.SourceWasThere(time.Duration(h.SteadyMS)*time.Millisecond, from)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -23,7 +23,7 @@
 )
 
 // Version of the frames. A link carries frames of one version only.
-const Version = 1
+const Version = 2
 
 // MaxFrameBytes bounds a frame: the largest request body and its terms.
 const MaxFrameBytes = 8 << 20
@@ -65,8 +65,6 @@
 	// slot back, as TypeCancel does.
 	TypeSlotStarted
 	TypeSlotReleased
-	// TypeMembers names other peers.
-	TypeMembers
 	// TypeQuotaRequest asks for tokens of an organisation, TypeQuotaReply answers it, and
 	// TypeQuotaReturn gives tokens back.
 	TypeQuotaRequest
@@ -104,7 +102,6 @@
 	SlotGrant   *SlotGrant   `cbor:"15,keyasint,omitempty"`
 	SlotRefusal *SlotRefusal `cbor:"16,keyasint,omitempty"`
 	SlotRelease *SlotRelease `cbor:"17,keyasint,omitempty"`
-	Members     *Members     `cbor:"18,keyasint,omitempty"`
 
 	QuotaRequest *QuotaRequest `cbor:"19,keyasint,omitempty"`
 	QuotaReply   *QuotaReply   `cbor:"20,keyasint,omitempty"`
@@ -120,7 +117,7 @@
 	Incarnation uint64 `cbor:"3,keyasint"`
 	// Cores is the processor time that the instance has, in cores; 0 is unknown.
 	Cores float64 `cbor:"4,keyasint,omitempty"`
-	// Known is the number of peers that it knows. It is told of others at once.
+	// Known is the number of peers that it knows. One that knows few is told of others.
 	Known int `cbor:"5,keyasint,omitempty"`
 	// Age is the time since it started.
 	Age time.Duration `cbor:"6,keyasint,omitempty"`
@@ -149,8 +146,7 @@
 	Demand map[string]float64 `cbor:"8,keyasint,omitempty"`
 	// Running requests by upstream: sent and not ended.
 	Running map[string]int `cbor:"9,keyasint,omitempty"`
-	// Known is the number of peers that the sender knows. Where no list of instances is
-	// published, those who know more tell it.
+	// Known is the number of peers that the sender knows.
 	Known int `cbor:"10,keyasint,omitempty"`
 	// Reads tells that the sender reads the source itself.
 	Reads bool `cbor:"12,keyasint,omitempty"`
@@ -176,12 +172,6 @@
 	}
 }
 
-// Members names peers that the receiver may not know. Where no list of instances is
-// published they are found by these.
-type Members struct {
-	Addresses []string `cbor:"1,keyasint"`
-}
-
 // Fetch asks for the state.
 type Fetch struct {
 	// Parts of the configuration that the asking instance has, by their sums.
@@ -276,8 +266,6 @@
 		complete, onStream = f.Hello != nil, false
 	case TypeHeartbeat:
 		complete, onStream = f.Heartbeat != nil, false
-	case TypeMembers:
-		complete, onStream = f.Members != nil, false
 	case TypeQuotaRequest:
 		complete = f.QuotaRequest != nil && f.QuotaRequest.isSane()
 	case TypeQuotaReply:
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -289,7 +289,6 @@
 		return fmt.Errorf("%w: dialled %s, which calls itself %s; correct its peers.advertise", ErrMalformedFrame, address, f.Hello.Address)
 	}
 	m.heard(*f.Hello, l)
-	m.TellMembers(address, f.Hello.Known)
 	l.trySend(&Frame{Type: TypeHeartbeat, Heartbeat: m.o.Handler.Heartbeat()})
 	return nil
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -98,8 +98,6 @@
 		return s.link.send(s.link.ctx, &Frame{Type: TypeQuotaReply, Stream: f.Stream, QuotaReply: s.mesh.o.Handler.ServeQuota(f.QuotaRequest)})
 	case TypeQuotaReturn:
 		s.mesh.o.Handler.QuotaReturned(f.QuotaReturn)
-	case TypeMembers:
-		s.mesh.meet(f.Members.Addresses)
 	case TypePressure:
 		s.mesh.o.Handler.Pressure(*f.Pressure)
 		return s.link.send(s.link.ctx, &Frame{Type: TypeRelieved, Stream: f.Stream})
