--- a/internal/membership/overlay.go
+++ b/internal/membership/overlay.go
@@ -209,7 +209,7 @@
 }
 
 // knowsWay tells whether the instance has found the fleet: it is linked to a hub of its zone,
-// or is one that is linked to anybody.
+// or is a hub itself and linked to anybody.
 func (o *Overlay) knowsWay(now time.Time) bool {
 	hub := o.IsHub(now)
 	for _, e := range o.members {
@@ -221,7 +221,8 @@
 }
 
 // Probe returns an address out of reach to be tried, so that parts of a fleet that have lost
-// each other find together again: hubs and whoever has no link at all ask one at a time.
+// each other find together again. Hubs try one at a time; who has lost all others of its zone
+// takes itself for a hub.
 func (o *Overlay) Probe(now time.Time) (address string, some bool) {
 	if !o.IsHub(now) {
 		return "", false
