--- /dev/null
+++ b/internal/membership/hubs.go
@@ -0,0 +1,88 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// mayBeHub tells whether a member may be taken for a hub.
+func (t *Table) mayBeHub(now time.Time, e *entry) bool {
+	lately := e.lastAlive.After(e.failed) && now.Sub(e.lastAlive) < candidateFor
+	return !e.Draining && (lately || t.inReach(now, e))
+}
+
+// candidates are the members of a zone from which its hubs come: those within reach, those
+// that lately were, and all.
+type candidates struct{ near, lately, known ranking }
+
+// candidates returns those of each zone, so many of each at most.
+func (t *Table) candidates(now time.Time, most int) map[string]*candidates {
+	zones := map[string]*candidates{t.self.Zone: {}}
+	if !t.self.Draining {
+		zones[t.self.Zone].near.add(&t.self, most)
+	}
+	for _, e := range t.members {
+		if e.Zone == "" {
+			continue
+		}
+		c := zones[e.Zone]
+		if c == nil {
+			c = &candidates{}
+			zones[e.Zone] = c
+		}
+		c.known.add(&e.Member, most)
+		switch {
+		case e.Draining:
+		case t.inReach(now, e):
+			c.near.add(&e.Member, most)
+		case t.mayBeHub(now, e):
+			c.lately.add(&e.Member, most)
+		}
+	}
+	return zones
+}
+
+// first returns the first of them: of those that are or lately were within reach, and, where
+// there is none, the strongest that are known, to be tried.
+func (c *candidates) first(most int) []string {
+	if len(c.near)+len(c.lately) == 0 {
+		return c.known.addresses()[:min(len(c.known), most)]
+	}
+	for _, m := range c.lately {
+		c.near.add(m.Member, most)
+	}
+	return c.near.addresses()[:min(len(c.near), most)]
+}
+
+// ranking is the strongest of some members in order: those with most processor time, and
+// among equals an order that has nothing to do with which of them are seeds.
+type ranking []ranked
+
+type ranked struct {
+	*Member
+	draw uint64
+}
+
+// add adds a member if it is among the first.
+func (r *ranking) add(m *Member, most int) {
+	new := ranked{m, xxhash.Sum64String(m.Address)}
+	at, _ := slices.BinarySearchFunc(*r, new, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.draw, b.draw))
+	})
+	if at >= most {
+		return
+	}
+	*r = slices.Insert(*r, at, new)
+	*r = (*r)[:min(len(*r), most)]
+}
+
+func (r ranking) addresses() []string {
+	out := make([]string, len(r))
+	for i, m := range r {
+		out[i] = m.Address
+	}
+	return out
+}
