--- /dev/null
+++ b/internal/peer/status.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Status of a peer, for operators.
+type Status struct {
+	Address     string    `json:"address"`
+	Zone        string    `json:"zone"`
+	Incarnation uint64    `json:"incarnation,string"`
+	Linked      bool      `json:"linked"`
+	LastHeard   time.Time `json:"lastHeard"`
+	Revision    int64     `json:"revision"`
+	Draining    bool      `json:"draining"`
+	Reads       bool      `json:"reads,omitempty"`
+	Reachable   bool      `json:"reachable"`
+	Cores       float64   `json:"cores,omitempty"`
+	Started     time.Time `json:"started,omitzero"`
+	InFlight    int       `json:"inFlight"`
+	// Queued work by set and rank, as told last.
+	Queued map[string][]int `json:"queued,omitempty"`
+}
+
+// Peers returns the state of all known peers, sorted by address.
+func (m *Mesh) Peers() []Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sparse != nil {
+		return m.members(time.Now())
+	}
+	out := make([]Status, 0, len(m.peers))
+	for address, p := range m.peers {
+		out = append(out, Status{
+			Address:     address,
+			Zone:        p.hello.Zone,
+			Incarnation: p.hello.Incarnation,
+			Linked:      p.link != nil,
+			LastHeard:   p.lastHeard,
+			Revision:    p.last.Revision,
+			Draining:    p.last.Draining,
+			Reads:       p.last.Reads,
+			InFlight:    p.last.InFlight,
+			Queued:      p.last.Queued,
+			Reachable:   m.isReachable(p),
+			Cores:       p.hello.Cores,
+			Started:     p.started,
+		})
+	}
+	sortByAddress(out)
+	return out
+}
+
+func sortByAddress(list []Status) {
+	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.Address, b.Address) })
+}
+
+// Incarnation returns the incarnation a peer last named itself with, 0 when it
+// has never been heard.
+func (m *Mesh) Incarnation(address string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sparse != nil {
+		member, _ := m.sparse.plan.Member(address)
+		return member.Incarnation
+	}
+	if p := m.peers[address]; p != nil {
+		return p.hello.Incarnation
+	}
+	return 0
+}
+
+// Zone returns the availability zone of a peer, empty while it isn't known.
+func (m *Mesh) Zone(address string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sparse != nil {
+		member, _ := m.sparse.plan.Member(address)
+		return member.Zone
+	}
+	if p := m.peers[address]; p != nil {
+		return p.hello.Zone
+	}
+	return ""
+}
