Keep links that the peer uses, also where this side, which dialled them, doesn't

An owner that had dialled an instance for something else ended the link on which that instance held slots and waited for others. Found by reading; it needs owners that ask others, so equal instances. Change: open requests of the peer, and its last ask, count as use. Test: TestALinkThatThePeerUsesIsKept; the slot was lost before (gone), and is kept now.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -40,6 +40,8 @@
 	next       uint64
 	heard      time.Time // when the last frame came
 	unanswered int       // requests in a row to which none came in time
+	serving    int       // requests of the peer that are open
+	asked      time.Time // when the peer last asked for anything
 }
 
 const (
@@ -67,11 +69,21 @@
 	return l.heard
 }
 
-// isIdle tells whether nothing that this side has asked for on the link is open.
-func (l *link) isIdle() bool {
+// isIdle tells whether nothing that either side has asked for on the link is open, and the
+// peer has asked for nothing for so long.
+func (l *link) isIdle(now time.Time, unasked time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.streams) == 0
+	return len(l.streams) == 0 && l.serving == 0 && now.Sub(l.asked) >= unasked
+}
+
+// noteAsked notes that the peer asks for something; open tells by how many its open requests
+// have become more.
+func (l *link) noteAsked(now time.Time, open int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked = now
+	l.serving += open
 }
 
 // miss notes that a request got no reply in time, and ends the link if it is dead, or once
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -115,7 +115,7 @@
 	if !unused {
 		return
 	}
-	if p.link != nil && p.link.isIdle() && m.sparse.plan.KindFor(now, address) == membership.Nothing {
+	if p.link != nil && p.link.isIdle(now, unusedAfter) && m.sparse.plan.KindFor(now, address) == membership.Nothing {
 		p.link.cancel(errUnused)
 	}
 	if p.link == nil && m.accepted[address] == nil && p.tended.dialled == nil {
--- a/internal/peer/sparse_test.go
+++ b/internal/peer/sparse_test.go
@@ -196,6 +196,34 @@
 	is.True(slot.Lost())
 }
 
+// A link that the peer uses is kept, though this side, which dialled it, doesn't: the peer holds
+// a slot on it, or has just asked for something.
+func TestALinkThatThePeerUsesIsKept(t *testing.T) {
+	is := is.New(t)
+	a := newSparseMesh(t, "bole")
+	b := newSparseMesh(t, "bole")
+	own, _, err := a.AcquireSlot(t.Context(), b.o.Address, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	own.Release(SlotRelease{Ending: 3})
+	is.Equal(<-b.handler.slots, "released 3 0")
+	slot, _, err := b.AcquireSlot(t.Context(), a.o.Address, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	endUnused := func(later time.Time) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.sparse.plan = membership.NewOverlay(time.Now(), membership.Member{Address: a.o.Address, Zone: "elsewhere"}, nil) // it wants no links
+		p := a.peers[b.o.Address]
+		p.tended.used, p.since = time.Time{}, time.Time{}
+		a.endUnused(later, b.o.Address, p, false)
+	}
+	endUnused(time.Now().Add(2 * unusedAfter))
+	is.True(!slot.Lost()) // it holds a slot
+	slot.Release(SlotRelease{Ending: 3})
+	is.Equal(<-a.handler.slots, "released 3 0")
+	endUnused(time.Now())
+	is.True(a.IsLinked(b.o.Address)) // it was used just now
+}
+
 // Another process under the same address is known as that as soon as it is linked to.
 func TestARestartedPeerIsAnotherProcess(t *testing.T) {
 	is := is.New(t)
