Ask a daemon of a test for something once its address is known, too

Its stack: the test waits for the request to arrive, and nobody sends one any more. Cause: the daemon begins to watch the instance list before it logs its callers' address; where the list came first the test asked an empty address, once. Change: it asks when both lines have come. Assertions unchanged.

--- a/cmd/tacktallyd/main_test.go
+++ b/cmd/tacktallyd/main_test.go
@@ -138,15 +138,17 @@
 	is.NoErr(err)
 	is.NoErr(run.Start())
 	lines := bufio.NewScanner(log)
-	callers := ""
+	callers, listed, asked := "", false, false
 	for lines.Scan() {
 		for _, pair := range strings.Fields(lines.Text()) {
 			if rest, ok := strings.CutPrefix(pair, "callers="); ok {
 				callers = rest
 			}
 		}
+		listed = listed || strings.Contains(lines.Text(), "event=instances")
 		switch {
-		case strings.Contains(lines.Text(), "event=instances"):
+		case listed && callers != "" && !asked: // the list may come before the line that names the callers' address
+			asked = true
 			go post(callers)
 			<-arrived
 			is.NoErr(run.Process.Signal(syscall.SIGTERM))
