Let eight of a zone ask for a source that is away, not all

Cause: once the configuration was half a lease old, each instance read the source itself, for 10 s. A loss of all isn't it: 15 readers, all have the configuration within 0.3 s and each other within 0.6 s. Change: eight of a zone, in the order of hubs, and twice as many each 2 s while it lasts. One that reaches the source hands its proof on; one that is alone is the first of its zone. Zones of up to eight decide as before.

--- a/internal/entry/reading.go
+++ b/internal/entry/reading.go
@@ -34,6 +34,13 @@
 	// alarmHold is how long it goes on reading then, so that it doesn't begin and end
 	// in turn.
 	alarmHold = 10 * time.Second
+	// alarmedReaders is how many of a zone read once their configuration is too old, and
+	// widenAlarm the time in which they become twice as many while it stays so. If the source
+	// is away for all, more of them reach it no sooner, and 295 that ask until it is back are
+	// some thousand calls. If it turns a third of the instances away, one of eight and more
+	// reaches it but for 0.02% (worked out), and the others have its proof from it.
+	alarmedReaders = 8
+	widenAlarm     = 2 * time.Second
 	// askInterval is how often peers are asked.
 	askInterval = 400 * time.Millisecond
 )
@@ -44,6 +51,7 @@
 	on      bool
 	readers map[string]bool // peers that say that they read
 	alarmed time.Time       // when the configuration was last found too old
+	since   time.Time       // since when it has been so, without a pause of alarmHold
 }
 
 // active tells whether this instance reads.
@@ -77,15 +85,30 @@
 func (r *reading) alarm(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.alarmed.IsZero() || now.Sub(r.alarmed) >= alarmHold {
+		r.since = now
+	}
 	r.alarmed = now
 }
 
+// alarmsFor returns how many of a zone are to read because of what is too old. The caller
+// holds the lock.
+func (r *reading) alarmsFor(now time.Time) int {
+	if r.alarmed.IsZero() || now.Sub(r.alarmed) >= alarmHold {
+		return 0
+	}
+	return alarmedReaders << min(int(r.alarmed.Sub(r.since)/widenAlarm), maxWidenings)
+}
+
+// maxWidenings bounds the widening to more instances than a zone has.
+const maxWidenings = 16
+
 // due tells whether an instance of an age is to read: it is one of the first hubs of its
-// zone, or its configuration got too old lately. One that has just started leaves it to the
-// seeds.
+// zone, or one of some more whose configuration got too old lately. One that has just started
+// leaves it to the seeds.
 func (r *reading) due(now time.Time, age time.Duration, role peer.Role) bool {
 	r.mu.Lock()
-	alarmed := !r.alarmed.IsZero() && now.Sub(r.alarmed) < alarmHold
+	alarmed := role.Rank < r.alarmsFor(now)
 	r.mu.Unlock()
 	switch {
 	case alarmed:
--- a/internal/membership/hubs.go
+++ b/internal/membership/hubs.go
@@ -66,12 +66,16 @@
 	draw uint64
 }
 
+func rankedOf(m *Member) ranked { return ranked{m, xxhash.Sum64String(m.Address)} }
+
+func compareRanked(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.draw, b.draw))
+}
+
 // add adds a member if it is among the first.
 func (r *ranking) add(m *Member, most int) {
-	new := ranked{m, xxhash.Sum64String(m.Address)}
-	at, _ := slices.BinarySearchFunc(*r, new, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.draw, b.draw))
-	})
+	new := rankedOf(m)
+	at, _ := slices.BinarySearchFunc(*r, new, compareRanked)
 	if at >= most {
 		return
 	}
--- a/internal/membership/overlay.go
+++ b/internal/membership/overlay.go
@@ -116,6 +116,19 @@
 	return slices.Index(o.allHubs(now)[o.self.Zone], o.self.Address)
 }
 
+// RankInZone is how many of its zone within reach go before this instance in the order in which
+// hubs are chosen.
+func (o *Overlay) RankInZone(now time.Time) int {
+	own := rankedOf(&o.self)
+	before := 0
+	for _, e := range o.members {
+		if e.Zone == o.self.Zone && !e.Draining && o.inReach(now, e) && compareRanked(rankedOf(&e.Member), own) < 0 {
+			before++
+		}
+	}
+	return before
+}
+
 func (o *Overlay) isHub(now time.Time, zone, address string) bool {
 	return slices.Contains(o.allHubs(now)[zone], address)
 }
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -416,6 +416,8 @@
 	// Hub is its place among the hubs of its availability zone, counted from 0; -1 where it
 	// is none.
 	Hub int
+	// Rank is how many of its zone within reach go before it in the order of hubs.
+	Rank int
 	// Alone tells whether there is nobody to be found: it knows no seed but itself.
 	Alone bool
 	// Seed tells whether others find the fleet by it.
@@ -427,7 +429,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	plan := m.sparse.plan
-	return Role{Hub: plan.HubRank(time.Now()), Seed: plan.IsSeed(), Alone: plan.SeedCount() == 0}
+	now := time.Now()
+	return Role{Hub: plan.HubRank(now), Rank: plan.RankInZone(now), Seed: plan.IsSeed(), Alone: plan.SeedCount() == 0}
 }
 
 // Links is the number of peers to which links are up.
