--- a/internal/entry/reading.go
+++ b/internal/entry/reading.go
@@ -38,9 +38,10 @@
 	// widenAlarm the time in which they become twice as many while it stays so. If the source
 	// is away for all, more of them reach it no sooner, and 295 that ask until it is back are
 	// some thousand calls. If it turns a third of the instances away, one of eight and more
-	// reaches it but for 0.02% (worked out), and the others have its proof from it.
+	// reaches it but for 0.02% (worked out), and the others have its proof from it; so widening
+	// may take as long as a lease does. With 2 s all read again in an outage of 8 s.
 	alarmedReaders = 8
-	widenAlarm     = 2 * time.Second
+	widenAlarm     = 5 * time.Second
 	// askInterval is how often peers are asked.
 	askInterval = 400 * time.Millisecond
 )
