Know who reads the source by what peers said last, in one place

The reading kept a set of its own beside the state of peers, which says the same. A wrapper with one caller goes. The test of the reader has the same four questions.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -89,7 +89,6 @@
 	if !h.Brief {
 		i.fleet.SetOthers(from, scheduler.Load{Running: h.Running})
 	}
-	i.reading.heard(from, h.Reads)
 	if h.SteadyMS > 0 {
 		i.view.SourceWasThere(time.Duration(h.SteadyMS)*time.Millisecond, from)
 	}
@@ -159,7 +158,6 @@
 	i := p.instance
 	i.log.Warn().Str("event", "peer_lost").Str("peer", address).Msg("")
 	p.Unlinked(address)
-	i.reading.heard(address, false)
 }
 
 func join(list []string) string { return strings.Join(list, ",") }
--- a/internal/entry/reading.go
+++ b/internal/entry/reading.go
@@ -50,9 +50,8 @@
 type reading struct {
 	mu      sync.Mutex
 	on      bool
-	readers map[string]bool // peers that say that they read
-	alarmed time.Time       // when the configuration was last found too old
-	since   time.Time       // since when it has been so, without a pause of alarmHold
+	alarmed time.Time // when the configuration was last found too old
+	since   time.Time // since when it has been so, without a pause of alarmHold
 }
 
 // active tells whether this instance reads.
@@ -62,20 +61,6 @@
 	return r.on
 }
 
-// heard notes whether a peer reads.
-func (r *reading) heard(peer string, reads bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.readers == nil {
-		r.readers = map[string]bool{}
-	}
-	if reads {
-		r.readers[peer] = true
-	} else {
-		delete(r.readers, peer)
-	}
-}
-
 func (r *reading) set(on bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,11 +107,9 @@
 }
 
 // reader returns a peer of the zone that is linked to and reads, or "".
-func (r *reading) reader(zone string, peers []peer.Status) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func reader(zone string, peers []peer.Status) string {
 	for _, p := range peers {
-		if p.Linked && p.Zone == zone && r.readers[p.Address] {
+		if p.Linked && p.Reads && p.Zone == zone {
 			return p.Address
 		}
 	}
@@ -181,9 +164,9 @@
 		if old == fresh {
 			continue
 		}
-		reader := i.reading.reader(i.settings.Zone, i.mesh.Peers())
-		if reader != "" && old == ageing {
-			i.mesh.FetchSoon(reader)
+		near := reader(i.settings.Zone, i.mesh.Peers())
+		if near != "" && old == ageing {
+			i.mesh.FetchSoon(near)
 			continue
 		}
 		if old == tooOld {
--- a/internal/entry/reading_test.go
+++ b/internal/entry/reading_test.go
@@ -75,17 +75,13 @@
 
 func TestTheReaderOfTheZoneIsAsked(t *testing.T) {
 	is := is.New(t)
-	var r reading
-	peers := []peer.Status{
-		{Address: "10.0.0.1:1", Zone: "merkato", Linked: true}, {Address: "10.0.0.2:1", Zone: "bole", Linked: true},
-		{Address: "10.0.0.3:1", Zone: "bole", Reachable: true},
-	}
-	r.heard("10.0.0.3:1", true) // it has no link any more
-	is.Equal(r.reader("bole", peers), "")
-	r.heard("10.0.0.1:1", true)
-	is.Equal(r.reader("bole", peers), "")
-	r.heard("10.0.0.2:1", true)
-	is.Equal(r.reader("bole", peers), "10.0.0.2:1")
-	r.heard("10.0.0.2:1", false)
-	is.Equal(r.reader("bole", peers), "")
+	far := peer.Status{Address: "10.0.0.1:1", Zone: "merkato", Linked: true, Reads: true}
+	near := peer.Status{Address: "10.0.0.2:1", Zone: "bole", Linked: true}
+	lost := peer.Status{Address: "10.0.0.3:1", Zone: "bole", Reachable: true, Reads: true} // it has no link any more
+	is.Equal(reader("bole", []peer.Status{near, lost}), "")
+	is.Equal(reader("bole", []peer.Status{far, near, lost}), "")
+	near.Reads = true
+	is.Equal(reader("bole", []peer.Status{far, near, lost}), "10.0.0.2:1")
+	near.Reads = false
+	is.Equal(reader("bole", []peer.Status{far, near, lost}), "")
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -376,7 +376,7 @@
 
 // Tell sends a whole heartbeat to one peer now, if it is within reach.
 func (m *Mesh) Tell(address string) {
-	if l := m.linkOnUse(address); l != nil {
+	if l, _ := m.useLink(address); l != nil {
 		l.trySend(&Frame{Type: TypeHeartbeat, Heartbeat: m.o.Handler.Heartbeat()}) // or the next one says it
 	}
 }
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -226,12 +226,6 @@
 	return nil
 }
 
-// linkOnUse returns the link to a peer, if it is up, and lets one be made otherwise.
-func (m *Mesh) linkOnUse(address string) *link {
-	l, _ := m.useLink(address)
-	return l
-}
-
 // useLink notes that a link to a peer is used. It returns the link if it is up, and
 // otherwise what is closed once the dial under way has ended, nil where none is.
 func (m *Mesh) useLink(address string) (*link, <-chan struct{}) {
