Run requests of routes and organisations with homes in their regions alone

The settings now name the regions of availability zones, and the choice of an upstream leaves out those of other regions; where route and organisation both have homes, both bind. Bodies are never forwarded between instances, so a slot that an owner of another region grants sends none there.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -25,8 +25,9 @@
 	ID string
 	// Address as IP:port.
 	Address string
-	// Zone is its availability zone.
-	Zone string
+	// Zone is its availability zone, and Region the zone's, where it is known.
+	Zone   string
+	Region string
 	// Born tells its processes apart, where it is known.
 	Born int64
 	// Speed and Window are learned.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,6 +154,7 @@
 		Cores:          s.Routed.Cores,
 		Zone:           s.Zone,
 		FarCost:        time.Duration(s.Routed.FarCost),
+		Regions:        s.Routed.Regions,
 		Local:          net.ParseIP(s.Routed.LocalIP),
 		ConnectTimeout: time.Duration(s.Upstreams.ConnectTimeout),
 		Limits:         queue.Limits{MaxItems: s.Queue.MaxItems, MaxBytes: s.Queue.MaxBytes},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,6 +36,8 @@
 	// more.
 	Zone    string
 	FarCost time.Duration
+	// Regions are those of availability zones, by zone.
+	Regions map[string]string
 	// Local is the IP number that connections come from; nil leaves it to the kernel.
 	Local net.IP
 	// ConnectTimeout bounds the making of a connection.
@@ -130,6 +132,7 @@
 			ID:        u.ID,
 			Address:   u.Address,
 			Zone:      u.Zone,
+			Region:    f.o.Regions[u.Zone],
 			Slots:     u.Slots,
 			Leaving:   f.unusable[u.ID] != nil,
 			Born:      u.Born,
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -123,6 +123,8 @@
 		Bytes:        r.Bytes,
 		Exclude:      r.Exclude,
 		Zone:         f.o.Zone,
+		Bound:        r.Homes.Bound,
+		Regions:      r.Homes.Regions,
 	}
 	for _, p := range w.Parts {
 		out.Parts = append(out.Parts, peer.PromptPart{Sum: p.Sum, Tokens: p.Tokens})
@@ -152,6 +154,7 @@
 		Bytes:        r.Bytes,
 		Exclude:      r.Exclude,
 		Zone:         r.Zone,
+		Homes:        scheduler.Homes{Bound: r.Bound, Regions: r.Regions},
 	}
 }
 
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -42,6 +42,9 @@
 	Exclude string `cbor:"15,keyasint,omitempty"`
 	// Zone is the availability zone that the request came to.
 	Zone string `cbor:"16,keyasint,omitempty"`
+	// Bound requests run in these Regions alone.
+	Bound   bool     `cbor:"17,keyasint,omitempty"`
+	Regions []string `cbor:"18,keyasint,omitempty"`
 }
 
 // PromptPart is a part of a prompt that other prompts may begin with too.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -11,6 +11,7 @@
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/retrybudget"
+	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
@@ -127,6 +128,7 @@
 		Expected:     j.call.Expected,
 		Bytes:        len(j.body),
 		Exclude:      exclude,
+		Homes:        scheduler.Homes(routing.HomesOf(j.route, j.organisation)),
 	}
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -301,7 +301,8 @@
 	route := "none"
 	if j.route != nil {
 		route = j.route.Name
-		event = event.Str("service", j.service).Int64("config_version", j.table.Version).Dur("config_age", j.age)
+		event = event.Str("service", j.service).Int64("config_version", j.table.Version).Dur("config_age", j.age).
+			Int("output_limit", j.call.Output).Int("output_expected", j.call.Expected).Int("output", j.outputTokens())
 	}
 	if j.organisation != nil {
 		event = event.Str("organisation", j.organisation.Name)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,6 +7,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -64,6 +65,8 @@
 	Public bool
 	// Split of its requests over services, by weight.
 	Split []Share
+	// Homes are the regions in which its requests may run; none allows all.
+	Homes []string
 }
 
 // MayRepeat tells whether a request that may have run may be sent again.
@@ -71,6 +74,27 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
+// Homes is where requests of an organisation on a route may run: both bind where both have homes.
+type Homes struct {
+	// Bound tells whether Regions alone may run them; else all may.
+	Bound   bool
+	Regions []string
+}
+
+// HomesOf returns where requests of an organisation on a route may run; the organisation may be nil.
+func HomesOf(r *Route, o *Organisation) Homes {
+	regions := r.Homes
+	switch {
+	case o == nil || len(o.Homes) == 0:
+	case len(regions) == 0:
+		regions = o.Homes
+	default:
+		regions = slices.DeleteFunc(slices.Clone(regions), func(home string) bool { return !slices.Contains(o.Homes, home) })
+		return Homes{Bound: true, Regions: regions}
+	}
+	return Homes{Bound: len(regions) > 0, Regions: regions}
+}
+
 // Share is a part of a route's requests.
 type Share struct {
 	Service string
@@ -91,6 +115,8 @@
 	DefaultTokens int
 	// CountsRequests limits requests instead of tokens: each counts one.
 	CountsRequests bool
+	// Homes are the regions in which its requests may run; none allows all.
+	Homes []string
 }
 
 // Service is a set of upstreams that requests are sent to.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -102,3 +102,23 @@
 		})
 	}
 }
+
+// Where a route and an organisation both have homes, both bind.
+func TestHomesOfRouteAndOrganisationBothBind(t *testing.T) {
+	for name, c := range map[string]struct {
+		route, organisation []string
+		want                Homes
+	}{
+		"none":              {nil, nil, Homes{}},
+		"of the route":      {[]string{"a"}, nil, Homes{Bound: true, Regions: []string{"a"}}},
+		"of the other":      {nil, []string{"b"}, Homes{Bound: true, Regions: []string{"b"}}},
+		"of both":           {[]string{"a", "b"}, []string{"b", "c"}, Homes{Bound: true, Regions: []string{"b"}}},
+		"of both, no match": {[]string{"a"}, []string{"b"}, Homes{Bound: true, Regions: []string{}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(HomesOf(&Route{Homes: c.route}, &Organisation{Homes: c.organisation}), c.want)
+		})
+	}
+	is.New(t).Equal(HomesOf(&Route{Homes: []string{"a"}}, nil), Homes{Bound: true, Regions: []string{"a"}}) // public
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -68,12 +69,23 @@
 	Zone string
 	// Exclude is an upstream that failed it already, by its ID.
 	Exclude string
+	// Homes says in which regions it may run.
+	Homes Homes
 	// Value is the caller's.
 	Value any
 
 	item *queue.Item
 }
 
+// Homes says in which regions a request may run: in all, unless it is bound.
+type Homes struct {
+	Bound   bool
+	Regions []string
+}
+
+// allow tells whether a request may run in a region.
+func (h Homes) allow(region string) bool { return !h.Bound || slices.Contains(h.Regions, region) }
+
 // Grant lets a request be sent to an upstream now.
 type Grant struct {
 	Request  *Request
@@ -133,6 +145,7 @@
 	ID      string
 	Address string
 	Zone    string
+	Region  string
 	// Slots is how many requests it runs at once for all instances; 0 is unknown.
 	Slots   int
 	Leaving bool
@@ -177,7 +190,7 @@
 }
 
 func newUpstream(m Member, blocks int) *balancer.Upstream {
-	u := &balancer.Upstream{ID: m.id(), Address: m.Address, Zone: m.Zone, Born: m.Born}
+	u := &balancer.Upstream{ID: m.id(), Address: m.Address, Zone: m.Zone, Region: m.Region, Born: m.Born}
 	u.Speed, u.Window = newEstimates()
 	if blocks > 0 {
 		u.Memory = prefix.NewMemory(blocks)
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -134,15 +134,24 @@
 	d.Grants = append(d.Grants, c.grant(now, r, choice))
 }
 
-// eligible leaves out the upstream that failed the request already, where there
-// is another.
+// eligible leaves out upstreams of regions in which the request may not run, and the one that failed
+// it already, where there is another.
 func (c *Core) eligible(r *Request) []*balancer.Upstream {
-	if r.Exclude == "" || len(c.upstreams) < 2 {
-		return c.upstreams
+	home := c.upstreams
+	if r.Homes.Bound {
+		home = without(home, func(u *balancer.Upstream) bool { return !r.Homes.allow(u.Region) })
 	}
-	rest := make([]*balancer.Upstream, 0, len(c.upstreams))
-	for _, u := range c.upstreams {
-		if u.ID != r.Exclude {
+	if r.Exclude == "" || len(home) < 2 {
+		return home
+	}
+	return without(home, func(u *balancer.Upstream) bool { return u.ID == r.Exclude })
+}
+
+// without returns a copy of a list that lacks some.
+func without(list []*balancer.Upstream, left func(*balancer.Upstream) bool) []*balancer.Upstream {
+	rest := make([]*balancer.Upstream, 0, len(list))
+	for _, u := range list {
+		if !left(u) {
 			rest = append(rest, u)
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -232,6 +232,9 @@
 	QuotaOverage float64  `json:"quotaOverage,omitzero"`
 	QuotaSlack   float64  `json:"quotaSlack,omitzero"`
 	QuotaWindow  Duration `json:"quotaWindow,omitzero"`
+	// Regions are those of the availability zones, by zone: routes and organisations may be bound to
+	// some. Upstreams of a zone without one serve what is bound to none.
+	Regions map[string]string `json:"regions,omitzero"`
 	// EvacuateWithin is the time within which the upstreams of an availability zone whose
 	// evacuation is published must get nothing new. Default 5s.
 	EvacuateWithin Duration `json:"evacuateWithin,omitzero"`
