--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,8 @@
 	// Stuck makes the connections that are open now, to the source, to an upstream or to a
 	// process for its peers, go silent for good; new ones work.
 	Stuck Fault = "stuck"
+	// Evacuate has operators empty an availability zone.
+	Evacuate Fault = "evacuate"
 )
 
 // Mix is how often each fault comes, in proportion.
@@ -60,6 +62,15 @@
 // Planned is a mix of what operators do without a fault.
 var Planned = Mix{Terminate: 4, Reload: 2, Change: 3}
 
+// Places is a mix of evacuations and of upstreams that start cold with what takes knowledge of them
+// away, and PlannedPlaces the same without a fault.
+var (
+	Places = Mix{
+		Evacuate: 4, Replace: 4, Kill: 3, Terminate: 3, Pause: 4, SourceAway: 2, SourceLink: 3, PeerLink: 4, Change: 2, Stuck: 2,
+	}
+	PlannedPlaces = Mix{Evacuate: 4, Replace: 4, Terminate: 3, Reload: 1, Change: 2}
+)
+
 // Event is one fault at a time.
 type Event struct {
 	At  time.Duration
