Show operators which zones are evacuated, what still runs there, and what is cold

An operator who has a zone emptied must see when it is empty. Cold upstreams and work held back by limits of starts stand beside.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -76,6 +76,7 @@
 		{"hash-key", "Print the hash of an API key", "Reads an API key from standard input and prints its hash for an organisation's apiKeyHashes.", &hashKeyCommand{session: s}},
 		{"trace", "Tell a request's story from logs", "Prints what the logs of instances tell of a request, and what may have decided how it ended.", &traceCommand{session: s}},
 		{"outcomes", "Count from logs how requests ended", "Counts from the logs of instances how requests ended over time, by reason, route, organisation, service or instance, as a table and a plot.", &outcomesCommand{session: s}},
+		{"places", "Show evacuated zones and cold upstreams", "Shows what instances that serve routed requests know of evacuated availability zones and of cold upstreams, and how many requests they have in each zone. A zone is empty once all instances have none there.", &placesCommand{session: s}},
 		{"experiment", "Measure the scheduling policy", "Runs the scheduling policy and the baselines side by side in virtual time and prints goodput by tier and wasted prefill.", &experimentCommand{session: s}},
 		{"slopes", "Measure how costs grow with sizes", "Measures the slopes that docs/CAPACITY.md is worked out from, on this machine; takes about half a minute.", &slopesCommand{session: s}},
 		{"demo", "Run a daemon with stand-ins and traffic", "Runs a daemon, a stand-in platform, unlike engines and a plain service in one process on loopback, and sends traffic of three tiers.", &demoCommand{session: s}},
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,6 +5,8 @@
 	"bytes"
 	plainjson "encoding/json" // times as numbers
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +15,7 @@
 	"github.com/go-json-experiment/json"
 	"github.com/matryer/is"
 
+	"github.com/tacktally/tacktally/internal/entry"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/standin/engine"
 	"github.com/tacktally/tacktally/internal/standin/rig"
@@ -150,6 +153,29 @@
 	}
 }
 
+// Operators see when a zone is empty from all instances together.
+func TestPlacesAddUpWhatRunsInEvacuatedZones(t *testing.T) {
+	is := is.New(t)
+	var urls []string
+	for _, running := range []int{3, 4} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.MarshalWrite(w, entry.Places{
+				Instance: "10.0.0.1:1", Version: 9,
+				Zones: []entry.Zone{{Name: "bole", Evacuated: true, Upstreams: 2, Running: running}, {Name: "piassa", Running: 5}},
+				Cold:  []entry.ColdUpstream{{ID: "i-1", Zone: "piassa", LeftMS: 1200}},
+			})
+		}))
+		defer s.Close()
+		urls = append(urls, "--metrics", s.URL)
+	}
+	var out, errOut bytes.Buffer
+	is.Equal(Run(append([]string{"places"}, urls...), &out, &errOut, decodeRouted), ExitDone)
+	is.True(strings.Contains(out.String(), "7 requests of the 2 instances asked"))
+	is.True(strings.Contains(out.String(), "for 1200 ms more"))
+	is.Equal(Run([]string{"places", "--metrics", "http://127.0.0.1:1"}, &out, &errOut, decodeRouted), ExitFailed)
+	is.True(strings.Contains(errOut.String(), "routed.metrics"))
+}
+
 func TestNoInstance(t *testing.T) {
 	is := is.New(t)
 	var out, errOut bytes.Buffer
--- /dev/null
+++ b/internal/cli/places.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/dghubble/sling"
+	"github.com/go-json-experiment/json"
+
+	"github.com/tacktally/tacktally/internal/entry"
+)
+
+type placesCommand struct {
+	session *session
+	Metrics []string `long:"metrics" value-name:"URL" required:"true" description:"Where an instance serves metrics (routed.metrics), such as http://10.1.0.25:7600; give it again for more instances"`
+}
+
+// errNoPlaces: an instance didn't say what it knows.
+var errNoPlaces = errors.New("the instance doesn't say what it knows of zones; name its metrics' address, routed.metrics, with --metrics")
+
+// Execute implements flags.Commander.
+func (c *placesCommand) Execute([]string) error {
+	var all []entry.Places
+	for _, url := range c.Metrics {
+		p, err := c.read(url)
+		if err != nil {
+			return err
+		}
+		all = append(all, p)
+	}
+	if c.session.Output == "json" {
+		return json.MarshalWrite(c.session.out, all, json.FormatNilSliceAsNull(false))
+	}
+	return c.session.table(func(w io.Writer) {
+		for _, p := range all {
+			printPlaces(w, p)
+		}
+		printTotal(w, all)
+	})
+}
+
+func (c *placesCommand) read(url string) (p entry.Places, err error) {
+	request, err := sling.New().Base(url).Get(entry.PlacesPath).Request()
+	if err != nil {
+		return p, fmt.Errorf("%w: %q is no URL: %w", errNoPlaces, url, err)
+	}
+	response, err := http.DefaultClient.Do(request.WithContext(c.session.ctx))
+	if err != nil {
+		return p, fmt.Errorf("%w: %w", errNoPlaces, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return p, fmt.Errorf("%w: %s answered %s", errNoPlaces, url, response.Status)
+	}
+	if err := json.UnmarshalRead(response.Body, &p); err != nil {
+		return p, fmt.Errorf("%w: the answer of %s: %w", errNoPlaces, url, err)
+	}
+	return p, nil
+}
+
+func printPlaces(w io.Writer, p entry.Places) {
+	fmt.Fprintf(w, "instance\t%s\tevacuations known up to revision %d, work held back by limits of starts %d times\n", p.Instance, p.Version, p.HeldStarts)
+	for _, z := range p.Zones {
+		fmt.Fprintf(w, "zone\t%s\t%s, %d upstreams, %d requests of this instance\n", z.Name, inService(z.Evacuated), z.Upstreams, z.Running)
+	}
+	for _, u := range p.Cold {
+		fmt.Fprintf(w, "cold\t%s\tin %s, for %d ms more\n", u.ID, u.Zone, u.LeftMS)
+	}
+}
+
+func inService(evacuated bool) string {
+	if evacuated {
+		return "evacuated"
+	}
+	return "in service"
+}
+
+// printTotal prints how many requests all instances that were asked have in evacuated zones.
+func printTotal(w io.Writer, all []entry.Places) {
+	running := map[string]int{}
+	for _, p := range all {
+		for _, z := range p.Zones {
+			if z.Evacuated {
+				running[z.Name] += z.Running
+			}
+		}
+	}
+	for zone, n := range running {
+		fmt.Fprintf(w, "evacuated\t%s\t%d requests of the %d instances asked\n", zone, n, len(all))
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -173,6 +173,7 @@
 // upstreamsChanged uses a new list and tells the peers of it.
 func (i *Instance) upstreamsChanged(list view.List) {
 	i.fleet.SetUpstreams(list)
+	i.gaugeZones(list)
 	i.tell()
 }
 
--- /dev/null
+++ b/internal/entry/places.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"github.com/go-json-experiment/json"
+
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// PlacesPath is where the metrics listener says what is known of availability zones and of cold
+// upstreams, as JSON of type Places.
+const PlacesPath = "/places"
+
+// Places is what one instance knows of availability zones and of cold upstreams.
+type Places struct {
+	Instance string `json:"instance"`
+	// Version is the revision of the source up to which evacuations are known; 0 where they
+	// aren't.
+	Version int64  `json:"version"`
+	Zones   []Zone `json:"zones"`
+	// Cold upstreams by what their entries say.
+	Cold []ColdUpstream `json:"cold"`
+	// HeldStarts is how often waiting work was held back here by the limits of starts alone.
+	HeldStarts int64 `json:"heldStarts"`
+}
+
+// Zone is one availability zone.
+type Zone struct {
+	Name      string `json:"name"`
+	Evacuated bool   `json:"evacuated"`
+	// Upstreams that are listed there.
+	Upstreams int `json:"upstreams"`
+	// Running are this instance's requests at its upstreams now. A zone is empty once this is 0 at
+	// all instances.
+	Running int `json:"running"`
+}
+
+// ColdUpstream is an upstream that bears less than others for a while.
+type ColdUpstream struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// LeftMS is how many milliseconds longer.
+	LeftMS int64 `json:"leftMS"`
+}
+
+// places tells what is known now.
+func (i *Instance) places() Places {
+	evacuated := i.view.Evacuated()
+	list := i.view.List().Upstreams
+	out := Places{Instance: i.address, Version: evacuated.Version, Zones: i.zones(evacuated.Zones, list), HeldStarts: i.fleet.HeldStarts()}
+	for _, u := range list {
+		if u.Cold > 0 {
+			out.Cold = append(out.Cold, ColdUpstream{ID: u.ID, Zone: u.Zone, LeftMS: u.Cold.Milliseconds()})
+		}
+	}
+	return out
+}
+
+// zones are all that upstreams are in, or that are evacuated, in order.
+func (i *Instance) zones(evacuated []string, list []view.Upstream) []Zone {
+	byName := map[string]*Zone{}
+	zone := func(name string) *Zone {
+		if byName[name] == nil {
+			byName[name] = &Zone{Name: name, Running: i.proxy.RunningIn(name)}
+		}
+		return byName[name]
+	}
+	for _, name := range evacuated {
+		zone(name).Evacuated = true
+	}
+	for _, u := range list {
+		zone(u.Zone).Upstreams++
+	}
+	out := make([]Zone, 0, len(byName))
+	for _, z := range byName {
+		out = append(out, *z)
+	}
+	slices.SortFunc(out, func(a, b Zone) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (i *Instance) servePlaces(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.MarshalWrite(w, i.places(), json.FormatNilSliceAsNull(false)) // whoever asks may have gone
+}
+
+// gaugeZones keeps a gauge of the requests at each zone's upstreams.
+func (i *Instance) gaugeZones(list view.List) {
+	for _, u := range list.Upstreams {
+		zone := u.Zone
+		i.metrics.Gauge("tacktally_running_in_zone{zone=\""+zone+"\"}", func() float64 { return float64(i.proxy.RunningIn(zone)) })
+	}
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -109,7 +109,9 @@
 func (l *listeners) serve(i *Instance) *servers {
 	mesh := http.NewServeMux()
 	mesh.Handle(peer.Path, i.mesh)
-	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { i.metrics.Write(w) })
+	metrics := http.NewServeMux()
+	metrics.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { i.metrics.Write(w) })
+	metrics.HandleFunc("GET "+PlacesPath, i.servePlaces)
 	s := &servers{callers: i.start(l.callers, i.proxy, l.callers.State)}
 	s.others = []*http.Server{i.start(l.ready, &i.ready, nil), i.start(l.peers, mesh, nil), i.start(l.metrics, metrics, nil)}
 	return s
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,10 +67,11 @@
 	connections map[string]connections // by upstream ID
 	instances   []Instance             // this one included, by address
 	list        view.List
-	listed      time.Time        // when the list came
-	unusable    map[string]error // why upstreams get nothing new, nil for those that do, by ID
-	evacuated   []string         // availability zones
-	slots       Slots            // nil until there are peers
+	listed      time.Time         // when the list came
+	unusable    map[string]error  // why upstreams get nothing new, nil for those that do, by ID
+	zones       map[string]string // by upstream ID
+	evacuated   []string          // availability zones
+	slots       Slots             // nil until there are peers
 
 	owners     owners
 	leases     leases
@@ -124,10 +125,12 @@
 // back count as cold. The caller holds the lock.
 func (f *Fleet) share(takenBack []string) []*shard {
 	f.unusable = make(map[string]error, len(f.list.Upstreams))
+	f.zones = make(map[string]string, len(f.list.Upstreams))
 	members := map[string][]scheduler.Member{}
 	for _, u := range f.list.Upstreams {
 		s := f.serviceOf(u.Service)
 		f.unusable[u.ID] = f.whyUnusable(u)
+		f.zones[u.ID] = u.Zone
 		m := scheduler.Member{
 			ID:        u.ID,
 			Address:   u.Address,
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -85,6 +85,13 @@
 	return out
 }
 
+// ZoneOf returns the availability zone of an upstream of the list, "" of one that isn't on it.
+func (f *Fleet) ZoneOf(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.zones[id]
+}
+
 // ColdUpstreams returns how many upstreams are believed to be cold.
 func (f *Fleet) ColdUpstreams() (n int) {
 	now := time.Now()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -54,6 +54,7 @@
 	o        Options
 	flying   atomic.Int64
 	draining atomic.Bool
+	sendings sendings
 }
 
 // New returns a handler.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -66,6 +66,7 @@
 	j.upstream = l.Upstream()
 	j.owner = l.Owner()
 	j.granted = time.Since(j.arrived)
+	defer j.handler.sendings.begin(j.handler.o.Fleet.ZoneOf(l.Upstream()))()
 	answer, err := connections.Do(ctx, j.exchangeRequest(l, left))
 	if err != nil {
 		status, err := statusOf(ctx, err)
