Send long answers where they can end, by what is learned of lengths and paces

Cause: lengths spread far (a median of 15 events, one in a hundred over 300) and engines differ fivefold; an answer that outlives its deadline holds a slot for 12 s for nothing. The choice minded the predicted end with a tenth of the time past the deadline, and what it knew of paces was wrong: answers of one to three events, whose tokens come several at once, made engines look a third faster than they are.

--- a/internal/balancer/aimed.go
+++ b/internal/balancer/aimed.go
@@ -13,14 +13,17 @@
 	FarCost time.Duration
 	// Weights of what a choice costs.
 	Weights AimedWeights
+	// AnyChance sends an answer also where it hardly ends in time.
+	AnyChance bool
 }
 
 // AimedWeights weigh times against each other.
 type AimedWeights struct {
 	// Late counts the time of the first token past the objective.
 	Late float64
-	// Unfinished counts the time of the end past the deadline.
-	Unfinished float64
+	// Unfinished is what an upstream counts for on which the answer surely can't end before the
+	// deadline: the answer is lost, and a slot until then.
+	Unfinished time.Duration
 	// Reading counts the time spent on the prompt, which others wait for.
 	Reading float64
 	// Crowding is what an upstream whose slots are all taken counts for more than an
@@ -37,23 +40,44 @@
 // deployments that docs/design/policy.md compares them on, with the trials.
 var DefaultAimedWeights = AimedWeights{
 	Late:       5,
-	Unfinished: 0.1,
+	Unfinished: 3 * time.Second,
 	Reading:    0.3,
 	Crowding:   300 * time.Millisecond,
 	Failing:    time.Second,
 	Margin:     1,
 }
 
+// leastChance is the part of the best chance to end in time, at any upstream that works, below which
+// one gets nothing although it alone has room: an answer that runs into its deadline is worth nothing
+// and holds a slot for about eight times as long as others do.
+const leastChance = 0.7
+
 // Pick implements Picker.
 func (p *Aimed) Pick(now time.Time, upstreams []*Upstream, w Work) Choice {
+	chances := w.Chances
+	if chances == nil {
+		chances = ChancesOf(now, upstreams, w)
+	}
+	least := leastChance * chances.Best
+	if p.AnyChance {
+		least = 0
+	}
 	var best Choice
 	bestCost := time.Duration(0)
 	for _, u := range upstreams {
+		if !p.AnyChance && chances.isTooSlow(u, w) {
+			continue
+		}
 		uncached := w.Uncached(u)
 		if !u.HasRoom(now, uncached) {
 			continue
 		}
-		cost := p.cost(u, w, uncached)
+		first := u.Speed.FirstToken(u.Ahead() + uncached)
+		chance := chances.at(u, w, first)
+		if chance < least {
+			continue
+		}
+		cost := p.cost(u, w, uncached, first, chance)
 		if best.Upstream == nil || cost < bestCost {
 			best, bestCost = Choice{Upstream: u, Uncached: uncached}, cost
 		}
@@ -64,7 +88,9 @@
 // Sent implements Picker.
 func (*Aimed) Sent(*Upstream, Work) {}
 
-func (p *Aimed) cost(u *Upstream, w Work, uncached int) time.Duration {
+// cost is what an upstream counts for, on which the first token is predicted and the answer has a
+// chance to end in time.
+func (p *Aimed) cost(u *Upstream, w Work, uncached int, first time.Duration, chance float64) time.Duration {
 	cost := scale(u.Occupancy(), p.Weights.Crowding) + scale(u.FailureShare, p.Weights.Failing)
 	if u.Zone != w.Zone {
 		cost += p.FarCost
@@ -72,16 +98,11 @@
 	if w.Prompt == 0 {
 		return cost // no engine: nothing is known of its speed
 	}
-	first := u.Speed.FirstToken(u.Ahead() + uncached)
 	cost += scale(p.Weights.Reading, u.Speed.FirstToken(uncached))
 	if w.FirstIn > 0 {
 		cost += scale(p.Weights.Late, past(scale(p.Weights.Margin, first), w.FirstIn))
 	}
-	if w.EndIn > 0 {
-		end := first + u.Speed.Decode(w.Output, 1)
-		cost += scale(p.Weights.Unfinished, past(scale(p.Weights.Margin, end), w.EndIn))
-	}
-	return cost
+	return cost + scale(1-chance, p.Weights.Unfinished)
 }
 
 // past is how far a time lies past a bound.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -140,9 +140,16 @@
 
 // Work is what the choice needs to know of a request.
 type Work struct {
-	// Prompt and Output are tokens; Output is what is expected.
+	// Prompt and Output are tokens; Output is what is expected, and Limit the most that may come,
+	// 0 where it isn't known.
 	Prompt int
 	Output int
+	Limit  int
+	// Spread is how far the output's length is from what is expected.
+	Spread Spread
+	// Chances to end in time over all upstreams, where Pick is given some of them; nil where it is
+	// given all.
+	Chances *Chances
 	// Chain is the prompt's prefix sums.
 	Chain []uint64
 	// FirstIn is the time in which the first token is in time, EndIn that in which
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -60,3 +60,25 @@
 	}
 	is.Equal(w.Size(), minWindow)
 }
+
+// What another instance has learned takes the place of what is assumed, and of nothing else.
+func TestLearnedRatesAreHandedOver(t *testing.T) {
+	is := is.New(t)
+	there, here := NewSpeed(), NewSpeed()
+	is.Equal(there.Rates(), Rates{}) // nothing was observed
+	here.Adopt(there.Rates())
+	is.True(!here.Known() && !here.KnowsPace())
+	there.ObserveFirstToken(2000, 100*time.Millisecond)
+	there.ObserveInterval(12 * time.Millisecond)
+	here.Adopt(there.Rates())
+	is.True(here.Known() && here.KnowsPace())
+	is.Equal(here.Rates(), there.Rates())
+}
+
+// The first whole answer tells the pace: what is assumed before is ten times too slow for a fast engine.
+func TestTheFirstAnswerTellsThePace(t *testing.T) {
+	is := is.New(t)
+	s := NewSpeed()
+	s.ObserveInterval(3 * time.Millisecond)
+	is.Equal(s.Interval(), 3*time.Millisecond)
+}
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -69,6 +69,43 @@
 // Prefill returns the learned rate of reading prompts, in tokens a second.
 func (s *Speed) Prefill() float64 { return s.prefill }
 
+// KnowsPace tells whether the time between output tokens was ever observed.
+func (s *Speed) KnowsPace() bool { return s.observedStep > 0 }
+
+// Rates are what one instance has learned of an upstream's speed, for another one.
+type Rates struct {
+	// Prefill is prompt tokens a second, Interval the time between output tokens; 0 where it
+	// wasn't observed.
+	Prefill  float64
+	Interval time.Duration
+}
+
+// Rates returns what was learned.
+func (s *Speed) Rates() Rates {
+	var r Rates
+	if s.observed > 0 {
+		r.Prefill = s.prefill
+	}
+	if s.observedStep > 0 {
+		r.Interval = seconds(s.interval)
+	}
+	return r
+}
+
+// Adopt takes what another instance has learned, which has observed more than this one.
+func (s *Speed) Adopt(r Rates) {
+	if r.Prefill > 0 {
+		s.prefill = clamp(r.Prefill, minSpeed, maxSpeed)
+		s.bestPrefill = max(s.bestPrefill, s.prefill)
+		s.observed = max(s.observed, fastObservations)
+	}
+	if r.Interval > 0 {
+		s.interval = r.Interval.Seconds()
+		s.bestInterval = min(s.bestInterval, s.interval)
+		s.observedStep = max(s.observedStep, fastObservations)
+	}
+}
+
 // Interval returns the learned time between output tokens.
 func (s *Speed) Interval() time.Duration { return seconds(s.interval) }
 
@@ -101,6 +138,9 @@
 	if interval <= 0 {
 		return
 	}
+	if s.observedStep == 0 {
+		s.interval = interval.Seconds() // a mean over a whole stream says more than what was assumed
+	}
 	ratio := clamp(interval.Seconds()/s.interval, 1/maxStep, maxStep)
 	s.interval *= math.Pow(ratio, s.gain(&s.observedStep))
 	s.bestInterval = min(s.bestInterval, s.interval)
--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -348,3 +348,30 @@
 		is.Equal(m.fleet.ColdUpstreams(), 0)
 	})
 }
+
+// Whoever owns a shard next begins with what the owner before has learned: grants carry it.
+func TestGrantsTellWhatOwnersHaveLearnedOfSpeeds(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf("10.0.0.1:1", instances(3))
+	f.UseSlots(grantingSlots{peer.SlotGrant{Upstream: "i-7", Prefill: 56_000, Interval: 4400}})
+	l, problem := f.Acquire(t.Context(), generation())
+	is.True(problem == nil)
+	is.Equal(l.Upstream(), "i-7")
+	f.shardAt("s", 0).pool.View(func(core *scheduler.Core) {
+		for _, u := range core.Upstreams() {
+			is.Equal(u.Speed.KnowsPace(), u.ID == "i-7")
+			if u.ID == "i-7" {
+				is.Equal(u.Speed.Interval(), 4400*time.Microsecond)
+			}
+		}
+	})
+}
+
+// grantingSlots grants the same slot to each request.
+type grantingSlots struct{ grant peer.SlotGrant }
+
+func (g grantingSlots) AcquireSlot(context.Context, string, *peer.SlotRequest, time.Duration) (*peer.Slot, *peer.SlotRefusal, error) {
+	return &peer.Slot{Grant: g.grant}, nil, nil
+}
+
+func (grantingSlots) FleetSize() int { return 3 }
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/estimate"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/prefix"
@@ -100,11 +101,17 @@
 	case refusal != nil:
 		return nil, problemOf(refusal), nil
 	}
+	s.pool.Adopt(slot.Grant.Upstream, ratesOf(slot.Grant))
 	l := &peerLease{owner: owner, grant: slot.Grant, slot: slot, all: &f.leases}
 	f.leases.add(l)
 	return l, nil, nil
 }
 
+// ratesOf is what a grant tells of its upstream's speed.
+func ratesOf(g peer.SlotGrant) estimate.Rates {
+	return estimate.Rates{Prefill: float64(g.Prefill), Interval: time.Duration(g.Interval) * time.Microsecond}
+}
+
 func (f *Fleet) slotRequest(now time.Time, s *shard, w *Want) *peer.SlotRequest {
 	r := w.Request
 	out := &peer.SlotRequest{
@@ -185,7 +192,14 @@
 
 // serveGrant tells the peer its slot and returns how the request ended.
 func (f *Fleet) serveGrant(ctx context.Context, sh *shard, r *peer.SlotRequest, s *peer.SlotStream, g *scheduler.Grant) (scheduler.Ending, int) {
-	err := s.Granted(ctx, peer.SlotGrant{Upstream: g.Upstream.ID, Predicted: g.Predicted(), Running: g.Running, ListVersion: f.listVersion()})
+	err := s.Granted(ctx, peer.SlotGrant{
+		Upstream:    g.Upstream.ID,
+		Predicted:   g.Predicted(),
+		Running:     g.Running,
+		ListVersion: f.listVersion(),
+		Prefill:     int(g.Rates.Prefill),
+		Interval:    int(g.Rates.Interval.Microseconds()),
+	})
 	f.logSlot(r, s.Peer, "granted", g.Upstream.ID, err)
 	for err == nil {
 		var release *peer.SlotRelease
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -65,6 +65,11 @@
 	Running int `cbor:"3,keyasint,omitempty"`
 	// ListVersion is the version of the list from which the upstream was chosen, for logs.
 	ListVersion int64 `cbor:"4,keyasint,omitempty"`
+	// Prefill and Interval are what the owner has learned of the upstream's speed: prompt tokens a
+	// second, and microseconds between output tokens; 0 is unknown. Whoever owns the shard next
+	// begins with it.
+	Prefill  int `cbor:"5,keyasint,omitempty"`
+	Interval int `cbor:"6,keyasint,omitempty"`
 }
 
 // SlotRefusal gives the request up. It hasn't run.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,6 +11,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/estimate"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
@@ -230,6 +231,13 @@
 	p.core.SetMembers(members)
 }
 
+// Adopt takes what another instance has learned of an upstream's speed.
+func (p *Pool) Adopt(id string, r estimate.Rates) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Adopt(id, r)
+}
+
 // MarkLeaving stops new work to an upstream.
 func (p *Pool) MarkLeaving(address string) {
 	p.mu.Lock()
@@ -246,8 +254,8 @@
 
 // Displace gives up one waiting request of a lower tier than rank.
 func (p *Pool) Displace(rank int) (displaced bool) {
-	p.Apply(func(_ time.Time, core *scheduler.Core) scheduler.Decisions {
-		d := core.Displace(rank)
+	p.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
+		d := core.Displace(now, rank)
 		displaced = len(d.Sheds) > 0
 		return d
 	})
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -137,6 +137,17 @@
 	q.bytes += int64(it.Bytes)
 }
 
+// Waiting returns the ranks of which something waits, the most important first.
+func (q *Queue) Waiting() []int {
+	var out []int
+	for r, lv := range q.levels {
+		if lv != nil && lv.items > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Next returns the item that goes next without removing it, or nil.
 func (q *Queue) Next(now time.Time) *Item {
 	for _, lv := range q.levels {
@@ -147,15 +158,15 @@
 	return nil
 }
 
-// Peek returns up to n items of the most important tier waiting: the one that goes
-// next, and others by their latest start, whatever their organisations have had.
-func (q *Queue) Peek(now time.Time, n int) []*Item {
-	next := q.Next(now)
-	if next == nil {
+// Peek returns up to n waiting items of a rank: the one that goes next, and others by their
+// latest start, whatever their organisations have had.
+func (q *Queue) Peek(now time.Time, rank, n int) []*Item {
+	if q.LenOf(rank) == 0 {
 		return nil
 	}
+	next := q.levels[rank].next(now)
 	out := append(make([]*Item, 0, n), next)
-	for _, ln := range q.levels[next.Rank].order {
+	for _, ln := range q.levels[rank].order {
 		for _, it := range ln.items[:min(n, len(ln.items))] {
 			if it != next {
 				out = insertByStart(out, it, n)
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -55,19 +55,19 @@
 func TestPeekShowsTheNextAndTheMostUrgent(t *testing.T) {
 	is := is.New(t)
 	q := New(Limits{MaxItems: 100, MaxBytes: 100})
-	q.Push(item(1, "z", 0)) // a lower tier is never shown
+	q.Push(item(1, "z", 0)) // a lower tier is not shown
 	for _, s := range []int{5, 3, 9, 1, 7} {
 		q.Push(item(0, "a", s))
 		q.Push(item(0, "b", s+1))
 	}
 	var starts []int
-	for _, it := range q.Peek(start, 4) {
+	for _, it := range q.Peek(start, 0, 4) {
 		starts = append(starts, int(it.StartBy.Sub(start)/time.Second))
 	}
 	is.Equal(starts, []int{1, 2, 3, 4})
-	is.Equal(len(q.Peek(start, 1)), 1)
-	is.Equal(q.Peek(start, 99)[0], q.Next(start))
-	is.Equal(len(New(Limits{}).Peek(start, 4)), 0)
+	is.Equal(len(q.Peek(start, 0, 1)), 1)
+	is.Equal(q.Peek(start, 0, 99)[0], q.Next(start))
+	is.Equal(len(New(Limits{}).Peek(start, 0, 4)), 0)
 }
 
 func TestRoomIsMadeByTheLeastImportant(t *testing.T) {
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -24,7 +24,7 @@
 func (c *Core) Submit(now time.Time, r *Request) Decisions {
 	var d Decisions
 	if !c.hasUsable(r) {
-		c.shed(&d, r, api.ReasonNoUpstream, "no upstream is in service; come back later, or check the platform's instance list")
+		c.shed(now, &d, r, api.ReasonNoUpstream, "no upstream is in service; come back later, or check the platform's instance list")
 		return d
 	}
 	if c.options.Unqueued {
@@ -32,7 +32,7 @@
 		return d
 	}
 	if !r.LateIsWorth && !c.feasible(now, r) {
-		c.shed(&d, r, api.ReasonDeadlineTooShort, "even an idle upstream would answer too late; allow more time or send less")
+		c.shed(now, &d, r, api.ReasonDeadlineTooShort, "even an idle upstream would answer too late; allow more time or send less")
 		return d
 	}
 	startBy := c.startBy(r)
@@ -40,8 +40,8 @@
 		startBy = now // it has waited enough elsewhere: it goes at once or not at all
 	}
 	if startBy.Before(now) {
-		c.shedLower(r.Rank, &d)
-		c.shed(&d, r, api.ReasonPredictedLate, "the upstreams are too slow now for it to be in time; come back after the time given")
+		c.shedLower(now, r.Rank, &d)
+		c.shed(now, &d, r, api.ReasonPredictedLate, "the upstreams are too slow now for it to be in time; come back after the time given")
 		return d
 	}
 	r.item = &queue.Item{
@@ -59,7 +59,7 @@
 	c.queue.Push(r.item)
 	c.pump(now, &d)
 	if c.floor.excludes(now, r.Rank) && c.queue.Remove(r.item) {
-		c.shedDisplaced(r.item, &d)
+		c.shedDisplaced(now, r.item, &d)
 	}
 	return d
 }
@@ -69,26 +69,26 @@
 	wait := c.predictedWait(r)
 	slack := r.item.StartBy.Sub(now)
 	if float64(wait) > lateFactor*float64(slack) {
-		c.shedLower(r.Rank, d)
-		c.shed(d, r, api.ReasonPredictedLate, "the queue is too long for it to be in time; come back after the time given")
+		c.shedLower(now, r.Rank, d)
+		c.shed(now, d, r, api.ReasonPredictedLate, "the queue is too long for it to be in time; come back after the time given")
 		return false
 	}
 	for !c.queue.HasRoom(r.Bytes) {
 		victim := c.queue.Displace(r.Rank)
 		if victim == nil {
-			c.shed(d, r, api.ReasonQueueFull, "the queue is full; come back after the time given")
+			c.shed(now, d, r, api.ReasonQueueFull, "the queue is full; come back after the time given")
 			return false
 		}
-		c.shedDisplaced(victim, d)
+		c.shedDisplaced(now, victim, d)
 	}
 	return true
 }
 
 // shedLower gives up all waiting work of lower tiers, because work of this rank
 // is about to be shed: a higher tier is never shed before a lower one.
-func (c *Core) shedLower(rank int, d *Decisions) {
+func (c *Core) shedLower(now time.Time, rank int, d *Decisions) {
 	for _, it := range c.queue.Lower(rank) {
-		c.shedDisplaced(it, d)
+		c.shedDisplaced(now, it, d)
 	}
 }
 
@@ -97,10 +97,10 @@
 
 // Displace gives up the least important waiting request of a lower tier than rank,
 // if there is one.
-func (c *Core) Displace(rank int) Decisions {
+func (c *Core) Displace(now time.Time, rank int) Decisions {
 	var d Decisions
 	if victim := c.queue.Displace(rank); victim != nil {
-		c.shedDisplaced(victim, &d)
+		c.shedDisplaced(now, victim, &d)
 	}
 	return d
 }
@@ -127,23 +127,29 @@
 		c.floor = floor{rank: rank, until: now.Add(floorHold)}
 	}
 	var d Decisions
-	c.shedLower(rank, &d)
+	c.shedLower(now, rank, &d)
 	return d
 }
 
-func (c *Core) shedDisplaced(it *queue.Item, d *Decisions) {
-	c.shed(d, it.Value.(*Request), api.ReasonDisplaced, "work of a higher tier needs the capacity; come back after the time given")
+func (c *Core) shedDisplaced(now time.Time, it *queue.Item, d *Decisions) {
+	c.shed(now, d, it.Value.(*Request), api.ReasonDisplaced, "work of a higher tier needs the capacity; come back after the time given")
 }
 
-func (c *Core) shed(d *Decisions, r *Request, reason api.Reason, detail string) {
-	p := api.Refuse(reason, "%s (%s)", detail, c.state(r)).WithRetryAfter(c.retryAfter(r))
+func (c *Core) shed(now time.Time, d *Decisions, r *Request, reason api.Reason, detail string) {
+	if reason != api.ReasonNoUpstream && reason != api.ReasonDeadlineTooShort {
+		c.served.note(now, r.Rank, false)
+	}
+	p := api.Refuse(reason, "%s (%s)", detail, c.state(now, r)).WithRetryAfter(c.retryAfter(r))
 	d.Sheds = append(d.Sheds, Shed{Request: r, Problem: p})
 }
 
 // state is what a refusal was decided on, for whoever looks for its cause.
-func (c *Core) state(r *Request) string {
-	running, others, slots, avoided := 0, 0, 0, 0
+func (c *Core) state(now time.Time, r *Request) string {
+	running, others, slots, avoided, leaving := 0, 0, 0, 0, 0
 	for _, u := range c.upstreams {
+		if u.Leaving {
+			leaving++
+		}
 		running += u.Running
 		others += u.OthersRunning
 		slots += u.Slots
@@ -151,8 +157,8 @@
 			avoided++
 		}
 	}
-	return fmt.Sprintf("rank %d, %d waiting, predicted wait %v, running %d here and %d elsewhere, %d slots, %d of %d upstreams failing",
-		r.Rank, c.queue.Len(), c.predictedWait(r).Round(time.Millisecond), running, others, slots, avoided, len(c.upstreams))
+	return fmt.Sprintf("rank %d, %d waiting, predicted wait %v, running %d here and %d elsewhere, %d slots, of %d upstreams %d failing, %d leaving or evacuated and %d cold",
+		r.Rank, c.queue.Len(), c.predictedWait(r).Round(time.Millisecond), running, others, slots, len(c.upstreams), avoided, leaving, c.Cold(now))
 }
 
 // feasible tells whether any upstream could answer in time if it had nothing else
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -17,6 +17,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/estimate"
 	"github.com/tacktally/tacktally/internal/prefix"
 	"github.com/tacktally/tacktally/internal/queue"
 )
@@ -32,6 +33,8 @@
 	// Unqueued sends each request at once to whatever the picker names, without
 	// tiers or limits. The baselines run like that.
 	Unqueued bool
+	// StrictTiers lets no short work of a lower tier pass what waits of a higher one.
+	StrictTiers bool
 	// MinRetryAfter is the shortest time to come back that is told; a second where
 	// absent.
 	MinRetryAfter time.Duration
@@ -75,6 +78,9 @@
 	Value any
 
 	item *queue.Item
+	// chances to end in time over all upstreams, as of a time.
+	chances   *balancer.Chances
+	chancesAt time.Time
 }
 
 // Homes says in which regions a request may run: in all, unless it is bound.
@@ -94,6 +100,8 @@
 	Sent time.Time
 	// Running is how many requests the upstream ran then, this one included.
 	Running int
+	// Rates are what was known of the upstream's speed then.
+	Rates estimate.Rates
 
 	uncached   int
 	ahead      int // prompt tokens to be read before its first token, its own included
@@ -127,15 +135,20 @@
 	floor     floor
 	drain     drainRate
 	outputs   outputRatio
-	coldStart ColdStart
-	reach     Reach
-	held      int64 // how often limits of starts alone held work back
+	lengths   lengths
+	served    served
+	// passAllowance is how long work may hold slots now that passes other work.
+	passAllowance time.Duration
+	coldStart     ColdStart
+	reach         Reach
+	room          []*balancer.Upstream // of the latest search
+	held          int64                // how often limits of starts alone held work back
 }
 
 // New returns a Core without upstreams.
 func New(o Options) *Core {
 	o.MinRetryAfter = cmp.Or(o.MinRetryAfter, minRetryAfter)
-	return &Core{options: o, queue: queue.New(o.Limits), others: map[string]Load{}, outputs: newOutputRatio()}
+	return &Core{options: o, queue: queue.New(o.Limits), others: map[string]Load{}, outputs: newOutputRatio(), lengths: newLengths(), served: served{}}
 }
 
 // Member is an upstream as a list names it.
@@ -207,6 +220,13 @@
 	}
 }
 
+// Adopt takes what another instance, which owns the shard, has learned of an upstream's speed.
+func (c *Core) Adopt(id string, r estimate.Rates) {
+	if u := c.byID[id]; u != nil {
+		u.Speed.Adopt(r)
+	}
+}
+
 // Upstreams returns the upstreams. The caller must not change them.
 func (c *Core) Upstreams() []*balancer.Upstream { return c.upstreams }
 
@@ -224,7 +244,7 @@
 
 // hasUsable tells whether any upstream may get work, now or once it has room.
 func (c *Core) hasUsable(r *Request) bool {
-	for _, u := range c.eligible(r) {
+	for _, u := range c.eligible(r, c.upstreams) {
 		if !u.Leaving {
 			return true
 		}
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -34,6 +35,10 @@
 	lookahead = 8
 	// urgent is the time to its latest start from which on an item isn't passed over.
 	urgent = 300 * time.Millisecond
+	// paceTokens is the output from which on an answer tells its upstream's pace. Tokens come
+	// several in an event, so that of a few events the time between them says little: answers of
+	// three made engines look a third faster than they are.
+	paceTokens = 64
 	// outputWeight is what an output token counts for in prompt tokens.
 	outputWeight = 4
 )
@@ -53,8 +58,8 @@
 func (c *Core) expire(now time.Time, d *Decisions) {
 	for _, it := range c.queue.Expired(now) {
 		r := it.Value.(*Request)
-		c.shedLower(r.Rank, d)
-		c.shed(d, r, api.ReasonDeadlineExpired, "no upstream had room in time; come back after the time given")
+		c.shedLower(now, r.Rank, d)
+		c.shed(now, d, r, api.ReasonDeadlineExpired, "no upstream had room in time; come back after the time given")
 	}
 }
 
@@ -67,11 +72,12 @@
 // pump sends waiting work while the next in order finds an upstream with room.
 func (c *Core) pump(now time.Time, d *Decisions) {
 	for c.queue.Len() > 0 {
-		if !c.anyRoom(now) {
+		room := c.withRoom(now)
+		if len(room) == 0 {
 			c.countHeld(now)
 			return
 		}
-		it, choice := c.next(now)
+		it, choice := c.next(now, room)
 		if it == nil {
 			return
 		}
@@ -82,28 +88,47 @@
 	c.drain.idle(now)
 }
 
-// anyRoom tells whether any upstream may be sent even the smallest prompt, so that
-// a full zone costs no search for a choice.
-func (c *Core) anyRoom(now time.Time) bool {
+// withRoom returns the upstreams that may be sent even the smallest prompt: few where it matters, so
+// that a search for a choice costs little. The slice is of use until the next call.
+func (c *Core) withRoom(now time.Time) []*balancer.Upstream {
+	c.room = c.room[:0]
 	for _, u := range c.upstreams {
 		if u.HasRoom(now, 1) {
-			return true
+			c.room = append(c.room, u)
 		}
 	}
-	return false
+	return c.room
 }
 
-// next returns the item to send now and where to, or nil when none can be sent.
-// Among the first few of a tier, the one goes first of whose prompt an upstream
-// with room holds the largest share, so that less is read again; but none that
+// next returns the item to send now and where to, of the upstreams with room, or nil when none can be
+// sent. What can be sent of
+// the most important tier goes first, but for short work that may pass it. A tier none of which any
+// upstream with room suits holds up no other.
+func (c *Core) next(now time.Time, room []*balancer.Upstream) (*queue.Item, balancer.Choice) {
+	waiting := c.queue.Waiting()
+	if !c.options.StrictTiers {
+		if it, choice := c.passing(now, waiting, room); it != nil {
+			return it, choice
+		}
+	}
+	for _, rank := range waiting {
+		if it, choice := c.nextOf(now, rank, room); it != nil {
+			return it, choice
+		}
+	}
+	return nil, balancer.Choice{}
+}
+
+// nextOf returns the item of a tier to send now. Among the first few the one goes first of whose
+// prompt an upstream with room holds the largest share, so that less is read again; but none that
 // must start soon is passed over.
-func (c *Core) next(now time.Time) (*queue.Item, balancer.Choice) {
+func (c *Core) nextOf(now time.Time, rank int, room []*balancer.Upstream) (*queue.Item, balancer.Choice) {
 	var best *queue.Item
 	var chosen balancer.Choice
 	bestShare := -1.0
-	for _, it := range c.queue.Peek(now, lookahead) {
+	for _, it := range c.queue.Peek(now, rank, lookahead) {
 		r := it.Value.(*Request)
-		choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(now, r))
+		choice := c.pick(now, r, room)
 		if choice.Upstream == nil {
 			continue
 		}
@@ -117,6 +142,20 @@
 	return best, chosen
 }
 
+// chancesFor is how long what is known of a waiting request's chances holds: they change with the time
+// that it has left, and with what is learned of upstreams.
+const chancesFor = 100 * time.Millisecond
+
+// pick chooses among upstreams with room.
+func (c *Core) pick(now time.Time, r *Request, room []*balancer.Upstream) balancer.Choice {
+	w := c.describe(now, r)
+	if r.chances == nil || now.Sub(r.chancesAt) >= chancesFor {
+		r.chances, r.chancesAt = balancer.ChancesOf(now, c.eligible(r, c.upstreams), w), now
+	}
+	w.Chances = r.chances
+	return c.options.Picker.Pick(now, c.eligible(r, room), w)
+}
+
 // cachedShare is the share of a prompt that the upstream holds; 0 without a prompt.
 func cachedShare(r *Request, choice balancer.Choice) float64 {
 	if r.Prompt == 0 {
@@ -126,25 +165,29 @@
 }
 
 func (c *Core) sendUnqueued(now time.Time, r *Request, d *Decisions) {
-	choice := c.options.Picker.Pick(now, c.eligible(r), c.describe(now, r))
+	choice := c.options.Picker.Pick(now, c.eligible(r, c.upstreams), c.describe(now, r))
 	if choice.Upstream == nil {
-		c.shed(d, r, api.ReasonNoUpstream, "no upstream is in service; come back later, or check the platform's instance list")
+		c.shed(now, d, r, api.ReasonNoUpstream, "no upstream is in service; come back later, or check the platform's instance list")
 		return
 	}
 	d.Grants = append(d.Grants, c.grant(now, r, choice))
 }
 
-// eligible leaves out upstreams of regions in which the request may not run, and the one that failed
-// it already, where there is another.
-func (c *Core) eligible(r *Request) []*balancer.Upstream {
-	home := c.upstreams
+// eligible leaves out of a list upstreams of regions in which the request may not run, and the one that
+// failed it already, where the service has another.
+func (c *Core) eligible(r *Request, list []*balancer.Upstream) []*balancer.Upstream {
 	if r.Homes.Bound {
-		home = without(home, func(u *balancer.Upstream) bool { return !r.Homes.allow(u.Region) })
+		list = without(list, func(u *balancer.Upstream) bool { return !r.Homes.allow(u.Region) })
 	}
-	if r.Exclude == "" || len(home) < 2 {
-		return home
+	if r.Exclude == "" || !c.hasOther(r) {
+		return list
 	}
-	return without(home, func(u *balancer.Upstream) bool { return u.ID == r.Exclude })
+	return without(list, func(u *balancer.Upstream) bool { return u.ID == r.Exclude })
+}
+
+// hasOther tells whether there is an upstream for a request beside the one that failed it.
+func (c *Core) hasOther(r *Request) bool {
+	return slices.ContainsFunc(c.upstreams, func(u *balancer.Upstream) bool { return u.ID != r.Exclude && r.Homes.allow(u.Region) })
 }
 
 // without returns a copy of a list that lacks some.
@@ -167,7 +210,15 @@
 }
 
 func (c *Core) describe(now time.Time, r *Request) balancer.Work {
-	w := balancer.Work{Prompt: r.Prompt, Output: c.output(r), Chain: r.Chain, EndIn: r.Deadline.Sub(now), Zone: r.Zone}
+	w := balancer.Work{
+		Prompt: r.Prompt,
+		Output: c.output(r),
+		Limit:  r.Output,
+		Spread: c.lengths.spread,
+		Chain:  r.Chain,
+		EndIn:  r.Deadline.Sub(now),
+		Zone:   r.Zone,
+	}
 	if r.Aim > 0 {
 		w.FirstIn = max(r.Arrived.Add(r.Aim).Sub(now), 1) // late already: the sooner the better
 	}
@@ -184,6 +235,8 @@
 	u.Pending += choice.Uncached
 	u.Running++
 	u.NoteStart(now)
+	c.served.note(now, r.Rank, true)
+	c.allowPassing(c.holds(r, choice))
 	if u.Memory != nil {
 		u.Memory.Add(r.Chain)
 	}
@@ -192,6 +245,7 @@
 		Upstream:  u,
 		Sent:      now,
 		Running:   u.Running + u.OthersRunning,
+		Rates:     u.Speed.Rates(),
 		uncached:  choice.Uncached,
 		ahead:     u.Ahead(),
 		predicted: u.Speed.FirstToken(u.Ahead()),
@@ -240,8 +294,9 @@
 	c.end(g)
 	g.Upstream.ObserveEnd(false)
 	g.Upstream.Heard(now)
+	c.lengths.observe(c.output(g.Request), output)
 	c.outputs.observe(g.Request.Output, output)
-	if !g.firstToken.IsZero() && output > 1 {
+	if !g.firstToken.IsZero() && output >= paceTokens {
 		interval := now.Sub(g.firstToken) / time.Duration(output-1)
 		g.Upstream.Speed.ObserveInterval(interval)
 		if interval > maxInterval && g.Upstream.Running > 1 {
