Let short work pass longer work of a tier that is refused less

Change (backfill): work that holds a slot for 0.3 s at most is sent before higher tiers while its own has been granted a smaller share of what came than each of them, out of an allowance of 3% of all slot time. Nothing that waits is refused before anything lower that waits, as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -199,7 +199,6 @@
 		Limits:        f.o.Limits,
 		MemoryBlocks:  memoryBlocks,
 		MinRetryAfter: minRetryAfter,
-		StrictTiers:   true,
 	})
 	core.SetColdStart(f.services[service].coldStart, scheduler.Reach{})
 	return &shard{service: service, index: index, pool: pool.New(pool.Options{Core: core})}
