--- a/cmd/tacktally/main.go
+++ b/cmd/tacktally/main.go
@@ -9,9 +9,10 @@
 
 	"github.com/tacktally/tacktally/internal/cli"
 	"github.com/tacktally/tacktally/platform"
+	"github.com/tacktally/tacktally/platform/demo"
 )
 
 func main() {
-	decodeRouted := (&platform.Source{}).Decode // reads nothing
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, decodeRouted))
+	users := cli.Platform{Decode: (&platform.Source{}).Decode, Demo: demo.Run} // the source reads nothing
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr, users))
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,23 +35,31 @@
 // document.
 type DecodeRouted func(content []byte) (*routing.Document, error)
 
+// Platform is what the command line can do with the users' platform.
+type Platform struct {
+	// Decode turns a routed configuration into a document.
+	Decode DecodeRouted
+	// Demo runs an instance for routed requests with stand-ins until ctx ends.
+	Demo func(ctx context.Context, out io.Writer) error
+}
+
 // session is what a command runs with.
 type session struct {
 	*globals
-	ctx          context.Context
-	out          io.Writer
-	decodeRouted DecodeRouted
+	ctx      context.Context
+	out      io.Writer
+	platform Platform
 }
 
 // Run runs a command line and returns the exit code.
-func Run(args []string, out, errOut io.Writer, decodeRouted DecodeRouted) int {
+func Run(args []string, out, errOut io.Writer, platform Platform) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	g := &globals{Version: func() {
 		fmt.Fprintln(out, "tacktally", daemon.Version())
 		os.Exit(ExitDone)
 	}}
-	s := &session{globals: g, ctx: ctx, out: out, decodeRouted: decodeRouted}
+	s := &session{globals: g, ctx: ctx, out: out, platform: platform}
 	p := flags.NewParser(g, flags.HelpFlag|flags.PassDoubleDash)
 	p.Name = "tacktally"
 	p.LongDescription = "Reads, watches, explains and checks the resources that instances of tacktally serve under. " +
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	plainjson "encoding/json" // times as numbers
 	"io"
 	"net/http"
@@ -33,11 +34,17 @@
 	address := "http://" + r.Daemons[0].OperatorAddress()
 	return r, func(args ...string) (int, string, string) {
 		var out, errOut bytes.Buffer
-		code := Run(append([]string{"--address", address}, args...), &out, &errOut, decodeRouted)
+		code := Run(append([]string{"--address", address}, args...), &out, &errOut, users)
 		return code, out.String(), errOut.String()
 	}
 }
 
+// users stands in for the users' platform.
+var users = Platform{Decode: decodeRouted, Demo: func(_ context.Context, out io.Writer) error {
+	_, err := io.WriteString(out, "the demo of routed requests\n")
+	return err
+}}
+
 // decodeRouted reads documents in their own form; the platform's is read by its adapter.
 func decodeRouted(content []byte) (*routing.Document, error) {
 	var d routing.Document
@@ -67,7 +74,7 @@
 			file := filepath.Join(t.TempDir(), "routed.json")
 			is.NoErr(os.WriteFile(file, []byte(c.document), 0o600))
 			var out, errOut bytes.Buffer
-			is.Equal(Run([]string{"-o", c.output, "validate", "--routed", file}, &out, &errOut, decodeRouted), c.code)
+			is.Equal(Run([]string{"-o", c.output, "validate", "--routed", file}, &out, &errOut, users), c.code)
 			if said := out.String() + errOut.String(); !strings.Contains(said, c.want) {
 				t.Error(said)
 			}
@@ -144,7 +151,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var out, errOut bytes.Buffer
-			is.Equal(Run(c.args, &out, &errOut, decodeRouted), c.code)
+			is.Equal(Run(c.args, &out, &errOut, users), c.code)
 			is.True(strings.Contains(out.String()+errOut.String(), c.want))
 		})
 	}
@@ -169,17 +176,24 @@
 		urls = append(urls, "--metrics", s.URL)
 	}
 	var out, errOut bytes.Buffer
-	is.Equal(Run(append([]string{"places"}, urls...), &out, &errOut, decodeRouted), ExitDone)
+	is.Equal(Run(append([]string{"places"}, urls...), &out, &errOut, users), ExitDone)
 	is.True(strings.Contains(out.String(), "7 requests of the 2 instances asked"))
 	is.True(strings.Contains(out.String(), "for 1200 ms more"))
-	is.Equal(Run([]string{"places", "--metrics", "http://127.0.0.1:1"}, &out, &errOut, decodeRouted), ExitFailed)
+	is.Equal(Run([]string{"places", "--metrics", "http://127.0.0.1:1"}, &out, &errOut, users), ExitFailed)
 	is.True(strings.Contains(errOut.String(), "routed.metrics"))
 }
 
+func TestTheDemoOfRoutedRequestsIsThePlatforms(t *testing.T) {
+	is := is.New(t)
+	var out, errOut bytes.Buffer
+	is.Equal(Run([]string{"demo", "--routed"}, &out, &errOut, users), ExitDone)
+	is.Equal(out.String(), "the demo of routed requests\n")
+}
+
 func TestNoInstance(t *testing.T) {
 	is := is.New(t)
 	var out, errOut bytes.Buffer
-	is.Equal(Run([]string{"--address", "http://127.0.0.1:1", "status"}, &out, &errOut, decodeRouted), ExitFailed)
+	is.Equal(Run([]string{"--address", "http://127.0.0.1:1", "status"}, &out, &errOut, users), ExitFailed)
 	is.True(strings.Contains(errOut.String(), "name another with --address"))
 }
 
@@ -207,7 +221,7 @@
 	content, err := json.Marshal(d)
 	is.NoErr(err)
 	reader, writer := io.Pipe()
-	go Run([]string{"--address", "http://" + r.Daemons[0].OperatorAddress(), "watch", "--after", "1"}, writer, io.Discard, decodeRouted)
+	go Run([]string{"--address", "http://" + r.Daemons[0].OperatorAddress(), "watch", "--after", "1"}, writer, io.Discard, users)
 	r.Platform.Publish(2, content)
 	lines := bufio.NewReader(reader)
 	seen := map[string]bool{}
--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -233,7 +233,7 @@
 
 // routed says what every instance would say to a configuration of routed requests.
 func (c *validateCommand) routed(content []byte) error {
-	document, err := c.session.decodeRouted(content)
+	document, err := c.session.platform.Decode(content)
 	if err != nil {
 		return fmt.Errorf("publish a configuration that decodes: %w", err)
 	}
@@ -384,9 +384,13 @@
 	session  *session
 	Duration time.Duration `long:"duration" value-name:"TIME" description:"End after this time; at an interrupt where left out"`
 	Rate     float64       `long:"rate" default:"12" description:"Requests a second"`
+	Routed   bool          `long:"routed" description:"Run an instance for routed requests, with upstreams in two availability zones, and send nothing"`
 }
 
 // Execute implements flags.Commander.
 func (c *demoCommand) Execute([]string) error {
+	if c.Routed {
+		return c.session.platform.Demo(c.session.ctx, c.session.out)
+	}
 	return demo.Run(c.session.ctx, demo.Options{Out: c.session.out, Duration: c.Duration, Rate: c.Rate})
 }
