--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -255,7 +255,7 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	picker := balancer.NewPredictive(config.DefaultPrefillWeight, random)
-	core := scheduler.New(scheduler.Options{Picker: picker, Limits: d.o.Limits, MemoryBlocks: memoryBlocks})
+	core := scheduler.New(scheduler.Options{Picker: picker, Limits: d.o.Limits, MemoryBlocks: memoryBlocks, StrictTiers: true})
 	core.SetMembers(d.membersOf(name))
 	o := pool.Options{Core: core, Picker: picker, Announce: d.o.Announce}
 	if d.o.Pressure != nil {
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -116,6 +116,7 @@
 			Limits:       queue.Limits{MaxItems: 2000, MaxBytes: 1 << 40},
 			MemoryBlocks: memoryBlocks,
 			Unqueued:     p.Unqueued,
+			StrictTiers:  true,
 		})
 		core.SetMembers(members)
 		w.instances = append(w.instances, &simInstance{world: w, core: core, name: string(rune('0' + i))})
