--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -110,13 +110,9 @@
 }
 
 func (j *job) schedulerRequest(exclude string) *scheduler.Request {
-	organisation := ""
-	if j.organisation != nil {
-		organisation = j.organisation.Name
-	}
 	return &scheduler.Request{
 		Rank:         j.rank(),
-		Organisation: organisation,
+		Organisation: j.organisationName(),
 		Share:        1,
 		Arrived:      j.arrived,
 		Deadline:     j.deadline,
@@ -181,7 +177,7 @@
 	}
 	l.End(endingOf(r.status, j.status), output)
 	if r.status != done {
-		j.handler.o.Log.Info().Str("event", "sending_failed").Str("request", j.call.ID).Str("upstream", l.Upstream()).
+		j.handler.o.Log.Info().Str("event", "sending_failed").Str("request", j.call.ID).Str("key", j.key.String()).Int("events", j.events).Str("upstream", l.Upstream()).
 			Str("owner", l.Owner()).Int64("owner_list", l.ListVersion()).Int64("list", j.sentBy.own).Dur("list_age", j.sentBy.age).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
@@ -97,7 +98,8 @@
 	service      string
 	header       http.Header // to pass on
 	body         []byte
-	tokens       *fleet.Tokens // taken of the organisation's quota
+	key          quarantine.Key // what it asks for, the same for each try of its caller
+	tokens       *fleet.Tokens  // taken of the organisation's quota
 
 	attempts   int
 	upstream   string // the last one it was sent to
@@ -136,9 +138,18 @@
 	if problem := j.readBody(); problem != nil {
 		return problem
 	}
+	j.key = quarantine.KeyOf(j.organisationName(), j.http.Method, j.http.Host, j.target(), j.body)
 	return j.takeQuota()
 }
 
+// organisationName returns the name of the organisation, empty on public routes.
+func (j *job) organisationName() string {
+	if j.organisation == nil {
+		return ""
+	}
+	return j.organisation.Name
+}
+
 func (j *job) timeout() time.Duration {
 	if j.call.Timeout > 0 {
 		return min(j.call.Timeout, j.route.Timeout)
@@ -293,7 +304,7 @@
 	h := j.handler
 	took := time.Since(j.arrived)
 	outcome := api.Answered
-	event := h.o.Log.Info().Str("event", "request_ended").Str("request", j.call.ID)
+	event := h.o.Log.Info().Str("event", "request_ended").Str("request", j.call.ID).Str("key", j.key.String())
 	if p != nil {
 		outcome = p.Outcome
 		h.o.Metrics.Refused(p.Reason)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -92,12 +92,8 @@
 
 func (j *job) exchangeRequest(l fleet.Lease, left time.Duration) *exchange.Request {
 	header := j.header.Clone()
-	organisation := ""
-	if j.organisation != nil {
-		organisation = j.organisation.Name
-	}
 	p := j.handler.o.Protocol
-	p.Prepare(header, Sending{Upstream: l.Upstream(), Organisation: organisation, Left: left, After: j.after})
+	p.Prepare(header, Sending{Upstream: l.Upstream(), Organisation: j.organisationName(), Left: left, After: j.after})
 	return &exchange.Request{
 		Method:  j.http.Method,
 		Target:  j.target(),
