Hold requests back that crash the upstreams that run them

Cause: nothing outlived one try. Who was at an upstream's end was forgotten with the sending, and the next try was a new request.

Change: package quarantine. A request is named by caller, method, host, target and body. An instance that loses answers looks whether the upstream's port refuses connections (a cut, a reset or a garbled answer doesn't) and enters who was there. Instances tell each other in heartbeats, at once when there is news; sets are merged, so neither an owner's loss nor the order of news matters. A request is held back that was at two crashes unanswered as nobody else was, or at three anyway; a crash that has its cause speaks against nobody else, and a request that was answered anywhere is none. It is refused (503: not run) on arrival, by the owner of the shard, and right before the first byte; after two minutes one try is let through by one instance, then after 8, 32 and 60.

Why it holds: whoever takes the next try has heard of the crash within the time of one message, or is told so by the owner it asks; what is under way is checked at its first byte.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -75,6 +75,8 @@
 	ReasonCallerGone Reason = "caller_gone"
 	// ReasonUpstreamRefused: the upstreams refuse work. Come back after the time given.
 	ReasonUpstreamRefused Reason = "upstream_refused"
+	// ReasonCrashesUpstreams: upstreams crashed again and again while they ran this very request. Change it, or come back after the time given, once they are mended.
+	ReasonCrashesUpstreams Reason = "crashes_upstreams"
 	// ReasonUnreachable: no upstream could be connected to, and nothing was written. Come back later; check the upstreams.
 	ReasonUnreachable Reason = "upstream_unreachable"
 )
@@ -130,7 +132,7 @@
 	ReasonDeadlinePast, ReasonKeyRequired, ReasonKeyInvalid, ReasonKeyMismatch,
 	ReasonKeyLimit, ReasonNoConfiguration, ReasonNoRoute, ReasonStaleConfiguration, ReasonNoUpstream, ReasonQueueFull,
 	ReasonDisplaced, ReasonPredictedLate, ReasonDeadlineTooShort, ReasonDeadlineExpired, ReasonOrganisationLimit,
-	ReasonDraining, ReasonCallerGone, ReasonUpstreamRefused, ReasonUnreachable,
+	ReasonDraining, ReasonCallerGone, ReasonUpstreamRefused, ReasonCrashesUpstreams, ReasonUnreachable,
 	ReasonKeyExpired, ReasonIssuerGone, ReasonIssuerUnreachable, ReasonNotFirstAttempt,
 	ReasonUpstreamLost, ReasonUpstreamCut, ReasonUpstreamGarbage, ReasonUpstreamTimeout,
 	ReasonAnswerEvicted,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/proxy"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -76,8 +77,10 @@
 	fleet  *fleet.Fleet
 	quotas *fleet.Quotas
 	proxy  *proxy.Handler
-	mesh   *peer.Mesh
-	ready  readiness
+	// quarantine is what is known of requests that crash upstreams.
+	quarantine *quarantine.Book
+	mesh       *peer.Mesh
+	ready      readiness
 
 	reading  reading
 	followed followed
@@ -100,6 +103,7 @@
 	}
 	i.address = listen.Advertised(s.Peers.Advertise, i.listeners.peers)
 	i.log = telemetry.NewLogger(i.output, s.Log.Level, i.address)
+	i.quarantine = quarantine.New(i.log, func(k quarantine.Key) bool { return i.fleet.OwnsProbes(k) })
 	i.fleet = i.newFleet()
 	i.view = view.New(view.Options{
 		Source:        o.Source,
@@ -116,14 +120,16 @@
 	allowance := fleet.Allowance{Share: s.Routed.QuotaOverage, Tokens: s.Routed.QuotaSlack, Window: time.Duration(s.Routed.QuotaWindow)}
 	i.quotas = fleet.NewQuotas(i.started, allowance, i.fleet)
 	i.proxy = proxy.New(proxy.Options{
-		View:     i.view,
-		Fleet:    i.fleet,
-		Protocol: o.Protocol,
-		Quotas:   i.quotas,
-		Closing:  i.view.MayLeave,
-		Doubt:    time.Duration(s.Routed.InForce),
-		Metrics:  i.metrics,
-		Log:      i.log,
+		View:       i.view,
+		Fleet:      i.fleet,
+		Protocol:   o.Protocol,
+		Quotas:     i.quotas,
+		Quarantine: i.quarantine,
+		Suspected:  func() { go i.mesh.Announce() },
+		Closing:    i.view.MayLeave,
+		Doubt:      time.Duration(s.Routed.InForce),
+		Metrics:    i.metrics,
+		Log:        i.log,
 	})
 	i.ready = readiness{view: i.view}
 	i.mesh = peer.NewMesh(peer.Options{
@@ -165,6 +171,7 @@
 		},
 		ColdOverage: s.Routed.ColdOverage,
 		ColdSlack:   s.Routed.ColdSlack,
+		Quarantine:  i.quarantine,
 		Metrics:     i.metrics,
 		Log:         i.log,
 	})
@@ -213,6 +220,7 @@
 	})
 	i.metrics.Gauge("tacktally_zones_evacuated", func() float64 { return float64(len(i.view.Evacuated().Zones)) })
 	i.metrics.Gauge("tacktally_upstreams_cold", func() float64 { return float64(i.fleet.ColdUpstreams()) })
+	i.metrics.Gauge("tacktally_requests_held", func() float64 { return float64(i.quarantine.Count(time.Now())) })
 	i.metrics.Gauge("tacktally_starts_held", func() float64 { return float64(i.fleet.HeldStarts()) })
 	i.metrics.Gauge("tacktally_peers_known", func() float64 { return float64(len(i.mesh.Peers())) })
 	i.metrics.Gauge("tacktally_instances_in_reach", func() float64 { return float64(i.fleet.InstancesInReach()) })
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -88,6 +88,7 @@
 		Known:       i.mesh.Known(),
 		SteadyMS:    int(min(i.view.SteadyFor(), maxSteady).Milliseconds()),
 		Evacuations: peer.Evacuations(i.view.Evacuated()),
+		Quarantine:  i.quarantine.Tell(time.Now()),
 	}
 }
 
@@ -98,6 +99,9 @@
 		i.fleet.SetOthers(from, scheduler.Load{Running: h.Running})
 	}
 	i.view.LearnEvacuations(view.Evacuations(h.Evacuations), from)
+	if i.quarantine.Learn(time.Now(), h.Quarantine) {
+		i.tell()
+	}
 	if h.SteadyMS > 0 {
 		i.view.SourceWasThere(time.Duration(h.SteadyMS)*time.Millisecond, from)
 	}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -75,6 +75,17 @@
 	return c.do(ctx, r)
 }
 
+// Refuses tells whether the upstream's port refuses a new connection: no process listens there. One
+// that is cut off, or that answers, doesn't. It blocks for the time of making a connection at most.
+func (p *Pool) Refuses(ctx context.Context) bool {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.close()
+	return false
+}
+
 // Open returns how many connections are open.
 func (p *Pool) Open() int { return int(p.open.Load()) }
 
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/exchange"
@@ -51,6 +52,22 @@
 	return f.connections[id].pool
 }
 
+// ProcessOf names the process that an upstream of the list has now: one that starts again under its ID
+// is another. It is empty for one that isn't on the list.
+func (f *Fleet) ProcessOf(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, listed := f.connections[id]
+	switch {
+	case !listed:
+		return ""
+	case c.born == 0:
+		return id
+	default:
+		return id + "@" + strconv.FormatInt(c.born, 10)
+	}
+}
+
 // CloseExpired closes connections that were idle for too long.
 func (f *Fleet) CloseExpired(now time.Time) {
 	f.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/pool"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -49,8 +50,10 @@
 	// what its service says that it bears, and so many requests more.
 	ColdOverage float64
 	ColdSlack   float64
-	Metrics     *telemetry.Metrics
-	Log         *log.Logger
+	// Quarantine says which requests crash upstreams.
+	Quarantine *quarantine.Book
+	Metrics    *telemetry.Metrics
+	Log        *log.Logger
 }
 
 // Fleet is the upstreams of all services, as this instance uses them. Safe for
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -9,6 +9,7 @@
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/prefix"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
@@ -26,6 +27,7 @@
 // Want is a request for a slot.
 type Want struct {
 	ID      string // of the request, for logs
+	Key     quarantine.Key
 	Service string
 	Request *scheduler.Request
 	Parts   []prefix.Part // of its prompt, in order
@@ -118,6 +120,7 @@
 		Service:      s.service,
 		Shard:        s.index,
 		ID:           w.ID,
+		Digest:       w.Key.Digest,
 		Rank:         r.Rank,
 		Organisation: r.Organisation,
 		Age:          now.Sub(r.Arrived),
@@ -173,6 +176,12 @@
 // and blocks until it is given back or ctx ends. Whoever is asked decides: only the one
 // that asks has to believe that this instance owns the shard.
 func (f *Fleet) ServeSlot(ctx context.Context, r *peer.SlotRequest, s *peer.SlotStream) {
+	if left := f.o.Quarantine.Held(time.Now(), quarantine.Key{Organisation: r.Organisation, Digest: r.Digest}); left > 0 {
+		p := HeldBack(left) // the peer hasn't heard of it yet
+		err := s.Refused(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
+		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
+		return
+	}
 	shard := f.shardAt(r.Service, r.Shard)
 	waiting := shard.pool.Submit(requestOf(time.Now(), r))
 	turn, decided := waiting.Decided()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -19,6 +19,7 @@
 
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/membership"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/request"
 )
 
@@ -157,6 +158,8 @@
 	SteadyMS int `cbor:"14,keyasint,omitempty"`
 	// Evacuations are in whole, so that news of them needs no fetch: they are few and short.
 	Evacuations Evacuations `cbor:"15,keyasint,omitzero"`
+	// Quarantine is what is new of crashes and the requests that cause them.
+	Quarantine *quarantine.News `cbor:"16,keyasint,omitempty"`
 }
 
 // Evacuations are the availability zones whose upstreams are to get nothing new.
@@ -179,6 +182,7 @@
 		Reads:       h.Reads,
 		SteadyMS:    h.SteadyMS,
 		Evacuations: h.Evacuations,
+		Quarantine:  h.Quarantine,
 		Brief:       true,
 	}
 }
@@ -278,7 +282,7 @@
 	case TypeHello:
 		complete, onStream = f.Hello != nil, false
 	case TypeHeartbeat:
-		complete, onStream = f.Heartbeat != nil, false
+		complete, onStream = f.Heartbeat != nil && (f.Heartbeat.Quarantine == nil || f.Heartbeat.Quarantine.IsSane()), false
 	case TypeQuotaRequest:
 		complete = f.QuotaRequest != nil && f.QuotaRequest.isSane()
 	case TypeQuotaReply:
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -45,6 +45,8 @@
 	// Bound requests run in these Regions alone.
 	Bound   bool     `cbor:"17,keyasint,omitempty"`
 	Regions []string `cbor:"18,keyasint,omitempty"`
+	// Digest of what the request asks for, the same for each try.
+	Digest uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 // PromptPart is a part of a prompt that other prompts may begin with too.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -39,6 +40,8 @@
 	err    error
 	// retryAfter is the upstream's word on when to come back; 0 without one.
 	retryAfter time.Duration
+	// process of the upstream that it was sent to; empty where it wasn't sent.
+	process string
 	// failure is the upstream's own failure that wasn't passed on; nil without one.
 	failure *heldAnswer
 }
@@ -81,6 +84,9 @@
 	exclude := ""
 	unsent := 0
 	for {
+		if problem := j.heldBack(); problem != nil {
+			return j.orFailure(j.givenUp(problem))
+		}
 		l, problem := j.handler.o.Fleet.Acquire(ctx, j.want(exclude))
 		if problem != nil {
 			return j.orFailure(j.givenUp(problem))
@@ -106,7 +112,7 @@
 
 // want is what the request asks the fleet for. Exclude is an upstream that failed it.
 func (j *job) want(exclude string) *fleet.Want {
-	return &fleet.Want{ID: j.call.ID, Service: j.service, Request: j.schedulerRequest(exclude), Parts: j.call.Parts}
+	return &fleet.Want{ID: j.call.ID, Key: j.key, Service: j.service, Request: j.schedulerRequest(exclude), Parts: j.call.Parts}
 }
 
 func (j *job) schedulerRequest(exclude string) *scheduler.Request {
@@ -176,6 +182,7 @@
 		output = j.outputTokens()
 	}
 	l.End(endingOf(r.status, j.status), output)
+	j.learnOfCrash(r)
 	if r.status != done {
 		j.handler.o.Log.Info().Str("event", "sending_failed").Str("request", j.call.ID).Str("key", j.key.String()).Int("events", j.events).Str("upstream", l.Upstream()).
 			Str("owner", l.Owner()).Int64("owner_list", l.ListVersion()).Int64("list", j.sentBy.own).Dur("list_age", j.sentBy.age).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
@@ -250,7 +257,7 @@
 func statusOf(ctx context.Context, err error) (status, error) {
 	cause := context.Cause(ctx)
 	switch {
-	case errors.Is(err, fleet.ErrNotUsable):
+	case errors.Is(err, fleet.ErrNotUsable), errors.Is(err, quarantine.ErrHeld):
 		return notUsable, err
 	case errors.Is(err, exchange.ErrNotSent):
 		return notSent, err
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -40,6 +40,10 @@
 	Protocol Protocol
 	// Quotas bounds what each organisation may use over all instances.
 	Quotas *fleet.Quotas
+	// Quarantine says which requests crash upstreams.
+	Quarantine *quarantine.Book
+	// Suspected is called when something new is known of them, for the peers. It doesn't block.
+	Suspected func()
 	// Closing is told of each upstream that says it closes its connection: it may be leaving.
 	// It doesn't block.
 	Closing func(upstream string)
@@ -139,6 +143,9 @@
 		return problem
 	}
 	j.key = quarantine.KeyOf(j.organisationName(), j.http.Method, j.http.Host, j.target(), j.body)
+	if left := j.handler.o.Quarantine.Admit(j.arrived, j.key); left > 0 {
+		return fleet.HeldBack(left)
+	}
 	return j.takeQuota()
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -63,6 +63,8 @@
 	silence := j.watchSilence(l, cancel)
 	defer silence.stop()
 	j.attempts++
+	j.events = 0
+	process := j.handler.o.Fleet.ProcessOf(l.Upstream())
 	j.upstream = l.Upstream()
 	j.owner = l.Owner()
 	j.granted = time.Since(j.arrived)
@@ -75,7 +77,7 @@
 		} else {
 			j.mayHaveRun = true
 		}
-		return result{status: status, err: err}
+		return result{status: status, err: err, process: process}
 	}
 	defer answer.Close()
 	l.Heard()
@@ -87,7 +89,9 @@
 		j.first = time.Since(j.arrived)
 		j.handler.o.Metrics.FirstToken(j.route.Kind.String(), j.first)
 	}}
-	return r.run()
+	ended := r.run()
+	ended.process = process
+	return ended
 }
 
 func (j *job) exchangeRequest(l fleet.Lease, left time.Duration) *exchange.Request {
@@ -101,7 +105,7 @@
 		Header:  header,
 		Body:    j.body,
 		Answers: func(h http.Header) bool { return p.Answers(h, j.call.ID) },
-		MaySend: func() error { return j.handler.o.Fleet.MayBeSent(l.Upstream()) },
+		MaySend: func() error { return j.mayBeSent(l.Upstream()) },
 	}
 }
 
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -18,6 +18,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -137,7 +138,9 @@
 	r.document.Routes[4].Public = true
 	metrics := telemetry.NewMetrics()
 	log := telemetry.NewLogger(io.Discard, "error", "test")
+	book := quarantine.New(log, func(quarantine.Key) bool { return true })
 	r.fleet = fleet.New(fleet.Options{
+		Quarantine:     book,
 		ConnectTimeout: time.Second,
 		Limits:         queue.Limits{MaxItems: 100, MaxBytes: 1 << 20},
 		Repeats:        retrybudget.Slack{Share: 2, Extra: 20, Window: 10 * time.Second}, // a first attempt earns a repeat
@@ -147,6 +150,7 @@
 	r.view = view.New(view.Options{Source: documents{}, Lease: leaseTime, Settle: time.Second, OnUpstreams: r.fleet.SetUpstreams, Metrics: metrics, Log: log})
 	r.handler = New(Options{
 		View: r.view, Fleet: r.fleet, Protocol: plain{}, Quotas: fleet.NewQuotas(time.Now().Add(-time.Hour), fleet.Allowance{}, r.fleet),
+		Quarantine: book, Suspected: func() {},
 		Closing: func(upstream string) { r.closing <- upstream },
 		Doubt:   doubt, Metrics: metrics, Log: log,
 	})
--- /dev/null
+++ b/internal/quarantine/book_test.go
@@ -0,0 +1,275 @@
+package quarantine
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/telemetry"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func key(name string) Key { return KeyOf("crews", "POST", "h", "/"+name, nil) }
+
+func newBook(owns bool) *Book {
+	return New(telemetry.NewLogger(io.Discard, "error", "test"), func(Key) bool { return owns })
+}
+
+// crashOf lets an upstream crash under some requests; those whose name ends in + had begun to be answered.
+func crashOf(b *Book, at time.Time, upstream string, names ...string) {
+	for _, name := range names {
+		k, begun := key(name), false
+		if name[len(name)-1] == '+' {
+			k, begun = key(name[:len(name)-1]), true
+		}
+		b.Lost(at, upstream, k, begun)
+	}
+	b.Crashed(at, upstream)
+}
+
+func TestWhoIsHeldBack(t *testing.T) {
+	type crashes map[string][]string // who was there, by upstream
+	for name, c := range map[string]struct {
+		crashes crashes
+		held    []string
+		free    []string
+	}{
+		"one crash says little":                        {crashes{"1": {"x"}}, nil, []string{"x"}},
+		"two alone":                                    {crashes{"1": {"x"}, "2": {"x"}}, []string{"x"}, nil},
+		"two, beside others each time":                 {crashes{"1": {"x", "a", "b+"}, "2": {"x", "c", "d+"}}, []string{"x"}, []string{"a", "b", "c", "d"}},
+		"two at two crashes: which?":                   {crashes{"1": {"x", "y"}, "2": {"x", "y"}}, nil, []string{"x", "y"}},
+		"the third tells":                              {crashes{"1": {"x", "y"}, "2": {"x", "y"}, "3": {"x"}}, []string{"x"}, []string{"y"}},
+		"both at three: both":                          {crashes{"1": {"x", "y"}, "2": {"x", "y"}, "3": {"x", "y"}}, []string{"x", "y"}, nil},
+		"one that was answering is suspected less":     {crashes{"1": {"x", "y+"}, "2": {"x", "y+"}}, []string{"x"}, []string{"y"}},
+		"answering at three isn't enough":              {crashes{"1": {"y+"}, "2": {"y+"}, "3": {"y+"}}, nil, []string{"y"}},
+		"answering at four is":                         {crashes{"1": {"y+"}, "2": {"y+"}, "3": {"y+"}, "4": {"y+"}}, []string{"y"}, nil},
+		"a crash with a cause speaks against no other": {crashes{"1": {"x"}, "2": {"x", "a"}, "3": {"x", "a"}, "4": {"x", "a"}}, []string{"x"}, []string{"a"}},
+		"each alone at one, both at two others: both":  {crashes{"1": {"x"}, "2": {"x", "a"}, "3": {"x", "a"}, "4": {"a"}}, []string{"x", "a"}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBook(true)
+			for upstream, there := range c.crashes {
+				crashOf(b, start, upstream, there...)
+			}
+			now := start.Add(settleFor)
+			for _, k := range c.held {
+				is.Equal(b.Held(now, key(k)), firstTerm-settleFor)
+			}
+			for _, k := range c.free {
+				is.Equal(b.Held(now, key(k)), time.Duration(0))
+			}
+		})
+	}
+}
+
+// Two instances see parts of one crash. Until each has heard of the other's part, neither may hold back
+// the request that it has seen there.
+func TestNothingIsHeldBackBeforeAllHaveTold(t *testing.T) {
+	is := is.New(t)
+	one, other := newBook(true), newBook(true)
+	for _, upstream := range []string{"1", "2"} {
+		crashOf(one, start, upstream, "x")
+		crashOf(other, start, upstream, "y", "x")
+	}
+	is.Equal(one.Held(start.Add(settleFor-1), key("x")), time.Duration(0))
+	one.Learn(start.Add(settleFor/2), other.Tell(start.Add(settleFor/2)))
+	is.Equal(one.Held(start.Add(2*settleFor), key("x")), time.Duration(0)) // x or y
+}
+
+func TestAnAnsweredRequestIsNoCause(t *testing.T) {
+	is := is.New(t)
+	b := newBook(true)
+	crashOf(b, start, "1", "x")
+	is.True(b.Answered(start.Add(time.Second), key("x")))
+	is.True(!b.Answered(start.Add(time.Second), key("x"))) // no news any more
+	crashOf(b, start.Add(2*time.Second), "2", "x")
+	is.Equal(b.Held(start.Add(3*time.Second), key("x")), time.Duration(0))
+	crashOf(b, start.Add(4*time.Second), "3", "x")
+	is.True(b.Held(start.Add(5*time.Second), key("x")) > 0) // since it was answered, two
+	is.True(b.Answered(start.Add(6*time.Second), key("x")))
+	is.Equal(b.Held(start.Add(6*time.Second), key("x")), time.Duration(0)) // a run that was under way
+	is.True(!b.Answered(start, key("other")))
+}
+
+func TestALostAnswerAloneIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	b := newBook(true)
+	check, _ := b.Lost(start, "1", key("x"), false)
+	is.True(check)
+	check, _ = b.Lost(start, "1", key("y"), false)
+	is.True(!check) // it is looked at already
+	check, _ = b.Lost(start.Add(2*checkEvery), "1", key("y"), false)
+	is.True(check)
+	is.True(!b.Crashed(start, "2"))                // nothing was lost there
+	is.True(!b.Crashed(start.Add(2*lossFor), "1")) // what was lost so long before was lost otherwise
+	b.Lost(start.Add(2*lossFor), "1", key("x"), false)
+	is.True(b.Crashed(start.Add(2*lossFor), "1"))
+	_, news := b.Lost(start.Add(2*lossFor), "1", key("z"), false)
+	is.True(news) // lost in the same crash
+}
+
+// After a term one try is let through, by one instance; each that crashes an upstream makes the next
+// term longer.
+func TestOneTryIsLetThroughAfterATerm(t *testing.T) {
+	is := is.New(t)
+	owner, other := newBook(true), newBook(false)
+	for _, b := range []*Book{owner, other} {
+		crashOf(b, start, "1", "x")
+		crashOf(b, start, "2", "x")
+		is.Equal(b.Admit(start.Add(time.Second), key("x")), firstTerm-time.Second)
+	}
+	over := start.Add(firstTerm)
+	is.Equal(other.Admit(over, key("x")), probeFor)
+	is.Equal(owner.Admit(over, key("x")), time.Duration(0))
+	is.Equal(owner.Held(over, key("x")), time.Duration(0)) // that one goes on
+	is.Equal(owner.Admit(over.Add(time.Second), key("x")), probeFor)
+	crashOf(owner, over.Add(2*time.Second), "3", "x")
+	is.Equal(owner.Held(over.Add(2*time.Second), key("x")), termFactor*firstTerm)
+	other.Learn(over.Add(2*time.Second), owner.Tell(over.Add(2*time.Second)))
+	is.Equal(other.Held(over.Add(2*time.Second), key("x")), termFactor*firstTerm)
+	crashOf(owner, over.Add(3*time.Second), "4", "x") // under way since before
+	is.Equal(owner.Held(over.Add(3*time.Second), key("x")), termFactor*firstTerm-time.Second)
+	is.Equal(termOf(9), longestTerm)
+}
+
+// Instances see parts of three crashes, and tell each other in any order, late, twice or not at all for a
+// while. All come to the same belief, and it doesn't drift with the time that messages take.
+func TestInstancesAgreeWhateverTheOrderOfNews(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		books := []*Book{newBook(false), newBook(false), newBook(false)}
+		for crash := range 3 {
+			at := start.Add(time.Duration(crash) * time.Second)
+			for i, b := range books {
+				there := []string{fmt.Sprintf("n%d-%d", crash, i)}
+				if i == random.IntN(len(books)) || i == crash {
+					there = append(there, "x")
+				}
+				crashOf(b, at, fmt.Sprint(crash), there...)
+			}
+		}
+		now := start.Add(3 * time.Second)
+		for range 400 {
+			from, to := random.IntN(3), random.IntN(3)
+			news := books[from].Tell(now)
+			now = now.Add(time.Duration(random.IntN(400)) * time.Millisecond) // on the way
+			books[to].Learn(now, news)
+		}
+		for i, b := range books {
+			left := b.Held(now, key("x"))
+			late := left - (start.Add(2*time.Second + firstTerm).Sub(now))
+			if late < -time.Second || late > time.Second {
+				t.Errorf("seed %d: instance %d holds x back %v longer than others may", seed, i, late)
+			}
+			if n := len(b.held); n != 1 {
+				t.Errorf("seed %d: instance %d holds %d requests back", seed, i, n)
+			}
+		}
+	}
+}
+
+// What is cleared stays so however late the old news comes.
+func TestOldNewsBringsNoSuspicionBack(t *testing.T) {
+	is := is.New(t)
+	one, other := newBook(true), newBook(true)
+	crashOf(one, start, "1", "x")
+	crashOf(one, start, "2", "x")
+	is.True(one.Held(start.Add(time.Second), key("x")) > 0)
+	old := one.Tell(start.Add(time.Second))
+	one.Answered(start.Add(2*time.Second), key("x"))
+	other.Learn(start.Add(2*time.Second), old)
+	is.True(other.Held(start.Add(2*time.Second), key("x")) > 0)
+	is.True(other.Learn(start.Add(3*time.Second), one.Tell(start.Add(3*time.Second))))
+	is.Equal(other.Held(start.Add(3*time.Second), key("x")), time.Duration(0))
+	for range 20 { // there and back, a second each time
+		one.Learn(start.Add(3*time.Second), old)
+		other.Learn(start.Add(3*time.Second), old)
+	}
+	is.Equal(one.Held(start.Add(4*time.Second), key("x")), time.Duration(0))
+	is.Equal(other.Held(start.Add(4*time.Second), key("x")), time.Duration(0))
+}
+
+// One organisation's crashing requests push out no other's.
+func TestOneOrganisationFillsOnlyItsOwnPart(t *testing.T) {
+	is := is.New(t)
+	b := newBook(true)
+	crashOf(b, start, "1", "x")
+	crashOf(b, start, "2", "x")
+	is.True(b.Held(start.Add(time.Second), key("x")) > 0)
+	for i := range 3 * maxHeld {
+		k := KeyOf("others", "POST", "h", fmt.Sprint(i), nil)
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		for n := range 2 {
+			upstream := fmt.Sprintf("%d-%d", i, n)
+			b.Lost(at, upstream, k, false)
+			b.Crashed(at, upstream)
+		}
+		b.Held(at.Add(settleFor), k)
+	}
+	is.True(b.Held(start.Add(time.Second), key("x")) > 0)
+	is.Equal(len(b.held), 1+maxOfOrganisation)
+	is.Equal(len(b.crashes), maxCrashes)
+}
+
+func TestNewsIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBook(true)
+	for i := range 100 {
+		var there []string
+		for n := range 40 {
+			there = append(there, fmt.Sprintf("%d-%d", i, n))
+		}
+		crashOf(b, start, fmt.Sprint(i), there...)
+	}
+	news := b.Tell(start)
+	is.True(news.IsSane())
+	encoded, err := cbor.Marshal(news)
+	is.NoErr(err)
+	is.True(len(encoded) < 8<<10)
+	for range 100 { // all come in turn
+		news = b.Tell(start.Add(newFor))
+		is.True(len(news.Crashes) <= toldInTurn)
+	}
+	is.True(b.Tell(start.Add(crashFor+time.Second)) == nil)
+}
+
+func TestKeysTellRequestsApart(t *testing.T) {
+	is := is.New(t)
+	same := KeyOf("o", "POST", "h", "/a", []byte("b"))
+	is.Equal(KeyOf("o", "POST", "h", "/a", []byte("b")), same)
+	for _, other := range []Key{
+		KeyOf("p", "POST", "h", "/a", []byte("b")), KeyOf("o", "PUT", "h", "/a", []byte("b")), KeyOf("o", "POST", "i", "/a", []byte("b")),
+		KeyOf("o", "POST", "h", "/ab", nil), KeyOf("o", "POST", "h", "/a", []byte("c")), KeyOf("o", "POST", "h/", "a", []byte("b")),
+	} {
+		is.True(other != same)
+	}
+}
+
+func FuzzLearn(f *testing.F) {
+	b := newBook(true)
+	crashOf(b, start, "1", "x", "y+")
+	crashOf(b, start, "2", "x")
+	encoded, err := cbor.Marshal(b.Tell(start.Add(time.Second)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, content []byte) {
+		var n News
+		if cbor.Unmarshal(content, &n) != nil || !n.IsSane() {
+			return
+		}
+		b := newBook(true)
+		b.Learn(start, &n)
+		if told := b.Tell(start); told != nil && !told.IsSane() {
+			t.Errorf("tells what it wouldn't take: %+v", told)
+		}
+	})
+}
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -12,9 +12,9 @@
 type Key struct {
 	// Organisation that asks; empty on public routes. It is kept beside the digest, so that no
 	// organisation's requests are taken for another's, even by a collision that was sought.
-	Organisation string
+	Organisation string `cbor:"1,keyasint,omitempty"`
 	// Digest of method, host, target and body.
-	Digest uint64
+	Digest uint64 `cbor:"2,keyasint"`
 }
 
 // KeyOf returns the key of a request. IDs, deadlines and other headers aren't part of it: they differ
