Take no refusing path for crashed upstreams

What callers saw: nothing yet; found by measuring innocent requests.

Cause: a refused connection was taken for the end of the process, though a path can refuse, too.

Change: before a crash counts, one of up to three others of the same zone has to take a connection from here; where none does, crash_in_doubt is logged.

Why it holds: what refuses for a whole zone is the way there, or what ended the zone; neither is a request's doing.

--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -75,15 +75,30 @@
 	return c.do(ctx, r)
 }
 
-// Refuses tells whether the upstream's port refuses a new connection: no process listens there. One
-// that is cut off, or that answers, doesn't. It blocks for the time of making a connection at most.
-func (p *Pool) Refuses(ctx context.Context) bool {
+// Reach is what comes of making a connection.
+type Reach uint8
+
+const (
+	// Silent: neither a connection nor a refusal came, as where a path is cut.
+	Silent Reach = iota
+	// Accepts: a process listens.
+	Accepts
+	// Refuses: the port refuses, as where no process listens.
+	Refuses
+)
+
+// Probe makes a connection and closes it. It blocks for the time of making a connection at most.
+func (p *Pool) Probe(ctx context.Context) Reach {
 	c, err := p.dial(ctx)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil:
+		c.close()
+		return Accepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refuses
+	default:
+		return Silent
 	}
-	c.close()
-	return false
 }
 
 // Open returns how many connections are open.
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// Neighbours returns the connections to some other upstreams of an upstream's availability zone, so
+// many at most, drawn by chance.
+func (f *Fleet) Neighbours(id string, most int) (out []*exchange.Pool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	zone := f.zones[id]
+	for other, c := range f.connections { // in no order
+		if other != id && f.zones[other] == zone && len(out) < most {
+			out = append(out, c.pool)
+		}
+	}
+	return out
+}
+
 // CloseExpired closes connections that were idle for too long.
 func (f *Fleet) CloseExpired(now time.Time) {
 	f.mu.Lock()
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -13,9 +14,15 @@
 )
 
 // A lost answer may mean that its upstream's process has ended. It tells so by refusing connections: one
-// that is cut off is silent, and one whose connection was reset takes another. A process closes its
-// connections and its port one after the other, so that a second look follows the first.
-const secondLook = 100 * time.Millisecond
+// that is cut off is silent, and one whose connection was reset takes another. But a path that is cut
+// may refuse, too. Then it does so for others of the zone.
+const (
+	// secondLook is the time between two looks: a process closes its connections and its port one after
+	// the other.
+	secondLook = 100 * time.Millisecond
+	// neighbours is how many others of the zone are looked at.
+	neighbours = 3
+)
 
 // heldBack refuses a request that upstreams have crashed under meanwhile, here or elsewhere.
 func (j *job) heldBack() *api.Problem {
@@ -50,23 +57,34 @@
 			j.handler.o.Suspected()
 		}
 		if connections := j.handler.o.Fleet.ConnectionsTo(j.upstream); check && connections != nil {
-			go j.handler.look(r.process, connections)
+			go j.handler.look(j.upstream, r.process, connections)
 		}
 	}
 }
 
 // look finds out whether the process of an upstream at which answers were lost has ended.
-func (h *Handler) look(process string, connections *exchange.Pool) {
+func (h *Handler) look(upstream, process string, connections *exchange.Pool) {
 	ctx := context.Background() // bounded by the time of making a connection
-	if !connections.Refuses(ctx) {
+	reach := connections.Probe(ctx)
+	if reach == exchange.Accepts {
 		wait.For(ctx, secondLook)
-		if !connections.Refuses(ctx) {
-			return
-		}
+		reach = connections.Probe(ctx)
+	}
+	if reach != exchange.Refuses {
+		return
+	}
+	if others := h.o.Fleet.Neighbours(upstream, neighbours); !anyAccepts(ctx, others) {
+		h.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", upstream).Int("neighbours", len(others)).Msg("no other upstream of its zone takes connections from here")
+		return
 	}
 	h.crashed(process)
 }
 
+// anyAccepts tells whether any of some upstreams takes connections, or there are none.
+func anyAccepts(ctx context.Context, pools []*exchange.Pool) bool {
+	return len(pools) == 0 || slices.ContainsFunc(pools, func(p *exchange.Pool) bool { return p.Probe(ctx) == exchange.Accepts })
+}
+
 func (h *Handler) crashed(process string) {
 	if h.o.Quarantine.Crashed(time.Now(), process) {
 		h.o.Suspected()
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -105,6 +105,8 @@
 	upstreams []view.Upstream
 	revision  int64       // of the list
 	closing   chan string // upstreams that said that they close their connections
+	servers   map[string]*httptest.Server
+	book      *quarantine.Book
 
 	mu       sync.Mutex
 	arrivals []*http.Request // at all upstreams, in order
@@ -117,7 +119,7 @@
 
 // newRig returns a rig with a route of each kind and an organisation with the key k.
 func newRig(t *testing.T) *rig {
-	r := &rig{t: t, closing: make(chan string, 99)}
+	r := &rig{t: t, closing: make(chan string, 99), servers: map[string]*httptest.Server{}}
 	route := func(name string, kind routing.Kind) routing.Route {
 		return routing.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 20 * time.Second,
@@ -138,9 +140,9 @@
 	r.document.Routes[4].Public = true
 	metrics := telemetry.NewMetrics()
 	log := telemetry.NewLogger(io.Discard, "error", "test")
-	book := quarantine.New(log, func(quarantine.Key) bool { return true })
+	r.book = quarantine.New(log, func(quarantine.Key) bool { return true })
 	r.fleet = fleet.New(fleet.Options{
-		Quarantine:     book,
+		Quarantine:     r.book,
 		ConnectTimeout: time.Second,
 		Limits:         queue.Limits{MaxItems: 100, MaxBytes: 1 << 20},
 		Repeats:        retrybudget.Slack{Share: 2, Extra: 20, Window: 10 * time.Second}, // a first attempt earns a repeat
@@ -150,7 +152,7 @@
 	r.view = view.New(view.Options{Source: documents{}, Lease: leaseTime, Settle: time.Second, OnUpstreams: r.fleet.SetUpstreams, Metrics: metrics, Log: log})
 	r.handler = New(Options{
 		View: r.view, Fleet: r.fleet, Protocol: plain{}, Quotas: fleet.NewQuotas(time.Now().Add(-time.Hour), fleet.Allowance{}, r.fleet),
-		Quarantine: book, Suspected: func() {},
+		Quarantine: r.book, Suspected: func() {},
 		Closing: func(upstream string) { r.closing <- upstream },
 		Doubt:   doubt, Metrics: metrics, Log: log,
 	})
@@ -187,10 +189,17 @@
 		s.CloseClientConnections()
 		s.Close()
 	})
+	r.servers[id] = s
 	r.upstreams = append(r.upstreams, view.Upstream{ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 8, Revision: int64(len(r.upstreams) + 1)})
 	r.list()
 }
 
+// crash ends an upstream's process: its port refuses, its connections break.
+func (r *rig) crash(id string) {
+	_ = r.servers[id].Listener.Close() // ended already
+	r.servers[id].CloseClientConnections()
+}
+
 // list publishes the upstreams, each time at a higher revision.
 func (r *rig) list() {
 	for _, u := range r.upstreams {
