Let beliefs age while the machine is suspended

What callers would see: on a machine that was suspended for longer than the lease, an API key that was taken away meanwhile is accepted on waking, until the next proof of the configuration; upstreams and peers are believed to be what they were.

Cause: ages were worked out from Go's steady clock, which stands still in a suspension (CLOCK_MONOTONIC); pauses of the own interface were noticed by it, too.

Change: package boottime adds what CLOCK_BOOTTIME counts beyond it. The view's, the platform source's and the peers' ages, and the detector of pauses, go by it; the time that an upstream is given is shortened by a suspension.

Why it holds: each age is the difference of two readings of a clock that doesn't stop, from the sending of the read to the decision; a read that was under way proves nothing of the time since it was sent.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/boottime"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/tacktally/tacktally/api"
@@ -32,7 +34,7 @@
 		Revision:    configuration.Revision,
 		Age:         age,
 		ListVersion: list.Version,
-		ListAge:     time.Since(list.AsOf),
+		ListAge:     boottime.Since(list.AsOf),
 		Evacuations: peer.Evacuations(v.Evacuated()),
 	}
 	if f.Revision != configuration.Revision {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -9,6 +9,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/boottime"
 )
 
 const (
@@ -26,14 +28,14 @@
 }
 
 // NewDetector returns a detector that has just seen the process alive.
-func NewDetector() *Detector { return &Detector{last: time.Now()} }
+func NewDetector() *Detector { return &Detector{last: boottime.Now()} }
 
 // Epoch checks for a pause up to this moment and returns the number of pauses so
 // far. Whichever goroutine runs first after a wake-up notices it.
 func (d *Detector) Epoch() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	gap := now.Sub(d.last)
 	d.last = now
 	if gap > Threshold {
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -6,13 +6,15 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/boottime"
 )
 
 // Fetch asks a peer for its state and hands it to the Handler.
 func (m *Mesh) Fetch(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, fetchTimeout, ErrNoReply)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime.Now()
 	return m.ask(ctx, address, &Frame{Type: TypeFetch, Fetch: m.o.Handler.Fetch()}, func(f *Frame) {
 		if f.State != nil {
 			m.o.Handler.Learn(address, asked, f.State)
@@ -93,7 +95,7 @@
 	if m.ctx.Err() != nil {
 		return
 	}
-	held := fetchPatience - time.Since(m.fetched)
+	held := fetchPatience - boottime.Since(m.fetched)
 	if m.fetches == 0 || held <= 0 {
 		m.fetchNow(address)
 		return
@@ -107,7 +109,7 @@
 // fetchNow begins a fetch. The caller holds the lock.
 func (m *Mesh) fetchNow(address string) {
 	m.fetches++
-	m.fetched = time.Now()
+	m.fetched = boottime.Now()
 	m.wg.Go(func() {
 		err := m.Fetch(m.ctx, address)
 		m.mu.Lock()
--- a/internal/peer/heartbeats.go
+++ b/internal/peer/heartbeats.go
@@ -1,6 +1,10 @@
 package peer
 
-import "time"
+import (
+	"time"
+
+	"github.com/tacktally/tacktally/internal/boottime"
+)
 
 // heartbeat takes a peer's heartbeat, from a link whose other side has said who it is.
 func (m *Mesh) heartbeat(from string, h *Heartbeat) {
@@ -9,7 +13,7 @@
 	}
 	m.mu.Lock()
 	if p := m.peers[from]; p != nil {
-		p.lastHeard = time.Now()
+		p.lastHeard = boottime.Now()
 		p.last = *h
 		if m.sparse != nil {
 			m.sparse.plan.SetDraining(p.lastHeard, from, h.Draining)
@@ -47,10 +51,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.sparse != nil {
-		return m.endSilent(time.Now())
+		return m.endSilent(boottime.Now())
 	}
 	for address, p := range m.peers {
-		if time.Since(p.lastHeard) <= m.o.SuspectAfter {
+		if boottime.Since(p.lastHeard) <= m.o.SuspectAfter {
 			p.silent = false
 			continue
 		}
@@ -65,7 +69,7 @@
 		if l := m.accepted[address]; l != nil {
 			l.cancel(errSilent) // what the peer holds on it is given back
 		}
-		if !p.listed && time.Since(p.since) > forgetAfter && time.Since(p.lastHeard) > forgetAfter {
+		if !p.listed && boottime.Since(p.since) > forgetAfter && boottime.Since(p.lastHeard) > forgetAfter {
 			p.stop()
 			delete(m.peers, address)
 		}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/boottime"
+
 	"github.com/coder/websocket"
 
 	"github.com/tacktally/tacktally/internal/answer"
@@ -143,8 +145,8 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		streams: map[uint64]*stream{},
-		heard:   time.Now(),
-		since:   time.Now(),
+		heard:   boottime.Now(),
+		since:   boottime.Now(),
 	}
 }
 
@@ -164,7 +166,7 @@
 		if err != nil {
 			return err
 		}
-		l.hear(time.Now())
+		l.hear(boottime.Now())
 		if err := handle(f); err != nil {
 			return err
 		}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/boottime"
+
 	"github.com/cenkalti/backoff/v5"
 	"github.com/coder/websocket"
 	"github.com/phuslu/log"
@@ -129,7 +131,7 @@
 // NewMesh returns a mesh without peers. Close ends it.
 func NewMesh(o Options) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &Mesh{o: o, started: time.Now(), ctx: ctx, cancel: cancel, peers: map[string]*peerState{}, accepted: map[string]*link{}}
+	m := &Mesh{o: o, started: boottime.Now(), ctx: ctx, cancel: cancel, peers: map[string]*peerState{}, accepted: map[string]*link{}}
 	if o.Sparse {
 		m.sparse = newSparse(m)
 		m.wg.Go(m.tend)
@@ -145,7 +147,7 @@
 }
 
 func (m *Mesh) hello() *Hello {
-	return &Hello{Address: m.o.Address, Zone: m.o.Zone, Incarnation: m.o.Incarnation, Cores: m.o.Cores, Known: m.Known(), Age: time.Since(m.started)}
+	return &Hello{Address: m.o.Address, Zone: m.o.Zone, Incarnation: m.o.Incarnation, Cores: m.o.Cores, Known: m.Known(), Age: boottime.Since(m.started)}
 }
 
 // SetPeers sets the peers to be linked to. One that isn't among them any more, or
@@ -176,12 +178,12 @@
 	}
 	p := m.peers[address]
 	if p == nil && m.sparse != nil {
-		p = &peerState{hello: Hello{Address: address}, since: time.Now(), stop: func() {}}
+		p = &peerState{hello: Hello{Address: address}, since: boottime.Now(), stop: func() {}}
 		m.peers[address] = p
 	}
 	if p == nil {
 		ctx, stop := context.WithCancel(m.ctx)
-		p = &peerState{hello: Hello{Address: address}, since: time.Now(), stop: stop}
+		p = &peerState{hello: Hello{Address: address}, since: boottime.Now(), stop: stop}
 		m.peers[address] = p
 		m.wg.Go(func() { m.keepLinked(ctx, address) })
 	}
@@ -287,7 +289,7 @@
 		p.last = Heartbeat{}
 	}
 	p.hello = h
-	p.lastHeard = time.Now()
+	p.lastHeard = boottime.Now()
 	p.started = p.lastHeard.Add(-h.Age)
 	if l != nil {
 		p.link = l
@@ -327,5 +329,5 @@
 // isReachable tells whether the link is up and the peer was heard of lately. The
 // caller holds the lock.
 func (m *Mesh) isReachable(p *peerState) bool {
-	return p.link != nil && p.link.ctx.Err() == nil && time.Since(p.lastHeard) < m.o.SuspectAfter
+	return p.link != nil && p.link.ctx.Err() == nil && boottime.Since(p.lastHeard) < m.o.SuspectAfter
 }
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/boottime"
 )
 
 // ErrNoReply: a peer that is linked to didn't answer in time.
@@ -130,7 +132,7 @@
 	if err != nil {
 		err = causeOf(ackCtx, err)
 		if errors.Is(err, ErrNoReply) {
-			l.miss(time.Now())
+			l.miss(boottime.Now())
 		}
 		return nil, err
 	}
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/boottime"
+
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/tacktally/tacktally/internal/membership"
@@ -78,12 +80,12 @@
 	for {
 		select {
 		case <-t.C:
-			m.passOn(time.Now())
+			m.passOn(boottime.Now())
 		case <-m.sparse.wake:
 		case <-m.ctx.Done():
 			return
 		}
-		m.dialWanted(time.Now())
+		m.dialWanted(boottime.Now())
 	}
 }
 
@@ -154,9 +156,9 @@
 	if up {
 		t.pause.Reset()
 	} else {
-		m.sparse.plan.Fail(time.Now(), address)
+		m.sparse.plan.Fail(boottime.Now(), address)
 	}
-	t.next = time.Now().Add(t.pause.NextBackOff())
+	t.next = boottime.Now().Add(t.pause.NextBackOff())
 	if t.dialled == ended {
 		t.settle()
 	}
@@ -168,7 +170,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p := m.peers[address]; p != nil && p.tended.dialled == dial {
-		m.sparse.plan.Fail(time.Now(), address)
+		m.sparse.plan.Fail(boottime.Now(), address)
 	}
 }
 
@@ -182,7 +184,7 @@
 
 // linkedTo notes that a peer has said who it is on a link. The caller holds the lock.
 func (m *Mesh) linkedTo(p *peerState) {
-	now := time.Now()
+	now := boottime.Now()
 	h := p.hello
 	m.sparse.plan.Link(now, membership.Member{Address: h.Address, Zone: h.Zone, Incarnation: h.Incarnation, Cores: h.Cores, Started: p.started})
 	if p.link != nil {
@@ -199,7 +201,7 @@
 	if p == nil || m.liveLink(address, p) != nil {
 		return
 	}
-	m.sparse.plan.Unlink(time.Now(), address)
+	m.sparse.plan.Unlink(boottime.Now(), address)
 	m.sparse.kick()
 }
 
@@ -207,7 +209,7 @@
 // itself, unless the two have crossed. The caller holds the lock.
 func (m *Mesh) replaceDialled(address string) {
 	p := m.peers[address]
-	if m.sparse == nil || p == nil || p.link == nil || time.Since(p.link.since) < crossedWithin {
+	if m.sparse == nil || p == nil || p.link == nil || boottime.Since(p.link.since) < crossedWithin {
 		return
 	}
 	p.link.cancel(errReplaced)
@@ -217,7 +219,7 @@
 // liveLink returns a link to a peer that is up and on which the peer was heard of lately, nil
 // if there is none. The caller holds the lock.
 func (m *Mesh) liveLink(address string, p *peerState) *link {
-	now := time.Now()
+	now := boottime.Now()
 	for _, l := range []*link{p.link, m.accepted[address]} {
 		if l != nil && l.ctx.Err() == nil && now.Sub(l.lastHeard()) < m.o.SuspectAfter {
 			return l
@@ -234,7 +236,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	p := m.link(address)
 	if p == nil {
 		return nil, nil
@@ -304,11 +306,11 @@
 			Draining:    k.Draining,
 			Reachable:   k.InReach,
 			Cores:       k.Cores,
-			Started:     k.Started,
+			Started:     boottime.Steady(k.Started),
 		}
 		if p := m.peers[k.Address]; p != nil {
 			s.Linked = m.liveLink(k.Address, p) != nil
-			s.LastHeard = p.lastHeard
+			s.LastHeard = boottime.Steady(p.lastHeard)
 			s.Revision = p.last.Revision
 			s.InFlight = p.last.InFlight
 			s.Reads = p.last.Reads
@@ -348,7 +350,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	plan := m.sparse.plan
-	now := time.Now()
+	now := boottime.Now()
 	return Role{Hub: plan.HubRank(now), Rank: plan.RankInZone(now), Seed: plan.IsSeed(), Alone: plan.SeedCount() == 0}
 }
 
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/boottime"
 )
 
 // Status of a peer, for operators.
@@ -29,7 +31,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.sparse != nil {
-		return m.members(time.Now())
+		return m.members(boottime.Now())
 	}
 	out := make([]Status, 0, len(m.peers))
 	for address, p := range m.peers {
@@ -38,7 +40,7 @@
 			Zone:        p.hello.Zone,
 			Incarnation: p.hello.Incarnation,
 			Linked:      p.link != nil,
-			LastHeard:   p.lastHeard,
+			LastHeard:   boottime.Steady(p.lastHeard),
 			Revision:    p.last.Revision,
 			Draining:    p.last.Draining,
 			Reads:       p.last.Reads,
@@ -46,7 +48,7 @@
 			Queued:      p.last.Queued,
 			Reachable:   m.isReachable(p),
 			Cores:       p.hello.Cores,
-			Started:     p.started,
+			Started:     boottime.Steady(p.started),
 		})
 	}
 	sortByAddress(out)
--- a/internal/peer/telling.go
+++ b/internal/peer/telling.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/tacktally/tacktally/internal/boottime"
+
 	"github.com/tacktally/tacktally/internal/membership"
 )
 
@@ -13,7 +15,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sparse.plan.Hear(time.Now(), from, told)
+	m.sparse.plan.Hear(boottime.Now(), from, told)
 	m.sparse.kick()
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -78,7 +79,7 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	j := &job{handler: h, w: w, http: r, arrived: time.Now()}
+	j := &job{handler: h, w: w, http: r, arrived: time.Now(), suspended: boottime.Suspended()}
 	problem := j.admit()
 	if problem == nil {
 		problem = j.run()
@@ -94,6 +95,7 @@
 
 	call         Call
 	arrived      time.Time
+	suspended    time.Duration // of the machine, until the request arrived
 	deadline     time.Time
 	table        *routing.Table
 	age          time.Duration // of the configuration, at arrival
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -54,7 +55,7 @@
 	if connections == nil {
 		return result{status: notUsable, err: fleet.ErrNotListed}
 	}
-	left := time.Until(j.deadline)
+	left := time.Until(j.deadline) - (boottime.Suspended() - j.suspended) // its caller's clock went on
 	if left <= 0 {
 		return result{status: outOfTime, err: context.DeadlineExceeded}
 	}
--- a/internal/view/differences.go
+++ b/internal/view/differences.go
@@ -47,11 +47,11 @@
 }
 
 // age is the time since the list was shown to be current last, 0 if it never was.
-func (r *roster) age() time.Duration {
+func (r *roster) age(now time.Time) time.Duration {
 	if r.asOf.IsZero() {
 		return 0
 	}
-	return time.Since(r.asOf)
+	return now.Sub(r.asOf)
 }
 
 // differences names the upstreams whose state has changed, in order, with the new one.
--- a/internal/view/doubt.go
+++ b/internal/view/doubt.go
@@ -25,7 +25,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	known, listed := v.upstreams.entries[id]
-	now := time.Now()
+	now := v.o.Now()
 	if !listed || known.Leaving || now.Sub(v.doubted[id]) < doubtEvery {
 		return known, false
 	}
--- a/internal/view/evacuations.go
+++ b/internal/view/evacuations.go
@@ -76,7 +76,7 @@
 	}
 	age := time.Duration(0)
 	if v.table != nil {
-		age = time.Since(v.asOf)
+		age = v.o.Now().Sub(v.asOf)
 	}
 	v.o.Metrics.Count("tacktally_evacuations_changed_total")
 	v.o.Log.Info().Str("event", "evacuation").Str("evacuated", strings.Join(e.Zones, ",")).
--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -44,7 +44,7 @@
 // connections failed would otherwise go on using it until it has settled.
 func (v *View) SourceWasThere(steady time.Duration, peer string) {
 	v.mu.Lock()
-	settles := v.upstreams.settles.After(time.Now()) || len(v.upstreams.missing) > 0
+	settles := v.upstreams.settles.After(v.o.Now()) || len(v.upstreams.missing) > 0
 	v.mu.Unlock()
 	if !settles {
 		return
@@ -64,7 +64,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	r := &v.upstreams
-	now := time.Now()
+	now := v.o.Now()
 	before, version := r.states(now), r.version
 	f(r, now)
 	if next, some := r.nextSettle(); some {
@@ -76,28 +76,28 @@
 		return
 	}
 	v.o.Log.Info().Str("event", "upstreams").Int64("version", r.version).Int64("complete", r.complete).
-		Dur("age", r.age()).Int("count", len(r.entries)).Int("missing", len(r.missing)).
-		Dur("settling", max(time.Until(r.settles), 0)).Str("digest", digest(after)).
+		Dur("age", r.age(now)).Int("count", len(r.entries)).Int("missing", len(r.missing)).
+		Dur("settling", max(r.settles.Sub(v.o.Now()), 0)).Str("digest", digest(after)).
 		Str("changed", changed).Str("from", from).Msg("")
 	if v.o.OnUpstreams != nil {
-		v.o.OnUpstreams(r.handOver(time.Now()))
+		v.o.OnUpstreams(r.handOver(v.o.Now()))
 	}
 }
 
 // settleAt lets settle be called at a time. The caller holds the lock.
 func (v *View) settleAt(t time.Time) {
 	if v.settling == nil {
-		v.settling = time.AfterFunc(time.Until(t), v.settle)
+		v.settling = time.AfterFunc(t.Sub(v.o.Now()), v.settle)
 		return
 	}
-	v.settling.Reset(time.Until(t))
+	v.settling.Reset(t.Sub(v.o.Now()))
 }
 
 // List returns the list for a peer.
 func (v *View) List() List {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.upstreams.handOver(time.Now())
+	return v.upstreams.handOver(v.o.Now())
 }
 
 // ListVersion returns the version of the list, 0 while there is none.
@@ -112,5 +112,5 @@
 func (v *View) ListAge() (age time.Duration, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.upstreams.age(), v.upstreams.version > 0
+	return v.upstreams.age(v.o.Now()), v.upstreams.version > 0
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -15,6 +15,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/telemetry"
 )
@@ -147,6 +148,8 @@
 	OnEvacuations func(zones []string)
 	// OnTable is called after a new configuration came into force.
 	OnTable func(*routing.Table)
+	// Now tells the time that goes on while the machine is suspended; boottime.Now where absent.
+	Now     func() time.Time
 	Metrics *telemetry.Metrics
 	Log     *log.Logger
 }
@@ -177,6 +180,9 @@
 
 // New returns a View that knows nothing.
 func New(o Options) *View {
+	if o.Now == nil {
+		o.Now = boottime.Now
+	}
 	return &View{o: o, upstreams: newRoster()}
 }
 
@@ -191,7 +197,7 @@
 	if !v.isInForce() {
 		return nil, 0
 	}
-	return v.table, time.Since(v.asOf)
+	return v.table, v.o.Now().Sub(v.asOf)
 }
 
 // Fresh tells whether a configuration of this age may still decide on API keys.
@@ -216,7 +222,7 @@
 	if v.table == nil {
 		return Configuration{}, 0
 	}
-	return v.configuration, time.Since(v.asOf)
+	return v.configuration, v.o.Now().Sub(v.asOf)
 }
 
 // Revision returns the revision in force, 0 while there is none.
@@ -230,7 +236,7 @@
 func (v *View) Age() (age time.Duration, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return time.Since(v.asOf), v.isInForce()
+	return v.o.Now().Sub(v.asOf), v.isInForce()
 }
 
 // isInForce tells whether requests may be served by what is known. The caller holds the lock.
@@ -253,7 +259,7 @@
 	}
 	v.o.Metrics.Count("tacktally_config_accepted_total")
 	v.o.Log.Info().Str("event", "config_accepted").Int64("revision", c.Revision).Int64("version", table.Version).
-		Int("routes", table.Routes()).Dur("age", time.Since(asOf)).Str("from", from).Msg("")
+		Int("routes", table.Routes()).Dur("age", v.o.Now().Sub(asOf)).Str("from", from).Msg("")
 	if v.o.OnTable != nil {
 		v.o.OnTable(table)
 	}
@@ -316,7 +322,7 @@
 	if v.table == nil || v.wasAway() {
 		return 0
 	}
-	return time.Since(v.steadySince)
+	return v.o.Now().Sub(v.steadySince)
 }
 
 // Reached implements Sink.
@@ -327,7 +333,7 @@
 	v.reachable = true
 	v.everReached = true
 	if back && !first && v.wasAway() {
-		v.upstreams.settleBy(time.Now().Add(v.o.Settle))
+		v.upstreams.settleBy(v.o.Now().Add(v.o.Settle))
 	}
 	v.mu.Unlock()
 	if back {
@@ -340,7 +346,7 @@
 // reach it, and what is missing is gone. Where peers didn't tell of their proofs yet, it
 // may be wrong; see SourceWasThere. The caller holds the lock.
 func (v *View) wasAway() bool {
-	return v.table != nil && time.Since(v.asOf) >= v.o.Lapse
+	return v.table != nil && v.o.Now().Sub(v.asOf) >= v.o.Lapse
 }
 
 // Unreachable implements Sink.
