--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -75,30 +75,13 @@
 	return c.do(ctx, r)
 }
 
-// Reach is what comes of making a connection.
-type Reach uint8
-
-const (
-	// Silent: neither a connection nor a refusal came, as where a path is cut.
-	Silent Reach = iota
-	// Accepts: a process listens.
-	Accepts
-	// Refuses: the port refuses, as where no process listens.
-	Refuses
-)
-
-// Probe makes a connection and closes it. It blocks for the time of making a connection at most.
-func (p *Pool) Probe(ctx context.Context) Reach {
+// Probe makes a connection and closes it. It blocks for the time of making one at most.
+func (p *Pool) Probe(ctx context.Context) error {
 	c, err := p.dial(ctx)
-	switch {
-	case err == nil:
+	if err == nil {
 		c.close()
-		return Accepts
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return Refuses
-	default:
-		return Silent
 	}
+	return err
 }
 
 // Open returns how many connections are open.
--- a/internal/fleet/crashes.go
+++ b/internal/fleet/crashes.go
@@ -1,19 +1,11 @@
 package fleet
 
 import (
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/quarantine"
 )
 
-// HeldBack refuses a request that crashes upstreams for so long.
-func HeldBack(left time.Duration) *api.Problem {
-	return api.Refuse(api.ReasonCrashesUpstreams, "upstreams crashed again and again while they ran this request, so it is held back; change it, or come back after the time given").WithRetryAfter(left)
-}
-
 // probeGroups is the number of groups of requests that are held back. One instance lets tries of a
 // group through.
 const probeGroups = 8
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -177,7 +177,7 @@
 // that asks has to believe that this instance owns the shard.
 func (f *Fleet) ServeSlot(ctx context.Context, r *peer.SlotRequest, s *peer.SlotStream) {
 	if left := f.o.Quarantine.Held(time.Now(), quarantine.Key{Organisation: r.Organisation, Digest: r.Digest}); left > 0 {
-		p := HeldBack(left) // the peer hasn't heard of it yet
+		p := quarantine.Refusal(left) // the peer hasn't heard of it yet
 		err := s.Refused(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -3,31 +3,20 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
-	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/quarantine"
-	"github.com/tacktally/tacktally/internal/wait"
 )
 
-// A lost answer may mean that its upstream's process has ended. It tells so by refusing connections: one
-// that is cut off is silent, and one whose connection was reset takes another. But a path that is cut
-// may refuse, too. Then it does so for others of the zone.
-const (
-	// secondLook is the time between two looks: a process closes its connections and its port one after
-	// the other.
-	secondLook = 100 * time.Millisecond
-	// neighbours is how many others of the zone are looked at.
-	neighbours = 3
-)
+// neighbours is how many others of its zone are looked at beside an upstream that refuses connections.
+const neighbours = 3
 
 // heldBack refuses a request that upstreams have crashed under meanwhile, here or elsewhere.
 func (j *job) heldBack() *api.Problem {
 	if left := j.handler.o.Quarantine.Held(time.Now(), j.key); left > 0 {
-		return fleet.HeldBack(left)
+		return quarantine.Refusal(left)
 	}
 	return nil
 }
@@ -64,25 +53,18 @@
 
 // look finds out whether the process of an upstream at which answers were lost has ended.
 func (h *Handler) look(upstream, process string, connections *exchange.Pool) {
-	ctx := context.Background() // bounded by the time of making a connection
-	reach := connections.Probe(ctx)
-	if reach == exchange.Accepts {
-		wait.For(ctx, secondLook)
-		reach = connections.Probe(ctx)
-	}
-	if reach != exchange.Refuses {
-		return
+	var beside []quarantine.Probe
+	for _, p := range h.o.Fleet.Neighbours(upstream, neighbours) {
+		beside = append(beside, p.Probe)
 	}
-	if others := h.o.Fleet.Neighbours(upstream, neighbours); !anyAccepts(ctx, others) {
-		h.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", upstream).Int("neighbours", len(others)).Msg("no other upstream of its zone takes connections from here")
-		return
+	switch quarantine.Look(context.Background(), connections.Probe, beside) {
+	case quarantine.Ended:
+		h.crashed(process)
+	case quarantine.InDoubt:
+		h.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", upstream).Int("neighbours", len(beside)).
+			Msg("no other upstream of its zone takes connections from here")
+	case quarantine.Lives:
 	}
-	h.crashed(process)
-}
-
-// anyAccepts tells whether any of some upstreams takes connections, or there are none.
-func anyAccepts(ctx context.Context, pools []*exchange.Pool) bool {
-	return len(pools) == 0 || slices.ContainsFunc(pools, func(p *exchange.Pool) bool { return p.Probe(ctx) == exchange.Accepts })
 }
 
 func (h *Handler) crashed(process string) {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -146,7 +146,7 @@
 	}
 	j.key = quarantine.KeyOf(j.organisationName(), j.http.Method, j.http.Host, j.target(), j.body)
 	if left := j.handler.o.Quarantine.Admit(j.arrived, j.key); left > 0 {
-		return fleet.HeldBack(left)
+		return quarantine.Refusal(left)
 	}
 	return j.takeQuota()
 }
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/tacktally/tacktally/api"
 )
 
 const (
@@ -39,6 +41,11 @@
 	maxCleared        = 256
 )
 
+// Refusal refuses a request that is held back for so long.
+func Refusal(left time.Duration) *api.Problem {
+	return api.Refuse(api.ReasonCrashesUpstreams, "upstreams crashed again and again while they ran this request, so it is held back; change it, or come back after the time given").WithRetryAfter(left)
+}
+
 // ErrHeld: the request is held back, since upstreams crash that run it.
 var ErrHeld = errors.New("upstreams crash that run this request")
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -124,6 +124,15 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.reused.CloseIdleConnections() }
 
+// Probe makes a connection to an upstream and closes it.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close() // nothing was said on it
+	}
+	return err
+}
+
 // Do sends the request once and relays the answer into the buffer. It doesn't
 // finish the buffer. It blocks until the answer ends or ctx does.
 func (c *Client) Do(ctx context.Context, call Call, b *answer.Buffer) Result {
