Hold crashing requests back at the own interface, too

What callers saw (by the test): a request that crashes services is sent to another one at each try, until none is left.

Cause: as at the routed interface, nothing outlived one try.

Change: dispatch asks the quarantine as it takes a request, before each attempt and in the guard right before the first byte; lost and cut answers are entered, and the upstream looked at beside others of its set. Instances tell each other in heartbeats.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,10 +8,12 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/internal/cacheevents"
@@ -27,6 +29,7 @@
 	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
@@ -58,6 +61,8 @@
 	instances *instanceList
 	pauses    *pause.Detector
 	gate      *pause.Gate
+	// quarantine is what is known of requests that crash upstreams.
+	quarantine *quarantine.Book
 
 	// What it calls.
 	platform  *platform.Client
@@ -109,6 +114,7 @@
 	}
 	d.life, d.end = context.WithCancel(context.Background())
 	d.log = telemetry.NewLogger(logTo, s.Log.Level, d.address)
+	d.quarantine = quarantine.New(d.log, d.ownsProbes)
 	d.gate = &pause.Gate{Detector: d.pauses, Refresh: d.refresh, Patience: refreshPatience}
 	d.dispatcher = d.newDispatcher()
 	d.gateway = d.newGateway()
@@ -137,6 +143,8 @@
 		Spill:         d.spill,
 		Organisations: d.organisations,
 		Gate:          d.gate,
+		Quarantine:    d.quarantine,
+		Suspected:     func() { go d.mesh.Announce() },
 	})
 }
 
@@ -179,6 +187,7 @@
 
 func (d *Daemon) gauges() {
 	d.metrics.Gauge("tacktally_in_flight", func() float64 { return float64(d.dispatcher.InFlight()) })
+	d.metrics.Gauge("tacktally_requests_held", func() float64 { return float64(d.quarantine.Count(time.Now())) })
 	d.metrics.Gauge("tacktally_callers_held", func() float64 { return float64(d.callers.InFlight()) })
 	d.metrics.Gauge("tacktally_keys_reserved", func() float64 { return float64(d.register.Stats().Reserved) })
 	d.metrics.Gauge("tacktally_answer_bytes", func() float64 { return float64(d.register.Stats().AnswerBytes) })
@@ -186,6 +195,16 @@
 	d.metrics.Gauge("tacktally_peers_reachable", func() float64 { return float64(d.reachablePeers()) })
 }
 
+// ownsProbes tells whether this instance, of those within its reach, lets tries of a request through that
+// is held back: the one that comes first by rendezvous hashing.
+func (d *Daemon) ownsProbes(k quarantine.Key) bool {
+	score := func(address string) uint64 {
+		return xxhash.Sum64String(address + "\x00" + k.Organisation + "\x00" + k.String())
+	}
+	own := score(d.address)
+	return !slices.ContainsFunc(d.mesh.Peers(), func(p peer.Status) bool { return p.Reachable && score(p.Address) > own })
+}
+
 func (d *Daemon) reachablePeers() int {
 	n := 0
 	for _, p := range d.mesh.Peers() {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/pool"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/upstream"
@@ -17,6 +18,7 @@
 
 // attempts makes the sendings of one request.
 type attempts struct {
+	key          quarantine.Key
 	dispatcher   *Dispatcher
 	snapshot     *config.Snapshot
 	request      *request.Request
@@ -45,6 +47,9 @@
 	a.dispatcher.budget.Deposit()
 	var last upstream.Result
 	for range maxAttempts {
+		if left := a.dispatcher.o.Quarantine.Held(time.Now(), a.key); left > 0 {
+			return a.givenUp(ctx, quarantine.Refusal(left))
+		}
 		grant, problem := a.acquire(ctx)
 		if problem != nil {
 			return a.givenUp(ctx, problem)
@@ -111,7 +116,8 @@
 }
 
 // guard is the check made right before the first byte is written: that the process
-// wasn't paused since the grant was asked for, and that the deadline hasn't passed.
+// wasn't paused since the grant was asked for, that the deadline hasn't passed, and that the
+// request isn't held back.
 func (a *attempts) guard() error {
 	if a.dispatcher.o.Gate.Detector.Epoch() != a.epoch {
 		return errPaused
@@ -119,6 +125,9 @@
 	if !time.Now().Before(a.request.Deadline) {
 		return context.DeadlineExceeded
 	}
+	if a.dispatcher.o.Quarantine.Held(time.Now(), a.key) > 0 {
+		return quarantine.ErrHeld
+	}
 	return nil
 }
 
@@ -176,6 +185,7 @@
 			return core.Failed(now, g)
 		}
 	})
+	a.learnOfCrash(g.Upstream.Address, result)
 	if result.Leaving {
 		a.dispatcher.MarkLeaving(g.Upstream.Address)
 		if a.dispatcher.o.Leaving != nil {
@@ -186,7 +196,7 @@
 
 // isOwnDoing tells an end on our side from a failure of the upstream.
 func isOwnDoing(err error) bool {
-	return errors.Is(err, errPaused) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
+	return errors.Is(err, errPaused) || errors.Is(err, quarantine.ErrHeld) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 }
 
 // retry decides whether the request is sent again, elsewhere.
@@ -198,6 +208,9 @@
 			d.retried(a.request, api.RetryPaused, result.Err)
 			return true
 		}
+		if errors.Is(result.Err, quarantine.ErrHeld) {
+			return true // to be refused: not for want of an upstream
+		}
 		a.exclude = g.Upstream.Address
 		d.retried(a.request, api.RetryConnect, result.Err)
 		return true
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,14 +14,16 @@
 	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/platform"
 	"github.com/tacktally/tacktally/internal/pool"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
+	"github.com/tacktally/tacktally/internal/telemetry"
 )
 
 // Nothing is written on a grant that was asked for before a pause, nor past the
-// deadline.
+// deadline, nor once the request is held back.
 func TestGuard(t *testing.T) {
 	for name, c := range map[string]struct {
 		since time.Duration // between asking for the grant and the write
@@ -32,6 +35,7 @@
 		"after a while": {10 * time.Second, true, time.Minute, nil},
 		"after a pause": {pause.Threshold + 1, false, time.Minute, errPaused},
 		"too late":      {2 * time.Second, true, time.Second, context.DeadlineExceeded},
+		"held back":     {0, true, time.Minute, quarantine.ErrHeld},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -42,11 +46,18 @@
 				if c.alive {
 					go d.Run(ctx)
 				}
+				book := quarantine.New(telemetry.NewLogger(io.Discard, "error", "test"), nil)
 				a := &attempts{
-					dispatcher: &Dispatcher{o: Options{Gate: &pause.Gate{Detector: d}}},
+					dispatcher: &Dispatcher{o: Options{Gate: &pause.Gate{Detector: d}, Quarantine: book}},
 					request:    &request.Request{Deadline: time.Now().Add(c.left)},
 					epoch:      d.Epoch(),
 				}
+				if name == "held back" {
+					for _, upstream := range []string{"1", "2", "3"} {
+						book.Lost(time.Now(), upstream, a.key, false)
+						book.Crashed(time.Now(), upstream)
+					}
+				}
 				<-time.After(c.since) // virtual time
 				is.Equal(a.guard(), c.want)
 			})
--- /dev/null
+++ b/internal/dispatch/crashes.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/quarantine"
+	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/upstream"
+)
+
+// neighbours is how many others of its set are looked at beside an upstream that refuses connections.
+const neighbours = 3
+
+// keyOf names a request by what it asks for.
+func keyOf(r *request.Request) quarantine.Key {
+	return quarantine.Key{Organisation: r.Organisation, Digest: binary.BigEndian.Uint64(r.Sum[:])}
+}
+
+// learnOfCrash takes what the end of a sending says of crashes, and tells the peers what is new. An
+// upstream is named by its address: one that starts again there and crashes again soon counts once.
+func (a *attempts) learnOfCrash(address string, r upstream.Result) {
+	o, now := a.dispatcher.o, time.Now()
+	switch r.Status {
+	case upstream.Done:
+		if o.Quarantine.Answered(now, a.key) {
+			o.Suspected()
+		}
+	case upstream.Lost, upstream.Cut:
+		check, news := o.Quarantine.Lost(now, address, a.key, a.buffer.Started())
+		if news {
+			o.Suspected()
+		}
+		if check {
+			go a.dispatcher.look(a.set, address)
+		}
+	}
+}
+
+// look finds out whether the process of an upstream at which answers were lost has ended.
+func (d *Dispatcher) look(set, address string) {
+	probe := func(address string) quarantine.Probe {
+		return func(ctx context.Context) error { return d.o.Client.Probe(ctx, address) }
+	}
+	var beside []quarantine.Probe
+	for _, other := range d.Members(set) {
+		if other != address && len(beside) < neighbours {
+			beside = append(beside, probe(other))
+		}
+	}
+	switch quarantine.Look(context.Background(), probe(address), beside) {
+	case quarantine.Ended:
+		if d.o.Quarantine.Crashed(time.Now(), address) {
+			d.o.Suspected()
+		}
+	case quarantine.InDoubt:
+		d.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", address).Int("neighbours", len(beside)).
+			Msg("no other upstream of its set takes connections from here")
+	case quarantine.Lives:
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,6 +28,7 @@
 	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/platform"
 	"github.com/tacktally/tacktally/internal/pool"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/retrybudget"
@@ -84,6 +85,10 @@
 	Organisations *orglimit.Limiter
 	// Gate is passed before each decision.
 	Gate *pause.Gate
+	// Quarantine says which requests crash upstreams.
+	Quarantine *quarantine.Book
+	// Suspected is called when something new is known of them, for the peers. It must not block.
+	Suspected func()
 }
 
 // Dispatcher serves requests at this instance. Safe for concurrent use.
@@ -345,7 +350,7 @@
 
 func (d *Dispatcher) record(r *request.Request, end answer.End, took time.Duration) {
 	d.o.Metrics.Ended(r.Tier, end.Outcome(), took)
-	event := d.o.Log.Info().Str("event", "request_ended").Str("request", r.ID).
+	event := d.o.Log.Info().Str("event", "request_ended").Str("request", r.ID).Str("key", keyOf(r).String()).
 		Str("organisation", r.Organisation).Str("tier", r.Tier).
 		Str("outcome", string(end.Outcome())).Dur("took", took)
 	if end.Problem != nil {
@@ -371,8 +376,12 @@
 	if !ok {
 		return answer.End{Problem: api.Refuse(api.ReasonUnknownAPIKey, "organisation %q isn't declared in revision %d; ask your operator", r.Organisation, s.Revision)}
 	}
+	key := keyOf(r)
+	if left := d.o.Quarantine.Admit(started, key); left > 0 {
+		return answer.End{Problem: quarantine.Refusal(left)}
+	}
 	a := &attempts{
-		dispatcher: d, snapshot: s, request: r, buffer: b, pool: pool,
+		key: key, dispatcher: d, snapshot: s, request: r, buffer: b, pool: pool,
 		set: set, tier: tier, organisation: org,
 	}
 	ask := orglimit.Ask{
