Look at upstreams drawn by chance beside one that refuses

Cause: the three looked at beside an upstream that refuses were always the first of the set; once those had ended, each further crash was in doubt and counted for nothing.

Change: up to five, drawn by chance and looked at together.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"math/rand/v2"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/quarantine"
@@ -10,9 +11,6 @@
 	"github.com/tacktally/tacktally/internal/upstream"
 )
 
-// neighbours is how many others of its set are looked at beside an upstream that refuses connections.
-const neighbours = 3
-
 // keyOf names a request by what it asks for.
 func keyOf(r *request.Request) quarantine.Key {
 	return quarantine.Key{Organisation: r.Organisation, Digest: binary.BigEndian.Uint64(r.Sum[:])}
@@ -43,9 +41,11 @@
 	probe := func(address string) quarantine.Probe {
 		return func(ctx context.Context) error { return d.o.Client.Probe(ctx, address) }
 	}
+	others := d.Members(set)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	var beside []quarantine.Probe
-	for _, other := range d.Members(set) {
-		if other != address && len(beside) < neighbours {
+	for _, other := range others {
+		if other != address && len(beside) < quarantine.Neighbours {
 			beside = append(beside, probe(other))
 		}
 	}
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -10,9 +10,6 @@
 	"github.com/tacktally/tacktally/internal/quarantine"
 )
 
-// neighbours is how many others of its zone are looked at beside an upstream that refuses connections.
-const neighbours = 3
-
 // heldBack refuses a request that upstreams have crashed under meanwhile, here or elsewhere.
 func (j *job) heldBack() *api.Problem {
 	if left := j.handler.o.Quarantine.Held(time.Now(), j.key); left > 0 {
@@ -54,7 +51,7 @@
 // look finds out whether the process of an upstream at which answers were lost has ended.
 func (h *Handler) look(upstream, process string, connections *exchange.Pool) {
 	var beside []quarantine.Probe
-	for _, p := range h.o.Fleet.Neighbours(upstream, neighbours) {
+	for _, p := range h.o.Fleet.Neighbours(upstream, quarantine.Neighbours) {
 		beside = append(beside, p.Probe)
 	}
 	switch quarantine.Look(context.Background(), connections.Probe, beside) {
--- a/internal/quarantine/look.go
+++ b/internal/quarantine/look.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"syscall"
 	"time"
 
@@ -13,6 +12,10 @@
 // Probe makes a connection to an upstream and closes it. It blocks for the time of making one at most.
 type Probe func(ctx context.Context) error
 
+// Neighbours is how many others are looked at beside an upstream that refuses connections, drawn by chance:
+// some of them may have ended, too.
+const Neighbours = 5
+
 // secondLook is the time between two looks: a process closes its connections and its port one after the
 // other.
 const secondLook = 100 * time.Millisecond
@@ -38,13 +41,28 @@
 		wait.For(ctx, secondLook)
 		err = upstream(ctx)
 	}
-	accepts := func(p Probe) bool { return p(ctx) == nil }
 	switch {
 	case !errors.Is(err, syscall.ECONNREFUSED):
 		return Lives
-	case len(neighbours) == 0 || slices.ContainsFunc(neighbours, accepts):
+	case len(neighbours) == 0 || anyAccepts(ctx, neighbours):
 		return Ended
 	default:
 		return InDoubt
 	}
 }
+
+// anyAccepts tells whether any of some upstreams takes connections. They are looked at together.
+func anyAccepts(ctx context.Context, all []Probe) bool {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	found := make(chan error, len(all))
+	for _, p := range all {
+		go func() { found <- p(ctx) }()
+	}
+	for range all {
+		if <-found == nil {
+			return true
+		}
+	}
+	return false
+}
