Suspect hardly what is answered often, and soak crashing requests

What could have been seen (by reading, no run showed it): all callers of a service send the same request; two of its upstreams end before any of it is answered, and it is held back for two minutes, for everybody.

Cause: how often a request is answered spoke for it only after a crash.

The soak gets two kinds of plays: one request that crashes workers comes every 60 ms at any instance, beside callers that all send the same, with what takes knowledge of it away, or with planned work alone. Nobody else may be held back; where nothing fails, no more than three tries may come later than 1 s after the third crash.

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -109,8 +109,10 @@
 	crashes map[string]*crash // by upstream
 	held    map[Key]term
 	cleared map[Key]clearing
-	judgeAt time.Time // when what is known has to be judged; zero: nothing new
-	turn    int       // of what is told in turn
+	// answered are the requests that were answered here lately.
+	answered answered
+	judgeAt  time.Time // when what is known has to be judged; zero: nothing new
+	turn     int       // of what is told in turn
 }
 
 // New returns a book that knows of nothing. Owns tells whether this instance, of all that it reaches,
@@ -128,11 +130,12 @@
 }
 
 // Lost notes that the answer to a request was lost at an upstream; begun tells whether something of it
-// had come. It returns whether the upstream has to be looked at, to tell a crash from a broken
+// had come. One that was answered lately is suspected as little as that. It returns whether the upstream has to be looked at, to tell a crash from a broken
 // connection, and whether the loss is part of a crash that is known already, which is news for peers.
 func (b *Book) Lost(now time.Time, upstream string, k Key, begun bool) (check, news bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	begun = begun || b.answered.has(k)
 	if c := b.crashes[upstream]; c != nil && now.Sub(c.at) < lossFor {
 		return false, b.suspect(now, c, k, begun)
 	}
@@ -212,6 +215,7 @@
 func (b *Book) Answered(now time.Time, k Key) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.answered.add(now, k)
 	if !b.isSuspected(k) {
 		return false
 	}
--- /dev/null
+++ b/internal/soak/crashes.go
@@ -0,0 +1,51 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Crashes are the upstreams that ended under one request. Safe for concurrent use.
+type Crashes struct {
+	// Window is how long after the third one further tries may still be under way, and Retries how many
+	// may come after that.
+	Window  time.Duration
+	Retries int
+
+	mu sync.Mutex
+	at []time.Time
+}
+
+// enough is the number of crashes that show what a request does.
+const enough = 3
+
+// Ended records that an upstream ends.
+func (c *Crashes) Ended() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = append(c.at, time.Now())
+}
+
+// Count returns how many have ended.
+func (c *Crashes) Count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.at)
+}
+
+// Check names a broken bound.
+func (c *Crashes) Check() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	late := 0
+	for i, at := range c.at {
+		if i >= enough && at.Sub(c.at[enough-1]) > c.Window {
+			late++
+		}
+	}
+	if late <= c.Retries {
+		return nil
+	}
+	return []string{fmt.Sprintf("a request was sent %d times later than %v after the third upstream had ended under it; %d ended in all", late, c.Window, len(c.at))}
+}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -172,6 +172,18 @@
 	return ""
 }
 
+// CountAnswers counts the answers of a kind.
+func (l *Ledger) CountAnswers(is func(Answer) bool) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.answers {
+		if is(a) {
+			n++
+		}
+	}
+	return n
+}
+
 // Summary words how many requests were sent, ran and got which statuses.
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -71,6 +71,15 @@
 	PlannedPlaces = Mix{Evacuate: 4, Replace: 4, Terminate: 3, Reload: 1, Change: 2}
 )
 
+// Crashing is a mix, beside a request that crashes upstreams, of what takes knowledge of it away; under
+// PlannedCrashing nothing fails but what that request ends.
+var (
+	Crashing = Mix{
+		Kill: 3, Terminate: 4, Pause: 3, SourceAway: 2, SourceLink: 2, PeerLink: 4, Change: 2, Replace: 2, Stuck: 2,
+	}
+	PlannedCrashing = Mix{Terminate: 4, Reload: 1, Change: 2}
+)
+
 // Event is one fault at a time.
 type Event struct {
 	At  time.Duration
