Count links' silence and use by one clock, and excuse instances that just started

Two findings. By reading: after a suspension links' last use and misses were compared with times of another clock, so that links would count as unused or alive by the length of the suspension; all of them go by the boot clock now.

The rule excuses an instance that has just started, and it can't know; the check excuses it for the same second, with the age of its process, and says how many.

--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/request"
 )
 
@@ -117,7 +118,7 @@
 	reply, err := l.nextFrame(ctx, s)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), ErrNoReply) {
-			l.miss(time.Now())
+			l.miss(boottime.Now())
 		}
 		return err
 	}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/coder/websocket"
 
 	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/request"
 )
 
@@ -96,7 +96,7 @@
 	case TypeHeartbeat:
 		s.mesh.heartbeat(s.peer, f.Heartbeat)
 	case TypeQuotaRequest:
-		s.link.noteAsked(time.Now(), 0)
+		s.link.noteAsked(boottime.Now(), 0)
 		return s.link.send(s.link.ctx, &Frame{Type: TypeQuotaReply, Stream: f.Stream, QuotaReply: s.mesh.o.Handler.ServeQuota(f.QuotaRequest)})
 	case TypeQuotaReturn:
 		s.mesh.o.Handler.QuotaReturned(f.QuotaReturn)
@@ -175,7 +175,7 @@
 	full := len(s.cancels) >= maxStreams
 	if !full {
 		s.cancels[id] = st
-		s.link.noteAsked(time.Now(), 1)
+		s.link.noteAsked(boottime.Now(), 1)
 	}
 	s.mu.Unlock()
 	if full {
@@ -229,7 +229,7 @@
 	delete(s.cancels, id)
 	s.mu.Unlock()
 	if st != nil {
-		s.link.noteAsked(time.Now(), -1)
+		s.link.noteAsked(boottime.Now(), -1)
 		st.cancel()
 	}
 }
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -13,25 +13,31 @@
 	Window  time.Duration
 	Retries int
 
-	mu sync.Mutex
-	at []time.Time
+	mu      sync.Mutex
+	at      []time.Time
+	excused int
 }
 
 // enough is the number of crashes that show what a request does.
 const enough = 3
 
-// Ended records that an upstream ends.
-func (c *Crashes) Ended() {
+// Ended records that an upstream ends under a request of an instance that has run for so long. One that
+// has just started can't have heard of what was before.
+func (c *Crashes) Ended(age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.at) >= enough && age < c.Window {
+		c.excused++
+		return
+	}
 	c.at = append(c.at, time.Now())
 }
 
-// Count returns how many have ended.
-func (c *Crashes) Count() int {
+// String words how many have ended.
+func (c *Crashes) String() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.at)
+	return fmt.Sprintf("%d, and %d under requests of instances that had just started", len(c.at), c.excused)
 }
 
 // Check names a broken bound.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Process is a program that is started again whenever it ends, until Stop. Only the
@@ -17,6 +18,7 @@
 
 	mu      sync.Mutex
 	running *exec.Cmd
+	started time.Time
 	ended   chan struct{} // closed when running has ended
 	stopped bool
 }
@@ -37,6 +39,7 @@
 		return fmt.Errorf("starting %s: %w", p.command[0], err)
 	}
 	p.running = c
+	p.started = time.Now()
 	p.ended = make(chan struct{})
 	go p.reap(c, p.ended)
 	return nil
@@ -57,6 +60,13 @@
 	}
 }
 
+// Age returns how long the process has run that runs now.
+func (p *Process) Age() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.started)
+}
+
 // Signal sends a signal to the process that runs now.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
