Take the word of upstreams that they leave from their answers

Cause: the word in answers was read by nobody. Connection: close led to a question to the store, and the store was away, as was all other news.

Change: any answer of the upstream itself (a success only if signed; not that of another process at its address) marks the process as leaving. The mark is of the process, not of the entry, so that an entry written before and arriving after doesn't undo it and another process under the ID is free; it is kept for a minute beyond the list. Peers are told at once and in heartbeats, so that owners grant it to nobody.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -125,7 +125,7 @@
 		Protocol:   o.Protocol,
 		Quotas:     i.quotas,
 		Quarantine: i.quarantine,
-		Suspected:  func() { go i.mesh.Announce() },
+		Announce:   func() { go i.mesh.Announce() },
 		Closing:    i.view.MayLeave,
 		Doubt:      time.Duration(s.Routed.InForce),
 		Metrics:    i.metrics,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -86,6 +86,7 @@
 		Draining:    i.ready.draining.Load(),
 		InFlight:    i.proxy.InFlight(),
 		Running:     load.Running,
+		Leaving:     i.fleet.SaidLeaving(),
 		Reads:       i.reading.active(),
 		Known:       i.mesh.Known(),
 		SteadyMS:    int(min(i.view.SteadyFor(), maxSteady).Milliseconds()),
@@ -101,7 +102,8 @@
 		i.fleet.SetOthers(from, scheduler.Load{Running: h.Running})
 	}
 	i.view.LearnEvacuations(view.Evacuations(h.Evacuations), from)
-	if i.quarantine.Learn(time.Now(), h.Quarantine) {
+	learned := i.quarantine.Learn(time.Now(), h.Quarantine)
+	if i.fleet.LearnLeaving(from, h.Leaving) || learned {
 		i.tell()
 	}
 	if h.SteadyMS > 0 {
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -57,15 +57,23 @@
 func (f *Fleet) ProcessOf(id string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.processOf(id)
+}
+
+// processOf is ProcessOf for a caller that holds the lock.
+func (f *Fleet) processOf(id string) string {
 	c, listed := f.connections[id]
-	switch {
-	case !listed:
+	if !listed {
 		return ""
-	case c.born == 0:
+	}
+	return processName(id, c.born)
+}
+
+func processName(id string, born int64) string {
+	if born == 0 {
 		return id
-	default:
-		return id + "@" + strconv.FormatInt(c.born, 10)
 	}
+	return id + "@" + strconv.FormatInt(born, 10)
 }
 
 // Neighbours returns the connections to some other upstreams of an upstream's availability zone, so
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,7 +74,10 @@
 	unusable    map[string]error  // why upstreams get nothing new, nil for those that do, by ID
 	zones       map[string]string // by upstream ID
 	evacuated   []string          // availability zones
-	slots       Slots             // nil until there are peers
+	// saidLeaving are processes that have said in an answer that they leave, and when they were on the
+	// list last.
+	saidLeaving map[string]time.Time
+	slots       Slots // nil until there are peers
 
 	owners     owners
 	leases     leases
@@ -102,6 +105,7 @@
 		o:           o,
 		services:    map[string]*service{},
 		connections: map[string]connections{},
+		saidLeaving: map[string]time.Time{},
 		instances:   []Instance{{Address: o.Instance, Cores: o.Cores, InReach: true, MayOwn: true, Settled: true}},
 	}
 }
@@ -112,6 +116,7 @@
 	f.list = list
 	f.listed = time.Now()
 	f.connect(list.Upstreams)
+	f.forgetWords(f.listed)
 	f.share(nil)
 	f.mu.Unlock()
 	f.limitStarts()
--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -28,8 +28,9 @@
 // whyUnusable tells why an upstream of the list gets nothing new, nil where it does. The caller
 // holds the lock.
 func (f *Fleet) whyUnusable(u view.Upstream) error {
+	_, said := f.saidLeaving[processName(u.ID, u.Born)]
 	switch {
-	case u.Leaving:
+	case u.Leaving, said:
 		return ErrLeaving
 	case slices.Contains(f.evacuated, u.Zone):
 		return ErrEvacuated
--- /dev/null
+++ b/internal/fleet/ownword.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// An upstream that leaves says so in its answers, too, and its entry may say so much later: while the
+// source is away its answers are the only word. It holds for the process that said it, whatever is
+// published of that process then, since what is published may have been written before.
+
+// wordKept is how long the word is kept of a process that isn't on the list any more: its entry may come
+// back, around an outage.
+const wordKept = time.Minute
+
+// mostTold bounds the processes that peers are told of.
+const mostTold = 128
+
+// SaysLeaving takes the word of an upstream of the list, in an answer, that it leaves. It returns whether
+// that is news for peers.
+func (f *Fleet) SaysLeaving(id string) bool {
+	f.mu.Lock()
+	process := f.processOf(id)
+	f.mu.Unlock()
+	return process != "" && f.learnLeaving("its own word", process)
+}
+
+// LearnLeaving takes what a peer tells of processes that have said that they leave.
+func (f *Fleet) LearnLeaving(peer string, processes []string) (news bool) {
+	for _, process := range processes {
+		news = f.learnLeaving("peer "+peer, process) || news
+	}
+	return news
+}
+
+// learnLeaving sends nothing more to a process of the list.
+func (f *Fleet) learnLeaving(from, process string) bool {
+	f.mu.Lock()
+	_, known := f.saidLeaving[process]
+	if known || !f.isListed(process) {
+		f.mu.Unlock()
+		return false
+	}
+	f.saidLeaving[process] = time.Now()
+	shards := f.share(nil)
+	version := f.list.Version
+	f.mu.Unlock()
+	f.o.Log.Info().Str("event", "upstream_says_leaving").Str("process", process).Str("from", from).Int64("list", version).Msg("")
+	poll(shards)
+	return true
+}
+
+// SaidLeaving returns the processes that have said that they leave, for peers.
+func (f *Fleet) SaidLeaving() (out []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for process := range f.saidLeaving {
+		out = append(out, process)
+	}
+	slices.Sort(out)
+	return out[:min(len(out), mostTold)]
+}
+
+// forgetWords drops the word of processes that have been off the list for long. The caller holds the lock.
+func (f *Fleet) forgetWords(now time.Time) {
+	for process, heard := range f.saidLeaving {
+		switch {
+		case f.isListed(process):
+			f.saidLeaving[process] = now
+		case now.Sub(heard) > wordKept:
+			delete(f.saidLeaving, process)
+		}
+	}
+}
+
+// isListed tells whether a process is on the list. The caller holds the lock.
+func (f *Fleet) isListed(process string) bool {
+	return slices.ContainsFunc(f.list.Upstreams, func(u view.Upstream) bool { return processName(u.ID, u.Born) == process })
+}
--- /dev/null
+++ b/internal/fleet/ownword_test.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// What an upstream says of itself in an answer holds for that process: an entry that was written before
+// and comes after doesn't undo it, and another process under its ID hasn't said it.
+func TestTheWordOfAProcessThatItLeavesHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleetOf("10.0.0.9:1", instances(1))
+		list := func(version int64, upstreams ...view.Upstream) {
+			f.SetUpstreams(view.List{Version: version, Upstreams: upstreams})
+		}
+		a, b := view.Upstream{ID: "a", Service: "app", Address: "10.0.0.1:80", Slots: 4, Born: 1}, view.Upstream{ID: "b", Service: "app", Address: "10.0.0.2:80", Slots: 4}
+		is.True(!f.SaysLeaving("a")) // it isn't on the list
+		list(1, a, b)
+		is.NoErr(f.MayBeSent("a"))
+		is.True(f.SaysLeaving("a"))
+		is.True(!f.SaysLeaving("a")) // no news
+		is.Equal(f.SaidLeaving(), []string{"a@1"})
+		list(2, a, b) // ready, as before
+		is.True(errors.Is(f.MayBeSent("a"), ErrLeaving))
+		is.NoErr(f.MayBeSent("b"))
+		list(3, b)
+		<-time.After(wordKept) // virtual time
+		list(4, a, b)
+		is.True(errors.Is(f.MayBeSent("a"), ErrLeaving)) // its entry is back, around an outage
+		a.Born = 2
+		list(5, a, b)
+		is.NoErr(f.MayBeSent("a"))
+		<-time.After(wordKept + time.Second)
+		list(6, a, b)
+		is.Equal(len(f.SaidLeaving()), 0) // nothing is kept for ever
+	})
+}
+
+func TestPeersTellWhoHasSaidThatItLeaves(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf("10.0.0.9:1", instances(1))
+	f.SetUpstreams(view.List{Version: 1, Upstreams: []view.Upstream{{ID: "a", Service: "app", Address: "10.0.0.1:80", Slots: 4, Born: 3}}})
+	is.True(!f.LearnLeaving("peer", []string{"a", "a@2", "other"})) // none of them is on the list
+	is.NoErr(f.MayBeSent("a"))
+	is.True(f.LearnLeaving("peer", []string{"a@3"}))
+	is.True(!f.LearnLeaving("peer", []string{"a@3"}))
+	is.True(errors.Is(f.MayBeSent("a"), ErrLeaving))
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -135,7 +135,7 @@
 	ListVersion int64 `cbor:"2,keyasint"`
 	// Draining instances take no new work.
 	Draining bool `cbor:"3,keyasint,omitempty"`
-	// Leaving upstreams, by their own word.
+	// Leaving upstreams, by their own word; where they are named so, their processes.
 	Leaving []string `cbor:"4,keyasint,omitempty"`
 	// InFlight is the number of requests it serves.
 	InFlight int `cbor:"5,keyasint,omitempty"`
@@ -183,6 +183,7 @@
 		SteadyMS:    h.SteadyMS,
 		Evacuations: h.Evacuations,
 		Quarantine:  h.Quarantine,
+		Leaving:     h.Leaving,
 		Brief:       true,
 	}
 }
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -33,14 +33,14 @@
 	switch {
 	case r.status == done || r.status == failed:
 		if book.Answered(now, j.key) {
-			j.handler.o.Suspected()
+			j.handler.o.Announce()
 		}
 	case r.status == misdirected:
 		j.handler.crashed(r.process) // another process has the address, so that one has ended
 	case (r.status == lost || r.status == cut) && !errors.Is(r.err, errSilent):
 		check, news := book.Lost(now, r.process, j.key, j.events > 0)
 		if news {
-			j.handler.o.Suspected()
+			j.handler.o.Announce()
 		}
 		if connections := j.handler.o.Fleet.ConnectionsTo(j.upstream); check && connections != nil {
 			go j.handler.look(j.upstream, r.process, connections)
@@ -66,6 +66,6 @@
 
 func (h *Handler) crashed(process string) {
 	if h.o.Quarantine.Crashed(time.Now(), process) {
-		h.o.Suspected()
+		h.o.Announce()
 	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -43,8 +43,8 @@
 	Quotas *fleet.Quotas
 	// Quarantine says which requests crash upstreams.
 	Quarantine *quarantine.Book
-	// Suspected is called when something new is known of them, for the peers. It doesn't block.
-	Suspected func()
+	// Announce tells the peers what is new here. It doesn't block.
+	Announce func()
 	// Closing is told of each upstream that says it closes its connection: it may be leaving.
 	// It doesn't block.
 	Closing func(upstream string)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -158,6 +158,9 @@
 func (r *relay) run() result {
 	head := r.job.handler.o.Protocol.ReadHead(r.answer.Status, r.answer.Header)
 	success := r.answer.Status >= 200 && r.answer.Status < 300
+	if isWord := !head.Misdirected && (head.Signed || !success); isWord && head.Leaving {
+		r.job.handler.saysLeaving(r.job.upstream)
+	}
 	switch {
 	case head.Misdirected:
 		r.refusal()
@@ -178,6 +181,13 @@
 	}
 }
 
+// saysLeaving takes an upstream's own word that it leaves.
+func (h *Handler) saysLeaving(upstream string) {
+	if h.o.Fleet.SaysLeaving(upstream) {
+		h.o.Announce()
+	}
+}
+
 // refusalBytes is how much of a refusal's body is noted: its cause, if it names one.
 const refusalBytes = 200
 
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -68,7 +68,7 @@
 func (plain) Answers(h http.Header, id string) bool { return h.Get("Id") == "" || h.Get("Id") == id }
 
 func (plain) ReadHead(status int, h http.Header) Head {
-	return Head{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	return Head{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
 }
 
 func (plain) WriteProblem(w http.ResponseWriter, p *api.Problem) {
@@ -152,7 +152,7 @@
 	r.view = view.New(view.Options{Source: documents{}, Lease: leaseTime, Settle: time.Second, OnUpstreams: r.fleet.SetUpstreams, Metrics: metrics, Log: log})
 	r.handler = New(Options{
 		View: r.view, Fleet: r.fleet, Protocol: plain{}, Quotas: fleet.NewQuotas(time.Now().Add(-time.Hour), fleet.Allowance{}, r.fleet),
-		Quarantine: r.book, Suspected: func() {},
+		Quarantine: r.book, Announce: func() {},
 		Closing: func(upstream string) { r.closing <- upstream },
 		Doubt:   doubt, Metrics: metrics, Log: log,
 	})
--- a/internal/proxy/seam.go
+++ b/internal/proxy/seam.go
@@ -79,6 +79,8 @@
 	NotRun bool
 	// Misdirected: another upstream has the address now.
 	Misdirected bool
+	// Leaving: the upstream says that it leaves.
+	Leaving bool
 	// RetryAfter is when to come back, 0 where it doesn't say.
 	RetryAfter time.Duration
 }
