Let upstreams rest that ask for it

What callers saw: while two of eighteen upstreams turned requests away and asked for 3 s of rest, nearly all requests of the service were refused, and the other sixteen were idle.

Cause: an upstream's Retry-After was told to the caller and decided nothing. One that refuses at once has a free slot again at once, so that its owner granted it request after request.

Change: package rest keeps, for each instance, which upstreams have asked it for rest. None is sent to before the rest is over, at any of the ways that lead there (retry, resumption, test): it is asked right before the first byte. Owners are told with each request what its sender may not send to, and grant something else; a grant that can't be used is no failed connection any more. After a rest one request goes first. Where all rest, a request waits if it has the time, and is refused at once otherwise, with the time until the first is back, spread by a fifth. Where not all rest a refused caller may come back soon, whatever one upstream asked for.

Why it holds: the promise is between one instance and one upstream, and it is kept by that instance alone, whatever an owner knows.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/rest"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/telemetry"
@@ -79,6 +80,7 @@
 	saidLeaving map[string]time.Time
 	slots       Slots // nil until there are peers
 
+	rests      *rest.Rests
 	owners     owners
 	leases     leases
 	countsLost atomic.Bool // some lost leases were counted last
@@ -106,6 +108,7 @@
 		services:    map[string]*service{},
 		connections: map[string]connections{},
 		saidLeaving: map[string]time.Time{},
+		rests:       rest.New(),
 		instances:   []Instance{{Address: o.Instance, Cores: o.Cores, InReach: true, MayOwn: true, Settled: true}},
 	}
 }
@@ -117,6 +120,7 @@
 	f.listed = time.Now()
 	f.connect(list.Upstreams)
 	f.forgetWords(f.listed)
+	f.keepRests()
 	f.share(nil)
 	f.mu.Unlock()
 	f.limitStarts()
--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -45,10 +45,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	why, listed := f.unusable[id]
-	if !listed {
+	switch {
+	case !listed:
 		return ErrNotListed
+	case why == nil && f.rests.May(time.Now(), id) != nil:
+		return ErrResting
+	default:
+		return why
 	}
-	return why
 }
 
 // listVersion returns the version of the list that upstreams are chosen from.
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -35,6 +35,7 @@
 
 // Acquire blocks until the request gets a slot, is refused, or ctx ends.
 func (f *Fleet) Acquire(ctx context.Context, w *Want) (Lease, *api.Problem) {
+	w.Request.Without = f.without()
 	shard, owners := f.shardAndOwners(w)
 	for _, owner := range owners {
 		if owner == f.o.Instance {
@@ -132,6 +133,7 @@
 		Expected:     r.Expected,
 		Bytes:        r.Bytes,
 		Exclude:      r.Exclude,
+		Without:      r.Without,
 		Zone:         f.o.Zone,
 		Bound:        r.Homes.Bound,
 		Regions:      r.Homes.Regions,
@@ -163,6 +165,7 @@
 		Chain:        prefix.ChainOf(parts),
 		Bytes:        r.Bytes,
 		Exclude:      r.Exclude,
+		Without:      r.Without,
 		Zone:         r.Zone,
 		Homes:        scheduler.Homes{Bound: r.Bound, Regions: r.Regions},
 	}
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -49,6 +49,8 @@
 	Regions []string `cbor:"18,keyasint,omitempty"`
 	// Digest of what the request asks for, the same for each try.
 	Digest uint64 `cbor:"19,keyasint,omitempty"`
+	// Without are upstreams that the asking instance may not send to now, by their IDs.
+	Without []string `cbor:"20,keyasint,omitempty"`
 }
 
 // PromptPart is a part of a prompt that other prompts may begin with too.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -27,8 +27,10 @@
 	// what was predicted of it, whichever is more: a long prompt is no silence.
 	silenceFactor   = 2.5
 	predictedFactor = 3
-	// maxUnsent bounds the connections that fail before a request is given up.
-	maxUnsent = 3
+	// maxUnsent bounds the connections that fail before a request is given up, and maxUnusable the grants
+	// that this instance may not use: what it may not send to is told with the next one that it asks for.
+	maxUnsent   = 3
+	maxUnusable = 8
 )
 
 // errSilent ends an exchange with an upstream that is silent for too long.
@@ -82,24 +84,31 @@
 	repeats := j.handler.o.Fleet.Repeats(j.service)
 	repeats.Deposit()
 	exclude := ""
-	unsent := 0
+	unsent, unusable := 0, 0
 	for {
 		if problem := j.heldBack(); problem != nil {
 			return j.orFailure(j.givenUp(problem))
 		}
 		l, problem := j.handler.o.Fleet.Acquire(ctx, j.want(exclude))
+		if problem != nil && j.waitsForRest(ctx, problem) {
+			continue
+		}
 		if problem != nil {
-			return j.orFailure(j.givenUp(problem))
+			return j.orFailure(j.givenUp(j.orRest(problem)))
 		}
 		r := j.send(ctx, l)
 		j.learn(l, r)
-		if r.status == notSent || r.status == notUsable {
+		switch r.status {
+		case notSent:
 			unsent++
+		case notUsable:
+			unusable++
+		default:
 		}
 		if r.failure != nil {
 			j.failure = r.failure
 		}
-		reason, again := j.again(ctx, repeats, r, unsent)
+		reason, again := j.again(ctx, repeats, r, unsent < maxUnsent && unusable < maxUnusable)
 		if !again {
 			return j.ended(r)
 		}
@@ -145,13 +154,13 @@
 }
 
 // again decides whether the request is sent once more, and why.
-func (j *job) again(ctx context.Context, repeats *retrybudget.Budget, r result, unsent int) (api.Reason, bool) {
+func (j *job) again(ctx context.Context, repeats *retrybudget.Budget, r result, mayConnect bool) (api.Reason, bool) {
 	if ctx.Err() != nil {
 		return "", false
 	}
 	switch r.status {
 	case notSent, notUsable:
-		return api.RetryConnect, unsent < maxUnsent
+		return api.RetryConnect, mayConnect
 	case notRun, misdirected:
 		return api.RetryUpstreamBusy, j.mayGoOn() && repeats.Withdraw()
 	case failed:
@@ -217,7 +226,7 @@
 	case notSent, notUsable:
 		return j.givenUp(api.Refuse(api.ReasonUnreachable, "no upstream could be reached (%v); come back after the time given", r.err).WithRetryAfter(fleet.ComeBackSoon))
 	case notRun, misdirected:
-		return j.givenUp(api.Refuse(api.ReasonUpstreamRefused, "the upstream refused the request (%v); come back after the time given", r.err).WithRetryAfter(max(r.retryAfter, fleet.ComeBackSoon)))
+		return j.givenUp(api.Refuse(api.ReasonUpstreamRefused, "the upstream refused the request (%v); come back after the time given", r.err).WithRetryAfter(j.comeBack()))
 	case failed:
 		return api.LeaveUnknown(api.ReasonUpstreamLost, "the upstream answered with a failure: %v", r.err)
 	case garbage:
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -24,7 +24,7 @@
 	if j.handler.o.Quarantine.Held(time.Now(), j.key) > 0 {
 		return quarantine.ErrHeld
 	}
-	return j.handler.o.Fleet.MayBeSent(upstream)
+	return j.handler.o.Fleet.Sending(upstream)
 }
 
 // learnOfCrash takes what the end of a sending says of crashes, and tells the peers what is new.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -73,6 +73,9 @@
 	answer, err := connections.Do(ctx, j.exchangeRequest(l, left))
 	if err != nil {
 		status, err := statusOf(ctx, err)
+		if status != notUsable {
+			j.handler.o.Fleet.Unheard(l.Upstream())
+		}
 		if status == notSent || status == notUsable {
 			j.attempts--
 		} else {
@@ -161,6 +164,7 @@
 	if isWord := !head.Misdirected && (head.Signed || !success); isWord && head.Leaving {
 		r.job.handler.saysLeaving(r.job.upstream)
 	}
+	r.noteRest(head)
 	switch {
 	case head.Misdirected:
 		r.refusal()
--- /dev/null
+++ b/internal/rest/rest_test.go
@@ -0,0 +1,62 @@
+package rest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func TestAnUpstreamRestsForAsLongAsItAsked(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	is.NoErr(r.Claim(at(0), "a"))
+	r.Begin(at(0), "a", "a", 3*time.Second)
+	r.Begin(at(0.1), "a", "a", time.Second) // an earlier answer that came later
+	r.Over(at(1), "a")                      // that of a request from before
+	is.Equal(r.May(at(2.9), "a"), ErrResting)
+	is.Equal(r.Claim(at(2.9), "a"), ErrResting)
+	is.Equal(r.Left(at(1), "a"), 2*time.Second)
+	is.Equal(r.Resting(at(1)), []string{"a"})
+	is.NoErr(r.May(at(1), "b"))
+	is.NoErr(r.May(at(3), "a"))
+	is.Equal(len(r.Resting(at(3))), 0)
+}
+
+// All that waited for the end of a rest would arrive at once: one goes first.
+func TestOneRequestGoesFirstAfterARest(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	r.Begin(at(0), "a", "a", time.Second)
+	is.NoErr(r.Claim(at(1), "a"))
+	is.Equal(r.Claim(at(1), "a"), ErrResting)
+	is.Equal(r.Resting(at(1.1)), []string{"a"})
+	is.Equal(r.Left(at(1.1), "a"), trialPause)
+	r.Untried("a") // it wasn't answered
+	is.NoErr(r.Claim(at(1.2), "a"))
+	is.NoErr(r.Claim(at(1.2).Add(trialFor), "a")) // nor was this one
+	r.Begin(at(4), "a", "a", time.Second)         // it wants more
+	is.Equal(r.May(at(4.5), "a"), ErrResting)
+	is.NoErr(r.Claim(at(5), "a"))
+	r.Over(at(5.1), "a")
+	for range 5 {
+		is.NoErr(r.Claim(at(5.2), "a"))
+	}
+}
+
+func TestARestIsOfOneProcessAndBounded(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	r.Begin(at(0), "a", "a@1", 1000*time.Hour)
+	is.Equal(r.Left(at(0), "a"), Longest)
+	r.Begin(at(0), "b", "b", time.Hour)
+	r.Keep(map[string]string{"a": "a@2", "b": "b"})
+	is.NoErr(r.May(at(0), "a"))
+	is.Equal(r.May(at(0), "b"), ErrResting)
+	r.Begin(at(1), "b", "b@2", time.Second) // another one under the ID asks for less
+	is.Equal(r.Left(at(1), "b"), time.Second)
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -72,6 +72,8 @@
 	Zone string
 	// Exclude is an upstream that failed it already, by its ID.
 	Exclude string
+	// Without are upstreams that whoever sends it may not send to, by their IDs.
+	Without []string
 	// Homes says in which regions it may run.
 	Homes Homes
 	// Value is the caller's.
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -173,12 +173,15 @@
 	d.Grants = append(d.Grants, c.grant(now, r, choice))
 }
 
-// eligible leaves out of a list upstreams of regions in which the request may not run, and the one that
-// failed it already, where the service has another.
+// eligible leaves out of a list upstreams of regions in which the request may not run, those that its sender
+// may not send to, and the one that failed it already, where the service has another.
 func (c *Core) eligible(r *Request, list []*balancer.Upstream) []*balancer.Upstream {
 	if r.Homes.Bound {
 		list = without(list, func(u *balancer.Upstream) bool { return !r.Homes.allow(u.Region) })
 	}
+	if len(r.Without) > 0 {
+		list = without(list, func(u *balancer.Upstream) bool { return slices.Contains(r.Without, u.ID) })
+	}
 	if r.Exclude == "" || !c.hasOther(r) {
 		return list
 	}
@@ -187,7 +190,9 @@
 
 // hasOther tells whether there is an upstream for a request beside the one that failed it.
 func (c *Core) hasOther(r *Request) bool {
-	return slices.ContainsFunc(c.upstreams, func(u *balancer.Upstream) bool { return u.ID != r.Exclude && r.Homes.allow(u.Region) })
+	return slices.ContainsFunc(c.upstreams, func(u *balancer.Upstream) bool {
+		return u.ID != r.Exclude && r.Homes.allow(u.Region) && !slices.Contains(r.Without, u.ID)
+	})
 }
 
 // without returns a copy of a list that lacks some.
