--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -59,6 +59,13 @@
 	l.requests[r.ID] = r
 }
 
+// SentAt returns when a request was sent.
+func (l *Ledger) SentAt(id string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.requests[id].Sent
+}
+
 // Ran records that an upstream has begun to run a request.
 func (l *Ledger) Ran(id string) {
 	l.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,6 +49,11 @@
 	Stuck Fault = "stuck"
 	// Evacuate has operators empty an availability zone.
 	Evacuate Fault = "evacuate"
+	// Rest lets an upstream turn requests away and ask for rest.
+	Rest Fault = "rest"
+	// SayLeaving lets an upstream say in its answers that it leaves, ahead of its entry; then it is
+	// replaced.
+	SayLeaving Fault = "say_leaving"
 )
 
 // Mix is how often each fault comes, in proportion.
@@ -80,6 +85,10 @@
 	PlannedCrashing = Mix{Terminate: 4, Reload: 1, Change: 2}
 )
 
+// Saying is a mix of what upstreams say in their answers, while instances are replaced and the source, which
+// would tell it, is away now and then.
+var Saying = Mix{Rest: 6, SayLeaving: 5, Terminate: 3, Reload: 1, Change: 2, SourceAway: 3}
+
 // Event is one fault at a time.
 type Event struct {
 	At  time.Duration
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -60,11 +60,11 @@
 	}
 }
 
-// Age returns how long the process has run that runs now.
-func (p *Process) Age() time.Duration {
+// StartedAt returns when the process started that runs now.
+func (p *Process) StartedAt() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.started)
+	return p.started
 }
 
 // Signal sends a signal to the process that runs now.
