Tell less of crashes, and what is one's own at once

Change: news is repeated for 1.5 s and the rest told one by one; crashes that speak against nobody aren't told.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,9 +83,9 @@
 	mesh       *peer.Mesh
 	ready      readiness
 
-	reading    reading
-	followed   followed
-	announcing atomic.Bool // soon, what is new here
+	reading   reading
+	followed  followed
+	passingOn atomic.Bool // soon, what peers have told
 	// strayOwners are those that were told last of what runs in their shards.
 	strayOwners []string
 }
@@ -127,7 +127,7 @@
 		Protocol:   o.Protocol,
 		Quotas:     i.quotas,
 		Quarantine: i.quarantine,
-		Announce:   i.announceSoon,
+		Announce:   func() { go i.mesh.Announce() },
 		Closing:    i.view.MayLeave,
 		Doubt:      time.Duration(s.Routed.InForce),
 		Metrics:    i.metrics,
@@ -207,24 +207,18 @@
 	}
 }
 
-// passOn is tell for news of which there may be much at once.
-func (i *Instance) passOn() {
-	if i.mesh.Role().Hub >= 0 {
-		i.announceSoon()
-	}
-}
-
-// announceWithin is the time in which what several requests have learned is told together.
-const announceWithin = 20 * time.Millisecond
+// passOnWithin is the time in which what several peers have told is passed on together.
+const passOnWithin = 20 * time.Millisecond
 
-// announceSoon tells the peers what is new here. It doesn't block.
-func (i *Instance) announceSoon() {
-	if i.announcing.CompareAndSwap(false, true) {
-		time.AfterFunc(announceWithin, func() {
-			i.announcing.Store(false)
-			i.mesh.Announce()
-		})
+// passOn is tell for news of which many instances tell parts at once. It doesn't block.
+func (i *Instance) passOn() {
+	if i.mesh.Role().Hub < 0 || !i.passingOn.CompareAndSwap(false, true) {
+		return
 	}
+	time.AfterFunc(passOnWithin, func() {
+		i.passingOn.Store(false)
+		i.mesh.Announce()
+	})
 }
 
 func (i *Instance) gauges() {
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -43,13 +43,13 @@
 
 const (
 	// newFor is how long each message repeats what is new; the rest is told in turn.
-	newFor = 5 * time.Second
+	newFor = 1500 * time.Millisecond
 	// toldCrashes, toldHeld and toldCleared bound what is new in one message, and toldInTurn what
 	// isn't.
 	toldCrashes = 6
 	toldHeld    = 12
 	toldCleared = 12
-	toldInTurn  = 2
+	toldInTurn  = 1
 )
 
 // Bounds of a message from a peer: twice what is told.
@@ -96,10 +96,10 @@
 }
 
 // chosenCrashes are those to be told now. Old ones aren't: a peer that has forgotten one would
-// otherwise learn it anew.
+// otherwise learn it anew. Nor are those that speak against nobody.
 func (b *Book) chosenCrashes(now time.Time) []string {
 	young := maps.Clone(b.crashes)
-	maps.DeleteFunc(young, func(_ string, c *crash) bool { return now.Sub(c.at) > crashFor/2 })
+	maps.DeleteFunc(young, func(_ string, c *crash) bool { return len(c.suspects) == 0 || now.Sub(c.at) > crashFor/2 })
 	return chosen(byTime(young, func(c *crash) time.Time { return c.heard }), now, toldCrashes, b.turn)
 }
 
