Test at the proxy what asks for rest, and what becomes of requests then

Which answers count (a 503 with a time, of the process itself), that others are used meanwhile, and that nothing is sent where all rest. The tests of what answers say stand in a file of their own.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,7 +13,6 @@
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/api"
-	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/view"
 )
@@ -465,39 +463,3 @@
 	is.Equal(r.get("safe").status, 200)
 	is.Equal(r.arrived(), "b")
 }
-
-// Whose word it is that an upstream leaves: its own, in any answer, but not another process's at its address,
-// nor what nobody has signed.
-func TestWhichAnswersSayThatAnUpstreamLeaves(t *testing.T) {
-	leaving := func(f http.HandlerFunc) http.HandlerFunc {
-		return func(w http.ResponseWriter, q *http.Request) {
-			w.Header().Set("Leaving", "1")
-			f(w, q)
-		}
-	}
-	unsigned := func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("Signed") }
-	another := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
-	for name, c := range map[string]struct {
-		answer http.HandlerFunc
-		route  string
-		leaves bool
-	}{
-		"a success":            {leaving(says("ok")), "once", true},
-		"a refusal":            {leaving(refuses), "once", true},
-		"a failure":            {leaving(fails), "once", true},
-		"the head of a stream": {leaving(says("id: 1\ndata: x\n\n")), "stream", true},
-		"without the word":     {says("ok"), "once", false},
-		"unsigned":             {leaving(unsigned), "once", false},
-		"another process":      {leaving(another), "once", false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			r := newRig(t)
-			r.publish(0)
-			r.upstream("a", c.answer)
-			r.get(c.route)
-			is.Equal(len(r.fleet.SaidLeaving()) == 1, c.leaves)
-			is.Equal(errors.Is(r.fleet.MayBeSent("a"), fleet.ErrLeaving), c.leaves)
-		})
-	}
-}
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -68,7 +68,11 @@
 func (plain) Answers(h http.Header, id string) bool { return h.Get("Id") == "" || h.Get("Id") == id }
 
 func (plain) ReadHead(status int, h http.Header) Head {
-	return Head{Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
+	after, err := time.ParseDuration(h.Get("Retry-After"))
+	if err != nil {
+		after = 0 // it doesn't say
+	}
+	return Head{RetryAfter: after, Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
 }
 
 func (plain) WriteProblem(w http.ResponseWriter, p *api.Problem) {
--- /dev/null
+++ b/internal/proxy/words_test.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/fleet"
+)
+
+// Whose word it is that an upstream leaves: its own, in any answer, but not another process's at its address,
+// nor what nobody has signed.
+func TestWhichAnswersSayThatAnUpstreamLeaves(t *testing.T) {
+	leaving := func(f http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Leaving", "1")
+			f(w, q)
+		}
+	}
+	unsigned := func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("Signed") }
+	another := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+	for name, c := range map[string]struct {
+		answer http.HandlerFunc
+		route  string
+		leaves bool
+	}{
+		"a success":            {leaving(says("ok")), "once", true},
+		"a refusal":            {leaving(refuses), "once", true},
+		"a failure":            {leaving(fails), "once", true},
+		"the head of a stream": {leaving(says("id: 1\ndata: x\n\n")), "stream", true},
+		"without the word":     {says("ok"), "once", false},
+		"unsigned":             {leaving(unsigned), "once", false},
+		"another process":      {leaving(another), "once", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			r.publish(0)
+			r.upstream("a", c.answer)
+			r.get(c.route)
+			is.Equal(len(r.fleet.SaidLeaving()) == 1, c.leaves)
+			is.Equal(errors.Is(r.fleet.MayBeSent("a"), fleet.ErrLeaving), c.leaves)
+		})
+	}
+}
+
+// rests turns a request away and asks for rest.
+func rests(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", "30s")
+	refuses(w, nil)
+}
+
+// What asks for rest, what doesn't, and what becomes of the request.
+func TestWhatAsksForRest(t *testing.T) {
+	after := func(f http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Retry-After", "30s")
+			f(w, q)
+		}
+	}
+	for name, c := range map[string]struct {
+		answer http.HandlerFunc
+		rests  bool
+	}{
+		"turned away, with a time":    {rests, true},
+		"turned away, without one":    {refuses, false},
+		"a failure with a time":       {after(fails), false},
+		"a success with a time":       {after(says("ok")), false},
+		"another process with a time": {after(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t)
+			r.publish(0)
+			r.upstream("a", c.answer)
+			r.get("once")
+			is.Equal(errors.Is(r.fleet.MayBeSent("a"), fleet.ErrResting), c.rests)
+			is.Equal(r.fleet.FirstBack("s") > 0, c.rests)
+		})
+	}
+}
+
+// While one rests the others are used, and its time to come back is nobody's. Where all rest, nothing is
+// sent, and the caller is told when the first is back.
+func TestNothingIsSentToAnUpstreamThatRests(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.publish(0)
+	r.upstream("a", rests)
+	r.upstream("b", says("ok"))
+	for range 5 {
+		is.Equal(r.get("safe").status, http.StatusOK)
+	}
+	is.Equal(r.arrived(), "a b b b b b")
+	r.upstreams[1].Leaving = true
+	r.list()
+	refused := r.get("once")
+	is.Equal(refused.header.Get("Reason"), string(api.ReasonUpstreamRefused))
+	is.Equal(refused.header.Get("Outcome"), "not-run")
+	is.True(refused.header.Get("Retry-After") > "29s") // "29.9..s" to "36s"
+	is.Equal(r.arrived(), "a b b b b b")
+}
