Forget losses at an upstream that lives

By reading: losses that no crash explained were kept as long as new ones came, so that an upstream that breaks connections for long filled memory. Each is dropped after a second now, with a test that fails without it (1,000 kept, 11 now).

--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -130,8 +130,9 @@
 }
 
 // Lost notes that the answer to a request was lost at an upstream; begun tells whether something of it
-// had come. One that was answered lately is suspected as little as that. It returns whether the upstream has to be looked at, to tell a crash from a broken
-// connection, and whether the loss is part of a crash that is known already, which is news for peers.
+// had come. One that was answered lately is suspected as little as that. It returns whether the upstream
+// has to be looked at, to tell a crash from a broken connection, and whether the loss is part of a crash
+// that is known already, which is news for peers.
 func (b *Book) Lost(now time.Time, upstream string, k Key, begun bool) (check, news bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -140,7 +141,8 @@
 		return false, b.suspect(now, c, k, begun)
 	}
 	b.forget(now)
-	b.losses[upstream] = append(b.losses[upstream], loss{key: k, begun: begun, at: now})
+	lately := slices.DeleteFunc(b.losses[upstream], func(l loss) bool { return now.Sub(l.at) > lossFor })
+	b.losses[upstream] = append(lately, loss{key: k, begun: begun, at: now})
 	if !b.checked[upstream].IsZero() {
 		return false, false
 	}
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -161,6 +161,16 @@
 	is.True(news) // lost in the same crash
 }
 
+// An upstream that lives and breaks connections for long is remembered for its last losses alone.
+func TestLossesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	b := newBook(true)
+	for i := range 1000 {
+		b.Lost(start.Add(time.Duration(i)*100*time.Millisecond), "1", key("x"), false)
+	}
+	is.True(len(b.losses["1"]) <= 11)
+}
+
 // After a term one try is let through, by one instance; each that crashes an upstream makes the next
 // term longer.
 func TestOneTryIsLetThroughAfterATerm(t *testing.T) {
