Drop the time to come back that a sending no longer hands on

An upstream's Retry-After is a rest; what a caller is told is worked out from all upstreams. The field that carried it between the two is gone. No other change.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -40,8 +40,6 @@
 type result struct {
 	status status
 	err    error
-	// retryAfter is the upstream's word on when to come back; 0 without one.
-	retryAfter time.Duration
 	// process of the upstream that it was sent to; empty where it wasn't sent.
 	process string
 	// failure is the upstream's own failure that wasn't passed on; nil without one.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -170,7 +170,7 @@
 		r.refusal()
 		return result{status: misdirected, err: errors.New("another upstream has the address")}
 	case head.NotRun:
-		return result{status: notRun, err: r.refusal(), retryAfter: head.RetryAfter}
+		return result{status: notRun, err: r.refusal()}
 	}
 	r.job.mayHaveRun = true
 	switch {
--- a/internal/proxy/seam.go
+++ b/internal/proxy/seam.go
@@ -81,6 +81,6 @@
 	Misdirected bool
 	// Leaving: the upstream says that it leaves.
 	Leaving bool
-	// RetryAfter is when to come back, 0 where it doesn't say.
+	// RetryAfter is for how long it wants nothing, 0 where it doesn't say.
 	RetryAfter time.Duration
 }
