proxy: read no entry of an upstream that has said itself that it leaves

Cause: an answer that closes its connection makes the instance read the upstream's entry at the store, since the upstream may leave. Where the same answer says so outright the read tells nothing: each instance that meets a leaving upstream made one call more, so calls grew with instances and with upstreams that are replaced.

Change: the word is taken, and only an answer without it causes a read.

Checked: tests of proxy.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -85,9 +85,6 @@
 	}
 	defer answer.Close()
 	l.Heard()
-	if answer.Closing {
-		j.handler.o.Closing(l.Upstream())
-	}
 	r := &relay{job: j, ctx: ctx, answer: answer, silence: silence, heard: l.Heard, first: func() {
 		l.FirstToken()
 		j.first = time.Since(j.arrived)
@@ -161,8 +158,12 @@
 func (r *relay) run() result {
 	head := r.job.handler.o.Protocol.ReadHead(r.answer.Status, r.answer.Header)
 	success := r.answer.Status >= 200 && r.answer.Status < 300
-	if isWord := !head.Misdirected && (head.Signed || !success); isWord && head.Leaving {
+	isWord := !head.Misdirected && (head.Signed || !success)
+	switch {
+	case isWord && head.Leaving:
 		r.job.handler.saysLeaving(r.job.upstream)
+	case r.answer.Closing:
+		r.job.handler.o.Closing(r.job.upstream)
 	}
 	r.noteRest(head)
 	switch {
