--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,8 @@
 	reading   reading
 	followed  followed
 	passingOn atomic.Bool // soon, what peers have told
+	// gauged are the availability zones that have a gauge. Only upstreamsChanged uses it.
+	gauged map[string]bool
 	// strayOwners are those that were told last of what runs in their shards.
 	strayOwners []string
 }
@@ -179,10 +181,10 @@
 	})
 }
 
-// upstreamsChanged uses a new list and tells the peers of it.
-func (i *Instance) upstreamsChanged(list view.List) {
-	i.fleet.SetUpstreams(list)
-	i.gaugeZones(list)
+// upstreamsChanged uses what has changed of the list and tells the peers of it.
+func (i *Instance) upstreamsChanged(change view.ListChange) {
+	i.fleet.ChangeUpstreams(change)
+	i.gaugeZones(change.Changed)
 	i.tell()
 }
 
@@ -228,7 +230,7 @@
 		age, _ := i.view.Age()
 		return age.Seconds()
 	})
-	i.metrics.Gauge("tacktally_upstreams_listed", func() float64 { return float64(len(i.view.List().Upstreams)) })
+	i.metrics.Gauge("tacktally_upstreams_listed", func() float64 { return float64(i.view.ListCount()) })
 	i.metrics.Gauge("tacktally_list_version", func() float64 { return float64(i.view.ListVersion()) })
 	i.metrics.Gauge("tacktally_list_age_seconds", func() float64 {
 		age, _ := i.view.ListAge()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -29,18 +29,23 @@
 func (p *peers) State(f *peer.Fetch) *peer.State {
 	v := p.instance.view
 	configuration, age := v.Published()
-	list := v.List()
+	list := v.HandOver(view.Have{Version: f.ListVersion, Whole: !f.Changes, Sums: f.Sums})
 	s := &peer.State{
 		Revision:    configuration.Revision,
 		Age:         age,
 		ListVersion: list.Version,
 		ListAge:     boottime.Since(list.AsOf),
+		ListSince:   list.Since,
+		ListParts:   list.Parts,
+		Vanished:    list.Vanished,
+		ListDigest:  list.Digest,
+		Missing:     list.Missing,
 		Evacuations: peer.Evacuations(v.Evacuated()),
 	}
 	if f.Revision != configuration.Revision {
 		s.Content = configuration.Content
 	}
-	if f.ListVersion >= list.Version {
+	if len(list.Upstreams) == 0 {
 		return s
 	}
 	encoded, err := cbor.Marshal(list.Upstreams)
@@ -50,14 +55,14 @@
 		return s
 	}
 	s.List = encoded
-	s.Missing = list.Missing
 	return s
 }
 
 // Fetch implements peer.Handler.
 func (p *peers) Fetch() *peer.Fetch {
 	v := p.instance.view
-	return &peer.Fetch{Revision: v.Revision(), ListVersion: v.ListVersion()}
+	have := v.Have()
+	return &peer.Fetch{Revision: v.Revision(), ListVersion: have.Version, Changes: true, Sums: have.Sums}
 }
 
 // Learn implements peer.Handler. What the peer says was true when it was asked, or
@@ -66,14 +71,24 @@
 	v := p.instance.view
 	v.LearnEvacuations(view.Evacuations(s.Evacuations), from)
 	v.Learn(view.Configuration{Revision: s.Revision, Content: s.Content}, asked.Add(-s.Age), from)
-	list := view.List{Version: s.ListVersion, AsOf: asked.Add(-s.ListAge), Missing: s.Missing}
+	list := view.List{
+		Version:  s.ListVersion,
+		AsOf:     asked.Add(-s.ListAge),
+		Since:    s.ListSince,
+		Parts:    s.ListParts,
+		Vanished: s.Vanished,
+		Missing:  s.Missing,
+		Digest:   s.ListDigest,
+	}
 	if len(s.List) > 0 {
 		if err := cbor.Unmarshal(s.List, &list.Upstreams); err != nil {
 			p.instance.log.Warn().Str("event", "list_not_readable").Str("peer", from).Str("cause", err.Error()).Msg("run the same version on all instances")
 			return
 		}
 	}
-	v.LearnUpstreams(list, from)
+	if !v.LearnUpstreams(list, from) {
+		p.instance.mesh.FetchSoon(from)
+	}
 }
 
 // Heartbeat implements peer.Handler.
--- a/internal/entry/places.go
+++ b/internal/entry/places.go
@@ -88,9 +88,16 @@
 }
 
 // gaugeZones keeps a gauge of the requests at each zone's upstreams.
-func (i *Instance) gaugeZones(list view.List) {
-	for _, u := range list.Upstreams {
+func (i *Instance) gaugeZones(upstreams []view.Upstream) {
+	for _, u := range upstreams {
 		zone := u.Zone
+		if i.gauged[zone] {
+			continue
+		}
+		if i.gauged == nil {
+			i.gauged = map[string]bool{}
+		}
+		i.gauged[zone] = true
 		i.metrics.Gauge("tacktally_running_in_zone{zone=\""+zone+"\"}", func() float64 { return float64(i.proxy.RunningIn(zone)) })
 	}
 }
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -1,55 +1,45 @@
 package fleet
 
 import (
-	"maps"
 	"strconv"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/exchange"
-	"github.com/tacktally/tacktally/internal/view"
 )
 
-// connect keeps a pool of connections for each upstream of the list. One that has started
-// again, or elsewhere, gets a new one. The caller holds the lock.
-func (f *Fleet) connect(list []view.Upstream) {
-	gone := maps.Clone(f.connections)
-	for _, u := range list {
-		if c := gone[u.ID]; c.address == u.Address && c.born == u.Born {
-			delete(gone, u.ID)
-		}
-	}
-	for id, c := range gone {
-		c.pool.Close()
-		delete(f.connections, id)
-	}
-	for _, u := range list {
-		if _, connected := f.connections[u.ID]; !connected {
-			f.connections[u.ID] = f.newConnections(u)
-		}
+// ConnectionsTo returns the connections to an upstream, or nil once it is gone. They are kept from the first use
+// on: one instance sends to a few of many upstreams.
+func (f *Fleet) ConnectionsTo(id string) *exchange.Pool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.upstreams[id]
+	if u == nil {
+		return nil
 	}
+	return f.connectionsTo(u)
 }
 
-// connections are those to one process of an upstream.
-type connections struct {
-	address string
-	born    int64
-	pool    *exchange.Pool
-}
-
-func (f *Fleet) newConnections(u view.Upstream) connections {
-	return connections{address: u.Address, born: u.Born, pool: exchange.NewPool(exchange.Options{
-		Address:        u.Address,
-		Local:          f.o.Local,
-		ConnectTimeout: f.o.ConnectTimeout,
-		Opened:         func() { f.o.Metrics.Count("tacktally_upstream_connections_total") },
-	})}
+// connectionsTo is ConnectionsTo for a caller that holds the lock.
+func (f *Fleet) connectionsTo(u *upstream) *exchange.Pool {
+	p := f.connections[u.ID]
+	if p == nil {
+		p = exchange.NewPool(exchange.Options{
+			Address:        u.Address,
+			Local:          f.o.Local,
+			ConnectTimeout: f.o.ConnectTimeout,
+			Opened:         func() { f.o.Metrics.Count("tacktally_upstream_connections_total") },
+		})
+		f.connections[u.ID] = p
+	}
+	return p
 }
 
-// ConnectionsTo returns the connections to an upstream, or nil once it is gone.
-func (f *Fleet) ConnectionsTo(id string) *exchange.Pool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.connections[id].pool
+// closeConnections closes the idle connections to an upstream and keeps none any more. The caller holds the lock.
+func (f *Fleet) closeConnections(id string) {
+	if p := f.connections[id]; p != nil {
+		p.Close()
+		delete(f.connections, id)
+	}
 }
 
 // ProcessOf names the process that an upstream of the list has now: one that starts again under its ID
@@ -57,16 +47,10 @@
 func (f *Fleet) ProcessOf(id string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.processOf(id)
-}
-
-// processOf is ProcessOf for a caller that holds the lock.
-func (f *Fleet) processOf(id string) string {
-	c, listed := f.connections[id]
-	if !listed {
-		return ""
+	if u := f.upstreams[id]; u != nil {
+		return u.process()
 	}
-	return processName(id, c.born)
+	return ""
 }
 
 func processName(id string, born int64) string {
@@ -81,24 +65,30 @@
 func (f *Fleet) Neighbours(id string, most int) (out []*exchange.Pool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	zone := f.zones[id]
-	for other, c := range f.connections { // in no order
-		if other != id && f.zones[other] == zone && len(out) < most {
-			out = append(out, c.pool)
+	zone := ""
+	if u := f.upstreams[id]; u != nil {
+		zone = u.Zone
+	}
+	for other, u := range f.upstreams { // in no order
+		if len(out) == most {
+			break
+		}
+		if other != id && u.Zone == zone {
+			out = append(out, f.connectionsTo(u))
 		}
 	}
 	return out
 }
 
-// CloseExpired closes connections that were idle for too long.
+// CloseExpired closes connections that were idle for too long, and drops what is kept of upstreams to which
+// none is open any more.
 func (f *Fleet) CloseExpired(now time.Time) {
 	f.mu.Lock()
-	pools := make([]*exchange.Pool, 0, len(f.connections))
-	for _, c := range f.connections {
-		pools = append(pools, c.pool)
-	}
-	f.mu.Unlock()
-	for _, p := range pools {
+	defer f.mu.Unlock()
+	for id, p := range f.connections {
 		p.CloseExpired(now)
+		if p.Open() == 0 {
+			f.closeConnections(id)
+		}
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
@@ -17,7 +17,6 @@
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/telemetry"
-	"github.com/tacktally/tacktally/internal/view"
 )
 
 const (
@@ -68,13 +67,13 @@
 
 	mu          sync.Mutex
 	services    map[string]*service
-	connections map[string]connections // by upstream ID
-	instances   []Instance             // this one included, by address
-	list        view.List
-	listed      time.Time         // when the list came
-	unusable    map[string]error  // why upstreams get nothing new, nil for those that do, by ID
-	zones       map[string]string // by upstream ID
-	evacuated   []string          // availability zones
+	upstreams   map[string]*upstream      // on the list, by ID
+	processes   map[string]*upstream      // the same by the names of their processes
+	connections map[string]*exchange.Pool // to those that were sent to lately, by ID
+	version     int64                     // of the list
+	instances   []Instance                // this one included, by address
+	evacuated   []string                  // availability zones
+	others      map[string]othersLoad     // what other instances have told, by address
 	// saidLeaving are processes that have said in an answer that they leave, and when they were on the
 	// list last.
 	saidLeaving map[string]time.Time
@@ -89,6 +88,7 @@
 // service is the upstreams of one service.
 type service struct {
 	name      string
+	upstreams int // on the list
 	repeats   *retrybudget.Budget
 	shards    []*shard // replaced as a whole
 	coldStart scheduler.ColdStart
@@ -106,26 +106,16 @@
 	return &Fleet{
 		o:           o,
 		services:    map[string]*service{},
-		connections: map[string]connections{},
+		upstreams:   map[string]*upstream{},
+		processes:   map[string]*upstream{},
+		connections: map[string]*exchange.Pool{},
+		others:      map[string]othersLoad{},
 		saidLeaving: map[string]time.Time{},
 		rests:       rest.New(),
 		instances:   []Instance{{Address: o.Instance, Cores: o.Cores, InReach: true, MayOwn: true, Settled: true}},
 	}
 }
 
-// SetUpstreams takes the whole list, and sends what it gives room for.
-func (f *Fleet) SetUpstreams(list view.List) {
-	f.mu.Lock()
-	f.list = list
-	f.listed = time.Now()
-	f.connect(list.Upstreams)
-	f.forgetWords(f.listed)
-	f.keepRests()
-	f.share(nil)
-	f.mu.Unlock()
-	f.limitStarts()
-}
-
 // poll lets shards send what has room. It is called without the lock.
 func poll(shards []*shard) {
 	for _, s := range shards {
@@ -133,60 +123,6 @@
 	}
 }
 
-// share gives each shard its upstreams, and returns all shards. Those of zones that were just taken
-// back count as cold. The caller holds the lock.
-func (f *Fleet) share(takenBack []string) []*shard {
-	f.unusable = make(map[string]error, len(f.list.Upstreams))
-	f.zones = make(map[string]string, len(f.list.Upstreams))
-	members := map[string][]scheduler.Member{}
-	for _, u := range f.list.Upstreams {
-		s := f.serviceOf(u.Service)
-		f.unusable[u.ID] = f.whyUnusable(u)
-		f.zones[u.ID] = u.Zone
-		m := scheduler.Member{
-			ID:        u.ID,
-			Address:   u.Address,
-			Zone:      u.Zone,
-			Region:    f.o.Regions[u.Zone],
-			Slots:     u.Slots,
-			Leaving:   f.unusable[u.ID] != nil,
-			Born:      u.Born,
-			ColdUntil: f.listed.Add(u.Cold),
-		}
-		if slices.Contains(takenBack, u.Zone) {
-			m.ColdUntil = time.Now().Add(s.coldStart.For)
-		}
-		members[u.Service] = append(members[u.Service], m)
-	}
-	var out []*shard
-	for name, s := range f.services {
-		f.shareOne(s, members[name])
-		out = append(out, s.shards...)
-	}
-	return out
-}
-
-// shareOne deals the upstreams of a service to its shards. The caller holds the lock.
-func (f *Fleet) shareOne(s *service, members []scheduler.Member) {
-	want := shardsOf(len(members))
-	shards := slices.Clone(s.shards[:min(want, len(s.shards))])
-	for len(shards) < want {
-		shards = append(shards, f.newShard(s.name, len(shards)))
-	}
-	for _, gone := range s.shards[min(want, len(s.shards)):] {
-		gone.pool.SetMembers(nil) // what waits there is given up in its time
-	}
-	s.shards = shards
-	dealt := make([][]scheduler.Member, want)
-	for _, m := range members {
-		i := shardFor(m.ID, want)
-		dealt[i] = append(dealt[i], m)
-	}
-	for i, sh := range shards {
-		sh.pool.SetMembers(dealt[i])
-	}
-}
-
 // Repeats returns the budget out of which requests to a service are sent again.
 func (f *Fleet) Repeats(service string) *retrybudget.Budget {
 	f.mu.Lock()
@@ -228,7 +164,9 @@
 func (f *Fleet) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.connect(nil)
+	for id := range f.connections {
+		f.closeConnections(id)
+	}
 }
 
 // all returns the shards of all services.
--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -44,14 +44,14 @@
 func (f *Fleet) MayBeSent(id string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	why, listed := f.unusable[id]
+	u := f.upstreams[id]
 	switch {
-	case !listed:
+	case u == nil:
 		return ErrNotListed
-	case why == nil && f.rests.May(time.Now(), id) != nil:
+	case u.unusable == nil && f.rests.May(time.Now(), id) != nil:
 		return ErrResting
 	default:
-		return why
+		return u.unusable
 	}
 }
 
@@ -59,7 +59,7 @@
 func (f *Fleet) listVersion() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.list.Version
+	return f.version
 }
 
 // Lease is the right to send one request to an upstream. End is called once.
--- /dev/null
+++ b/internal/fleet/list_test.go
@@ -0,0 +1,18 @@
+package fleet
+
+import "github.com/tacktally/tacktally/internal/view"
+
+// SetUpstreams takes a whole list, as the changes that lead to it.
+func (f *Fleet) SetUpstreams(list view.List) {
+	change := view.ListChange{Version: list.Version, Changed: list.Upstreams}
+	named := map[string]bool{}
+	for _, u := range list.Upstreams {
+		named[u.ID] = true
+	}
+	for id := range f.upstreams {
+		if !named[id] {
+			change.Gone = append(change.Gone, id)
+		}
+	}
+	f.ChangeUpstreams(change)
+}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -5,18 +5,64 @@
 	"slices"
 	"time"
 
-	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
+// othersLoad is what another instance has told of its load, and the shards that know it.
+type othersLoad struct {
+	scheduler.Load
+	shards map[*shard]bool
+}
+
 // SetOthers takes what another instance has told of its load; the zero Load forgets
-// the instance.
+// the instance. Only the shards that it concerns, now or by what was told before, look at it.
 func (f *Fleet) SetOthers(instance string, l scheduler.Load) {
-	for _, s := range f.all() {
-		s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
-			core.SetOthers(instance, l)
-			return core.Poll(now)
-		})
+	f.mu.Lock()
+	concerned := f.others[instance].shards
+	now := f.shardsWith(l)
+	if len(now) > 0 {
+		f.others[instance] = othersLoad{Load: l, shards: now}
+	} else {
+		delete(f.others, instance)
+	}
+	f.mu.Unlock()
+	for s := range now {
+		s.setOthers(instance, l)
+	}
+	for s := range concerned {
+		if !now[s] {
+			s.setOthers(instance, scheduler.Load{})
+		}
+	}
+}
+
+func (s *shard) setOthers(instance string, l scheduler.Load) {
+	s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
+		core.SetOthers(instance, l)
+		return core.Poll(now)
+	})
+}
+
+// shardsWith returns the shards of the upstreams that a load names. The caller holds the lock.
+func (f *Fleet) shardsWith(l scheduler.Load) map[*shard]bool {
+	out := map[*shard]bool{}
+	for _, by := range []map[string]int{l.Pending, l.Running} {
+		for id := range by {
+			if u := f.upstreams[id]; u != nil {
+				out[u.shard] = true
+			}
+		}
+	}
+	return out
+}
+
+// tellOthersAgain tells shards what other instances have told, after upstreams were dealt to them anew.
+func (f *Fleet) tellOthersAgain() {
+	f.mu.Lock()
+	others := maps.Clone(f.others)
+	f.mu.Unlock()
+	for instance, l := range others {
+		f.SetOthers(instance, l.Load)
 	}
 }
 
@@ -26,6 +72,9 @@
 	total := scheduler.Load{Pending: map[string]int{}, Running: f.leases.lost()}
 	for _, s := range f.all() {
 		s.pool.View(func(core *scheduler.Core) {
+			if core.Running() == 0 {
+				return
+			}
 			l := core.Load()
 			maps.Copy(total.Pending, l.Pending)
 			for id, n := range l.Running {
@@ -54,27 +103,24 @@
 // or by those of an owner that is gone. They count them by heartbeats alone, as old as
 // those are, and take slots for taken that have become free.
 func (f *Fleet) StrayOwners() []string {
+	f.mu.Lock()
+	lost := f.shardsWith(scheduler.Load{Running: f.leases.lost()})
+	f.mu.Unlock()
 	var out []string
-	lost := f.leases.lost()
 	for _, s := range f.all() {
-		owners := f.ownersOf(shardKey{service: s.service, index: s.index})
-		if len(owners) == 0 || owners[0] == f.o.Instance || slices.Contains(out, owners[0]) {
+		if !lost[s] && !s.runsAny() {
 			continue
 		}
-		if s.hasStrays(lost) {
+		owners := f.ownersOf(shardKey{service: s.service, index: s.index})
+		if len(owners) > 0 && owners[0] != f.o.Instance && !slices.Contains(out, owners[0]) {
 			out = append(out, owners[0])
 		}
 	}
 	return out
 }
 
-// hasStrays tells whether any request runs in the shard by this instance's own grants, or
-// by those of an owner that is gone, which lost counts by upstream.
-func (s *shard) hasStrays(lost map[string]int) (found bool) {
-	s.pool.View(func(core *scheduler.Core) {
-		found = slices.ContainsFunc(core.Upstreams(), func(u *balancer.Upstream) bool {
-			return u.Running > 0 || (len(lost) > 0 && lost[u.ID] > 0)
-		})
-	})
-	return found
+// runsAny tells whether any request runs in the shard by this instance's own grants.
+func (s *shard) runsAny() (runs bool) {
+	s.pool.View(func(core *scheduler.Core) { runs = core.Running() > 0 })
+	return runs
 }
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -158,14 +158,22 @@
 // shardFor returns the shard of an upstream, by rendezvous hashing: one shard more takes
 // its part of the others and moves nothing else.
 func shardFor(id string, shards int) int {
+	drawn := xxhash.Sum64String(id)
 	best, highest := 0, uint64(0)
 	for i := range shards {
-		if h := xxhash.Sum64String(id + "\x00" + strconv.Itoa(i)); h > highest {
+		if h := mix(drawn ^ mix(uint64(i)+1)); h > highest {
 			best, highest = i, h
 		}
 	}
 	return best
 }
 
+// mix spreads a number over all bits (the finalizer of SplitMix64).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // draw returns one of the shards: all are alike.
 func draw(shards []*shard) *shard { return shards[rand.IntN(len(shards))] }
--- a/internal/fleet/ownword.go
+++ b/internal/fleet/ownword.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/tacktally/tacktally/internal/view"
 )
 
 // An upstream that leaves says so in its answers, too, and its entry may say so much later: while the
@@ -21,9 +19,7 @@
 // SaysLeaving takes the word of an upstream of the list, in an answer, that it leaves. It returns whether
 // that is news for peers.
 func (f *Fleet) SaysLeaving(id string) bool {
-	f.mu.Lock()
-	process := f.processOf(id)
-	f.mu.Unlock()
+	process := f.ProcessOf(id)
 	return process != "" && f.learnLeaving("its own word", process)
 }
 
@@ -39,13 +35,16 @@
 func (f *Fleet) learnLeaving(from, process string) bool {
 	f.mu.Lock()
 	_, known := f.saidLeaving[process]
-	if known || !f.isListed(process) {
+	u := f.processes[process]
+	if known || u == nil {
 		f.mu.Unlock()
 		return false
 	}
 	f.saidLeaving[process] = time.Now()
-	shards := f.share(nil)
-	version := f.list.Version
+	told := pending{}
+	f.weigh(u, told)
+	shards := told.tell()
+	version := f.version
 	f.mu.Unlock()
 	f.o.Log.Info().Str("event", "upstream_says_leaving").Str("process", process).Str("from", from).Int64("list", version).Msg("")
 	poll(shards)
@@ -67,15 +66,10 @@
 func (f *Fleet) forgetWords(now time.Time) {
 	for process, heard := range f.saidLeaving {
 		switch {
-		case f.isListed(process):
+		case f.processes[process] != nil:
 			f.saidLeaving[process] = now
 		case now.Sub(heard) > wordKept:
 			delete(f.saidLeaving, process)
 		}
 	}
 }
-
-// isListed tells whether a process is on the list. The caller holds the lock.
-func (f *Fleet) isListed(process string) bool {
-	return slices.ContainsFunc(f.list.Upstreams, func(u view.Upstream) bool { return processName(u.ID, u.Born) == process })
-}
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -15,7 +15,15 @@
 	f.mu.Lock()
 	takenBack := slices.DeleteFunc(slices.Clone(f.evacuated), func(zone string) bool { return slices.Contains(zones, zone) })
 	f.evacuated = zones
-	shards := f.share(takenBack)
+	now := time.Now()
+	told := pending{}
+	for _, u := range f.upstreams {
+		if slices.Contains(takenBack, u.Zone) {
+			u.keepCold(now, f.services[u.Service].coldStart.For)
+		}
+		f.weigh(u, told)
+	}
+	shards := told.tell()
 	f.mu.Unlock()
 	poll(shards)
 }
@@ -37,11 +45,15 @@
 // limitStarts lets each shard know how much of what cold upstreams bear this instance may grant, and
 // send what it has room for.
 func (f *Fleet) limitStarts() {
+	reached := f.reach()
 	for _, s := range f.all() {
 		f.mu.Lock()
 		coldStart := f.serviceOf(s.service).coldStart
 		f.mu.Unlock()
-		reach := f.reach(shardKey{service: s.service, index: s.index})
+		reach := reached
+		if coldStart.Limits() {
+			reach.Asked = f.isAsked(s, reached.Asked)
+		}
 		s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
 			core.SetColdStart(coldStart, reach)
 			return core.Poll(now)
@@ -49,10 +61,9 @@
 	}
 }
 
-// reach says which part of what upstreams of a shard bear this instance may grant. The others ask it
-// if it is one of the first that may own the shard. One that has just started, or has heard of
-// nobody, doesn't know which part of the fleet it is.
-func (f *Fleet) reach(k shardKey) scheduler.Reach {
+// reach says which part of what upstreams bear this instance may grant. One that has just started, or has
+// heard of nobody, doesn't know which part of the fleet it is, and isn't asked by others.
+func (f *Fleet) reach() scheduler.Reach {
 	if f.slots == nil {
 		return scheduler.Reach{Asked: true, Fleet: 1}
 	}
@@ -62,11 +73,19 @@
 	if len(instances) == 1 {
 		return scheduler.Reach{Asked: f.slots.FleetSize() == 1, Fleet: 1}
 	}
-	return scheduler.Reach{
-		Asked: f.Settled() && f.owners.first(k, instances, f.o.Instance),
-		Zones: zonesInReach(instances),
-		Fleet: f.partInReach(),
+	return scheduler.Reach{Asked: f.Settled(), Zones: zonesInReach(instances), Fleet: f.partInReach()}
+}
+
+// isAsked tells whether the others ask this instance for slots of a shard, where they ask it at all: it is one
+// of the first that may own the shard.
+func (f *Fleet) isAsked(s *shard, atAll bool) bool {
+	f.mu.Lock()
+	instances := f.instances
+	f.mu.Unlock()
+	if !atAll || len(instances) == 1 {
+		return atAll
 	}
+	return f.owners.first(shardKey{service: s.service, index: s.index}, instances, f.o.Instance)
 }
 
 // zonesInReach returns the part of each availability zone's instances that is within reach.
@@ -89,7 +108,10 @@
 func (f *Fleet) ZoneOf(id string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.zones[id]
+	if u := f.upstreams[id]; u != nil {
+		return u.Zone
+	}
+	return ""
 }
 
 // ColdUpstreams returns how many upstreams are believed to be cold.
--- a/internal/fleet/rests.go
+++ b/internal/fleet/rests.go
@@ -17,6 +17,9 @@
 // Rest notes that an upstream wants nothing from this instance for so long.
 func (f *Fleet) Rest(id string, wanted time.Duration) {
 	process := f.ProcessOf(id)
+	if process == "" {
+		return // it has left, and gets nothing more
+	}
 	f.rests.Begin(time.Now(), id, process, wanted)
 	f.o.Log.Info().Str("event", "upstream_rests").Str("upstream", id).Dur("wanted", wanted).Msg("")
 }
@@ -44,8 +47,9 @@
 func (f *Fleet) without() []string {
 	out := f.rests.Resting(time.Now())
 	f.mu.Lock()
-	for _, u := range f.list.Upstreams {
-		if _, said := f.saidLeaving[processName(u.ID, u.Born)]; said && !u.Leaving && !slices.Contains(out, u.ID) {
+	for process := range f.saidLeaving {
+		u := f.processes[process]
+		if u != nil && !u.Leaving && !slices.Contains(out, u.ID) {
 			out = append(out, u.ID)
 		}
 	}
@@ -59,8 +63,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	for _, u := range f.list.Upstreams {
-		if u.Service != service || f.unusable[u.ID] != nil {
+	for _, u := range f.upstreams {
+		if u.Service != service || u.unusable != nil {
 			continue
 		}
 		left := f.rests.Left(now, u.ID)
@@ -73,12 +77,3 @@
 	}
 	return first
 }
-
-// keepRests drops the rests of processes that have gone. The caller holds the lock.
-func (f *Fleet) keepRests() {
-	listed := make(map[string]string, len(f.list.Upstreams))
-	for _, u := range f.list.Upstreams {
-		listed[u.ID] = processName(u.ID, u.Born)
-	}
-	f.rests.Keep(listed)
-}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -195,6 +195,10 @@
 	// Revision and ListVersion that it has; they needn't be handed over again.
 	Revision    int64 `cbor:"2,keyasint,omitempty"`
 	ListVersion int64 `cbor:"3,keyasint,omitempty"`
+	// Changes tells that it takes what has changed of the list of upstreams since that version.
+	Changes bool `cbor:"4,keyasint,omitempty"`
+	// Sums of the parts of its list, to get those that differ from the peer's.
+	Sums []uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // State is what one instance hands over to another.
@@ -219,6 +223,14 @@
 	Missing map[string]time.Duration `cbor:"8,keyasint,omitempty"`
 	// Evacuations are known at least as of the configuration's age.
 	Evacuations Evacuations `cbor:"9,keyasint,omitzero"`
+	// ListSince is the version since which List and Vanished are what has changed of the list of
+	// upstreams; 0 where List is the whole of it, or of ListParts.
+	ListSince int64 `cbor:"10,keyasint,omitempty"`
+	ListParts []int `cbor:"11,keyasint,omitempty"`
+	// Vanished are the IDs of upstreams that have left the list since.
+	Vanished []string `cbor:"12,keyasint,omitempty"`
+	// ListDigest is of the whole list of upstreams of that version; 0 where it isn't told.
+	ListDigest uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Pressure says that work of Rank is about to be shed for lack of capacity in Set.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -231,6 +231,13 @@
 	p.core.SetMembers(members)
 }
 
+// ChangeMembers takes upstreams that are new or have changed, and the IDs of those that have left the list.
+func (p *Pool) ChangeMembers(changed []scheduler.Member, gone []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.ChangeMembers(changed, gone)
+}
+
 // Adopt takes what another instance has learned of an upstream's speed.
 func (p *Pool) Adopt(id string, r estimate.Rates) {
 	p.mu.Lock()
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -153,7 +153,7 @@
 		Metrics:        metrics,
 		Log:            log,
 	})
-	r.view = view.New(view.Options{Source: documents{}, Lease: leaseTime, Settle: time.Second, OnUpstreams: r.fleet.SetUpstreams, Metrics: metrics, Log: log})
+	r.view = view.New(view.Options{Source: documents{}, Lease: leaseTime, Settle: time.Second, OnUpstreams: r.fleet.ChangeUpstreams, Metrics: metrics, Log: log})
 	r.handler = New(Options{
 		View: r.view, Fleet: r.fleet, Protocol: plain{}, Quotas: fleet.NewQuotas(time.Now().Add(-time.Hour), fleet.Allowance{}, r.fleet),
 		Quarantine: r.book, Announce: func() {},
--- a/internal/rest/rest.go
+++ b/internal/rest/rest.go
@@ -132,13 +132,9 @@
 	}
 }
 
-// Keep drops the rests of all but some processes, by upstream: those that are listed.
-func (r *Rests) Keep(processes map[string]string) {
+// Drop forgets the rest of an upstream whose process has gone.
+func (r *Rests) Drop(upstream string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for upstream, s := range r.by {
-		if processes[upstream] != s.process {
-			delete(r.by, upstream)
-		}
-	}
+	delete(r.by, upstream)
 }
--- a/internal/rest/rest_test.go
+++ b/internal/rest/rest_test.go
@@ -54,7 +54,7 @@
 	r.Begin(at(0), "a", "a@1", 1000*time.Hour)
 	is.Equal(r.Left(at(0), "a"), Longest)
 	r.Begin(at(0), "b", "b", time.Hour)
-	r.Keep(map[string]string{"a": "a@2", "b": "b"})
+	r.Drop("a")
 	is.NoErr(r.May(at(0), "a"))
 	is.Equal(r.May(at(0), "b"), ErrResting)
 	r.Begin(at(1), "b", "b@2", time.Second) // another one under the ID asks for less
--- a/internal/scheduler/cold.go
+++ b/internal/scheduler/cold.go
@@ -18,6 +18,9 @@
 	Most float64
 }
 
+// Limits tells whether cold upstreams of the service bear less than others.
+func (s ColdStart) Limits() bool { return s.For > 0 && s.PerSecond > 0 }
+
 // Reach says which part of what upstreams bear this instance may grant.
 type Reach struct {
 	// Asked tells whether the others ask it for slots. One that decides alone because it can't
@@ -61,7 +64,7 @@
 // limitsOf returns what upstreams of an availability zone may be granted.
 func (c *Core) limitsOf(zone string) balancer.StartLimits {
 	s := c.coldStart
-	if s.For <= 0 || s.PerSecond <= 0 {
+	if !s.Limits() {
 		return balancer.StartLimits{}
 	}
 	if !c.reach.Asked {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -18,7 +18,6 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/estimate"
-	"github.com/tacktally/tacktally/internal/prefix"
 	"github.com/tacktally/tacktally/internal/queue"
 )
 
@@ -144,89 +143,14 @@
 	coldStart     ColdStart
 	reach         Reach
 	room          []*balancer.Upstream // of the latest search
+	running       int                  // requests granted and not ended
 	held          int64                // how often limits of starts alone held work back
 }
 
 // New returns a Core without upstreams.
 func New(o Options) *Core {
 	o.MinRetryAfter = cmp.Or(o.MinRetryAfter, minRetryAfter)
-	return &Core{options: o, queue: queue.New(o.Limits), others: map[string]Load{}, outputs: newOutputRatio(), lengths: newLengths(), served: served{}}
-}
-
-// Member is an upstream as a list names it.
-type Member struct {
-	// ID tells apart upstreams that have the same address one after the other;
-	// the address where absent.
-	ID      string
-	Address string
-	Zone    string
-	Region  string
-	// Slots is how many requests it runs at once for all instances; 0 is unknown.
-	Slots   int
-	Leaving bool
-	// Born tells its processes apart, where it is known.
-	Born int64
-	// ColdUntil is until when it is cold, by what is published of it or has happened to it.
-	ColdUntil time.Time
-}
-
-func (m Member) id() string { return cmp.Or(m.ID, m.Address) }
-
-// SetMembers replaces the list of upstreams. What was learned of those that stay
-// is kept. Those gone from the list get nothing new. One that has started again under its ID
-// is another upstream: what runs by grants of before doesn't run there any more.
-func (c *Core) SetMembers(members []Member) {
-	known := make(map[string]*balancer.Upstream, len(c.upstreams))
-	for _, u := range c.upstreams {
-		known[u.ID] = u
-	}
-	next := make([]*balancer.Upstream, 0, len(members))
-	byID := make(map[string]*balancer.Upstream, len(members))
-	for _, m := range members {
-		u := known[m.id()]
-		if u == nil || u.Born != m.Born {
-			u = newUpstream(m, c.options.MemoryBlocks)
-		} else {
-			delete(known, m.id())
-		}
-		u.Leaving = m.Leaving
-		u.Slots = m.Slots
-		u.Limits = c.limitsOf(u.Zone)
-		u.KeepCold(m.ColdUntil)
-		next = append(next, u)
-		byID[u.ID] = u
-	}
-	for _, gone := range known {
-		gone.Leaving = true
-	}
-	c.upstreams = next
-	c.byID = byID
-	c.countOthers()
-}
-
-func newUpstream(m Member, blocks int) *balancer.Upstream {
-	u := &balancer.Upstream{ID: m.id(), Address: m.Address, Zone: m.Zone, Region: m.Region, Born: m.Born}
-	u.Speed, u.Window = newEstimates()
-	if blocks > 0 {
-		u.Memory = prefix.NewMemory(blocks)
-	}
-	return u
-}
-
-// MarkLeaving stops new work to an upstream at its own word or a peer's.
-func (c *Core) MarkLeaving(id string) {
-	for _, u := range c.upstreams {
-		if u.ID == id {
-			u.Leaving = true
-		}
-	}
-}
-
-// Adopt takes what another instance, which owns the shard, has learned of an upstream's speed.
-func (c *Core) Adopt(id string, r estimate.Rates) {
-	if u := c.byID[id]; u != nil {
-		u.Speed.Adopt(r)
-	}
+	return &Core{options: o, byID: map[string]*balancer.Upstream{}, queue: queue.New(o.Limits), others: map[string]Load{}, outputs: newOutputRatio(), lengths: newLengths(), served: served{}}
 }
 
 // Upstreams returns the upstreams. The caller must not change them.
--- a/internal/scheduler/others.go
+++ b/internal/scheduler/others.go
@@ -51,6 +51,9 @@
 	Running map[string]int
 }
 
+// Running returns how many requests this instance has granted that haven't ended.
+func (c *Core) Running() int { return c.running }
+
 // Load returns this instance's work at each upstream that has any.
 func (c *Core) Load() Load {
 	l := Load{Pending: c.Pending(), Running: map[string]int{}}
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -239,6 +239,7 @@
 	c.options.Picker.Sent(u, c.describe(now, r))
 	u.Pending += choice.Uncached
 	u.Running++
+	c.running++
 	u.NoteStart(now)
 	c.served.note(now, r.Rank, true)
 	c.allowPassing(c.holds(r, choice))
@@ -376,6 +377,7 @@
 
 func (c *Core) end(g *Grant) {
 	g.Upstream.Running--
+	c.running--
 	c.release(g)
 }
 
--- a/internal/view/evacuations_test.go
+++ b/internal/view/evacuations_test.go
@@ -91,7 +91,7 @@
 	r.replace(now.Add(time.Second), []Upstream{{ID: "a", Revision: 3, Cold: 3 * time.Second}}, 4) // read again
 	is.Equal(r.coldFor(now.Add(time.Second), "a"), 2*time.Second)
 	peer := newRoster()
-	peer.learn(now.Add(time.Second), r.handOver(now.Add(time.Second)))
+	peer.learn(now.Add(time.Second), r.handOver(now.Add(time.Second), Have{}))
 	is.Equal(peer.coldFor(now.Add(2*time.Second), "a"), time.Second)
 	r.apply(now.Add(2*time.Second), []Change{{Upstream: Upstream{ID: "a", Revision: 5}}}, 5)
 	is.Equal(r.coldFor(now.Add(2*time.Second), "a"), time.Duration(0)) // it is warm sooner than it said
--- /dev/null
+++ b/internal/view/handover.go
@@ -0,0 +1,129 @@
+package view
+
+import "time"
+
+// List is the list of upstreams, or a part of it, as one instance hands it over to another.
+type List struct {
+	// Version is the source's revision at which the content last changed. Of two lists with
+	// unlike content one has the higher version; 0 is none.
+	Version int64
+	// AsOf is when the read was sent that showed the list to be current last.
+	AsOf time.Time
+	// Since is the version from which on Upstreams and Vanished are all that has changed; 0 where
+	// Upstreams is the whole list, or that of Parts.
+	Since int64
+	// Parts are those that Upstreams is the whole of; none where it is the whole list.
+	Parts     []int
+	Upstreams []Upstream
+	// Vanished are the IDs of upstreams that have left the list since.
+	Vanished []string
+	// Missing are those of Upstreams that lapsed around an outage of the source, by ID, with the
+	// time in which they may still come back.
+	Missing map[string]time.Duration
+	// Digest is of the whole list of that version; 0 where it isn't told.
+	Digest uint64
+}
+
+// Have is what an instance that asks for a list has.
+type Have struct {
+	// Version of its list, 0 without one.
+	Version int64
+	// Whole tells that it takes nothing but whole lists.
+	Whole bool
+	// Sums of its list, where that isn't like the one of a peer though it has the same version.
+	Sums []uint64
+}
+
+// handOver returns what a peer is to get, by what it has. One that has the list of this version gets none.
+func (r *roster) handOver(now time.Time, have Have) List {
+	l := List{Version: r.version, AsOf: r.asOf, Digest: r.sums.listed.Digest()}
+	switch {
+	case have.Version > r.version:
+	case have.Version == r.version && len(have.Sums) > 0:
+		l.Parts = r.sums.listed.unlike(have.Sums)
+		l.Upstreams = r.those(now, func(u Upstream) bool { return isIn(l.Parts, u.ID) })
+	case have.Version == r.version:
+	case have.Whole, have.Version == 0, have.Version < r.forgotten:
+		l.Upstreams = r.list(now)
+	default:
+		l.Since = have.Version
+		r.addSince(now, &l)
+	}
+	for _, u := range l.Upstreams {
+		if until, lapsed := r.missing[u.ID]; lapsed {
+			l.miss(u.ID, max(until.Sub(now), 0))
+		}
+	}
+	return l
+}
+
+func (l *List) miss(id string, left time.Duration) {
+	if l.Missing == nil {
+		l.Missing = map[string]time.Duration{}
+	}
+	l.Missing[id] = left
+}
+
+// addSince adds to a list what has become known since its version Since.
+func (r *roster) addSince(now time.Time, l *List) {
+	for _, id := range r.changedSince(l.Since) {
+		u, listed := r.entries[id]
+		if !listed {
+			l.Vanished = append(l.Vanished, id)
+			continue
+		}
+		u.Cold = r.coldFor(now, id)
+		l.Upstreams = append(l.Upstreams, u)
+	}
+}
+
+// learn takes a peer's list if it is newer. What is missing from it for the time being is
+// missing here, too; what this instance has given up already isn't taken back.
+func (r *roster) learn(now time.Time, l List) {
+	if !r.isOfUse(l) {
+		return
+	}
+	first := r.version == 0
+	for _, u := range l.Upstreams {
+		left, lapsed := l.Missing[u.ID]
+		_, listed := r.entries[u.ID]
+		switch {
+		case !lapsed:
+			r.put(now, u)
+		case listed || first:
+			r.lapse(now, u, now.Add(left))
+		}
+	}
+	r.learnVanished(now, l)
+	r.version = l.Version
+	r.complete = max(r.complete, l.Version)
+}
+
+// isOfUse tells whether a peer's list is newer than the one at hand, and tells all that lies between. Parts are
+// of use also where the one at hand has their version and should have been like the peer's.
+func (r *roster) isOfUse(l List) bool {
+	switch {
+	case l.Version == r.version:
+		return l.Parts != nil && r.unlike == r.version
+	case l.Version < r.version:
+		return false
+	case l.Parts != nil:
+		return false // there was news meanwhile
+	default:
+		return l.Since <= r.version
+	}
+}
+
+// learnVanished lets vanish what a peer's list lacks.
+func (r *roster) learnVanished(now time.Time, l List) {
+	if l.Since == 0 {
+		r.vanishOthers(now, l.Upstreams, l.Version, func(id string) bool { return l.Parts == nil || isIn(l.Parts, id) })
+		return
+	}
+	for _, id := range l.Vanished {
+		if r.entries[id].Revision <= l.Version {
+			r.touch(now, id).news = true
+			r.vanish(now, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/view/handover_test.go
@@ -0,0 +1,259 @@
+package view
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// manyUpstreams returns so many entries, each of a revision of its own.
+func manyUpstreams(n int) []Upstream {
+	list := make([]Upstream, n)
+	for i := range list {
+		list[i] = Upstream{ID: fmt.Sprintf("i-%06d", i), Revision: int64(i + 1), Slots: 8}
+	}
+	return list
+}
+
+// What one change costs doesn't grow with the list: a peer gets the entry that has changed, and whoever uses
+// the list is told of that one.
+func TestOneChangeHandsOverOneEntry(t *testing.T) {
+	for _, n := range []int{300, 3_000, 6_000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			var told []ListChange
+			reads, learns := newView(nil), newView(func(c ListChange) { told = append(told, c) })
+			list, revision := manyUpstreams(n), int64(n)
+			reads.Upstreams(list, revision, time.Now())
+			is.True(learns.LearnUpstreams(reads.HandOver(learns.Have()), "p"))
+			is.Equal(len(told[0].Changed), n) // the whole, to one that knows nothing
+			for i := range 50 {
+				revision++
+				u := list[i]
+				u.Revision, u.Leaving = revision, true
+				reads.Changes([]Change{{Upstream: u}}, revision, time.Now())
+				handed := reads.HandOver(learns.Have())
+				is.Equal(len(handed.Upstreams)+len(handed.Vanished), 1)
+				is.True(learns.LearnUpstreams(handed, "p"))
+				is.Equal(len(told[i+1].Changed), 1)
+			}
+			revision++
+			reads.Changes([]Change{{Gone: true, Upstream: Upstream{ID: list[7].ID, Revision: revision}}}, revision, time.Now())
+			handed := reads.HandOver(learns.Have())
+			is.Equal(len(handed.Upstreams), 0)
+			is.Equal(handed.Vanished, []string{list[7].ID})
+			is.True(learns.LearnUpstreams(handed, "p"))
+			is.Equal(told[51].Gone, []string{list[7].ID})
+			is.Equal(learns.List().Upstreams, reads.List().Upstreams)
+		})
+	}
+}
+
+// Whoever is too far behind gets the whole list, which is smaller than all the changes.
+func TestWhoIsFarBehindGetsTheWholeList(t *testing.T) {
+	is := is.New(t)
+	reads, learns := newView(nil), newView(nil)
+	list, revision := manyUpstreams(20), int64(20)
+	reads.Upstreams(list, revision, time.Now())
+	learns.LearnUpstreams(reads.HandOver(learns.Have()), "p")
+	for i := range 3 * leastLogged {
+		revision++
+		u := list[i%20]
+		u.Revision, u.Slots = revision, i
+		reads.Changes([]Change{{Upstream: u}}, revision, time.Now())
+	}
+	handed := reads.HandOver(learns.Have())
+	is.Equal(handed.Since, int64(0))
+	is.Equal(len(handed.Upstreams), 20)
+	is.True(learns.LearnUpstreams(handed, "p"))
+	is.Equal(learns.List().Upstreams, reads.List().Upstreams)
+}
+
+// A list that has lost a change without knowing is found out by its digest, and the parts that differ alone
+// are handed over.
+func TestAListThatLostAChangeIsMended(t *testing.T) {
+	is := is.New(t)
+	reads, learns := newView(nil), newView(nil)
+	list, revision := manyUpstreams(3_000), int64(3_000)
+	reads.Upstreams(list, revision, time.Now())
+	learns.LearnUpstreams(reads.HandOver(learns.Have()), "p")
+	learns.change("a fault", func(r *roster, now time.Time) {
+		r.remove(now, list[5].ID)
+		u := list[6]
+		u.Leaving = true
+		r.put(now, u)
+	})
+	revision++
+	reads.Changes([]Change{{Gone: true, Upstream: Upstream{ID: list[9].ID, Revision: revision}}}, revision, time.Now())
+	is.True(!learns.LearnUpstreams(reads.HandOver(learns.Have()), "p"))
+	handed := reads.HandOver(learns.Have())
+	is.True(len(handed.Parts) > 0 && len(handed.Parts) <= 2)
+	is.True(len(handed.Upstreams) < 3_000/parts*4)
+	is.True(learns.LearnUpstreams(handed, "p"))
+	is.Equal(learns.List().Upstreams, reads.List().Upstreams)
+	is.Equal(len(learns.Have().Sums), 0)
+}
+
+// listWorld is a source of upstreams and the instances that believe in its list.
+type listWorld struct {
+	random   *rand.Rand
+	revision int64
+	listed   map[string]Upstream
+	events   []Change
+	views    []*View
+	followed [][]Upstream // what those are told who use a view's list
+	watched  []int64      // up to which revision each view has watched; 0: it learns from others
+}
+
+func newListWorld(seed uint64, readers, learners int) *listWorld {
+	w := &listWorld{random: rand.New(rand.NewPCG(seed, 3)), listed: map[string]Upstream{}}
+	w.followed = make([][]Upstream, readers+learners)
+	for i := range readers + learners {
+		w.views = append(w.views, inTouch(following(&w.followed[i])))
+	}
+	w.watched = make([]int64, readers+learners)
+	for range 40 {
+		w.publish()
+	}
+	for i := range readers {
+		w.read(i)
+	}
+	return w
+}
+
+// publish changes one entry: one comes, changes, says that it leaves, or goes.
+func (w *listWorld) publish() {
+	w.revision++
+	id := fmt.Sprint("i-", w.random.IntN(60))
+	u, there := w.listed[id]
+	switch {
+	case there && w.random.IntN(3) == 0:
+		delete(w.listed, id)
+		w.events = append(w.events, Change{Gone: true, Upstream: Upstream{ID: id, Revision: w.revision}})
+		return
+	case there && w.random.IntN(2) == 0:
+		u.Leaving = true
+	case there:
+		u.Slots++
+	default:
+		u = Upstream{ID: id, Slots: 1, Born: w.revision}
+	}
+	u.Revision = w.revision
+	u.Sequence++
+	w.listed[id] = u
+	w.events = append(w.events, Change{Upstream: u})
+}
+
+// entries is the list of today.
+func (w *listWorld) entries() (out []Upstream) {
+	for _, u := range w.listed {
+		out = append(out, u)
+	}
+	slices.SortFunc(out, func(a, b Upstream) int { return int(a.Born - b.Born) })
+	return out
+}
+
+// read lets a reader read the list in two pages, between which it changes.
+func (w *listWorld) read(i int) {
+	first := w.revision
+	half := slices.DeleteFunc(w.entries(), func(u Upstream) bool { return u.ID >= "i-3" })
+	for range w.random.IntN(4) {
+		w.publish()
+	}
+	rest := slices.DeleteFunc(w.entries(), func(u Upstream) bool { return u.ID < "i-3" })
+	w.views[i].Upstreams(append(half, rest...), first, time.Now())
+	w.watched[i] = first
+}
+
+// watch lets a reader hear of all changes.
+func (w *listWorld) watch(i int) {
+	w.views[i].Changes(w.events[w.watched[i]:], w.revision, time.Now())
+	w.watched[i] = w.revision
+}
+
+// learn lets an instance ask another one, and again where their lists differ though they shouldn't.
+func (w *listWorld) learn(from, to int) {
+	for range 3 {
+		if w.views[to].LearnUpstreams(w.views[from].HandOver(w.views[to].Have()), "p") {
+			return
+		}
+	}
+}
+
+// step lets something happen.
+func (w *listWorld) step(readers int) {
+	i := w.random.IntN(len(w.views))
+	switch w.random.IntN(8) {
+	case 0, 1, 2:
+		w.publish()
+	case 3:
+		w.watch(w.random.IntN(readers))
+	case 4:
+		if w.random.IntN(4) == 0 {
+			w.read(w.random.IntN(readers))
+		}
+	case 5, 6:
+		w.learn(w.random.IntN(len(w.views)), i)
+	default:
+		if w.random.IntN(6) == 0 {
+			outage(w.views[i])
+		}
+	}
+}
+
+// However instances hear of changes - by the source, in part from each other, late, around an outage - in the end
+// all believe what is published, and whoever uses a list has been told the same.
+func TestListsThatAreHandedOverAsChangesAreAlikeInTheEnd(t *testing.T) {
+	const readers, learners, steps = 3, 5, 250
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newListWorld(seed, readers, learners)
+			for range steps {
+				w.step(readers)
+			}
+			w.publish()
+			for i := range readers {
+				w.watch(i)
+			}
+			<-time.After(10 * time.Second) // what is missing is given up
+			for range 3 {
+				for i := range learners {
+					w.learn(w.random.IntN(readers), readers+i)
+				}
+			}
+			want := w.entries()
+			slices.SortFunc(want, func(a, b Upstream) int { return compareIDs(a, b) })
+			for i, v := range w.views {
+				got := v.List().Upstreams
+				if !slices.Equal(got, want) {
+					t.Fatalf("seed %d: instance %d believes %+v; published are %+v", seed, i, got, want)
+				}
+				if !slices.EqualFunc(w.followed[i], want, Upstream.says) {
+					t.Fatalf("seed %d: instance %d was told %+v; published are %+v", seed, i, w.followed[i], want)
+				}
+				if sums := sumsOf(got); sums != v.upstreams.sums.listed {
+					t.Fatalf("seed %d: instance %d has wrong sums", seed, i)
+				}
+			}
+		})
+	}
+}
+
+func compareIDs(a, b Upstream) int {
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
+func sumsOf(list []Upstream) (out Sums) {
+	for _, u := range list {
+		out[partOf(u.ID)] += sumOf(u)
+	}
+	return out
+}
--- a/internal/view/roster.go
+++ b/internal/view/roster.go
@@ -31,10 +31,17 @@
 	cold     map[string]time.Time // until when each is cold, by its entry
 	settles  time.Time            // until then, what vanishes is missing and not gone
 	left     departures
+
+	touched   map[string]*former // since the last commit, by ID
+	sums      sums               // as of the last commit
+	changes   []logged           // of late, by version
+	forgotten int64              // the version up to which changes aren't known any more
+	unlike    int64              // the version that this list has, and a peer's that differs from it
+	compared  int64              // the version of the list when its parts were compared with a peer's last
 }
 
 func newRoster() roster {
-	return roster{entries: map[string]Upstream{}, missing: map[string]time.Time{}, cold: map[string]time.Time{}, left: departures{}}
+	return roster{entries: map[string]Upstream{}, missing: map[string]time.Time{}, cold: map[string]time.Time{}, left: departures{}, touched: map[string]*former{}}
 }
 
 func (r *roster) settleBy(t time.Time) { r.settles = t }
@@ -46,7 +53,7 @@
 		return
 	}
 	changed := r.putAll(now, list)
-	if r.vanishOthers(now, list, revision) {
+	if r.vanishOthers(now, list, revision, func(string) bool { return true }) {
 		changed = true
 	}
 	if changed {
@@ -92,38 +99,19 @@
 	known, listed := r.entries[u.ID]
 	switch {
 	case listed && u.Revision <= known.Revision:
+		r.touch(now, u.ID).news = true // the whole list had it already, under an older version
 	case !listed && u.Revision <= r.complete:
 	case c.Unreadable:
+		r.touch(now, u.ID).news = true
 		r.remove(now, u.ID)
 	case c.Gone:
+		r.touch(now, u.ID).news = true // peers may list it also where this instance doesn't
 		r.vanish(now, u.ID)
 	default:
 		r.put(now, u)
 	}
 }
 
-// learn takes a peer's list if it is newer. What is missing from it for the time being is
-// missing here, too; what this instance has given up already isn't taken back.
-func (r *roster) learn(now time.Time, l List) {
-	if l.Version <= r.version {
-		return
-	}
-	first := r.version == 0
-	for _, u := range l.Upstreams {
-		left, lapsed := l.Missing[u.ID]
-		_, listed := r.entries[u.ID]
-		switch {
-		case !lapsed:
-			r.put(now, u)
-		case listed || first:
-			r.lapse(now, u, now.Add(left))
-		}
-	}
-	r.vanishOthers(now, l.Upstreams, l.Version)
-	r.version = l.Version
-	r.complete = max(r.complete, l.Version)
-}
-
 func (r *roster) putAll(now time.Time, list []Upstream) (changed bool) {
 	for _, u := range list {
 		if r.put(now, u) {
@@ -146,6 +134,7 @@
 	case !listed && r.left.holds(now, u):
 		return false
 	}
+	r.touch(now, u.ID)
 	_, wasMissing := r.missing[u.ID]
 	warmed := (!listed || u.Revision > known.Revision) && r.noteCold(now, u)
 	u.Cold = 0
@@ -182,6 +171,7 @@
 	if u.Revision < known.Revision {
 		return
 	}
+	r.touch(now, u.ID)
 	if !listed || u.Revision > known.Revision {
 		r.noteCold(now, u)
 	}
@@ -192,15 +182,18 @@
 	}
 }
 
-// vanishOthers lets what a whole list lacks vanish, unless it changed after the list's
-// revision.
-func (r *roster) vanishOthers(now time.Time, list []Upstream, revision int64) (changed bool) {
+// vanishOthers lets vanish what a list lacks that is the whole of what it is to name, unless it changed
+// after the list's revision.
+func (r *roster) vanishOthers(now time.Time, list []Upstream, revision int64, isToName func(id string) bool) (changed bool) {
 	named := make(map[string]bool, len(list))
 	for _, u := range list {
 		named[u.ID] = true
 	}
 	for id, u := range r.entries {
-		if !named[id] && u.Revision <= revision && r.vanish(now, id) {
+		if named[id] || u.Revision > revision || !isToName(id) {
+			continue
+		}
+		if r.vanish(now, id) {
 			changed = true
 		}
 	}
@@ -217,6 +210,7 @@
 	if now.Before(r.settles) && !u.Leaving {
 		_, already := r.missing[id]
 		if !already {
+			r.touch(now, id)
 			r.missing[id] = r.settles
 		}
 		return !already
@@ -230,12 +224,13 @@
 	if u.Leaving {
 		r.left.note(now, u)
 	}
-	r.forget(id)
+	r.forget(now, id)
 	return listed
 }
 
 // forget drops all that is known of an upstream.
-func (r *roster) forget(id string) {
+func (r *roster) forget(now time.Time, id string) {
+	r.touch(now, id)
 	delete(r.entries, id)
 	delete(r.missing, id)
 	delete(r.cold, id)
@@ -245,7 +240,7 @@
 func (r *roster) settle(now time.Time) (gone int) {
 	for id, until := range r.missing {
 		if !now.Before(until) {
-			r.forget(id)
+			r.forget(now, id)
 			gone++
 		}
 	}
@@ -253,10 +248,10 @@
 }
 
 // giveUpMissing gives up what would settle at a time or later, and stops settling then.
-func (r *roster) giveUpMissing(from time.Time) {
+func (r *roster) giveUpMissing(now, from time.Time) {
 	for id, until := range r.missing {
 		if !until.Before(from) {
-			r.forget(id)
+			r.forget(now, id)
 		}
 	}
 	if !r.settles.Before(from) {
@@ -279,23 +274,17 @@
 	}
 }
 
-// handOver returns the list as a peer gets it.
-func (r *roster) handOver(now time.Time) List {
-	l := List{Version: r.version, AsOf: r.asOf, Upstreams: r.list(now)}
-	for id, until := range r.missing {
-		if l.Missing == nil {
-			l.Missing = map[string]time.Duration{}
-		}
-		l.Missing[id] = max(until.Sub(now), 0)
-	}
-	return l
+func (r *roster) list(now time.Time) []Upstream {
+	return r.those(now, func(Upstream) bool { return true })
 }
 
-func (r *roster) list(now time.Time) []Upstream {
-	out := make([]Upstream, 0, len(r.entries))
+// those returns some of the upstreams, in order.
+func (r *roster) those(now time.Time, which func(Upstream) bool) (out []Upstream) {
 	for id, u := range r.entries {
-		u.Cold = r.coldFor(now, id)
-		out = append(out, u)
+		if which(u) {
+			u.Cold = r.coldFor(now, id)
+			out = append(out, u)
+		}
 	}
 	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -1,6 +1,9 @@
 package view
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Upstreams implements Sink: it takes the whole list.
 func (v *View) Upstreams(list []Upstream, revision int64, asOf time.Time) {
@@ -26,10 +29,12 @@
 }
 
 // LearnUpstreams takes a peer's list if it is newer than the one at hand. One of the same
-// version proves that the one at hand is as current as the peer's; it needs no upstreams.
-func (v *View) LearnUpstreams(l List, peer string) {
+// version proves that the one at hand is as current as the peer's; it needs no upstreams. It tells
+// whether the two are alike as far as is known: where they have the same version and aren't, the peer is to be
+// asked for the parts that differ (see Have).
+func (v *View) LearnUpstreams(l List, peer string) (alike bool) {
 	if l.Version < v.ListVersion() || l.Version == 0 {
-		return
+		return true
 	}
 	v.change("peer "+peer, func(r *roster, now time.Time) {
 		r.learn(now, l)
@@ -37,6 +42,44 @@
 			r.prove(r.complete, l.AsOf)
 		}
 	})
+	return v.compare(l, peer)
+}
+
+// compare notes whether the list is like the one that a peer has handed over.
+func (v *View) compare(l List, peer string) (alike bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := &v.upstreams
+	if l.Digest == 0 || l.Version != r.version {
+		return true
+	}
+	r.unlike = 0
+	if l.Digest == r.sums.listed.Digest() {
+		return true
+	}
+	if l.Parts != nil {
+		r.compared = r.version
+	}
+	known := r.compared == r.version // what this instance knows better stays as it is
+	if !known {
+		r.unlike = r.version
+	}
+	v.o.Metrics.Count("tacktally_lists_unlike_total")
+	v.o.Log.Warn().Str("event", "lists_unlike").Int64("version", r.version).Str("peer", peer).Str("digest", r.sums.text()).
+		Int64("since", l.Since).Int("parts", len(l.Parts)).Bool("known", known).Msg("")
+	return known
+}
+
+// Have returns what is known of the list, for a peer that is asked for it.
+func (v *View) Have() Have {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r := &v.upstreams
+	have := Have{Version: r.version}
+	if r.version > 0 && r.unlike == r.version {
+		have.Sums = slices.Clone(r.sums.listed[:])
+	}
+	return have
 }
 
 // SourceWasThere takes a peer's word that the source was there all the time for so long. What
@@ -50,7 +93,7 @@
 		return
 	}
 	v.change("steady peer "+peer, func(r *roster, now time.Time) {
-		r.giveUpMissing(now.Add(v.o.Settle + v.o.Lapse - steady))
+		r.giveUpMissing(now, now.Add(v.o.Settle+v.o.Lapse-steady))
 	})
 }
 
@@ -65,22 +108,21 @@
 	defer v.mu.Unlock()
 	r := &v.upstreams
 	now := v.o.Now()
-	before, version := r.states(now), r.version
+	version := r.version
 	f(r, now)
 	if next, some := r.nextSettle(); some {
 		v.settleAt(next)
 	}
-	after := r.states(now)
-	changed := differences(before, after)
-	if changed == "" && version == r.version {
+	change, states := r.commit(now)
+	if states == "" && len(change.Changed) == 0 && version == r.version {
 		return
 	}
 	v.o.Log.Info().Str("event", "upstreams").Int64("version", r.version).Int64("complete", r.complete).
 		Dur("age", r.age(now)).Int("count", len(r.entries)).Int("missing", len(r.missing)).
-		Dur("settling", max(r.settles.Sub(v.o.Now()), 0)).Str("digest", digest(after)).
-		Str("changed", changed).Str("from", from).Msg("")
+		Dur("settling", max(r.settles.Sub(v.o.Now()), 0)).Str("digest", r.sums.text()).
+		Str("changed", states).Str("from", from).Msg("")
 	if v.o.OnUpstreams != nil {
-		v.o.OnUpstreams(r.handOver(v.o.Now()))
+		v.o.OnUpstreams(change)
 	}
 }
 
@@ -93,11 +135,21 @@
 	v.settling.Reset(t.Sub(v.o.Now()))
 }
 
-// List returns the list for a peer.
-func (v *View) List() List {
+// List returns the whole list.
+func (v *View) List() List { return v.HandOver(Have{Whole: true}) }
+
+// HandOver returns the list for a peer, by what it has.
+func (v *View) HandOver(have Have) List {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.upstreams.handOver(v.o.Now(), have)
+}
+
+// ListCount returns how many upstreams are on the list.
+func (v *View) ListCount() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.upstreams.handOver(v.o.Now())
+	return len(v.upstreams.entries)
 }
 
 // ListVersion returns the version of the list, 0 while there is none.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -105,19 +105,6 @@
 	return u.Sequence > 0 && u.Sequence < other.Sequence
 }
 
-// List is the list of upstreams.
-type List struct {
-	// Version is the source's revision at which the content last changed. Of two lists with
-	// unlike content one has the higher version; 0 is none.
-	Version int64
-	// AsOf is when the read was sent that showed the list to be current last.
-	AsOf      time.Time
-	Upstreams []Upstream
-	// Missing are those of them that lapsed around an outage of the source, by ID, with the
-	// time in which they may still come back.
-	Missing map[string]time.Duration
-}
-
 // Change is one change of the list.
 type Change struct {
 	// Gone is set, with ID and revision alone, when the upstream left the list, and
@@ -140,9 +127,9 @@
 	// Lapse is the shortest outage of the source in which entries may lapse though
 	// their upstreams live.
 	Lapse time.Duration
-	// OnUpstreams is called with the whole list after a change of it, one call at a
-	// time.
-	OnUpstreams func(List)
+	// OnUpstreams is called with what has changed of the list after a change of it, one call at a
+	// time. It is called while beliefs are locked, and may not ask for them.
+	OnUpstreams func(ListChange)
 	// OnEvacuations is called with the zones that are evacuated after a change of them, one call
 	// at a time.
 	OnEvacuations func(zones []string)
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -56,7 +58,7 @@
 }
 
 // newView returns a view that knows that no zone is evacuated, and nothing else.
-func newView(onUpstreams func(List)) *View {
+func newView(onUpstreams func(ListChange)) *View {
 	v := New(Options{
 		Source: source{}, Lease: 5 * time.Second, Settle: 2 * time.Second, Lapse: 2 * time.Second, OnUpstreams: onUpstreams,
 		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
@@ -209,13 +211,25 @@
 }
 
 // inTouch returns a view that has reached its source and has a configuration.
-func inTouch(onUpstreams func(List)) *View {
+func inTouch(onUpstreams func(ListChange)) *View {
 	v := newView(onUpstreams)
 	v.Reached()
 	v.Configuration(7, []byte("seven"), time.Now())
 	return v
 }
 
+// following keeps a list up to date by its changes alone.
+func following(list *[]Upstream) func(ListChange) {
+	return func(c ListChange) {
+		*list = slices.DeleteFunc(*list, func(u Upstream) bool {
+			changed := slices.ContainsFunc(c.Changed, func(other Upstream) bool { return other.ID == u.ID })
+			return changed || slices.Contains(c.Gone, u.ID)
+		})
+		*list = append(*list, c.Changed...)
+		slices.SortFunc(*list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
 func inForce(v *View) string {
 	table, _ := v.Table()
 	if table == nil {
@@ -287,7 +301,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := inTouch(func(l List) { list = l.Upstreams })
+		v := inTouch(following(&list))
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}, {ID: "c", Revision: 3, Leaving: true}}, 3, time.Now())
 		outage(v) // and nobody else reached it either
 		v.Upstreams(nil, 6, time.Now())
@@ -305,7 +319,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := inTouch(func(l List) { list = l.Upstreams })
+		v := inTouch(following(&list))
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
 		v.Unreachable("list", errors.New("turned away"))
 		<-time.After(9 * time.Second)
@@ -323,7 +337,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := inTouch(func(l List) { list = l.Upstreams })
+		v := inTouch(following(&list))
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
 		outage(v)
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}}, 4, time.Now())
@@ -343,7 +357,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var list []Upstream
-		v := inTouch(func(l List) { list = l.Upstreams })
+		v := inTouch(following(&list))
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
 		outage(v)
 		v.Upstreams([]Upstream{{ID: "a", Revision: 1}}, 4, time.Now())
@@ -378,7 +392,7 @@
 func TestEntriesThatVanishWhileTheSourceAnswersAreGone(t *testing.T) {
 	is := is.New(t)
 	var list []Upstream
-	v := newView(func(l List) { list = l.Upstreams })
+	v := newView(following(&list))
 	v.Reached()
 	v.Upstreams([]Upstream{{ID: "a", Revision: 1}, {ID: "b", Revision: 2}}, 2, time.Now())
 	v.Changes([]Change{{Gone: true, Upstream: Upstream{ID: "a", Revision: 3}}}, 3, time.Now())
@@ -412,11 +426,14 @@
 // A line names a bounded number of upstreams.
 func TestTheLogCountsWhatItDoesNotName(t *testing.T) {
 	is := is.New(t)
-	after := map[string]state{}
+	r := newRoster()
+	var list []Upstream
 	for i := range mostNamed + 3 {
-		after[fmt.Sprint("i-", i)] = listed
+		list = append(list, Upstream{ID: fmt.Sprint("i-", i), Revision: 1})
 	}
-	is.True(strings.HasSuffix(differences(nil, after), ", 3 more"))
+	r.replace(time.Now(), list, 1)
+	_, states := r.commit(time.Now())
+	is.True(strings.HasSuffix(states, ", 3 more"))
 }
 
 // outage lets the source be away for long enough for entries to lapse.
@@ -486,7 +503,7 @@
 func TestOlderNewsOfAnUpstreamChangesNothing(t *testing.T) {
 	is := is.New(t)
 	var list []Upstream
-	v := newView(func(l List) { list = l.Upstreams })
+	v := newView(following(&list))
 	v.Reached()
 	v.LearnUpstreams(List{Version: 8, Upstreams: []Upstream{{ID: "a", Revision: 5, Leaving: true}}}, "p")
 	v.Changes([]Change{
