fleet: tell peers of upstreams that leave while that is new, and the rest in turn

Cause: each heartbeat, the brief ones to other zones too, named up to 128 processes that had said that they leave, for a minute after they had left the list: about 25 bytes each, twice a second and at each announcement. While upstreams are replaced that grows with upstreams, and is paid on each link.

Change: a word is repeated for 2 s, and of the older ones eight are told in turn. Whoever asks for the state gets all of them with it, as one that starts does.

Checked: a message with 201 words names 9, and hears of all within 26 messages (test).

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -39,6 +39,7 @@
 		ListParts:   list.Parts,
 		Vanished:    list.Vanished,
 		ListDigest:  list.Digest,
+		Leaving:     p.instance.fleet.AllSaidLeaving(),
 		Missing:     list.Missing,
 		Evacuations: peer.Evacuations(v.Evacuated()),
 	}
@@ -86,7 +87,9 @@
 			return
 		}
 	}
-	if !v.LearnUpstreams(list, from) {
+	alike := v.LearnUpstreams(list, from)
+	p.instance.fleet.LearnLeaving(from, s.Leaving)
+	if !alike {
 		p.instance.mesh.FetchSoon(from)
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,9 +74,10 @@
 	instances   []Instance                // this one included, by address
 	evacuated   []string                  // availability zones
 	others      map[string]othersLoad     // what other instances have told, by address
-	// saidLeaving are processes that have said in an answer that they leave, and when they were on the
-	// list last.
-	saidLeaving map[string]time.Time
+	// saidLeaving are processes that have said in an answer that they leave, and wordsTold counts those that
+	// peers were told of in turn.
+	saidLeaving map[string]word
+	wordsTold   int
 	slots       Slots // nil until there are peers
 
 	rests      *rest.Rests
@@ -110,7 +111,7 @@
 		processes:   map[string]*upstream{},
 		connections: map[string]*exchange.Pool{},
 		others:      map[string]othersLoad{},
-		saidLeaving: map[string]time.Time{},
+		saidLeaving: map[string]word{},
 		rests:       rest.New(),
 		instances:   []Instance{{Address: o.Instance, Cores: o.Cores, InReach: true, MayOwn: true, Settled: true}},
 	}
--- a/internal/fleet/ownword.go
+++ b/internal/fleet/ownword.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -13,8 +15,19 @@
 // back, around an outage.
 const wordKept = time.Minute
 
-// mostTold bounds the processes that peers are told of.
-const mostTold = 128
+const (
+	// newFor is how long each message to peers repeats a word that is new; others are told in turn.
+	newFor = 2 * time.Second
+	// mostNew and inTurn bound the words that one message tells.
+	mostNew = 128
+	inTurn  = 8
+)
+
+// word is what a process has said of its leaving.
+type word struct {
+	heard time.Time
+	last  time.Time // when it was on the list last
+}
 
 // SaysLeaving takes the word of an upstream of the list, in an answer, that it leaves. It returns whether
 // that is news for peers.
@@ -40,7 +53,8 @@
 		f.mu.Unlock()
 		return false
 	}
-	f.saidLeaving[process] = time.Now()
+	now := time.Now()
+	f.saidLeaving[process] = word{heard: now, last: now}
 	told := pending{}
 	f.weigh(u, told)
 	shards := told.tell()
@@ -51,24 +65,48 @@
 	return true
 }
 
-// SaidLeaving returns the processes that have said that they leave, for peers.
-func (f *Fleet) SaidLeaving() (out []string) {
+// AllSaidLeaving returns the processes that have said that they leave, in order, for a peer that may know none
+// of them.
+func (f *Fleet) AllSaidLeaving() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for process := range f.saidLeaving {
-		out = append(out, process)
+	return slices.Sorted(maps.Keys(f.saidLeaving))
+}
+
+// SaidLeaving returns the processes of which peers are to be told now that they have said that they leave: what is
+// new, and of the rest some in turn, so that one that knows nothing hears of all.
+func (f *Fleet) SaidLeaving() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	var fresh, rest []string
+	for process, w := range f.saidLeaving {
+		if now.Sub(w.heard) < newFor {
+			fresh = append(fresh, process)
+		} else {
+			rest = append(rest, process)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b string) int {
+		return cmp.Or(f.saidLeaving[b].heard.Compare(f.saidLeaving[a].heard), cmp.Compare(a, b))
+	})
+	slices.Sort(rest)
+	out := fresh[:min(len(fresh), mostNew)]
+	for range min(inTurn, len(rest)) {
+		f.wordsTold++
+		out = append(out, rest[f.wordsTold%len(rest)])
 	}
-	slices.Sort(out)
-	return out[:min(len(out), mostTold)]
+	return out
 }
 
 // forgetWords drops the word of processes that have been off the list for long. The caller holds the lock.
 func (f *Fleet) forgetWords(now time.Time) {
-	for process, heard := range f.saidLeaving {
+	for process, w := range f.saidLeaving {
 		switch {
 		case f.processes[process] != nil:
-			f.saidLeaving[process] = now
-		case now.Sub(heard) > wordKept:
+			w.last = now
+			f.saidLeaving[process] = w
+		case now.Sub(w.last) > wordKept:
 			delete(f.saidLeaving, process)
 		}
 	}
--- a/internal/fleet/ownword_test.go
+++ b/internal/fleet/ownword_test.go
@@ -53,3 +53,29 @@
 	is.True(!f.LearnLeaving("peer", []string{"a@3"}))
 	is.True(errors.Is(f.MayBeSent("a"), ErrLeaving))
 }
+
+// A message to peers is small however many have said that they leave: it repeats what is new, and one that
+// hears nothing but messages hears of all in the end.
+func TestPeersHearOfAllThatLeaveAFewAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSized(300, 0)
+		for _, u := range s.list[:200] {
+			is.True(s.fleet.SaysLeaving(u.ID))
+		}
+		is.Equal(len(s.fleet.SaidLeaving()), mostNew)
+		is.Equal(len(s.fleet.AllSaidLeaving()), 200)
+		<-time.After(newFor)
+		is.True(s.fleet.SaysLeaving(s.list[250].ID))
+		heard := map[string]bool{}
+		for range 200/inTurn + 1 {
+			told := s.fleet.SaidLeaving()
+			is.Equal(len(told), inTurn+1)
+			is.Equal(told[0], processName(s.list[250].ID, s.list[250].Born)) // the new one each time
+			for _, process := range told {
+				heard[process] = true
+			}
+		}
+		is.Equal(len(heard), 201)
+	})
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -229,6 +229,8 @@
 	ListParts []int `cbor:"11,keyasint,omitempty"`
 	// Vanished are the IDs of upstreams that have left the list since.
 	Vanished []string `cbor:"12,keyasint,omitempty"`
+	// Leaving are the processes of upstreams that have said themselves that they leave.
+	Leaving []string `cbor:"14,keyasint,omitempty"`
 	// ListDigest is of the whole list of upstreams of that version; 0 where it isn't told.
 	ListDigest uint64 `cbor:"13,keyasint,omitempty"`
 }
