fleet: ask few shards of a service while they have room

Cause: each request drew one of all shards. With 25 shards an instance that serves 1.2 requests a second met each owner every 20 s, while links on use end after 10 s: nearly every request dialled, and an owner kept links to most of the fleet. Shards grow with the upstreams, so the links of an owner grew with instances.

Change: an instance asks two shards, drawn by its own address; for a second after one of them had no room at once it asks all. Services of one or two shards are asked as before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,7 +92,10 @@
 	upstreams int // on the list
 	repeats   *retrybudget.Budget
 	shards    []*shard // replaced as a whole
-	coldStart scheduler.ColdStart
+	homes     []int    // the shards that this instance asks first
+	// shortUntil is until when it asks all of them.
+	shortUntil time.Time
+	coldStart  scheduler.ColdStart
 }
 
 // shard is a part of a service's upstreams.
@@ -138,6 +141,7 @@
 	s := &service{name: name, repeats: retrybudget.New(f.startingRepeats())}
 	f.services[name] = s
 	s.shards = []*shard{f.newShard(name, 0)}
+	s.homes = homesOf(f.o.Instance, name, 1)
 	return s
 }
 
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -174,6 +173,3 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
-
-// draw returns one of the shards: all are alike.
-func draw(shards []*shard) *shard { return shards[rand.IntN(len(shards))] }
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -54,6 +54,7 @@
 	w.Request.Zone = f.o.Zone
 	grant, problem := shard.pool.Acquire(ctx, w.Request)
 	if problem != nil {
+		f.noteShort(w.Service)
 		return nil, problem
 	}
 	return &ownLease{shard: shard, grant: grant, listVersion: f.listVersion()}, nil
@@ -62,9 +63,8 @@
 // shardAndOwners returns a shard and who schedules it; no owner means this instance.
 func (f *Fleet) shardAndOwners(w *Want) (*shard, []string) {
 	f.mu.Lock()
-	s := f.serviceOf(w.Service)
+	shard := f.serviceOf(w.Service).drawShard(time.Now())
 	f.mu.Unlock()
-	shard := draw(s.shards)
 	if f.slots == nil {
 		return shard, nil
 	}
@@ -102,7 +102,10 @@
 	case err != nil:
 		return nil, nil, err
 	case refusal != nil:
+		f.noteShort(w.Service)
 		return nil, problemOf(refusal), nil
+	case slot.Queued:
+		f.noteShort(w.Service)
 	}
 	s.pool.Adopt(slot.Grant.Upstream, ratesOf(slot.Grant))
 	l := &peerLease{owner: owner, grant: slot.Grant, slot: slot, all: &f.leases}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -158,6 +158,7 @@
 		shards = append(shards, f.newShard(s.name, len(shards)))
 	}
 	s.shards = shards
+	s.homes = homesOf(f.o.Instance, s.name, want)
 	members := make([][]scheduler.Member, want)
 	for _, u := range f.upstreams {
 		if u.Service != s.name {
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -96,6 +96,8 @@
 // Slot is a slot that a peer granted, or is asked for. Release gives it back.
 type Slot struct {
 	Grant SlotGrant
+	// Queued tells that the request waited for room.
+	Queued bool
 
 	link *link
 	id   uint64
@@ -112,7 +114,7 @@
 		return nil, nil, err
 	}
 	id, s := l.openWith(slotFrames)
-	f, err := l.askSlot(ctx, ackCtx, id, s, r)
+	f, queued, err := l.askSlot(ctx, ackCtx, id, s, r)
 	if err != nil {
 		l.trySend(&Frame{Type: TypeCancel, Stream: id}) // or the end of the link says it
 		l.closeStream(id)
@@ -122,31 +124,33 @@
 		l.closeStream(id)
 		return nil, f.SlotRefusal, nil
 	}
-	return &Slot{Grant: *f.SlotGrant, link: l, id: id}, nil, nil
+	return &Slot{Grant: *f.SlotGrant, Queued: queued, link: l, id: id}, nil, nil
 }
 
-// askSlot returns the decision on a slot. The first frame of the reply comes within ackCtx.
-func (l *link) askSlot(ctx, ackCtx context.Context, id uint64, s *stream, r *SlotRequest) (*Frame, error) {
+// askSlot returns the decision on a slot, and whether the request waited for it. The first frame of the reply
+// comes within ackCtx.
+func (l *link) askSlot(ctx, ackCtx context.Context, id uint64, s *stream, r *SlotRequest) (f *Frame, queued bool, err error) {
 	if err := l.send(ackCtx, &Frame{Type: TypeSlotRequest, Stream: id, SlotRequest: r}); err != nil {
-		return nil, causeOf(ackCtx, err)
+		return nil, false, causeOf(ackCtx, err)
 	}
-	f, err := l.nextFrame(ackCtx, s)
+	f, err = l.nextFrame(ackCtx, s)
 	if err != nil {
 		err = causeOf(ackCtx, err)
 		if errors.Is(err, ErrNoReply) {
 			l.miss(boottime.Now())
 		}
-		return nil, err
+		return nil, false, err
 	}
 	if f.Type == TypeSlotQueued {
+		queued = true
 		if f, err = l.nextFrame(ctx, s); err != nil {
-			return nil, err
+			return nil, queued, err
 		}
 	}
 	if f.Type != TypeSlotGranted && f.Type != TypeSlotRefused {
-		return nil, fmt.Errorf("%w: type %d decides on no slot", ErrMalformedFrame, f.Type)
+		return nil, queued, fmt.Errorf("%w: type %d decides on no slot", ErrMalformedFrame, f.Type)
 	}
-	return f, nil
+	return f, queued, nil
 }
 
 // causeOf prefers the cause of a context's end to its bare error.
