balancer: count what an upstream of another region costs

Cause: an upstream of another region counted 5 ms, as one of another zone does, while regions lie 12 ms apart one way and bytes between them are paid for. So the choice went across regions for a thirtieth of the slots of an upstream.

Change: farRegionCost, 30 ms by default, is added for an upstream whose region is known to be another than the request's. Fleets of one region are as before.

Checked: tests of the choice.

--- a/internal/balancer/aimed.go
+++ b/internal/balancer/aimed.go
@@ -11,6 +11,8 @@
 	// FarCost is what an upstream of another availability zone than the request's counts
 	// for in time.
 	FarCost time.Duration
+	// FarRegionCost is what one of another region counts for beside that.
+	FarRegionCost time.Duration
 	// Weights of what a choice costs.
 	Weights AimedWeights
 	// AnyChance sends an answer also where it hardly ends in time.
@@ -95,6 +97,9 @@
 	if u.Zone != w.Zone {
 		cost += p.FarCost
 	}
+	if w.Region != "" && u.Region != "" && u.Region != w.Region {
+		cost += p.FarRegionCost
+	}
 	if w.Prompt == 0 {
 		return cost // no engine: nothing is known of its speed
 	}
--- a/internal/balancer/aimed_test.go
+++ b/internal/balancer/aimed_test.go
@@ -54,6 +54,20 @@
 	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, Work{Zone: "merkato"}).Upstream.ID, "far")
 }
 
+// An upstream in another region costs a round trip, and is used where the near ones are crowded.
+func TestAimedPrefersItsOwnRegion(t *testing.T) {
+	is := is.New(t)
+	p := &Aimed{FarCost: 5 * time.Millisecond, FarRegionCost: 30 * time.Millisecond, Weights: DefaultAimedWeights}
+	far := &Upstream{ID: "far", Zone: "b", Region: "south", Slots: 20}
+	near := &Upstream{ID: "near", Zone: "c", Region: "north", Slots: 20, Running: 1}
+	work := Work{Zone: "a", Region: "north"}
+	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, work).Upstream.ID, "near")
+	near.Running = 3 // three of 20 slots count more than the distance
+	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, work).Upstream.ID, "far")
+	near.Running, far.Region = 1, "" // not known
+	is.Equal(p.Pick(time.Now(), []*Upstream{far, near}, work).Upstream.ID, "far")
+}
+
 func TestAimedSparesAnUpstreamThatFails(t *testing.T) {
 	is := is.New(t)
 	p := &Aimed{Weights: DefaultAimedWeights}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -156,8 +156,9 @@
 	// the whole answer is; 0 where there is no such bound.
 	FirstIn time.Duration
 	EndIn   time.Duration
-	// Zone is the availability zone that the request came to.
-	Zone string
+	// Zone is the availability zone that the request came to, and Region the zone's, where it is known.
+	Zone   string
+	Region string
 }
 
 // Uncached returns the prompt tokens that the upstream likely has to read.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -164,6 +164,7 @@
 		Cores:          s.Routed.Cores,
 		Zone:           s.Zone,
 		FarCost:        time.Duration(s.Routed.FarCost),
+		FarRegionCost:  time.Duration(s.Routed.FarRegionCost),
 		Regions:        s.Routed.Regions,
 		Local:          net.ParseIP(s.Routed.LocalIP),
 		ConnectTimeout: time.Duration(s.Upstreams.ConnectTimeout),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,9 +34,10 @@
 	// Cores is the processor time that it has, in cores; 0 is unknown.
 	Cores float64
 	// Zone is this instance's availability zone; upstreams of others count FarCost
-	// more.
-	Zone    string
-	FarCost time.Duration
+	// more, and those of another region FarRegionCost beside that.
+	Zone          string
+	FarCost       time.Duration
+	FarRegionCost time.Duration
 	// Regions are those of availability zones, by zone.
 	Regions map[string]string
 	// Local is the IP number that connections come from; nil leaves it to the kernel.
@@ -146,7 +147,7 @@
 }
 
 func (f *Fleet) newShard(service string, index int) *shard {
-	picker := &balancer.Aimed{FarCost: f.o.FarCost, Weights: balancer.DefaultAimedWeights}
+	picker := &balancer.Aimed{FarCost: f.o.FarCost, FarRegionCost: f.o.FarRegionCost, Weights: balancer.DefaultAimedWeights}
 	core := scheduler.New(scheduler.Options{
 		Picker:        picker,
 		Limits:        f.o.Limits,
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -52,6 +52,7 @@
 	}
 	w.Request.Chain = prefix.ChainOf(w.Parts)
 	w.Request.Zone = f.o.Zone
+	w.Request.Region = f.o.Regions[f.o.Zone]
 	grant, problem := shard.pool.Acquire(ctx, w.Request)
 	if problem != nil {
 		f.noteShort(w.Service)
@@ -189,7 +190,9 @@
 		return
 	}
 	shard := f.shardAt(r.Service, r.Shard)
-	waiting := shard.pool.Submit(requestOf(time.Now(), r))
+	request := requestOf(time.Now(), r)
+	request.Region = f.o.Regions[r.Zone]
+	waiting := shard.pool.Submit(request)
 	turn, decided := waiting.Decided()
 	if !decided {
 		s.Queued()
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -67,8 +67,9 @@
 	// LateIsWorth tells that a late answer is still of use, so that it isn't refused
 	// because its end is predicted too late.
 	LateIsWorth bool
-	// Zone is the availability zone that it came to.
-	Zone string
+	// Zone is the availability zone that it came to, and Region the zone's, where it is known.
+	Zone   string
+	Region string
 	// Exclude is an upstream that failed it already, by its ID.
 	Exclude string
 	// Without are upstreams that whoever sends it may not send to, by their IDs.
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -223,6 +223,7 @@
 		Chain:  r.Chain,
 		EndIn:  r.Deadline.Sub(now),
 		Zone:   r.Zone,
+		Region: r.Region,
 	}
 	if r.Aim > 0 {
 		w.FirstIn = max(r.Arrived.Add(r.Aim).Sub(now), 1) // late already: the sooner the better
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -55,6 +55,7 @@
 	r.QuotaWindow = cmp.Or(r.QuotaWindow, Duration(8*time.Second))
 	r.EvacuateWithin = cmp.Or(r.EvacuateWithin, Duration(5*time.Second))
 	r.FarCost = cmp.Or(r.FarCost, Duration(5*time.Millisecond))
+	r.FarRegionCost = cmp.Or(r.FarRegionCost, Duration(30*time.Millisecond))
 	r.Cores = cmp.Or(r.Cores, 1)
 	r.MaxFiles = cmp.Or(r.MaxFiles, 4096)
 	r.MemoryMB = cmp.Or(r.MemoryMB, 256)
@@ -186,8 +187,8 @@
 		c.add("/routed/retryShare", "is %g; set a share from 0 to 1", r.RetryShare)
 	}
 	c.positive("/routed/quotaWindow", int64(r.QuotaWindow))
-	if r.RetryExtra < 0 || r.QuotaOverage < 0 || r.QuotaSlack < 0 || r.FarCost < 0 {
-		c.add("/routed", "has a negative retryExtra, quotaOverage, quotaSlack or farCost; set 0 or more")
+	if r.RetryExtra < 0 || r.QuotaOverage < 0 || r.QuotaSlack < 0 || r.FarCost < 0 || r.FarRegionCost < 0 {
+		c.add("/routed", "has a negative retryExtra, quotaOverage, quotaSlack, farCost or farRegionCost; set 0 or more")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -247,6 +247,9 @@
 	// FarCost is what an upstream of another availability zone counts for in time.
 	// Default 5ms.
 	FarCost Duration `json:"farCost,omitzero"`
+	// FarRegionCost is what an upstream of another region counts for in time beside that: about a
+	// round trip. Default 30ms.
+	FarRegionCost Duration `json:"farRegionCost,omitzero"`
 	// Cores is the processor time that the process has, in cores. Instances with more of
 	// it schedule for others more often. Default 1.
 	Cores float64 `json:"cores,omitzero"`
