fleet: let owners of shards keep the budget of repeats

Cause: each instance held its part of the bound on repeats by itself: a half of the extra, divided by the number of instances, was also the most that it could save up. With more than half as many instances as the extra has repeats that is less than one, so that nothing was ever sent again: 584 instances and an extra of 640. It holds only while the fleet is small; at 300 instances of a small site (extra 52) it doesn't either.

Ruled out: a ceiling of one for each instance. Its sum over 584 instances just keeps the bound, over 1,200 it wouldn't.

Change: the owner of a shard keeps the budget for it. A request for a slot says whether it is for a first attempt, which adds to the budget, or for a repeat, which takes of it. There is one owner for each part whatever the number of instances; it holds a third of the part's extra, and a third comes back over a window, so that a part that changes its owner keeps the bound. Owners of a fleet that is cut hold the part that they reach. Who reaches no owner has its share among all instances, as before.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -75,6 +75,8 @@
 	ReasonCallerGone Reason = "caller_gone"
 	// ReasonUpstreamRefused: the upstreams refuse work. Come back after the time given.
 	ReasonUpstreamRefused Reason = "upstream_refused"
+	// ReasonRetryBudget: an upstream failed the request, and as many are sent again to the service as may be. Come back after the time given.
+	ReasonRetryBudget Reason = "retry_budget"
 	// ReasonCrashesUpstreams: upstreams crashed again and again while they ran this very request. Change it, or come back after the time given, once they are mended.
 	ReasonCrashesUpstreams Reason = "crashes_upstreams"
 	// ReasonUnreachable: no upstream could be connected to, and nothing was written. Come back later; check the upstreams.
@@ -132,7 +134,7 @@
 	ReasonDeadlinePast, ReasonKeyRequired, ReasonKeyInvalid, ReasonKeyMismatch,
 	ReasonKeyLimit, ReasonNoConfiguration, ReasonNoRoute, ReasonStaleConfiguration, ReasonNoUpstream, ReasonQueueFull,
 	ReasonDisplaced, ReasonPredictedLate, ReasonDeadlineTooShort, ReasonDeadlineExpired, ReasonOrganisationLimit,
-	ReasonDraining, ReasonCallerGone, ReasonUpstreamRefused, ReasonCrashesUpstreams, ReasonUnreachable,
+	ReasonDraining, ReasonCallerGone, ReasonUpstreamRefused, ReasonRetryBudget, ReasonCrashesUpstreams, ReasonUnreachable,
 	ReasonKeyExpired, ReasonIssuerGone, ReasonIssuerUnreachable, ReasonNotFirstAttempt,
 	ReasonUpstreamLost, ReasonUpstreamCut, ReasonUpstreamGarbage, ReasonUpstreamTimeout,
 	ReasonAnswerEvicted,
--- a/api/problem.go
+++ b/api/problem.go
@@ -118,6 +118,7 @@
 	ReasonUpstreamCut:       http.StatusBadGateway,
 	ReasonUpstreamGarbage:   http.StatusBadGateway,
 	ReasonUpstreamRefused:   http.StatusBadGateway,
+	ReasonRetryBudget:       http.StatusBadGateway,
 	ReasonCrashesUpstreams:  http.StatusUnprocessableEntity,
 	ReasonUpstreamTimeout:   http.StatusGatewayTimeout,
 	ReasonDeadlineExpired:   http.StatusGatewayTimeout,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -104,6 +104,7 @@
 	service string
 	index   int
 	pool    *pool.Pool
+	repeats *retrybudget.Budget // that its owner grants
 }
 
 // New returns a fleet without upstreams.
@@ -128,7 +129,8 @@
 	}
 }
 
-// Repeats returns the budget out of which requests to a service are sent again.
+// Repeats returns the budget out of which this instance sends requests to a service again while it reaches no
+// owner: its share among all instances.
 func (f *Fleet) Repeats(service string) *retrybudget.Budget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -155,7 +157,16 @@
 		MinRetryAfter: minRetryAfter,
 	})
 	core.SetColdStart(f.services[service].coldStart, scheduler.Reach{})
-	return &shard{service: service, index: index, pool: pool.New(pool.Options{Core: core})}
+	return &shard{service: service, index: index, pool: pool.New(pool.Options{Core: core}), repeats: retrybudget.New(f.o.Repeats.Owned(index+1, 1))}
+}
+
+// shareRepeats says which part of the bound on repeats each budget holds. The caller holds the lock.
+func (f *Fleet) shareRepeats(s *service) {
+	reached := float64(inReach(f.instances)) / float64(len(f.instances))
+	s.repeats.SetOptions(f.o.Repeats.Split(len(f.instances)))
+	for _, sh := range s.shards {
+		sh.repeats.SetOptions(f.o.Repeats.Owned(len(s.shards), reached))
+	}
 }
 
 // startingRepeats is the budget of a service that is new here. It starts empty: the peers
--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -51,12 +51,10 @@
 		return false
 	}
 	reached = inReach(instances) > inReach(f.instances)
-	if len(instances) != len(f.instances) {
-		for _, s := range f.services {
-			s.repeats.SetOptions(f.o.Repeats.Split(len(instances)))
-		}
-	}
 	f.instances = instances
+	for _, s := range f.services {
+		f.shareRepeats(s)
+	}
 	f.owners.forget()
 	return reached
 }
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -10,6 +10,7 @@
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/prefix"
 	"github.com/tacktally/tacktally/internal/quarantine"
+	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
@@ -31,14 +32,17 @@
 	Service string
 	Request *scheduler.Request
 	Parts   []prefix.Part // of its prompt, in order
+	Ask     peer.Ask
 }
 
 // Acquire blocks until the request gets a slot, is refused, or ctx ends.
 func (f *Fleet) Acquire(ctx context.Context, w *Want) (Lease, *api.Problem) {
 	w.Request.Without = f.without()
 	shard, owners := f.shardAndOwners(w)
+	repeats := f.Repeats(w.Service)
 	for _, owner := range owners {
 		if owner == f.o.Instance {
+			repeats = shard.repeats
 			break
 		}
 		l, problem, err := f.ask(ctx, owner, shard, w)
@@ -50,17 +54,42 @@
 		}
 		f.distrust(owner, w.ID, err)
 	}
+	if len(owners) == 0 {
+		repeats = shard.repeats // there is nobody else
+	}
+	if problem := pay(repeats, w.Ask); problem != nil {
+		return nil, problem
+	}
 	w.Request.Chain = prefix.ChainOf(w.Parts)
 	w.Request.Zone = f.o.Zone
 	w.Request.Region = f.o.Regions[f.o.Zone]
 	grant, problem := shard.pool.Acquire(ctx, w.Request)
 	if problem != nil {
 		f.noteShort(w.Service)
+		payBack(repeats, w.Ask)
 		return nil, problem
 	}
 	return &ownLease{shard: shard, grant: grant, listVersion: f.listVersion()}, nil
 }
 
+// pay takes what an attempt costs of a budget of repeats, or adds what it earns.
+func pay(repeats *retrybudget.Budget, ask peer.Ask) *api.Problem {
+	switch {
+	case ask == peer.AskFirst:
+		repeats.Deposit()
+	case ask == peer.AskRepeat && !repeats.Withdraw():
+		return api.Refuse(api.ReasonRetryBudget, "as many requests are sent again to the service as may be; come back after the time given").WithRetryAfter(ComeBackSoon)
+	}
+	return nil
+}
+
+// payBack gives back what was paid for an attempt that isn't made.
+func payBack(repeats *retrybudget.Budget, ask peer.Ask) {
+	if ask == peer.AskRepeat {
+		repeats.Return()
+	}
+}
+
 // shardAndOwners returns a shard and who schedules it; no owner means this instance.
 func (f *Fleet) shardAndOwners(w *Want) (*shard, []string) {
 	f.mu.Lock()
@@ -102,6 +131,8 @@
 	switch {
 	case err != nil:
 		return nil, nil, err
+	case refusal != nil && api.Reason(refusal.Reason) == api.ReasonRetryBudget:
+		return nil, problemOf(refusal), nil
 	case refusal != nil:
 		f.noteShort(w.Service)
 		return nil, problemOf(refusal), nil
@@ -138,6 +169,7 @@
 		Bytes:        r.Bytes,
 		Exclude:      r.Exclude,
 		Without:      r.Without,
+		Ask:          w.Ask,
 		Zone:         f.o.Zone,
 		Bound:        r.Homes.Bound,
 		Regions:      r.Homes.Regions,
@@ -190,6 +222,11 @@
 		return
 	}
 	shard := f.shardAt(r.Service, r.Shard)
+	if p := pay(shard.repeats, r.Ask); p != nil {
+		err := s.Refused(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
+		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
+		return
+	}
 	request := requestOf(time.Now(), r)
 	request.Region = f.o.Regions[r.Zone]
 	waiting := shard.pool.Submit(request)
@@ -199,6 +236,7 @@
 		turn = waiting.Wait(ctx)
 	}
 	if turn.Problem != nil {
+		payBack(shard.repeats, r.Ask)
 		p := turn.Problem
 		err := s.Refused(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -159,6 +159,7 @@
 	}
 	s.shards = shards
 	s.homes = homesOf(f.o.Instance, s.name, want)
+	f.shareRepeats(s)
 	members := make([][]scheduler.Member, want)
 	for _, u := range f.upstreams {
 		if u.Service != s.name {
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -51,8 +51,22 @@
 	Digest uint64 `cbor:"19,keyasint,omitempty"`
 	// Without are upstreams that the asking instance may not send to now, by their IDs.
 	Without []string `cbor:"20,keyasint,omitempty"`
+	// Ask says what the request is to the budget of repeats.
+	Ask Ask `cbor:"21,keyasint,omitempty"`
 }
 
+// Ask is what a request for a slot is to the budget out of which requests are sent again.
+type Ask uint8
+
+const (
+	// AskFirst: the slot is for the first attempt of a request, which adds to the budget.
+	AskFirst Ask = iota
+	// AskAnew: it is for an attempt that was asked for before and wasn't sent.
+	AskAnew
+	// AskRepeat: the request was sent before, so that the budget must have it.
+	AskRepeat
+)
+
 // PromptPart is a part of a prompt that other prompts may begin with too.
 type PromptPart struct {
 	// Sum names the text up to its end.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -10,8 +10,8 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/quarantine"
-	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
@@ -79,18 +79,24 @@
 func (j *job) run() *api.Problem {
 	ctx, cancel := j.context()
 	defer cancel()
-	repeats := j.handler.o.Fleet.Repeats(j.service)
-	repeats.Deposit()
 	exclude := ""
+	ask := peer.AskFirst
+	var last result
 	unsent, unusable := 0, 0
 	for {
 		if problem := j.heldBack(); problem != nil {
 			return j.orFailure(j.givenUp(problem))
 		}
-		l, problem := j.handler.o.Fleet.Acquire(ctx, j.want(exclude))
+		l, problem := j.handler.o.Fleet.Acquire(ctx, j.want(exclude, ask))
+		if problem == nil || ask == peer.AskFirst {
+			ask = peer.AskAnew
+		}
 		if problem != nil && j.waitsForRest(ctx, problem) {
 			continue
 		}
+		if problem != nil && problem.Reason == api.ReasonRetryBudget {
+			return j.ended(last)
+		}
 		if problem != nil {
 			return j.orFailure(j.givenUp(j.orRest(problem)))
 		}
@@ -106,10 +112,14 @@
 		if r.failure != nil {
 			j.failure = r.failure
 		}
-		reason, again := j.again(ctx, repeats, r, unsent < maxUnsent && unusable < maxUnusable)
-		if !again {
+		reason, next := j.again(ctx, r, unsent < maxUnsent && unusable < maxUnusable)
+		if next == isLast {
 			return j.ended(r)
 		}
+		if next == repeats {
+			ask = peer.AskRepeat
+		}
+		last = r
 		exclude = l.Upstream()
 		j.handler.o.Metrics.Retried(reason)
 		j.handler.o.Log.Info().Str("event", "retry").Str("request", j.call.ID).Str("reason", string(reason)).
@@ -118,8 +128,8 @@
 }
 
 // want is what the request asks the fleet for. Exclude is an upstream that failed it.
-func (j *job) want(exclude string) *fleet.Want {
-	return &fleet.Want{ID: j.call.ID, Key: j.key, Service: j.service, Request: j.schedulerRequest(exclude), Parts: j.call.Parts}
+func (j *job) want(exclude string, ask peer.Ask) *fleet.Want {
+	return &fleet.Want{ID: j.call.ID, Key: j.key, Service: j.service, Request: j.schedulerRequest(exclude), Parts: j.call.Parts, Ask: ask}
 }
 
 func (j *job) schedulerRequest(exclude string) *scheduler.Request {
@@ -151,18 +161,18 @@
 	return time.Duration(patienceShare * float64(j.route.Target))
 }
 
-// again decides whether the request is sent once more, and why.
-func (j *job) again(ctx context.Context, repeats *retrybudget.Budget, r result, mayConnect bool) (api.Reason, bool) {
+// again decides whether the request may be sent once more, and why.
+func (j *job) again(ctx context.Context, r result, mayConnect bool) (api.Reason, following) {
 	if ctx.Err() != nil {
-		return "", false
+		return "", isLast
 	}
 	switch r.status {
 	case notSent, notUsable:
-		return api.RetryConnect, mayConnect
+		return api.RetryConnect, followedIf(mayConnect, goesAnew)
 	case notRun, misdirected:
-		return api.RetryUpstreamBusy, j.mayGoOn() && repeats.Withdraw()
+		return api.RetryUpstreamBusy, followedIf(j.mayGoOn(), repeats)
 	case failed:
-		return api.RetryUpstreamFailed, j.route.MayRepeat() && j.mayGoOn() && repeats.Withdraw()
+		return api.RetryUpstreamFailed, followedIf(j.route.MayRepeat() && j.mayGoOn(), repeats)
 	case lost, garbage, cut:
 		reason := api.RetryUpstreamLost
 		if errors.Is(r.err, errSilent) {
@@ -170,10 +180,29 @@
 		} else if r.status == cut {
 			reason = api.RetryResume
 		}
-		return reason, j.route.MayRepeat() && j.mayGoOn() && repeats.Withdraw()
+		return reason, followedIf(j.route.MayRepeat() && j.mayGoOn(), repeats)
 	default:
-		return "", false
+		return "", isLast
+	}
+}
+
+// following is what follows an attempt.
+type following uint8
+
+const (
+	// isLast: nothing.
+	isLast following = iota
+	// goesAnew: another one in its place, since nothing was sent.
+	goesAnew
+	// repeats: a repeat, if the budget has it.
+	repeats
+)
+
+func followedIf(may bool, f following) following {
+	if !may {
+		return isLast
 	}
+	return f
 }
 
 // mayGoOn tells whether the request may be sent to one more upstream. An answer of
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -51,6 +51,13 @@
 	return true
 }
 
+// Return gives back a repeat that was taken and wasn't made.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.add(1)
+}
+
 func (b *Budget) add(n float64) { b.saved = min(b.saved+n, b.o.Ceiling) }
 
 // Slack is a bound over all instances: in any Window, Share of the requests and Extra
@@ -78,6 +85,22 @@
 	}
 }
 
+// ownedPart is the part of the extra that an owner holds at once, and that comes back to it over a window. A
+// third, since another instance may take the part over within a window, with a third of its own.
+const ownedPart = 1.0 / 3
+
+// Owned returns the options of the owner of one of so many parts of a service, where it and those within its
+// reach are a part of the fleet. However many instances there are, a part has one owner at a time, so what it
+// holds is large enough to be used. It starts empty.
+func (s Slack) Owned(parts int, reached float64) Options {
+	held := s.Extra * ownedPart * reached / float64(max(parts, 1))
+	return Options{
+		Share:     s.Share * shareMargin,
+		Ceiling:   held,
+		PerSecond: held / s.Window.Seconds(),
+	}
+}
+
 // SetOptions changes the options and keeps what is saved, within the new ceiling.
 func (b *Budget) SetOptions(o Options) {
 	b.mu.Lock()
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -56,3 +56,40 @@
 	b.SetOptions(slack.Split(6))
 	is.Equal(drain(b), 5)
 }
+
+// Owners of the parts of a service together keep the bound in each window, also where each part changes its
+// owner within it. How many instances there are doesn't matter.
+func TestOwnersTogetherKeepTheBoundInEachWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		slack := Slack{Share: 0.2, Extra: 640, Window: 10 * time.Second}
+		const parts = 23
+		repeats := 0
+		for range parts {
+			before, after := New(slack.Owned(parts, 1)), New(slack.Owned(parts, 1))
+			<-time.After(10 * time.Second) // what they may hold comes back
+			repeats += drain(before)
+			<-time.After(5 * time.Second)
+			repeats += drain(before)
+			repeats += drain(after)
+			<-time.After(5 * time.Second)
+			repeats += drain(after)
+		}
+		is.True(repeats <= 640)
+		is.True(repeats >= 500)
+	})
+}
+
+// An owner that reaches a part of the fleet alone holds that part.
+func TestAnOwnerThatReachesHalfOfTheFleetHoldsHalf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		slack := Slack{Extra: 60, Window: 10 * time.Second}
+		b := New(slack.Owned(1, 0.5))
+		is.Equal(drain(b), 0) // it starts empty
+		<-time.After(20 * time.Second)
+		is.Equal(drain(b), 10)
+		b.Return()
+		is.Equal(drain(b), 1)
+	})
+}
