view: say once of a version that two lists differ

Cause: where one list lacks what its upstream's own word removed, lists of one version differ until the source has the news too. Each proof that a peer brought in the meantime, one a second, compared them anew and said so in the log.

Change: once the parts of a version have been compared, the digest of that version says nothing new.

Checked: tests of view.

--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -54,7 +54,8 @@
 		return true
 	}
 	r.unlike = 0
-	if l.Digest == r.sums.listed.Digest() {
+	compared := r.compared == r.version && l.Parts == nil
+	if compared || l.Digest == r.sums.listed.Digest() {
 		return true
 	}
 	if l.Parts != nil {
