all: call an attempt an attempt

Fleet.Sending is Fleet.BeginAttempt, proxy.Sending is proxy.Attempt, the client's state of a request is requestState, and the log's event sending_failed is attempt_failed, which tacktally outcomes and explain read.

No change of behaviour; tests keep their assertions.

--- a/api/headers.go
+++ b/api/headers.go
@@ -10,7 +10,7 @@
 	HeaderNonIdempotent = "Tacktally-Non-Idempotent"
 	// HeaderIdempotencyKey carries an issued key or a caller-chosen ID.
 	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderAttempt is "1" on the first sending of a caller-chosen ID, and
+	// HeaderAttempt is "1" on the first attempt of a caller-chosen ID, and
 	// higher on each repeat.
 	HeaderAttempt = "Tacktally-Attempt"
 	// HeaderRetryCount is the same mark as OpenAI's clients send it: 0 first.
@@ -23,7 +23,7 @@
 const (
 	// HeaderOutcome is the Outcome known when the header was written.
 	HeaderOutcome = "Tacktally-Outcome"
-	// HeaderAttemptOutcome is "not-run" when this sending, other than earlier
+	// HeaderAttemptOutcome is "not-run" when this attempt, other than earlier
 	// ones under the same key, was given to no upstream and to no other instance.
 	HeaderAttemptOutcome = "Tacktally-Attempt-Outcome"
 	// HeaderIssuedKey is an issued idempotency key, on answers with status 428.
@@ -36,7 +36,7 @@
 	HeaderRequestID = "Tacktally-Request-Id"
 	// HeaderUpstream is the upstream that answered.
 	HeaderUpstream = "Tacktally-Upstream"
-	// HeaderJoined is "true" when the answer is that of an earlier sending.
+	// HeaderJoined is "true" when the answer is that of an earlier attempt.
 	HeaderJoined = "Tacktally-Joined"
 	// HeaderRevision is the configuration revision the request was served under.
 	HeaderRevision = "Tacktally-Revision"
--- a/api/outcome.go
+++ b/api/outcome.go
@@ -91,7 +91,7 @@
 	ReasonIssuerGone Reason = "issuer_gone"
 	// ReasonIssuerUnreachable: the issuing instance can't be reached now. Repeat with the same key later.
 	ReasonIssuerUnreachable Reason = "issuer_unreachable"
-	// ReasonNotFirstAttempt: a repeat of a caller-chosen ID that no reachable instance holds. Mark the first sending, or check what it did and use a new ID.
+	// ReasonNotFirstAttempt: a repeat of a caller-chosen ID that no reachable instance holds. Mark the first attempt, or check what it did and use a new ID.
 	ReasonNotFirstAttempt Reason = "not_first_attempt"
 	// ReasonUpstreamLost: the connection broke after the request was written. Check what it did before sending it under a new key.
 	ReasonUpstreamLost Reason = "upstream_lost"
--- a/api/problem.go
+++ b/api/problem.go
@@ -22,9 +22,9 @@
 	Detail string `json:"detail"`
 	// Outcome of the request: not-run or unknown.
 	Outcome Outcome `json:"outcome"`
-	// AttemptOutcome is not-run when this sending, other than earlier ones under
+	// AttemptOutcome is not-run when this attempt, other than earlier ones under
 	// the same key, was given to no upstream and to no other instance. A caller
-	// whose every sending under a key ended so knows that the request didn't run.
+	// whose every attempt under a key ended so knows that the request didn't run.
 	AttemptOutcome Outcome `json:"attemptOutcome,omitempty"`
 	// Reason is the typed reason.
 	Reason Reason `json:"reason"`
@@ -64,7 +64,7 @@
 	return newProblem(Unknown, r, fmt.Sprintf(format, args...))
 }
 
-// ForAttempt returns a copy that says this sending was not run.
+// ForAttempt returns a copy that says this attempt was not run.
 func (p *Problem) ForAttempt() *Problem {
 	c := *p
 	c.AttemptOutcome = NotRun
@@ -72,7 +72,7 @@
 }
 
 // UnderKey words a refusal that was made without asking the issuer of the key that
-// the request came with: this sending didn't run, but another may have.
+// the request came with: this attempt didn't run, but another may have.
 func (p *Problem) UnderKey() *Problem {
 	c := p.ForAttempt()
 	c.Outcome = Unknown
--- a/api/resources.go
+++ b/api/resources.go
@@ -71,7 +71,7 @@
 	TokensPerSecond float64 `json:"tokensPerSecond,omitzero"`
 	// CallerChosenIDs is "refuse" (default) or "first-attempt": whether an
 	// Idempotency-Key that the caller made up may dispatch when it is marked
-	// as the first sending.
+	// as the first attempt.
 	CallerChosenIDs CallerIDPolicy `json:"callerChosenIDs,omitzero"`
 }
 
--- a/client/client.go
+++ b/client/client.go
@@ -41,7 +41,7 @@
 	HTTP *http.Client
 	// KeysInHand is how many issued keys are fetched at once. Default 8.
 	KeysInHand int
-	// MaxAttempts bounds the sendings of one request. Default 4.
+	// MaxAttempts bounds the attempts of one request. Default 4.
 	MaxAttempts int
 }
 
@@ -121,7 +121,7 @@
 
 // Do sends a request until it is answered or given up. The error is an *Error.
 func (c *Client) Do(ctx context.Context, r Request) (*Result, error) {
-	s := &sending{client: c, request: r}
+	s := &requestState{client: c, request: r}
 	defer s.finish()
 	for {
 		response, err := s.attempt(ctx)
@@ -138,21 +138,21 @@
 	}
 }
 
-// sending is the state of one request over its attempts.
-type sending struct {
+// requestState is the state of one request over its attempts.
+type requestState struct {
 	client   *Client
 	request  Request
 	key      string
 	lastID   string // of the last event received, for a stream
 	attempts int
 	used     bool // the key was sent
-	// uncertain is set once a sending under the key may have reached an upstream.
+	// uncertain is set once an attempt under the key may have reached an upstream.
 	uncertain bool
 	problem   *api.Problem
 	err       error
 }
 
-func (s *sending) failed(ctx context.Context) *Error {
+func (s *requestState) failed(ctx context.Context) *Error {
 	e := &Error{Outcome: api.NotRun, Problem: s.problem, Err: s.err, Attempts: s.attempts}
 	if e.Err == nil {
 		e.Err = ctx.Err()
@@ -164,14 +164,14 @@
 }
 
 // finish gives back a key that was never used.
-func (s *sending) finish() {
+func (s *requestState) finish() {
 	if s.key != "" && !s.used {
 		s.client.putKey(s.key)
 	}
 }
 
 // attempt sends the request once.
-func (s *sending) attempt(ctx context.Context) (*http.Response, error) {
+func (s *requestState) attempt(ctx context.Context) (*http.Response, error) {
 	s.attempts++
 	if s.request.NonIdempotent && s.key == "" {
 		key, err := s.client.takeKey(ctx)
@@ -193,7 +193,7 @@
 	return response, nil
 }
 
-func (s *sending) build() (*http.Request, error) {
+func (s *requestState) build() (*http.Request, error) {
 	r := s.request
 	b := sling.New().Base(s.client.o.URL).Set("Authorization", "Bearer "+s.client.o.APIKey)
 	switch r.Method {
@@ -240,7 +240,7 @@
 var errIncomplete = errors.New("the answer broke off")
 
 // read takes in a whole answer, or the problem in its place.
-func (s *sending) read(response *http.Response) (*Result, error) {
+func (s *requestState) read(response *http.Response) (*Result, error) {
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
@@ -253,7 +253,7 @@
 	return &Result{Outcome: api.Answered, Status: response.StatusCode, Header: response.Header, Body: body, Attempts: s.attempts}, nil
 }
 
-func (s *sending) readProblem(response *http.Response, body []byte) error {
+func (s *requestState) readProblem(response *http.Response, body []byte) error {
 	var p api.Problem
 	if err := json.Unmarshal(body, &p); err != nil {
 		s.uncertain = true
@@ -266,7 +266,7 @@
 }
 
 // judge decides after a failed attempt whether to send again, and when.
-func (s *sending) judge(err error) (pause time.Duration, again bool) {
+func (s *requestState) judge(err error) (pause time.Duration, again bool) {
 	pause = retryPause
 	var p *api.Problem
 	if errors.As(err, &p) {
@@ -277,12 +277,12 @@
 		again = s.judgeProblem(p)
 	} else {
 		s.err = err
-		again = true // the same key, so that it joins an earlier sending
+		again = true // the same key, so that it joins an earlier attempt
 	}
 	return pause, again && s.attempts < s.client.o.MaxAttempts
 }
 
-func (s *sending) judgeProblem(p *api.Problem) bool {
+func (s *requestState) judgeProblem(p *api.Problem) bool {
 	switch {
 	case p.Reason == api.ReasonKeyRequired && p.IdempotencyKey != "":
 		s.request.NonIdempotent = true // the operator declared it so
@@ -294,7 +294,7 @@
 		s.uncertain = false
 		return p.RetryAfterSeconds > 0
 	case p.AttemptOutcome == api.NotRun && !s.uncertain && p.Reason == api.ReasonIssuerGone:
-		s.key = "" // no sending under it was ever dispatched
+		s.key = "" // no attempt under it was ever dispatched
 		return true
 	case p.AttemptOutcome == api.NotRun && p.Reason == api.ReasonIssuerUnreachable:
 		return true
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -203,7 +203,7 @@
 		"issuer unreachable keeps the key":             {true, []*api.Problem{wait(api.LeaveUnknown(api.ReasonIssuerUnreachable, "cut")), nil}, api.Answered, 2, 1},
 		"issuer gone and nothing sent takes a new key": {true, []*api.Problem{api.LeaveUnknown(api.ReasonIssuerGone, "gone").ForAttempt(), nil}, api.Answered, 2, 2},
 		"issuer gone and perhaps sent ends":            {true, []*api.Problem{api.LeaveUnknown(api.ReasonIssuerGone, "gone")}, api.Unknown, 1, 1},
-		"issuer gone after a doubtful sending ends":    {true, []*api.Problem{wait(api.LeaveUnknown(api.ReasonIssuerUnreachable, "cut")), api.LeaveUnknown(api.ReasonIssuerGone, "gone").ForAttempt()}, api.Unknown, 2, 1},
+		"issuer gone after a doubtful attempt ends":    {true, []*api.Problem{wait(api.LeaveUnknown(api.ReasonIssuerUnreachable, "cut")), api.LeaveUnknown(api.ReasonIssuerGone, "gone").ForAttempt()}, api.Unknown, 2, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/client/stream.go
+++ b/client/stream.go
@@ -24,7 +24,7 @@
 // Stream is a streamed answer. It is for one goroutine.
 type Stream struct {
 	ctx      context.Context
-	sending  *sending
+	request  *requestState
 	response *http.Response
 	lines    *bufio.Scanner
 	done     bool
@@ -33,7 +33,7 @@
 // Stream sends a request whose body asks for a streamed answer. The error is an
 // *Error. Close the stream when done.
 func (c *Client) Stream(ctx context.Context, r Request) (*Stream, error) {
-	s := &Stream{ctx: ctx, sending: &sending{client: c, request: r}}
+	s := &Stream{ctx: ctx, request: &requestState{client: c, request: r}}
 	if err := s.connect(); err != nil {
 		return nil, err
 	}
@@ -43,22 +43,22 @@
 // connect sends the request, from the last event on, until a stream is open.
 func (s *Stream) connect() error {
 	for {
-		response, err := s.sending.attempt(s.ctx)
+		response, err := s.request.attempt(s.ctx)
 		if err == nil {
 			if response.Header.Get("Content-Type") == contentTypeEvents {
 				s.open(response)
 				return nil
 			}
-			_, err = s.sending.read(response)
+			_, err = s.request.read(response)
 			if err == nil {
 				err = fmt.Errorf("the answer is no stream; ask for one in the body")
-				s.sending.err = err
-				return s.sending.failed(s.ctx)
+				s.request.err = err
+				return s.request.failed(s.ctx)
 			}
 		}
-		pause, again := s.sending.judge(err)
+		pause, again := s.request.judge(err)
 		if !again || !wait.For(s.ctx, pause) {
-			return s.sending.failed(s.ctx)
+			return s.request.failed(s.ctx)
 		}
 	}
 }
@@ -103,7 +103,7 @@
 				return nil, problemOf(data)
 			}
 			if id != "" {
-				s.sending.lastID = id
+				s.request.lastID = id
 			}
 			return data, nil
 		case string(field) == "data":
@@ -131,10 +131,10 @@
 // isn't begun anew: its user has seen a part already.
 func (s *Stream) reconnect(cause error) error {
 	s.response.Body.Close()
-	pause, again := s.sending.judge(cause)
-	s.sending.uncertain = true
-	if s.sending.lastID == "" || !again || !wait.For(s.ctx, pause) {
-		return s.sending.failed(s.ctx)
+	pause, again := s.request.judge(cause)
+	s.request.uncertain = true
+	if s.request.lastID == "" || !again || !wait.For(s.ctx, pause) {
+		return s.request.failed(s.ctx)
 	}
 	return s.connect()
 }
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -16,7 +16,7 @@
 	"github.com/tacktally/tacktally/internal/upstream"
 )
 
-// attempts makes the sendings of one request.
+// attempts makes the attempts of one request.
 type attempts struct {
 	key          quarantine.Key
 	dispatcher   *Dispatcher
@@ -35,7 +35,7 @@
 	spilled bool
 	// output is the number of output tokens relayed.
 	output int
-	// mayHaveRun is set once a sending was lost after it was written.
+	// mayHaveRun is set once an attempt was lost after it was written.
 	mayHaveRun bool
 }
 
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -16,7 +16,7 @@
 	return quarantine.Key{Organisation: r.Organisation, Digest: binary.BigEndian.Uint64(r.Sum[:])}
 }
 
-// learnOfCrash takes what the end of a sending says of crashes, and tells the peers what is new. An
+// learnOfCrash takes what the end of an attempt says of crashes, and tells the peers what is new. An
 // upstream is named by its address: one that starts again there and crashes again soon counts once.
 func (a *attempts) learnOfCrash(address string, r upstream.Result) {
 	o, now := a.dispatcher.o, time.Now()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,7 +45,7 @@
 	budgetFloor = 5
 	// budgetCeiling bounds the retries that can be saved up.
 	budgetCeiling = 100
-	// maxAttempts bounds the sendings of one request.
+	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
 	// maxResumes bounds how often one stream is resumed.
 	maxResumes = 3
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -28,7 +28,7 @@
 	return proxy.Call{}, errors.New("nothing")
 }
 func (nothing) Forward(h http.Header) http.Header                  { return h.Clone() }
-func (nothing) Prepare(http.Header, proxy.Sending)                 {}
+func (nothing) Prepare(http.Header, proxy.Attempt)                 {}
 func (nothing) Answers(http.Header, string) bool                   { return false }
 func (nothing) ReadHead(int, http.Header) proxy.Head               { return proxy.Head{} }
 func (nothing) WriteProblem(w http.ResponseWriter, _ *api.Problem) { w.WriteHeader(http.StatusTeapot) }
--- a/internal/faults/keys_test.go
+++ b/internal/faults/keys_test.go
@@ -12,7 +12,7 @@
 )
 
 // An instance that refuses before it has asked the issuer can't know whether
-// another sending ran.
+// another attempt ran.
 func TestRefusalWithoutTheIssuerIsNeverNotRun(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/internal/fleet/rests.go
+++ b/internal/fleet/rests.go
@@ -24,9 +24,9 @@
 	f.o.Log.Info().Str("event", "upstream_rests").Str("upstream", id).Dur("wanted", wanted).Msg("")
 }
 
-// Sending tells whether a request may go to an upstream now, right before its first byte. Heard or
+// BeginAttempt tells whether a request may go to an upstream now, right before its first byte. Heard or
 // Unheard is to follow where it may.
-func (f *Fleet) Sending(id string) error {
+func (f *Fleet) BeginAttempt(id string) error {
 	if err := f.MayBeSent(id); err != nil {
 		return err
 	}
--- a/internal/gateway/callerchosen.go
+++ b/internal/gateway/callerchosen.go
@@ -12,7 +12,7 @@
 	"github.com/tacktally/tacktally/internal/request"
 )
 
-// joinTimeout bounds the search among the peers for an earlier sending.
+// joinTimeout bounds the search among the peers for an earlier attempt.
 const joinTimeout = 2 * time.Second
 
 // handleCallerChosen serves a request under an ID that the caller made up.
@@ -57,7 +57,7 @@
 	}
 }
 
-// joinHere returns the answer of an earlier sending, or a Problem.
+// joinHere returns the answer of an earlier attempt, or a Problem.
 func (g *Gateway) joinHere(r *request.Request) *answer.Buffer {
 	b, found, problem := g.o.Register.Join(g.use(r))
 	if problem != nil {
@@ -71,7 +71,7 @@
 }
 
 func notFirstAttempt() *api.Problem {
-	return api.LeaveUnknown(api.ReasonNotFirstAttempt, "no instance within reach holds an earlier sending of this ID, and only the first may run; mark the first sending with %s: 1, or check what it did and use a new ID", api.HeaderAttempt)
+	return api.LeaveUnknown(api.ReasonNotFirstAttempt, "no instance within reach holds an earlier attempt of this ID, and only the first may run; mark the first attempt with %s: 1, or check what it did and use a new ID", api.HeaderAttempt)
 }
 
 func isNotFound(b *answer.Buffer) bool {
@@ -79,7 +79,7 @@
 	return end != nil && end.Problem != nil && end.Problem.Reason == api.ReasonNotFirstAttempt
 }
 
-// joinElsewhere asks every peer within reach for an earlier sending. The first
+// joinElsewhere asks every peer within reach for an earlier attempt. The first
 // that holds one gives the answer.
 func (g *Gateway) joinElsewhere(ctx context.Context, r *request.Request) *answer.Buffer {
 	ask := *r
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// forAttempt says that this sending was not run where nothing was sent.
+// forAttempt says that this attempt was not run where nothing was sent.
 func forAttempt(p *api.Problem, sent bool) *api.Problem {
 	if sent {
 		return p
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,7 +3,7 @@
 //
 // The rules stand in docs/design/at-most-once.md. In short: an issued key leads
 // to its issuer and nowhere else; a caller-chosen ID dispatches only on the
-// sending that the caller marks as the first; any other sending joins an earlier
+// attempt that the caller marks as the first; any other attempt joins an earlier
 // one where an instance within reach holds it, and is never dispatched.
 package gateway
 
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -1,7 +1,7 @@
 // Package history records what concurrent runs did, and checks it against the
 // promises.
 //
-// A run records each request's sendings and answers, and each dispatch that the
+// A run records each request's attempts and answers, and each dispatch that the
 // stand-ins saw. Check applies the predicates; Linearizable reads the same
 // history as that of a register that holds for each key whether it ran.
 package history
@@ -16,7 +16,7 @@
 	"github.com/tacktally/tacktally/api"
 )
 
-// Answer is what a caller was told of one sending.
+// Answer is what a caller was told of one attempt.
 type Answer struct {
 	// Key that the request was sent under; it names the request.
 	Key string
@@ -28,7 +28,7 @@
 	Reason api.Reason
 	// Body of the answer when the outcome is answered.
 	Body string
-	// Sent and Got are when the sending began and its answer came.
+	// Sent and Got are when the attempt began and its answer came.
 	Sent, Got time.Time
 }
 
@@ -161,7 +161,7 @@
 
 // Linearizable tells whether the history is one of a register that takes each
 // key at most once: a dispatch needs a key that neither ran nor was voided; an
-// answered sending needs one that ran; a not-run voids one that didn't.
+// answered attempt needs one that ran; a not-run voids one that didn't.
 func (r *Recorder) Linearizable() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/idempotency/idempotency_test.go
+++ b/internal/idempotency/idempotency_test.go
@@ -36,7 +36,7 @@
 	is.True(key != mine.Issue("gebremedhin", "booking-7", time.Minute)) // each key is its own
 }
 
-// uses is a table of sendings under keys, in virtual time.
+// uses is a table of attempts under keys, in virtual time.
 func TestRegister(t *testing.T) {
 	type step struct {
 		wait    time.Duration
--- a/internal/idempotency/register.go
+++ b/internal/idempotency/register.go
@@ -27,7 +27,7 @@
 // String returns the sum in hex.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
-// Use is one sending of a request under a key or a caller-chosen ID.
+// Use is one attempt of a request under a key or a caller-chosen ID.
 type Use struct {
 	// Key is the issued key, or the organisation and the caller-chosen ID.
 	Key string
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -13,8 +13,8 @@
 not a line of ours
   4.2 front-a time=2026-02-03T12:00:02.000Z level=info instance=b event=request_ended request=2 reason=deadline_expired detail="rank 1, 2 waiting" service=s organisation=crews took=1500.5
 time=2026-02-03T12:00:03.000Z level=info instance=a event=request_ended request=1 reason=organisation_limit detail="used \"all\"" organisation=crews service=s took=4
-time=2026-02-03T12:00:03.100Z level=info instance=a event=sending_failed request=3 upstream=u status=lost cause=reset
-time=2026-02-03T12:00:03.200Z level=info instance=b event=sending_failed request=4 upstream=u status=lost cause=reset
+time=2026-02-03T12:00:03.100Z level=info instance=a event=attempt_failed request=3 upstream=u status=lost cause=reset
+time=2026-02-03T12:00:03.200Z level=info instance=b event=attempt_failed request=4 upstream=u status=lost cause=reset
 time=2026-02-03T12:00:03.300Z level=info instance=a event=request_ended request=3 organisation=crews service=s took=100
 time=2026-02-03T12:00:04.000Z level=info instance=a event=shard_owner service="quota of crews" shard=0 owner=c
 `
@@ -54,7 +54,7 @@
 		text  string
 	}{
 		"1": {1, "who kept the organisation's bucket", "owner=b"}, // the later change came after it
-		"3": {2, "1 other sendings to u failed within 2s", "request=3"},
+		"3": {2, "1 other attempts to u failed within 2s", "request=3"},
 		"9": {0, "", ""},
 	} {
 		t.Run(request, func(t *testing.T) {
--- a/internal/logs/story.go
+++ b/internal/logs/story.go
@@ -21,7 +21,7 @@
 	Line Line
 }
 
-// around is how far from a failed sending others at the same upstream are looked for.
+// around is how far from a failed attempt others at the same upstream are looked for.
 const around = 2 * time.Second
 
 // StoryOf returns the story of a request from lines in the order of their times. It has no
@@ -44,7 +44,7 @@
 
 // causesOf looks for what decided on one line of a request.
 func causesOf(lines []Line, l Line) []Cause {
-	if l.Event == "sending_failed" {
+	if l.Event == "attempt_failed" {
 		return failuresAt(lines, l)
 	}
 	if l.Event != "request_ended" {
@@ -121,11 +121,11 @@
 	return ""
 }
 
-// failuresAt counts the other sendings that failed at the same upstream about then.
+// failuresAt counts the other attempts that failed at the same upstream about then.
 func failuresAt(lines []Line, failed Line) []Cause {
 	n := 0
 	for _, l := range lines {
-		same := l.Event == "sending_failed" && l.Fields["upstream"] == failed.Fields["upstream"] && l.Fields["request"] != failed.Fields["request"]
+		same := l.Event == "attempt_failed" && l.Fields["upstream"] == failed.Fields["upstream"] && l.Fields["request"] != failed.Fields["request"]
 		if same && l.Time.Sub(failed.Time).Abs() <= around {
 			n++
 		}
@@ -133,5 +133,5 @@
 	if n == 0 {
 		return nil
 	}
-	return []Cause{{Why: fmt.Sprintf("%d other sendings to %s failed within %v", n, failed.Fields["upstream"], around), Line: failed}}
+	return []Cause{{Why: fmt.Sprintf("%d other attempts to %s failed within %v", n, failed.Fields["upstream"], around), Line: failed}}
 }
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -36,7 +36,7 @@
 // errSilent ends an exchange with an upstream that is silent for too long.
 var errSilent = errors.New("the upstream was silent for too long")
 
-// result is how one sending ended.
+// result is how one attempt ended.
 type result struct {
 	status status
 	err    error
@@ -46,7 +46,7 @@
 	failure *heldAnswer
 }
 
-// status of a sending.
+// status of an attempt.
 type status uint8
 
 const (
@@ -211,7 +211,7 @@
 	return j.attempts < j.route.MaxAttempts && (!j.passed || j.after != "")
 }
 
-// learn tells the scheduler how a sending went, and gives the slot back.
+// learn tells the scheduler how an attempt went, and gives the slot back.
 func (j *job) learn(l fleet.Lease, r result) {
 	output := 0
 	if r.status == done {
@@ -220,7 +220,7 @@
 	l.End(endingOf(r.status, j.status), output)
 	j.learnOfCrash(r)
 	if r.status != done {
-		j.handler.o.Log.Info().Str("event", "sending_failed").Str("request", j.call.ID).Str("key", j.key.String()).Int("events", j.events).Str("upstream", l.Upstream()).
+		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.call.ID).Str("key", j.key.String()).Int("events", j.events).Str("upstream", l.Upstream()).
 			Str("owner", l.Owner()).Int64("owner_list", l.ListVersion()).Int64("list", j.sentBy.own).Dur("list_age", j.sentBy.age).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
@@ -245,7 +245,7 @@
 	return j.passFailure()
 }
 
-// problem is what a sending that isn't followed by another one ends with.
+// problem is what an attempt that isn't followed by another one ends with.
 func (j *job) problem(r result) *api.Problem {
 	switch r.status {
 	case done:
@@ -275,9 +275,9 @@
 	case p.Outcome != api.NotRun || !j.mayHaveRun:
 		return p
 	case p.Reason == api.ReasonDeadlineExpired:
-		return api.LeaveUnknown(api.ReasonUpstreamTimeout, "an earlier sending may have run: %s", p.Detail)
+		return api.LeaveUnknown(api.ReasonUpstreamTimeout, "an earlier attempt may have run: %s", p.Detail)
 	default:
-		return api.LeaveUnknown(api.ReasonUpstreamLost, "an earlier sending may have run: %s", p.Detail)
+		return api.LeaveUnknown(api.ReasonUpstreamLost, "an earlier attempt may have run: %s", p.Detail)
 	}
 }
 
@@ -310,7 +310,7 @@
 	}
 }
 
-// endings are how the statuses of a sending are told to the scheduler.
+// endings are how the statuses of an attempt are told to the scheduler.
 var endings = map[status]scheduler.Ending{
 	done:        scheduler.Completed,
 	notSent:     scheduler.Unreachable,
@@ -325,7 +325,7 @@
 	outOfTime:   scheduler.Cancelled,
 }
 
-// endingOf tells how a sending ended, with the status that was passed on.
+// endingOf tells how an attempt ended, with the status that was passed on.
 func endingOf(s status, passed int) scheduler.Ending {
 	if s == done && passed >= http.StatusInternalServerError {
 		return scheduler.Erred
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -24,10 +24,10 @@
 	if j.handler.o.Quarantine.Held(time.Now(), j.key) > 0 {
 		return quarantine.ErrHeld
 	}
-	return j.handler.o.Fleet.Sending(upstream)
+	return j.handler.o.Fleet.BeginAttempt(upstream)
 }
 
-// learnOfCrash takes what the end of a sending says of crashes, and tells the peers what is new.
+// learnOfCrash takes what the end of an attempt says of crashes, and tells the peers what is new.
 func (j *job) learnOfCrash(r result) {
 	book, now := j.handler.o.Quarantine, time.Now()
 	switch {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -60,7 +60,7 @@
 	o        Options
 	flying   atomic.Int64
 	draining atomic.Bool
-	sendings sendings
+	running  running
 }
 
 // New returns a handler.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -189,7 +189,7 @@
 }
 
 // Finding out that an upstream can't be reached may take longer than a request waits for
-// room. The others still have room for it: once a sending has failed, only the deadline
+// room. The others still have room for it: once an attempt has failed, only the deadline
 // bounds the wait.
 func TestARequestThatCouldNotBeSentGoesElsewhereHoweverLongThatTook(t *testing.T) {
 	is := is.New(t)
@@ -237,7 +237,7 @@
 	is.True(a.header.Get("Retry-After") != "")
 }
 
-func TestARefusalAfterALostSendingIsNotSaidNotToHaveRun(t *testing.T) {
+func TestARefusalAfterALostAttemptIsNotSaidNotToHaveRun(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t)
 	r.publish(0)
@@ -428,8 +428,8 @@
 	do func()
 }
 
-func (m meanwhile) Prepare(h http.Header, s Sending) {
-	m.plain.Prepare(h, s)
+func (m meanwhile) Prepare(h http.Header, a Attempt) {
+	m.plain.Prepare(h, a)
 	m.do()
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -44,7 +44,7 @@
 // errUnsigned: a success that no upstream has signed.
 var errUnsigned = errors.New("a success without the upstream's signature")
 
-// send makes one sending and relays its answer.
+// send makes one attempt and relays its answer.
 func (j *job) send(ctx context.Context, l fleet.Lease) result {
 	age, _ := j.handler.o.View.ListAge()
 	j.sentBy = lists{owner: l.ListVersion(), own: j.handler.o.View.ListVersion(), age: age}
@@ -69,7 +69,7 @@
 	j.upstream = l.Upstream()
 	j.owner = l.Owner()
 	j.granted = time.Since(j.arrived)
-	defer j.handler.sendings.begin(j.handler.o.Fleet.ZoneOf(l.Upstream()))()
+	defer j.handler.running.begin(j.handler.o.Fleet.ZoneOf(l.Upstream()))()
 	answer, err := connections.Do(ctx, j.exchangeRequest(l, left))
 	if err != nil {
 		status, err := statusOf(ctx, err)
@@ -98,7 +98,7 @@
 func (j *job) exchangeRequest(l fleet.Lease, left time.Duration) *exchange.Request {
 	header := j.header.Clone()
 	p := j.handler.o.Protocol
-	p.Prepare(header, Sending{Upstream: l.Upstream(), Organisation: j.organisationName(), Left: left, After: j.after})
+	p.Prepare(header, Attempt{Upstream: l.Upstream(), Organisation: j.organisationName(), Left: left, After: j.after})
 	return &exchange.Request{
 		Method:  j.http.Method,
 		Target:  j.target(),
@@ -110,7 +110,7 @@
 	}
 }
 
-// silence ends a sending when nothing comes for too long. Only requests that may be
+// silence ends an attempt when nothing comes for too long. Only requests that may be
 // had elsewhere are watched.
 type silence struct {
 	timer *time.Timer // nil where it isn't watched
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -56,12 +56,12 @@
 	return out
 }
 
-func (plain) Prepare(h http.Header, s Sending) {
-	h.Set("Upstream", s.Upstream)
-	h.Set("Organisation", s.Organisation)
-	h.Set("Timeout", s.Left.String())
-	if s.After != "" {
-		h.Set("After", s.After)
+func (plain) Prepare(h http.Header, a Attempt) {
+	h.Set("Upstream", a.Upstream)
+	h.Set("Organisation", a.Organisation)
+	h.Set("Timeout", a.Left.String())
+	if a.After != "" {
+		h.Set("After", a.After)
 	}
 }
 
--- a/internal/proxy/running.go
+++ b/internal/proxy/running.go
@@ -2,34 +2,34 @@
 
 import "sync"
 
-// sendings counts the requests that are at upstreams now, by availability zone, so that operators see
+// running counts the requests that are at upstreams now, by availability zone, so that operators see
 // when a zone is empty. Safe for concurrent use.
-type sendings struct {
+type running struct {
 	mu     sync.Mutex
 	byZone map[string]int
 }
 
 // begin counts one until the function that it returns is called.
-func (s *sendings) begin(zone string) (end func()) {
-	s.add(zone, 1)
-	return func() { s.add(zone, -1) }
+func (r *running) begin(zone string) (end func()) {
+	r.add(zone, 1)
+	return func() { r.add(zone, -1) }
 }
 
-func (s *sendings) add(zone string, n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.byZone == nil {
-		s.byZone = map[string]int{}
+func (r *running) add(zone string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.byZone == nil {
+		r.byZone = map[string]int{}
 	}
-	s.byZone[zone] += n
-	if s.byZone[zone] == 0 {
-		delete(s.byZone, zone)
+	r.byZone[zone] += n
+	if r.byZone[zone] == 0 {
+		delete(r.byZone, zone)
 	}
 }
 
 // RunningIn returns how many requests this instance has at upstreams of an availability zone.
 func (h *Handler) RunningIn(zone string) int {
-	h.sendings.mu.Lock()
-	defer h.sendings.mu.Unlock()
-	return h.sendings.byZone[zone]
+	h.running.mu.Lock()
+	defer h.running.mu.Unlock()
+	return h.running.byZone[zone]
 }
--- a/internal/proxy/seam.go
+++ b/internal/proxy/seam.go
@@ -27,8 +27,8 @@
 	// Forward returns, as a new header, what of a caller's headers an upstream may get:
 	// not what concerns one connection, and nothing that only Prepare may set.
 	Forward(h http.Header) http.Header
-	// Prepare adds to h, a copy of what Forward returned, what one sending carries.
-	Prepare(h http.Header, s Sending)
+	// Prepare adds to h, a copy of what Forward returned, what one attempt carries.
+	Prepare(h http.Header, a Attempt)
 	// Answers tells whether a head answers the request of the ID.
 	Answers(h http.Header, id string) bool
 	// ReadHead reads what an upstream says with an answer.
@@ -59,8 +59,8 @@
 	After string
 }
 
-// Sending is what an upstream is told beside the caller's headers.
-type Sending struct {
+// Attempt is what an upstream is told beside the caller's headers.
+type Attempt struct {
 	// Upstream that is meant; any other one is to refuse it.
 	Upstream string
 	// Organisation whose request it is; empty on public routes.
--- a/internal/request/decode.go
+++ b/internal/request/decode.go
@@ -134,7 +134,7 @@
 	return problem
 }
 
-// decodeAttempt reads the mark of a first sending: our own header, or the one
+// decodeAttempt reads the mark of a first attempt: our own header, or the one
 // that OpenAI's clients send.
 func decodeAttempt(h *http.Request) (Attempt, *api.Problem) {
 	first := 1
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -51,7 +51,7 @@
 	// Key is an issued key or a caller-chosen ID; Attempt goes with the latter.
 	Key     string  `cbor:"7,keyasint,omitempty"`
 	Attempt Attempt `cbor:"8,keyasint,omitempty"`
-	// JoinOnly asks only for the answer of an earlier sending; the body is absent.
+	// JoinOnly asks only for the answer of an earlier attempt; the body is absent.
 	JoinOnly bool `cbor:"9,keyasint,omitempty"`
 	// Sum is the fingerprint of what is asked.
 	Sum idempotency.Fingerprint `cbor:"10,keyasint"`
@@ -78,7 +78,7 @@
 	// RawPath is Path as the caller escaped it.
 	RawPath string `cbor:"25,keyasint,omitempty"`
 
-	// Age is the time since the caller's sending arrived, when it was sent to this
+	// Age is the time since the caller's attempt arrived, when it was sent to this
 	// instance.
 	Age time.Duration `cbor:"23,keyasint,omitempty"`
 	// Spilled requests came from another availability zone that had no room; they
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -84,7 +84,7 @@
 	RetryAfter time.Duration
 }
 
-// Call is one sending of a request.
+// Call is one attempt of a request.
 type Call struct {
 	Address string
 	Request *request.Request
