fleet: bound what an upstream gets that is dealt to another shard

Ruled out: that limits were no longer told after a change of the list; they depend on instances alone, and new shards are told them.

Change: in the first 1.1 s after it was dealt anew an upstream gets the fifth of what a cold one may get that is left beside the most that it gets otherwise; an instance that keeps it takes over what it knew of it: speed, failures, and when it was granted requests.

Checked: a test with two owners, there and back within a second; without the change it fails.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -60,9 +60,10 @@
 	Limits    StartLimits
 	ColdUntil time.Time
 
-	starts    starts
-	heardLock sync.Mutex
-	heard     time.Time // when it last sent something
+	starts     starts
+	movedUntil time.Time // until when Limits.Moved holds
+	heardLock  sync.Mutex
+	heard      time.Time // when it last sent something
 }
 
 // Heard records that the upstream has just sent something. Unlike all else here it may be
--- a/internal/balancer/starts.go
+++ b/internal/balancer/starts.go
@@ -1,6 +1,9 @@
 package balancer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // startWindow is the time in which starts are counted. It is a tenth more than the second that
 // bounds on them speak of: a request arrives up to so much later than it was granted, and those of
@@ -16,6 +19,9 @@
 	Cold int
 	// Warm is how many it gets else, since it may be cold and nobody has heard; 0 is no limit.
 	Warm int
+	// Moved is how many it gets in the first startWindow after it was dealt to another shard, whose owner
+	// doesn't know what was granted in the same second before.
+	Moved int
 }
 
 // starts are the latest grants of one upstream, the oldest first.
@@ -57,6 +63,8 @@
 	switch {
 	case !u.Limits.Set:
 		return -1
+	case now.Before(u.movedUntil):
+		return min(u.Limits.Moved, u.Limits.Cold)
 	case now.Before(u.ColdUntil):
 		return u.Limits.Cold
 	case u.Failures > 0:
@@ -68,6 +76,33 @@
 	}
 }
 
+// Copy returns what is known of it now, but for its work and its memory, which stay where they are.
+func (u *Upstream) Copy() *Upstream {
+	return &Upstream{
+		ID:           u.ID,
+		Born:         u.Born,
+		Speed:        u.Speed,
+		Failures:     u.Failures,
+		FailedAt:     u.FailedAt,
+		AvoidUntil:   u.AvoidUntil,
+		FailureShare: u.FailureShare,
+		ColdUntil:    u.ColdUntil,
+		starts:       slices.Clone(u.starts),
+	}
+}
+
+// Move makes it take the place of what was known of the same process in another shard, up to now.
+func (u *Upstream) Move(now time.Time, before *Upstream) {
+	u.movedUntil = now.Add(startWindow)
+	if before == nil || before.Born != u.Born {
+		return
+	}
+	u.Speed = before.Speed
+	u.Failures, u.FailedAt, u.AvoidUntil, u.FailureShare = before.Failures, before.FailedAt, before.AvoidUntil, before.FailureShare
+	u.starts = slices.Clone(before.starts)
+	u.KeepCold(before.ColdUntil)
+}
+
 // IsCold tells whether it is believed to be cold. One that has failed may have started again.
 func (u *Upstream) IsCold(now time.Time) bool {
 	return u.Limits.Set && (now.Before(u.ColdUntil) || u.Failures > 0)
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
@@ -133,6 +134,48 @@
 	is.Equal(seen, 220)
 }
 
+// Cold upstreams are added until there is one shard more, and taken away again within the same second. What an
+// upstream gets of the owner before, of the next one and of the first again is no more than a cold one bears:
+// the two own it one after the other, and neither knows what the other has granted.
+func TestAnUpstreamThatIsDealtToAnotherShardGetsNoMoreThanItBears(t *testing.T) {
+	is := is.New(t)
+	const most = coldBears*coldOverage + coldSlack
+	owner := func() *sized {
+		s := newSized(shardSize, 0)
+		s.fleet.slots = nil // it grants alone
+		s.fleet.o.ColdOverage, s.fleet.o.ColdSlack = coldOverage, coldSlack
+		s.fleet.SetServices(map[string]*routing.Service{"s": {Name: "s", ColdStart: coldLasts, ColdPerSecond: coldBears}})
+		return s
+	}
+	first, second := owner(), owner()
+	got := map[string]int{}
+	grantAll := func(shards []*shard) {
+		for _, sh := range shards {
+			sh.pool.View(func(core *scheduler.Core) {
+				for _, u := range core.Upstreams() {
+					for now := time.Now(); u.MayStart(now); got[u.ID]++ {
+						u.NoteStart(now)
+					}
+				}
+			})
+		}
+	}
+	grantAll(first.fleet.all())
+	more := view.ListChange{Version: 2, Changed: []view.Upstream{{ID: "j-1", Service: "s", Address: "127.0.0.1:1", Slots: 8}}}
+	fewer := view.ListChange{Version: 3, Gone: []string{"j-1"}}
+	for _, change := range []view.ListChange{more, fewer} {
+		first.fleet.ChangeUpstreams(change)
+		second.fleet.ChangeUpstreams(change)
+		grantAll(first.fleet.all())
+		grantAll(second.fleet.all()[1:]) // its own, while there is one
+	}
+	worst := 0
+	for _, u := range first.list {
+		worst = max(worst, got[u.ID])
+	}
+	is.True(worst > 0 && worst <= most)
+}
+
 // What others run at an upstream is counted wherever the upstream is dealt to.
 func TestWhatOthersRunIsCountedInTheShardOfToday(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/view"
 )
@@ -150,30 +151,49 @@
 // deal deals the upstreams of a service to so many shards. The caller holds the lock.
 func (f *Fleet) deal(s *service, want int) {
 	kept := min(want, len(s.shards))
-	for _, gone := range s.shards[kept:] {
-		gone.pool.SetMembers(nil) // what waits there is given up in its time
-	}
 	shards := slices.Clone(s.shards[:kept])
 	for len(shards) < want {
 		shards = append(shards, f.newShard(s.name, len(shards)))
 	}
+	before, dropped := known(s.shards), s.shards[kept:]
 	s.shards = shards
 	s.homes = homesOf(f.o.Instance, s.name, want)
 	f.shareRepeats(s)
 	members := make([][]scheduler.Member, want)
+	now := time.Now()
 	for _, u := range f.upstreams {
 		if u.Service != s.name {
 			continue
 		}
 		i := shardFor(u.ID, want)
+		m := f.member(u)
+		if u.shard != shards[i] {
+			m.MovedAt, m.Before = now, before[u.ID]
+		}
 		u.shard = shards[i]
-		members[i] = append(members[i], f.member(u))
+		members[i] = append(members[i], m)
+	}
+	for _, gone := range dropped {
+		gone.pool.SetMembers(nil) // what waits there is given up in its time
 	}
 	for i, sh := range shards {
 		sh.pool.SetMembers(members[i])
 	}
 }
 
+// known returns copies of what the shards know of their upstreams, by ID.
+func known(shards []*shard) map[string]*balancer.Upstream {
+	out := map[string]*balancer.Upstream{}
+	for _, s := range shards {
+		s.pool.View(func(core *scheduler.Core) {
+			for _, u := range core.Upstreams() {
+				out[u.ID] = u.Copy()
+			}
+		})
+	}
+	return out
+}
+
 // weigh finds out anew whether an upstream may be used. The caller holds the lock.
 func (f *Fleet) weigh(u *upstream, told pending) {
 	u.unusable = f.whyUnusable(u.Upstream)
--- a/internal/scheduler/cold.go
+++ b/internal/scheduler/cold.go
@@ -45,6 +45,9 @@
 	// that don't reach each other share that; but each grants warmLeast of Most.
 	warmShare = 0.8
 	warmLeast = 0.25
+	// movedShare is what is left of Most beside warmShare: an upstream that was dealt to another shard may have
+	// been granted that in the same second by the owner before.
+	movedShare = 1 - warmShare
 	// warmAlone is what an instance grants whom nobody asks, and that can't ask anybody: its own
 	// callers' requests, of which an upstream gets less than one a second.
 	warmAlone = 2
@@ -74,7 +77,7 @@
 	if !known {
 		part = c.reach.Fleet
 	}
-	return balancer.StartLimits{Set: true, Cold: s.coldLimit(part), Warm: int(s.Most * max(warmShare*part, warmLeast))}
+	return balancer.StartLimits{Set: true, Cold: s.coldLimit(part), Warm: int(s.Most * max(warmShare*part, warmLeast)), Moved: int(s.Most * movedShare * part)}
 }
 
 // coldLimit is how many requests a cold upstream is granted in a second by a part of all.
--- a/internal/scheduler/members.go
+++ b/internal/scheduler/members.go
@@ -25,6 +25,10 @@
 	Born int64
 	// ColdUntil is until when it is cold, by what is published of it or has happened to it.
 	ColdUntil time.Time
+	// MovedAt is when it was dealt to this core from another one, which knew Before of it; zero and nil
+	// where it wasn't.
+	MovedAt time.Time
+	Before  *balancer.Upstream
 }
 
 func (m Member) id() string { return cmp.Or(m.ID, m.Address) }
@@ -43,6 +47,9 @@
 		u := known[m.id()]
 		if u == nil || u.Born != m.Born {
 			u = newUpstream(m, c.options.MemoryBlocks)
+			if !m.MovedAt.IsZero() {
+				u.Move(m.MovedAt, m.Before)
+			}
 		} else {
 			delete(known, m.id())
 		}
