fleet: name what happens to shards and budgets by the usual terms

deal is reshard, pending is updates that are applied, weigh is refresh, pay and payBack are charge and refund; comments say that an upstream moves to a shard. No change of behaviour; tests keep their assertions.

--- a/internal/balancer/starts.go
+++ b/internal/balancer/starts.go
@@ -19,7 +19,7 @@
 	Cold int
 	// Warm is how many it gets else, since it may be cold and nobody has heard; 0 is no limit.
 	Warm int
-	// Moved is how many it gets in the first startWindow after it was dealt to another shard, whose owner
+	// Moved is how many it gets in the first startWindow after it moved to another shard, whose owner
 	// doesn't know what was granted in the same second before.
 	Moved int
 }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -56,8 +56,8 @@
 	return out
 }
 
-// tellOthersAgain tells shards what other instances have told, after upstreams were dealt to them anew.
-func (f *Fleet) tellOthersAgain() {
+// reapplyOthers tells shards what other instances have told, after upstreams were assigned to them anew.
+func (f *Fleet) reapplyOthers() {
 	f.mu.Lock()
 	others := maps.Clone(f.others)
 	f.mu.Unlock()
--- a/internal/fleet/ownword.go
+++ b/internal/fleet/ownword.go
@@ -55,9 +55,9 @@
 	}
 	now := time.Now()
 	f.saidLeaving[process] = word{heard: now, last: now}
-	told := pending{}
-	f.weigh(u, told)
-	shards := told.tell()
+	updated := updates{}
+	f.refresh(u, updated)
+	shards := updated.apply()
 	version := f.version
 	f.mu.Unlock()
 	f.o.Log.Info().Str("event", "upstream_says_leaving").Str("process", process).Str("from", from).Int64("list", version).Msg("")
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -16,14 +16,14 @@
 	takenBack := slices.DeleteFunc(slices.Clone(f.evacuated), func(zone string) bool { return slices.Contains(zones, zone) })
 	f.evacuated = zones
 	now := time.Now()
-	told := pending{}
+	updated := updates{}
 	for _, u := range f.upstreams {
 		if slices.Contains(takenBack, u.Zone) {
 			u.keepCold(now, f.services[u.Service].coldStart.For)
 		}
-		f.weigh(u, told)
+		f.refresh(u, updated)
 	}
-	shards := told.tell()
+	shards := updated.apply()
 	f.mu.Unlock()
 	poll(shards)
 }
--- a/internal/fleet/repeats_test.go
+++ b/internal/fleet/repeats_test.go
@@ -32,12 +32,12 @@
 					<-time.After(time.Second)
 					for i := range 10 * failing {
 						shard := s.fleet.all()[i%len(s.fleet.all())]
-						is.True(pay(shard.repeats, peer.AskFirst) == nil)
+						is.True(charge(shard.repeats, peer.AskFirst) == nil)
 						if i%failing > 0 {
 							continue
 						}
 						asked++
-						if pay(shard.repeats, peer.AskRepeat) == nil {
+						if charge(shard.repeats, peer.AskRepeat) == nil {
 							repeated++
 						}
 					}
--- a/internal/fleet/scale_test.go
+++ b/internal/fleet/scale_test.go
@@ -108,7 +108,7 @@
 }
 
 // However a list came to be, each upstream is in the shard that all instances work out for it.
-func TestUpstreamsAreDealtAnewWhenTheNumberOfShardsChanges(t *testing.T) {
+func TestUpstreamsAreAssignedAnewWhenTheNumberOfShardsChanges(t *testing.T) {
 	is := is.New(t)
 	s := newSized(120, 0)
 	for i := range 200 {
@@ -137,7 +137,7 @@
 // Cold upstreams are added until there is one shard more, and taken away again within the same second. What an
 // upstream gets of the owner before, of the next one and of the first again is no more than a cold one bears:
 // the two own it one after the other, and neither knows what the other has granted.
-func TestAnUpstreamThatIsDealtToAnotherShardGetsNoMoreThanItBears(t *testing.T) {
+func TestAnUpstreamThatMovesToAnotherShardGetsNoMoreThanItBears(t *testing.T) {
 	is := is.New(t)
 	const most = coldBears*coldOverage + coldSlack
 	owner := func() *sized {
@@ -176,7 +176,7 @@
 	is.True(worst > 0 && worst <= most)
 }
 
-// What others run at an upstream is counted wherever the upstream is dealt to.
+// What others run at an upstream is counted wherever the upstream moves to.
 func TestWhatOthersRunIsCountedInTheShardOfToday(t *testing.T) {
 	is := is.New(t)
 	s := newSized(shardSize, 0)
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -57,7 +57,7 @@
 	if len(owners) == 0 {
 		repeats = shard.repeats // there is nobody else
 	}
-	if problem := pay(repeats, w.Ask); problem != nil {
+	if problem := charge(repeats, w.Ask); problem != nil {
 		return nil, problem
 	}
 	w.Request.Chain = prefix.ChainOf(w.Parts)
@@ -66,14 +66,14 @@
 	grant, problem := shard.pool.Acquire(ctx, w.Request)
 	if problem != nil {
 		f.noteShort(w.Service)
-		payBack(repeats, w.Ask)
+		refund(repeats, w.Ask)
 		return nil, problem
 	}
 	return &ownLease{shard: shard, grant: grant, listVersion: f.listVersion()}, nil
 }
 
-// pay takes what an attempt costs of a budget of repeats, or adds what it earns.
-func pay(repeats *retrybudget.Budget, ask peer.Ask) *api.Problem {
+// charge takes what an attempt costs of a budget of repeats, or adds what it earns.
+func charge(repeats *retrybudget.Budget, ask peer.Ask) *api.Problem {
 	switch {
 	case ask == peer.AskFirst:
 		repeats.Deposit()
@@ -83,8 +83,8 @@
 	return nil
 }
 
-// payBack gives back what was paid for an attempt that isn't made.
-func payBack(repeats *retrybudget.Budget, ask peer.Ask) {
+// refund gives back what was paid for an attempt that isn't made.
+func refund(repeats *retrybudget.Budget, ask peer.Ask) {
 	if ask == peer.AskRepeat {
 		repeats.Return()
 	}
@@ -222,7 +222,7 @@
 		return
 	}
 	shard := f.shardAt(r.Service, r.Shard)
-	if p := pay(shard.repeats, r.Ask); p != nil {
+	if p := charge(shard.repeats, r.Ask); p != nil {
 		err := s.Refused(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
@@ -236,7 +236,7 @@
 		turn = waiting.Wait(ctx)
 	}
 	if turn.Problem != nil {
-		payBack(shard.repeats, r.Ask)
+		refund(shard.repeats, r.Ask)
 		p := turn.Problem
 		err := s.Refused(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -41,15 +41,15 @@
 	}
 }
 
-// pending collects what shards are to be told of their upstreams.
-type pending map[*shard]*memberChanges
+// updates collects what shards are to be told of their upstreams.
+type updates map[*shard]*memberChanges
 
 type memberChanges struct {
 	changed []scheduler.Member
 	gone    []string
 }
 
-func (p pending) of(s *shard) *memberChanges {
+func (p updates) forShard(s *shard) *memberChanges {
 	c := p[s]
 	if c == nil {
 		c = &memberChanges{}
@@ -58,8 +58,8 @@
 	return c
 }
 
-// tell tells the shards, and returns them.
-func (p pending) tell() []*shard {
+// apply tells the shards, and returns them.
+func (p updates) apply() []*shard {
 	for s, c := range p {
 		s.pool.ChangeMembers(c.changed, c.gone)
 	}
@@ -72,19 +72,19 @@
 	f.mu.Lock()
 	f.version = change.Version
 	now := time.Now()
-	told := pending{}
+	updated := updates{}
 	for _, id := range change.Gone {
-		f.removeUpstream(id, told)
+		f.removeUpstream(id, updated)
 	}
 	for _, u := range change.Changed {
-		f.putUpstream(now, u, told)
+		f.putUpstream(now, u, updated)
 	}
 	f.forgetWords(now)
-	changed := told.tell()
-	dealt := f.dealAnew()
+	changed := updated.apply()
+	resharded := f.reshardAll()
 	f.mu.Unlock()
-	if dealt {
-		f.tellOthersAgain()
+	if resharded {
+		f.reapplyOthers()
 		f.limitStarts()
 		return
 	}
@@ -92,7 +92,7 @@
 }
 
 // removeUpstream drops all that is kept of an upstream. The caller holds the lock.
-func (f *Fleet) removeUpstream(id string, told pending) {
+func (f *Fleet) removeUpstream(id string, updated updates) {
 	u := f.upstreams[id]
 	if u == nil {
 		return
@@ -100,15 +100,15 @@
 	f.forgetProcess(u)
 	delete(f.upstreams, id)
 	f.services[u.Service].upstreams--
-	c := told.of(u.shard)
+	c := updated.forShard(u.shard)
 	c.gone = append(c.gone, id)
 }
 
 // putUpstream takes an upstream that is new on the list, or has changed. The caller holds the lock.
-func (f *Fleet) putUpstream(now time.Time, listed view.Upstream, told pending) {
+func (f *Fleet) putUpstream(now time.Time, listed view.Upstream, updated updates) {
 	known := f.upstreams[listed.ID]
 	if known != nil && known.Service != listed.Service {
-		f.removeUpstream(listed.ID, told)
+		f.removeUpstream(listed.ID, updated)
 		known = nil
 	}
 	u := &upstream{Upstream: listed, listed: now}
@@ -125,7 +125,7 @@
 	}
 	f.upstreams[u.ID] = u
 	f.processes[u.process()] = u
-	f.weigh(u, told)
+	f.refresh(u, updated)
 }
 
 // forgetProcess drops what is kept of the process that an upstream had: its connections are of no use, and
@@ -136,20 +136,20 @@
 	delete(f.processes, u.process())
 }
 
-// dealAnew deals upstreams to shards where a service has got too many or too few shards for them, and tells
+// reshardAll assigns upstreams to shards anew where a service has got too many or too few shards for them, and tells
 // whether one has. The caller holds the lock.
-func (f *Fleet) dealAnew() (dealt bool) {
+func (f *Fleet) reshardAll() (resharded bool) {
 	for _, s := range f.services {
 		if want := shardsOf(s.upstreams); want != len(s.shards) {
-			f.deal(s, want)
-			dealt = true
+			f.reshard(s, want)
+			resharded = true
 		}
 	}
-	return dealt
+	return resharded
 }
 
-// deal deals the upstreams of a service to so many shards. The caller holds the lock.
-func (f *Fleet) deal(s *service, want int) {
+// reshard assigns the upstreams of a service to so many shards. The caller holds the lock.
+func (f *Fleet) reshard(s *service, want int) {
 	kept := min(want, len(s.shards))
 	shards := slices.Clone(s.shards[:kept])
 	for len(shards) < want {
@@ -194,9 +194,9 @@
 	return out
 }
 
-// weigh finds out anew whether an upstream may be used. The caller holds the lock.
-func (f *Fleet) weigh(u *upstream, told pending) {
+// refresh finds out anew whether an upstream may be used. The caller holds the lock.
+func (f *Fleet) refresh(u *upstream, updated updates) {
 	u.unusable = f.whyUnusable(u.Upstream)
-	c := told.of(u.shard)
+	c := updated.forShard(u.shard)
 	c.changed = append(c.changed, f.member(u))
 }
--- a/internal/scheduler/cold.go
+++ b/internal/scheduler/cold.go
@@ -45,7 +45,7 @@
 	// that don't reach each other share that; but each grants warmLeast of Most.
 	warmShare = 0.8
 	warmLeast = 0.25
-	// movedShare is what is left of Most beside warmShare: an upstream that was dealt to another shard may have
+	// movedShare is what is left of Most beside warmShare: an upstream that moved to another shard may have
 	// been granted that in the same second by the owner before.
 	movedShare = 1 - warmShare
 	// warmAlone is what an instance grants whom nobody asks, and that can't ask anybody: its own
--- a/internal/scheduler/members.go
+++ b/internal/scheduler/members.go
@@ -25,7 +25,7 @@
 	Born int64
 	// ColdUntil is until when it is cold, by what is published of it or has happened to it.
 	ColdUntil time.Time
-	// MovedAt is when it was dealt to this core from another one, which knew Before of it; zero and nil
+	// MovedAt is when it moved to this core from another one, which knew Before of it; zero and nil
 	// where it wasn't.
 	MovedAt time.Time
 	Before  *balancer.Upstream
