--- a/tools/suite/main.go
+++ b/tools/suite/main.go
@@ -14,7 +14,7 @@
 )
 
 // knownRed is the list of tests that fail for a known cause: one a line, which begins with the
-// test's name.
+// test's name, or a subtest's path.
 const knownRed = "KNOWN-RED.txt"
 
 // packages are all of both modules of the workspace.
@@ -50,7 +50,7 @@
 }
 
 // aName is what a line of the list begins with.
-var aName = regexp.MustCompile(`^(Test\w+) \(`)
+var aName = regexp.MustCompile(`^(Test\w+(?:/\w+)*) \(`)
 
 // namesIn returns the tests that a list names. A line that names none is an error: it would pass
 // over nothing, or too much.
@@ -68,11 +68,21 @@
 	return names, nil
 }
 
+// skipping is the pattern that matches some tests, or subtests by their paths, and no others.
+func skipping(names []string) string {
+	var patterns []string
+	for _, name := range names {
+		path := strings.Split(name, "/")
+		patterns = append(patterns, "^"+strings.Join(path, "$/^")+"$")
+	}
+	return strings.Join(patterns, "|")
+}
+
 // arguments of the command "go".
 func arguments(passedOver, more []string) []string {
 	out := []string{"test", "-race"}
 	if len(passedOver) > 0 {
-		out = append(out, "-skip", "^("+strings.Join(passedOver, "|")+")$")
+		out = append(out, "-skip", skipping(passedOver))
 	}
 	return append(append(out, more...), packages...)
 }
