--- a/internal/view/handover_test.go
+++ b/internal/view/handover_test.go
@@ -1,9 +1,11 @@
 package view
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -227,7 +229,7 @@
 				}
 			}
 			want := w.entries()
-			slices.SortFunc(want, func(a, b Upstream) int { return compareIDs(a, b) })
+			slices.SortFunc(want, compareIDs)
 			for i, v := range w.views {
 				got := v.List().Upstreams
 				if !slices.Equal(got, want) {
@@ -244,12 +246,7 @@
 	}
 }
 
-func compareIDs(a, b Upstream) int {
-	if a.ID < b.ID {
-		return -1
-	}
-	return 1
-}
+func compareIDs(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) }
 
 func sumsOf(list []Upstream) (out Sums) {
 	for _, u := range list {
@@ -257,3 +254,28 @@
 	}
 	return out
 }
+
+// following keeps a list up to date by its changes alone.
+func following(list *[]Upstream) func(ListChange) {
+	return func(c ListChange) {
+		*list = slices.DeleteFunc(*list, func(u Upstream) bool {
+			changed := slices.ContainsFunc(c.Changed, func(other Upstream) bool { return other.ID == u.ID })
+			return changed || slices.Contains(c.Gone, u.ID)
+		})
+		*list = append(*list, c.Changed...)
+		slices.SortFunc(*list, compareIDs)
+	}
+}
+
+// A line names a bounded number of upstreams.
+func TestTheLogCountsWhatItDoesNotName(t *testing.T) {
+	is := is.New(t)
+	r := newRoster()
+	var list []Upstream
+	for i := range mostNamed + 3 {
+		list = append(list, Upstream{ID: fmt.Sprint("i-", i), Revision: 1})
+	}
+	r.replace(time.Now(), list, 1)
+	_, states := r.commit(time.Now())
+	is.True(strings.HasSuffix(states, ", 3 more"))
+}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -218,18 +215,6 @@
 	return v
 }
 
-// following keeps a list up to date by its changes alone.
-func following(list *[]Upstream) func(ListChange) {
-	return func(c ListChange) {
-		*list = slices.DeleteFunc(*list, func(u Upstream) bool {
-			changed := slices.ContainsFunc(c.Changed, func(other Upstream) bool { return other.ID == u.ID })
-			return changed || slices.Contains(c.Gone, u.ID)
-		})
-		*list = append(*list, c.Changed...)
-		slices.SortFunc(*list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
-	}
-}
-
 func inForce(v *View) string {
 	table, _ := v.Table()
 	if table == nil {
@@ -423,19 +408,6 @@
 	})
 }
 
-// A line names a bounded number of upstreams.
-func TestTheLogCountsWhatItDoesNotName(t *testing.T) {
-	is := is.New(t)
-	r := newRoster()
-	var list []Upstream
-	for i := range mostNamed + 3 {
-		list = append(list, Upstream{ID: fmt.Sprint("i-", i), Revision: 1})
-	}
-	r.replace(time.Now(), list, 1)
-	_, states := r.commit(time.Now())
-	is.True(strings.HasSuffix(states, ", 3 more"))
-}
-
 // outage lets the source be away for long enough for entries to lapse.
 func outage(v *View) {
 	v.Unreachable("list", errors.New("down"))
