ratelimit: read and log the limits that upstreams name in their answers

Logs of the incident of named limits couldn't tell who knew of a limit. Answers are read for it now, by whose word it is and by when the attempt was sent, and upstream_limit and request_ended show it. Nothing is decided by it yet.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/ratelimit"
 	"github.com/tacktally/tacktally/internal/rest"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -82,6 +83,7 @@
 	slots       Slots // nil until there are peers
 
 	rests      *rest.Rests
+	limits     *ratelimit.Book
 	owners     owners
 	leases     leases
 	countsLost atomic.Bool // some lost leases were counted last
@@ -118,6 +120,7 @@
 		others:      map[string]othersLoad{},
 		saidLeaving: map[string]word{},
 		rests:       rest.New(),
+		limits:      ratelimit.New(o.Log),
 		instances:   []Instance{{Address: o.Instance, Cores: o.Cores, InReach: true, MayOwn: true, Settled: true}},
 	}
 }
--- a/internal/fleet/ownword.go
+++ b/internal/fleet/ownword.go
@@ -110,4 +110,5 @@
 			delete(f.saidLeaving, process)
 		}
 	}
+	f.limits.Prune(now, wordKept, func(process string) bool { return f.processes[process] != nil })
 }
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -24,6 +24,7 @@
 	if j.handler.o.Quarantine.Held(time.Now(), j.key) > 0 {
 		return quarantine.ErrHeld
 	}
+	j.sentAt = time.Now()
 	return j.handler.o.Fleet.BeginAttempt(upstream)
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -116,6 +116,7 @@
 	after      string        // last event passed on
 	events     int           // of the last answer
 	granted    time.Duration // from arrival until it was last sent
+	sentAt     time.Time     // when the last attempt was sent
 	first      time.Duration // from arrival until the answer began
 	status     int           // passed on
 	failure    *heldAnswer   // the last failure that an upstream answered with, not passed on
@@ -331,6 +332,9 @@
 	if j.tokens != nil {
 		event = event.Int("tokens", j.tokens.Count).Str("quota_owner", j.tokens.Owner)
 	}
+	if limit, limited := h.o.Fleet.Limit(j.upstream); limited {
+		event = event.Float64("upstream_limit", limit)
+	}
 	event.Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.sentBy.owner).Int64("list", j.sentBy.own).
 		Dur("list_age", j.sentBy.age).Int("prompt", j.call.Prompt).Dur("timeout", j.call.Timeout).Dur("sent_after", j.granted).Dur("first_after", j.first).
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -166,6 +166,9 @@
 		r.job.handler.o.Closing(r.job.upstream)
 	}
 	r.noteRest(head)
+	if isWord {
+		r.noteLimit(head)
+	}
 	switch {
 	case head.Misdirected:
 		r.refusal()
--- a/internal/proxy/seam.go
+++ b/internal/proxy/seam.go
@@ -16,6 +16,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/prefix"
+	"github.com/tacktally/tacktally/internal/ratelimit"
 )
 
 // Protocol translates what stands in headers and events, for callers and upstreams.
@@ -83,4 +84,6 @@
 	Leaving bool
 	// RetryAfter is for how long it wants nothing, 0 where it doesn't say.
 	RetryAfter time.Duration
+	// Limit is what it says of the requests a second that it takes.
+	Limit ratelimit.Word
 }
