--- /dev/null
+++ b/internal/fleet/limits_test.go
@@ -0,0 +1,284 @@
+package fleet
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/ratelimit"
+	"github.com/tacktally/tacktally/internal/scheduler"
+	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// What an upstream that names a limit may get: in any limitWindow, from limitSettles after it first named it, so many
+// times what the limit allows, and so many requests more. Instances that it told limitKnown before or earlier count.
+const (
+	limitWindow   = 4 * time.Second
+	limitSettles  = 3 * time.Second
+	limitKnown    = 500 * time.Millisecond
+	limitOverage  = 1.5
+	limitSlack    = 5
+	limitLength   = 16 * time.Second
+	limitStep     = 10 * time.Millisecond
+	limitServers  = 4
+	limitRuns     = 200 * time.Millisecond
+	limitSlots    = 400
+	limitSpare    = 4.0 // how many times the limit callers want of each upstream
+	limitPressure = 20  // requests a second for each upstream, at least
+)
+
+// limitPlays is how many plays are made of each kind, each with a seed of its own.
+var limitPlays = flag.Uint64("limit-plays", 3, "plays of upstreams that name a limit")
+
+// limitLarge plays the largest limit before the largest fleet, too.
+var limitLarge = flag.Bool("limit-large", false, "play a limit of 500 a second before 584 instances")
+
+// limitWorld is a fleet before upstreams of which the first names a limit. Instances are cut from each other,
+// freeze, and start again knowing nothing; all of them reach all upstreams.
+type limitWorld struct {
+	random    *rand.Rand
+	limit     float64
+	pressure  float64 // requests a second
+	members   []*limitMember
+	addresses map[string]*limitMember
+	list      []view.Upstream
+	named     time.Time // when the limit was named first
+	arrived   []time.Time
+	served    int // by the upstreams without a limit
+	worst     int
+	calm      bool // nothing but requests happens
+	due       []coldEvent
+}
+
+// limitMember is one instance.
+type limitMember struct {
+	world   *limitWorld
+	address string
+	fleet   *Fleet
+	started time.Time
+	frozen  time.Time // until when
+	told    time.Time // when it had an answer that names the limit; zero before
+	side    int       // those of unlike sides don't reach each other
+	reaches int       // its side, as far as it has noticed
+}
+
+func (m *limitMember) isFrozen() bool { return time.Now().Before(m.frozen) }
+
+func newLimitWorld(seed uint64, fleet int, limit float64) *limitWorld {
+	w := &limitWorld{random: rand.New(rand.NewPCG(seed, 11)), limit: limit, addresses: map[string]*limitMember{}}
+	w.pressure = limitServers * max(limitPressure, limitSpare*limit)
+	for i := range limitServers {
+		w.list = append(w.list, view.Upstream{ID: fmt.Sprint("u-", i), Service: "s", Address: "127.0.0.1:1", Slots: limitSlots, Born: 1})
+	}
+	for i := range fleet {
+		m := &limitMember{world: w, address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)}
+		w.members = append(w.members, m)
+		w.addresses[m.address] = m
+	}
+	for _, m := range w.members {
+		w.start(m)
+	}
+	return w
+}
+
+// start lets an instance start anew, knowing the list alone.
+func (w *limitWorld) start(m *limitMember) {
+	m.started, m.told = time.Now(), time.Time{}
+	m.fleet = New(Options{
+		Instance: m.address, Limits: queue.Limits{MaxItems: 50},
+		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
+	})
+	m.fleet.UseSlots(m)
+	m.fleet.SetUpstreams(view.List{Version: 1, Upstreams: slices.Clone(w.list)})
+	m.reaches = m.side
+	w.tell(m)
+}
+
+// tell lets a member know whom it reaches.
+func (w *limitWorld) tell(m *limitMember) {
+	all := make([]Instance, 0, len(w.members))
+	for i, other := range w.members {
+		reached := other == m || other.side == m.reaches
+		settled := time.Since(other.started) >= 500*time.Millisecond
+		all = append(all, Instance{Address: other.address, Cores: 0.4 + 0.1*float64(i%3), InReach: reached, MayOwn: reached, Settled: settled})
+	}
+	m.fleet.SetInstances(all)
+}
+
+// AcquireSlot implements Slots: it asks another member's scheduler.
+func (m *limitMember) AcquireSlot(_ context.Context, address string, r *peer.SlotRequest, _ time.Duration) (*peer.Slot, *peer.SlotRefusal, error) {
+	other := m.world.addresses[address]
+	if other.isFrozen() || other.side != m.side {
+		return nil, nil, peer.ErrNoReply
+	}
+	pool := other.fleet.shardAt(r.Service, r.Shard).pool
+	turn, decided := pool.Submit(requestOf(time.Now(), r)).Decided()
+	if !decided || turn.Grant == nil {
+		return nil, &peer.SlotRefusal{Reason: "full"}, nil
+	}
+	m.world.later(limitRuns, func() { pool.End(turn.Grant, scheduler.Completed, 9) })
+	return &peer.Slot{Grant: peer.SlotGrant{Upstream: turn.Grant.Upstream.ID}}, nil, nil
+}
+
+// FleetSize implements Slots.
+func (m *limitMember) FleetSize() int { return len(m.world.members) }
+
+// later lets something happen. All that happens does so in one goroutine, step by step.
+func (w *limitWorld) later(d time.Duration, happen func()) {
+	w.due = append(w.due, coldEvent{time.Now().Add(d), happen})
+}
+
+func (w *limitWorld) happen() {
+	due := w.due
+	w.due = nil
+	for _, e := range due {
+		if e.at.After(time.Now()) {
+			w.due = append(w.due, e)
+			continue
+		}
+		e.happen()
+	}
+}
+
+// disturb lets something happen now and then.
+func (w *limitWorld) disturb() {
+	chance := func(perSecond float64) bool { return w.random.Float64() < perSecond*limitStep.Seconds() }
+	if chance(0.25) { // a cut into up to three parts, or its end
+		parts := 1 + w.random.IntN(3)
+		for _, m := range w.members {
+			m.side = w.random.IntN(parts)
+			w.later(time.Duration(200+w.random.IntN(1000))*time.Millisecond, func() {
+				m.reaches = m.side
+				w.tell(m)
+			})
+		}
+	}
+	if m := w.members[w.random.IntN(len(w.members))]; chance(0.5) {
+		w.freeze(m)
+	}
+	if m := w.members[w.random.IntN(len(w.members))]; chance(0.5) && !m.isFrozen() {
+		w.start(m)
+	}
+	if chance(0.5) { // whoever grants most
+		w.freeze(w.owner())
+	}
+}
+
+func (w *limitWorld) freeze(m *limitMember) {
+	if !m.isFrozen() {
+		m.frozen = time.Now().Add(time.Duration(300+w.random.IntN(2000)) * time.Millisecond)
+	}
+}
+
+// owner returns the instance that a member asks for slots.
+func (w *limitWorld) owner() *limitMember {
+	m := w.members[w.random.IntN(len(w.members))]
+	if owners := m.fleet.ownersOf(shardKey{service: "s"}); len(owners) > 0 {
+		return w.addresses[owners[0]]
+	}
+	return m
+}
+
+// step lets callers come, and news with them.
+func (w *limitWorld) step(t *testing.T) {
+	w.happen()
+	if !w.calm {
+		w.disturb()
+	}
+	if m := w.members[w.random.IntN(len(w.members))]; !m.isFrozen() {
+		w.tell(m)
+	}
+	wanted := w.pressure * limitStep.Seconds()
+	for range int(wanted + w.random.Float64()) {
+		if m := w.members[w.random.IntN(len(w.members))]; !m.isFrozen() {
+			w.request(t, m)
+		}
+	}
+}
+
+func (w *limitWorld) request(t *testing.T, m *limitMember) {
+	now := time.Now()
+	l, problem := m.fleet.Acquire(t.Context(), &Want{ID: "1", Service: "s", Request: &scheduler.Request{
+		Arrived: now, Deadline: now.Add(time.Minute), Patience: time.Nanosecond, LateIsWorth: true, Prompt: 100,
+	}})
+	if problem != nil {
+		return
+	}
+	f := m.fleet
+	u := l.Upstream()
+	if l.Owner() == "" {
+		w.later(limitRuns, func() { l.End(scheduler.Completed, 9) })
+	}
+	w.later(time.Duration(w.random.IntN(30))*time.Millisecond, func() { w.arrive(m, f, u, now) })
+}
+
+// arrive counts what the limited upstream gets, and lets it answer.
+func (w *limitWorld) arrive(m *limitMember, f *Fleet, u string, sent time.Time) {
+	if u != "u-0" {
+		w.served++
+		return
+	}
+	now := time.Now()
+	counts := !m.told.IsZero() && now.Sub(m.told) >= limitKnown
+	if w.named.IsZero() {
+		w.named = now
+	}
+	if counts && now.Sub(w.named) >= limitSettles {
+		w.arrived = slices.DeleteFunc(w.arrived, func(at time.Time) bool { return now.Sub(at) > limitWindow })
+		w.arrived = append(w.arrived, now)
+		w.worst = max(w.worst, len(w.arrived))
+	}
+	w.later(limitRuns, func() {
+		f.NoteLimit(u, sent, ratelimit.Word{Kind: ratelimit.Named, PerSecond: w.limit})
+		if f == m.fleet && m.told.IsZero() {
+			m.told = time.Now()
+		}
+	})
+}
+
+func (w *limitWorld) play(t *testing.T) {
+	for end := time.Now().Add(limitLength); time.Now().Before(end); {
+		w.step(t)
+		<-time.After(limitStep)
+	}
+	synctest.Wait()
+}
+
+// An upstream names a limit that is small beside the number of instances, or large, in its answers; the owner of its
+// shard freezes and thaws, instances start again, and the fleet is cut in up to three. Whatever instances it told
+// send there, together, stays within what it allows.
+func TestAnUpstreamGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
+	for _, fleet := range []int{6, 60, 584} {
+		for _, limit := range []float64{0.2, 1.7, 500} {
+			if fleet == 584 && limit == 500 && !*limitLarge {
+				continue // a minute under the race detector
+			}
+			t.Run(fmt.Sprintf("%v a second, %d instances", limit, fleet), func(t *testing.T) {
+				for seed := range *limitPlays {
+					playLimit(t, seed, fleet, limit)
+				}
+			})
+		}
+	}
+}
+
+func playLimit(t *testing.T, seed uint64, fleet int, limit float64) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newLimitWorld(seed, fleet, limit)
+		w.play(t)
+		allowed := int(limitOverage*limit*limitWindow.Seconds()) + limitSlack
+		t.Logf("seed %d: %d in the worst %v of %d allowed; the others served %d", seed, w.worst, limitWindow, allowed, w.served)
+		if w.worst > allowed {
+			t.Errorf("seed %d: an upstream that takes %v requests a second got %d in %v; %d are allowed", seed, limit, w.worst, limitWindow, allowed)
+		}
+	})
+}
