fleet: keep the limits that upstreams name, over all instances

An upstream in need names the requests a second that it takes from all instances together. Nothing read that: it got what it had got before, 31 in 4 s at a limit of 1.9 (16 allowed).

Cause: a bound over all instances that nobody keeps. The class is that of a bound whose keeper changes: whoever keeps it next knows nothing of what was granted before. Instances can't keep shares of it: 1.7 a second over 584 is nothing for each, or too much.

The owner of the shard keeps the limit, with each attempt that it grants, first attempts, repeats and resumed streams alike. Its token bucket starts empty and saves up one request, so that a change of owner adds nothing. Parts of a fleet that don't reach each other share the limit; an instance that decides alone may grant a request when chance says so, and saves nothing up. The limit goes with each request for a slot, with heartbeats and with what is handed over; a grant by an owner that doesn't know of it isn't used. Where all upstreams have a limit, their sum bounds what waits and gives the time to come back.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -59,7 +59,11 @@
 	// to be cold.
 	Limits    StartLimits
 	ColdUntil time.Time
+	// Named is the limit that it has named, and Rate this instance's part of it.
+	Named NamedLimit
+	Rate  RateLimit
 
+	tokens     tokens
 	starts     starts
 	movedUntil time.Time // until when Limits.Moved holds
 	heardLock  sync.Mutex
--- /dev/null
+++ b/internal/balancer/rate.go
@@ -0,0 +1,96 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// NamedLimit is the limit that an upstream has named: the requests a second that it takes from all instances.
+type NamedLimit struct {
+	// Set tells whether there is one.
+	Set       bool
+	PerSecond float64
+}
+
+// RateLimit is what an upstream that has named a limit may be granted by one instance: its part of the requests a
+// second that the upstream takes from all of them.
+type RateLimit struct {
+	// Set tells whether there is a limit.
+	Set bool
+	// PerSecond is this instance's part.
+	PerSecond float64
+	// Drawn lets chance decide, second by second, whether the instance may grant a request, and nothing is saved up.
+	// Where each of many instances has a small part, what they save up would arrive at once.
+	Drawn bool
+}
+
+const (
+	// rateBurst is how many requests may be granted at once after a pause, and rateBurstTime is the same in time, for
+	// limits so high that a scheduler's step lasts for several requests.
+	rateBurst     = 1
+	rateBurstTime = 50 * time.Millisecond
+	// drawEvery is how often chance decides.
+	drawEvery = time.Second
+)
+
+// tokens is the token bucket of one upstream's RateLimit. It starts empty, since whoever granted before may have
+// granted all there was: a change of the granting instance then adds nothing to what the upstream gets.
+type tokens struct {
+	at   time.Time // up to when it is filled; zero before its first use
+	left float64
+}
+
+// fill adds what has come since it was filled last.
+func (b *tokens) fill(now time.Time, l RateLimit) {
+	if b.at.IsZero() {
+		b.at = now
+		return
+	}
+	if l.Drawn {
+		b.draw(now, l)
+		return
+	}
+	most := rateBurst + l.PerSecond*rateBurstTime.Seconds()
+	b.left = min(b.left+l.PerSecond*now.Sub(b.at).Seconds(), most)
+	b.at = now
+}
+
+// draw replaces what is left, once drawEvery.
+func (b *tokens) draw(now time.Time, l RateLimit) {
+	if now.Sub(b.at) < drawEvery {
+		return
+	}
+	b.at = now
+	b.left = float64(int(l.PerSecond*drawEvery.Seconds() + rand.Float64()))
+}
+
+// isWithinRate tells whether its RateLimit allows one more request now.
+func (u *Upstream) isWithinRate(now time.Time) bool {
+	if !u.Rate.Set {
+		return true
+	}
+	u.tokens.fill(now, u.Rate)
+	return u.tokens.left >= 1
+}
+
+// noteRate records that it was granted a request.
+func (u *Upstream) noteRate(now time.Time) {
+	if u.Rate.Set {
+		u.tokens.fill(now, u.Rate)
+		u.tokens.left--
+	}
+}
+
+// Saved returns how many requests its RateLimit allows at once.
+func (u *Upstream) Saved(now time.Time) float64 {
+	u.tokens.fill(now, u.Rate)
+	return u.tokens.left
+}
+
+// SetRate takes its limit. What was saved up under one of another kind is lost.
+func (u *Upstream) SetRate(l RateLimit) {
+	if l.Set != u.Rate.Set || l.Drawn != u.Rate.Drawn {
+		u.tokens = tokens{}
+	}
+	u.Rate = l
+}
--- a/internal/balancer/starts.go
+++ b/internal/balancer/starts.go
@@ -50,10 +50,14 @@
 	if u.Limits.Set {
 		u.starts.add(now)
 	}
+	u.noteRate(now)
 }
 
 // MayStart tells whether its limits allow one more request now.
 func (u *Upstream) MayStart(now time.Time) bool {
+	if !u.isWithinRate(now) {
+		return false
+	}
 	limit := u.startLimit(now)
 	return limit < 0 || u.starts.count(now) < limit
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -40,6 +40,7 @@
 		Vanished:    list.Vanished,
 		ListDigest:  list.Digest,
 		Leaving:     p.instance.fleet.AllSaidLeaving(),
+		Limits:      p.instance.fleet.AllLimits(),
 		Missing:     list.Missing,
 		Evacuations: peer.Evacuations(v.Evacuated()),
 	}
@@ -89,6 +90,7 @@
 	}
 	alike := v.LearnUpstreams(list, from)
 	p.instance.fleet.LearnLeaving(from, s.Leaving)
+	p.instance.fleet.LearnLimits(from, s.Limits)
 	if !alike {
 		p.instance.mesh.FetchSoon(from)
 	}
@@ -105,6 +107,7 @@
 		InFlight:    i.proxy.InFlight(),
 		Running:     load.Running,
 		Leaving:     i.fleet.SaidLeaving(),
+		Limits:      i.fleet.TellLimits(),
 		Reads:       i.reading.active(),
 		Known:       i.mesh.Known(),
 		SteadyMS:    int(min(i.view.SteadyFor(), maxSteady).Milliseconds()),
@@ -120,8 +123,9 @@
 		i.fleet.SetOthers(from, scheduler.Load{Running: h.Running})
 	}
 	i.view.LearnEvacuations(view.Evacuations(h.Evacuations), from)
-	learned := i.quarantine.Learn(time.Now(), h.Quarantine)
-	if i.fleet.LearnLeaving(from, h.Leaving) || learned {
+	crashes := i.quarantine.Learn(time.Now(), h.Quarantine)
+	limits := i.fleet.LearnLimits(from, h.Limits)
+	if i.fleet.LearnLeaving(from, h.Leaving) || crashes || limits {
 		i.passOn()
 	}
 	if h.SteadyMS > 0 {
--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -21,6 +21,8 @@
 	ErrNotListed = fmt.Errorf("%w: it isn't on the list", ErrNotUsable)
 	// ErrLeaving: it has said that it leaves.
 	ErrLeaving = fmt.Errorf("%w: it is leaving", ErrNotUsable)
+	// ErrNotLimited: whoever granted it didn't know that it has named a limit.
+	ErrNotLimited = fmt.Errorf("%w: it has named a limit that the grant doesn't go by", ErrNotUsable)
 	// ErrEvacuated: operators have its availability zone emptied.
 	ErrEvacuated = fmt.Errorf("%w: its availability zone is evacuated", ErrNotUsable)
 )
@@ -70,6 +72,8 @@
 	Owner() string
 	// ListVersion is the version of the list by which it was granted.
 	ListVersion() int64
+	// Limited tells whether whoever granted it knew that the upstream has named a limit.
+	Limited() bool
 	// Predicted is the time in which the first token is expected.
 	Predicted() time.Duration
 	// FirstToken and Heard record that the first token, or anything else, has come.
@@ -89,6 +93,7 @@
 func (l *ownLease) Upstream() string                   { return l.grant.Upstream.ID }
 func (l *ownLease) Owner() string                      { return "" }
 func (l *ownLease) ListVersion() int64                 { return l.listVersion }
+func (l *ownLease) Limited() bool                      { return l.grant.Limited }
 func (l *ownLease) Predicted() time.Duration           { return l.grant.Predicted() }
 func (l *ownLease) FirstToken()                        { l.shard.pool.FirstToken(l.grant) }
 func (l *ownLease) Heard()                             { l.grant.Upstream.Heard(time.Now()) }
@@ -113,6 +118,7 @@
 func (l *peerLease) Upstream() string         { return l.grant.Upstream }
 func (l *peerLease) Owner() string            { return l.owner }
 func (l *peerLease) ListVersion() int64       { return l.grant.ListVersion }
+func (l *peerLease) Limited() bool            { return l.grant.Limited }
 func (l *peerLease) Predicted() time.Duration { return l.grant.Predicted }
 func (l *peerLease) FirstToken()              { l.slot.Started() }
 func (l *peerLease) Heard()                   {} // the owner hears of first tokens and endings
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -1,18 +1,50 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/ratelimit"
 )
 
+// An upstream in need names how many requests a second it takes from all instances. The owner of its shard keeps
+// that limit, with every attempt that it grants. Whoever may own the shard next hears of it from peers, and from
+// each instance that asks for a slot.
+
+// mostLimits bounds the limits that an owner is told with one request.
+const mostLimits = 32
+
 // NoteLimit takes what an upstream of the list says, in the answer to an attempt that was sent at a time, of the
 // requests a second that it takes. It returns whether that is news for peers.
 func (f *Fleet) NoteLimit(id string, sent time.Time, w ratelimit.Word) bool {
 	process := f.ProcessOf(id)
-	return process != "" && f.limits.Answered(time.Now(), sent, process, w)
+	if process == "" || !f.limits.Answered(time.Now(), sent, process, w) {
+		return false
+	}
+	f.applyLimits(process)
+	return true
+}
+
+// LearnLimits takes what a peer tells of limits, and returns whether any of it is news.
+func (f *Fleet) LearnLimits(peer string, told []ratelimit.Told) bool {
+	if len(told) == 0 {
+		return false
+	}
+	changed := f.limits.Learn(time.Now(), "peer "+peer, f.listed(told))
+	if len(changed) == 0 {
+		return false
+	}
+	f.applyLimits(changed...)
+	return true
 }
 
+// TellLimits returns what peers are to be told of limits now, and AllLimits what one is that may know none of them.
+func (f *Fleet) TellLimits() []ratelimit.Told { return f.limits.Tell(time.Now()) }
+
+// AllLimits returns all that is known of limits.
+func (f *Fleet) AllLimits() []ratelimit.Told { return f.limits.All(time.Now()) }
+
 // Limit returns the requests a second that an upstream takes from all instances, as far as this one knows, and
 // whether there is such a limit.
 func (f *Fleet) Limit(id string) (perSecond float64, limited bool) {
@@ -22,3 +54,54 @@
 	}
 	return f.limits.Of(process)
 }
+
+// limitOf is the limit of a process as its scheduler takes it.
+func (f *Fleet) limitOf(process string) balancer.NamedLimit {
+	perSecond, limited := f.limits.Of(process)
+	return balancer.NamedLimit{Set: limited, PerSecond: perSecond}
+}
+
+// limitsToTell returns the limits of a service's upstreams, for the owner of one of its shards.
+func (f *Fleet) limitsToTell(service string) []ratelimit.Told {
+	if !f.limits.Any() {
+		return nil
+	}
+	told := slices.DeleteFunc(f.listed(f.limits.All(time.Now())), func(t ratelimit.Told) bool { return f.serviceOfProcess(t.Process) != service })
+	return told[:min(len(told), mostLimits)]
+}
+
+// serviceOfProcess returns the service of a process of the list, "" for one that isn't on it.
+func (f *Fleet) serviceOfProcess(process string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u := f.processes[process]; u != nil {
+		return u.Service
+	}
+	return ""
+}
+
+// applyLimits lets the schedulers know of limits that have changed.
+func (f *Fleet) applyLimits(processes ...string) {
+	f.mu.Lock()
+	updated := updates{}
+	for _, process := range processes {
+		if u := f.processes[process]; u != nil {
+			f.refresh(u, updated)
+		}
+	}
+	updated.apply()
+	f.mu.Unlock()
+	f.limitStarts()
+}
+
+// listed returns those of some limits whose processes are on the list.
+func (f *Fleet) listed(told []ratelimit.Told) (out []ratelimit.Told) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range told {
+		if f.processes[t.Process] != nil {
+			out = append(out, t)
+		}
+	}
+	return out
+}
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,6 +9,9 @@
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
+// assumedFleet is the number of instances of a fleet of which nothing is known.
+const assumedFleet = 600
+
 // SetEvacuated takes the availability zones that are evacuated: their upstreams get nothing new
 // from now on, and what runs there goes on. Those of zones that are taken back count as cold, as
 // after a start.
@@ -45,13 +49,13 @@
 // limitStarts lets each shard know how much of what cold upstreams bear this instance may grant, and
 // send what it has room for.
 func (f *Fleet) limitStarts() {
-	reached := f.reach()
+	reached, limited := f.reach(), f.limits.Any()
 	for _, s := range f.all() {
 		f.mu.Lock()
 		coldStart := f.serviceOf(s.service).coldStart
 		f.mu.Unlock()
 		reach := reached
-		if coldStart.Limits() {
+		if coldStart.Limits() || limited {
 			reach.Asked = f.isAsked(s, reached.Asked)
 		}
 		s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
@@ -70,10 +74,12 @@
 	f.mu.Lock()
 	instances := f.instances
 	f.mu.Unlock()
+	size := f.slots.FleetSize()
 	if len(instances) == 1 {
-		return scheduler.Reach{Asked: f.slots.FleetSize() == 1, Fleet: 1}
+		return scheduler.Reach{Asked: size == 1, Fleet: 1, Alone: 1 / float64(cmp.Or(size, assumedFleet))}
 	}
-	return scheduler.Reach{Asked: f.Settled(), Zones: zonesInReach(instances), Fleet: f.partInReach()}
+	alone := 1 / float64(max(size, len(instances)))
+	return scheduler.Reach{Asked: f.Settled(), Zones: zonesInReach(instances), Fleet: f.partInReach(), Alone: alone}
 }
 
 // isAsked tells whether the others ask this instance for slots of a shard, where they ask it at all: it is one
--- a/internal/fleet/rests.go
+++ b/internal/fleet/rests.go
@@ -24,12 +24,16 @@
 	f.o.Log.Info().Str("event", "upstream_rests").Str("upstream", id).Dur("wanted", wanted).Msg("")
 }
 
-// BeginAttempt tells whether a request may go to an upstream now, right before its first byte. Heard or
-// Unheard is to follow where it may.
-func (f *Fleet) BeginAttempt(id string) error {
+// BeginAttempt tells whether a request may go to the upstream of a lease now, right before its first byte. Heard
+// or Unheard is to follow where it may.
+func (f *Fleet) BeginAttempt(l Lease) error {
+	id := l.Upstream()
 	if err := f.MayBeSent(id); err != nil {
 		return err
 	}
+	if _, limited := f.Limit(id); limited && !l.Limited() {
+		return ErrNotLimited
+	}
 	if f.rests.Claim(time.Now(), id) != nil {
 		return ErrResting
 	}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -170,6 +170,7 @@
 		Exclude:      r.Exclude,
 		Without:      r.Without,
 		Ask:          w.Ask,
+		Limits:       f.limitsToTell(s.service),
 		Zone:         f.o.Zone,
 		Bound:        r.Homes.Bound,
 		Regions:      r.Homes.Regions,
@@ -221,6 +222,7 @@
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
 	}
+	f.LearnLimits(s.Peer, r.Limits)
 	shard := f.shardAt(r.Service, r.Shard)
 	if p := charge(shard.repeats, r.Ask); p != nil {
 		err := s.Refused(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
@@ -252,6 +254,7 @@
 		Upstream:    g.Upstream.ID,
 		Predicted:   g.Predicted(),
 		Running:     g.Running,
+		Limited:     g.Limited,
 		ListVersion: f.listVersion(),
 		Prefill:     int(g.Rates.Prefill),
 		Interval:    int(g.Rates.Interval.Microseconds()),
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -38,6 +38,7 @@
 		Leaving:   u.unusable != nil,
 		Born:      u.Born,
 		ColdUntil: u.listed.Add(u.Cold),
+		Limit:     f.limitOf(u.process()),
 	}
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -20,6 +20,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/membership"
 	"github.com/tacktally/tacktally/internal/quarantine"
+	"github.com/tacktally/tacktally/internal/ratelimit"
 	"github.com/tacktally/tacktally/internal/request"
 )
 
@@ -160,6 +161,8 @@
 	Evacuations Evacuations `cbor:"15,keyasint,omitzero"`
 	// Quarantine is what is new of crashes and the requests that cause them.
 	Quarantine *quarantine.News `cbor:"16,keyasint,omitempty"`
+	// Limits that upstreams have named: what is new of them, and some of the rest in turn.
+	Limits []ratelimit.Told `cbor:"17,keyasint,omitempty"`
 }
 
 // Evacuations are the availability zones whose upstreams are to get nothing new.
@@ -184,6 +187,7 @@
 		Evacuations: h.Evacuations,
 		Quarantine:  h.Quarantine,
 		Leaving:     h.Leaving,
+		Limits:      h.Limits,
 		Brief:       true,
 	}
 }
@@ -231,6 +235,8 @@
 	Vanished []string `cbor:"12,keyasint,omitempty"`
 	// Leaving are the processes of upstreams that have said themselves that they leave.
 	Leaving []string `cbor:"14,keyasint,omitempty"`
+	// Limits that upstreams have named.
+	Limits []ratelimit.Told `cbor:"15,keyasint,omitempty"`
 	// ListDigest is of the whole list of upstreams of that version; 0 where it isn't told.
 	ListDigest uint64 `cbor:"13,keyasint,omitempty"`
 }
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/internal/boottime"
+	"github.com/tacktally/tacktally/internal/ratelimit"
 )
 
 // ErrNoReply: a peer that is linked to didn't answer in time.
@@ -53,6 +54,9 @@
 	Without []string `cbor:"20,keyasint,omitempty"`
 	// Ask says what the request is to the budget of repeats.
 	Ask Ask `cbor:"21,keyasint,omitempty"`
+	// Limits are those that the asking instance knows of the service's upstreams: one that has just become the owner
+	// may know none.
+	Limits []ratelimit.Told `cbor:"22,keyasint,omitempty"`
 }
 
 // Ask is what a request for a slot is to the budget out of which requests are sent again.
@@ -90,6 +94,8 @@
 	// begins with it.
 	Prefill  int `cbor:"5,keyasint,omitempty"`
 	Interval int `cbor:"6,keyasint,omitempty"`
+	// Limited tells whether the owner knows that the upstream has named a limit.
+	Limited bool `cbor:"7,keyasint,omitempty"`
 }
 
 // SlotRefusal gives the request up. It hasn't run.
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -7,6 +7,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
+	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/quarantine"
 )
 
@@ -20,12 +21,12 @@
 
 // mayBeSent tells whether the request may still go to an upstream. It is asked right before the first
 // byte.
-func (j *job) mayBeSent(upstream string) error {
+func (j *job) mayBeSent(l fleet.Lease) error {
 	if j.handler.o.Quarantine.Held(time.Now(), j.key) > 0 {
 		return quarantine.ErrHeld
 	}
 	j.sentAt = time.Now()
-	return j.handler.o.Fleet.BeginAttempt(upstream)
+	return j.handler.o.Fleet.BeginAttempt(l)
 }
 
 // learnOfCrash takes what the end of an attempt says of crashes, and tells the peers what is new.
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -8,5 +8,7 @@
 	if head.Limit.Kind == ratelimit.None && !head.Signed {
 		return
 	}
-	r.job.handler.o.Fleet.NoteLimit(r.job.upstream, r.job.sentAt, head.Limit)
+	if r.job.handler.o.Fleet.NoteLimit(r.job.upstream, r.job.sentAt, head.Limit) {
+		r.job.handler.o.Announce()
+	}
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -106,7 +106,7 @@
 		Header:  header,
 		Body:    j.body,
 		Answers: func(h http.Header) bool { return p.Answers(h, j.call.ID) },
-		MaySend: func() error { return j.mayBeSent(l.Upstream()) },
+		MaySend: func() error { return j.mayBeSent(l) },
 	}
 }
 
--- a/internal/proxy/words_test.go
+++ b/internal/proxy/words_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/ratelimit"
 )
 
 // Whose word it is that an upstream leaves: its own, in any answer, but not another process's at its address,
@@ -47,6 +50,53 @@
 	}
 }
 
+// Whose word a limit is, and whose it is that there is none any more.
+func TestWhichAnswersNameALimit(t *testing.T) {
+	limiting := func(f http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Limit", "1.9")
+			f(w, q)
+		}
+	}
+	unsigned := func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("Signed") }
+	refusesUnsigned := func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Del("Signed")
+		refuses(w, q)
+	}
+	another := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) }
+	for name, c := range map[string]struct {
+		answer          http.HandlerFunc
+		begins, remains bool // a limit begins with it; one that was named before remains with it
+	}{
+		"a success":               {limiting(says("ok")), true, true},
+		"a refusal":               {limiting(refuses), true, true},
+		"a failure":               {limiting(fails), true, true},
+		"the head of a stream":    {limiting(says("id: 1\ndata: x\n\n")), true, true},
+		"a success without it":    {says("ok"), false, false},
+		"a failure without it":    {fails, false, false},
+		"unsigned":                {limiting(unsigned), false, true},
+		"unsigned without it":     {unsigned, false, true},
+		"refused unsigned":        {refusesUnsigned, false, true},
+		"another process":         {limiting(another), false, true},
+		"another process without": {another, false, true},
+	} {
+		for _, before := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, limited before: %v", name, before), func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(t)
+				r.publish(0)
+				r.upstream("a", c.answer)
+				if before {
+					r.fleet.NoteLimit("a", time.Now(), ratelimit.Word{Kind: ratelimit.Named, PerSecond: 1e6})
+				}
+				r.get("once")
+				_, limited := r.fleet.Limit("a")
+				is.Equal(limited, before && c.remains || !before && c.begins)
+			})
+		}
+	}
+}
+
 // rests turns a request away and asks for rest.
 func rests(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Retry-After", "30s")
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -98,6 +98,14 @@
 	return total
 }
 
+// CountAhead returns how many items go before a new one of a rank.
+func (q *Queue) CountAhead(rank int) (n int) {
+	for r := range rank + 1 {
+		n += q.LenOf(r)
+	}
+	return n
+}
+
 // LowestRank returns the least important rank of which something waits, or -1.
 func (q *Queue) LowestRank() int {
 	for r := len(q.levels) - 1; r >= 0; r-- {
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -34,8 +34,9 @@
 type Book struct {
 	log *log.Logger
 
-	mu sync.Mutex
-	by map[string]*entry
+	mu   sync.Mutex
+	by   map[string]*entry
+	turn int // counts those that peers were told of in turn
 }
 
 // entry is what is known of one process.
@@ -119,6 +120,18 @@
 	return known.perSecond, true
 }
 
+// Any tells whether a limit is known.
+func (b *Book) Any() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.by {
+		if e.holds() {
+			return true
+		}
+	}
+	return false
+}
+
 // Prune drops what is known of processes that have been off the list for longer than kept, and limits that ended
 // long ago.
 func (b *Book) Prune(now time.Time, kept time.Duration, listed func(process string) bool) {
--- /dev/null
+++ b/internal/ratelimit/telling.go
@@ -0,0 +1,97 @@
+package ratelimit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// newFor is how long each message repeats a word that is new; others are told in turn.
+	newFor = 2 * time.Second
+	// mostNew, inTurn and mostKnown bound the words that one message tells.
+	mostNew   = 32
+	inTurn    = 4
+	mostKnown = 256
+	// asOld is the difference in age up to which words of unlike peers count as equally old.
+	asOld = 500 * time.Millisecond
+)
+
+// Told is what instances tell each other of one process.
+type Told struct {
+	Process string `cbor:"1,keyasint"`
+	// PerSecond is its limit, -1 where it has none any more.
+	PerSecond float64 `cbor:"2,keyasint"`
+	// Age of the word.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// isSane tells whether a peer may have meant it.
+func (t Told) isSane() bool {
+	return t.Process != "" && t.Age >= 0 && (t.PerSecond >= 0 || t.PerSecond == noLimit) && !math.IsInf(t.PerSecond, 1)
+}
+
+// Learn takes what a peer tells, and returns the processes whose limits have changed.
+func (b *Book) Learn(now time.Time, peer string, all []Told) (changed []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range all {
+		if t.isSane() && b.learn(now, peer, t) {
+			changed = append(changed, t.Process)
+		}
+	}
+	return changed
+}
+
+// learn takes one word. The caller holds the lock.
+func (b *Book) learn(now time.Time, peer string, t Told) (changed bool) {
+	perSecond := t.PerSecond
+	if perSecond == noLimit {
+		perSecond = math.Inf(1)
+	}
+	known, heard := b.by[t.Process], now.Add(-t.Age)
+	switch {
+	case known == nil:
+		return !math.IsInf(perSecond, 1) && b.put(now, peer, t.Process, perSecond, heard)
+	case heard.Sub(known.heard) > asOld:
+		return b.put(now, peer, t.Process, perSecond, heard)
+	case known.heard.Sub(heard) <= asOld && perSecond < known.perSecond:
+		return b.put(now, peer, t.Process, perSecond, known.heard)
+	default:
+		return false
+	}
+}
+
+// Tell returns what peers are to be told now: what is new, and of the rest some in turn, so that one that knows
+// nothing hears of all.
+func (b *Book) Tell(now time.Time) []Told {
+	all := b.All(now)
+	rest := slices.IndexFunc(all, func(t Told) bool { return t.Age >= newFor })
+	if rest < 0 {
+		rest = len(all)
+	}
+	told := slices.Clone(all[:min(rest, mostNew)])
+	others := all[rest:]
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for range min(inTurn, len(others)) {
+		b.turn++
+		told = append(told, others[b.turn%len(others)])
+	}
+	return told
+}
+
+// All returns what is known, the newest first.
+func (b *Book) All(now time.Time) []Told {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []Told
+	for process, e := range b.by {
+		all = append(all, Told{Process: process, PerSecond: told(e.perSecond), Age: now.Sub(e.heard)})
+	}
+	slices.SortFunc(all, func(a, b Told) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Process, b.Process))
+	})
+	return all[:min(len(all), mostKnown)]
+}
--- /dev/null
+++ b/internal/ratelimit/telling_test.go
@@ -0,0 +1,79 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A peer's word counts by its age; of two about as old the lower limit does.
+func TestWhichWordsOfPeersChangeALimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		told    Told
+		limit   float64
+		limited bool
+	}{
+		"newer, higher":         {Told{"a@1", 50, 0}, 50, true},
+		"newer, none any more":  {Told{"a@1", -1, 0}, 0, false},
+		"older, lower":          {Told{"a@1", 1, 5 * time.Second}, 2, true},
+		"as old, higher":        {Told{"a@1", 50, 1800 * time.Millisecond}, 2, true},
+		"as old, lower":         {Told{"a@1", 1, 2200 * time.Millisecond}, 1, true},
+		"as old, none any more": {Told{"a@1", -1, 1800 * time.Millisecond}, 2, true},
+		"no number":             {Told{"a@1", math.NaN(), 0}, 2, true},
+		"negative":              {Told{"a@1", -3, 0}, 2, true},
+		"infinite":              {Told{"a@1", math.Inf(1), 0}, 2, true},
+		"from the future":       {Told{"a@1", 1, -time.Hour}, 2, true},
+		"of another process":    {Told{"a@2", 1, 0}, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBook()
+			b.Answered(at(5), at(5), "a@1", named(2))
+			b.Learn(at(7), "p", []Told{c.told})
+			limit, limited := b.Of("a@1")
+			is.Equal(limited, c.limited)
+			is.Equal(limit, c.limit)
+		})
+	}
+}
+
+// Messages take a while, so that what is told looks newer than it is. Two that tell each other unlike words of the
+// same age agree on one, and nothing is news for ever.
+func TestTwoThatTellEachOtherAgree(t *testing.T) {
+	is := is.New(t)
+	a, b := newBook(), newBook()
+	a.Answered(at(0), at(0), "u@1", named(2))
+	b.Answered(at(0), at(0), "u@1", named(2))
+	a.Answered(at(1), at(0.5), "u@1", none)
+	b.Answered(at(1), at(0.5), "u@1", named(2))
+	news := 0
+	for i := range 20 {
+		now := 1 + 0.1*float64(i)
+		fromA, fromB := a.Tell(at(now)), b.Tell(at(now))
+		news += len(b.Learn(at(now+0.05), "a", fromA)) + len(a.Learn(at(now+0.05), "b", fromB))
+	}
+	is.True(news <= 2)
+	ofA, _ := a.Of("u@1")
+	ofB, _ := b.Of("u@1")
+	is.Equal(ofA, ofB)
+}
+
+func TestWhatIsToldIsBoundedAndTellsAll(t *testing.T) {
+	is := is.New(t)
+	b := newBook()
+	for i := range 100 {
+		b.Answered(at(0), at(0), fmt.Sprintf("u-%d@1", i), named(1))
+	}
+	is.Equal(len(b.Tell(at(0.1))), mostNew)
+	is.Equal(len(b.All(at(0.1))), 100)
+	heard := newBook()
+	for i := range 100/inTurn + 1 {
+		told := b.Tell(at(10 + float64(i)))
+		is.Equal(len(told), inTurn)
+		heard.Learn(at(10+float64(i)), "p", told)
+	}
+	is.Equal(len(heard.All(at(50))), 100)
+}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -66,7 +66,7 @@
 
 // admit makes room for the request, or sheds it.
 func (c *Core) admit(now time.Time, r *Request, d *Decisions) bool {
-	wait := c.predictedWait(r)
+	wait := max(c.predictedWait(r), c.limitedWait(now, r))
 	slack := r.item.StartBy.Sub(now)
 	if float64(wait) > lateFactor*float64(slack) {
 		c.shedLower(now, r.Rank, d)
@@ -139,7 +139,7 @@
 	if reason != api.ReasonNoUpstream && reason != api.ReasonDeadlineTooShort {
 		c.served.note(now, r.Rank, false)
 	}
-	p := api.Refuse(reason, "%s (%s)", detail, c.state(now, r)).WithRetryAfter(c.retryAfter(r))
+	p := api.Refuse(reason, "%s (%s)", detail, c.state(now, r)).WithRetryAfter(c.retryAfter(now, r))
 	d.Sheds = append(d.Sheds, Shed{Request: r, Problem: p})
 }
 
@@ -233,6 +233,6 @@
 }
 
 // retryAfter is when the work now waiting will have drained.
-func (c *Core) retryAfter(r *Request) time.Duration {
-	return min(max(c.predictedWait(r), c.options.MinRetryAfter), maxRetryAfter)
+func (c *Core) retryAfter(now time.Time, r *Request) time.Duration {
+	return min(max(c.predictedWait(r), c.limitedWait(now, r), c.options.MinRetryAfter), maxRetryAfter)
 }
--- a/internal/scheduler/cold.go
+++ b/internal/scheduler/cold.go
@@ -32,6 +32,16 @@
 	Zones map[string]float64
 	// Fleet is the same of all instances, for zones without any.
 	Fleet float64
+	// Alone is the part of all instances that this one is, for where it decides alone.
+	Alone float64
+}
+
+// partOf returns the part of what the upstreams of an availability zone bear that this instance may grant.
+func (r Reach) partOf(zone string) float64 {
+	if part, known := r.Zones[zone]; known {
+		return part
+	}
+	return r.Fleet
 }
 
 const (
@@ -53,14 +63,15 @@
 	warmAlone = 2
 )
 
-// SetColdStart takes how the upstreams start, and what of that this instance may grant, from now on.
+// SetColdStart takes how the upstreams start, and which part of what they bear this instance may grant, from now on.
 func (c *Core) SetColdStart(s ColdStart, r Reach) {
-	if c.coldStart == s && c.reach.Asked == r.Asked && c.reach.Fleet == r.Fleet && maps.Equal(c.reach.Zones, r.Zones) {
+	if c.coldStart == s && c.reach.Asked == r.Asked && c.reach.Fleet == r.Fleet && c.reach.Alone == r.Alone && maps.Equal(c.reach.Zones, r.Zones) {
 		return
 	}
 	c.coldStart, c.reach = s, r
 	for _, u := range c.upstreams {
 		u.Limits = c.limitsOf(u.Zone)
+		u.SetRate(c.rateOf(u))
 	}
 }
 
@@ -73,10 +84,7 @@
 	if !c.reach.Asked {
 		return balancer.StartLimits{Set: true, Warm: min(warmAlone, int(s.Most))}
 	}
-	part, known := c.reach.Zones[zone]
-	if !known {
-		part = c.reach.Fleet
-	}
+	part := c.reach.partOf(zone)
 	return balancer.StartLimits{Set: true, Cold: s.coldLimit(part), Warm: int(s.Most * max(warmShare*part, warmLeast)), Moved: int(s.Most * movedShare * part)}
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -102,6 +102,8 @@
 	Sent time.Time
 	// Running is how many requests the upstream ran then, this one included.
 	Running int
+	// Limited tells whether the upstream was known to have named a limit.
+	Limited bool
 	// Rates are what was known of the upstream's speed then.
 	Rates estimate.Rates
 
--- a/internal/scheduler/members.go
+++ b/internal/scheduler/members.go
@@ -25,6 +25,8 @@
 	Born int64
 	// ColdUntil is until when it is cold, by what is published of it or has happened to it.
 	ColdUntil time.Time
+	// Limit is what it has named.
+	Limit balancer.NamedLimit
 	// MovedAt is when it moved to this core from another one, which knew Before of it; zero and nil
 	// where it wasn't.
 	MovedAt time.Time
@@ -112,6 +114,8 @@
 	u.Leaving = m.Leaving
 	u.Slots = m.Slots
 	u.Limits = c.limitsOf(u.Zone)
+	u.Named = m.Limit
+	u.SetRate(c.rateOf(u))
 	u.KeepCold(m.ColdUntil)
 }
 
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -252,6 +252,7 @@
 		Upstream:  u,
 		Sent:      now,
 		Running:   u.Running + u.OthersRunning,
+		Limited:   u.Named.Set,
 		Rates:     u.Speed.Rates(),
 		uncached:  choice.Uncached,
 		ahead:     u.Ahead(),
