--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,6 +54,8 @@
 	// SayLeaving lets an upstream say in its answers that it leaves, ahead of its entry; then it is
 	// replaced.
 	SayLeaving Fault = "say_leaving"
+	// NameLimit lets an upstream name a limit of requests a second in its answers, or none any more.
+	NameLimit Fault = "name_limit"
 )
 
 // Mix is how often each fault comes, in proportion.
@@ -89,6 +91,9 @@
 // would tell it, is away now and then.
 var Saying = Mix{Rest: 6, SayLeaving: 5, Terminate: 3, Reload: 1, Change: 2, SourceAway: 3}
 
+// Limiting is a mix of limits that upstreams name, while whoever keeps them is killed, paused, cut off or replaced.
+var Limiting = Mix{NameLimit: 8, Kill: 2, Terminate: 3, Pause: 4, PeerLink: 4, Replace: 2, Stuck: 2, Change: 1}
+
 // Event is one fault at a time.
 type Event struct {
 	At  time.Duration
