view: log the versions of configurations that are refused as older

The logs of the incident of the restored store named revisions alone, and none showed that other content came under the revision in force. config_older has both versions, and config_unlike tells of the other.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -8,6 +8,7 @@
 package view
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -261,14 +262,27 @@
 		return false
 	case c.Revision < v.configuration.Revision:
 		v.o.Metrics.Count("tacktally_config_older_total")
-		v.o.Log.Warn().Str("event", "config_older").Int64("revision", c.Revision).
-			Int64("in_force", v.configuration.Revision).Str("from", from).Msg("")
+		v.o.Log.Warn().Str("event", "config_older").Int64("revision", c.Revision).Int64("version", v.versionIn(c.Content)).
+			Int64("in_force", v.configuration.Revision).Int64("version_in_force", v.table.Version).Str("from", from).Msg("")
 	default:
+		if len(c.Content) > 0 && !bytes.Equal(c.Content, v.configuration.Content) {
+			v.o.Log.Error().Str("event", "config_unlike").Int64("revision", c.Revision).Int64("version", v.versionIn(c.Content)).
+				Int64("version_in_force", v.table.Version).Str("from", from).Msg("")
+		}
 		v.prove(asOf)
 	}
 	return true
 }
 
+// versionIn is the version that a published configuration gives itself, 0 where it isn't readable.
+func (v *View) versionIn(content []byte) int64 {
+	d, err := v.o.Source.Decode(content)
+	if err != nil {
+		return 0
+	}
+	return d.Version
+}
+
 func (v *View) build(content []byte) (*routing.Table, error) {
 	d, err := v.o.Source.Decode(content)
 	if err != nil {
