view: order what a source publishes over its returns from copies

A store that came back from a copy gives its revisions out again. Callers had a key served for 2.3 s and more after it had been taken away (bound 2.0 s): all seven instances refused versions 50 and 53 as older by revision, and took revision 43 of other content for the one in force, which proved it current.

Cause: the number of another's store was taken for ever rising, and ordered configurations, the list, evacuations, watches and what peers hand over.

The adapter turns revisions into positions, by the era that the store names in each answer, so that all that compares revisions orders eras first; a watch or pages of unlike eras are read anew. Beyond that each kind of content is ordered by its own writer: configurations by their version, entries by their process and sequence. What is missing from a copy isn't gone: upstreams settle as after an outage, those that left stay away, evacuations are held for 30 s unless they are written again or lifted. An older configuration proves nothing, so that keys go by the lease until operators have written again. Peers tell their version beside the position, so that one that knows only the copy asks one that knows more.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -101,18 +101,19 @@
 	i := p.instance
 	load := i.fleet.Load()
 	return &peer.Heartbeat{
-		Revision:    i.view.Revision(),
-		ListVersion: i.view.ListVersion(),
-		Draining:    i.ready.draining.Load(),
-		InFlight:    i.proxy.InFlight(),
-		Running:     load.Running,
-		Leaving:     i.fleet.SaidLeaving(),
-		Limits:      i.fleet.TellLimits(),
-		Reads:       i.reading.active(),
-		Known:       i.mesh.Known(),
-		SteadyMS:    int(min(i.view.SteadyFor(), maxSteady).Milliseconds()),
-		Evacuations: peer.Evacuations(i.view.Evacuated()),
-		Quarantine:  i.quarantine.Tell(time.Now()),
+		Revision:      i.view.Revision(),
+		ConfigVersion: i.view.Version(),
+		ListVersion:   i.view.ListVersion(),
+		Draining:      i.ready.draining.Load(),
+		InFlight:      i.proxy.InFlight(),
+		Running:       load.Running,
+		Leaving:       i.fleet.SaidLeaving(),
+		Limits:        i.fleet.TellLimits(),
+		Reads:         i.reading.active(),
+		Known:         i.mesh.Known(),
+		SteadyMS:      int(min(i.view.SteadyFor(), maxSteady).Milliseconds()),
+		Evacuations:   peer.Evacuations(i.view.Evacuated()),
+		Quarantine:    i.quarantine.Tell(time.Now()),
 	}
 }
 
@@ -141,7 +142,7 @@
 const maxSteady = time.Minute
 
 func (i *Instance) isBehind(h *peer.Heartbeat) bool {
-	return h.Revision > i.view.Revision() || h.ListVersion > i.view.ListVersion()
+	return i.view.IsBehind(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion()
 }
 
 // farPatience is how long an instance that hears of something newer from another
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -161,6 +161,8 @@
 	Evacuations Evacuations `cbor:"15,keyasint,omitzero"`
 	// Quarantine is what is new of crashes and the requests that cause them.
 	Quarantine *quarantine.News `cbor:"16,keyasint,omitempty"`
+	// ConfigVersion is the own version of the configuration in force, 0 where it isn't told.
+	ConfigVersion int64 `cbor:"18,keyasint,omitempty"`
 	// Limits that upstreams have named: what is new of them, and some of the rest in turn.
 	Limits []ratelimit.Told `cbor:"17,keyasint,omitempty"`
 }
@@ -171,24 +173,28 @@
 	// known.
 	Version int64    `cbor:"1,keyasint,omitempty"`
 	Zones   []string `cbor:"2,keyasint,omitempty"`
+	// Held are those of Zones that the source had before it came back from a copy, with the time for which they are
+	// still believed to be evacuated.
+	Held map[string]time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // brief returns what peers of other availability zones are told between two whole
 // heartbeats.
 func (h *Heartbeat) brief() *Heartbeat {
 	return &Heartbeat{
-		Revision:    h.Revision,
-		ListVersion: h.ListVersion,
-		Draining:    h.Draining,
-		InFlight:    h.InFlight,
-		Known:       h.Known,
-		Reads:       h.Reads,
-		SteadyMS:    h.SteadyMS,
-		Evacuations: h.Evacuations,
-		Quarantine:  h.Quarantine,
-		Leaving:     h.Leaving,
-		Limits:      h.Limits,
-		Brief:       true,
+		Revision:      h.Revision,
+		ConfigVersion: h.ConfigVersion,
+		ListVersion:   h.ListVersion,
+		Draining:      h.Draining,
+		InFlight:      h.InFlight,
+		Known:         h.Known,
+		Reads:         h.Reads,
+		SteadyMS:      h.SteadyMS,
+		Evacuations:   h.Evacuations,
+		Quarantine:    h.Quarantine,
+		Leaving:       h.Leaving,
+		Limits:        h.Limits,
+		Brief:         true,
 	}
 }
 
--- a/internal/view/departures.go
+++ b/internal/view/departures.go
@@ -1,6 +1,9 @@
 package view
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // departedFor is how long the last word of an upstream that has left is remembered: beyond the
 // time for which a path may hold up what it wrote before. The kernel gives a write up after some
@@ -8,30 +11,42 @@
 const departedFor = 30 * time.Second
 
 // departures are the last entries of upstreams that are gone although lists without that news may
-// still come: they said that they leave, or their entry alone was read. By ID.
-type departures map[string]departure
+// still come: they said that they leave, their entry alone was read, or the source lost that they are gone.
+type departures struct {
+	by     map[string]departure // by ID
+	pruned time.Time
+}
 
 type departure struct {
 	last Upstream
-	at   time.Time
+	// isLast tells that the entry was known to be its last one.
+	isLast bool
+	at     time.Time
 }
 
-// note remembers the entry of one that is gone, and forgets those of long ago.
-func (d departures) note(now time.Time, u Upstream) {
-	for id, other := range d {
-		if now.Sub(other.at) >= departedFor {
-			delete(d, id)
-		}
+// note remembers the entry of one that is gone, and forgets those of long ago now and then.
+func (d *departures) note(now time.Time, u Upstream, isLast bool) {
+	if now.Sub(d.pruned) >= departedFor {
+		d.prune(now)
 	}
-	d[u.ID] = departure{last: u, at: now}
+	d.by[u.ID] = departure{last: u, isLast: isLast, at: now}
+}
+
+func (d *departures) prune(now time.Time) {
+	d.pruned = now
+	maps.DeleteFunc(d.by, func(_ string, other departure) bool { return now.Sub(other.at) >= departedFor })
 }
 
 // holds tells whether an entry is of no use since its upstream is gone: it is the last one, or was
-// written before it.
-func (d departures) holds(now time.Time, u Upstream) bool {
-	known, gone := d[u.ID]
+// written before it. One that vanished without a word may come back, unless it does so in a copy of the source from
+// before.
+func (d *departures) holds(now time.Time, u Upstream) bool {
+	known, gone := d.by[u.ID]
 	if !gone || now.Sub(known.at) >= departedFor {
 		return false
 	}
-	return u.Revision <= known.last.Revision || u.writtenBefore(known.last)
+	if EraOf(u.Revision) > EraOf(known.last.Revision) {
+		return !known.last.writtenBefore(u)
+	}
+	return known.isLast && (u.Revision <= known.last.Revision || u.writtenBefore(known.last))
 }
--- a/internal/view/evacuations.go
+++ b/internal/view/evacuations.go
@@ -1,19 +1,35 @@
 package view
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
 )
 
-// Evacuations are the availability zones whose upstreams are to get nothing new, as the source
-// has them.
+// restoredHold is how long an evacuation is believed that the source had before it came back from a copy, and doesn't
+// have now: operators write it again, or have taken the zone back meanwhile.
+const restoredHold = 30 * time.Second
+
+// Evacuations are the availability zones whose upstreams are to get nothing new.
 type Evacuations struct {
-	// Version is the revision of the source up to which Zones is complete; 0 where nothing is
+	// Version is the position of the source up to which Zones is complete; 0 where nothing is
 	// known.
 	Version int64
 	// Zones that are evacuated, in order.
 	Zones []string
+	// Held are those of Zones that the source had in an earlier era only, with the time for which they are still
+	// believed to be evacuated.
+	Held map[string]time.Duration
+}
+
+// published returns the zones that the source has.
+func (e Evacuations) published() []string {
+	zones := slices.DeleteFunc(slices.Clone(e.Zones), func(zone string) bool {
+		_, held := e.Held[zone]
+		return held
+	})
+	return slices.Compact(slices.Sorted(slices.Values(zones)))
 }
 
 // ZoneChange is the begin or the end of one availability zone's evacuation.
@@ -24,6 +40,21 @@
 	Revision int64
 }
 
+// evacuations is what is believed of them.
+type evacuations struct {
+	version   int64
+	published []string
+	all       []string // published or held, in order
+	// held are zones that an earlier era had, until when each is believed to be evacuated.
+	held map[string]time.Time
+	// over are zones that this era has had, or that were held for long enough.
+	over map[string]bool
+	// before is the version that was known last of earlier eras, and until when such are held.
+	before    int64
+	holdUntil time.Time
+	expiry    *time.Timer // nil until a zone was held
+}
+
 // Evacuations implements Sink: it takes all zones that are evacuated, as the source had them at a
 // revision.
 func (v *View) Evacuations(zones []string, revision int64) {
@@ -33,20 +64,26 @@
 // ZoneChanges implements Sink: it takes what has changed, in order, up to a revision. What is known
 // at a later revision stays.
 func (v *View) ZoneChanges(changes []ZoneChange, complete int64) {
-	now := v.Evacuated()
-	if now.Version == 0 || complete <= now.Version {
+	v.mu.Lock()
+	e := &v.evacuations
+	if e.version == 0 || complete <= e.version {
+		v.mu.Unlock()
 		return
 	}
-	zones := slices.Clone(now.Zones)
+	zones := slices.Clone(e.published)
 	for _, c := range changes {
-		if c.Revision <= now.Version {
+		if c.Revision <= e.version {
 			continue
 		}
 		zones = slices.DeleteFunc(zones, func(zone string) bool { return zone == c.Zone })
 		if c.Evacuated {
 			zones = append(zones, c.Zone)
 		}
+		if EraOf(c.Revision) == EraOf(e.version) {
+			e.settle(c.Zone)
+		}
 	}
+	v.mu.Unlock()
 	v.learnEvacuations(Evacuations{Version: complete, Zones: zones}, "source")
 }
 
@@ -57,21 +94,47 @@
 func (v *View) Evacuated() Evacuations {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.evacuations
+	e := &v.evacuations
+	out := Evacuations{Version: e.version, Zones: e.all}
+	for zone, until := range e.held {
+		if out.Held == nil {
+			out.Held = map[string]time.Duration{}
+		}
+		out.Held[zone] = max(until.Sub(v.o.Now()), 0)
+	}
+	return out
 }
 
 // learnEvacuations takes all zones as of a revision, unless a later one is known. Who uses them is
 // told, and the log, if any has changed.
-func (v *View) learnEvacuations(e Evacuations, from string) {
-	e.Zones = slices.Compact(slices.Sorted(slices.Values(e.Zones)))
+func (v *View) learnEvacuations(told Evacuations, from string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	before := v.evacuations
-	if e.Version <= before.Version {
-		return
+	e := &v.evacuations
+	before, version := e.all, e.version
+	e.learn(v.o.Now(), told)
+	v.applyEvacuations(before, version, from)
+}
+
+// releaseHeld ends what was held for long enough.
+func (v *View) releaseHeld() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e := &v.evacuations
+	before := e.all
+	e.release(v.o.Now())
+	v.applyEvacuations(before, e.version, "held for long enough")
+}
+
+// applyEvacuations tells of a change, and looks again when the first zone that is held has been for long enough. The
+// caller holds the lock.
+func (v *View) applyEvacuations(before []string, version int64, from string) {
+	e := &v.evacuations
+	e.all = e.believed()
+	if len(e.held) > 0 {
+		v.releaseAt(slices.MinFunc(slices.Collect(maps.Values(e.held)), time.Time.Compare))
 	}
-	v.evacuations = e
-	if slices.Equal(before.Zones, e.Zones) {
+	if slices.Equal(before, e.all) {
 		return
 	}
 	age := time.Duration(0)
@@ -79,10 +142,89 @@
 		age = v.o.Now().Sub(v.asOf)
 	}
 	v.o.Metrics.Count("tacktally_evacuations_changed_total")
-	v.o.Log.Info().Str("event", "evacuation").Str("evacuated", strings.Join(e.Zones, ",")).
-		Str("before", strings.Join(before.Zones, ",")).Int64("version", e.Version).
-		Int64("version_before", before.Version).Dur("proof_age", age).Str("from", from).Msg("")
+	v.o.Log.Info().Str("event", "evacuation").Str("evacuated", strings.Join(e.all, ",")).
+		Str("before", strings.Join(before, ",")).Int("held", len(e.held)).Int64("version", e.version).
+		Int64("version_before", version).Dur("proof_age", age).Str("from", from).Msg("")
 	if v.o.OnEvacuations != nil {
-		v.o.OnEvacuations(e.Zones)
+		v.o.OnEvacuations(e.all)
 	}
 }
+
+// releaseAt lets releaseHeld be called at a time. The caller holds the lock.
+func (v *View) releaseAt(t time.Time) {
+	if v.evacuations.expiry == nil {
+		v.evacuations.expiry = time.AfterFunc(t.Sub(v.o.Now()), v.releaseHeld)
+		return
+	}
+	v.evacuations.expiry.Reset(t.Sub(v.o.Now()))
+}
+
+// learn takes what somebody believes. What an earlier era had is held for a while where it isn't known here to have
+// ended.
+func (e *evacuations) learn(now time.Time, told Evacuations) {
+	published := told.published()
+	switch {
+	case told.Version > e.version:
+		if e.version > 0 && EraOf(told.Version) > EraOf(e.version) {
+			e.enterEra(now)
+		}
+		e.version, e.published = told.Version, published
+	case EraOf(told.Version) < EraOf(e.version) && told.Version > e.before && now.Before(e.holdUntil):
+		e.before = told.Version
+		e.hold(published, e.holdUntil)
+	}
+	if EraOf(told.Version) == EraOf(e.version) {
+		for zone, left := range told.Held {
+			e.hold([]string{zone}, now.Add(min(left, restoredHold)))
+		}
+	}
+	for _, zone := range e.published {
+		e.settle(zone)
+	}
+}
+
+// enterEra holds what the era before had.
+func (e *evacuations) enterEra(now time.Time) {
+	before := e.published
+	e.before, e.holdUntil = e.version, now.Add(restoredHold)
+	e.over = map[string]bool{}
+	e.hold(before, e.holdUntil)
+}
+
+// hold believes zones to be evacuated until a time, but for those that this era has had.
+func (e *evacuations) hold(zones []string, until time.Time) {
+	for _, zone := range zones {
+		if e.over[zone] {
+			continue
+		}
+		if e.held == nil {
+			e.held = map[string]time.Time{}
+		}
+		if known, held := e.held[zone]; !held || until.Before(known) {
+			e.held[zone] = until
+		}
+	}
+}
+
+// settle goes by what the source says of a zone from now on.
+func (e *evacuations) settle(zone string) {
+	delete(e.held, zone)
+	if e.over == nil {
+		e.over = map[string]bool{}
+	}
+	e.over[zone] = true
+}
+
+// release ends what was held for long enough.
+func (e *evacuations) release(now time.Time) {
+	for zone, until := range e.held {
+		if !now.Before(until) {
+			e.settle(zone)
+		}
+	}
+}
+
+// believed returns all zones that count as evacuated, in order.
+func (e *evacuations) believed() []string {
+	return slices.Compact(slices.Sorted(slices.Values(slices.Concat(e.published, slices.Collect(maps.Keys(e.held))))))
+}
--- a/internal/view/evacuations_test.go
+++ b/internal/view/evacuations_test.go
@@ -14,7 +14,7 @@
 func TestNoConfigurationIsInForceBeforeEvacuationsAreKnown(t *testing.T) {
 	is := is.New(t)
 	v := newView(nil)
-	v.evacuations = Evacuations{}
+	v.evacuations = evacuations{}
 	v.Configuration(7, []byte("seven"), time.Now())
 	is.Equal(inForce(v), "")
 	_, known := v.Age()
@@ -28,7 +28,7 @@
 func TestChangesOfZonesAloneProveNothing(t *testing.T) {
 	is := is.New(t)
 	v := newView(nil)
-	v.evacuations = Evacuations{}
+	v.evacuations = evacuations{}
 	v.ZoneChanges([]ZoneChange{{Zone: "bole", Evacuated: true, Revision: 4}}, 4)
 	is.Equal(v.Evacuated().Version, int64(0))
 }
@@ -85,12 +85,12 @@
 func TestColdnessOfAnUpstreamAgesOnItsWay(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	r := newRoster()
+	r := newRoster(4 * time.Second)
 	r.replace(now, []Upstream{{ID: "a", Revision: 3, Cold: 3 * time.Second}}, 3)
 	is.Equal(r.coldFor(now.Add(time.Second), "a"), 2*time.Second)
 	r.replace(now.Add(time.Second), []Upstream{{ID: "a", Revision: 3, Cold: 3 * time.Second}}, 4) // read again
 	is.Equal(r.coldFor(now.Add(time.Second), "a"), 2*time.Second)
-	peer := newRoster()
+	peer := newRoster(4 * time.Second)
 	peer.learn(now.Add(time.Second), r.handOver(now.Add(time.Second), Have{}))
 	is.Equal(peer.coldFor(now.Add(2*time.Second), "a"), time.Second)
 	r.apply(now.Add(2*time.Second), []Change{{Upstream: Upstream{ID: "a", Revision: 5}}}, 5)
--- a/internal/view/handover.go
+++ b/internal/view/handover.go
@@ -83,6 +83,7 @@
 	if !r.isOfUse(l) {
 		return
 	}
+	r.enterEra(now, l.Version)
 	first := r.version == 0
 	for _, u := range l.Upstreams {
 		left, lapsed := l.Missing[u.ID]
--- a/internal/view/handover_test.go
+++ b/internal/view/handover_test.go
@@ -270,7 +270,7 @@
 // A line names a bounded number of upstreams.
 func TestTheLogCountsWhatItDoesNotName(t *testing.T) {
 	is := is.New(t)
-	r := newRoster()
+	r := newRoster(4 * time.Second)
 	var list []Upstream
 	for i := range mostNamed + 3 {
 		list = append(list, Upstream{ID: fmt.Sprint("i-", i), Revision: 1})
--- /dev/null
+++ b/internal/view/position.go
@@ -0,0 +1,18 @@
+package view
+
+// eraSpan is the number of revisions that one era may have. Decimal, so that both can be read in logs.
+const eraSpan = 1_000_000_000_000
+
+// Position orders what a source publishes. A source may come back from an older copy of itself and give revisions
+// out again: that begins a new era, and revisions of unlike eras don't compare. Position is the revision where there
+// was no such return. A revision of eraSpan or more, or a negative number, has no position, which Ok tells.
+func Position(era, revision int64) (position int64, ok bool) {
+	ok = era >= 0 && era < eraSpan/1000 && revision >= 0 && revision < eraSpan
+	return era*eraSpan + revision, ok
+}
+
+// EraOf returns the era of a position, and RevisionOf its revision within that.
+func EraOf(position int64) int64 { return position / eraSpan }
+
+// RevisionOf returns the revision of a position within its era.
+func RevisionOf(position int64) int64 { return position % eraSpan }
--- a/internal/view/roster.go
+++ b/internal/view/roster.go
@@ -30,6 +30,8 @@
 	missing  map[string]time.Time // until when each may come back
 	cold     map[string]time.Time // until when each is cold, by its entry
 	settles  time.Time            // until then, what vanishes is missing and not gone
+	restored time.Time            // until then, the source may lack what it has lost
+	rewrite  time.Duration        // in which upstreams write their entries again after a return of the source from a copy
 	left     departures
 
 	touched   map[string]*former // since the last commit, by ID
@@ -40,18 +42,31 @@
 	compared  int64              // the version of the list when its parts were compared with a peer's last
 }
 
-func newRoster() roster {
-	return roster{entries: map[string]Upstream{}, missing: map[string]time.Time{}, cold: map[string]time.Time{}, left: departures{}, touched: map[string]*former{}}
+func newRoster(rewrite time.Duration) roster {
+	return roster{rewrite: rewrite, entries: map[string]Upstream{}, missing: map[string]time.Time{}, cold: map[string]time.Time{}, left: departures{by: map[string]departure{}}, touched: map[string]*former{}}
 }
 
 func (r *roster) settleBy(t time.Time) { r.settles = t }
 
+// enterEra is called with the position of a list. In a new era the source lacks what it has lost, until that is written
+// again: what is missing isn't gone.
+func (r *roster) enterEra(now time.Time, position int64) {
+	if r.version == 0 || EraOf(position) <= EraOf(r.version) {
+		return
+	}
+	r.restored = now.Add(r.rewrite)
+	if r.settles.Before(r.restored) {
+		r.settles = r.restored
+	}
+}
+
 // replace takes a whole list as the source had it at a revision. Entries that changed later
 // stay as they are. A list from before the last change that is known is of no use.
 func (r *roster) replace(now time.Time, list []Upstream, revision int64) {
 	if revision < r.version {
 		return
 	}
+	r.enterEra(now, revision)
 	changed := r.putAll(now, list)
 	if r.vanishOthers(now, list, revision, func(string) bool { return true }) {
 		changed = true
@@ -78,7 +93,7 @@
 // was read. The version stays: nothing is known of what else has changed by then. One that is gone
 // isn't taken back from peers that haven't heard.
 func (r *roster) applyEntry(now time.Time, known Upstream, c Change) {
-	if r.entries[known.ID] != known {
+	if r.entries[known.ID] != known || EraOf(c.Upstream.Revision) != EraOf(r.version) {
 		return
 	}
 	switch {
@@ -90,7 +105,7 @@
 		r.put(now, c.Upstream)
 	}
 	if _, listed := r.entries[known.ID]; !listed {
-		r.left.note(now, known)
+		r.left.note(now, known, true)
 	}
 }
 
@@ -220,10 +235,7 @@
 
 // remove removes an entry, and tells whether it was there.
 func (r *roster) remove(now time.Time, id string) (changed bool) {
-	u, listed := r.entries[id]
-	if u.Leaving {
-		r.left.note(now, u)
-	}
+	_, listed := r.entries[id]
 	r.forget(now, id)
 	return listed
 }
@@ -231,6 +243,9 @@
 // forget drops all that is known of an upstream.
 func (r *roster) forget(now time.Time, id string) {
 	r.touch(now, id)
+	if u, listed := r.entries[id]; listed {
+		r.left.note(now, u, u.Leaving)
+	}
 	delete(r.entries, id)
 	delete(r.missing, id)
 	delete(r.cold, id)
@@ -249,6 +264,9 @@
 
 // giveUpMissing gives up what would settle at a time or later, and stops settling then.
 func (r *roster) giveUpMissing(now, from time.Time) {
+	if now.Before(r.restored) {
+		return
+	}
 	for id, until := range r.missing {
 		if !until.Before(from) {
 			r.forget(now, id)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -2,13 +2,15 @@
 // the upstreams, from where it learned it, and as of when.
 //
 // Belief comes from a Source and from peers. The configuration never goes back to an
-// older revision within a process. Its age is counted on the steady clock from the
+// older version within a process, whatever the source says: it may come back from an older
+// copy of itself, and give its revisions out again (see Position). Its age is counted on the steady clock from the
 // moment at which the read that proved it was sent, so that it can serve as a lease:
 // see Fresh.
 package view
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -149,10 +151,11 @@
 	mu            sync.Mutex
 	configuration Configuration
 	table         *routing.Table
+	older         olderConfiguration // the last one that was refused
 	asOf          time.Time
 	steadySince   time.Time // no gap between two proofs since was as long as Lapse
 	upstreams     roster
-	evacuations   Evacuations
+	evacuations   evacuations
 	settling      *time.Timer // nil until an upstream was missing
 	reachable     bool
 	everReached   bool
@@ -171,7 +174,7 @@
 	if o.Now == nil {
 		o.Now = boottime.Now
 	}
-	return &View{o: o, upstreams: newRoster()}
+	return &View{o: o, upstreams: newRoster(o.Settle + o.Lapse)}
 }
 
 // Run follows the source until ctx ends.
@@ -228,7 +231,7 @@
 }
 
 // isInForce tells whether requests may be served by what is known. The caller holds the lock.
-func (v *View) isInForce() bool { return v.table != nil && v.evacuations.Version > 0 }
+func (v *View) isInForce() bool { return v.table != nil && v.evacuations.version > 0 }
 
 // offer takes a configuration from any side: an older one is ignored, the same one
 // is confirmed, a newer one comes into force if it is valid.
@@ -242,7 +245,7 @@
 		v.o.Log.Error().Str("event", "config_rejected").Int64("revision", c.Revision).Str("from", from).Str("cause", err.Error()).Msg("")
 		return
 	}
-	if !v.accept(c, table, asOf) {
+	if !v.accept(c, table, asOf, from) {
 		return
 	}
 	v.o.Metrics.Count("tacktally_config_accepted_total")
@@ -253,34 +256,40 @@
 	}
 }
 
-// confirm handles all but newer configurations, and tells whether it did.
+// confirm handles what needn't be decoded: the configuration in force, and older ones of its era. It tells whether
+// it did.
 func (v *View) confirm(c Configuration, asOf time.Time, from string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	switch {
-	case c.Revision > v.configuration.Revision:
+	if v.table == nil {
 		return false
-	case c.Revision < v.configuration.Revision:
-		v.o.Metrics.Count("tacktally_config_older_total")
-		v.o.Log.Warn().Str("event", "config_older").Int64("revision", c.Revision).Int64("version", v.versionIn(c.Content)).
-			Int64("in_force", v.configuration.Revision).Int64("version_in_force", v.table.Version).Str("from", from).Msg("")
-	default:
-		if len(c.Content) > 0 && !bytes.Equal(c.Content, v.configuration.Content) {
-			v.o.Log.Error().Str("event", "config_unlike").Int64("revision", c.Revision).Int64("version", v.versionIn(c.Content)).
-				Int64("version_in_force", v.table.Version).Str("from", from).Msg("")
-		}
+	}
+	inForce := v.configuration
+	same := bytes.Equal(c.Content, inForce.Content)
+	switch {
+	case same, len(c.Content) == 0 && c.Revision == inForce.Revision:
+		v.configuration.Revision = max(inForce.Revision, c.Revision)
 		v.prove(asOf)
+	case EraOf(c.Revision) == EraOf(inForce.Revision) && c.Revision < inForce.Revision, c.Revision == v.older.revision:
+		v.logOlder(c.Revision, from)
+	default:
+		return false
 	}
 	return true
 }
 
-// versionIn is the version that a published configuration gives itself, 0 where it isn't readable.
-func (v *View) versionIn(content []byte) int64 {
-	d, err := v.o.Source.Decode(content)
-	if err != nil {
-		return 0
+// olderConfiguration is one that was refused since a newer one is in force.
+type olderConfiguration struct{ revision, version int64 }
+
+// logOlder counts and logs an older configuration. The caller holds the lock.
+func (v *View) logOlder(revision int64, from string) {
+	version := int64(0)
+	if revision == v.older.revision {
+		version = v.older.version
 	}
-	return d.Version
+	v.o.Metrics.Count("tacktally_config_older_total")
+	v.o.Log.Warn().Str("event", "config_older").Int64("revision", revision).Int64("version", version).
+		Int64("in_force", v.configuration.Revision).Int64("version_in_force", v.table.Version).Str("from", from).Msg("")
 }
 
 func (v *View) build(content []byte) (*routing.Table, error) {
@@ -291,11 +300,21 @@
 	return routing.Build(d)
 }
 
-func (v *View) accept(c Configuration, table *routing.Table, asOf time.Time) bool {
+// accept brings a configuration into force, unless it is older than what is. Its own version orders it, since a source
+// that comes back from a copy publishes what is older than what is in force; of one version the later position holds.
+//
+// An older configuration proves nothing of the one in force, also where the source has no newer one: what the source
+// has lost may have been newer.
+func (v *View) accept(c Configuration, table *routing.Table, asOf time.Time, from string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if c.Revision <= v.configuration.Revision {
-		return false // another offer was faster
+	if v.table != nil && !isNewer(table.Version, c.Revision, v.table.Version, v.configuration.Revision) {
+		v.older = olderConfiguration{c.Revision, table.Version}
+		v.logOlder(c.Revision, from)
+		return false
+	}
+	if EraOf(c.Revision) < EraOf(v.configuration.Revision) {
+		v.asOf = time.Time{} // reads of the copy proved what it held
 	}
 	v.configuration = c
 	v.table = table
@@ -303,6 +322,32 @@
 	return true
 }
 
+// isNewer compares the versions and positions of two configurations.
+func isNewer(version, position, otherVersion, otherPosition int64) bool {
+	return cmp.Or(cmp.Compare(version, otherVersion), cmp.Compare(position, otherPosition)) > 0
+}
+
+// IsBehind tells whether a configuration of a version and position is newer than the one in force. A version of 0
+// isn't told.
+func (v *View) IsBehind(version, position int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table == nil || version == 0 {
+		return position > v.configuration.Revision
+	}
+	return isNewer(version, position, v.table.Version, v.configuration.Revision)
+}
+
+// Version returns the own version of the configuration in force, 0 while there is none.
+func (v *View) Version() int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table == nil {
+		return 0
+	}
+	return v.table.Version
+}
+
 // prove notes when the read was sent that proved the configuration. The caller holds the
 // lock.
 func (v *View) prove(asOf time.Time) {
