soak: let the store come back from copies, in overlaps with kills, cuts and freezes

The stand-in store is away for a moment, comes back from a copy of up to some seconds before, and operators and upstreams write again later. In the end all instances have to serve the latest version's route.

--- a/internal/soak/places.go
+++ b/internal/soak/places.go
@@ -43,6 +43,13 @@
 	return z.count == 1
 }
 
+// Is tells whether a zone is evacuated.
+func (e *Evacuated) Is(zone string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.zones[zone] != nil && e.zones[zone].count > 0
+}
+
 // End records that one evacuation ends, and tells whether its zone is taken back by that.
 func (e *Evacuated) End(zone string) (last bool) {
 	e.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -56,6 +56,8 @@
 	SayLeaving Fault = "say_leaving"
 	// NameLimit lets an upstream name a limit of requests a second in its answers, or none any more.
 	NameLimit Fault = "name_limit"
+	// Restore takes the source away and lets it come back from an older copy; what it has lost is written again later.
+	Restore Fault = "restore"
 )
 
 // Mix is how often each fault comes, in proportion.
@@ -94,6 +96,12 @@
 // Limiting is a mix of limits that upstreams name, while whoever keeps them is killed, paused, cut off or replaced.
 var Limiting = Mix{NameLimit: 8, Kill: 2, Terminate: 3, Pause: 4, PeerLink: 4, Replace: 2, Stuck: 2, Change: 1}
 
+// Restoring is a mix of returns of the source from older copies, while what it publishes changes and whoever reads it
+// is killed, paused, cut off or started.
+var Restoring = Mix{
+	Restore: 6, Change: 4, Revoke: 3, Replace: 3, Evacuate: 2, Kill: 2, Terminate: 2, Pause: 3, SourceLink: 3, SourceAway: 2, PeerLink: 3, Stuck: 2,
+}
+
 // Event is one fault at a time.
 type Event struct {
 	At  time.Duration
