fleet: keep an upstream's rest while its entry is away

An entry that lapses around an outage comes back; its process had asked for rest all the same, and got requests at once. The rest was dropped with the entry. It is the process's now, like its word of leaving and its limit, and is forgotten a minute after its end.

The new test failed before.

--- a/internal/fleet/ownword.go
+++ b/internal/fleet/ownword.go
@@ -110,5 +110,6 @@
 			delete(f.saidLeaving, process)
 		}
 	}
+	f.rests.Prune(now.Add(-wordKept))
 	f.limits.Prune(now, wordKept, func(process string) bool { return f.processes[process] != nil })
 }
--- a/internal/fleet/ownword_test.go
+++ b/internal/fleet/ownword_test.go
@@ -79,3 +79,23 @@
 		is.Equal(len(heard), 201)
 	})
 }
+
+// An entry that lapses around an outage comes back: its process has asked for rest all the same. Another process under
+// the ID hasn't.
+func TestARestOutlivesTheEntryOfItsUpstream(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf("10.0.0.1:1", instances(1))
+	entry := view.Upstream{ID: "i-7", Service: "s", Address: "127.0.0.1:1", Slots: 9}
+	f.Rest("i-7", time.Minute)
+	f.ChangeUpstreams(view.ListChange{Version: 2, Gone: []string{"i-7"}})
+	f.ChangeUpstreams(view.ListChange{Version: 3, Changed: []view.Upstream{entry}})
+	is.Equal(f.MayBeSent("i-7"), ErrResting)
+	entry.Born = 9
+	f.ChangeUpstreams(view.ListChange{Version: 4, Changed: []view.Upstream{entry}})
+	is.NoErr(f.MayBeSent("i-7"))
+	f.Rest("i-7", time.Minute)
+	f.ChangeUpstreams(view.ListChange{Version: 5, Gone: []string{"i-7"}})
+	entry.Born = 10
+	f.ChangeUpstreams(view.ListChange{Version: 6, Changed: []view.Upstream{entry}})
+	is.NoErr(f.MayBeSent("i-7"))
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -124,16 +124,16 @@
 	default:
 		u.shard = known.shard
 	}
+	f.rests.Keep(u.ID, u.process())
 	f.upstreams[u.ID] = u
 	f.processes[u.process()] = u
 	f.refresh(u, updated)
 }
 
-// forgetProcess drops what is kept of the process that an upstream had: its connections are of no use, and
-// another process hasn't asked for rest. The caller holds the lock.
+// forgetProcess drops what is kept of the process that an upstream had: its connections are of no use. The caller holds
+// the lock.
 func (f *Fleet) forgetProcess(u *upstream) {
 	f.closeConnections(u.ID)
-	f.rests.Drop(u.ID)
 	delete(f.processes, u.process())
 }
 
--- a/internal/rest/rest.go
+++ b/internal/rest/rest.go
@@ -7,6 +7,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -132,9 +133,18 @@
 	}
 }
 
-// Drop forgets the rest of an upstream whose process has gone.
-func (r *Rests) Drop(upstream string) {
+// Keep forgets the rest of an upstream unless this process of it has asked for it.
+func (r *Rests) Keep(upstream, process string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.by, upstream)
+	if s := r.by[upstream]; s != nil && s.process != process {
+		delete(r.by, upstream)
+	}
+}
+
+// Prune forgets rests that were over before a time.
+func (r *Rests) Prune(before time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.by, func(_ string, s *rest) bool { return s.until.Before(before) })
 }
--- a/internal/rest/rest_test.go
+++ b/internal/rest/rest_test.go
@@ -54,9 +54,15 @@
 	r.Begin(at(0), "a", "a@1", 1000*time.Hour)
 	is.Equal(r.Left(at(0), "a"), Longest)
 	r.Begin(at(0), "b", "b", time.Hour)
-	r.Drop("a")
+	r.Keep("a", "a@1")
+	is.Equal(r.May(at(0), "a"), ErrResting)
+	r.Keep("a", "a@2")
 	is.NoErr(r.May(at(0), "a"))
 	is.Equal(r.May(at(0), "b"), ErrResting)
 	r.Begin(at(1), "b", "b@2", time.Second) // another one under the ID asks for less
 	is.Equal(r.Left(at(1), "b"), time.Second)
+	r.Prune(at(2))
+	is.Equal(len(r.by), 1)
+	r.Prune(at(2.1))
+	is.Equal(len(r.by), 0)
 }
