--- a/internal/balancer/rate.go
+++ b/internal/balancer/rate.go
@@ -19,9 +19,9 @@
 	Set bool
 	// PerSecond is this instance's part.
 	PerSecond float64
-	// Drawn lets chance decide, second by second, whether the instance may grant a request, and nothing is saved up.
+	// Probabilistic lets chance decide, second by second, whether the instance may grant a request, and nothing is saved up.
 	// Where each of many instances has a small part, what they save up would arrive at once.
-	Drawn bool
+	Probabilistic bool
 }
 
 const (
@@ -29,8 +29,8 @@
 	// limits so high that a scheduler's step lasts for several requests.
 	rateBurst     = 1
 	rateBurstTime = 50 * time.Millisecond
-	// drawEvery is how often chance decides.
-	drawEvery = time.Second
+	// sampleEvery is how often chance decides.
+	sampleEvery = time.Second
 )
 
 // tokens is the token bucket of one upstream's RateLimit. It starts empty, since whoever granted before may have
@@ -46,8 +46,8 @@
 		b.at = now
 		return
 	}
-	if l.Drawn {
-		b.draw(now, l)
+	if l.Probabilistic {
+		b.sample(now, l)
 		return
 	}
 	most := rateBurst + l.PerSecond*rateBurstTime.Seconds()
@@ -55,13 +55,13 @@
 	b.at = now
 }
 
-// draw replaces what is left, once drawEvery.
-func (b *tokens) draw(now time.Time, l RateLimit) {
-	if now.Sub(b.at) < drawEvery {
+// draw replaces what is left, once sampleEvery.
+func (b *tokens) sample(now time.Time, l RateLimit) {
+	if now.Sub(b.at) < sampleEvery {
 		return
 	}
 	b.at = now
-	b.left = float64(int(l.PerSecond*drawEvery.Seconds() + rand.Float64()))
+	b.left = float64(int(l.PerSecond*sampleEvery.Seconds() + rand.Float64()))
 }
 
 // isWithinRate tells whether its RateLimit allows one more request now.
@@ -89,7 +89,7 @@
 
 // SetRate takes its limit. What was saved up under one of another kind is lost.
 func (u *Upstream) SetRate(l RateLimit) {
-	if l.Set != u.Rate.Set || l.Drawn != u.Rate.Drawn {
+	if l.Set != u.Rate.Set || l.Probabilistic != u.Rate.Probabilistic {
 		u.tokens = tokens{}
 	}
 	u.Rate = l
--- a/internal/balancer/rate_test.go
+++ b/internal/balancer/rate_test.go
@@ -57,13 +57,13 @@
 }
 
 // Each of many instances that decide alone has a small part, and hardly any of them has one at the same time.
-func TestWhatIsDrawnAddsUpToTheLimit(t *testing.T) {
+func TestWhatIsGrantedByChanceAddsUpToTheLimit(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	total := 0
 	for range 600 {
 		u := &Upstream{}
-		u.SetRate(RateLimit{Set: true, PerSecond: 1.9 / 600, Drawn: true})
+		u.SetRate(RateLimit{Set: true, PerSecond: 1.9 / 600, Probabilistic: true})
 		is.True(!u.MayStart(now))
 		total += granted(u, now.Add(time.Hour), 30*time.Second)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -239,6 +239,7 @@
 	})
 	i.metrics.Gauge("tacktally_zones_evacuated", func() float64 { return float64(len(i.view.Evacuated().Zones)) })
 	i.metrics.Gauge("tacktally_upstreams_cold", func() float64 { return float64(i.fleet.ColdUpstreams()) })
+	i.metrics.Gauge("tacktally_upstreams_limited", func() float64 { return float64(i.fleet.LimitedUpstreams()) })
 	i.metrics.Gauge("tacktally_requests_held", func() float64 { return float64(i.quarantine.Count(time.Now())) })
 	i.metrics.Gauge("tacktally_starts_held", func() float64 { return float64(i.fleet.HeldStarts()) })
 	i.metrics.Gauge("tacktally_peers_known", func() float64 { return float64(len(i.mesh.Peers())) })
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -17,9 +17,9 @@
 
 // NoteLimit takes what an upstream of the list says, in the answer to an attempt that was sent at a time, of the
 // requests a second that it takes. It returns whether that is news for peers.
-func (f *Fleet) NoteLimit(id string, sent time.Time, w ratelimit.Word) bool {
+func (f *Fleet) NoteLimit(id string, sent time.Time, o ratelimit.Observation) bool {
 	process := f.ProcessOf(id)
-	if process == "" || !f.limits.Answered(time.Now(), sent, process, w) {
+	if process == "" || !f.limits.Observe(time.Now(), sent, process, o) {
 		return false
 	}
 	f.applyLimits(process)
@@ -27,7 +27,7 @@
 }
 
 // LearnLimits takes what a peer tells of limits, and returns whether any of it is news.
-func (f *Fleet) LearnLimits(peer string, told []ratelimit.Told) bool {
+func (f *Fleet) LearnLimits(peer string, told []ratelimit.Update) bool {
 	if len(told) == 0 {
 		return false
 	}
@@ -40,10 +40,10 @@
 }
 
 // TellLimits returns what peers are to be told of limits now, and AllLimits what one is that may know none of them.
-func (f *Fleet) TellLimits() []ratelimit.Told { return f.limits.Tell(time.Now()) }
+func (f *Fleet) TellLimits() []ratelimit.Update { return f.limits.Tell(time.Now()) }
 
 // AllLimits returns all that is known of limits.
-func (f *Fleet) AllLimits() []ratelimit.Told { return f.limits.All(time.Now()) }
+func (f *Fleet) AllLimits() []ratelimit.Update { return f.limits.All(time.Now()) }
 
 // Limit returns the requests a second that an upstream takes from all instances, as far as this one knows, and
 // whether there is such a limit.
@@ -55,6 +55,9 @@
 	return f.limits.Of(process)
 }
 
+// LimitedUpstreams returns how many upstreams are known to have named a limit.
+func (f *Fleet) LimitedUpstreams() int { return f.limits.Count() }
+
 // limitOf is the limit of a process as its scheduler takes it.
 func (f *Fleet) limitOf(process string) balancer.NamedLimit {
 	perSecond, limited := f.limits.Of(process)
@@ -62,11 +65,11 @@
 }
 
 // limitsToTell returns the limits of a service's upstreams, for the owner of one of its shards.
-func (f *Fleet) limitsToTell(service string) []ratelimit.Told {
-	if !f.limits.Any() {
+func (f *Fleet) limitsToTell(service string) []ratelimit.Update {
+	if f.limits.Count() == 0 {
 		return nil
 	}
-	told := slices.DeleteFunc(f.listed(f.limits.All(time.Now())), func(t ratelimit.Told) bool { return f.serviceOfProcess(t.Process) != service })
+	told := slices.DeleteFunc(f.listed(f.limits.All(time.Now())), func(t ratelimit.Update) bool { return f.serviceOfProcess(t.Process) != service })
 	return told[:min(len(told), mostLimits)]
 }
 
@@ -95,7 +98,7 @@
 }
 
 // listed returns those of some limits whose processes are on the list.
-func (f *Fleet) listed(told []ratelimit.Told) (out []ratelimit.Told) {
+func (f *Fleet) listed(told []ratelimit.Update) (out []ratelimit.Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range told {
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -264,7 +264,7 @@
 		}
 	}
 	w.later(limitRuns, func() {
-		if f.NoteLimit(u, sent, w.word()) {
+		if f.NoteLimit(u, sent, w.says()) {
 			w.gossip(m)
 		}
 		if f == m.fleet && m.told.IsZero() {
@@ -273,12 +273,12 @@
 	})
 }
 
-// word is what the limited upstream says now.
-func (w *limitWorld) word() ratelimit.Word {
+// says is what the limited upstream says now.
+func (w *limitWorld) says() ratelimit.Observation {
 	if w.ended {
-		return ratelimit.Word{Kind: ratelimit.None}
+		return ratelimit.Observation{Kind: ratelimit.Unlimited}
 	}
-	return ratelimit.Word{Kind: ratelimit.Named, PerSecond: w.limit}
+	return ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: w.limit}
 }
 
 // gossip lets a member tell others what it knows of limits. Half of that is lost.
@@ -395,7 +395,7 @@
 	is.True(problem == nil)
 	is.NoErr(f.BeginAttempt(l))
 	f.Heard("i-7")
-	is.True(f.NoteLimit("i-7", time.Now(), ratelimit.Word{Kind: ratelimit.Named, PerSecond: 2}))
+	is.True(f.NoteLimit("i-7", time.Now(), ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: 2}))
 	is.Equal(f.BeginAttempt(l), ErrNotLimited)
 	f.UseSlots(grantingSlots{peer.SlotGrant{Upstream: "i-7", Limited: true}})
 	l, problem = f.Acquire(t.Context(), generation())
@@ -408,7 +408,7 @@
 	is := is.New(t)
 	f := fleetOf("10.0.0.1:1", instances(3))
 	is.Equal(len(f.slotRequest(time.Now(), f.services["s"].shards[0], generation()).Limits), 0)
-	f.NoteLimit("i-7", time.Now(), ratelimit.Word{Kind: ratelimit.Named, PerSecond: 2})
+	f.NoteLimit("i-7", time.Now(), ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: 2})
 	told := f.slotRequest(time.Now(), f.services["s"].shards[0], generation()).Limits
 	is.Equal(len(told), 1)
 	is.Equal(told[0].PerSecond, 2.0)
@@ -425,7 +425,7 @@
 func TestALimitIsOfTheProcess(t *testing.T) {
 	is := is.New(t)
 	f := fleetOf("10.0.0.1:1", instances(1))
-	f.NoteLimit("i-7", time.Now(), ratelimit.Word{Kind: ratelimit.Named, PerSecond: 2})
+	f.NoteLimit("i-7", time.Now(), ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: 2})
 	entry := view.Upstream{ID: "i-7", Service: "s", Address: "127.0.0.1:1", Slots: 9}
 	f.ChangeUpstreams(view.ListChange{Version: 2, Gone: []string{"i-7"}})
 	f.ChangeUpstreams(view.ListChange{Version: 3, Changed: []view.Upstream{entry}})
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -49,7 +49,7 @@
 // limitStarts lets each shard know how much of what cold upstreams bear this instance may grant, and
 // send what it has room for.
 func (f *Fleet) limitStarts() {
-	reached, limited := f.reach(), f.limits.Any()
+	reached, limited := f.reach(), f.limits.Count() > 0
 	for _, s := range f.all() {
 		f.mu.Lock()
 		coldStart := f.serviceOf(s.service).coldStart
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -164,7 +164,7 @@
 	// ConfigVersion is the own version of the configuration in force, 0 where it isn't told.
 	ConfigVersion int64 `cbor:"18,keyasint,omitempty"`
 	// Limits that upstreams have named: what is new of them, and some of the rest in turn.
-	Limits []ratelimit.Told `cbor:"17,keyasint,omitempty"`
+	Limits []ratelimit.Update `cbor:"17,keyasint,omitempty"`
 }
 
 // Evacuations are the availability zones whose upstreams are to get nothing new.
@@ -242,7 +242,7 @@
 	// Leaving are the processes of upstreams that have said themselves that they leave.
 	Leaving []string `cbor:"14,keyasint,omitempty"`
 	// Limits that upstreams have named.
-	Limits []ratelimit.Told `cbor:"15,keyasint,omitempty"`
+	Limits []ratelimit.Update `cbor:"15,keyasint,omitempty"`
 	// ListDigest is of the whole list of upstreams of that version; 0 where it isn't told.
 	ListDigest uint64 `cbor:"13,keyasint,omitempty"`
 }
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -56,7 +56,7 @@
 	Ask Ask `cbor:"21,keyasint,omitempty"`
 	// Limits are those that the asking instance knows of the service's upstreams: one that has just become the owner
 	// may know none.
-	Limits []ratelimit.Told `cbor:"22,keyasint,omitempty"`
+	Limits []ratelimit.Update `cbor:"22,keyasint,omitempty"`
 }
 
 // Ask is what a request for a slot is to the budget out of which requests are sent again.
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -5,7 +5,7 @@
 // noteLimit takes what an answer says of the requests a second that its upstream takes. That there is no limit
 // only a signed answer can say.
 func (r *relay) noteLimit(head Head) {
-	if head.Limit.Kind == ratelimit.None && !head.Signed {
+	if head.Limit.Kind == ratelimit.Unlimited && !head.Signed {
 		return
 	}
 	if r.job.handler.o.Fleet.NoteLimit(r.job.upstream, r.job.sentAt, head.Limit) {
--- a/internal/proxy/rig_test.go
+++ b/internal/proxy/rig_test.go
@@ -76,15 +76,15 @@
 	return Head{Limit: limitIn(h), RetryAfter: after, Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
 }
 
-func limitIn(h http.Header) ratelimit.Word {
+func limitIn(h http.Header) ratelimit.Observation {
 	if h.Get("Limit") == "" {
-		return ratelimit.Word{Kind: ratelimit.None}
+		return ratelimit.Observation{Kind: ratelimit.Unlimited}
 	}
 	perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
 	if err != nil {
-		return ratelimit.Word{}
+		return ratelimit.Observation{}
 	}
-	return ratelimit.Word{Kind: ratelimit.Named, PerSecond: perSecond}
+	return ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: perSecond}
 }
 
 func (plain) WriteProblem(w http.ResponseWriter, p *api.Problem) {
--- a/internal/proxy/seam.go
+++ b/internal/proxy/seam.go
@@ -85,5 +85,5 @@
 	// RetryAfter is for how long it wants nothing, 0 where it doesn't say.
 	RetryAfter time.Duration
 	// Limit is what it says of the requests a second that it takes.
-	Limit ratelimit.Word
+	Limit ratelimit.Observation
 }
--- a/internal/proxy/words_test.go
+++ b/internal/proxy/words_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// Whose word a limit is, and whose it is that there is none any more.
+// Which answers name a limit, and which end one.
 func TestWhichAnswersNameALimit(t *testing.T) {
 	limiting := func(f http.HandlerFunc) http.HandlerFunc {
 		return func(w http.ResponseWriter, q *http.Request) {
@@ -87,7 +87,7 @@
 				r.publish(0)
 				r.upstream("a", c.answer)
 				if before {
-					r.fleet.NoteLimit("a", time.Now(), ratelimit.Word{Kind: ratelimit.Named, PerSecond: 1e6})
+					r.fleet.NoteLimit("a", time.Now(), ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: 1e6})
 				}
 				r.get("once")
 				_, limited := r.fleet.Limit("a")
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -8,23 +8,23 @@
 	"github.com/phuslu/log"
 )
 
-// Word is what one answer says of its upstream's limit.
-type Word struct {
+// Observation is what one answer says of its upstream's limit.
+type Observation struct {
 	Kind Kind
 	// PerSecond is the limit, where one is named.
 	PerSecond float64
 }
 
-// Kind of a word.
+// Kind of an observation.
 type Kind uint8
 
 const (
-	// Unsaid: the answer says nothing that counts.
-	Unsaid Kind = iota
-	// None: the upstream names no limit.
-	None
-	// Named: it names one.
-	Named
+	// Unknown: the answer says nothing that counts.
+	Unknown Kind = iota
+	// Unlimited: the upstream names no limit.
+	Unlimited
+	// Limited: it names one.
+	Limited
 )
 
 // endedKept is how long it is remembered that a limit has ended, for peers that hold it still.
@@ -52,31 +52,31 @@
 // New returns a book that knows of no limit.
 func New(l *log.Logger) *Book { return &Book{log: l, by: map[string]*entry{}} }
 
-// Answered takes the word of a process in an answer whose attempt was sent at a time. It returns whether its
-// limit has changed.
-func (b *Book) Answered(now, sent time.Time, process string, w Word) (changed bool) {
+// Observe takes what an answer of a process says, to an attempt that was sent at a time. It returns whether its limit
+// has changed.
+func (b *Book) Observe(now, sent time.Time, process string, o Observation) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.by[process]
 	switch {
-	case w.Kind == Named:
-		return b.named(now, sent, process, w.PerSecond)
-	case w.Kind == None && known != nil && !sent.Before(known.heard):
+	case o.Kind == Limited:
+		return b.observeLimit(now, sent, process, o.PerSecond)
+	case o.Kind == Unlimited && known != nil && !sent.Before(known.heard):
 		return b.put(now, "an answer", process, math.Inf(1), now)
 	default:
 		return false
 	}
 }
 
-// named takes a limit that an answer names. The caller holds the lock.
-func (b *Book) named(now, sent time.Time, process string, perSecond float64) (changed bool) {
+// observeLimit takes a limit that an answer names. The caller holds the lock.
+func (b *Book) observeLimit(now, sent time.Time, process string, perSecond float64) (changed bool) {
 	if known := b.by[process]; known != nil && known.holds() && sent.Before(known.heard) {
 		perSecond = min(perSecond, known.perSecond)
 	}
 	return b.put(now, "an answer", process, perSecond, now)
 }
 
-// put enters a word and returns whether it changes the limit. The caller holds the lock.
+// put notes a limit, +Inf for none, and returns whether that changes it. The caller holds the lock.
 func (b *Book) put(now time.Time, from, process string, perSecond float64, heard time.Time) (changed bool) {
 	known := b.by[process]
 	if known == nil {
@@ -92,7 +92,7 @@
 		known.ended = now
 	}
 	if changed {
-		b.log.Info().Str("event", "upstream_limit").Str("process", process).Float64("per_second", told(perSecond)).
+		b.log.Info().Str("event", "upstream_limit").Str("process", process).Float64("per_second", encode(perSecond)).
 			Str("from", from).Dur("age", now.Sub(heard)).Msg("")
 	}
 	return changed
@@ -101,8 +101,8 @@
 // noLimit stands for the end of a limit in logs and in what peers tell each other.
 const noLimit = -1
 
-// told is a limit as logs and peers write it.
-func told(perSecond float64) float64 {
+// encode returns a limit as logs and peers write it.
+func encode(perSecond float64) float64 {
 	if math.IsInf(perSecond, 1) {
 		return noLimit
 	}
@@ -120,16 +120,16 @@
 	return known.perSecond, true
 }
 
-// Any tells whether a limit is known.
-func (b *Book) Any() bool {
+// Count returns how many processes have a limit.
+func (b *Book) Count() (n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range b.by {
 		if e.holds() {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // Prune drops what is known of processes that have been off the list for longer than kept, and limits that ended
--- a/internal/ratelimit/book_test.go
+++ b/internal/ratelimit/book_test.go
@@ -12,14 +12,14 @@
 
 var (
 	begin = time.Now()
-	none  = Word{Kind: None}
+	none  = Observation{Kind: Unlimited}
 )
 
 func at(seconds float64) time.Time {
 	return begin.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func named(perSecond float64) Word { return Word{Kind: Named, PerSecond: perSecond} }
+func named(perSecond float64) Observation { return Observation{Kind: Limited, PerSecond: perSecond} }
 
 func newBook() *Book { return New(telemetry.NewLogger(io.Discard, "error", "test")) }
 
@@ -28,7 +28,7 @@
 func TestWhichAnswersChangeALimit(t *testing.T) {
 	for name, c := range map[string]struct {
 		sent    float64
-		word    Word
+		seen    Observation
 		limit   float64
 		limited bool
 	}{
@@ -37,7 +37,7 @@
 		"a lower one":              {6, named(0.2), 0.2, true},
 		"zero":                     {6, named(0), 0, true},
 		"none any more":            {6, none, 0, false},
-		"unreadable":               {6, Word{}, 2, true},
+		"unreadable":               {6, Observation{}, 2, true},
 		"a higher one from before": {4, named(50), 2, true},
 		"a lower one from before":  {4, named(1), 1, true},
 		"none, from before":        {4, none, 2, true},
@@ -45,8 +45,8 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBook()
-			is.True(b.Answered(at(5), at(4.5), "a@1", named(2)))
-			b.Answered(at(7), at(c.sent), "a@1", c.word)
+			is.True(b.Observe(at(5), at(4.5), "a@1", named(2)))
+			b.Observe(at(7), at(c.sent), "a@1", c.seen)
 			limit, limited := b.Of("a@1")
 			is.Equal(limited, c.limited)
 			is.Equal(limit, c.limit)
@@ -57,8 +57,8 @@
 func TestALimitIsOfOneProcess(t *testing.T) {
 	is := is.New(t)
 	b := newBook()
-	is.True(b.Answered(at(0), at(0), "a@1", named(2)))
-	is.True(!b.Answered(at(1), at(1), "a@1", named(2))) // no news
+	is.True(b.Observe(at(0), at(0), "a@1", named(2)))
+	is.True(!b.Observe(at(1), at(1), "a@1", named(2))) // no news
 	_, limited := b.Of("a@2")
 	is.True(!limited)
 }
@@ -66,10 +66,10 @@
 func TestNothingIsKeptForEver(t *testing.T) {
 	is := is.New(t)
 	b := newBook()
-	b.Answered(at(0), at(0), "gone@1", named(2))
-	b.Answered(at(0), at(0), "ended@1", named(2))
-	b.Answered(at(1), at(1), "ended@1", none)
-	b.Answered(at(0), at(0), "stays@1", named(2))
+	b.Observe(at(0), at(0), "gone@1", named(2))
+	b.Observe(at(0), at(0), "ended@1", named(2))
+	b.Observe(at(1), at(1), "ended@1", none)
+	b.Observe(at(0), at(0), "stays@1", named(2))
 	b.Prune(at(61), time.Minute, func(process string) bool { return process != "gone@1" })
 	is.Equal(len(b.by), 1)
 	_, limited := b.Of("stays@1")
--- a/internal/ratelimit/telling.go
+++ b/internal/ratelimit/telling.go
@@ -8,32 +8,32 @@
 )
 
 const (
-	// newFor is how long each message repeats a word that is new; others are told in turn.
+	// newFor is how long each message repeats an update that is new; others are told in turn.
 	newFor = 2 * time.Second
-	// mostNew, inTurn and mostKnown bound the words that one message tells.
+	// mostNew, inTurn and mostKnown bound the updates in one message.
 	mostNew   = 32
 	inTurn    = 4
 	mostKnown = 256
-	// asOld is the difference in age up to which words of unlike peers count as equally old.
+	// asOld is the difference in age up to which updates of unlike peers count as equally old.
 	asOld = 500 * time.Millisecond
 )
 
-// Told is what instances tell each other of one process.
-type Told struct {
+// Update is what instances tell each other of one process.
+type Update struct {
 	Process string `cbor:"1,keyasint"`
 	// PerSecond is its limit, -1 where it has none any more.
 	PerSecond float64 `cbor:"2,keyasint"`
-	// Age of the word.
+	// Age of the observation.
 	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // isSane tells whether a peer may have meant it.
-func (t Told) isSane() bool {
+func (t Update) isSane() bool {
 	return t.Process != "" && t.Age >= 0 && (t.PerSecond >= 0 || t.PerSecond == noLimit) && !math.IsInf(t.PerSecond, 1)
 }
 
 // Learn takes what a peer tells, and returns the processes whose limits have changed.
-func (b *Book) Learn(now time.Time, peer string, all []Told) (changed []string) {
+func (b *Book) Learn(now time.Time, peer string, all []Update) (changed []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, t := range all {
@@ -44,8 +44,8 @@
 	return changed
 }
 
-// learn takes one word. The caller holds the lock.
-func (b *Book) learn(now time.Time, peer string, t Told) (changed bool) {
+// learn takes one update. The caller holds the lock.
+func (b *Book) learn(now time.Time, peer string, t Update) (changed bool) {
 	perSecond := t.PerSecond
 	if perSecond == noLimit {
 		perSecond = math.Inf(1)
@@ -65,9 +65,9 @@
 
 // Tell returns what peers are to be told now: what is new, and of the rest some in turn, so that one that knows
 // nothing hears of all.
-func (b *Book) Tell(now time.Time) []Told {
+func (b *Book) Tell(now time.Time) []Update {
 	all := b.All(now)
-	rest := slices.IndexFunc(all, func(t Told) bool { return t.Age >= newFor })
+	rest := slices.IndexFunc(all, func(t Update) bool { return t.Age >= newFor })
 	if rest < 0 {
 		rest = len(all)
 	}
@@ -83,14 +83,14 @@
 }
 
 // All returns what is known, the newest first.
-func (b *Book) All(now time.Time) []Told {
+func (b *Book) All(now time.Time) []Update {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var all []Told
+	var all []Update
 	for process, e := range b.by {
-		all = append(all, Told{Process: process, PerSecond: told(e.perSecond), Age: now.Sub(e.heard)})
+		all = append(all, Update{Process: process, PerSecond: encode(e.perSecond), Age: now.Sub(e.heard)})
 	}
-	slices.SortFunc(all, func(a, b Told) int {
+	slices.SortFunc(all, func(a, b Update) int {
 		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Process, b.Process))
 	})
 	return all[:min(len(all), mostKnown)]
--- a/internal/ratelimit/telling_test.go
+++ b/internal/ratelimit/telling_test.go
@@ -9,30 +9,30 @@
 	"github.com/matryer/is"
 )
 
-// A peer's word counts by its age; of two about as old the lower limit does.
-func TestWhichWordsOfPeersChangeALimit(t *testing.T) {
+// A peer's update counts by its age; of two about as old the lower limit does.
+func TestWhichUpdatesOfPeersChangeALimit(t *testing.T) {
 	for name, c := range map[string]struct {
-		told    Told
+		told    Update
 		limit   float64
 		limited bool
 	}{
-		"newer, higher":         {Told{"a@1", 50, 0}, 50, true},
-		"newer, none any more":  {Told{"a@1", -1, 0}, 0, false},
-		"older, lower":          {Told{"a@1", 1, 5 * time.Second}, 2, true},
-		"as old, higher":        {Told{"a@1", 50, 1800 * time.Millisecond}, 2, true},
-		"as old, lower":         {Told{"a@1", 1, 2200 * time.Millisecond}, 1, true},
-		"as old, none any more": {Told{"a@1", -1, 1800 * time.Millisecond}, 2, true},
-		"no number":             {Told{"a@1", math.NaN(), 0}, 2, true},
-		"negative":              {Told{"a@1", -3, 0}, 2, true},
-		"infinite":              {Told{"a@1", math.Inf(1), 0}, 2, true},
-		"from the future":       {Told{"a@1", 1, -time.Hour}, 2, true},
-		"of another process":    {Told{"a@2", 1, 0}, 2, true},
+		"newer, higher":         {Update{"a@1", 50, 0}, 50, true},
+		"newer, none any more":  {Update{"a@1", -1, 0}, 0, false},
+		"older, lower":          {Update{"a@1", 1, 5 * time.Second}, 2, true},
+		"as old, higher":        {Update{"a@1", 50, 1800 * time.Millisecond}, 2, true},
+		"as old, lower":         {Update{"a@1", 1, 2200 * time.Millisecond}, 1, true},
+		"as old, none any more": {Update{"a@1", -1, 1800 * time.Millisecond}, 2, true},
+		"no number":             {Update{"a@1", math.NaN(), 0}, 2, true},
+		"negative":              {Update{"a@1", -3, 0}, 2, true},
+		"infinite":              {Update{"a@1", math.Inf(1), 0}, 2, true},
+		"from the future":       {Update{"a@1", 1, -time.Hour}, 2, true},
+		"of another process":    {Update{"a@2", 1, 0}, 2, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBook()
-			b.Answered(at(5), at(5), "a@1", named(2))
-			b.Learn(at(7), "p", []Told{c.told})
+			b.Observe(at(5), at(5), "a@1", named(2))
+			b.Learn(at(7), "p", []Update{c.told})
 			limit, limited := b.Of("a@1")
 			is.Equal(limited, c.limited)
 			is.Equal(limit, c.limit)
@@ -40,15 +40,15 @@
 	}
 }
 
-// Messages take a while, so that what is told looks newer than it is. Two that tell each other unlike words of the
+// Messages take a while, so that what is told looks newer than it is. Two that tell each other unlike limits of the
 // same age agree on one, and nothing is news for ever.
 func TestTwoThatTellEachOtherAgree(t *testing.T) {
 	is := is.New(t)
 	a, b := newBook(), newBook()
-	a.Answered(at(0), at(0), "u@1", named(2))
-	b.Answered(at(0), at(0), "u@1", named(2))
-	a.Answered(at(1), at(0.5), "u@1", none)
-	b.Answered(at(1), at(0.5), "u@1", named(2))
+	a.Observe(at(0), at(0), "u@1", named(2))
+	b.Observe(at(0), at(0), "u@1", named(2))
+	a.Observe(at(1), at(0.5), "u@1", none)
+	b.Observe(at(1), at(0.5), "u@1", named(2))
 	news := 0
 	for i := range 20 {
 		now := 1 + 0.1*float64(i)
@@ -65,7 +65,7 @@
 	is := is.New(t)
 	b := newBook()
 	for i := range 100 {
-		b.Answered(at(0), at(0), fmt.Sprintf("u-%d@1", i), named(1))
+		b.Observe(at(0), at(0), fmt.Sprintf("u-%d@1", i), named(1))
 	}
 	is.Equal(len(b.Tell(at(0.1))), mostNew)
 	is.Equal(len(b.All(at(0.1))), 100)
--- a/internal/scheduler/rate.go
+++ b/internal/scheduler/rate.go
@@ -26,7 +26,7 @@
 	case c.reach.Asked:
 		return balancer.RateLimit{Set: true, PerSecond: max(rateShare*u.Named.PerSecond, leastRate) * c.reach.partOf(u.Zone)}
 	default:
-		return balancer.RateLimit{Set: true, PerSecond: max(aloneShare*u.Named.PerSecond, leastRate) * c.reach.Alone, Drawn: true}
+		return balancer.RateLimit{Set: true, PerSecond: max(aloneShare*u.Named.PerSecond, leastRate) * c.reach.Alone, Probabilistic: true}
 	}
 }
 
--- a/internal/scheduler/rate_test.go
+++ b/internal/scheduler/rate_test.go
@@ -90,7 +90,7 @@
 		"all in reach":       {Reach{Asked: true, Fleet: 1}, balancer.RateLimit{Set: true, PerSecond: 9}},
 		"a third in reach":   {Reach{Asked: true, Zones: map[string]float64{"": 1.0 / 3}, Fleet: 0.5}, balancer.RateLimit{Set: true, PerSecond: 3}},
 		"another zone":       {Reach{Asked: true, Zones: map[string]float64{"x": 1.0 / 3}, Fleet: 0.5}, balancer.RateLimit{Set: true, PerSecond: 4.5}},
-		"alone of a hundred": {Reach{Alone: 0.01}, balancer.RateLimit{Set: true, PerSecond: 0.05, Drawn: true}},
+		"alone of a hundred": {Reach{Alone: 0.01}, balancer.RateLimit{Set: true, PerSecond: 0.05, Probabilistic: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/view/evacuations.go
+++ b/internal/view/evacuations.go
@@ -47,8 +47,8 @@
 	all       []string // published or held, in order
 	// held are zones that an earlier era had, until when each is believed to be evacuated.
 	held map[string]time.Time
-	// over are zones that this era has had, or that were held for long enough.
-	over map[string]bool
+	// resolved are zones that this era has had, or that were held for long enough.
+	resolved map[string]bool
 	// before is the version that was known last of earlier eras, and until when such are held.
 	before    int64
 	holdUntil time.Time
@@ -80,7 +80,7 @@
 			zones = append(zones, c.Zone)
 		}
 		if EraOf(c.Revision) == EraOf(e.version) {
-			e.settle(c.Zone)
+			e.resolve(c.Zone)
 		}
 	}
 	v.mu.Unlock()
@@ -179,7 +179,7 @@
 		}
 	}
 	for _, zone := range e.published {
-		e.settle(zone)
+		e.resolve(zone)
 	}
 }
 
@@ -187,14 +187,14 @@
 func (e *evacuations) enterEra(now time.Time) {
 	before := e.published
 	e.before, e.holdUntil = e.version, now.Add(restoredHold)
-	e.over = map[string]bool{}
+	e.resolved = map[string]bool{}
 	e.hold(before, e.holdUntil)
 }
 
 // hold believes zones to be evacuated until a time, but for those that this era has had.
 func (e *evacuations) hold(zones []string, until time.Time) {
 	for _, zone := range zones {
-		if e.over[zone] {
+		if e.resolved[zone] {
 			continue
 		}
 		if e.held == nil {
@@ -206,20 +206,20 @@
 	}
 }
 
-// settle goes by what the source says of a zone from now on.
-func (e *evacuations) settle(zone string) {
+// resolve goes by what the source says of a zone from now on.
+func (e *evacuations) resolve(zone string) {
 	delete(e.held, zone)
-	if e.over == nil {
-		e.over = map[string]bool{}
+	if e.resolved == nil {
+		e.resolved = map[string]bool{}
 	}
-	e.over[zone] = true
+	e.resolved[zone] = true
 }
 
 // release ends what was held for long enough.
 func (e *evacuations) release(now time.Time) {
 	for zone, until := range e.held {
 		if !now.Before(until) {
-			e.settle(zone)
+			e.resolve(zone)
 		}
 	}
 }
