--- a/internal/view/departures.go
+++ b/internal/view/departures.go
@@ -21,15 +21,17 @@
 	last Upstream
 	// isLast tells that the entry was known to be its last one.
 	isLast bool
-	at     time.Time
+	// era in which it was gone: a copy of the source from before may bring it back in a later one.
+	era int64
+	at  time.Time
 }
 
 // note remembers the entry of one that is gone, and forgets those of long ago now and then.
-func (d *departures) note(now time.Time, u Upstream, isLast bool) {
+func (d *departures) note(now time.Time, u Upstream, isLast bool, era int64) {
 	if now.Sub(d.pruned) >= departedFor {
 		d.prune(now)
 	}
-	d.by[u.ID] = departure{last: u, isLast: isLast, at: now}
+	d.by[u.ID] = departure{last: u, isLast: isLast, era: era, at: now}
 }
 
 func (d *departures) prune(now time.Time) {
@@ -45,7 +47,7 @@
 	if !gone || now.Sub(known.at) >= departedFor {
 		return false
 	}
-	if EraOf(u.Revision) > EraOf(known.last.Revision) {
+	if EraOf(u.Revision) > known.era {
 		return !known.last.writtenBefore(u)
 	}
 	return known.isLast && (u.Revision <= known.last.Revision || u.writtenBefore(known.last))
--- a/internal/view/evacuations.go
+++ b/internal/view/evacuations.go
@@ -11,6 +11,10 @@
 // have now: operators write it again, or have taken the zone back meanwhile.
 const restoredHold = 30 * time.Second
 
+// rewrittenHold is the same once a configuration that is newer than the one before the return shows that operators have
+// written again: evacuations come beside it.
+const rewrittenHold = 5 * time.Second
+
 // Evacuations are the availability zones whose upstreams are to get nothing new.
 type Evacuations struct {
 	// Version is the position of the source up to which Zones is complete; 0 where nothing is
@@ -131,9 +135,7 @@
 func (v *View) applyEvacuations(before []string, version int64, from string) {
 	e := &v.evacuations
 	e.all = e.believed()
-	if len(e.held) > 0 {
-		v.releaseAt(slices.MinFunc(slices.Collect(maps.Values(e.held)), time.Time.Compare))
-	}
+	v.releaseInTime()
 	if slices.Equal(before, e.all) {
 		return
 	}
@@ -150,13 +152,18 @@
 	}
 }
 
-// releaseAt lets releaseHeld be called at a time. The caller holds the lock.
-func (v *View) releaseAt(t time.Time) {
-	if v.evacuations.expiry == nil {
-		v.evacuations.expiry = time.AfterFunc(t.Sub(v.o.Now()), v.releaseHeld)
+// releaseInTime lets releaseHeld be called when the first zone has been held for long enough. The caller holds the lock.
+func (v *View) releaseInTime() {
+	e := &v.evacuations
+	if len(e.held) == 0 {
 		return
 	}
-	v.evacuations.expiry.Reset(t.Sub(v.o.Now()))
+	left := slices.MinFunc(slices.Collect(maps.Values(e.held)), time.Time.Compare).Sub(v.o.Now())
+	if e.expiry == nil {
+		e.expiry = time.AfterFunc(left, v.releaseHeld)
+		return
+	}
+	e.expiry.Reset(left)
 }
 
 // learn takes what somebody believes. What an earlier era had is held for a while where it isn't known here to have
@@ -191,6 +198,19 @@
 	e.hold(before, e.holdUntil)
 }
 
+// rewritten is called when operators have written again in this era: what they hold on to comes beside it.
+func (e *evacuations) rewritten(now time.Time) {
+	until := now.Add(rewrittenHold)
+	if until.Before(e.holdUntil) {
+		e.holdUntil = until
+	}
+	for zone, known := range e.held {
+		if until.Before(known) {
+			e.held[zone] = until
+		}
+	}
+}
+
 // hold believes zones to be evacuated until a time, but for those that this era has had.
 func (e *evacuations) hold(zones []string, until time.Time) {
 	for _, zone := range zones {
--- a/internal/view/restored_test.go
+++ b/internal/view/restored_test.go
@@ -216,6 +216,53 @@
 	})
 }
 
+// An upstream that the copy lacks is given up in its time. Where it writes the same entry again later, it is back: the
+// one that was given up is of the same era, and no copy's.
+func TestAnUpstreamThatWritesItsEntryAgainLateIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := newView(nil)
+		v.o.Now = time.Now
+		started := Upstream{ID: "a", Slots: 1, Sequence: 1, Revision: in(1, 31)}
+		v.Upstreams([]Upstream{started}, in(1, 31), time.Now())
+		v.Upstreams(nil, in(2, 14), time.Now())
+		<-time.After(v.upstreams.rewrite + time.Second)
+		synctest.Wait()
+		is.Equal(states(v), "")
+		started.Revision = in(2, 20)
+		v.Changes([]Change{{Upstream: started}}, in(2, 20), time.Now())
+		is.Equal(states(v), "a ready")
+		v.Upstreams(nil, in(3, 14), time.Now()) // a second return
+		<-time.After(v.upstreams.rewrite + time.Second)
+		synctest.Wait()
+		is.Equal(states(v), "")
+		started.Revision = in(4, 20) // and a third one, with the entry in the copy
+		v.Upstreams([]Upstream{started}, in(4, 20), time.Now())
+		is.Equal(states(v), "a ready")
+	})
+}
+
+// Operators write again what the store has lost. Once a newer configuration shows that they have, an evacuation that
+// they haven't written again was taken back meanwhile.
+func TestAnEvacuationIsNotHeldForLongOnceOperatorsHaveWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := newVersionedView()
+		v.o.Now = time.Now
+		v.Evacuations([]string{"bole"}, in(1, 40))
+		v.Configuration(in(1, 41), []byte("48 in force"), time.Now())
+		v.Evacuations(nil, in(2, 21))
+		v.Configuration(in(2, 20), []byte("46 of the copy"), time.Now())
+		<-time.After(2 * rewrittenHold)
+		is.Equal(v.Evacuated().Zones, []string{"bole"})
+		v.Configuration(in(2, 22), []byte("50 written again"), time.Now())
+		is.Equal(v.Evacuated().Zones, []string{"bole"}) // it may be written next
+		<-time.After(rewrittenHold + time.Millisecond)
+		synctest.Wait()
+		is.Equal(len(v.Evacuated().Zones), 0)
+	})
+}
+
 // applyDoubt takes what was read of one upstream.
 func (v *View) applyDoubt(id string, c Change) {
 	v.change("its own word", func(r *roster, now time.Time) { r.applyEntry(now, r.entries[id], c) })
--- a/internal/view/roster.go
+++ b/internal/view/roster.go
@@ -105,7 +105,7 @@
 		r.put(now, c.Upstream)
 	}
 	if _, listed := r.entries[known.ID]; !listed {
-		r.left.note(now, known, true)
+		r.left.note(now, known, true, EraOf(r.version))
 	}
 }
 
@@ -235,7 +235,10 @@
 
 // remove removes an entry, and tells whether it was there.
 func (r *roster) remove(now time.Time, id string) (changed bool) {
-	_, listed := r.entries[id]
+	u, listed := r.entries[id]
+	if listed {
+		r.left.note(now, u, u.Leaving, EraOf(r.version))
+	}
 	r.forget(now, id)
 	return listed
 }
@@ -243,15 +246,12 @@
 // forget drops all that is known of an upstream.
 func (r *roster) forget(now time.Time, id string) {
 	r.touch(now, id)
-	if u, listed := r.entries[id]; listed {
-		r.left.note(now, u, u.Leaving)
-	}
 	delete(r.entries, id)
 	delete(r.missing, id)
 	delete(r.cold, id)
 }
 
-// settle gives up what is missing for too long.
+// settle gives up what is missing for too long. Nobody has said that it is gone: it may come back at any time.
 func (r *roster) settle(now time.Time) (gone int) {
 	for id, until := range r.missing {
 		if !now.Before(until) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -316,6 +316,10 @@
 	if EraOf(c.Revision) < EraOf(v.configuration.Revision) {
 		v.asOf = time.Time{} // reads of the copy proved what it held
 	}
+	if EraOf(c.Revision) == EraOf(v.evacuations.version) {
+		v.evacuations.rewritten(v.o.Now())
+		v.releaseInTime()
+	}
 	v.configuration = c
 	v.table = table
 	v.prove(asOf) // or what was proved of the older one holds of this one too
