fleet: an instance that reaches no keeper of a quota grants its share alone

Cause, of the class of the limits that upstreams name: until such an instance has noticed that it is cut off, it reaches no keeper, and granted as one that keeps the whole quota. It grants one instance's share now, as it does of limits.

--- a/internal/fleet/quotas.go
+++ b/internal/fleet/quotas.go
@@ -98,9 +98,10 @@
 // until the owner has answered.
 func (q *Quotas) Take(ctx context.Context, id string, o *routing.Organisation, n, rank int) (taken *Tokens, wait time.Duration) {
 	r := &peer.QuotaRequest{Organisation: o.Name, Rate: q.allowed.raise(o), Burst: o.BurstTokens, Tokens: n, Reserve: reserve(n, rank)}
-	for _, owner := range q.owners(o.Name) {
+	owners := q.owners(o.Name)
+	for _, owner := range owners {
 		if owner == q.fleet.o.Instance {
-			break
+			return q.takeOwn(r, q.fleet.partInReach())
 		}
 		reply, err := q.peers.TakeQuota(ctx, owner, r, ackWithin)
 		switch {
@@ -113,7 +114,10 @@
 		}
 		q.fleet.distrust(owner, id, err)
 	}
-	return q.takeOwn(r)
+	if len(owners) == 0 {
+		return q.takeOwn(r, q.fleet.partInReach())
+	}
+	return q.takeOwn(r, q.fleet.reach().Alone) // it may be one of many that reach no owner
 }
 
 // ComeBackSoon is told where waiting a moment may mend it: another instance may serve the
@@ -152,16 +156,15 @@
 	return q.peers.FleetSize()
 }
 
-// takeOwn takes tokens of what this instance may grant by itself.
-func (q *Quotas) takeOwn(r *peer.QuotaRequest) (*Tokens, time.Duration) {
+// takeOwn takes tokens of what this instance may grant by itself: a part of the quota, once it has settled.
+func (q *Quotas) takeOwn(r *peer.QuotaRequest, part float64) (*Tokens, time.Duration) {
 	t := &Tokens{organisation: r.Organisation, Count: r.Tokens, starting: !q.fleet.Settled()}
 	var granted bool
 	var wait time.Duration
 	if t.starting {
 		granted, wait = q.takeStarting(r)
 	} else {
-		reply := q.Serve(r)
-		granted, wait = reply.Granted, reply.Wait
+		granted, wait = q.grant(r, part)
 	}
 	if !granted {
 		return nil, wait
@@ -178,11 +181,16 @@
 
 // Serve grants tokens out of this instance's bucket, to itself or to a peer.
 func (q *Quotas) Serve(r *peer.QuotaRequest) *peer.QuotaReply {
-	limit := quota.Limit{Rate: r.Rate, Burst: r.Burst, Debt: math.Inf(1), Reserve: r.Reserve}
-	granted, wait := q.limiter.Take(time.Now(), r.Organisation, limit.Part(q.fleet.partInReach()), r.Tokens)
+	granted, wait := q.grant(r, q.fleet.partInReach())
 	return &peer.QuotaReply{Granted: granted, Wait: wait}
 }
 
+// grant takes tokens out of this instance's bucket, which holds a part of the quota.
+func (q *Quotas) grant(r *peer.QuotaRequest, part float64) (granted bool, wait time.Duration) {
+	limit := quota.Limit{Rate: r.Rate, Burst: r.Burst, Debt: math.Inf(1), Reserve: r.Reserve}
+	return q.limiter.Take(time.Now(), r.Organisation, limit.Part(part), r.Tokens)
+}
+
 // Return gives back what was taken and not used.
 func (q *Quotas) Return(t *Tokens) {
 	switch {
--- a/internal/fleet/quotas_test.go
+++ b/internal/fleet/quotas_test.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/routing"
 )
 
@@ -29,3 +32,42 @@
 		})
 	}
 }
+
+// unreachable is a mesh of ten instances without links.
+type unreachable struct{}
+
+func (unreachable) TakeQuota(context.Context, string, *peer.QuotaRequest, time.Duration) (*peer.QuotaReply, error) {
+	return nil, peer.ErrNoReply
+}
+
+func (unreachable) ReturnQuota(string, *peer.QuotaReturn) {}
+
+func (unreachable) FleetSize() int { return 10 }
+
+// A third of a fleet was cut off, one by one, beside an organisation that asked for many times its quota. Until each
+// had noticed, it granted as the keeper of the whole quota would.
+func TestInstancesThatReachNoKeeperOfAQuotaGrantTheirShares(t *testing.T) {
+	is := is.New(t)
+	o := &routing.Organisation{Name: "crews", TokensPerSecond: 100, BurstTokens: 10_000}
+	all := instances(10)
+	for i := range all {
+		all[i].Settled = true
+	}
+	granted, keepers := 0, 0
+	for _, i := range all {
+		f := fleetOf(i.Address, all)
+		if slices.Contains(f.ownersOf(quotaKey(o.Name)), i.Address) {
+			keepers++ // or whoever is asked where the keeper is silent
+			continue
+		}
+		q := NewQuotas(time.Now().Add(-time.Hour), Allowance{}, f)
+		q.UsePeers(unreachable{})
+		for range 2000 {
+			if taken, _ := q.Take(t.Context(), "1", o, 1, 0); taken != nil {
+				granted += taken.Count
+			}
+		}
+	}
+	is.Equal(keepers, maxOwners)
+	is.True(granted <= 1600) // 0.15 of the burst for a keeper, and some for the time that this takes
+}
