--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/balancer"
@@ -31,7 +30,7 @@
 	if len(told) == 0 {
 		return false
 	}
-	changed := f.limits.Learn(time.Now(), "peer "+peer, f.listed(told))
+	changed := f.limits.Learn(time.Now(), "peer "+peer, f.listed(told, func(*upstream) bool { return true }))
 	if len(changed) == 0 {
 		return false
 	}
@@ -69,20 +68,10 @@
 	if f.limits.Count() == 0 {
 		return nil
 	}
-	told := slices.DeleteFunc(f.listed(f.limits.All(time.Now())), func(t ratelimit.Update) bool { return f.serviceOfProcess(t.Process) != service })
+	told := f.listed(f.limits.All(time.Now()), func(u *upstream) bool { return u.Service == service })
 	return told[:min(len(told), mostLimits)]
 }
 
-// serviceOfProcess returns the service of a process of the list, "" for one that isn't on it.
-func (f *Fleet) serviceOfProcess(process string) string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if u := f.processes[process]; u != nil {
-		return u.Service
-	}
-	return ""
-}
-
 // applyLimits lets the schedulers know of limits that have changed.
 func (f *Fleet) applyLimits(processes ...string) {
 	f.mu.Lock()
@@ -97,12 +86,12 @@
 	f.limitStarts()
 }
 
-// listed returns those of some limits whose processes are on the list.
-func (f *Fleet) listed(told []ratelimit.Update) (out []ratelimit.Update) {
+// listed returns those of some limits whose processes are on the list, and are wanted.
+func (f *Fleet) listed(told []ratelimit.Update, wanted func(*upstream) bool) (out []ratelimit.Update) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range told {
-		if f.processes[t.Process] != nil {
+		if u := f.processes[t.Process]; u != nil && wanted(u) {
 			out = append(out, t)
 		}
 	}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -145,7 +145,7 @@
 
 // state is what a refusal was decided on, for whoever looks for its cause.
 func (c *Core) state(now time.Time, r *Request) string {
-	running, others, slots, avoided, leaving := 0, 0, 0, 0, 0
+	running, others, slots, avoided, leaving, limited := 0, 0, 0, 0, 0, 0
 	for _, u := range c.upstreams {
 		if u.Leaving {
 			leaving++
@@ -156,9 +156,12 @@
 		if u.Failures > 0 {
 			avoided++
 		}
+		if u.Named.Set {
+			limited++
+		}
 	}
-	return fmt.Sprintf("rank %d, %d waiting, predicted wait %v, running %d here and %d elsewhere, %d slots, of %d upstreams %d failing, %d leaving or evacuated and %d cold",
-		r.Rank, c.queue.Len(), c.predictedWait(r).Round(time.Millisecond), running, others, slots, len(c.upstreams), avoided, leaving, c.Cold(now))
+	return fmt.Sprintf("rank %d, %d waiting, predicted wait %v, running %d here and %d elsewhere, %d slots, of %d upstreams %d failing, %d leaving or evacuated, %d cold and %d with a limit",
+		r.Rank, c.queue.Len(), c.predictedWait(r).Round(time.Millisecond), running, others, slots, len(c.upstreams), avoided, leaving, c.Cold(now), limited)
 }
 
 // feasible tells whether any upstream could answer in time if it had nothing else
--- a/internal/view/position.go
+++ b/internal/view/position.go
@@ -3,11 +3,14 @@
 // eraSpan is the number of revisions that one era may have. Decimal, so that both can be read in logs.
 const eraSpan = 1_000_000_000_000
 
+// mostEras bounds eras, so that each position is an int64.
+const mostEras = 1_000_000
+
 // Position orders what a source publishes. A source may come back from an older copy of itself and give revisions
 // out again: that begins a new era, and revisions of unlike eras don't compare. Position is the revision where there
-// was no such return. A revision of eraSpan or more, or a negative number, has no position, which Ok tells.
+// was no such return. Not ok are negative numbers, revisions from eraSpan on and eras from mostEras on.
 func Position(era, revision int64) (position int64, ok bool) {
-	ok = era >= 0 && era < eraSpan/1000 && revision >= 0 && revision < eraSpan
+	ok = era >= 0 && era < mostEras && revision >= 0 && revision < eraSpan
 	return era*eraSpan + revision, ok
 }
 
