--- a/internal/fleet/cold_test.go
+++ b/internal/fleet/cold_test.go
@@ -51,28 +51,31 @@
 	worst   int
 	list    []view.Upstream
 	version int64
-	due     []coldEvent
+	agenda
 }
 
-// coldEvent is what happens at a time.
-type coldEvent struct {
+// agenda is what is to happen in a simulated world. All of it happens in one goroutine, step by step, so that a
+// seed plays the same each time.
+type agenda struct{ due []event }
+
+// event is what happens at a time.
+type event struct {
 	at     time.Time
 	happen func()
 }
 
-// later lets something happen. All that happens does so in one goroutine, step by step, so that a
-// seed plays the same each time.
-func (w *coldWorld) later(d time.Duration, happen func()) {
-	w.due = append(w.due, coldEvent{time.Now().Add(d), happen})
+// later lets something happen.
+func (a *agenda) later(d time.Duration, happen func()) {
+	a.due = append(a.due, event{time.Now().Add(d), happen})
 }
 
 // happen lets happen what is due.
-func (w *coldWorld) happen() {
-	due := w.due
-	w.due = nil
+func (a *agenda) happen() {
+	due := a.due
+	a.due = nil
 	for _, e := range due {
 		if e.at.After(time.Now()) {
-			w.due = append(w.due, e)
+			a.due = append(a.due, e)
 			continue
 		}
 		e.happen()
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -59,7 +59,7 @@
 	served    int           // by the upstreams without a limit
 	ended     bool          // its limit has
 	calm      bool          // nothing but requests happens
-	due       []coldEvent
+	agenda
 }
 
 // arrivalWindow counts the arrivals of the last limitWindow, and the most there were.
@@ -153,23 +153,6 @@
 // FleetSize implements Slots.
 func (m *limitMember) FleetSize() int { return len(m.world.members) }
 
-// later lets something happen. All that happens does so in one goroutine, step by step.
-func (w *limitWorld) later(d time.Duration, happen func()) {
-	w.due = append(w.due, coldEvent{time.Now().Add(d), happen})
-}
-
-func (w *limitWorld) happen() {
-	due := w.due
-	w.due = nil
-	for _, e := range due {
-		if e.at.After(time.Now()) {
-			w.due = append(w.due, e)
-			continue
-		}
-		e.happen()
-	}
-}
-
 // disturb lets something happen now and then.
 func (w *limitWorld) disturb() {
 	chance := func(perSecond float64) bool { return w.random.Float64() < perSecond*limitStep.Seconds() }
--- a/internal/fleet/ownword.go
+++ b/internal/fleet/ownword.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/gossip"
 )
 
 // An upstream that leaves says so in its answers, too, and its entry may say so much later: while the
@@ -91,12 +93,7 @@
 		return cmp.Or(f.saidLeaving[b].heard.Compare(f.saidLeaving[a].heard), cmp.Compare(a, b))
 	})
 	slices.Sort(rest)
-	out := fresh[:min(len(fresh), mostNew)]
-	for range min(inTurn, len(rest)) {
-		f.wordsTold++
-		out = append(out, rest[f.wordsTold%len(rest)])
-	}
-	return out
+	return gossip.Pick(fresh, rest, mostNew, inTurn, &f.wordsTold)
 }
 
 // forgetWords drops the word of processes that have been off the list for long. The caller holds the lock.
--- a/internal/ratelimit/telling.go
+++ b/internal/ratelimit/telling.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/gossip"
 )
 
 const (
@@ -71,15 +73,9 @@
 	if rest < 0 {
 		rest = len(all)
 	}
-	told := slices.Clone(all[:min(rest, mostNew)])
-	others := all[rest:]
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for range min(inTurn, len(others)) {
-		b.turn++
-		told = append(told, others[b.turn%len(others)])
-	}
-	return told
+	return gossip.Pick(all[:rest], all[rest:], mostNew, inTurn, &b.turn)
 }
 
 // All returns what is known, the newest first.
--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -114,6 +114,10 @@
 	if next, some := r.nextSettle(); some {
 		v.settleAt(next)
 	}
+	if version > 0 && EraOf(r.version) > EraOf(version) {
+		v.o.Log.Warn().Str("event", "source_restored").Int64("version", r.version).Int64("version_before", version).
+			Dur("settling", max(r.settles.Sub(now), 0)).Str("from", from).Msg("the source came back from a copy")
+	}
 	change, states := r.commit(now)
 	if states == "" && len(change.Changed) == 0 && version == r.version {
 		return
