daemon: whoever reads a list waits until it is in use

After a pause the list is read by the woken instance, by its watch and from peers at once. Whoever found it known already went on while another goroutine was still applying it, and requests were granted by the one before. Callers of the own interface alone are concerned.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -132,17 +132,16 @@
 	d.mesh.FetchAll(ctx)
 }
 
-// useInstances takes a list unless a newer one is in use.
+// useInstances takes a list unless a newer one is in use. It returns once one as new is in use for requests.
 func (d *Daemon) useInstances(l platform.List) {
-	if !d.instances.replace(l) {
-		return
-	}
-	d.dispatcher.SetInstances(l.Instances)
-	d.followCaches()
-	d.organisations.SetInstances(systemInstances(l))
-	d.mesh.SetPeers(peerAddresses(l, d.settings.Peers.Seeds))
-	d.mesh.Announce()
-	d.log.Info().Str("event", "instances").Int64("version", l.Version).Int("count", len(l.Instances)).Msg("")
+	d.instances.use(l, func() {
+		d.dispatcher.SetInstances(l.Instances)
+		d.followCaches()
+		d.organisations.SetInstances(systemInstances(l))
+		d.mesh.SetPeers(peerAddresses(l, d.settings.Peers.Seeds))
+		d.mesh.Announce()
+		d.log.Info().Str("event", "instances").Int64("version", l.Version).Int("count", len(l.Instances)).Msg("")
+	})
 }
 
 // followCaches follows the caches of the engines that this instance uses.
@@ -197,10 +196,12 @@
 	list    platform.List
 	first   chan struct{}        // closed at the first list
 	leaving map[string]time.Time // upstreams that said themselves that they leave
+	// applying holds an element while a list is applied.
+	applying chan struct{}
 }
 
 func newInstanceList() *instanceList {
-	return &instanceList{first: make(chan struct{}), leaving: map[string]time.Time{}}
+	return &instanceList{first: make(chan struct{}), leaving: map[string]time.Time{}, applying: make(chan struct{}, 1)}
 }
 
 func (i *instanceList) current() platform.List {
@@ -211,6 +212,16 @@
 
 func (i *instanceList) version() int64 { return i.current().Version }
 
+// use applies a list that is newer than the one in use. It blocks while another one is being applied: who has read a
+// list relies on what it says.
+func (i *instanceList) use(l platform.List, apply func()) {
+	i.applying <- struct{}{}
+	defer func() { <-i.applying }()
+	if i.replace(l) {
+		apply()
+	}
+}
+
 // replace takes a list that is newer than the one in use.
 func (i *instanceList) replace(l platform.List) bool {
 	i.mu.Lock()
