--- a/internal/balancer/rate.go
+++ b/internal/balancer/rate.go
@@ -55,7 +55,7 @@
 	b.at = now
 }
 
-// draw replaces what is left, once sampleEvery.
+// sample replaces what is left, once each sampleEvery.
 func (b *tokens) sample(now time.Time, l RateLimit) {
 	if now.Sub(b.at) < sampleEvery {
 		return
--- a/internal/fleet/places.go
+++ b/internal/fleet/places.go
@@ -74,12 +74,25 @@
 	f.mu.Lock()
 	instances := f.instances
 	f.mu.Unlock()
-	size := f.slots.FleetSize()
 	if len(instances) == 1 {
-		return scheduler.Reach{Asked: size == 1, Fleet: 1, Alone: 1 / float64(cmp.Or(size, assumedFleet))}
+		return scheduler.Reach{Asked: f.slots.FleetSize() == 1, Fleet: 1, Alone: f.alonePart()}
+	}
+	return scheduler.Reach{Asked: f.Settled(), Zones: zonesInReach(instances), Fleet: f.partInReach(), Alone: f.alonePart()}
+}
+
+// alonePart is the part of all instances that this one is.
+func (f *Fleet) alonePart() float64 {
+	if f.slots == nil {
+		return 1
+	}
+	f.mu.Lock()
+	known := len(f.instances)
+	f.mu.Unlock()
+	size := f.slots.FleetSize()
+	if known == 1 {
+		return 1 / float64(cmp.Or(size, assumedFleet))
 	}
-	alone := 1 / float64(max(size, len(instances)))
-	return scheduler.Reach{Asked: f.Settled(), Zones: zonesInReach(instances), Fleet: f.partInReach(), Alone: alone}
+	return 1 / float64(max(size, known))
 }
 
 // isAsked tells whether the others ask this instance for slots of a shard, where they ask it at all: it is one
--- a/internal/fleet/quotas.go
+++ b/internal/fleet/quotas.go
@@ -118,7 +118,7 @@
 	if len(owners) == 0 {
 		return q.takeOwn(r, q.fleet.partInReach())
 	}
-	return q.takeOwn(r, q.fleet.reach().Alone) // it may be one of many that reach no owner
+	return q.takeOwn(r, q.fleet.alonePart()) // it may be one of many that reach no owner
 }
 
 // ComeBackSoon is told where waiting a moment may mend it: another instance may serve the
