settings, scheduler, fleet: settings and interfaces of the decisions under hard load

The settings of routed.overload reach the scheduler of each shard; nothing reads them yet. A load report has a type of its own and a way from the pool to the upstream's state.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -176,6 +176,7 @@
 		},
 		ColdOverage: s.Routed.ColdOverage,
 		ColdSlack:   s.Routed.ColdSlack,
+		Overload:    fleet.Overload(s.Routed.Overload),
 		Quarantine:  i.quarantine,
 		Metrics:     i.metrics,
 		Log:         i.log,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,12 +52,23 @@
 	// ColdOverage times the cold-start rate of its service, plus ColdSlack.
 	ColdOverage float64
 	ColdSlack   float64
+	// Overload selects decisions for times in which upstreams are short of capacity.
+	Overload Overload
 	// Quarantine determines which requests crash upstreams.
 	Quarantine *quarantine.Registry
 	Metrics    *telemetry.Metrics
 	Log        *log.Logger
 }
 
+// Overload selects decisions for times in which upstreams are short of capacity. The zero value
+// selects none.
+type Overload struct {
+	// RetrySchedule, MaxInTransit and WaitForObjective are passed to the scheduler; see its Options.
+	RetrySchedule    bool
+	MaxInTransit     int
+	WaitForObjective bool
+}
+
 // Fleet holds the upstreams of all services, as this instance uses them. It is safe for concurrent use.
 //
 // The upstreams of a service are divided into shards. Each is scheduled by one instance, its owner, and
@@ -157,6 +168,9 @@
 		Limits:            f.o.Limits,
 		PrefixIndexBlocks: prefixIndexBlocks,
 		MinRetryAfter:     minRetryAfter,
+		RetrySchedule:     f.o.Overload.RetrySchedule,
+		MaxInTransit:      f.o.Overload.MaxInTransit,
+		WaitForObjective:  f.o.Overload.WaitForObjective,
 	})
 	core.SetColdStart(f.services[service].coldStart, scheduler.Reachability{})
 	return &shard{service: service, index: index, pool: pool.New(pool.Options{Core: core}), retryBudget: retrybudget.New(f.o.RetryBudget.PerOwner(index+1, 1))}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -62,6 +62,7 @@
 		return nil, problem
 	}
 	req.Request.PrefixHashes = prefix.SegmentHashes(req.Segments)
+	req.Request.Digest = req.Key.Digest
 	req.Request.Zone = f.o.Zone
 	req.Request.Region = f.o.Regions[f.o.Zone]
 	grant, problem := shard.pool.Acquire(ctx, req.Request)
@@ -203,6 +204,7 @@
 		ExpectedOutput:    r.ExpectedOutput,
 		PrefixHashes:      prefix.SegmentHashes(segments),
 		Bytes:             r.Bytes,
+		Digest:            r.Digest,
 		FailedUpstream:    r.FailedUpstream,
 		ExcludedUpstreams: r.ExcludedUpstreams,
 		Zone:              r.Zone,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,6 +12,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/estimate"
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
@@ -167,6 +168,13 @@
 	}
 }
 
+// RecordLoad records the load report of a response, before its first token.
+func (p *Pool) RecordLoad(g *scheduler.Grant, r loadreport.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.RecordLoad(time.Now(), g, r)
+}
+
 // schedule sets the timer if requests wait, and stops it otherwise. The caller holds the lock.
 func (p *Pool) schedule() {
 	expiry, waiting := p.core.NextExpiry()
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -37,6 +37,15 @@
 	StrictTiers bool
 	// MinRetryAfter is the shortest retry delay in a refusal. The default is one second.
 	MinRetryAfter time.Duration
+	// RetrySchedule spreads the retry times of refused callers over the time that they can wait, if
+	// an early retry would likely be refused as well.
+	RetrySchedule bool
+	// MaxInTransit is the greatest number of requests beyond its slots that an upstream is granted,
+	// to make up for those on their way to it or back.
+	MaxInTransit int
+	// WaitForObjective lets requests without token counts wait for as long as their response would
+	// still meet the latency objective.
+	WaitForObjective bool
 }
 
 // Request describes a request to the scheduler.
@@ -82,6 +91,9 @@
 	ExcludedUpstreams []string
 	// RegionConstraint restricts the regions in which the request may run.
 	RegionConstraint RegionConstraint
+	// Digest identifies the content of the request and is the same for each retry of the caller; 0
+	// means unknown.
+	Digest uint64
 	// Value belongs to the caller; the scheduler does not use it.
 	Value any
 
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/estimate"
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/queue"
 )
 
@@ -282,6 +283,13 @@
 	return c.Poll(now)
 }
 
+// RecordLoad records the load report of a response, before its first token.
+func (c *Core) RecordLoad(now time.Time, g *Grant, r loadreport.Report) {
+	if r.IsValid() {
+		g.Upstream.ObserveLoad(now, r)
+	}
+}
+
 // AssumeFirstToken counts the prompt as prefilled, for responses whose first token is not observed.
 func (c *Core) AssumeFirstToken(now time.Time, g *Grant) Decisions {
 	c.releasePending(g)
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -135,6 +135,10 @@
 	}
 }
 
+// maxInTransit bounds Overload.MaxInTransit. Upstreams queue a few requests only, and what waits there
+// can't be reordered.
+const maxInTransit = 8
+
 // configSource checks the source of the configuration and the access of operators to it.
 func (c *checker) configSource(s *Settings) {
 	if s.Routed != nil {
@@ -187,6 +191,9 @@
 	if r.RetryShare < 0 || r.RetryShare > 1 {
 		c.add("/routed/retryShare", "is %g; set a share from 0 to 1", r.RetryShare)
 	}
+	if r.Overload.MaxInTransit < 0 || r.Overload.MaxInTransit > maxInTransit {
+		c.add("/routed/overload/maxInTransit", "is %d; set 0 to %d", r.Overload.MaxInTransit, maxInTransit)
+	}
 	c.positive("/routed/quotaWindow", int64(r.QuotaWindow))
 	if r.RetryExtra < 0 || r.QuotaOverage < 0 || r.QuotaSlack < 0 || r.FarCost < 0 || r.FarRegionCost < 0 {
 		c.add("/routed", "has a negative retryExtra, quotaOverage, quotaSlack, farCost or farRegionCost; set 0 or more")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -273,6 +273,23 @@
 	// MemoryMB is the memory of the process, in MiB. The garbage collector runs more often once
 	// half of it is in use. Default 256.
 	MemoryMB int `json:"memoryMB,omitzero"`
+	// Overload selects decisions for times in which upstreams are short of capacity.
+	Overload Overload `json:"overload,omitzero"`
+}
+
+// Overload are the settings for times in which upstreams are short of capacity. All are off by
+// default. docs/HARD-LOAD.md has the reasons.
+type Overload struct {
+	// RetrySchedule spreads the retry times of refused callers over the time that they can wait, if
+	// an early retry would likely be refused as well. Default false.
+	RetrySchedule bool `json:"retrySchedule,omitzero"`
+	// MaxInTransit is the greatest number of requests beyond its slots that an upstream gets, to
+	// make up for those on their way to it or back. It applies to upstreams that report their load.
+	// Default 0.
+	MaxInTransit int `json:"maxInTransit,omitzero"`
+	// WaitForObjective lets requests without token counts wait for as long as their response would
+	// still meet the latency objective, up to half of it, instead of 0.22 of it. Default false.
+	WaitForObjective bool `json:"waitForObjective,omitzero"`
 }
 
 // Load reads and checks a settings file and fills in the defaults. The error lists all faults.
