--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -20,13 +20,13 @@
 // IsSet reports whether the response had a report.
 func (r Report) IsSet() bool { return r != Report{} }
 
-// IsValid reports whether the figures are possible. Requests may arrive while the report is
-// written, so that one may wait although a slot is free.
+// IsValid reports whether the figures are possible. A request may wait although a slot is free:
+// upstreams hold the slot for a moment after its request has ended.
 func (r Report) IsValid() bool {
 	for _, n := range []int{r.Running, r.Waiting, r.Slots, r.WorkPercent} {
 		if n < 0 || n > MaxFigure {
 			return false
 		}
 	}
-	return r.Slots > 0 && (r.Waiting == 0 || r.Running >= r.Slots-1)
+	return r.Slots > 0 && r.Running <= r.Slots
 }
