--- a/internal/retryschedule/schedule.go
+++ b/internal/retryschedule/schedule.go
@@ -56,8 +56,10 @@
 	Digest uint64
 	// Rank of the request; 0 is the most important.
 	Rank int
-	// Deadline is the time by which the response must be complete.
-	Deadline time.Time
+	// Deadline is the time by which the response must be complete, InTimeUntil the end of its
+	// latency objective; zero if there is none.
+	Deadline    time.Time
+	InTimeUntil time.Time
 	// GrantShare is the share, from 0 to 1, of recent requests of this rank that were granted.
 	GrantShare float64
 	// EarlyDelay is the delay after which capacity may be free at the earliest.
@@ -67,6 +69,19 @@
 	Returned bool
 }
 
+// Return is the kind of a request that arrives.
+type Return uint8
+
+const (
+	// NotReturning: a new request, or one that came before the time told.
+	NotReturning Return = iota
+	// InTime: a retry at the time told, whose response may still meet the latency objective of the
+	// first attempt.
+	InTime
+	// Late: a retry at the time told whose latency objective has passed.
+	Late
+)
+
 // Schedule holds the times that the callers of one shard were told. See New.
 type Schedule struct {
 	maxEntries int
@@ -85,7 +100,9 @@
 	digest uint64
 	// at is the time told, from the earliest time at which a retry counts as on time.
 	at, from time.Duration
-	rank     int
+	// inTimeUntil is the end of the latency objective.
+	inTimeUntil time.Duration
+	rank        int
 }
 
 // bin counts the entries whose time told lies in one step.
@@ -122,10 +139,10 @@
 // Returning reports whether a request that arrives is a retry at the time told, up to maxEarly
 // early or keepAfter late. Its entry is dropped, also if it comes too early: the caller then
 // retries by a schedule of its own, and the request counts as new.
-func (s *Schedule) Returning(now time.Time, digest uint64) bool {
+func (s *Schedule) Returning(now time.Time, digest uint64) Return {
 	i, known := s.byDigest[digest]
 	if !known {
-		return false
+		return NotReturning
 	}
 	e := s.entries[i]
 	s.drop(i)
@@ -133,13 +150,15 @@
 	switch {
 	case at < e.from:
 		s.countsOf(e.rank).ReturnedEarly++
-		return false
+		return NotReturning
 	case at > e.at+keepAfter:
-		return false
-	default:
-		s.countsOf(e.rank).ReturnedOnTime++
-		return true
+		return NotReturning
+	}
+	s.countsOf(e.rank).ReturnedOnTime++
+	if at < e.inTimeUntil {
+		return InTime
 	}
+	return Late
 }
 
 // lateDelay returns the delay in the second half of the span that a caller honours at whose end the
@@ -173,7 +192,13 @@
 		s.drop(s.next)
 	}
 	// A retry that ignores a short delay must count as early, so half of the delay has to pass.
-	s.entries[s.next] = entry{digest: r.Digest, at: at + delay, from: at + delay - min(maxEarly, delay/2), rank: r.Rank}
+	s.entries[s.next] = entry{
+		digest:      r.Digest,
+		at:          at + delay,
+		from:        at + delay - min(maxEarly, delay/2),
+		inTimeUntil: s.since(r.InTimeUntil),
+		rank:        r.Rank,
+	}
 	s.byDigest[r.Digest] = s.next
 	s.next = (s.next + 1) % s.maxEntries
 	s.binOf(at+delay).booked++
--- a/internal/retryschedule/schedule_test.go
+++ b/internal/retryschedule/schedule_test.go
@@ -67,9 +67,9 @@
 			r := refused(7, 12*time.Second)
 			r.GrantShare = c.share
 			s.Refused(start, r)
-			is.Equal(s.Returning(start.Add(c.after), 7), c.want.ReturnedOnTime == 1)
+			is.Equal(s.Returning(start.Add(c.after), 7) != NotReturning, c.want.ReturnedOnTime == 1)
 			is.Equal(s.Counts()[0], c.want)
-			is.True(!s.Returning(start.Add(2*time.Second), 7)) // an entry is used once
+			is.Equal(s.Returning(start.Add(2*time.Second), 7), NotReturning) // an entry is used once
 		})
 	}
 }
@@ -82,15 +82,43 @@
 	r := refused(7, 3*time.Second)
 	r.GrantShare, r.EarlyDelay = 0.9, 10*time.Second
 	is.Equal(s.Refused(start, r), 10*time.Second)
-	is.True(s.Returning(start.Add(time.Second), 7))
+	is.Equal(s.Returning(start.Add(time.Second), 7), Late)
+}
+
+// A retry whose response may still be in time must be told apart from one whose response is late
+// anyway: the second waits behind new requests.
+func TestReturnsInTimeAndLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		share     float64
+		objective time.Duration
+		after     time.Duration
+		want      Return
+	}{
+		"told early":                         {0.9, 470 * ms, 106 * ms, InTime},
+		"told early, with a short objective": {0.9, 100 * ms, 106 * ms, Late},
+		"told early, without an objective":   {0.9, 0, 106 * ms, Late},
+		"told late":                          {0.1, 470 * ms, 2000 * ms, Late},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Options{})
+			r := refused(7, 12*time.Second)
+			r.GrantShare = c.share
+			if c.objective > 0 {
+				r.InTimeUntil = start.Add(c.objective)
+			}
+			s.Refused(start, r)
+			is.Equal(s.Returning(start.Add(c.after), 7), c.want)
+		})
+	}
 }
 
 func TestUnknownRequestIsNotReturning(t *testing.T) {
 	is := is.New(t)
 	s := New(Options{})
-	is.True(!s.Returning(start, 7))
+	is.Equal(s.Returning(start, 7), NotReturning)
 	s.Refused(start, refused(0, 12*time.Second))
-	is.True(!s.Returning(start.Add(2*time.Second), 0))
+	is.Equal(s.Returning(start.Add(2*time.Second), 0), NotReturning)
 	is.Equal(len(s.byDigest), 0)
 }
 
@@ -138,9 +166,9 @@
 		s.Refused(start, refused(digest+1, 12*time.Second))
 	}
 	back := start.Add(2200 * ms)
-	is.True(!s.Returning(back, 1))
-	is.True(s.Returning(back, 2))
-	is.True(s.Returning(back, 3))
+	is.Equal(s.Returning(back, 1), NotReturning)
+	is.Equal(s.Returning(back, 2), Late)
+	is.Equal(s.Returning(back, 3), Late)
 }
 
 // told is what the test remembers of a refusal.
@@ -160,7 +188,7 @@
 			if rapid.Bool().Draw(t, "returns") {
 				want, known := model[digest]
 				inWindow := known && !now.Before(want.from) && !now.After(want.until)
-				if s.Returning(now, digest) != inWindow {
+				if (s.Returning(now, digest) != NotReturning) != inWindow {
 					t.Fatalf("returning: %v, want %v", !inWindow, inWindow)
 				}
 				delete(model, digest)
