scheduler: the retry schedule decides when refused callers return and how they wait

With RetrySchedule:

- the delay of a refusal for load is the schedule's;
- a request that returns at its time, late, waits for a quarter of its time left in a queue of its own, behind new requests of its rank, and stays when a request of a higher rank is refused.
That queue has a quarter of the limits, the other one the rest;
- one that returns in time competes with new ones first, and moves to that queue where it would be refused.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -35,24 +35,19 @@
 		c.shed(now, &d, r, api.ReasonDeadlineTooShort, "even an idle upstream would answer too late; allow more time or send less")
 		return d
 	}
+	if c.admitLateReturn(now, r) {
+		c.dispatch(now, &d)
+		return d
+	}
 	startBy := c.startBy(r)
 	if r.MaxWait > 0 && startBy.Before(now) && now.Before(r.Deadline) {
 		startBy = now // MaxWait has passed elsewhere: grant it immediately or not at all
 	}
 	if startBy.Before(now) {
-		c.shedLowerTiers(now, r.Rank, &d)
-		c.shed(now, &d, r, api.ReasonPredictedLate, "the upstreams are currently too slow for the request to be in time; retry after the given time")
+		c.shedAfterLower(now, &d, r, api.ReasonPredictedLate, "the upstreams are currently too slow for the request to be in time; retry after the given time")
 		return d
 	}
-	r.item = &queue.Item{
-		Rank:         r.Rank,
-		Organisation: r.Organisation,
-		Share:        r.Share,
-		StartBy:      startBy,
-		Work:         c.cost(r),
-		Bytes:        r.Bytes,
-		Value:        r,
-	}
+	r.item = c.newItem(r, startBy)
 	if !c.admit(now, r, &d) {
 		return d
 	}
@@ -64,13 +59,25 @@
 	return d
 }
 
+// newItem returns the queue item of a request.
+func (c *Core) newItem(r *Request, startBy time.Time) *queue.Item {
+	return &queue.Item{
+		Rank:         r.Rank,
+		Organisation: r.Organisation,
+		Share:        r.Share,
+		StartBy:      startBy,
+		Work:         c.cost(r),
+		Bytes:        r.Bytes,
+		Value:        r,
+	}
+}
+
 // admit frees space in the queue for the request and reports true, or sheds the request.
 func (c *Core) admit(now time.Time, r *Request, d *Decisions) bool {
 	wait := max(c.predictedWait(r), c.rateLimitWait(now, r))
 	slack := r.item.StartBy.Sub(now)
 	if float64(wait) > lateFactor*float64(slack) {
-		c.shedLowerTiers(now, r.Rank, d)
-		c.shed(now, d, r, api.ReasonPredictedLate, "the queue is too long for the request to be in time; retry after the given time")
+		c.shedAfterLower(now, d, r, api.ReasonPredictedLate, "the queue is too long for the request to be in time; retry after the given time")
 		return false
 	}
 	for !c.queue.HasSpace(r.Bytes) {
@@ -84,8 +91,18 @@
 	return true
 }
 
-// shedLowerTiers sheds all waiting requests of tiers below rank. It is called before a request of
-// that rank is shed, so that a higher tier is never shed while a lower one waits.
+// shedAfterLower sheds a request for load, after all waiting requests of lower tiers, so that a
+// higher tier is never shed while a lower one waits.
+func (c *Core) shedAfterLower(now time.Time, d *Decisions, r *Request, reason api.Reason, detail string) {
+	if c.keepReturned(now, r, reason) {
+		return
+	}
+	c.shedLowerTiers(now, r.Rank, d)
+	c.shed(now, d, r, reason, detail)
+}
+
+// shedLowerTiers sheds all waiting requests of tiers below rank. Returning requests that are late
+// anyway stay (see returningRequests).
 func (c *Core) shedLowerTiers(now time.Time, rank int, d *Decisions) {
 	for _, it := range c.queue.RemoveLower(rank) {
 		c.shedDisplaced(now, it, d)
@@ -136,10 +153,13 @@
 }
 
 func (c *Core) shed(now time.Time, d *Decisions, r *Request, reason api.Reason, detail string) {
-	if reason != api.ReasonNoUpstream && reason != api.ReasonDeadlineTooShort {
+	if c.keepReturned(now, r, reason) {
+		return
+	}
+	if isForLoad(reason) {
 		c.grantShares.record(now, r.Rank, false)
 	}
-	p := api.Refuse(reason, "%s (%s)", detail, c.describeState(now, r)).WithRetryAfter(c.retryAfter(now, r))
+	p := api.Refuse(reason, "%s (%s)", detail, c.describeState(now, r)).WithRetryAfter(c.retryDelay(now, r, reason))
 	d.Sheds = append(d.Sheds, Shed{Request: r, Problem: p})
 }
 
@@ -161,7 +181,7 @@
 		}
 	}
 	return fmt.Sprintf("rank %d, %d waiting, predicted wait %v, running %d here and %d elsewhere, %d slots, of %d upstreams %d failing, %d leaving or evacuated, %d cold and %d with a limit",
-		r.Rank, c.queue.Len(), c.predictedWait(r).Round(time.Millisecond), running, others, slots, len(c.upstreams), failing, leaving, c.ColdUpstreams(now), limited)
+		r.Rank, c.waiting(), c.predictedWait(r).Round(time.Millisecond), running, others, slots, len(c.upstreams), failing, leaving, c.ColdUpstreams(now), limited)
 }
 
 // isFeasible reports whether any sampled upstream could complete the response in time if it were
@@ -232,7 +252,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(c.queue.WorkAhead(r.Rank) / rate * float64(time.Second))
+	return time.Duration(c.workAhead(r.Rank) / rate * float64(time.Second))
 }
 
 // retryAfter returns the time in which the work queued now will have drained, within the bounds of
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -98,6 +98,9 @@
 	Value any
 
 	item *queue.Item
+	// returned reports whether this is a caller's retry at the time that it was told, and
+	// inReturningQueue whether it waits as such.
+	returned, inReturningQueue bool
 	// probabilities of completion over all upstreams, computed at probabilitiesAt.
 	probabilities   *balancer.CompletionProbabilities
 	probabilitiesAt time.Time
@@ -154,6 +157,7 @@
 type Core struct {
 	options     Options
 	queue       *queue.Queue
+	returning   returningRequests
 	upstreams   []*balancer.Upstream
 	byID        map[string]*balancer.Upstream // the entries of upstreams by ID
 	peerLoads   map[string]Load               // load of each other instance
@@ -174,7 +178,8 @@
 // New returns a Core without upstreams.
 func New(o Options) *Core {
 	o.MinRetryAfter = cmp.Or(o.MinRetryAfter, minRetryAfter)
-	return &Core{options: o, byID: map[string]*balancer.Upstream{}, queue: queue.New(o.Limits), peerLoads: map[string]Load{}, outputs: newOutputRatio(), lengthError: newLengthError(), grantShares: grantShares{}}
+	returning, limits := newReturningRequests(o)
+	return &Core{options: o, byID: map[string]*balancer.Upstream{}, queue: queue.New(limits), returning: returning, peerLoads: map[string]Load{}, outputs: newOutputRatio(), lengthError: newLengthError(), grantShares: grantShares{}}
 }
 
 // Upstreams returns the upstreams. The caller must not modify the slice.
@@ -184,13 +189,13 @@
 func (c *Core) Queued(ranks int) []int {
 	out := make([]int, ranks)
 	for r := range out {
-		out[r] = c.queue.LenOfRank(r)
+		out[r] = c.queue.LenOfRank(r) + c.returning.queue.LenOfRank(r)
 	}
 	return out
 }
 
 // NextExpiry returns the earliest time at which a waiting request expires, and false if none waits.
-func (c *Core) NextExpiry() (time.Time, bool) { return c.queue.EarliestStartBy() }
+func (c *Core) NextExpiry() (time.Time, bool) { return c.earliestStartBy() }
 
 // hasUsable reports whether any eligible upstream may be granted the request, now or once it has
 // capacity.
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -56,22 +56,21 @@
 }
 
 func (c *Core) expire(now time.Time, d *Decisions) {
-	for _, it := range c.queue.RemoveExpired(now) {
+	for _, it := range c.removeExpired(now) {
 		r := it.Value.(*Request)
-		c.shedLowerTiers(now, r.Rank, d)
-		c.shed(now, d, r, api.ReasonDeadlineExpired, "no upstream had capacity in time; retry after the given time")
+		c.shedAfterLower(now, d, r, api.ReasonDeadlineExpired, "no upstream had capacity in time; retry after the given time")
 	}
 }
 
 // Cancel removes a waiting request whose caller has disconnected. It returns false if the request
 // does not wait.
 func (c *Core) Cancel(r *Request) bool {
-	return r.item != nil && c.queue.Remove(r.item)
+	return r.item != nil && (c.queue.Remove(r.item) || c.returning.queue.Remove(r.item))
 }
 
 // dispatch grants waiting requests while an upstream with capacity suits one of them.
 func (c *Core) dispatch(now time.Time, d *Decisions) {
-	for c.queue.Len() > 0 {
+	for c.waiting() > 0 {
 		candidates := c.findCapacity(now)
 		if len(candidates) == 0 {
 			c.countLimited(now)
@@ -81,8 +80,8 @@
 		if it == nil {
 			return
 		}
-		c.queue.Take(now, it)
-		c.drain.recordSent(now, it.Work, c.queue.Len() > 0)
+		c.take(now, it)
+		c.drain.recordSent(now, it.Work, c.waiting() > 0)
 		d.Grants = append(d.Grants, c.grant(now, it.Value.(*Request), choice))
 	}
 	c.drain.recordIdle(now)
@@ -110,22 +109,22 @@
 			return it, choice
 		}
 	}
-	for _, rank := range waiting {
-		if it, choice := c.nextOfRank(now, rank, candidates); it != nil {
+	for _, rank := range c.addReturningRanks(waiting) {
+		if it, choice := c.nextNewOrReturning(now, rank, candidates); it != nil {
 			return it, choice
 		}
 	}
 	return nil, balancer.Choice{}
 }
 
-// nextOfRank returns the item of a tier to grant now. Among the first few items it selects the one
+// nextOfRank returns the item of a tier in a queue to grant now. Among the first few items it selects the one
 // with the largest share of its prompt cached at a candidate, to save prefill. An item that must
 // start soon is not passed over.
-func (c *Core) nextOfRank(now time.Time, rank int, candidates []*balancer.Upstream) (*queue.Item, balancer.Choice) {
+func (c *Core) nextOfRank(now time.Time, q *queue.Queue, rank int, candidates []*balancer.Upstream) (*queue.Item, balancer.Choice) {
 	var best *queue.Item
 	var chosen balancer.Choice
 	bestShare := -1.0
-	for _, it := range c.queue.Peek(now, rank, lookahead) {
+	for _, it := range q.Peek(now, rank, lookahead) {
 		r := it.Value.(*Request)
 		choice := c.pick(now, r, candidates)
 		if choice.Upstream == nil {
