--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -33,19 +33,24 @@
 func (nothing) ParseResponse(int, http.Header) proxy.ResponseInfo  { return proxy.ResponseInfo{} }
 func (nothing) WriteProblem(w http.ResponseWriter, _ *api.Problem) { w.WriteHeader(http.StatusTeapot) }
 
-// An instance that has just started must not consider itself the whole fleet from its first request
-// on: 87 instances that had just started each granted an organisation a whole rate and more.
-func TestInstanceIsNotSettledAtStart(t *testing.T) {
-	is := is.New(t)
+// newInstance returns an instance that doesn't serve.
+func newInstance(t *testing.T, o settings.Overload) *Instance {
 	s := &settings.Settings{
 		Zone:    "bole",
 		Callers: settings.Callers{Address: "127.0.0.1:0"},
 		Peers:   settings.Peers{Address: "127.0.0.1:0", Advertise: "127.0.0.1:9"},
-		Routed:  &settings.Routed{Store: "127.0.0.1:9", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0"},
+		Routed:  &settings.Routed{Store: "127.0.0.1:9", Ready: "127.0.0.1:0", Metrics: "127.0.0.1:0", Overload: o},
 	}
 	s.Provision()
 	i, err := New(Options{Settings: s, Source: nothing{}, Protocol: nothing{}, LogWriter: io.Discard})
-	is.NoErr(err)
+	is.New(t).NoErr(err)
 	t.Cleanup(i.mesh.Close)
-	is.True(!i.fleet.Settled())
+	return i
+}
+
+// An instance that has just started must not consider itself the whole fleet from its first request
+// on: 87 instances that had just started each granted an organisation a whole rate and more.
+func TestInstanceIsNotSettledAtStart(t *testing.T) {
+	is := is.New(t)
+	is.True(!newInstance(t, settings.Overload{}).fleet.Settled())
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -13,6 +13,7 @@
 	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/estimate"
 	"github.com/tacktally/tacktally/internal/loadreport"
+	"github.com/tacktally/tacktally/internal/retryschedule"
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
@@ -304,6 +305,13 @@
 	return p.core.Queued(ranks)
 }
 
+// RetryCounts returns by rank how many callers were told to retry when, and how many did.
+func (p *Pool) RetryCounts() [retryschedule.Ranks]retryschedule.Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.RetryCounts()
+}
+
 // UpstreamStatus is the state of an upstream as reported to operators.
 type UpstreamStatus struct {
 	Address          string    `json:"address"`
