peer, fleet: pass load reports to the owner of the shard

The owner of a shard, which grants the slots of an upstream, is rarely the instance that receives the upstream's response, and had no way to learn what the response says about the upstream's load.

fleet.Grant.RecordLoad takes the report. A local grant passes it to the pool at once. A grant of another owner keeps it until the first token and sends it in the new field Load of the frame TypeSlotStarted; a report that has waited for more than a second is dropped, since the owner would treat it as new.

Builds without the field ignore it. A field that can't be decoded becomes an invalid report and doesn't close the link, which would release all slots granted on it. The owner counts reports by kind, and counts and ignores invalid ones.

SlotStream.Next returns a SlotEvent in place of a release, because a frame about a slot now carries two things.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/retrybudget"
@@ -315,9 +316,9 @@
 // lostSlot is a slot of a peer whose link has ended.
 type lostSlot struct{}
 
-func (lostSlot) Started()                 {}
-func (lostSlot) Release(peer.SlotRelease) {}
-func (lostSlot) Lost() bool               { return true }
+func (lostSlot) Started(loadreport.Report) {}
+func (lostSlot) Release(peer.SlotRelease)  {}
+func (lostSlot) Lost() bool                { return true }
 
 // An instance that becomes the owner of a shard counts what it runs there by grants of the previous
 // owner.
--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/view"
@@ -77,6 +78,8 @@
 	Limited() bool
 	// PredictedFirstToken returns the predicted time to the first token.
 	PredictedFirstToken() time.Duration
+	// RecordLoad records the valid load report of the response. It is called before RecordFirstToken.
+	RecordLoad(r loadreport.Report)
 	// RecordFirstToken and RecordActivity record that the first token, or any other part of the response, has
 	// arrived.
 	RecordFirstToken()
@@ -87,6 +90,7 @@
 
 // localGrant is a Grant of this instance.
 type localGrant struct {
+	fleet       *Fleet
 	shard       *shard
 	grant       *scheduler.Grant
 	listVersion int64
@@ -97,13 +101,15 @@
 func (g *localGrant) ListVersion() int64                 { return g.listVersion }
 func (g *localGrant) Limited() bool                      { return g.grant.Limited }
 func (g *localGrant) PredictedFirstToken() time.Duration { return g.grant.PredictedFirstToken() }
+func (g *localGrant) RecordLoad(r loadreport.Report)     { g.fleet.recordLoad(g.shard, g.grant, r) }
 func (g *localGrant) RecordFirstToken()                  { g.shard.pool.RecordFirstToken(g.grant) }
 func (g *localGrant) RecordActivity()                    { g.grant.Upstream.MarkSeen(time.Now()) }
 func (g *localGrant) End(r scheduler.Result, output int) { g.shard.pool.End(g.grant, r, output) }
 
 // grantedSlot is a slot that a peer granted. *peer.Slot implements it.
 type grantedSlot interface {
-	Started()
+	// Started reports the first token and the load report of the response; the zero value for none.
+	Started(load loadreport.Report)
 	Release(r peer.SlotRelease)
 	// Lost reports whether the peer no longer counts the slot.
 	Lost() bool
@@ -115,15 +121,38 @@
 	slotGrant peer.SlotGrant
 	slot      grantedSlot
 	tracked   *peerGrants
+
+	// load is the report of the response until the first token, with which it is sent, and loadAt is
+	// when it was received. Only the goroutine that relays the response uses them.
+	load   loadreport.Report
+	loadAt time.Time
 }
 
+// maxLoadAge is the age above which a load report isn't sent to the owner, which would treat it as
+// new. The owner disregards reports of that age.
+const maxLoadAge = time.Second
+
 func (g *peerGrant) Upstream() string                   { return g.slotGrant.Upstream }
 func (g *peerGrant) Owner() string                      { return g.owner }
 func (g *peerGrant) ListVersion() int64                 { return g.slotGrant.ListVersion }
 func (g *peerGrant) Limited() bool                      { return g.slotGrant.Limited }
 func (g *peerGrant) PredictedFirstToken() time.Duration { return g.slotGrant.PredictedFirstToken }
-func (g *peerGrant) RecordFirstToken()                  { g.slot.Started() }
 func (g *peerGrant) RecordActivity()                    {} // the owner gets first tokens and results only
+
+// RecordLoad implements Grant. The report reaches the owner with the first token.
+func (g *peerGrant) RecordLoad(r loadreport.Report) { g.load, g.loadAt = r, time.Now() }
+
+// RecordFirstToken implements Grant.
+func (g *peerGrant) RecordFirstToken() {
+	load := g.load
+	if time.Since(g.loadAt) > maxLoadAge {
+		load = loadreport.Report{}
+	}
+	g.load = loadreport.Report{}
+	g.slot.Started(load)
+}
+
+// End implements Grant.
 func (g *peerGrant) End(r scheduler.Result, output int) {
 	g.tracked.remove(g)
 	g.slot.Release(peer.SlotRelease{Result: uint8(r), Output: output})
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -6,6 +6,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/estimate"
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/prefix"
@@ -71,7 +72,7 @@
 		refund(retryBudget, req.Attempt)
 		return nil, problem
 	}
-	return &localGrant{shard: shard, grant: grant, listVersion: f.listVersion()}, nil
+	return &localGrant{fleet: f, shard: shard, grant: grant, listVersion: f.listVersion()}, nil
 }
 
 // charge withdraws a retry from the budget, or deposits a first attempt.
@@ -266,11 +267,12 @@
 	})
 	f.logSlot(r, s.Peer, "granted", g.Upstream.ID, err)
 	for err == nil {
-		var release *peer.SlotRelease
-		release, err = s.Next(ctx)
-		switch {
+		var event peer.SlotEvent
+		event, err = s.Next(ctx)
+		switch release := event.Release; {
 		case err != nil:
 		case release == nil:
+			f.recordLoad(sh, g, event.Load)
 			sh.pool.RecordFirstToken(g)
 		case scheduler.Result(release.Result).IsKnown():
 			return scheduler.Result(release.Result), release.Output
@@ -281,6 +283,31 @@
 	return scheduler.Cancelled, 0
 }
 
+// The counters of load reports that this instance recorded as the owner of a shard: with and without
+// the work percentage, and those of peers that are invalid.
+const (
+	loadReportsWithWork    = `tacktally_load_reports_total{work="reported"}`
+	loadReportsWithoutWork = `tacktally_load_reports_total{work="missing"}`
+	loadReportsInvalid     = "tacktally_invalid_peer_load_reports_total"
+)
+
+// recordLoad passes a load report to the scheduler of a shard and counts it. The zero value means that
+// there is none. An invalid one, which only a peer can send, is counted and changes nothing.
+func (f *Fleet) recordLoad(s *shard, g *scheduler.Grant, r loadreport.Report) {
+	switch {
+	case !r.IsSet():
+		return
+	case !r.IsValid():
+		f.o.Metrics.Count(loadReportsInvalid)
+		return
+	case r.WorkPercent > 0:
+		f.o.Metrics.Count(loadReportsWithWork)
+	default:
+		f.o.Metrics.Count(loadReportsWithoutWork)
+	}
+	s.pool.RecordLoad(g, r)
+}
+
 func (f *Fleet) logSlot(r *peer.SlotRequest, requester, decision, why string, err error) {
 	line := f.o.Log.Debug().Str("event", "slot").Str("request", r.ID).Str("peer", requester).Str("decision", decision).Str("why", why)
 	if err != nil {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -54,8 +54,8 @@
 	TypeSlotQueued
 	TypeSlotGranted
 	TypeSlotRefused
-	// TypeSlotStarted reports the first token. TypeSlotReleased returns the slot, as TypeCancel
-	// does.
+	// TypeSlotStarted reports the first token, and the load report of the response if it had one.
+	// TypeSlotReleased returns the slot, as TypeCancel does.
 	TypeSlotStarted
 	TypeSlotReleased
 	// TypeQuotaRequest requests tokens of an organisation, TypeQuotaReply is the reply, and
@@ -101,6 +101,8 @@
 	QuotaReturn  *QuotaReturn  `cbor:"21,keyasint,omitempty"`
 
 	Membership *membership.Update `cbor:"22,keyasint,omitempty"`
+
+	Load *Load `cbor:"23,keyasint,omitempty"`
 }
 
 // Hello identifies the sender of a link's first frame.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -85,11 +85,13 @@
 		return
 	}
 	for {
-		release, err := s.Next(ctx)
-		switch {
+		event, err := s.Next(ctx)
+		switch release := event.Release; {
 		case err != nil:
 			h.slots <- "gone"
 			return
+		case release == nil && event.Load.IsSet():
+			h.slots <- fmt.Sprint("started ", event.Load)
 		case release == nil:
 			h.slots <- "started"
 		default:
@@ -357,6 +359,7 @@
 		{Type: TypeHeartbeat, Heartbeat: &Heartbeat{Queued: map[string][]int{"a": {1, 2}}}},
 		{Type: TypeOpen, Stream: 1, Request: &request.Request{ID: "r", Body: []byte("x")}},
 		{Type: TypeEnd, Stream: 1, End: &answer.End{Problem: p}},
+		{Type: TypeSlotStarted, Stream: 1, Load: &Load{Running: 3, Slots: 5, WorkPercent: 68}},
 	} {
 		f.Add(mustEncode(f, frame))
 	}
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/internal/boottime"
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/ratelimit"
 )
 
@@ -182,8 +183,11 @@
 	return err
 }
 
-// Started reports to the peer that the first token has arrived.
-func (s *Slot) Started() { s.sendAsync(&Frame{Type: TypeSlotStarted, Stream: s.id}) }
+// Started reports to the peer that the first token has arrived, and the load report of the response;
+// the zero value if it had none.
+func (s *Slot) Started(load loadreport.Report) {
+	s.sendAsync(&Frame{Type: TypeSlotStarted, Stream: s.id, Load: loadOf(load)})
+}
 
 // Release returns the slot to the peer.
 func (s *Slot) Release(r SlotRelease) {
@@ -228,13 +232,22 @@
 	return s.link.send(ctx, &Frame{Type: TypeSlotRefused, Stream: s.id, SlotRefusal: &r})
 }
 
-// Next blocks until the peer sends another frame about a slot that it holds: the first token, with
-// a nil release, or the release. An error means that the link ended or the peer cancelled.
-func (s *SlotStream) Next(ctx context.Context) (*SlotRelease, error) {
+// SlotEvent is what a peer reports about a slot that it holds: the first token or the release.
+type SlotEvent struct {
+	// Release is nil for the first token.
+	Release *SlotRelease
+	// Load is the load report of the response, with the first token; the zero value if there is
+	// none. It may be invalid.
+	Load loadreport.Report
+}
+
+// Next blocks until the peer sends another frame about a slot that it holds. An error means that the
+// link ended or the peer cancelled.
+func (s *SlotStream) Next(ctx context.Context) (SlotEvent, error) {
 	select {
 	case f := <-s.frames:
-		return f.SlotRelease, nil
+		return SlotEvent{Release: f.SlotRelease, Load: f.Load.report()}, nil
 	case <-ctx.Done():
-		return nil, context.Cause(ctx)
+		return SlotEvent{}, context.Cause(ctx)
 	}
 }
--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/loadreport"
 )
 
 func TestSlotIsGrantedStartedAndReleased(t *testing.T) {
@@ -20,7 +24,7 @@
 			is.NoErr(err)
 			is.True(refusal == nil)
 			is.Equal(slot.Grant.Upstream, "u")
-			slot.Started()
+			slot.Started(loadreport.Report{})
 			is.Equal(<-p.hb.slots, "started")
 			slot.Release(SlotRelease{Result: 3, Output: 40})
 			is.Equal(<-p.hb.slots, "released 3 40")
@@ -29,6 +33,77 @@
 	}
 }
 
+// Without the report, the owner decides on the load that it counts alone.
+func TestLoadReportArrivesWithTheFirstToken(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	slot, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	slot.Started(loadreport.Report{Running: 3, Waiting: 1, Slots: 5, WorkPercent: 68})
+	is.Equal(<-p.hb.slots, "started {3 1 5 68}")
+	slot.Release(SlotRelease{Result: 3, Output: 40})
+	is.Equal(<-p.hb.slots, "released 3 40")
+}
+
+// startedFrame is the frame of type TypeSlotStarted with any content of the field of the load report,
+// and with a field of a newer build.
+type startedFrame struct {
+	Version uint8          `cbor:"1,keyasint"`
+	Type    Type           `cbor:"2,keyasint"`
+	Stream  uint64         `cbor:"3,keyasint"`
+	Load    any            `cbor:"23,keyasint,omitempty"`
+	Newer   map[string]int `cbor:"99,keyasint,omitempty"`
+}
+
+// A link that closes releases all slots granted on it. Frames of older and newer builds, and reports
+// that can't be used, must not close it.
+func TestLoadReportsOfOtherBuildsKeepTheLink(t *testing.T) {
+	figures := map[int]int{1: 3, 2: 1, 3: 5, 4: 68}
+	for name, c := range map[string]struct {
+		load  any
+		newer map[string]int
+		want  string
+	}{
+		"older: without a report":        {nil, nil, "started"},
+		"newer: a further field":         {figures, map[string]int{"x": 1}, "started {3 1 5 68}"},
+		"newer: a further figure":        {map[int]int{1: 3, 2: 1, 3: 5, 4: 68, 5: 7}, nil, "started {3 1 5 68}"},
+		"without the work percentage":    {map[int]int{1: 3, 3: 5}, nil, "started {3 0 5 0}"},
+		"empty":                          {map[int]int{}, nil, "started"},
+		"negative":                       {map[int]int{1: -4, 3: 5}, nil, "started {-4 0 5 0}"},
+		"a text":                         {"3,1,5,68", nil, "started {-1 0 0 0}"},
+		"a figure that isn't a number":   {map[int]string{1: "3"}, nil, "started {-1 0 0 0}"},
+		"a figure that exceeds all ints": {map[int]uint64{1: math.MaxUint64}, nil, "started {-1 0 0 0}"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t)
+			slot, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "free"}, time.Minute)
+			is.NoErr(err)
+			frame, err := cbor.Marshal(startedFrame{Version: Version, Type: TypeSlotStarted, Stream: slot.id, Load: c.load, Newer: c.newer})
+			is.NoErr(err)
+			slot.link.out <- frame
+			is.Equal(<-p.hb.slots, c.want)
+			slot.Release(SlotRelease{Result: 3, Output: 40})
+			is.Equal(<-p.hb.slots, "released 3 40") // on the same link
+			is.True(!slot.Lost())
+		})
+	}
+}
+
+// An instance of a build without load reports gets the first token from one that sends a report.
+func TestOlderBuildsIgnoreLoadReports(t *testing.T) {
+	is := is.New(t)
+	frame := mustEncode(t, &Frame{Type: TypeSlotStarted, Stream: 7, Load: &Load{Running: 3, Slots: 5}})
+	var older struct { // the fields of the frame before load reports, as far as this type sets them
+		Version uint8  `cbor:"1,keyasint"`
+		Type    Type   `cbor:"2,keyasint"`
+		Stream  uint64 `cbor:"3,keyasint,omitempty"`
+	}
+	is.NoErr(decoder.Unmarshal(frame, &older))
+	is.Equal(older.Type, TypeSlotStarted)
+	is.Equal(older.Stream, uint64(7))
+}
+
 func TestSlotIsRefused(t *testing.T) {
 	is := is.New(t)
 	p := newPair(t)
