peer, fleet: pass load reports of responses without a first token

A refusal and a failure have no first token, so their reports reached the owner only if it had sent the request itself. Reports of refusals matter most: they show that an upstream was granted too much.

Both kinds of grant now keep the report until the first token or, if there is none, until the end. A peer sends it in the field Load of TypeSlotReleased, which builds without the field ignore. The owner ends the request before it records such a report, because the report doesn't count a refused request.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -316,9 +316,9 @@
 // lostSlot is a slot of a peer whose link has ended.
 type lostSlot struct{}
 
-func (lostSlot) Started(loadreport.Report) {}
-func (lostSlot) Release(peer.SlotRelease)  {}
-func (lostSlot) Lost() bool                { return true }
+func (lostSlot) Started(loadreport.Report)                   {}
+func (lostSlot) Release(peer.SlotRelease, loadreport.Report) {}
+func (lostSlot) Lost() bool                                  { return true }
 
 // An instance that becomes the owner of a shard counts what it runs there by grants of the previous
 // owner.
--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -78,7 +78,8 @@
 	Limited() bool
 	// PredictedFirstToken returns the predicted time to the first token.
 	PredictedFirstToken() time.Duration
-	// RecordLoad records the valid load report of the response. It is called before RecordFirstToken.
+	// RecordLoad records the valid load report of the response, which RecordFirstToken passes to the owner,
+	// or End if there is no first token. It is called before both.
 	RecordLoad(r loadreport.Report)
 	// RecordFirstToken and RecordActivity record that the first token, or any other part of the response, has
 	// arrived.
@@ -94,6 +95,7 @@
 	shard       *shard
 	grant       *scheduler.Grant
 	listVersion int64
+	load        pendingLoad
 }
 
 func (g *localGrant) Upstream() string                   { return g.grant.Upstream.ID }
@@ -101,16 +103,28 @@
 func (g *localGrant) ListVersion() int64                 { return g.listVersion }
 func (g *localGrant) Limited() bool                      { return g.grant.Limited }
 func (g *localGrant) PredictedFirstToken() time.Duration { return g.grant.PredictedFirstToken() }
-func (g *localGrant) RecordLoad(r loadreport.Report)     { g.fleet.recordLoad(g.shard, g.grant, r) }
-func (g *localGrant) RecordFirstToken()                  { g.shard.pool.RecordFirstToken(g.grant) }
+func (g *localGrant) RecordLoad(r loadreport.Report)     { g.load.set(r) }
 func (g *localGrant) RecordActivity()                    { g.grant.Upstream.MarkSeen(time.Now()) }
-func (g *localGrant) End(r scheduler.Result, output int) { g.shard.pool.End(g.grant, r, output) }
+
+// RecordFirstToken implements Grant.
+func (g *localGrant) RecordFirstToken() {
+	g.fleet.recordLoad(g.shard, g.grant, g.load.take())
+	g.shard.pool.RecordFirstToken(g.grant)
+}
+
+// End implements Grant. A report that End passes is of a response without a first token, such as a
+// refusal, and doesn't count this request; so the request is ended first.
+func (g *localGrant) End(r scheduler.Result, output int) {
+	g.shard.pool.End(g.grant, r, output)
+	g.fleet.recordLoad(g.shard, g.grant, g.load.take())
+}
 
 // grantedSlot is a slot that a peer granted. *peer.Slot implements it.
 type grantedSlot interface {
 	// Started reports the first token and the load report of the response; the zero value for none.
 	Started(load loadreport.Report)
-	Release(r peer.SlotRelease)
+	// Release returns the slot, with the load report of a response that had no first token.
+	Release(r peer.SlotRelease, load loadreport.Report)
 	// Lost reports whether the peer no longer counts the slot.
 	Lost() bool
 }
@@ -121,41 +135,22 @@
 	slotGrant peer.SlotGrant
 	slot      grantedSlot
 	tracked   *peerGrants
-
-	// load is the report of the response until the first token, with which it is sent, and loadAt is
-	// when it was received. Only the goroutine that relays the response uses them.
-	load   loadreport.Report
-	loadAt time.Time
+	load      pendingLoad
 }
 
-// maxLoadAge is the age above which a load report isn't sent to the owner, which would treat it as
-// new. The owner disregards reports of that age.
-const maxLoadAge = time.Second
-
 func (g *peerGrant) Upstream() string                   { return g.slotGrant.Upstream }
 func (g *peerGrant) Owner() string                      { return g.owner }
 func (g *peerGrant) ListVersion() int64                 { return g.slotGrant.ListVersion }
 func (g *peerGrant) Limited() bool                      { return g.slotGrant.Limited }
 func (g *peerGrant) PredictedFirstToken() time.Duration { return g.slotGrant.PredictedFirstToken }
+func (g *peerGrant) RecordLoad(r loadreport.Report)     { g.load.set(r) }
+func (g *peerGrant) RecordFirstToken()                  { g.slot.Started(g.load.take()) }
 func (g *peerGrant) RecordActivity()                    {} // the owner gets first tokens and results only
 
-// RecordLoad implements Grant. The report reaches the owner with the first token.
-func (g *peerGrant) RecordLoad(r loadreport.Report) { g.load, g.loadAt = r, time.Now() }
-
-// RecordFirstToken implements Grant.
-func (g *peerGrant) RecordFirstToken() {
-	load := g.load
-	if time.Since(g.loadAt) > maxLoadAge {
-		load = loadreport.Report{}
-	}
-	g.load = loadreport.Report{}
-	g.slot.Started(load)
-}
-
 // End implements Grant.
 func (g *peerGrant) End(r scheduler.Result, output int) {
 	g.tracked.remove(g)
-	g.slot.Release(peer.SlotRelease{Result: uint8(r), Output: output})
+	g.slot.Release(peer.SlotRelease{Result: uint8(r), Output: output}, g.load.take())
 }
 
 // peerGrants holds the unfinished grants of other instances. It is safe for concurrent use.
--- a/internal/fleet/load_reports_test.go
+++ b/internal/fleet/load_reports_test.go
@@ -12,12 +12,15 @@
 	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
-// recordingSlot records the load reports that were sent to the owner with a first token.
-type recordingSlot struct{ sent []loadreport.Report }
+// recordingSlot records the load reports that were sent to the owner, with a first token and with the
+// release.
+type recordingSlot struct{ started, released []loadreport.Report }
 
-func (s *recordingSlot) Started(load loadreport.Report) { s.sent = append(s.sent, load) }
-func (s *recordingSlot) Release(peer.SlotRelease)       {}
-func (s *recordingSlot) Lost() bool                     { return false }
+func (s *recordingSlot) Started(load loadreport.Report) { s.started = append(s.started, load) }
+func (s *recordingSlot) Release(_ peer.SlotRelease, load loadreport.Report) {
+	s.released = append(s.released, load)
+}
+func (s *recordingSlot) Lost() bool { return false }
 
 // The owner treats a report as new when it arrives. One that waited long for the first token would
 // count fully although the upstream's load has changed since.
@@ -42,12 +45,38 @@
 				}
 				<-time.After(c.wait)
 				g.RecordFirstToken()
-				is.New(t).Equal(slot.sent, []loadreport.Report{c.want})
+				is.New(t).Equal(slot.started, []loadreport.Report{c.want})
 			})
 		})
 	}
 }
 
+// A report that is sent twice would count twice; one that is sent only with the first token would be
+// lost for a response that has none, such as a refusal for load.
+func TestLoadReportIsSentToTheOwnerOnce(t *testing.T) {
+	report := loadreport.Report{Running: 5, Waiting: 4, Slots: 5}
+	for name, c := range map[string]struct {
+		firstToken        bool
+		started, released []loadreport.Report
+	}{
+		"with the first token": {true, []loadreport.Report{report}, []loadreport.Report{{}}},
+		"with the release":     {false, nil, []loadreport.Report{report}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			slot := &recordingSlot{}
+			g := &peerGrant{slot: slot, tracked: &peerGrants{}}
+			g.RecordLoad(report)
+			if c.firstToken {
+				g.RecordFirstToken()
+			}
+			g.End(scheduler.Completed, 1)
+			is.Equal(slot.started, c.started)
+			is.Equal(slot.released, c.released)
+		})
+	}
+}
+
 // Reports of each kind are counted, and an invalid one must not fail the request under whose grant it
 // came.
 func TestRecordedLoadReportsAreCountedByKind(t *testing.T) {
@@ -69,10 +98,10 @@
 			g, problem := f.Acquire(t.Context(), generation())
 			is.True(problem == nil)
 			g.RecordLoad(c.report)
+			g.RecordFirstToken()
 			for _, counter := range []string{loadReportsWithWork, loadReportsWithoutWork, loadReportsInvalid} {
 				is.Equal(f.o.Metrics.Value(counter) == 1, counter == c.counter)
 			}
-			g.RecordFirstToken()
 			g.End(scheduler.Completed, 1)
 		})
 	}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -249,13 +249,22 @@
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
 	}
-	result, output := f.serveGrant(ctx, shard, r, s, decision.Grant)
-	shard.pool.End(decision.Grant, result, output)
+	end := f.serveGrant(ctx, shard, r, s, decision.Grant)
+	shard.pool.End(decision.Grant, end.result, end.output)
+	f.recordLoad(shard, decision.Grant, end.load)
+}
+
+// slotEnd is how a request ended whose slot a peer held, with the load report of a response that had no
+// first token.
+type slotEnd struct {
+	result scheduler.Result
+	output int
+	load   loadreport.Report
 }
 
 // serveGrant sends the grant to the peer, waits for the release of the slot, and returns how the request
 // ended.
-func (f *Fleet) serveGrant(ctx context.Context, sh *shard, r *peer.SlotRequest, s *peer.SlotStream, g *scheduler.Grant) (scheduler.Result, int) {
+func (f *Fleet) serveGrant(ctx context.Context, sh *shard, r *peer.SlotRequest, s *peer.SlotStream, g *scheduler.Grant) slotEnd {
 	err := s.SendGrant(ctx, peer.SlotGrant{
 		Upstream:            g.Upstream.ID,
 		PredictedFirstToken: g.PredictedFirstToken(),
@@ -275,37 +284,12 @@
 			f.recordLoad(sh, g, event.Load)
 			sh.pool.RecordFirstToken(g)
 		case scheduler.Result(release.Result).IsKnown():
-			return scheduler.Result(release.Result), release.Output
+			return slotEnd{result: scheduler.Result(release.Result), output: release.Output, load: event.Load}
 		default:
-			return scheduler.Cancelled, 0 // sent by a peer of a newer version
+			return slotEnd{result: scheduler.Cancelled} // sent by a peer of a newer version
 		}
 	}
-	return scheduler.Cancelled, 0
-}
-
-// The counters of load reports that this instance recorded as the owner of a shard: with and without
-// the work percentage, and those of peers that are invalid.
-const (
-	loadReportsWithWork    = `tacktally_load_reports_total{work="reported"}`
-	loadReportsWithoutWork = `tacktally_load_reports_total{work="missing"}`
-	loadReportsInvalid     = "tacktally_invalid_peer_load_reports_total"
-)
-
-// recordLoad passes a load report to the scheduler of a shard and counts it. The zero value means that
-// there is none. An invalid one, which only a peer can send, is counted and changes nothing.
-func (f *Fleet) recordLoad(s *shard, g *scheduler.Grant, r loadreport.Report) {
-	switch {
-	case !r.IsSet():
-		return
-	case !r.IsValid():
-		f.o.Metrics.Count(loadReportsInvalid)
-		return
-	case r.WorkPercent > 0:
-		f.o.Metrics.Count(loadReportsWithWork)
-	default:
-		f.o.Metrics.Count(loadReportsWithoutWork)
-	}
-	s.pool.RecordLoad(g, r)
+	return slotEnd{result: scheduler.Cancelled}
 }
 
 func (f *Fleet) logSlot(r *peer.SlotRequest, requester, decision, why string, err error) {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -54,8 +54,8 @@
 	TypeSlotQueued
 	TypeSlotGranted
 	TypeSlotRefused
-	// TypeSlotStarted reports the first token, and the load report of the response if it had one.
-	// TypeSlotReleased returns the slot, as TypeCancel does.
+	// TypeSlotStarted reports the first token. TypeSlotReleased returns the slot, as TypeCancel
+	// does. The first of the two carries the load report of the response, if it had one.
 	TypeSlotStarted
 	TypeSlotReleased
 	// TypeQuotaRequest requests tokens of an organisation, TypeQuotaReply is the reply, and
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -94,6 +94,9 @@
 			h.slots <- fmt.Sprint("started ", event.Load)
 		case release == nil:
 			h.slots <- "started"
+		case event.Load.IsSet():
+			h.slots <- fmt.Sprint("released ", release.Result, release.Output, event.Load)
+			return
 		default:
 			h.slots <- fmt.Sprint("released ", release.Result, release.Output)
 			return
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -189,9 +189,10 @@
 	s.sendAsync(&Frame{Type: TypeSlotStarted, Stream: s.id, Load: loadOf(load)})
 }
 
-// Release returns the slot to the peer.
-func (s *Slot) Release(r SlotRelease) {
-	s.sendAsync(&Frame{Type: TypeSlotReleased, Stream: s.id, SlotRelease: &r})
+// Release returns the slot to the peer, with the load report of a response that had no first token;
+// the zero value if there is none.
+func (s *Slot) Release(r SlotRelease, load loadreport.Report) {
+	s.sendAsync(&Frame{Type: TypeSlotReleased, Stream: s.id, SlotRelease: &r, Load: loadOf(load)})
 	s.link.closeStream(s.id)
 }
 
@@ -236,8 +237,7 @@
 type SlotEvent struct {
 	// Release is nil for the first token.
 	Release *SlotRelease
-	// Load is the load report of the response, with the first token; the zero value if there is
-	// none. It may be invalid.
+	// Load is the load report of the response; the zero value if there is none. It may be invalid.
 	Load loadreport.Report
 }
 
--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -26,7 +26,7 @@
 			is.Equal(slot.Grant.Upstream, "u")
 			slot.Started(loadreport.Report{})
 			is.Equal(<-p.hb.slots, "started")
-			slot.Release(SlotRelease{Result: 3, Output: 40})
+			slot.Release(SlotRelease{Result: 3, Output: 40}, loadreport.Report{})
 			is.Equal(<-p.hb.slots, "released 3 40")
 			is.True(!slot.Lost())
 		})
@@ -41,10 +41,20 @@
 	is.NoErr(err)
 	slot.Started(loadreport.Report{Running: 3, Waiting: 1, Slots: 5, WorkPercent: 68})
 	is.Equal(<-p.hb.slots, "started {3 1 5 68}")
-	slot.Release(SlotRelease{Result: 3, Output: 40})
+	slot.Release(SlotRelease{Result: 3, Output: 40}, loadreport.Report{})
 	is.Equal(<-p.hb.slots, "released 3 40")
 }
 
+// An upstream that refuses for load sends no first token; its report matters most to the owner.
+func TestLoadReportOfARefusalArrivesWithTheRelease(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	slot, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	slot.Release(SlotRelease{Result: 2}, loadreport.Report{Running: 5, Waiting: 4, Slots: 5})
+	is.Equal(<-p.hb.slots, "released 2 0 {5 4 5 0}")
+}
+
 // startedFrame is the frame of type TypeSlotStarted with any content of the field of the load report,
 // and with a field of a newer build.
 type startedFrame struct {
@@ -83,7 +93,7 @@
 			is.NoErr(err)
 			slot.link.out <- frame
 			is.Equal(<-p.hb.slots, c.want)
-			slot.Release(SlotRelease{Result: 3, Output: 40})
+			slot.Release(SlotRelease{Result: 3, Output: 40}, loadreport.Report{})
 			is.Equal(<-p.hb.slots, "released 3 40") // on the same link
 			is.True(!slot.Lost())
 		})
@@ -220,7 +230,7 @@
 	_, err = p.a.dial(t.Context(), alias)
 	is.True(errors.Is(err, ErrMalformedFrame)) // the hello has its own address
 	is.True(!slot.Lost())
-	slot.Release(SlotRelease{Result: 1})
+	slot.Release(SlotRelease{Result: 1}, loadreport.Report{})
 	is.Equal(<-p.hb.slots, "released 1 0")
 }
 
--- a/internal/peer/sparse_test.go
+++ b/internal/peer/sparse_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
 	"github.com/phuslu/log"
+	"github.com/tacktally/tacktally/internal/loadreport"
 
 	"github.com/tacktally/tacktally/internal/membership"
 )
@@ -65,7 +67,7 @@
 	for _, pair := range [][2]*sparseMesh{{a, b}, {b, a}} {
 		slot, _, err := pair[0].AcquireSlot(t.Context(), pair[1].o.Address, &SlotRequest{Service: "free"}, time.Minute)
 		is.NoErr(err)
-		slot.Release(SlotRelease{Result: 3, Output: 40})
+		slot.Release(SlotRelease{Result: 3, Output: 40}, loadreport.Report{})
 		is.Equal(<-pair[1].handler.slots, "released 3 40")
 		reply, err := pair[0].TakeQuota(t.Context(), pair[1].o.Address, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 1}, time.Minute)
 		is.NoErr(err)
@@ -99,7 +101,7 @@
 	})
 	slot, _, err := from.AcquireSlot(t.Context(), to.o.Address, &SlotRequest{Service: "free"}, time.Minute)
 	is.NoErr(err)
-	slot.Release(SlotRelease{Result: 3})
+	slot.Release(SlotRelease{Result: 3}, loadreport.Report{})
 	is.Equal(<-to.handler.slots, "released 3 0")
 	is.True(from.IsLinked(to.o.Address))
 	is.True(to.IsLinked(from.o.Address))
@@ -189,7 +191,7 @@
 	}
 	endUnused()
 	is.True(!slot.Lost())
-	slot.Release(SlotRelease{Result: 3})
+	slot.Release(SlotRelease{Result: 3}, loadreport.Report{})
 	is.Equal(<-b.handler.slots, "released 3 0")
 	endUnused()
 	is.True(slot.Lost())
@@ -203,7 +205,7 @@
 	b := newSparseMesh(t, "bole")
 	own, _, err := a.AcquireSlot(t.Context(), b.o.Address, &SlotRequest{Service: "free"}, time.Minute)
 	is.NoErr(err)
-	own.Release(SlotRelease{Result: 3})
+	own.Release(SlotRelease{Result: 3}, loadreport.Report{})
 	is.Equal(<-b.handler.slots, "released 3 0")
 	slot, _, err := b.AcquireSlot(t.Context(), a.o.Address, &SlotRequest{Service: "free"}, time.Minute)
 	is.NoErr(err)
@@ -217,7 +219,7 @@
 	}
 	endUnused(time.Now().Add(2 * unusedAfter))
 	is.True(!slot.Lost()) // the peer holds a slot
-	slot.Release(SlotRelease{Result: 3})
+	slot.Release(SlotRelease{Result: 3}, loadreport.Report{})
 	is.Equal(<-a.handler.slots, "released 3 0")
 	endUnused(time.Now())
 	is.True(a.IsLinked(b.o.Address)) // the peer used it just now
