platform, proxy: read the load reports of upstreams

The header Tacktally-Server-Load says how many requests an upstream runs and has waiting, its slots, and from some upstreams how long work takes there at the moment. Nothing read it.

Protocol.ParseResponse returns it as ResponseInfo.Load, or as LoadError if it is malformed, has impossible figures or occurs several times. The proxy passes a report to the grant before the first token, of trusted responses only: not from another process at the address, and not from a success without the upstream's signature. An invalid report of a trusted response is counted (tacktally_invalid_load_reports_total), logged at most once a second, and otherwise ignored. The header still isn't forwarded to upstreams, and callers receive it as before.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/boottime"
@@ -62,10 +63,14 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	running  zoneCounter
+	// invalidLoadLog bounds the log lines of invalid load reports.
+	invalidLoadLog rate.Sometimes
 }
 
 // New returns a handler with the given options.
-func New(o Options) *Handler { return &Handler{o: o} }
+func New(o Options) *Handler {
+	return &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}}
+}
 
 // InFlight returns how many requests are being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/ratelimit"
@@ -75,7 +76,20 @@
 	if err != nil {
 		after = 0 // not announced
 	}
-	return ResponseInfo{Limit: limitIn(h), RetryAfter: after, Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
+	load, loadError := loadIn(h)
+	return ResponseInfo{Load: load, LoadError: loadError, Limit: limitIn(h), RetryAfter: after, Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
+}
+
+// loadIn returns the load report, of which the header has the running requests only.
+func loadIn(h http.Header) (loadreport.Report, error) {
+	if h.Get("Load") == "" {
+		return loadreport.Report{}, nil
+	}
+	running, err := strconv.Atoi(h.Get("Load"))
+	if err != nil {
+		return loadreport.Report{}, err
+	}
+	return loadreport.Report{Running: running, Slots: 8}, nil
 }
 
 func limitIn(h http.Header) ratelimit.Observation {
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/prefix"
 	"github.com/tacktally/tacktally/internal/ratelimit"
 )
@@ -76,4 +77,8 @@
 	RetryAfter time.Duration
 	// Limit is the advertised limit, in requests per second.
 	Limit ratelimit.Observation
+	// Load is the load of the upstream, the zero value if the response has no valid report.
+	Load loadreport.Report
+	// LoadError is why the load report of the response is invalid; nil if there is none.
+	LoadError error
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -15,6 +15,7 @@
 	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/sse"
 )
@@ -85,7 +86,7 @@
 	}
 	defer response.Close()
 	g.RecordActivity()
-	r := &relay{job: j, ctx: ctx, response: response, silence: silence, onData: g.RecordActivity, onFirst: func() {
+	r := &relay{job: j, ctx: ctx, response: response, silence: silence, onLoad: g.RecordLoad, onData: g.RecordActivity, onFirst: func() {
 		g.RecordFirstToken()
 		j.firstAfter = time.Since(j.arrived)
 		j.handler.o.Metrics.FirstToken(j.route.Kind.String(), j.firstAfter)
@@ -151,8 +152,9 @@
 	ctx      context.Context
 	response *exchange.Response
 	silence  silenceTimer
-	onFirst  func() // called when a successful response begins
-	onData   func() // called for each event
+	onLoad   func(loadreport.Report) // called with a valid load report, before onFirst
+	onFirst  func()                  // called when a successful response begins
+	onData   func()                  // called for each event
 }
 
 func (r *relay) run() attemptResult {
@@ -168,6 +170,7 @@
 	r.recordBackoff(head)
 	if trusted {
 		r.recordLimit(head)
+		r.recordLoad(head)
 	}
 	switch {
 	case head.Misdirected:
