--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -55,6 +55,16 @@
 	is.Equal(<-p.hb.slots, "released 2 0 {5 4 5 0}")
 }
 
+// One report is sent for each request, and the budget for control traffic is a few kilobytes a second.
+func TestLoadReportIsSmall(t *testing.T) {
+	without := len(mustEncode(t, &Frame{Type: TypeSlotStarted, Stream: 70_000}))
+	with := len(mustEncode(t, &Frame{Type: TypeSlotStarted, Stream: 70_000, Load: &Load{Running: 3, Waiting: 1, Slots: 5, WorkPercent: 68}}))
+	t.Logf("a frame has %d bytes, and %d with a load report", without, with)
+	if with-without > 12 {
+		t.Errorf("a load report adds %d bytes; must be at most 12", with-without)
+	}
+}
+
 // startedFrame is the frame of type TypeSlotStarted with any content of the field of the load report,
 // and with a field of a newer build.
 type startedFrame struct {
