--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/view"
@@ -77,6 +78,9 @@
 	Limited() bool
 	// PredictedFirstToken returns the predicted time to the first token.
 	PredictedFirstToken() time.Duration
+	// RecordLoad records the valid load report of the response, which RecordFirstToken passes to the owner,
+	// or End if there is no first token. It is called before both.
+	RecordLoad(r loadreport.Report)
 	// RecordFirstToken and RecordActivity record that the first token, or any other part of the response, has
 	// arrived.
 	RecordFirstToken()
@@ -87,9 +91,11 @@
 
 // localGrant is a Grant of this instance.
 type localGrant struct {
+	fleet       *Fleet
 	shard       *shard
 	grant       *scheduler.Grant
 	listVersion int64
+	load        pendingLoad
 }
 
 func (g *localGrant) Upstream() string                   { return g.grant.Upstream.ID }
@@ -97,14 +103,28 @@
 func (g *localGrant) ListVersion() int64                 { return g.listVersion }
 func (g *localGrant) Limited() bool                      { return g.grant.Limited }
 func (g *localGrant) PredictedFirstToken() time.Duration { return g.grant.PredictedFirstToken() }
-func (g *localGrant) RecordFirstToken()                  { g.shard.pool.RecordFirstToken(g.grant) }
+func (g *localGrant) RecordLoad(r loadreport.Report)     { g.load.set(r) }
 func (g *localGrant) RecordActivity()                    { g.grant.Upstream.MarkSeen(time.Now()) }
-func (g *localGrant) End(r scheduler.Result, output int) { g.shard.pool.End(g.grant, r, output) }
+
+// RecordFirstToken implements Grant.
+func (g *localGrant) RecordFirstToken() {
+	g.fleet.recordLoad(g.shard, g.grant, g.load.take())
+	g.shard.pool.RecordFirstToken(g.grant)
+}
+
+// End implements Grant. A report that End passes is of a response without a first token, such as a
+// refusal, and doesn't count this request; so the request is ended first.
+func (g *localGrant) End(r scheduler.Result, output int) {
+	g.shard.pool.End(g.grant, r, output)
+	g.fleet.recordLoad(g.shard, g.grant, g.load.take())
+}
 
 // grantedSlot is a slot that a peer granted. *peer.Slot implements it.
 type grantedSlot interface {
-	Started()
-	Release(r peer.SlotRelease)
+	// Started reports the first token and the load report of the response; the zero value for none.
+	Started(load loadreport.Report)
+	// Release returns the slot, with the load report of a response that had no first token.
+	Release(r peer.SlotRelease, load loadreport.Report)
 	// Lost reports whether the peer no longer counts the slot.
 	Lost() bool
 }
@@ -115,6 +135,7 @@
 	slotGrant peer.SlotGrant
 	slot      grantedSlot
 	tracked   *peerGrants
+	load      pendingLoad
 }
 
 func (g *peerGrant) Upstream() string                   { return g.slotGrant.Upstream }
@@ -122,11 +143,14 @@
 func (g *peerGrant) ListVersion() int64                 { return g.slotGrant.ListVersion }
 func (g *peerGrant) Limited() bool                      { return g.slotGrant.Limited }
 func (g *peerGrant) PredictedFirstToken() time.Duration { return g.slotGrant.PredictedFirstToken }
-func (g *peerGrant) RecordFirstToken()                  { g.slot.Started() }
+func (g *peerGrant) RecordLoad(r loadreport.Report)     { g.load.set(r) }
+func (g *peerGrant) RecordFirstToken()                  { g.slot.Started(g.load.take()) }
 func (g *peerGrant) RecordActivity()                    {} // the owner gets first tokens and results only
+
+// End implements Grant.
 func (g *peerGrant) End(r scheduler.Result, output int) {
 	g.tracked.remove(g)
-	g.slot.Release(peer.SlotRelease{Result: uint8(r), Output: output})
+	g.slot.Release(peer.SlotRelease{Result: uint8(r), Output: output}, g.load.take())
 }
 
 // peerGrants holds the unfinished grants of other instances. It is safe for concurrent use.
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -6,6 +6,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/estimate"
+	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/prefix"
@@ -71,7 +72,7 @@
 		refund(retryBudget, req.Attempt)
 		return nil, problem
 	}
-	return &localGrant{shard: shard, grant: grant, listVersion: f.listVersion()}, nil
+	return &localGrant{fleet: f, shard: shard, grant: grant, listVersion: f.listVersion()}, nil
 }
 
 // charge withdraws a retry from the budget, or deposits a first attempt.
@@ -248,13 +249,22 @@
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
 	}
-	result, output := f.serveGrant(ctx, shard, r, s, decision.Grant)
-	shard.pool.End(decision.Grant, result, output)
+	end := f.serveGrant(ctx, shard, r, s, decision.Grant)
+	shard.pool.End(decision.Grant, end.result, end.output)
+	f.recordLoad(shard, decision.Grant, end.load)
+}
+
+// slotEnd is how a request ended whose slot a peer held, with the load report of a response that had no
+// first token.
+type slotEnd struct {
+	result scheduler.Result
+	output int
+	load   loadreport.Report
 }
 
 // serveGrant sends the grant to the peer, waits for the release of the slot, and returns how the request
 // ended.
-func (f *Fleet) serveGrant(ctx context.Context, sh *shard, r *peer.SlotRequest, s *peer.SlotStream, g *scheduler.Grant) (scheduler.Result, int) {
+func (f *Fleet) serveGrant(ctx context.Context, sh *shard, r *peer.SlotRequest, s *peer.SlotStream, g *scheduler.Grant) slotEnd {
 	err := s.SendGrant(ctx, peer.SlotGrant{
 		Upstream:            g.Upstream.ID,
 		PredictedFirstToken: g.PredictedFirstToken(),
@@ -266,19 +276,20 @@
 	})
 	f.logSlot(r, s.Peer, "granted", g.Upstream.ID, err)
 	for err == nil {
-		var release *peer.SlotRelease
-		release, err = s.Next(ctx)
-		switch {
+		var event peer.SlotEvent
+		event, err = s.Next(ctx)
+		switch release := event.Release; {
 		case err != nil:
 		case release == nil:
+			f.recordLoad(sh, g, event.Load)
 			sh.pool.RecordFirstToken(g)
 		case scheduler.Result(release.Result).IsKnown():
-			return scheduler.Result(release.Result), release.Output
+			return slotEnd{result: scheduler.Result(release.Result), output: release.Output, load: event.Load}
 		default:
-			return scheduler.Cancelled, 0 // sent by a peer of a newer version
+			return slotEnd{result: scheduler.Cancelled} // sent by a peer of a newer version
 		}
 	}
-	return scheduler.Cancelled, 0
+	return slotEnd{result: scheduler.Cancelled}
 }
 
 func (f *Fleet) logSlot(r *peer.SlotRequest, requester, decision, why string, err error) {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -55,7 +55,7 @@
 	TypeSlotGranted
 	TypeSlotRefused
 	// TypeSlotStarted reports the first token. TypeSlotReleased returns the slot, as TypeCancel
-	// does.
+	// does. The first of the two carries the load report of the response, if it had one.
 	TypeSlotStarted
 	TypeSlotReleased
 	// TypeQuotaRequest requests tokens of an organisation, TypeQuotaReply is the reply, and
@@ -101,6 +101,8 @@
 	QuotaReturn  *QuotaReturn  `cbor:"21,keyasint,omitempty"`
 
 	Membership *membership.Update `cbor:"22,keyasint,omitempty"`
+
+	Load *Load `cbor:"23,keyasint,omitempty"`
 }
 
 // Hello identifies the sender of a link's first frame.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -85,13 +85,18 @@
 		return
 	}
 	for {
-		release, err := s.Next(ctx)
-		switch {
+		event, err := s.Next(ctx)
+		switch release := event.Release; {
 		case err != nil:
 			h.slots <- "gone"
 			return
+		case release == nil && event.Load.IsSet():
+			h.slots <- fmt.Sprint("started ", event.Load)
 		case release == nil:
 			h.slots <- "started"
+		case event.Load.IsSet():
+			h.slots <- fmt.Sprint("released ", release.Result, release.Output, event.Load)
+			return
 		default:
 			h.slots <- fmt.Sprint("released ", release.Result, release.Output)
 			return
@@ -357,6 +362,7 @@
 		{Type: TypeHeartbeat, Heartbeat: &Heartbeat{Queued: map[string][]int{"a": {1, 2}}}},
 		{Type: TypeOpen, Stream: 1, Request: &request.Request{ID: "r", Body: []byte("x")}},
 		{Type: TypeEnd, Stream: 1, End: &answer.End{Problem: p}},
+		{Type: TypeSlotStarted, Stream: 1, Load: &Load{Running: 3, Slots: 5, WorkPercent: 68}},
 	} {
 		f.Add(mustEncode(f, frame))
 	}
