scheduler: bound the wait of returning requests, and don't count it against new ones

Work of returning requests counted in the predicted wait of new ones of lower ranks, which were refused as late (511 predicted_late), told a late time, returned, and waited in turn; callers left after 2 s without a first event. Change: returning work isn't counted in predictions; the wait is 1 s at most.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -252,7 +252,7 @@
 	if rate <= 0 {
 		return 0
 	}
-	return time.Duration(c.workAhead(r.Rank) / rate * float64(time.Second))
+	return time.Duration(c.queue.WorkAhead(r.Rank) / rate * float64(time.Second))
 }
 
 // retryAfter returns the time in which the work queued now will have drained, within the bounds of
--- a/internal/scheduler/advertised_limit.go
+++ b/internal/scheduler/advertised_limit.go
@@ -49,6 +49,6 @@
 	if perSecond == 0 {
 		return 0
 	}
-	before := float64(c.countAhead(r.Rank)) + 1 - ready
+	before := float64(c.queue.CountAhead(r.Rank)) + 1 - ready
 	return time.Duration(min(max(before, 0)/perSecond, maxRetryAfter.Seconds()) * float64(time.Second))
 }
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -81,7 +81,7 @@
 			return
 		}
 		c.take(now, it)
-		c.drain.recordSent(now, it.Work, c.waiting() > 0)
+		c.drain.recordSent(now, it.Work, c.queue.Len() > 0)
 		d.Grants = append(d.Grants, c.grant(now, it.Value.(*Request), choice))
 	}
 	c.drain.recordIdle(now)
--- a/internal/scheduler/returning.go
+++ b/internal/scheduler/returning.go
@@ -17,6 +17,9 @@
 	// caller has no retry left, so a refusal would lose it; most of the time left remains for the
 	// response.
 	returningWaitShare = 0.25
+	// maxReturningWait bounds the same time. Callers abandon a stream that has not begun within 2 s,
+	// and some of that is needed for its prompt.
+	maxReturningWait = time.Second
 	// returningSpaceShare is the share of the queue's limits that returning requests may use. They
 	// wait up to twenty times as long as new ones, which must find space in the meantime.
 	returningSpaceShare = 0.25
@@ -83,7 +86,7 @@
 		return startBy // bounded by the deadline alone
 	}
 	wait := time.Duration(returningWaitShare * float64(r.Deadline.Sub(r.Arrived)))
-	return later(startBy, r.Arrived.Add(wait))
+	return later(startBy, r.Arrived.Add(min(wait, maxReturningWait)))
 }
 
 func later(a, b time.Time) time.Time {
@@ -167,16 +170,6 @@
 	return append(c.queue.RemoveExpired(now), c.returning.queue.RemoveExpired(now)...)
 }
 
-// workAhead returns the total work that waits ahead of a new request of a rank.
-func (c *Core) workAhead(rank int) float64 {
-	return c.queue.WorkAhead(rank) + c.returning.queue.WorkAhead(rank-1)
-}
-
-// countAhead returns the number of requests that wait ahead of a new one of a rank.
-func (c *Core) countAhead(rank int) int {
-	return c.queue.CountAhead(rank) + c.returning.queue.CountAhead(rank-1)
-}
-
 // earliestStartBy returns the earliest time at which a waiting request expires, and false if none
 // waits.
 func (c *Core) earliestStartBy() (time.Time, bool) {
