scheduler: wait limit of plain requests by objective

Cause: a plain request with an objective of 300 ms and a work time of 60 ms is refused after 66 ms (0.22 of the objective), though it could wait twice as long and still be in time.

Change: with Options.WaitForObjective, a plain request may wait for its objective (or its deadline, if that is shorter) minus 1.25 times the typical time from grant to response, which the owner learns as a mean over about 20 responses per Core. At most half of the objective, at least MaxWait. Without the option nothing is learned and nothing changes.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -35,7 +35,7 @@
 		c.shed(now, &d, r, api.ReasonDeadlineTooShort, "even an idle upstream would answer too late; allow more time or send less")
 		return d
 	}
-	startBy := c.startBy(r)
+	startBy := c.startBy(now, r)
 	if r.MaxWait > 0 && startBy.Before(now) && now.Before(r.Deadline) {
 		startBy = now // MaxWait has passed elsewhere: grant it immediately or not at all
 	}
@@ -180,10 +180,10 @@
 
 // startBy returns the latest start with which the response is in time on an upstream of typical
 // speed.
-func (c *Core) startBy(r *Request) time.Time {
+func (c *Core) startBy(now time.Time, r *Request) time.Time {
 	startBy := r.Deadline
 	if r.MaxWait > 0 {
-		startBy = r.Arrived.Add(r.MaxWait)
+		startBy = r.Arrived.Add(c.waitLimit(now, r))
 	}
 	if r.AllowLate {
 		return startBy
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -162,6 +162,7 @@
 	outputs     outputRatio
 	lengthError lengthError
 	grantShares grantShares
+	responses   responseTime // of plain requests
 	// backfillAllowance is the slot time that backfill may use now.
 	backfillAllowance time.Duration
 	coldStart         ColdStart
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -277,6 +277,7 @@
 			u.Window.RecordOnTime(u.Running)
 		}
 		u.Speed.ObserveFirstToken(g.tokensAhead, took)
+		c.observeResponse(g, took)
 		c.recordRecovery(now, u)
 		u.MarkSeen(now)
 	}
