--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -39,7 +39,7 @@
 		c.dispatch(now, &d)
 		return d
 	}
-	startBy := c.startBy(r)
+	startBy := c.startBy(now, r)
 	if r.MaxWait > 0 && startBy.Before(now) && now.Before(r.Deadline) {
 		startBy = now // MaxWait has passed elsewhere: grant it immediately or not at all
 	}
@@ -200,10 +200,10 @@
 
 // startBy returns the latest start with which the response is in time on an upstream of typical
 // speed.
-func (c *Core) startBy(r *Request) time.Time {
+func (c *Core) startBy(now time.Time, r *Request) time.Time {
 	startBy := r.Deadline
 	if r.MaxWait > 0 {
-		startBy = r.Arrived.Add(r.MaxWait)
+		startBy = r.Arrived.Add(c.waitLimit(now, r))
 	}
 	if r.AllowLate {
 		return startBy
--- a/internal/scheduler/returning.go
+++ b/internal/scheduler/returning.go
@@ -68,7 +68,7 @@
 // queueReturning queues a returning request. It reports false if its time to wait is over or there
 // is no space.
 func (c *Core) queueReturning(now time.Time, r *Request) bool {
-	startBy := c.returningStartBy(r)
+	startBy := c.returningStartBy(now, r)
 	if !startBy.After(now) || !c.returning.queue.HasSpace(r.Bytes) {
 		return false
 	}
@@ -80,8 +80,8 @@
 
 // returningStartBy returns the latest start of a returning request: after returningWaitShare of the
 // time that it had left on arrival, or later if as a new request it could wait longer.
-func (c *Core) returningStartBy(r *Request) time.Time {
-	startBy := c.startBy(r)
+func (c *Core) returningStartBy(now time.Time, r *Request) time.Time {
+	startBy := c.startBy(now, r)
 	if r.MaxWait == 0 || !r.AllowLate {
 		return startBy // bounded by the deadline alone
 	}
--- a/internal/scheduler/returning_test.go
+++ b/internal/scheduler/returning_test.go
@@ -375,13 +375,13 @@
 	c := newRetryCore(true, 1, 100)
 	r := retryRequest(start, 2, 7)
 	r.MaxWait = 0
-	is.Equal(c.returningStartBy(r), r.Deadline)
+	is.Equal(c.returningStartBy(start, r), r.Deadline)
 	r.MaxWait = 5 * time.Second
-	is.Equal(c.returningStartBy(r), start.Add(5*time.Second))
+	is.Equal(c.returningStartBy(start, r), start.Add(5*time.Second))
 	r.MaxWait = 500 * time.Millisecond
-	is.Equal(c.returningStartBy(r), start.Add(time.Second))
+	is.Equal(c.returningStartBy(start, r), start.Add(time.Second))
 	r.Deadline = start.Add(3 * time.Second)
-	is.Equal(c.returningStartBy(r), start.Add(750*time.Millisecond))
+	is.Equal(c.returningStartBy(start, r), start.Add(750*time.Millisecond))
 }
 
 // Returning requests wait long and must leave space for new ones: beyond a quarter of the queue they
