balancer, estimate: requests in transit and current work time from load reports

An owner counts a slot as taken from the grant until the release has arrived, and the upstream idles for the 5 to 25 ms that messages take. Its speed is learned as a slow average, which can't follow a disturbance of 600 ms.

ObserveLoad compares the requests counted at the upstream with those that it reports. The smoothed difference, bounded by MaxInTransit, is granted on top of the slots; not while requests wait at the upstream, after failures, while it is cold, within a grant window of a move, at a grant or rate limit, or 1 s after the last report. With MaxInTransit 0 the slots alone apply.

WorkFactor is the reported work time relative to the usual one, the median of samples, fading towards 1 with a half-life of 300 ms. ObjectivePicker and the completion probabilities multiply predicted times by it. Plain requests add the extra time of a slow upstream to its cost. Without the fourth figure of the report all of this is as before. The reports of a process move with it between shards and are dropped with it.

completionProbability takes the time as a new argument; its test passes it and is otherwise the same.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -46,6 +46,9 @@
 	// Slots is the number of requests that it runs concurrently for all instances. 0 means unknown;
 	// Window applies instead.
 	Slots int
+	// MaxInTransit is the greatest number of requests beyond Slots that it is granted to make up for
+	// those in transit.
+	MaxInTransit int
 	// Leaving upstreams are sent no new requests.
 	Leaving bool
 	// CircuitOpenUntil is set after failures. After it, a single request probes the upstream.
@@ -67,6 +70,7 @@
 	bucket     tokenBucket
 	grants     grantTimes
 	movedUntil time.Time // GrantLimits.Moved applies until then
+	load       loadState
 	lastSeenMu sync.Mutex
 	lastSeen   time.Time // guarded by lastSeenMu
 }
@@ -104,29 +108,32 @@
 // HasCapacity reports whether a request with the given number of uncached prompt tokens may be sent
 // now.
 func (u *Upstream) HasCapacity(now time.Time, tokens int) bool {
-	if !u.Usable(now) || u.IsFull() || !u.AllowsGrant(now) {
+	if !u.Usable(now) || u.IsFull(now) || !u.AllowsGrant(now) {
 		return false
 	}
 	if u.isSuspect() && u.Running > 0 {
 		return false // only one probe at a time
 	}
 	if u.Slots > 0 {
-		return true // the slots are the only bound
+		return true // IsFull is the only bound
 	}
 	bound := u.Speed.Prefill() * PrefillHorizon.Seconds()
 	ahead := u.TokensAhead()
 	return ahead == 0 || float64(ahead+tokens) <= bound
 }
 
-// IsFull reports whether all its slots are taken, or its window if the slots are unknown.
-func (u *Upstream) IsFull() bool {
+// IsFull reports whether all its slots are taken and no request may be granted beyond them, or
+// whether its window is taken if the slots are unknown.
+func (u *Upstream) IsFull(now time.Time) bool {
 	if u.Slots > 0 {
-		return u.Running+u.RunningElsewhere >= u.Slots
+		taken := u.Running + u.RunningElsewhere
+		return taken >= u.Slots && taken >= u.Slots+u.extraSlots(now)
 	}
 	return u.Running >= u.Window.Size()
 }
 
-// Occupancy returns the share of its slots that is taken; 0 if the slots are unknown.
+// Occupancy returns the share of its slots that is taken; 0 if the slots are unknown. It exceeds 1
+// if requests were granted beyond the slots, so that a free slot elsewhere is preferred to these.
 func (u *Upstream) Occupancy() float64 {
 	if u.Slots == 0 {
 		return 0
--- a/internal/balancer/completion.go
+++ b/internal/balancer/completion.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// completionProbability returns the probability that the response completes in time on an upstream,
-// given the predicted time to its first token. The length is assumed to be log-normally distributed
+// completionProbability returns the probability that the response completes in time on an upstream
+// if it starts now, given the predicted time to its first token. The length is assumed to be log-normally distributed
 // around the expected one, as the errors of callers' estimates are, and at most MaxOutput. The
 // probability is unknown if the upstream's inter-token latency is unknown, and 1 if no length is
 // expected.
-func (w Work) completionProbability(u *Upstream, first time.Duration) (p float64, known bool) {
+func (w Work) completionProbability(now time.Time, u *Upstream, first time.Duration) (p float64, known bool) {
 	if w.EndWithin <= 0 || w.ExpectedOutput <= 0 {
 		return 1, true
 	}
-	if !u.Speed.KnowsInterval() {
+	if !u.knowsInterval(now) {
 		return 0, false
 	}
-	maxTokens := float64(w.EndWithin-first) / float64(u.Speed.PredictDecode(1, 1))
+	maxTokens := float64(w.EndWithin-first) / float64(u.predictInterval(now, w.ExpectedOutput))
 	if w.MaxOutput > 0 && maxTokens >= float64(w.MaxOutput) {
 		return 1, true
 	}
@@ -78,7 +78,7 @@
 		if !u.Usable(now) {
 			continue
 		}
-		p, known := w.completionProbability(u, u.Speed.PredictFirstToken(w.PromptTokens))
+		p, known := w.completionProbability(now, u, u.PredictFirstToken(now, w.PromptTokens))
 		if !known {
 			continue
 		}
@@ -101,14 +101,15 @@
 }
 
 // isTooSlow reports whether an upstream cannot generate MinTokens in time even if it starts
-// immediately. It costs a tenth of computing the probability.
+// immediately. It costs a tenth of computing the probability. It ignores that the upstream may be
+// slower than usual, which the probability counts, and excludes none that is faster.
 func (c *CompletionProbabilities) isTooSlow(u *Upstream, w Work) bool {
-	return c.MinTokens > 0 && u.Speed.KnowsInterval() && float64(w.EndWithin) < c.MinTokens*float64(u.Speed.PredictDecode(1, 1))
+	return c.MinTokens > 0 && u.load.workExcess >= 0 && u.Speed.KnowsInterval() && float64(w.EndWithin) < c.MinTokens*float64(u.Speed.PredictDecode(1, 1))
 }
 
 // at returns the completion probability at one of the upstreams.
-func (c *CompletionProbabilities) at(u *Upstream, w Work, first time.Duration) float64 {
-	if p, known := w.completionProbability(u, first); known {
+func (c *CompletionProbabilities) at(now time.Time, u *Upstream, w Work, first time.Duration) float64 {
+	if p, known := w.completionProbability(now, u, first); known {
 		return p
 	}
 	return c.Mean
--- a/internal/balancer/completion_test.go
+++ b/internal/balancer/completion_test.go
@@ -19,15 +19,15 @@
 	w := Work{PromptTokens: 100, ExpectedOutput: 500, MaxOutput: 4000, Spread: NewSpread(0.48)}
 	for _, c := range []struct{ tokens, want float64 }{{500, 0.5}, {1000, 0.926}, {250, 0.074}, {0, 0}, {4000, 1}} {
 		w.EndWithin = max(time.Duration(c.tokens*interval), 1)
-		p, known := w.completionProbability(u, 0)
+		p, known := w.completionProbability(now, u, 0)
 		is.True(known)
 		is.True(math.Abs(p-c.want) < 0.01)
 	}
 	w.EndWithin = time.Second
-	_, known := w.completionProbability(&Upstream{Speed: estimate.NewSpeed()}, 0)
+	_, known := w.completionProbability(now, &Upstream{Speed: estimate.NewSpeed()}, 0)
 	is.True(!known) // its inter-token latency is unknown
 	w.ExpectedOutput = 0
-	p, known := w.completionProbability(&Upstream{Speed: estimate.NewSpeed()}, 0)
+	p, known := w.completionProbability(now, &Upstream{Speed: estimate.NewSpeed()}, 0)
 	is.True(known && p == 1) // no expected length
 }
 
--- a/internal/balancer/grant_limits.go
+++ b/internal/balancer/grant_limits.go
@@ -93,6 +93,7 @@
 		FailureShare:     u.FailureShare,
 		ColdUntil:        u.ColdUntil,
 		grants:           slices.Clone(u.grants),
+		load:             u.load,
 	}
 }
 
@@ -104,6 +105,7 @@
 		return
 	}
 	u.Speed = previous.Speed
+	u.load = previous.load
 	u.Failures, u.FailedAt, u.CircuitOpenUntil, u.FailureShare = previous.Failures, previous.FailedAt, previous.CircuitOpenUntil, previous.FailureShare
 	u.grants = slices.Clone(previous.grants)
 	u.KeepColdUntil(previous.ColdUntil)
--- a/internal/balancer/objective.go
+++ b/internal/balancer/objective.go
@@ -72,12 +72,12 @@
 		if !u.HasCapacity(now, uncached) {
 			continue
 		}
-		first := u.Speed.PredictFirstToken(u.TokensAhead() + uncached)
-		probability := probabilities.at(u, w, first)
+		first := u.PredictFirstToken(now, u.TokensAhead()+uncached)
+		probability := probabilities.at(now, u, w, first)
 		if probability < minProbability {
 			continue
 		}
-		cost := p.cost(u, w, uncached, first, probability)
+		cost := p.cost(now, u, w, uncached, first, probability)
 		if best.Upstream == nil || cost < bestCost {
 			best, bestCost = Choice{Upstream: u, UncachedTokens: uncached}, cost
 		}
@@ -90,7 +90,7 @@
 
 // cost returns the cost of an upstream, given the predicted time to the first token and the
 // completion probability.
-func (p *ObjectivePicker) cost(u *Upstream, w Work, uncached int, first time.Duration, probability float64) time.Duration {
+func (p *ObjectivePicker) cost(now time.Time, u *Upstream, w Work, uncached int, first time.Duration, probability float64) time.Duration {
 	cost := scale(u.Occupancy(), p.Weights.Occupancy) + scale(u.FailureShare, p.Weights.Failure)
 	if u.Zone != w.Zone {
 		cost += p.CrossZoneCost
@@ -99,9 +99,9 @@
 		cost += p.CrossRegionCost
 	}
 	if w.PromptTokens == 0 {
-		return cost // not an engine: its speed is unknown
+		return cost + u.extraPlainTime(now) // not an engine: it has no speed
 	}
-	cost += scale(p.Weights.Prefill, u.Speed.PredictFirstToken(uncached))
+	cost += scale(p.Weights.Prefill, u.PredictFirstToken(now, uncached))
 	if w.FirstTokenWithin > 0 {
 		cost += scale(p.Weights.Late, excess(scale(p.Weights.Margin, first), w.FirstTokenWithin))
 	}
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -84,3 +84,37 @@
 	s.ObserveInterval(3 * time.Millisecond)
 	is.Equal(s.Interval(), 3*time.Millisecond)
 }
+
+// Rates that are predicted for an upstream apply until it is observed. They must neither count as
+// observed, be told to other instances, nor replace what was observed.
+func TestAssumedRatesApplyUntilObserved(t *testing.T) {
+	is := is.New(t)
+	s := NewSpeed()
+	s.Assume(Rates{Prefill: 10_000, Interval: 20 * time.Millisecond})
+	s.Assume(Rates{})
+	is.Equal(s.PredictFirstToken(1000), 120*time.Millisecond)
+	is.Equal(s.Rates(), Rates{})
+	is.True(!s.Known() && !s.KnowsInterval() && s.AssumesInterval())
+	s.ObserveInterval(8 * time.Millisecond)
+	s.ObserveFirstToken(1000, 100*time.Millisecond)
+	observed := s
+	s.Assume(Rates{Prefill: 500, Interval: time.Second})
+	is.Equal(s, observed)
+	is.True(s.KnowsInterval() && !s.AssumesInterval())
+}
+
+// Scaling changes what was observed, and not the values assumed before.
+func TestScaleTimes(t *testing.T) {
+	is := is.New(t)
+	s := NewSpeed()
+	s.ScaleTimes(0.5)
+	is.Equal(s, NewSpeed())
+	for range 100 {
+		s.ObserveInterval(20 * time.Millisecond)
+		s.ObserveFirstToken(1000, 120*time.Millisecond)
+	}
+	first, decode := s.PredictFirstToken(1000), s.PredictDecode(100, 0)
+	s.ScaleTimes(0.5)
+	is.True((2*s.PredictFirstToken(1000) - first).Abs() < time.Microsecond)
+	is.True((2*s.PredictDecode(100, 0) - decode).Abs() < time.Microsecond)
+}
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -41,6 +41,7 @@
 	bestInterval         float64 // shortest estimate so far
 	prefillObservations  int
 	intervalObservations int
+	intervalAssumed      bool // interval was set by Assume
 }
 
 // NewSpeed returns the speed assumed of an unobserved upstream.
@@ -71,6 +72,10 @@
 // KnowsInterval reports whether the time between output tokens has been observed.
 func (s *Speed) KnowsInterval() bool { return s.intervalObservations > 0 }
 
+// AssumesInterval reports whether the time between output tokens has been predicted from other
+// upstreams and not been observed.
+func (s *Speed) AssumesInterval() bool { return s.intervalAssumed && !s.KnowsInterval() }
+
 // Rates are the speed estimates of an upstream that one instance sends to another.
 type Rates struct {
 	// Prefill is in prompt tokens per second, Interval the time between output tokens; 0 if not
@@ -105,6 +110,32 @@
 	}
 }
 
+// Assume replaces the initial values of an upstream that was not observed by rates that are
+// predicted for it; 0 means unknown.
+func (s *Speed) Assume(r Rates) {
+	if r.Prefill > 0 && s.prefillObservations == 0 {
+		s.prefill = clamp(r.Prefill, minPrefill, maxPrefill)
+		s.bestPrefill = s.prefill
+	}
+	if r.Interval > 0 && s.intervalObservations == 0 {
+		s.interval = r.Interval.Seconds()
+		s.bestInterval = s.interval
+		s.intervalAssumed = true
+	}
+}
+
+// ScaleTimes multiplies all times that are estimated from observations by a factor.
+func (s *Speed) ScaleTimes(factor float64) {
+	if s.prefillObservations > 0 {
+		s.prefill = clamp(s.prefill/factor, minPrefill, maxPrefill)
+		s.bestPrefill = clamp(s.bestPrefill/factor, minPrefill, maxPrefill)
+	}
+	if s.intervalObservations > 0 {
+		s.interval *= factor
+		s.bestInterval *= factor
+	}
+}
+
 // Interval returns the estimated time between output tokens.
 func (s *Speed) Interval() time.Duration { return seconds(s.interval) }
 
--- a/internal/scheduler/cold_start.go
+++ b/internal/scheduler/cold_start.go
@@ -119,7 +119,7 @@
 // because of its grant limits.
 func (c *Core) countLimited(now time.Time) {
 	for _, u := range c.upstreams {
-		if u.Usable(now) && !u.IsFull() && !u.AllowsGrant(now) {
+		if u.Usable(now) && !u.IsFull(now) && !u.AllowsGrant(now) {
 			c.limitedGrants++
 			return
 		}
