scheduler, pool: decide by load reports and show them

The balancer's estimates from load reports were not used by the scheduler.

Options.MaxInTransit reaches the upstreams. A grant keeps the work factor of its time; times to the first token and intervals are divided by it, so that the learned speed is that of the usual state. An engine that reports its work time but hasn't been observed gets its speed from the others' and the ratio of work times. Failures drop the reports: the process may have restarted. Core.LoadReports and Pool.LoadReports give the figures for the metrics, pool.UpstreamStatus has the number in transit and the work percentage. Without the setting and the fourth figure, decisions are the same as without reports (TestReportsAloneChangeNoDecision).

--- a/internal/balancer/load_test.go
+++ b/internal/balancer/load_test.go
@@ -73,6 +73,29 @@
 	}
 }
 
+// An upstream that responds again after failures may have restarted and must get no request beyond its
+// slots until its recovery is recorded.
+func TestRespondingUpstreamWithFailuresGetsItsSlotsAlone(t *testing.T) {
+	is := is.New(t)
+	u := loadedUpstream()
+	u.Failures, u.FailedAt = 1, now.Add(-time.Second)
+	u.MarkSeen(now)
+	is.True(!u.HasCapacity(now, 1))
+	u.Running--
+	is.True(u.HasCapacity(now, 1))
+}
+
+// The scheduler counts an upstream with free slots that has reached its grant limit as limited. One
+// whose slots are taken is full and must not be counted.
+func TestUpstreamAtItsGrantLimitIsFullAtItsSlots(t *testing.T) {
+	is := is.New(t)
+	u := loadedUpstream()
+	is.True(!u.IsFull(now))
+	u.GrantLimits = GrantLimits{Set: true, Warm: 1}
+	u.RecordGrant(now)
+	is.True(u.IsFull(now))
+}
+
 // The window of an upstream of unknown slots bounds its requests with and without reports.
 func TestReportsDoNotWidenTheWindow(t *testing.T) {
 	is := is.New(t)
@@ -318,6 +341,20 @@
 	}
 }
 
+// The quick check for upstreams that are too slow goes by the usual speed and must not exclude one that
+// is faster at the moment.
+func TestFasterEngineIsNotExcludedByItsUsualSpeed(t *testing.T) {
+	is := is.New(t)
+	u := engine("u", 16_000, 10*time.Millisecond, 0)
+	p := &CompletionProbabilities{MinTokens: 110}
+	w := Work{EndWithin: time.Second}
+	is.True(p.isTooSlow(u, w))
+	reportWork(u, now, 100, 10)
+	is.True(p.isTooSlow(u, w))
+	u.ObserveLoad(now, loadreport.Report{Slots: 6, WorkPercent: 50})
+	is.True(!p.isTooSlow(u, w))
+}
+
 // A plain request avoids an upstream that is slow at the moment or always, by the extra time. An
 // upstream that falsely reports to be fast must not attract all requests.
 func TestPickerAddsExtraTimeOfSlowPlainUpstream(t *testing.T) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -175,6 +175,13 @@
 	p.core.RecordLoad(time.Now(), g, r)
 }
 
+// LoadReports summarises the load reports of the upstreams.
+func (p *Pool) LoadReports() scheduler.LoadReports {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.LoadReports(time.Now())
+}
+
 // schedule sets the timer if requests wait, and stops it otherwise. The caller holds the lock.
 func (p *Pool) schedule() {
 	expiry, waiting := p.core.NextExpiry()
@@ -315,12 +322,18 @@
 	PrefillPerSec    float64   `json:"prefillTokensPerSecond"`
 	IntervalMillis   float64   `json:"tokenIntervalMillis"`
 	CircuitOpenUntil time.Time `json:"avoidedUntil,omitzero"`
+	// InTransit is the mean number of requests counted at the upstream but not held by it, and
+	// WorkPercent the work time that it reports, in percent of that of an ordinary machine; 0 without
+	// a load report of the last second.
+	InTransit   float64 `json:"requestsInTransit,omitzero"`
+	WorkPercent int     `json:"workPercent,omitzero"`
 }
 
 // Status returns the state of all upstreams.
 func (p *Pool) Status() []UpstreamStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	var out []UpstreamStatus
 	for _, u := range p.core.Upstreams() {
 		out = append(out, UpstreamStatus{
@@ -333,6 +346,8 @@
 			PrefillPerSec:    u.Speed.Prefill(),
 			IntervalMillis:   float64(u.Speed.Interval()) / float64(time.Millisecond),
 			CircuitOpenUntil: u.CircuitOpenUntil,
+			InTransit:        u.InTransit(now),
+			WorkPercent:      u.WorkPercent(now),
 		})
 	}
 	return out
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -131,6 +131,7 @@
 	uncachedTokens      int
 	tokensAhead         int // prompt tokens to prefill before the first token, including this request's
 	predictedFirstToken time.Duration
+	workFactor          float64 // of the upstream at the time of the grant (see balancer.WorkFactor)
 	firstTokenAt        time.Time
 	pendingReleased     bool // uncachedTokens have been subtracted from the upstream's PendingTokens
 }
@@ -161,6 +162,8 @@
 	drain       drainRate
 	outputs     outputRatio
 	lengthError lengthError
+	ordinary    ordinaryRates
+	loadReports LoadReports // without the fields that LoadReports computes
 	grantShares grantShares
 	// backfillAllowance is the slot time that backfill may use now.
 	backfillAllowance time.Duration
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -8,7 +8,6 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/estimate"
-	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/queue"
 )
 
@@ -259,7 +258,8 @@
 		Rates:               u.Speed.Rates(),
 		uncachedTokens:      choice.UncachedTokens,
 		tokensAhead:         u.TokensAhead(),
-		predictedFirstToken: u.Speed.PredictFirstToken(u.TokensAhead()),
+		predictedFirstToken: u.PredictFirstToken(now, u.TokensAhead()),
+		workFactor:          u.WorkFactor(now, 0),
 	}
 }
 
@@ -276,20 +276,13 @@
 		} else {
 			u.Window.RecordOnTime(u.Running)
 		}
-		u.Speed.ObserveFirstToken(g.tokensAhead, took)
+		c.observeFirstToken(g, took)
 		c.recordRecovery(now, u)
 		u.MarkSeen(now)
 	}
 	return c.Poll(now)
 }
 
-// RecordLoad records the load report of a response, before its first token.
-func (c *Core) RecordLoad(now time.Time, g *Grant, r loadreport.Report) {
-	if r.IsValid() {
-		g.Upstream.ObserveLoad(now, r)
-	}
-}
-
 // AssumeFirstToken counts the prompt as prefilled, for responses whose first token is not observed.
 func (c *Core) AssumeFirstToken(now time.Time, g *Grant) Decisions {
 	c.releasePending(g)
@@ -319,7 +312,7 @@
 	c.outputs.observe(g.Request.MaxOutput, output)
 	if !g.firstTokenAt.IsZero() && output >= minIntervalTokens {
 		interval := now.Sub(g.firstTokenAt) / time.Duration(output-1)
-		g.Upstream.Speed.ObserveInterval(interval)
+		c.observeInterval(now, g, interval)
 		if interval > maxInterval && g.Upstream.Running > 1 {
 			g.Upstream.Window.RecordLate(now)
 		}
@@ -368,6 +361,7 @@
 	period := minOpenPeriod << min(u.Failures-1, 10)
 	u.CircuitOpenUntil = now.Add(min(period, maxOpenPeriod))
 	u.Window.Reset()
+	u.DropReports()
 	if u.PrefixIndex != nil {
 		u.PrefixIndex.Clear()
 	}
--- a/internal/scheduler/members.go
+++ b/internal/scheduler/members.go
@@ -113,6 +113,7 @@
 func (c *Core) update(u *balancer.Upstream, m Member) {
 	u.Leaving = m.Leaving
 	u.Slots = m.Slots
+	u.MaxInTransit = c.options.MaxInTransit
 	u.GrantLimits = c.grantLimitsOf(u.Zone)
 	u.AdvertisedLimit = m.AdvertisedLimit
 	u.SetRateLimit(c.rateOf(u))
--- /dev/null
+++ b/internal/scheduler/work_time_test.go
@@ -0,0 +1,389 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/balancer"
+	"github.com/tacktally/tacktally/internal/loadreport"
+	"github.com/tacktally/tacktally/internal/queue"
+)
+
+const (
+	plainSlots     = 6
+	plainUpstreams = 3
+	plainWork      = 60 * time.Millisecond
+	plainObjective = 300 * time.Millisecond
+	plainLength    = 10 * time.Second
+)
+
+// plainUpstream is a simulated upstream that runs plainSlots requests at once and queues the others.
+type plainUpstream struct{ running, waiting int }
+
+// plainLoad runs an open load of plain requests against a Core in virtual time. Each message between
+// owner, instance and upstream takes a random time of up to leg.
+type plainLoad struct {
+	core      *Core
+	random    *rand.Rand
+	now       time.Time
+	due       eventQueue
+	upstreams map[string]*plainUpstream
+	queued    map[string][]func()
+	leg       time.Duration
+	// report changes the reports; nil leaves them as they are.
+	report func(r loadreport.Report) loadreport.Report
+
+	arrived, inTime    int
+	worst, worstQueued int // most requests counted and waiting at one upstream
+	log                []string
+}
+
+// runPlain runs a load of the given factor of the capacity.
+func runPlain(maxInTransit int, factor float64, leg time.Duration, report func(loadreport.Report) loadreport.Report) *plainLoad {
+	l := &plainLoad{
+		core:      New(Options{Picker: &balancer.ObjectivePicker{Weights: balancer.DefaultObjectiveWeights}, Limits: queue.Limits{MaxItems: 2000, MaxBytes: 1 << 30}, MinRetryAfter: 100 * time.Millisecond, MaxInTransit: maxInTransit}),
+		random:    rand.New(rand.NewPCG(1, 9)),
+		now:       start,
+		upstreams: map[string]*plainUpstream{},
+		queued:    map[string][]func(){},
+		leg:       leg,
+		report:    report,
+	}
+	var members []Member
+	for i := range plainUpstreams {
+		id := fmt.Sprint(i)
+		members = append(members, Member{ID: id, Zone: "bole", Slots: plainSlots})
+		l.upstreams[id] = &plainUpstream{}
+	}
+	l.core.SetMembers(members)
+	l.arrive(factor * plainUpstreams * plainSlots / plainWork.Seconds())
+	for len(l.due) > 0 {
+		next := heap.Pop(&l.due).(scheduledEvent)
+		l.now = next.at
+		next.run()
+		l.carryOut(l.core.Poll(l.now))
+	}
+	return l
+}
+
+func (l *plainLoad) later(d time.Duration, run func()) {
+	heap.Push(&l.due, scheduledEvent{l.now.Add(d), run})
+}
+
+// message runs a step after the time of one message.
+func (l *plainLoad) message(run func()) {
+	l.later(time.Duration(l.random.Float64()*float64(l.leg)), run)
+}
+
+func (l *plainLoad) arrive(perSecond float64) {
+	if l.now.Sub(start) > plainLength {
+		return
+	}
+	l.later(time.Duration(l.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		l.arrived++
+		l.carryOut(l.core.Submit(l.now, &Request{Organisation: "a", Share: 1, Arrived: l.now, Deadline: l.now.Add(1500 * time.Millisecond), MaxWait: 66 * time.Millisecond, LatencyObjective: plainObjective, AllowLate: true}))
+		l.arrive(perSecond)
+	})
+}
+
+func (l *plainLoad) carryOut(d Decisions) {
+	for _, s := range d.Sheds {
+		l.log = append(l.log, fmt.Sprint(l.now.Sub(start), " ", s.Problem))
+	}
+	for _, g := range d.Grants {
+		l.log = append(l.log, fmt.Sprint(l.now.Sub(start), " ", g.Upstream.ID))
+		l.worst = max(l.worst, g.Upstream.Running)
+		l.message(func() { l.message(func() { l.reach(g) }) })
+	}
+}
+
+// reach lets a request arrive at its upstream.
+func (l *plainLoad) reach(g *Grant) {
+	u := l.upstreams[g.Upstream.ID]
+	if u.running == plainSlots {
+		u.waiting++
+		l.worstQueued = max(l.worstQueued, u.waiting)
+		l.queued[g.Upstream.ID] = append(l.queued[g.Upstream.ID], func() { l.work(u, g) })
+		return
+	}
+	l.work(u, g)
+}
+
+// work runs a request and sends its response, with the report of the moment, by way of its instance to
+// the owner.
+func (l *plainLoad) work(u *plainUpstream, g *Grant) {
+	u.running++
+	l.later(plainWork, func() {
+		r := loadreport.Report{Running: u.running, Waiting: u.waiting, Slots: plainSlots}
+		if l.report != nil {
+			r = l.report(r)
+		}
+		u.running--
+		if q := l.queued[g.Upstream.ID]; len(q) > 0 {
+			u.waiting--
+			l.queued[g.Upstream.ID] = q[1:]
+			q[0]()
+		}
+		l.message(func() {
+			if l.now.Sub(g.Request.Arrived) <= plainObjective {
+				l.inTime++
+			}
+			l.message(func() {
+				l.core.RecordLoad(l.now, g, r)
+				l.carryOut(l.core.RecordFirstToken(l.now, g))
+				l.carryOut(l.core.End(l.now, g, Completed, 0))
+			})
+		})
+	})
+}
+
+// A plain service of short work at saturation: while messages are on their way, slots are idle although
+// requests are refused. Requests beyond the slots use them.
+func TestRequestsInTransitUseIdleSlots(t *testing.T) {
+	is := is.New(t)
+	slots, more := runPlain(0, 1.3, 8*time.Millisecond, nil), runPlain(2, 1.3, 8*time.Millisecond, nil)
+	t.Logf("in time %d and %d of %d, at most %d counted and %d waiting at an upstream", slots.inTime, more.inTime, more.arrived, more.worst, more.worstQueued)
+	is.Equal(slots.worst, plainSlots)
+	is.True(more.worst > plainSlots && more.worst <= plainSlots+2)
+	is.True(float64(more.inTime) > 1.05*float64(slots.inTime))
+}
+
+// Requests that reach the upstream at once are never in transit, so that none is granted on top.
+func TestNothingIsGrantedBeyondTheSlotsWithoutTransit(t *testing.T) {
+	is := is.New(t)
+	slots, more := runPlain(0, 1.3, 0, nil), runPlain(8, 1.3, 0, nil)
+	is.Equal(more.worst, plainSlots)
+	is.Equal(more.log, slots.log)
+}
+
+// An upstream that falsely reports to be idle queues at most as many requests as the setting says.
+func TestFalselyIdleUpstreamQueuesAtMostMaxInTransit(t *testing.T) {
+	is := is.New(t)
+	idle := func(r loadreport.Report) loadreport.Report { return loadreport.Report{Slots: r.Slots} }
+	l := runPlain(2, 1.5, 4*time.Millisecond, idle)
+	is.Equal(l.worst, plainSlots+2)
+	is.True(l.worstQueued <= 2)
+}
+
+// Without the setting and without a reported work time, decisions are the same as without reports.
+func TestReportsAloneChangeNoDecision(t *testing.T) {
+	is := is.New(t)
+	none := func(loadreport.Report) loadreport.Report { return loadreport.Report{} }
+	without, with := runPlain(0, 1.3, 8*time.Millisecond, none), runPlain(0, 1.3, 8*time.Millisecond, nil)
+	is.Equal(with.log, without.log)
+	is.Equal(without.core.LoadReports(without.now).Newest, time.Time{})
+}
+
+const (
+	disturbedEngines = 6
+	disturbedRate    = 10_000.0 // prompt tokens per second in the usual state
+	disturbedPrompt  = 1500
+	disturbedFactor  = 2.5
+	disturbedTime    = 600 * time.Millisecond
+	disturbedOverall = 4 * time.Second // each engine is disturbed once in this time
+)
+
+// isDisturbed reports whether an engine is disturbed at a time; each in turn.
+func isDisturbed(engine int, at time.Duration) bool {
+	shift := disturbedOverall / disturbedEngines * time.Duration(engine)
+	return (at+shift)%disturbedOverall < disturbedTime
+}
+
+// prefillTime returns the time that an engine takes to prefill a prompt from a time on.
+func prefillTime(engine int, at time.Duration) time.Duration {
+	const step = time.Millisecond
+	took := time.Duration(0)
+	for done := 0.0; done < disturbedPrompt/disturbedRate; took += step {
+		work := step.Seconds()
+		if isDisturbed(engine, at+took) {
+			work /= disturbedFactor
+		}
+		done += work
+	}
+	return took
+}
+
+// runDisturbed sends a request at a time to engines that are disturbed in turn, and returns the mean
+// time to the first token and the Core. Reports have the work time if report is true.
+func runDisturbed(t *testing.T, report bool) (time.Duration, *Core) {
+	is := is.New(t)
+	c := New(Options{Picker: &balancer.ObjectivePicker{Weights: balancer.DefaultObjectiveWeights}, Limits: queue.Limits{MaxItems: 2000, MaxBytes: 1 << 30}})
+	var members []Member
+	for i := range disturbedEngines {
+		members = append(members, Member{ID: fmt.Sprint(i), Zone: "bole", Slots: 5})
+	}
+	c.SetMembers(members)
+	var due eventQueue
+	total, n := time.Duration(0), 0
+	for at := time.Duration(0); at < 60*time.Second; at += 8 * time.Millisecond {
+		for len(due) > 0 && due[0].at.Before(start.Add(at)) {
+			heap.Pop(&due).(scheduledEvent).run()
+		}
+		now := start.Add(at)
+		d := c.Submit(now, &Request{Organisation: "a", Share: 1, Arrived: now, Deadline: now.Add(12 * time.Second), LatencyObjective: 200 * time.Millisecond, AllowLate: true, PromptTokens: disturbedPrompt, MaxOutput: 10})
+		is.Equal(len(d.Grants), 1)
+		g := d.Grants[0]
+		engine := int(g.Upstream.ID[0] - '0')
+		took := prefillTime(engine, at)
+		total, n = total+took, n+1
+		first := now.Add(took)
+		heap.Push(&due, scheduledEvent{first, func() {
+			r := loadreport.Report{Running: 1, Slots: 5}
+			if report {
+				r.WorkPercent = 100
+				if isDisturbed(engine, first.Sub(start)) {
+					r.WorkPercent = 100 * disturbedFactor
+				}
+			}
+			c.RecordLoad(first, g, r)
+			c.RecordFirstToken(first, g)
+			c.End(first, g, Completed, 5)
+		}})
+	}
+	return total / time.Duration(n), c
+}
+
+// Engines that are disturbed for 600 ms get fewer requests meanwhile.
+func TestReportedWorkTimeAvoidsDisturbedEngines(t *testing.T) {
+	is := is.New(t)
+	without, _ := runDisturbed(t, false)
+	with, c := runDisturbed(t, true)
+	t.Logf("mean time to the first token %v without and %v with reports", without, with)
+	is.True(with < without)
+	for _, u := range c.Upstreams() {
+		is.Equal(u.TypicalWorkPercent(), 100)
+	}
+}
+
+// The learned speed is that of the usual state: times observed during a disturbance are divided by the
+// work factor.
+func TestLearnedSpeedIsThatOfTheUsualState(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Picker: &balancer.ObjectivePicker{Weights: balancer.DefaultObjectiveWeights}, Limits: queue.Limits{MaxItems: 9, MaxBytes: 1 << 20}})
+	c.SetMembers([]Member{{ID: "u", Slots: 5}})
+	serve := func(now time.Time, first, interval time.Duration, percent int) {
+		g := c.Submit(now, &Request{Arrived: now, Deadline: now.Add(time.Minute), AllowLate: true, PromptTokens: 1000, MaxOutput: 200}).Grants[0]
+		c.RecordLoad(now.Add(first), g, loadreport.Report{Running: 1, Slots: 5, WorkPercent: percent})
+		c.RecordFirstToken(now.Add(first), g)
+		c.End(now.Add(first+99*interval), g, Completed, 100)
+	}
+	const first, interval = 110 * time.Millisecond, 10 * time.Millisecond
+	now := start
+	for range 60 {
+		serve(now, first, interval, 300)
+		now = now.Add(2 * time.Second)
+	}
+	u := c.Upstreams()[0]
+	rate := u.Speed.Prefill()
+	u.ObserveLoad(now, loadreport.Report{Running: 1, Slots: 5, WorkPercent: 750})
+	slow := func(d time.Duration, mean float64) time.Duration { return time.Duration(float64(d) * mean) }
+	took := slow(first, 2.2) // about the mean of 2.5 fading over that time
+	whole := took + 99*interval
+	is.True(math.Abs(float64(u.PredictFirstToken(now, 1000))/float64(took)-1) < 0.1)
+	serve(now, took, slow(interval, balancer.MeanWorkFactor(2.5, whole)), 750)
+	is.True(math.Abs(u.Speed.Prefill()/rate-1) < 0.02)
+	is.True((u.Speed.Interval() - interval).Abs() < interval/20)
+}
+
+// The speed of an engine that hasn't been observed is predicted from that of the others and the work
+// times. An engine that falsely reports to be slow must get requests again once its reports stop.
+func TestUnknownSpeedIsPredictedFromWorkTimes(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Picker: &balancer.ObjectivePicker{Weights: balancer.DefaultObjectiveWeights}, Limits: queue.Limits{MaxItems: 9, MaxBytes: 1 << 20}})
+	c.SetMembers([]Member{{ID: "known", Slots: 5}, {ID: "new", Slots: 5}})
+	known, unknown := c.byID["known"], c.byID["new"]
+	for i := range 100 {
+		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		g := &Grant{Request: &Request{PromptTokens: 1000}, Upstream: known, GrantedAt: at, tokensAhead: 1000, workFactor: 1}
+		c.RecordLoad(at, g, loadreport.Report{Running: 1, Slots: 5, WorkPercent: 50})
+		c.observeInterval(at, g, 5*time.Millisecond)
+		c.observeFirstToken(g, 105*time.Millisecond)
+	}
+	now := start.Add(10 * time.Second)
+	c.RecordLoad(now, &Grant{Upstream: unknown}, loadreport.Report{Running: 1, Slots: 5, WorkPercent: 300})
+	is.True((unknown.Speed.Interval() - 30*time.Millisecond).Abs() < time.Millisecond)
+	is.True((unknown.PredictFirstToken(now, 1000) - 630*time.Millisecond).Abs() < 20*time.Millisecond)
+	is.True(!unknown.Speed.KnowsInterval())
+
+	c.RecordLoad(now, &Grant{Upstream: unknown}, loadreport.Report{Running: 1, Slots: 5, WorkPercent: loadreport.MaxFigure})
+	long := balancer.Work{PromptTokens: 10, ExpectedOutput: 500, MaxOutput: 1000, EndWithin: 12 * time.Second}
+	is.Equal(c.options.Picker.Pick(now, c.upstreams, long).Upstream, known)
+	known.Running = 5
+	is.Equal(c.options.Picker.Pick(now, c.upstreams, long).Upstream, nil)
+	is.Equal(c.options.Picker.Pick(now.Add(1001*time.Millisecond), c.upstreams, long).Upstream, unknown)
+}
+
+// Reports of one process must not apply to the next one under its ID, nor may those from before a
+// failure, after which the process may have restarted unnoticed.
+func TestReportsAreDroppedWithTheProcess(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Picker: &balancer.ObjectivePicker{Weights: balancer.DefaultObjectiveWeights}, Limits: queue.Limits{MaxItems: 9, MaxBytes: 1 << 20}, MaxInTransit: 2})
+	plain := func() *Request { return &Request{Arrived: start, Deadline: start.Add(time.Minute), AllowLate: true} }
+	fill := func(members []Member) (grants []*Grant) {
+		c.SetMembers(members)
+		for range 9 {
+			if !c.Upstreams()[0].HasCapacity(start, 0) {
+				break
+			}
+			grants = append(grants, c.Submit(start, plain()).Grants...)
+		}
+		return grants
+	}
+	idle := loadreport.Report{Slots: 3}
+	old := fill([]Member{{ID: "u", Slots: 3, Incarnation: 1}})
+	is.Equal(len(old), 3)
+	for range 100 {
+		c.RecordLoad(start, old[0], idle)
+	}
+	more := fill([]Member{{ID: "u", Slots: 3, Incarnation: 1}})
+	is.Equal(len(more), 2)
+
+	is.Equal(len(fill([]Member{{ID: "u", Slots: 3, Incarnation: 2}})), 3)
+	c.RecordLoad(start, old[0], idle) // a late report of the old process
+	is.True(!c.Upstreams()[0].HasRecentReport(start))
+
+	fresh := c.Upstreams()[0]
+	g := &Grant{Upstream: fresh, Request: plain(), GrantedAt: start}
+	c.RecordLoad(start, g, idle)
+	is.True(fresh.HasRecentReport(start))
+	c.RecordFailure(start, g)
+	is.True(!fresh.HasRecentReport(start))
+}
+
+// An invalid report must change nothing. The metrics count the valid ones by kind.
+func TestLoadReportMetrics(t *testing.T) {
+	is := is.New(t)
+	c := newCore(9, "a", "b", "c")
+	a, b := c.Upstreams()[0], c.Upstreams()[1]
+	a.Running = 4
+	is.Equal(c.LoadReports(start).Age(start), time.Duration(-1))
+	c.RecordLoad(start, &Grant{Upstream: a}, loadreport.Report{Running: 9, Slots: 3})
+	c.RecordLoad(start, &Grant{Upstream: a}, loadreport.Report{})
+	is.Equal(c.LoadReports(start), LoadReports{})
+	for range 200 {
+		c.RecordLoad(start, &Grant{Upstream: a}, loadreport.Report{Running: 2, Slots: 6, WorkPercent: 100})
+	}
+	later := start.Add(900 * time.Millisecond)
+	c.RecordLoad(later, &Grant{Upstream: b}, loadreport.Report{Slots: 6})
+	r := c.LoadReports(later)
+	is.Equal(r.WithWork, int64(200))
+	is.Equal(r.WithoutWork, int64(1))
+	is.Equal(r.Upstreams, 2)
+	is.True(math.Abs(r.MeanInTransit()-1) < 1e-6)
+	is.Equal(r.Age(later.Add(time.Minute)), time.Minute)
+	is.Equal(c.LoadReports(start.Add(time.Hour)).Upstreams, 0)
+
+	sum := LoadReports{}
+	is.Equal(sum.MeanInTransit(), 0.0)
+	sum.Add(r)
+	sum.Add(LoadReports{WithWork: 1, Upstreams: 2, Newest: start})
+	is.Equal(sum.WithWork, int64(201))
+	is.True(math.Abs(sum.MeanInTransit()-0.5) < 1e-6)
+	is.Equal(sum.Newest, later)
+}
