balancer, scheduler: let requests wait at upstreams for the next slot

Change: an upstream that reports its load is granted requests beyond its slots, up to maxBacklog, as far as the expected wait for a slot is at most 200 ms and the response can still meet its objective.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -49,6 +49,8 @@
 	// MaxInTransit is the greatest number of requests beyond Slots that it is granted to make up for
 	// those in transit.
 	MaxInTransit int
+	// MaxBacklog is the greatest number of requests that may wait at the upstream for a slot.
+	MaxBacklog int
 	// Leaving upstreams are sent no new requests.
 	Leaving bool
 	// CircuitOpenUntil is set after failures. After it, a single request probes the upstream.
@@ -127,7 +129,7 @@
 func (u *Upstream) IsFull(now time.Time) bool {
 	if u.Slots > 0 {
 		taken := u.Running + u.RunningElsewhere
-		return taken >= u.Slots && taken >= u.Slots+u.extraSlots(now)
+		return taken >= u.Slots && taken >= u.Slots+max(u.extraSlots(now), u.backlog(now))
 	}
 	return u.Running >= u.Window.Size()
 }
--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -56,6 +56,8 @@
 	// plainTime is the smoothed response time to requests without prompt, in the usual state; 0 if
 	// unknown.
 	plainTime time.Duration
+	// hold is the smoothed time for which a request holds a slot; 0 if unknown.
+	hold time.Duration
 }
 
 // isCurrent reports whether the last report is recent enough to have an effect.
--- a/internal/balancer/objective.go
+++ b/internal/balancer/objective.go
@@ -73,6 +73,10 @@
 			continue
 		}
 		first := u.PredictFirstToken(now, u.TokensAhead()+uncached)
+		if w.missesObjective(u, first) {
+			continue
+		}
+		first += u.SlotWait()
 		probability := probabilities.at(now, u, w, first)
 		if probability < minProbability {
 			continue
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,9 +63,10 @@
 // Overload selects decisions for times in which upstreams are short of capacity. The zero value
 // selects none.
 type Overload struct {
-	// RetrySchedule, MaxInTransit and WaitForObjective are passed to the scheduler; see its Options.
+	// RetrySchedule, MaxInTransit, MaxBacklog and WaitForObjective are passed to the scheduler; see its Options.
 	RetrySchedule    bool
 	MaxInTransit     int
+	MaxBacklog       int
 	WaitForObjective bool
 }
 
@@ -170,6 +171,7 @@
 		MinRetryAfter:     minRetryAfter,
 		RetrySchedule:     f.o.Overload.RetrySchedule,
 		MaxInTransit:      f.o.Overload.MaxInTransit,
+		MaxBacklog:        f.o.Overload.MaxBacklog,
 		WaitForObjective:  f.o.Overload.WaitForObjective,
 	})
 	core.SetColdStart(f.services[service].coldStart, scheduler.Reachability{})
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -43,6 +43,8 @@
 	// MaxInTransit is the greatest number of requests beyond its slots that an upstream is granted,
 	// to make up for those on their way to it or back.
 	MaxInTransit int
+	// MaxBacklog is the greatest number of requests that may wait at an upstream for a slot.
+	MaxBacklog int
 	// WaitForObjective lets requests without token counts wait for as long as their response would
 	// still meet the latency objective.
 	WaitForObjective bool
@@ -134,7 +136,8 @@
 	uncachedTokens      int
 	tokensAhead         int // prompt tokens to prefill before the first token, including this request's
 	predictedFirstToken time.Duration
-	workFactor          float64 // of the upstream at the time of the grant (see balancer.WorkFactor)
+	slotWait            time.Duration // expected wait at the upstream for a slot
+	workFactor          float64       // of the upstream at the time of the grant (see balancer.WorkFactor)
 	firstTokenAt        time.Time
 	pendingReleased     bool // uncachedTokens have been subtracted from the upstream's PendingTokens
 }
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -238,6 +238,7 @@
 
 func (c *Core) grant(now time.Time, r *Request, choice balancer.Choice) *Grant {
 	u := choice.Upstream
+	slotWait := u.SlotWait()
 	c.options.Picker.RecordSent(u, c.workOf(now, r))
 	u.PendingTokens += choice.UncachedTokens
 	u.Running++
@@ -258,6 +259,7 @@
 		uncachedTokens:      choice.UncachedTokens,
 		tokensAhead:         u.TokensAhead(),
 		predictedFirstToken: u.PredictFirstToken(now, u.TokensAhead()),
+		slotWait:            slotWait,
 		workFactor:          u.WorkFactor(now, 0),
 	}
 }
@@ -307,6 +309,7 @@
 func (c *Core) RecordCompleted(now time.Time, g *Grant, output int) Decisions {
 	c.end(g)
 	g.Upstream.ObserveEnd(false)
+	g.Upstream.ObserveHold(now.Sub(g.GrantedAt) - g.slotWait)
 	g.Upstream.MarkSeen(now)
 	c.lengthError.observe(c.expectedOutput(g.Request), output)
 	c.outputs.observe(g.Request.MaxOutput, output)
--- a/internal/scheduler/work_time_test.go
+++ b/internal/scheduler/work_time_test.go
@@ -16,24 +16,24 @@
 )
 
 const (
-	plainSlots     = 6
-	plainUpstreams = 3
-	plainWork      = 60 * time.Millisecond
-	plainObjective = 300 * time.Millisecond
-	plainLength    = 10 * time.Second
+	transitPlainSlots     = 6
+	transitPlainUpstreams = 3
+	transitPlainWork      = 60 * time.Millisecond
+	transitPlainObjective = 300 * time.Millisecond
+	transitPlainLength    = 10 * time.Second
 )
 
-// plainUpstream is a simulated upstream that runs plainSlots requests at once and queues the others.
-type plainUpstream struct{ running, waiting int }
+// transitUpstream is a simulated upstream that runs transitPlainSlots requests at once and queues the others.
+type transitUpstream struct{ running, waiting int }
 
-// plainLoad runs an open load of plain requests against a Core in virtual time. Each message between
+// transitLoad runs an open load of plain requests against a Core in virtual time. Each message between
 // owner, instance and upstream takes a random time of up to leg.
-type plainLoad struct {
+type transitLoad struct {
 	core      *Core
 	random    *rand.Rand
 	now       time.Time
 	due       eventQueue
-	upstreams map[string]*plainUpstream
+	upstreams map[string]*transitUpstream
 	queued    map[string][]func()
 	leg       time.Duration
 	// report changes the reports; nil leaves them as they are.
@@ -44,25 +44,25 @@
 	log                []string
 }
 
-// runPlain runs a load of the given factor of the capacity.
-func runPlain(maxInTransit int, factor float64, leg time.Duration, report func(loadreport.Report) loadreport.Report) *plainLoad {
-	l := &plainLoad{
+// runTransit runs a load of the given factor of the capacity.
+func runTransit(maxInTransit int, factor float64, leg time.Duration, report func(loadreport.Report) loadreport.Report) *transitLoad {
+	l := &transitLoad{
 		core:      New(Options{Picker: &balancer.ObjectivePicker{Weights: balancer.DefaultObjectiveWeights}, Limits: queue.Limits{MaxItems: 2000, MaxBytes: 1 << 30}, MinRetryAfter: 100 * time.Millisecond, MaxInTransit: maxInTransit}),
 		random:    rand.New(rand.NewPCG(1, 9)),
 		now:       start,
-		upstreams: map[string]*plainUpstream{},
+		upstreams: map[string]*transitUpstream{},
 		queued:    map[string][]func(){},
 		leg:       leg,
 		report:    report,
 	}
 	var members []Member
-	for i := range plainUpstreams {
+	for i := range transitPlainUpstreams {
 		id := fmt.Sprint(i)
-		members = append(members, Member{ID: id, Zone: "bole", Slots: plainSlots})
-		l.upstreams[id] = &plainUpstream{}
+		members = append(members, Member{ID: id, Zone: "bole", Slots: transitPlainSlots})
+		l.upstreams[id] = &transitUpstream{}
 	}
 	l.core.SetMembers(members)
-	l.arrive(factor * plainUpstreams * plainSlots / plainWork.Seconds())
+	l.arrive(factor * transitPlainUpstreams * transitPlainSlots / transitPlainWork.Seconds())
 	for len(l.due) > 0 {
 		next := heap.Pop(&l.due).(scheduledEvent)
 		l.now = next.at
@@ -72,27 +72,27 @@
 	return l
 }
 
-func (l *plainLoad) later(d time.Duration, run func()) {
+func (l *transitLoad) later(d time.Duration, run func()) {
 	heap.Push(&l.due, scheduledEvent{l.now.Add(d), run})
 }
 
 // message runs a step after the time of one message.
-func (l *plainLoad) message(run func()) {
+func (l *transitLoad) message(run func()) {
 	l.later(time.Duration(l.random.Float64()*float64(l.leg)), run)
 }
 
-func (l *plainLoad) arrive(perSecond float64) {
-	if l.now.Sub(start) > plainLength {
+func (l *transitLoad) arrive(perSecond float64) {
+	if l.now.Sub(start) > transitPlainLength {
 		return
 	}
 	l.later(time.Duration(l.random.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		l.arrived++
-		l.carryOut(l.core.Submit(l.now, &Request{Organisation: "a", Share: 1, Arrived: l.now, Deadline: l.now.Add(1500 * time.Millisecond), MaxWait: 66 * time.Millisecond, LatencyObjective: plainObjective, AllowLate: true}))
+		l.carryOut(l.core.Submit(l.now, &Request{Organisation: "a", Share: 1, Arrived: l.now, Deadline: l.now.Add(1500 * time.Millisecond), MaxWait: 66 * time.Millisecond, LatencyObjective: transitPlainObjective, AllowLate: true}))
 		l.arrive(perSecond)
 	})
 }
 
-func (l *plainLoad) carryOut(d Decisions) {
+func (l *transitLoad) carryOut(d Decisions) {
 	for _, s := range d.Sheds {
 		l.log = append(l.log, fmt.Sprint(l.now.Sub(start), " ", s.Problem))
 	}
@@ -104,9 +104,9 @@
 }
 
 // reach lets a request arrive at its upstream.
-func (l *plainLoad) reach(g *Grant) {
+func (l *transitLoad) reach(g *Grant) {
 	u := l.upstreams[g.Upstream.ID]
-	if u.running == plainSlots {
+	if u.running == transitPlainSlots {
 		u.waiting++
 		l.worstQueued = max(l.worstQueued, u.waiting)
 		l.queued[g.Upstream.ID] = append(l.queued[g.Upstream.ID], func() { l.work(u, g) })
@@ -117,10 +117,10 @@
 
 // work runs a request and sends its response, with the report of the moment, by way of its instance to
 // the owner.
-func (l *plainLoad) work(u *plainUpstream, g *Grant) {
+func (l *transitLoad) work(u *transitUpstream, g *Grant) {
 	u.running++
-	l.later(plainWork, func() {
-		r := loadreport.Report{Running: u.running, Waiting: u.waiting, Slots: plainSlots}
+	l.later(transitPlainWork, func() {
+		r := loadreport.Report{Running: u.running, Waiting: u.waiting, Slots: transitPlainSlots}
 		if l.report != nil {
 			r = l.report(r)
 		}
@@ -131,7 +131,7 @@
 			q[0]()
 		}
 		l.message(func() {
-			if l.now.Sub(g.Request.Arrived) <= plainObjective {
+			if l.now.Sub(g.Request.Arrived) <= transitPlainObjective {
 				l.inTime++
 			}
 			l.message(func() {
@@ -147,18 +147,18 @@
 // requests are refused. Requests beyond the slots use them.
 func TestRequestsInTransitUseIdleSlots(t *testing.T) {
 	is := is.New(t)
-	slots, more := runPlain(0, 1.3, 8*time.Millisecond, nil), runPlain(2, 1.3, 8*time.Millisecond, nil)
+	slots, more := runTransit(0, 1.3, 8*time.Millisecond, nil), runTransit(2, 1.3, 8*time.Millisecond, nil)
 	t.Logf("in time %d and %d of %d, at most %d counted and %d waiting at an upstream", slots.inTime, more.inTime, more.arrived, more.worst, more.worstQueued)
-	is.Equal(slots.worst, plainSlots)
-	is.True(more.worst > plainSlots && more.worst <= plainSlots+2)
+	is.Equal(slots.worst, transitPlainSlots)
+	is.True(more.worst > transitPlainSlots && more.worst <= transitPlainSlots+2)
 	is.True(float64(more.inTime) > 1.05*float64(slots.inTime))
 }
 
 // Requests that reach the upstream at once are never in transit, so that none is granted on top.
 func TestNothingIsGrantedBeyondTheSlotsWithoutTransit(t *testing.T) {
 	is := is.New(t)
-	slots, more := runPlain(0, 1.3, 0, nil), runPlain(8, 1.3, 0, nil)
-	is.Equal(more.worst, plainSlots)
+	slots, more := runTransit(0, 1.3, 0, nil), runTransit(8, 1.3, 0, nil)
+	is.Equal(more.worst, transitPlainSlots)
 	is.Equal(more.log, slots.log)
 }
 
@@ -166,8 +166,8 @@
 func TestFalselyIdleUpstreamQueuesAtMostMaxInTransit(t *testing.T) {
 	is := is.New(t)
 	idle := func(r loadreport.Report) loadreport.Report { return loadreport.Report{Slots: r.Slots} }
-	l := runPlain(2, 1.5, 4*time.Millisecond, idle)
-	is.Equal(l.worst, plainSlots+2)
+	l := runTransit(2, 1.5, 4*time.Millisecond, idle)
+	is.Equal(l.worst, transitPlainSlots+2)
 	is.True(l.worstQueued <= 2)
 }
 
@@ -175,7 +175,7 @@
 func TestReportsAloneChangeNoDecision(t *testing.T) {
 	is := is.New(t)
 	none := func(loadreport.Report) loadreport.Report { return loadreport.Report{} }
-	without, with := runPlain(0, 1.3, 8*time.Millisecond, none), runPlain(0, 1.3, 8*time.Millisecond, nil)
+	without, with := runTransit(0, 1.3, 8*time.Millisecond, none), runTransit(0, 1.3, 8*time.Millisecond, nil)
 	is.Equal(with.log, without.log)
 	is.Equal(without.core.LoadReports(without.now).Newest, time.Time{})
 }
--- a/internal/settings/provision.go
+++ b/internal/settings/provision.go
@@ -191,6 +191,9 @@
 	if r.RetryShare < 0 || r.RetryShare > 1 {
 		c.add("/routed/retryShare", "is %g; set a share from 0 to 1", r.RetryShare)
 	}
+	if r.Overload.MaxBacklog < 0 || r.Overload.MaxBacklog > maxInTransit {
+		c.add("/routed/overload/maxBacklog", "is %d; set 0 to %d", r.Overload.MaxBacklog, maxInTransit)
+	}
 	if r.Overload.MaxInTransit < 0 || r.Overload.MaxInTransit > maxInTransit {
 		c.add("/routed/overload/maxInTransit", "is %d; set 0 to %d", r.Overload.MaxInTransit, maxInTransit)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -287,6 +287,11 @@
 	// make up for those on their way to it or back. It applies to upstreams that report their load.
 	// Default 0.
 	MaxInTransit int `json:"maxInTransit,omitzero"`
+	// MaxBacklog is the greatest number of requests that may wait at an upstream for a slot, so that
+	// its slots aren't idle between two requests. It applies to upstreams that report their load, as
+	// far as the expected wait is at most 200 ms and the latency objective can still be met.
+	// Default 0.
+	MaxBacklog int `json:"maxBacklog,omitzero"`
 	// WaitForObjective lets requests without token counts wait for as long as their response would
 	// still meet the latency objective, up to half of it, instead of 0.22 of it. Default false.
 	WaitForObjective bool `json:"waitForObjective,omitzero"`
