scheduler: reset the state of a request that is submitted again

Found in review. A request that had waited as a returning one and was submitted again stayed in the queue after its grant; production builds a new request for each attempt, so it didn't occur there. A returning request that is kept at its submission is now dispatched at once instead of at the next poll.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -23,6 +23,7 @@
 // of a lower tier.
 func (c *Core) Submit(now time.Time, r *Request) Decisions {
 	var d Decisions
+	r.returned, r.inReturningQueue = false, false
 	if !c.hasUsable(r) {
 		c.shed(now, &d, r, api.ReasonNoUpstream, "no upstream is in service; retry later, or check the platform's instance list")
 		return d
@@ -49,6 +50,9 @@
 	}
 	r.item = c.newItem(r, startBy)
 	if !c.admit(now, r, &d) {
+		if r.inReturningQueue {
+			c.dispatch(now, &d)
+		}
 		return d
 	}
 	c.queue.Push(r.item)
--- a/internal/scheduler/returning_test.go
+++ b/internal/scheduler/returning_test.go
@@ -297,7 +297,7 @@
 	c.Submit(start, retryRequest(start, 0, 0))
 	returned, now := queueReturned(t, c, 2, 7)
 	c.Submit(now, retryRequest(now, 2, 0))
-	is.Equal(len(c.ShedLower(now, 1).Sheds), 1)                    // the new one
+	is.Equal(len(c.ShedLower(now, 1).Sheds), 1)                   // the new one
 	is.Equal(len(c.Poll(now.Add(900*time.Millisecond)).Sheds), 0) // 10 s are left
 	d := c.Poll(now.Add(1001 * time.Millisecond))
 	is.Equal(len(d.Sheds), 1)
@@ -508,3 +508,21 @@
 	is.Equal(c.predictedWait(retryRequest(now, 2, 0)), time.Duration(0))
 	is.Equal(len(c.Submit(now, retryRequest(now, 2, 0)).Sheds), 0)
 }
+
+// A request object that waited as a returning one may be submitted again. It must be in one queue only,
+// so that it is granted once.
+func TestReturnedRequestIsGrantedOnceWhenSubmittedAgain(t *testing.T) {
+	is := is.New(t)
+	c := newRetryCore(true, 1, 100)
+	running := c.Submit(start, retryRequest(start, 0, 0)).Grants
+	returned, now := queueReturned(t, c, 1, 7)
+	granted := c.End(now, running[0], Completed, 0).Grants
+	is.Equal(granted[0].Request, returned)
+	returned.Arrived, returned.Digest = now, 0
+	is.Equal(len(c.Submit(now, returned).Grants), 0)
+	granted = c.End(now, granted[0], Completed, 0).Grants
+	is.Equal(len(granted), 1)
+	is.Equal(granted[0].Request, returned)
+	is.Equal(c.waiting(), 0)
+	is.Equal(len(c.End(now, granted[0], Completed, 0).Grants), 0)
+}
