balancer, scheduler: keep slots only for requests that would use them

Cause: an upstream's next slot was kept also for a waiting request that may not use the upstream, or whose response is unlikely to complete there, so that the picker never chooses it. Meanwhile nobody might wait there. Change: both are checked before a slot is kept; a test for each.

--- a/internal/balancer/backlog.go
+++ b/internal/balancer/backlog.go
@@ -86,14 +86,19 @@
 }
 
 // NeedsFreeSlot reports whether all slots of the upstream are taken and a request would meet its
-// objective there from a free slot, but not after waiting for one.
+// objective there from a free slot, but not after waiting for one. It is false if the response is unlikely
+// to complete there in time, so that a Picker wouldn't choose the upstream.
 func (w Work) NeedsFreeSlot(now time.Time, u *Upstream) bool {
 	wait := u.SlotWait(now)
 	if wait == 0 || w.FirstTokenWithin <= 1 {
 		return false
 	}
 	first := w.predictFirst(now, u, w.UncachedTokens(u))
-	return first <= w.FirstTokenWithin && w.missesObjective(wait, first)
+	if first > w.FirstTokenWithin || !w.missesObjective(wait, first) {
+		return false
+	}
+	p := w.CompletionProbabilities
+	return p == nil || !p.isTooSlow(u, w) && p.at(now, u, w, first) >= minCompletionRatio*p.Best
 }
 
 // predictFirst predicts the time from a free slot to the first token or, for a plain request, to the
--- a/internal/balancer/backlog_test.go
+++ b/internal/balancer/backlog_test.go
@@ -125,6 +125,22 @@
 	}
 }
 
+// A request that a picker withholds from a slow upstream must not keep that one's slot from others.
+func TestNoFreeSlotIsNeededWhereTheResponseWouldNotComplete(t *testing.T) {
+	is := is.New(t)
+	const ms = time.Millisecond
+	slow, fast := engine("slow", 10_000, 40*ms, 10), engine("fast", 10_000, 10*ms, 10)
+	w := Work{PromptTokens: 1000, ExpectedOutput: 100, MaxOutput: 200, FirstTokenWithin: 160 * ms, EndWithin: 3 * time.Second}
+	for _, u := range []*Upstream{slow, fast} {
+		u.MaxBacklog = 2
+		u.ObserveHold(300 * ms)
+		is.True(w.NeedsFreeSlot(now, u))
+	}
+	w.CompletionProbabilities = NewCompletionProbabilities(now, []*Upstream{slow, fast}, w)
+	is.True(!w.NeedsFreeSlot(now, slow))
+	is.True(w.NeedsFreeSlot(now, fast))
+}
+
 // The wait for a slot must count in the comparison of upstreams: the first token comes that much later.
 func TestPickerCountsTheWait(t *testing.T) {
 	is := is.New(t)
--- a/internal/scheduler/slot_wait.go
+++ b/internal/scheduler/slot_wait.go
@@ -94,7 +94,10 @@
 	for _, it := range c.queue.Peek(now, rank, lookahead) {
 		r := it.Value.(*Request)
 		w := c.workOf(now, r)
-		candidates = slices.DeleteFunc(candidates, func(u *balancer.Upstream) bool { return w.NeedsFreeSlot(now, u) })
+		w.CompletionProbabilities = r.probabilities
+		candidates = slices.DeleteFunc(candidates, func(u *balancer.Upstream) bool {
+			return w.NeedsFreeSlot(now, u) && len(c.eligible(r, []*balancer.Upstream{u})) > 0
+		})
 	}
 	return candidates
 }
