fleet, entry: report upstreams' load and grants beyond the slots

Cause: operators saw the reports by kind (tacktally_load_reports_total), but neither their age nor how many requests were granted to wait at an upstream. Change: fleet.LoadReports sums those of the shards; gauges for the upstreams that report, the age of the newest report, the mean number in transit and the grants beyond the slots. No gauge for the reports by kind: the counter has them.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -252,6 +252,7 @@
 	i.metrics.Gauge("tacktally_hub", func() float64 { return boolToFloat(i.mesh.Role().HubRank >= 0) })
 	i.metrics.Gauge("tacktally_reads_source", func() float64 { return boolToFloat(i.election.active()) })
 	i.registerRetryGauges()
+	i.registerLoadGauges()
 	i.metrics.Gauge("tacktally_log_lines_dropped", func() float64 { return float64(i.output.Dropped()) })
 }
 
--- a/internal/fleet/load_reports.go
+++ b/internal/fleet/load_reports.go
@@ -55,3 +55,13 @@
 	}
 	return r
 }
+
+// LoadReports summarises the load reports that this instance recorded as the owner of shards, and the
+// requests that it granted because of them. What a shard recorded is lost when its service gets fewer
+// shards.
+func (f *Fleet) LoadReports() (total scheduler.LoadReports) {
+	for _, s := range f.all() {
+		total.Add(s.pool.LoadReports())
+	}
+	return total
+}
