scheduler: test what is learned after a wait at the upstream

Cause: two changes to slot_wait.go failed no test: counting the prompts of requests behind one that waits, and not converting a hold to the usual state. Change: a test for each, which fails with that change.

--- a/internal/scheduler/backlog_test.go
+++ b/internal/scheduler/backlog_test.go
@@ -263,6 +263,42 @@
 	is.Equal(u.Running, 2)
 }
 
+// Prompts behind a request that waits aren't prefilled before its own. If they counted, engines would be
+// learned as faster than they are.
+func TestPromptsOfRequestsBehindItDoNotCount(t *testing.T) {
+	is := is.New(t)
+	c, _ := newBacklogCore(1)
+	var grants []*Grant
+	for range 3 {
+		d := c.Submit(start, &Request{Organisation: "a", Share: 1, Arrived: start, Deadline: start.Add(time.Minute), AllowLate: true, PromptTokens: 1000})
+		is.Equal(len(d.Grants), 1)
+		grants = append(grants, d.Grants...)
+	}
+	is.Equal(grants[1].tokensAhead, 2000)
+	c.RecordFirstToken(start, grants[0])
+	c.End(start, grants[0], Completed, 1)
+	is.Equal(grants[1].tokensAhead, 1000)
+	c.End(start, grants[1], Cancelled, 0)
+	is.Equal(grants[2].tokensAhead, 1000)
+}
+
+// The learned hold is that of the usual state: one during a disturbance is converted.
+func TestHoldIsThatOfTheUsualState(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Picker: &balancer.ObjectivePicker{Weights: balancer.DefaultObjectiveWeights}, Limits: queue.Limits{MaxItems: 9, MaxBytes: 1 << 20}, MaxBacklog: 2})
+	c.SetMembers([]Member{{ID: "u", Slots: 1}})
+	u := c.Upstreams()[0]
+	for i := range 10 {
+		u.ObserveLoad(start.Add(time.Duration(i-10)*time.Second), loadreport.Report{Slots: 1, WorkPercent: 100})
+	}
+	u.ObserveLoad(start, loadreport.Report{Slots: 1, WorkPercent: 250})
+	const took = 200 * time.Millisecond
+	c.End(start.Add(took), grantPlain(t, c, start), Completed, 0)
+	u.Running = 1
+	is.Equal(u.SlotWait(start.Add(time.Minute)), balancer.InUsualState(took, 2.5)) // the disturbance is over
+	is.True(u.SlotWait(start.Add(took)) > u.SlotWait(start.Add(time.Minute)))
+}
+
 // Only completed requests tell for how long a slot is held: others may never have had one.
 func TestHoldIsLearnedFromCompletedRequestsAlone(t *testing.T) {
 	for result := range resultCount {
