--- a/internal/balancer/backlog.go
+++ b/internal/balancer/backlog.go
@@ -10,10 +10,9 @@
 	// holdGain is the weight of one request in the time for which a request holds a slot.
 	holdGain = 0.1
 	// slotWaitMargin multiplies the expected wait for a slot before it is compared with an objective.
-	// The
-	// wait for one slot is up to a whole hold. With 2, two of 10,111 requests of the most important rank
-	// were late in simulated bursts because of it, with 3 none (TestBacklogOfEnginesInABurst
-	// with -backlog-seeds 6).
+	// The wait for one slot is up to a whole hold. With 2, two of 10,111 requests of the most
+	// important rank were late in simulated bursts because of it, with 3 none
+	// (TestBacklogOfEnginesInABurst with -backlog-seeds 6).
 	slotWaitMargin = 3
 	// maxUncounted is the number of requests held by the upstream but not counted here, on average over
 	// about ten reports, from which on none may wait there. Half a request is rounded to one.
