estimate: keep the best estimates when learned times are scaled

Found in review: each fall of an upstream's usual work time scaled the best estimates, which no observation makes worse. With a reported work time that fluctuates by 5% the idle prediction of 1.1 s fell to 0.1 s. Routed requests may be late, so that none was refused on it.

--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -118,3 +118,18 @@
 	is.True((2*s.PredictFirstToken(1000) - first).Abs() < time.Microsecond)
 	is.True((2*s.PredictDecode(100, 0) - decode).Abs() < time.Microsecond)
 }
+
+// A reported work time that fluctuates scales the times again and again. The idle prediction, by which
+// requests are refused, must not drift away from what was observed.
+func TestRepeatedScalingKeepsIdlePrediction(t *testing.T) {
+	is := is.New(t)
+	s := NewSpeed()
+	for range 500 {
+		s.ObserveInterval(20 * time.Millisecond)
+		s.ObserveFirstToken(1000, 120*time.Millisecond)
+		s.ScaleTimes(0.95)
+	}
+	first, whole := s.PredictIdle(1000, 50)
+	is.True(first > 60*time.Millisecond)
+	is.True(whole > 500*time.Millisecond)
+}
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -124,15 +124,17 @@
 	}
 }
 
-// ScaleTimes multiplies all times that are estimated from observations by a factor.
+// ScaleTimes multiplies all times that are estimated from observations by a factor. The best estimates
+// change only if they are exceeded: scaled each time, they would drift without bound, since no
+// observation makes them worse.
 func (s *Speed) ScaleTimes(factor float64) {
 	if s.prefillObservations > 0 {
 		s.prefill = clamp(s.prefill/factor, minPrefill, maxPrefill)
-		s.bestPrefill = clamp(s.bestPrefill/factor, minPrefill, maxPrefill)
+		s.bestPrefill = max(s.bestPrefill, s.prefill)
 	}
 	if s.intervalObservations > 0 {
 		s.interval *= factor
-		s.bestInterval *= factor
+		s.bestInterval = min(s.bestInterval, s.interval)
 	}
 }
 
