peer, daemon: write forwarded responses before a shutdown closes the links

A shutdown waited for the requests of the dispatcher; the last frames of a response to a peer were queued then, the links closed 3 ms after the request had ended, and the peer answered its caller with an unknown outcome.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -282,11 +282,13 @@
 // idlePollInterval is how often a daemon that shuts down checks whether requests are in flight.
 const idlePollInterval = 10 * time.Millisecond
 
-// waitIdle blocks until no request is in flight or ctx is done.
+// waitIdle blocks until no request is in flight, here or as a response to a peer that forwarded one,
+// or ctx is done. A request ends before its last frame is written, and a peer that loses its
+// response can only tell its caller that the outcome is unknown.
 func (d *Daemon) waitIdle(ctx context.Context) {
 	t := time.NewTicker(idlePollInterval)
 	defer t.Stop()
-	for d.dispatcher.InFlight() > 0 || d.callers.InFlight() > 0 {
+	for d.dispatcher.InFlight() > 0 || d.callers.InFlight() > 0 || d.mesh.IsResponding() {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/boottime"
@@ -36,6 +37,8 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	upSince time.Time // when the connection was established
+	// unwritten is the number of frames that were queued and not yet written.
+	unwritten atomic.Int64
 
 	mu           sync.Mutex
 	streams      map[uint64]*stream // streams opened by this side
@@ -191,6 +194,7 @@
 			ctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
 			err := l.conn.Write(ctx, websocket.MessageBinary, b)
 			cancel()
+			l.unwritten.Add(-1)
 			if err != nil {
 				l.cancel(fmt.Errorf("%w: %w", ErrLinkClosed, err))
 				l.conn.CloseNow()
@@ -208,14 +212,17 @@
 	if err != nil {
 		return err
 	}
+	l.unwritten.Add(1)
 	select {
 	case l.out <- b:
 		return nil
 	case <-l.ctx.Done():
-		return context.Cause(l.ctx)
+		err = context.Cause(l.ctx)
 	case <-ctx.Done():
-		return ctx.Err()
+		err = ctx.Err()
 	}
+	l.unwritten.Add(-1)
+	return err
 }
 
 // trySend queues a frame for writing unless the outbox is full, and reports whether it did.
@@ -227,10 +234,12 @@
 // trySendEncoded queues an encoded frame for writing unless the outbox is full, and reports whether
 // it did.
 func (l *link) trySendEncoded(b []byte) bool {
+	l.unwritten.Add(1)
 	select {
 	case l.out <- b:
 		return true
 	default:
+		l.unwritten.Add(-1)
 		return false
 	}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/boottime"
@@ -106,6 +107,8 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	started time.Time
+	// responding is the number of forwarded requests whose responses are being sent.
+	responding atomic.Int64
 
 	mu            sync.Mutex
 	peers         map[string]*peerState
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -382,3 +382,32 @@
 }
 
 var _ http.Handler = (*Mesh)(nil)
+
+// An instance that shuts down must not close its links before the response to a forwarded request is
+// written: it closed them 3 ms after the request had ended, and the peer lost the response.
+func TestIsRespondingUntilForwardedResponseIsWritten(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	result := make(chan string, 1)
+	go func() {
+		got, err := p.forward(t.Context(), "/held", "late")
+		if err != nil {
+			got = err.Error()
+		}
+		result <- got
+	}()
+	<-p.hb.begun
+	is.True(p.b.IsResponding())
+	close(p.hb.hold)
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for p.b.IsResponding() {
+		select {
+		case <-tick.C:
+		case <-t.Context().Done():
+			t.Fatal("responds for ever")
+		}
+	}
+	p.b.Close() // as a shutdown does
+	is.Equal(<-result, "late")
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -153,6 +153,7 @@
 	ctx, cancel := context.WithCancel(s.link.ctx)
 	st := &servedStream{cancel: cancel, credit: newCredit(window)}
 	if s.register(f.Stream, st) {
+		s.mesh.responding.Add(1)
 		go s.streamResponse(ctx, f.Stream, f.Request, st)
 	}
 }
@@ -187,6 +188,7 @@
 }
 
 func (s *servedLink) streamResponse(ctx context.Context, id uint64, r *request.Request, st *servedStream) {
+	defer s.mesh.responding.Add(-1)
 	defer s.closeStream(id)
 	b := s.mesh.o.Handler.Serve(ctx, r)
 	reader := b.Reader()
@@ -235,6 +237,22 @@
 	}
 }
 
+// IsResponding reports whether a response to a request that a peer forwarded is not yet written to
+// its link as a whole. It may also report true while other frames are being written.
+func (m *Mesh) IsResponding() bool {
+	if m.responding.Load() > 0 {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.accepted {
+		if l.unwritten.Load() > 0 && l.ctx.Err() == nil {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *servedLink) closeStreams() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
