--- a/internal/balancer/backlog.go
+++ b/internal/balancer/backlog.go
@@ -9,11 +9,6 @@
 	maxSlotWait = 200 * time.Millisecond
 	// holdGain is the weight of one request in the time for which a request holds a slot.
 	holdGain = 0.1
-	// slotWaitMargin multiplies the expected wait for a slot before it is compared with an objective.
-	// The wait for one slot is up to a whole hold. With 2, two of 10,111 requests of the most
-	// important rank were late in simulated bursts because of it, with 3 none
-	// (TestBacklogOfEnginesInABurst with -backlog-seeds 6).
-	slotWaitMargin = 3
 	// maxUncounted is the number of requests held by the upstream but not counted here, on average over
 	// about ten reports, from which on none may wait there. Half a request is rounded to one.
 	maxUncounted = 0.5
@@ -82,23 +77,7 @@
 	if wait == 0 || w.FirstTokenWithin <= 1 {
 		return false
 	}
-	return scale(slotWaitMargin, wait)+first > w.FirstTokenWithin
-}
-
-// NeedsFreeSlot reports whether all slots of the upstream are taken and a request would meet its
-// objective there from a free slot, but not after waiting for one. It is false if the response is unlikely
-// to complete there in time, so that a Picker wouldn't choose the upstream.
-func (w Work) NeedsFreeSlot(now time.Time, u *Upstream) bool {
-	wait := u.SlotWait(now)
-	if wait == 0 || w.FirstTokenWithin <= 1 {
-		return false
-	}
-	first := w.predictFirst(now, u, w.UncachedTokens(u))
-	if first > w.FirstTokenWithin || !w.missesObjective(wait, first) {
-		return false
-	}
-	p := w.CompletionProbabilities
-	return p == nil || !p.isTooSlow(u, w) && p.at(now, u, w, first) >= minCompletionRatio*p.Best
+	return wait+first > w.FirstTokenWithin
 }
 
 // predictFirst predicts the time from a free slot to the first token or, for a plain request, to the
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -112,7 +112,6 @@
 		if it, choice := c.nextNewOrReturning(now, rank, candidates); it != nil {
 			return it, choice
 		}
-		candidates = c.withoutReserved(now, rank, candidates)
 	}
 	return nil, balancer.Choice{}
 }
--- a/internal/scheduler/slot_wait.go
+++ b/internal/scheduler/slot_wait.go
@@ -84,20 +84,3 @@
 		g.Upstream.ObserveHold(balancer.InUsualState(hold, g.workFactor))
 	}
 }
-
-// withoutReserved removes the candidates whose next free slot a waiting request of the rank needs to meet
-// its objective. Less important requests that wait at such an upstream would keep its slots from it.
-func (c *Core) withoutReserved(now time.Time, rank int, candidates []*balancer.Upstream) []*balancer.Upstream {
-	if c.options.MaxBacklog == 0 {
-		return candidates
-	}
-	for _, it := range c.queue.Peek(now, rank, lookahead) {
-		r := it.Value.(*Request)
-		w := c.workOf(now, r)
-		w.CompletionProbabilities = r.probabilities
-		candidates = slices.DeleteFunc(candidates, func(u *balancer.Upstream) bool {
-			return w.NeedsFreeSlot(now, u) && len(c.eligible(r, []*balancer.Upstream{u})) > 0
-		})
-	}
-	return candidates
-}
