entry, platform: count the bytes of configurations

An operator could see bytes per link only, not whether they were copies of a configuration between instances, or reads of the store: the two hypotheses of the incident with large configurations look the same. Four metrics tell them apart.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -153,6 +153,7 @@
 	i.quotas.SetClient(i.mesh)
 	i.refreshFleet() // before settleTime, so this instance isn't settled
 	i.registerGauges()
+	i.metrics.Gauge("tacktally_source_read_bytes_total", func() float64 { return float64(o.Source.BytesRead()) })
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Routed.MemoryMB<<20)))
 	return i, nil
 }
@@ -235,6 +236,10 @@
 		age, _ := i.view.Age()
 		return age.Seconds()
 	})
+	i.metrics.Gauge("tacktally_config_bytes", func() float64 {
+		c, _ := i.view.PublishedConfiguration()
+		return float64(len(c.Content))
+	})
 	i.metrics.Gauge("tacktally_upstreams_listed", func() float64 { return float64(i.view.ListCount()) })
 	i.metrics.Gauge("tacktally_list_version", func() float64 { return float64(i.view.ListVersion()) })
 	i.metrics.Gauge("tacktally_list_age_seconds", func() float64 {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -19,6 +19,8 @@
 // nothing is a source and a protocol without any data.
 type nothing struct{}
 
+func (nothing) BytesRead() int64 { return 0 }
+
 func (nothing) ReadEntry(_ context.Context, id string) (view.Change, error) {
 	return view.Change{Removed: true, Upstream: view.Upstream{ID: id}}, nil
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -46,6 +46,7 @@
 	}
 	if f.Revision != configuration.Revision {
 		s.Content = configuration.Content
+		p.instance.metrics.Add("tacktally_config_sent_bytes_total", len(s.Content))
 	}
 	if len(list.Upstreams) == 0 {
 		return s
@@ -71,6 +72,7 @@
 // so ages are counted from then.
 func (p *peerHandler) MergeState(from string, requestedAt time.Time, s *peer.State) {
 	v := p.instance.view
+	p.instance.metrics.Add("tacktally_config_received_bytes_total", len(s.Content))
 	v.MergeEvacuations(view.Evacuations(s.Evacuations), from)
 	v.MergeConfiguration(view.Configuration{Revision: s.Revision, Content: s.Content}, requestedAt.Add(-s.Age), from)
 	list := view.List{
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -116,6 +116,8 @@
 // fakeSource is a source whose contents are CBOR documents.
 type fakeSource struct{}
 
+func (fakeSource) BytesRead() int64 { return 0 }
+
 func (fakeSource) ReadEntry(_ context.Context, id string) (view.Change, error) {
 	return view.Change{Removed: true, Upstream: view.Upstream{ID: id}}, nil
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -25,6 +25,8 @@
 	// invalid entry, one that can't be decoded into a usable upstream, it returns a change that is
 	// marked Unreadable, along with the error.
 	ReadEntry(ctx context.Context, id string) (Change, error)
+	// BytesRead returns the size of all responses read so far, in bytes.
+	BytesRead() int64
 }
 
 // Sink receives what a Source reads. Its methods may be called by several goroutines.
@@ -250,7 +252,7 @@
 	}
 	v.o.Metrics.Count("tacktally_config_accepted_total")
 	v.o.Log.Info().Str("event", "config_accepted").Int64("revision", c.Revision).Int64("version", table.Version).
-		Int("routes", table.Routes()).Dur("age", v.o.Now().Sub(asOf)).Str("from", from).Msg("")
+		Int("routes", table.Routes()).Int("bytes", len(c.Content)).Dur("age", v.o.Now().Sub(asOf)).Str("from", from).Msg("")
 	if v.o.OnTable != nil {
 		v.o.OnTable(table)
 	}
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -25,6 +25,8 @@
 	reads     map[string]int
 }
 
+func (source) BytesRead() int64 { return 0 }
+
 func (s source) ReadEntry(_ context.Context, id string) (Change, error) {
 	s.reads[id]++
 	u, listed := s.published[id]
