--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -48,6 +48,7 @@
 	changed chan struct{} // closed and replaced at each change
 	conns   map[*net.TCPConn]struct{}
 	stuck   map[*net.TCPConn]struct{} // connections that forward nothing until the proxy is closed
+	link    *Link                     // nil without a limit
 	closed  bool
 }
 
@@ -74,6 +75,13 @@
 	p.target = address
 }
 
+// SetLink limits what is forwarded to the rate of a link, which other proxies may share.
+func (p *Proxy) SetLink(l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = l
+}
+
 // Inject applies a mode until the returned function is called. The mode injected last applies.
 func (p *Proxy) Inject(m Mode) (undo func()) {
 	f := &linkFault{mode: m}
@@ -191,6 +199,7 @@
 	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buffer)
+		p.limit(n, forward)
 		p.hold(from, forward)
 		if wasReset(from) { // data that was held back is lost when its sender resets
 			p.end(to, from)
@@ -213,6 +222,16 @@
 	}
 }
 
+// limit blocks until n bytes may be forwarded at the rate of the link.
+func (p *Proxy) limit(n int, forward bool) {
+	p.mu.Lock()
+	l := p.link
+	p.mu.Unlock()
+	if l != nil && n > 0 {
+		l.take(n, forward)
+	}
+}
+
 // wasReset reports whether a connection was reset by the other side.
 func wasReset(c *net.TCPConn) (reset bool) {
 	raw, err := c.SyscallConn()
