platform: prove a large configuration without reading it again

What callers saw: after 1,400 routes more were published, requests were refused or served by an old configuration, in whole availability zones. Cause: a reader proved that nothing had changed by reading the whole document at each proof. An instance without a recent proof becomes a reader too; its link of 10 Mbit/s then takes as long for one document as a call may last (1.2 s) and longer than a watch may lag (0.5 s), so calls and watches were ended while bytes arrived and began again: 36 s at a full link. Why this works: a read of the operator's other values shows the store's revision; a series of watches without a gap that has passed on all changes up to it shows that the configuration is unchanged.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -34,6 +34,9 @@
 	// SetConfiguration sets the configuration published under a revision. The read that returned it
 	// was sent at asOf.
 	SetConfiguration(revision int64, content []byte, asOf time.Time)
+	// ConfirmConfiguration records that a read sent at asOf showed the configuration published under
+	// a revision to be the latest, without its content.
+	ConfirmConfiguration(revision int64, asOf time.Time)
 	// SetUpstreams sets the whole list, as the source had it at a revision. The read was sent at
 	// asOf.
 	SetUpstreams(list []Upstream, revision int64, asOf time.Time)
@@ -200,6 +203,15 @@
 	v.offer(Configuration{Revision: revision, Content: content}, asOf, "source")
 }
 
+// ConfirmConfiguration implements Sink. A configuration that is not in force is not confirmed.
+func (v *View) ConfirmConfiguration(revision int64, asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.table != nil && v.configuration.Revision == revision {
+		v.prove(asOf)
+	}
+}
+
 // MergeConfiguration merges a configuration that a peer sent.
 func (v *View) MergeConfiguration(c Configuration, asOf time.Time, peer string) {
 	if c.Revision > 0 {
