transfer, entry, peer: send large configurations once, as differences in parts

Cause: each reply to an instance of another revision held the whole document. An instance started another fetch after 300 ms, gave each up after 2 s whatever had arrived, and past half of its lease asked eight peers at once. On links of 10 Mbit/s the copies crowded out each other, heartbeats and requests. Change: announcements and proofs name a large configuration by revision and digest. An instance receives it in one transfer at a time, part after part, so that a transfer ends only if a part isn't answered; as the compressed difference to the one that it has; from a peer that serves four receivers at a time.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/transfer"
 	"github.com/tacktally/tacktally/internal/view"
 	"github.com/tacktally/tacktally/internal/wait"
 )
@@ -82,6 +83,9 @@
 	quarantine *quarantine.Registry
 	mesh       *peer.Mesh
 	ready      readiness
+	// sender and receiver pass large configurations on between instances.
+	sender   *transfer.Sender
+	receiver *transfer.Receiver
 
 	election     readerElection
 	lastFleet    fleetState
@@ -136,6 +140,7 @@
 		Log:        i.log,
 	})
 	i.ready = readiness{view: i.view}
+	i.sender, i.receiver = transfer.NewSender(), i.newReceiver()
 	i.mesh = peer.NewMesh(peer.Options{
 		Address:        i.address,
 		Listen:         s.Peers.Address,
@@ -158,6 +163,44 @@
 	return i, nil
 }
 
+func (i *Instance) newReceiver() *transfer.Receiver {
+	return transfer.NewReceiver(transfer.ReceiverOptions{
+		Go: func(f func(context.Context)) { i.mesh.Go(f) },
+		Fetch: func(ctx context.Context, address string, r *peer.PartRequest) (*peer.State, time.Time, error) {
+			return i.mesh.FetchPart(ctx, address, r)
+		},
+		InForce: func() []byte {
+			c, _ := i.view.PublishedConfiguration()
+			return c.Content
+		},
+		Holders: i.configurationHolders,
+		Accept: func(from string, revision int64, content []byte, asOf time.Time) {
+			i.view.MergeConfiguration(view.Configuration{Revision: revision, Content: content}, asOf, from)
+		},
+		Metrics: i.metrics,
+		Log:     i.log,
+	})
+}
+
+// configurationHolders returns the linked peers that have announced a newer configuration: those of
+// the same availability zone, or all if there are none, since traffic between zones is charged.
+func (i *Instance) configurationHolders() []string {
+	var near, far []string
+	for _, p := range i.mesh.Peers() {
+		switch {
+		case !p.Linked || !i.view.IsOlderThan(p.ConfigVersion, p.Revision):
+		case p.Zone == i.settings.Zone:
+			near = append(near, p.Address)
+		default:
+			far = append(far, p.Address)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
 func (i *Instance) newFleet() *fleet.Fleet {
 	s := i.settings
 	return fleet.New(fleet.Options{
@@ -194,6 +237,8 @@
 // tableChanged applies a new configuration and announces it to the peers.
 func (i *Instance) tableChanged(t *routing.Table) {
 	i.fleet.SetServices(t.Services())
+	c, _ := i.view.PublishedConfiguration()
+	i.sender.Record(c.Content)
 	i.announceChange()
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,6 +14,7 @@
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/scheduler"
+	"github.com/tacktally/tacktally/internal/transfer"
 	"github.com/tacktally/tacktally/internal/view"
 )
 
@@ -29,6 +30,9 @@
 func (p *peerHandler) State(f *peer.FetchRequest) *peer.State {
 	v := p.instance.view
 	configuration, age := v.PublishedConfiguration()
+	if f.Part != nil {
+		return p.partOf(configuration, age, f.Part)
+	}
 	list := v.ListFor(view.KnownState{Version: f.ListVersion, WholeOnly: !f.AcceptsDelta, Checksums: f.ListChecksums})
 	s := &peer.State{
 		Revision:    configuration.Revision,
@@ -44,7 +48,11 @@
 		Missing:     list.Missing,
 		Evacuations: peer.Evacuations(v.CurrentEvacuations()),
 	}
-	if f.Revision != configuration.Revision {
+	switch {
+	case f.Revision == configuration.Revision:
+	case f.AcceptsParts && len(configuration.Content) > transfer.InlineBytes:
+		s.ContentDigest = p.instance.sender.Record(configuration.Content)
+	default:
 		s.Content = configuration.Content
 		p.instance.metrics.Add("tacktally_config_sent_bytes_total", len(s.Content))
 	}
@@ -61,11 +69,22 @@
 	return s
 }
 
+// partOf returns the state with one part of the configuration in force.
+func (p *peerHandler) partOf(c view.Configuration, age time.Duration, r *peer.PartRequest) *peer.State {
+	part, err := p.instance.sender.Part(time.Now(), c.Content, r)
+	if err != nil {
+		p.instance.log.Error().Str("event", "config_not_encoded").Str("cause", err.Error()).Msg("could not encode the configuration; the peer gets it whole")
+		return &peer.State{Revision: c.Revision, Age: age, Content: c.Content}
+	}
+	p.instance.metrics.Add("tacktally_config_sent_bytes_total", len(part.Data))
+	return &peer.State{Revision: c.Revision, Age: age, Part: part}
+}
+
 // FetchRequest implements peer.Handler.
 func (p *peerHandler) FetchRequest() *peer.FetchRequest {
 	v := p.instance.view
 	known := v.KnownState()
-	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums}
+	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true}
 }
 
 // MergeState implements peer.Handler. The peer's state was current when it was requested or later,
@@ -74,7 +93,7 @@
 	v := p.instance.view
 	p.instance.metrics.Add("tacktally_config_received_bytes_total", len(s.Content))
 	v.MergeEvacuations(view.Evacuations(s.Evacuations), from)
-	v.MergeConfiguration(view.Configuration{Revision: s.Revision, Content: s.Content}, requestedAt.Add(-s.Age), from)
+	p.mergeConfiguration(from, requestedAt.Add(-s.Age), s)
 	list := view.List{
 		Version: s.ListVersion,
 		AsOf:    requestedAt.Add(-s.ListAge),
@@ -98,6 +117,24 @@
 	}
 }
 
+// mergeConfiguration merges the configuration of a peer's state, which was current as of the given
+// time. If its content is left out and needed, a transfer is started.
+func (p *peerHandler) mergeConfiguration(from string, asOf time.Time, s *peer.State) {
+	v := p.instance.view
+	c := view.Configuration{Revision: s.Revision, Content: s.Content}
+	if s.ContentDigest != 0 {
+		inForce, _ := v.PublishedConfiguration()
+		switch {
+		case transfer.Digest(inForce.Content) == s.ContentDigest:
+			c.Content = inForce.Content
+		case v.NeedsContent(s.Revision):
+			p.instance.receiver.Start(from)
+			return
+		}
+	}
+	v.MergeConfiguration(c, asOf, from)
+}
+
 // Heartbeat implements peer.Handler.
 func (p *peerHandler) Heartbeat() *peer.Heartbeat {
 	i := p.instance
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -23,6 +23,19 @@
 	})
 }
 
+// FetchPart requests one part of a peer's configuration. It returns the peer's reply and when it was
+// requested. It blocks until the peer replies, ctx ends or fetchTimeout has passed.
+func (m *Mesh) FetchPart(ctx context.Context, address string, r *PartRequest) (s *State, requestedAt time.Time, err error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, fetchTimeout, ErrNoReply)
+	defer cancel()
+	requestedAt = boottime.Now()
+	err = m.roundTrip(ctx, address, &Frame{Type: TypeFetch, Fetch: &FetchRequest{Part: r}}, func(f *Frame) { s = f.State })
+	if err == nil && s == nil {
+		err = ErrMalformedFrame
+	}
+	return s, requestedAt, err
+}
+
 // linkPollInterval is how often FetchAll checks whether a link has come up.
 const linkPollInterval = 10 * time.Millisecond
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -207,6 +207,37 @@
 	// ListChecksums are the checksums of the chunks of the requester's list. They are set to get
 	// the chunks that differ from the peer's.
 	ListChecksums []uint64 `cbor:"5,keyasint,omitempty"`
+	// AcceptsParts reports that the requester accepts the digest of a large configuration instead of
+	// its content, and then requests the content in parts.
+	AcceptsParts bool `cbor:"6,keyasint,omitempty"`
+	// Part requests one part of the configuration instead of the state. An instance that sends no
+	// parts ignores it.
+	Part *PartRequest `cbor:"7,keyasint,omitempty"`
+}
+
+// PartRequest requests one part of the configuration in force.
+type PartRequest struct {
+	// ID of the transfer.
+	ID uint64 `cbor:"1,keyasint"`
+	// Base is the digest of the configuration that the requester has; 0 is none.
+	Base uint64 `cbor:"2,keyasint,omitempty"`
+	// Digest of the configuration of which the requester has the first Offset bytes, as encoded.
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	Offset int    `cbor:"4,keyasint,omitempty"`
+}
+
+// Part is a part of an encoded configuration; see package transfer.
+type Part struct {
+	// Busy reports that the sender serves other receivers; the other fields are then not set.
+	Busy bool `cbor:"1,keyasint,omitempty"`
+	// Digest of the configuration once it is decoded.
+	Digest uint64 `cbor:"2,keyasint,omitempty"`
+	// Base is the digest of the configuration to which it is the difference; 0 is none.
+	Base uint64 `cbor:"3,keyasint,omitempty"`
+	// Size is that of the encoded configuration, and Offset the position of Data in it, in bytes.
+	Size   int    `cbor:"4,keyasint,omitempty"`
+	Offset int    `cbor:"5,keyasint,omitempty"`
+	Data   []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // State is what an instance sends to a peer that fetches its state.
@@ -243,6 +274,10 @@
 	Limits []ratelimit.Update `cbor:"15,keyasint,omitempty"`
 	// ListDigest is the digest of the whole list of upstreams of ListVersion; 0 means not reported.
 	ListDigest uint64 `cbor:"13,keyasint,omitempty"`
+	// ContentDigest is the digest of a Content that is left out; 0 if none is.
+	ContentDigest uint64 `cbor:"16,keyasint,omitempty"`
+	// Part is set in the reply to a request for a part, beside Revision and Age.
+	Part *Part `cbor:"17,keyasint,omitempty"`
 }
 
 // Pressure announces that work of Rank is about to be shed for lack of capacity in Set.
@@ -329,9 +364,9 @@
 	case TypeCredit:
 		complete = f.Credit > 0
 	case TypeState:
-		complete = f.State != nil
+		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid())
 	case TypeFetch:
-		complete = f.Fetch != nil
+		complete = f.Fetch != nil && (f.Fetch.Part == nil || f.Fetch.Part.Offset >= 0)
 	case TypeSlotRequest:
 		complete = f.SlotRequest != nil && f.SlotRequest.isValid()
 	case TypeSlotGranted:
@@ -350,6 +385,10 @@
 	return nil
 }
 
+func (p *Part) isValid() bool {
+	return p.Busy || (p.Digest != 0 && len(p.Data) > 0 && p.Offset >= 0 && p.Offset <= p.Size-len(p.Data) && p.Size <= MaxFrameBytes)
+}
+
 func (r *SlotRequest) isValid() bool {
 	return r.Service != "" && r.Shard >= 0 && r.Rank >= 0 && r.Age >= 0 && r.Age < maxRemaining &&
 		r.Timeout < maxRemaining && r.PromptTokens >= 0 && r.MaxOutput >= 0 && r.ExpectedOutput >= 0 && r.Bytes >= 0
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -145,6 +145,15 @@
 	return m
 }
 
+// Go runs f in the background, with a context that ends when the mesh is closed. Close waits for f.
+func (m *Mesh) Go(f func(ctx context.Context)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx.Err() == nil {
+		m.wg.Go(func() { f(m.ctx) })
+	}
+}
+
 // Close ends all links and waits for the mesh's goroutines.
 func (m *Mesh) Close() {
 	m.cancel()
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -317,6 +317,7 @@
 			s.Linked = m.liveLink(k.Address, p) != nil
 			s.LastSeen = boottime.ToMonotonic(p.lastSeen)
 			s.Revision = p.lastHeartbeat.Revision
+			s.ConfigVersion = p.lastHeartbeat.ConfigVersion
 			s.InFlight = p.lastHeartbeat.InFlight
 			s.ReadsSource = p.lastHeartbeat.ReadsSource
 		}
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -16,12 +16,14 @@
 	Linked      bool      `json:"linked"`
 	LastSeen    time.Time `json:"lastHeard"`
 	Revision    int64     `json:"revision"`
-	Draining    bool      `json:"draining"`
-	ReadsSource bool      `json:"reads,omitempty"`
-	Reachable   bool      `json:"reachable"`
-	Cores       float64   `json:"cores,omitempty"`
-	Started     time.Time `json:"started,omitzero"`
-	InFlight    int       `json:"inFlight"`
+	// ConfigVersion is the version that the peer's configuration carries itself; 0 means not reported.
+	ConfigVersion int64     `json:"configVersion,omitempty"`
+	Draining      bool      `json:"draining"`
+	ReadsSource   bool      `json:"reads,omitempty"`
+	Reachable     bool      `json:"reachable"`
+	Cores         float64   `json:"cores,omitempty"`
+	Started       time.Time `json:"started,omitzero"`
+	InFlight      int       `json:"inFlight"`
 	// Queued is the number of waiting requests by engine set and rank, as last reported.
 	Queued map[string][]int `json:"queued,omitempty"`
 }
@@ -36,19 +38,20 @@
 	out := make([]Status, 0, len(m.peers))
 	for address, p := range m.peers {
 		out = append(out, Status{
-			Address:     address,
-			Zone:        p.hello.Zone,
-			Incarnation: p.hello.Incarnation,
-			Linked:      p.link != nil,
-			LastSeen:    boottime.ToMonotonic(p.lastSeen),
-			Revision:    p.lastHeartbeat.Revision,
-			Draining:    p.lastHeartbeat.Draining,
-			ReadsSource: p.lastHeartbeat.ReadsSource,
-			InFlight:    p.lastHeartbeat.InFlight,
-			Queued:      p.lastHeartbeat.Queued,
-			Reachable:   m.isReachable(p),
-			Cores:       p.hello.Cores,
-			Started:     boottime.ToMonotonic(p.started),
+			Address:       address,
+			Zone:          p.hello.Zone,
+			Incarnation:   p.hello.Incarnation,
+			Linked:        p.link != nil,
+			LastSeen:      boottime.ToMonotonic(p.lastSeen),
+			Revision:      p.lastHeartbeat.Revision,
+			ConfigVersion: p.lastHeartbeat.ConfigVersion,
+			Draining:      p.lastHeartbeat.Draining,
+			ReadsSource:   p.lastHeartbeat.ReadsSource,
+			InFlight:      p.lastHeartbeat.InFlight,
+			Queued:        p.lastHeartbeat.Queued,
+			Reachable:     m.isReachable(p),
+			Cores:         p.hello.Cores,
+			Started:       boottime.ToMonotonic(p.started),
 		})
 	}
 	sortByAddress(out)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -292,6 +292,16 @@
 	return true
 }
 
+// NeedsContent reports whether the content of a configuration published under a revision is needed to
+// decide on it: it is neither in force nor known to be older.
+func (v *View) NeedsContent(revision int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	inForce := v.configuration.Revision
+	older := EpochOf(revision) == EpochOf(inForce) && revision <= inForce
+	return v.table == nil || (!older && revision != v.lastRefused.revision)
+}
+
 // refusedConfiguration is one that was refused because a newer one is in force.
 type refusedConfiguration struct{ revision, version int64 }
 
