--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -107,6 +107,15 @@
 	Restore: 6, Change: 4, Revoke: 3, Replace: 3, Evacuate: 2, Kill: 2, Terminate: 2, Pause: 3, SourceLink: 3, SourceOutage: 2, PeerLink: 3, Stuck: 2,
 }
 
+// LargeMix is a mix of all faults with many changes of a large configuration, often in quick succession.
+// PlannedLargeMix is the same without a fault.
+var (
+	LargeMix = Mix{
+		Change: 14, Revoke: 3, Kill: 3, Terminate: 3, Pause: 3, SourceOutage: 2, SourceLink: 3, PeerLink: 4, Stuck: 2, Replace: 1,
+	}
+	PlannedLargeMix = Mix{Change: 14, Terminate: 3, Reload: 1}
+)
+
 // Event is one fault at one time.
 type Event struct {
 	At  time.Duration
