--- a/internal/transfer/encoding.go
+++ b/internal/transfer/encoding.go
@@ -11,7 +11,8 @@
 // maxContentBytes bounds a decoded configuration. The store's limit for a value is 1 MiB.
 const maxContentBytes = 8 << 20
 
-// dictionaryID names the base in an encoding. Base and receiver are matched by digest.
+// dictionaryID names the base in an encoding. It is always the same, since a base is identified by its
+// digest.
 const dictionaryID = 1
 
 // Digest returns the digest of a configuration; it is 0 only for an empty one.
--- a/internal/transfer/sender.go
+++ b/internal/transfer/sender.go
@@ -13,8 +13,8 @@
 	// partBytes is the size of a part. It takes 13 ms of a link of 10 Mbit/s, which other frames wait
 	// for.
 	partBytes = 16 << 10
-	// maxReceivers is how many transfers a sender serves at a time. With four, a configuration of 40
-	// kB reaches 146 instances of a zone in four rounds of 0.13 s each over links of 10 Mbit/s.
+	// maxReceivers is how many transfers a sender serves at a time, so that each of them completes
+	// soon and its receiver can serve others.
 	maxReceivers = 4
 	// receiverTimeout is the silence after which a transfer no longer counts.
 	receiverTimeout = time.Second
