transfer: end a transfer whose configuration doesn't come into force

Peers that hold two configurations, neither of which is accepted here, were asked in turn without a delay or an end, as only the last one refused was remembered. TestReceiverStopsAfterRefusedConfiguration has that case. The tests wait for the transfers instead of for simulated seconds.

--- a/internal/transfer/receiver.go
+++ b/internal/transfer/receiver.go
@@ -24,7 +24,7 @@
 // Why a transfer ends without a configuration.
 var (
 	errBusy     = errors.New("the sender serves other receivers")
-	errRefused  = errors.New("this configuration was received before and did not come into force")
+	errRefused  = errors.New("the configuration was received and did not come into force")
 	errNoParts  = errors.New("the sender has no configuration")
 	errMismatch = errors.New("the parts don't add up to the announced configuration")
 )
@@ -178,7 +178,8 @@
 	}
 }
 
-// accept decodes a complete configuration and passes it on.
+// accept decodes a complete configuration and passes it on. It returns errRefused if the configuration
+// doesn't come into force.
 func (r *Receiver) accept(address string, s *peer.State, requestedAt time.Time, base []byte, c *received) error {
 	if c.base == 0 {
 		base = nil
@@ -195,9 +196,10 @@
 	inForce := Digest(r.o.InForce())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.refused = 0
 	if inForce != c.digest {
 		r.refused = c.digest
+		return errRefused
 	}
+	r.refused = 0
 	return nil
 }
--- a/internal/transfer/transfer_test.go
+++ b/internal/transfer/transfer_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 // configuration returns a configuration of a version with some routes. Those of the same seed are
@@ -137,6 +139,8 @@
 	refuse    bool // whether what is received comes into force
 	fromEarly bool // whether peers send no parts
 	receiver  *Receiver
+	// background runs the transfers.
+	background sync.WaitGroup
 }
 
 func newFleet(t *testing.T, peers map[string][]byte) *fleet {
@@ -145,7 +149,7 @@
 		f.senders[address] = NewSender()
 	}
 	f.receiver = NewReceiver(ReceiverOptions{
-		Go:      func(run func(context.Context)) { go run(t.Context()) },
+		Go:      func(run func(context.Context)) { f.background.Go(func() { run(t.Context()) }) },
 		Fetch:   f.fetch,
 		InForce: func() []byte { return f.inForce },
 		Holders: f.holders,
@@ -176,7 +180,7 @@
 	if f.parallel > 1 {
 		f.t.Error("two transfers at a time")
 	}
-	time.Sleep(time.Millisecond) // of the simulated clock
+	wait.For(ctx, time.Millisecond)
 	f.parallel--
 	if f.fail != nil {
 		if err := f.fail(address, r); err != nil {
@@ -240,8 +244,7 @@
 				c.prepare(f)
 				f.receiver.Start("a", Digest(latest))
 				f.receiver.Start("b", Digest(latest)) // has no effect
-				time.Sleep(5 * time.Second)
-				synctest.Wait()
+				f.background.Wait()
 				is.True(bytes.Equal(f.inForce, c.want))
 				is.True(len(f.requests) <= c.most)
 				is.True(!f.receiver.active)
@@ -258,13 +261,25 @@
 		f := newFleet(t, map[string][]byte{"a": content})
 		f.refuse = true
 		f.receiver.Start("a", Digest(content))
-		time.Sleep(5 * time.Second)
-		synctest.Wait()
+		f.background.Wait()
 		received := len(f.requests)
 		f.receiver.Start("a", Digest(content))
-		time.Sleep(5 * time.Second)
-		synctest.Wait()
+		f.background.Wait()
 		is.Equal(len(f.requests), received)
 		is.True(!f.receiver.active)
 	})
 }
+
+// Peers that hold two configurations, neither of which is accepted, would be asked in turn without
+// end.
+func TestReceiverStopsAfterRefusedConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		content, other := configuration(2, 45, 1), configuration(3, 45, 1)
+		f := newFleet(t, map[string][]byte{"a": content, "b": other})
+		f.refuse = true
+		f.receiver.Start("a", Digest(content))
+		f.background.Wait()
+		is.Equal(len(f.requests), 1)
+	})
+}
