fleet: log whose report opened a circuit, count the upstreams an instance reaches

Package reach records which upstreams an instance has reached lately, shown as two gauges; failed connections are counted. No decision changes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -294,6 +294,8 @@
 	i.metrics.Gauge("tacktally_zones_evacuated", func() float64 { return float64(len(i.view.CurrentEvacuations().Zones)) })
 	i.metrics.Gauge("tacktally_upstreams_cold", func() float64 { return float64(i.fleet.ColdUpstreams()) })
 	i.metrics.Gauge("tacktally_upstreams_limited", func() float64 { return float64(i.fleet.LimitedUpstreams()) })
+	i.metrics.Gauge("tacktally_upstreams_reached", func() float64 { reached, _ := i.fleet.UpstreamsReached(); return float64(reached) })
+	i.metrics.Gauge("tacktally_upstreams_failing", func() float64 { _, failing := i.fleet.UpstreamsReached(); return float64(failing) })
 	i.metrics.Gauge("tacktally_requests_held", func() float64 { return float64(i.quarantine.Count(time.Now())) })
 	i.metrics.Gauge("tacktally_starts_held", func() float64 { return float64(i.fleet.LimitedGrants()) })
 	i.metrics.Gauge("tacktally_peers_known", func() float64 { return float64(len(i.mesh.Peers())) })
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -33,7 +33,7 @@
 	address        string
 	dialer         *net.Dialer
 	connectTimeout time.Duration
-	onOpen         func() // called for each new connection; may be nil
+	onDial         func(err error) // called after each dial; may be nil
 	open           atomic.Int32
 
 	mu    sync.Mutex
@@ -49,8 +49,9 @@
 	LocalIP net.IP
 	// ConnectTimeout bounds the time to establish a connection.
 	ConnectTimeout time.Duration
-	// OnOpen is called for each new connection. It may be nil.
-	OnOpen func()
+	// OnDial is called after each attempt to open a connection that its caller didn't cancel, with the
+	// error or nil. It may be nil.
+	OnDial func(err error)
 }
 
 // NewPool returns a pool without connections.
@@ -59,7 +60,7 @@
 	if o.LocalIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: o.LocalIP}
 	}
-	return &Pool{address: o.Address, dialer: d, connectTimeout: o.ConnectTimeout, onOpen: o.OnOpen}
+	return &Pool{address: o.Address, dialer: d, connectTimeout: o.ConnectTimeout, onDial: o.OnDial}
 }
 
 // Do makes one exchange and returns the head of the response. It blocks until the head has arrived.
@@ -146,16 +147,16 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.connectTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
-	n, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	n, err := p.dialer.DialContext(dialCtx, "tcp", p.address)
+	if p.onDial != nil && (err == nil || ctx.Err() == nil) {
+		p.onDial(err)
+	}
 	if err != nil {
 		return nil, err
 	}
 	p.open.Add(1)
-	if p.onOpen != nil {
-		p.onOpen()
-	}
 	return &conn{net: n, reader: newReader(n), pool: p}, nil
 }
 
--- a/internal/fleet/backoffs.go
+++ b/internal/fleet/backoffs.go
@@ -42,7 +42,11 @@
 }
 
 // RecordResponse records that an upstream has answered a request without requesting a backoff.
-func (f *Fleet) RecordResponse(id string) { f.backoffs.Clear(time.Now(), id) }
+func (f *Fleet) RecordResponse(id string) {
+	now := time.Now()
+	f.backoffs.Clear(now, id)
+	f.reach.Reached(now, id)
+}
 
 // RecordNoResponse records that a request that was sent to an upstream got no response.
 func (f *Fleet) RecordNoResponse(id string) { f.backoffs.ReleaseClaim(id) }
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -27,13 +27,28 @@
 			Address:        u.Address,
 			LocalIP:        f.o.LocalIP,
 			ConnectTimeout: f.o.ConnectTimeout,
-			OnOpen:         func() { f.o.Metrics.Count("tacktally_upstream_connections_total") },
+			OnDial:         func(err error) { f.recordDial(u.ID, err) },
 		})
 		f.connections[u.ID] = p
 	}
 	return p
 }
 
+// recordDial records the result of an attempt to open a connection to an upstream.
+func (f *Fleet) recordDial(id string, err error) {
+	if err != nil {
+		f.o.Metrics.Count("tacktally_upstream_connects_failed_total")
+		f.reach.Failed(time.Now(), id)
+		return
+	}
+	f.o.Metrics.Count("tacktally_upstream_connections_total")
+	f.reach.Reached(time.Now(), id)
+}
+
+// UpstreamsReached returns how many upstreams this instance has reached in the last seconds, and how many
+// it has failed to reach since.
+func (f *Fleet) UpstreamsReached() (reached, failing int) { return f.reach.Counts(time.Now()) }
+
 // closeConnections closes the idle connections to an upstream and drops its pool. The caller holds the
 // lock.
 func (f *Fleet) closeConnections(id string) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/ratelimit"
+	"github.com/tacktally/tacktally/internal/reach"
 	"github.com/tacktally/tacktally/internal/rest"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -94,6 +95,7 @@
 
 	backoffs    *rest.Backoffs
 	limits      *ratelimit.Registry
+	reach       *reach.Tracker
 	owners      owners
 	peerGrants  peerGrants
 	lostCounted atomic.Bool // whether the last CountLostGrants counted any
@@ -131,6 +133,7 @@
 		leavingNotices: map[string]leavingNotice{},
 		backoffs:       rest.New(),
 		limits:         ratelimit.New(o.Log),
+		reach:          reach.New(),
 		instances:      []Instance{{Address: o.Instance, Cores: o.Cores, Reachable: true, MayOwn: true, Settled: true}},
 	}
 }
--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -115,10 +115,35 @@
 // End implements Grant. A report that End passes is of a response without a first token, such as a
 // refusal, and doesn't count this request; so the request is ended first.
 func (g *localGrant) End(r scheduler.Result, output int) {
-	g.shard.pool.End(g.grant, r, output)
+	g.fleet.endGrant(g.shard, g.grant, "", r, output)
 	g.fleet.recordLoad(g.shard, g.grant, g.load.take())
 }
 
+// endGrant releases the slot of a grant, with the result that the reporting instance observed; empty for
+// this instance. It logs whose report opened the circuit of an upstream.
+func (f *Fleet) endGrant(s *shard, g *scheduler.Grant, reporter string, r scheduler.Result, output int) {
+	opened := false
+	s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
+		before := g.Upstream.CircuitOpenUntil
+		decisions := core.End(now, g, r, output)
+		opened = g.Upstream.CircuitOpenUntil.After(before)
+		return decisions
+	})
+	if !opened {
+		return
+	}
+	f.o.Metrics.Count(`tacktally_circuits_opened_total{reporter="` + reporterKind(reporter) + `"}`)
+	f.o.Log.Info().Str("event", "circuit_opened").Str("upstream", g.Upstream.ID).Str("service", s.service).
+		Str("reporter", reporter).Str("result", r.String()).Msg("")
+}
+
+func reporterKind(reporter string) string {
+	if reporter == "" {
+		return "self"
+	}
+	return "peer"
+}
+
 // grantedSlot is a slot that a peer granted. *peer.Slot implements it.
 type grantedSlot interface {
 	// Started reports the first token and the load report of the response; the zero value for none.
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -110,5 +110,6 @@
 		}
 	}
 	f.backoffs.Prune(now.Add(-processStateTTL))
+	f.reach.Prune(func(upstream string) bool { return f.upstreams[upstream] != nil })
 	f.limits.Prune(now, processStateTTL, func(process string) bool { return f.processes[process] != nil })
 }
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -250,7 +250,7 @@
 		return
 	}
 	end := f.serveGrant(ctx, shard, r, s, decision.Grant)
-	shard.pool.End(decision.Grant, end.result, end.output)
+	f.endGrant(shard, decision.Grant, s.Peer, end.result, end.output)
 	f.recordLoad(shard, decision.Grant, end.load)
 }
 
--- a/internal/scheduler/result.go
+++ b/internal/scheduler/result.go
@@ -25,6 +25,16 @@
 	resultCount // number of results
 )
 
+var resultNames = [resultCount]string{"cancelled", "completed", "upstream_error", "lost_response", "unreachable", "busy", "misdirected"}
+
+// String returns the result as logs show it.
+func (r Result) String() string {
+	if !r.IsKnown() {
+		return "unknown"
+	}
+	return resultNames[r]
+}
+
 // IsKnown reports whether a result received from another instance is one of these.
 func (r Result) IsKnown() bool { return r < resultCount }
 
