exchange, fleet: let the caller supply how connections to upstreams are opened

A fault of one instance's path to all upstreams can't be injected by proxies of the upstreams, which all instances share. No change of behaviour.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/idempotency"
 	"github.com/tacktally/tacktally/internal/listen"
@@ -60,6 +61,9 @@
 	Settings *settings.Settings
 	Source   view.Source
 	Protocol proxy.Protocol
+	// DialUpstream opens a connection to the address of an upstream; nil opens a TCP connection from
+	// routed.localIP.
+	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
 	// LogWriter is where the log is written. Writing to it may block; logging doesn't.
 	LogWriter io.Writer
 }
@@ -74,6 +78,8 @@
 	log         *log.Logger
 	metrics     *telemetry.Metrics
 	listeners   listeners
+	// dialUpstream opens a connection over this instance's own network path.
+	dialUpstream func(ctx context.Context, address string) (net.Conn, error)
 
 	view   *view.View
 	fleet  *fleet.Fleet
@@ -99,12 +105,16 @@
 // New builds an instance and opens its listeners. Run serves on them.
 func New(o Options) (*Instance, error) {
 	s := o.Settings
+	if o.DialUpstream == nil {
+		o.DialUpstream = exchange.Dialer(net.ParseIP(s.Routed.LocalIP))
+	}
 	i := &Instance{
-		settings:    s,
-		incarnation: idempotency.NewIncarnation(),
-		started:     time.Now(),
-		output:      telemetry.NewAsyncWriter(o.LogWriter),
-		metrics:     telemetry.NewMetrics(),
+		settings:     s,
+		dialUpstream: o.DialUpstream,
+		incarnation:  idempotency.NewIncarnation(),
+		started:      time.Now(),
+		output:       telemetry.NewAsyncWriter(o.LogWriter),
+		metrics:      telemetry.NewMetrics(),
 	}
 	if err := i.listeners.open(s, i.metrics); err != nil {
 		return nil, err
@@ -210,7 +220,7 @@
 		CrossZoneCost:   time.Duration(s.Routed.FarCost),
 		CrossRegionCost: time.Duration(s.Routed.FarRegionCost),
 		Regions:         s.Routed.Regions,
-		LocalIP:         net.ParseIP(s.Routed.LocalIP),
+		DialUpstream:    i.dialUpstream,
 		ConnectTimeout:  time.Duration(s.Upstreams.ConnectTimeout),
 		Limits:          queue.Limits{MaxItems: s.Queue.MaxItems, MaxBytes: s.Queue.MaxBytes},
 		RetryBudget: retrybudget.Bound{
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -30,8 +30,7 @@
 
 // Pool keeps the connections to one upstream. It is safe for concurrent use.
 type Pool struct {
-	address        string
-	dialer         *net.Dialer
+	connect        DialFunc
 	connectTimeout time.Duration
 	onDial         func(err error) // called after each dial; may be nil
 	open           atomic.Int32
@@ -41,12 +40,16 @@
 	ended bool
 }
 
+// DialFunc opens a connection. It blocks until the connection is established, has failed, or ctx
+// ends.
+type DialFunc func(ctx context.Context) (net.Conn, error)
+
 // Options configure a Pool.
 type Options struct {
 	// Address of the upstream, IP:port.
 	Address string
-	// LocalIP is the source address of connections; nil leaves it to the kernel.
-	LocalIP net.IP
+	// Dial opens a connection to the upstream; nil dials Address.
+	Dial DialFunc
 	// ConnectTimeout bounds the time to establish a connection.
 	ConnectTimeout time.Duration
 	// OnDial is called after each attempt to open a connection that its caller didn't cancel, with the
@@ -56,11 +59,21 @@
 
 // NewPool returns a pool without connections.
 func NewPool(o Options) *Pool {
+	if o.Dial == nil {
+		dial := Dialer(nil)
+		o.Dial = func(ctx context.Context) (net.Conn, error) { return dial(ctx, o.Address) }
+	}
+	return &Pool{connect: o.Dial, connectTimeout: o.ConnectTimeout, onDial: o.OnDial}
+}
+
+// Dialer returns a function that opens TCP connections. localIP is their source address; nil leaves
+// it to the kernel.
+func Dialer(localIP net.IP) func(ctx context.Context, address string) (net.Conn, error) {
 	d := &net.Dialer{KeepAliveConfig: keepalive.Config(), Control: keepalive.Control}
-	if o.LocalIP != nil {
-		d.LocalAddr = &net.TCPAddr{IP: o.LocalIP}
+	if localIP != nil {
+		d.LocalAddr = &net.TCPAddr{IP: localIP}
 	}
-	return &Pool{address: o.Address, dialer: d, connectTimeout: o.ConnectTimeout, onDial: o.OnDial}
+	return func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 }
 
 // Do makes one exchange and returns the head of the response. It blocks until the head has arrived.
@@ -149,7 +162,7 @@
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, p.connectTimeout)
 	defer cancel()
-	n, err := p.dialer.DialContext(dialCtx, "tcp", p.address)
+	n, err := p.connect(dialCtx)
 	if p.onDial != nil && (err == nil || ctx.Err() == nil) {
 		p.onDial(err)
 	}
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"context"
+	"net"
 	"strconv"
 	"time"
 
@@ -25,7 +27,7 @@
 	if p == nil {
 		p = exchange.NewPool(exchange.Options{
 			Address:        u.Address,
-			LocalIP:        f.o.LocalIP,
+			Dial:           func(ctx context.Context) (net.Conn, error) { return f.o.DialUpstream(ctx, u.Address) },
 			ConnectTimeout: f.o.ConnectTimeout,
 			OnDial:         func(err error) { f.recordDial(u.ID, err) },
 		})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -42,8 +43,8 @@
 	CrossRegionCost time.Duration
 	// Regions maps availability zones to their regions.
 	Regions map[string]string
-	// LocalIP is the source address of connections to upstreams; if nil, the kernel selects it.
-	LocalIP net.IP
+	// DialUpstream opens a connection to the address of an upstream; if nil, TCP from any local address.
+	DialUpstream func(ctx context.Context, address string) (net.Conn, error)
 	// ConnectTimeout bounds the time to open a connection.
 	ConnectTimeout time.Duration
 	Limits         queue.Limits
@@ -123,6 +124,9 @@
 
 // New returns a fleet without upstreams.
 func New(o Options) *Fleet {
+	if o.DialUpstream == nil {
+		o.DialUpstream = exchange.Dialer(nil)
+	}
 	return &Fleet{
 		o:              o,
 		services:       map[string]*service{},
