platform, soak: failing tests of instances that reach no upstream

soak.Path is the network path of one process to all upstreams, so that a partition hits one instance and neither its callers, its peers nor the store.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -23,11 +23,13 @@
 	Silent
 	// OneWay forwards what callers send and holds back what is sent to them.
 	OneWay
-	modes // the number of modes
+	// RefusesNew refuses new connections and forwards everything on the open ones. Only a Path refuses a
+	// connection before it is established; other proxies close it with a reset.
+	RefusesNew
 )
 
-// ModeOf maps a number to one of the modes other than Pass.
-func ModeOf(n int) Mode { return Slow + Mode(n)%(modes-Slow) }
+// ModeOf maps a number to one of the modes other than Pass that a proxy of one target can have.
+func ModeOf(n int) Mode { return Slow + Mode(n)%(RefusesNew-Slow) }
 
 const (
 	// slowDelay is the delay of each chunk in mode Slow.
@@ -50,17 +52,20 @@
 	stuck   map[*net.TCPConn]struct{} // connections that forward nothing until the proxy is closed
 	link    *Link                     // nil without a limit
 	closed  bool
+	isPath  bool // callers choose the target; see Path
 }
 
 type linkFault struct{ mode Mode }
 
 // NewProxy returns a proxy that listens on a free port of loopback until Close.
-func NewProxy(target string) (*Proxy, error) {
+func NewProxy(target string) (*Proxy, error) { return newProxy(target, false) }
+
+func newProxy(target string, isPath bool) (*Proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]struct{}{}, stuck: map[*net.TCPConn]struct{}{}}
+	p := &Proxy{listener: l, target: target, isPath: isPath, changed: make(chan struct{}), conns: map[*net.TCPConn]struct{}{}, stuck: map[*net.TCPConn]struct{}{}}
 	go p.accept()
 	return p, nil
 }
@@ -152,13 +157,20 @@
 }
 
 func (p *Proxy) serve(caller *net.TCPConn) {
-	if mode, _, _ := p.state(); mode == Resets {
+	if mode, _, _ := p.state(); !p.isPath && (mode == Resets || mode == RefusesNew) {
 		reset(caller)
 		return
 	}
 	p.mu.Lock()
 	target := p.target
 	p.mu.Unlock()
+	if p.isPath {
+		var err error
+		if target, err = p.awaitTarget(caller); err != nil {
+			reset(caller)
+			return
+		}
+	}
 	c, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		reset(caller)
@@ -168,6 +180,10 @@
 	if !p.register(caller, callee) {
 		return
 	}
+	if p.isPath && confirm(caller) != nil {
+		p.end(caller, callee)
+		return
+	}
 	go p.pump(callee, caller, true)
 	p.pump(caller, callee, false)
 }
@@ -258,7 +274,7 @@
 		mode, changed, closed := p.state()
 		switch {
 		case p.isStuck(from) && !closed:
-		case closed || mode == Pass || mode == Resets || (mode == OneWay && forward):
+		case closed || mode == Pass || mode == Resets || mode == RefusesNew || (mode == OneWay && forward):
 			return
 		case mode == Slow:
 			time.Sleep(slowDelay)
