relay, reach, fleet: reach upstreams through peers where the own path fails

Each request was refused after three connect timeouts, 0.9 s of its 1 s.

Cause: a request could leave only over the network path of the instance that accepted it, and nothing was remembered from one request to the next. Grants came in time; 359 of 380 failed attempts had sent nothing, at 21 and 22 upstreams.

Change, with routed.relay: a connection that isn't established after 100 ms, or fails, is also opened through a peer (package relay): the peer dials the upstream and copies bytes, one hop, so that all decisions stay where the request was accepted. Package reach remembers which upstreams are reached only through peers, and that an instance is isolated (three have failed and none was reached since): new connections then go through a peer at once, idle ones of the own path aren't used, and peers don't ask this instance to relay. Paths are probed in the background, no request waits for that. A write that failed on a relayed connection counts as sent, and the end of a relay as broken, never as the end of a response.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/tacktally/tacktally/internal/proxy"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/relay"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/settings"
@@ -89,6 +90,10 @@
 	quarantine *quarantine.Registry
 	mesh       *peer.Mesh
 	ready      readiness
+	// relayServer relays connections for peers; nil without routed.relay. relays are the peers that may
+	// relay for this instance.
+	relayServer *relay.Server
+	relays      relayPeers
 	// sender and receiver pass large configurations on between instances.
 	sender   *transfer.Sender
 	receiver *transfer.Receiver
@@ -122,6 +127,14 @@
 	i.address = listen.Advertised(s.Peers.Advertise, i.listeners.peers)
 	i.log = telemetry.NewLogger(i.output, s.Log.Level, i.address)
 	i.quarantine = quarantine.New(i.log, func(k quarantine.Key) bool { return i.fleet.OwnsProbes(k) })
+	if s.Routed.Relay {
+		i.relayServer = relay.NewServer(relay.ServerOptions{
+			Dial: func(ctx context.Context, upstream string) (net.Conn, error) {
+				return i.fleet.DialForPeer(ctx, upstream)
+			},
+			MaxConnections: maxRelayedConnections(s.Routed.MaxFiles),
+		})
+	}
 	i.fleet = i.newFleet()
 	i.view = view.New(view.Options{
 		Source:        o.Source,
@@ -164,6 +177,9 @@
 		Handler:        &peerHandler{instance: i},
 		Log:            i.log,
 	})
+	if s.Routed.Relay {
+		i.fleet.SetRelays(relay.NewClient(relay.ClientOptions{Peers: i.relays.forUpstream, Usable: i.relays.isUsable, Dialer: i.mesh.Dialer()}))
+	}
 	i.fleet.SetSlotClient(i.mesh)
 	i.quotas.SetClient(i.mesh)
 	i.refreshFleet() // before settleTime, so this instance isn't settled
@@ -313,6 +329,8 @@
 	i.metrics.Gauge("tacktally_peer_links", func() float64 { return float64(i.mesh.LinkCount()) })
 	i.metrics.Gauge("tacktally_hub", func() float64 { return boolToFloat(i.mesh.Role().HubRank >= 0) })
 	i.metrics.Gauge("tacktally_reads_source", func() float64 { return boolToFloat(i.election.active()) })
+	i.metrics.Gauge("tacktally_isolated", func() float64 { return boolToFloat(i.fleet.Isolated()) })
+	i.metrics.Gauge("tacktally_connections_relayed", func() float64 { return float64(i.relayServer.Connections()) })
 	i.registerRetryGauges()
 	i.registerLoadGauges()
 	i.metrics.Gauge("tacktally_log_lines_dropped", func() float64 { return float64(i.output.Dropped()) })
@@ -376,6 +394,8 @@
 	for wait.For(ctx, fleetRefreshInterval) {
 		i.refreshFleet()
 		i.fleet.CountLostGrants()
+		i.fleet.ProbePaths()
+		i.refreshRelays()
 		i.informOwners()
 		if time.Since(lastClosed) >= idleCloseInterval {
 			lastClosed = time.Now()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -153,6 +153,7 @@
 		SourceReachableMS: int(min(i.view.SourceUptime(), maxSourceReachable).Milliseconds()),
 		Evacuations:       peer.Evacuations(i.view.CurrentEvacuations()),
 		Quarantine:        i.quarantine.NextUpdate(time.Now()),
+		Isolated:          i.fleet.Isolated(),
 	}
 }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/relay"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
@@ -112,6 +114,9 @@
 func (l *listeners) serve(i *Instance) *servers {
 	mesh := http.NewServeMux()
 	mesh.Handle(peer.Path, i.mesh)
+	if i.relayServer != nil {
+		mesh.Handle(relay.Path, i.relayServer)
+	}
 	metrics := http.NewServeMux()
 	metrics.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { i.metrics.Write(w) })
 	metrics.HandleFunc("GET "+ZoneReportPath, i.serveZoneReport)
@@ -149,12 +154,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace-shutdownMargin)
 	defer cancel()
 	wait.For(ctx, min(drainListenTime, grace/2))
+	var relayed sync.WaitGroup
+	if i.relayServer != nil {
+		relayed.Go(func() { i.relayServer.Drain(ctx) })
+	}
 	err := s.callers.Shutdown(ctx)
 	for err == nil && i.proxy.InFlight() > 0 && wait.For(ctx, idlePollInterval) {
 	}
 	if i.proxy.InFlight() > 0 {
 		i.log.Warn().Str("event", "drain_timeout").Int("in_flight", i.proxy.InFlight()).Msg("grace period is over; remaining requests are aborted")
 	}
+	relayed.Wait()
 	_ = s.callers.Close() // aborts the requests that still run
 	for _, o := range s.others {
 		_ = o.Close()
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -72,6 +72,7 @@
 	// response, as an upstream that is leaving does.
 	Closing bool
 
+	ctx      context.Context // of the exchange
 	conn     *conn
 	response *http.Response
 	detach   func() bool // detaches the connection from the context
@@ -86,6 +87,7 @@
 		return n, nil
 	}
 	if err != io.EOF { //nolint:errorlint // net/http returns it bare
+		r.conn.recordBroken(r.ctx, err)
 		return n, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
 	r.complete = true
@@ -126,7 +128,7 @@
 // bytes. Otherwise a request that is delayed on the network path would reach its upstream after it
 // was given up, when the upstream may have left.
 func (c *conn) abort() {
-	if t, ok := c.net.(*net.TCPConn); ok {
+	if t, ok := c.net.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0) // a closed connection needs no reset
 	}
 	c.close()
@@ -145,9 +147,12 @@
 	if err != nil {
 		stop()
 		c.abort()
+		c.recordBroken(ctx, err)
 		return nil, err
 	}
+	c.pool.onResponse(c.net)
 	return &Response{
+		ctx:           ctx,
 		Status:        response.StatusCode,
 		Header:        response.Header,
 		ContentLength: response.ContentLength,
@@ -159,6 +164,14 @@
 	}, nil
 }
 
+// recordBroken reports that the connection has failed with an error, unless the caller has cancelled the
+// exchange or nothing was sent.
+func (c *conn) recordBroken(ctx context.Context, err error) {
+	if ctx.Err() == nil && !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrInvalidResponse) {
+		c.pool.onBroken(c.net)
+	}
+}
+
 func (c *conn) roundTrip(r *Request) (*http.Response, error) {
 	if err := c.write(r); err != nil {
 		return nil, err
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,6 +7,7 @@
 
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,10 +31,11 @@
 
 // Pool keeps the connections to one upstream. It is safe for concurrent use.
 type Pool struct {
-	connect        DialFunc
-	connectTimeout time.Duration
-	onDial         func(err error) // called after each dial; may be nil
-	open           atomic.Int32
+	dial       DialFunc
+	skipIdle   func(net.Conn) bool
+	onResponse func(net.Conn)
+	onBroken   func(net.Conn)
+	open       atomic.Int32
 
 	mu    sync.Mutex
 	idle  []*conn // most recently used last
@@ -48,22 +50,39 @@
 type Options struct {
 	// Address of the upstream, IP:port.
 	Address string
-	// Dial opens a connection to the upstream; nil dials Address.
-	Dial DialFunc
-	// ConnectTimeout bounds the time to establish a connection.
+	// ConnectTimeout bounds the time to establish a connection to Address.
 	ConnectTimeout time.Duration
-	// OnDial is called after each attempt to open a connection that its caller didn't cancel, with the
-	// error or nil. It may be nil.
-	OnDial func(err error)
+	// Dial opens a connection to the upstream, in place of Address and ConnectTimeout; may be nil.
+	Dial DialFunc
+	// SkipIdle reports whether an idle connection isn't to be used at present. It may be nil.
+	SkipIdle func(net.Conn) bool
+	// OnResponse is called with the connection when the head of a response has arrived, and OnBroken
+	// when a connection has failed after a request was sent, unless the caller had cancelled it. Both may
+	// be nil and must not block.
+	OnResponse, OnBroken func(net.Conn)
 }
 
 // NewPool returns a pool without connections.
 func NewPool(o Options) *Pool {
 	if o.Dial == nil {
 		dial := Dialer(nil)
-		o.Dial = func(ctx context.Context) (net.Conn, error) { return dial(ctx, o.Address) }
+		o.Dial = func(ctx context.Context) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
+			defer cancel()
+			return dial(ctx, o.Address)
+		}
+	}
+	p := &Pool{dial: o.Dial, skipIdle: o.SkipIdle, onResponse: o.OnResponse, onBroken: o.OnBroken}
+	if p.skipIdle == nil {
+		p.skipIdle = func(net.Conn) bool { return false }
+	}
+	if p.onResponse == nil {
+		p.onResponse = func(net.Conn) {}
+	}
+	if p.onBroken == nil {
+		p.onBroken = func(net.Conn) {}
 	}
-	return &Pool{connect: o.Dial, connectTimeout: o.ConnectTimeout, onDial: o.OnDial}
+	return p
 }
 
 // Dialer returns a function that opens TCP connections. localIP is their source address; nil leaves
@@ -82,7 +101,7 @@
 	c := p.takeIdle()
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx); err != nil {
+		if c, err = p.newConn(ctx); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
@@ -91,7 +110,7 @@
 
 // CheckConnection opens a connection and closes it. It blocks for at most the connection timeout.
 func (p *Pool) CheckConnection(ctx context.Context) error {
-	c, err := p.dial(ctx)
+	c, err := p.newConn(ctx)
 	if err == nil {
 		c.close()
 	}
@@ -147,25 +166,22 @@
 	}
 }
 
+// popIdle removes and returns the most recently used idle connection that isn't skipped, or nil.
 func (p *Pool) popIdle() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for n, c := range slices.Backward(p.idle) {
+		if !p.skipIdle(c.net) {
+			p.idle = slices.Delete(p.idle, n, n+1)
+			return c
+		}
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
-func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, p.connectTimeout)
-	defer cancel()
-	n, err := p.connect(dialCtx)
-	if p.onDial != nil && (err == nil || ctx.Err() == nil) {
-		p.onDial(err)
-	}
+// newConn opens a connection.
+func (p *Pool) newConn(ctx context.Context) (*conn, error) {
+	n, err := p.dial(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -205,8 +221,12 @@
 	return defaultIdleTimeout
 }
 
-// isStillIdle reports whether neither data nor EOF has arrived on an idle connection.
+// isStillIdle reports whether neither data nor EOF has arrived on an idle connection, and its IsUsable
+// method, if it has one, returns true.
 func isStillIdle(n net.Conn) bool {
+	if u, ok := n.(interface{ IsUsable() bool }); ok && !u.IsUsable() {
+		return false
+	}
 	t, ok := n.(syscall.Conn)
 	if !ok {
 		return true // a connection of a test
--- a/internal/fleet/backoffs.go
+++ b/internal/fleet/backoffs.go
@@ -42,11 +42,7 @@
 }
 
 // RecordResponse records that an upstream has answered a request without requesting a backoff.
-func (f *Fleet) RecordResponse(id string) {
-	now := time.Now()
-	f.backoffs.Clear(now, id)
-	f.reach.Reached(now, id)
-}
+func (f *Fleet) RecordResponse(id string) { f.backoffs.Clear(time.Now(), id) }
 
 // RecordNoResponse records that a request that was sent to an upstream got no response.
 func (f *Fleet) RecordNoResponse(id string) { f.backoffs.ReleaseClaim(id) }
@@ -55,6 +51,11 @@
 // slot request, since the owner would otherwise keep granting them.
 func (f *Fleet) excludedUpstreams() []string {
 	out := f.backoffs.BackingOff(time.Now())
+	for _, id := range f.reach.WithoutPath(time.Now()) {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
 	f.mu.Lock()
 	for process := range f.leavingNotices {
 		u := f.processes[process]
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/internal/exchange"
+	"github.com/tacktally/tacktally/internal/relay"
 )
 
 // ConnectionsTo returns the connection pool of an upstream, or nil if it is not on the list. Pools are
@@ -26,27 +27,30 @@
 	p := f.connections[u.ID]
 	if p == nil {
 		p = exchange.NewPool(exchange.Options{
-			Address:        u.Address,
-			Dial:           func(ctx context.Context) (net.Conn, error) { return f.o.DialUpstream(ctx, u.Address) },
-			ConnectTimeout: f.o.ConnectTimeout,
-			OnDial:         func(err error) { f.recordDial(u.ID, err) },
+			Dial:       func(ctx context.Context) (net.Conn, error) { return f.connect(ctx, u.ID, u.Address) },
+			SkipIdle:   f.skipIdle,
+			OnResponse: f.onOwnPath(u.ID, f.reach.Reached),
+			OnBroken:   f.onOwnPath(u.ID, f.reach.Failed),
 		})
 		f.connections[u.ID] = p
 	}
 	return p
 }
 
-// recordDial records the result of an attempt to open a connection to an upstream.
-func (f *Fleet) recordDial(id string, err error) {
-	if err != nil {
-		f.o.Metrics.Count("tacktally_upstream_connects_failed_total")
-		f.reach.Failed(time.Now(), id)
-		return
+// onOwnPath returns a function that records an observation of an upstream, if it was made on a connection
+// over the own path.
+func (f *Fleet) onOwnPath(id string, record func(now time.Time, upstream string)) func(net.Conn) {
+	return func(c net.Conn) {
+		if !relay.IsRelayed(c) {
+			record(time.Now(), id)
+		}
 	}
-	f.o.Metrics.Count("tacktally_upstream_connections_total")
-	f.reach.Reached(time.Now(), id)
 }
 
+// skipIdle reports whether an idle connection is probably broken: it uses the own path, and this instance
+// reaches no upstream.
+func (f *Fleet) skipIdle(c net.Conn) bool { return !relay.IsRelayed(c) && f.Isolated() }
+
 // UpstreamsReached returns how many upstreams this instance has reached in the last seconds, and how many
 // it has failed to reach since.
 func (f *Fleet) UpstreamsReached() (reached, failing int) { return f.reach.Counts(time.Now()) }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -93,6 +93,7 @@
 	leavingNotices map[string]leavingNotice
 	noticesSent    int
 	slots          SlotClient // nil without peers
+	relays         Relays     // nil without routed.relay
 
 	backoffs    *rest.Backoffs
 	limits      *ratelimit.Registry
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -163,6 +163,9 @@
 	// Limits are advertised limits of upstreams: recent changes, and some of the older ones
 	// round-robin.
 	Limits []ratelimit.Update `cbor:"17,keyasint,omitempty"`
+	// Isolated reports that the sender reaches no upstream over its own network path, so that it can't
+	// relay connections.
+	Isolated bool `cbor:"19,keyasint,omitempty"`
 }
 
 // Evacuations lists the availability zones whose upstreams get no new requests.
@@ -190,6 +193,7 @@
 		Quarantine:        h.Quarantine,
 		Leaving:           h.Leaving,
 		Limits:            h.Limits,
+		Isolated:          h.Isolated,
 		Brief:             true,
 	}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -269,6 +269,9 @@
 	m.o.Handler.LinkLost(address)
 }
 
+// Dialer returns a dialer for connections to peers that aren't links.
+func (m *Mesh) Dialer() *net.Dialer { return m.dialer() }
+
 // dialer returns a dialer whose connections come from the IP address of the peer listener, so that
 // network rules can name it.
 func (m *Mesh) dialer() *net.Dialer {
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -319,6 +319,7 @@
 			s.Revision = p.lastHeartbeat.Revision
 			s.ConfigVersion = p.lastHeartbeat.ConfigVersion
 			s.InFlight = p.lastHeartbeat.InFlight
+			s.Isolated = p.lastHeartbeat.Isolated
 			s.ReadsSource = p.lastHeartbeat.ReadsSource
 		}
 		out = append(out, s)
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -17,13 +17,15 @@
 	LastSeen    time.Time `json:"lastHeard"`
 	Revision    int64     `json:"revision"`
 	// ConfigVersion is the version that the peer's configuration carries itself; 0 means not reported.
-	ConfigVersion int64     `json:"configVersion,omitempty"`
-	Draining      bool      `json:"draining"`
-	ReadsSource   bool      `json:"reads,omitempty"`
-	Reachable     bool      `json:"reachable"`
-	Cores         float64   `json:"cores,omitempty"`
-	Started       time.Time `json:"started,omitzero"`
-	InFlight      int       `json:"inFlight"`
+	ConfigVersion int64 `json:"configVersion,omitempty"`
+	Draining      bool  `json:"draining"`
+	// Isolated reports that the peer reaches no upstream over its own network path.
+	Isolated    bool      `json:"isolated,omitempty"`
+	ReadsSource bool      `json:"reads,omitempty"`
+	Reachable   bool      `json:"reachable"`
+	Cores       float64   `json:"cores,omitempty"`
+	Started     time.Time `json:"started,omitzero"`
+	InFlight    int       `json:"inFlight"`
 	// Queued is the number of waiting requests by engine set and rank, as last reported.
 	Queued map[string][]int `json:"queued,omitempty"`
 }
@@ -46,6 +48,7 @@
 			Revision:      p.lastHeartbeat.Revision,
 			ConfigVersion: p.lastHeartbeat.ConfigVersion,
 			Draining:      p.lastHeartbeat.Draining,
+			Isolated:      p.lastHeartbeat.Isolated,
 			ReadsSource:   p.lastHeartbeat.ReadsSource,
 			InFlight:      p.lastHeartbeat.InFlight,
 			Queued:        p.lastHeartbeat.Queued,
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -1,24 +1,48 @@
 package reach
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
 
-// recentFor is how long an observation counts as recent.
-const recentFor = 5 * time.Second
+const (
+	// recentFor is how long an observation counts as recent.
+	recentFor = 5 * time.Second
+	// minFailing is how many upstreams must have failed, with none reached since, for this instance to
+	// be isolated. One or two of them may be down.
+	minFailing = 3
+	// wantedFor is how long an upstream is probed after a request needed a connection to it.
+	wantedFor = 5 * time.Second
+	// firstProbeDelay and maxProbeDelay bound the time between two probes of a path. It doubles with
+	// each failure.
+	firstProbeDelay = 200 * time.Millisecond
+	maxProbeDelay   = 2 * time.Second
+	// noPathFor is how long an upstream to which no connection could be opened, directly or through a
+	// peer, is not requested again.
+	noPathFor = 300 * time.Millisecond
+)
 
 // Tracker records connections to upstreams that were established or failed. It is safe for
 // concurrent use.
 type Tracker struct {
-	mu        sync.Mutex
-	upstreams map[string]*observation
+	mu          sync.Mutex
+	upstreams   map[string]*observation
+	lastReached time.Time // when any upstream was last reached
 }
 
 // observation is what was last observed of the path to an upstream. Times are zero if never.
 type observation struct {
 	reachedAt time.Time
 	failedAt  time.Time
+	wantedAt  time.Time
+	// bypassed reports that a peer reached the upstream when this instance didn't.
+	bypassed    bool
+	noPathUntil time.Time
+	probing     bool
+	probeAt     time.Time
+	probeDelay  time.Duration
 }
 
 // New returns a Tracker without observations.
@@ -34,18 +58,134 @@
 	return o
 }
 
-// Reached records that a connection to an upstream was established, or that a response arrived.
+// Reached records that a connection to an upstream was established over this instance's own path, or
+// that a response arrived on one.
 func (t *Tracker) Reached(now time.Time, upstream string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.of(upstream).reachedAt = now
+	o := t.of(upstream)
+	o.reachedAt, t.lastReached = now, now
+	o.probing = false
+}
+
+// Connected is Reached for a new connection: the path carries new ones again.
+func (t *Tracker) Connected(now time.Time, upstream string) {
+	t.Reached(now, upstream)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.of(upstream)
+	o.bypassed, o.probeDelay, o.noPathUntil = false, 0, time.Time{}
 }
 
 // Failed records that a connection to an upstream couldn't be established, or broke.
 func (t *Tracker) Failed(now time.Time, upstream string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.of(upstream).failedAt = now
+	o := t.of(upstream)
+	o.failedAt = now
+	o.probing = false
+}
+
+// Bypassed records that a peer reached an upstream that this instance didn't reach in time. From then on
+// connections go through peers until a probe succeeds.
+func (t *Tracker) Bypassed(now time.Time, upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.of(upstream)
+	if !o.bypassed {
+		o.bypassed, o.probeAt = true, now.Add(firstProbeDelay)
+	}
+	o.failedAt = now
+	o.noPathUntil = time.Time{}
+}
+
+// Down records that a peer couldn't reach an upstream either. Its path is as good as any.
+func (t *Tracker) Down(upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(upstream).bypassed = false
+}
+
+// NoPath records that an upstream couldn't be reached, and no peer could help.
+func (t *Tracker) NoPath(now time.Time, upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(upstream).noPathUntil = now.Add(noPathFor)
+}
+
+// WithoutPath returns the upstreams that can't be reached at present, not even through a peer, sorted.
+func (t *Tracker) WithoutPath(now time.Time) (out []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for upstream, o := range t.upstreams {
+		if now.Before(o.noPathUntil) {
+			out = append(out, upstream)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// PrefersPeer reports whether a new connection to an upstream should go through a peer: this instance
+// is isolated, or didn't reach the upstream when a peer did.
+func (t *Tracker) PrefersPeer(now time.Time, upstream string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.of(upstream)
+	o.wantedAt = now
+	return o.bypassed || t.isIsolated(now)
+}
+
+// Isolated reports whether the path of this instance seems to be cut off from all upstreams: several
+// failed recently, and none was reached since.
+func (t *Tracker) Isolated(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isIsolated(now)
+}
+
+// isIsolated is Isolated for a caller that holds the lock.
+func (t *Tracker) isIsolated(now time.Time) bool {
+	failing := 0
+	for _, o := range t.upstreams {
+		if o.failedAt.After(t.lastReached) && now.Sub(o.failedAt) < recentFor {
+			failing++
+		}
+	}
+	return failing >= minFailing
+}
+
+// ReachedSince reports whether any upstream was reached after the given time.
+func (t *Tracker) ReachedSince(since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastReached.After(since)
+}
+
+// NextProbes returns at most n upstreams whose paths are due for a probe, those that have waited longest
+// first. Connected or Failed has to follow for each.
+func (t *Tracker) NextProbes(now time.Time, n int) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	isolated := t.isIsolated(now)
+	var due []string
+	for upstream, o := range t.upstreams {
+		wanted := now.Sub(o.wantedAt) < wantedFor
+		if (o.bypassed || isolated) && wanted && !o.probing && !now.Before(o.probeAt) {
+			due = append(due, upstream)
+		}
+	}
+	slices.SortFunc(due, func(a, b string) int {
+		return cmp.Or(t.upstreams[a].probeAt.Compare(t.upstreams[b].probeAt), cmp.Compare(a, b))
+	})
+	due = due[:min(n, len(due))]
+	for _, upstream := range due {
+		o := t.upstreams[upstream]
+		o.probing = true
+		o.probeDelay = min(max(2*o.probeDelay, firstProbeDelay), maxProbeDelay)
+		o.probeAt = now.Add(o.probeDelay)
+	}
+	return due
 }
 
 // Counts returns how many upstreams were reached recently, and how many failed recently and were not
--- /dev/null
+++ b/internal/relay/client.go
@@ -0,0 +1,187 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// Errors of a Client and its connections.
+var (
+	// ErrNoRelay means that no peer could relay: it says nothing about the upstream.
+	ErrNoRelay = errors.New("no peer can relay to the upstream")
+	// ErrUpstreamUnreachable means that a peer that reaches other upstreams can't reach this one.
+	ErrUpstreamUnreachable = errors.New("a peer can't reach the upstream either")
+	// ErrLost means that a relayed connection ended because of the relaying peer or the path to it.
+	ErrLost = errors.New("the relaying peer was lost")
+	// errUpstreamBroken means that the upstream has reset a relayed connection.
+	errUpstreamBroken = errors.New("the upstream broke the connection")
+)
+
+const (
+	// maxPeers is how many peers are asked for one connection, one after the other.
+	maxPeers = 3
+	// peerTimeout bounds how long one peer may take: its processor may be throttled for 100 ms.
+	peerTimeout = 150 * time.Millisecond
+	// avoidFor is how long a peer that didn't reply is asked last.
+	avoidFor = time.Second
+)
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	// Peers returns the addresses of the peers that may relay to an upstream, in order of preference.
+	Peers func(upstream string) []string
+	// Usable reports whether an open connection through a peer may be used for a further request.
+	Usable func(peer string) bool
+	// Dialer opens connections to peers.
+	Dialer *net.Dialer
+}
+
+// Client opens connections to upstreams through peers. It is safe for concurrent use.
+type Client struct {
+	o ClientOptions
+
+	mu     sync.Mutex
+	silent map[string]time.Time // when a peer didn't reply, by address
+}
+
+// NewClient returns a client without connections.
+func NewClient(o ClientOptions) *Client { return &Client{o: o, silent: map[string]time.Time{}} }
+
+// Dial opens a connection to an upstream through a peer. It blocks until it is established, no peer is
+// left, or ctx ends. The error wraps ErrUpstreamUnreachable or ErrNoRelay.
+func (c *Client) Dial(ctx context.Context, upstream string) (net.Conn, error) {
+	failed := ErrNoRelay
+	peers := c.candidates(time.Now(), upstream)
+	for _, peer := range peers[:min(len(peers), maxPeers)] {
+		conn, err := c.dialThrough(ctx, peer, upstream)
+		switch {
+		case err == nil:
+			return conn, nil
+		case ctx.Err() != nil:
+			return nil, fmt.Errorf("%w: %w", ErrNoRelay, context.Cause(ctx))
+		case errors.Is(err, ErrUpstreamUnreachable):
+			return nil, err
+		}
+		failed = fmt.Errorf("%w: %w", ErrNoRelay, err)
+	}
+	return nil, failed
+}
+
+// candidates returns the peers to ask, those that didn't reply lately last.
+func (c *Client) candidates(now time.Time, upstream string) []string {
+	var first, last []string
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, peer := range c.o.Peers(upstream) {
+		if since, silent := c.silent[peer]; silent && now.Sub(since) < avoidFor {
+			last = append(last, peer)
+			continue
+		}
+		delete(c.silent, peer)
+		first = append(first, peer)
+	}
+	return append(first, last...)
+}
+
+// dialThrough opens a connection to an upstream through one peer.
+func (c *Client) dialThrough(ctx context.Context, peer, upstream string) (net.Conn, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var raw net.Conn
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		var err error
+		raw, err = c.o.Dialer.DialContext(ctx, network, address)
+		return raw, err
+	}}
+	target := "ws://" + peer + Path + "?" + url.Values{upstreamParameter: {upstream}}.Encode()
+	conn, response, err := websocket.Dial(dialCtx, target, &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}, CompressionMode: websocket.CompressionDisabled})
+	switch {
+	case err == nil:
+		return &relayedConn{Conn: websocket.NetConn(context.Background(), conn, websocket.MessageBinary), socket: conn, raw: raw, usable: func() bool { return c.o.Usable(peer) }}, nil
+	case response != nil && response.StatusCode == http.StatusBadGateway:
+		return nil, ErrUpstreamUnreachable
+	case response != nil:
+		return nil, fmt.Errorf("peer %s: status %d", peer, response.StatusCode)
+	}
+	if ctx.Err() == nil {
+		c.mu.Lock()
+		c.silent[peer] = time.Now()
+		c.mu.Unlock()
+	}
+	return nil, err
+}
+
+// relayedConn is a connection to an upstream through a peer.
+type relayedConn struct {
+	net.Conn
+	socket *websocket.Conn
+	raw    net.Conn // to the peer
+	usable func() bool
+}
+
+// IsUsable reports whether the connection may be used for a further request.
+func (c *relayedConn) IsUsable() bool { return c.usable() }
+
+// IsRelayed reports whether a connection goes through a peer.
+func IsRelayed(c net.Conn) bool {
+	_, ok := c.(*relayedConn)
+	return ok
+}
+
+// Read implements net.Conn. It returns io.EOF only if the upstream has ended the connection in order.
+func (c *relayedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	return n, endOf(err)
+}
+
+// Write implements net.Conn. After an error it reports that a byte was written, since a part of b may
+// have reached the upstream.
+func (c *relayedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		n = min(1, len(b))
+	}
+	return n, endOf(err)
+}
+
+// endOf returns the error of a connection from that of its WebSocket.
+func endOf(err error) error {
+	switch {
+	case err == nil, err == io.EOF, errors.Is(err, context.DeadlineExceeded): //nolint:errorlint // NetConn returns io.EOF bare after StatusNormalClosure, and wrapped if the peer was lost
+		return err
+	case websocket.CloseStatus(err) == statusUpstreamBroken:
+		return errUpstreamBroken
+	default:
+		return fmt.Errorf("%w: %w", ErrLost, err)
+	}
+}
+
+// Close implements net.Conn. The peer then ends the connection to the upstream.
+func (c *relayedConn) Close() error { return c.socket.CloseNow() }
+
+// SetLinger sets what Close does with bytes that were not sent, as net.TCPConn does.
+func (c *relayedConn) SetLinger(seconds int) error {
+	if t, ok := c.raw.(*net.TCPConn); ok {
+		return t.SetLinger(seconds)
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn with the connection to the peer, so that its end shows while it is
+// idle.
+func (c *relayedConn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.raw.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,209 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// pair is a server, a client that uses it, and the upstream side of the connections that it relays.
+type pair struct {
+	server   *Server
+	http     *httptest.Server
+	client   *Client
+	upstream chan net.Conn // accepted connections
+	dialErr  error
+	usable   bool
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &pair{upstream: make(chan net.Conn, 9), usable: true}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return // the test has ended
+			}
+			p.upstream <- c
+		}
+	}()
+	p.server = NewServer(ServerOptions{MaxConnections: 2, Dial: func(ctx context.Context, upstream string) (net.Conn, error) {
+		if p.dialErr != nil {
+			return nil, p.dialErr
+		}
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", listener.Addr().String())
+	}})
+	mux := http.NewServeMux()
+	mux.Handle(Path, p.server)
+	p.http = httptest.NewServer(mux)
+	address := strings.TrimPrefix(p.http.URL, "http://")
+	p.client = NewClient(ClientOptions{
+		Peers:  func(string) []string { return []string{address} },
+		Usable: func(string) bool { return p.usable },
+		Dialer: &net.Dialer{},
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		p.server.Drain(ended())
+		p.http.Close()
+	})
+	return p
+}
+
+func ended() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// dial opens a relayed connection and returns both of its ends.
+func (p *pair) dial(t *testing.T) (conn, upstream net.Conn) {
+	t.Helper()
+	conn, err := p.client.Dial(context.Background(), "i-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	upstream = <-p.upstream
+	t.Cleanup(func() { _ = upstream.Close() })
+	return conn, upstream
+}
+
+func TestBytesAreRelayedInBothDirections(t *testing.T) {
+	is := is.New(t)
+	conn, upstream := newPair(t).dial(t)
+	body := strings.Repeat("request ", 100_000)
+	go func() { _, _ = io.WriteString(conn, body) }()
+	got := make([]byte, len(body))
+	_, err := io.ReadFull(upstream, got)
+	is.NoErr(err)
+	is.Equal(string(got), body)
+	_, err = io.WriteString(upstream, "event 1\n")
+	is.NoErr(err)
+	event := make([]byte, 8)
+	_, err = io.ReadFull(conn, event)
+	is.NoErr(err)
+	is.Equal(string(event), "event 1\n")
+	is.True(IsRelayed(conn))
+}
+
+// A response without a length ends with its connection. One whose connection broke must not look
+// complete, whichever part of the way broke.
+func TestEndOfRelayedConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(p *pair, upstream net.Conn)
+		want error
+	}{
+		"closed by the upstream": {func(_ *pair, upstream net.Conn) { _ = upstream.Close() }, io.EOF},
+		"reset by the upstream":  {func(_ *pair, upstream net.Conn) { reset(upstream) }, errUpstreamBroken},
+		"relay gone":             {func(p *pair, _ net.Conn) { p.server.Drain(ended()) }, ErrLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t)
+			conn, upstream := p.dial(t)
+			_, err := io.WriteString(upstream, "part")
+			is.NoErr(err)
+			_, err = io.ReadFull(conn, make([]byte, 4))
+			is.NoErr(err)
+			test.end(p, upstream)
+			_, err = conn.Read(make([]byte, 1))
+			is.True(errors.Is(err, test.want))
+			is.Equal(errors.Is(err, io.EOF) && err == io.EOF, test.want == io.EOF) //nolint:errorlint // readers of responses compare it bare
+		})
+	}
+}
+
+// The upstream must not go on with a request whose caller has left.
+func TestCloseReachesTheUpstream(t *testing.T) {
+	is := is.New(t)
+	conn, upstream := newPair(t).dial(t)
+	_, err := io.WriteString(conn, "GET")
+	is.NoErr(err)
+	_, err = io.ReadFull(upstream, make([]byte, 3))
+	is.NoErr(err)
+	_ = conn.Close()
+	_, err = upstream.Read(make([]byte, 1))
+	is.True(err != nil)
+}
+
+// What a failed dial says about the upstream depends on what the peer knows.
+func TestRefusals(t *testing.T) {
+	for name, test := range map[string]struct{ dialErr, want error }{
+		"upstream unreachable": {errors.New("refused"), ErrUpstreamUnreachable},
+		"upstream unknown":     {ErrUnknownUpstream, ErrNoRelay},
+		"peer without path":    {ErrNoPath, ErrNoRelay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t)
+			p.dialErr = test.dialErr
+			_, err := p.client.Dial(context.Background(), "i-1")
+			is.True(errors.Is(err, test.want))
+		})
+	}
+}
+
+func TestNoMoreThanMaxConnectionsAreRelayed(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.dial(t)
+	p.dial(t)
+	is.Equal(p.server.Connections(), 2)
+	_, err := p.client.Dial(context.Background(), "i-1")
+	is.True(errors.Is(err, ErrNoRelay))
+}
+
+// A peer that is shutting down completes what it carries, and carries nothing new.
+func TestDrainWaitsForConnectionsInUse(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	conn, upstream := p.dial(t)
+	drained := make(chan struct{})
+	go func() {
+		p.server.Drain(context.Background())
+		close(drained)
+	}()
+	for { // until it drains
+		c, err := p.client.Dial(context.Background(), "i-1")
+		if err != nil {
+			break
+		}
+		_ = c.Close()
+	}
+	_, err := io.WriteString(upstream, "last")
+	is.NoErr(err)
+	_, err = io.ReadFull(conn, make([]byte, 4))
+	is.NoErr(err)
+	<-drained // quiet by now
+	is.Equal(p.server.Connections(), 0)
+}
+
+// An instance doesn't wait for a peer that is gone, and asks the next one.
+func TestNextPeerIsAsked(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	_ = gone.Close()
+	working := p.client.o.Peers("")[0]
+	p.client.o.Peers = func(string) []string { return []string{gone.Addr().String(), working} }
+	conn, err := p.client.Dial(context.Background(), "i-1")
+	is.NoErr(err)
+	_ = conn.Close()
+	is.Equal(p.client.candidates(time.Now(), "i-1")[0], working) // the other one is asked last for a while
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -273,6 +273,9 @@
 	// MemoryMB is the memory of the process, in MiB. The garbage collector runs more often once
 	// half of it is in use. Default 256.
 	MemoryMB int `json:"memoryMB,omitzero"`
+	// Relay lets instances that can't reach an upstream over their own network path send requests to it
+	// through peers that can, and relay such connections for their peers. Default false.
+	Relay bool `json:"relay,omitzero"`
 	// Overload selects decisions for times in which upstreams are short of capacity.
 	Overload Overload `json:"overload,omitzero"`
 }
