proxy: don't blame upstreams for a path that failed

Cause: owners took an upstream that a partitioned instance couldn't reach for a failed one, and opened its circuit for all instances.

Change: an attempt that failed for the path says nothing about the upstream. It does if a peer that reaches others couldn't reach it either, or if this instance reaches others while it doesn't reach this one; it does not if the instance is isolated, no peer could help, or the relaying peer was lost.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -218,7 +218,11 @@
 	if r.status == completed {
 		output = j.outputTokens()
 	}
-	g.End(schedulerResultOf(r.status, j.status), output)
+	result := schedulerResultOf(r.status, j.status)
+	if pathMayHaveFailed := r.status == notSent || r.status == lost || r.status == truncated; pathMayHaveFailed && !j.handler.o.Fleet.BlamesUpstream(r.err) {
+		result = scheduler.Cancelled
+	}
+	g.End(result, output)
 	j.recordCrashEvidence(r)
 	if r.status != completed {
 		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.info.ID).Str("key", j.quarantineKey.String()).Int("events", j.events).Str("upstream", g.Upstream()).
