relay: a lost relay must not look like the end of a response

The error of a lost relay wrapped the io.EOF of its connection, and package sse takes any error that is io.EOF for the end of the stream. The error no longer wraps it, and exchange hides an io.EOF that isn't the end of the body from its readers. TestEndOfRelayedConnection failed before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -88,6 +88,9 @@
 	}
 	if err != io.EOF { //nolint:errorlint // net/http returns it bare
 		r.conn.recordBroken(r.ctx, err)
+		if errors.Is(err, io.EOF) {
+			return n, fmt.Errorf("%w: %v", ErrTruncated, err) // readers that use errors.Is would take it for the end
+		}
 		return n, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
 	r.complete = true
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -162,7 +162,7 @@
 	case websocket.CloseStatus(err) == statusUpstreamBroken:
 		return errUpstreamBroken
 	default:
-		return fmt.Errorf("%w: %w", ErrLost, err)
+		return fmt.Errorf("%w: %v", ErrLost, err) // the cause may be io.EOF, which would look like the end of a response
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -123,7 +123,7 @@
 			test.end(p, upstream)
 			_, err = conn.Read(make([]byte, 1))
 			is.True(errors.Is(err, test.want))
-			is.Equal(errors.Is(err, io.EOF) && err == io.EOF, test.want == io.EOF) //nolint:errorlint // readers of responses compare it bare
+			is.Equal(errors.Is(err, io.EOF), test.want == io.EOF)
 		})
 	}
 }
