soak: a kind in which instances are partitioned from all upstreams

Processes whose connections to workers go through a soak.Path are partitioned, alone or as a zone, while others are killed, terminated, paused and disconnected, workers are replaced and zones evacuated. Checked beside the usual invariants: three seconds after a partition began, its instances are served at least two thirds as often as the others, as the users' rule says.

--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -18,7 +18,7 @@
 	// firstProbeDelay and maxProbeDelay bound the time between two probes of a path. It doubles with
 	// each failure.
 	firstProbeDelay = 200 * time.Millisecond
-	maxProbeDelay   = 2 * time.Second
+	maxProbeDelay   = time.Second
 	// noPathFor is how long an upstream to which no connection could be opened, directly or through a
 	// peer, is not requested again.
 	noPathFor = 300 * time.Millisecond
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -16,6 +16,8 @@
 	AtMostOnce bool
 	// Revocable is set where the request carries an API key that is revoked and restored.
 	Revocable bool
+	// Instance is the number of the instance that it is sent to.
+	Instance int
 	// Events is the number of events of the requested stream; 0 for a response that isn't streamed.
 	Events int
 	Sent   time.Time
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -58,6 +58,8 @@
 	// AdvertiseLimit makes an upstream advertise a limit of requests per second in its responses, or
 	// withdraw it.
 	AdvertiseLimit Fault = "name_limit"
+	// Partition cuts instances off from all upstreams, while callers, peers and the source reach them.
+	Partition Fault = "partition"
 	// Restore makes the source unavailable and restores it from an older copy. What it lost is written
 	// again later.
 	Restore Fault = "restore"
@@ -101,6 +103,10 @@
 // killed, paused, partitioned or replaced.
 var LimitMix = Mix{AdvertiseLimit: 8, Kill: 2, Terminate: 3, Pause: 4, PeerLink: 4, Replace: 2, Stuck: 2, Change: 1}
 
+// PartitionMix is a mix of partitions of instances from all upstreams, while instances are killed,
+// replaced, paused and disconnected, and upstreams are replaced and their zones evacuated.
+var PartitionMix = Mix{Partition: 3, Kill: 2, Terminate: 2, Pause: 2, PeerLink: 1, Reload: 1, Replace: 2, Evacuate: 1, Change: 2}
+
 // RestoreMix is a mix of restores of the source from older copies, while what it publishes changes and
 // the instances that read it are killed, paused, partitioned or started.
 var RestoreMix = Mix{
