reach, fleet: bound the cost of a request; an instance alone uses its own path only

Whether an instance is isolated, and which upstreams have no path, took a look at all upstreams for each request. Both are now kept in sets that are empty while upstreams are reached. An instance without peers does as before: there is nobody to relay, and its own dial is the only evidence.

--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -73,7 +73,7 @@
 func (f *Fleet) connect(ctx context.Context, id, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, f.o.ConnectTimeout, errConnectTimeout)
 	defer cancel()
-	if f.relays == nil {
+	if !f.hasRelays() {
 		return f.dialDirect(ctx, id, address)
 	}
 	if f.reach.PrefersPeer(time.Now(), id) {
@@ -140,6 +140,9 @@
 	for directErr == nil || relayErr == nil {
 		select {
 		case <-wait.C:
+			if len(direct) > 0 {
+				continue // this process was paused; the result is there
+			}
 		case d := <-direct:
 			if d.err == nil {
 				discard(relayed)
@@ -228,12 +231,22 @@
 }
 
 // Isolated reports whether this instance seems to reach no upstream over its own path.
-func (f *Fleet) Isolated() bool { return f.relays != nil && f.reach.Isolated(time.Now()) }
+func (f *Fleet) Isolated() bool { return f.hasRelays() && f.reach.Isolated(time.Now()) }
+
+// hasRelays reports whether connections may go through peers: there are other instances.
+func (f *Fleet) hasRelays() bool {
+	if f.relays == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.instances) > 1
+}
 
 // ProbePaths starts to probe paths that failed, so that they are used again once they work. It doesn't
 // block.
 func (f *Fleet) ProbePaths() {
-	if f.relays == nil {
+	if !f.hasRelays() {
 		return
 	}
 	for _, id := range f.reach.NextProbes(time.Now(), probesPerStep) {
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -30,6 +30,9 @@
 	mu          sync.Mutex
 	upstreams   map[string]*observation
 	lastReached time.Time // when any upstream was last reached
+	// failing are the upstreams that have failed since then, with the time of the last failure, and
+	// noPath those without a path, with the time until which they aren't requested.
+	failing, noPath map[string]time.Time
 }
 
 // observation is what was last observed of the path to an upstream. Times are zero if never.
@@ -38,15 +41,16 @@
 	failedAt  time.Time
 	wantedAt  time.Time
 	// bypassed reports that a peer reached the upstream when this instance didn't.
-	bypassed    bool
-	noPathUntil time.Time
-	probing     bool
-	probeAt     time.Time
-	probeDelay  time.Duration
+	bypassed   bool
+	probing    bool
+	probeAt    time.Time
+	probeDelay time.Duration
 }
 
 // New returns a Tracker without observations.
-func New() *Tracker { return &Tracker{upstreams: map[string]*observation{}} }
+func New() *Tracker {
+	return &Tracker{upstreams: map[string]*observation{}, failing: map[string]time.Time{}, noPath: map[string]time.Time{}}
+}
 
 // of returns the observation of an upstream, a new one if there is none. The caller holds the lock.
 func (t *Tracker) of(upstream string) *observation {
@@ -66,6 +70,7 @@
 	o := t.of(upstream)
 	o.reachedAt, t.lastReached = now, now
 	o.probing = false
+	clear(t.failing)
 }
 
 // Connected is Reached for a new connection: the path carries new ones again.
@@ -74,7 +79,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.of(upstream)
-	o.bypassed, o.probeDelay, o.noPathUntil = false, 0, time.Time{}
+	o.bypassed, o.probeDelay = false, 0
+	delete(t.noPath, upstream)
 }
 
 // Failed records that a connection to an upstream couldn't be established, or broke.
@@ -84,6 +90,7 @@
 	o := t.of(upstream)
 	o.failedAt = now
 	o.probing = false
+	t.failing[upstream] = now
 }
 
 // Bypassed records that a peer reached an upstream that this instance didn't reach in time. From then on
@@ -96,7 +103,8 @@
 		o.bypassed, o.probeAt = true, now.Add(firstProbeDelay)
 	}
 	o.failedAt = now
-	o.noPathUntil = time.Time{}
+	t.failing[upstream] = now
+	delete(t.noPath, upstream)
 }
 
 // Down records that a peer couldn't reach an upstream either. Its path is as good as any.
@@ -110,16 +118,18 @@
 func (t *Tracker) NoPath(now time.Time, upstream string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.of(upstream).noPathUntil = now.Add(noPathFor)
+	t.noPath[upstream] = now.Add(noPathFor)
 }
 
 // WithoutPath returns the upstreams that can't be reached at present, not even through a peer, sorted.
 func (t *Tracker) WithoutPath(now time.Time) (out []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for upstream, o := range t.upstreams {
-		if now.Before(o.noPathUntil) {
+	for upstream, until := range t.noPath {
+		if now.Before(until) {
 			out = append(out, upstream)
+		} else {
+			delete(t.noPath, upstream)
 		}
 	}
 	slices.Sort(out)
@@ -146,13 +156,13 @@
 
 // isIsolated is Isolated for a caller that holds the lock.
 func (t *Tracker) isIsolated(now time.Time) bool {
-	failing := 0
-	for _, o := range t.upstreams {
-		if o.failedAt.After(t.lastReached) && now.Sub(o.failedAt) < recentFor {
-			failing++
+	recent := 0
+	for _, at := range t.failing {
+		if now.Sub(at) < recentFor {
+			recent++
 		}
 	}
-	return failing >= minFailing
+	return recent >= minFailing
 }
 
 // ReachedSince reports whether any upstream was reached after the given time.
@@ -211,6 +221,8 @@
 	for upstream := range t.upstreams {
 		if !listed(upstream) {
 			delete(t.upstreams, upstream)
+			delete(t.failing, upstream)
+			delete(t.noPath, upstream)
 		}
 	}
 }
