relay: ask the next peer early, and blame an upstream only if no peer reaches it

Peers are now asked 40 ms after each other, and the first connection wins. Log events path_bypassed and path_restored.

--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -91,7 +91,9 @@
 	switch cause := context.Cause(ctx); {
 	case err == nil:
 		f.o.Metrics.Count("tacktally_upstream_connections_total")
-		f.reach.Connected(time.Now(), id)
+		if f.reach.Connected(time.Now(), id) {
+			f.o.Log.Info().Str("event", "path_restored").Str("upstream", id).Msg("")
+		}
 	case cause == nil || errors.Is(cause, errConnectTimeout):
 		f.o.Metrics.Count("tacktally_upstream_connects_failed_total")
 		f.reach.Failed(time.Now(), id)
@@ -116,7 +118,7 @@
 	now := time.Now()
 	switch {
 	case err == nil:
-		f.reach.Bypassed(now, id)
+		f.recordBypass(id)
 		return conn, nil
 	case errors.Is(err, relay.ErrUpstreamUnreachable):
 		f.reach.Down(id)
@@ -152,7 +154,7 @@
 		case d := <-relayed:
 			if d.err == nil {
 				discard(direct)
-				f.reach.Bypassed(time.Now(), id)
+				f.recordBypass(id)
 				return d.conn, nil
 			}
 			relayed, relayErr = nil, d.err
@@ -198,6 +200,14 @@
 	return nil
 }
 
+// recordBypass records that a peer has reached an upstream that this instance didn't reach in time.
+func (f *Fleet) recordBypass(id string) {
+	now := time.Now()
+	if f.reach.Bypassed(now, id) {
+		f.o.Log.Info().Str("event", "path_bypassed").Str("upstream", id).Bool("isolated", f.reach.Isolated(now)).Msg("")
+	}
+}
+
 func (f *Fleet) noPath(now time.Time, id string, cause error) error {
 	f.reach.NoPath(now, id)
 	return fmt.Errorf("%w: %w", ErrNoPath, cause)
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -73,14 +73,17 @@
 	clear(t.failing)
 }
 
-// Connected is Reached for a new connection: the path carries new ones again.
-func (t *Tracker) Connected(now time.Time, upstream string) {
+// Connected is Reached for a new connection: the path carries new ones again. It reports whether
+// connections to the upstream went through peers until now.
+func (t *Tracker) Connected(now time.Time, upstream string) (restored bool) {
 	t.Reached(now, upstream)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.of(upstream)
+	restored = o.bypassed
 	o.bypassed, o.probeDelay = false, 0
 	delete(t.noPath, upstream)
+	return restored
 }
 
 // Failed records that a connection to an upstream couldn't be established, or broke.
@@ -94,17 +97,19 @@
 }
 
 // Bypassed records that a peer reached an upstream that this instance didn't reach in time. From then on
-// connections go through peers until a probe succeeds.
-func (t *Tracker) Bypassed(now time.Time, upstream string) {
+// connections go through peers until a probe succeeds. It reports whether this is new.
+func (t *Tracker) Bypassed(now time.Time, upstream string) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.of(upstream)
-	if !o.bypassed {
+	changed = !o.bypassed
+	if changed {
 		o.bypassed, o.probeAt = true, now.Add(firstProbeDelay)
 	}
 	o.failedAt = now
 	t.failing[upstream] = now
 	delete(t.noPath, upstream)
+	return changed
 }
 
 // Down records that a peer couldn't reach an upstream either. Its path is as good as any.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -28,8 +28,10 @@
 )
 
 const (
-	// maxPeers is how many peers are asked for one connection, one after the other.
-	maxPeers = 3
+	// maxPeers is how many peers are asked for one connection, and nextPeerAfter how long one may take
+	// before the next is asked as well.
+	maxPeers      = 3
+	nextPeerAfter = 40 * time.Millisecond
 	// peerTimeout bounds how long one peer may take: its processor may be throttled for 100 ms.
 	peerTimeout = 150 * time.Millisecond
 	// avoidFor is how long a peer that didn't reply is asked last.
@@ -57,26 +59,55 @@
 // NewClient returns a client without connections.
 func NewClient(o ClientOptions) *Client { return &Client{o: o, silent: map[string]time.Time{}} }
 
-// Dial opens a connection to an upstream through a peer. It blocks until it is established, no peer is
-// left, or ctx ends. The error wraps ErrUpstreamUnreachable or ErrNoRelay.
+// Dial opens a connection to an upstream through a peer. It asks the next peer when one refuses or doesn't
+// reply soon, and blocks until a connection is established, no peer is left, or ctx ends. The error wraps
+// ErrUpstreamUnreachable if a peer said so, and ErrNoRelay otherwise.
 func (c *Client) Dial(ctx context.Context, upstream string) (net.Conn, error) {
-	failed := ErrNoRelay
 	peers := c.candidates(time.Now(), upstream)
-	for _, peer := range peers[:min(len(peers), maxPeers)] {
-		conn, err := c.dialThrough(ctx, peer, upstream)
-		switch {
-		case err == nil:
-			return conn, nil
-		case ctx.Err() != nil:
-			return nil, fmt.Errorf("%w: %w", ErrNoRelay, context.Cause(ctx))
-		case errors.Is(err, ErrUpstreamUnreachable):
-			return nil, err
+	peers = peers[:min(len(peers), maxPeers)]
+	results := make(chan dialed, len(peers))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	failed := ErrNoRelay
+	for started, ended := 0, 0; ended < len(peers); {
+		select {
+		case <-next.C:
+			if started < len(peers) {
+				peer := peers[started]
+				go func() { results <- c.dialThrough(ctx, peer, upstream) }()
+				started++
+				next.Reset(nextPeerAfter)
+			}
+		case d := <-results:
+			ended++
+			if d.err == nil {
+				go discard(results, started-ended)
+				return d.conn, nil
+			}
+			if !errors.Is(failed, ErrUpstreamUnreachable) {
+				failed = d.err
+			}
+			next.Reset(0)
 		}
-		failed = fmt.Errorf("%w: %w", ErrNoRelay, err)
 	}
 	return nil, failed
 }
 
+// dialed is the result of asking one peer.
+type dialed struct {
+	conn net.Conn
+	err  error
+}
+
+// discard closes the connections among the next n results.
+func discard(results <-chan dialed, n int) {
+	for range n {
+		if d := <-results; d.conn != nil {
+			_ = d.conn.Close() // unused
+		}
+	}
+}
+
 // candidates returns the peers to ask, those that didn't reply lately last.
 func (c *Client) candidates(now time.Time, upstream string) []string {
 	var first, last []string
@@ -94,7 +125,7 @@
 }
 
 // dialThrough opens a connection to an upstream through one peer.
-func (c *Client) dialThrough(ctx context.Context, peer, upstream string) (net.Conn, error) {
+func (c *Client) dialThrough(ctx context.Context, peer, upstream string) dialed {
 	dialCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var raw net.Conn
@@ -107,18 +138,18 @@
 	conn, response, err := websocket.Dial(dialCtx, target, &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}, CompressionMode: websocket.CompressionDisabled})
 	switch {
 	case err == nil:
-		return &relayedConn{Conn: websocket.NetConn(context.Background(), conn, websocket.MessageBinary), socket: conn, raw: raw, usable: func() bool { return c.o.Usable(peer) }}, nil
+		return dialed{conn: &relayedConn{Conn: websocket.NetConn(context.Background(), conn, websocket.MessageBinary), socket: conn, raw: raw, usable: func() bool { return c.o.Usable(peer) }}}
 	case response != nil && response.StatusCode == http.StatusBadGateway:
-		return nil, ErrUpstreamUnreachable
+		return dialed{err: ErrUpstreamUnreachable}
 	case response != nil:
-		return nil, fmt.Errorf("peer %s: status %d", peer, response.StatusCode)
+		return dialed{err: fmt.Errorf("%w: peer %s: status %d", ErrNoRelay, peer, response.StatusCode)}
 	}
 	if ctx.Err() == nil {
 		c.mu.Lock()
 		c.silent[peer] = time.Now()
 		c.mu.Unlock()
 	}
-	return nil, err
+	return dialed{err: fmt.Errorf("%w: %w", ErrNoRelay, err)}
 }
 
 // relayedConn is a connection to an upstream through a peer.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -207,3 +207,18 @@
 	_ = conn.Close()
 	is.Equal(p.client.candidates(time.Now(), "i-1")[0], working) // the other one is asked last for a while
 }
+
+// One peer that can't reach the upstream doesn't show that it is down, as long as another one reaches it.
+func TestPeerThatReachesTheUpstreamWins(t *testing.T) {
+	is := is.New(t)
+	cut, working := newPair(t), newPair(t)
+	cut.dialErr = errors.New("refused")
+	peers := []string{cut.client.o.Peers("")[0], working.client.o.Peers("")[0]}
+	cut.client.o.Peers = func(string) []string { return peers }
+	conn, err := cut.client.Dial(context.Background(), "i-1")
+	is.NoErr(err)
+	_ = conn.Close()
+	peers = peers[:1]
+	_, err = cut.client.Dial(context.Background(), "i-1")
+	is.True(errors.Is(err, ErrUpstreamUnreachable))
+}
