keepalive: state the times at which the kernel ends dead connections

TCP_USER_TIMEOUT also decides when keepalive probes give up, whatever their count. Comment, constant and docs said 3 s for idle connections; with the options that are set, Linux ends idle dialled ones after 2 s and idle accepted ones after 10 s. No option changes: a shorter user timeout on accepted connections would cut callers that pause within a response, and an idle dead caller costs a descriptor alone. A connection can't be silenced on loopback, so the test checks the kernel's rule against the stated times, which it didn't meet.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -15,7 +15,8 @@
 	// time between two probes. The kernel counts both in whole seconds.
 	idle     = time.Second
 	interval = time.Second
-	// probes is how many keepalive probes may stay unanswered: one may get lost.
+	// probes is how many keepalive probes may stay unanswered: one may get lost. It holds only without
+	// TCP_USER_TIMEOUT, see silencedFor.
 	probes = 2
 	// dialledUserTimeout is how long bytes sent on a dialled connection may stay unacknowledged.
 	// Three retransmissions lost in a row, as one in 30,000 is on a link with 3% packet loss, take
@@ -26,15 +27,29 @@
 	// other side is alive and doesn't read, so it bounds how long a caller may pause within a large
 	// response.
 	acceptedUserTimeout = 10 * time.Second
-	// DeadAfter is the time within which a dead connection ends with an error if it was dialled, or
-	// accepted and has no unacknowledged bytes. An accepted connection with unacknowledged bytes
-	// ends within AcceptedDeadAfter.
-	DeadAfter         = idle + probes*interval
+	// DialledDeadAfter and AcceptedDeadAfter are the times within which a dead connection ends with an
+	// error, whether it has unacknowledged bytes or is idle.
+	DialledDeadAfter  = 2 * time.Second
 	AcceptedDeadAfter = acceptedUserTimeout
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, in milliseconds.
 	tcpUserTimeout = 0x12
 )
 
+// silencedFor returns how long an idle connection is silent until the kernel ends it. Probes are sent
+// after idle and then at each interval. Without a user timeout the number of unanswered probes decides;
+// with one, the first unanswered probe at whose end the silence has lasted for it (Linux,
+// tcp_keepalive_timer).
+func silencedFor(userTimeout time.Duration) time.Duration {
+	if userTimeout == 0 {
+		return idle + probes*interval
+	}
+	silence := idle + interval
+	for silence < userTimeout {
+		silence += interval
+	}
+	return silence
+}
+
 // Config returns the keepalive settings for net.Dialer and net.ListenConfig.
 func Config() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: idle, Interval: interval, Count: probes}
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -50,3 +51,13 @@
 	want["unacknowledged"] = 10_000 // a caller may pause within a response
 	is.Equal(options(t, accepted), want)
 }
+
+// TCP_USER_TIMEOUT also decides when unanswered probes end an idle connection, whatever their number. The
+// stated times must be what the kernel does.
+func TestStatedTimesAccountForTheUserTimeout(t *testing.T) {
+	is := is.New(t)
+	is.Equal(silencedFor(0), 3*time.Second)
+	is.Equal(silencedFor(dialledUserTimeout), DialledDeadAfter)
+	is.Equal(silencedFor(acceptedUserTimeout), AcceptedDeadAfter)
+	is.True(dialledUserTimeout > time.Second) // an upstream may fall silent for a second and go on
+}
