scheduler, proxy: don't take a silence of a second for a fault

A sound upstream may fall silent for a second or so and go on. Two things took that for a fault: a stream that another upstream can resume was cut after four times the longest pause of its route, 0.4 s for a pause of 100 ms; and each request that was abandoned for silence counted as a failure, which doubles the time for which the circuit is open and drops what is known of the upstream's prompts and load.

Streams now outlast 1.5 s of silence, which leaves half a second to resume them before callers give up. A request abandoned for silence has a result of its own: the circuit opens for 0.5 s each time, and nothing is dropped. Requests without a response yet are still sent to another upstream after 2.5 times their objective, within the retry budget: with an objective of 100 ms and a deadline of 1 s, waiting would fail them.

TestStreamOutlastsSilenceOfASecond failed before.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -222,6 +222,9 @@
 	if pathMayHaveFailed := r.status == notSent || r.status == lost || r.status == truncated; pathMayHaveFailed && !j.handler.o.Fleet.BlamesUpstream(r.err) {
 		result = scheduler.Cancelled
 	}
+	if result == scheduler.LostResponse && errors.Is(r.err, errSilent) {
+		result = scheduler.Silent
+	}
 	g.End(result, output)
 	j.recordCrashEvidence(r)
 	if r.status != completed {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -15,6 +15,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/view"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 func TestResponsesAreRelayedUnchanged(t *testing.T) {
@@ -328,6 +329,28 @@
 	<-left
 }
 
+// A sound upstream may fall silent for a second and go on. Its stream was cut after four times the longest
+// pause of the route.
+func TestStreamOutlastsSilenceOfASecond(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	for i := range r.document.Routes {
+		r.document.Routes[i].MaxEventInterval = 20 * time.Millisecond
+	}
+	r.publish(0)
+	r.addUpstream("a", func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		wait.For(q.Context(), time.Second)
+		_, _ = io.WriteString(w, "id: 2\ndata: 2\n\n")
+	})
+	r.addUpstream("b", respondsWith("id: 2\ndata: 2\n\n"))
+	got := r.get("resumable")
+	is.NoErr(got.err)
+	is.Equal(got.body, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+	is.Equal(r.arrivedIDs(), "a")
+}
+
 func TestCallerDisconnectCancelsTheUpstreamRequest(t *testing.T) {
 	is := is.New(t)
 	r := newHarness(t)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -33,6 +33,8 @@
 	// idleTimeoutFactor is how many times the route's maximum pause between events an upstream may
 	// be silent within a stream that another upstream can resume.
 	idleTimeoutFactor = 4
+	// minIdleTimeout is the least of these times: a sound upstream may fall silent for a second and go on.
+	minIdleTimeout = 1500 * time.Millisecond
 )
 
 // listVersions are the versions of the owner's and this instance's list of upstreams at the time of
@@ -125,10 +127,18 @@
 	firstTimeout := max(time.Duration(responseTimeoutFactor*float64(j.route.LatencyObjective)), predictedTimeoutFactor*g.PredictedFirstToken())
 	return silenceTimer{
 		timer: time.AfterFunc(firstTimeout, func() { cancel(errSilent) }),
-		idle:  idleTimeoutFactor * j.route.MaxEventInterval,
+		idle:  idleTimeout(j.route.MaxEventInterval),
 	}
 }
 
+// idleTimeout returns how long an upstream may be silent within a stream; 0 means without bound.
+func idleTimeout(maxEventInterval time.Duration) time.Duration {
+	if maxEventInterval == 0 {
+		return 0
+	}
+	return max(idleTimeoutFactor*maxEventInterval, minIdleTimeout)
+}
+
 func (s silenceTimer) stop() {
 	if s.timer != nil {
 		s.timer.Stop()
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -380,6 +380,23 @@
 	return c.Poll(now)
 }
 
+// RecordSilence records that a request was abandoned since its upstream sent nothing for too long. Unless
+// the upstream has sent anything within aliveFor, its circuit opens for minOpenPeriod, however often that
+// happens: a sound upstream may fall silent for a moment. What is known of it, such as the prompts that it
+// keeps, still holds.
+func (c *Core) RecordSilence(now time.Time, g *Grant) Decisions {
+	c.end(now, g)
+	u := g.Upstream
+	u.ObserveEnd(true)
+	if u.SeenAfter(now.Add(-aliveFor)) || (u.Failures > 0 && g.GrantedAt.Before(u.FailedAt)) {
+		return c.Poll(now)
+	}
+	u.Failures = max(u.Failures, 1)
+	u.FailedAt = now
+	u.CircuitOpenUntil = now.Add(minOpenPeriod)
+	return c.Poll(now)
+}
+
 // ProbeOpenCircuits allows one probe request to each upstream whose circuit is open. It is called
 // when a network partition may have healed, since the failures may have been of the network path.
 func (c *Core) ProbeOpenCircuits(now time.Time) Decisions {
--- a/internal/scheduler/result.go
+++ b/internal/scheduler/result.go
@@ -22,10 +22,12 @@
 	Busy
 	// Misdirected: another upstream now has the address, so this one has left.
 	Misdirected
+	// Silent: the request was sent, and abandoned since the upstream sent nothing for too long.
+	Silent
 	resultCount // number of results
 )
 
-var resultNames = [resultCount]string{"cancelled", "completed", "upstream_error", "lost_response", "unreachable", "busy", "misdirected"}
+var resultNames = [resultCount]string{"cancelled", "completed", "upstream_error", "lost_response", "unreachable", "busy", "misdirected", "silent"}
 
 // String returns the result as logs show it.
 func (r Result) String() string {
@@ -49,6 +51,8 @@
 		return c.RecordLostResponse(now, g)
 	case Unreachable:
 		return c.RecordFailure(now, g)
+	case Silent:
+		return c.RecordSilence(now, g)
 	case Busy:
 		return c.RecordBusy(now, g)
 	case Misdirected:
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -248,6 +248,32 @@
 	is.Equal(len(c.Poll(failedAt.Add(minOpenPeriod)).Grants), 1)
 }
 
+// A sound upstream may fall silent for a second. It was unused for longer than that, and what was known of
+// its prompts was dropped.
+func TestSilenceOpensTheCircuitBrieflyAndDropsNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCore(100)
+	c.SetMembers([]Member{{ID: "u", Address: "a", Slots: 10}})
+	u := c.upstreams[0]
+	u.Window.RecordOnTime(10)
+	window := u.Window.Size()
+	now := start
+	for range 5 {
+		g := c.Submit(now, newRequest(0, 3600)).Grants[0]
+		c.End(now, g, Silent, 0)
+		is.Equal(len(c.Submit(now, newRequest(0, 3600)).Grants), 0)
+		now = now.Add(minOpenPeriod)
+		probe := c.Poll(now).Grants
+		is.Equal(len(probe), 1)
+		c.RecordCancelled(now, probe[0])
+	}
+	is.Equal(u.Window.Size(), window)
+	alive := c.Submit(now, newRequest(0, 3600)).Grants[0]
+	u.MarkSeen(now)
+	c.End(now, alive, Silent, 0)
+	is.Equal(len(c.Submit(now, newRequest(0, 3600)).Grants), 1)
+}
+
 // An upstream that has recovered is used again within maxOpenPeriod, however often it failed.
 func TestCircuitOpenPeriodIsBounded(t *testing.T) {
 	is := is.New(t)
