balancer, platform: grant brittle upstreams only what they have room for

The header becomes a part of the load report, so that the owner of the shard has it with each response, from whichever instance, and the next owner with its first one. While it holds there is no backlog at the upstream; one slot stays free, since a slot is held for a moment after its request; requests that the upstream holds and the owner doesn't count take room; after a refusal no more is granted than it held then, and once half of N were refused within a second, nothing until they are over a second old. It takes effect only where a response has the header.

The expectations of the tests of package peer spell out the two new fields of a report; the field numbers leave out 5, which they use for a field that is unknown.

--- a/internal/balancer/backlog.go
+++ b/internal/balancer/backlog.go
@@ -54,11 +54,11 @@
 // backlog returns the number of requests that may wait at the upstream, so that its slots don't stay
 // idle while a release and the next grant are on their way. It applies to upstreams that report
 // their load. It is 0 if more wait there already, if the upstream holds requests that aren't counted
-// here, for cold upstreams, after failures, where a limit of grants is reached, and for a grantWindow
+// here, for cold and brittle upstreams, after failures, where a limit of grants is reached, and for a grantWindow
 // after a move, in which the requests of the previous owner may not be counted.
 func (u *Upstream) backlog(now time.Time) int {
 	l := &u.load
-	if u.MaxBacklog == 0 || l.hold == 0 || !l.isCurrent(now) {
+	if u.MaxBacklog == 0 || l.hold == 0 || !l.isCurrent(now) || u.IsBrittle(now) {
 		return 0
 	}
 	if l.last.Waiting > u.MaxBacklog || l.inTransit <= -maxUncounted {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -70,6 +70,7 @@
 	grants     grantTimes
 	movedUntil time.Time // GrantLimits.Moved applies until then
 	load       loadState
+	brittle    brittleness
 	lastSeenMu sync.Mutex
 	lastSeen   time.Time // guarded by lastSeenMu
 }
@@ -126,7 +127,8 @@
 func (u *Upstream) IsFull(now time.Time) bool {
 	if u.Slots > 0 {
 		taken := u.Running + u.RunningElsewhere
-		return taken >= u.Slots && taken >= u.Slots+u.backlog(now)
+		capacity := u.capacity(now)
+		return taken >= capacity && taken >= capacity+u.backlog(now)
 	}
 	return u.Running >= u.Window.Size()
 }
--- a/internal/balancer/grant_limits.go
+++ b/internal/balancer/grant_limits.go
@@ -55,7 +55,7 @@
 
 // AllowsGrant reports whether the upstream's limits allow one more request now.
 func (u *Upstream) AllowsGrant(now time.Time) bool {
-	if !u.allowsRate(now) {
+	if !u.allowsRate(now) || !u.allowsRefusal(now) {
 		return false
 	}
 	limit := u.grantLimit(now)
@@ -94,6 +94,7 @@
 		ColdUntil:        u.ColdUntil,
 		grants:           slices.Clone(u.grants),
 		load:             u.load,
+		brittle:          u.brittle,
 	}
 }
 
@@ -106,6 +107,7 @@
 	}
 	u.Speed = previous.Speed
 	u.load = previous.load
+	u.brittle = previous.brittle
 	u.Failures, u.FailedAt, u.CircuitOpenUntil, u.FailureShare = previous.Failures, previous.FailedAt, previous.CircuitOpenUntil, previous.FailureShare
 	u.grants = slices.Clone(previous.grants)
 	u.KeepColdUntil(previous.ColdUntil)
--- a/internal/fleet/load_reports.go
+++ b/internal/fleet/load_reports.go
@@ -24,6 +24,7 @@
 	case !r.IsValid():
 		f.o.Metrics.Count(loadReportsInvalid)
 		return
+	case r.Slots == 0: // says nothing about the load
 	case r.WorkPercent > 0:
 		f.o.Metrics.Count(loadReportsWithWork)
 	default:
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -15,18 +15,26 @@
 	// WorkPercent is how long work takes on its machine at that moment, in percent of the usual time
 	// on an ordinary machine; 0 if it isn't reported.
 	WorkPercent int `cbor:"4,keyasint,omitempty"`
+	// Brittle reports that the upstream fails once it refuses more than MaxRefusals requests in a second
+	// for lack of room.
+	Brittle     bool `cbor:"6,keyasint,omitempty"`
+	MaxRefusals int  `cbor:"7,keyasint,omitempty"`
 }
 
 // IsSet reports whether the response had a report.
 func (r Report) IsSet() bool { return r != Report{} }
 
 // IsValid reports whether the figures are possible. A request may wait although a slot is free:
-// upstreams hold the slot for a moment after its request has ended.
+// upstreams hold the slot for a moment after its request has ended. Without slots, a report may say
+// nothing but that its upstream is brittle.
 func (r Report) IsValid() bool {
-	for _, n := range []int{r.Running, r.Waiting, r.Slots, r.WorkPercent} {
+	for _, n := range []int{r.Running, r.Waiting, r.Slots, r.WorkPercent, r.MaxRefusals} {
 		if n < 0 || n > MaxFigure {
 			return false
 		}
 	}
-	return r.Slots > 0 && r.Running <= r.Slots
+	if r.Slots == 0 {
+		return r.Brittle && r == Report{Brittle: true, MaxRefusals: r.MaxRefusals}
+	}
+	return r.Running <= r.Slots && (r.Brittle || r.MaxRefusals == 0)
 }
--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -40,7 +40,7 @@
 	slot, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "free"}, time.Minute)
 	is.NoErr(err)
 	slot.Started(loadreport.Report{Running: 3, Waiting: 1, Slots: 5, WorkPercent: 68})
-	is.Equal(<-p.hb.slots, "started {3 1 5 68}")
+	is.Equal(<-p.hb.slots, "started {3 1 5 68 false 0}")
 	slot.Release(SlotRelease{Result: 3, Output: 40}, loadreport.Report{})
 	is.Equal(<-p.hb.slots, "released 3 40")
 }
@@ -52,7 +52,7 @@
 	slot, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "free"}, time.Minute)
 	is.NoErr(err)
 	slot.Release(SlotRelease{Result: 2}, loadreport.Report{Running: 5, Waiting: 4, Slots: 5})
-	is.Equal(<-p.hb.slots, "released 2 0 {5 4 5 0}")
+	is.Equal(<-p.hb.slots, "released 2 0 {5 4 5 0 false 0}")
 }
 
 // One report is sent for each request, and the budget for control traffic is a few kilobytes a second.
@@ -85,14 +85,14 @@
 		want  string
 	}{
 		"older: without a report":        {nil, nil, "started"},
-		"newer: a further field":         {figures, map[string]int{"x": 1}, "started {3 1 5 68}"},
-		"newer: a further figure":        {map[int]int{1: 3, 2: 1, 3: 5, 4: 68, 5: 7}, nil, "started {3 1 5 68}"},
-		"without the work percentage":    {map[int]int{1: 3, 3: 5}, nil, "started {3 0 5 0}"},
+		"newer: a further field":         {figures, map[string]int{"x": 1}, "started {3 1 5 68 false 0}"},
+		"newer: a further figure":        {map[int]int{1: 3, 2: 1, 3: 5, 4: 68, 5: 7}, nil, "started {3 1 5 68 false 0}"},
+		"without the work percentage":    {map[int]int{1: 3, 3: 5}, nil, "started {3 0 5 0 false 0}"},
 		"empty":                          {map[int]int{}, nil, "started"},
-		"negative":                       {map[int]int{1: -4, 3: 5}, nil, "started {-4 0 5 0}"},
-		"a text":                         {"3,1,5,68", nil, "started {-1 0 0 0}"},
-		"a figure that isn't a number":   {map[int]string{1: "3"}, nil, "started {-1 0 0 0}"},
-		"a figure that exceeds all ints": {map[int]uint64{1: math.MaxUint64}, nil, "started {-1 0 0 0}"},
+		"negative":                       {map[int]int{1: -4, 3: 5}, nil, "started {-4 0 5 0 false 0}"},
+		"a text":                         {"3,1,5,68", nil, "started {-1 0 0 0 false 0}"},
+		"a figure that isn't a number":   {map[int]string{1: "3"}, nil, "started {-1 0 0 0 false 0}"},
+		"a figure that exceeds all ints": {map[int]uint64{1: math.MaxUint64}, nil, "started {-1 0 0 0 false 0}"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -12,10 +12,10 @@
 // recordLoad passes the load report of a trusted response to the grant. An invalid one is counted,
 // logged and otherwise ignored.
 func (r *relay) recordLoad(head ResponseInfo) {
-	switch {
-	case head.LoadError != nil:
+	if head.LoadError != nil {
 		r.job.recordInvalidLoad(head.LoadError)
-	case head.Load.IsSet():
+	}
+	if head.Load.IsSet() {
 		r.onLoad(head.Load)
 	}
 }
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -77,7 +77,8 @@
 	RetryAfter time.Duration
 	// Limit is the advertised limit, in requests per second.
 	Limit ratelimit.Observation
-	// Load is the load of the upstream, the zero value if the response has no valid report.
+	// Load is the load of the upstream, the zero value if the response has no valid report and doesn't say
+	// that the upstream is brittle.
 	Load loadreport.Report
 	// LoadError is why the load report of the response is invalid; nil if there is none.
 	LoadError error
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -412,6 +412,7 @@
 func (c *Core) RecordBusy(now time.Time, g *Grant) Decisions {
 	c.end(now, g)
 	g.Upstream.Window.RecordLate(now)
+	g.Upstream.RecordRefusal(now)
 	return c.Poll(now)
 }
 
--- a/internal/scheduler/work_time.go
+++ b/internal/scheduler/work_time.go
@@ -83,7 +83,9 @@
 	if !r.IsValid() {
 		return
 	}
-	c.loadReports.count(now, r)
+	if r.Slots > 0 {
+		c.loadReports.count(now, r)
+	}
 	g.Upstream.ObserveLoad(now, r)
 	c.ordinary.assume(g.Upstream)
 }
