fleet: take no lock of the fleet while a connection pool is locked

Whether there are peers that may relay was read under the lock of the fleet, by pools that hold their own, while the fleet closes pools under its lock: an instance could have stopped for good when an idle connection was taken at that moment. Found by reading; no run showed it. A failed path that a peer had bypassed also counted against the upstream when no peer could relay at that moment. Tests of both, and of which failures blame the upstream.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -101,6 +101,7 @@
 	owners      owners
 	peerGrants  peerGrants
 	lostCounted atomic.Bool // whether the last CountLostGrants counted any
+	hasPeers    atomic.Bool // whether there are other instances
 }
 
 // service holds the upstreams of one service.
--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -53,6 +53,7 @@
 	}
 	moreReachable = countReachable(instances) > countReachable(f.instances)
 	f.instances = instances
+	f.hasPeers.Store(len(instances) > 1)
 	for _, s := range f.services {
 		f.updateRetryBudgets(s)
 	}
--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -125,9 +125,12 @@
 		return nil, err
 	case f.reach.Isolated(now):
 		return nil, f.noPath(now, id, err)
-	default:
-		return f.dialDirect(ctx, id, address)
 	}
+	conn, err = f.dialDirect(ctx, id, address)
+	if err != nil {
+		return nil, f.noPath(now, id, err) // a peer has reached it before
+	}
+	return conn, nil
 }
 
 // connectEitherWay opens a connection over the own path, and through a peer if that fails or takes too
@@ -243,15 +246,10 @@
 // Isolated reports whether this instance seems to reach no upstream over its own path.
 func (f *Fleet) Isolated() bool { return f.hasRelays() && f.reach.Isolated(time.Now()) }
 
-// hasRelays reports whether connections may go through peers: there are other instances.
-func (f *Fleet) hasRelays() bool {
-	if f.relays == nil {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.instances) > 1
-}
+// hasRelays reports whether connections may go through peers: there are other instances. It takes no lock
+// of the fleet, since connection pools, which the fleet closes while it holds its lock, call it while they
+// hold theirs.
+func (f *Fleet) hasRelays() bool { return f.relays != nil && f.hasPeers.Load() }
 
 // ProbePaths starts to probe paths that failed, so that they are used again once they work. It doesn't
 // block.
--- /dev/null
+++ b/internal/fleet/paths_test.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/relay"
+	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// fakeRelays dials through a peer with the given result.
+type fakeRelays struct{ err error }
+
+func (r *fakeRelays) Dial(context.Context, string) (net.Conn, error) {
+	if r.err != nil {
+		return nil, r.err
+	}
+	c, _ := net.Pipe()
+	return c, nil
+}
+
+// fakePaths is a fleet of which only the connections to some upstreams can be opened.
+type fakePaths struct {
+	*Fleet
+	reachable map[string]bool
+	relays    fakeRelays
+}
+
+func newFakePaths(instances int, reachable ...string) *fakePaths {
+	p := &fakePaths{reachable: map[string]bool{}}
+	for _, id := range reachable {
+		p.reachable[id] = true
+	}
+	p.Fleet = New(Options{
+		Instance: "self", ConnectTimeout: time.Second, Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(nil, "error", "self"),
+		DialUpstream: func(_ context.Context, address string) (net.Conn, error) {
+			if !p.reachable[address] {
+				return nil, errors.New("refused")
+			}
+			c, _ := net.Pipe()
+			return c, nil
+		},
+	})
+	p.SetRelays(&p.relays)
+	change := view.ListChange{Version: 1}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		change.Changed = append(change.Changed, view.Upstream{ID: id, Address: id, Service: "s", Slots: 1})
+	}
+	p.ApplyListChange(change)
+	all := []Instance{{Address: "self", Reachable: true, MayOwn: true}, {Address: "other", Reachable: true, MayOwn: true}}
+	p.SetInstances(all[:instances])
+	return p
+}
+
+// Whether a failed connection says anything about the upstream depends on what this instance and its peers
+// reach.
+func TestWhichFailuresBlameTheUpstream(t *testing.T) {
+	for name, test := range map[string]struct {
+		paths  *fakePaths
+		relay  error
+		before func(p *fakePaths)
+		noPath bool
+	}{
+		"alone": {newFakePaths(1), relay.ErrNoRelay, nil, false},
+		"this instance reaches another, no peer can relay":  {newFakePaths(2, "b", "c", "d"), relay.ErrNoRelay, nil, false},
+		"this instance reaches none, no peer can relay":     {newFakePaths(2), relay.ErrNoRelay, nil, true},
+		"this instance reaches none, a peer others":         {newFakePaths(2), relay.ErrUpstreamUnreachable, nil, false},
+		"a peer reached it before, and none can relay now":  {newFakePaths(2, "b"), relay.ErrNoRelay, func(p *fakePaths) { p.reach.Bypassed(time.Now(), "a") }, true},
+		"a peer reached it before, and says that it's down": {newFakePaths(2, "b"), relay.ErrUpstreamUnreachable, func(p *fakePaths) { p.reach.Bypassed(time.Now(), "a") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			test.paths.relays.err = test.relay
+			if test.before != nil {
+				test.before(test.paths)
+			}
+			_, err := test.paths.connect(t.Context(), "a", "a")
+			is.True(err != nil)
+			is.Equal(errors.Is(err, ErrNoPath), test.noPath)
+			is.Equal(test.paths.BlamesUpstream(err), !test.noPath)
+			is.Equal(len(test.paths.excludedUpstreams()) > 0, test.noPath)
+		})
+	}
+}
+
+// An upstream that only a peer reaches is reached, and from then on through peers at once.
+func TestPeerIsAskedWhereTheOwnPathFails(t *testing.T) {
+	is := is.New(t)
+	p := newFakePaths(2, "b")
+	for range 2 {
+		c, err := p.connect(t.Context(), "a", "a")
+		is.NoErr(err)
+		_ = c.Close()
+	}
+	is.Equal(p.o.Metrics.Value("tacktally_upstream_connects_failed_total"), uint64(1))
+	is.Equal(p.o.Metrics.Value("tacktally_relayed_connections_total"), uint64(2))
+}
+
+// A peer is told whether this instance can judge the upstream.
+func TestDialForPeer(t *testing.T) {
+	is := is.New(t)
+	p := newFakePaths(2, "b")
+	c, err := p.DialForPeer(t.Context(), "b")
+	is.NoErr(err)
+	_ = c.Close()
+	_, err = p.DialForPeer(t.Context(), "unknown")
+	is.True(errors.Is(err, relay.ErrUnknownUpstream))
+	p.reach.Bypassed(time.Now(), "a")
+	_, err = p.DialForPeer(t.Context(), "a")
+	is.True(errors.Is(err, relay.ErrNoPath)) // one hop, never two
+	_, err = newFakePaths(2).DialForPeer(t.Context(), "a")
+	is.True(errors.Is(err, relay.ErrNoPath))
+}
+
+// Pools ask whether to skip an idle connection while they are locked, and the fleet closes pools while it is.
+func TestSkippingIdleConnectionsTakesNoLockOfTheFleet(t *testing.T) {
+	p := newFakePaths(2)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, _ := net.Pipe()
+	is.New(t).True(!p.skipIdle(c)) // would block forever
+}
