--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -218,14 +218,7 @@
 	if r.status == completed {
 		output = j.outputTokens()
 	}
-	result := schedulerResultOf(r.status, j.status)
-	if pathMayHaveFailed := r.status == notSent || r.status == lost || r.status == truncated; pathMayHaveFailed && !j.handler.o.Fleet.BlamesUpstream(r.err) {
-		result = scheduler.Cancelled
-	}
-	if result == scheduler.LostResponse && errors.Is(r.err, errSilent) {
-		result = scheduler.Silent
-	}
-	g.End(result, output)
+	g.End(j.schedulerResult(r), output)
 	j.recordCrashEvidence(r)
 	if r.status != completed {
 		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.info.ID).Str("key", j.quarantineKey.String()).Int("events", j.events).Str("upstream", g.Upstream()).
@@ -233,6 +226,21 @@
 	}
 }
 
+// schedulerResult returns the result of an attempt for the scheduler. A failure that may be due to the
+// network path says nothing about the upstream.
+func (j *job) schedulerResult(r attemptResult) scheduler.Result {
+	result := schedulerResultOf(r.status, j.status)
+	failed := result == scheduler.Unreachable || result == scheduler.LostResponse
+	switch {
+	case failed && !j.handler.o.Fleet.BlamesUpstream(r.err):
+		return scheduler.Cancelled
+	case failed && errors.Is(r.err, errSilent):
+		return scheduler.Silent
+	default:
+		return result
+	}
+}
+
 // outputTokens returns how many tokens the last response had, as far as its events show.
 func (j *job) outputTokens() int {
 	if service := j.table.Service(j.service); service != nil {
