fleet, balancer, soak: tell new owners which upstreams are brittle

The soak gets a kind in which three workers with four slots say that they are brittle, have no room beyond their slots after 3 s, and get more than that, while instances are terminated and restarted.

Each instance now tells the owner with a slot request which upstreams have said to it that they are brittle.

--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -68,7 +68,7 @@
 // ObserveLoad records a valid load report of the upstream. It compares the report with the requests
 // counted now, so it must be called before the request with which the report came has ended.
 func (u *Upstream) ObserveLoad(now time.Time, r loadreport.Report) {
-	u.brittle.observe(now, r)
+	u.observeBrittle(now, r)
 	if r.Slots == 0 {
 		return // it says nothing about the load
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,6 +95,7 @@
 	slots          SlotClient // nil without peers
 	relays         Relays     // nil without routed.relay
 
+	brittle     brittleUpstreams
 	backoffs    *rest.Backoffs
 	limits      *ratelimit.Registry
 	reach       *reach.Tracker
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -66,6 +66,7 @@
 	req.Request.Digest = req.Key.Digest
 	req.Request.Zone = f.o.Zone
 	req.Request.Region = f.o.Regions[f.o.Zone]
+	shard.pool.LearnBrittle(f.brittleOf(req.Service))
 	grant, problem := shard.pool.Acquire(ctx, req.Request)
 	if problem != nil {
 		f.spreadRequests(req.Service)
@@ -175,6 +176,7 @@
 		ExcludedUpstreams: r.ExcludedUpstreams,
 		Attempt:           req.Attempt,
 		Limits:            f.limitsForOwner(s.service),
+		Brittle:           f.brittleOf(s.service),
 		Zone:              f.o.Zone,
 		Restricted:        r.RegionConstraint.Restricted,
 		Regions:           r.RegionConstraint.Regions,
@@ -236,6 +238,7 @@
 	}
 	request := schedulerRequest(time.Now(), r)
 	request.Region = f.o.Regions[r.Zone]
+	shard.pool.LearnBrittle(r.Brittle)
 	waiting := shard.pool.Submit(request)
 	decision, decided := waiting.TryWait()
 	if !decided {
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -58,6 +58,9 @@
 	// Limits are the advertised limits that the requester knows of the service's upstreams: a new
 	// owner of the shard may know none.
 	Limits []ratelimit.Update `cbor:"22,keyasint,omitempty"`
+	// Brittle are the upstreams that have said to the requester that they are brittle, with the number of
+	// refusals in a second that they survive, by ID.
+	Brittle map[string]int `cbor:"23,keyasint,omitempty"`
 }
 
 // AttemptKind is what a slot request is to the retry budget.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -176,6 +176,16 @@
 	p.core.RecordLoad(time.Now(), g, r)
 }
 
+// LearnBrittle records that another instance has seen upstreams say that they are brittle.
+func (p *Pool) LearnBrittle(maxRefusals map[string]int) {
+	if len(maxRefusals) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.LearnBrittle(time.Now(), maxRefusals)
+}
+
 // LoadReports summarises the load reports of the upstreams.
 func (p *Pool) LoadReports() scheduler.LoadReports {
 	p.mu.Lock()
--- a/internal/scheduler/work_time.go
+++ b/internal/scheduler/work_time.go
@@ -90,6 +90,16 @@
 	c.ordinary.assume(g.Upstream)
 }
 
+// LearnBrittle records that another instance has seen upstreams say that they are brittle: how many refusals
+// in a second they survive, by ID.
+func (c *Core) LearnBrittle(now time.Time, maxRefusals map[string]int) {
+	for _, u := range c.upstreams {
+		if n, brittle := maxRefusals[u.ID]; brittle {
+			u.LearnBrittle(now, n)
+		}
+	}
+}
+
 // observeFirstToken updates the speed of a grant's upstream with the time to its first token or, on a
 // plain service, to its response.
 func (c *Core) observeFirstToken(g *Grant, took time.Duration) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -107,6 +107,9 @@
 // replaced, paused and disconnected, and upstreams are replaced and their zones evacuated.
 var PartitionMix = Mix{Partition: 3, Kill: 2, Terminate: 2, Pause: 2, PeerLink: 1, Reload: 1, Replace: 2, Evacuate: 1, Change: 2}
 
+// PlannedBrittleMix is a mix of the planned work of operators while upstreams are brittle.
+var PlannedBrittleMix = Mix{Terminate: 4, Reload: 1, Change: 2}
+
 // RestoreMix is a mix of restores of the source from older copies, while what it publishes changes and
 // the instances that read it are killed, paused, partitioned or started.
 var RestoreMix = Mix{
