entry: determine the peers that relay only when a connection needs one

An instance went through all its peers each second, and sorted them with two hashes a comparison, also while all upstreams were reached: by estimate some 2 ms of processor time each second with 584 instances. It now does so when a connection is opened through a peer, at most every 0.2 s, with one hash a peer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,7 +93,7 @@
 	// relayServer relays connections for peers; nil without routed.relay. relays are the peers that may
 	// relay for this instance.
 	relayServer *relay.Server
-	relays      relayPeers
+	relays      *relayPeers
 	// sender and receiver pass large configurations on between instances.
 	sender   *transfer.Sender
 	receiver *transfer.Receiver
@@ -178,6 +178,7 @@
 		Log:            i.log,
 	})
 	if s.Routed.Relay {
+		i.relays = &relayPeers{self: i.address, zone: s.Zone, peers: i.mesh.Peers}
 		i.fleet.SetRelays(relay.NewClient(relay.ClientOptions{Peers: i.relays.forUpstream, Usable: i.relays.isUsable, Dialer: i.mesh.Dialer()}))
 	}
 	i.fleet.SetSlotClient(i.mesh)
@@ -395,7 +396,6 @@
 		i.refreshFleet()
 		i.fleet.CountLostGrants()
 		i.fleet.ProbePaths()
-		i.refreshRelays()
 		i.informOwners()
 		if time.Since(lastClosed) >= idleCloseInterval {
 			lastClosed = time.Now()
--- a/internal/entry/relays.go
+++ b/internal/entry/relays.go
@@ -20,9 +20,9 @@
 	maxRelayed = 256
 	// relaysInUse is how many peers of an availability zone this instance prefers as relays.
 	relaysInUse = 4
-	// relaysRefreshInterval is how often the peers that may relay are determined while all upstreams are
-	// reached. It goes through all peers.
-	relaysRefreshInterval = time.Second
+	// relaysRefreshInterval is how often the peers that may relay are determined, while connections are
+	// relayed: that goes through all peers.
+	relaysRefreshInterval = 200 * time.Millisecond
 )
 
 // maxRelayedConnections returns how many connections may be relayed at once, given the number of file
@@ -31,28 +31,28 @@
 	return min(max(int(relayedConnectionShare*float64(files-settings.ReservedFiles)/2), 1), maxRelayed)
 }
 
-// relayPeers are the peers that may relay connections for this instance. It is safe for concurrent use.
+// relayPeers are the peers that may relay connections for an instance. It is safe for concurrent use.
 type relayPeers struct {
-	mu     sync.Mutex
-	ranked []string // the preferred ones first
-	near   int      // how many of them are in the instance's own availability zone
+	self, zone string
+	// peers returns all peers of the instance.
+	peers func() []peer.Status
 
-	refreshed time.Time // used by refreshRelays alone
+	mu        sync.Mutex
+	refreshed time.Time
+	ranked    []string // the preferred ones first
+	near      int      // how many of them are in the instance's own availability zone
 }
 
-// refreshRelays updates the peers that may relay. Each instance prefers other ones, so that those that
-// relay share the load, and those of its own zone, since traffic between zones is charged.
-func (i *Instance) refreshRelays() {
-	now := time.Now()
-	_, failing := i.fleet.UpstreamsReached()
-	if i.relayServer == nil || (failing == 0 && now.Sub(i.relays.refreshed) < relaysRefreshInterval) {
+// refresh determines the peers that may relay, at most every relaysRefreshInterval. Each instance prefers
+// other ones, so that those that relay share the load, and those of its own zone, since traffic between
+// zones is charged. The caller holds the lock.
+func (r *relayPeers) refresh(now time.Time) {
+	if now.Sub(r.refreshed) < relaysRefreshInterval {
 		return
 	}
-	i.relays.refreshed = now
-	near, far := relayCandidates(i.address, i.settings.Zone, i.mesh.Peers())
-	i.relays.mu.Lock()
-	defer i.relays.mu.Unlock()
-	i.relays.ranked, i.relays.near = append(near, far...), len(near)
+	r.refreshed = now
+	near, far := relayCandidates(r.self, r.zone, r.peers())
+	r.ranked, r.near = append(near, far...), len(near)
 }
 
 // relayCandidates returns the peers that may relay, by rank: those of the zone, and the others.
@@ -76,6 +76,7 @@
 func (r *relayPeers) forUpstream(upstream string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.refresh(time.Now())
 	out := slices.Clone(r.ranked)
 	sortByHash(out[:min(relaysInUse, r.near)], upstream)
 	far := out[r.near:]
@@ -87,12 +88,15 @@
 func (r *relayPeers) isUsable(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.refresh(time.Now())
 	return slices.Contains(r.ranked, address)
 }
 
 // sortByHash orders addresses by a hash of each with a key.
 func sortByHash(addresses []string, key string) {
-	slices.SortFunc(addresses, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(key+"\x00"+a), xxhash.Sum64String(key+"\x00"+b)), cmp.Compare(a, b))
-	})
+	hashes := make(map[string]uint64, len(addresses))
+	for _, address := range addresses {
+		hashes[address] = xxhash.Sum64String(key + "\x00" + address)
+	}
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Or(cmp.Compare(hashes[a], hashes[b]), cmp.Compare(a, b)) })
 }
