reach, relay: don't count probes that weren't made; forget peers that are gone

Found by reading. A path whose upstream was no longer in use counted as failed when its probe was due, so that it could keep an instance isolated; it is forgotten now (TestProbesOfUnusedUpstreamsAreNoFailures). A comment gave the memory of a relayed connection, which was never measured.

--- a/internal/entry/relays.go
+++ b/internal/entry/relays.go
@@ -16,7 +16,7 @@
 	// relayedConnectionShare is the share of the file descriptors that connections relayed for peers may
 	// use, two for each.
 	relayedConnectionShare = 0.2
-	// maxRelayed bounds the relayed connections in any case: each costs about 45 KB.
+	// maxRelayed bounds the relayed connections in any case: each has two sockets with buffers.
 	maxRelayed = 256
 	// relaysInUse is how many peers of an availability zone this instance prefers as relays.
 	relaysInUse = 4
--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -262,7 +262,7 @@
 		u := f.upstreams[id]
 		f.mu.Unlock()
 		if u == nil || u.unusable != nil {
-			f.reach.Failed(time.Now(), id)
+			f.reach.Forget(id) // it gets no requests
 			continue
 		}
 		go f.probePath(id, u.Address)
--- a/internal/fleet/paths_test.go
+++ b/internal/fleet/paths_test.go
@@ -126,3 +126,17 @@
 	c, _ := net.Pipe()
 	is.New(t).True(!p.skipIdle(c)) // would block forever
 }
+
+// An upstream that was not dialled, since it is no longer in use, doesn't show that this instance is isolated.
+func TestProbesOfUnusedUpstreamsAreNoFailures(t *testing.T) {
+	is := is.New(t)
+	p := newFakePaths(2)
+	for _, id := range []string{"a", "b", "c"} {
+		p.reach.PrefersPeer(time.Now(), id)
+		p.reach.Failed(time.Now(), id)
+	}
+	is.True(p.Isolated())
+	p.ApplyListChange(view.ListChange{Version: 2, Changed: []view.Upstream{{ID: "a", Address: "a", Service: "s", Slots: 1, Leaving: true}}})
+	p.ProbePaths()
+	is.True(!p.Isolated()) // b and c may be down
+}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -178,7 +178,7 @@
 }
 
 // NextProbes returns at most n upstreams whose paths are due for a probe, those that have waited longest
-// first. Connected or Failed has to follow for each.
+// first. Connected, Failed or Forget has to follow for each.
 func (t *Tracker) NextProbes(now time.Time, n int) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -219,15 +219,27 @@
 	return reached, failing
 }
 
+// Forget removes the observations of an upstream.
+func (t *Tracker) Forget(upstream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(upstream)
+}
+
+// forget is Forget for a caller that holds the lock.
+func (t *Tracker) forget(upstream string) {
+	delete(t.upstreams, upstream)
+	delete(t.failing, upstream)
+	delete(t.noPath, upstream)
+}
+
 // Prune removes the observations of upstreams that are not listed.
 func (t *Tracker) Prune(listed func(upstream string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for upstream := range t.upstreams {
 		if !listed(upstream) {
-			delete(t.upstreams, upstream)
-			delete(t.failing, upstream)
-			delete(t.noPath, upstream)
+			t.forget(upstream)
 		}
 	}
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -113,13 +114,13 @@
 	var first, last []string
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.silent, func(_ string, since time.Time) bool { return now.Sub(since) >= avoidFor })
 	for _, peer := range c.o.Peers(upstream) {
-		if since, silent := c.silent[peer]; silent && now.Sub(since) < avoidFor {
+		if _, silent := c.silent[peer]; silent {
 			last = append(last, peer)
-			continue
+		} else {
+			first = append(first, peer)
 		}
-		delete(c.silent, peer)
-		first = append(first, peer)
 	}
 	return append(first, last...)
 }
