--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -66,6 +66,8 @@
 	Header http.Header
 	// ContentLength is the length of the body, -1 if the head doesn't contain it.
 	ContentLength int64
+	// Framing is how the response states where its body ends.
+	Framing Framing
 	// Reused reports whether the connection had served an earlier exchange.
 	Reused bool
 	// Closing reports whether the upstream announces that it closes the connection after the
@@ -154,13 +156,15 @@
 		return nil, err
 	}
 	c.pool.onResponse(c.net)
+	framing := framingOf(response)
 	return &Response{
 		ctx:           ctx,
 		Status:        response.StatusCode,
 		Header:        response.Header,
 		ContentLength: response.ContentLength,
+		Framing:       framing,
 		Reused:        c.used,
-		Closing:       announcesClose(response),
+		Closing:       response.Close && framing != UntilClose, // without a length or chunks net/http always sets Close
 		conn:          c,
 		response:      response,
 		detach:        stop,
@@ -252,13 +256,6 @@
 	}
 }
 
-// announcesClose reports whether a response announces that its connection is closed. net/http also
-// sets Close for a response without a length, which is no announcement.
-func announcesClose(response *http.Response) bool {
-	hasEnd := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return response.Close && hasEnd
-}
-
 // reusable reports whether the next exchange may use the connection.
 func (c *conn) reusable(response *http.Response) bool {
 	if response.Close || c.strays > 0 || c.reader.Buffered() > 0 {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -153,6 +153,42 @@
 	}
 }
 
+// A response whose body ends with its connection must be told from one that states its end, and a response
+// without a body from both.
+func TestHowResponsesAreFramed(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, response string
+		want             Framing
+	}{
+		"a length":              {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", ByLength},
+		"a length of 0":         {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ByLength},
+		"a length and close":    {"GET", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", ByLength},
+		"chunks":                {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ByChunks},
+		"nothing":               {"GET", "HTTP/1.1 200 OK\r\n\r\nok", UntilClose},
+		"close alone":           {"GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", UntilClose},
+		"HTTP/1.0":              {"GET", "HTTP/1.0 200 OK\r\n\r\nok", UntilClose},
+		"HEAD":                  {"HEAD", "HTTP/1.1 200 OK\r\n\r\n", ByLength},
+		"HEAD, chunks":          {"HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ByLength},
+		"204":                   {"GET", "HTTP/1.1 204 No Content\r\n\r\n", ByLength},
+		"304":                   {"GET", "HTTP/1.1 304 Not Modified\r\n\r\n", ByLength},
+		"after an interim head": {"GET", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\nok", UntilClose},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := server(t, func(conn net.Conn, r *bufio.Reader, _ int) {
+				readRequest(r)
+				_, _ = io.WriteString(conn, c.response)
+			})
+			q := get("1")
+			q.Method = c.method
+			response, err := newPool(address).Do(t.Context(), q)
+			is.NoErr(err)
+			defer response.Close()
+			is.Equal(response.Framing, c.want)
+		})
+	}
+}
+
 func TestBodyWithoutLengthEndsWithItsConnection(t *testing.T) {
 	is := is.New(t)
 	address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -15,6 +15,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/boottime"
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -121,6 +122,8 @@
 	responseStarted bool              // a part of a response was relayed
 	lastEventID     string            // ID of the last event that the caller has
 	events          int               // events in the last response
+	framing         exchange.Framing  // framing of the last response
+	reused          bool              // the last response came on a connection that had served another exchange
 	sentAfter       time.Duration     // from arrival to the last attempt
 	sentAt          time.Time         // when the last attempt was sent
 	firstAfter      time.Duration     // from arrival to the start of the response
@@ -344,7 +347,7 @@
 	event.Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.versions.owner).Int64("list", j.versions.own).
 		Dur("list_age", j.versions.age).Int("prompt", j.info.PromptTokens).Dur("timeout", j.info.Timeout).Dur("sent_after", j.sentAfter).Dur("first_after", j.firstAfter).
-		Int("events", j.events).Dur("took", took).Msg("")
+		Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Dur("took", took).Msg("")
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -67,7 +67,7 @@
 	silence := j.startSilenceTimer(g, cancel)
 	defer silence.stop()
 	j.attempts++
-	j.events = 0
+	j.events, j.framing, j.reused = 0, exchange.Unframed, false
 	process := j.handler.o.Fleet.ProcessOf(g.Upstream())
 	j.upstream = g.Upstream()
 	j.owner = g.Owner()
@@ -87,6 +87,8 @@
 		return attemptResult{status: status, err: err, process: process}
 	}
 	defer response.Close()
+	j.framing, j.reused = response.Framing, response.Reused
+	j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_upstream_responses_total{framing=%q}", j.framing))
 	g.RecordActivity()
 	r := &relay{job: j, ctx: ctx, response: response, silence: silence, onLoad: g.RecordLoad, onData: g.RecordActivity, onFirst: func() {
 		g.RecordFirstToken()
