--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -248,9 +248,15 @@
 	is.Equal(a.header.Get("Outcome"), "unknown")
 }
 
-// events returns a raw response with whole events of the given IDs, followed by rest.
+// events returns a raw response with whole events of the given IDs, followed by rest. It ends with its
+// connection.
 func events(rest string, ids ...string) string {
-	out := "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: a\r\nContent-Type: text/event-stream\r\n\r\n"
+	return "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: a\r\nContent-Type: text/event-stream\r\n\r\n" + eventLines(rest, ids...)
+}
+
+// eventLines returns the body of such a response.
+func eventLines(rest string, ids ...string) string {
+	out := ""
 	for _, id := range ids {
 		out += "id: " + id + "\ndata: " + id + "\n\n"
 	}
