--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/proxy"
 	"github.com/tacktally/tacktally/internal/relay"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
@@ -120,26 +121,39 @@
 	metrics := http.NewServeMux()
 	metrics.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { i.metrics.Write(w) })
 	metrics.HandleFunc("GET "+ZoneReportPath, i.serveZoneReport)
-	s := &servers{callers: i.startServer(l.callers, i.proxy, l.callers.ConnState)}
-	s.others = []*http.Server{i.startServer(l.ready, &i.ready, nil), i.startServer(l.peers, mesh, nil), i.startServer(l.metrics, metrics, nil)}
+	callers := i.newServer(i.proxy)
+	callers.ConnState = l.callers.ConnState
+	callers.ConnContext = proxy.ConnContext
+	i.start(callers, l.callers)
+	s := &servers{callers: callers}
+	for _, o := range []struct {
+		listener net.Listener
+		handler  http.Handler
+	}{{l.ready, &i.ready}, {l.peers, mesh}, {l.metrics, metrics}} {
+		other := i.newServer(o.handler)
+		i.start(other, o.listener)
+		s.others = append(s.others, other)
+	}
 	return s
 }
 
-func (i *Instance) startServer(l net.Listener, h http.Handler, state func(net.Conn, http.ConnState)) *http.Server {
-	s := &http.Server{
+func (i *Instance) newServer(h http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    i.settings.Callers.MaxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		ConnState:         state,
 	}
+}
+
+// start makes a server accept connections in the background.
+func (i *Instance) start(s *http.Server, l net.Listener) {
 	go func() {
 		err := s.Serve(l)
 		if !errors.Is(err, http.ErrServerClosed) {
 			i.log.Error().Str("event", "listener_lost").Str("address", l.Addr().String()).Str("cause", err.Error()).Msg("listener failed; it accepts no more connections")
 		}
 	}()
-	return s
 }
 
 // shutDown reports the instance as not ready, keeps serving for drainListenTime since callers may
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -120,6 +120,7 @@
 	versions        listVersions // upstream list versions at the last attempt
 	mayHaveRun      bool
 	responseStarted bool              // a part of a response was relayed
+	endsByClose     bool              // the response that is relayed ends with the caller's connection
 	lastEventID     string            // ID of the last event that the caller has
 	events          int               // events in the last response
 	framing         exchange.Framing  // framing of the last response
@@ -314,6 +315,9 @@
 		j.handler.o.Protocol.WriteProblem(j.w, p)
 	}
 	j.record(p)
+	if p == nil && j.endsByClose {
+		j.setLinger(lingerOrderly)
+	}
 	if p != nil && j.responseStarted {
 		panic(http.ErrAbortHandler) // closes the connection, so that the response doesn't look complete
 	}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -190,7 +190,9 @@
 		OnClosing:  func(upstream string) { r.closing <- upstream },
 		StaleAfter: staleAfter, Metrics: metrics, Log: log,
 	})
-	r.server = httptest.NewServer(r.handler)
+	r.server = httptest.NewUnstartedServer(r.handler)
+	r.server.Config.ConnContext = ConnContext
+	r.server.Start()
 	t.Cleanup(func() {
 		r.server.Close()
 		r.fleet.Close()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -44,6 +44,15 @@
 	age        time.Duration
 }
 
+// Errors of streams that end with their connection.
+var (
+	// errPartialEvent means that the stream ended inside an event.
+	errPartialEvent = fmt.Errorf("%w: the stream ended inside an event", exchange.ErrTruncated)
+	// errNoStatedEnd means that the end of a resumed stream isn't stated, while its caller was promised that
+	// it would be.
+	errNoStatedEnd = fmt.Errorf("%w: whether the resumed stream is complete isn't stated", exchange.ErrTruncated)
+)
+
 // errUnsigned means that a success lacks the upstream's signature.
 var errUnsigned = errors.New("successful response without the upstream's signature")
 
@@ -233,13 +242,13 @@
 		r.onFirst() // not for a failure, which comes sooner than a successful response
 	}
 	if len(buffered) <= maxBufferedBytes {
-		complete := &bufferedResponse{status: r.response.Status, header: r.response.Header, body: buffered}
+		complete := &bufferedResponse{status: r.response.Status, header: r.response.Header, framing: r.response.Framing, body: buffered}
 		if r.job.mayRetryFailure(complete) {
 			return attemptResult{status: upstreamFailed, err: fmt.Errorf("status %d", complete.status), failure: complete}
 		}
 		return r.job.writeResponse(complete)
 	}
-	r.job.writeHead(r.response.Status, r.response.Header, r.response.ContentLength)
+	r.job.writeHead(r.response.Status, r.response.Header, r.response.Framing, r.response.ContentLength)
 	if result := r.job.write(buffered); result.status != completed {
 		return result
 	}
@@ -266,8 +275,12 @@
 	started := false
 	for {
 		event, err := sse.Read(reader, maxEventBytes)
-		if err != nil && !errors.Is(err, io.EOF) {
+		statesEnd := r.response.Framing != exchange.UntilClose
+		switch {
+		case err != nil && !errors.Is(err, io.EOF):
 			return r.brokenResult(err)
+		case err != nil && !statesEnd && sse.IsPartial(event):
+			return r.brokenResult(errPartialEvent)
 		}
 		if len(event) > 0 {
 			if !started {
@@ -283,6 +296,9 @@
 		}
 		if err != nil { // end of the stream
 			r.writeHeadOnce()
+			if !statesEnd && !r.job.endsByClose {
+				return r.brokenResult(errNoStatedEnd)
+			}
 			return attemptResult{status: completed}
 		}
 		if !sse.HasBufferedEvent(reader) {
@@ -317,15 +333,16 @@
 // writeHeadOnce relays the head of a stream, unless a head was relayed before.
 func (r *relay) writeHeadOnce() {
 	if !r.job.responseStarted {
-		r.job.writeHead(r.response.Status, r.response.Header, -1)
+		r.job.writeHead(r.response.Status, r.response.Header, r.response.Framing, -1)
 	}
 }
 
 // bufferedResponse is a complete response that wasn't relayed yet.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	status  int
+	header  http.Header
+	framing exchange.Framing
+	body    []byte
 }
 
 // mayRetryFailure reports whether a response is a failure of the upstream, and the request may be
@@ -336,7 +353,7 @@
 
 // writeResponse relays a complete response.
 func (j *job) writeResponse(a *bufferedResponse) attemptResult {
-	j.writeHead(a.status, a.header, int64(len(a.body)))
+	j.writeHead(a.status, a.header, a.framing, int64(len(a.body)))
 	return j.write(a.body)
 }
 
@@ -348,8 +365,9 @@
 	return nil
 }
 
-// writeHead relays a response's head. Length is that of the body, -1 if unknown.
-func (j *job) writeHead(status int, header http.Header, length int64) {
+// writeHead relays a response's head. Length is that of the body, -1 if unknown. A response without a
+// stated end is relayed as one, and the caller's connection is reset unless the response completes.
+func (j *job) writeHead(status int, header http.Header, framing exchange.Framing, length int64) {
 	out := j.w.Header()
 	closing := out.Get("Connection")
 	for name, values := range exchange.EndToEndHeaders(header) {
@@ -364,9 +382,17 @@
 	if _, ok := out["Date"]; !ok {
 		out["Date"] = nil
 	}
-	if length >= 0 {
+	statesLength := length >= 0 && framing != exchange.UntilClose
+	if statesLength {
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	if framing == exchange.UntilClose {
+		out.Set("Transfer-Encoding", "identity") // makes net/http end the body with the connection; it isn't sent
+	}
+	if framing == exchange.UntilClose || (!statesLength && !j.request.ProtoAtLeast(1, 1)) {
+		j.endsByClose = true
+		j.setLinger(lingerReset)
+	}
 	j.responseStarted = true
 	j.status = status
 	j.w.WriteHeader(status)
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// IsPartial reports whether the bytes that Read returned at the end of a stream begin an event.
+func IsPartial(rest []byte) bool { return len(bytes.TrimRight(rest, "\r\n")) > 0 }
+
 // HasBufferedEvent reports whether the reader's buffer contains a whole event, so that reading it
 // won't block.
 func HasBufferedEvent(r *bufio.Reader) bool {
