--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -35,6 +35,8 @@
 func (j *job) recordCrashEvidence(r attemptResult) {
 	registry, now := j.handler.o.Quarantine, time.Now()
 	switch {
+	case (r.status == completed || r.status == upstreamFailed) && j.framing == exchange.UntilClose:
+		j.recordUnstatedEnd(r.process)
 	case r.status == completed || r.status == upstreamFailed:
 		if registry.RecordResponse(now, j.quarantineKey) {
 			j.handler.o.Announce()
@@ -46,9 +48,32 @@
 		if changed {
 			j.handler.o.Announce()
 		}
-		if connections := j.handler.o.Fleet.ConnectionsTo(j.upstream); check && connections != nil {
-			go j.handler.diagnose(j.upstream, r.process, connections)
+		if check {
+			j.handler.startDiagnosis(j.upstream, r.process)
 		}
+	case r.status == notSent && j.handler.o.Fleet.BlamesUpstream(r.err) && registry.NeedsDiagnosis(now, r.process):
+		j.handler.startDiagnosis(j.upstream, r.process)
+	}
+}
+
+// recordUnstatedEnd records a response that ended with its connection. It is confirmed later, unless its
+// upstream turns out to have crashed.
+func (j *job) recordUnstatedEnd(process string) {
+	h, key := j.handler, j.quarantineKey
+	if h.o.Quarantine.RecordUnstatedEnd(time.Now(), process, key, j.events > 0) {
+		h.o.Announce()
+	}
+	time.AfterFunc(quarantine.ConfirmAfter, func() {
+		if h.o.Quarantine.ConfirmResponse(time.Now(), process, key) {
+			h.o.Announce()
+		}
+	})
+}
+
+// startDiagnosis diagnoses an upstream in the background, unless it has been removed.
+func (h *Handler) startDiagnosis(upstream, process string) {
+	if connections := h.o.Fleet.ConnectionsTo(upstream); connections != nil {
+		go h.diagnose(upstream, process, connections)
 	}
 }
 
--- a/internal/proxy/crashes_test.go
+++ b/internal/proxy/crashes_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -59,6 +60,33 @@
 	is.Equal(r.do(r.request("POST", "/safe/x", "good")).status, http.StatusOK)
 }
 
+// A request that crashes its upstreams must be quarantined also where its responses state no end, so that a
+// crash ends them as a complete response ends.
+func TestRequestThatCrashesUpstreamsInResponsesWithoutStatedEndIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		r.addUpstream(id, func(w http.ResponseWriter, q *http.Request) {
+			if sent, _ := io.ReadAll(q.Body); string(sent) != "bad" {
+				_, _ = io.WriteString(w, "ok")
+				return
+			}
+			w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
+			w.(http.Flusher).Flush()
+			r.crash(id)
+		})
+	}
+	bad := quarantine.KeyOf("crews", "POST", "h.example", "/once/x", []byte("bad"))
+	for n := 0; n < 6 && r.registry.Remaining(time.Now(), bad) == 0; n++ {
+		is.Equal(r.do(r.request("POST", "/once/x", "bad", "Id", strconv.Itoa(2*n))).status, http.StatusOK)
+		for range 3 { // their connections are refused by the upstream that crashed
+			r.do(r.request("POST", "/once/x", "good", "Id", strconv.Itoa(2*n+1)))
+		}
+	}
+	eventually(t, "the request is quarantined", func() bool { return r.registry.Remaining(time.Now(), bad) > 0 })
+}
+
 // A request that was granted an upstream before it was quarantined isn't sent. The problem must not
 // hide that an earlier attempt may have run.
 func TestRequestQuarantinedAfterItsGrantIsNotSent(t *testing.T) {
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -142,18 +142,67 @@
 func (r *Registry) RecordLostResponse(now time.Time, upstream string, k Key, started bool) (check, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if changed, known := r.recordLoss(now, upstream, k, started); known {
+		return false, changed
+	}
+	return r.startCheck(now, upstream), false
+}
+
+// RecordUnstatedEnd records a response that ended with its connection, as it also does if its upstream
+// process crashes: it counts as lost if the process is known to have terminated within lossWindow, and as
+// a response once ConfirmResponse was called, after ConfirmAfter. It reports whether it was added to a
+// known crash, which peers must receive.
+func (r *Registry) RecordUnstatedEnd(now time.Time, upstream string, k Key, started bool) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed, _ = r.recordLoss(now, upstream, k, started)
+	return changed
+}
+
+// ConfirmAfter is the time after which a response without a stated end is confirmed.
+const ConfirmAfter = lossWindow
+
+// ConfirmResponse records a response without a stated end as complete unless its upstream process is known
+// to have terminated. It reports whether this clears the request, which peers must receive.
+func (r *Registry) ConfirmResponse(now time.Time, upstream string, k Key) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.crashes[upstream] != nil {
+		return false
+	}
+	return r.recordResponse(now, k)
+}
+
+// NeedsDiagnosis reports whether an upstream to which no connection could be opened must be diagnosed,
+// since responses ended or were lost there within lossWindow.
+func (r *Registry) NeedsDiagnosis(now time.Time, upstream string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropExpired(now)
+	return len(r.losses[upstream]) > 0 && r.startCheck(now, upstream)
+}
+
+// recordLoss adds a loss to the crash of its upstream process, if that is known, and reports whether this
+// changed the crash. Otherwise it keeps the loss for lossWindow. The caller holds the lock.
+func (r *Registry) recordLoss(now time.Time, upstream string, k Key, started bool) (changed, known bool) {
 	started = started || r.responses.has(k)
 	if c := r.crashes[upstream]; c != nil && now.Sub(c.at) < lossWindow {
-		return false, r.suspect(now, c, k, started)
+		return r.suspect(now, c, k, started), true
 	}
 	r.dropExpired(now)
 	recent := slices.DeleteFunc(r.losses[upstream], func(l loss) bool { return now.Sub(l.at) > lossWindow })
 	r.losses[upstream] = append(recent, loss{key: k, started: started, at: now})
+	return false, false
+}
+
+// startCheck reports whether a diagnosis of an upstream is due, and records that it starts. The caller
+// holds the lock.
+func (r *Registry) startCheck(now time.Time, upstream string) bool {
 	if !r.checked[upstream].IsZero() {
-		return false, false
+		return false
 	}
 	r.checked[upstream] = now
-	return true, false
+	return true
 }
 
 // RecordCrash records that an upstream process has terminated. It reports whether this is a change
@@ -234,6 +283,11 @@
 func (r *Registry) RecordResponse(now time.Time, k Key) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.recordResponse(now, k)
+}
+
+// recordResponse does what RecordResponse says. The caller holds the lock.
+func (r *Registry) recordResponse(now time.Time, k Key) bool {
 	r.responses.add(now, k)
 	if !r.isSuspected(k) {
 		return false
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -164,6 +164,66 @@
 
 // An upstream that stays alive and breaks connections for a long time keeps only its last losses in
 // memory.
+// A response without a stated end must not clear a request that crashes its upstreams, and must count as lost
+// once the crash is known, before or after.
+func TestUnstatedEndIsAResponseOnlyIfItsUpstreamLives(t *testing.T) {
+	for name, c := range map[string]struct {
+		history     func(b *Registry, upstream string, at time.Time)
+		quarantined bool
+	}{
+		"crash known afterwards": {func(b *Registry, upstream string, at time.Time) {
+			b.RecordUnstatedEnd(at, upstream, key("x"), false)
+			b.RecordCrash(at.Add(10*time.Millisecond), upstream)
+		}, true},
+		"crash known before": {func(b *Registry, upstream string, at time.Time) {
+			b.RecordLostResponse(at, upstream, key("y+"), true)
+			b.RecordCrash(at, upstream)
+			b.RecordUnstatedEnd(at.Add(10*time.Millisecond), upstream, key("x"), false)
+		}, true},
+		"no crash": {func(b *Registry, upstream string, at time.Time) {
+			b.RecordUnstatedEnd(at, upstream, key("x"), false)
+		}, false},
+		"crash long afterwards": {func(b *Registry, upstream string, at time.Time) {
+			b.RecordUnstatedEnd(at, upstream, key("x"), false)
+			b.RecordCrash(at.Add(2*lossWindow), upstream)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newRegistry(true)
+			for i, upstream := range []string{"1", "2"} {
+				at := start.Add(time.Duration(i) * time.Minute)
+				c.history(b, upstream, at)
+				b.ConfirmResponse(at.Add(ConfirmAfter), upstream, key("x"))
+			}
+			is.Equal(b.Remaining(start.Add(time.Minute+ConfirmAfter), key("x")) > 0, c.quarantined)
+		})
+	}
+}
+
+func TestConfirmedResponseClearsItsRequest(t *testing.T) {
+	is := is.New(t)
+	b := newRegistry(true)
+	crashOf(b, start, "1", "x")
+	crashOf(b, start, "2", "x")
+	is.True(b.Remaining(start.Add(settleTime), key("x")) > 0)
+	b.RecordUnstatedEnd(start.Add(time.Minute), "3", key("x"), false)
+	is.True(b.Remaining(start.Add(time.Minute), key("x")) > 0)
+	is.True(b.ConfirmResponse(start.Add(time.Minute+ConfirmAfter), "3", key("x")))
+	is.Equal(b.Remaining(start.Add(time.Minute+ConfirmAfter), key("x")), time.Duration(0))
+}
+
+func TestUpstreamThatRefusesConnectionsIsDiagnosedAfterALoss(t *testing.T) {
+	is := is.New(t)
+	b := newRegistry(true)
+	is.True(!b.NeedsDiagnosis(start, "1")) // nothing ended there
+	b.RecordUnstatedEnd(start, "1", key("x"), false)
+	is.True(b.NeedsDiagnosis(start, "1"))
+	is.True(!b.NeedsDiagnosis(start, "1")) // one is running
+	is.True(b.NeedsDiagnosis(start.Add(2*checkInterval), "1"))
+	is.True(!b.NeedsDiagnosis(start.Add(2*lossWindow), "1"))
+}
+
 func TestLossesExpire(t *testing.T) {
 	is := is.New(t)
 	b := newRegistry(true)
