--- a/api/outcome.go
+++ b/api/outcome.go
@@ -97,6 +97,8 @@
 	ReasonUpstreamLost Reason = "upstream_lost"
 	// ReasonUpstreamCut: the upstream's response was truncated. Resume with Last-Event-ID, or check what the request did.
 	ReasonUpstreamCut Reason = "upstream_cut"
+	// ReasonUpstreamEndUnstated: the response was passed on and may have broken off, since its upstream states neither its length nor its end. Check the body, and make the service state one of them.
+	ReasonUpstreamEndUnstated Reason = "upstream_end_unstated"
 	// ReasonUpstreamGarbage: the upstream's response violates its protocol. Check what the request did, and check the upstream.
 	ReasonUpstreamGarbage Reason = "upstream_garbage"
 	// ReasonUpstreamTimeout: the deadline passed while the upstream was running the request. Allow more time; check what the request did.
@@ -136,7 +138,7 @@
 	ReasonDisplaced, ReasonPredictedLate, ReasonDeadlineTooShort, ReasonDeadlineExpired, ReasonOrganisationLimit,
 	ReasonDraining, ReasonCallerGone, ReasonUpstreamRefused, ReasonRetryBudget, ReasonCrashesUpstreams, ReasonUnreachable,
 	ReasonKeyExpired, ReasonIssuerGone, ReasonIssuerUnreachable, ReasonNotFirstAttempt,
-	ReasonUpstreamLost, ReasonUpstreamCut, ReasonUpstreamGarbage, ReasonUpstreamTimeout,
+	ReasonUpstreamLost, ReasonUpstreamCut, ReasonUpstreamEndUnstated, ReasonUpstreamGarbage, ReasonUpstreamTimeout,
 	ReasonAnswerEvicted,
 }
 
--- a/client/client.go
+++ b/client/client.go
@@ -89,7 +89,8 @@
 
 // Result is the response to a request that was answered.
 type Result struct {
-	// Outcome is answered, also if the upstream answered with an error status.
+	// Outcome is answered, also if the upstream answered with an error status. It is unknown if the upstream
+	// didn't state where its response ends, so that Body may be a part of it.
 	Outcome  api.Outcome
 	Status   int
 	Header   http.Header
@@ -253,7 +254,11 @@
 	if response.Header.Get("Content-Type") == api.ProblemContentType {
 		return nil, s.readProblem(response, body)
 	}
-	return &Result{Outcome: api.Answered, Status: response.StatusCode, Header: response.Header, Body: body, Attempts: s.attempts}, nil
+	outcome := api.Answered
+	if response.Trailer.Get(api.HeaderOutcome) == string(api.Unknown) {
+		outcome = api.Unknown
+	}
+	return &Result{Outcome: outcome, Status: response.StatusCode, Header: response.Header, Body: body, Attempts: s.attempts}, nil
 }
 
 func (s *requestState) readProblem(response *http.Response, body []byte) error {
--- a/internal/answer/buffer.go
+++ b/internal/answer/buffer.go
@@ -40,17 +40,36 @@
 	Header map[string][]string `cbor:"6,keyasint,omitempty"`
 }
 
-// End is the end of a response. Problem is nil if the response is complete.
+// End is the end of a response. Problem is nil if the response is complete, as far as its upstream states
+// that.
 type End struct {
 	Problem *api.Problem `cbor:"1,keyasint,omitempty"`
+	// Unstated reports that the response ended with its connection, so that it may have broken off.
+	Unstated bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Outcome returns the outcome of the request.
 func (e End) Outcome() api.Outcome {
-	if e.Problem == nil {
+	switch {
+	case e.Problem != nil:
+		return e.Problem.Outcome
+	case e.Unstated:
+		return api.Unknown
+	default:
 		return api.Answered
 	}
-	return e.Problem.Outcome
+}
+
+// Reason returns why the outcome isn't answered.
+func (e End) Reason() api.Reason {
+	switch {
+	case e.Problem != nil:
+		return e.Problem.Reason
+	case e.Unstated:
+		return api.ReasonUpstreamEndUnstated
+	default:
+		return api.ReasonNone
+	}
 }
 
 // Buffer is one response being produced. It is safe for concurrent use.
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -266,7 +266,7 @@
 	header.Set(api.HeaderInstance, h.Instance)
 	header.Set(api.HeaderUpstream, h.Upstream)
 	header.Set(api.HeaderRevision, strconv.FormatInt(h.Revision, 10))
-	if end != nil && end.Problem == nil {
+	if end != nil && end.Outcome() == api.Answered {
 		header.Set(api.HeaderOutcome, string(api.Answered))
 	} else {
 		header.Add("Trailer", api.HeaderOutcome)
@@ -305,7 +305,7 @@
 // gets an error event, any other response has its connection closed.
 func (w *writer) end(e *answer.End) {
 	if e.Problem == nil {
-		w.response.Header().Set(api.HeaderOutcome, string(api.Answered))
+		w.setOutcome(e)
 		return
 	}
 	if !w.headWritten {
@@ -315,8 +315,7 @@
 	if !w.stream {
 		panic(http.ErrAbortHandler)
 	}
-	w.response.Header().Set(api.HeaderOutcome, string(e.Problem.Outcome))
-	w.response.Header().Set(api.HeaderReason, string(e.Problem.Reason))
+	w.setOutcome(e)
 	p := *e.Problem
 	p.RequestID = w.request.ID
 	content, err := json.Marshal(errorEvent{Error: &p})
@@ -326,6 +325,14 @@
 	w.writeChunk(append(append([]byte("event: error\ndata: "), content...), "\n\n"...))
 }
 
+// setOutcome sets the trailers.
+func (w *writer) setOutcome(e *answer.End) {
+	w.response.Header().Set(api.HeaderOutcome, string(e.Outcome()))
+	if reason := e.Reason(); reason != api.ReasonNone {
+		w.response.Header().Set(api.HeaderReason, string(reason))
+	}
+}
+
 // errorEvent ends a stream that failed. OpenAI's clients read the field error.
 type errorEvent struct {
 	Error *api.Problem `json:"error"`
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -241,7 +241,7 @@
 func (a *attempts) endOf(r upstream.Result) answer.End {
 	switch r.Status {
 	case upstream.Done:
-		return answer.End{}
+		return answer.End{Unstated: r.EndUnstated}
 	case upstream.NotWritten:
 		return answer.End{Problem: api.Refuse(api.ReasonUnreachable, "no upstream could be reached (%v); retry after the given time", r.Err).WithRetryAfter(time.Second)}
 	case upstream.Busy:
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -23,6 +23,9 @@
 	o, now := a.dispatcher.o, time.Now()
 	switch r.Status {
 	case upstream.Done:
+		if r.EndUnstated {
+			return // a crash may have ended it
+		}
 		if o.Quarantine.RecordResponse(now, a.key) {
 			o.OnQuarantineChange()
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -354,9 +354,9 @@
 	event := d.o.Log.Info().Str("event", "request_ended").Str("request", r.ID).Str("key", quarantineKey(r).String()).
 		Str("organisation", r.Organisation).Str("tier", r.Tier).
 		Str("outcome", string(end.Outcome())).Dur("took", took)
-	if end.Problem != nil {
-		d.o.Metrics.Refused(end.Problem.Reason)
-		event = event.Str("reason", string(end.Problem.Reason))
+	if reason := end.Reason(); reason != api.ReasonNone {
+		d.o.Metrics.Refused(reason)
+		event = event.Str("reason", string(reason))
 	}
 	event.Msg("")
 }
--- a/internal/faults/responses_test.go
+++ b/internal/faults/responses_test.go
@@ -131,6 +131,24 @@
 	is.True(!r.complete)
 }
 
+// A response that ends with its connection must not be reported as answered, neither to its caller nor to a
+// retry that gets what was retained: its service may have crashed in the middle of it.
+func TestResponseWithoutStatedEndIsNotReportedAsAnswered(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	issuer, other := f.daemons[0], f.daemons[1]
+	f.service.SetFaults(service.Faults{CutBody: true})
+	key := issuer.issue()
+	for _, p := range []*process{issuer, other} { // the other one asks the issuer
+		r := p.send(call{path: releasePath, body: "a", key: key})
+		is.Equal(r.body, service.ResponseBody("a")[:1])
+		is.Equal(r.outcome, api.Unknown)
+	}
+	is.Equal(f.runCount("a"), 1)
+	is.Equal(issuer.metric(`tacktally_refusals_total{reason="upstream_end_unstated"}`), 1.0)
+}
+
 // A broken stream is resumed at its engine, unnoticed by the caller and without a second prefill.
 func TestBrokenStreamIsResumed(t *testing.T) {
 	t.Parallel()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -31,6 +31,8 @@
 	Break bool
 	// TruncateBody aborts the connection before the end of the response body.
 	TruncateBody bool
+	// CutBody ends the response with its connection, in the middle of a body that states no end.
+	CutBody bool
 	// Leaving adds the leaving notice to each response.
 	Leaving bool
 }
@@ -86,6 +88,11 @@
 		w.Header().Set(upstream.HeaderLeaving, "true")
 	}
 	w.Header().Set("Content-Type", "text/plain")
+	if f.CutBody {
+		w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
+		_, _ = io.WriteString(w, ResponseBody(string(body))[:1])
+		return
+	}
 	if f.TruncateBody {
 		w.Header().Set("Content-Length", fmt.Sprint(len(ResponseBody(string(body)))+1))
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -82,6 +82,9 @@
 	Events   int
 	// Leaving reports whether the upstream announced in the response that it leaves.
 	Leaving bool
+	// EndUnstated reports that the response is complete only as far as its connection shows: it has neither
+	// a length nor chunks.
+	EndUnstated bool
 	// RetryAfter is the retry delay that a busy upstream requested; 0 if it named none.
 	RetryAfter time.Duration
 }
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -47,7 +47,9 @@
 		head.Header = copyHeader(response.Header)
 		call.OnFirstOutput()
 		b.Start(head)
-		return relayBody(ctx, response.Body, b)
+		result := relayBody(ctx, response.Body, b)
+		result.EndUnstated = result.Status == Done && endsWithConnection(response)
+		return result
 	}
 	media, _, _ := mime.ParseMediaType(head.ContentType)
 	switch {
@@ -61,6 +63,11 @@
 	}
 }
 
+// endsWithConnection reports whether a response states neither the length nor the end of its body.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 func isBusy(call Call, response *http.Response) bool {
 	if call.Request.Kind == request.Service || call.Request.NonIdempotent {
 		return false
