--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -21,6 +21,16 @@
 // process returns the name of its current process.
 func (u *upstream) process() string { return processName(u.ID, u.Incarnation) }
 
+// VersionOf returns the software version of an upstream by the list of this instance; empty if it is unknown.
+func (f *Fleet) VersionOf(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if u := f.upstreams[id]; u != nil {
+		return u.Version
+	}
+	return ""
+}
+
 // extendCold makes the upstream count as cold for at least the given duration.
 func (u *upstream) extendCold(now time.Time, atLeast time.Duration) {
 	u.Cold = max(u.listed.Add(u.Cold).Sub(now), atLeast)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -114,22 +114,23 @@
 	quarantineKey quarantine.Key    // identifies the request by its content, equal for each retry of the caller
 	tokens        *fleet.TokenGrant // charged to the organisation's quota
 
-	attempts        int
-	upstream        string       // upstream of the last attempt
-	owner           string       // instance that granted it, empty for this one
-	versions        listVersions // upstream list versions at the last attempt
-	mayHaveRun      bool
-	responseStarted bool              // a part of a response was relayed
-	endsByClose     bool              // the response that is relayed ends with the caller's connection
-	lastEventID     string            // ID of the last event that the caller has
-	events          int               // events in the last response
-	framing         exchange.Framing  // framing of the last response
-	reused          bool              // the last response came on a connection that had served another exchange
-	sentAfter       time.Duration     // from arrival to the last attempt
-	sentAt          time.Time         // when the last attempt was sent
-	firstAfter      time.Duration     // from arrival to the start of the response
-	status          int               // HTTP status that was relayed
-	failure         *bufferedResponse // last failure response of an upstream, not relayed
+	attempts         int
+	upstream         string       // upstream of the last attempt
+	owner            string       // instance that granted it, empty for this one
+	versions         listVersions // upstream list versions at the last attempt
+	mayHaveRun       bool
+	responseStarted  bool              // a part of a response was relayed
+	endsByClose      bool              // the response that is relayed ends with the caller's connection
+	lastEventID      string            // ID of the last event that the caller has
+	events           int               // events in the last response
+	framing          exchange.Framing  // framing of the last response
+	softwareVersions []string          // of the upstreams whose events were relayed, by this instance's list
+	reused           bool              // the last response came on a connection that had served another exchange
+	sentAfter        time.Duration     // from arrival to the last attempt
+	sentAt           time.Time         // when the last attempt was sent
+	firstAfter       time.Duration     // from arrival to the start of the response
+	status           int               // HTTP status that was relayed
+	failure          *bufferedResponse // last failure response of an upstream, not relayed
 }
 
 // admit identifies the request and checks whether it may run.
@@ -351,7 +352,7 @@
 	event.Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.versions.owner).Int64("list", j.versions.own).
 		Dur("list_age", j.versions.age).Int("prompt", j.info.PromptTokens).Dur("timeout", j.info.Timeout).Dur("sent_after", j.sentAfter).Dur("first_after", j.firstAfter).
-		Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Dur("took", took).Msg("")
+		Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Strs("software_versions", j.softwareVersions).Str("after", j.info.LastEventID).Str("resumes", j.info.Resumes).Dur("took", took).Msg("")
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -285,6 +285,7 @@
 		if len(event) > 0 {
 			if !started {
 				started = true
+				r.job.softwareVersions = append(r.job.softwareVersions, r.job.handler.o.Fleet.VersionOf(r.job.upstream))
 				r.onFirst()
 			}
 			r.job.events++
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -99,6 +99,9 @@
 	// Cold is the remaining time of its cold start, as of the moment at which the entry, or a list
 	// with it, is passed on.
 	Cold time.Duration `cbor:"10,keyasint,omitempty"`
+	// Version of its software. Versions have no order; empty is unknown, as in a list that came through an
+	// instance that doesn't read versions.
+	Version string `cbor:"11,keyasint,omitempty"`
 }
 
 // writtenBefore reports whether the upstream wrote this entry before another one, by incarnation and
