--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,7 +33,7 @@
 type fakeProtocol struct{}
 
 func (fakeProtocol) ParseRequest(r *http.Request) (RequestInfo, error) {
-	c := RequestInfo{ID: r.Header.Get("Id"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After")}
+	c := RequestInfo{ID: r.Header.Get("Id"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), Resumes: r.Header.Get("Resumes")}
 	if c.ID == "" {
 		return c, errors.New("the Id header is missing")
 	}
@@ -230,6 +231,22 @@
 	r.publishUpstreams()
 }
 
+// removeUpstream removes an upstream from the list.
+func (r *harness) removeUpstream(id string) {
+	r.upstreams = slices.DeleteFunc(r.upstreams, func(u view.Upstream) bool { return u.ID == id })
+	r.publishUpstreams()
+}
+
+// setVersion publishes the software version of an upstream.
+func (r *harness) setVersion(id, version string) {
+	for i := range r.upstreams {
+		if r.upstreams[i].ID == id {
+			r.upstreams[i].Version = version
+		}
+	}
+	r.publishUpstreams()
+}
+
 // crash ends an upstream's process: its port refuses connections, and open connections break.
 func (r *harness) crash(id string) {
 	_ = r.servers[id].Listener.Close() // may be closed already
--- /dev/null
+++ b/internal/proxy/version_test.go
@@ -0,0 +1,127 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// versionedEvents responds with events up to the last, after the one that the request has. Their data is the
+// upstream's version. A response without the last event breaks off.
+func versionedEvents(version string, upTo, last int) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		from, err := strconv.Atoi(q.Header.Get("After"))
+		if err != nil {
+			from = 0 // from the start
+		}
+		for n := from + 1; n <= upTo; n++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, version)
+			w.(http.Flusher).Flush()
+		}
+		if upTo < last {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// versionedBody returns the events from one to another, of one version.
+func versionedBody(version string, from, to int) (out string) {
+	for n := from; n <= to; n++ {
+		out += fmt.Sprintf("id: %d\ndata: %s\n\n", n, version)
+	}
+	return out
+}
+
+// A stream that breaks off must go on only at an upstream of the version that began it, within its response.
+func TestStreamIsResumedAtTheVersionThatBeganIt(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	r.addUpstream("a", versionedEvents("v1", 2, 4))
+	r.addUpstream("b", versionedEvents("v2", 4, 4))
+	r.addUpstream("c", versionedEvents("v1", 4, 4))
+	r.setVersion("a", "v1")
+	r.setVersion("b", "v2")
+	r.setVersion("c", "v1")
+	got := r.get("resumable")
+	is.NoErr(got.err)
+	is.Equal(got.body, versionedBody("v1", 1, 4))
+	is.Equal(r.arrivedIDs(), "a c")
+}
+
+// Without another upstream of its version, the stream must end as broken.
+func TestStreamIsNotResumedAtAnotherVersion(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	r.addUpstream("a", versionedEvents("v1", 2, 4))
+	r.addUpstream("b", versionedEvents("v2", 4, 4))
+	r.setVersion("a", "v1")
+	r.setVersion("b", "v2")
+	got := r.get("resumable")
+	is.True(got.err != nil)
+	is.Equal(got.body, versionedBody("v1", 1, 2))
+	is.True(r.arrivedIDs() == "a" || r.arrivedIDs() == "a a") // again, once its connection has failed
+}
+
+// A stream that its caller takes up must go on at the version that began it, however often it is taken up.
+func TestCallersResumptionStaysAtTheVersionThatBeganTheStream(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	for i := range r.document.Routes {
+		r.document.Routes[i].MaxAttempts = 1
+	}
+	r.publish(0)
+	r.addUpstream("a", versionedEvents("v1", 2, 6))
+	r.setVersion("a", "v1")
+	first := r.get("resumable", "Id", "1")
+	is.Equal(first.body, versionedBody("v1", 1, 2))
+	r.addUpstream("b", versionedEvents("v2", 6, 6))
+	r.addUpstream("c", versionedEvents("v1", 4, 6))
+	r.setVersion("b", "v2")
+	r.setVersion("c", "v1")
+	r.removeUpstream("a")
+	second := r.get("resumable", "Id", "2", "After", "2", "Resumes", "1")
+	is.Equal(second.body, versionedBody("v1", 3, 4))
+	third := r.get("resumable", "Id", "3", "After", "4", "Resumes", "1")
+	is.Equal(third.body, "") // c has nothing more
+	is.Equal(r.arrivedIDs(), "a c c")
+}
+
+// A stream of which nobody knows the version that began it must not go on, since several serve.
+func TestResumptionOfAnUnknownStreamIsRefused(t *testing.T) {
+	for name, header := range map[string][]string{
+		"unknown first request": {"Id", "2", "After", "2", "Resumes", "1"},
+		"no first request":      {"Id", "2", "After", "2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness(t)
+			r.publish(0)
+			r.addUpstream("a", versionedEvents("v1", 4, 4))
+			r.addUpstream("b", versionedEvents("v2", 4, 4))
+			r.setVersion("a", "v1")
+			r.setVersion("b", "v2")
+			got := r.get("resumable", header...)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			is.Equal(got.header.Get("Outcome"), "not-run")
+			is.True(got.header.Get("Retry-After") != "")
+			is.Equal(r.arrivedIDs(), "")
+		})
+	}
+}
+
+// While all upstreams have one version, a stream goes on whoever began it.
+func TestResumptionOfAnUnknownStreamAtTheOnlyVersion(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	r.addUpstream("a", versionedEvents("v1", 4, 4))
+	r.setVersion("a", "v1")
+	got := r.get("resumable", "Id", "2", "After", "2")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, versionedBody("v1", 3, 4))
+}
