--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -30,6 +30,8 @@
 	Region string
 	// Incarnation is the number of its process, if known.
 	Incarnation int64
+	// Version is the version of its software; empty is unknown.
+	Version string
 	// Speed and Window are estimates, updated with each response.
 	Speed  estimate.Speed
 	Window estimate.Window
--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -25,6 +25,8 @@
 	// ErrLimitUnknown means that the granting instance didn't know of the limit that the upstream
 	// advertises.
 	ErrLimitUnknown = fmt.Errorf("%w: it advertises a limit that the grant does not account for", ErrNotUsable)
+	// ErrOtherVersion means that the upstream isn't of the software version that began the stream.
+	ErrOtherVersion = fmt.Errorf("%w: it isn't of the version that began the stream", ErrNotUsable)
 	// ErrEvacuated means that operators evacuate the availability zone of the upstream.
 	ErrEvacuated = fmt.Errorf("%w: its availability zone is evacuated", ErrNotUsable)
 )
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -180,6 +180,8 @@
 		Zone:              f.o.Zone,
 		Restricted:        r.RegionConstraint.Restricted,
 		Regions:           r.RegionConstraint.Regions,
+		RestrictedVersion: r.VersionConstraint.Restricted,
+		Version:           r.VersionConstraint.Version,
 	}
 	for _, p := range req.Segments {
 		out.Segments = append(out.Segments, peer.PromptSegment{PrefixHash: p.Hash, Tokens: p.Tokens})
@@ -212,6 +214,7 @@
 		ExcludedUpstreams: r.ExcludedUpstreams,
 		Zone:              r.Zone,
 		RegionConstraint:  scheduler.RegionConstraint{Restricted: r.Restricted, Regions: r.Regions},
+		VersionConstraint: scheduler.VersionConstraint{Restricted: r.RestrictedVersion, Version: r.Version},
 	}
 }
 
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -47,6 +47,7 @@
 		Slots:           u.Slots,
 		Leaving:         u.unusable != nil,
 		Incarnation:     u.Incarnation,
+		Version:         u.Version,
 		ColdUntil:       u.listed.Add(u.Cold),
 		AdvertisedLimit: f.advertisedLimit(u.process()),
 	}
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -61,6 +61,9 @@
 	// Brittle are the upstreams that have said to the requester that they are brittle, with the number of
 	// refusals in a second that they survive, by ID.
 	Brittle map[string]int `cbor:"23,keyasint,omitempty"`
+	// RestrictedVersion requests run only at upstreams of the software version Version.
+	RestrictedVersion bool   `cbor:"24,keyasint,omitempty"`
+	Version           string `cbor:"25,keyasint,omitempty"`
 }
 
 // AttemptKind is what a slot request is to the retry budget.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -135,20 +135,21 @@
 
 func (j *job) schedulerRequest(failedUpstream string) *scheduler.Request {
 	return &scheduler.Request{
-		Rank:             j.rank(),
-		Organisation:     j.organisationName(),
-		Share:            1,
-		Arrived:          j.arrived,
-		Deadline:         j.deadline,
-		MaxWait:          j.maxWait(failedUpstream != ""),
-		LatencyObjective: j.route.LatencyObjective,
-		AllowLate:        true,
-		PromptTokens:     j.info.PromptTokens,
-		MaxOutput:        j.info.MaxOutputTokens,
-		ExpectedOutput:   j.info.ExpectedOutputTokens,
-		Bytes:            len(j.body),
-		FailedUpstream:   failedUpstream,
-		RegionConstraint: scheduler.RegionConstraint(routing.RegionConstraintOf(j.route, j.organisation)),
+		Rank:              j.rank(),
+		Organisation:      j.organisationName(),
+		Share:             1,
+		Arrived:           j.arrived,
+		Deadline:          j.deadline,
+		MaxWait:           j.maxWait(failedUpstream != ""),
+		LatencyObjective:  j.route.LatencyObjective,
+		AllowLate:         true,
+		PromptTokens:      j.info.PromptTokens,
+		MaxOutput:         j.info.MaxOutputTokens,
+		ExpectedOutput:    j.info.ExpectedOutputTokens,
+		Bytes:             len(j.body),
+		FailedUpstream:    failedUpstream,
+		RegionConstraint:  scheduler.RegionConstraint(routing.RegionConstraintOf(j.route, j.organisation)),
+		VersionConstraint: j.origin,
 	}
 }
 
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -27,6 +27,10 @@
 		return quarantine.ErrQuarantined
 	}
 	j.sentAt = time.Now()
+	j.sentVersion = j.handler.o.Fleet.VersionOf(g.Upstream())
+	if j.origin.Restricted && j.sentVersion != j.origin.Version {
+		return fleet.ErrOtherVersion
+	}
 	return j.handler.o.Fleet.BeginAttempt(g)
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -19,6 +19,7 @@
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
 )
@@ -119,18 +120,20 @@
 	owner            string       // instance that granted it, empty for this one
 	versions         listVersions // upstream list versions at the last attempt
 	mayHaveRun       bool
-	responseStarted  bool              // a part of a response was relayed
-	endsByClose      bool              // the response that is relayed ends with the caller's connection
-	lastEventID      string            // ID of the last event that the caller has
-	events           int               // events in the last response
-	framing          exchange.Framing  // framing of the last response
-	softwareVersions []string          // of the upstreams whose events were relayed, by this instance's list
-	reused           bool              // the last response came on a connection that had served another exchange
-	sentAfter        time.Duration     // from arrival to the last attempt
-	sentAt           time.Time         // when the last attempt was sent
-	firstAfter       time.Duration     // from arrival to the start of the response
-	status           int               // HTTP status that was relayed
-	failure          *bufferedResponse // last failure response of an upstream, not relayed
+	responseStarted  bool                        // a part of a response was relayed
+	endsByClose      bool                        // the response that is relayed ends with the caller's connection
+	lastEventID      string                      // ID of the last event that the caller has
+	events           int                         // events in the last response
+	framing          exchange.Framing            // framing of the last response
+	origin           scheduler.VersionConstraint // version that began the stream; not restricted before its first event
+	sentVersion      string                      // version of the upstream of the last attempt when it was sent
+	softwareVersions []string                    // of the upstreams whose events were relayed, by this instance's list
+	reused           bool                        // the last response came on a connection that had served another exchange
+	sentAfter        time.Duration               // from arrival to the last attempt
+	sentAt           time.Time                   // when the last attempt was sent
+	firstAfter       time.Duration               // from arrival to the start of the response
+	status           int                         // HTTP status that was relayed
+	failure          *bufferedResponse           // last failure response of an upstream, not relayed
 }
 
 // admit identifies the request and checks whether it may run.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -212,7 +212,10 @@
 }
 
 // addUpstream adds an upstream with the handler f. The first one added is selected first.
-func (r *harness) addUpstream(id string, f http.HandlerFunc) {
+func (r *harness) addUpstream(id string, f http.HandlerFunc) { r.addVersion(id, "", f) }
+
+// addVersion adds an upstream of a software version.
+func (r *harness) addVersion(id, version string, f http.HandlerFunc) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.mu.Lock()
 		r.arrivals = append(r.arrivals, q)
@@ -227,7 +230,7 @@
 		s.Close()
 	})
 	r.servers[id] = s
-	r.upstreams = append(r.upstreams, view.Upstream{ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 8, Revision: int64(len(r.upstreams) + 1)})
+	r.upstreams = append(r.upstreams, view.Upstream{ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 8, Revision: int64(len(r.upstreams) + 1), Version: version})
 	r.publishUpstreams()
 }
 
@@ -237,16 +240,6 @@
 	r.publishUpstreams()
 }
 
-// setVersion publishes the software version of an upstream.
-func (r *harness) setVersion(id, version string) {
-	for i := range r.upstreams {
-		if r.upstreams[i].ID == id {
-			r.upstreams[i].Version = version
-		}
-	}
-	r.publishUpstreams()
-}
-
 // crash ends an upstream's process: its port refuses connections, and open connections break.
 func (r *harness) crash(id string) {
 	_ = r.servers[id].Listener.Close() // may be closed already
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -285,7 +285,7 @@
 		if len(event) > 0 {
 			if !started {
 				started = true
-				r.job.softwareVersions = append(r.job.softwareVersions, r.job.handler.o.Fleet.VersionOf(r.job.upstream))
+				r.job.softwareVersions = append(r.job.softwareVersions, r.job.sentVersion)
 				r.onFirst()
 			}
 			r.job.events++
@@ -320,6 +320,7 @@
 	if result := r.job.write(event); result.status != completed {
 		return result
 	}
+	r.job.recordOrigin()
 	if numbered {
 		r.job.lastEventID = strconv.FormatInt(id, 10)
 	}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -32,6 +32,10 @@
 		c.sendUnqueued(now, r, &d)
 		return d
 	}
+	if r.VersionConstraint.Restricted {
+		c.submitResuming(now, r, &d)
+		return d
+	}
 	if !r.AllowLate && !c.isFeasible(now, r) {
 		c.shed(now, &d, r, api.ReasonDeadlineTooShort, "even an idle upstream would answer too late; allow more time or send less")
 		return d
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -90,6 +90,8 @@
 	ExcludedUpstreams []string
 	// RegionConstraint restricts the regions in which the request may run.
 	RegionConstraint RegionConstraint
+	// VersionConstraint restricts the software versions of the upstreams at which the request may run.
+	VersionConstraint VersionConstraint
 	// Digest identifies the content of the request and is the same for each retry of the caller; 0
 	// means unknown.
 	Digest uint64
@@ -160,6 +162,7 @@
 	options     Options
 	queue       *queue.Queue
 	returning   returningRequests
+	resuming    resumingRequests
 	upstreams   []*balancer.Upstream
 	byID        map[string]*balancer.Upstream // the entries of upstreams by ID
 	peerLoads   map[string]Load               // load of each other instance
@@ -185,7 +188,7 @@
 func New(o Options) *Core {
 	o.MinRetryAfter = cmp.Or(o.MinRetryAfter, minRetryAfter)
 	returning, limits := newReturningRequests(o)
-	return &Core{options: o, byID: map[string]*balancer.Upstream{}, queue: queue.New(limits), returning: returning, peerLoads: map[string]Load{}, outputs: newOutputRatio(), lengthError: newLengthError(), grantShares: grantShares{}, slotWaits: slotWaits{}}
+	return &Core{options: o, byID: map[string]*balancer.Upstream{}, queue: queue.New(limits), returning: returning, resuming: newResumingRequests(o.Limits), peerLoads: map[string]Load{}, outputs: newOutputRatio(), lengthError: newLengthError(), grantShares: grantShares{}, slotWaits: slotWaits{}}
 }
 
 // Upstreams returns the upstreams. The caller must not modify the slice.
@@ -195,7 +198,7 @@
 func (c *Core) Queued(ranks int) []int {
 	out := make([]int, ranks)
 	for r := range out {
-		out[r] = c.queue.LenOfRank(r) + c.returning.queue.LenOfRank(r)
+		out[r] = c.queue.LenOfRank(r) + c.returning.queue.LenOfRank(r) + c.resuming.lenOfRank(r)
 	}
 	return out
 }
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -57,6 +57,10 @@
 func (c *Core) expire(now time.Time, d *Decisions) {
 	for _, it := range c.removeExpired(now) {
 		r := it.Value.(*Request)
+		if r.VersionConstraint.Restricted { // it competes for the upstreams of one version only
+			c.shed(now, d, r, api.ReasonDeadlineExpired, "the upstreams of the stream's version had no capacity in time; retry after the given time")
+			continue
+		}
 		c.shedAfterLower(now, d, r, api.ReasonDeadlineExpired, "no upstream had capacity in time; retry after the given time")
 	}
 }
@@ -64,7 +68,14 @@
 // Cancel removes a waiting request whose caller has disconnected. It returns false if the request
 // does not wait.
 func (c *Core) Cancel(r *Request) bool {
-	return r.item != nil && (c.queue.Remove(r.item) || c.returning.queue.Remove(r.item))
+	switch {
+	case r.item == nil:
+		return false
+	case r.VersionConstraint.Restricted:
+		return c.resuming.remove(r.item)
+	default:
+		return c.queue.Remove(r.item) || c.returning.queue.Remove(r.item)
+	}
 }
 
 // dispatch grants waiting requests while an upstream with capacity suits one of them.
@@ -108,7 +119,10 @@
 			return it, choice
 		}
 	}
-	for _, rank := range c.addReturningRanks(waiting) {
+	for _, rank := range c.addOtherRanks(waiting) {
+		if it, choice := c.nextResuming(now, rank, candidates); it != nil {
+			return it, choice
+		}
 		if it, choice := c.nextNewOrReturning(now, rank, candidates); it != nil {
 			return it, choice
 		}
@@ -170,13 +184,16 @@
 	d.Grants = append(d.Grants, c.grant(now, r, choice))
 }
 
-// eligible filters a list of upstreams. It removes those in regions where the request may not run,
-// those to which its instance may not send, and the one that has already failed it, if there is an
+// eligible filters a list of upstreams. It removes those of regions and versions where the request may not
+// run, those to which its instance may not send, and the one that has already failed it, if there is an
 // alternative.
 func (c *Core) eligible(r *Request, list []*balancer.Upstream) []*balancer.Upstream {
 	if r.RegionConstraint.Restricted {
 		list = removeIf(list, func(u *balancer.Upstream) bool { return !r.RegionConstraint.allow(u.Region) })
 	}
+	if r.VersionConstraint.Restricted {
+		list = removeIf(list, func(u *balancer.Upstream) bool { return !r.VersionConstraint.allow(u.Version) })
+	}
 	if len(r.ExcludedUpstreams) > 0 {
 		list = removeIf(list, func(u *balancer.Upstream) bool { return slices.Contains(r.ExcludedUpstreams, u.ID) })
 	}
@@ -190,7 +207,7 @@
 // it.
 func (c *Core) hasAlternative(r *Request) bool {
 	return slices.ContainsFunc(c.upstreams, func(u *balancer.Upstream) bool {
-		return u.ID != r.FailedUpstream && r.RegionConstraint.allow(u.Region) && !slices.Contains(r.ExcludedUpstreams, u.ID)
+		return u.ID != r.FailedUpstream && r.RegionConstraint.allow(u.Region) && r.VersionConstraint.allow(u.Version) && !slices.Contains(r.ExcludedUpstreams, u.ID)
 	})
 }
 
--- a/internal/scheduler/members.go
+++ b/internal/scheduler/members.go
@@ -23,6 +23,8 @@
 	Leaving bool
 	// Incarnation is the number of the upstream's process, if known.
 	Incarnation int64
+	// Version of its software; empty is unknown.
+	Version string
 	// ColdUntil is the end of its cold start, as published or as inferred from events.
 	ColdUntil time.Time
 	// AdvertisedLimit is the request rate that the upstream accepts, if it advertises one.
@@ -113,6 +115,7 @@
 func (c *Core) update(u *balancer.Upstream, m Member) {
 	u.Leaving = m.Leaving
 	u.Slots = m.Slots
+	u.Version = m.Version
 	u.MaxBacklog = c.options.MaxBacklog
 	u.GrantLimits = c.grantLimitsOf(u.Zone)
 	u.AdvertisedLimit = m.AdvertisedLimit
--- a/internal/scheduler/returning.go
+++ b/internal/scheduler/returning.go
@@ -137,13 +137,14 @@
 	return counts
 }
 
-// waiting returns the number of waiting requests, new and returning.
-func (c *Core) waiting() int { return c.queue.Len() + c.returning.queue.Len() }
+// waiting returns the number of waiting requests, new, returning and resuming.
+func (c *Core) waiting() int { return c.queue.Len() + c.returning.queue.Len() + c.resuming.len() }
 
-// addReturningRanks adds to the ranks with waiting new requests those with returning ones, most
+// addOtherRanks adds to the ranks with waiting new requests those with returning and resuming ones, most
 // important first.
-func (c *Core) addReturningRanks(waiting []int) []int {
+func (c *Core) addOtherRanks(waiting []int) []int {
 	ranks := append(waiting, c.returning.queue.WaitingRanks()...)
+	ranks = append(ranks, c.resuming.waitingRanks()...)
 	slices.Sort(ranks)
 	return slices.Compact(ranks)
 }
@@ -158,29 +159,31 @@
 
 // take removes an item that is about to be granted from its queue.
 func (c *Core) take(now time.Time, it *queue.Item) {
-	if it.Value.(*Request).inReturningQueue {
+	r := it.Value.(*Request)
+	switch {
+	case r.VersionConstraint.Restricted:
+		c.resuming.take(now, it)
+	case r.inReturningQueue:
 		c.returning.queue.Take(now, it)
-		return
+	default:
+		c.queue.Take(now, it)
 	}
-	c.queue.Take(now, it)
 }
 
-// removeExpired removes and returns the items, new and returning, that can no longer start in time.
+// removeExpired removes and returns the items, of all queues, that can no longer start in time.
 func (c *Core) removeExpired(now time.Time) []*queue.Item {
-	return append(c.queue.RemoveExpired(now), c.returning.queue.RemoveExpired(now)...)
+	out := append(c.queue.RemoveExpired(now), c.returning.queue.RemoveExpired(now)...)
+	return append(out, c.resuming.removeExpired(now)...)
 }
 
 // earliestStartBy returns the earliest time at which a waiting request expires, and false if none
 // waits.
 func (c *Core) earliestStartBy() (time.Time, bool) {
 	first, waiting := c.queue.EarliestStartBy()
-	other, returning := c.returning.queue.EarliestStartBy()
-	switch {
-	case !returning:
-		return first, waiting
-	case !waiting:
-		return other, true
-	default:
-		return earlier(first, other), true
+	for _, earliest := range []func() (time.Time, bool){c.returning.queue.EarliestStartBy, c.resuming.earliestStartBy} {
+		if other, found := earliest(); found && (!waiting || other.Before(first)) {
+			first, waiting = other, true
+		}
 	}
+	return first, waiting
 }
