--- a/api/outcome.go
+++ b/api/outcome.go
@@ -93,6 +93,8 @@
 	ReasonIssuerUnreachable Reason = "issuer_unreachable"
 	// ReasonNotFirstAttempt: the request retries a caller-chosen ID that no reachable instance holds. Mark the first attempt, or check what it did and use a new ID.
 	ReasonNotFirstAttempt Reason = "not_first_attempt"
+	// ReasonOriginUnknown: the request resumes a stream of which no reachable instance knows the version of the upstreams that began it, and several serve. Retry after the given time, with the ID of the stream's first request, or send the request anew.
+	ReasonOriginUnknown Reason = "origin_unknown"
 	// ReasonUpstreamLost: the connection failed after the request was written. Check what it did before you send it under a new key.
 	ReasonUpstreamLost Reason = "upstream_lost"
 	// ReasonUpstreamCut: the upstream's response was truncated. Resume with Last-Event-ID, or check what the request did.
@@ -138,7 +140,7 @@
 	ReasonDisplaced, ReasonPredictedLate, ReasonDeadlineTooShort, ReasonDeadlineExpired, ReasonOrganisationLimit,
 	ReasonDraining, ReasonCallerGone, ReasonUpstreamRefused, ReasonRetryBudget, ReasonCrashesUpstreams, ReasonUnreachable,
 	ReasonKeyExpired, ReasonIssuerGone, ReasonIssuerUnreachable, ReasonNotFirstAttempt,
-	ReasonUpstreamLost, ReasonUpstreamCut, ReasonUpstreamEndUnstated, ReasonUpstreamGarbage, ReasonUpstreamTimeout,
+	ReasonOriginUnknown, ReasonUpstreamLost, ReasonUpstreamCut, ReasonUpstreamEndUnstated, ReasonUpstreamGarbage, ReasonUpstreamTimeout,
 	ReasonAnswerEvicted,
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -123,6 +123,11 @@
 // HandleQuotaReturn implements peer.Handler. It does nothing, since no quotas are granted.
 func (p *peerHandler) HandleQuotaReturn(*peer.QuotaReturn) {}
 
+// HandleOrigins and ServeOrigin implement peer.Handler. Instances of this kind resume a stream at the engine
+// that began it only.
+func (p *peerHandler) HandleOrigins([]peer.StreamOrigin)               {}
+func (p *peerHandler) ServeOrigin(*peer.OriginQuery) *peer.OriginReply { return &peer.OriginReply{} }
+
 // LinkLost implements peer.Handler. It does nothing: what the peer reported stays valid until
 // PeerLost.
 func (p *peerHandler) LinkLost(string) {}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -182,6 +182,7 @@
 		i.fleet.SetRelays(relay.NewClient(relay.ClientOptions{Peers: i.relays.forUpstream, Usable: i.relays.isUsable, Dialer: i.mesh.Dialer()}))
 	}
 	i.fleet.SetSlotClient(i.mesh)
+	i.fleet.SetOriginClient(i.mesh)
 	i.quotas.SetClient(i.mesh)
 	i.refreshFleet() // before settleTime, so this instance isn't settled
 	i.registerGauges()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -219,6 +219,14 @@
 	return p.instance.quotas.ServeTake(r)
 }
 
+// HandleOrigins implements peer.Handler.
+func (p *peerHandler) HandleOrigins(list []peer.StreamOrigin) { p.instance.fleet.MergeOrigins(list) }
+
+// ServeOrigin implements peer.Handler.
+func (p *peerHandler) ServeOrigin(q *peer.OriginQuery) *peer.OriginReply {
+	return p.instance.fleet.ServeOrigin(q)
+}
+
 // HandleQuotaReturn implements peer.Handler.
 func (p *peerHandler) HandleQuotaReturn(r *peer.QuotaReturn) { p.instance.quotas.ServeReturn(r) }
 
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -164,6 +164,7 @@
 	i.ready.draining.Store(true)
 	i.proxy.Drain()
 	i.mesh.Announce()
+	i.fleet.HandOverOrigins()
 	grace := time.Duration(i.settings.Routed.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-shutdownMargin)
 	defer cancel()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/tacktally/tacktally/internal/balancer"
 	"github.com/tacktally/tacktally/internal/exchange"
+	"github.com/tacktally/tacktally/internal/origin"
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
@@ -92,8 +93,11 @@
 	// the round-robin position of the notices in messages to peers.
 	leavingNotices map[string]leavingNotice
 	noticesSent    int
-	slots          SlotClient // nil without peers
-	relays         Relays     // nil without routed.relay
+	slots          SlotClient   // nil without peers
+	relays         Relays       // nil without routed.relay
+	listedSince    time.Time    // when the list first arrived
+	originClient   OriginClient // nil without peers
+	origins        *origin.Registry
 
 	brittle     brittleUpstreams
 	backoffs    *rest.Backoffs
@@ -115,6 +119,7 @@
 	// spreadUntil is the time until which requests go to all shards.
 	spreadUntil time.Time
 	coldStart   scheduler.ColdStart
+	versions    map[string]*versionUse // of its upstreams
 }
 
 // shard is a subset of a service's upstreams that one instance schedules.
@@ -141,6 +146,7 @@
 		backoffs:       rest.New(),
 		limits:         ratelimit.New(o.Log),
 		reach:          reach.New(),
+		origins:        origin.New(),
 		instances:      []Instance{{Address: o.Instance, Cores: o.Cores, Reachable: true, MayOwn: true, Settled: true}},
 	}
 }
@@ -164,7 +170,7 @@
 	if s := f.services[name]; s != nil {
 		return s
 	}
-	s := &service{name: name, retryBudget: retrybudget.New(f.initialRetryBudget())}
+	s := &service{name: name, versions: map[string]*versionUse{}, retryBudget: retrybudget.New(f.initialRetryBudget())}
 	f.services[name] = s
 	s.shards = []*shard{f.newShard(name, 0)}
 	s.preferredShards = preferredShardsOf(f.o.Instance, name, 1)
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -40,6 +40,7 @@
 	ranked       map[shardKey][]string // addresses, the owner first
 	unresponsive map[string]time.Time  // since when, by address
 	lastOwner    map[shardKey]string   // as last logged
+	keepers      map[int][]zoneKeepers // of origins of streams, by group
 }
 
 // shardKey identifies a shard, or a group of token buckets or quarantined requests.
@@ -54,7 +55,7 @@
 func (o *owners) invalidate() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.ranked = nil
+	o.ranked, o.keepers = nil, nil
 }
 
 // markUnresponsive records that an instance didn't reply to a request.
--- /dev/null
+++ b/internal/fleet/stream_origins.go
@@ -0,0 +1,283 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tacktally/tacktally/internal/origin"
+	"github.com/tacktally/tacktally/internal/peer"
+)
+
+const (
+	// originGroups is the number of groups that streams are divided into. In each zone keepersInZone instances
+	// may keep the origins of a group, so that an instance needs links to a bounded number of others.
+	originGroups  = 32
+	keepersInZone = 2
+	// originZones is the number of zones, that of the instance included, whose keepers an origin is sent to.
+	originZones = 3
+	// originTimeout bounds the time in which keepers reply to a query. A processor may be throttled for
+	// 100 ms.
+	originTimeout = 150 * time.Millisecond
+	// versionMemory is how long a version is remembered that no upstream has any more.
+	versionMemory = 2 * time.Hour
+)
+
+// OriginClient exchanges origins of streams with other instances. *peer.Mesh implements it.
+type OriginClient interface {
+	// SendOrigins must not block.
+	SendOrigins(address string, list []peer.StreamOrigin)
+	QueryOrigin(ctx context.Context, address string, q *peer.OriginQuery, within time.Duration) (*peer.OriginReply, error)
+}
+
+// SetOriginClient sets the client for origins of streams. It is called once, before the first request.
+func (f *Fleet) SetOriginClient(c OriginClient) { f.originClient = c }
+
+// versionUse is how a version of a service's upstreams is used.
+type versionUse struct {
+	upstreams int       // number on the list
+	lastSeen  time.Time // when the last of them left the list
+}
+
+// countVersion adds to the number of a service's upstreams of a version. The caller holds the lock.
+func (s *service) countVersion(now time.Time, version string, delta int) {
+	maps.DeleteFunc(s.versions, func(_ string, use *versionUse) bool {
+		return use.upstreams == 0 && now.Sub(use.lastSeen) > versionMemory
+	})
+	use := s.versions[version]
+	if use == nil {
+		use = &versionUse{}
+		s.versions[version] = use
+	}
+	use.upstreams += delta
+	use.lastSeen = now
+}
+
+// recentVersions returns the versions of a service's upstreams that are on the list or were there within a
+// time.
+func (f *Fleet) recentVersions(now time.Time, service string, within time.Duration) (out []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.services[service]
+	if s == nil {
+		return nil
+	}
+	for version, use := range s.versions {
+		if use.upstreams > 0 || now.Sub(use.lastSeen) < within {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
+// hashOf returns the hash by which a request is known to other instances; 0 for no request.
+func hashOf(request string) uint64 {
+	if request == "" {
+		return 0
+	}
+	return max(xxhash.Sum64String(request), 1)
+}
+
+// RecordOrigin records that an upstream of a version has begun a stream, which may be resumed for the
+// duration keep. Request is the ID of the request that brought the first event. While the service has
+// several versions, the keepers receive it.
+func (f *Fleet) RecordOrigin(request, service, version string, keep time.Duration) {
+	if request == "" {
+		return
+	}
+	now := time.Now()
+	o := origin.Origin{Request: hashOf(request), Service: service, Version: version, Until: now.Add(keep)}
+	shared := f.originClient != nil && len(f.recentVersions(now, service, keep)) > 1
+	f.origins.Record(now, o, shared)
+	if shared {
+		f.sendOrigins(now, []origin.Origin{o})
+	}
+}
+
+// shareOrigins sends the origins of a service's streams that only this instance knows to the keepers. It is
+// called when a version appears.
+func (f *Fleet) shareOrigins(service string) {
+	if f.originClient != nil {
+		now := time.Now()
+		f.sendOrigins(now, f.origins.TakeUnshared(now, service))
+	}
+}
+
+// HandOverOrigins sends all origins that this instance knows to the keepers. It is called when this instance
+// is terminated.
+func (f *Fleet) HandOverOrigins() {
+	if f.originClient != nil {
+		now := time.Now()
+		f.sendOrigins(now, f.origins.All(now))
+	}
+}
+
+func (f *Fleet) sendOrigins(now time.Time, list []origin.Origin) {
+	byKeeper := map[string][]peer.StreamOrigin{}
+	for _, o := range list {
+		entry := peer.StreamOrigin{Request: o.Request, Service: o.Service, Version: o.Version, Keep: o.Until.Sub(now)}
+		for _, address := range f.keepers(o.Request, originZones) {
+			byKeeper[address] = append(byKeeper[address], entry)
+		}
+	}
+	for address, entries := range byKeeper {
+		f.originClient.SendOrigins(address, entries)
+	}
+}
+
+// MergeOrigins records the origins that a peer has sent.
+func (f *Fleet) MergeOrigins(list []peer.StreamOrigin) {
+	now := time.Now()
+	for _, o := range list {
+		f.origins.Record(now, origin.Origin{Request: o.Request, Service: o.Service, Version: o.Version, Until: now.Add(o.Keep)}, true)
+	}
+}
+
+// keepers returns the other instances that keep the origin of a stream, of up to zones zones: in this
+// instance's zone the first two in the ranking of its group, since this one may be the first, and in others
+// the first one.
+func (f *Fleet) keepers(request uint64, zones int) []string {
+	f.mu.Lock()
+	instances := f.instances
+	f.mu.Unlock()
+	ranked := f.owners.originKeepers(int(request%originGroups), instances)
+	var out []string
+	others := 0
+	for _, z := range ranked {
+		used := z.addresses
+		switch {
+		case z.zone == f.o.Zone:
+		case others < zones-1:
+			others++
+			used = used[:1]
+		default:
+			continue
+		}
+		for _, address := range used {
+			if address != f.o.Instance {
+				out = append(out, address)
+			}
+		}
+	}
+	return out
+}
+
+// zoneKeepers are the instances of a zone that may keep the origins of a group.
+type zoneKeepers struct {
+	zone      string
+	addresses []string // keepersInZone at most
+}
+
+// originKeepers returns the first instances of each zone in the ranking of a group.
+func (o *owners) originKeepers(group int, instances []Instance) (out []zoneKeepers) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if keepers, known := o.keepers[group]; known {
+		return keepers
+	}
+	zones := make(map[string]string, len(instances))
+	for _, i := range instances {
+		zones[i.Address] = i.Zone
+	}
+	for _, address := range rank(shardKey{service: "origins of streams", index: group}, instances) {
+		at := slices.IndexFunc(out, func(z zoneKeepers) bool { return z.zone == zones[address] })
+		switch {
+		case at < 0:
+			out = append(out, zoneKeepers{zone: zones[address], addresses: []string{address}})
+		case len(out[at].addresses) < keepersInZone:
+			out[at].addresses = append(out[at].addresses, address)
+		}
+	}
+	if o.keepers == nil {
+		o.keepers = map[int][]zoneKeepers{}
+	}
+	o.keepers[group] = out
+	return out
+}
+
+// ServeOrigin replies to a peer's query of a stream's origin.
+func (f *Fleet) ServeOrigin(q *peer.OriginQuery) *peer.OriginReply {
+	now := time.Now()
+	reply := &peer.OriginReply{Settled: f.isSettledFor(now, q.Keep)}
+	reply.Version, reply.Known = f.origins.Version(now, q.Request)
+	if versions := f.recentVersions(now, q.Service, q.Keep); len(versions) == 1 {
+		reply.HasOnlyVersion, reply.OnlyVersion = true, versions[0]
+	}
+	return reply
+}
+
+// isSettledFor reports whether this instance has followed the list for at least a time.
+func (f *Fleet) isSettledFor(now time.Time, least time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.listedSince.IsZero() && now.Sub(f.listedSince) >= least
+}
+
+// FindOrigin returns the version that began a stream of a service. Request is the ID of the request that
+// brought its first event, empty if unknown, and keep how long after that the stream may be resumed. It blocks
+// for the keepers' replies if this instance doesn't know it. It is known if an instance has recorded it, or if
+// the service has had no other version for so long. An instance that has started since relies on the keepers
+// for the latter; if they have all started since, as after a restart of the whole fleet, on the list alone.
+func (f *Fleet) FindOrigin(ctx context.Context, request, service string, keep time.Duration) (version string, known bool) {
+	now := time.Now()
+	hash := hashOf(request)
+	if version, known := f.origins.Version(now, hash); known {
+		return version, true
+	}
+	versions := f.recentVersions(now, service, keep)
+	if len(versions) == 1 && f.isSettledFor(now, keep) {
+		return versions[0], true
+	}
+	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
+	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: service, Keep: keep})
+	settled, agreeing := false, 0
+	for _, r := range replies {
+		if r.Known {
+			f.origins.Record(now, origin.Origin{Request: hash, Service: service, Version: r.Version, Until: now.Add(keep)}, true)
+			return r.Version, true
+		}
+		if len(versions) == 1 && r.HasOnlyVersion && r.OnlyVersion == versions[0] {
+			agreeing++
+			settled = settled || r.Settled
+		}
+	}
+	if len(versions) != 1 || agreeing < len(replies) || !(settled || len(replies) == len(keepers)) {
+		return "", false
+	}
+	return versions[0], true
+}
+
+// queryKeepers asks all keepers at once, and returns the replies until one knows the origin or originTimeout
+// has passed.
+func (f *Fleet) queryKeepers(ctx context.Context, keepers []string, q *peer.OriginQuery) (out []*peer.OriginReply) {
+	if f.originClient == nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan *peer.OriginReply, len(keepers))
+	for _, address := range keepers {
+		go func() {
+			reply, err := f.originClient.QueryOrigin(ctx, address, q, originTimeout)
+			if err != nil {
+				reply = nil
+			}
+			replies <- reply
+		}()
+	}
+	for range keepers {
+		reply := <-replies
+		if reply == nil {
+			continue
+		}
+		out = append(out, reply)
+		if reply.Known {
+			return out
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/stream_origins_test.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// originFleet is a fleet whose instances exchange origins directly. Killed ones receive and reply nothing.
+type originFleet struct {
+	instances map[string]*Fleet
+	list      []Instance
+	killed    map[string]bool
+	revision  int64
+}
+
+// originLifetime is how long streams may be resumed in these tests.
+const originLifetime = 40 * time.Second
+
+// newOriginFleet returns a fleet with two instances in each zone.
+func newOriginFleet(zones int) *originFleet {
+	o := &originFleet{instances: map[string]*Fleet{}, killed: map[string]bool{}}
+	for n := range 2 * zones {
+		o.list = append(o.list, Instance{Address: fmt.Sprintf("10.0.0.%d:1", n), Zone: fmt.Sprint("zone-", n%zones), Cores: 0.4, Reachable: true, MayOwn: true, Settled: true})
+	}
+	for _, i := range o.list {
+		o.start(i)
+	}
+	return o
+}
+
+// start starts an instance, in place of the previous one with its address.
+func (o *originFleet) start(i Instance) *Fleet {
+	f := New(Options{Instance: i.Address, Zone: i.Zone, Limits: queue.Limits{MaxItems: 1},
+		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test")})
+	f.SetOriginClient(o)
+	f.SetInstances(append([]Instance(nil), o.list...))
+	o.instances[i.Address] = f
+	return f
+}
+
+// publish sets the version of an upstream on all instances' lists.
+func (o *originFleet) publish(id, version string) {
+	o.revision++
+	for _, f := range o.instances {
+		f.ApplyListChange(view.ListChange{Version: o.revision, Changed: []view.Upstream{{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 9, Version: version}}})
+	}
+}
+
+func (o *originFleet) remove(id string) {
+	o.revision++
+	for _, f := range o.instances {
+		f.ApplyListChange(view.ListChange{Version: o.revision, Removed: []string{id}})
+	}
+}
+
+func (o *originFleet) SendOrigins(address string, list []peer.StreamOrigin) {
+	if !o.killed[address] {
+		o.instances[address].MergeOrigins(list)
+	}
+}
+
+func (o *originFleet) QueryOrigin(_ context.Context, address string, q *peer.OriginQuery, _ time.Duration) (*peer.OriginReply, error) {
+	if o.killed[address] {
+		return nil, peer.ErrNoReply
+	}
+	return o.instances[address].ServeOrigin(q), nil
+}
+
+// find returns the versions that the instances that are alive find, empty for none, each once.
+func (o *originFleet) find(t *testing.T, request string) map[string]bool {
+	t.Helper()
+	out := map[string]bool{}
+	for address, f := range o.instances {
+		if o.killed[address] {
+			continue
+		}
+		version, known := f.FindOrigin(t.Context(), request, "s", originLifetime)
+		if !known {
+			version = ""
+		}
+		out[version] = true
+	}
+	return out
+}
+
+// Whichever instance began a stream and whichever the caller turns to, the version that began it must be
+// found, also when the instance that began it is gone, or one of the keepers.
+func TestOriginIsFoundFromAllInstances(t *testing.T) {
+	for _, zones := range []int{1, 2, 4, 7} {
+		for n := range 2 * zones {
+			t.Run(fmt.Sprintf("%d zones, instance %d", zones, n), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					o := newOriginFleet(zones)
+					o.publish("a", "v1")
+					o.publish("b", "v2")
+					began := o.list[n].Address
+					for stream := range 20 {
+						o.instances[began].RecordOrigin(fmt.Sprint("r", stream), "s", "v1", originLifetime)
+						is.Equal(o.find(t, fmt.Sprint("r", stream)), map[string]bool{"v1": true})
+						o.instances[began].RecordOrigin(fmt.Sprint("unasked", stream), "s", "v1", originLifetime)
+					}
+					is.Equal(o.find(t, "another"), map[string]bool{"": true})
+					o.killed[began] = true
+					for stream := range 20 {
+						is.Equal(o.find(t, fmt.Sprint("unasked", stream)), map[string]bool{"v1": true})
+					}
+				})
+			})
+		}
+	}
+}
+
+// Streams that began before a second version appeared must be known as well: until then nobody was told.
+func TestOriginsAreSharedWhenAVersionAppears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(3)
+		o.publish("a", "v1")
+		began := o.list[0].Address
+		o.instances[began].RecordOrigin("r", "s", "v1", originLifetime)
+		for address, f := range o.instances {
+			is.Equal(f.origins.Len(), map[bool]int{true: 1}[address == began])
+		}
+		o.publish("b", "v2")
+		o.killed[began] = true
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+	})
+}
+
+// The only version of a service is that of any stream, unless another one may have begun it: one that has
+// left since, also before this instance started.
+func TestOnlyVersionIsTheOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true}) // the whole fleet has just started
+		is.Equal(o.find(t, ""), map[string]bool{"v1": true})
+		o.publish("b", "v2")
+		is.Equal(o.find(t, "r"), map[string]bool{"": true})
+		o.remove("a")
+		is.Equal(o.find(t, "r"), map[string]bool{"": true}) // v1 may have begun it
+		fresh := o.list[0]
+		f := o.start(fresh)
+		f.ApplyListChange(view.ListChange{Version: 1, Changed: []view.Upstream{{ID: "b", Service: "s", Address: "127.0.0.1:1", Slots: 9, Version: "v2"}}})
+		is.Equal(o.find(t, "r"), map[string]bool{"": true}) // the other ones have seen v1
+		time.Sleep(originLifetime)
+		is.Equal(o.find(t, "r"), map[string]bool{"v2": true})
+	})
+}
+
+// An instance that has just started and reaches no peer knows nothing of what came before.
+func TestFreshInstanceAloneAssumesNoOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		for _, i := range o.list[1:] {
+			o.killed[i.Address] = true
+		}
+		is.Equal(o.find(t, "r"), map[string]bool{"": true})
+		time.Sleep(originLifetime)
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+	})
+}
+
+// An instance that is terminated hands over what only it knows.
+func TestOriginsAreHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		ended := o.list[0].Address
+		o.instances[ended].RecordOrigin("r", "s", "v1", originLifetime)
+		o.instances[ended].HandOverOrigins()
+		o.killed[ended] = true
+		o.publish("b", "v2")
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+	})
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -84,6 +84,10 @@
 	f.mu.Lock()
 	f.version = change.Version
 	now := time.Now()
+	if f.listedSince.IsZero() {
+		f.listedSince = now
+	}
+	before := f.servicesWithVersions()
 	updated := memberUpdates{}
 	for _, id := range change.Removed {
 		f.removeUpstream(id, updated)
@@ -94,7 +98,13 @@
 	f.pruneProcessState(now)
 	changed := updated.apply()
 	resharded := f.reshardAll()
+	appeared := f.servicesWithVersions()
 	f.mu.Unlock()
+	for service := range appeared {
+		if !before[service] {
+			f.shareOrigins(service)
+		}
+	}
 	if resharded {
 		f.reapplyPeerLoads()
 		f.updateGrantLimits()
@@ -103,6 +113,24 @@
 	pollShards(changed)
 }
 
+// servicesWithVersions returns the services whose upstreams have several versions on the list. The caller
+// holds the lock.
+func (f *Fleet) servicesWithVersions() map[string]bool {
+	out := map[string]bool{}
+	for name, s := range f.services {
+		n := 0
+		for _, use := range s.versions {
+			if use.upstreams > 0 {
+				n++
+			}
+		}
+		if n > 1 {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // removeUpstream removes an upstream and its state. The caller holds the lock.
 func (f *Fleet) removeUpstream(id string, updated memberUpdates) {
 	u := f.upstreams[id]
@@ -112,6 +140,7 @@
 	f.dropProcess(u)
 	delete(f.upstreams, id)
 	f.services[u.Service].upstreams--
+	f.services[u.Service].countVersion(time.Now(), u.Version, -1)
 	c := updated.forShard(u.shard)
 	c.removed = append(c.removed, id)
 }
@@ -124,6 +153,10 @@
 		known = nil
 	}
 	u := &upstream{Upstream: listed, listed: now}
+	if known != nil {
+		f.services[known.Service].countVersion(now, known.Version, -1)
+	}
+	f.serviceOf(u.Service).countVersion(now, u.Version, 1)
 	switch {
 	case known == nil:
 		s := f.serviceOf(u.Service)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -65,6 +65,10 @@
 	TypeQuotaReturn
 	// TypeMembership carries membership updates in a sparse mesh.
 	TypeMembership
+	// TypeOrigins carries origins of streams. TypeOriginQuery asks for one, and TypeOriginReply replies.
+	TypeOrigins
+	TypeOriginQuery
+	TypeOriginReply
 	typeLast
 )
 
@@ -103,6 +107,10 @@
 	Membership *membership.Update `cbor:"22,keyasint,omitempty"`
 
 	Load *Load `cbor:"23,keyasint,omitempty"`
+
+	Origins     []StreamOrigin `cbor:"24,keyasint,omitempty"`
+	OriginQuery *OriginQuery   `cbor:"25,keyasint,omitempty"`
+	OriginReply *OriginReply   `cbor:"26,keyasint,omitempty"`
 }
 
 // Hello identifies the sender of a link's first frame.
@@ -120,6 +128,8 @@
 	// DialledAddress is the address under which the sender dialled the peer; empty in the reply of
 	// the peer that was dialled.
 	DialledAddress string `cbor:"7,keyasint,omitempty"`
+	// KnowsOrigins reports that the sender knows the frames about origins of streams.
+	KnowsOrigins bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that an instance sends to its peers periodically and on changes.
@@ -355,6 +365,12 @@
 		complete, onStream = f.QuotaReturn != nil && f.QuotaReturn.Tokens >= 0, false
 	case TypeMembership:
 		complete, onStream = f.Membership != nil, false
+	case TypeOrigins:
+		complete, onStream = areValidOrigins(f.Origins), false
+	case TypeOriginQuery:
+		complete = f.OriginQuery != nil && f.OriginQuery.Service != "" && f.OriginQuery.Keep >= 0
+	case TypeOriginReply:
+		complete = f.OriginReply != nil
 	case TypePressure:
 		complete = f.Pressure != nil
 	case TypeOpen:
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -48,6 +48,9 @@
 	// ServeQuota replies to a request for tokens, and HandleQuotaReturn takes tokens back.
 	ServeQuota(r *QuotaRequest) *QuotaReply
 	HandleQuotaReturn(r *QuotaReturn)
+	// HandleOrigins records origins of streams, and ServeOrigin replies to a query of one.
+	HandleOrigins(list []StreamOrigin)
+	ServeOrigin(q *OriginQuery) *OriginReply
 	// LinkLost is called when the link to a peer has ended. The link may come back.
 	LinkLost(address string)
 	// PeerLost is called once each time a peer hasn't been seen for SuspectAfter.
@@ -161,7 +164,7 @@
 }
 
 func (m *Mesh) hello() *Hello {
-	return &Hello{Address: m.o.Address, Zone: m.o.Zone, Incarnation: m.o.Incarnation, Cores: m.o.Cores, KnownPeers: m.PeerCount(), Age: boottime.Since(m.started)}
+	return &Hello{Address: m.o.Address, Zone: m.o.Zone, Incarnation: m.o.Incarnation, Cores: m.o.Cores, KnownPeers: m.PeerCount(), Age: boottime.Since(m.started), KnowsOrigins: true}
 }
 
 // SetPeers sets the listed peers, to which links are kept. A peer that isn't listed, or no longer,
--- /dev/null
+++ b/internal/peer/origins.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// errNoOrigins means that a peer is of a version that doesn't know the frames about origins.
+var errNoOrigins = errors.New("the peer's version has no origins of streams")
+
+// maxOrigins bounds the entries of one frame.
+const maxOrigins = 4096
+
+// StreamOrigin says which software version of a service's upstreams began a stream.
+type StreamOrigin struct {
+	// Request is the hash of the ID of the request that brought the stream's first event.
+	Request uint64 `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Version string `cbor:"3,keyasint,omitempty"`
+	// Keep is how much longer the stream may be resumed.
+	Keep time.Duration `cbor:"4,keyasint"`
+}
+
+// OriginQuery asks for the origin of a stream of a service; Request is 0 if its first request is unknown.
+type OriginQuery struct {
+	Request uint64 `cbor:"1,keyasint,omitempty"`
+	Service string `cbor:"2,keyasint"`
+	// Keep is how long after its first event a stream may be resumed.
+	Keep time.Duration `cbor:"3,keyasint"`
+}
+
+// OriginReply is the reply to an OriginQuery.
+type OriginReply struct {
+	// Known reports that Version began the stream.
+	Known   bool   `cbor:"1,keyasint,omitempty"`
+	Version string `cbor:"2,keyasint,omitempty"`
+	// HasOnlyVersion reports that the peer has seen no version of the service's upstreams but OnlyVersion
+	// within Keep, or since it started unless Settled.
+	HasOnlyVersion bool   `cbor:"3,keyasint,omitempty"`
+	OnlyVersion    string `cbor:"4,keyasint,omitempty"`
+	Settled        bool   `cbor:"5,keyasint,omitempty"`
+}
+
+func areValidOrigins(list []StreamOrigin) bool {
+	for _, o := range list {
+		if o.Keep < 0 || o.Keep > maxRemaining {
+			return false
+		}
+	}
+	return len(list) > 0 && len(list) <= maxOrigins
+}
+
+// SendOrigins sends origins to a peer in the background. They are lost if it can't be reached.
+func (m *Mesh) SendOrigins(address string, list []StreamOrigin) {
+	if l := m.reachableLink(address); l != nil && m.knowsOrigins(address) {
+		sendOrigins(l, list)
+		return
+	}
+	m.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		if l, err := m.ensureLink(ctx, address); err == nil && m.knowsOrigins(address) {
+			sendOrigins(l, list)
+		}
+	})
+}
+
+func sendOrigins(l *link, list []StreamOrigin) {
+	for len(list) > 0 {
+		n := min(len(list), maxOrigins)
+		l.trySend(&Frame{Type: TypeOrigins, Origins: list[:n]}) // lost if the outbox is full
+		list = list[n:]
+	}
+}
+
+// QueryOrigin asks a peer for the origin of a stream, and blocks until it replies, at most for the duration
+// within. An error means that there was no reply.
+func (m *Mesh) QueryOrigin(ctx context.Context, address string, q *OriginQuery, within time.Duration) (*OriginReply, error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, within, ErrNoReply)
+	defer cancel()
+	if _, err := m.ensureLink(ctx, address); err != nil {
+		return nil, err
+	}
+	if !m.knowsOrigins(address) {
+		return nil, errNoOrigins
+	}
+	var reply *OriginReply
+	err := m.roundTrip(ctx, address, &Frame{Type: TypeOriginQuery, OriginQuery: q}, func(f *Frame) { reply = f.OriginReply })
+	if err != nil {
+		return nil, causeOf(ctx, err)
+	}
+	if reply == nil {
+		return nil, fmt.Errorf("%w: no reply to a query of a stream's origin", ErrMalformedFrame)
+	}
+	return reply, nil
+}
+
+// knowsOrigins reports whether a peer has said in its hello that it knows the frames about origins. Others
+// would end the link.
+func (m *Mesh) knowsOrigins(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[address]
+	return p != nil && p.hello.KnowsOrigins
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -59,10 +59,14 @@
 func (h *handler) MergeState(_ string, _ time.Time, s *State) { h.merged <- s }
 func (h *handler) Heartbeat() *Heartbeat                      { return &Heartbeat{Revision: 7} }
 func (h *handler) HandleHeartbeat(string, *Heartbeat)         {}
-func (h *handler) HandlePressure(Pressure)                    {}
-func (h *handler) PeerLost(string)                            {}
-func (h *handler) LinkLost(string)                            {}
-func (h *handler) HandleQuotaReturn(r *QuotaReturn)           { h.slots <- fmt.Sprint("returned ", r.Tokens) }
+func (h *handler) HandleOrigins(list []StreamOrigin)          { h.slots <- fmt.Sprint("origins ", len(list)) }
+func (h *handler) ServeOrigin(q *OriginQuery) *OriginReply {
+	return &OriginReply{Known: q.Request == 7, Version: "v1"}
+}
+func (h *handler) HandlePressure(Pressure)          {}
+func (h *handler) PeerLost(string)                  {}
+func (h *handler) LinkLost(string)                  {}
+func (h *handler) HandleQuotaReturn(r *QuotaReturn) { h.slots <- fmt.Sprint("returned ", r.Tokens) }
 func (h *handler) ServeQuota(r *QuotaRequest) *QuotaReply {
 	return &QuotaReply{Granted: r.Tokens < 100, Wait: time.Duration(r.Tokens)}
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -101,6 +101,11 @@
 		return s.link.send(s.link.ctx, &Frame{Type: TypeQuotaReply, Stream: f.Stream, QuotaReply: s.mesh.o.Handler.ServeQuota(f.QuotaRequest)})
 	case TypeQuotaReturn:
 		s.mesh.o.Handler.HandleQuotaReturn(f.QuotaReturn)
+	case TypeOrigins:
+		s.mesh.o.Handler.HandleOrigins(f.Origins)
+	case TypeOriginQuery:
+		s.link.recordRequest(boottime.Now(), 0)
+		return s.link.send(s.link.ctx, &Frame{Type: TypeOriginReply, Stream: f.Stream, OriginReply: s.mesh.o.Handler.ServeOrigin(f.OriginQuery)})
 	case TypePressure:
 		s.mesh.o.Handler.HandlePressure(*f.Pressure)
 		return s.link.send(s.link.ctx, &Frame{Type: TypeRelieved, Stream: f.Stream})
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -157,8 +157,11 @@
 // its deadline. A request that has failed at an upstream waits until its deadline: the failed
 // attempt took time, and a refusal now might promise the caller too much.
 func (j *job) maxWait(retried bool) time.Duration {
-	if retried || j.route.LatencyObjective == 0 {
+	switch {
+	case retried || j.route.LatencyObjective == 0:
 		return 0
+	case j.origin.Restricted:
+		return maxResumptionWait
 	}
 	return time.Duration(maxWaitShare * float64(j.route.LatencyObjective))
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -163,6 +163,9 @@
 	if left := j.handler.o.Quarantine.Admit(j.arrived, j.quarantineKey); left > 0 {
 		return quarantine.Refusal(left)
 	}
+	if problem := j.findOrigin(); problem != nil {
+		return problem
+	}
 	return j.takeQuota()
 }
 
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -1,11 +1,54 @@
 package proxy
 
-import "github.com/tacktally/tacktally/internal/scheduler"
+import (
+	"time"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/scheduler"
+)
+
+const (
+	// maxResumptionWait is how long a stream that its caller resumes waits for an upstream of its version. It
+	// can't begin elsewhere, and its caller gives up after two seconds without an event.
+	maxResumptionWait = time.Second
+	// resumableTimeouts is the number of a route's timeouts for which a stream may be resumed after its first
+	// event, and resumableSlack what is added for the caller's delays.
+	resumableTimeouts = 2
+	resumableSlack    = 10 * time.Second
+)
+
+// originLifetime returns how long after its first event a stream of the route may be resumed.
+func (j *job) originLifetime() time.Duration {
+	return resumableTimeouts*j.route.Timeout + resumableSlack
+}
+
+// findOrigin restricts a request that resumes a stream to upstreams of the version that began it. What two
+// versions write doesn't fit together, so that nothing is assumed if the version isn't known.
+func (j *job) findOrigin() *api.Problem {
+	if j.route.Kind != routing.Stream || j.lastEventID == "" {
+		return nil
+	}
+	ctx, cancel := j.context()
+	defer cancel()
+	version, known := j.handler.o.Fleet.FindOrigin(ctx, j.info.Resumes, j.service, j.originLifetime())
+	if !known {
+		return api.Refuse(api.ReasonOriginUnknown, "which version of the upstreams began the stream of request %q isn't known; retry after the given time, or send the request anew without the ID of an event", j.info.Resumes).WithRetryAfter(fleet.ShortRetryAfter)
+	}
+	j.origin = scheduler.VersionConstraint{Restricted: true, Version: version}
+	j.handler.o.Fleet.RecordOrigin(j.info.Resumes, j.service, version, j.originLifetime()) // it may be resumed again
+	return nil
+}
 
 // recordOrigin records the version of the upstream whose event was relayed as that which began the stream,
 // unless another event came before.
 func (j *job) recordOrigin() {
-	if !j.origin.Restricted {
-		j.origin = scheduler.VersionConstraint{Restricted: true, Version: j.sentVersion}
+	if j.origin.Restricted {
+		return
+	}
+	j.origin = scheduler.VersionConstraint{Restricted: true, Version: j.sentVersion}
+	if j.route.Resumable {
+		j.handler.o.Fleet.RecordOrigin(j.info.ID, j.service, j.sentVersion, j.originLifetime())
 	}
 }
--- a/internal/proxy/version_test.go
+++ b/internal/proxy/version_test.go
@@ -1,12 +1,16 @@
 package proxy
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/scheduler"
 )
 
 // versionedEvents responds with events up to the last, after the one that the request has. Their data is the
@@ -114,3 +118,28 @@
 	is.Equal(got.status, http.StatusOK)
 	is.Equal(got.body, versionedBody("v1", 3, 4))
 }
+
+// grantOf is a grant of an upstream by an owner that doesn't know of versions.
+type grantOf struct {
+	fleet.Grant
+	upstream string
+}
+
+func (g grantOf) Upstream() string { return g.upstream }
+func (grantOf) Limited() bool      { return false }
+
+// An owner of an earlier version, or with another list, may grant an upstream of another version than the one
+// that began the stream.
+func TestGrantOfAnotherVersionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	r.addVersion("a", "v1", respondsWith("never"))
+	r.addVersion("b", "v2", respondsWith("never"))
+	j := &job{handler: r.handler, origin: scheduler.VersionConstraint{Restricted: true, Version: "v1"}}
+	is.NoErr(j.beforeSend(grantOf{upstream: "a"}))
+	err := j.beforeSend(grantOf{upstream: "b"})
+	is.True(errors.Is(err, fleet.ErrOtherVersion))
+	is.True(errors.Is(err, fleet.ErrNotUsable)) // nothing is recorded against it
+	is.True(errors.Is(j.beforeSend(grantOf{upstream: "unknown"}), fleet.ErrOtherVersion))
+}
--- a/internal/slopes/peers.go
+++ b/internal/slopes/peers.go
@@ -58,6 +58,8 @@
 func (quietHandler) HandleHeartbeat(string, *peer.Heartbeat)                {}
 func (quietHandler) HandlePressure(peer.Pressure)                           {}
 func (quietHandler) PeerLost(string)                                        {}
+func (quietHandler) HandleOrigins([]peer.StreamOrigin)                      {}
+func (quietHandler) ServeOrigin(*peer.OriginQuery) *peer.OriginReply        { return &peer.OriginReply{} }
 func (quietHandler) HandleQuotaReturn(*peer.QuotaReturn)                    {}
 func (quietHandler) ServeQuota(*peer.QuotaRequest) *peer.QuotaReply         { return &peer.QuotaReply{} }
 func (quietHandler) LinkLost(string)                                        {}
