--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -111,6 +111,17 @@
 // relaying peers that such a response passes.
 var UnstatedEndMix = Mix{Replace: 6, UpstreamLink: 3, Partition: 2, Kill: 4, Terminate: 2, Pause: 2, PeerLink: 1, Reload: 1, Change: 1}
 
+// VersionMix is a mix of upstreams of several versions that come and go, while the instances that know which one
+// began a stream are killed, terminated, paused and disconnected. With PlannedVersionMix instances stay in
+// touch.
+var (
+	VersionMix        = Mix{Replace: 6, UpstreamLink: 3, Kill: 4, Terminate: 3, Pause: 2, PeerLink: 3, Evacuate: 1, SourceOutage: 1, SourceLink: 1, Change: 1}
+	PlannedVersionMix = Mix{Replace: 5, Terminate: 3, Reload: 1, Change: 1}
+)
+
+// Disconnects reports whether a mix has faults after which instances are out of touch.
+func (m Mix) Disconnects() bool { return m[PeerLink] > 0 || m[Kill] > 0 || m[Pause] > 0 }
+
 // PlannedBrittleMix is a mix of the planned work of operators while upstreams are brittle.
 var PlannedBrittleMix = Mix{Terminate: 4, Reload: 1, Change: 2}
 
