--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -224,7 +224,8 @@
 
 // ServeOrigin implements peer.Handler.
 func (p *peerHandler) ServeOrigin(q *peer.OriginQuery) *peer.OriginReply {
-	return p.instance.fleet.ServeOrigin(q)
+	age, _ := p.instance.view.ListAge() // without a list, no version is known
+	return p.instance.fleet.ServeOrigin(q, age)
 }
 
 // HandleQuotaReturn implements peer.Handler.
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -23,6 +23,9 @@
 	// originTimeout bounds the time in which keepers reply to a query. A processor may be throttled for
 	// 100 ms.
 	originTimeout = 150 * time.Millisecond
+	// currentListAge is the age up to which a list counts as current. Its age is at most a second and a half
+	// where source and peers are reached.
+	currentListAge = 3 * time.Second
 	// versionMemory is how long a version is remembered that no upstream has any more.
 	versionMemory = 2 * time.Hour
 )
@@ -199,10 +202,10 @@
 	return out
 }
 
-// ServeOrigin replies to a peer's query of a stream's origin.
-func (f *Fleet) ServeOrigin(q *peer.OriginQuery) *peer.OriginReply {
+// ServeOrigin replies to a peer's query of a stream's origin. ListAge is the age of this instance's list.
+func (f *Fleet) ServeOrigin(q *peer.OriginQuery, listAge time.Duration) *peer.OriginReply {
 	now := time.Now()
-	reply := &peer.OriginReply{Settled: f.isSettledFor(now, q.Keep)}
+	reply := &peer.OriginReply{Settled: f.knowsVersionsOf(now, q.Keep, listAge)}
 	reply.Version, reply.Known = f.origins.Version(now, q.Request)
 	if versions := f.recentVersions(now, q.Service, q.Keep); len(versions) == 1 {
 		reply.HasOnlyVersion, reply.OnlyVersion = true, versions[0]
@@ -210,74 +213,111 @@
 	return reply
 }
 
-// isSettledFor reports whether this instance has followed the list for at least a time.
-func (f *Fleet) isSettledFor(now time.Time, least time.Duration) bool {
+// knowsVersionsOf reports whether this instance knows all versions that have served within a time: it has
+// followed the list for so long, and the list is current.
+func (f *Fleet) knowsVersionsOf(now time.Time, within, listAge time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.listedSince.IsZero() && now.Sub(f.listedSince) >= least
+	return !f.listedSince.IsZero() && now.Sub(f.listedSince) >= within && listAge <= currentListAge
 }
 
-// FindOrigin returns the version that began a stream of a service. Request is the ID of the request that
-// brought its first event, empty if unknown, and keep how long after that the stream may be resumed. It blocks
-// for the keepers' replies if this instance doesn't know it. It is known if an instance has recorded it, or if
-// the service has had no other version for so long. An instance that has started since relies on the keepers
-// for the latter; if they have all started since, as after a restart of the whole fleet, on the list alone.
-func (f *Fleet) FindOrigin(ctx context.Context, request, service string, keep time.Duration) (version string, known bool) {
+// ResumedStream is a stream that its caller resumes.
+type ResumedStream struct {
+	// Request is the ID of the request that brought its first event, empty if unknown.
+	Request string
+	Service string
+	// Lifetime is how long after its first event it may be resumed.
+	Lifetime time.Duration
+	// ListAge is the age of this instance's list.
+	ListAge time.Duration
+}
+
+// FindOrigin returns the version that began a stream. It blocks for the keepers' replies if this instance
+// doesn't know it. It is known if an instance has recorded it, or if the service has had no other version
+// within the stream's lifetime. An instance that has started since, or whose list isn't current, relies on
+// keepers for the latter: on one that knows, or on the agreement of all zones, as after a restart of the whole
+// fleet or while nobody can read the list.
+func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (version string, known bool) {
 	now := time.Now()
-	hash := hashOf(request)
+	hash := hashOf(s.Request)
 	if version, known := f.origins.Version(now, hash); known {
 		return version, true
 	}
-	versions := f.recentVersions(now, service, keep)
-	if len(versions) == 1 && f.isSettledFor(now, keep) {
+	versions := f.recentVersions(now, s.Service, s.Lifetime)
+	if len(versions) == 1 && f.knowsVersionsOf(now, s.Lifetime, s.ListAge) {
 		return versions[0], true
 	}
 	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
-	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: service, Keep: keep})
-	settled, agreeing := false, 0
+	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Keep: s.Lifetime})
+	settled := false
 	for _, r := range replies {
 		if r.Known {
-			f.origins.Record(now, origin.Origin{Request: hash, Service: service, Version: r.Version, Until: now.Add(keep)}, true)
+			f.origins.Record(now, origin.Origin{Request: hash, Service: s.Service, Version: r.Version, Until: now.Add(s.Lifetime)}, true)
 			return r.Version, true
 		}
-		if len(versions) == 1 && r.HasOnlyVersion && r.OnlyVersion == versions[0] {
-			agreeing++
-			settled = settled || r.Settled
+		if len(versions) != 1 || !r.HasOnlyVersion || r.OnlyVersion != versions[0] {
+			return "", false
 		}
+		settled = settled || r.Settled
 	}
-	if len(versions) != 1 || agreeing < len(replies) || !(settled || len(replies) == len(keepers)) {
+	if len(versions) != 1 || !(settled || f.isEveryZoneIn(replies)) {
 		return "", false
 	}
 	return versions[0], true
 }
 
-// queryKeepers asks all keepers at once, and returns the replies until one knows the origin or originTimeout
-// has passed.
-func (f *Fleet) queryKeepers(ctx context.Context, keepers []string, q *peer.OriginQuery) (out []*peer.OriginReply) {
+// isEveryZoneIn reports whether an instance of each known zone is among the addresses. The zone of this
+// instance needs another one only if it has any.
+func (f *Fleet) isEveryZoneIn(replies map[string]*peer.OriginReply) bool {
+	f.mu.Lock()
+	instances := f.instances
+	f.mu.Unlock()
+	replied := map[string]bool{}
+	for _, i := range instances {
+		if replies[i.Address] != nil {
+			replied[i.Zone] = true
+		}
+	}
+	for _, i := range instances {
+		if i.Address != f.o.Instance && !replied[i.Zone] {
+			return false
+		}
+	}
+	return true
+}
+
+// queryKeepers asks all keepers at once, and returns their replies, by address. It returns once one knows the
+// origin, or originTimeout has passed.
+func (f *Fleet) queryKeepers(ctx context.Context, keepers []string, q *peer.OriginQuery) map[string]*peer.OriginReply {
+	out := map[string]*peer.OriginReply{}
 	if f.originClient == nil {
-		return nil
+		return out
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	replies := make(chan *peer.OriginReply, len(keepers))
+	type result struct {
+		address string
+		reply   *peer.OriginReply // nil without a reply
+	}
+	results := make(chan result, len(keepers))
 	for _, address := range keepers {
 		go func() {
 			reply, err := f.originClient.QueryOrigin(ctx, address, q, originTimeout)
 			if err != nil {
 				reply = nil
 			}
-			replies <- reply
+			results <- result{address, reply}
 		}()
 	}
 	for range keepers {
-		reply := <-replies
-		if reply == nil {
+		r := <-results
+		if r.reply == nil {
 			continue
 		}
-		out = append(out, reply)
-		if reply.Known {
-			return out
+		if r.reply.Known {
+			return map[string]*peer.OriginReply{r.address: r.reply}
 		}
+		out[r.address] = r.reply
 	}
 	return out
 }
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,7 @@
 	instances map[string]*Fleet
 	list      []Instance
 	killed    map[string]bool
+	listAge   map[string]time.Duration // by instance
 	revision  int64
 }
 
@@ -29,7 +31,7 @@
 
 // newOriginFleet returns a fleet with two instances in each zone.
 func newOriginFleet(zones int) *originFleet {
-	o := &originFleet{instances: map[string]*Fleet{}, killed: map[string]bool{}}
+	o := &originFleet{instances: map[string]*Fleet{}, killed: map[string]bool{}, listAge: map[string]time.Duration{}}
 	for n := range 2 * zones {
 		o.list = append(o.list, Instance{Address: fmt.Sprintf("10.0.0.%d:1", n), Zone: fmt.Sprint("zone-", n%zones), Cores: 0.4, Reachable: true, MayOwn: true, Settled: true})
 	}
@@ -44,7 +46,7 @@
 	f := New(Options{Instance: i.Address, Zone: i.Zone, Limits: queue.Limits{MaxItems: 1},
 		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test")})
 	f.SetOriginClient(o)
-	f.SetInstances(append([]Instance(nil), o.list...))
+	f.SetInstances(slices.Clone(o.list))
 	o.instances[i.Address] = f
 	return f
 }
@@ -74,7 +76,7 @@
 	if o.killed[address] {
 		return nil, peer.ErrNoReply
 	}
-	return o.instances[address].ServeOrigin(q), nil
+	return o.instances[address].ServeOrigin(q, o.listAge[address]), nil
 }
 
 // find returns the versions that the instances that are alive find, empty for none, each once.
@@ -85,7 +87,7 @@
 		if o.killed[address] {
 			continue
 		}
-		version, known := f.FindOrigin(t.Context(), request, "s", originLifetime)
+		version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, ListAge: o.listAge[address]})
 		if !known {
 			version = ""
 		}
@@ -176,6 +178,47 @@
 	})
 }
 
+// A partitioned instance doesn't know which versions have appeared since, and began streams elsewhere. Its peers
+// may not even count as reachable any more.
+func TestInstanceWithAnOldListAssumesNoOrigin(t *testing.T) {
+	for _, reachable := range []bool{true, false} {
+		t.Run(fmt.Sprint("peers count as reachable: ", reachable), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				o := newOriginFleet(2)
+				o.publish("a", "v1")
+				time.Sleep(originLifetime)
+				self := o.list[0].Address
+				o.listAge[self] = 2 * currentListAge
+				o.list = slices.Clone(o.list)
+				for n, i := range o.list[1:] {
+					o.killed[i.Address] = true
+					o.list[n+1].Reachable, o.list[n+1].MayOwn = reachable, reachable
+				}
+				o.instances[self].SetInstances(slices.Clone(o.list))
+				is.Equal(o.find(t, "r"), map[string]bool{"": true})
+				is.Equal(o.find(t, ""), map[string]bool{"": true})
+			})
+		})
+	}
+}
+
+// While nobody can read the list, nobody learns of a version: streams go on where all zones are in touch.
+func TestOnlyVersionIsTheOriginDuringAnOutageOfTheSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		time.Sleep(originLifetime)
+		for _, i := range o.list {
+			o.listAge[i.Address] = time.Minute
+		}
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+		o.killed[o.list[1].Address], o.killed[o.list[3].Address] = true, true // a zone
+		is.Equal(o.find(t, "r"), map[string]bool{"": true})
+	})
+}
+
 // An instance that is terminated hands over what only it knows.
 func TestOriginsAreHandedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -32,7 +32,8 @@
 	}
 	ctx, cancel := j.context()
 	defer cancel()
-	version, known := j.handler.o.Fleet.FindOrigin(ctx, j.info.Resumes, j.service, j.originLifetime())
+	age, _ := j.handler.o.View.ListAge() // without a list, no version is known
+	version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{Request: j.info.Resumes, Service: j.service, Lifetime: j.originLifetime(), ListAge: age})
 	if !known {
 		return api.Refuse(api.ReasonOriginUnknown, "which version of the upstreams began the stream of request %q isn't known; retry after the given time, or send the request anew without the ID of an event", j.info.Resumes).WithRetryAfter(fleet.ShortRetryAfter)
 	}
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -15,6 +15,7 @@
 	begun      tally // new streams
 	resumed    tally // resumptions while two upstreams of the version serve
 	others     tally // other resumptions
+	failed     map[string]int
 }
 
 // tally counts attempts and those that were served.
@@ -47,11 +48,17 @@
 	v.begun.add(served)
 }
 
-// RecordResumed records an attempt to resume a stream and whether it went on. Serving reports whether two
-// upstreams of the stream's version served all the time.
-func (v *Versions) RecordResumed(served, serving bool) {
+// RecordResumed records an attempt to resume a stream and whether it went on, with the response's status and
+// reason if it didn't. Serving reports whether two upstreams of the stream's version served all the time.
+func (v *Versions) RecordResumed(served, serving bool, result string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.failed == nil {
+		v.failed = map[string]int{}
+	}
+	if !served {
+		v.failed[result]++
+	}
 	if serving {
 		v.resumed.add(served)
 	} else {
@@ -111,6 +118,6 @@
 func (v *Versions) String() string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return fmt.Sprintf("%d of %d streams began, %d of %d resumptions went on while two upstreams of their version served, %d of %d others, %d of two versions",
-		v.begun.served, v.begun.tried, v.resumed.served, v.resumed.tried, v.others.served, v.others.tried, v.mixed)
+	return fmt.Sprintf("%d of %d streams began, %d of %d resumptions went on while two upstreams of their version served, %d of %d others, %d of two versions, results of the others %v",
+		v.begun.served, v.begun.tried, v.resumed.served, v.resumed.tried, v.others.served, v.others.tried, v.mixed, v.failed)
 }
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -23,7 +23,7 @@
 		"resumptions go on too seldom": {func(v *Versions, _ *VersionedStream) {
 			v.RecordBegun(true)
 			for n := range minResumptions {
-				v.RecordResumed(n < 5, true)
+				v.RecordResumed(n < 5, true, "503")
 			}
 		}, "of 12 resumptions 5 went on"},
 	} {
@@ -43,7 +43,7 @@
 	v.Add(s, VersionedEvent("s", 2, "v1"), "2")
 	v.RecordBegun(true)
 	for range minResumptions {
-		v.RecordResumed(false, false) // no two upstreams of its version served
+		v.RecordResumed(false, false, "503") // no two upstreams of its version served
 	}
 	is.Equal(len(v.Check(true)), 0)
 }
