--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -121,6 +121,8 @@
 	// pendingFetch is the peer to fetch from once the last fetch has ended or is slow; "" for none.
 	pendingFetch string
 	sparse       *sparseState // nil in a full mesh
+	// pendingOrigins wait for a link, by the address of their peer.
+	pendingOrigins map[string][]StreamOrigin
 }
 
 type peerState struct {
@@ -139,7 +141,7 @@
 // NewMesh returns a mesh without peers and starts to send heartbeats. Close stops it.
 func NewMesh(o Options) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &Mesh{o: o, started: boottime.Now(), ctx: ctx, cancel: cancel, peers: map[string]*peerState{}, accepted: map[string]*link{}}
+	m := &Mesh{o: o, started: boottime.Now(), ctx: ctx, cancel: cancel, peers: map[string]*peerState{}, accepted: map[string]*link{}, pendingOrigins: map[string][]StreamOrigin{}}
 	if o.Sparse {
 		m.sparse = newSparseState(m)
 		m.wg.Go(m.maintainLinks)
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 // errNoOrigins means that a peer is of a version that doesn't know the frames about origins.
@@ -52,19 +54,45 @@
 	return len(list) > 0 && len(list) <= maxOrigins
 }
 
-// SendOrigins sends origins to a peer in the background. They are lost if it can't be reached.
+const (
+	// originDelivery is how long origins wait for a link to their peer, which may be restarting, and
+	// originRetry the time between two looks for it.
+	originDelivery = 5 * time.Second
+	originRetry    = 50 * time.Millisecond
+)
+
+// SendOrigins sends origins to a peer. It doesn't block. If no link to the peer is up, they wait for one in the
+// background, for originDelivery.
 func (m *Mesh) SendOrigins(address string, list []StreamOrigin) {
 	if l := m.reachableLink(address); l != nil && m.knowsOrigins(address) {
 		sendOrigins(l, list)
 		return
 	}
-	m.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		defer cancel()
-		if l, err := m.ensureLink(ctx, address); err == nil && m.knowsOrigins(address) {
-			sendOrigins(l, list)
-		}
-	})
+	m.mu.Lock()
+	waiting := m.pendingOrigins[address]
+	m.pendingOrigins[address] = append(waiting, list[:min(len(list), maxOrigins-len(waiting))]...)
+	m.mu.Unlock()
+	if len(waiting) == 0 {
+		m.Go(func(ctx context.Context) { m.deliverOrigins(ctx, address) })
+	}
+}
+
+// deliverOrigins sends the origins that wait for a link to a peer. It blocks until it is up, or drops them after
+// originDelivery.
+func (m *Mesh) deliverOrigins(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, originDelivery)
+	defer cancel()
+	l, err := m.ensureLink(ctx, address)
+	for err != nil && wait.For(ctx, originRetry) {
+		l, err = m.ensureLink(ctx, address)
+	}
+	m.mu.Lock()
+	list := m.pendingOrigins[address]
+	delete(m.pendingOrigins, address)
+	m.mu.Unlock()
+	if err == nil && m.knowsOrigins(address) {
+		sendOrigins(l, list)
+	}
 }
 
 func sendOrigins(l *link, list []StreamOrigin) {
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -24,6 +24,19 @@
 	is.True(errors.Is(err, ErrUnreachable))
 }
 
+// A peer that is restarting must get the origins once its link is up, all those that wait.
+func TestOriginsWaitForALink(t *testing.T) {
+	is := is.New(t)
+	hb := &handler{slots: make(chan string, 9)}
+	a, _ := newMesh(t, &handler{merged: make(chan *State, 9)})
+	_, addressB := newMesh(t, hb)
+	a.SendOrigins(addressB, []StreamOrigin{{Request: 1, Service: "s"}})
+	a.SendOrigins(addressB, []StreamOrigin{{Request: 2, Service: "s"}})
+	is.Equal(len(hb.slots), 0)
+	a.SetPeers([]string{addressB})
+	is.Equal(<-hb.slots, "origins 2")
+}
+
 // A peer of an earlier version would end the link at a frame that it doesn't know.
 func TestPeerThatKnowsNoOriginsIsNotAsked(t *testing.T) {
 	is := is.New(t)
