--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -48,6 +48,8 @@
 var (
 	// errPartialEvent means that the stream ended inside an event.
 	errPartialEvent = fmt.Errorf("%w: the stream ended inside an event", exchange.ErrTruncated)
+	// errNoEvent means that the stream ended before its first event.
+	errNoEvent = fmt.Errorf("%w: the stream ended before its first event", exchange.ErrTruncated)
 	// errNoStatedEnd means that the end of a resumed stream isn't stated, while its caller was promised that
 	// it would be.
 	errNoStatedEnd = fmt.Errorf("%w: whether the resumed stream is complete isn't stated", exchange.ErrTruncated)
@@ -275,12 +277,8 @@
 	started := false
 	for {
 		event, err := sse.Read(reader, maxEventBytes)
-		statesEnd := r.response.Framing != exchange.UntilClose
-		switch {
-		case err != nil && !errors.Is(err, io.EOF):
+		if err := r.streamError(event, err, started); err != nil {
 			return r.brokenResult(err)
-		case err != nil && !statesEnd && sse.IsPartial(event):
-			return r.brokenResult(errPartialEvent)
 		}
 		if len(event) > 0 {
 			if !started {
@@ -297,7 +295,7 @@
 		}
 		if err != nil { // end of the stream
 			r.writeHeadOnce()
-			if !statesEnd && !r.job.endsByClose {
+			if r.response.Framing == exchange.UntilClose && !r.job.endsByClose {
 				return r.brokenResult(errNoStatedEnd)
 			}
 			return attemptResult{status: completed}
@@ -310,6 +308,25 @@
 	}
 }
 
+// streamError returns why a stream has broken off, given the result of sse.Read and whether an event came
+// before; nil if it goes on or may be complete.
+func (r *relay) streamError(event []byte, err error, started bool) error {
+	switch {
+	case err == nil:
+		return nil
+	case !errors.Is(err, io.EOF):
+		return err
+	case r.response.Framing != exchange.UntilClose:
+		return nil
+	case sse.IsPartial(event):
+		return errPartialEvent
+	case !started && r.job.lastEventID == "": // one that is resumed may have nothing more
+		return errNoEvent
+	default:
+		return nil
+	}
+}
+
 // relayEvent relays one event, unless the caller has received it already.
 func (r *relay) relayEvent(event []byte) attemptResult {
 	id, numbered := sse.ID(event)
--- a/internal/proxy/response_end_test.go
+++ b/internal/proxy/response_end_test.go
@@ -46,6 +46,7 @@
 	large := strings.Repeat("x", maxBufferedBytes+1)
 	for name, c := range map[string]struct {
 		route, response string
+		after           string // ID of the last event that the caller has
 		by              ending
 		second          string // raw response of the second upstream; empty if it must receive nothing
 		framing         exchange.Framing
@@ -89,6 +90,15 @@
 		"stream, close before the blank line of an event": {
 			route: "stream", response: events("id: 2\ndata: 2\n", "1"), framing: exchange.UntilClose, body: eventLines("", "1"), broken: true,
 		},
+		"stream, close before an event": {
+			route: "stream", response: events(""), framing: exchange.ByLength, // refused by the instance
+		},
+		"stream, resumed after its last event": {
+			route: "stream", after: "2", response: events(""), framing: exchange.UntilClose,
+		},
+		"resumable, close before an event": {
+			route: "resumable", response: events(""), second: events("", "1"), framing: exchange.UntilClose, body: eventLines("", "1"),
+		},
 		"stream, reset inside an event": {
 			route: "stream", response: events("id: 2\nda", "1"), by: resets, framing: exchange.UntilClose, body: eventLines("", "1"), broken: true,
 		},
@@ -129,7 +139,7 @@
 				arrived = "a b"
 				r.addUpstream("b", writesRaw(c.second))
 			}
-			got := r.read("/"+c.route+"/x", len(c.body), relayed)
+			got := r.read("/"+c.route+"/x", c.after, len(c.body), relayed)
 			is.Equal(got.framing, c.framing)
 			is.Equal(got.body, c.body)
 			is.Equal(errors.Is(got.err, exchange.ErrTruncated), c.broken)
@@ -149,12 +159,16 @@
 	err     error // from reading the body
 }
 
-// read requests a target. It closes relayed once it has received the given number of bytes of the body,
+// read requests a target, after an event if it isn't empty. It closes relayed once it has received the given number of bytes of the body,
 // and reads on to the end.
-func (r *harness) read(target string, bytes int, relayed chan<- struct{}) framedResponse {
+func (r *harness) read(target, after string, bytes int, relayed chan<- struct{}) framedResponse {
 	p := exchange.NewPool(exchange.Options{Address: r.server.Listener.Addr().String(), ConnectTimeout: time.Second})
 	defer p.Close()
-	response, err := p.Do(r.t.Context(), &exchange.Request{Method: "GET", Target: target, Host: "h.example", Header: http.Header{"Id": {"1"}, "Key": {"k"}}})
+	header := http.Header{"Id": {"1"}, "Key": {"k"}}
+	if after != "" {
+		header.Set("After", after)
+	}
+	response, err := p.Do(r.t.Context(), &exchange.Request{Method: "GET", Target: target, Host: "h.example", Header: header})
 	if err != nil {
 		r.t.Fatal(err)
 	}
