--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -244,7 +244,10 @@
 		r.onFirst() // not for a failure, which comes sooner than a successful response
 	}
 	if len(buffered) <= maxBufferedBytes {
-		complete := &bufferedResponse{status: r.response.Status, header: r.response.Header, framing: r.response.Framing, body: buffered}
+		complete := &bufferedResponse{status: r.response.Status, header: r.response.Header, framing: r.response.Framing, length: int64(len(buffered)), body: buffered}
+		if r.job.request.Method == http.MethodHead {
+			complete.length = r.response.ContentLength // that of the body which GET would have
+		}
 		if r.job.mayRetryFailure(complete) {
 			return attemptResult{status: upstreamFailed, err: fmt.Errorf("status %d", complete.status), failure: complete}
 		}
@@ -361,6 +364,7 @@
 	status  int
 	header  http.Header
 	framing exchange.Framing
+	length  int64 // of the body, -1 if unknown
 	body    []byte
 }
 
@@ -372,7 +376,7 @@
 
 // writeResponse relays a complete response.
 func (j *job) writeResponse(a *bufferedResponse) attemptResult {
-	j.writeHead(a.status, a.header, a.framing, int64(len(a.body)))
+	j.writeHead(a.status, a.header, a.framing, a.length)
 	return j.write(a.body)
 }
 
--- a/internal/proxy/response_end_test.go
+++ b/internal/proxy/response_end_test.go
@@ -205,6 +205,22 @@
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
 
+// A response to HEAD states the length that GET would have, if its upstream does; another one would be wrong.
+func TestResponseToHEADStatesTheUpstreamsLength(t *testing.T) {
+	for stated, want := range map[string]int64{"Content-Length: 123\r\n": 123, "": -1} {
+		t.Run(stated, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness(t)
+			r.publish(0)
+			r.addUpstream("a", writesRaw("HTTP/1.1 200 OK\r\nId: 1\r\nSigned: a\r\n"+stated+"\r\n"))
+			response, err := http.DefaultClient.Do(r.request("HEAD", "/once/x", ""))
+			is.NoErr(err)
+			defer response.Body.Close()
+			is.Equal(response.ContentLength, want)
+		})
+	}
+}
+
 // A response to HEAD, or with status 204 or 304, has no body, so that nothing about its end is in doubt:
 // the caller's connection is kept.
 func TestResponsesWithoutBodyKeepTheCallersConnection(t *testing.T) {
