--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -110,13 +110,17 @@
 	}
 }
 
-// HandOverOrigins sends all origins that this instance knows to the keepers. It is called when this instance
-// is terminated.
+// HandOverOrigins sends all origins that this instance knows, of services with several versions, to the
+// keepers. It is called when this instance is terminated.
 func (f *Fleet) HandOverOrigins() {
-	if f.originClient != nil {
-		now := time.Now()
-		f.sendOrigins(now, f.origins.All(now))
+	if f.originClient == nil {
+		return
 	}
+	now := time.Now()
+	f.mu.Lock()
+	services := f.servicesWithVersions()
+	f.mu.Unlock()
+	f.sendOrigins(now, slices.DeleteFunc(f.origins.All(now), func(o origin.Origin) bool { return !services[o.Service] }))
 }
 
 func (f *Fleet) sendOrigins(now time.Time, list []origin.Origin) {
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -219,17 +219,23 @@
 	})
 }
 
-// An instance that is terminated hands over what only it knows.
+// An instance that is terminated hands over what it knows, so that an origin outlives all instances that had it.
 func TestOriginsAreHandedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		o := newOriginFleet(2)
+		o := newOriginFleet(3)
 		o.publish("a", "v1")
-		ended := o.list[0].Address
-		o.instances[ended].RecordOrigin("r", "s", "v1", originLifetime)
-		o.instances[ended].HandOverOrigins()
-		o.killed[ended] = true
 		o.publish("b", "v2")
+		o.instances[o.list[0].Address].RecordOrigin("r", "s", "v1", originLifetime)
+		for len(o.list) > 1 {
+			ended := o.list[0].Address
+			o.list = slices.Clone(o.list[1:])
+			for _, f := range o.instances {
+				f.SetInstances(slices.Clone(o.list))
+			}
+			o.instances[ended].HandOverOrigins()
+			o.killed[ended] = true
+		}
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
 	})
 }
--- a/internal/peer/sparse_test.go
+++ b/internal/peer/sparse_test.go
@@ -72,6 +72,11 @@
 		reply, err := pair[0].TakeQuota(t.Context(), pair[1].o.Address, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 1}, time.Minute)
 		is.NoErr(err)
 		is.True(reply != nil)
+		origin, err := pair[0].QueryOrigin(t.Context(), pair[1].o.Address, &OriginQuery{Request: 7, Service: "s"}, time.Minute)
+		is.NoErr(err)
+		is.True(origin.Known)
+		pair[0].SendOrigins(pair[1].o.Address, []StreamOrigin{{Request: 1, Service: "s"}})
+		is.Equal(<-pair[1].handler.slots, "origins 1")
 	}
 }
 
