--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -28,9 +28,13 @@
 // SetInstances sets the instances that share the upstreams, including this one.
 func (f *Fleet) SetInstances(instances []Instance) {
 	slices.SortFunc(instances, func(a, b Instance) int { return cmp.Compare(a.Address, b.Address) })
+	f.mu.Lock()
+	before := f.instances
+	f.mu.Unlock()
 	if f.setInstances(instances) {
 		f.probeOpenCircuits()
 	}
+	f.sendOriginsToNewKeepers(before)
 	f.updateGrantLimits()
 }
 
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -123,12 +123,42 @@
 	f.sendOrigins(now, slices.DeleteFunc(f.origins.All(now), func(o origin.Origin) bool { return !services[o.Service] }))
 }
 
+// sendOriginsToNewKeepers sends the origins that this instance knows, of services with several versions, to
+// keepers that were none among the instances before: they have started, or take over from one that has ended.
+func (f *Fleet) sendOriginsToNewKeepers(before []Instance) {
+	f.mu.Lock()
+	services := f.servicesWithVersions()
+	instances := f.instances
+	f.mu.Unlock()
+	if f.originClient == nil || len(services) == 0 || slices.Equal(before, instances) {
+		return
+	}
+	now := time.Now()
+	list := slices.DeleteFunc(f.origins.All(now), func(o origin.Origin) bool { return !services[o.Service] })
+	previous := map[int][]string{} // keepers by group
+	f.sendOriginsTo(now, list, func(o origin.Origin, keeper string) bool {
+		group := groupOf(o.Request)
+		if _, known := previous[group]; !known {
+			previous[group] = f.selectKeepers(rankKeepers(group, before), originZones)
+		}
+		return !slices.Contains(previous[group], keeper)
+	})
+}
+
+// sendOrigins sends origins to their keepers.
 func (f *Fleet) sendOrigins(now time.Time, list []origin.Origin) {
+	f.sendOriginsTo(now, list, func(origin.Origin, string) bool { return true })
+}
+
+// sendOriginsTo sends origins to those of their keepers that are selected.
+func (f *Fleet) sendOriginsTo(now time.Time, list []origin.Origin, selected func(o origin.Origin, keeper string) bool) {
 	byKeeper := map[string][]peer.StreamOrigin{}
 	for _, o := range list {
 		entry := peer.StreamOrigin{Request: o.Request, Service: o.Service, Version: o.Version, Keep: o.Until.Sub(now)}
 		for _, address := range f.keepers(o.Request, originZones) {
-			byKeeper[address] = append(byKeeper[address], entry)
+			if selected(o, address) {
+				byKeeper[address] = append(byKeeper[address], entry)
+			}
 		}
 	}
 	for address, entries := range byKeeper {
@@ -144,14 +174,17 @@
 	}
 }
 
-// keepers returns the other instances that keep the origin of a stream, of up to zones zones: in this
-// instance's zone the first two in the ranking of its group, since this one may be the first, and in others
-// the first one.
+// keepers returns the other instances that keep the origin of a stream, of up to zones zones.
 func (f *Fleet) keepers(request uint64, zones int) []string {
 	f.mu.Lock()
 	instances := f.instances
 	f.mu.Unlock()
-	ranked := f.owners.originKeepers(int(request%originGroups), instances)
+	return f.selectKeepers(f.owners.originKeepers(groupOf(request), instances), zones)
+}
+
+// selectKeepers returns the other instances that keep the origins of a group for this one, of up to zones zones:
+// in its own zone the first two in the ranking, since it may be the first, and in others the first one.
+func (f *Fleet) selectKeepers(ranked []zoneKeepers, zones int) []string {
 	var out []string
 	others := 0
 	for _, z := range ranked {
@@ -173,6 +206,9 @@
 	return out
 }
 
+// groupOf returns the group that a stream is in.
+func groupOf(request uint64) int { return int(request % originGroups) }
+
 // zoneKeepers are the instances of a zone that may keep the origins of a group.
 type zoneKeepers struct {
 	zone      string
@@ -180,12 +216,21 @@
 }
 
 // originKeepers returns the first instances of each zone in the ranking of a group.
-func (o *owners) originKeepers(group int, instances []Instance) (out []zoneKeepers) {
+func (o *owners) originKeepers(group int, instances []Instance) []zoneKeepers {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if keepers, known := o.keepers[group]; known {
 		return keepers
 	}
+	if o.keepers == nil {
+		o.keepers = map[int][]zoneKeepers{}
+	}
+	o.keepers[group] = rankKeepers(group, instances)
+	return o.keepers[group]
+}
+
+// rankKeepers computes what originKeepers returns.
+func rankKeepers(group int, instances []Instance) (out []zoneKeepers) {
 	zones := make(map[string]string, len(instances))
 	for _, i := range instances {
 		zones[i.Address] = i.Zone
@@ -199,10 +244,6 @@
 			out[at].addresses = append(out[at].addresses, address)
 		}
 	}
-	if o.keepers == nil {
-		o.keepers = map[int][]zoneKeepers{}
-	}
-	o.keepers[group] = out
 	return out
 }
 
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -239,3 +239,32 @@
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
 	})
 }
+
+// When a keeper is killed, the instance that takes its place must get the origins, and one that comes back as
+// well: otherwise they would be gone with the last instance that got them when the stream began.
+func TestNewKeepersGetTheOrigins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(3)
+		o.publish("a", "v1")
+		o.publish("b", "v2")
+		first, last := o.list[0], o.list[len(o.list)-1]
+		o.instances[first.Address].RecordOrigin("r", "s", "v1", originLifetime)
+		for _, killed := range o.list[1 : len(o.list)-1] {
+			o.killed[killed.Address] = true
+			o.list = slices.DeleteFunc(slices.Clone(o.list), func(i Instance) bool { return i.Address == killed.Address })
+			for _, f := range o.instances {
+				f.SetInstances(slices.Clone(o.list))
+			}
+		}
+		o.killed[first.Address] = true
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true}) // last is alone
+		o.killed[first.Address] = false
+		o.start(first)
+		o.list = []Instance{last}
+		o.instances[last.Address].SetInstances(slices.Clone(o.list))
+		o.list = []Instance{first, last}
+		o.instances[last.Address].SetInstances(slices.Clone(o.list))
+		is.Equal(o.instances[first.Address].origins.Len(), 1)
+	})
+}
