--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -281,7 +281,7 @@
 // doesn't know it. It is known if an instance has recorded it, or if the service has had no other version
 // within the stream's lifetime. An instance that has started since, or whose list isn't current, relies on
 // keepers for the latter: on one that knows, or on the agreement of all zones, as after a restart of the whole
-// fleet or while nobody can read the list.
+// fleet or while nobody can read the list. One that doesn't know the other instances yet assumes nothing.
 func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (version string, known bool) {
 	now := time.Now()
 	hash := hashOf(s.Request)
@@ -305,7 +305,7 @@
 		}
 		settled = settled || r.Settled
 	}
-	if len(versions) != 1 || !(settled || f.isEveryZoneIn(replies)) {
+	if len(versions) != 1 || !(settled || (f.Settled() && f.isEveryZoneIn(replies))) {
 		return "", false
 	}
 	return versions[0], true
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -15,6 +15,7 @@
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 // originFleet is a fleet whose instances exchange origins directly. Killed ones receive and reply nothing.
@@ -158,11 +159,29 @@
 		f := o.start(fresh)
 		f.ApplyListChange(view.ListChange{Version: 1, Changed: []view.Upstream{{ID: "b", Service: "s", Address: "127.0.0.1:1", Slots: 9, Version: "v2"}}})
 		is.Equal(o.find(t, "r"), map[string]bool{"": true}) // the other ones have seen v1
-		time.Sleep(originLifetime)
+		wait.For(t.Context(), originLifetime)
 		is.Equal(o.find(t, "r"), map[string]bool{"v2": true})
 	})
 }
 
+// An instance that has just started may not have heard of the others yet, which know more.
+func TestInstanceThatKnowsNoOthersYetAssumesNoOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		self := o.list[0]
+		self.Settled = false
+		o.list = []Instance{self}
+		f := o.start(self)
+		o.instances = map[string]*Fleet{self.Address: f}
+		o.publish("a", "v1")
+		is.Equal(o.find(t, "r"), map[string]bool{"": true})
+		self.Settled = true
+		f.SetInstances([]Instance{self})
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+	})
+}
+
 // An instance that has just started and reaches no peer knows nothing of what came before.
 func TestFreshInstanceAloneAssumesNoOrigin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -173,7 +192,7 @@
 			o.killed[i.Address] = true
 		}
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
-		time.Sleep(originLifetime)
+		wait.For(t.Context(), originLifetime)
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
 	})
 }
@@ -187,7 +206,7 @@
 				is := is.New(t)
 				o := newOriginFleet(2)
 				o.publish("a", "v1")
-				time.Sleep(originLifetime)
+				wait.For(t.Context(), originLifetime)
 				self := o.list[0].Address
 				o.listAge[self] = 2 * currentListAge
 				o.list = slices.Clone(o.list)
@@ -209,7 +228,7 @@
 		is := is.New(t)
 		o := newOriginFleet(2)
 		o.publish("a", "v1")
-		time.Sleep(originLifetime)
+		wait.For(t.Context(), originLifetime)
 		for _, i := range o.list {
 			o.listAge[i.Address] = time.Minute
 		}
