--- a/internal/exchange/framing.go
+++ b/internal/exchange/framing.go
@@ -6,8 +6,8 @@
 type Framing uint8
 
 const (
-	// Unframed: no response.
-	Unframed Framing = iota
+	// NoResponse: there is no response whose framing is known.
+	NoResponse Framing = iota
 	// ByLength: the head states the length of the body, or the response has none.
 	ByLength
 	// ByChunks: the body ends with its last chunk.
@@ -19,7 +19,7 @@
 
 // String returns the framing as logs show it.
 func (f Framing) String() string {
-	return [...]string{Unframed: "none", ByLength: "length", ByChunks: "chunks", UntilClose: "until_close"}[f]
+	return [...]string{NoResponse: "none", ByLength: "length", ByChunks: "chunks", UntilClose: "until_close"}[f]
 }
 
 func framingOf(response *http.Response) Framing {
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -23,8 +23,8 @@
 	// originTimeout bounds the time in which keepers reply to a query. A processor may be throttled for
 	// 100 ms.
 	originTimeout = 150 * time.Millisecond
-	// currentListAge is the age up to which a list counts as current. Its age is at most a second and a half
-	// where source and peers are reached.
+	// currentListAge is the age up to which a list counts as current. It is twice the longest default of
+	// routed.proveEvery, so that one proof may be late.
 	currentListAge = 3 * time.Second
 	// versionMemory is how long a version is remembered that no upstream has any more.
 	versionMemory = 2 * time.Hour
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -358,7 +358,7 @@
 	event.Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.versions.owner).Int64("list", j.versions.own).
 		Dur("list_age", j.versions.age).Int("prompt", j.info.PromptTokens).Dur("timeout", j.info.Timeout).Dur("sent_after", j.sentAfter).Dur("first_after", j.firstAfter).
-		Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Strs("software_versions", j.softwareVersions).Str("after", j.info.LastEventID).Str("resumes", j.info.Resumes).Dur("took", took).Msg("")
+		Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Strs("software_versions", j.softwareVersions).Str("after", j.info.LastEventID).Str("origin", j.info.OriginID).Dur("took", took).Msg("")
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
 
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -33,7 +33,7 @@
 type fakeProtocol struct{}
 
 func (fakeProtocol) ParseRequest(r *http.Request) (RequestInfo, error) {
-	c := RequestInfo{ID: r.Header.Get("Id"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), Resumes: r.Header.Get("Resumes")}
+	c := RequestInfo{ID: r.Header.Get("Id"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), OriginID: r.Header.Get("Origin-Id")}
 	if c.ID == "" {
 		return c, errors.New("the Id header is missing")
 	}
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -33,12 +33,12 @@
 	ctx, cancel := j.context()
 	defer cancel()
 	age, _ := j.handler.o.View.ListAge() // without a list, no version is known
-	version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{Request: j.info.Resumes, Service: j.service, Lifetime: j.originLifetime(), ListAge: age})
+	version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{Request: j.info.OriginID, Service: j.service, Lifetime: j.originLifetime(), ListAge: age})
 	if !known {
-		return api.Refuse(api.ReasonOriginUnknown, "which version of the upstreams began the stream of request %q isn't known; retry after the given time, or send the request anew without the ID of an event", j.info.Resumes).WithRetryAfter(fleet.ShortRetryAfter)
+		return api.Refuse(api.ReasonOriginUnknown, "which version of the upstreams began the stream of request %q isn't known; retry after the given time, or send the request anew without the ID of an event", j.info.OriginID).WithRetryAfter(fleet.ShortRetryAfter)
 	}
 	j.origin = scheduler.VersionConstraint{Restricted: true, Version: version}
-	j.handler.o.Fleet.RecordOrigin(j.info.Resumes, j.service, version, j.originLifetime()) // it may be resumed again
+	j.handler.o.Fleet.RecordOrigin(j.info.OriginID, j.service, version, j.originLifetime()) // it may be resumed again
 	return nil
 }
 
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -49,8 +49,8 @@
 	// LastEventID is the ID of the last event of a stream that the caller has received; empty if it
 	// wants the stream from its start.
 	LastEventID string
-	// Resumes is the ID of the request that brought the first event of that stream; empty if it isn't given.
-	Resumes string
+	// OriginID is the ID of the request that brought the first event of that stream; empty if it isn't given.
+	OriginID string
 }
 
 // Attempt is what an upstream receives in addition to the caller's headers.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -78,7 +78,7 @@
 	silence := j.startSilenceTimer(g, cancel)
 	defer silence.stop()
 	j.attempts++
-	j.events, j.framing, j.reused = 0, exchange.Unframed, false
+	j.events, j.framing, j.reused = 0, exchange.NoResponse, false
 	process := j.handler.o.Fleet.ProcessOf(g.Upstream())
 	j.upstream = g.Upstream()
 	j.owner = g.Owner()
--- a/internal/proxy/version_test.go
+++ b/internal/proxy/version_test.go
@@ -80,9 +80,9 @@
 	r.addVersion("b", "v2", versionedEvents("v2", 6, 6))
 	r.addVersion("c", "v1", versionedEvents("v1", 4, 6))
 	r.removeUpstream("a")
-	second := r.get("resumable", "Id", "2", "After", "2", "Resumes", "1")
+	second := r.get("resumable", "Id", "2", "After", "2", "Origin-Id", "1")
 	is.Equal(second.body, versionedBody("v1", 3, 4))
-	third := r.get("resumable", "Id", "3", "After", "4", "Resumes", "1")
+	third := r.get("resumable", "Id", "3", "After", "4", "Origin-Id", "1")
 	is.Equal(third.body, "") // c has nothing more
 	is.Equal(r.arrivedIDs(), "a c c")
 }
@@ -90,7 +90,7 @@
 // A stream of which nobody knows the version that began it must not go on, since several serve.
 func TestResumptionOfAnUnknownStreamIsRefused(t *testing.T) {
 	for name, header := range map[string][]string{
-		"unknown first request": {"Id", "2", "After", "2", "Resumes", "1"},
+		"unknown first request": {"Id", "2", "After", "2", "Origin-Id", "1"},
 		"no first request":      {"Id", "2", "After", "2"},
 	} {
 		t.Run(name, func(t *testing.T) {
