--- a/client/client.go
+++ b/client/client.go
@@ -255,7 +255,7 @@
 		return nil, s.readProblem(response, body)
 	}
 	outcome := api.Answered
-	if response.Trailer.Get(api.HeaderOutcome) == string(api.Unknown) {
+	if response.Header.Get(api.HeaderOutcome) == string(api.Unknown) || response.Trailer.Get(api.HeaderOutcome) == string(api.Unknown) {
 		outcome = api.Unknown
 	}
 	return &Result{Outcome: outcome, Status: response.StatusCode, Header: response.Header, Body: body, Attempts: s.attempts}, nil
--- a/internal/answer/buffer.go
+++ b/internal/answer/buffer.go
@@ -38,6 +38,9 @@
 	Revision int64 `cbor:"5,keyasint,omitempty"`
 	// Header holds further header fields of a plain service's response.
 	Header map[string][]string `cbor:"6,keyasint,omitempty"`
+	// EndUnstated reports that the response ends with its connection, so that its end won't show whether it
+	// is complete.
+	EndUnstated bool `cbor:"7,keyasint,omitempty"`
 }
 
 // End is the end of a response. Problem is nil if the response is complete, as far as its upstream states
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -21,6 +21,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/gateway"
+	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
@@ -122,7 +123,7 @@
 		return
 	}
 	b := s.gateway.Handle(h.Context(), snapshot, r)
-	out := &writer{server: s, response: w, control: control, request: r}
+	out := &writer{server: s, response: w, control: control, request: r, conn: listen.CallerConnOf(h.Context()), http10: !h.ProtoAtLeast(1, 1)}
 	if last, err := upstream.ParseResumeToken(r.LastEventID); err == nil {
 		out.resumed = &last
 	}
@@ -224,8 +225,12 @@
 	response    http.ResponseWriter
 	control     *http.ResponseController
 	request     *request.Request
+	conn        listen.CallerConn
+	http10      bool
 	headWritten bool
 	stream      bool
+	// endsByClose reports that the response ends with the caller's connection.
+	endsByClose bool
 	// resumed is the last event that the caller received; nil for a new stream.
 	resumed *upstream.ResumeToken
 }
@@ -266,9 +271,18 @@
 	header.Set(api.HeaderInstance, h.Instance)
 	header.Set(api.HeaderUpstream, h.Upstream)
 	header.Set(api.HeaderRevision, strconv.FormatInt(h.Revision, 10))
-	if end != nil && end.Outcome() == api.Answered {
+	w.endsByClose = h.EndUnstated || w.http10
+	if w.endsByClose {
+		w.conn.ResetOnClose()
+	}
+	switch {
+	case h.EndUnstated:
+		header.Set("Transfer-Encoding", "identity") // makes net/http end the body with the connection; it isn't sent
+		header.Set(api.HeaderOutcome, string(api.Unknown))
+		header.Set(api.HeaderReason, string(api.ReasonUpstreamEndUnstated))
+	case end != nil && end.Outcome() == api.Answered:
 		header.Set(api.HeaderOutcome, string(api.Answered))
-	} else {
+	default:
 		header.Add("Trailer", api.HeaderOutcome)
 		header.Add("Trailer", api.HeaderReason)
 	}
@@ -306,6 +320,9 @@
 func (w *writer) end(e *answer.End) {
 	if e.Problem == nil {
 		w.setOutcome(e)
+		if w.endsByClose {
+			w.conn.CloseInOrder()
+		}
 		return
 	}
 	if !w.headWritten {
@@ -313,6 +330,9 @@
 		return
 	}
 	if !w.stream {
+		if w.endsByClose {
+			w.conn.Reset()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	w.setOutcome(e)
@@ -323,6 +343,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.writeChunk(append(append([]byte("event: error\ndata: "), content...), "\n\n"...))
+	if w.endsByClose {
+		w.conn.CloseInOrder() // the event says that the stream failed
+	}
 }
 
 // setOutcome sets the trailers.
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -77,6 +77,7 @@
 		operators: newServer(operators, maxHeaderBytes),
 		peers:     newServer(peers, maxHeaderBytes),
 	}
+	out.callers.ConnContext = listen.ConnContext
 	go out.callers.Serve(l.callers)     //nolint:errcheck // ends with close
 	go out.operators.Serve(l.operators) //nolint:errcheck // ends with close
 	go out.peers.Serve(l.peers)         //nolint:errcheck // ends with close
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -11,7 +11,6 @@
 
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
-	"github.com/tacktally/tacktally/internal/proxy"
 	"github.com/tacktally/tacktally/internal/relay"
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/telemetry"
@@ -123,7 +122,7 @@
 	metrics.HandleFunc("GET "+ZoneReportPath, i.serveZoneReport)
 	callers := i.newServer(i.proxy)
 	callers.ConnState = l.callers.ConnState
-	callers.ConnContext = proxy.ConnContext
+	callers.ConnContext = listen.ConnContext
 	i.start(callers, l.callers)
 	s := &servers{callers: callers}
 	for _, o := range []struct {
--- a/internal/faults/fleet_test.go
+++ b/internal/faults/fleet_test.go
@@ -362,6 +362,8 @@
 	header   http.Header
 	outcome  api.Outcome
 	complete bool
+	// endStated reports that the response had a length or chunks, or no body.
+	endStated bool
 }
 
 // call is one request of a caller.
@@ -415,7 +417,7 @@
 	}
 	defer r.Body.Close()
 	content, err := io.ReadAll(r.Body)
-	out := reply{status: r.StatusCode, body: string(content), header: r.Header, complete: err == nil, outcome: api.Outcome(r.Header.Get(api.HeaderOutcome))}
+	out := reply{status: r.StatusCode, body: string(content), header: r.Header, complete: err == nil, endStated: r.ContentLength >= 0 || len(r.TransferEncoding) > 0, outcome: api.Outcome(r.Header.Get(api.HeaderOutcome))}
 	if last := r.Trailer.Get(api.HeaderOutcome); last != "" {
 		out.outcome = api.Outcome(last)
 	}
--- a/internal/faults/responses_test.go
+++ b/internal/faults/responses_test.go
@@ -129,6 +129,9 @@
 	f.service.SetFaults(service.Faults{TruncateBody: true})
 	r := f.daemons[0].send(call{path: lookupPath, body: "a"})
 	is.True(!r.complete)
+	f.service.SetFaults(service.Faults{ResetBody: true}) // its response has no end but that of its connection
+	r = f.daemons[0].send(call{path: releasePath, body: "b", key: f.daemons[0].issue()})
+	is.True(!r.complete)
 }
 
 // A response that ends with its connection must not be reported as answered, neither to its caller nor to a
@@ -144,6 +147,8 @@
 		r := p.send(call{path: releasePath, body: "a", key: key})
 		is.Equal(r.body, service.ResponseBody("a")[:1])
 		is.Equal(r.outcome, api.Unknown)
+		is.Equal(r.header.Get(api.HeaderReason), string(api.ReasonUpstreamEndUnstated))
+		is.True(!r.endStated)
 	}
 	is.Equal(f.runCount("a"), 1)
 	is.Equal(issuer.metric(`tacktally_refusals_total{reason="upstream_end_unstated"}`), 1.0)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -17,6 +17,7 @@
 	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -59,7 +60,7 @@
 	Log        *log.Logger
 }
 
-// Handler serves callers' requests. It is safe for concurrent use.
+// Handler serves callers' requests. Its http.Server must have listen.ConnContext. It is safe for concurrent use.
 type Handler struct {
 	o        Options
 	inFlight atomic.Int64
@@ -323,7 +324,7 @@
 	}
 	j.record(p)
 	if p == nil && j.endsByClose {
-		j.setLinger(lingerOrderly)
+		listen.CallerConnOf(j.request.Context()).CloseInOrder()
 	}
 	if p != nil && j.responseStarted {
 		panic(http.ErrAbortHandler) // closes the connection, so that the response doesn't look complete
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
@@ -192,7 +193,7 @@
 		StaleAfter: staleAfter, Metrics: metrics, Log: log,
 	})
 	r.server = httptest.NewUnstartedServer(r.handler)
-	r.server.Config.ConnContext = ConnContext
+	r.server.Config.ConnContext = listen.ConnContext
 	r.server.Start()
 	t.Cleanup(func() {
 		r.server.Close()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -15,6 +15,7 @@
 	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/sse"
@@ -414,7 +415,7 @@
 	}
 	if framing == exchange.UntilClose || (!statesLength && !j.request.ProtoAtLeast(1, 1)) {
 		j.endsByClose = true
-		j.setLinger(lingerReset)
+		listen.CallerConnOf(j.request.Context()).ResetOnClose()
 	}
 	j.responseStarted = true
 	j.status = status
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -33,6 +34,8 @@
 	TruncateBody bool
 	// CutBody ends the response with its connection, in the middle of a body that states no end.
 	CutBody bool
+	// ResetBody resets the connection there instead.
+	ResetBody bool
 	// Leaving adds the leaving notice to each response.
 	Leaving bool
 }
@@ -88,9 +91,12 @@
 		w.Header().Set(upstream.HeaderLeaving, "true")
 	}
 	w.Header().Set("Content-Type", "text/plain")
-	if f.CutBody {
+	if f.CutBody || f.ResetBody {
 		w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
 		_, _ = io.WriteString(w, ResponseBody(string(body))[:1])
+		if f.ResetBody {
+			resetAfterFlush(w)
+		}
 		return
 	}
 	if f.TruncateBody {
@@ -102,3 +108,13 @@
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// resetAfterFlush resets the connection of a response after what was written of it.
+func resetAfterFlush(w http.ResponseWriter) {
+	control := http.NewResponseController(w)
+	_ = control.Flush() // closed already
+	if c, _, err := control.Hijack(); err == nil {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -45,10 +45,11 @@
 	}
 	if call.Request.Kind == request.Service {
 		head.Header = copyHeader(response.Header)
+		head.EndUnstated = endsWithConnection(response)
 		call.OnFirstOutput()
 		b.Start(head)
 		result := relayBody(ctx, response.Body, b)
-		result.EndUnstated = result.Status == Done && endsWithConnection(response)
+		result.EndUnstated = result.Status == Done && head.EndUnstated
 		return result
 	}
 	media, _, _ := mime.ParseMediaType(head.ContentType)
