--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -86,15 +86,15 @@
 }
 
 // RecordOrigin records that an upstream of a version has begun a stream, which may be resumed for the
-// duration keep. Request is the ID of the request that brought the first event. While the service has
+// duration lifetime. Request is the ID of the request that brought the first event. While the service has
 // several versions, the keepers receive it.
-func (f *Fleet) RecordOrigin(request, service, version string, keep time.Duration) {
+func (f *Fleet) RecordOrigin(request, service, version string, lifetime time.Duration) {
 	if request == "" {
 		return
 	}
 	now := time.Now()
-	o := origin.Origin{Request: hashOf(request), Service: service, Version: version, Until: now.Add(keep)}
-	shared := f.originClient != nil && len(f.recentVersions(now, service, keep)) > 1
+	o := origin.Origin{Request: hashOf(request), Service: service, Version: version, Until: now.Add(lifetime)}
+	shared := f.originClient != nil && len(f.recentVersions(now, service, lifetime)) > 1
 	f.origins.Record(now, o, shared)
 	if shared {
 		f.sendOrigins(now, []origin.Origin{o})
@@ -154,7 +154,7 @@
 func (f *Fleet) sendOriginsTo(now time.Time, list []origin.Origin, selected func(o origin.Origin, keeper string) bool) {
 	byKeeper := map[string][]peer.StreamOrigin{}
 	for _, o := range list {
-		entry := peer.StreamOrigin{Request: o.Request, Service: o.Service, Version: o.Version, Keep: o.Until.Sub(now)}
+		entry := peer.StreamOrigin{Request: o.Request, Service: o.Service, Version: o.Version, Remaining: o.Until.Sub(now)}
 		for _, address := range f.keepers(o.Request, originZones) {
 			if selected(o, address) {
 				byKeeper[address] = append(byKeeper[address], entry)
@@ -170,7 +170,7 @@
 func (f *Fleet) MergeOrigins(list []peer.StreamOrigin) {
 	now := time.Now()
 	for _, o := range list {
-		f.origins.Record(now, origin.Origin{Request: o.Request, Service: o.Service, Version: o.Version, Until: now.Add(o.Keep)}, true)
+		f.origins.Record(now, origin.Origin{Request: o.Request, Service: o.Service, Version: o.Version, Until: now.Add(o.Remaining)}, true)
 	}
 }
 
@@ -250,9 +250,9 @@
 // ServeOrigin replies to a peer's query of a stream's origin. ListAge is the age of this instance's list.
 func (f *Fleet) ServeOrigin(q *peer.OriginQuery, listAge time.Duration) *peer.OriginReply {
 	now := time.Now()
-	reply := &peer.OriginReply{Settled: f.knowsVersionsOf(now, q.Keep, listAge)}
+	reply := &peer.OriginReply{Settled: f.knowsVersionsOf(now, q.Lifetime, listAge)}
 	reply.Version, reply.Known = f.origins.Version(now, q.Request)
-	if versions := f.recentVersions(now, q.Service, q.Keep); len(versions) == 1 {
+	if versions := f.recentVersions(now, q.Service, q.Lifetime); len(versions) == 1 {
 		reply.HasOnlyVersion, reply.OnlyVersion = true, versions[0]
 	}
 	return reply
@@ -293,7 +293,7 @@
 		return versions[0], true
 	}
 	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
-	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Keep: s.Lifetime})
+	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: s.Lifetime})
 	settled := false
 	for _, r := range replies {
 		if r.Known {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -368,7 +368,7 @@
 	case TypeOrigins:
 		complete, onStream = areValidOrigins(f.Origins), false
 	case TypeOriginQuery:
-		complete = f.OriginQuery != nil && f.OriginQuery.Service != "" && f.OriginQuery.Keep >= 0
+		complete = f.OriginQuery != nil && f.OriginQuery.Service != "" && f.OriginQuery.Lifetime >= 0
 	case TypeOriginReply:
 		complete = f.OriginReply != nil
 	case TypePressure:
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -21,16 +21,16 @@
 	Request uint64 `cbor:"1,keyasint"`
 	Service string `cbor:"2,keyasint"`
 	Version string `cbor:"3,keyasint,omitempty"`
-	// Keep is how much longer the stream may be resumed.
-	Keep time.Duration `cbor:"4,keyasint"`
+	// Remaining is how much longer the stream may be resumed.
+	Remaining time.Duration `cbor:"4,keyasint"`
 }
 
 // OriginQuery asks for the origin of a stream of a service; Request is 0 if its first request is unknown.
 type OriginQuery struct {
 	Request uint64 `cbor:"1,keyasint,omitempty"`
 	Service string `cbor:"2,keyasint"`
-	// Keep is how long after its first event a stream may be resumed.
-	Keep time.Duration `cbor:"3,keyasint"`
+	// Lifetime is how long after its first event a stream may be resumed.
+	Lifetime time.Duration `cbor:"3,keyasint"`
 }
 
 // OriginReply is the reply to an OriginQuery.
@@ -39,7 +39,7 @@
 	Known   bool   `cbor:"1,keyasint,omitempty"`
 	Version string `cbor:"2,keyasint,omitempty"`
 	// HasOnlyVersion reports that the peer has seen no version of the service's upstreams but OnlyVersion
-	// within Keep, or since it started unless Settled.
+	// within the Lifetime, or since it started unless Settled.
 	HasOnlyVersion bool   `cbor:"3,keyasint,omitempty"`
 	OnlyVersion    string `cbor:"4,keyasint,omitempty"`
 	Settled        bool   `cbor:"5,keyasint,omitempty"`
@@ -47,7 +47,7 @@
 
 func areValidOrigins(list []StreamOrigin) bool {
 	for _, o := range list {
-		if o.Keep < 0 || o.Keep > maxRemaining {
+		if o.Remaining < 0 || o.Remaining > maxRemaining {
 			return false
 		}
 	}
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -12,7 +12,7 @@
 func TestOriginsAreSentAndQueried(t *testing.T) {
 	is := is.New(t)
 	p := newPair(t)
-	p.a.SendOrigins(p.addressB, []StreamOrigin{{Request: 1, Service: "s", Version: "v1", Keep: time.Minute}, {Request: 2, Service: "s", Version: "v1", Keep: time.Minute}})
+	p.a.SendOrigins(p.addressB, []StreamOrigin{{Request: 1, Service: "s", Version: "v1", Remaining: time.Minute}, {Request: 2, Service: "s", Version: "v1", Remaining: time.Minute}})
 	is.Equal(<-p.hb.slots, "origins 2")
 	reply, err := p.a.QueryOrigin(t.Context(), p.addressB, &OriginQuery{Request: 7, Service: "s"}, time.Minute)
 	is.NoErr(err)
@@ -60,7 +60,7 @@
 func TestMalformedOriginsAreRejected(t *testing.T) {
 	for name, f := range map[string]*Frame{
 		"no origin":         {Type: TypeOrigins},
-		"negative lifetime": {Type: TypeOrigins, Origins: []StreamOrigin{{Request: 1, Service: "s", Keep: -1}}},
+		"negative lifetime": {Type: TypeOrigins, Origins: []StreamOrigin{{Request: 1, Service: "s", Remaining: -1}}},
 		"too many":          {Type: TypeOrigins, Origins: make([]StreamOrigin, maxOrigins+1)},
 		"query, no service": {Type: TypeOriginQuery, Stream: 1, OriginQuery: &OriginQuery{Request: 1}},
 		"query, no stream":  {Type: TypeOriginQuery, OriginQuery: &OriginQuery{Request: 1, Service: "s"}},
