--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -24,11 +24,16 @@
 	switch r.Status {
 	case upstream.Done:
 		if r.EndUnstated {
-			return // a crash may have ended it
+			o.Quarantine.TrackUnstatedEnd(address, a.key, a.buffer.Written() > 0, o.OnQuarantineChange)
+			return
 		}
 		if o.Quarantine.RecordResponse(now, a.key) {
 			o.OnQuarantineChange()
 		}
+	case upstream.NotWritten:
+		if !isLocalAbort(r.Err) && o.Quarantine.NeedsDiagnosis(now, address) {
+			go a.dispatcher.diagnose(a.set, address)
+		}
 	case upstream.Lost, upstream.Truncated:
 		check, changed := o.Quarantine.RecordLostResponse(now, address, a.key, a.buffer.Started())
 		if changed {
--- a/internal/faults/crashes_test.go
+++ b/internal/faults/crashes_test.go
@@ -19,6 +19,8 @@
 type crashingService struct {
 	server  *http.Server
 	crashes *atomic.Int32
+	// responds makes it begin a response that states no end before.
+	responds bool
 }
 
 const crashingBody = "crash"
@@ -30,17 +32,17 @@
 		return
 	}
 	m.crashes.Add(1)
+	if m.responds {
+		w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
+		w.(http.Flusher).Flush()
+	}
 	_ = m.server.Close() // closes the listener and all connections
 }
 
-// A request that crashes each upstream that runs it is quarantined, although the caller sends it again to
-// any instance, each time with a new ID or key. This applies to the API of package callerapi as it does to
-// routed requests.
-func TestRequestThatCrashesUpstreamsIsQuarantinedAtCallerAPI(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, "fort", "fort")
-	var crashes atomic.Int32
+// startCrashingServices replaces the service by 12 crashing ones.
+func (f *fleet) startCrashingServices(responds bool) (crashes *atomic.Int32) {
+	f.t.Helper()
+	crashes = &atomic.Int32{}
 	list := []platform.Instance{}
 	for _, i := range f.list {
 		if i.Set != claimsService {
@@ -50,17 +52,30 @@
 	for i := range 12 {
 		address := fmt.Sprintf("%s:9%03d", f.ip(150), 100+i)
 		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
-		is.NoErr(err)
-		m := &crashingService{crashes: &crashes}
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		m := &crashingService{crashes: crashes, responds: responds}
 		m.server = &http.Server{Handler: m}
 		go m.server.Serve(l) //nolint:errcheck // ends with Close
-		t.Cleanup(func() { _ = m.server.Close() })
+		f.t.Cleanup(func() { _ = m.server.Close() })
 		list = append(list, platform.Instance{Address: address, Zone: "fort", Set: claimsService, State: platform.Live})
 	}
 	f.platform.SetInstances(list)
 	for _, p := range f.daemons {
 		f.eventually("the new services are in use", func() bool { return p.send(call{path: lookupPath, body: "x"}).body == "did x" })
 	}
+	return crashes
+}
+
+// A request that crashes each upstream that runs it is quarantined, although the caller sends it again to
+// any instance, each time with a new ID or key. This applies to the API of package callerapi as it does to
+// routed requests.
+func TestRequestThatCrashesUpstreamsIsQuarantinedAtCallerAPI(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	crashes := f.startCrashingServices(false)
 	var last reply
 	for try := range 16 {
 		last = f.daemons[try%2].send(call{path: lookupPath, body: crashingBody})
@@ -72,3 +87,23 @@
 	last = f.daemons[1].send(call{path: releasePath, body: crashingBody, key: f.daemons[1].issue()})
 	is.True(last.problem.Reason != api.ReasonCrashesUpstreams) // another request
 }
+
+// Where the response that a crash ends states no end, it looks complete: the crash must be found all the same,
+// by connections that are refused.
+func TestCrashesInResponsesWithoutStatedEndAreFoundAtCallerAPI(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	crashes := f.startCrashingServices(true)
+	n := 0
+	f.eventually("the request is quarantined", func() bool {
+		p := f.daemons[n%2]
+		n++
+		last := p.send(call{path: lookupPath, body: crashingBody})
+		for range 12 { // some of their connections are refused
+			p.send(call{path: lookupPath, body: "y"})
+		}
+		return last.problem.Reason == api.ReasonCrashesUpstreams
+	})
+	is.True(crashes.Load() <= 6) // three, and three while the last is found
+}
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -40,7 +40,7 @@
 	registry, now := j.handler.o.Quarantine, time.Now()
 	switch {
 	case (r.status == completed || r.status == upstreamFailed) && j.framing == exchange.UntilClose:
-		j.recordUnstatedEnd(r.process)
+		registry.TrackUnstatedEnd(r.process, j.quarantineKey, j.events > 0, j.handler.o.Announce)
 	case r.status == completed || r.status == upstreamFailed:
 		if registry.RecordResponse(now, j.quarantineKey) {
 			j.handler.o.Announce()
@@ -60,20 +60,6 @@
 	}
 }
 
-// recordUnstatedEnd records a response that ended with its connection. It is confirmed later, unless its
-// upstream turns out to have crashed.
-func (j *job) recordUnstatedEnd(process string) {
-	h, key := j.handler, j.quarantineKey
-	if h.o.Quarantine.RecordUnstatedEnd(time.Now(), process, key, j.events > 0) {
-		h.o.Announce()
-	}
-	time.AfterFunc(quarantine.ConfirmAfter, func() {
-		if h.o.Quarantine.ConfirmResponse(time.Now(), process, key) {
-			h.o.Announce()
-		}
-	})
-}
-
 // startDiagnosis diagnoses an upstream in the background, unless it has been removed.
 func (h *Handler) startDiagnosis(upstream, process string) {
 	if connections := h.o.Fleet.ConnectionsTo(upstream); connections != nil {
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -162,17 +162,32 @@
 // ConfirmAfter is the time after which a response without a stated end is confirmed.
 const ConfirmAfter = lossWindow
 
-// ConfirmResponse records a response without a stated end as complete unless its upstream process is known
-// to have terminated. It reports whether this clears the request, which peers must receive.
+// ConfirmResponse records a response without a stated end, which ended ConfirmAfter ago, as complete unless its
+// upstream process is known to have terminated within lossWindow of that. It reports whether this clears the
+// request, which peers must receive.
 func (r *Registry) ConfirmResponse(now time.Time, upstream string, k Key) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.crashes[upstream] != nil {
+	ended := now.Add(-ConfirmAfter)
+	if c := r.crashes[upstream]; c != nil && c.at.Sub(ended).Abs() <= lossWindow {
 		return false
 	}
 	return r.recordResponse(now, k)
 }
 
+// TrackUnstatedEnd records a response without a stated end now, and confirms it after ConfirmAfter. It calls
+// onChange after each change that peers must receive.
+func (r *Registry) TrackUnstatedEnd(upstream string, k Key, started bool, onChange func()) {
+	if r.RecordUnstatedEnd(time.Now(), upstream, k, started) {
+		onChange()
+	}
+	time.AfterFunc(ConfirmAfter, func() {
+		if r.ConfirmResponse(time.Now(), upstream, k) {
+			onChange()
+		}
+	})
+}
+
 // NeedsDiagnosis reports whether an upstream to which no connection could be opened must be diagnosed,
 // since responses ended or were lost there within lossWindow.
 func (r *Registry) NeedsDiagnosis(now time.Time, upstream string) bool {
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -213,6 +213,19 @@
 	is.Equal(b.Remaining(start.Add(time.Minute+ConfirmAfter), key("x")), time.Duration(0))
 }
 
+// An upstream that has restarted under its name must be able to clear requests: its crash was another one.
+func TestResponseAfterACrashIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	b := newRegistry(true)
+	crashOf(b, start, "1", "x")
+	crashOf(b, start, "2", "x")
+	ended := start.Add(time.Minute)
+	b.RecordUnstatedEnd(ended, "1", key("x"), false)
+	is.True(b.ConfirmResponse(ended.Add(ConfirmAfter), "1", key("x")))
+	is.Equal(b.Remaining(ended.Add(ConfirmAfter), key("x")), time.Duration(0))
+}
+
+// A connection that is refused is evidence only where a response ended or was lost just before.
 func TestUpstreamThatRefusesConnectionsIsDiagnosedAfterALoss(t *testing.T) {
 	is := is.New(t)
 	b := newRegistry(true)
