--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -38,6 +38,8 @@
 // Segment is a part of a prompt that other prompts may also begin with. Callers send segments with
 // hashes instead of the text.
 type Segment struct {
+	// ID identifies the segment's text, whatever stands before it.
+	ID uint64
 	// Hash identifies the segment's text and all text before it.
 	Hash uint64
 	// Tokens is the length of the segment.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -356,13 +357,26 @@
 	if limit, limited := h.o.Fleet.Limit(j.upstream); limited {
 		event = event.Float64("upstream_limit", limit)
 	}
-	event.Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
+	event.Strs("segments", j.segmentNames()).Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.versions.owner).Int64("list", j.versions.own).
 		Dur("list_age", j.versions.age).Int("prompt", j.info.PromptTokens).Dur("timeout", j.info.Timeout).Dur("sent_after", j.sentAfter).Dur("first_after", j.firstAfter).
 		Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Strs("software_versions", j.softwareVersions).Str("after", j.info.LastEventID).Str("origin", j.info.OriginID).Dur("took", took).Msg("")
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
 
+// maxLoggedSegments bounds the segments of a prompt in one log line.
+const maxLoggedSegments = 16
+
+// segmentNames returns the IDs of the prompt's segments, in order, as logs show them.
+func (j *job) segmentNames() []string {
+	segments := j.info.PromptSegments
+	names := make([]string, 0, min(len(segments), maxLoggedSegments))
+	for _, s := range segments[:cap(names)] {
+		names = append(names, fmt.Sprintf("%08x", s.ID))
+	}
+	return names
+}
+
 func (j *job) kind() string {
 	if j.route == nil {
 		return "none"
