--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,11 +21,14 @@
 
 // originFleet is a fleet whose instances exchange origins directly. Killed ones receive and reply nothing.
 type originFleet struct {
+	list []Instance
+
+	mu        sync.Mutex // an instance returns at the first reply, while others are still queried
 	instances map[string]*Fleet
-	list      []Instance
 	killed    map[string]bool
-	listAge   map[string]time.Duration // by instance
-	revision  int64
+
+	listAge  map[string]time.Duration // by instance
+	revision int64
 }
 
 // originLifetime is how long streams may be resumed in these tests.
@@ -48,10 +52,32 @@
 		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test")})
 	f.SetOriginClient(o)
 	f.SetInstances(slices.Clone(o.list))
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.instances[i.Address] = f
+	delete(o.killed, i.Address)
 	return f
 }
 
+// kill ends instances.
+func (o *originFleet) kill(addresses ...string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, address := range addresses {
+		o.killed[address] = true
+	}
+}
+
+// alive returns the instance at an address, nil if it was killed.
+func (o *originFleet) alive(address string) *Fleet {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.killed[address] {
+		return nil
+	}
+	return o.instances[address]
+}
+
 // publish sets the version of an upstream on all instances' lists.
 func (o *originFleet) publish(id, version string) {
 	o.revision++
@@ -68,16 +94,17 @@
 }
 
 func (o *originFleet) SendOrigins(address string, list []peer.StreamOrigin) {
-	if !o.killed[address] {
-		o.instances[address].MergeOrigins(list)
+	if f := o.alive(address); f != nil {
+		f.MergeOrigins(list)
 	}
 }
 
 func (o *originFleet) QueryOrigin(_ context.Context, address string, q *peer.OriginQuery, _ time.Duration) (*peer.OriginReply, error) {
-	if o.killed[address] {
+	f := o.alive(address)
+	if f == nil {
 		return nil, peer.ErrNoReply
 	}
-	return o.instances[address].ServeOrigin(q, o.listAge[address]), nil
+	return f.ServeOrigin(q, o.listAge[address]), nil
 }
 
 // find returns the versions that the instances that are alive find, empty for none, each once.
@@ -115,7 +142,7 @@
 						o.instances[began].RecordOrigin(fmt.Sprint("unasked", stream), "s", "v1", originLifetime)
 					}
 					is.Equal(o.find(t, "another"), map[string]bool{"": true})
-					o.killed[began] = true
+					o.kill(began)
 					for stream := range 20 {
 						is.Equal(o.find(t, fmt.Sprint("unasked", stream)), map[string]bool{"v1": true})
 					}
@@ -137,7 +164,7 @@
 			is.Equal(f.origins.Len(), map[bool]int{true: 1}[address == began])
 		}
 		o.publish("b", "v2")
-		o.killed[began] = true
+		o.kill(began)
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
 	})
 }
@@ -189,7 +216,7 @@
 		o := newOriginFleet(2)
 		o.publish("a", "v1")
 		for _, i := range o.list[1:] {
-			o.killed[i.Address] = true
+			o.kill(i.Address)
 		}
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
 		wait.For(t.Context(), originLifetime)
@@ -211,7 +238,7 @@
 				o.listAge[self] = 2 * currentListAge
 				o.list = slices.Clone(o.list)
 				for n, i := range o.list[1:] {
-					o.killed[i.Address] = true
+					o.kill(i.Address)
 					o.list[n+1].Reachable, o.list[n+1].MayOwn = reachable, reachable
 				}
 				o.instances[self].SetInstances(slices.Clone(o.list))
@@ -233,7 +260,7 @@
 			o.listAge[i.Address] = time.Minute
 		}
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
-		o.killed[o.list[1].Address], o.killed[o.list[3].Address] = true, true // a zone
+		o.kill(o.list[1].Address, o.list[3].Address) // a zone
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
 	})
 }
@@ -253,7 +280,7 @@
 				f.SetInstances(slices.Clone(o.list))
 			}
 			o.instances[ended].HandOverOrigins()
-			o.killed[ended] = true
+			o.kill(ended)
 		}
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
 	})
@@ -270,15 +297,14 @@
 		first, last := o.list[0], o.list[len(o.list)-1]
 		o.instances[first.Address].RecordOrigin("r", "s", "v1", originLifetime)
 		for _, killed := range o.list[1 : len(o.list)-1] {
-			o.killed[killed.Address] = true
+			o.kill(killed.Address)
 			o.list = slices.DeleteFunc(slices.Clone(o.list), func(i Instance) bool { return i.Address == killed.Address })
 			for _, f := range o.instances {
 				f.SetInstances(slices.Clone(o.list))
 			}
 		}
-		o.killed[first.Address] = true
+		o.kill(first.Address)
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true}) // last is alone
-		o.killed[first.Address] = false
 		o.start(first)
 		o.list = []Instance{last}
 		o.instances[last.Address].SetInstances(slices.Clone(o.list))
