quarantine: end a verdict for which there is no room

An instance stops serving: updateVerdicts never returns, with the registry's lock held, which each request takes. It happens if an organisation has 32 quarantined requests whose periods end later than that of one more (second periods are longer): the new one is dropped at once by the bound, its evidence remains, and it is found again. Found by reading; TestVerdictWithoutRoomEnds doesn't end without the change. A round of verdicts of which none was stored is the last one now.

--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -381,15 +381,18 @@
 	return n
 }
 
-// quarantine begins a quarantine period of a request. The caller holds the lock.
-func (r *Registry) quarantine(k Key, p period) {
+// quarantine begins a quarantine period of a request. It returns false if the bounds leave no room for it. The
+// caller holds the lock.
+func (r *Registry) quarantine(k Key, p period) bool {
 	r.quarantined[k] = p
 	end := func(p period) time.Time { return p.until }
 	own := func(other Key) bool { return other.Organisation == k.Organisation }
 	dropOldestOf(r.quarantined, own, maxPerOrganisation, end)
 	dropOldest(r.quarantined, maxQuarantined, end)
+	_, stored := r.quarantined[k]
 	r.log.Warn().Str("event", "request_held").Str("key", k.String()).Str("organisation", k.Organisation).
 		Int("term", p.count).Str("crashed", joined(r.crashesOf(k))).Str("until", p.until.UTC().Format(time.RFC3339Nano)).Msg("request quarantined")
+	return stored
 }
 
 // crashesOf returns the upstream processes that crashed with a request. The caller holds the lock.
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -351,6 +351,20 @@
 	is.Equal(len(b.crashes), maxCrashes)
 }
 
+// A verdict for which the bounds leave no room must not be reached again and again: the registry would examine
+// the same evidence forever, with its lock held.
+func TestVerdictWithoutRoomEnds(t *testing.T) {
+	is := is.New(t)
+	b := newRegistry(true)
+	for i := range maxPerOrganisation {
+		b.quarantine(key(fmt.Sprint(i)), period{until: start.Add(maxPeriod), count: 3})
+	}
+	crashOf(b, start, "1", "x")
+	crashOf(b, start.Add(time.Second), "2", "x")
+	b.Remaining(start.Add(2*time.Second), key("x"))
+	is.Equal(len(b.quarantined), maxPerOrganisation)
+}
+
 func TestUpdatesAreBounded(t *testing.T) {
 	is := is.New(t)
 	b := newRegistry(true)
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -46,8 +46,13 @@
 		if len(culprits) == 0 {
 			break
 		}
+		stored := false
 		for _, k := range culprits {
-			r.quarantine(k, period{until: r.lastCrashTime(k).Add(periodLength(1)), count: 1, clearings: r.cleared[k].count})
+			p := period{until: r.lastCrashTime(k).Add(periodLength(1)), count: 1, clearings: r.cleared[k].count}
+			stored = r.quarantine(k, p) || stored
+		}
+		if !stored {
+			break // otherwise the same evidence would be examined forever
 		}
 		r.dropExplained()
 	}
