--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -18,7 +18,7 @@
 
 // attempts makes the attempts of one request.
 type attempts struct {
-	key          quarantine.Key
+	identity     quarantine.Request
 	dispatcher   *Dispatcher
 	snapshot     *config.Snapshot
 	request      *request.Request
@@ -48,8 +48,8 @@
 	a.dispatcher.budget.Deposit()
 	var last upstream.Result
 	for range maxAttempts {
-		if left := a.dispatcher.o.Quarantine.Remaining(time.Now(), a.key); left > 0 {
-			return a.finishWithProblem(ctx, quarantine.Refusal(left))
+		if left := a.dispatcher.o.Quarantine.Remaining(time.Now(), a.identity); left > 0 {
+			return a.finishWithProblem(ctx, a.dispatcher.o.Quarantine.Refusal(a.identity, left))
 		}
 		grant, problem := a.acquire(ctx)
 		if problem != nil {
@@ -127,7 +127,7 @@
 	if !time.Now().Before(a.request.Deadline) {
 		return context.DeadlineExceeded
 	}
-	if a.dispatcher.o.Quarantine.Remaining(time.Now(), a.key) > 0 {
+	if a.dispatcher.o.Quarantine.Remaining(time.Now(), a.identity) > 0 {
 		return quarantine.ErrQuarantined
 	}
 	return nil
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -54,7 +54,7 @@
 				}
 				if name == "quarantined" {
 					for _, upstream := range []string{"1", "2", "3"} {
-						registry.RecordLostResponse(time.Now(), upstream, a.key, false)
+						registry.RecordLostResponse(time.Now(), upstream, a.identity, false)
 						registry.RecordCrash(time.Now(), upstream)
 					}
 				}
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -11,9 +11,10 @@
 	"github.com/tacktally/tacktally/internal/upstream"
 )
 
-// quarantineKey identifies a request by its organisation and content.
-func quarantineKey(r *request.Request) quarantine.Key {
-	return quarantine.Key{Organisation: r.Organisation, Digest: binary.BigEndian.Uint64(r.Fingerprint[:])}
+// identityOf identifies a request by its organisation and content.
+func identityOf(r *request.Request) quarantine.Request {
+	key := quarantine.Key{Organisation: r.Organisation, Digest: binary.BigEndian.Uint64(r.Fingerprint[:])}
+	return quarantine.RequestOf(key, nil)
 }
 
 // recordCrashEvidence reports the result of an attempt to the quarantine registry and announces
@@ -24,10 +25,10 @@
 	switch r.Status {
 	case upstream.Done:
 		if r.EndUnstated {
-			o.Quarantine.TrackUnstatedEnd(address, a.key, a.buffer.Written() > 0, o.OnQuarantineChange)
+			o.Quarantine.TrackUnstatedEnd(address, a.identity, time.Time{}, a.buffer.Written() > 0, o.OnQuarantineChange)
 			return
 		}
-		if o.Quarantine.RecordResponse(now, a.key) {
+		if o.Quarantine.RecordResponse(now, a.identity) {
 			o.OnQuarantineChange()
 		}
 	case upstream.NotWritten:
@@ -35,7 +36,7 @@
 			go a.dispatcher.diagnose(a.set, address)
 		}
 	case upstream.Lost, upstream.Truncated:
-		check, changed := o.Quarantine.RecordLostResponse(now, address, a.key, a.buffer.Started())
+		check, changed := o.Quarantine.RecordLostResponse(now, address, a.identity, a.buffer.Started())
 		if changed {
 			o.OnQuarantineChange()
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -351,7 +351,7 @@
 
 func (d *Dispatcher) recordEnd(r *request.Request, end answer.End, took time.Duration) {
 	d.o.Metrics.Ended(r.Tier, end.Outcome(), took)
-	event := d.o.Log.Info().Str("event", "request_ended").Str("request", r.ID).Str("key", quarantineKey(r).String()).
+	event := d.o.Log.Info().Str("event", "request_ended").Str("request", r.ID).Str("key", identityOf(r).Key.String()).
 		Str("organisation", r.Organisation).Str("tier", r.Tier).
 		Str("outcome", string(end.Outcome())).Dur("took", took)
 	if reason := end.Reason(); reason != api.ReasonNone {
@@ -377,12 +377,12 @@
 	if !ok {
 		return answer.End{Problem: api.Refuse(api.ReasonUnknownAPIKey, "organisation %q isn't declared in revision %d; ask your operator", r.Organisation, s.Revision)}
 	}
-	key := quarantineKey(r)
-	if left := d.o.Quarantine.Admit(started, key); left > 0 {
-		return answer.End{Problem: quarantine.Refusal(left)}
+	identity := identityOf(r)
+	if left := d.o.Quarantine.Admit(started, identity); left > 0 {
+		return answer.End{Problem: d.o.Quarantine.Refusal(identity, left)}
 	}
 	a := &attempts{
-		key: key, dispatcher: d, snapshot: s, request: r, buffer: b, pool: pool,
+		identity: identity, dispatcher: d, snapshot: s, request: r, buffer: b, pool: pool,
 		set: set, tier: tier, organisation: org,
 	}
 	take := orglimit.TakeRequest{
--- a/internal/fleet/retry_counts_test.go
+++ b/internal/fleet/retry_counts_test.go
@@ -30,7 +30,7 @@
 				for _, id := range []string{"1", "2"} {
 					req := generation()
 					req.ID = id
-					req.Key = quarantine.Key{Organisation: "a", Digest: 7}
+					req.Identity.Key = quarantine.Key{Organisation: "a", Digest: 7}
 					req.Request.Organisation = "a"
 					req.Request.Rank = 1
 					_, problem = f.Acquire(t.Context(), req)
--- a/internal/fleet/returning_test.go
+++ b/internal/fleet/returning_test.go
@@ -34,7 +34,7 @@
 // sameContent is a request whose content, and so its digest, is always the same.
 func sameContent() *AcquireRequest {
 	r := generation()
-	r.Key = quarantine.Key{Digest: 7}
+	r.Identity.Key = quarantine.Key{Digest: 7}
 	r.Attempt = peer.FirstAttempt
 	return r
 }
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -30,7 +30,7 @@
 // AcquireRequest is a request for a slot.
 type AcquireRequest struct {
 	ID       string // of the request, for logs
-	Key      quarantine.Key
+	Identity quarantine.Request
 	Service  string
 	Request  *scheduler.Request
 	Segments []prefix.Segment // of the prompt, in order
@@ -63,7 +63,7 @@
 		return nil, problem
 	}
 	req.Request.PrefixHashes = prefix.SegmentHashes(req.Segments)
-	req.Request.Digest = req.Key.Digest
+	req.Request.Digest = req.Identity.Digest
 	req.Request.Zone = f.o.Zone
 	req.Request.Region = f.o.Regions[f.o.Zone]
 	shard.pool.LearnBrittle(f.brittleOf(req.Service))
@@ -161,7 +161,7 @@
 		Service:           s.service,
 		Shard:             s.index,
 		ID:                req.ID,
-		Digest:            req.Key.Digest,
+		Digest:            req.Identity.Digest,
 		Rank:              r.Rank,
 		Organisation:      r.Organisation,
 		Age:               now.Sub(r.Arrived),
@@ -184,17 +184,21 @@
 		Version:           r.VersionConstraint.Version,
 	}
 	for _, p := range req.Segments {
-		out.Segments = append(out.Segments, peer.PromptSegment{PrefixHash: p.Hash, Tokens: p.Tokens})
+		out.Segments = append(out.Segments, peer.PromptSegment{PrefixHash: p.Hash, Tokens: p.Tokens, ID: p.ID})
 	}
 	return out
 }
 
-// schedulerRequest converts a slot request of a peer to one of the scheduler.
-func schedulerRequest(now time.Time, r *peer.SlotRequest) *scheduler.Request {
-	var segments []prefix.Segment
+// segmentsOf returns the segments of the prompt in a slot request of a peer.
+func segmentsOf(r *peer.SlotRequest) (segments []prefix.Segment) {
 	for _, p := range r.Segments {
-		segments = append(segments, prefix.Segment{Hash: p.PrefixHash, Tokens: p.Tokens})
+		segments = append(segments, prefix.Segment{ID: p.ID, Hash: p.PrefixHash, Tokens: p.Tokens})
 	}
+	return segments
+}
+
+// schedulerRequest converts a slot request of a peer to one of the scheduler.
+func schedulerRequest(now time.Time, r *peer.SlotRequest) *scheduler.Request {
 	return &scheduler.Request{
 		Rank:              r.Rank,
 		Organisation:      r.Organisation,
@@ -207,7 +211,7 @@
 		PromptTokens:      r.PromptTokens,
 		MaxOutput:         r.MaxOutput,
 		ExpectedOutput:    r.ExpectedOutput,
-		PrefixHashes:      prefix.SegmentHashes(segments),
+		PrefixHashes:      prefix.SegmentHashes(segmentsOf(r)),
 		Bytes:             r.Bytes,
 		Digest:            r.Digest,
 		FailedUpstream:    r.FailedUpstream,
@@ -226,8 +230,9 @@
 // the slot is released or ctx ends. It doesn't check whether this instance owns the shard: only the
 // requester has to believe so.
 func (f *Fleet) ServeSlot(ctx context.Context, r *peer.SlotRequest, s *peer.SlotStream) {
-	if left := f.o.Quarantine.Remaining(time.Now(), quarantine.Key{Organisation: r.Organisation, Digest: r.Digest}); left > 0 {
-		p := quarantine.Refusal(left) // the peer has not received the quarantine record yet
+	identity := quarantine.RequestOf(quarantine.Key{Organisation: r.Organisation, Digest: r.Digest}, segmentsOf(r))
+	if left := f.o.Quarantine.Remaining(time.Now(), identity); left > 0 {
+		p := f.o.Quarantine.Refusal(identity, left) // the peer has not received the quarantine record yet
 		err := s.SendRefusal(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -85,6 +85,8 @@
 	PrefixHash uint64 `cbor:"1,keyasint"`
 	// Tokens is the length of the segment.
 	Tokens int `cbor:"2,keyasint"`
+	// ID identifies the segment's text, whatever stands before it.
+	ID uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // SlotGrant allows the request to be sent to an upstream now.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -130,7 +130,7 @@
 // acquireRequest returns the request for a slot. failedUpstream is the upstream at which the last
 // attempt failed, empty if there was none.
 func (j *job) acquireRequest(failedUpstream string, kind peer.AttemptKind) *fleet.AcquireRequest {
-	return &fleet.AcquireRequest{ID: j.info.ID, Key: j.quarantineKey, Service: j.service, Request: j.schedulerRequest(failedUpstream), Segments: j.info.PromptSegments, Attempt: kind}
+	return &fleet.AcquireRequest{ID: j.info.ID, Identity: j.identity, Service: j.service, Request: j.schedulerRequest(failedUpstream), Segments: j.info.PromptSegments, Attempt: kind}
 }
 
 func (j *job) schedulerRequest(failedUpstream string) *scheduler.Request {
@@ -225,7 +225,7 @@
 	g.End(j.schedulerResult(r), output)
 	j.recordCrashEvidence(r)
 	if r.status != completed {
-		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.info.ID).Str("key", j.quarantineKey.String()).Strs("segments", j.segmentNames()).Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Str("upstream", g.Upstream()).
+		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.info.ID).Str("key", j.identity.Key.String()).Strs("segments", j.segmentNames()).Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Str("upstream", g.Upstream()).
 			Str("owner", g.Owner()).Int64("owner_list", g.ListVersion()).Int64("list", j.versions.own).Dur("list_age", j.versions.age).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -14,8 +15,8 @@
 // checkQuarantine returns a refusal if the request has been quarantined since its arrival, on the
 // evidence of any instance.
 func (j *job) checkQuarantine() *api.Problem {
-	if left := j.handler.o.Quarantine.Remaining(time.Now(), j.quarantineKey); left > 0 {
-		return quarantine.Refusal(left)
+	if left := j.handler.o.Quarantine.Remaining(time.Now(), j.identity); left > 0 {
+		return j.handler.o.Quarantine.Refusal(j.identity, left)
 	}
 	return nil
 }
@@ -23,7 +24,7 @@
 // beforeSend returns an error if the request may no longer be sent to the granted upstream. It is
 // called right before the first byte is written.
 func (j *job) beforeSend(g fleet.Grant) error {
-	if j.handler.o.Quarantine.Remaining(time.Now(), j.quarantineKey) > 0 {
+	if j.handler.o.Quarantine.Remaining(time.Now(), j.identity) > 0 {
 		return quarantine.ErrQuarantined
 	}
 	j.sentAt = time.Now()
@@ -40,15 +41,15 @@
 	registry, now := j.handler.o.Quarantine, time.Now()
 	switch {
 	case (r.status == completed || r.status == upstreamFailed) && j.framing == exchange.UntilClose:
-		registry.TrackUnstatedEnd(r.process, j.quarantineKey, j.events > 0, j.handler.o.Announce)
+		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.o.Announce)
 	case r.status == completed || r.status == upstreamFailed:
-		if registry.RecordResponse(now, j.quarantineKey) {
+		if registry.RecordCompletion(now, j.identity, j.completionBegan(r)) {
 			j.handler.o.Announce()
 		}
 	case r.status == misdirected:
 		j.handler.recordCrash(r.process) // another process has the address, so this one has terminated
 	case (r.status == lost || r.status == truncated) && !errors.Is(r.err, errSilent) && j.handler.o.Fleet.BlamesUpstream(r.err):
-		check, changed := registry.RecordLostResponse(now, r.process, j.quarantineKey, j.events > 0)
+		check, changed := registry.RecordLostResponse(now, r.process, j.identity, j.hasStarted())
 		if changed {
 			j.handler.o.Announce()
 		}
@@ -60,6 +61,18 @@
 	}
 }
 
+// hasStarted reports whether the last response had got so far that the upstream ran the request for a while. One
+// that crashes when it begins to write may have sent its first event.
+func (j *job) hasStarted() bool { return j.events > 1 }
+
+// completionBegan returns when a complete and successful response began; the zero time for any other one.
+func (j *job) completionBegan(r attemptResult) time.Time {
+	if r.status != completed || j.status >= http.StatusBadRequest {
+		return time.Time{}
+	}
+	return j.respondedAt
+}
+
 // startDiagnosis diagnoses an upstream in the background, unless it has been removed.
 func (h *Handler) startDiagnosis(upstream, process string) {
 	if connections := h.o.Fleet.ConnectionsTo(upstream); connections != nil {
--- a/internal/proxy/crashes_test.go
+++ b/internal/proxy/crashes_test.go
@@ -50,7 +50,7 @@
 	first := r.do(r.request("POST", "/once/x", "bad")) // must not run twice
 	is.Equal(first.header.Get("Outcome"), "unknown")
 	is.Equal(r.do(r.request("POST", "/once/x", "bad", "Id", "2")).header.Get("Outcome"), "unknown")
-	bad := quarantine.KeyOf("crews", "POST", "h.example", "/once/x", []byte("bad"))
+	bad := quarantine.Request{Key: quarantine.KeyOf("crews", "POST", "h.example", "/once/x", []byte("bad"))}
 	eventually(t, "the request is quarantined", func() bool { return r.registry.Remaining(time.Now(), bad) > 0 })
 	refused := r.do(r.request("POST", "/once/x", "bad", "Id", "3"))
 	is.Equal(refused.header.Get("Reason"), string(api.ReasonCrashesUpstreams))
@@ -77,7 +77,7 @@
 			r.crash(id)
 		})
 	}
-	bad := quarantine.KeyOf("crews", "POST", "h.example", "/once/x", []byte("bad"))
+	bad := quarantine.Request{Key: quarantine.KeyOf("crews", "POST", "h.example", "/once/x", []byte("bad"))}
 	for n := 0; n < 6 && r.registry.Remaining(time.Now(), bad) == 0; n++ {
 		is.Equal(r.do(r.request("POST", "/once/x", "bad", "Id", strconv.Itoa(2*n))).status, http.StatusOK)
 		for range 3 { // their connections are refused by the upstream that crashed
@@ -95,7 +95,7 @@
 	r.publish(0)
 	r.addUpstream("a", respondsWithFailure)
 	r.addUpstream("b", respondsWith("ok"))
-	key := quarantine.KeyOf("crews", "GET", "h.example", "/safe/x", nil)
+	key := quarantine.Request{Key: quarantine.KeyOf("crews", "GET", "h.example", "/safe/x", nil)}
 	r.servers["a"].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		for _, process := range []string{"1", "2"} {
 			r.registry.RecordLostResponse(time.Now().Add(-time.Second), process, key, false)
@@ -131,7 +131,7 @@
 			for _, id := range c.refusing {
 				r.crash(id)
 			}
-			key := quarantine.KeyOf("crews", "GET", "h.example", "/safe/x", nil)
+			key := quarantine.Request{Key: quarantine.KeyOf("crews", "GET", "h.example", "/safe/x", nil)}
 			r.registry.RecordLostResponse(time.Now(), "a", key, false)
 			r.handler.diagnose("a", "a", r.fleet.ConnectionsTo("a"))
 			is.Equal(r.registry.NextUpdate(time.Now()) != nil, c.crash)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -103,19 +102,19 @@
 	w       http.ResponseWriter
 	request *http.Request
 
-	info          RequestInfo
-	arrived       time.Time
-	suspended     time.Duration // machine's suspended time up to the request's arrival
-	deadline      time.Time
-	table         *routing.Table
-	configAge     time.Duration // age of the configuration at arrival
-	route         *routing.Route
-	organisation  *routing.Organisation // nil on public routes
-	service       string
-	header        http.Header // headers to forward
-	body          []byte
-	quarantineKey quarantine.Key    // identifies the request by its content, equal for each retry of the caller
-	tokens        *fleet.TokenGrant // charged to the organisation's quota
+	info         RequestInfo
+	arrived      time.Time
+	suspended    time.Duration // machine's suspended time up to the request's arrival
+	deadline     time.Time
+	table        *routing.Table
+	configAge    time.Duration // age of the configuration at arrival
+	route        *routing.Route
+	organisation *routing.Organisation // nil on public routes
+	service      string
+	header       http.Header // headers to forward
+	body         []byte
+	identity     quarantine.Request // identifies the request by its content, equal for each retry of the caller
+	tokens       *fleet.TokenGrant  // charged to the organisation's quota
 
 	attempts         int
 	upstream         string       // upstream of the last attempt
@@ -133,6 +132,7 @@
 	reused           bool                        // the last response came on a connection that had served another exchange
 	sentAfter        time.Duration               // from arrival to the last attempt
 	sentAt           time.Time                   // when the last attempt was sent
+	respondedAt      time.Time                   // when the header of its response arrived
 	firstAfter       time.Duration               // from arrival to the start of the response
 	status           int                         // HTTP status that was relayed
 	failure          *bufferedResponse           // last failure response of an upstream, not relayed
@@ -161,9 +161,10 @@
 	if problem := j.readBody(); problem != nil {
 		return problem
 	}
-	j.quarantineKey = quarantine.KeyOf(j.organisationName(), j.request.Method, j.request.Host, j.target(), j.body)
-	if left := j.handler.o.Quarantine.Admit(j.arrived, j.quarantineKey); left > 0 {
-		return quarantine.Refusal(left)
+	key := quarantine.KeyOf(j.organisationName(), j.request.Method, j.request.Host, j.target(), j.body)
+	j.identity = quarantine.RequestOf(key, j.info.PromptSegments)
+	if left := j.handler.o.Quarantine.Admit(j.arrived, j.identity); left > 0 {
+		return j.handler.o.Quarantine.Refusal(j.identity, left)
 	}
 	if problem := j.findOrigin(); problem != nil {
 		return problem
@@ -336,7 +337,7 @@
 	h := j.handler
 	took := time.Since(j.arrived)
 	outcome := api.Answered
-	event := h.o.Log.Info().Str("event", "request_ended").Str("request", j.info.ID).Str("key", j.quarantineKey.String())
+	event := h.o.Log.Info().Str("event", "request_ended").Str("request", j.info.ID).Str("key", j.identity.Key.String())
 	if p != nil {
 		outcome = p.Outcome
 		h.o.Metrics.Refused(p.Reason)
@@ -372,7 +373,7 @@
 	segments := j.info.PromptSegments
 	names := make([]string, 0, min(len(segments), maxLoggedSegments))
 	for _, s := range segments[:cap(names)] {
-		names = append(names, fmt.Sprintf("%08x", s.ID))
+		names = append(names, quarantine.SegmentName(s.ID))
 	}
 	return names
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -99,6 +99,7 @@
 		return attemptResult{status: status, err: err, process: process}
 	}
 	defer response.Close()
+	j.respondedAt = time.Now()
 	j.framing, j.reused = response.Framing, response.Reused
 	j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_upstream_responses_total{framing=%q}", j.framing))
 	g.RecordActivity()
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -45,8 +45,14 @@
 	maxCleared         = 256
 )
 
-// Refusal returns the problem for a request that is quarantined for the given remaining time.
-func Refusal(left time.Duration) *api.Problem {
+// Refusal returns the problem for a request that is quarantined for the given remaining time, at this instance
+// or at a peer.
+func (r *Registry) Refusal(q Request, left time.Duration) *api.Problem {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, p, _ := r.longestPeriod(q); len(p.segments) > 0 {
+		return api.Refuse(api.ReasonCrashesUpstreams, "upstreams crashed repeatedly while running requests with the prompt's segments %s, so these requests are quarantined; change or leave out these segments, or retry after the given time", segmentNames(p.segments)).WithRetryAfter(left)
+	}
 	return api.Refuse(api.ReasonCrashesUpstreams, "upstreams crashed repeatedly while running this request, so it is quarantined; change it, or retry after the given time").WithRetryAfter(left)
 }
 
@@ -58,10 +64,20 @@
 	at time.Time
 	// lastChanged is when this instance added the crash or a suspect.
 	lastChanged time.Time
-	suspects    map[Key]suspicion
+	suspects    map[Key]suspect // by the key of the whole request
+}
+
+// suspect is a request that was at a crash.
+type suspect struct {
+	suspicion suspicion
+	// segments are those of its prompt that were not in a prompt that was answered since.
+	segments []uint64
 }
 
-// period is a quarantine period of a request.
+// request returns the suspect with the given key.
+func (s suspect) request(k Key) Request { return Request{Key: k, Segments: s.segments} }
+
+// period is a quarantine period of a request or of a set of segments.
 type period struct {
 	until time.Time
 	// count is the number of periods so far; each is longer than the previous one.
@@ -71,12 +87,14 @@
 	clearings int
 	// probedAt is when a probe was let through after the period.
 	probedAt time.Time
+	// learned is when this instance learned of the period or changed it.
+	learned time.Time
+	// segments are those of a set, ascending, and since is the time of the first crash that it explains.
+	segments []uint64
+	since    time.Time
 }
 
-// start returns when the period began.
-func (p period) start() time.Time { return p.until.Add(-periodLength(p.count)) }
-
-// periodLength returns the length of a request's period, counted from 1.
+// periodLength returns the length of a quarantine period, counted from 1.
 func periodLength(count int) time.Duration {
 	length := initialPeriod
 	for range count - 1 {
@@ -87,9 +105,13 @@
 	return length
 }
 
-// clearing records a response to a suspected request.
+// clearing records a response to a suspected request or to a prompt with a suspected segment.
 type clearing struct {
+	// at is when the response to a request ended, and when that to a prompt began: an upstream that had begun
+	// to write it before a crash says nothing about the segment since.
 	at time.Time
+	// learned is when this instance recorded the clearing.
+	learned time.Time
 	// count is the number of the request's clearings known then, this one included. It
 	// distinguishes a new clearing from a known one; ages can't, since they shift by the message
 	// delay.
@@ -98,7 +120,7 @@
 
 // loss is a lost response, whether a crash caused it or not.
 type loss struct {
-	key     Key
+	request Request
 	started bool
 	at      time.Time
 }
@@ -115,10 +137,15 @@
 	crashes     map[string]*crash // by upstream process
 	quarantined map[Key]period
 	cleared     map[Key]clearing
-	// responses remembers the requests that were recently answered here.
-	responses  recentResponses
-	verdictDue time.Time // when verdicts must be updated; zero if nothing changed
-	round      int       // selects the older entries of the next update
+	// responses remembers the requests that were recently answered here, and segmentResponses the segments
+	// of prompts that were answered completely.
+	responses, segmentResponses recentResponses
+	// suspectedSegments are the suspected segments, each with the time of its first crash; nil if it must be
+	// determined.
+	suspectedSegments map[uint64]time.Time
+	verdictDue        time.Time // when verdicts must be updated; zero if nothing changed
+	nextVerdict       time.Time // the earliest time of the next update of verdicts
+	round             int       // selects the older entries of the next update
 }
 
 // New returns an empty registry. Owns reports whether this instance, of all reachable ones, is the
@@ -139,10 +166,10 @@
 // Started reports whether a part of it had arrived; a request that was answered recently counts as
 // started. RecordLostResponse returns whether the upstream must be diagnosed, to tell a crash from
 // a broken connection, and whether the loss was added to a known crash, which peers must receive.
-func (r *Registry) RecordLostResponse(now time.Time, upstream string, k Key, started bool) (check, changed bool) {
+func (r *Registry) RecordLostResponse(now time.Time, upstream string, q Request, started bool) (check, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if changed, known := r.recordLoss(now, upstream, k, started); known {
+	if changed, known := r.recordLoss(now, upstream, q, started); known {
 		return false, changed
 	}
 	return r.startCheck(now, upstream), false
@@ -152,10 +179,10 @@
 // process crashes: it counts as lost if the process is known to have terminated within lossWindow, and as
 // a response once ConfirmResponse was called, after ConfirmAfter. It reports whether it was added to a
 // known crash, which peers must receive.
-func (r *Registry) RecordUnstatedEnd(now time.Time, upstream string, k Key, started bool) (changed bool) {
+func (r *Registry) RecordUnstatedEnd(now time.Time, upstream string, q Request, started bool) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed, _ = r.recordLoss(now, upstream, k, started)
+	changed, _ = r.recordLoss(now, upstream, q, started)
 	return changed
 }
 
@@ -163,26 +190,27 @@
 const ConfirmAfter = lossWindow
 
 // ConfirmResponse records a response without a stated end, which ended ConfirmAfter ago, as complete unless its
-// upstream process is known to have terminated within lossWindow of that. It reports whether this clears the
-// request, which peers must receive.
-func (r *Registry) ConfirmResponse(now time.Time, upstream string, k Key) bool {
+// upstream process is known to have terminated within lossWindow of that. Began is when the response began. It
+// reports whether this clears the request or its segments, which peers must receive.
+func (r *Registry) ConfirmResponse(now time.Time, upstream string, q Request, began time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ended := now.Add(-ConfirmAfter)
 	if c := r.crashes[upstream]; c != nil && c.at.Sub(ended).Abs() <= lossWindow {
 		return false
 	}
-	return r.recordResponse(now, k)
+	return r.recordResponse(now, q, began)
 }
 
-// TrackUnstatedEnd records a response without a stated end now, and confirms it after ConfirmAfter. It calls
-// onChange after each change that peers must receive.
-func (r *Registry) TrackUnstatedEnd(upstream string, k Key, started bool, onChange func()) {
-	if r.RecordUnstatedEnd(time.Now(), upstream, k, started) {
+// TrackUnstatedEnd records a response without a stated end now, and confirms it after ConfirmAfter. Began is
+// when it began, or zero if it says nothing about the prompt's segments. TrackUnstatedEnd calls onChange after
+// each change that peers must receive.
+func (r *Registry) TrackUnstatedEnd(upstream string, q Request, began time.Time, started bool, onChange func()) {
+	if r.RecordUnstatedEnd(time.Now(), upstream, q, started) {
 		onChange()
 	}
 	time.AfterFunc(ConfirmAfter, func() {
-		if r.ConfirmResponse(time.Now(), upstream, k) {
+		if r.ConfirmResponse(time.Now(), upstream, q, began) {
 			onChange()
 		}
 	})
@@ -199,14 +227,14 @@
 
 // recordLoss adds a loss to the crash of its upstream process, if that is known, and reports whether this
 // changed the crash. Otherwise it keeps the loss for lossWindow. The caller holds the lock.
-func (r *Registry) recordLoss(now time.Time, upstream string, k Key, started bool) (changed, known bool) {
-	started = started || r.responses.has(k)
+func (r *Registry) recordLoss(now time.Time, upstream string, q Request, started bool) (changed, known bool) {
+	started = started || r.responses.has(q.Key)
 	if c := r.crashes[upstream]; c != nil && now.Sub(c.at) < lossWindow {
-		return r.suspect(now, c, k, started), true
+		return r.suspect(now, c, q, started), true
 	}
 	r.dropExpired(now)
 	recent := slices.DeleteFunc(r.losses[upstream], func(l loss) bool { return now.Sub(l.at) > lossWindow })
-	r.losses[upstream] = append(recent, loss{key: k, started: started, at: now})
+	r.losses[upstream] = append(recent, loss{request: q, started: started, at: now})
 	return false, false
 }
 
@@ -244,7 +272,7 @@
 	delete(r.losses, upstream)
 	for _, l := range lost {
 		if at.Sub(l.at).Abs() <= lossWindow {
-			changed = r.suspect(now, c, l.key, l.started) || changed
+			changed = r.suspect(now, c, l.request, l.started) || changed
 		}
 	}
 	r.log.Warn().Str("event", "upstream_crashed").Str("upstream", upstream).Int("lost_here", len(lost)).Str("suspects", suspectNames(c.suspects)).Msg("upstream process terminated; requests that were there are suspects")
@@ -257,65 +285,99 @@
 	if len(r.crashes) >= maxCrashes {
 		delete(r.crashes, r.oldestCrash())
 	}
-	c := &crash{at: at, lastChanged: now, suspects: map[Key]suspicion{}}
+	c := &crash{at: at, lastChanged: now, suspects: map[Key]suspect{}}
 	r.crashes[upstream] = c
 	return c
 }
 
 // suspect adds a request to the suspects of a crash, and reports whether that is a change. The
 // caller holds the lock.
-func (r *Registry) suspect(now time.Time, c *crash, k Key, started bool) bool {
+func (r *Registry) suspect(now time.Time, c *crash, q Request, started bool) bool {
+	k := q.Key
 	previous, known := c.suspects[k]
 	switch {
-	case known && (previous == unanswered || started):
+	case known && (previous.suspicion == unanswered || started):
 		return false
 	case !known && r.cleared[k].at.After(c.at):
 		return false
 	case !known && len(c.suspects) >= maxSuspects:
 		return false
-	case !r.isQuarantined(k) && r.hasCause(c):
+	case !r.isQuarantined(q) && (r.hasSegmentCause(c) || len(q.Segments) == 0 && r.hasCause(c)):
 		return false
 	}
-	c.suspects[k] = suspicionOf(started)
+	segments := slices.DeleteFunc(slices.Clone(q.Segments), func(id uint64) bool {
+		return r.cleared[segmentKey(q.Organisation, id)].at.After(c.at)
+	})
+	c.suspects[k] = suspect{suspicion: suspicionOf(started), segments: segments}
 	c.lastChanged = now
-	r.extend(k, c)
-	r.verdictDue = now.Add(settleTime)
+	r.extend(q, c)
+	r.verdictDue, r.nextVerdict = now.Add(settleTime), now
+	r.suspectedSegments = nil
 	return true
 }
 
-// extend begins a request's next quarantine period if it was at a crash after the previous one. The
-// caller holds the lock.
-func (r *Registry) extend(k Key, c *crash) {
-	p, ok := r.quarantined[k]
-	if ok && c.at.After(p.until) {
-		r.quarantine(k, period{until: c.at.Add(periodLength(p.count + 1)), count: p.count + 1, clearings: r.cleared[k].count})
+// extend begins the next quarantine period of a request, or of a set of its segments, if it was at a crash
+// after the previous one. The caller holds the lock.
+func (r *Registry) extend(q Request, c *crash) {
+	for k, p := range maps.Clone(r.quarantined) {
+		if !q.matches(k, p) || !c.at.After(p.until) {
+			continue
+		}
+		p.count++
+		p.until, p.clearings, p.probedAt, p.learned = c.at.Add(periodLength(p.count)), r.cleared[k].count, time.Time{}, c.lastChanged
+		r.quarantine(k, p)
 	}
 }
 
 // RecordResponse records that an upstream has answered a request, with any response: the upstream
 // survived it. It reports whether this is a change that peers must receive: the request was
-// suspected.
-func (r *Registry) RecordResponse(now time.Time, k Key) bool {
+// suspected. It says nothing about the segments of the prompt.
+func (r *Registry) RecordResponse(now time.Time, q Request) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.recordResponse(now, k)
+	return r.recordResponse(now, q, time.Time{})
 }
 
-// recordResponse does what RecordResponse says. The caller holds the lock.
-func (r *Registry) recordResponse(now time.Time, k Key) bool {
-	r.responses.add(now, k)
-	if !r.isSuspected(k) {
-		return false
+// RecordCompletion is like RecordResponse for a complete and successful response that began at a time: the
+// upstream has answered each segment of the prompt.
+func (r *Registry) RecordCompletion(now time.Time, q Request, began time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recordResponse(now, q, began)
+}
+
+// recordResponse records a response, and the segments that it clears unless began is zero. The caller holds
+// the lock.
+func (r *Registry) recordResponse(now time.Time, q Request, began time.Time) (changed bool) {
+	r.responses.add(now, q.Key)
+	if r.isSuspected(q.Key) {
+		r.clear(q.Key, clearing{at: now, learned: now, count: r.cleared[q.Key].count + 1})
+		changed = true
 	}
-	r.clear(k, clearing{at: now, count: r.cleared[k].count + 1})
-	return true
+	if began.IsZero() {
+		return changed
+	}
+	for _, id := range q.Segments {
+		k := segmentKey(q.Organisation, id)
+		r.segmentResponses.add(now, k)
+		if r.isSegmentSuspected(id, began) && began.After(r.cleared[k].at) {
+			r.clear(k, clearing{at: began, learned: now, count: r.cleared[k].count + 1})
+			changed = true
+		}
+	}
+	return changed
 }
 
-// clear drops the evidence against a request up to the time of a clearing. The caller holds the
+// clear drops the evidence against a request or segment up to the time of a clearing. The caller holds the
 // lock.
 func (r *Registry) clear(k Key, by clearing) {
 	r.cleared[k] = by
 	dropOldest(r.cleared, maxCleared, func(c clearing) time.Time { return c.at })
+	r.suspectedSegments = nil
+	if k.Kind == Segment {
+		r.clearSegment(k, by)
+		return
+	}
 	for _, c := range r.crashes {
 		if c.at.Before(by.at) {
 			delete(c.suspects, k)
@@ -342,11 +404,11 @@
 // Admit returns how long an arriving request is still quarantined; 0 if it may run. After a period
 // the instance that owns the request lets one probe through per probeTimeout; for all others Admit
 // returns probeTimeout.
-func (r *Registry) Admit(now time.Time, k Key) time.Duration {
+func (r *Registry) Admit(now time.Time, q Request) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updateVerdicts(now)
-	p, ok := r.quarantined[k]
+	k, p, ok := r.longestPeriod(q)
 	switch {
 	case !ok:
 		return 0
@@ -362,14 +424,32 @@
 }
 
 // Remaining returns how long an admitted request is still quarantined; 0 if it isn't.
-func (r *Registry) Remaining(now time.Time, k Key) time.Duration {
+func (r *Registry) Remaining(now time.Time, q Request) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.updateVerdicts(now)
-	return max(r.quarantined[k].until.Sub(now), 0)
+	_, p, _ := r.longestPeriod(q)
+	return max(p.until.Sub(now), 0)
 }
 
-// Count returns how many requests are quarantined.
+// longestPeriod returns the quarantine period that applies to a request and ends last. The caller holds the
+// lock.
+func (r *Registry) longestPeriod(q Request) (longest Key, p period, found bool) {
+	if p, found = r.quarantined[q.Key]; found {
+		longest = q.Key
+	}
+	if len(q.Segments) == 0 {
+		return longest, p, found
+	}
+	for k, other := range r.quarantined {
+		if k.Kind != WholeRequest && q.matches(k, other) && other.until.After(p.until) {
+			longest, p, found = k, other, true
+		}
+	}
+	return longest, p, found
+}
+
+// Count returns how many requests and sets of segments are quarantined.
 func (r *Registry) Count(now time.Time) (n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -381,9 +461,16 @@
 	return n
 }
 
-// quarantine begins a quarantine period of a request. It returns false if the bounds leave no room for it. The
-// caller holds the lock.
+// quarantine begins a quarantine period of a request or of a set of segments. It returns false if the period
+// isn't stored: the bounds leave no room for it, or a smaller set applies already. The caller holds the lock.
 func (r *Registry) quarantine(k Key, p period) bool {
+	if k.Kind != WholeRequest {
+		if r.isCovered(k, p) {
+			return false
+		}
+		r.dropCovered(k, p)
+		r.suspectedSegments = nil
+	}
 	r.quarantined[k] = p
 	end := func(p period) time.Time { return p.until }
 	own := func(other Key) bool { return other.Organisation == k.Organisation }
@@ -391,15 +478,19 @@
 	dropOldest(r.quarantined, maxQuarantined, end)
 	_, stored := r.quarantined[k]
 	r.log.Warn().Str("event", "request_held").Str("key", k.String()).Str("organisation", k.Organisation).
-		Int("term", p.count).Str("crashed", joined(r.crashesOf(k))).Str("until", p.until.UTC().Format(time.RFC3339Nano)).Msg("request quarantined")
+		Str("segments", segmentNames(p.segments)).Int("term", p.count).Str("crashed", joined(r.crashesOf(k, p))).Str("until", p.until.UTC().Format(time.RFC3339Nano)).Msg("request quarantined")
 	return stored
 }
 
-// crashesOf returns the upstream processes that crashed with a request. The caller holds the lock.
-func (r *Registry) crashesOf(k Key) (out []string) {
+// crashesOf returns the upstream processes that crashed with a request or set of segments. The caller holds
+// the lock.
+func (r *Registry) crashesOf(k Key, p period) (out []string) {
 	for upstream, c := range r.crashes {
-		if _, present := c.suspects[k]; present {
-			out = append(out, upstream)
+		for other, s := range c.suspects {
+			if s.request(other).matches(k, p) {
+				out = append(out, upstream)
+				break
+			}
 		}
 	}
 	slices.Sort(out)
@@ -411,7 +502,7 @@
 	maps.DeleteFunc(r.losses, func(_ string, list []loss) bool { return now.Sub(list[len(list)-1].at) > lossWindow })
 	maps.DeleteFunc(r.checked, func(_ string, at time.Time) bool { return now.Sub(at) > checkInterval })
 	maps.DeleteFunc(r.crashes, func(_ string, c *crash) bool { return now.Sub(c.at) > crashRetention })
-	maps.DeleteFunc(r.cleared, func(_ Key, c clearing) bool { return now.Sub(c.at) > crashRetention })
+	maps.DeleteFunc(r.cleared, func(_ Key, c clearing) bool { return now.Sub(c.learned) > crashRetention })
 	maps.DeleteFunc(r.quarantined, func(_ Key, p period) bool { return now.Sub(p.until) > maxPeriod })
 }
 
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -17,7 +17,9 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func key(name string) Key { return KeyOf("crews", "POST", "h", "/"+name, nil) }
+func key(name string) Request {
+	return Request{Key: KeyOf("crews", "POST", "h", "/"+name, nil)}
+}
 
 func newRegistry(owns bool) *Registry {
 	return New(telemetry.NewLogger(io.Discard, "error", "test"), func(Key) bool { return owns })
@@ -110,7 +112,7 @@
 	for i := range 2 * maxRecentResponses {
 		b.RecordResponse(at, key(fmt.Sprint(i)))
 	}
-	is.True(!b.responses.has(key("hot"))) // the memory is bounded
+	is.True(!b.responses.has(key("hot").Key)) // the memory is bounded
 }
 
 // All upstreams of a service terminate at once, whatever they were running.
@@ -194,7 +196,7 @@
 			for i, upstream := range []string{"1", "2"} {
 				at := start.Add(time.Duration(i) * time.Minute)
 				c.history(b, upstream, at)
-				b.ConfirmResponse(at.Add(ConfirmAfter), upstream, key("x"))
+				b.ConfirmResponse(at.Add(ConfirmAfter), upstream, key("x"), time.Time{})
 			}
 			is.Equal(b.Remaining(start.Add(time.Minute+ConfirmAfter), key("x")) > 0, c.quarantined)
 		})
@@ -209,7 +211,7 @@
 	is.True(b.Remaining(start.Add(settleTime), key("x")) > 0)
 	b.RecordUnstatedEnd(start.Add(time.Minute), "3", key("x"), false)
 	is.True(b.Remaining(start.Add(time.Minute), key("x")) > 0)
-	is.True(b.ConfirmResponse(start.Add(time.Minute+ConfirmAfter), "3", key("x")))
+	is.True(b.ConfirmResponse(start.Add(time.Minute+ConfirmAfter), "3", key("x"), time.Time{}))
 	is.Equal(b.Remaining(start.Add(time.Minute+ConfirmAfter), key("x")), time.Duration(0))
 }
 
@@ -221,7 +223,7 @@
 	crashOf(b, start, "2", "x")
 	ended := start.Add(time.Minute)
 	b.RecordUnstatedEnd(ended, "1", key("x"), false)
-	is.True(b.ConfirmResponse(ended.Add(ConfirmAfter), "1", key("x")))
+	is.True(b.ConfirmResponse(ended.Add(ConfirmAfter), "1", key("x"), time.Time{}))
 	is.Equal(b.Remaining(ended.Add(ConfirmAfter), key("x")), time.Duration(0))
 }
 
@@ -336,7 +338,7 @@
 	crashOf(b, start, "2", "x")
 	is.True(b.Remaining(start.Add(time.Second), key("x")) > 0)
 	for i := range 3 * maxQuarantined {
-		k := KeyOf("others", "POST", "h", fmt.Sprint(i), nil)
+		k := Request{Key: KeyOf("others", "POST", "h", fmt.Sprint(i), nil)}
 		at := start.Add(time.Duration(i) * time.Millisecond)
 		for n := range 2 {
 			upstream := fmt.Sprintf("%d-%d", i, n)
@@ -354,15 +356,20 @@
 // A verdict for which the bounds leave no room must not be reached again and again: the registry would examine
 // the same evidence forever, with its lock held.
 func TestVerdictWithoutRoomEnds(t *testing.T) {
-	is := is.New(t)
-	b := newRegistry(true)
-	for i := range maxPerOrganisation {
-		b.quarantine(key(fmt.Sprint(i)), period{until: start.Add(maxPeriod), count: 3})
+	for name, segment := range map[string]string{"a request": "", "a segment": "P"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newRegistry(true)
+			for i := range maxPerOrganisation {
+				b.quarantine(key(fmt.Sprint(i)).Key, period{until: start.Add(maxPeriod), count: 3})
+			}
+			for i := range 3 {
+				promptCrash(b, start.Add(time.Duration(i)*time.Second), fmt.Sprint(i), fmt.Sprintf("%d:%s", i%2, segment))
+			}
+			b.Remaining(start.Add(3*time.Second), key("x"))
+			is.Equal(len(b.quarantined), maxPerOrganisation)
+		})
 	}
-	crashOf(b, start, "1", "x")
-	crashOf(b, start.Add(time.Second), "2", "x")
-	b.Remaining(start.Add(2*time.Second), key("x"))
-	is.Equal(len(b.quarantined), maxPerOrganisation)
 }
 
 func TestUpdatesAreBounded(t *testing.T) {
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -21,11 +21,11 @@
 	Age      time.Duration `cbor:"2,keyasint"`
 	// Unanswered and Responding are the requests that were there, by whether a part of the response
 	// had arrived.
-	Unanswered []Key `cbor:"3,keyasint,omitempty"`
-	Responding []Key `cbor:"4,keyasint,omitempty"`
+	Unanswered []Request `cbor:"3,keyasint,omitempty"`
+	Responding []Request `cbor:"4,keyasint,omitempty"`
 }
 
-// QuarantineRecord is a quarantined request.
+// QuarantineRecord is a quarantined request or set of segments.
 type QuarantineRecord struct {
 	Key Key `cbor:"1,keyasint"`
 	// Remaining time of the period; negative after its end.
@@ -34,9 +34,37 @@
 	// clearings known when this period began.
 	PeriodCount   int `cbor:"3,keyasint"`
 	ClearingCount int `cbor:"4,keyasint,omitempty"`
+	// Segments are those of a set, ascending, and Evidence is the age of the first crash that it explains.
+	Segments []uint64      `cbor:"5,keyasint,omitempty"`
+	Evidence time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
-// ClearedRecord is a suspected request that has been answered.
+// isValid reports whether a peer can have sent the record.
+func (q QuarantineRecord) isValid() bool {
+	if q.PeriodCount < 1 || q.ClearingCount < 0 || q.Remaining > maxPeriod || q.Remaining < -2*maxPeriod {
+		return false
+	}
+	switch q.Key.Kind {
+	case WholeRequest:
+		return len(q.Segments) == 0
+	case SegmentSet, SharedSegmentSet:
+		return len(q.Segments) > 0 && areValidSegments(q.Segments) && q.Evidence >= 0 &&
+			q.Key == segmentSetKey(q.Key.Kind, q.Key.Organisation, q.Segments)
+	default:
+		return false
+	}
+}
+
+// areValidSegments reports whether a peer can have sent the segments of a request.
+func areValidSegments(list []uint64) bool { return len(list) <= maxSegments && slices.IsSorted(list) }
+
+func (c CrashRecord) isValid() bool {
+	invalid := func(q Request) bool { return q.Kind != WholeRequest || !areValidSegments(q.Segments) }
+	return c.Upstream != "" && c.Age >= 0 && len(c.Unanswered) <= maxUpdateKeys && len(c.Responding) <= maxUpdateKeys &&
+		!slices.ContainsFunc(c.Unanswered, invalid) && !slices.ContainsFunc(c.Responding, invalid)
+}
+
+// ClearedRecord is a suspected request or segment that has been answered.
 type ClearedRecord struct {
 	Key Key           `cbor:"1,keyasint"`
 	Age time.Duration `cbor:"2,keyasint"`
@@ -67,11 +95,11 @@
 	if len(u.Crashes) > maxUpdateCrashes || len(u.Quarantined) > maxUpdateKeys || len(u.Cleared) > maxUpdateKeys {
 		return false
 	}
-	return !slices.ContainsFunc(u.Crashes, func(c CrashRecord) bool {
-		return c.Upstream == "" || c.Age < 0 || len(c.Unanswered) > maxUpdateKeys || len(c.Responding) > maxUpdateKeys
-	}) && !slices.ContainsFunc(u.Quarantined, func(h QuarantineRecord) bool {
-		return h.PeriodCount < 1 || h.ClearingCount < 0 || h.Remaining > maxPeriod || h.Remaining < -2*maxPeriod
-	}) && !slices.ContainsFunc(u.Cleared, func(c ClearedRecord) bool { return c.Age < 0 || c.ClearingCount < 1 })
+	return !slices.ContainsFunc(u.Crashes, func(c CrashRecord) bool { return !c.isValid() }) &&
+		!slices.ContainsFunc(u.Quarantined, func(q QuarantineRecord) bool { return !q.isValid() }) &&
+		!slices.ContainsFunc(u.Cleared, func(c ClearedRecord) bool {
+			return c.Age < 0 || c.ClearingCount < 1 || c.Key.Kind > Segment
+		})
 }
 
 // NextUpdate returns the next message to peers: recent changes, plus some older entries
@@ -90,11 +118,15 @@
 	for _, upstream := range r.crashesToSend(now) {
 		u.Crashes = append(u.Crashes, r.crashes[upstream].record(now, upstream))
 	}
-	for _, k := range selectEntries(newestFirst(r.quarantined, period.start), now, maxRecentQuarantined, r.round) {
+	for _, k := range selectEntries(newestFirst(r.quarantined, func(p period) time.Time { return p.learned }), now, maxRecentQuarantined, r.round) {
 		p := r.quarantined[k]
-		u.Quarantined = append(u.Quarantined, QuarantineRecord{Key: k, Remaining: p.until.Sub(now), PeriodCount: p.count, ClearingCount: p.clearings})
+		q := QuarantineRecord{Key: k, Remaining: p.until.Sub(now), PeriodCount: p.count, ClearingCount: p.clearings, Segments: p.segments}
+		if len(p.segments) > 0 {
+			q.Evidence = max(now.Sub(p.since), 0)
+		}
+		u.Quarantined = append(u.Quarantined, q)
 	}
-	for _, k := range selectEntries(newestFirst(r.cleared, func(c clearing) time.Time { return c.at }), now, maxRecentCleared, r.round) {
+	for _, k := range selectEntries(newestFirst(r.cleared, func(c clearing) time.Time { return c.learned }), now, maxRecentCleared, r.round) {
 		u.Cleared = append(u.Cleared, ClearedRecord{Key: k, Age: max(now.Sub(r.cleared[k].at), 0), ClearingCount: r.cleared[k].count})
 	}
 	return u
@@ -112,10 +144,10 @@
 func (c *crash) record(now time.Time, upstream string) CrashRecord {
 	out := CrashRecord{Upstream: upstream, Age: max(now.Sub(c.at), 0)}
 	for k, s := range c.suspects {
-		if s == responding {
-			out.Responding = append(out.Responding, k)
+		if s.suspicion == responding {
+			out.Responding = append(out.Responding, s.request(k))
 		} else {
-			out.Unanswered = append(out.Unanswered, k)
+			out.Unanswered = append(out.Unanswered, s.request(k))
 		}
 	}
 	return out
@@ -175,16 +207,26 @@
 	if u.ClearingCount <= r.cleared[u.Key].count || u.Age > crashRetention {
 		return false
 	}
-	r.clear(u.Key, clearing{at: now.Add(-u.Age), count: u.ClearingCount})
+	r.clear(u.Key, clearing{at: now.Add(-u.Age), learned: now, count: u.ClearingCount})
 	return true
 }
 
 func (r *Registry) mergeQuarantined(u QuarantineRecord, now time.Time) bool {
+	k := u.Key
 	p := period{until: now.Add(u.Remaining), count: u.PeriodCount, clearings: u.ClearingCount}
-	if p.count <= r.quarantined[u.Key].count || p.clearings < r.cleared[u.Key].count || u.Remaining < -maxPeriod/2 {
+	if len(u.Segments) > 0 {
+		p.since = now.Add(-u.Evidence)
+		p.segments = r.withoutCleared(segmentScope{k.Kind, k.Organisation}, u.Segments, p.since)
+		k = segmentSetKey(k.Kind, k.Organisation, p.segments)
+		if len(p.segments) == 0 || r.isCovered(k, p) {
+			return false
+		}
+	}
+	if p.count <= r.quarantined[k].count || p.clearings < r.cleared[k].count || u.Remaining < -maxPeriod/2 {
 		return false
 	}
-	r.quarantine(u.Key, p)
+	p.learned = now
+	r.quarantine(k, p)
 	r.dropExplained()
 	return true
 }
@@ -209,11 +251,11 @@
 	if len(r.losses[u.Upstream]) > 0 {
 		changed = r.recordLosses(now, u.Upstream, at) || changed
 	}
-	for _, k := range u.Unanswered {
-		changed = r.suspect(now, c, k, false) || changed
+	for _, q := range u.Unanswered {
+		changed = r.suspect(now, c, q, false) || changed
 	}
-	for _, k := range u.Responding {
-		changed = r.suspect(now, c, k, true) || changed
+	for _, q := range u.Responding {
+		changed = r.suspect(now, c, q, true) || changed
 	}
 	return changed
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -35,20 +35,28 @@
 	anySuspectThreshold = 3 * int(unanswered)
 )
 
-// updateVerdicts quarantines the requests that explain crashes best. The caller holds the lock.
+// verdictInterval is the shortest time between two examinations of the same evidence, until it is settled.
+const verdictInterval = 10 * time.Millisecond
+
+// updateVerdicts quarantines the segments and requests that explain crashes best. The caller holds the lock.
 func (r *Registry) updateVerdicts(now time.Time) {
-	if r.verdictDue.IsZero() {
+	if r.verdictDue.IsZero() || now.Before(r.nextVerdict) {
 		return
 	}
+	r.nextVerdict = now.Add(verdictInterval)
 	r.dropExplained()
 	for {
+		if r.quarantineSegments(now) {
+			r.dropExplained()
+			continue
+		}
 		culprits := r.culprits(now)
 		if len(culprits) == 0 {
 			break
 		}
 		stored := false
 		for _, k := range culprits {
-			p := period{until: r.lastCrashTime(k).Add(periodLength(1)), count: 1, clearings: r.cleared[k].count}
+			p := period{until: r.lastCrashTime(k).Add(periodLength(1)), count: 1, clearings: r.cleared[k].count, learned: now}
 			stored = r.quarantine(k, p) || stored
 		}
 		if !stored {
@@ -62,23 +70,54 @@
 }
 
 // dropExplained clears the other suspects of each crash at which a quarantined request was, since
-// the crash has its cause.
+// the crash has its cause. If only its whole content is quarantined, requests with segments remain: a segment
+// that they share with it may be the cause of both.
 func (r *Registry) dropExplained() {
 	for _, c := range r.crashes {
-		if r.hasCause(c) {
-			maps.DeleteFunc(c.suspects, func(k Key, _ suspicion) bool { return !r.isQuarantined(k) })
+		if !r.hasCause(c) {
+			continue
 		}
+		bySegments := r.hasSegmentCause(c)
+		maps.DeleteFunc(c.suspects, func(k Key, s suspect) bool {
+			return !r.isQuarantined(s.request(k)) && (bySegments || len(s.segments) == 0)
+		})
 	}
+	r.suspectedSegments = nil
 }
 
-func (r *Registry) isQuarantined(k Key) bool {
-	_, ok := r.quarantined[k]
-	return ok
+// isQuarantined reports whether a request or one of its sets of segments is quarantined, also after the period.
+func (r *Registry) isQuarantined(q Request) bool {
+	if _, ok := r.quarantined[q.Key]; ok {
+		return true
+	}
+	return r.hasQuarantinedSegments(q)
+}
+
+func (r *Registry) hasQuarantinedSegments(q Request) bool {
+	if len(q.Segments) == 0 {
+		return false
+	}
+	for k, p := range r.quarantined {
+		if k.Kind != WholeRequest && q.matches(k, p) {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *Registry) hasCause(c *crash) bool {
-	for k := range c.suspects {
-		if r.isQuarantined(k) {
+	for k, s := range c.suspects {
+		if r.isQuarantined(s.request(k)) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSegmentCause reports whether a request with a quarantined set of segments was at a crash.
+func (r *Registry) hasSegmentCause(c *crash) bool {
+	for k, s := range c.suspects {
+		if r.hasQuarantinedSegments(s.request(k)) {
 			return true
 		}
 	}
@@ -116,10 +155,10 @@
 		}
 		for k, s := range c.suspects {
 			at, found := last[k]
-			if s == responding && found && c.at.Sub(at) < simultaneousWindow {
+			if s.suspicion == responding && found && c.at.Sub(at) < simultaneousWindow {
 				continue
 			}
-			score[k] += int(s)
+			score[k] += int(s.suspicion)
 			last[k] = c.at
 		}
 	}
@@ -157,11 +196,14 @@
 }
 
 // suspectNames lists suspects for logs, sorted.
-func suspectNames(suspects map[Key]suspicion) string {
+func suspectNames(suspects map[Key]suspect) string {
 	var out []string
 	for k, s := range suspects {
 		name := k.String()
-		if s == responding {
+		if len(s.segments) > 0 {
+			name += " [" + strings.ReplaceAll(segmentNames(s.segments), ",", "") + "]"
+		}
+		if s.suspicion == responding {
 			name += " answering"
 		}
 		out = append(out, name)
