quarantine: decide between a request and a segment by the narrowest cause

A sound request that was at two crashes beside a crashing segment was quarantined at once, since no other request was at both; and once a request was quarantined, sound ones that had been at its crashes counted against their segments. Found by the table of TestWhichSegmentsAreQuarantined, whose new rows failed. A segment of others that explains the crashes as well now delays the verdict on a request until its third crash; a crash that a quarantined request explains counts against a segment only if the segment is that request's, or explains further crashes.

--- a/internal/quarantine/segments.go
+++ b/internal/quarantine/segments.go
@@ -29,7 +29,7 @@
 // segmentEvidence is what crashes say against one segment in a scope.
 type segmentEvidence struct {
 	score int
-	// unexplained is the part of the score from crashes without a quarantined set of segments.
+	// unexplained is the part of the score from crashes that have no other cause.
 	unexplained   int
 	crashes       []*crash // in the order of their times
 	last          time.Time
@@ -126,7 +126,6 @@
 		if !counts(c) {
 			continue
 		}
-		explained := r.hasSegmentCause(c)
 		for id, s := range r.segmentsAt(c, scope) {
 			e := out[id]
 			if e == nil {
@@ -137,13 +136,13 @@
 				continue
 			}
 			e.score += int(s)
-			if !explained {
+			if !r.isExplainedWithout(id, c) {
 				e.unexplained += int(s)
 			}
 			e.crashes = append(e.crashes, c)
 			e.last = c.at
-			for k, suspect := range c.suspects {
-				if scope.includes(suspect.request(k)) && slices.Contains(suspect.segments, id) {
+			for k, suspect := range scope.suspects(c) {
+				if slices.Contains(suspect.segments, id) {
 					e.contents[k] = struct{}{}
 					e.organisations[k.Organisation] = struct{}{}
 				}
@@ -153,14 +152,40 @@
 	return out
 }
 
+// suspects returns the suspects of a crash that are in the scope.
+func (s segmentScope) suspects(c *crash) map[Key]suspect {
+	out := map[Key]suspect{}
+	for k, suspect := range c.suspects {
+		if s.includes(suspect.request(k)) {
+			out[k] = suspect
+		}
+	}
+	return out
+}
+
+// isExplainedWithout reports whether a crash has a quarantined cause other than a segment: a set of segments, or
+// the whole content of a request that doesn't have the segment.
+func (r *Registry) isExplainedWithout(id uint64, c *crash) bool {
+	explained := false
+	for k, s := range c.suspects {
+		if r.hasQuarantinedSegments(s.request(k)) {
+			return true
+		}
+		if _, quarantined := r.quarantined[k]; quarantined {
+			if slices.Contains(s.segments, id) {
+				return false
+			}
+			explained = true
+		}
+	}
+	return explained
+}
+
 // segmentsAt returns the suspicion of each segment at a crash. A segment in prompts that were answered recently
 // has the weight of a response that had started.
 func (r *Registry) segmentsAt(c *crash, scope segmentScope) map[uint64]suspicion {
 	out := map[uint64]suspicion{}
-	for k, s := range c.suspects {
-		if !scope.includes(s.request(k)) {
-			continue
-		}
+	for k, s := range scope.suspects(c) {
 		for _, id := range s.segments {
 			weight := s.suspicion
 			if r.segmentResponses.has(segmentKey(k.Organisation, id)) {
@@ -189,7 +214,7 @@
 // isTopSegment reports whether no other segment at the crashes of one has a higher score.
 func (r *Registry) isTopSegment(e *segmentEvidence, scope segmentScope, evidence map[uint64]*segmentEvidence) bool {
 	for _, c := range e.crashes {
-		if r.hasSegmentCause(c) {
+		if r.hasCause(c) {
 			continue
 		}
 		for other := range r.segmentsAt(c, scope) {
@@ -216,7 +241,7 @@
 	}
 	common = r.withoutCleared(scope, common, first)
 	for _, c := range e.crashes {
-		if !r.isTogether(c, scope, common) {
+		if !isTogether(scope.suspects(c), common) {
 			common = slices.DeleteFunc(common, func(other uint64) bool { return other != id })
 		}
 	}
@@ -225,8 +250,8 @@
 
 // segmentsBeside returns the segments of the suspects that have a given one, ascending.
 func (r *Registry) segmentsBeside(c *crash, scope segmentScope, id uint64) (out []uint64) {
-	for k, s := range c.suspects {
-		if scope.includes(s.request(k)) && slices.Contains(s.segments, id) {
+	for _, s := range scope.suspects(c) {
+		if slices.Contains(s.segments, id) {
 			out = append(out, s.segments...)
 		}
 	}
@@ -234,10 +259,10 @@
 	return slices.Compact(out)
 }
 
-// isTogether reports whether a suspect at a crash has all the segments.
-func (r *Registry) isTogether(c *crash, scope segmentScope, segments []uint64) bool {
-	for k, s := range c.suspects {
-		if q := s.request(k); scope.includes(q) && q.contains(segments) {
+// isTogether reports whether one of the suspects has all the segments.
+func isTogether(suspects map[Key]suspect, segments []uint64) bool {
+	for k, s := range suspects {
+		if s.request(k).contains(segments) {
 			return true
 		}
 	}
@@ -278,7 +303,7 @@
 			continue
 		}
 		present = true
-		if s.request(k).contains(culprit.segments) || !r.isTogether(c, scope, culprit.segments) {
+		if s.request(k).contains(culprit.segments) || !isTogether(scope.suspects(c), culprit.segments) {
 			return false
 		}
 	}
--- a/internal/quarantine/segments_test.go
+++ b/internal/quarantine/segments_test.go
@@ -49,28 +49,32 @@
 		quarantined string // descriptions of requests
 		free        string
 	}{
-		"two crashes are not enough":       {[]string{"1:P", "2:P"}, "", "9:P"},
-		"three crashes":                    {[]string{"1:P", "2:P", "3:P"}, "9:P 9:FP", "9: 9:F others/9:P"},
-		"started responses, four crashes":  {[]string{"1:P+", "2:P+", "3:P+", "4:P+"}, "", "9:P"},
-		"started responses, five crashes":  {[]string{"1:P+", "2:P+", "3:P+", "4:P+", "5:P+"}, "9:P", "9:F"},
-		"one request, repeated":            {[]string{"1:P", "1:P", "1:P", "1:P"}, "1:P", "9:P"},
-		"two requests, repeated":           {[]string{"1:P", "1:P", "2:P", "2:P"}, "9:P", ""},
-		"after different segments":         {[]string{"1:AP", "2:BP", "3:CP"}, "9:DP 9:P", "9:A"},
-		"two that always come together":    {[]string{"1:FP", "2:FP", "3:FP"}, "9:FP 9:FGP", "9:F 9:P"},
-		"one of them answered afterwards":  {[]string{"1:FP", "2:FP", "3:FP", "ok 4:F"}, "9:FP 9:P", "9:F"},
-		"one of them answered in between":  {[]string{"1:FP", "ok 4:F", "2:FP", "3:FP"}, "9:FP 9:P", "9:F"},
-		"then without the other, and ends": {[]string{"1:FP", "2:FP", "3:FP", "4:GP"}, "9:P 9:FP", "9:F 9:G"},
-		"others beside it":                 {[]string{"1:FP a:FQ+ b:G+", "2:FP c:FR+ d:G+", "3:FP e:FQ f:H"}, "9:FP", "9:F 9:FQ 9:G 9:H"},
-		"as often as a sound one":          {[]string{"1:P a:G", "2:P b:G", "3:P c:G"}, "", "9:P 9:G"},
-		"the sound one answered":           {[]string{"1:P a:G", "2:P b:G", "3:P c:G", "ok 4:G"}, "9:P", "9:G"},
-		"sound one answered before":        {[]string{"ok 4:G", "1:P a:G", "2:P b:G", "3:P c:G"}, "9:P", "9:G"},
-		"as often at five crashes":         {[]string{"1:P a:G", "2:P b:G", "3:P c:G", "4:P d:G", "5:P e:G"}, "9:P 9:G", ""},
-		"answered in between":              {[]string{"1:P", "2:P", "ok 4:P", "3:P"}, "", "9:P"},
-		"two organisations":                {[]string{"a/1:P", "b/2:P", "a/3:P"}, "a/9:P b/9:P c/9:P", "a/9:F"},
-		"one organisation, then another":   {[]string{"a/1:P", "a/2:P", "a/3:P", "b/4:P"}, "a/9:P b/9:P c/9:P", "b/9:F"},
-		"another answers them":             {[]string{"ok b/4:P", "a/1:P", "a/2:P", "a/3:P", "b/6:P", "ok b/5:P"}, "a/9:P", "b/9:P c/9:P"},
-		"two culprits":                     {[]string{"1:P", "2:Q", "3:P", "4:Q", "5:P", "6:Q"}, "9:P 9:Q", "9:F"},
-		"the last segment alone":           {[]string{"1:", "2:", "3:", "4:"}, "", "9: 9:P"},
+		"two crashes are not enough":          {[]string{"1:P", "2:P"}, "", "9:P"},
+		"three crashes":                       {[]string{"1:P", "2:P", "3:P"}, "9:P 9:FP", "9: 9:F others/9:P"},
+		"started responses, four crashes":     {[]string{"1:P+", "2:P+", "3:P+", "4:P+"}, "", "9:P"},
+		"started responses, five crashes":     {[]string{"1:P+", "2:P+", "3:P+", "4:P+", "5:P+"}, "9:P", "9:F"},
+		"one request, repeated":               {[]string{"1:P", "1:P", "1:P", "1:P"}, "1:P", "9:P"},
+		"two requests, repeated":              {[]string{"1:P", "1:P", "2:P", "2:P"}, "9:P", ""},
+		"after different segments":            {[]string{"1:AP", "2:BP", "3:CP"}, "9:DP 9:P", "9:A"},
+		"two that always come together":       {[]string{"1:FP", "2:FP", "3:FP"}, "9:FP 9:FGP", "9:F 9:P"},
+		"one of them answered afterwards":     {[]string{"1:FP", "2:FP", "3:FP", "ok 4:F"}, "9:FP 9:P", "9:F"},
+		"one of them answered in between":     {[]string{"1:FP", "ok 4:F", "2:FP", "3:FP"}, "9:FP 9:P", "9:F"},
+		"then without the other, and ends":    {[]string{"1:FP", "2:FP", "3:FP", "4:GP"}, "9:P 9:FP", "9:F 9:G"},
+		"others beside it":                    {[]string{"1:FP a:FQ+ b:G+", "2:FP c:FR+ d:G+", "3:FP e:FQ f:H"}, "9:FP", "9:F 9:FQ 9:G 9:H"},
+		"as often as a sound one":             {[]string{"1:P a:G", "2:P b:G", "3:P c:G"}, "", "9:P 9:G"},
+		"the sound one answered":              {[]string{"1:P a:G", "2:P b:G", "3:P c:G", "ok 4:G"}, "9:P", "9:G"},
+		"sound one answered before":           {[]string{"ok 4:G", "1:P a:G", "2:P b:G", "3:P c:G"}, "9:P", "9:G"},
+		"as often at five crashes":            {[]string{"1:P a:G", "2:P b:G", "3:P c:G", "4:P d:G", "5:P e:G"}, "9:P 9:G", ""},
+		"answered in between":                 {[]string{"1:P", "2:P", "ok 4:P", "3:P"}, "", "9:P"},
+		"two organisations":                   {[]string{"a/1:P", "b/2:P", "a/3:P"}, "a/9:P b/9:P c/9:P", "a/9:F"},
+		"one organisation, then another":      {[]string{"a/1:P", "a/2:P", "a/3:P", "b/4:P"}, "a/9:P b/9:P c/9:P", "b/9:F"},
+		"another answers them":                {[]string{"ok b/4:P", "a/1:P", "a/2:P", "a/3:P", "b/6:P", "ok b/5:P"}, "a/9:P", "b/9:P c/9:P"},
+		"two culprits":                        {[]string{"1:P", "2:Q", "3:P", "4:Q", "5:P", "6:Q"}, "9:P 9:Q", "9:F"},
+		"one request, beside a sound segment": {[]string{"1:P a:G", "1:P b:G", "1:P c:G"}, "1:P", "9:P 9:G"},
+		"a sound request, repeated beside it": {[]string{"1:P x:", "2:P x:", "3:P"}, "9:P", "x:"},
+		"a sound request, at each crash":      {[]string{"1:P x:", "2:P x:", "3:P x:"}, "x:", "9:P"},
+		"and then at none":                    {[]string{"1:P x:", "2:P x:", "3:P x:", "4:P"}, "9:P", "x:"},
+		"the last segment alone":              {[]string{"1:", "2:", "3:", "4:"}, "", "9: 9:P"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newRegistry(true)
@@ -142,6 +146,9 @@
 		promptCrash(b, start.Add(time.Duration(i)*time.Second), fmt.Sprint(i), fmt.Sprint(i, ":P"), "bystander:")
 	}
 	now := start.Add(2*time.Second + settleTime)
+	is.True(b.Remaining(now, prompt("bystander:")) > 0) // nothing else explains the crashes as narrowly
+	promptCrash(b, start.Add(3*time.Second), "last", "4:P")
+	now = start.Add(3*time.Second + settleTime)
 	is.Equal(b.Remaining(now, prompt("bystander:")), time.Duration(0))
 	is.True(b.Remaining(now, prompt("9:P")) > 0)
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -46,11 +46,11 @@
 	r.nextVerdict = now.Add(verdictInterval)
 	r.dropExplained()
 	for {
-		if r.quarantineSegments(now) {
+		culprits := r.culprits(now)
+		if len(culprits) == 0 && r.quarantineSegments(now) {
 			r.dropExplained()
 			continue
 		}
-		culprits := r.culprits(now)
 		if len(culprits) == 0 {
 			break
 		}
@@ -127,9 +127,12 @@
 // culprits returns the requests with the highest score among those that reach a threshold.
 func (r *Registry) culprits(now time.Time) (out []Key) {
 	all := r.scores(func(*crash) bool { return true })
-	settled := r.scores(func(c *crash) bool { return now.Sub(c.lastChanged) >= settleTime })
+	isSettled := func(c *crash) bool { return now.Sub(c.lastChanged) >= settleTime }
+	settled := r.scores(isSettled)
+	segments := r.segmentScores(isSettled)
 	for k, score := range all {
-		if score >= anySuspectThreshold || (settled[k] >= soleSuspectThreshold && r.isTopSuspect(k, settled)) {
+		isSole := func() bool { return r.isTopSuspect(k, settled) && !r.isSegmentAsSuspect(k, segments, settled[k]) }
+		if score >= anySuspectThreshold || settled[k] >= soleSuspectThreshold && isSole() {
 			out = append(out, k)
 		}
 	}
@@ -185,6 +188,41 @@
 	return true
 }
 
+// segmentScores returns the suspicion of each segment over the crashes that count.
+func (r *Registry) segmentScores(counts func(*crash) bool) map[Key]int {
+	out := map[Key]int{}
+	for _, scope := range r.segmentScopes() {
+		if scope.kind == SharedSegmentSet {
+			continue
+		}
+		for id, e := range r.segmentEvidence(scope, counts) {
+			if len(e.contents) > 1 {
+				out[segmentKey(scope.organisation, id)] = e.score
+			}
+		}
+	}
+	return out
+}
+
+// isSegmentAsSuspect reports whether a segment of other requests at the crashes of a request explains them as
+// well as the request does.
+func (r *Registry) isSegmentAsSuspect(k Key, segments map[Key]int, score int) bool {
+	for _, c := range r.crashes {
+		own, present := c.suspects[k]
+		if !present {
+			continue
+		}
+		for other, s := range c.suspects {
+			for _, id := range s.segments {
+				if !slices.Contains(own.segments, id) && segments[segmentKey(other.Organisation, id)] >= score {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // lastCrashTime returns the time of the last crash that a request was at.
 func (r *Registry) lastCrashTime(k Key) (last time.Time) {
 	for _, c := range r.crashes {
