proxy: check an upstream whose stream ended after an event, without a stated end

A worker that crashes after the first event of a response without a stated end looks like one that completed it. The crash was noticed only when a later request found its port closed; where nothing else ran there, never: the crashing segment was not quarantined. A complete stream of one event costs a connection check for it.

--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -10,6 +10,7 @@
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/quarantine"
+	"github.com/tacktally/tacktally/internal/routing"
 )
 
 // checkQuarantine returns a refusal if the request has been quarantined since its arrival, on the
@@ -42,6 +43,10 @@
 	switch {
 	case (r.status == completed || r.status == upstreamFailed) && j.framing == exchange.UntilClose:
 		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.o.Announce)
+		// A stream that ends so soon may be a crash, which no other request may notice for a while.
+		if j.route.Kind == routing.Stream && !j.hasStarted() && registry.NeedsDiagnosis(now, r.process) {
+			j.handler.startDiagnosis(j.upstream, r.process)
+		}
 	case r.status == completed || r.status == upstreamFailed:
 		if registry.RecordCompletion(now, j.identity, j.completionBegan(r)) {
 			j.handler.o.Announce()
