soak: a segment of prompts that crashes workers

Sound requests share the key, the first segment and the others. Checked in planned runs: at most three such requests reach workers later than a second after the fifth crash, and sound requests are served at least half as often as before.

--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -6,29 +6,27 @@
 	"time"
 )
 
-// Crashes records the upstreams that terminated while they ran one particular request. Safe for
-// concurrent use.
+// Crashes records the upstreams that terminated while they ran one particular request, or requests with one
+// segment in their prompts. Safe for concurrent use.
 type Crashes struct {
-	// Window is how long after the third crash further attempts may still be under way, and Retries
-	// how many may follow after that.
-	Window  time.Duration
-	Retries int
+	// Threshold is the number of crashes after which such requests have to be quarantined, Window how long
+	// after that further attempts may still be under way, and Retries how many may follow later.
+	Threshold int
+	Window    time.Duration
+	Retries   int
 
 	mu      sync.Mutex
 	at      []time.Time
 	excused int
 }
 
-// quarantineCrashes is the number of crashes after which a request has to be quarantined.
-const quarantineCrashes = 3
-
 // RecordCrash records that an upstream terminated under the request, which an instance of the given
 // age had sent. An instance that has just started can't know of earlier crashes, so that its crash
 // isn't counted against the bound.
 func (c *Crashes) RecordCrash(age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.at) >= quarantineCrashes && age < c.Window {
+	if len(c.at) >= c.Threshold && age < c.Window {
 		c.excused++
 		return
 	}
@@ -48,12 +46,23 @@
 	defer c.mu.Unlock()
 	late := 0
 	for i, at := range c.at {
-		if i >= quarantineCrashes && at.Sub(c.at[quarantineCrashes-1]) > c.Window {
+		if i >= c.Threshold && at.Sub(c.at[c.Threshold-1]) > c.Window {
 			late++
 		}
 	}
 	if late <= c.Retries {
 		return nil
 	}
-	return []string{fmt.Sprintf("a request was sent %d times later than %v after the third upstream crashed under it; %d crashed in total", late, c.Window, len(c.at))}
+	return []string{fmt.Sprintf("crashing requests were sent %d times later than %v after %d upstreams had crashed under them; %d crashed in total", late, c.Window, c.Threshold, len(c.at))}
+}
+
+// Span returns when the first upstream crashed, and when the bound began to hold: Window after the crash of
+// number Threshold, or after the last one if there were fewer. It returns zero times if none crashed.
+func (c *Crashes) Span() (first, settled time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.at) == 0 {
+		return first, settled
+	}
+	return c.at[0], c.at[min(len(c.at), c.Threshold)-1].Add(c.Window)
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -215,6 +215,24 @@
 	return n
 }
 
+// Served returns how many requests sent within a time range there are for which counts returns true, given the
+// response, and how many of them got a complete success.
+func (l *Ledger) Served(from, to time.Time, counts func(Request, Response) bool) (served, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, a := range l.responses {
+		r := l.requests[id]
+		if r.Sent.Before(from) || r.Sent.After(to) || !r.Left.IsZero() || !counts(r, a) {
+			continue
+		}
+		n++
+		if a.Status == http.StatusOK && a.Complete {
+			served++
+		}
+	}
+	return served, n
+}
+
 // Summary describes how many requests were sent and ran, and the statuses of their responses.
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
