listen: keep connections open of whose request a part has been read

At the limit of callers' connections a new one makes the listener close the one that has been idle longest. A connection counted as idle until net/http had read the whole head of a request, so that one whose request was being read could be closed without a response, and its caller couldn't know whether it ran. It needs most connections at one instance, as with a load balancer that sends it most new ones. A connection is no longer idle from the first byte of a request.

--- a/internal/listen/limited_listener.go
+++ b/internal/listen/limited_listener.go
@@ -4,13 +4,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // LimitedListener limits the number of open connections of callers. At the limit it still
 // accepts a new connection, and closes the one that has been idle longest. If no connection is
 // idle, the new one is closed at once without being read, which shows its caller that nothing
-// ran. If the instance stopped accepting instead, callers would wait although it reports
+// ran. A connection of whose next request a part has been read isn't idle. If the instance stopped accepting instead, callers would wait although it reports
 // itself as ready.
 //
 // The http.Server that serves the listener must have ConnState as its ConnState hook. Safe for
@@ -39,14 +40,40 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.admit(conn) {
-			return conn, nil
+		c := &limitedConn{Conn: conn, listener: l}
+		if l.admit(c) {
+			return c, nil
 		}
 		l.onRefused()
 		_ = conn.Close() // nothing was read
 	}
 }
 
+// limitedConn is an accepted connection. net/http reports that it is active once the whole head of a request
+// was read, so that it tells the listener of the first byte.
+type limitedConn struct {
+	net.Conn
+	listener *LimitedListener
+	reading  atomic.Bool // a part of a request was read
+}
+
+// Read implements net.Conn.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.reading.CompareAndSwap(false, true) {
+		c.listener.markReading(c)
+	}
+	return n, err
+}
+
+// SetLinger sets the linger option of a TCP connection, for CallerConn.
+func (c *limitedConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(tcpConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // admit adds a connection, after closing an idle one at the limit. It reports whether the
 // connection may stay open.
 func (l *LimitedListener) admit(conn net.Conn) bool {
@@ -83,6 +110,22 @@
 	delete(l.idle, conn)
 }
 
+// CloseWrite closes the sending side of a TCP connection. net/http does so before it closes a connection whose
+// request wasn't read completely, so that the response isn't lost to a reset.
+func (c *limitedConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// markReading records that a part of a request was read from a connection.
+func (l *LimitedListener) markReading(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.idle, conn)
+}
+
 // ConnState records the state of a connection. It is the hook for http.Server.ConnState.
 func (l *LimitedListener) ConnState(conn net.Conn, s http.ConnState) {
 	l.mu.Lock()
@@ -95,6 +138,9 @@
 		delete(l.idle, conn)
 	case http.StateIdle:
 		l.idle[conn] = time.Now()
+		if c, ok := conn.(*limitedConn); ok {
+			c.reading.Store(false)
+		}
 	case http.StateClosed, http.StateHijacked:
 		l.remove(conn)
 	}
--- a/internal/listen/limited_listener_test.go
+++ b/internal/listen/limited_listener_test.go
@@ -120,3 +120,46 @@
 	close(server.release)
 	is.True(busy.answered()) // the busy connection wasn't affected
 }
+
+// pipeListener accepts the connections that it is given. What is written to a pipe has been read when the write
+// returns.
+type pipeListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// A connection whose request has been read in part must not be closed for a new one: its caller can't know whether
+// the request runs. A new one that is closed unread is safe to retry.
+func TestConnectionWithAPartOfARequestIsNotClosedForNewOne(t *testing.T) {
+	is := is.New(t)
+	inner, err := TCP("test", "127.0.0.1:0")
+	is.NoErr(err)
+	pipes := &pipeListener{Listener: inner, conns: make(chan net.Conn)}
+	refused := make(chan struct{}, 1)
+	limited := NewLimitedListener(pipes, 1, func() { refused <- struct{}{} })
+	s := &http.Server{ConnState: limited.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	go func() { _ = s.Serve(limited) }()
+	t.Cleanup(func() { close(pipes.conns); s.Close() })
+	dial := func() net.Conn {
+		ours, theirs := net.Pipe()
+		t.Cleanup(func() { ours.Close() })
+		pipes.conns <- theirs
+		return ours
+	}
+	first := dial()
+	_, err = io.WriteString(first, "GET / HTTP/1.1\r\nHo")
+	is.NoErr(err)
+	dial()
+	<-refused
+	_, err = io.WriteString(first, "st: h\r\n\r\n")
+	is.NoErr(err)
+	is.True((&caller{first, bufio.NewReader(first)}).answered())
+}
