listen: keep connections open whose request has arrived

At the limit of callers' connections a burst of new ones made the listener close each for the next: a connection counts as idle until its request is read, also if the request has arrived. The connection that has been idle longest is now asked, without blocking, whether bytes have arrived; if so it stays, and the new one is closed unread. TestConnectionWithAnUnreadRequestIsNotClosedForNewOne doesn't end without it.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -89,6 +89,7 @@
 		return err
 	}
 	l.callers = listen.NewLimitedListener(callers, maxCallerConnections(s.Routed.MaxFiles), func() { m.Count("tacktally_connections_refused_total") })
+	l.callers.OnEvicted = func() { m.Count("tacktally_connections_evicted_total") }
 	if l.ready, err = listen.TCP("routed.ready", s.Routed.Ready); err != nil {
 		return err
 	}
--- a/internal/listen/limited_listener.go
+++ b/internal/listen/limited_listener.go
@@ -5,13 +5,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 // LimitedListener limits the number of open connections of callers. At the limit it still
 // accepts a new connection, and closes the one that has been idle longest. If no connection is
 // idle, the new one is closed at once without being read, which shows its caller that nothing
-// ran. A connection of whose next request a part has been read isn't idle. If the instance stopped accepting instead, callers would wait although it reports
+// ran. A connection isn't idle once a part of its next request has arrived, read or not. If the instance stopped accepting instead, callers would wait although it reports
 // itself as ready.
 //
 // The http.Server that serves the listener must have ConnState as its ConnState hook. Safe for
@@ -21,6 +22,9 @@
 	maxConns int
 	// onRefused is called for each new connection that is closed without being read.
 	onRefused func()
+	// OnEvicted, if set, is called for each idle connection that is closed for a new one. It must not block,
+	// and is set before the first connection.
+	OnEvicted func()
 
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
@@ -90,18 +94,54 @@
 // closeIdle closes the connection that has been idle longest, and reports whether there was
 // one. The caller must hold l.mu.
 func (l *LimitedListener) closeIdle() bool {
-	var longest net.Conn
+	for {
+		longest := l.longestIdle()
+		switch {
+		case longest == nil:
+			return false
+		case hasUnread(longest):
+			delete(l.idle, longest) // its request will be read
+		default:
+			l.remove(longest)
+			_ = longest.Close() // its caller sees the end of the connection
+			if l.OnEvicted != nil {
+				l.OnEvicted()
+			}
+			return true
+		}
+	}
+}
+
+// longestIdle returns the connection that has been idle longest, nil if there is none. The caller must hold l.mu.
+func (l *LimitedListener) longestIdle() (longest net.Conn) {
 	for conn, since := range l.idle {
 		if longest == nil || since.Before(l.idle[longest]) {
 			longest = conn
 		}
 	}
-	if longest == nil {
+	return longest
+}
+
+// hasUnread reports whether bytes have arrived on a TCP connection that weren't read. It doesn't block.
+func hasUnread(conn net.Conn) bool {
+	c, ok := conn.(*limitedConn)
+	if !ok {
 		return false
 	}
-	l.remove(longest)
-	_ = longest.Close() // its caller sees the end of the connection
-	return true
+	tcp, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false // closed
+	}
+	unread := 0
+	// Not raw.Read, which waits while net/http reads.
+	err = raw.Control(func(fd uintptr) {
+		unread, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT) // fails if there is nothing
+	})
+	return err == nil && unread > 0
 }
 
 // remove removes a connection that has ended. The caller must hold l.mu.
--- a/internal/listen/limited_listener_test.go
+++ b/internal/listen/limited_listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 
@@ -155,11 +156,47 @@
 		return ours
 	}
 	first := dial()
-	_, err = io.WriteString(first, "GET / HTTP/1.1\r\nHo")
-	is.NoErr(err)
+	for _, part := range []string{"GET / HT", "TP/1.1\r\nHo"} { // the first has been recorded when the second is read
+		_, err = io.WriteString(first, part)
+		is.NoErr(err)
+	}
 	dial()
 	<-refused
 	_, err = io.WriteString(first, "st: h\r\n\r\n")
 	is.NoErr(err)
 	is.True((&caller{first, bufio.NewReader(first)}).answered())
 }
+
+// A connection whose request has arrived but wasn't read yet must not be closed for a new one either: under a burst
+// of connections each would be closed for the next, and none be served.
+func TestConnectionWithAnUnreadRequestIsNotClosedForNewOne(t *testing.T) {
+	is := is.New(t)
+	l, err := TCP("test", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	refused := make(chan struct{}, 1)
+	limited := NewLimitedListener(l, 1, func() { refused <- struct{}{} })
+	ended := make(chan struct{})
+	defer func() { l.Close(); <-ended }()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	first := dial()
+	accepted, err := limited.Accept()
+	is.NoErr(err)
+	_, err = io.WriteString(first, "GET / HTTP/1.1\r\n")
+	is.NoErr(err)
+	for !hasUnread(accepted) { // loopback delivers at once, but not within the write
+		runtime.Gosched()
+	}
+	go func() { defer close(ended); _, _ = limited.Accept() }()
+	dial()
+	<-refused
+	b := make([]byte, 3)
+	_, err = io.ReadFull(accepted, b)
+	is.NoErr(err)
+	is.Equal(string(b), "GET")
+}
