listen: close no connection between the read of a request and its record

Callers lost requests that ran: at the limit of connections, an instance that received most new ones closed some whose request it had just read and sent to an upstream. Between the read of the first bytes and the record that the connection is no longer idle, it could be chosen. The connection now waits for bytes without taking them, is recorded as active under the listener's lock, and only then read; one that was chosen before is closed unread.

--- a/internal/listen/limited_listener.go
+++ b/internal/listen/limited_listener.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -58,18 +59,44 @@
 type limitedConn struct {
 	net.Conn
 	listener *LimitedListener
-	reading  atomic.Bool // a part of a request was read
+	reading  atomic.Bool // a request is being read, or runs
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. On a TCP connection it marks the connection as active before it takes the first byte
+// of a request, so that a connection that is closed for another one has nothing read of it.
 func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.reading.Load() {
+		return c.Conn.Read(b)
+	}
+	if tcp, ok := c.Conn.(syscall.Conn); ok {
+		if err := awaitUnread(tcp); err != nil {
+			return 0, err
+		}
+		if !c.listener.markReading(c) {
+			return 0, net.ErrClosed
+		}
+		return c.Conn.Read(b)
+	}
 	n, err := c.Conn.Read(b)
-	if n > 0 && c.reading.CompareAndSwap(false, true) {
+	if n > 0 {
 		c.listener.markReading(c)
 	}
 	return n, err
 }
 
+// awaitUnread blocks until there is something to read on a connection, or an error to return by a read. It takes
+// nothing.
+func awaitUnread(conn syscall.Conn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	})
+}
+
 // SetLinger sets the linger option of a TCP connection, for CallerConn.
 func (c *limitedConn) SetLinger(seconds int) error {
 	if tcp, ok := c.Conn.(tcpConn); ok {
@@ -159,11 +186,17 @@
 	return nil
 }
 
-// markReading records that a part of a request was read from a connection.
-func (l *LimitedListener) markReading(conn net.Conn) {
+// markReading records that a request is being read from a connection. It returns false if the connection was closed
+// for another one.
+func (l *LimitedListener) markReading(c *limitedConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.idle, conn)
+	if _, open := l.open[c]; !open {
+		return false
+	}
+	c.reading.Store(true)
+	delete(l.idle, c)
+	return true
 }
 
 // ConnState records the state of a connection. It is the hook for http.Server.ConnState.
--- a/internal/listen/limited_listener_test.go
+++ b/internal/listen/limited_listener_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -200,3 +201,36 @@
 	is.NoErr(err)
 	is.Equal(string(b), "GET")
 }
+
+// A request that runs must be answered: its connection may not be closed for a new one, also not in the moment in
+// which its first byte is read. In a soak such requests were sent to upstreams and their callers got nothing.
+func TestRequestThatRunsIsAnsweredUnderABurstOfConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := TCP("test", "127.0.0.1:0")
+	is.NoErr(err)
+	limited := NewLimitedListener(l, 4, func() {})
+	var ran, served atomic.Int32
+	s := &http.Server{ConnState: limited.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) })}
+	go func() { _ = s.Serve(limited) }()
+	t.Cleanup(func() { s.Close() })
+	var callers sync.WaitGroup
+	for range 16 {
+		callers.Go(func() {
+			for range 250 {
+				conn, err := net.Dial("tcp", l.Addr().String())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				c := &caller{conn, bufio.NewReader(conn)}
+				if c.send("/") == nil && c.answered() {
+					served.Add(1)
+				}
+				conn.Close()
+			}
+		})
+	}
+	callers.Wait()
+	is.True(served.Load() > 0)
+	is.Equal(ran.Load(), served.Load())
+}
