quarantine: let the crashes settle before a verdict on requests that explain them equally well

A request that many callers send alike runs at every upstream. At three crashes within moments it had the suspicion of the one that causes them, and both were quarantined at once; the next response to it ended that, but those between were refused for minutes. TestFrequentRequestIsNotQuarantinedBeforeItIsAnswered failed before.

--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -466,3 +466,23 @@
 		}
 	})
 }
+
+// A request that many callers send alike is at three crashes within moments, beside the one that causes them. It must
+// not be quarantined before a response to it can show that it isn't the cause; the other one is.
+func TestFrequentRequestIsNotQuarantinedBeforeItIsAnswered(t *testing.T) {
+	is := is.New(t)
+	b := newRegistry(true)
+	at := start
+	for i := range 3 {
+		at = start.Add(time.Duration(i) * 60 * time.Millisecond)
+		crashOf(b, at, fmt.Sprint(i), "bad", "hot")
+	}
+	is.Equal(b.Remaining(at, key("hot")), time.Duration(0))
+	b.RecordResponse(at.Add(settleTime/2), key("hot"))
+	is.Equal(b.Remaining(at.Add(settleTime), key("hot")), time.Duration(0))
+	is.True(b.Remaining(at.Add(settleTime), key("bad")) > 0)
+	crashOf(b, at.Add(time.Second), "3", "alone", "hot")
+	crashOf(b, at.Add(time.Second), "4", "alone")
+	crashOf(b, at.Add(time.Second), "5", "alone")
+	is.True(b.Remaining(at.Add(time.Second), key("alone")) > 0) // at once, where no other request explains them as well
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -31,7 +31,8 @@
 	// request is quarantined if no other request at these crashes is as suspect: two crashes
 	// without a response.
 	soleSuspectThreshold = 2 * int(unanswered)
-	// anySuspectThreshold is the same for a request that isn't the only top suspect: three crashes.
+	// anySuspectThreshold is the same for a request that isn't the only top suspect: three crashes. If it is the
+	// only one, the verdict doesn't wait until the crashes are settled.
 	anySuspectThreshold = 3 * int(unanswered)
 )
 
@@ -124,7 +125,8 @@
 	return false
 }
 
-// culprits returns the requests with the highest score among those that reach a threshold.
+// culprits returns the requests with the highest score among those that reach a threshold. Where requests explain
+// the crashes equally well, the verdict waits until the crashes are settled: a response may clear some.
 func (r *Registry) culprits(now time.Time) (out []Key) {
 	all := r.scores(func(*crash) bool { return true })
 	isSettled := func(c *crash) bool { return now.Sub(c.lastChanged) >= settleTime }
@@ -132,7 +134,8 @@
 	segments := r.segmentScores(isSettled)
 	for k, score := range all {
 		isSole := func() bool { return r.isTopSuspect(k, settled) && !r.isSegmentAsSuspect(k, segments, settled[k]) }
-		if score >= anySuspectThreshold || settled[k] >= soleSuspectThreshold && isSole() {
+		isCertain := score >= anySuspectThreshold && r.isTopSuspect(k, all)
+		if isCertain || settled[k] >= anySuspectThreshold || settled[k] >= soleSuspectThreshold && isSole() {
 			out = append(out, k)
 		}
 	}
