dispatch, request: find messages of chats that crash engines, also without routes

The same fault at the own interface: a message that several chats share crashed each engine that began to answer, no two chats alike, and nothing but the two chats themselves was quarantined. A chat's messages but the last are its segments now, by their hashes.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -34,6 +34,8 @@
 	failedUpstream string
 	resumes        int
 	spilled        bool
+	// sentAt is when the last attempt was sent.
+	sentAt time.Time
 	// outputTokens is the number of output tokens relayed.
 	outputTokens int
 	// mayHaveRun is set once an attempt was lost after its request was written.
@@ -148,6 +150,7 @@
 		defer t.Stop()
 		call.OnFirstOutput = func() {}
 	}
+	a.sentAt = time.Now()
 	result := a.dispatcher.o.Client.Do(ctx, call, a.buffer)
 	if result.Status == upstream.Timeout && result.StreamID != "" {
 		go a.cancelStream(g.Upstream.Address, result.StreamID)
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -6,15 +6,21 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/prefix"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/upstream"
 )
 
-// identityOf identifies a request by its organisation and content.
+// identityOf identifies a request by its organisation, its content, and the messages of a chat, which others may
+// share except for the last.
 func identityOf(r *request.Request) quarantine.Request {
 	key := quarantine.Key{Organisation: r.Organisation, Digest: binary.BigEndian.Uint64(r.Fingerprint[:])}
-	return quarantine.RequestOf(key, nil)
+	var messages []prefix.Segment
+	for _, id := range r.MessageIDs {
+		messages = append(messages, prefix.Segment{ID: id})
+	}
+	return quarantine.RequestOf(key, messages)
 }
 
 // recordCrashEvidence reports the result of an attempt to the quarantine registry and announces
@@ -25,10 +31,10 @@
 	switch r.Status {
 	case upstream.Done:
 		if r.EndUnstated {
-			o.Quarantine.TrackUnstatedEnd(address, a.identity, time.Time{}, a.buffer.Written() > 0, o.OnQuarantineChange)
+			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.sentAt, a.buffer.Written() > 0, o.OnQuarantineChange)
 			return
 		}
-		if o.Quarantine.RecordResponse(now, a.identity) {
+		if o.Quarantine.RecordCompletion(now, a.identity, a.sentAt) {
 			o.OnQuarantineChange()
 		}
 	case upstream.NotWritten:
--- a/internal/faults/crashes_test.go
+++ b/internal/faults/crashes_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -107,3 +108,82 @@
 	})
 	is.True(crashes.Load() <= 6) // three, and three while the last is found
 }
+
+// crashingMessage crashes each engine that begins to answer a chat that has it before the last message.
+const crashingMessage = "dead message"
+
+// startCrashingEngines replaces the engines by 12 that crash when they answer a chat with crashingMessage.
+func (f *fleet) startCrashingEngines() (crashes *atomic.Int32) {
+	f.t.Helper()
+	crashes = &atomic.Int32{}
+	list := []platform.Instance{}
+	for _, i := range f.list {
+		if i.Set != readerEngines {
+			list = append(list, i)
+		}
+	}
+	for i := range 12 {
+		address := fmt.Sprintf("%s:9%03d", f.ip(150), 200+i)
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		server := &http.Server{}
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			w.Header().Set("Content-Type", "application/json")
+			if !strings.Contains(string(body), crashingMessage) {
+				_, _ = io.WriteString(w, `{"choices":[{"text":"new engine","message":{"role":"assistant","content":"new engine"},"finish_reason":"stop"}],"usage":{"prompt_tokens":9,"completion_tokens":2,"total_tokens":11}}`)
+				return
+			}
+			crashes.Add(1)
+			w.(http.Flusher).Flush()
+			_ = server.Close() // closes the listener and all connections
+		})
+		go server.Serve(l) //nolint:errcheck // ends with Close
+		f.t.Cleanup(func() { _ = server.Close() })
+		list = append(list, platform.Instance{Address: address, Zone: "fort", Set: readerEngines, State: platform.Live})
+	}
+	f.platform.SetInstances(list)
+	for _, p := range f.daemons {
+		f.eventually("the new engines are in use", func() bool { return strings.Contains(p.send(chatCall("sound", "x")).body, "new engine") })
+	}
+	return crashes
+}
+
+// chatCall is a chat of a shared first message, another one, and one of its own.
+func chatCall(second, own string) call {
+	return call{path: chatPath, body: fmt.Sprintf(`{"model":%q,"max_tokens":4,"messages":[{"role":"system","content":"shared"},{"role":"user","content":%q},{"role":"user","content":%q}]}`, modelName, second, own)}
+}
+
+// A message that crashes each engine that begins to answer a chat with it is quarantined, although no two chats are
+// alike. Chats with the same first message go on.
+func TestMessageThatCrashesEnginesIsQuarantinedAtCallerAPI(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	crashes := f.startCrashingEngines()
+	for n := range 2 { // each is sent to several engines, some of which may have crashed already
+		before := crashes.Load()
+		f.eventually("the chat has crashed engines", func() bool {
+			f.daemons[n].send(chatCall(crashingMessage, fmt.Sprint("own ", n)))
+			return crashes.Load() > before
+		})
+	}
+	f.eventually("both requests and the message are quarantined", func() bool {
+		return f.daemons[0].metric("tacktally_requests_held") >= 3 && f.daemons[1].metric("tacktally_requests_held") >= 3
+	})
+	crashed := crashes.Load()
+	is.True(crashed <= 8) // five, and three later
+	for n := range 16 {
+		last := f.daemons[n%2].send(chatCall(crashingMessage, fmt.Sprint("later ", n)))
+		is.Equal(last.problem.Reason, api.ReasonCrashesUpstreams)
+		sound := fmt.Sprint("own ", n)
+		f.eventually("a sound chat finds an engine that hasn't crashed", func() bool {
+			got := f.daemons[n%2].send(chatCall("sound", sound))
+			is.True(got.status == http.StatusOK || got.problem.Reason != api.ReasonCrashesUpstreams)
+			return got.status == http.StatusOK
+		})
+	}
+	is.Equal(crashes.Load(), crashed)
+}
--- a/internal/request/decode.go
+++ b/internal/request/decode.go
@@ -187,6 +187,9 @@
 	r.Stream = m.Stream
 	r.LastEventID = h.Header.Get(api.HeaderLastEventID)
 	r.hashPrompt(prompt)
+	if r.Kind == Chat {
+		r.hashMessages(prompt)
+	}
 	if r.PromptTokens > set.MaxPromptTokens {
 		return api.Refuse(api.ReasonPromptTooLong, "the prompt has about %d tokens; model %s takes %d, so shorten it", r.PromptTokens, m.Model, set.MaxPromptTokens)
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -6,6 +6,10 @@
 	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
 	"github.com/tacktally/tacktally/internal/idempotency"
 	"github.com/tacktally/tacktally/internal/prefix"
 )
@@ -77,6 +81,9 @@
 	// RawPath is Path as the caller escaped it.
 	RawPath string `cbor:"25,keyasint,omitempty"`
 
+	// MessageIDs are hashes of a chat's messages, in order.
+	MessageIDs []uint64 `cbor:"26,keyasint,omitempty"`
+
 	// Age is the time between the arrival of the caller's attempt and the sending to this instance.
 	Age time.Duration `cbor:"23,keyasint,omitempty"`
 	// Spilled requests came from another availability zone that had no free capacity. They are not
@@ -116,6 +123,20 @@
 	h.Sum(r.Fingerprint[:0])
 }
 
+// maxMessageIDs bounds the number of hashed messages of one chat.
+const maxMessageIDs = 64
+
+// hashMessages sets the hashes of a chat's messages. It leaves them out if the messages are no array.
+func (r *Request) hashMessages(messages []byte) {
+	var list []jsontext.Value
+	if json.Unmarshal(messages, &list) != nil {
+		return // the engine decides whether it accepts them
+	}
+	for _, m := range list[:min(len(list), maxMessageIDs)] {
+		r.MessageIDs = append(r.MessageIDs, xxhash.Sum64(m))
+	}
+}
+
 // hashPrompt sets the hashes of the prompt's prefixes and estimates its length in tokens.
 func (r *Request) hashPrompt(prompt []byte) {
 	r.PrefixHashes = prefix.Hashes(prompt)
