--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -37,7 +37,7 @@
 )
 
 // verdictInterval is the shortest time between two examinations of the same evidence, until it is settled.
-const verdictInterval = 10 * time.Millisecond
+const verdictInterval = 20 * time.Millisecond
 
 // updateVerdicts quarantines the segments and requests that explain crashes best. The caller holds the lock.
 func (r *Registry) updateVerdicts(now time.Time) {
