peer, proxy, dispatch: announce the clearings of some milliseconds together

A crash makes each segment of up to ten requests suspect, and each complete response after it clears some: with a message to every peer for each, a fleet of sixty instances would send tens of thousands within a second (worked out, not run). Mesh.AnnounceSoon sends one message for the clearings of 20 ms; relays of hubs use it as well. News of a crash goes at once, as before: a trial that delayed it too failed TestCrashingRequestIsQuarantinedAtAllInstances and TestRequestsAlongsideCrashingRequestAreServed (more than six upstreams crashed), and was not kept.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -31,11 +31,11 @@
 	switch r.Status {
 	case upstream.Done:
 		if r.EndUnstated {
-			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.sentAt, a.buffer.Written() > 0, o.OnQuarantineChange)
+			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.sentAt, a.buffer.Written() > 0, o.OnSuspectCleared)
 			return
 		}
 		if o.Quarantine.RecordCompletion(now, a.identity, a.sentAt) {
-			o.OnQuarantineChange()
+			o.OnSuspectCleared()
 		}
 	case upstream.NotWritten:
 		if !isLocalAbort(r.Err) && o.Quarantine.NeedsDiagnosis(now, address) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,7 +9,6 @@
 	"runtime/debug"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -98,9 +97,8 @@
 	sender   *transfer.Sender
 	receiver *transfer.Receiver
 
-	election     readerElection
-	lastFleet    fleetState
-	relayPending atomic.Bool // whether a heartbeat with peers' updates is scheduled
+	election  readerElection
+	lastFleet fleetState
 	// zoneGauges are the availability zones that have a gauge. Only upstreamsChanged uses it.
 	zoneGauges map[string]bool
 	// uninformedOwners are the owners to which informOwners last sent a heartbeat.
@@ -151,16 +149,17 @@
 	allowance := fleet.Allowance{Share: s.Routed.QuotaOverage, Tokens: s.Routed.QuotaSlack, Window: time.Duration(s.Routed.QuotaWindow)}
 	i.quotas = fleet.NewQuotas(i.started, allowance, i.fleet)
 	i.proxy = proxy.New(proxy.Options{
-		View:       i.view,
-		Fleet:      i.fleet,
-		Protocol:   o.Protocol,
-		Quotas:     i.quotas,
-		Quarantine: i.quarantine,
-		Announce:   func() { go i.mesh.Announce() },
-		OnClosing:  i.view.RecheckUpstream,
-		StaleAfter: time.Duration(s.Routed.InForce),
-		Metrics:    i.metrics,
-		Log:        i.log,
+		View:         i.view,
+		Fleet:        i.fleet,
+		Protocol:     o.Protocol,
+		Quotas:       i.quotas,
+		Quarantine:   i.quarantine,
+		Announce:     func() { go i.mesh.Announce() },
+		AnnounceSoon: func() { i.mesh.AnnounceSoon() },
+		OnClosing:    i.view.RecheckUpstream,
+		StaleAfter:   time.Duration(s.Routed.InForce),
+		Metrics:      i.metrics,
+		Log:          i.log,
 	})
 	i.ready = readiness{view: i.view}
 	i.sender, i.receiver = transfer.NewSender(), i.newReceiver()
@@ -286,20 +285,12 @@
 	}
 }
 
-// relayDelay is how long updates from several peers are collected before they are relayed together.
-const relayDelay = 20 * time.Millisecond
-
 // relayUpdates relays updates from peers to the others if this instance is a hub. Many instances
-// may send parts of an update at once, so it waits for relayDelay and then sends one heartbeat. It
-// doesn't block.
+// may send parts of an update at once, so they are relayed together. It doesn't block.
 func (i *Instance) relayUpdates() {
-	if i.mesh.Role().HubRank < 0 || !i.relayPending.CompareAndSwap(false, true) {
-		return
+	if i.mesh.Role().HubRank >= 0 {
+		i.mesh.AnnounceSoon()
 	}
-	time.AfterFunc(relayDelay, func() {
-		i.relayPending.Store(false)
-		i.mesh.Announce()
-	})
 }
 
 func (i *Instance) registerGauges() {
--- a/internal/peer/heartbeats.go
+++ b/internal/peer/heartbeats.go
@@ -92,6 +92,20 @@
 // other zones unless these always get whole ones.
 func (m *Mesh) Announce() { m.broadcastHeartbeat(m.o.CrossZoneEvery <= 1) }
 
+// announceDelay is how long changes are collected before they are announced together.
+const announceDelay = 20 * time.Millisecond
+
+// AnnounceSoon announces this instance's changes, those of announceDelay together. It doesn't block.
+func (m *Mesh) AnnounceSoon() {
+	if !m.announcing.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(announceDelay, func() {
+		m.announcing.Store(false)
+		m.Announce()
+	})
+}
+
 // broadcastHeartbeat sends a heartbeat to every linked peer. Peers of other zones get a brief one
 // unless whole is set.
 func (m *Mesh) broadcastHeartbeat(whole bool) {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -112,6 +112,8 @@
 	started time.Time
 	// responding is the number of forwarded requests whose responses are being sent.
 	responding atomic.Int64
+	// announcing is whether AnnounceSoon has an announcement to make.
+	announcing atomic.Bool
 
 	mu            sync.Mutex
 	peers         map[string]*peerState
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -42,14 +42,14 @@
 	registry, now := j.handler.o.Quarantine, time.Now()
 	switch {
 	case (r.status == completed || r.status == upstreamFailed) && j.framing == exchange.UntilClose:
-		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.o.Announce)
+		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.o.AnnounceSoon)
 		// A stream that ends so soon may be a crash, which no other request may notice for a while.
 		if j.route.Kind == routing.Stream && !j.hasStarted() && registry.NeedsDiagnosis(now, r.process) {
 			j.handler.startDiagnosis(j.upstream, r.process)
 		}
 	case r.status == completed || r.status == upstreamFailed:
 		if registry.RecordCompletion(now, j.identity, j.completionBegan(r)) {
-			j.handler.o.Announce()
+			j.handler.o.AnnounceSoon()
 		}
 	case r.status == misdirected:
 		j.handler.recordCrash(r.process) // another process has the address, so this one has terminated
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -49,6 +49,8 @@
 	Quarantine *quarantine.Registry
 	// Announce sends this instance's unsent changes to its peers. It must not block.
 	Announce func()
+	// AnnounceSoon does the same for all changes of some milliseconds together. It must not block.
+	AnnounceSoon func()
 	// OnClosing is called with each upstream that announces the end of its connection, since it may
 	// be leaving. It must not block.
 	OnClosing func(upstream string)
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -188,7 +188,7 @@
 	r.view = view.New(view.Options{Source: fakeSource{}, Lease: leaseTime, SettlePeriod: time.Second, OnUpstreams: r.fleet.ApplyListChange, Metrics: metrics, Log: log})
 	r.handler = New(Options{
 		View: r.view, Fleet: r.fleet, Protocol: fakeProtocol{}, Quotas: fleet.NewQuotas(time.Now().Add(-time.Hour), fleet.Allowance{}, r.fleet),
-		Quarantine: r.registry, Announce: func() {},
+		Quarantine: r.registry, Announce: func() {}, AnnounceSoon: func() {},
 		OnClosing:  func(upstream string) { r.closing <- upstream },
 		StaleAfter: staleAfter, Metrics: metrics, Log: log,
 	})
