--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -197,6 +197,11 @@
 	return segments
 }
 
+// identityOf returns what a peer's slot request is known by in crash evidence.
+func identityOf(r *peer.SlotRequest) quarantine.Request {
+	return quarantine.RequestOf(quarantine.Key{Organisation: r.Organisation, Digest: r.Digest}, segmentsOf(r))
+}
+
 // schedulerRequest converts a slot request of a peer to one of the scheduler.
 func schedulerRequest(now time.Time, r *peer.SlotRequest) *scheduler.Request {
 	return &scheduler.Request{
@@ -230,7 +235,7 @@
 // the slot is released or ctx ends. It doesn't check whether this instance owns the shard: only the
 // requester has to believe so.
 func (f *Fleet) ServeSlot(ctx context.Context, r *peer.SlotRequest, s *peer.SlotStream) {
-	identity := quarantine.RequestOf(quarantine.Key{Organisation: r.Organisation, Digest: r.Digest}, segmentsOf(r))
+	identity := identityOf(r)
 	if left := f.o.Quarantine.Remaining(time.Now(), identity); left > 0 {
 		p := f.o.Quarantine.Refusal(identity, left) // the peer has not received the quarantine record yet
 		err := s.SendRefusal(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
