quarantine: hold no segment for crashes that one request explains

Crashes that a quarantined request explains counted against its segments as if they had no cause; they do now only if several quarantined requests share the segment. And whether a segment was answered recently was remembered by organisation, so that another's first request with it weighed in full; it is remembered for all together now.

--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -138,7 +138,7 @@
 	quarantined map[Key]period
 	cleared     map[Key]clearing
 	// responses remembers the requests that were recently answered here, and segmentResponses the segments
-	// of prompts that were answered completely.
+	// of prompts that were answered completely, of whichever organisation.
 	responses, segmentResponses recentResponses
 	// suspectedSegments are the suspected segments, each with the time of its first crash; nil if it must be
 	// determined.
@@ -359,7 +359,7 @@
 	}
 	for _, id := range q.Segments {
 		k := segmentKey(q.Organisation, id)
-		r.segmentResponses.add(now, k)
+		r.segmentResponses.add(now, segmentKey("", id))
 		if r.isSegmentSuspected(id, began) && began.After(r.cleared[k].at) {
 			r.clear(k, clearing{at: began, learned: now, count: r.cleared[k].count + 1})
 			changed = true
--- a/internal/quarantine/segments.go
+++ b/internal/quarantine/segments.go
@@ -29,12 +29,14 @@
 // segmentEvidence is what crashes say against one segment in a scope.
 type segmentEvidence struct {
 	score int
-	// unexplained is the part of the score from crashes that have no other cause.
-	unexplained   int
-	crashes       []*crash // in the order of their times
-	last          time.Time
-	contents      map[Key]struct{}
-	organisations map[string]struct{}
+	// unexplained is the part of the score from crashes that have no other cause, and byRequests that from
+	// crashes of quarantined requests which have the segment themselves.
+	unexplained, byRequests int
+	requests                map[Key]struct{} // these requests
+	crashes                 []*crash         // in the order of their times
+	last                    time.Time
+	contents                map[Key]struct{}
+	organisations           map[string]struct{}
 }
 
 // segmentCulprit is a set of segments that explains crashes.
@@ -112,9 +114,14 @@
 
 // isSufficient reports whether the evidence against a segment reaches the threshold. Crashes under one request
 // that is repeated are evidence against its whole content, and those of one organisation against no other.
-// Where a set is quarantined already, a crash that it doesn't explain is evidence for a smaller one.
+// Where a cause is quarantined already, a crash that it doesn't explain is evidence for a segment that explains
+// all of them, and so are several quarantined requests that share it.
 func (e *segmentEvidence) isSufficient(scope segmentScope) bool {
-	return e.score >= segmentThreshold && e.unexplained >= int(unanswered) && len(e.contents) > 1 &&
+	unexplained := e.unexplained
+	if len(e.requests) > 1 {
+		unexplained += e.byRequests
+	}
+	return e.score >= segmentThreshold && unexplained >= int(unanswered) && len(e.contents) > 1 &&
 		(scope.kind == SegmentSet || len(e.organisations) > 1)
 }
 
@@ -129,15 +136,19 @@
 		for id, s := range r.segmentsAt(c, scope) {
 			e := out[id]
 			if e == nil {
-				e = &segmentEvidence{contents: map[Key]struct{}{}, organisations: map[string]struct{}{}}
+				e = &segmentEvidence{requests: map[Key]struct{}{}, contents: map[Key]struct{}{}, organisations: map[string]struct{}{}}
 				out[id] = e
 			}
 			if len(e.crashes) > 0 && c.at.Sub(e.last) < simultaneousWindow && (s == responding || !r.explainsSimultaneous(id, scope, crashes, i)) {
 				continue
 			}
 			e.score += int(s)
-			if !r.isExplainedWithout(id, c) {
+			switch requests := r.quarantinedRequests(c); {
+			case r.hasSegmentCause(c):
+			case len(requests) == 0:
 				e.unexplained += int(s)
+			default:
+				e.addRequests(id, int(s), requests)
 			}
 			e.crashes = append(e.crashes, c)
 			e.last = c.at
@@ -163,32 +174,39 @@
 	return out
 }
 
-// isExplainedWithout reports whether a crash has a quarantined cause other than a segment: a set of segments, or
-// the whole content of a request that doesn't have the segment.
-func (r *Registry) isExplainedWithout(id uint64, c *crash) bool {
-	explained := false
+// quarantinedRequests returns the suspects of a crash whose whole content is quarantined.
+func (r *Registry) quarantinedRequests(c *crash) map[Key]suspect {
+	out := map[Key]suspect{}
 	for k, s := range c.suspects {
-		if r.hasQuarantinedSegments(s.request(k)) {
-			return true
-		}
 		if _, quarantined := r.quarantined[k]; quarantined {
-			if slices.Contains(s.segments, id) {
-				return false
-			}
-			explained = true
+			out[k] = s
+		}
+	}
+	return out
+}
+
+// addRequests adds a crash that quarantined requests explain, if one of them has the segment.
+func (e *segmentEvidence) addRequests(id uint64, score int, requests map[Key]suspect) {
+	shared := false
+	for k, s := range requests {
+		if slices.Contains(s.segments, id) {
+			e.requests[k] = struct{}{}
+			shared = true
 		}
 	}
-	return explained
+	if shared {
+		e.byRequests += score
+	}
 }
 
-// segmentsAt returns the suspicion of each segment at a crash. A segment in prompts that were answered recently
-// has the weight of a response that had started.
+// segmentsAt returns the suspicion of each segment at a crash. A segment in prompts that were answered recently,
+// of any organisation, has the weight of a response that had started.
 func (r *Registry) segmentsAt(c *crash, scope segmentScope) map[uint64]suspicion {
 	out := map[uint64]suspicion{}
-	for k, s := range scope.suspects(c) {
+	for _, s := range scope.suspects(c) {
 		for _, id := range s.segments {
 			weight := s.suspicion
-			if r.segmentResponses.has(segmentKey(k.Organisation, id)) {
+			if r.segmentResponses.has(segmentKey("", id)) {
 				weight = responding
 			}
 			out[id] = max(out[id], weight)
