quarantine: let a segment compete with a request only if it was at all of the request's crashes

A crash that a quarantined request explains counts against a segment only if the segment was at all crashes of that request, so that it may be their cause instead; and only such a segment delays the verdict on a request. The new row of TestWhichSegmentsAreQuarantined failed before; each row is now examined after each event as well, as instances do.

--- a/internal/quarantine/segments.go
+++ b/internal/quarantine/segments.go
@@ -133,7 +133,11 @@
 		if !counts(c) {
 			continue
 		}
+		requests := r.quarantinedRequests(c)
 		for id, s := range r.segmentsAt(c, scope) {
+			if !r.mayReplace(id, scope, requests) {
+				continue
+			}
 			e := out[id]
 			if e == nil {
 				e = &segmentEvidence{requests: map[Key]struct{}{}, contents: map[Key]struct{}{}, organisations: map[string]struct{}{}}
@@ -143,7 +147,7 @@
 				continue
 			}
 			e.score += int(s)
-			switch requests := r.quarantinedRequests(c); {
+			switch {
 			case r.hasSegmentCause(c):
 			case len(requests) == 0:
 				e.unexplained += int(s)
@@ -185,6 +189,22 @@
 	return out
 }
 
+// mayReplace reports whether a segment was at all crashes of quarantined requests, so that it may be their cause in
+// place of these requests.
+func (r *Registry) mayReplace(id uint64, scope segmentScope, requests map[Key]suspect) bool {
+	for k := range requests {
+		for _, c := range r.crashes {
+			if _, present := c.suspects[k]; !present {
+				continue
+			}
+			if _, explains := r.segmentsAt(c, scope)[id]; !explains {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // addRequests adds a crash that quarantined requests explain, if one of them has the segment.
 func (e *segmentEvidence) addRequests(id uint64, score int, requests map[Key]suspect) {
 	shared := false
--- a/internal/quarantine/segments_test.go
+++ b/internal/quarantine/segments_test.go
@@ -78,31 +78,37 @@
 		"one request, beside one of another organisation":    {[]string{"a/1:G", "a/1:G", "a/1:G b/2:G+"}, "a/1:G", "a/9:G b/9:G"},
 		"one request, then another with its segment":         {[]string{"1:G", "1:G", "2:G"}, "1:G 9:G", "9:F"},
 		"answered before, in prompts of other organisations": {[]string{"ok b/8:G", "a/1:G", "a/2:G", "a/3:G"}, "", "a/9:G"},
+		"beside one request, then in another":                {[]string{"1:A 2:G", "1:A", "3:G", "3:G"}, "1:A 3:G", "9:G"},
 		"the last segment alone":                             {[]string{"1:", "2:", "3:", "4:"}, "", "9: 9:P"},
 	} {
-		t.Run(name, func(t *testing.T) {
-			b := newRegistry(true)
-			now := start
-			for i, event := range c.events {
-				now = now.Add(time.Second)
-				if text, ok := strings.CutPrefix(event, "ok "); ok {
-					answered(b, now, text)
-					continue
+		for _, examine := range []string{"at the end", "after each event"} {
+			t.Run(name+", "+examine, func(t *testing.T) {
+				b := newRegistry(true)
+				now := start
+				for i, event := range c.events {
+					now = now.Add(time.Second)
+					if text, ok := strings.CutPrefix(event, "ok "); ok {
+						answered(b, now, text)
+					} else {
+						promptCrash(b, now, fmt.Sprint(i), strings.Fields(event)...)
+					}
+					if examine != "at the end" {
+						b.Remaining(now.Add(settleTime), prompt("unrelated:"))
+					}
 				}
-				promptCrash(b, now, fmt.Sprint(i), strings.Fields(event)...)
-			}
-			now = now.Add(settleTime)
-			for _, text := range strings.Fields(c.quarantined) {
-				if b.Remaining(now, prompt(text)) == 0 {
-					t.Errorf("%s isn't quarantined", text)
+				now = now.Add(settleTime)
+				for _, text := range strings.Fields(c.quarantined) {
+					if b.Remaining(now, prompt(text)) == 0 {
+						t.Errorf("%s isn't quarantined", text)
+					}
 				}
-			}
-			for _, text := range strings.Fields(c.free) {
-				if b.Remaining(now, prompt(text)) > 0 {
-					t.Errorf("%s is quarantined", text)
+				for _, text := range strings.Fields(c.free) {
+					if b.Remaining(now, prompt(text)) > 0 {
+						t.Errorf("%s is quarantined", text)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -208,23 +208,28 @@
 	return out
 }
 
-// isSegmentAsSuspect reports whether a segment of other requests at the crashes of a request explains them as
-// well as the request does.
+// isSegmentAsSuspect reports whether a segment of other requests was at all crashes of a request and is as suspect,
+// given the scores of segments.
 func (r *Registry) isSegmentAsSuspect(k Key, segments map[Key]int, score int) bool {
+	var everywhere map[Key]struct{} // segments of others at all crashes so far; nil before the first
 	for _, c := range r.crashes {
 		own, present := c.suspects[k]
 		if !present {
 			continue
 		}
+		here := map[Key]struct{}{}
 		for other, s := range c.suspects {
 			for _, id := range s.segments {
-				if !slices.Contains(own.segments, id) && segments[segmentKey(other.Organisation, id)] >= score {
-					return true
+				segment := segmentKey(other.Organisation, id)
+				_, before := everywhere[segment]
+				if !slices.Contains(own.segments, id) && segments[segment] >= score && (before || everywhere == nil) {
+					here[segment] = struct{}{}
 				}
 			}
 		}
+		everywhere = here
 	}
-	return false
+	return len(everywhere) > 0
 }
 
 // lastCrashTime returns the time of the last crash that a request was at.
