upstream, dispatch: clear no message of a chat by an engine's error

An engine that rejects a chat hasn't answered its messages, but its response cleared them of the crashes before (status 400 with JSON counts as done at the own interface), so that a message that crashes engines stayed in use. Found by reading.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -31,10 +31,10 @@
 	switch r.Status {
 	case upstream.Done:
 		if r.EndUnstated {
-			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.sentAt, a.buffer.Written() > 0, o.OnSuspectCleared)
+			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.completionBegan(r), a.buffer.Written() > 0, o.OnSuspectCleared)
 			return
 		}
-		if o.Quarantine.RecordCompletion(now, a.identity, a.sentAt) {
+		if o.Quarantine.RecordCompletion(now, a.identity, a.completionBegan(r)) {
 			o.OnSuspectCleared()
 		}
 	case upstream.NotWritten:
@@ -52,6 +52,14 @@
 	}
 }
 
+// completionBegan returns a time at which a successful response hadn't begun yet; the zero time for any other one.
+func (a *attempts) completionBegan(r upstream.Result) time.Time {
+	if r.ErrorStatus {
+		return time.Time{}
+	}
+	return a.sentAt
+}
+
 // diagnose finds out whether the process of an upstream at which responses were lost has
 // terminated. It blocks for the connection checks.
 func (d *Dispatcher) diagnose(set, address string) {
--- a/internal/faults/crashes_test.go
+++ b/internal/faults/crashes_test.go
@@ -112,6 +112,9 @@
 // crashingMessage crashes each engine that begins to answer a chat that has it before the last message.
 const crashingMessage = "dead message"
 
+// rejectedMessage makes an engine reject a chat before it runs it.
+const rejectedMessage = "rejected message"
+
 // startCrashingEngines replaces the engines by 12 that crash when they answer a chat with crashingMessage.
 func (f *fleet) startCrashingEngines() (crashes *atomic.Int32) {
 	f.t.Helper()
@@ -132,6 +135,11 @@
 		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
 			w.Header().Set("Content-Type", "application/json")
+			if strings.Contains(string(body), rejectedMessage) {
+				w.WriteHeader(http.StatusBadRequest)
+				_, _ = io.WriteString(w, `{"error":{"message":"rejected"}}`)
+				return
+			}
 			if !strings.Contains(string(body), crashingMessage) {
 				_, _ = io.WriteString(w, `{"choices":[{"text":"new engine","message":{"role":"assistant","content":"new engine"},"finish_reason":"stop"}],"usage":{"prompt_tokens":9,"completion_tokens":2,"total_tokens":11}}`)
 				return
@@ -169,6 +177,9 @@
 			f.daemons[n].send(chatCall(crashingMessage, fmt.Sprint("own ", n)))
 			return crashes.Load() > before
 		})
+		f.eventually("an engine rejects a chat with the message, which shows nothing", func() bool {
+			return f.daemons[n].send(chatCall(crashingMessage, rejectedMessage)).status == http.StatusBadRequest
+		})
 	}
 	f.eventually("both requests and the message are quarantined", func() bool {
 		return f.daemons[0].metric("tacktally_requests_held") >= 3 && f.daemons[1].metric("tacktally_requests_held") >= 3
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -85,6 +85,8 @@
 	// EndUnstated reports that the response is complete only as far as its connection shows: it has neither
 	// a length nor chunks.
 	EndUnstated bool
+	// ErrorStatus reports that the response has an HTTP status of 400 or more.
+	ErrorStatus bool
 	// RetryAfter is the retry delay that a busy upstream requested; 0 if it named none.
 	RetryAfter time.Duration
 }
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -33,6 +33,13 @@
 
 // relay writes one response to the buffer.
 func relay(ctx context.Context, call Call, response *http.Response, b *answer.Buffer) Result {
+	result := relayByKind(ctx, call, response, b)
+	result.ErrorStatus = response.StatusCode >= http.StatusBadRequest
+	return result
+}
+
+// relayByKind relays the response of a service, a stream or another response of an engine.
+func relayByKind(ctx context.Context, call Call, response *http.Response, b *answer.Buffer) Result {
 	if isBusy(call, response) {
 		return Result{Status: Busy, RetryAfter: retryAfter(response), Err: fmt.Errorf("upstream responded %s", response.Status)}
 	}
