--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -145,7 +145,7 @@
 		Gate:               d.gate,
 		Quarantine:         d.quarantine,
 		OnQuarantineChange: func() { go d.mesh.Announce() },
-		OnSuspectCleared:   func() { d.mesh.AnnounceSoon() },
+		OnResponseRecorded: func() { d.mesh.AnnounceSoon() },
 	})
 }
 
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -31,11 +31,11 @@
 	switch r.Status {
 	case upstream.Done:
 		if r.EndUnstated {
-			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.completionBegan(r), a.buffer.Written() > 0, o.OnSuspectCleared)
+			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.completionBegan(r), a.buffer.Written() > 0, o.OnResponseRecorded)
 			return
 		}
 		if o.Quarantine.RecordCompletion(now, a.identity, a.completionBegan(r)) {
-			o.OnSuspectCleared()
+			o.OnResponseRecorded()
 		}
 	case upstream.NotWritten:
 		if !isLocalAbort(r.Err) && o.Quarantine.NeedsDiagnosis(now, address) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -89,10 +89,10 @@
 	Gate *pause.Gate
 	// Quarantine holds the requests that are believed to crash upstreams.
 	Quarantine *quarantine.Registry
-	// OnQuarantineChange is called when Quarantine has changes for the peers, and OnSuspectCleared when a
-	// response has cleared a suspect. They must not block.
+	// OnQuarantineChange is called when Quarantine has changes for the peers, and OnResponseRecorded when these
+	// come from a response, often several within moments. They must not block.
 	OnQuarantineChange func()
-	OnSuspectCleared   func()
+	OnResponseRecorded func()
 }
 
 // Dispatcher serves requests at this instance. It is safe for concurrent use.
--- a/internal/listen/limited_listener_test.go
+++ b/internal/listen/limited_listener_test.go
@@ -202,8 +202,7 @@
 	is.Equal(string(b), "GET")
 }
 
-// A request that runs must be answered: its connection may not be closed for a new one, also not in the moment in
-// which its first byte is read. In a soak such requests were sent to upstreams and their callers got nothing.
+// Guards against a connection that is closed for a new one in the moment in which its request is read, and runs.
 func TestRequestThatRunsIsAnsweredUnderABurstOfConnections(t *testing.T) {
 	is := is.New(t)
 	l, err := TCP("test", "127.0.0.1:0")
