--- a/internal/listen/limited_listener.go
+++ b/internal/listen/limited_listener.go
@@ -11,10 +11,10 @@
 )
 
 // LimitedListener limits the number of open connections of callers. At the limit it still
-// accepts a new connection, and closes the one that has been idle longest. If no connection is
-// idle, the new one is closed at once without being read, which shows its caller that nothing
-// ran. A connection isn't idle once a part of its next request has arrived, read or not. If the instance stopped accepting instead, callers would wait although it reports
-// itself as ready.
+// accepts a new connection, and closes the one that has been idle longest. A connection isn't idle
+// once a part of its next request has arrived, read or not. If no connection is idle, the new one is
+// closed at once without being read, which shows its caller that nothing ran. If the instance stopped
+// accepting instead, callers would wait although it reports itself as ready.
 //
 // The http.Server that serves the listener must have ConnState as its ConnState hook. Safe for
 // concurrent use.
