operatorapi: answer a drain before it begins

"tacktally drain" said that no instance answers, while the instance drained: an idle one shuts down within milliseconds and closed its operators' connections before the response was written.

--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -325,8 +325,10 @@
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.instance.Status()) }
 
 func (s *Server) drain(w http.ResponseWriter, _ *http.Request) {
-	s.instance.Drain()
+	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusAccepted)
+	_ = http.NewResponseController(w).Flush() // an idle instance closes its connections right after
+	s.instance.Drain()
 }
 
 func (s *Server) writeMetrics(w http.ResponseWriter, _ *http.Request) {
