--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -34,7 +34,9 @@
 	Complete bool
 	// EndUnstated reports that the response had neither a length nor chunks.
 	EndUnstated bool
-	Received    time.Time
+	// NotSent reports that the request was not sent: no connection could be opened, or it had been closed.
+	NotSent  bool
+	Received time.Time
 }
 
 // Ledger records the requests, their executions and their responses, as callers and upstreams saw
@@ -233,6 +235,28 @@
 	return served, n
 }
 
+// Unserved describes the responses that Served counts as not served: how many there are by status, reason and runs.
+func (l *Ledger) Unserved(from, to time.Time, counts func(Request, Response) bool) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]int{}
+	for id, a := range l.responses {
+		r := l.requests[id]
+		if r.Sent.Before(from) || r.Sent.After(to) || !r.Left.IsZero() || !counts(r, a) || a.Status == http.StatusOK && a.Complete {
+			continue
+		}
+		cause, _, _ := strings.Cut(a.Body, ":")
+		switch {
+		case a.NotSent:
+			cause = "not sent"
+		case a.Status == http.StatusOK:
+			cause = "incomplete"
+		}
+		out[fmt.Sprintf("%d %s, ran %d times", a.Status, cause, len(l.runs[id]))]++
+	}
+	return fmt.Sprint(out)
+}
+
 // Summary describes how many requests were sent and ran, and the statuses of their responses.
 func (l *Ledger) Summary() string {
 	l.mu.Lock()
