entry: fetch all quarantine periods from the first peer

Requests with a segment that the whole fleet had quarantined reached workers once more through an instance that had just started, and crashed one.

Cause: a starting instance fetches its configuration whole, and with it leaving notices and limits, but learned of older quarantine periods from heartbeats alone, which have one of them each.

Change: the state that an instance fetches has all quarantine periods until it has got them once, and they are merged before the configuration. An instance that has read the configuration itself fetches them too, as soon as it is linked. Later fetches don't have them, so that they cost nothing but at a start.

TestStateOfAPeerHasAllQuarantinedSegments failed before (none of three known).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -87,8 +88,10 @@
 	proxy  *proxy.Handler
 	// quarantine records requests that crash upstreams.
 	quarantine *quarantine.Registry
-	mesh       *peer.Mesh
-	ready      readiness
+	// knowsQuarantined reports that a peer has sent all its quarantine periods.
+	knowsQuarantined atomic.Bool
+	mesh             *peer.Mesh
+	ready            readiness
 	// relayServer relays connections for peers; nil without routed.relay. relays are the peers that may
 	// relay for this instance.
 	relayServer *relay.Server
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -12,6 +12,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/transfer"
@@ -48,6 +49,9 @@
 		Missing:     list.Missing,
 		Evacuations: peer.Evacuations(v.CurrentEvacuations()),
 	}
+	if f.Quarantined {
+		s.Quarantined = p.instance.quarantine.AllQuarantined(time.Now())
+	}
 	switch {
 	case f.Revision == configuration.Revision:
 	case f.AcceptsParts && len(configuration.Content) > transfer.InlineBytes:
@@ -84,7 +88,7 @@
 func (p *peerHandler) FetchRequest() *peer.FetchRequest {
 	v := p.instance.view
 	known := v.KnownState()
-	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true}
+	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load()}
 }
 
 // MergeState implements peer.Handler. The peer's state was current when it was requested or later,
@@ -92,6 +96,9 @@
 func (p *peerHandler) MergeState(from string, requestedAt time.Time, s *peer.State) {
 	v := p.instance.view
 	p.instance.metrics.Add("tacktally_config_received_bytes_total", len(s.Content))
+	// Before the configuration, so that no request is admitted by it that peers have quarantined.
+	p.instance.quarantine.Merge(time.Now(), &quarantine.Update{Quarantined: s.Quarantined})
+	p.instance.knowsQuarantined.Store(true)
 	v.MergeEvacuations(view.Evacuations(s.Evacuations), from)
 	p.mergeConfiguration(from, requestedAt.Add(-s.Age), s)
 	list := view.List{
@@ -182,19 +189,20 @@
 // take some seconds.
 const maxSourceReachable = time.Minute
 
-// isBehind reports whether a heartbeat announces a newer configuration or list.
+// isBehind reports whether a heartbeat announces a newer configuration or list, or this instance hasn't fetched the
+// quarantine periods of a peer yet.
 func (i *Instance) isBehind(h *peer.Heartbeat) bool {
-	return i.view.IsOlderThan(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion()
+	return !i.knowsQuarantined.Load() || i.view.IsOlderThan(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion()
 }
 
 // crossZoneFetchDelay is how long an instance waits for its own availability zone to provide newer
 // state that another zone announces, since traffic between zones is charged.
 const crossZoneFetchDelay = 600 * time.Millisecond
 
-// catchUp fetches newer state that a peer announces. An instance without a configuration doesn't wait
-// for its own zone.
+// catchUp fetches newer state that a peer announces. An instance that lacks a configuration or the quarantine
+// periods of its peers doesn't wait for its own zone.
 func (i *Instance) catchUp(from string, h *peer.Heartbeat) {
-	if i.mesh.Zone(from) == i.settings.Zone || i.view.Revision() == 0 {
+	if i.mesh.Zone(from) == i.settings.Zone || i.view.Revision() == 0 || !i.knowsQuarantined.Load() {
 		i.mesh.ScheduleFetch(from)
 		return
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -227,6 +227,8 @@
 	// Part requests one part of the configuration instead of the state. An instance that sends no
 	// parts ignores it.
 	Part *PartRequest `cbor:"7,keyasint,omitempty"`
+	// Quarantined requests all quarantine periods.
+	Quarantined bool `cbor:"8,keyasint,omitempty"`
 }
 
 // PartRequest requests one part of the configuration in force.
@@ -292,6 +294,8 @@
 	ContentDigest uint64 `cbor:"16,keyasint,omitempty"`
 	// Part is set in the reply to a request for a part, beside Revision and Age.
 	Part *Part `cbor:"17,keyasint,omitempty"`
+	// Quarantined are all quarantine periods, if the requester asked for them.
+	Quarantined []quarantine.QuarantineRecord `cbor:"18,keyasint,omitempty"`
 }
 
 // Pressure announces that work of Rank is about to be shed for lack of capacity in Set.
@@ -384,7 +388,7 @@
 	case TypeCredit:
 		complete = f.Credit > 0
 	case TypeState:
-		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid())
+		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid()) && quarantine.AreValid(f.State.Quarantined)
 	case TypeFetch:
 		complete = f.Fetch != nil && (f.Fetch.Part == nil || f.Fetch.Part.Offset >= 0)
 	case TypeSlotRequest:
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -58,6 +58,11 @@
 // areValidSegments reports whether a peer can have sent the segments of a request.
 func areValidSegments(list []uint64) bool { return len(list) <= maxSegments && slices.IsSorted(list) }
 
+// AreValid reports whether a peer can have sent the records as all of its own.
+func AreValid(all []QuarantineRecord) bool {
+	return len(all) <= maxQuarantined && !slices.ContainsFunc(all, func(q QuarantineRecord) bool { return !q.isValid() })
+}
+
 func (c CrashRecord) isValid() bool {
 	invalid := func(q Request) bool { return q.Kind != WholeRequest || !areValidSegments(q.Segments) }
 	return c.Upstream != "" && c.Age >= 0 && len(c.Unanswered) <= maxUpdateKeys && len(c.Responding) <= maxUpdateKeys &&
@@ -119,12 +124,7 @@
 		u.Crashes = append(u.Crashes, r.crashes[upstream].record(now, upstream))
 	}
 	for _, k := range selectEntries(newestFirst(r.quarantined, func(p period) time.Time { return p.learned }), now, maxRecentQuarantined, r.round) {
-		p := r.quarantined[k]
-		q := QuarantineRecord{Key: k, Remaining: p.until.Sub(now), PeriodCount: p.count, ClearingCount: p.clearings, Segments: p.segments}
-		if len(p.segments) > 0 {
-			q.Evidence = max(now.Sub(p.since), 0)
-		}
-		u.Quarantined = append(u.Quarantined, q)
+		u.Quarantined = append(u.Quarantined, r.quarantined[k].record(now, k))
 	}
 	for _, k := range selectEntries(newestFirst(r.cleared, func(c clearing) time.Time { return c.learned }), now, maxRecentCleared, r.round) {
 		u.Cleared = append(u.Cleared, ClearedRecord{Key: k, Age: max(now.Sub(r.cleared[k].at), 0), ClearingCount: r.cleared[k].count})
@@ -153,6 +153,26 @@
 	return out
 }
 
+func (p period) record(now time.Time, k Key) QuarantineRecord {
+	q := QuarantineRecord{Key: k, Remaining: p.until.Sub(now), PeriodCount: p.count, ClearingCount: p.clearings, Segments: p.segments}
+	if len(p.segments) > 0 {
+		q.Evidence = max(now.Sub(p.since), 0)
+	}
+	return q
+}
+
+// AllQuarantined returns all quarantine periods, for a peer that may know none of them.
+func (r *Registry) AllQuarantined(now time.Time) (out []QuarantineRecord) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropExpired(now)
+	r.updateVerdicts(now)
+	for k, p := range r.quarantined {
+		out = append(out, p.record(now, k))
+	}
+	return out
+}
+
 // timestamped is an entry with the time of its last change.
 type timestamped[K any] struct {
 	name K
