--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/request"
 )
 
@@ -34,6 +35,9 @@
 	if l.Version > 0 {
 		s.List, _ = json.Marshal(l.Instances) // a list of instances always encodes
 	}
+	if f.Quarantined {
+		s.Quarantined = p.quarantine.AllQuarantined(time.Now())
+	}
 	return s
 }
 
@@ -42,12 +46,14 @@
 	if c := p.holder.Current(); c != nil {
 		return &peer.FetchRequest{Parts: c.PartHashes()}
 	}
-	return &peer.FetchRequest{}
+	return &peer.FetchRequest{Quarantined: true} // it has just started
 }
 
 // MergeState implements peer.Handler.
 func (p *peerHandler) MergeState(from string, _ time.Time, s *peer.State) {
 	d := (*Daemon)(p)
+	// Before the configuration, so that no request is admitted by it that peers have quarantined.
+	d.quarantine.Merge(time.Now(), &quarantine.Update{Quarantined: s.Quarantined})
 	if s.Revision > 0 {
 		d.offerConfig(d.runCtx, s.Revision, s.Content, s.Parts, "peer "+from)
 	}
