quarantine: bound the time for which evidence of many crashes is examined

Found by a benchmark, not seen by callers: with as much evidence as is stored (64 crashes within 64 ms with 32 suspects each, as after the loss of a zone) one examination took 496 ms on a whole core with the registry locked, on 5 busy cores. Every request waits for that lock, each change of the evidence caused an examination, and unchanged evidence one every 20 ms until it was settled.

Evidence that grew was examined at once, however much there was.

Change: the segments of each crash are collected once for an examination, without those that were at a single crash, which reach no threshold.

TestLargeEvidenceIsNotExaminedAtEachChange fails without the rest. TestOneOrganisationFillsOnlyItsOwnShare let time go back between its crashes, which the rest doesn't expect; its crashes follow each other now.

--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -115,7 +115,8 @@
 	// determined.
 	suspectedSegments map[uint64]time.Time
 	verdictDue        time.Time // when verdicts must be updated; zero if nothing changed
-	nextVerdict       time.Time // the earliest time of the next update of verdicts
+	lastVerdict       time.Time // the time of the last update of verdicts
+	nextVerdict       time.Time // the earliest time of the next one
 	round             int       // selects the older entries of the next update
 }
 
@@ -282,7 +283,7 @@
 	c.suspects[k] = suspect{suspicion: suspicionOf(started), segments: segments}
 	c.lastChanged = now
 	r.extend(q, c)
-	r.verdictDue, r.nextVerdict = now.Add(settleTime), now
+	r.verdictDue, r.nextVerdict = now.Add(settleTime), r.lastVerdict.Add(r.restBetweenVerdicts())
 	r.suspectedSegments = nil
 	return true
 }
--- a/internal/quarantine/segments.go
+++ b/internal/quarantine/segments.go
@@ -86,10 +86,11 @@
 
 // segmentCulprits returns the sets of segments in a scope that reach a threshold.
 func (r *Registry) segmentCulprits(now time.Time, scope segmentScope) []segmentCulprit {
-	evidence := r.segmentEvidence(scope, func(c *crash) bool { return now.Sub(c.lastChanged) >= settleTime })
+	index := r.indexCrashes(scope)
+	evidence := r.segmentEvidence(scope, index, func(c *crash) bool { return now.Sub(c.lastChanged) >= settleTime })
 	var out []segmentCulprit
 	for id, e := range evidence {
-		if e.isSufficient(scope) && r.isTopSegment(e, scope, evidence) {
+		if e.isSufficient(scope) && r.isTopSegment(e, index, evidence) {
 			out = append(out, r.culpritWith(id, e, scope))
 		}
 	}
@@ -125,8 +126,27 @@
 		(scope.kind == SegmentSet || len(e.organisations) > 1)
 }
 
-// segmentEvidence adds up the suspicion of each segment over the crashes that count.
-func (r *Registry) segmentEvidence(scope segmentScope, counts func(*crash) bool) map[uint64]*segmentEvidence {
+// crashIndex has the suspicion of each segment at each crash.
+type crashIndex map[*crash]map[uint64]suspicion
+
+// indexCrashes returns the index of the segments in a scope. It leaves out those that were at one crash only, which
+// reach no threshold: most are in the prompt of a single request.
+func (r *Registry) indexCrashes(scope segmentScope) crashIndex {
+	index, crashes := crashIndex{}, map[uint64]int{}
+	for _, c := range r.crashes {
+		index[c] = r.segmentsAt(c, scope)
+		for id := range index[c] {
+			crashes[id]++
+		}
+	}
+	for _, segments := range index {
+		maps.DeleteFunc(segments, func(id uint64, _ suspicion) bool { return crashes[id] < 2 })
+	}
+	return index
+}
+
+// segmentEvidence adds up the suspicion of each segment of an index over the crashes that count.
+func (r *Registry) segmentEvidence(scope segmentScope, index crashIndex, counts func(*crash) bool) map[uint64]*segmentEvidence {
 	out := map[uint64]*segmentEvidence{}
 	crashes := r.crashesByTime()
 	for i, c := range crashes {
@@ -134,8 +154,8 @@
 			continue
 		}
 		requests := r.quarantinedRequests(c)
-		for id, s := range r.segmentsAt(c, scope) {
-			if !r.mayReplace(id, scope, requests) {
+		for id, s := range index[c] {
+			if !r.mayReplace(id, index, requests) {
 				continue
 			}
 			e := out[id]
@@ -143,7 +163,7 @@
 				e = &segmentEvidence{requests: map[Key]struct{}{}, contents: map[Key]struct{}{}, organisations: map[string]struct{}{}}
 				out[id] = e
 			}
-			if len(e.crashes) > 0 && c.at.Sub(e.last) < simultaneousWindow && (s == responding || !r.explainsSimultaneous(id, scope, crashes, i)) {
+			if len(e.crashes) > 0 && c.at.Sub(e.last) < simultaneousWindow && (s == responding || !index.explainsSimultaneous(id, crashes, i)) {
 				continue
 			}
 			e.score += int(s)
@@ -191,13 +211,13 @@
 
 // mayReplace reports whether a segment was at all crashes of quarantined requests, so that it may be their cause in
 // place of these requests.
-func (r *Registry) mayReplace(id uint64, scope segmentScope, requests map[Key]suspect) bool {
+func (r *Registry) mayReplace(id uint64, index crashIndex, requests map[Key]suspect) bool {
 	for k := range requests {
 		for _, c := range r.crashes {
 			if _, present := c.suspects[k]; !present {
 				continue
 			}
-			if _, explains := r.segmentsAt(c, scope)[id]; !explains {
+			if _, explains := index[c][id]; !explains {
 				return false
 			}
 		}
@@ -237,12 +257,12 @@
 
 // explainsSimultaneous reports whether a segment was at all crashes within simultaneousWindow before the i-th. If
 // it wasn't, they have a cause in common that isn't this segment, such as the loss of a machine.
-func (r *Registry) explainsSimultaneous(id uint64, scope segmentScope, crashes []*crash, i int) bool {
-	for _, c := range crashes[:i] {
+func (index crashIndex) explainsSimultaneous(id uint64, crashes []*crash, i int) bool {
+	for _, c := range slices.Backward(crashes[:i]) {
 		if crashes[i].at.Sub(c.at) >= simultaneousWindow {
-			continue
+			break
 		}
-		if _, present := r.segmentsAt(c, scope)[id]; !present {
+		if _, present := index[c][id]; !present {
 			return false
 		}
 	}
@@ -250,12 +270,12 @@
 }
 
 // isTopSegment reports whether no other segment at the crashes of one has a higher score.
-func (r *Registry) isTopSegment(e *segmentEvidence, scope segmentScope, evidence map[uint64]*segmentEvidence) bool {
+func (r *Registry) isTopSegment(e *segmentEvidence, index crashIndex, evidence map[uint64]*segmentEvidence) bool {
 	for _, c := range e.crashes {
 		if r.hasCause(c) {
 			continue
 		}
-		for other := range r.segmentsAt(c, scope) {
+		for other := range index[c] {
 			if o := evidence[other]; o != nil && o.score > e.score {
 				return false
 			}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -37,15 +37,29 @@
 	anySuspectThreshold = 3 * int(unanswered)
 )
 
-// verdictInterval is the shortest time between two examinations of the same evidence, until it is settled.
-const verdictInterval = 20 * time.Millisecond
+const (
+	// verdictInterval is the shortest time between two examinations of the same evidence, until it is settled.
+	verdictInterval = 20 * time.Millisecond
+	// suspectsPerInterval is the number of suspects for each verdictInterval after which changed evidence may be
+	// examined again: requests wait meanwhile, and each change of a large crash would cause an examination.
+	suspectsPerInterval = 64
+)
+
+// restBetweenVerdicts returns the shortest time between two examinations, also of evidence that has changed.
+func (r *Registry) restBetweenVerdicts() time.Duration {
+	suspects := 0
+	for _, c := range r.crashes {
+		suspects += len(c.suspects)
+	}
+	return min(time.Duration(suspects/suspectsPerInterval)*verdictInterval, settleTime)
+}
 
 // updateVerdicts quarantines the segments and requests that explain crashes best. The caller holds the lock.
 func (r *Registry) updateVerdicts(now time.Time) {
 	if r.verdictDue.IsZero() || now.Before(r.nextVerdict) {
 		return
 	}
-	r.nextVerdict = now.Add(verdictInterval)
+	r.lastVerdict, r.nextVerdict = now, now.Add(max(verdictInterval, r.restBetweenVerdicts()))
 	r.dropExplained()
 	for {
 		culprits := r.culprits(now)
@@ -199,7 +213,7 @@
 		if scope.kind == SharedSegmentSet {
 			continue
 		}
-		for id, e := range r.segmentEvidence(scope, counts) {
+		for id, e := range r.segmentEvidence(scope, r.indexCrashes(scope), counts) {
 			if len(e.contents) > 1 {
 				out[segmentKey(scope.organisation, id)] = e.score
 			}
