quarantine: arrange the evidence once for all organisations

The same cost, by the number of organisations: the search for segments went through all suspects for each of them.

--- a/internal/quarantine/segments.go
+++ b/internal/quarantine/segments.go
@@ -52,8 +52,9 @@
 // quarantineSegments quarantines the sets of segments that explain crashes best, and reports whether one was
 // stored. The caller holds the lock.
 func (r *Registry) quarantineSegments(now time.Time) (stored bool) {
-	for _, scope := range r.segmentScopes() {
-		culprits := r.segmentCulprits(now, scope)
+	x := r.examine()
+	for _, scope := range x.scopes {
+		culprits := r.segmentCulprits(now, x, scope)
 		for _, c := range culprits {
 			r.dismissBystanders(now, c)
 			stored = r.quarantine(c.key, period{until: c.last.Add(periodLength(1)), count: 1, segments: c.segments, since: c.first, learned: now}) || stored
@@ -65,32 +66,12 @@
 	return stored
 }
 
-// segmentScopes returns the scopes to compare segments in, the narrowest first.
-func (r *Registry) segmentScopes() (out []segmentScope) {
-	organisations := map[string]struct{}{}
-	for _, c := range r.crashes {
-		for k, s := range c.suspects {
-			if len(s.segments) > 0 {
-				organisations[k.Organisation] = struct{}{}
-			}
-		}
-	}
-	for _, name := range slices.Sorted(maps.Keys(organisations)) {
-		out = append(out, segmentScope{SegmentSet, name})
-	}
-	if len(organisations) > 1 {
-		out = append(out, segmentScope{kind: SharedSegmentSet})
-	}
-	return out
-}
-
 // segmentCulprits returns the sets of segments in a scope that reach a threshold.
-func (r *Registry) segmentCulprits(now time.Time, scope segmentScope) []segmentCulprit {
-	index := r.indexCrashes(scope)
-	evidence := r.segmentEvidence(scope, index, func(c *crash) bool { return now.Sub(c.lastChanged) >= settleTime })
+func (r *Registry) segmentCulprits(now time.Time, x *examination, scope scopedSuspects) []segmentCulprit {
+	evidence := x.segmentEvidence(scope, func(c *crash) bool { return now.Sub(c.lastChanged) >= settleTime })
 	var out []segmentCulprit
 	for id, e := range evidence {
-		if e.isSufficient(scope) && r.isTopSegment(e, index, evidence) {
+		if e.isSufficient(scope.segmentScope) && r.isTopSegment(e, scope, evidence) {
 			out = append(out, r.culpritWith(id, e, scope))
 		}
 	}
@@ -126,36 +107,17 @@
 		(scope.kind == SegmentSet || len(e.organisations) > 1)
 }
 
-// crashIndex has the suspicion of each segment at each crash.
-type crashIndex map[*crash]map[uint64]suspicion
-
-// indexCrashes returns the index of the segments in a scope. It leaves out those that were at one crash only, which
-// reach no threshold: most are in the prompt of a single request.
-func (r *Registry) indexCrashes(scope segmentScope) crashIndex {
-	index, crashes := crashIndex{}, map[uint64]int{}
-	for _, c := range r.crashes {
-		index[c] = r.segmentsAt(c, scope)
-		for id := range index[c] {
-			crashes[id]++
-		}
-	}
-	for _, segments := range index {
-		maps.DeleteFunc(segments, func(id uint64, _ suspicion) bool { return crashes[id] < 2 })
-	}
-	return index
-}
-
-// segmentEvidence adds up the suspicion of each segment of an index over the crashes that count.
-func (r *Registry) segmentEvidence(scope segmentScope, index crashIndex, counts func(*crash) bool) map[uint64]*segmentEvidence {
+// segmentEvidence adds up the suspicion of each segment of a scope over the crashes that count.
+func (x *examination) segmentEvidence(scope scopedSuspects, counts func(*crash) bool) map[uint64]*segmentEvidence {
 	out := map[uint64]*segmentEvidence{}
-	crashes := r.crashesByTime()
-	for i, c := range crashes {
-		if !counts(c) {
+	for i, c := range x.crashes {
+		at := scope.at[c]
+		if at == nil || !counts(c) {
 			continue
 		}
-		requests := r.quarantinedRequests(c)
-		for id, s := range index[c] {
-			if !r.mayReplace(id, index, requests) {
+		requests := x.requests[c]
+		for id, s := range at.segments {
+			if !x.mayReplace(id, scope, requests) {
 				continue
 			}
 			e := out[id]
@@ -163,12 +125,12 @@
 				e = &segmentEvidence{requests: map[Key]struct{}{}, contents: map[Key]struct{}{}, organisations: map[string]struct{}{}}
 				out[id] = e
 			}
-			if len(e.crashes) > 0 && c.at.Sub(e.last) < simultaneousWindow && (s == responding || !index.explainsSimultaneous(id, crashes, i)) {
+			if len(e.crashes) > 0 && c.at.Sub(e.last) < simultaneousWindow && (s == responding || !x.explainsSimultaneous(id, scope, i)) {
 				continue
 			}
 			e.score += int(s)
 			switch {
-			case r.hasSegmentCause(c):
+			case x.bySegments[c]:
 			case len(requests) == 0:
 				e.unexplained += int(s)
 			default:
@@ -176,7 +138,7 @@
 			}
 			e.crashes = append(e.crashes, c)
 			e.last = c.at
-			for k, suspect := range scope.suspects(c) {
+			for k, suspect := range at.suspects {
 				if slices.Contains(suspect.segments, id) {
 					e.contents[k] = struct{}{}
 					e.organisations[k.Organisation] = struct{}{}
@@ -198,26 +160,12 @@
 	return out
 }
 
-// quarantinedRequests returns the suspects of a crash whose whole content is quarantined.
-func (r *Registry) quarantinedRequests(c *crash) map[Key]suspect {
-	out := map[Key]suspect{}
-	for k, s := range c.suspects {
-		if _, quarantined := r.quarantined[k]; quarantined {
-			out[k] = s
-		}
-	}
-	return out
-}
-
 // mayReplace reports whether a segment was at all crashes of quarantined requests, so that it may be their cause in
 // place of these requests.
-func (r *Registry) mayReplace(id uint64, index crashIndex, requests map[Key]suspect) bool {
+func (x *examination) mayReplace(id uint64, scope scopedSuspects, requests map[Key]suspect) bool {
 	for k := range requests {
-		for _, c := range r.crashes {
-			if _, present := c.suspects[k]; !present {
-				continue
-			}
-			if _, explains := index[c][id]; !explains {
+		for _, c := range x.crashes {
+			if _, present := c.suspects[k]; present && !scope.wasAt(id, c) {
 				return false
 			}
 		}
@@ -239,30 +187,14 @@
 	}
 }
 
-// segmentsAt returns the suspicion of each segment at a crash. A segment in prompts that were answered recently,
-// of any organisation, has the weight of a response that had started.
-func (r *Registry) segmentsAt(c *crash, scope segmentScope) map[uint64]suspicion {
-	out := map[uint64]suspicion{}
-	for _, s := range scope.suspects(c) {
-		for _, id := range s.segments {
-			weight := s.suspicion
-			if r.segmentResponses.has(segmentKey("", id)) {
-				weight = responding
-			}
-			out[id] = max(out[id], weight)
-		}
-	}
-	return out
-}
-
 // explainsSimultaneous reports whether a segment was at all crashes within simultaneousWindow before the i-th. If
 // it wasn't, they have a cause in common that isn't this segment, such as the loss of a machine.
-func (index crashIndex) explainsSimultaneous(id uint64, crashes []*crash, i int) bool {
-	for _, c := range slices.Backward(crashes[:i]) {
-		if crashes[i].at.Sub(c.at) >= simultaneousWindow {
+func (x *examination) explainsSimultaneous(id uint64, scope scopedSuspects, i int) bool {
+	for _, c := range slices.Backward(x.crashes[:i]) {
+		if x.crashes[i].at.Sub(c.at) >= simultaneousWindow {
 			break
 		}
-		if _, present := index[c][id]; !present {
+		if !scope.wasAt(id, c) {
 			return false
 		}
 	}
@@ -270,12 +202,12 @@
 }
 
 // isTopSegment reports whether no other segment at the crashes of one has a higher score.
-func (r *Registry) isTopSegment(e *segmentEvidence, index crashIndex, evidence map[uint64]*segmentEvidence) bool {
+func (r *Registry) isTopSegment(e *segmentEvidence, scope scopedSuspects, evidence map[uint64]*segmentEvidence) bool {
 	for _, c := range e.crashes {
 		if r.hasCause(c) {
 			continue
 		}
-		for other := range index[c] {
+		for other := range scope.at[c].segments {
 			if o := evidence[other]; o != nil && o.score > e.score {
 				return false
 			}
@@ -287,28 +219,28 @@
 // culpritWith returns the largest set of segments that was in a request at each crash of the given one.
 // Segments that always come together can't be told apart; the set doesn't apply to requests that have only some
 // of them, and shrinks when these are answered.
-func (r *Registry) culpritWith(id uint64, e *segmentEvidence, scope segmentScope) segmentCulprit {
+func (r *Registry) culpritWith(id uint64, e *segmentEvidence, scope scopedSuspects) segmentCulprit {
 	first := e.crashes[0].at
 	var common []uint64
 	for i, c := range e.crashes {
-		together := r.segmentsBeside(c, scope, id)
+		together := scope.segmentsBeside(id, c)
 		if i == 0 {
 			common = together
 		}
 		common = slices.DeleteFunc(common, func(other uint64) bool { return !slices.Contains(together, other) })
 	}
-	common = r.withoutCleared(scope, common, first)
+	common = r.withoutCleared(scope.segmentScope, common, first)
 	for _, c := range e.crashes {
-		if !isTogether(scope.suspects(c), common) {
+		if !isTogether(scope.at[c].suspects, common) {
 			common = slices.DeleteFunc(common, func(other uint64) bool { return other != id })
 		}
 	}
 	return segmentCulprit{key: segmentSetKey(scope.kind, scope.organisation, common), segments: common, score: e.score, crashes: e.crashes, first: first, last: e.last}
 }
 
-// segmentsBeside returns the segments of the suspects that have a given one, ascending.
-func (r *Registry) segmentsBeside(c *crash, scope segmentScope, id uint64) (out []uint64) {
-	for _, s := range scope.suspects(c) {
+// segmentsBeside returns the segments of the suspects of a crash that have a given one, ascending.
+func (s scopedSuspects) segmentsBeside(id uint64, c *crash) (out []uint64) {
+	for _, s := range s.at[c].suspects {
 		if slices.Contains(s.segments, id) {
 			out = append(out, s.segments...)
 		}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -209,11 +209,12 @@
 // segmentScores returns the suspicion of each segment over the crashes that count.
 func (r *Registry) segmentScores(counts func(*crash) bool) map[Key]int {
 	out := map[Key]int{}
-	for _, scope := range r.segmentScopes() {
+	x := r.examine()
+	for _, scope := range x.scopes {
 		if scope.kind == SharedSegmentSet {
 			continue
 		}
-		for id, e := range r.segmentEvidence(scope, r.indexCrashes(scope), counts) {
+		for id, e := range x.segmentEvidence(scope, counts) {
 			if len(e.contents) > 1 {
 				out[segmentKey(scope.organisation, id)] = e.score
 			}
