--- a/internal/quarantine/examination.go
+++ b/internal/quarantine/examination.go
@@ -9,8 +9,8 @@
 // of organisations.
 type examination struct {
 	crashes []*crash // in the order of their times
-	// requests are the suspects whose whole content is quarantined, and bySegments is set if one of them all has
-	// a quarantined set of segments.
+	// requests are the suspects of a crash whose whole content is quarantined, and bySegments reports whether any
+	// suspect of a crash has a quarantined set of segments.
 	requests   map[*crash]map[Key]suspect
 	bySegments map[*crash]bool
 	scopes     []scopedSuspects // the narrowest first
@@ -39,6 +39,7 @@
 	return present
 }
 
+// add adds a suspect of a crash.
 func (s scopedSuspects) add(c *crash, k Key, q suspect) {
 	at := s.at[c]
 	if at == nil {
--- a/internal/quarantine/segments.go
+++ b/internal/quarantine/segments.go
@@ -240,9 +240,9 @@
 
 // segmentsBeside returns the segments of the suspects of a crash that have a given one, ascending.
 func (s scopedSuspects) segmentsBeside(id uint64, c *crash) (out []uint64) {
-	for _, s := range s.at[c].suspects {
-		if slices.Contains(s.segments, id) {
-			out = append(out, s.segments...)
+	for _, q := range s.at[c].suspects {
+		if slices.Contains(q.segments, id) {
+			out = append(out, q.segments...)
 		}
 	}
 	slices.Sort(out)
