quarantine: clear nothing by a response without a stated end unless its upstream is alive

Cause: a response without a stated end, as a crash leaves it too, counted as complete after a second in which no crash of its upstream became known. The crash of i-4 at 43.6 s stayed in doubt, since its neighbours had crashed as well and refused connections; at 44.621 s its response was confirmed and cleared the segment at all instances; at 44.677 s the next request with it reached a worker. After a pause of the process of some seconds the same happened at 49.378 s before any diagnosis had run.

Change: where such a response would clear something, its upstream's process must be listed and accept a connection then; and nothing is confirmed that long after the end that this process must have been paused. The check costs a connection only while the request or its segments are suspected. The same at the own interface.

TestUnstatedEndClearsOnlyWhereItsUpstreamIsAlive fails without either.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -31,7 +31,8 @@
 	switch r.Status {
 	case upstream.Done:
 		if r.EndUnstated {
-			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.completionBegan(r), a.buffer.Written() > 0, o.OnResponseRecorded)
+			isAlive := func() bool { return o.Client.CheckConnection(context.Background(), address) == nil }
+			o.Quarantine.TrackUnstatedEnd(address, a.identity, a.completionBegan(r), a.buffer.Written() > 0, isAlive, o.OnResponseRecorded)
 			return
 		}
 		if o.Quarantine.RecordCompletion(now, a.identity, a.completionBegan(r)) {
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -42,7 +42,7 @@
 	registry, now := j.handler.o.Quarantine, time.Now()
 	switch {
 	case (r.status == completed || r.status == upstreamFailed) && j.framing == exchange.UntilClose:
-		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.o.AnnounceSoon)
+		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.livenessCheck(j.upstream, r.process), j.handler.o.AnnounceSoon)
 		// A stream that ends so soon may be a crash, which no other request may notice for a while.
 		if j.route.Kind == routing.Stream && !j.hasStarted() && registry.NeedsDiagnosis(now, r.process) {
 			j.handler.startDiagnosis(j.upstream, r.process)
@@ -102,6 +102,15 @@
 	}
 }
 
+// livenessCheck returns a function that reports whether an upstream's process is listed and accepts connections. It
+// blocks for the connection check.
+func (h *Handler) livenessCheck(upstream, process string) func() bool {
+	return func() bool {
+		connections := h.o.Fleet.ConnectionsTo(upstream)
+		return connections != nil && h.o.Fleet.ProcessOf(upstream) == process && connections.CheckConnection(context.Background()) == nil
+	}
+}
+
 func (h *Handler) recordCrash(process string) {
 	if h.o.Quarantine.RecordCrash(time.Now(), process) {
 		h.o.Announce()
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -161,13 +161,15 @@
 // ConfirmAfter is the time after which a response without a stated end is confirmed.
 const ConfirmAfter = lossWindow
 
-// ConfirmResponse records a response without a stated end, which ended ConfirmAfter ago, as complete unless its
-// upstream process is known to have terminated within lossWindow of that. Began is when the response began. It
-// reports whether this clears the request or its segments, which peers must receive.
-func (r *Registry) ConfirmResponse(now time.Time, upstream string, q Request, began time.Time) bool {
+// ConfirmResponse records a response without a stated end as complete unless its upstream process is known to have
+// terminated within lossWindow of its end. Ended is when the response ended, ConfirmAfter ago, and began when it
+// began. ConfirmResponse reports whether this clears the request or its segments, which peers must receive.
+func (r *Registry) ConfirmResponse(now, ended time.Time, upstream string, q Request, began time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ended := now.Add(-ConfirmAfter)
+	if now.Sub(ended) >= 2*ConfirmAfter {
+		return false // this process was paused, and the upstream may have been replaced since
+	}
 	if c := r.crashes[upstream]; c != nil && c.at.Sub(ended).Abs() <= lossWindow {
 		return false
 	}
@@ -175,19 +177,32 @@
 }
 
 // TrackUnstatedEnd records a response without a stated end now, and confirms it after ConfirmAfter. Began is
-// when it began, or zero if it says nothing about the prompt's segments. TrackUnstatedEnd calls onChange after
-// each change that peers must receive.
-func (r *Registry) TrackUnstatedEnd(upstream string, q Request, began time.Time, started bool, onChange func()) {
-	if r.RecordUnstatedEnd(time.Now(), upstream, q, started) {
+// when it began, or zero if it says nothing about the prompt's segments. Where the response would clear the request
+// or a segment, it is confirmed only if isAlive reports that the upstream process still runs: that no crash is known
+// doesn't show it. IsAlive may block. TrackUnstatedEnd calls onChange after each change that peers must receive.
+func (r *Registry) TrackUnstatedEnd(upstream string, q Request, began time.Time, started bool, isAlive func() bool, onChange func()) {
+	ended := time.Now()
+	if r.RecordUnstatedEnd(ended, upstream, q, started) {
 		onChange()
 	}
 	time.AfterFunc(ConfirmAfter, func() {
-		if r.ConfirmResponse(time.Now(), upstream, q, began) {
+		if r.isAnySuspected(q, began) && !isAlive() {
+			return
+		}
+		if r.ConfirmResponse(time.Now(), ended, upstream, q, began) {
 			onChange()
 		}
 	})
 }
 
+// isAnySuspected reports whether a request is suspected, or a segment of its prompt because of a crash before the
+// given time.
+func (r *Registry) isAnySuspected(q Request, before time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isSuspected(q.Key) || slices.ContainsFunc(q.Segments, func(id uint64) bool { return r.isSegmentSuspected(id, before) })
+}
+
 // NeedsDiagnosis reports whether an upstream to which no connection could be opened must be diagnosed,
 // since responses ended or were lost there within lossWindow.
 func (r *Registry) NeedsDiagnosis(now time.Time, upstream string) bool {
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -196,7 +197,7 @@
 			for i, upstream := range []string{"1", "2"} {
 				at := start.Add(time.Duration(i) * time.Minute)
 				c.history(b, upstream, at)
-				b.ConfirmResponse(at.Add(ConfirmAfter), upstream, key("x"), time.Time{})
+				b.ConfirmResponse(at.Add(ConfirmAfter), at, upstream, key("x"), time.Time{})
 			}
 			is.Equal(b.Remaining(start.Add(time.Minute+ConfirmAfter), key("x")) > 0, c.quarantined)
 		})
@@ -211,10 +212,41 @@
 	is.True(b.Remaining(start.Add(settleTime), key("x")) > 0)
 	b.RecordUnstatedEnd(start.Add(time.Minute), "3", key("x"), false)
 	is.True(b.Remaining(start.Add(time.Minute), key("x")) > 0)
-	is.True(b.ConfirmResponse(start.Add(time.Minute+ConfirmAfter), "3", key("x"), time.Time{}))
+	is.True(b.ConfirmResponse(start.Add(time.Minute+ConfirmAfter), start.Add(time.Minute), "3", key("x"), time.Time{}))
 	is.Equal(b.Remaining(start.Add(time.Minute+ConfirmAfter), key("x")), time.Duration(0))
 }
 
+// Guards against a quarantine that ends since a crash looked like the end of a response and couldn't be diagnosed: no
+// neighbour of the upstream accepted connections, or this process was paused.
+func TestUnstatedEndClearsOnlyWhereItsUpstreamIsAlive(t *testing.T) {
+	for name, alive := range map[string]bool{"alive": true, "in doubt": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newRegistry(true)
+				for n := range 3 {
+					promptCrash(b, time.Now(), fmt.Sprint(n), fmt.Sprint(n, ":P"))
+				}
+				held := prompt("9:P")
+				<-time.After(settleTime)
+				is.True(b.Remaining(time.Now(), held) > 0)
+				b.TrackUnstatedEnd("3", prompt("3:P"), time.Now(), true, func() bool { return alive }, func() {})
+				<-time.After(ConfirmAfter)
+				synctest.Wait()
+				is.Equal(b.Remaining(time.Now(), held) > 0, !alive)
+			})
+		})
+	}
+	is := is.New(t)
+	b := newRegistry(true)
+	crashOf(b, start, "1", "x")
+	crashOf(b, start, "2", "x")
+	paused := start.Add(10 * ConfirmAfter)
+	b.RecordUnstatedEnd(start, "3", key("x"), false)
+	is.True(!b.ConfirmResponse(paused, start, "3", key("x"), time.Time{}))
+	is.True(b.Remaining(paused, key("x")) > 0)
+}
+
 // An upstream that has restarted under its name must be able to clear requests: its crash was another one.
 func TestResponseAfterACrashIsConfirmed(t *testing.T) {
 	is := is.New(t)
@@ -223,7 +255,7 @@
 	crashOf(b, start, "2", "x")
 	ended := start.Add(time.Minute)
 	b.RecordUnstatedEnd(ended, "1", key("x"), false)
-	is.True(b.ConfirmResponse(ended.Add(ConfirmAfter), "1", key("x"), time.Time{}))
+	is.True(b.ConfirmResponse(ended.Add(ConfirmAfter), ended, "1", key("x"), time.Time{}))
 	is.Equal(b.Remaining(ended.Add(ConfirmAfter), key("x")), time.Duration(0))
 }
 
