--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -223,26 +223,32 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, a := range l.responses {
-		r := l.requests[id]
-		if r.Sent.Before(from) || r.Sent.After(to) || !r.Left.IsZero() || !counts(r, a) {
+		if r := l.requests[id]; !r.stayedWithin(from, to) || !counts(r, a) {
 			continue
 		}
 		n++
-		if a.Status == http.StatusOK && a.Complete {
+		if a.isSuccess() {
 			served++
 		}
 	}
 	return served, n
 }
 
+// stayedWithin reports whether a request was sent within a time range, by a caller that waited for its response.
+func (r Request) stayedWithin(from, to time.Time) bool {
+	return !r.Sent.Before(from) && !r.Sent.After(to) && r.Left.IsZero()
+}
+
+// isSuccess reports whether a response is a complete success.
+func (a Response) isSuccess() bool { return a.Status == http.StatusOK && a.Complete }
+
 // Unserved describes the responses that Served counts as not served: how many there are by status, reason and runs.
 func (l *Ledger) Unserved(from, to time.Time, counts func(Request, Response) bool) string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := map[string]int{}
 	for id, a := range l.responses {
-		r := l.requests[id]
-		if r.Sent.Before(from) || r.Sent.After(to) || !r.Left.IsZero() || !counts(r, a) || a.Status == http.StatusOK && a.Complete {
+		if r := l.requests[id]; !r.stayedWithin(from, to) || !counts(r, a) || a.isSuccess() {
 			continue
 		}
 		cause, _, _ := strings.Cut(a.Body, ":")
