relay: say why a peer doesn't relay, and count the replies

Callers of instances whose whole zone reached no upstream were refused, and no log said which peers had been asked for a connection or why they refused: a peer that reaches nothing, one that is full and one that drains all replied 503. A refusal now states its reason in a header (peers of earlier versions are understood by the status), the error of a failed dial names the peers and their replies, and so does attempt_failed; tacktally_relay_replies_total counts them by zone and reason, tacktally_relay_candidates the peers that are believed to have a path.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,7 +181,7 @@
 	})
 	if s.Routed.Relay {
 		i.relays = &relayPeers{self: i.address, zone: s.Zone, peers: i.mesh.Peers}
-		i.fleet.SetRelays(relay.NewClient(relay.ClientOptions{Peers: i.relays.forUpstream, Usable: i.relays.isUsable, Dialer: i.mesh.Dialer()}))
+		i.fleet.SetRelays(relay.NewClient(relay.ClientOptions{Peers: i.relays.forUpstream, Usable: i.relays.isUsable, Dialer: i.mesh.Dialer(), OnReply: i.countRelayReply}))
 	}
 	i.fleet.SetSlotClient(i.mesh)
 	i.fleet.SetOriginClient(i.mesh)
@@ -325,8 +325,7 @@
 	i.metrics.Gauge("tacktally_peer_links", func() float64 { return float64(i.mesh.LinkCount()) })
 	i.metrics.Gauge("tacktally_hub", func() float64 { return boolToFloat(i.mesh.Role().HubRank >= 0) })
 	i.metrics.Gauge("tacktally_reads_source", func() float64 { return boolToFloat(i.election.active()) })
-	i.metrics.Gauge("tacktally_isolated", func() float64 { return boolToFloat(i.fleet.Isolated()) })
-	i.metrics.Gauge("tacktally_connections_relayed", func() float64 { return float64(i.relayServer.Connections()) })
+	i.registerRelayGauges()
 	i.registerRetryGauges()
 	i.registerLoadGauges()
 	i.metrics.Gauge("tacktally_log_lines_dropped", func() float64 { return float64(i.output.Dropped()) })
--- a/internal/entry/relays.go
+++ b/internal/entry/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/relay"
 	"github.com/tacktally/tacktally/internal/settings"
 )
 
@@ -84,6 +86,14 @@
 	return out
 }
 
+// count returns how many peers may relay as far as this instance knows.
+func (r *relayPeers) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(time.Now())
+	return len(r.ranked)
+}
+
 // isUsable reports whether a peer may still relay.
 func (r *relayPeers) isUsable(address string) bool {
 	r.mu.Lock()
@@ -92,6 +102,24 @@
 	return slices.Contains(r.ranked, address)
 }
 
+// countRelayReply counts a peer's reply to a request to relay, by the peer's availability zone.
+func (i *Instance) countRelayReply(address string, reply relay.Reply) {
+	zone := "other"
+	if i.mesh.Zone(address) == i.settings.Zone {
+		zone = "own"
+	}
+	i.metrics.Count(fmt.Sprintf("tacktally_relay_replies_total{zone=%q,reply=%q}", zone, reply))
+}
+
+// registerRelayGauges registers the gauges of relayed connections.
+func (i *Instance) registerRelayGauges() {
+	i.metrics.Gauge("tacktally_isolated", func() float64 { return boolToFloat(i.fleet.Isolated()) })
+	i.metrics.Gauge("tacktally_connections_relayed", func() float64 { return float64(i.relayServer.Connections()) })
+	if i.relays != nil {
+		i.metrics.Gauge("tacktally_relay_candidates", func() float64 { return float64(i.relays.count()) })
+	}
+}
+
 // sortByHash orders addresses by a hash of each with a key.
 func sortByHash(addresses []string, key string) {
 	hashes := make(map[string]uint64, len(addresses))
--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -224,10 +224,14 @@
 	if u == nil || u.unusable != nil {
 		return nil, relay.ErrUnknownUpstream
 	}
-	if f.reach.PrefersPeer(time.Now(), id) {
+	started := time.Now()
+	bypassed := f.reach.PrefersPeer(started, id)
+	switch {
+	case f.reach.Isolated(started):
+		return nil, relay.ErrIsolated
+	case bypassed:
 		return nil, relay.ErrNoPath
 	}
-	started := time.Now()
 	ctx, cancel := context.WithTimeoutCause(ctx, min(peerConnectTimeout, f.o.ConnectTimeout), errConnectTimeout)
 	defer cancel()
 	conn, err := f.dialDirect(ctx, id, u.Address)
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +49,8 @@
 	Usable func(peer string) bool
 	// Dialer opens connections to peers.
 	Dialer *net.Dialer
+	// OnReply is called with each reply of a peer. It may be nil and must not block.
+	OnReply func(peer string, r Reply)
 }
 
 // Client opens connections to upstreams through peers. It is safe for concurrent use.
@@ -58,11 +62,16 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient(o ClientOptions) *Client { return &Client{o: o, silent: map[string]time.Time{}} }
+func NewClient(o ClientOptions) *Client {
+	if o.OnReply == nil {
+		o.OnReply = func(string, Reply) {}
+	}
+	return &Client{o: o, silent: map[string]time.Time{}}
+}
 
 // Dial opens a connection to an upstream through a peer. It asks the next peer when one refuses or doesn't
 // reply soon, and blocks until a connection is established, no peer is left, or ctx ends. The error wraps
-// ErrUpstreamUnreachable if a peer said so, and ErrNoRelay otherwise.
+// ErrUpstreamUnreachable if a peer said so, and ErrNoRelay otherwise; it names the peers and their replies.
 func (c *Client) Dial(ctx context.Context, upstream string) (net.Conn, error) {
 	peers := c.candidates(time.Now(), upstream)
 	peers = peers[:min(len(peers), maxPeers)]
@@ -70,6 +79,7 @@
 	next := time.NewTimer(0)
 	defer next.Stop()
 	failed := ErrNoRelay
+	var replies []string
 	for started, ended := 0, 0; ended < len(peers); {
 		select {
 		case <-next.C:
@@ -81,23 +91,25 @@
 			}
 		case d := <-results:
 			ended++
-			if d.err == nil {
+			if d.reply == Established {
 				go discard(results, started-ended)
 				return d.conn, nil
 			}
-			if !errors.Is(failed, ErrUpstreamUnreachable) {
-				failed = d.err
+			if d.reply == Unreachable {
+				failed = ErrUpstreamUnreachable
 			}
+			replies = append(replies, d.peer+" "+string(d.reply))
 			next.Reset(0)
 		}
 	}
-	return nil, failed
+	return nil, fmt.Errorf("%w: peers asked: %s", failed, cmp.Or(strings.Join(replies, ", "), "none"))
 }
 
-// dialed is the result of asking one peer.
+// dialed is the result of asking one peer. Its conn is set if the reply is Established.
 type dialed struct {
-	conn net.Conn
-	err  error
+	peer  string
+	reply Reply
+	conn  net.Conn
 }
 
 // discard closes the connections among the next n results.
@@ -127,6 +139,20 @@
 
 // dialThrough opens a connection to an upstream through one peer.
 func (c *Client) dialThrough(ctx context.Context, peer, upstream string) dialed {
+	d := c.ask(ctx, peer, upstream)
+	if d.reply == NoReply && ctx.Err() == nil {
+		c.mu.Lock()
+		c.silent[peer] = time.Now()
+		c.mu.Unlock()
+	}
+	if d.reply != NoReply || ctx.Err() == nil {
+		c.o.OnReply(peer, d.reply)
+	}
+	return d
+}
+
+// ask asks one peer for a connection to an upstream.
+func (c *Client) ask(ctx context.Context, peer, upstream string) dialed {
 	dialCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var raw net.Conn
@@ -139,18 +165,12 @@
 	conn, response, err := websocket.Dial(dialCtx, target, &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}, CompressionMode: websocket.CompressionDisabled})
 	switch {
 	case err == nil:
-		return dialed{conn: &relayedConn{Conn: websocket.NetConn(context.Background(), conn, websocket.MessageBinary), socket: conn, raw: raw, usable: func() bool { return c.o.Usable(peer) }}}
-	case response != nil && response.StatusCode == http.StatusBadGateway:
-		return dialed{err: ErrUpstreamUnreachable}
+		return dialed{peer: peer, reply: Established, conn: &relayedConn{Conn: websocket.NetConn(context.Background(), conn, websocket.MessageBinary), socket: conn, raw: raw, usable: func() bool { return c.o.Usable(peer) }}}
 	case response != nil:
-		return dialed{err: fmt.Errorf("%w: peer %s: status %d", ErrNoRelay, peer, response.StatusCode)}
-	}
-	if ctx.Err() == nil {
-		c.mu.Lock()
-		c.silent[peer] = time.Now()
-		c.mu.Unlock()
+		return dialed{peer: peer, reply: replyOf(response)}
+	default:
+		return dialed{peer: peer, reply: NoReply}
 	}
-	return dialed{err: fmt.Errorf("%w: %w", ErrNoRelay, err)}
 }
 
 // relayedConn is a connection to an upstream through a peer.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -40,6 +41,8 @@
 	// ErrNoPath means that this instance can't tell whether the upstream is down, since it reaches few
 	// upstreams itself.
 	ErrNoPath = errors.New("this instance has no path to the upstream")
+	// ErrIsolated means that this instance reaches no upstream.
+	ErrIsolated = fmt.Errorf("%w, nor to any other", ErrNoPath)
 )
 
 // ServerOptions configure a Server.
@@ -84,19 +87,18 @@
 	return len(s.open)
 }
 
-// ServeHTTP implements http.Handler. It blocks until the relayed connection has ended. The status of a
-// refusal says why: 404 for ErrUnknownUpstream, 502 if the upstream can't be reached, and 503 if this
-// instance can't relay now.
+// ServeHTTP implements http.Handler. It blocks until the relayed connection has ended. A refusal states its
+// reason in a header, and by its status: 404 for Unknown, 502 for Unreachable, and 503 for all others.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &relayed{lastData: time.Now()}
-	if !s.admit(c) {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if refusal := s.admit(c); refusal != "" {
+		refuse(w, refusal)
 		return
 	}
 	defer s.remove(c)
 	var err error
 	if c.upstream, err = s.o.Dial(r.Context(), r.URL.Query().Get(upstreamParameter)); err != nil {
-		w.WriteHeader(statusOf(err))
+		refuse(w, refusalOf(err))
 		return
 	}
 	defer reset(c.upstream)
@@ -111,26 +113,18 @@
 	c.run()
 }
 
-func statusOf(err error) int {
-	switch {
-	case errors.Is(err, ErrUnknownUpstream):
-		return http.StatusNotFound
-	case errors.Is(err, ErrNoPath):
-		return http.StatusServiceUnavailable
-	default:
-		return http.StatusBadGateway
-	}
-}
-
-// admit counts a connection, unless there are too many or the server drains.
-func (s *Server) admit(c *relayed) bool {
+// admit counts a connection, unless there are too many or the server drains; it then returns the refusal.
+func (s *Server) admit(c *relayed) (refusal Reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || len(s.open) >= s.o.MaxConnections {
-		return false
+	switch {
+	case s.draining:
+		return Draining
+	case len(s.open) >= s.o.MaxConnections:
+		return Busy
 	}
 	s.open[c] = struct{}{}
-	return true
+	return ""
 }
 
 func (s *Server) remove(c *relayed) {
