membership: tell all instances which ones reach no upstream

Callers of instances in a zone of which most or all reached no upstream were refused, in fleets in which not everyone is linked. Whether an instance is isolated travelled in heartbeats, on links only; of a member without a link the zero value was read, which says that it has a path. A partitioned zone of 16 asked itself: its hubs and the seed, which have links to all of it, knew better and served all, the other twelve nothing.

Members now carry reach.State, which can say unknown, as they carry that they drain: hubs pass it on in membership updates, so that it is known everywhere within a few steps, and heartbeats state it for linked peers. An instance announces a change at once. It counts as isolated for 2 s after it reached an upstream again, so that a path that fails and recovers in turn costs two records for each of its peers in that time, and no more. Peers of earlier versions are unknown unless they say that they are isolated.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/tacktally/tacktally/internal/proxy"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/reach"
 	"github.com/tacktally/tacktally/internal/relay"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -102,6 +103,8 @@
 
 	election  readerElection
 	lastFleet fleetState
+	// announcedReach is the state that announceReach last announced.
+	announcedReach reach.State
 	// zoneGauges are the availability zones that have a gauge. Only upstreamsChanged uses it.
 	zoneGauges map[string]bool
 	// uninformedOwners are the owners to which informOwners last sent a heartbeat.
@@ -390,6 +393,7 @@
 		i.refreshFleet()
 		i.fleet.CountLostGrants()
 		i.fleet.ProbePaths()
+		i.announceReach()
 		i.informOwners()
 		if time.Since(lastClosed) >= idleCloseInterval {
 			lastClosed = time.Now()
@@ -398,6 +402,15 @@
 	}
 }
 
+// announceReach announces to the peers at once that this instance reaches upstreams or no longer does:
+// regular heartbeats come only every half second or second.
+func (i *Instance) announceReach() {
+	if reached := i.fleet.Reach(); reached != i.announcedReach {
+		i.announcedReach = reached
+		i.mesh.AnnounceSoon()
+	}
+}
+
 // informOwners sends heartbeats to the owners of shards in which requests run that these owners
 // haven't granted, until the requests have ended. Regular heartbeats come only every half second or
 // second.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -13,6 +13,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/quarantine"
+	"github.com/tacktally/tacktally/internal/reach"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/transfer"
@@ -146,6 +147,7 @@
 func (p *peerHandler) Heartbeat() *peer.Heartbeat {
 	i := p.instance
 	load := i.fleet.Load()
+	reached := i.fleet.Reach()
 	return &peer.Heartbeat{
 		Revision:          i.view.Revision(),
 		ConfigVersion:     i.view.Version(),
@@ -160,7 +162,8 @@
 		SourceReachableMS: int(min(i.view.SourceUptime(), maxSourceReachable).Milliseconds()),
 		Evacuations:       peer.Evacuations(i.view.CurrentEvacuations()),
 		Quarantine:        i.quarantine.NextUpdate(time.Now()),
-		Isolated:          i.fleet.Isolated(),
+		Isolated:          reached == reach.Isolated,
+		Reach:             reached,
 	}
 }
 
--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/reach"
 	"github.com/tacktally/tacktally/internal/relay"
 )
 
@@ -250,6 +251,14 @@
 // Isolated reports whether this instance seems to reach no upstream over its own path.
 func (f *Fleet) Isolated() bool { return f.hasRelays() && f.reach.Isolated(time.Now()) }
 
+// Reach returns whether this instance reaches upstreams over its own path, as it announces it to its peers.
+func (f *Fleet) Reach() reach.State {
+	if !f.hasRelays() {
+		return reach.Unknown
+	}
+	return f.reach.State(time.Now())
+}
+
 // hasRelays reports whether connections may go through peers: there are other instances. It takes no lock
 // of the fleet, since connection pools, which the fleet closes while it holds its lock, call it while they
 // hold theirs.
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/reach"
 )
 
 // Member is one instance of the fleet.
@@ -19,6 +21,8 @@
 	Started time.Time
 	// Draining instances accept no new requests.
 	Draining bool
+	// Reach is whether it reaches upstreams, by its own account.
+	Reach reach.State
 }
 
 // Record is what one instance sends another about a member.
@@ -30,6 +34,8 @@
 	// Age is the time since its process started.
 	Age      time.Duration `cbor:"5,keyasint,omitempty"`
 	Draining bool          `cbor:"6,keyasint,omitempty"`
+	// Reach is Unknown from a sender of an earlier version.
+	Reach reach.State `cbor:"8,keyasint,omitempty"`
 	// Removed withdraws the previous record of the address.
 	Removed bool `cbor:"7,keyasint,omitempty"`
 }
@@ -110,9 +116,9 @@
 	if removed {
 		return Record{Address: e.Address, Removed: true}
 	}
-	return Record{Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation, Cores: e.Cores, Age: now.Sub(e.Started), Draining: e.Draining}
+	return Record{Address: e.Address, Zone: e.Zone, Incarnation: e.Incarnation, Cores: e.Cores, Age: now.Sub(e.Started), Draining: e.Draining, Reach: e.Reach}
 }
 
 func (r *Record) member(now time.Time) Member {
-	return Member{Address: r.Address, Zone: r.Zone, Incarnation: r.Incarnation, Cores: r.Cores, Started: now.Add(-r.Age), Draining: r.Draining}
+	return Member{Address: r.Address, Zone: r.Zone, Incarnation: r.Incarnation, Cores: r.Cores, Started: now.Add(-r.Age), Draining: r.Draining, Reach: r.Reach}
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"github.com/tacktally/tacktally/internal/reach"
+)
 
 const (
 	// HubsPerZone is the number of hubs of an availability zone: one may be lost and one paused
@@ -72,20 +76,20 @@
 	}
 	e := t.entry(m.Address)
 	if e.Incarnation == m.Incarnation {
-		m.Draining = e.Draining // known from heartbeats
+		m.Draining, m.Reach = e.Draining, e.Reach // known from heartbeats
 	}
 	e.update(m, true)
 	e.linked = true
 	t.reevaluate(now, e)
 }
 
-// SetDraining records whether a member reports that it drains.
-func (t *Table) SetDraining(now time.Time, address string, draining bool) {
+// SetReported records whether a member reports that it drains, and that it reaches upstreams.
+func (t *Table) SetReported(now time.Time, address string, draining bool, reached reach.State) {
 	e := t.members[address]
-	if e == nil || e.Draining == draining {
+	if e == nil || (e.Draining == draining && e.Reach == reached) {
 		return
 	}
-	e.Draining = draining
+	e.Draining, e.Reach = draining, reached
 	t.reevaluate(now, e)
 }
 
@@ -217,12 +221,12 @@
 	}
 }
 
-// receivedMember returns the member that a record describes. Whether a linked member drains is known
-// from the member itself, which takes precedence over the record.
+// receivedMember returns the member that a record describes. Whether a linked member drains and reaches
+// upstreams is known from the member itself, which takes precedence over the record.
 func (t *Table) receivedMember(now time.Time, e *entry, r *Record) Member {
 	m := r.member(now)
 	if e.linked && e.Incarnation == m.Incarnation {
-		m.Draining = e.Draining
+		m.Draining, m.Reach = e.Draining, e.Reach
 	}
 	return m
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -11,6 +11,7 @@
 	"github.com/tacktally/tacktally/internal/membership"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/ratelimit"
+	"github.com/tacktally/tacktally/internal/reach"
 	"github.com/tacktally/tacktally/internal/request"
 )
 
@@ -173,9 +174,19 @@
 	// Limits are advertised limits of upstreams: recent changes, and some of the older ones
 	// round-robin.
 	Limits []ratelimit.Update `cbor:"17,keyasint,omitempty"`
-	// Isolated reports that the sender reaches no upstream over its own network path, so that it can't
-	// relay connections.
+	// Isolated reports that Reach is reach.Isolated, for peers of earlier versions, which know no Reach.
 	Isolated bool `cbor:"19,keyasint,omitempty"`
+	// Reach is whether the sender reaches upstreams over its own network path, so that it can relay
+	// connections.
+	Reach reach.State `cbor:"20,keyasint,omitempty"`
+}
+
+// reach returns whether the sender reaches upstreams, also if it is of an earlier version.
+func (h *Heartbeat) reach() reach.State {
+	if h.Isolated {
+		return reach.Isolated
+	}
+	return h.Reach
 }
 
 // Evacuations lists the availability zones whose upstreams get no new requests.
@@ -204,6 +215,7 @@
 		Leaving:           h.Leaving,
 		Limits:            h.Limits,
 		Isolated:          h.Isolated,
+		Reach:             h.Reach,
 		Brief:             true,
 	}
 }
--- a/internal/peer/heartbeats.go
+++ b/internal/peer/heartbeats.go
@@ -17,7 +17,7 @@
 		p.lastSeen = boottime.Now()
 		p.lastHeartbeat = *h
 		if m.sparse != nil {
-			m.sparse.overlay.SetDraining(p.lastSeen, from, h.Draining)
+			m.sparse.overlay.SetReported(p.lastSeen, from, h.Draining, h.reach())
 		}
 	}
 	m.mu.Unlock()
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/internal/boottime"
+	"github.com/tacktally/tacktally/internal/reach"
 
 	"github.com/cenkalti/backoff/v5"
 
@@ -309,6 +310,8 @@
 			Zone:        k.Zone,
 			Incarnation: k.Incarnation,
 			Draining:    k.Draining,
+			Reach:       k.Reach,
+			Isolated:    k.Reach == reach.Isolated,
 			Reachable:   k.Reachable,
 			Cores:       k.Cores,
 			Started:     boottime.ToMonotonic(k.Started),
@@ -319,7 +322,6 @@
 			s.Revision = p.lastHeartbeat.Revision
 			s.ConfigVersion = p.lastHeartbeat.ConfigVersion
 			s.InFlight = p.lastHeartbeat.InFlight
-			s.Isolated = p.lastHeartbeat.Isolated
 			s.ReadsSource = p.lastHeartbeat.ReadsSource
 		}
 		out = append(out, s)
--- a/internal/peer/sparse_test.go
+++ b/internal/peer/sparse_test.go
@@ -14,6 +14,7 @@
 	"github.com/tacktally/tacktally/internal/loadreport"
 
 	"github.com/tacktally/tacktally/internal/membership"
+	"github.com/tacktally/tacktally/internal/reach"
 )
 
 // sparseMesh is an instance with a sparse mesh.
@@ -248,7 +249,7 @@
 func TestMembershipUpdateRoundTrip(t *testing.T) {
 	is := is.New(t)
 	update := &membership.Update{Kind: membership.Indirect, Full: true, Records: []membership.Record{
-		{Address: "10.0.0.7:1", Zone: "bole", Incarnation: 5, Cores: 0.4, Age: time.Second, Draining: true}, {Address: "10.0.0.8:1", Removed: true},
+		{Address: "10.0.0.7:1", Zone: "bole", Incarnation: 5, Cores: 0.4, Age: time.Second, Draining: true, Reach: reach.Isolated}, {Address: "10.0.0.8:1", Removed: true},
 	}}
 	b, err := Encode(&Frame{Type: TypeMembership, Membership: update})
 	is.NoErr(err)
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/internal/boottime"
+	"github.com/tacktally/tacktally/internal/reach"
 )
 
 // Status is the state of a peer, for operators.
@@ -19,7 +20,10 @@
 	// ConfigVersion is the version that the peer's configuration carries itself; 0 means not reported.
 	ConfigVersion int64 `json:"configVersion,omitempty"`
 	Draining      bool  `json:"draining"`
-	// Isolated reports that the peer reaches no upstream over its own network path.
+	// Reach is whether the peer reaches upstreams over its own network path. In a sparse mesh it is known
+	// of peers without a link, too.
+	Reach reach.State `json:"reach,omitempty"`
+	// Isolated reports that Reach is reach.Isolated.
 	Isolated    bool      `json:"isolated,omitempty"`
 	ReadsSource bool      `json:"reads,omitempty"`
 	Reachable   bool      `json:"reachable"`
@@ -48,7 +52,8 @@
 			Revision:      p.lastHeartbeat.Revision,
 			ConfigVersion: p.lastHeartbeat.ConfigVersion,
 			Draining:      p.lastHeartbeat.Draining,
-			Isolated:      p.lastHeartbeat.Isolated,
+			Reach:         p.lastHeartbeat.reach(),
+			Isolated:      p.lastHeartbeat.reach() == reach.Isolated,
 			ReadsSource:   p.lastHeartbeat.ReadsSource,
 			InFlight:      p.lastHeartbeat.InFlight,
 			Queued:        p.lastHeartbeat.Queued,
--- /dev/null
+++ b/internal/reach/state.go
@@ -0,0 +1,52 @@
+package reach
+
+import "time"
+
+// State is whether an instance reaches upstreams over its own network path.
+type State uint8
+
+// The states. Isolated is also that of an instance which was isolated within the last announcedFor.
+const (
+	// Unknown: no connection to an upstream was established or failed yet, or since it was isolated.
+	Unknown State = iota
+	// Reaching: it has reached an upstream, and wasn't isolated since.
+	Reaching
+	// Isolated: it reaches no upstream, see Tracker.Isolated.
+	Isolated
+)
+
+// announcedFor is how long an instance still counts as isolated after it has reached an upstream, so that a
+// path that fails and recovers in turn isn't announced with each change.
+const announcedFor = 2 * time.Second
+
+// String implements fmt.Stringer.
+func (s State) String() string {
+	switch s {
+	case Reaching:
+		return "reaching"
+	case Isolated:
+		return "isolated"
+	default:
+		return "unknown"
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// State returns the state to announce to peers. It has to be called more often than every announcedFor.
+func (t *Tracker) State(now time.Time) State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.isIsolated(now):
+		t.isolatedAt = now
+		return Isolated
+	case !t.isolatedAt.IsZero() && now.Sub(t.isolatedAt) < announcedFor:
+		return Isolated
+	case t.lastReached.After(t.isolatedAt):
+		return Reaching
+	default:
+		return Unknown
+	}
+}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -30,6 +30,7 @@
 	mu          sync.Mutex
 	upstreams   map[string]*observation
 	lastReached time.Time // when any upstream was last reached
+	isolatedAt  time.Time // when State last found the instance isolated
 	// failing are the upstreams that have failed since then, with the time of the last failure, and
 	// noPath those without a path, with the time until which they aren't requested.
 	failing, noPath map[string]time.Time
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -26,3 +26,24 @@
 	reached, _ = r.Counts(start.Add(recentFor))
 	is.Equal(reached, 0)
 }
+
+// What is announced to peers must not change with each response while a path fails and recovers in turn, and an
+// instance that hasn't reached an upstream since it was isolated must not claim that it does.
+func TestAnnouncedState(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := New()
+	is.Equal(r.State(now), Unknown)
+	r.Reached(now, "a")
+	is.Equal(r.State(now), Reaching)
+	for _, upstream := range []string{"a", "b", "c"} {
+		r.Failed(now, upstream)
+	}
+	is.Equal(r.State(now), Isolated)
+	is.Equal(r.State(now.Add(recentFor)), Unknown) // the failures are old, and nothing was reached since
+	now = now.Add(time.Second)
+	r.Reached(now, "a")
+	is.True(!r.Isolated(now))
+	is.Equal(r.State(now.Add(announcedFor/4)), Isolated)
+	is.Equal(r.State(now.Add(announcedFor)), Reaching)
+}
