reach: keep an isolated instance certain while it gets no requests

An instance that reaches no upstream and gets no requests forgot so after 5 s, since only paths that requests need are probed. It said that it wasn't isolated, and peers asked it to relay, which takes it 150 ms to refuse where connections hang. While it is isolated, as many of the failures as show it are verified every 2.5 s, three probes, which also find the end. TestIsolatedInstanceWithoutRequestsStaysCertain: 30 s without a request.

--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -270,7 +270,8 @@
 	if !f.hasRelays() {
 		return
 	}
-	for _, id := range f.reach.NextProbes(time.Now(), probesPerStep) {
+	now := time.Now()
+	for _, id := range append(f.reach.NextProbes(now, probesPerStep), f.reach.NextRechecks(now)...) {
 		f.mu.Lock()
 		u := f.upstreams[id]
 		f.mu.Unlock()
--- a/internal/reach/state.go
+++ b/internal/reach/state.go
@@ -1,6 +1,9 @@
 package reach
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is whether an instance reaches upstreams over its own network path.
 type State uint8
@@ -15,9 +18,14 @@
 	Isolated
 )
 
-// announcedFor is how long an instance still counts as isolated after it has reached an upstream, so that a
-// path that fails and recovers in turn isn't announced with each change.
-const announcedFor = 2 * time.Second
+const (
+	// announcedFor is how long an instance still counts as isolated after it has reached an upstream, so
+	// that a path that fails and recovers in turn isn't announced with each change.
+	announcedFor = 2 * time.Second
+	// recheckAfter is the age of the failures that show that an instance is isolated, from which on they
+	// are verified.
+	recheckAfter = recentFor / 2
+)
 
 // String implements fmt.Stringer.
 func (s State) String() string {
@@ -50,3 +58,28 @@
 		return Unknown
 	}
 }
+
+// NextRechecks returns the upstreams to probe for an isolated instance to remain certain of it, or notice its
+// end, while no request needs a connection. Connected, Failed or Forget has to follow for each.
+func (t *Tracker) NextRechecks(now time.Time) (due []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isIsolated(now) {
+		return nil
+	}
+	certain := 0
+	for upstream, at := range t.failing {
+		switch o := t.of(upstream); {
+		case now.Sub(at) < recheckAfter, o.probing:
+			certain++
+		case now.Sub(at) < recentFor:
+			due = append(due, upstream)
+		}
+	}
+	slices.Sort(due)
+	due = due[:min(len(due), max(minFailing-certain, 0))]
+	for _, upstream := range due {
+		t.of(upstream).probing = true
+	}
+	return due
+}
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -47,3 +47,28 @@
 	is.Equal(r.State(now.Add(announcedFor/4)), Isolated)
 	is.Equal(r.State(now.Add(announcedFor)), Reaching)
 }
+
+// An isolated instance that got no requests for 5 s said that it wasn't isolated, and peers asked it to relay.
+func TestIsolatedInstanceWithoutRequestsStaysCertain(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := New()
+	for _, upstream := range []string{"a", "b", "c", "d"} {
+		r.Failed(now, upstream)
+	}
+	is.Equal(r.NextRechecks(now), nil)
+	probes := 0
+	for range 300 { // 30 s
+		now = now.Add(100 * time.Millisecond)
+		due := r.NextRechecks(now)
+		probes += len(due)
+		is.True(len(r.NextRechecks(now)) == 0 || len(due) == 0) // these are being probed
+		for _, upstream := range due {
+			r.Failed(now, upstream)
+		}
+		is.True(r.Isolated(now))
+	}
+	is.True(probes <= 30*minFailing)
+	r.Connected(now, "a")
+	is.Equal(r.NextRechecks(now.Add(recentFor-1)), nil)
+}
