relay: search for a peer with a path within the request's time, and remember refusals

A connection was given up after three peers, whatever they replied, and the next one asked the same three again: a refusal for lack of a path wasn't remembered. Callers of instances whose preferred peers have no path were refused until the upstream's turn came anew, and all at once where it is the same for each upstream.

The next peer is asked as soon as one refuses, and more at the same time the more have refused, until the time to connect is over. Who refuses for lack of a path isn't asked again for 1 s, for that upstream or, if it is isolated, for all; who is busy is asked last for 250 ms. Three peers that agree about the upstream end the search, as before. Beyond three peers a connection, an instance asks at most 100 in a second, so that a fleet in which nobody reaches an upstream doesn't flood itself until all know.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"golang.org/x/time/rate"
 )
 
 // Errors of a Client and its connections.
@@ -31,14 +32,25 @@
 )
 
 const (
-	// maxPeers is how many peers are asked for one connection, and nextPeerAfter how long one may take
-	// before the next is asked as well.
-	maxPeers      = 3
+	// nextPeerAfter is how long a peer may take before the next one is asked as well.
 	nextPeerAfter = 40 * time.Millisecond
 	// peerTimeout bounds how long one peer may take: its processor may be throttled for 100 ms.
 	peerTimeout = 150 * time.Millisecond
-	// avoidFor is how long a peer that didn't reply is asked last.
+	// maxParallel bounds the peers that are asked at the same time for one connection.
+	maxParallel = 8
+	// maxAboutUpstream is how many peers have to say that the upstream is unreachable, or unknown, until no
+	// further one is asked.
+	maxAboutUpstream = 3
+	// avoidFor is how long a peer that didn't reply is asked last, and busyFor one that was busy.
 	avoidFor = time.Second
+	busyFor  = 250 * time.Millisecond
+	// refusedFor is how long a peer without a path isn't asked again.
+	refusedFor = time.Second
+	// alwaysAsked is how many peers may be asked for each connection, and searchesPerSecond how many
+	// beyond these in a second, on the average and at once. It bounds what a fleet that reaches no upstream
+	// spends until its instances know that.
+	alwaysAsked       = 3
+	searchesPerSecond = 100
 )
 
 // ClientOptions configure a Client.
@@ -57,8 +69,19 @@
 type Client struct {
 	o ClientOptions
 
-	mu     sync.Mutex
-	silent map[string]time.Time // when a peer didn't reply, by address
+	// searches limits the peers that are asked beyond alwaysAsked.
+	searches *rate.Limiter
+
+	mu sync.Mutex
+	// avoided are the peers to ask last, by address, and refused those not to ask, with the time until then.
+	avoided map[string]time.Time
+	refused map[refusal]time.Time
+}
+
+// refusal identifies what a peer has no path to.
+type refusal struct {
+	peer     string
+	upstream string // empty for all upstreams
 }
 
 // NewClient returns a client without connections.
@@ -66,43 +89,95 @@
 	if o.OnReply == nil {
 		o.OnReply = func(string, Reply) {}
 	}
-	return &Client{o: o, silent: map[string]time.Time{}}
+	return &Client{o: o, searches: rate.NewLimiter(searchesPerSecond, searchesPerSecond), avoided: map[string]time.Time{}, refused: map[refusal]time.Time{}}
 }
 
 // Dial opens a connection to an upstream through a peer. It asks the next peer when one refuses or doesn't
-// reply soon, and blocks until a connection is established, no peer is left, or ctx ends. The error wraps
-// ErrUpstreamUnreachable if a peer said so, and ErrNoRelay otherwise; it names the peers and their replies.
+// reply soon, and more of them at once the more have refused. It blocks until a connection is established, no
+// peer is left, or ctx ends. The error wraps ErrUpstreamUnreachable if a peer said so, and ErrNoRelay
+// otherwise; it names the peers and their replies.
 func (c *Client) Dial(ctx context.Context, upstream string) (net.Conn, error) {
-	peers := c.candidates(time.Now(), upstream)
-	peers = peers[:min(len(peers), maxPeers)]
-	results := make(chan dialed, len(peers))
-	next := time.NewTimer(0)
-	defer next.Stop()
-	failed := ErrNoRelay
-	var replies []string
-	for started, ended := 0, 0; ended < len(peers); {
+	s := &search{client: c, upstream: upstream, peers: c.candidates(time.Now(), upstream), parallel: 1}
+	s.results = make(chan dialed, len(s.peers))
+	slow := time.NewTicker(nextPeerAfter)
+	defer slow.Stop()
+	for s.askNext(ctx); s.ended < s.started; s.askNext(ctx) {
 		select {
-		case <-next.C:
-			if started < len(peers) {
-				peer := peers[started]
-				go func() { results <- c.dialThrough(ctx, peer, upstream) }()
-				started++
-				next.Reset(nextPeerAfter)
-			}
-		case d := <-results:
-			ended++
+		case <-slow.C:
+			s.widen()
+		case <-ctx.Done():
+			go discard(s.results, s.started-s.ended)
+			return nil, s.failure(ctx.Err())
+		case d := <-s.results:
+			s.ended++
 			if d.reply == Established {
-				go discard(results, started-ended)
+				go discard(s.results, s.started-s.ended)
 				return d.conn, nil
 			}
-			if d.reply == Unreachable {
-				failed = ErrUpstreamUnreachable
-			}
-			replies = append(replies, d.peer+" "+string(d.reply))
-			next.Reset(0)
+			s.record(d)
 		}
 	}
-	return nil, fmt.Errorf("%w: peers asked: %s", failed, cmp.Or(strings.Join(replies, ", "), "none"))
+	return nil, s.failure(nil)
+}
+
+// search is the search for a peer that relays one connection.
+type search struct {
+	client   *Client
+	upstream string
+	peers    []string // to ask, in order
+	results  chan dialed
+	// started and ended are the numbers of peers that were asked and that have replied, or won't.
+	started, ended int
+	// parallel is how many may be asked at the same time.
+	parallel int
+	// unreachable and unknown are how many said so of the upstream.
+	unreachable, unknown int
+	replies              []string
+}
+
+// askNext asks as many of the next peers as may be asked now.
+func (s *search) askNext(ctx context.Context) {
+	for s.started < len(s.peers) && s.started-s.ended < s.parallel && !s.isDecided() {
+		if s.started >= alwaysAsked && !s.client.searches.Allow() {
+			return
+		}
+		peer := s.peers[s.started]
+		go func() { s.results <- s.client.dialThrough(ctx, peer, s.upstream) }()
+		s.started++
+	}
+}
+
+// isDecided reports whether enough peers agree about the upstream.
+func (s *search) isDecided() bool {
+	return s.unreachable >= maxAboutUpstream || s.unknown >= maxAboutUpstream
+}
+
+func (s *search) widen() { s.parallel = min(s.parallel+1, maxParallel) }
+
+// record records a refusal.
+func (s *search) record(d dialed) {
+	s.replies = append(s.replies, d.peer+" "+string(d.reply))
+	switch d.reply {
+	case Unreachable:
+		s.unreachable++
+	case Unknown:
+		s.unknown++
+	default:
+		s.widen()
+	}
+}
+
+// failure returns the error of a search that has found no peer, or was ended by cause.
+func (s *search) failure(cause error) error {
+	failed := ErrNoRelay
+	if s.unreachable > 0 {
+		failed = ErrUpstreamUnreachable
+	}
+	asked := cmp.Or(strings.Join(s.replies, ", "), "none")
+	if cause != nil {
+		return fmt.Errorf("%w: %w; peers asked: %s", failed, cause, asked)
+	}
+	return fmt.Errorf("%w: peers asked: %s", failed, asked)
 }
 
 // dialed is the result of asking one peer. Its conn is set if the reply is Established.
@@ -121,36 +196,55 @@
 	}
 }
 
-// candidates returns the peers to ask, those that didn't reply lately last.
+// candidates returns the peers to ask: without those that lately said that they have no path, and those that
+// didn't reply or were busy last.
 func (c *Client) candidates(now time.Time, upstream string) []string {
 	var first, last []string
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	maps.DeleteFunc(c.silent, func(_ string, since time.Time) bool { return now.Sub(since) >= avoidFor })
+	maps.DeleteFunc(c.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(c.refused, func(_ refusal, until time.Time) bool { return !now.Before(until) })
 	for _, peer := range c.o.Peers(upstream) {
-		if _, silent := c.silent[peer]; silent {
+		_, isolated := c.refused[refusal{peer: peer}]
+		_, noPath := c.refused[refusal{peer: peer, upstream: upstream}]
+		_, avoided := c.avoided[peer]
+		switch {
+		case isolated || noPath:
+		case avoided:
 			last = append(last, peer)
-		} else {
+		default:
 			first = append(first, peer)
 		}
 	}
 	return append(first, last...)
 }
 
-// dialThrough opens a connection to an upstream through one peer.
+// dialThrough opens a connection to an upstream through one peer, and remembers why the peer refused.
 func (c *Client) dialThrough(ctx context.Context, peer, upstream string) dialed {
 	d := c.ask(ctx, peer, upstream)
-	if d.reply == NoReply && ctx.Err() == nil {
-		c.mu.Lock()
-		c.silent[peer] = time.Now()
-		c.mu.Unlock()
-	}
-	if d.reply != NoReply || ctx.Err() == nil {
-		c.o.OnReply(peer, d.reply)
+	if d.reply == NoReply && ctx.Err() != nil {
+		return d // given up
 	}
+	c.remember(time.Now(), d, upstream)
+	c.o.OnReply(peer, d.reply)
 	return d
 }
 
+func (c *Client) remember(now time.Time, d dialed, upstream string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch d.reply {
+	case NoReply:
+		c.avoided[d.peer] = now.Add(avoidFor)
+	case Busy:
+		c.avoided[d.peer] = now.Add(busyFor)
+	case Isolated:
+		c.refused[refusal{peer: d.peer}] = now.Add(refusedFor)
+	case NoPath:
+		c.refused[refusal{peer: d.peer, upstream: upstream}] = now.Add(refusedFor)
+	}
+}
+
 // ask asks one peer for a connection to an upstream.
 func (c *Client) ask(ctx context.Context, peer, upstream string) dialed {
 	dialCtx, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -208,7 +208,7 @@
 	is.Equal(p.client.candidates(time.Now(), "i-1")[0], working) // the other one is asked last for a while
 	p.client.o.Peers = func(string) []string { return nil }
 	p.client.candidates(time.Now().Add(avoidFor), "i-1")
-	is.Equal(len(p.client.silent), 0) // also of a peer that is no longer known
+	is.Equal(len(p.client.avoided), 0) // also of a peer that is no longer known
 }
 
 // One peer that can't reach the upstream doesn't show that it is down, as long as another one reaches it.
