entry: relay through other zones where the own one is short of instances with a path

An instance asked all peers of its own zone before any of another one. Where most of a zone are isolated, the few that are left, with 0.192 cores and 10 Mbit/s, carried all of it; where all are and it isn't known yet, the others came after the whole zone.

Relays are now preferred in the smallest area, the zone, its region or the whole fleet, whose reaching instances have at least the processor time of its isolated ones, so that none relays much more than it serves itself, and by weighted rendezvous hashing, so that each is preferred in proportion to its processor time. Behind the preferred ones the peers of all zones follow in turn, those whose reach isn't known last in their zone.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -183,7 +183,7 @@
 		Log:            i.log,
 	})
 	if s.Routed.Relay {
-		i.relays = &relayPeers{self: i.address, zone: s.Zone, peers: i.mesh.Peers}
+		i.relays = &relayPeers{self: i.address, zone: s.Zone, cores: s.Routed.Cores, regions: s.Routed.Regions, peers: i.mesh.Peers}
 		i.fleet.SetRelays(relay.NewClient(relay.ClientOptions{Peers: i.relays.forUpstream, Usable: i.relays.isUsable, Dialer: i.mesh.Dialer(), OnReply: i.countRelayReply}))
 	}
 	i.fleet.SetSlotClient(i.mesh)
