membership: use the last record of a member once the link to it has ended

What a linked peer says of itself takes precedence over records of it, and records that arrived meanwhile were dropped. If the link ended without a last heartbeat, the member counted on as it had last said, although its hubs had told the change, until it changed again: an isolated peer was asked to relay, one that has a path wasn't, and one that drains was thought to own shards. Found by reading, as a consequence of passing the state on; no caller was seen to be hit. The last record is kept beside it, and counts once the link has ended; without one, the reach is unknown. TestRecordCountsOnceTheLinkHasEnded fails before (reaching, not isolated).

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -82,10 +82,20 @@
 	lastAliveAt              time.Time
 	linkFailedAt             time.Time // when a link to it last ended or couldn't be made
 
+	// received is what the last record said of its process, also while a link to it says more.
+	received receivedState
+
 	published publishedState // what updates to peers contain
 	changedAt uint64         // the table's change count when published last changed
 }
 
+// receivedState is what a record says of a member that changes while its process runs.
+type receivedState struct {
+	incarnation uint64
+	draining    bool
+	reach       reach.State
+}
+
 // publishedState is the state of a member that updates to peers depend on.
 type publishedState struct {
 	Member
--- a/internal/membership/reach_test.go
+++ b/internal/membership/reach_test.go
@@ -75,3 +75,25 @@
 	m, _ = table.Member("b")
 	is.Equal(m.Reach, reach.Unknown)
 }
+
+// A peer whose link had ended without a last heartbeat counted on as it had been, though hubs had told the change.
+func TestRecordCountsOnceTheLinkHasEnded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Member{Address: "a", Zone: "z"})
+	table.LinkUp(now, Member{Address: "b", Zone: "z", Incarnation: 1})
+	table.SetReported(now, "b", false, reach.Reaching)
+	table.Merge(now, "hub", &Update{Kind: Indirect, Full: true, Records: []Record{{Address: "b", Zone: "z", Incarnation: 1, Draining: true, Reach: reach.Isolated}}})
+	m, _ := table.Member("b")
+	is.Equal(m.Reach, reach.Reaching) // it says so itself
+	is.True(!m.Draining)
+	table.LinkDown(now, "b")
+	m, _ = table.Member("b")
+	is.Equal(m.Reach, reach.Isolated)
+	is.True(m.Draining)
+	table.LinkUp(now, Member{Address: "c", Zone: "z", Incarnation: 1})
+	table.SetReported(now, "c", false, reach.Reaching)
+	table.LinkDown(now, "c")
+	m, _ = table.Member("c")
+	is.Equal(m.Reach, reach.Unknown) // nobody says
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -99,10 +99,22 @@
 	t.LinkFailed(now, address)
 	if e := t.members[address]; e != nil {
 		e.linked = false
+		e.useReceived()
 		t.reevaluate(now, e)
 	}
 }
 
+// useReceived takes from the last record what the link that has ended said of the member: from now on only
+// records tell its changes, and the last one may have been received while the link was up.
+func (e *entry) useReceived() {
+	if e.received.incarnation != e.Incarnation {
+		e.Reach = reach.Unknown
+		return
+	}
+	e.Reach = e.received.reach
+	e.Draining = e.Draining || e.received.draining // a process that drains goes on to
+}
+
 // LinkFailed records that no link to a member could be made: it is no hub candidate until it is
 // attested again.
 func (t *Table) LinkFailed(now time.Time, address string) {
@@ -225,6 +237,7 @@
 // upstreams is known from the member itself, which takes precedence over the record.
 func (t *Table) receivedMember(now time.Time, e *entry, r *Record) Member {
 	m := r.member(now)
+	e.received = receivedState{r.Incarnation, r.Draining, r.Reach}
 	if e.linked && e.Incarnation == m.Incarnation {
 		m.Draining, m.Reach = e.Draining, e.Reach
 	}
