fleet: blame no upstream because a response arrives on a connection that was kept

Where the path of an instance refused new connections and kept ones lived on, each response counted as proof that the path works: the upstream to which no connection could be opened was called unreachable. Peers got that as a reply when they asked to relay, and where three say so the upstream is blamed and the search ends; its circuit could open for all. Only a new connection counts now; without one since the dial began, another upstream is tried, as before. TestResponseOnKeptConnectionDoesNotShowThatNewOnesCanBeOpened fails before.

--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -167,16 +167,17 @@
 			relayed = startDial(func() (net.Conn, error) { return f.dialThroughPeer(ctx, id) })
 		}
 	}
-	if !errors.Is(relayErr, relay.ErrUpstreamUnreachable) && !f.reachesOthers(id, started) {
+	if !errors.Is(relayErr, relay.ErrUpstreamUnreachable) && !f.connectsToOthers(id, started) {
 		return nil, f.noPath(time.Now(), id, directErr)
 	}
 	return nil, directErr
 }
 
-// reachesOthers reports whether this instance reaches upstreams other than the given one over its own path.
-// Unless it has reached one since the given time, it tries to. It is true where there is no other upstream.
-func (f *Fleet) reachesOthers(id string, since time.Time) bool {
-	if f.reach.ReachedSince(since) {
+// connectsToOthers reports whether this instance can open connections to upstreams other than the given one
+// over its own path. Unless it has opened one since the given time, it tries to. It is true where there is no
+// other upstream. Responses on open connections don't count: these may live on where new ones are refused.
+func (f *Fleet) connectsToOthers(id string, since time.Time) bool {
+	if f.reach.ConnectedSince(since) {
 		return true
 	}
 	other := f.otherUpstream(id)
@@ -236,7 +237,7 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, min(peerConnectTimeout, f.o.ConnectTimeout), errConnectTimeout)
 	defer cancel()
 	conn, err := f.dialDirect(ctx, id, u.Address)
-	if err != nil && !f.reachesOthers(id, started) {
+	if err != nil && !f.connectsToOthers(id, started) {
 		return nil, fmt.Errorf("%w: %w", relay.ErrNoPath, err)
 	}
 	return conn, err
--- a/internal/fleet/paths_test.go
+++ b/internal/fleet/paths_test.go
@@ -140,3 +140,21 @@
 	p.ProbePaths()
 	is.True(!p.Isolated()) // b and c may be down
 }
+
+// Where new connections were refused and kept ones lived on, each response made an instance call an upstream
+// unreachable that it couldn't open a connection to: peers believed that it was down.
+func TestResponseOnKeptConnectionDoesNotShowThatNewOnesCanBeOpened(t *testing.T) {
+	is := is.New(t)
+	p := newFakePaths(2)
+	dial := p.o.DialUpstream
+	p.o.DialUpstream = func(ctx context.Context, address string) (net.Conn, error) {
+		p.reach.Reached(time.Now(), "b") // a response arrives meanwhile
+		return dial(ctx, address)
+	}
+	_, err := p.DialForPeer(t.Context(), "a")
+	is.True(errors.Is(err, relay.ErrNoPath))
+	p.relays.err = relay.ErrNoRelay
+	_, err = p.connect(t.Context(), "a", "a")
+	is.True(errors.Is(err, ErrNoPath))
+	is.True(!p.BlamesUpstream(err))
+}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -30,7 +30,9 @@
 	mu          sync.Mutex
 	upstreams   map[string]*observation
 	lastReached time.Time // when any upstream was last reached
-	isolatedAt  time.Time // when State last found the instance isolated
+	// lastConnected is when a new connection to any upstream was last established.
+	lastConnected time.Time
+	isolatedAt    time.Time // when State last found the instance isolated
 	// failing are the upstreams that have failed since then, with the time of the last failure, and
 	// noPath those without a path, with the time until which they aren't requested.
 	failing, noPath map[string]time.Time
@@ -81,6 +83,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.of(upstream)
+	t.lastConnected = now
 	restored = o.bypassed
 	o.bypassed, o.probeDelay = false, 0
 	delete(t.noPath, upstream)
@@ -171,11 +174,11 @@
 	return recent >= minFailing
 }
 
-// ReachedSince reports whether any upstream was reached after the given time.
-func (t *Tracker) ReachedSince(since time.Time) bool {
+// ConnectedSince reports whether a new connection to any upstream was established after the given time.
+func (t *Tracker) ConnectedSince(since time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.lastReached.After(since)
+	return t.lastConnected.After(since)
 }
 
 // NextProbes returns at most n upstreams whose paths are due for a probe, those that have waited longest
