--- a/internal/soak/partitions.go
+++ b/internal/soak/partitions.go
@@ -14,6 +14,7 @@
 	mu          sync.Mutex
 	partitioned []instanceSpan
 	disturbed   []instanceSpan
+	unserved    []instanceSpan // of any instance
 }
 
 // instanceSpan is a time range of one instance; to is zero while it lasts.
@@ -35,6 +36,20 @@
 	}
 }
 
+// BeginUnserved records that a service has no upstream in use, so that no instance can serve it, from now on
+// until end is called with the time that instances need to learn it.
+func (p *Partitions) BeginUnserved() (end func(learned time.Duration)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.unserved)
+	p.unserved = append(p.unserved, instanceSpan{from: time.Now()})
+	return func(learned time.Duration) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.unserved[n].to = time.Now().Add(learned)
+	}
+}
+
 // Disturb records that an instance is killed, stopped or cut off from its peers, with the time until it
 // has recovered.
 func (p *Partitions) Disturb(instance int, recovered time.Duration) {
@@ -61,7 +76,8 @@
 // Check returns a violation if, of the requests that were sent later than settle after a partition began,
 // those at partitioned instances were served less than two thirds as often as those at the others, and
 // more than 10 and one in 50 of all of them failed there. Requests at disturbed instances don't count, nor
-// those sent while none of the given number of instances is both undisturbed and not partitioned.
+// those sent while none of the given number of instances is both undisturbed and not partitioned, or while a
+// service has no upstream in use.
 func (p *Partitions) Check(l *Ledger, instances int, settle time.Duration) (summary string, violations []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -70,7 +86,7 @@
 	var cut, others servedCount
 	for id, r := range l.requests {
 		got, answered := l.responses[id]
-		if !answered || r.Revocable || !r.Left.IsZero() || overlap(p.disturbed, r.Instance, r.Sent, got.Received) || !p.someServe(instances, r.Sent, got.Received) {
+		if !answered || r.Revocable || !r.Left.IsZero() || overlap(p.disturbed, r.Instance, r.Sent, got.Received) || overlap(p.unserved, 0, r.Sent, got.Received) || !p.someServe(instances, r.Sent, got.Received) {
 			continue
 		}
 		served := got.Status == http.StatusOK && got.Complete
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -107,6 +107,9 @@
 // replaced, paused and disconnected, and upstreams are replaced and their zones evacuated.
 var PartitionMix = Mix{Partition: 3, Kill: 2, Terminate: 2, Pause: 2, PeerLink: 1, Reload: 1, Replace: 2, Evacuate: 1, Change: 2}
 
+// PartitionedZonesMix is PartitionMix without evacuations.
+var PartitionedZonesMix = Mix{Partition: 4, Kill: 2, Terminate: 2, Pause: 2, PeerLink: 1, Reload: 1, Replace: 1, Change: 1}
+
 // UnstatedEndMix is a mix of crashes of upstreams whose responses state no end, and of the instances, links and
 // relaying peers that such a response passes.
 var UnstatedEndMix = Mix{Replace: 6, UpstreamLink: 3, Partition: 2, Kill: 4, Terminate: 2, Pause: 2, PeerLink: 1, Reload: 1, Change: 1}
