--- a/internal/reach/state.go
+++ b/internal/reach/state.go
@@ -42,6 +42,17 @@
 // MarshalText implements encoding.TextMarshaler.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler. A state of a later version is Unknown.
+func (s *State) UnmarshalText(text []byte) error {
+	*s = Unknown
+	for _, known := range []State{Reaching, Isolated} {
+		if known.String() == string(text) {
+			*s = known
+		}
+	}
+	return nil
+}
+
 // State returns the state to announce to peers. It has to be called more often than every announcedFor.
 func (t *Tracker) State(now time.Time) State {
 	t.mu.Lock()
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -27,6 +27,18 @@
 	is.Equal(reached, 0)
 }
 
+// Operators' tools read the states that instances write.
+func TestStateRoundTrip(t *testing.T) {
+	for _, s := range []State{Unknown, Reaching, Isolated} {
+		is := is.New(t)
+		text, err := s.MarshalText()
+		is.NoErr(err)
+		read := Isolated
+		is.NoErr(read.UnmarshalText(text))
+		is.Equal(read, s)
+	}
+}
+
 // What is announced to peers must not change with each response while a path fails and recovers in turn, and an
 // instance that hasn't reached an upstream since it was isolated must not claim that it does.
 func TestAnnouncedState(t *testing.T) {
