peer: say that what an unlinked peer reports isn't known, instead of zero

The state of a member without a link had zero for what only heartbeats on a link tell: revision, configuration version, requests in flight, queues, whether it reads the source. It is a *Report now, nil where nothing is known: no link in a sparse mesh, or no heartbeat yet of the peer's process. What an ended link said last is no longer shown.

Readers of it, all gone through: the holders of a newer configuration, the zone's reader and the peers to fetch from had their checks. The own interface's choice of a peer in another zone had none: one that had just been linked counted as idle, and is passed over now until it reports. tacktally status prints unknown for such a revision.

--- a/internal/cli/commands.go
+++ b/internal/cli/commands.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -325,7 +326,11 @@
 		fmt.Fprintf(w, "requests\t%d in flight, draining %t\n", st.InFlight, st.Draining)
 		fmt.Fprintf(w, "keys\t%d reserved, %d in use, %d bytes of responses stored\n", st.Keys.Reserved, st.Keys.Entries, st.Keys.AnswerBytes)
 		for _, p := range st.Peers {
-			fmt.Fprintf(w, "peer\t%s in %s, revision %d, reachable %t\n", p.Address, p.Zone, p.Revision, p.Reachable)
+			revision := "unknown"
+			if p.Report != nil {
+				revision = strconv.FormatInt(p.Revision, 10)
+			}
+			fmt.Fprintf(w, "peer\t%s in %s, revision %s, reachable %t\n", p.Address, p.Zone, revision, p.Reachable)
 		}
 	})
 }
--- a/internal/daemon/spill.go
+++ b/internal/daemon/spill.go
@@ -28,7 +28,7 @@
 func (d *Daemon) spillTarget(set string) (address string, ok bool) {
 	var best peer.Status
 	for _, p := range d.mesh.Peers() {
-		if !p.Reachable || p.Draining || p.Zone == d.settings.Zone || p.Queued[set] != nil {
+		if !p.Reachable || p.Draining || p.Zone == d.settings.Zone || p.Report == nil || p.Queued[set] != nil {
 			continue
 		}
 		if best.Address == "" || p.InFlight < best.InFlight {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -215,13 +215,13 @@
 	})
 }
 
-// configurationHolders returns the linked peers that have announced a newer configuration: those of
+// configurationHolders returns the peers that have announced a newer configuration: those of
 // the same availability zone, or all if there are none, since traffic between zones is charged.
 func (i *Instance) configurationHolders() []string {
 	var near, far []string
 	for _, p := range i.mesh.Peers() {
 		switch {
-		case !p.Linked || !i.view.IsOlderThan(p.ConfigVersion, p.Revision):
+		case p.Report == nil || !i.view.IsOlderThan(p.ConfigVersion, p.Revision):
 		case p.Zone == i.settings.Zone:
 			near = append(near, p.Address)
 		default:
--- a/internal/entry/reader_election.go
+++ b/internal/entry/reader_election.go
@@ -110,7 +110,7 @@
 // zoneReader returns a linked peer of the zone that reads the source, or "".
 func zoneReader(zone string, peers []peer.Status) string {
 	for _, p := range peers {
-		if p.Linked && p.ReadsSource && p.Zone == zone {
+		if p.Linked && p.Report != nil && p.ReadsSource && p.Zone == zone {
 			return p.Address
 		}
 	}
--- a/internal/entry/reader_election_test.go
+++ b/internal/entry/reader_election_test.go
@@ -75,13 +75,15 @@
 
 func TestZoneReaderIsALinkedReaderOfTheSameZone(t *testing.T) {
 	is := is.New(t)
-	otherZone := peer.Status{Address: "10.0.0.1:1", Zone: "merkato", Linked: true, ReadsSource: true}
-	sameZone := peer.Status{Address: "10.0.0.2:1", Zone: "bole", Linked: true}
-	unlinked := peer.Status{Address: "10.0.0.3:1", Zone: "bole", Reachable: true, ReadsSource: true} // its link is down
+	otherZone := peer.Status{Address: "10.0.0.1:1", Zone: "merkato", Linked: true, Report: &peer.Report{ReadsSource: true}}
+	sameZone := peer.Status{Address: "10.0.0.2:1", Zone: "bole", Linked: true, Report: &peer.Report{}}
+	unlinked := peer.Status{Address: "10.0.0.3:1", Zone: "bole", Reachable: true, Report: &peer.Report{ReadsSource: true}} // its link is down
 	is.Equal(zoneReader("bole", []peer.Status{sameZone, unlinked}), "")
 	is.Equal(zoneReader("bole", []peer.Status{otherZone, sameZone, unlinked}), "")
 	sameZone.ReadsSource = true
 	is.Equal(zoneReader("bole", []peer.Status{otherZone, sameZone, unlinked}), "10.0.0.2:1")
-	sameZone.ReadsSource = false
+	sameZone.Report = nil // it hasn't reported yet
+	is.Equal(zoneReader("bole", []peer.Status{otherZone, sameZone, unlinked}), "")
+	sameZone.Report = &peer.Report{}
 	is.Equal(zoneReader("bole", []peer.Status{otherZone, sameZone, unlinked}), "")
 }
--- a/internal/peer/fetch.go
+++ b/internal/peer/fetch.go
@@ -90,11 +90,12 @@
 		return peers
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	readsSource := func(s Status) bool { return s.Report != nil && s.ReadsSource }
 	slices.SortStableFunc(peers, func(a, b Status) int {
 		switch {
-		case a.ReadsSource == b.ReadsSource:
+		case readsSource(a) == readsSource(b):
 			return 0
-		case a.ReadsSource:
+		case readsSource(a):
 			return -1
 		default:
 			return 1
--- a/internal/peer/fleet_size.go
+++ b/internal/peer/fleet_size.go
@@ -26,7 +26,7 @@
 	size := 0
 	for _, p := range m.peers {
 		if !p.lastSeen.IsZero() {
-			size = max(size, m.peerCount()+1, p.hello.KnownPeers+1, p.lastHeartbeat.KnownPeers+1)
+			size = max(size, m.peerCount()+1, p.knownPeers()+1)
 		}
 	}
 	return size
--- a/internal/peer/heartbeats.go
+++ b/internal/peer/heartbeats.go
@@ -15,7 +15,7 @@
 	m.mu.Lock()
 	if p := m.peers[from]; p != nil {
 		p.lastSeen = boottime.Now()
-		p.lastHeartbeat = *h
+		p.lastHeartbeat = h
 		if m.sparse != nil {
 			m.sparse.overlay.SetReported(p.lastSeen, from, h.Draining, h.reach())
 		}
--- a/internal/peer/membership_updates.go
+++ b/internal/peer/membership_updates.go
@@ -49,7 +49,7 @@
 		m.sendUpdateOn(now, l, &c.updatesSent, encoded)
 	}
 	dialledBy := m.accepted[address] != nil
-	if dialledBy && overlay.SendsBootstrap(now, address, max(p.hello.KnownPeers, p.lastHeartbeat.KnownPeers)) {
+	if dialledBy && overlay.SendsBootstrap(now, address, p.knownPeers()) {
 		m.sendUpdateOn(now, l, &c.bootstrapSent, encoded)
 	}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -133,9 +133,9 @@
 	started       time.Time // when the peer started, by its hello; zero before that
 	listed        bool
 	lastSeen      time.Time
-	silent        bool // whether the handler was notified of the silence
-	lastHeartbeat Heartbeat
-	link          *link // dialled by this side; nil while down
+	silent        bool       // whether the handler was notified of the silence
+	lastHeartbeat *Heartbeat // nil before the first one of the peer's process
+	link          *link      // dialled by this side; nil while down
 	stop          context.CancelFunc
 	control       linkControl // used in a sparse mesh only
 }
@@ -312,7 +312,7 @@
 		return
 	}
 	if p.hello.Incarnation != h.Incarnation {
-		p.lastHeartbeat = Heartbeat{}
+		p.lastHeartbeat = nil
 	}
 	p.hello = h
 	p.lastSeen = boottime.Now()
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -319,10 +319,9 @@
 		if p := m.peers[k.Address]; p != nil {
 			s.Linked = m.liveLink(k.Address, p) != nil
 			s.LastSeen = boottime.ToMonotonic(p.lastSeen)
-			s.Revision = p.lastHeartbeat.Revision
-			s.ConfigVersion = p.lastHeartbeat.ConfigVersion
-			s.InFlight = p.lastHeartbeat.InFlight
-			s.ReadsSource = p.lastHeartbeat.ReadsSource
+			if s.Linked {
+				s.Report = p.report()
+			}
 		}
 		out = append(out, s)
 	}
--- a/internal/peer/sparse_test.go
+++ b/internal/peer/sparse_test.go
@@ -105,6 +105,9 @@
 		}
 		return false
 	})
+	for _, p := range from.Peers() {
+		is.True(p.Report == nil || p.Linked) // what one without a link reports isn't known, and not zero
+	}
 	slot, _, err := from.AcquireSlot(t.Context(), to.o.Address, &SlotRequest{Service: "free"}, time.Minute)
 	is.NoErr(err)
 	slot.Release(SlotRelease{Result: 3}, loadreport.Report{})
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -16,24 +16,48 @@
 	Incarnation uint64    `json:"incarnation,string"`
 	Linked      bool      `json:"linked"`
 	LastSeen    time.Time `json:"lastHeard"`
-	Revision    int64     `json:"revision"`
-	// ConfigVersion is the version that the peer's configuration carries itself; 0 means not reported.
-	ConfigVersion int64 `json:"configVersion,omitempty"`
-	Draining      bool  `json:"draining"`
+	Draining    bool      `json:"draining"`
 	// Reach is whether the peer reaches upstreams over its own network path. In a sparse mesh it is known
 	// of peers without a link, too.
-	Reach reach.State `json:"reach,omitempty"`
+	Reach reach.State `json:"reach,omitzero"`
 	// Isolated reports that Reach is reach.Isolated.
-	Isolated    bool      `json:"isolated,omitempty"`
-	ReadsSource bool      `json:"reads,omitempty"`
-	Reachable   bool      `json:"reachable"`
-	Cores       float64   `json:"cores,omitempty"`
-	Started     time.Time `json:"started,omitzero"`
-	InFlight    int       `json:"inFlight"`
-	// Queued is the number of waiting requests by engine set and rank, as last reported.
+	Isolated  bool      `json:"isolated,omitempty"`
+	Reachable bool      `json:"reachable"`
+	Cores     float64   `json:"cores,omitempty"`
+	Started   time.Time `json:"started,omitzero"`
+	// Report is what the peer last reported on a link; nil if that isn't known: it hasn't reported yet,
+	// or, in a sparse mesh, has no link.
+	*Report
+}
+
+// Report is what a peer tells those that are linked to it.
+type Report struct {
+	Revision int64 `json:"revision"`
+	// ConfigVersion is the version that the peer's configuration carries itself; 0 means not reported.
+	ConfigVersion int64 `json:"configVersion,omitempty"`
+	ReadsSource   bool  `json:"reads,omitempty"`
+	InFlight      int   `json:"inFlight"`
+	// Queued is the number of waiting requests by engine set and rank.
 	Queued map[string][]int `json:"queued,omitempty"`
 }
 
+// report returns what the peer last reported; nil if it hasn't.
+func (p *peerState) report() *Report {
+	h := p.lastHeartbeat
+	if h == nil {
+		return nil
+	}
+	return &Report{Revision: h.Revision, ConfigVersion: h.ConfigVersion, ReadsSource: h.ReadsSource, InFlight: h.InFlight, Queued: h.Queued}
+}
+
+// knownPeers returns how many peers the peer last said that it knows.
+func (p *peerState) knownPeers() int {
+	if p.lastHeartbeat == nil {
+		return p.hello.KnownPeers
+	}
+	return max(p.hello.KnownPeers, p.lastHeartbeat.KnownPeers)
+}
+
 // Peers returns the status of all known peers, sorted by address.
 func (m *Mesh) Peers() []Status {
 	m.mu.Lock()
@@ -43,24 +67,22 @@
 	}
 	out := make([]Status, 0, len(m.peers))
 	for address, p := range m.peers {
-		out = append(out, Status{
-			Address:       address,
-			Zone:          p.hello.Zone,
-			Incarnation:   p.hello.Incarnation,
-			Linked:        p.link != nil,
-			LastSeen:      boottime.ToMonotonic(p.lastSeen),
-			Revision:      p.lastHeartbeat.Revision,
-			ConfigVersion: p.lastHeartbeat.ConfigVersion,
-			Draining:      p.lastHeartbeat.Draining,
-			Reach:         p.lastHeartbeat.reach(),
-			Isolated:      p.lastHeartbeat.reach() == reach.Isolated,
-			ReadsSource:   p.lastHeartbeat.ReadsSource,
-			InFlight:      p.lastHeartbeat.InFlight,
-			Queued:        p.lastHeartbeat.Queued,
-			Reachable:     m.isReachable(p),
-			Cores:         p.hello.Cores,
-			Started:       boottime.ToMonotonic(p.started),
-		})
+		s := Status{
+			Address:     address,
+			Zone:        p.hello.Zone,
+			Incarnation: p.hello.Incarnation,
+			Linked:      p.link != nil,
+			LastSeen:    boottime.ToMonotonic(p.lastSeen),
+			Reachable:   m.isReachable(p),
+			Cores:       p.hello.Cores,
+			Started:     boottime.ToMonotonic(p.started),
+			Report:      p.report(),
+		}
+		if h := p.lastHeartbeat; h != nil {
+			s.Draining, s.Reach = h.Draining, h.reach()
+			s.Isolated = s.Reach == reach.Isolated
+		}
+		out = append(out, s)
 	}
 	sortByAddress(out)
 	return out
