reach: count an instance as isolated until it opens a connection, and no longer

A new connection now ends it at once, which is what peers need to know; responses on kept connections, which come and go with requests, don't. An instance that is isolated in this sense verifies it even if kept connections serve all its requests. TestAnnouncedState failed before.

--- a/internal/reach/state.go
+++ b/internal/reach/state.go
@@ -8,24 +8,19 @@
 // State is whether an instance reaches upstreams over its own network path.
 type State uint8
 
-// The states. Isolated is also that of an instance which was isolated within the last announcedFor.
+// The states.
 const (
-	// Unknown: no connection to an upstream was established or failed yet, or since it was isolated.
+	// Unknown: no connection to an upstream was established or failed yet.
 	Unknown State = iota
 	// Reaching: it has reached an upstream, and wasn't isolated since.
 	Reaching
-	// Isolated: it reaches no upstream, see Tracker.Isolated.
+	// Isolated: it was isolated, see Tracker.Isolated, and hasn't established a new connection since.
+	// Responses on connections that were kept don't count, since only new ones can be relayed.
 	Isolated
 )
 
-const (
-	// announcedFor is how long an instance still counts as isolated after it has reached an upstream, so
-	// that a path that fails and recovers in turn isn't announced with each change.
-	announcedFor = 2 * time.Second
-	// recheckAfter is the age of the failures that show that an instance is isolated, from which on they
-	// are verified.
-	recheckAfter = recentFor / 2
-)
+// recheckAfter is the age from which on the failures of an isolated instance are verified.
+const recheckAfter = recentFor / 2
 
 // String implements fmt.Stringer.
 func (s State) String() string {
@@ -53,17 +48,22 @@
 	return nil
 }
 
-// State returns the state to announce to peers. It has to be called more often than every announcedFor.
+// State returns the state to announce to peers.
 func (t *Tracker) State(now time.Time) State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	switch {
-	case t.isIsolated(now):
+	return t.state(now)
+}
+
+// state is State for a caller that holds the lock.
+func (t *Tracker) state(now time.Time) State {
+	if t.isIsolated(now) {
 		t.isolatedAt = now
+	}
+	switch {
+	case t.isolatedAt.After(t.lastConnected):
 		return Isolated
-	case !t.isolatedAt.IsZero() && now.Sub(t.isolatedAt) < announcedFor:
-		return Isolated
-	case t.lastReached.After(t.isolatedAt):
+	case !t.lastReached.IsZero():
 		return Reaching
 	default:
 		return Unknown
@@ -75,22 +75,21 @@
 func (t *Tracker) NextRechecks(now time.Time) (due []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isIsolated(now) {
+	if t.state(now) != Isolated {
 		return nil
 	}
 	certain := 0
-	for upstream, at := range t.failing {
-		switch o := t.of(upstream); {
-		case now.Sub(at) < recheckAfter, o.probing:
+	for upstream, o := range t.upstreams {
+		if o.probing || now.Sub(o.failedAt) < recheckAfter {
 			certain++
-		case now.Sub(at) < recentFor:
+		} else {
 			due = append(due, upstream)
 		}
 	}
 	slices.Sort(due)
 	due = due[:min(len(due), max(minFailing-certain, 0))]
 	for _, upstream := range due {
-		t.of(upstream).probing = true
+		t.upstreams[upstream].probing = true
 	}
 	return due
 }
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// What is announced to peers must not change with each response while a path fails and recovers in turn, and an
-// instance that hasn't reached an upstream since it was isolated must not claim that it does.
+// What is announced to peers must not change with each response on a kept connection while new ones are
+// refused. An instance that can open connections again must be asked to relay at once: it may be the only one.
 func TestAnnouncedState(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
@@ -52,12 +52,14 @@
 		r.Failed(now, upstream)
 	}
 	is.Equal(r.State(now), Isolated)
-	is.Equal(r.State(now.Add(recentFor)), Unknown) // the failures are old, and nothing was reached since
+	is.Equal(r.State(now.Add(2*recentFor)), Isolated) // the failures are old, and nothing was reached since
 	now = now.Add(time.Second)
 	r.Reached(now, "a")
 	is.True(!r.Isolated(now))
-	is.Equal(r.State(now.Add(announcedFor/4)), Isolated)
-	is.Equal(r.State(now.Add(announcedFor)), Reaching)
+	is.Equal(r.State(now), Isolated)
+	is.Equal(len(r.NextRechecks(now.Add(recentFor))), minFailing) // also if no request needs a new connection
+	r.Connected(now, "a")
+	is.Equal(r.State(now), Reaching)
 }
 
 // An isolated instance that got no requests for 5 s said that it wasn't isolated, and peers asked it to relay.
