soak: end the connections of a silent path whose dialers have given up

Seen by counting descriptors: 300 more in each second of the partition, then 20,000. The path now notices that a dialer has gone, as its comment said. The same may have happened in the soaks of partitions before. TestSilentPathEndsConnectionsOfDialersThatHaveGivenUp blocks before.

--- a/internal/soak/path.go
+++ b/internal/soak/path.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -58,8 +60,33 @@
 		case mode != Silent:
 			return line, nil
 		}
-		<-changed
+		if hasGone(caller, changed) {
+			return "", errDialerGone
+		}
+	}
+}
+
+var errDialerGone = errors.New("the dialer has given up")
+
+// hasGone blocks until a dialer, which sends nothing meanwhile, has closed its connection or changed is
+// closed, and reports whether it was the former.
+func hasGone(dialer *net.TCPConn, changed <-chan struct{}) bool {
+	ended := make(chan error, 1)
+	go func() {
+		_, err := dialer.Read(make([]byte, 1))
+		ended <- err
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-changed:
+	}
+	_ = dialer.SetReadDeadline(time.Now()) // ends the read
+	if err := <-ended; !errors.Is(err, os.ErrDeadlineExceeded) {
+		return true
 	}
+	_ = dialer.SetReadDeadline(time.Time{})
+	return false
 }
 
 // maxTargetBytes bounds the length of a target, IP:port.
