--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -33,18 +33,18 @@
 // daemon is one front machine: a process of the system, which the platform starts again when it ends,
 // and kills when it exceeds its memory.
 type daemon struct {
-	name, settings     string
-	callers, ready     string
-	program            string
-	record             *record
-	log                *os.File
-	mu                 sync.Mutex
-	process            *os.Process
-	stopping           bool
-	starts             int
-	killedAt           []time.Time
-	highestMB          int
-	exited, supervised chan struct{}
+	name, settings string
+	callers, ready string
+	program        string
+	record         *record
+	log            *os.File
+	mu             sync.Mutex
+	process        *os.Process
+	stopping       bool
+	starts         int
+	killedAt       []time.Time
+	highestMB      int
+	supervised     chan struct{}
 }
 
 // addresses are the addresses of one daemon on a loopback IP.
