--- a/review/harness/endless_head.go
+++ b/review/harness/endless_head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -92,25 +93,39 @@
 			}
 		})
 	}
-	time.Sleep(quietBefore)
+	pause(ctx, quietBefore)
 	if s.trouble {
 		s.record.add("from now on %s spoils one in %d of its answers", workers[0].id, garbleEvery)
 		garbling.Store(true)
 	}
-	time.Sleep(garbleFor)
+	pause(ctx, garbleFor)
 	garbling.Store(false)
 	s.record.add("%s answers well again", workers[0].id)
-	time.Sleep(quietAfter)
+	pause(ctx, quietAfter)
 	end()
 	all.Wait()
+	if ctx.Err() != nil {
+		return fmt.Errorf("interrupted: %w", ctx.Err())
+	}
 	return judgeLost(s, daemons, workers[1:], calls)
 }
 
+// pause blocks for a time, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // judgeLost counts the requests that a daemon read from a kept connection and passed on to a sound worker, and whose
 // connection it closed without an answer.
 func judgeLost(s *setup, daemons []*daemon, sound []*worker, calls []*call) error {
-	lost := 0
+	lost, answered := 0, 0
 	for _, k := range calls {
+		if k.complete {
+			answered++
+		}
 		if !k.kept || k.status != 0 || k.err == nil || k.ended.Sub(k.sent) >= k.deadline {
 			continue
 		}
@@ -128,6 +143,9 @@
 		s.record.add("%s: highest memory %d MB, killed for its memory %d times", d.name, mb, n)
 	}
 	s.record.add("%d client attempts, %d of them lost at sound workers, %d processes killed", len(calls), lost, kills)
+	if answered == 0 {
+		return errors.New("no request was answered")
+	}
 	if lost > allowedLost {
 		return fmt.Errorf("%w: LOST: %d requests that sound workers ran had no answer (%d are allowed); %d processes exceeded their memory", errBroken, lost, allowedLost, kills)
 	}
