entry, processor: measure how much of its processor time an instance uses

A monitor samples the processor time of the process ten times a second; two gauges, the event processor_saturated and two fields of owner_silent show it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,12 +13,14 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/idempotency"
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/processor"
 	"github.com/tacktally/tacktally/internal/proxy"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
@@ -89,6 +91,10 @@
 	proxy  *proxy.Handler
 	// quarantine records requests that crash upstreams.
 	quarantine *quarantine.Registry
+	// processor measures the processor time of this process.
+	processor *processor.Monitor
+	// saturatedLog bounds the log lines about missing processor time.
+	saturatedLog rate.Sometimes
 	// knowsQuarantined reports that a peer has sent all its quarantine periods.
 	knowsQuarantined atomic.Bool
 	mesh             *peer.Mesh
@@ -130,6 +136,8 @@
 	}
 	i.address = listen.Advertised(s.Peers.Advertise, i.listeners.peers)
 	i.log = telemetry.NewLogger(i.output, s.Log.Level, i.address)
+	i.processor = processor.NewMonitor(s.Routed.Cores, i.processorSampled)
+	i.saturatedLog = rate.Sometimes{Interval: saturatedLogInterval}
 	i.quarantine = quarantine.New(i.log, func(k quarantine.Key) bool { return i.fleet.OwnsProbes(k) })
 	if s.Routed.Relay {
 		i.relayServer = relay.NewServer(relay.ServerOptions{
@@ -251,12 +259,13 @@
 			Extra:  s.Routed.RetryExtra,
 			Window: time.Duration(s.Routed.RetryWindow),
 		},
-		ColdOverage: s.Routed.ColdOverage,
-		ColdSlack:   s.Routed.ColdSlack,
-		Overload:    fleet.Overload(s.Routed.Overload),
-		Quarantine:  i.quarantine,
-		Metrics:     i.metrics,
-		Log:         i.log,
+		ColdOverage:   s.Routed.ColdOverage,
+		ColdSlack:     s.Routed.ColdSlack,
+		Overload:      fleet.Overload(s.Routed.Overload),
+		Quarantine:    i.quarantine,
+		ProcessorLoad: i.processor.Load,
+		Metrics:       i.metrics,
+		Log:           i.log,
 	})
 }
 
@@ -331,6 +340,7 @@
 	i.registerRelayGauges()
 	i.registerRetryGauges()
 	i.registerLoadGauges()
+	i.registerProcessorGauges()
 	i.metrics.Gauge("tacktally_log_lines_dropped", func() float64 { return float64(i.output.Dropped()) })
 }
 
@@ -361,6 +371,7 @@
 	background.Go(func() { i.runReader(life) })
 	background.Go(func() { i.refreshFromPeers(life) })
 	background.Go(func() { i.maintain(life) })
+	background.Go(func() { i.processor.Run(life) })
 	servers := i.listeners.serve(i)
 	i.log.Info().Str("event", "started").Str("zone", i.settings.Zone).Str("callers", i.settings.Callers.Address).
 		Str("seeds", join(i.settings.Peers.Seeds)).Msg("")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/origin"
 	"github.com/tacktally/tacktally/internal/pool"
+	"github.com/tacktally/tacktally/internal/processor"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/ratelimit"
@@ -59,8 +60,10 @@
 	Overload Overload
 	// Quarantine determines which requests crash upstreams.
 	Quarantine *quarantine.Registry
-	Metrics    *telemetry.Metrics
-	Log        *log.Logger
+	// ProcessorLoad returns how much of its processor time this process has used; nil if that isn't measured.
+	ProcessorLoad func() processor.Load
+	Metrics       *telemetry.Metrics
+	Log           *log.Logger
 }
 
 // Overload selects decisions for times in which upstreams are short of capacity. The zero value
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -10,6 +10,7 @@
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/pool"
 	"github.com/tacktally/tacktally/internal/prefix"
+	"github.com/tacktally/tacktally/internal/processor"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -126,10 +127,20 @@
 // markUnresponsive records that an owner didn't decide on a request, and logs the cause.
 func (f *Fleet) markUnresponsive(owner, id string, err error) {
 	f.o.Metrics.Count("tacktally_slot_requests_undecided_total")
-	f.o.Log.Warn().Str("event", "owner_silent").Str("request", id).Str("owner", owner).Str("cause", err.Error()).Msg("")
+	own := f.processorLoad()
+	f.o.Log.Warn().Str("event", "owner_silent").Str("request", id).Str("owner", owner).Str("cause", err.Error()).
+		Float64("own_utilization", own.Utilization).Dur("own_stall", own.Stall).Msg("")
 	f.owners.markUnresponsive(owner, time.Now())
 }
 
+// processorLoad returns how much of its processor time this process has used; the zero value if that isn't measured.
+func (f *Fleet) processorLoad() processor.Load {
+	if f.o.ProcessorLoad == nil {
+		return processor.Load{}
+	}
+	return f.o.ProcessorLoad()
+}
+
 // requestSlot requests a slot from the owner of a shard. An error means that the owner didn't decide.
 func (f *Fleet) requestSlot(ctx context.Context, owner string, s *shard, req *AcquireRequest) (Grant, *api.Problem, error) {
 	slot, refusal, err := f.slots.AcquireSlot(ctx, owner, f.slotRequest(time.Now(), s, req), ackTimeout)
--- a/internal/listen/limited_listener.go
+++ b/internal/listen/limited_listener.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// OpenConnections returns how many accepted connections are open.
+func (l *LimitedListener) OpenConnections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 // limitedConn is an accepted connection. net/http reports that it is active once the whole head of a request
 // was read, so that it tells the listener of the first byte.
 type limitedConn struct {
--- /dev/null
+++ b/internal/processor/doc.go
@@ -0,0 +1,5 @@
+// Package processor measures how much of its processor time this process uses.
+//
+// A process may have less than a core: the kernel stops it once it has used up its quota of a period, for the rest
+// of the period. What waits meanwhile is late through no fault of what it waits for.
+package processor
