--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -67,6 +67,13 @@
 	return p.started
 }
 
+// pid returns the ID of the current process.
+func (p *Process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running.Process.Pid
+}
+
 // Signal sends a signal to the current process. It does nothing if that has ended.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
