processor, listen: admit connections of callers by the processor time that is left, before they are read

Cause: callers' connections were limited by file descriptors alone. All were read, and waited for the processor at each of their steps until their deadline: utilization 1.0, over 1,000 requests in flight.

A closed connection costs the caller one more try.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,6 +93,9 @@
 	quarantine *quarantine.Registry
 	// processor measures the processor time of this process.
 	processor *processor.Monitor
+	// admission admits connections of callers by the processor time that is left; nil without
+	// routed.shedConnections.
+	admission *processor.Admission
 	// saturatedLog bounds the log lines about missing processor time.
 	saturatedLog rate.Sometimes
 	// knowsQuarantined reports that a peer has sent all its quarantine periods.
@@ -136,7 +139,13 @@
 	}
 	i.address = listen.Advertised(s.Peers.Advertise, i.listeners.peers)
 	i.log = telemetry.NewLogger(i.output, s.Log.Level, i.address)
-	i.processor = processor.NewMonitor(s.Routed.Cores, i.processorSampled)
+	var err error
+	if i.processor, err = processor.NewMonitor(s.Routed.Cores, i.processorSampled); err != nil {
+		return nil, err
+	}
+	if s.Routed.ShedConnections {
+		i.admission = processor.NewAdmission(s.Routed.Cores)
+	}
 	i.saturatedLog = rate.Sometimes{Interval: saturatedLogInterval}
 	i.quarantine = quarantine.New(i.log, func(k quarantine.Key) bool { return i.fleet.OwnsProbes(k) })
 	if s.Routed.Relay {
@@ -171,6 +180,7 @@
 		Announce:     func() { go i.mesh.Announce() },
 		AnnounceSoon: func() { i.mesh.AnnounceSoon() },
 		OnClosing:    i.view.RecheckUpstream,
+		CloseCallers: func() bool { return i.admission != nil && i.admission.Overloaded() },
 		StaleAfter:   time.Duration(s.Routed.InForce),
 		Metrics:      i.metrics,
 		Log:          i.log,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -90,6 +90,7 @@
 	}
 	l.callers = listen.NewLimitedListener(callers, maxCallerConnections(s.Routed.MaxFiles), func() { m.Count("tacktally_connections_refused_total") })
 	l.callers.OnEvicted = func() { m.Count("tacktally_connections_evicted_total") }
+	l.callers.OnShed = func() { m.Count("tacktally_connections_shed_total") }
 	if l.ready, err = listen.TCP("routed.ready", s.Routed.Ready); err != nil {
 		return err
 	}
@@ -123,6 +124,7 @@
 	metrics.HandleFunc("GET "+ZoneReportPath, i.serveZoneReport)
 	callers := i.newServer(i.proxy)
 	callers.ConnState = l.callers.ConnState
+	i.limitConnections(callers)
 	callers.ConnContext = listen.ConnContext
 	i.start(callers, l.callers)
 	s := &servers{callers: callers}
--- a/internal/listen/limited_listener.go
+++ b/internal/listen/limited_listener.go
@@ -26,6 +26,10 @@
 	// OnEvicted, if set, is called for each idle connection that is closed for a new one. It must not block,
 	// and is set before the first connection.
 	OnEvicted func()
+	// Admit, if set, decides whether a new connection may stay open. Others are closed without being read, and
+	// OnShed is called for each. Both must not block, and are set before the first connection.
+	Admit  func() bool
+	OnShed func()
 
 	mu   sync.Mutex
 	open map[net.Conn]struct{}
@@ -46,10 +50,14 @@
 			return nil, err
 		}
 		c := &limitedConn{Conn: conn, listener: l}
-		if l.admit(c) {
+		switch {
+		case l.Admit != nil && !l.Admit():
+			l.OnShed()
+		case l.admit(c):
 			return c, nil
+		default:
+			l.onRefused()
 		}
-		l.onRefused()
 		_ = conn.Close() // nothing was read
 	}
 }
--- a/internal/processor/monitor.go
+++ b/internal/processor/monitor.go
@@ -24,14 +24,16 @@
 	Length time.Duration
 	// Used is the processor time that all threads of the process have used.
 	Used time.Duration
+	// Delay is how long bytes that arrived at the process waited until they were read.
+	Delay time.Duration
 }
 
 // Load is how much of its processor time a process has used lately.
 type Load struct {
 	// Utilization is the part of it that was used; above 1 if more was used for a short while.
 	Utilization float64
-	// Stall is how much later than due the latest sample was taken.
-	Stall time.Duration
+	// Stall is how much later than due the last sample was taken, and Delay its delay.
+	Stall, Delay time.Duration
 }
 
 // Saturated reports whether the process lacked processor time.
@@ -41,6 +43,7 @@
 type Monitor struct {
 	cores    float64
 	onSample func(Sample)
+	probe    *probe
 
 	mu      sync.Mutex
 	at      time.Time     // of the last sample
@@ -49,30 +52,36 @@
 }
 
 // NewMonitor returns a monitor of this process, which has the processor time of the given number of cores. Run calls
-// onSample with each sample.
-func NewMonitor(cores float64, onSample func(Sample)) *Monitor {
-	return &Monitor{cores: cores, onSample: onSample, at: time.Now(), used: usedTime()}
+// onSample with each sample, and must be called once.
+func NewMonitor(cores float64, onSample func(Sample)) (*Monitor, error) {
+	p, err := newProbe()
+	if err != nil {
+		return nil, err
+	}
+	return &Monitor{cores: cores, onSample: onSample, probe: p, at: time.Now(), used: usedTime()}, nil
 }
 
 // Run samples until ctx ends. It blocks.
 func (m *Monitor) Run(ctx context.Context) {
+	defer m.probe.close()
 	tick := time.NewTicker(sampleInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
-			m.onSample(m.sample(time.Now(), usedTime()))
+			now := time.Now()
+			m.onSample(m.sample(now, usedTime(), m.probe.measure(now)))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// sample records the processor time that was used in total.
-func (m *Monitor) sample(now time.Time, used time.Duration) Sample {
+// sample records the processor time that was used in total, and the delay.
+func (m *Monitor) sample(now time.Time, used, delay time.Duration) Sample {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Sample{Length: now.Sub(m.at), Used: used - m.used}
+	s := Sample{Length: now.Sub(m.at), Used: used - m.used, Delay: delay}
 	m.at, m.used = now, used
 	if len(m.samples) == loadSamples {
 		m.samples = m.samples[1:]
@@ -93,9 +102,11 @@
 	if sum.Length <= 0 {
 		return Load{}
 	}
+	last := m.samples[len(m.samples)-1]
 	return Load{
 		Utilization: sum.Used.Seconds() / (sum.Length.Seconds() * m.cores),
-		Stall:       max(m.samples[len(m.samples)-1].Length-sampleInterval, 0),
+		Stall:       max(last.Length-sampleInterval, 0),
+		Delay:       last.Delay,
 	}
 }
 
--- a/internal/processor/monitor_test.go
+++ b/internal/processor/monitor_test.go
@@ -9,12 +9,14 @@
 
 func TestLoadCoversTheLastSamples(t *testing.T) {
 	is := is.New(t)
-	m := NewMonitor(0.25, func(Sample) {})
+	m, err := NewMonitor(0.25, func(Sample) {})
+	is.NoErr(err)
+	defer m.probe.close()
 	is.Equal(m.Load(), Load{})
 	now, used := m.at, m.used
 	add := func(length, u time.Duration) {
 		now, used = now.Add(length), used+u
-		m.sample(now, used)
+		m.sample(now, used, 0)
 	}
 	add(100*time.Millisecond, 12500*time.Microsecond)
 	is.Equal(m.Load().Utilization, 0.5)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -54,6 +54,9 @@
 	// OnClosing is called with each upstream that announces the end of its connection, since it may
 	// be leaving. It must not block.
 	OnClosing func(upstream string)
+	// CloseCallers reports whether responses close their connections at present, since those that callers keep open
+	// bring more requests than this instance can serve. It may be nil.
+	CloseCallers func() bool
 	// StaleAfter is the age of the configuration above which a request isn't refused for an entry
 	// that the configuration lacks: the entry may have been added since. The request gets a
 	// retryable problem instead.
@@ -87,7 +90,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.draining.Load() {
+	if h.draining.Load() || (h.o.CloseCallers != nil && h.o.CloseCallers()) {
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{handler: h, w: w, request: r, arrived: time.Now(), suspended: boottime.Suspended()}
