fleet: blame nobody for a time-out while this process lacks processor time

At an instance without processor time left, replies of owners and established connections wait to be read. Each owner that is passed over makes a second one that grants the same slots.

An owner that has really failed is passed over 0.3 s later, at such an instance alone.

--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -21,6 +21,9 @@
 	// ackTimeout is how long an owner may take to acknowledge a request. Its processor may be throttled
 	// for 100 ms.
 	ackTimeout = 150 * time.Millisecond
+	// saturatedAckTimeout is the same while this process lacks processor time: a reply may have arrived and wait to
+	// be read, for several periods of a processor quota.
+	saturatedAckTimeout = 3 * ackTimeout
 	// unresponsiveFor is how long an owner that didn't reply gets no further requests.
 	unresponsiveFor = time.Second
 	// coresExponent gives large instances a more than proportional share of ownership: one with twice the
--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -97,7 +97,9 @@
 		}
 	case cause == nil || errors.Is(cause, errConnectTimeout):
 		f.o.Metrics.Count("tacktally_upstream_connects_failed_total")
-		f.reach.Failed(time.Now(), id)
+		if !f.mayBeOwnDelay(err) {
+			f.reach.Failed(time.Now(), id)
+		}
 	}
 	return conn, err
 }
@@ -246,7 +248,14 @@
 // BlamesUpstream reports whether an attempt that ended with an error may be due to its upstream, rather than
 // to the path to it.
 func (f *Fleet) BlamesUpstream(err error) bool {
-	return !errors.Is(err, ErrNoPath) && !errors.Is(err, relay.ErrLost) && !f.Isolated()
+	return !errors.Is(err, ErrNoPath) && !errors.Is(err, relay.ErrLost) && !f.Isolated() && !f.mayBeOwnDelay(err)
+}
+
+// mayBeOwnDelay reports whether an error is a time-out and this process lacks processor time: what it waited for may
+// have arrived, and wait to be read.
+func (f *Fleet) mayBeOwnDelay(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout() && f.processorLoad().Saturated()
 }
 
 // Isolated reports whether this instance seems to reach no upstream over its own path.
--- a/internal/fleet/paths_test.go
+++ b/internal/fleet/paths_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/tacktally/tacktally/internal/processor"
 	"github.com/tacktally/tacktally/internal/relay"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
@@ -158,3 +161,41 @@
 	is.True(errors.Is(err, ErrNoPath))
 	is.True(!p.BlamesUpstream(err))
 }
+
+// Guards against circuits that open at an instance that lacks processor time: connections to sound upstreams were
+// established and nobody had read that yet.
+func TestOwnLackOfProcessorTimeBlamesNoUpstreamForATimeout(t *testing.T) {
+	for name, test := range map[string]struct {
+		utilization float64
+		err         error
+		blamed      bool
+	}{
+		"time-out":                      {0.5, os.ErrDeadlineExceeded, true},
+		"time-out while saturated":      {1, os.ErrDeadlineExceeded, false},
+		"late response while saturated": {1, context.DeadlineExceeded, false},
+		"refused while saturated":       {1, errors.New("refused"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newFakePaths(1)
+			p.o.ProcessorLoad = func() processor.Load { return processor.Load{Utilization: test.utilization} }
+			p.o.DialUpstream = func(context.Context, string) (net.Conn, error) { return nil, fmt.Errorf("dial: %w", test.err) }
+			_, err := p.connect(t.Context(), "a", "a")
+			is.Equal(p.BlamesUpstream(err), test.blamed)
+			_, failing := p.UpstreamsReached()
+			is.Equal(failing == 1, test.blamed)
+		})
+	}
+}
+
+// Guards against sound owners that are passed over by an instance that lacks processor time, which makes a second
+// instance schedule the same upstreams.
+func TestOwnersHaveLongerWhileThisInstanceLacksProcessorTime(t *testing.T) {
+	is := is.New(t)
+	p := newFakePaths(1)
+	is.Equal(p.ackTimeout(), ackTimeout)
+	p.o.ProcessorLoad = func() processor.Load { return processor.Load{Utilization: 0.5} }
+	is.Equal(p.ackTimeout(), ackTimeout)
+	p.o.ProcessorLoad = func() processor.Load { return processor.Load{Utilization: 1} }
+	is.Equal(p.ackTimeout(), saturatedAckTimeout)
+}
--- a/internal/fleet/quotas.go
+++ b/internal/fleet/quotas.go
@@ -108,7 +108,7 @@
 		if owner == q.fleet.o.Instance {
 			return q.takeLocal(r, q.fleet.reachableShare())
 		}
-		reply, err := q.peers.TakeQuota(ctx, owner, r, ackTimeout)
+		reply, err := q.peers.TakeQuota(ctx, owner, r, q.fleet.ackTimeout())
 		switch {
 		case err == nil && reply.Granted:
 			return &TokenGrant{organisation: o.Name, Count: n, Owner: owner}, 0
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -141,9 +141,17 @@
 	return f.o.ProcessorLoad()
 }
 
+// ackTimeout returns how long an owner may take to acknowledge a request at present.
+func (f *Fleet) ackTimeout() time.Duration {
+	if f.processorLoad().Saturated() {
+		return saturatedAckTimeout
+	}
+	return ackTimeout
+}
+
 // requestSlot requests a slot from the owner of a shard. An error means that the owner didn't decide.
 func (f *Fleet) requestSlot(ctx context.Context, owner string, s *shard, req *AcquireRequest) (Grant, *api.Problem, error) {
-	slot, refusal, err := f.slots.AcquireSlot(ctx, owner, f.slotRequest(time.Now(), s, req), ackTimeout)
+	slot, refusal, err := f.slots.AcquireSlot(ctx, owner, f.slotRequest(time.Now(), s, req), f.ackTimeout())
 	switch {
 	case err != nil:
 		return nil, nil, err
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -34,7 +34,15 @@
 )
 
 // errSilent ends an exchange with an upstream that has sent nothing for too long.
-var errSilent = errors.New("the upstream sent nothing for too long")
+var errSilent error = silenceError{}
+
+// silenceError is a time-out, as net.Error defines it.
+type silenceError struct{}
+
+func (silenceError) Error() string { return "the upstream sent nothing for too long" }
+
+// Timeout reports that this is a time-out.
+func (silenceError) Timeout() bool { return true }
 
 // attemptResult is how one attempt ended.
 type attemptResult struct {
