exchange: bound the head of a response

A head, with the interim responses before it, now has 64 KiB at most; beyond that the response is invalid and its connection closed. Bounded before already: blank lines, interim responses, chunk sizes and extensions, trailers.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -40,6 +40,8 @@
 	maxStrayResponses = 2
 	// maxStrayBytes bounds the body of a skipped response.
 	maxStrayBytes = 64 << 10
+	// maxHeadBytes bounds the head of a response, together with those of the interim responses before it.
+	maxHeadBytes = 64 << 10
 	// maxInterimResponses bounds the 1xx responses that are skipped.
 	maxInterimResponses = 4
 )
@@ -116,7 +118,8 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net         net.Conn
-	reader      *bufio.Reader
+	source      *boundedReader
+	reader      *bufio.Reader // of source
 	pool        *Pool
 	used        bool       // it has served an exchange
 	expires     time.Time  // when idle, it isn't used from then on
@@ -211,8 +214,10 @@
 }
 
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.source.bound(maxHeadBytes)
+	defer c.source.unbound()
 	for range maxInterimResponses {
-		if _, err := c.reader.Peek(1); err != nil {
+		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, errHeadTooLarge) {
 			return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -272,4 +277,35 @@
 	}
 }
 
-func newReader(n net.Conn) *bufio.Reader { return bufio.NewReaderSize(n, readBufferBytes) }
+// errHeadTooLarge means that a head exceeds maxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("the head of the response has over %d bytes", maxHeadBytes)
+
+// boundedReader reads from a connection, only up to a bound while one is set.
+type boundedReader struct {
+	from    io.Reader
+	bounded bool
+	left    int // bytes, if bounded
+}
+
+func (b *boundedReader) bound(bytes int) { b.bounded, b.left = true, bytes }
+
+func (b *boundedReader) unbound() { b.bounded = false }
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if !b.bounded {
+		return b.from.Read(p)
+	}
+	if b.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := b.from.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+// newConnOn returns the connection that sends and receives over n.
+func newConnOn(n net.Conn, p *Pool) *conn {
+	source := &boundedReader{from: n}
+	return &conn{net: n, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), pool: p}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -186,7 +186,7 @@
 		return nil, err
 	}
 	p.open.Add(1)
-	return &conn{net: n, reader: newReader(n), pool: p}, nil
+	return newConnOn(n, p), nil
 }
 
 func (p *Pool) connClosed() { p.open.Add(-1) }
