proxy: read the body of a refusal for 50 ms at most

An upstream that refuses a request, with a body that doesn't end, held the request until its deadline: its caller got 502 after 10 s, while another upstream would have run it. Up to 32 KB of the body are read so that the connection can be kept, without a bound in time. TestRefusalWithAnEndlessBodyIsRetried failed before (502).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -101,6 +101,17 @@
 	return n, io.EOF
 }
 
+// AbortAfter makes reads fail, also one that blocks, from d on until stop is called. The connection isn't kept if that
+// has happened.
+func (r *Response) AbortAfter(d time.Duration) (stop func()) {
+	timer := time.AfterFunc(d, func() { _ = r.conn.net.SetDeadline(time.Unix(1, 0)) })
+	return func() {
+		if !timer.Stop() {
+			r.complete = false
+		}
+	}
+}
+
 // Close ends the exchange. The connection is kept if the response was read to its end and nothing
 // followed it; otherwise it is closed, which signals the upstream to stop.
 func (r *Response) Close() {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -224,13 +224,18 @@
 	}
 }
 
-// maxRefusalBytes bounds how much of a refusal's body is kept as its cause.
-const maxRefusalBytes = 200
+const (
+	// maxRefusalBytes bounds how much of a refusal's body is kept as its cause.
+	maxRefusalBytes = 200
+	// refusalBodyTimeout bounds the reading of a refusal's body: the request waits for its next attempt.
+	refusalBodyTimeout = 50 * time.Millisecond
+)
 
 // readRefusal counts a refusal of an upstream and returns its cause, from status and body. It reads
 // a short body to its end, so that the connection can be reused.
 func (r *relay) readRefusal() error {
 	r.job.handler.o.Metrics.Count(fmt.Sprintf("tacktally_upstream_refusals_total{status=\"%d\"}", r.response.Status))
+	defer r.response.AbortAfter(refusalBodyTimeout)()
 	body, _ := io.ReadAll(io.LimitReader(r.response, maxRefusalBytes))      // a read error only shortens the cause
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.response, copyBufferBytes)) // unread bytes would close the connection
 	return fmt.Errorf("status %d %s", r.response.Status, strings.TrimSpace(string(body)))
