exchange, peer, relay, platform: bound the heads of responses that net/http reads

The same cause elsewhere: a net/http transport keeps up to 10 MB of a head, for each call to the store, to peers and relays, and to engines of the own interface; an instance of the users has 112 MB. All have the bound of exchange now.

--- a/internal/cacheevents/cacheevents.go
+++ b/internal/cacheevents/cacheevents.go
@@ -20,6 +20,7 @@
 	"github.com/dghubble/sling"
 	"github.com/go-json-experiment/json"
 
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
@@ -75,7 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Follower{
 		sink:   sink,
-		http:   &http.Client{Timeout: longPollWait + timeoutMargin, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		http:   &http.Client{Timeout: longPollWait + timeoutMargin, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: exchange.MaxHeadBytes}},
 		ctx:    ctx,
 		cancel: cancel,
 		stops:  map[string]context.CancelFunc{},
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -30,6 +30,9 @@
 	ErrTruncated = errors.New("the response ended early")
 )
 
+// MaxHeadBytes bounds the head of a response, together with those of the interim responses before it.
+const MaxHeadBytes = 64 << 10
+
 const (
 	// maxInlineBodyBytes is the body size up to which the request is written before the response is
 	// read; it fits any socket buffer. A larger body is written concurrently.
@@ -40,8 +43,6 @@
 	maxStrayResponses = 2
 	// maxStrayBytes bounds the body of a skipped response.
 	maxStrayBytes = 64 << 10
-	// maxHeadBytes bounds the head of a response, together with those of the interim responses before it.
-	maxHeadBytes = 64 << 10
 	// maxInterimResponses bounds the 1xx responses that are skipped.
 	maxInterimResponses = 4
 )
@@ -225,7 +226,7 @@
 }
 
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.source.bound(maxHeadBytes)
+	c.source.bound(MaxHeadBytes)
 	defer c.source.unbound()
 	for range maxInterimResponses {
 		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, errHeadTooLarge) {
@@ -288,8 +289,8 @@
 	}
 }
 
-// errHeadTooLarge means that a head exceeds maxHeadBytes.
-var errHeadTooLarge = fmt.Errorf("the head of the response has over %d bytes", maxHeadBytes)
+// errHeadTooLarge means that a head exceeds MaxHeadBytes.
+var errHeadTooLarge = fmt.Errorf("the head of the response has over %d bytes", MaxHeadBytes)
 
 // boundedReader reads from a connection, only up to a bound while one is set.
 type boundedReader struct {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -19,6 +19,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/keepalive"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/wait"
@@ -234,7 +235,7 @@
 // dial establishes a link and serves it until it ends. It reports whether the link came up.
 func (m *Mesh) dial(ctx context.Context, address string) (up bool, err error) {
 	scheme := "ws://"
-	transport := &http.Transport{DialContext: m.dialer().DialContext, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: m.dialer().DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: exchange.MaxHeadBytes}
 	if m.o.TLS != nil {
 		scheme = "wss://"
 		transport.TLSClientConfig = m.o.TLS()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,6 +24,7 @@
 	"github.com/dghubble/sling"
 	"github.com/go-json-experiment/json"
 
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/keepalive"
 	"github.com/tacktally/tacktally/internal/wait"
 )
@@ -85,8 +86,9 @@
 // NewClient returns a client. Wait is the time for which one watch call waits for a change.
 func NewClient(base string, wait time.Duration) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive.Config(), Control: keepalive.Control}).DialContext,
-		MaxIdleConnsPerHost: 4,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepalive.Config(), Control: keepalive.Control}).DialContext,
+		MaxIdleConnsPerHost:    4,
+		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 	}
 	return &Client{base: base, wait: wait, http: &http.Client{Timeout: wait + watchTimeoutMargin, Transport: transport}}
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -17,6 +17,8 @@
 
 	"github.com/coder/websocket"
 	"golang.org/x/time/rate"
+
+	"github.com/tacktally/tacktally/internal/exchange"
 )
 
 // Errors of a Client and its connections.
@@ -250,7 +252,7 @@
 	dialCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var raw net.Conn
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: exchange.MaxHeadBytes, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		var err error
 		raw, err = c.o.Dialer.DialContext(ctx, network, address)
 		return raw, err
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -20,6 +20,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/request"
 )
 
@@ -122,10 +123,11 @@
 	return &Client{
 		dialer: dialer,
 		pooled: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    maxIdlePerHost,
+			IdleConnTimeout:        idleConnTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 		},
 	}
 }
@@ -172,8 +174,9 @@
 	h.GetBody = nil
 	guarded := &guardedConn{beforeWrite: call.BeforeWrite}
 	transport := &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := c.dialer.DialContext(ctx, network, address)
 			if err != nil {
