--- a/internal/listen/limited_listener_test.go
+++ b/internal/listen/limited_listener_test.go
@@ -233,3 +233,40 @@
 	is.True(served.Load() > 0)
 	is.Equal(ran.Load(), served.Load())
 }
+
+// Guards against requests that are read although there is no processor time for them: their connections are closed
+// unread, while those that are open go on.
+func TestConnectionsThatAreNotAdmittedAreClosedUnread(t *testing.T) {
+	is := is.New(t)
+	l, err := TCP("test", "127.0.0.1:0")
+	is.NoErr(err)
+	limited := NewLimitedListener(l, 4, func() {})
+	var closed atomic.Bool
+	shed := make(chan struct{}, 1)
+	limited.Admit = func() bool { return !closed.Load() }
+	limited.OnShed = func() { shed <- struct{}{} }
+	s := &http.Server{ConnState: limited.ConnState, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	go func() { _ = s.Serve(limited) }()
+	t.Cleanup(func() { s.Close() })
+	dial := func() *caller {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { c.Close() })
+		return &caller{c, bufio.NewReader(c)}
+	}
+	first := dial()
+	is.NoErr(first.send("/"))
+	is.True(first.answered())
+	closed.Store(true)
+	refused := dial()
+	<-shed
+	_, err = refused.reader.ReadByte()
+	is.True(err != nil)
+	is.NoErr(first.send("/"))
+	is.True(first.answered())
+	is.Equal(limited.OpenConnections(), 1)
+	closed.Store(false)
+	second := dial()
+	is.NoErr(second.send("/"))
+	is.True(second.answered())
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -462,6 +462,26 @@
 
 // An upstream leaves after the request was checked and before a connection to it exists. The
 // request is sent to another upstream, and its only attempt isn't used up.
+// Guards against callers that keep their connections open to an instance that can't serve them all.
+func TestResponsesCloseTheirConnectionsWhileCallersAreTooMany(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	tooMany := true
+	r.handler.o.CloseCallers = func() bool { return tooMany }
+	r.publish(0)
+	r.addUpstream("a", respondsWith("ok"))
+	closes := func() bool {
+		response, err := http.DefaultClient.Do(r.request("GET", "/safe/x", ""))
+		is.NoErr(err)
+		defer response.Body.Close()
+		is.Equal(response.StatusCode, 200)
+		return response.Close
+	}
+	is.True(closes())
+	tooMany = false
+	is.True(!closes())
+}
+
 func TestUpstreamThatLeavesBeforeTheFirstByteReceivesNothing(t *testing.T) {
 	is := is.New(t)
 	r := newHarness(t)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -35,7 +35,9 @@
 	// EndUnstated reports that the response had neither a length nor chunks.
 	EndUnstated bool
 	// NotSent reports that the request was not sent: no connection could be opened, or it had been closed.
-	NotSent  bool
+	NotSent bool
+	// TimedOut reports that no response arrived before the caller gave up.
+	TimedOut bool
 	Received time.Time
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -125,6 +125,9 @@
 // Disconnects reports whether a mix has faults after which instances are out of touch.
 func (m Mix) Disconnects() bool { return m[PeerLink] > 0 || m[Kill] > 0 || m[Pause] > 0 }
 
+// ThrottledMix is a mix of lost and replaced instances that have little processor time each.
+var ThrottledMix = Mix{Kill: 3, Terminate: 4, Pause: 1, Reload: 1, Change: 2}
+
 // PlannedBrittleMix is a mix of the planned work of operators while upstreams are brittle.
 var PlannedBrittleMix = Mix{Terminate: 4, Reload: 1, Change: 2}
 
