--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -460,8 +460,6 @@
 	m.do()
 }
 
-// An upstream leaves after the request was checked and before a connection to it exists. The
-// request is sent to another upstream, and its only attempt isn't used up.
 // Guards against callers that keep their connections open to an instance that can't serve them all.
 func TestResponsesCloseTheirConnectionsWhileCallersAreTooMany(t *testing.T) {
 	is := is.New(t)
@@ -482,6 +480,8 @@
 	is.True(!closes())
 }
 
+// An upstream leaves after the request was checked and before a connection to it exists. The
+// request is sent to another upstream, and its only attempt isn't used up.
 func TestUpstreamThatLeavesBeforeTheFirstByteReceivesNothing(t *testing.T) {
 	is := is.New(t)
 	r := newHarness(t)
