processor, entry: close callers' kept connections only under load, and judge lateness only where it is configured

By reading the change again: a single delay of this process, such as the reading of a large configuration, would have closed the connections of all callers that got a response within that tenth of a second (TestDelayWithoutLoadIsNoOverload), and without shedConnections routed.cores has a default, so that time-outs would not have counted on larger machines. Kept connections are closed only after two delays in a row with more than the target in use.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -254,6 +254,10 @@
 
 func (i *Instance) newFleet() *fleet.Fleet {
 	s := i.settings
+	var load func() processor.Load
+	if s.Routed.ShedConnections {
+		load = i.processor.Load // otherwise routed.cores may be less than the process has
+	}
 	return fleet.New(fleet.Options{
 		Instance:        i.address,
 		Cores:           s.Routed.Cores,
@@ -273,7 +277,7 @@
 		ColdSlack:     s.Routed.ColdSlack,
 		Overload:      fleet.Overload(s.Routed.Overload),
 		Quarantine:    i.quarantine,
-		ProcessorLoad: i.processor.Load,
+		ProcessorLoad: load,
 		Metrics:       i.metrics,
 		Log:           i.log,
 	})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -60,7 +60,8 @@
 	Overload Overload
 	// Quarantine determines which requests crash upstreams.
 	Quarantine *quarantine.Registry
-	// ProcessorLoad returns how much of its processor time this process has used; nil if that isn't measured.
+	// ProcessorLoad returns how much of its processor time this process has used; nil if that isn't known. While it
+	// is saturated, time-outs count neither against upstreams nor, so soon, against owners.
 	ProcessorLoad func() processor.Load
 	Metrics       *telemetry.Metrics
 	Log           *log.Logger
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -133,7 +133,7 @@
 	f.owners.markUnresponsive(owner, time.Now())
 }
 
-// processorLoad returns how much of its processor time this process has used; the zero value if that isn't measured.
+// processorLoad returns how much of its processor time this process has used; the zero value if that isn't known.
 func (f *Fleet) processorLoad() processor.Load {
 	if f.o.ProcessorLoad == nil {
 		return processor.Load{}
--- a/internal/processor/admission.go
+++ b/internal/processor/admission.go
@@ -56,8 +56,8 @@
 	used       int
 	// refused reports whether a connection was refused since the last sample.
 	refused bool
-	// delayed reports whether the last sample had a high delay.
-	delayed bool
+	// delayed reports whether the last sample had a high delay, and overloaded is what Overloaded reports.
+	delayed, overloaded bool
 }
 
 // NewAdmission returns the admission of a process that has the processor time of the given number of cores.
@@ -94,7 +94,7 @@
 func (a *Admission) Overloaded() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.delayed && a.additional <= minAdditional
+	return a.overloaded
 }
 
 // RequestBegan records that a request has begun, on a new connection or on a kept one.
@@ -116,7 +116,10 @@
 		a.cost += time.Duration(weight * (mean - float64(a.cost)))
 	}
 	a.requests = 0
-	a.adjustAdditional(s.Delay >= maxDelay)
+	delayed := s.Delay >= maxDelay
+	a.adjustAdditional(delayed)
+	a.overloaded = delayed && a.delayed && a.left < 0 && a.additional <= minAdditional
+	a.delayed = delayed
 }
 
 // adjustAdditional adapts the number of connections beyond the target. A single high delay may be chance: the
@@ -130,6 +133,5 @@
 	case !delayed && !a.refused:
 		a.additional = max(a.additional/additionalGrowth, minAdditional) // it wasn't needed
 	}
-	a.delayed = delayed
 	a.used, a.refused = 0, false
 }
--- a/internal/processor/admission_test.go
+++ b/internal/processor/admission_test.go
@@ -77,10 +77,21 @@
 	before := a.additional
 	interval(a, 100, 1, time.Second)
 	is.Equal(a.additional, before)
+	is.True(!a.Overloaded())
 	interval(a, 100, 1, time.Second)
 	is.True(a.additional < before)
 }
 
+// Guards against connections that callers keep open, and that are closed for work of this process that isn't theirs.
+func TestDelayWithoutLoadIsNoOverload(t *testing.T) {
+	is := is.New(t)
+	a := NewAdmission(0.2)
+	for range 3 {
+		interval(a, 1, 0.5, time.Second)
+		is.True(!a.Overloaded())
+	}
+}
+
 // A process that has used too much for a while, such as to read a large configuration, soon admits connections again.
 func TestOverdraftIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -277,8 +277,8 @@
 	// through peers that can, and relay such connections for their peers. Default false.
 	Relay bool `json:"relay,omitzero"`
 	// ShedConnections closes new connections of callers without reading them while the process uses most of its
-	// cores, so that what was read is served; their callers try another instance. It needs cores to be the
-	// processor time that the process really has. Default false.
+	// cores, so that what was read is served; their callers try another instance. Meanwhile time-outs aren't held
+	// against upstreams. It needs cores to be the processor time that the process really has. Default false.
 	ShedConnections bool `json:"shedConnections,omitzero"`
 	// Overload selects decisions for times in which upstreams are short of capacity.
 	Overload Overload `json:"overload,omitzero"`
