--- a/tools/suite/main.go
+++ b/tools/suite/main.go
@@ -17,6 +17,9 @@
 // the name of the test or the path of the subtest.
 const knownRed = "KNOWN-RED.txt"
 
+// packageTimeout bounds the tests of one package. The package with the soak runs for several minutes.
+const packageTimeout = "20m"
+
 // packages selects all packages of both modules of the workspace.
 var packages = []string{"./...", "./tools/..."}
 
@@ -80,7 +83,7 @@
 
 // arguments returns the arguments of the command "go" that runs all tests but the skipped ones.
 func arguments(skipped, extra []string) []string {
-	out := []string{"test", "-race"}
+	out := []string{"test", "-race", "-timeout", packageTimeout}
 	if len(skipped) > 0 {
 		out = append(out, "-skip", skipPattern(skipped))
 	}
