fleet: count what instances grant from shared bounds by their role

The logs tell which instances were silent to whom, not who granted how much meanwhile, so that a second owner, instances that decide alone, and a bucket that was refilled twice look alike.

tacktally_quota_grants_total and tacktally_retries_charged_total count grants by whether the instance was the owner, the standby (second in its ranking) or neither. No decision changes.

--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -93,6 +93,13 @@
 	return ranked
 }
 
+// roleOf returns the role of an instance at a shard.
+func (o *owners) roleOf(k shardKey, instances []Instance, address string) role {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return roleAt(slices.Index(o.ranking(k, instances), address))
+}
+
 // candidates returns the instances to request a slot of a shard from, in order.
 func (o *owners) candidates(k shardKey, instances []Instance, now time.Time) []string {
 	o.mu.Lock()
--- a/internal/fleet/quotas.go
+++ b/internal/fleet/quotas.go
@@ -194,7 +194,11 @@
 // grant takes tokens from the bucket of this instance, which holds a share of the quota.
 func (q *Quotas) grant(r *peer.QuotaRequest, share float64) (granted bool, wait time.Duration) {
 	limit := quota.Limit{Rate: r.Rate, Burst: r.Burst, Debt: math.Inf(1), Reserve: r.Reserve}
-	return q.limiter.Take(time.Now(), r.Organisation, limit.Scale(share), r.Tokens)
+	granted, wait = q.limiter.Take(time.Now(), r.Organisation, limit.Scale(share), r.Tokens)
+	if granted {
+		q.fleet.countByRole("tacktally_quota_grants_total", quotaKey(r.Organisation))
+	}
+	return granted, wait
 }
 
 // Return gives back tokens that were taken and not used.
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -60,7 +60,7 @@
 	if len(owners) == 0 {
 		retryBudget = shard.retryBudget // no other instance may own the shard
 	}
-	if problem := charge(retryBudget, req.Attempt); problem != nil {
+	if problem := f.charge(shard, retryBudget, req.Attempt); problem != nil {
 		return nil, problem
 	}
 	req.Request.PrefixHashes = prefix.SegmentHashes(req.Segments)
@@ -88,6 +88,23 @@
 	return nil
 }
 
+// charge is the function of the same name, and counts retries by the role of this instance.
+func (f *Fleet) charge(s *shard, retryBudget *retrybudget.Budget, attempt peer.AttemptKind) *api.Problem {
+	problem := charge(retryBudget, attempt)
+	if problem == nil && attempt == peer.RetryAttempt {
+		f.countByRole("tacktally_retries_charged_total", shardKey{service: s.service, index: s.index})
+	}
+	return problem
+}
+
+// countByRole counts what this instance has granted from a bound that all instances keep together.
+func (f *Fleet) countByRole(metric string, k shardKey) {
+	f.mu.Lock()
+	instances := f.instances
+	f.mu.Unlock()
+	f.o.Metrics.Count(metric + `{role="` + f.owners.roleOf(k, instances, f.o.Instance).String() + `"}`)
+}
+
 // refund returns the withdrawal for an attempt that isn't made.
 func refund(retryBudget *retrybudget.Budget, attempt peer.AttemptKind) {
 	if attempt == peer.RetryAttempt {
@@ -263,7 +280,7 @@
 	}
 	f.MergeLimits(s.Peer, r.Limits)
 	shard := f.shardAt(r.Service, r.Shard)
-	if p := charge(shard.retryBudget, r.Attempt); p != nil {
+	if p := f.charge(shard, shard.retryBudget, r.Attempt); p != nil {
 		err := s.SendRefusal(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
