fleet: keep an owner of shards and buckets while all instances are leaving

What callers saw: while all instances were replaced at once, an organisation got up to half more than its quota allows, and a third more requests were retried than the budget does.

Cause: a leaving instance may own nothing, so with all of them leaving no instance did, and each decided alone, with all that an owner may grant.

Change: where no instance may own, the reachable ones that are leaving may.

--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -131,15 +131,20 @@
 	return true
 }
 
-// rank orders the instances that may own a shard, weighted by processor time, see coresExponent.
+// rank orders the instances that may own a shard, weighted by processor time, see coresExponent. While all reachable
+// instances are leaving, those may own it: otherwise each would decide alone.
 func rank(k shardKey, instances []Instance) []string {
 	type scored struct {
 		address string
 		score   float64
 	}
+	mayOwn := func(i Instance) bool { return i.MayOwn }
+	if !slices.ContainsFunc(instances, func(i Instance) bool { return i.MayOwn && (i.Settled || !k.settledOnly) }) {
+		mayOwn = func(i Instance) bool { return i.Reachable }
+	}
 	var list []scored
 	for _, i := range instances {
-		if !i.MayOwn || (k.settledOnly && !i.Settled) {
+		if !mayOwn(i) || (k.settledOnly && !i.Settled) {
 			continue
 		}
 		draw := uniform(k.service + "\x00" + strconv.Itoa(k.index) + "\x00" + i.Address)
