fleet, quota, peer: two instances never grant the whole of one quota

Cause: each requester passes over, for a second and on its own, an owner that hasn't replied within 150 ms. Whoever was asked then, and whoever was asked by nobody and decided alone, granted the whole rate and burst. A longer time-out moves the delay at which that happens, and no more.

Change: what an instance may grant follows from its role and from what it has heard, not from who asks. - The owner of a group of buckets holds a lease from the standby, renewed every 100 ms, that ends 400 ms after it was requested; for the standby 400 ms after it granted. Without one, each grants half. A lease goes only to the one that the standby considers the owner, and not while another holds it, so that a change of the owner is a hand-over. - A requester that doesn't hear from the owner gets tokens of the standby out of a part of the allowance (0.3), one that hears from neither has a share of 0.1 of it. It waits up to 300 ms more for a late reply; tokens granted later are returned, and a late reply ends the passing-over. - Buckets begin anew when they change hands, empty where the owner before had vanished or the process was paused. - Instances take note of others that settle when they do, not up to a second later.

Why it works: by their own clocks the owner's lease ends before the standby acts, however long a frame is on its way, so their rates add up to one. In a window: the rate and one burst, 0.35 of the allowance by which the rate is raised, 0.3 and 0.1 as above; the remaining 0.25 is for starts and for views of the fleet that differ, during which a side that can't know yet grants half at most.

Without a disturbance all is served (TestOrganisationGetsItsWholeQuotaInCalm).

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -134,6 +134,9 @@
 func (p *peerHandler) HandleOrigins([]peer.StreamOrigin)               {}
 func (p *peerHandler) ServeOrigin(*peer.OriginQuery) *peer.OriginReply { return &peer.OriginReply{} }
 
+// ServeLeases implements peer.Handler. Instances of this interface lease nothing.
+func (p *peerHandler) ServeLeases(string, []int) []int { return nil }
+
 // LinkLost implements peer.Handler. It does nothing: what the peer reported stays valid until
 // PeerLost.
 func (p *peerHandler) LinkLost(string) {}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -385,6 +385,7 @@
 	background.Go(func() { i.runReader(life) })
 	background.Go(func() { i.refreshFromPeers(life) })
 	background.Go(func() { i.maintain(life) })
+	background.Go(func() { i.renewLeases(life) })
 	background.Go(func() { i.processor.Run(life) })
 	servers := i.listeners.serve(i)
 	i.log.Info().Str("event", "started").Str("zone", i.settings.Zone).Str("callers", i.settings.Callers.Address).
@@ -410,6 +411,13 @@
 	i.log.Error().Str("event", "reload_failed").Str("cause", err.Error()).Msg("the previous settings stay in force; correct the settings and reload")
 }
 
+// renewLeases renews the leases of the buckets that this instance owns, until ctx ends.
+func (i *Instance) renewLeases(ctx context.Context) {
+	for wait.For(ctx, fleet.LeaseInterval) {
+		i.quotas.RenewLeases(ctx)
+	}
+}
+
 // maintain refreshes the fleet's instances, informs owners and closes expired idle connections,
 // until ctx ends.
 func (i *Instance) maintain(ctx context.Context) {
@@ -456,17 +464,20 @@
 type fleetState struct {
 	change     uint64 // the mesh's MembershipChangeCount
 	at         time.Time
+	settles    time.Time // when the next instance settles, zero if all had
 	membership membershipSummary
 }
 
-// refreshFleet passes the known instances to the fleet if they have changed, or
+// refreshFleet passes the known instances to the fleet if they have changed, one of them has settled, or
 // settledCheckInterval has passed.
 func (i *Instance) refreshFleet() {
+	i.fleet.RecordRunning()
 	change, now := i.mesh.MembershipChangeCount(), time.Now()
-	if change == i.lastFleet.change && now.Sub(i.lastFleet.at) < settledCheckInterval {
+	settles := !i.lastFleet.settles.IsZero() && !now.Before(i.lastFleet.settles)
+	if change == i.lastFleet.change && !settles && now.Sub(i.lastFleet.at) < settledCheckInterval {
 		return
 	}
-	i.lastFleet.change, i.lastFleet.at = change, now
+	i.lastFleet.change, i.lastFleet.at, i.lastFleet.settles = change, now, i.nextSettled(now)
 	instances := []fleet.Instance{{Address: i.address, Zone: i.settings.Zone, Cores: i.settings.Routed.Cores, Reachable: true, MayOwn: !i.ready.draining.Load(), Settled: time.Since(i.started) >= settleTime}}
 	for _, p := range i.mesh.Peers() {
 		instances = append(instances, fleet.Instance{
@@ -482,6 +493,21 @@
 	i.logMembership(instances)
 }
 
+// nextSettled returns when the next of the known instances will have settled, zero if all have.
+func (i *Instance) nextSettled(now time.Time) (next time.Time) {
+	consider := func(started time.Time) {
+		at := started.Add(settleTime)
+		if !started.IsZero() && at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	consider(i.started)
+	for _, p := range i.mesh.Peers() {
+		consider(p.Started)
+	}
+	return next
+}
+
 // membershipSummary is the part of the membership that is logged.
 type membershipSummary struct{ known, reachable, hubRank, links int }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -230,6 +230,11 @@
 	return p.instance.quotas.ServeTake(r)
 }
 
+// ServeLeases implements peer.Handler.
+func (p *peerHandler) ServeLeases(from string, groups []int) []int {
+	return p.instance.quotas.ServeLeases(from, groups)
+}
+
 // HandleOrigins implements peer.Handler.
 func (p *peerHandler) HandleOrigins(list []peer.StreamOrigin) { p.instance.fleet.MergeOrigins(list) }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,6 +108,8 @@
 	limits      *ratelimit.Registry
 	reach       *reach.Tracker
 	owners      owners
+	buckets     bucketOwners
+	pauses      pauses
 	peerGrants  peerGrants
 	lostCounted atomic.Bool // whether the last CountLostGrants counted any
 	hasPeers    atomic.Bool // whether there are other instances
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -193,13 +193,20 @@
 	from  string
 }
 
-func (l quotaLink) TakeQuota(_ context.Context, address string, r *peer.QuotaRequest, _ time.Duration) (*peer.QuotaReply, error) {
+func (l quotaLink) TakeQuota(_ context.Context, address string, r *peer.QuotaRequest, _ time.Duration, _ func(*peer.QuotaReply)) (*peer.QuotaReply, error) {
 	if !l.fleet.reach(l.from, address) {
 		return nil, peer.ErrNoReply
 	}
 	return l.fleet.quotas[address].ServeTake(r), nil
 }
 
+func (l quotaLink) LeaseBuckets(_ context.Context, address string, groups []int, _ time.Duration) ([]int, error) {
+	if !l.fleet.reach(l.from, address) {
+		return nil, peer.ErrNoReply
+	}
+	return l.fleet.quotas[address].ServeLeases(l.from, groups), nil
+}
+
 func (l quotaLink) FleetSize() int { return len(l.fleet.quotas) }
 
 func (l quotaLink) ReturnQuota(address string, r *peer.QuotaReturn) {
@@ -221,6 +228,11 @@
 		q.SetClient(quotaLink{k, self.Address})
 		k.quotas[self.Address] = q
 	}
+	for _, q := range k.quotas {
+		for standby, groups := range q.ownedByStandby() {
+			q.renewLeases(context.Background(), standby, groups)
+		}
+	}
 	return k
 }
 
--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -62,6 +62,7 @@
 		f.updateRetryBudgets(s)
 	}
 	f.owners.invalidate()
+	f.buckets.update(time.Now(), f.o.Instance, instances)
 	return moreReachable
 }
 
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -36,8 +36,9 @@
 
 // owners determines which instance schedules a shard. Each instance computes it on its own from the
 // reachable instances (weighted rendezvous hashing), without any agreement: while views differ, a shard
-// has two owners, and its upstreams get more requests than they have slots for, which they queue. It
-// is safe for concurrent use.
+// has two owners, and its upstreams get more requests than they have slots for, which they queue. What an
+// instance may grant of a bound that all instances keep together depends on its role. It is safe for
+// concurrent use.
 type owners struct {
 	mu           sync.Mutex
 	ranked       map[shardKey][]string // addresses, the owner first
@@ -93,6 +94,34 @@
 	return ranked
 }
 
+// firstCandidates returns the first maxOwners of the ranking, in order, whether or not they have replied lately.
+func (o *owners) firstCandidates(k shardKey, instances []Instance) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ranked := o.ranking(k, instances)
+	return ranked[:min(maxOwners, len(ranked))]
+}
+
+// isUnresponsive reports whether an instance didn't reply to a request within unresponsiveFor.
+func (o *owners) isUnresponsive(address string, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.passesOver(address, now)
+}
+
+// passesOver is isUnresponsive for callers that hold the lock.
+func (o *owners) passesOver(address string, now time.Time) bool {
+	since, silent := o.unresponsive[address]
+	return silent && now.Sub(since) < unresponsiveFor
+}
+
+// markResponsive records that an instance has replied, however late.
+func (o *owners) markResponsive(address string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.unresponsive, address)
+}
+
 // roleOf returns the role of an instance at a shard.
 func (o *owners) roleOf(k shardKey, instances []Instance, address string) role {
 	o.mu.Lock()
@@ -106,8 +135,7 @@
 	defer o.mu.Unlock()
 	var out []string
 	for _, address := range o.ranking(k, instances) {
-		since, silent := o.unresponsive[address]
-		if silent && now.Sub(since) < unresponsiveFor {
+		if o.passesOver(address, now) {
 			continue
 		}
 		if out = append(out, address); len(out) == maxOwners {
@@ -131,28 +159,38 @@
 	return true
 }
 
-// rank orders the instances that may own a shard, weighted by processor time, see coresExponent. While all reachable
-// instances are leaving, those may own it: otherwise each would decide alone.
-func rank(k shardKey, instances []Instance) []string {
-	type scored struct {
-		address string
-		score   float64
-	}
+// scoredInstance is an instance with its weighted draw for a shard; the highest one owns the shard.
+type scoredInstance struct {
+	address string
+	score   float64
+}
+
+func compareScores(a, b scoredInstance) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+}
+
+// scored returns the instances that may own a shard, weighted by processor time, see coresExponent. While all
+// reachable instances are leaving, those may own it: otherwise each would decide alone.
+func scored(k shardKey, instances []Instance) []scoredInstance {
 	mayOwn := func(i Instance) bool { return i.MayOwn }
 	if !slices.ContainsFunc(instances, func(i Instance) bool { return i.MayOwn && (i.Settled || !k.settledOnly) }) {
 		mayOwn = func(i Instance) bool { return i.Reachable }
 	}
-	var list []scored
+	var list []scoredInstance
 	for _, i := range instances {
 		if !mayOwn(i) || (k.settledOnly && !i.Settled) {
 			continue
 		}
 		draw := uniform(k.service + "\x00" + strconv.Itoa(k.index) + "\x00" + i.Address)
-		list = append(list, scored{i.Address, -math.Pow(cmp.Or(i.Cores, assumedCores), coresExponent) / math.Log(draw)})
+		list = append(list, scoredInstance{i.Address, -math.Pow(cmp.Or(i.Cores, assumedCores), coresExponent) / math.Log(draw)})
 	}
-	slices.SortFunc(list, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
-	})
+	return list
+}
+
+// rank orders the instances that may own a shard, the owner first.
+func rank(k shardKey, instances []Instance) []string {
+	list := scored(k, instances)
+	slices.SortFunc(list, compareScores)
 	out := make([]string, len(list))
 	for i, s := range list {
 		out[i] = s.address
@@ -160,6 +198,20 @@
 	return out
 }
 
+// ownerAndStandby returns the first two of the ranking; empty where there are fewer.
+func ownerAndStandby(k shardKey, instances []Instance) (owner, standby string) {
+	var first, second scoredInstance
+	for _, s := range scored(k, instances) {
+		switch {
+		case first.address == "" || compareScores(s, first) < 0:
+			first, second = s, first
+		case second.address == "" || compareScores(s, second) < 0:
+			second = s
+		}
+	}
+	return first.address, second.address
+}
+
 // uniform hashes a string to (0, 1).
 func uniform(text string) float64 {
 	const bits = 53 // of a float's fraction
--- a/internal/fleet/quotas_test.go
+++ b/internal/fleet/quotas_test.go
@@ -68,7 +68,11 @@
 // unreachable is a QuotaClient of a fleet of ten instances without links.
 type unreachable struct{}
 
-func (unreachable) TakeQuota(context.Context, string, *peer.QuotaRequest, time.Duration) (*peer.QuotaReply, error) {
+func (unreachable) TakeQuota(context.Context, string, *peer.QuotaRequest, time.Duration, func(*peer.QuotaReply)) (*peer.QuotaReply, error) {
+	return nil, peer.ErrNoReply
+}
+
+func (unreachable) LeaseBuckets(context.Context, string, []int, time.Duration) ([]int, error) {
 	return nil, peer.ErrNoReply
 }
 
--- a/internal/fleet/role.go
+++ b/internal/fleet/role.go
@@ -2,6 +2,8 @@
 
 // role is what an instance is to a shard or a group of buckets, by its own view of the fleet. Requesters pass over
 // an owner that is silent to them, each on its own, so several instances may be asked for the same thing at once.
+// How much each of them may grant follows from its role, not from who asks: the parts of one owner, one standby and
+// all others add up to no more than the bound, however long replies take.
 type role uint8
 
 const (
--- /dev/null
+++ b/internal/fleet/silence_test.go
@@ -0,0 +1,503 @@
+package fleet
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/queue"
+	"github.com/tacktally/tacktally/internal/retrybudget"
+	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// silenceHarness is a fleet whose links hold everything that is sent for a while, at any instances and again and
+// again, while callers ask for several times what all instances together may grant. It runs in a synctest bubble.
+type silenceHarness struct {
+	random  *rand.Rand
+	quota   Allowance
+	retries retrybudget.Bound
+	members []*silentMember
+	end     time.Time
+	// nextReplaced are the members in the order in which they are replaced.
+	nextReplaced []*silentMember
+
+	mu      sync.Mutex
+	cutAt   time.Time // since when the zones below cutZone are cut off from the others
+	cut     time.Time // until when
+	cutZone int
+	granted []time.Time // when the tokens or retries that callers got were granted
+}
+
+// silentMember is one instance. Its fields are those of the network and the process; what it knows of the others it
+// learns at each tick.
+type silentMember struct {
+	harness *silenceHarness
+	address string
+	zone    int // of zones
+	// lag is how much later than needed it notices that a link is silent, or back.
+	lag time.Duration
+
+	mu       sync.Mutex
+	fleet    *Fleet
+	quotas   *Quotas
+	started  time.Time
+	leaving  bool
+	heldFrom time.Time // since when its links hold what is sent
+	held     time.Time // until when
+	frozenAt time.Time // since when its process is stopped
+	frozen   time.Time // until when
+}
+
+// silenceSeeds is the number of simulation runs of each disturbance, each with its own seed.
+var silenceSeeds = flag.Uint64("silence-seeds", 1, "simulation runs of instances that don't hear from each other")
+
+const (
+	// zones is the number of availability zones.
+	zones = 3
+	// silentTick is the interval at which instances take over what they know of the others.
+	silentTick = 200 * time.Millisecond
+	// linkLatency is the time that a frame takes.
+	linkLatency = time.Millisecond
+	// silenceNoticed is how long a link is silent until it ends; an instance notices up to silenceLag later.
+	silenceNoticed = 600 * time.Millisecond
+	silenceLag     = 600 * time.Millisecond
+	// leavingNoticed is how long at most it takes until others know that an instance is leaving.
+	leavingNoticed = 400 * time.Millisecond
+	silentWindow   = 8 * time.Second
+)
+
+// silentOrganisation may make 100 requests in a second, and 20 at once.
+var silentOrganisation = &routing.Organisation{Name: "crews", TokensPerSecond: 100, BurstTokens: 20, CountsRequests: true}
+
+func newSilenceHarness(seed uint64, size int) *silenceHarness {
+	h := &silenceHarness{
+		random:  rand.New(rand.NewPCG(seed, 73)),
+		quota:   Allowance{Share: 0.25, Window: silentWindow},
+		retries: retrybudget.Bound{Share: 0.2, Extra: 60, Window: silentWindow},
+	}
+	for i := range size {
+		m := &silentMember{harness: h, address: fmt.Sprintf("10.0.0.%d:1", i), zone: i % zones, lag: time.Duration(h.random.Int64N(int64(silenceLag)))}
+		h.members = append(h.members, m)
+	}
+	h.nextReplaced = h.members
+	for _, m := range h.members {
+		m.start()
+	}
+	return h
+}
+
+// start starts the process, which knows no earlier use.
+func (m *silentMember) start() {
+	f := New(Options{
+		Instance: m.address, Cores: 0.4, Limits: queue.Limits{MaxItems: 1}, RetryBudget: m.harness.retries,
+		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
+	})
+	f.SetSlotClient(silentClient{m})
+	f.SetUpstreams(view.List{Version: 1, Upstreams: []view.Upstream{{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 1 << 20}}})
+	q := NewQuotas(time.Now(), m.harness.quota, f)
+	q.SetClient(silentClient{m})
+	m.mu.Lock()
+	m.fleet, m.quotas, m.started, m.leaving = f, q, time.Now(), false
+	m.mu.Unlock()
+}
+
+// silentFor returns for how long nothing has got through between two instances; 0 if it does.
+func (m *silentMember) silentFor(other *silentMember, now time.Time) (longest time.Duration) {
+	for _, one := range []*silentMember{m, other} {
+		one.mu.Lock()
+		if now.Before(one.held) {
+			longest = max(longest, now.Sub(one.heldFrom))
+		}
+		if one != m && now.Before(one.frozen) {
+			longest = max(longest, now.Sub(one.frozenAt))
+		}
+		one.mu.Unlock()
+	}
+	if from, until := m.harness.cutBetween(m, other); now.Before(until) {
+		longest = max(longest, now.Sub(from))
+	}
+	return longest
+}
+
+// cutBetween returns since when and until when two instances are, or were last, cut off from each other.
+func (h *silenceHarness) cutBetween(a, b *silentMember) (from, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if (a.zone < h.cutZone) == (b.zone < h.cutZone) {
+		return time.Time{}, time.Time{}
+	}
+	return h.cutAt, h.cut
+}
+
+// tick lets an instance learn what it knows of the others by now.
+func (m *silentMember) tick(now time.Time) {
+	m.mu.Lock()
+	fleet, frozen := m.fleet, now.Before(m.frozen)
+	m.mu.Unlock()
+	if frozen {
+		return
+	}
+	fleet.RecordRunning()
+	var all []Instance
+	for _, other := range m.harness.members {
+		other.mu.Lock()
+		started, leaving := other.started, other.leaving
+		other.mu.Unlock()
+		reachable := other == m || m.silentFor(other, now) < silenceNoticed+m.lag
+		all = append(all, Instance{
+			Address: other.address, Cores: 0.4, Reachable: reachable, MayOwn: reachable && !leaving,
+			Settled: now.Sub(started) >= 500*time.Millisecond,
+		})
+	}
+	fleet.SetInstances(all)
+}
+
+// renewLeases lets an instance renew its leases.
+func (m *silentMember) renewLeases(ctx context.Context) {
+	m.mu.Lock()
+	quotas, frozen := m.quotas, time.Now().Before(m.frozen)
+	m.mu.Unlock()
+	if !frozen {
+		quotas.RenewLeases(ctx)
+	}
+}
+
+// passes blocks until a frame has got through from one instance to the other.
+func (m *silentMember) passes(other *silentMember) {
+	time.Sleep(linkLatency)
+	for {
+		now := time.Now()
+		_, until := m.harness.cutBetween(m, other)
+		for _, one := range []*silentMember{m, other} {
+			one.mu.Lock()
+			for _, at := range []time.Time{one.held, one.frozen} {
+				if at.After(until) {
+					until = at
+				}
+			}
+			one.mu.Unlock()
+		}
+		if !until.After(now) {
+			return
+		}
+		time.Sleep(until.Sub(now))
+	}
+}
+
+// call lets the other instance serve a request, and passes its reply to the caller or, if it took longer, to late.
+func (m *silentMember) call(ctx context.Context, address string, within time.Duration, serve func(other *silentMember), late func()) error {
+	other := m.harness.members[slices.IndexFunc(m.harness.members, func(o *silentMember) bool { return o.address == address })]
+	replied := make(chan struct{})
+	go func() {
+		m.passes(other)
+		serve(other)
+		other.passes(m)
+		close(replied)
+	}()
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case <-replied:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+	}
+	go func() {
+		<-replied
+		late()
+	}()
+	return peer.ErrNoReply
+}
+
+// silentClient is the SlotClient and QuotaClient of an instance.
+type silentClient struct{ *silentMember }
+
+func (c silentClient) FleetSize() int { return len(c.harness.members) }
+
+func (c silentClient) TakeQuota(ctx context.Context, address string, r *peer.QuotaRequest, within time.Duration, late func(*peer.QuotaReply)) (*peer.QuotaReply, error) {
+	var reply *peer.QuotaReply
+	err := c.call(ctx, address, within, func(other *silentMember) { reply = other.current().quotas.ServeTake(r) }, func() { late(reply) })
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (c silentClient) LeaseBuckets(ctx context.Context, address string, groups []int, within time.Duration) ([]int, error) {
+	var granted []int
+	err := c.call(ctx, address, within, func(other *silentMember) { granted = other.current().quotas.ServeLeases(c.address, groups) }, func() {})
+	if err != nil {
+		return nil, err
+	}
+	return granted, nil
+}
+
+func (c silentClient) ReturnQuota(address string, r *peer.QuotaReturn) {
+	go func() {
+		_ = c.call(context.Background(), address, time.Hour, func(other *silentMember) { other.current().quotas.ServeReturn(r) }, func() {})
+	}()
+}
+
+func (c silentClient) AcquireSlot(ctx context.Context, address string, r *peer.SlotRequest, within time.Duration) (*peer.Slot, *peer.SlotRefusal, error) {
+	var p *api.Problem
+	err := c.call(ctx, address, within, func(other *silentMember) {
+		f := other.current().fleet
+		p = f.charge(f.shardAt(r.Service, r.Shard), f.shardAt(r.Service, r.Shard).retryBudget, r.Attempt)
+	}, func() {})
+	switch {
+	case err != nil:
+		return nil, nil, err
+	case p != nil:
+		return nil, &peer.SlotRefusal{Reason: string(p.Reason)}, nil
+	default:
+		return &peer.Slot{Grant: peer.SlotGrant{Upstream: "u"}}, nil, nil
+	}
+}
+
+// current returns the process that runs at present.
+func (m *silentMember) current() (process struct {
+	fleet  *Fleet
+	quotas *Quotas
+}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	process.fleet, process.quotas = m.fleet, m.quotas
+	return process
+}
+
+// hold lets the links of instances hold what is sent for a time.
+func (h *silenceHarness) hold(d time.Duration, members ...*silentMember) {
+	now := time.Now()
+	for _, m := range members {
+		m.mu.Lock()
+		if !now.Before(m.held) {
+			m.heldFrom = now
+		}
+		m.held = now.Add(d)
+		m.mu.Unlock()
+	}
+}
+
+// someOf returns each instance with the given probability, one at least.
+func (h *silenceHarness) someOf(share float64) (out []*silentMember) {
+	for _, m := range h.members {
+		if h.random.Float64() < share {
+			out = append(out, m)
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, h.members[h.random.IntN(len(h.members))])
+	}
+	return out
+}
+
+// first returns the first n in the ranking for what the callers ask for.
+func (h *silenceHarness) first(k shardKey, n int) (out []*silentMember) {
+	var all []Instance
+	for _, m := range h.members {
+		all = append(all, Instance{Address: m.address, Cores: 0.4, Reachable: true, MayOwn: true, Settled: true})
+	}
+	for _, address := range rank(k, all)[:n] {
+		out = append(out, h.members[slices.IndexFunc(h.members, func(m *silentMember) bool { return m.address == address })])
+	}
+	return out
+}
+
+// run lets callers ask perSecond times in a second at random instances, and disturbs the fleet each time that it has
+// had some time to recover, until the end. It begins once the fleet has been calm for a while.
+func (h *silenceHarness) run(t *testing.T, length time.Duration, perSecond int, ask func(m *silentMember) bool, disturb func(h *silenceHarness)) {
+	const calm = 12 * time.Second
+	asked := rand.New(rand.NewPCG(h.random.Uint64(), 1))
+	h.end = time.Now().Add(calm + length)
+	for _, m := range h.members {
+		go func() {
+			for time.Now().Before(h.end) {
+				m.tick(time.Now())
+				time.Sleep(silentTick)
+			}
+		}()
+		go func() {
+			for time.Now().Before(h.end) {
+				m.renewLeases(t.Context())
+				time.Sleep(LeaseInterval)
+			}
+		}()
+	}
+	if disturb != nil {
+		go func() {
+			time.Sleep(calm)
+			for time.Now().Before(h.end) {
+				disturb(h)
+				time.Sleep(time.Duration(h.random.Int64N(int64(time.Second))))
+			}
+		}()
+	}
+	var all sync.WaitGroup
+	for time.Now().Before(h.end) {
+		time.Sleep(time.Second / time.Duration(perSecond))
+		m := h.members[asked.IntN(len(h.members))]
+		all.Go(func() {
+			m.awaitRunning()
+			if ask(m) {
+				h.mu.Lock()
+				h.granted = append(h.granted, time.Now())
+				h.mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	time.Sleep(time.Minute) // until what is still held has got through
+}
+
+// awaitRunning blocks while the process is stopped.
+func (m *silentMember) awaitRunning() {
+	for {
+		m.mu.Lock()
+		left := time.Until(m.frozen)
+		m.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
+// worstWindow returns the most that was granted in any window.
+func (h *silenceHarness) worstWindow(window time.Duration) (worst int) {
+	slices.SortFunc(h.granted, time.Time.Compare)
+	from := 0
+	for to, at := range h.granted {
+		for at.Sub(h.granted[from]) > window {
+			from++
+		}
+		worst = max(worst, to-from+1)
+	}
+	return worst
+}
+
+// silences are the disturbances, for what k is the owner of.
+func silences(k shardKey) map[string]func(h *silenceHarness) {
+	held := func(d time.Duration, share float64) func(h *silenceHarness) {
+		return func(h *silenceHarness) { h.hold(d, h.someOf(share)...) }
+	}
+	out := map[string]func(h *silenceHarness){
+		"one instance is held for 200 ms": held(200*time.Millisecond, 0),
+		"a third is held for 300 ms":      held(300*time.Millisecond, 0.3),
+		"all are held for 300 ms":         held(300*time.Millisecond, 1),
+		"a third is held for 600 ms":      held(600*time.Millisecond, 0.3),
+		"all are held for 600 ms":         held(600*time.Millisecond, 1),
+		"one is held for 1,500 ms":        held(1500*time.Millisecond, 0),
+		"a third is held for 1,500 ms":    held(1500*time.Millisecond, 0.3),
+		"all are held for 1,500 ms":       held(1500*time.Millisecond, 1),
+		"any number is held for any time": func(h *silenceHarness) {
+			h.hold(time.Duration(h.random.Int64N(int64(3*time.Second))), h.someOf(h.random.Float64())...)
+		},
+		"one process is stopped for a time": func(h *silenceHarness) {
+			h.freeze(time.Duration(h.random.Int64N(int64(4*time.Second))), h.someOf(0)...)
+		},
+		"the owner is stopped for a time": func(h *silenceHarness) {
+			h.freeze(time.Duration(h.random.Int64N(int64(4*time.Second))), h.first(k, 1)...)
+		},
+		"each instance is replaced in turn": func(h *silenceHarness) { h.replaceNext(1) },
+		"four are replaced at once":         func(h *silenceHarness) { h.replaceNext(4) },
+		"all are replaced at once, twice in a window": func(h *silenceHarness) {
+			h.replaceNext(len(h.members))
+			time.Sleep(silentWindow / 2)
+		},
+		"a zone is cut off":     func(h *silenceHarness) { h.cutOff(1) },
+		"two zones are cut off": func(h *silenceHarness) { h.cutOff(2) },
+	}
+	for n, name := range map[int]string{1: "owner", 2: "first two", 3: "first three"} {
+		out["the "+name+" are silent for any time"] = func(h *silenceHarness) {
+			h.hold(time.Duration(h.random.Int64N(int64(2*time.Second))), h.first(k, n)...)
+		}
+	}
+	return out
+}
+
+// freeze stops processes.
+func (h *silenceHarness) freeze(d time.Duration, members ...*silentMember) {
+	for _, m := range members {
+		m.mu.Lock()
+		m.frozenAt, m.frozen = time.Now(), time.Now().Add(d)
+		m.mu.Unlock()
+	}
+	time.Sleep(d)
+}
+
+// replaceNext terminates instances, which are leaving for a second, and starts them anew.
+func (h *silenceHarness) replaceNext(n int) {
+	next := h.nextReplaced[:n]
+	for _, m := range next {
+		m.mu.Lock()
+		m.leaving = true
+		m.mu.Unlock()
+	}
+	time.Sleep(time.Second)
+	for _, m := range next {
+		m.start()
+	}
+	h.nextReplaced = slices.Concat(h.nextReplaced[n:], next)
+}
+
+// cutOff cuts zones off from the others for a time, and lets the fleet recover.
+func (h *silenceHarness) cutOff(zones int) {
+	d := time.Duration(h.random.Int64N(int64(6 * time.Second)))
+	h.mu.Lock()
+	h.cutAt, h.cut, h.cutZone = time.Now(), time.Now().Add(d), zones
+	h.mu.Unlock()
+	time.Sleep(d + 3*time.Second)
+}
+
+// The callers of an organisation ask for four times its quota while the instance that keeps its bucket doesn't reply
+// in time. Each instance that was asked in its place granted the whole quota, up to 2,100 where 1,025 are allowed.
+func TestQuotaHoldsWhileItsOwnerIsSilent(t *testing.T) {
+	for name, disturb := range silences(quotaKey(silentOrganisation.Name)) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range *silenceSeeds {
+				synctest.Test(t, func(t *testing.T) {
+					h := newSilenceHarness(seed, 12)
+					h.run(t, 30*time.Second, 400, h.takeToken(t), disturb)
+					worst := h.worstWindow(silentWindow)
+					t.Logf("seed %d: %d in the worst window", seed, worst)
+					if worst > 1025 {
+						t.Errorf("seed %d: %d requests in %s; the limit is 1025", seed, worst, silentWindow)
+					}
+				})
+			}
+		})
+	}
+}
+
+// takeToken returns a function that takes a token for a request at an instance.
+func (h *silenceHarness) takeToken(t *testing.T) func(m *silentMember) bool {
+	return func(m *silentMember) bool {
+		taken, _ := m.current().quotas.Take(t.Context(), "1", silentOrganisation, 1, 0)
+		return taken != nil
+	}
+}
+
+// An organisation that asks for its quota while nothing is disturbed gets all of it.
+func TestOrganisationGetsItsWholeQuotaInCalm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newSilenceHarness(1, 12)
+		h.run(t, 10*time.Second, 100, h.takeToken(t), nil)
+		is.True(h.worstWindow(silentWindow) >= 790) // of 800, for the time that requests take
+	})
+}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -141,6 +141,31 @@
 	return owners
 }
 
+// keepersOf returns the first instances that may own a group, the owner first, whether or not they have replied
+// lately; none means this instance.
+func (f *Fleet) keepersOf(k shardKey) []string {
+	f.mu.Lock()
+	instances := f.instances
+	f.mu.Unlock()
+	if len(instances) == 1 {
+		return nil
+	}
+	return f.owners.firstCandidates(k, instances)
+}
+
+// bucketRole returns the ownership of a group of buckets, and the role of this instance. An instance that knows no
+// other is the owner.
+func (f *Fleet) bucketRole(group int) (groupOwner, role) {
+	f.detectPause()
+	held := f.buckets.group(group)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.instances) == 1 && f.instances[0].Settled {
+		return held, roleOwner
+	}
+	return held, held.roleOf(f.o.Instance)
+}
+
 // markUnresponsive records that an owner didn't decide on a request, and logs the cause.
 func (f *Fleet) markUnresponsive(owner, id string, err error) {
 	f.o.Metrics.Count("tacktally_slot_requests_undecided_total")
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -70,6 +70,9 @@
 	TypeOrigins
 	TypeOriginQuery
 	TypeOriginReply
+	// TypeLeaseRequest requests leases of groups of buckets, and TypeLeaseReply is the reply.
+	TypeLeaseRequest
+	TypeLeaseReply
 	typeLast
 )
 
@@ -112,6 +115,9 @@
 	Origins     []StreamOrigin `cbor:"24,keyasint,omitempty"`
 	OriginQuery *OriginQuery   `cbor:"25,keyasint,omitempty"`
 	OriginReply *OriginReply   `cbor:"26,keyasint,omitempty"`
+
+	// LeaseGroups are the groups of buckets that a TypeLeaseRequest requests, or a TypeLeaseReply grants.
+	LeaseGroups []int `cbor:"27,keyasint,omitempty"`
 }
 
 // Hello identifies the sender of a link's first frame.
@@ -131,6 +137,8 @@
 	DialledAddress string `cbor:"7,keyasint,omitempty"`
 	// KnowsOrigins reports that the sender knows the frames about origins of streams.
 	KnowsOrigins bool `cbor:"8,keyasint,omitempty"`
+	// KnowsLeases reports that the sender knows the frames about leases.
+	KnowsLeases bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Heartbeat is the state that an instance sends to its peers periodically and on changes.
@@ -387,6 +395,8 @@
 		complete = f.OriginQuery != nil && f.OriginQuery.Service != "" && f.OriginQuery.Lifetime >= 0
 	case TypeOriginReply:
 		complete = f.OriginReply != nil
+	case TypeLeaseRequest, TypeLeaseReply:
+		complete = len(f.LeaseGroups) <= maxLeaseGroups
 	case TypePressure:
 		complete = f.Pressure != nil
 	case TypeOpen:
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -49,6 +49,8 @@
 	// ServeQuota replies to a request for tokens, and HandleQuotaReturn takes tokens back.
 	ServeQuota(r *QuotaRequest) *QuotaReply
 	HandleQuotaReturn(r *QuotaReturn)
+	// ServeLeases returns those of the groups of buckets that are leased to a peer which requests them.
+	ServeLeases(from string, groups []int) (granted []int)
 	// HandleOrigins records origins of streams, and ServeOrigin replies to a query of one.
 	HandleOrigins(list []StreamOrigin)
 	ServeOrigin(q *OriginQuery) *OriginReply
@@ -169,7 +171,7 @@
 }
 
 func (m *Mesh) hello() *Hello {
-	return &Hello{Address: m.o.Address, Zone: m.o.Zone, Incarnation: m.o.Incarnation, Cores: m.o.Cores, KnownPeers: m.PeerCount(), Age: boottime.Since(m.started), KnowsOrigins: true}
+	return &Hello{Address: m.o.Address, Zone: m.o.Zone, Incarnation: m.o.Incarnation, Cores: m.o.Cores, KnownPeers: m.PeerCount(), Age: boottime.Since(m.started), KnowsOrigins: true, KnowsLeases: true}
 }
 
 // SetPeers sets the listed peers, to which links are kept. A peer that isn't listed, or no longer,
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -51,7 +51,7 @@
 	is.True(errors.Is(err, errNoOrigins))
 	link := p.a.reachableLink(p.addressB)
 	p.a.SendOrigins(p.addressB, []StreamOrigin{{Request: 1, Service: "s"}})
-	_, err = p.a.TakeQuota(t.Context(), p.addressB, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 9}, time.Minute) // sent after it
+	_, err = p.a.TakeQuota(t.Context(), p.addressB, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 9}, time.Minute, nil) // sent after it
 	is.NoErr(err)
 	is.Equal(p.a.reachableLink(p.addressB), link)
 	is.Equal(len(p.hb.slots), 0)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -60,6 +60,8 @@
 func (h *handler) Heartbeat() *Heartbeat                      { return &Heartbeat{Revision: 7} }
 func (h *handler) HandleHeartbeat(string, *Heartbeat)         {}
 func (h *handler) HandleOrigins(list []StreamOrigin)          { h.slots <- fmt.Sprint("origins ", len(list)) }
+func (h *handler) ServeLeases(_ string, groups []int) []int   { return groups[:1] }
+
 func (h *handler) ServeOrigin(q *OriginQuery) *OriginReply {
 	return &OriginReply{Known: q.Request == 7, Version: "v1"}
 }
@@ -68,6 +70,9 @@
 func (h *handler) LinkLost(string)                  {}
 func (h *handler) HandleQuotaReturn(r *QuotaReturn) { h.slots <- fmt.Sprint("returned ", r.Tokens) }
 func (h *handler) ServeQuota(r *QuotaRequest) *QuotaReply {
+	if r.Organisation == "held" {
+		<-h.hold
+	}
 	return &QuotaReply{Granted: r.Tokens < 100, Wait: time.Duration(r.Tokens)}
 }
 
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -106,6 +106,9 @@
 	case TypeOriginQuery:
 		s.link.recordRequest(boottime.Now(), 0)
 		return s.link.send(s.link.ctx, &Frame{Type: TypeOriginReply, Stream: f.Stream, OriginReply: s.mesh.o.Handler.ServeOrigin(f.OriginQuery)})
+	case TypeLeaseRequest:
+		s.link.recordRequest(boottime.Now(), 0)
+		return s.link.send(s.link.ctx, &Frame{Type: TypeLeaseReply, Stream: f.Stream, LeaseGroups: s.mesh.o.Handler.ServeLeases(s.peer, f.LeaseGroups)})
 	case TypePressure:
 		s.mesh.o.Handler.HandlePressure(*f.Pressure)
 		return s.link.send(s.link.ctx, &Frame{Type: TypeRelieved, Stream: f.Stream})
--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -264,14 +264,14 @@
 func TestQuotaTokensAreTakenAndReturned(t *testing.T) {
 	is := is.New(t)
 	p := newPair(t)
-	reply, err := p.a.TakeQuota(t.Context(), p.addressB, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 9}, time.Minute)
+	reply, err := p.a.TakeQuota(t.Context(), p.addressB, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 9}, time.Minute, nil)
 	is.NoErr(err)
 	is.True(reply.Granted)
-	reply, err = p.a.TakeQuota(t.Context(), p.addressB, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 100}, time.Minute)
+	reply, err = p.a.TakeQuota(t.Context(), p.addressB, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 100}, time.Minute, nil)
 	is.NoErr(err)
 	is.Equal(*reply, QuotaReply{Wait: 100})
 	p.a.ReturnQuota(p.addressB, &QuotaReturn{Organisation: "crews", Tokens: 9})
 	is.Equal(<-p.hb.slots, "returned 9")
-	_, err = p.a.TakeQuota(t.Context(), "127.0.0.1:1", &QuotaRequest{Organisation: "crews", Rate: 1}, time.Minute)
+	_, err = p.a.TakeQuota(t.Context(), "127.0.0.1:1", &QuotaRequest{Organisation: "crews", Rate: 1}, time.Minute, nil)
 	is.True(errors.Is(err, ErrUnreachable))
 }
--- a/internal/peer/sparse_test.go
+++ b/internal/peer/sparse_test.go
@@ -70,7 +70,7 @@
 		is.NoErr(err)
 		slot.Release(SlotRelease{Result: 3, Output: 40}, loadreport.Report{})
 		is.Equal(<-pair[1].handler.slots, "released 3 40")
-		reply, err := pair[0].TakeQuota(t.Context(), pair[1].o.Address, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 1}, time.Minute)
+		reply, err := pair[0].TakeQuota(t.Context(), pair[1].o.Address, &QuotaRequest{Organisation: "crews", Rate: 1, Tokens: 1}, time.Minute, nil)
 		is.NoErr(err)
 		is.True(reply != nil)
 		origin, err := pair[0].QueryOrigin(t.Context(), pair[1].o.Address, &OriginQuery{Request: 7, Service: "s"}, time.Minute)
--- a/internal/proxy/caller_disconnect_test.go
+++ b/internal/proxy/caller_disconnect_test.go
@@ -125,7 +125,12 @@
 	return nil, nil, ctx.Err()
 }
 
-func (p blockedPeers) TakeQuota(ctx context.Context, _ string, _ *peer.QuotaRequest, _ time.Duration) (*peer.QuotaReply, error) {
+func (p blockedPeers) LeaseBuckets(ctx context.Context, _ string, _ []int, _ time.Duration) ([]int, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (p blockedPeers) TakeQuota(ctx context.Context, _ string, _ *peer.QuotaRequest, _ time.Duration, _ func(*peer.QuotaReply)) (*peer.QuotaReply, error) {
 	close(p.requested)
 	<-ctx.Done()
 	return nil, ctx.Err()
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -43,7 +43,8 @@
 // Limiter keeps buckets. It is safe for concurrent use.
 type Limiter struct {
 	mu      sync.Mutex
-	started time.Time // new buckets were empty then; if zero, they hold initialBurstShare of their burst
+	started time.Time // new buckets are empty then; if zero, they hold initialBurstShare of their burst
+	share   float64   // of all limits, see SetShare
 	buckets map[string]*bucket
 }
 
@@ -51,31 +52,55 @@
 type bucket struct {
 	level  float64   // in tokens; negative while in debt
 	filled time.Time // when level was last updated
+	limit  Limit     // the last one, before the share was applied
 }
 
 // New returns a limiter whose buckets begin with initialBurstShare of their burst.
-func New() *Limiter { return &Limiter{buckets: map[string]*bucket{}} }
+func New() *Limiter { return &Limiter{share: 1, buckets: map[string]*bucket{}} }
 
-// NewStarting returns a limiter for the time after the start of an instance, which knows neither
-// the earlier usage nor all instances that share the quota. Its buckets are empty at the given
-// time and fill from then on.
+// NewStarting returns a limiter of an instance that doesn't know the earlier usage, such as one that has
+// just started, or that succeeds another which may still grant. Its buckets are empty at the given time,
+// which may lie in the future, and fill from then on.
 func NewStarting(started time.Time) *Limiter {
-	return &Limiter{started: started, buckets: map[string]*bucket{}}
+	return &Limiter{started: started, share: 1, buckets: map[string]*bucket{}}
 }
 
+// SetShare sets the share of all limits that the limiter grants from a time on; it is 1 at first. What buckets
+// gained until then they gained by the share before. With a share of 0 they keep what they hold.
+func (l *Limiter) SetShare(from time.Time, share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if share == l.share {
+		return
+	}
+	for _, b := range l.buckets {
+		b.fill(from, b.limit.Scale(l.share))
+	}
+	l.share = share
+}
+
+// noShareWait is the time after which to retry while the limiter grants nothing.
+const noShareWait = 200 * time.Millisecond
+
 // Take grants tokens to an organisation, or returns the time after which to retry.
 func (l *Limiter) Take(now time.Time, name string, limit Limit, tokens int) (granted bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.share == 0 {
+		return false, noShareWait
+	}
+	unscaled := limit
+	limit = limit.Scale(l.share)
 	b := l.buckets[name]
 	if b == nil {
 		b = l.newBucket(now, limit)
 		l.buckets[name] = b
 	}
+	b.limit = unscaled
 	b.fill(now, limit)
 	needed := max(float64(tokens)-limit.Debt, 1) + min(limit.Reserve, maxReserveShare*limit.Burst)
 	if b.level < needed {
-		return false, timeToFill(needed-b.level, limit.Rate)
+		return false, timeToFill(needed-b.level, limit.Rate) + max(b.filled.Sub(now), 0)
 	}
 	b.level -= float64(tokens)
 	return true, 0
@@ -107,5 +132,7 @@
 		b.level += limit.Rate * elapsed.Seconds()
 		b.filled = now
 	}
-	b.level = min(b.level, limit.Burst)
+	if limit.Rate > 0 {
+		b.level = min(b.level, limit.Burst)
+	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -149,3 +149,30 @@
 	granted, _ = l.Take(now.Add(wait), "o", limit, 10)
 	is.True(granted)
 }
+
+// What a bucket gains is counted by the share that was in force when it gained it, however much later it is used.
+func TestShareAppliesFromItsTimeOn(t *testing.T) {
+	is := is.New(t)
+	l := NewStarting(start)
+	large := Limit{Rate: 1000, Burst: 1e6}
+	_, _ = l.Take(start, "crews", large, 0)
+	l.SetShare(start.Add(2*time.Second), 0.5)
+	l.SetShare(start.Add(4*time.Second), 0)
+	ok, _ := l.Take(start.Add(5*time.Second), "crews", large, 1)
+	is.True(!ok)
+	l.SetShare(start.Add(6*time.Second), 1)
+	ok, _ = l.Take(start.Add(7*time.Second), "crews", large, 4000) // 2,000, 1,000, none, 1,000
+	is.True(ok)
+	ok, wait := l.Take(start.Add(7*time.Second), "crews", large, 1)
+	is.True(!ok)
+	is.Equal(wait, time.Millisecond)
+}
+
+// The successor of another owner fills its buckets later, and says so.
+func TestLimiterThatStartsLater(t *testing.T) {
+	is := is.New(t)
+	l := NewStarting(start.Add(time.Second))
+	ok, wait := l.Take(start, "crews", limit, 1)
+	is.True(!ok)
+	is.Equal(wait, time.Second+time.Millisecond)
+}
--- a/internal/slopes/peers.go
+++ b/internal/slopes/peers.go
@@ -59,6 +59,7 @@
 func (quietHandler) HandlePressure(peer.Pressure)                           {}
 func (quietHandler) PeerLost(string)                                        {}
 func (quietHandler) HandleOrigins([]peer.StreamOrigin)                      {}
+func (quietHandler) ServeLeases(string, []int) []int                        { return nil }
 func (quietHandler) ServeOrigin(*peer.OriginQuery) *peer.OriginReply        { return &peer.OriginReply{} }
 func (quietHandler) HandleQuotaReturn(*peer.QuotaReturn)                    {}
 func (quietHandler) ServeQuota(*peer.QuotaRequest) *peer.QuotaReply         { return &peer.QuotaReply{} }
