fleet, retrybudget: one owner, one standby and all others share one retry budget

Retries that others can't afford delay first attempts.

Cause: as with quotas, whoever is asked for a slot while the owner is silent to a requester charged a budget of its own with a third of the extra held and a third refilled, also the third and fourth in the ranking; an instance that both were silent to had another one.

Change: the role at a shard determines the budget: the owner has what it had, the standby and all others together have 0.06 of the extra each, held and refilled. A budget begins empty when its role is taken and after a pause, since another instance may have used it up. A retry goes to the owner even if that was silent a moment ago: it has the budget.

Why it works: two thirds, 0.12 and 0.12 of the extra add up to less than the whole in any window, and what first attempts add is added once, wherever they are charged.

Two tests pinned the budget of an instance that decides alone, half of the extra held. TestInstancesTogetherKeepBoundInEachWindow now adds up the owner, the standby and all others against the same bounds (at most 60, at least 40), and TestSetOptionsReducesBalance sets the maximum itself.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -130,10 +130,12 @@
 
 // shard is a subset of a service's upstreams that one instance schedules.
 type shard struct {
-	service     string
-	index       int
-	pool        *pool.Pool
-	retryBudget *retrybudget.Budget // used if this instance decides as the owner
+	service            string
+	index              int
+	pool               *pool.Pool
+	term               atomic.Uint64       // see takeRole
+	retryBudget        *retrybudget.Budget // used if this instance is the owner
+	standbyRetryBudget *retrybudget.Budget // used if it is the standby
 }
 
 // New returns a fleet without upstreams.
@@ -164,8 +166,8 @@
 	}
 }
 
-// RetryBudget returns the budget for retries to a service while this instance can reach no owner: its
-// share among all instances.
+// RetryBudget returns the budget for retries to a service while this instance decides and is neither the owner nor
+// the standby: its share among all instances.
 func (f *Fleet) RetryBudget(service string) *retrybudget.Budget {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -195,7 +197,11 @@
 		WaitForObjective:  f.o.Overload.WaitForObjective,
 	})
 	core.SetColdStart(f.services[service].coldStart, scheduler.Reachability{})
-	return &shard{service: service, index: index, pool: pool.New(pool.Options{Core: core}), retryBudget: retrybudget.New(f.o.RetryBudget.PerOwner(index+1, 1))}
+	return &shard{
+		service: service, index: index, pool: pool.New(pool.Options{Core: core}),
+		retryBudget:        retrybudget.New(f.o.RetryBudget.PerOwner(index+1, 1)),
+		standbyRetryBudget: retrybudget.New(f.o.RetryBudget.PerStandby(index+1, 1)),
+	}
 }
 
 // updateRetryBudgets sets the share of the retry bound that each budget of a service holds. The caller
@@ -205,6 +211,7 @@
 	s.retryBudget.SetOptions(f.o.RetryBudget.PerInstance(len(f.instances)))
 	for _, sh := range s.shards {
 		sh.retryBudget.SetOptions(f.o.RetryBudget.PerOwner(len(s.shards), reachable))
+		sh.standbyRetryBudget.SetOptions(f.o.RetryBudget.PerStandby(len(s.shards), reachable))
 	}
 }
 
--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -19,6 +19,7 @@
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/telemetry"
 	"github.com/tacktally/tacktally/internal/view"
 )
@@ -256,7 +257,7 @@
 	var p *api.Problem
 	err := c.call(ctx, address, within, func(other *silentMember) {
 		f := other.current().fleet
-		p = f.charge(f.shardAt(r.Service, r.Shard), f.shardAt(r.Service, r.Shard).retryBudget, r.Attempt)
+		_, p = f.chargeByRole(f.shardAt(r.Service, r.Shard), r.Attempt)
 	}, func() {})
 	switch {
 	case err != nil:
@@ -501,3 +502,43 @@
 		is.True(h.worstWindow(silentWindow) >= 790) // of 800, for the time that requests take
 	})
 }
+
+// Half of all requests fail, and each is tried again, while the owner of their shard doesn't reply in time. Each
+// instance that was asked in its place had a retry budget of its own.
+func TestRetryBudgetHoldsWhileTheOwnerOfAShardIsSilent(t *testing.T) {
+	const perSecond = 100
+	allowed := int(0.2*perSecond*silentWindow.Seconds()) + 60
+	for name, disturb := range silences(shardKey{service: "s"}) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range *silenceSeeds {
+				synctest.Test(t, func(t *testing.T) {
+					h := newSilenceHarness(seed, 12)
+					h.run(t, 30*time.Second, perSecond, h.retryOnce(t), disturb)
+					worst := h.worstWindow(silentWindow)
+					t.Logf("seed %d: %d in the worst window", seed, worst)
+					if worst > allowed {
+						t.Errorf("seed %d: %d retries in %s; the limit is %d", seed, worst, silentWindow, allowed)
+					}
+				})
+			}
+		})
+	}
+}
+
+// retryOnce returns a function that sends a request which fails, and reports whether it was sent again.
+func (h *silenceHarness) retryOnce(t *testing.T) func(m *silentMember) bool {
+	return func(m *silentMember) bool {
+		attempt := func(kind peer.AttemptKind) bool {
+			now := time.Now()
+			g, problem := m.current().fleet.Acquire(t.Context(), &AcquireRequest{ID: "1", Service: "s", Attempt: kind, Request: &scheduler.Request{
+				Arrived: now, Deadline: now.Add(time.Minute), MaxWait: time.Nanosecond, AllowLate: true, PromptTokens: 100,
+			}})
+			if problem == nil && g.Owner() == "" {
+				g.End(scheduler.Completed, 9)
+			}
+			return problem == nil
+		}
+		return attempt(peer.FirstAttempt) && attempt(peer.RetryAttempt)
+	}
+}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -42,10 +42,8 @@
 func (f *Fleet) Acquire(ctx context.Context, req *AcquireRequest) (Grant, *api.Problem) {
 	req.Request.ExcludedUpstreams = f.excludedUpstreams()
 	shard, owners := f.shardAndOwners(req)
-	retryBudget := f.RetryBudget(req.Service)
 	for _, owner := range owners {
 		if owner == f.o.Instance {
-			retryBudget = shard.retryBudget
 			break
 		}
 		g, problem, err := f.requestSlot(ctx, owner, shard, req)
@@ -57,10 +55,8 @@
 		}
 		f.markUnresponsive(owner, req.ID, err)
 	}
-	if len(owners) == 0 {
-		retryBudget = shard.retryBudget // no other instance may own the shard
-	}
-	if problem := f.charge(shard, retryBudget, req.Attempt); problem != nil {
+	retryBudget, problem := f.chargeByRole(shard, req.Attempt)
+	if problem != nil {
 		return nil, problem
 	}
 	req.Request.PrefixHashes = prefix.SegmentHashes(req.Segments)
@@ -88,28 +84,48 @@
 	return nil
 }
 
-// charge is the function of the same name, and counts retries by the role of this instance.
-func (f *Fleet) charge(s *shard, retryBudget *retrybudget.Budget, attempt peer.AttemptKind) *api.Problem {
-	problem := charge(retryBudget, attempt)
-	if problem == nil && attempt == peer.RetryAttempt {
-		f.countByRole("tacktally_retries_charged_total", shardKey{service: s.service, index: s.index})
+// refund returns the withdrawal for an attempt that isn't made.
+func refund(retryBudget *retrybudget.Budget, attempt peer.AttemptKind) {
+	if attempt == peer.RetryAttempt {
+		retryBudget.Return()
 	}
-	return problem
 }
 
-// countByRole counts what this instance has granted from a bound that all instances keep together.
-func (f *Fleet) countByRole(metric string, k shardKey) {
+// chargeByRole charges the budget that belongs to this instance's role at a shard, and returns it.
+func (f *Fleet) chargeByRole(s *shard, attempt peer.AttemptKind) (*retrybudget.Budget, *api.Problem) {
 	f.mu.Lock()
-	instances := f.instances
+	instances, service := f.instances, f.serviceOf(s.service)
 	f.mu.Unlock()
-	f.o.Metrics.Count(metric + `{role="` + f.owners.roleOf(k, instances, f.o.Instance).String() + `"}`)
+	role, budget := f.takeRole(s, instances), service.retryBudget
+	switch role {
+	case roleOwner:
+		budget = s.retryBudget
+	case roleStandby:
+		budget = s.standbyRetryBudget
+	}
+	problem := charge(budget, attempt)
+	if problem == nil && attempt == peer.RetryAttempt {
+		f.o.Metrics.Count(`tacktally_retries_charged_total{role="` + role.String() + `"}`)
+	}
+	return budget, problem
 }
 
-// refund returns the withdrawal for an attempt that isn't made.
-func refund(retryBudget *retrybudget.Budget, attempt peer.AttemptKind) {
-	if attempt == peer.RetryAttempt {
-		retryBudget.Return()
+// takeRole returns the role of this instance at a shard. A budget begins empty each time its role is taken, and after
+// a pause: another instance may have used it up meanwhile.
+func (f *Fleet) takeRole(s *shard, instances []Instance) role {
+	f.detectPause()
+	now := f.owners.roleOf(shardKey{service: s.service, index: s.index}, instances, f.o.Instance)
+	term := uint64(f.pauses.count.Load())<<8 | uint64(now)
+	if s.term.Swap(term) == term {
+		return now
 	}
+	switch now {
+	case roleOwner:
+		s.retryBudget.Empty()
+	case roleStandby:
+		s.standbyRetryBudget.Empty()
+	}
+	return now
 }
 
 // shardAndOwners returns a shard and the instances to request a slot from, in order; none means that this
@@ -121,7 +137,11 @@
 	if f.slots == nil {
 		return shard, nil
 	}
-	return shard, f.ownersOf(shardKey{service: req.Service, index: shard.index})
+	k := shardKey{service: req.Service, index: shard.index}
+	if req.Attempt == peer.RetryAttempt {
+		return shard, f.keepersOf(k) // the owner has the budget, even if it was silent lately
+	}
+	return shard, f.ownersOf(k)
 }
 
 // ownersOf returns the instances that may own a shard or group, in the order in which to send requests to
@@ -305,7 +325,8 @@
 	}
 	f.MergeLimits(s.Peer, r.Limits)
 	shard := f.shardAt(r.Service, r.Shard)
-	if p := f.charge(shard, shard.retryBudget, r.Attempt); p != nil {
+	retryBudget, p := f.chargeByRole(shard, r.Attempt)
+	if p != nil {
 		err := s.SendRefusal(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
@@ -320,7 +341,7 @@
 		decision = waiting.Wait(ctx)
 	}
 	if decision.Problem != nil {
-		refund(shard.retryBudget, r.Attempt)
+		refund(retryBudget, r.Attempt)
 		p := decision.Problem
 		err := s.SendRefusal(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -72,33 +72,46 @@
 // window, such as one that arrives in a later window than its first attempt.
 const shareMargin = 0.8
 
-// PerInstance returns the options of one of the given number of instances, so that together they
-// keep the bound in each window: half of the extra is available at once, the other half
-// is refilled over a window.
+// The shares of the extra that a budget holds at once, and that are refilled over a window. Each role uses twice its
+// share in a window at most, and the three add up to less than the whole.
+const (
+	ownerShare   = 1.0 / 3
+	standbyShare = 0.06
+	aloneShare   = 0.06
+)
+
+// PerInstance returns the options of one of the given number of instances, for what each decides alone, being
+// neither the owner nor the standby.
 func (s Bound) PerInstance(instances int) Options {
-	half := s.Extra / 2 / float64(max(instances, 1))
-	return Options{
-		Share:     s.Share * shareMargin,
-		Initial:   half,
-		Max:       half,
-		PerSecond: half / s.Window.Seconds(),
-	}
+	o := s.holding(aloneShare, 1/float64(max(instances, 1)))
+	o.Initial = o.Max
+	return o
 }
 
-// ownerShare is the share of the extra that an owner holds at once, and that is refilled over a window. It is a
-// third, since another instance may take over the shard within a window, with a third of its own.
-const ownerShare = 1.0 / 3
-
 // PerOwner returns the options of the owner of one of the given number of shards of a service; reachable is the share
 // of the fleet that the owner can reach, itself included. A shard has one owner at a time however many instances there
 // are, so its budget is large enough to be used. It starts empty.
 func (s Bound) PerOwner(shards int, reachable float64) Options {
-	held := s.Extra * ownerShare * reachable / float64(max(shards, 1))
-	return Options{
-		Share:     s.Share * shareMargin,
-		Max:       held,
-		PerSecond: held / s.Window.Seconds(),
-	}
+	return s.holding(ownerShare, reachable/float64(max(shards, 1)))
+}
+
+// PerStandby returns the options of the instance that is asked while the owner of a shard is silent, as PerOwner does.
+func (s Bound) PerStandby(shards int, reachable float64) Options {
+	return s.holding(standbyShare, reachable/float64(max(shards, 1)))
+}
+
+// holding returns the options of a budget that holds a share of a part of the extra, and is refilled with as much over
+// a window.
+func (s Bound) holding(share, part float64) Options {
+	held := s.Extra * share * part
+	return Options{Share: s.Share * shareMargin, Max: held, PerSecond: held / s.Window.Seconds()}
+}
+
+// Empty takes all retries from the budget.
+func (b *Budget) Empty() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance, b.refilled = 0, time.Now()
 }
 
 // SetOptions replaces the options and keeps the balance, up to the new maximum.
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -30,33 +30,49 @@
 	is.Equal(drain(b), 4) // the balance is bounded by Max
 }
 
+// The owner, the standby and all instances that decide alone keep the bound together, and most of it is the owner's.
 func TestInstancesTogetherKeepBoundInEachWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		bound := Bound{Share: 0.2, Extra: 60, Window: 10 * time.Second}
 		const instances = 6
-		retries := 0
+		all := []*Budget{New(bound.PerOwner(1, 1)), New(bound.PerStandby(1, 1))}
 		for range instances {
-			b := New(bound.PerInstance(instances))
-			retries += drain(b)
-			for range 10 {
-				<-time.After(time.Second)
+			all = append(all, New(bound.PerInstance(instances)))
+		}
+		<-time.After(10 * time.Second) // all balances fill to their maximum
+		retries := 0
+		for range 11 {
+			for _, b := range all {
 				retries += drain(b)
 			}
+			<-time.After(time.Second)
 		}
 		is.True(retries <= 60)
 		is.True(retries >= 40) // most of it is usable
 	})
 }
 
-func TestSetOptionsReducesBalanceForMoreInstances(t *testing.T) {
+func TestSetOptionsReducesBalance(t *testing.T) {
 	is := is.New(t)
-	bound := Bound{Share: 0.2, Extra: 60, Window: 10 * time.Second}
-	b := New(bound.PerInstance(1))
-	b.SetOptions(bound.PerInstance(6))
+	b := New(Options{Initial: 30, Max: 30})
+	b.SetOptions(Options{Max: 5})
 	is.Equal(drain(b), 5)
 }
 
+// An instance that takes over a shard doesn't know what the one before has used.
+func TestEmptyTakesWhatABudgetHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(Options{Initial: 30, Max: 30, PerSecond: 1})
+		<-time.After(time.Hour)
+		b.Empty()
+		is.Equal(drain(b), 0)
+		<-time.After(5 * time.Second)
+		is.Equal(drain(b), 5)
+	})
+}
+
 // The owners of the shards of a service together keep the bound in each window, also if each shard changes its
 // owner within it. The number of instances doesn't matter.
 func TestOwnersTogetherKeepBoundInEachWindow(t *testing.T) {
