scheduler, fleet: the standby of a shard grants only what the owner leaves of upstreams' limits

The first two of a shard's ranking may be asked at once, and each granted what an owner may: 0.8 of what an upstream bears that may have become cold, 0.9 of an advertised limit. (Of upstreams known to be cold each grants 0.45, which holds for two.)

Change: the second in the ranking grants what the owner leaves, 0.2 and 0.1. It is the owner as soon as the members are known to have changed.

Not shown: more instances than two. Neither owner nor standby grant upstreams that are known to be cold beyond that; others grant two in a second of upstreams that may have become cold, as before.

--- a/internal/fleet/grant_limits.go
+++ b/internal/fleet/grant_limits.go
@@ -56,7 +56,7 @@
 		f.mu.Unlock()
 		reachability := base
 		if coldStart.IsLimited() || limited {
-			reachability.Queried = f.isQueried(s, base.Queried)
+			reachability.Queried, reachability.Standby = f.isQueried(s, base.Queried)
 		}
 		s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
 			core.SetColdStart(coldStart, reachability)
@@ -97,15 +97,17 @@
 }
 
 // isQueried reports whether other instances request slots of a shard from this one: they request slots
-// from it at all, as queried says, and it is one of the first that may own the shard.
-func (f *Fleet) isQueried(s *shard, queried bool) bool {
+// from it at all, as queried says, and it is one of the first that may own the shard; and whether it is the
+// standby.
+func (f *Fleet) isQueried(s *shard, queried bool) (isQueried, isStandby bool) {
 	f.mu.Lock()
 	instances := f.instances
 	f.mu.Unlock()
 	if !queried || len(instances) == 1 {
-		return queried
+		return queried, false
 	}
-	return f.owners.isCandidate(shardKey{service: s.service, index: s.index}, instances, f.o.Instance)
+	role := f.owners.roleOf(shardKey{service: s.service, index: s.index}, instances, f.o.Instance)
+	return role != roleOther, role == roleStandby
 }
 
 // reachableZoneShares returns the share of the instances of each availability zone that are reachable.
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -72,15 +72,6 @@
 	o.unresponsive[address] = now
 }
 
-// isCandidate reports whether an instance is one of the first maxOwners that other instances request
-// slots of a shard from.
-func (o *owners) isCandidate(k shardKey, instances []Instance, address string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	ranked := o.ranking(k, instances)
-	return slices.Contains(ranked[:min(maxOwners, len(ranked))], address)
-}
-
 // ranking returns the instances that may own a shard, the first owner first. The caller holds the lock.
 func (o *owners) ranking(k shardKey, instances []Instance) []string {
 	ranked, known := o.ranked[k]
--- a/internal/scheduler/advertised_limit.go
+++ b/internal/scheduler/advertised_limit.go
@@ -9,8 +9,11 @@
 
 const (
 	// rateShare is the share of an advertised limit that is granted. The rest covers requests
-	// granted in one second that arrive in another, and moments in which two instances own a shard.
+	// granted in one second that arrive in another.
 	rateShare = 0.9
+	// standbyRateShare is the share that the standby of a shard grants while requesters don't hear from its
+	// owner, which may still grant.
+	standbyRateShare = 0.1
 	// isolatedRateShare is the share that all isolated instances together grant. Each decides at
 	// random when it may grant.
 	isolatedRateShare = 0.5
@@ -22,11 +25,15 @@
 // rateOf returns this instance's share of the advertised limit of an upstream, which applies to all
 // instances together.
 func (c *Core) rateOf(u *balancer.Upstream) balancer.RateLimit {
+	share := rateShare
+	if c.reachability.Standby {
+		share = standbyRateShare
+	}
 	switch {
 	case !u.AdvertisedLimit.Set:
 		return balancer.RateLimit{}
 	case c.reachability.Queried:
-		return balancer.RateLimit{Set: true, PerSecond: max(rateShare*u.AdvertisedLimit.PerSecond, minRate) * c.reachability.shareOf(u.Zone)}
+		return balancer.RateLimit{Set: true, PerSecond: max(share*u.AdvertisedLimit.PerSecond, minRate) * c.reachability.shareOf(u.Zone)}
 	default:
 		return balancer.RateLimit{Set: true, PerSecond: max(isolatedRateShare*u.AdvertisedLimit.PerSecond, minRate) * c.reachability.OwnShare, Probabilistic: true}
 	}
--- a/internal/scheduler/cold_start.go
+++ b/internal/scheduler/cold_start.go
@@ -27,6 +27,9 @@
 	// Queried reports whether other instances request slots from this one. An isolated instance,
 	// which can reach no peer, may be one of many that grant for the same upstreams.
 	Queried bool
+	// Standby reports that other instances request slots from this one only while the owner of the shard is silent
+	// to them.
+	Standby bool
 	// ZoneShares is, by availability zone, the share of its instances that are reachable, including
 	// this one. An upstream is used by the instances of its own zone at least. If all of those are
 	// reachable, any other instance that sends to it is assumed to be reachable too.
@@ -59,7 +62,8 @@
 	warmShare    = 0.8
 	warmMinShare = 0.25
 	// movedShare is what warmShare leaves of MaxPerSecond. The previous owner may have granted all
-	// of warmShare in the second in which an upstream moves to another shard.
+	// of warmShare in the second in which an upstream moves to another shard, and the owner while the
+	// standby grants, too.
 	movedShare = 1 - warmShare
 	// isolatedWarmGrants is the grant limit of an isolated instance, in requests per upstream (see
 	// balancer.GrantLimits). It serves only its own callers, whose requests amount to less than one
@@ -70,7 +74,7 @@
 // SetColdStart sets the cold-start rates of the upstreams and the share of them that this instance
 // may grant. Both apply from the next grant.
 func (c *Core) SetColdStart(s ColdStart, r Reachability) {
-	if c.coldStart == s && c.reachability.Queried == r.Queried && c.reachability.FleetShare == r.FleetShare && c.reachability.OwnShare == r.OwnShare && maps.Equal(c.reachability.ZoneShares, r.ZoneShares) {
+	if c.coldStart == s && c.reachability.Queried == r.Queried && c.reachability.Standby == r.Standby && c.reachability.FleetShare == r.FleetShare && c.reachability.OwnShare == r.OwnShare && maps.Equal(c.reachability.ZoneShares, r.ZoneShares) {
 		return
 	}
 	c.coldStart, c.reachability = s, r
@@ -90,7 +94,11 @@
 		return balancer.GrantLimits{Set: true, Warm: min(isolatedWarmGrants, int(s.MaxPerSecond))}
 	}
 	share := c.reachability.shareOf(zone)
-	return balancer.GrantLimits{Set: true, Cold: s.coldLimit(share), Warm: int(s.MaxPerSecond * max(warmShare*share, warmMinShare)), Moved: int(s.MaxPerSecond * movedShare * share)}
+	warm := max(warmShare*share, warmMinShare)
+	if c.reachability.Standby {
+		warm = movedShare * share
+	}
+	return balancer.GrantLimits{Set: true, Cold: s.coldLimit(share), Warm: int(s.MaxPerSecond * warm), Moved: int(s.MaxPerSecond * movedShare * share)}
 }
 
 // coldLimit returns the number of requests that a cold upstream may be granted per second by
