fleet: an instance that reaches none of its fleet isn't the owner of everything

Cause: an instance that starts while its links are silent knows no other; once settled it took itself for the only one of a fleet of one, with the whole quota and retry budget.

Change: an instance that has seeds and has heard from no peer is neither owner nor standby: it has the part of one that decides alone, in a fleet of unknown size, and no retries. Cold-start limits did so before.

TestInstanceThatReachesNoneOfItsFleetIsNotTheOwner fails before. TestRetryIsChargedOnlyIfGranted has an instance without peers now; its client told of peers that were never heard from.

Changes of what an owner may grant are logged (buckets_share).

--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -170,7 +170,10 @@
 	if q.peers == nil || !q.fleet.hasPeers.Load() {
 		share, since = 1, now
 	}
-	q.ownedBuckets(group, held).SetShare(since, share)
+	if q.ownedBuckets(group, held).SetShare(since, share) {
+		q.fleet.o.Log.Info().Str("event", "buckets_share").Int("group", group).Float64("share", share).Str("standby", held.standby).
+			Bool("refused", lease.refused).Dur("owned_for", now.Sub(held.ownerSince)).Int("predecessor", int(held.predecessor)).Msg("")
+	}
 	return share, held
 }
 
--- a/internal/fleet/retry_budget_test.go
+++ b/internal/fleet/retry_budget_test.go
@@ -54,6 +54,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := newSizedFleet(1, 0)
+		s.fleet.SetSlotClient(nil) // the only instance
 		s.fleet.o.RetryBudget = retrybudget.Bound{Extra: 3, Window: time.Second}
 		s.fleet.updateRetryBudgets(s.fleet.services["s"])
 		retry := func() (Grant, *api.Problem) {
@@ -78,3 +79,22 @@
 		is.True(problem == nil)
 	})
 }
+
+// Instances that start while their links are silent know no other. Each took itself for the only one and for the
+// owner of everything, as long as that lasted.
+func TestInstanceThatReachesNoneOfItsFleetIsNotTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSizedFleet(1, 0) // its SlotClient knows of no fleet size
+		s.fleet.o.RetryBudget = retrybudget.Bound{Extra: 30, Window: time.Second}
+		s.fleet.updateRetryBudgets(s.fleet.services["s"])
+		q := NewQuotas(time.Now(), Allowance{Share: 0.25, Window: 8 * time.Second}, s.fleet)
+		<-time.After(time.Minute)
+		_, role := s.fleet.bucketRole(0)
+		is.Equal(role, roleOther)
+		g := q.grant(&peer.QuotaRequest{Organisation: "crews", Rate: 100, Burst: 20, Tokens: 1, Allowance: 200})
+		is.True(g.by == nil)
+		_, problem := s.fleet.chargeByRole(s.fleet.all()[0], peer.RetryAttempt)
+		is.True(problem != nil)
+	})
+}
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -97,10 +97,12 @@
 	instances, service := f.instances, f.serviceOf(s.service)
 	f.mu.Unlock()
 	role, budget := f.takeRole(s, instances), service.retryBudget
-	switch role {
-	case roleOwner:
+	switch {
+	case f.isUnacquainted(instances):
+		budget = retrybudget.New(retrybudget.Options{})
+	case role == roleOwner:
 		budget = s.retryBudget
-	case roleStandby:
+	case role == roleStandby:
 		budget = s.standbyRetryBudget
 	}
 	problem := charge(budget, attempt)
@@ -173,17 +175,27 @@
 	return f.owners.firstCandidates(k, instances)
 }
 
-// bucketRole returns the ownership of a group of buckets, and the role of this instance. An instance that knows no
-// other is the owner.
+// bucketRole returns the ownership of a group of buckets, and the role of this instance.
 func (f *Fleet) bucketRole(group int) (groupOwner, role) {
 	f.detectPause()
 	held := f.buckets.group(group)
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.instances) == 1 && f.instances[0].Settled {
+	instances := f.instances
+	f.mu.Unlock()
+	switch {
+	case f.isUnacquainted(instances):
+		return held, roleOther
+	case len(instances) == 1 && instances[0].Settled:
 		return held, roleOwner
+	default:
+		return held, held.roleOf(f.o.Instance)
 	}
-	return held, held.roleOf(f.o.Instance)
+}
+
+// isUnacquainted reports whether this instance is one of a fleet of which it knows no other: it has started and
+// reaches none. There may be any number of instances, and many in this situation.
+func (f *Fleet) isUnacquainted(instances []Instance) bool {
+	return len(instances) == 1 && f.slots != nil && f.slots.FleetSize() != 1
 }
 
 // markUnresponsive records that an owner didn't decide on a request, and logs the cause.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -66,17 +66,19 @@
 }
 
 // SetShare sets the share of all limits that the limiter grants from a time on; it is 1 at first. What buckets
-// gained until then they gained by the share before. With a share of 0 they keep what they hold.
-func (l *Limiter) SetShare(from time.Time, share float64) {
+// gained until then they gained by the share before. With a share of 0 they keep what they hold. It reports
+// whether the share is another one than before.
+func (l *Limiter) SetShare(from time.Time, share float64) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if share == l.share {
-		return
+		return false
 	}
 	for _, b := range l.buckets {
 		b.fill(from, b.limit.Scale(l.share))
 	}
 	l.share = share
+	return true
 }
 
 // noShareWait is the time after which to retry while the limiter grants nothing.
