--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -39,6 +39,8 @@
 	// process to it.
 	UpstreamLink Fault = "upstream_link"
 	PeerLink     Fault = "peer_link"
+	// Hold makes the paths from the peers of one, some or all processes to them forward nothing for a while.
+	Hold Fault = "hold"
 	// Replace ends an upstream and gives its address to another one.
 	Replace Fault = "replace"
 	// Revoke revokes an organisation's API keys.
@@ -128,6 +130,13 @@
 // ThrottledMix is a mix of lost and replaced instances that have little processor time each.
 var ThrottledMix = Mix{Kill: 3, Terminate: 4, Pause: 1, Reload: 1, Change: 2}
 
+// HoldMix is a mix of silent paths between instances, while instances are killed, replaced and paused. With
+// PlannedHoldMix instances are replaced, and nothing else.
+var (
+	HoldMix        = Mix{Hold: 10, Kill: 1, Terminate: 2, Pause: 2, Reload: 1, Change: 1}
+	PlannedHoldMix = Mix{Hold: 10, Terminate: 3, Reload: 1, Change: 1}
+)
+
 // PlannedBrittleMix is a mix of the planned work of operators while upstreams are brittle.
 var PlannedBrittleMix = Mix{Terminate: 4, Reload: 1, Change: 2}
 
