fleet: the simulation of silent links waits as the other simulations do

In virtual time a receive from time.After and a sleep are the same; the project's tests use the first, so that a sleep in real time stands out. No run changes: the tests pass as before.

--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -178,7 +178,7 @@
 
 // passes blocks until a frame has got through from one instance to the other.
 func (m *silentMember) passes(other *silentMember) {
-	time.Sleep(linkLatency)
+	<-time.After(linkLatency)
 	for {
 		now := time.Now()
 		_, until := m.harness.cutBetween(m, other)
@@ -194,7 +194,7 @@
 		if !until.After(now) {
 			return
 		}
-		time.Sleep(until.Sub(now))
+		<-time.After(until.Sub(now))
 	}
 }
 
@@ -328,28 +328,28 @@
 		go func() {
 			for time.Now().Before(h.end) {
 				m.tick(time.Now())
-				time.Sleep(silentTick)
+				<-time.After(silentTick)
 			}
 		}()
 		go func() {
 			for time.Now().Before(h.end) {
 				m.renewLeases(t.Context())
-				time.Sleep(LeaseInterval)
+				<-time.After(LeaseInterval)
 			}
 		}()
 	}
 	if disturb != nil {
 		go func() {
-			time.Sleep(calm)
+			<-time.After(calm)
 			for time.Now().Before(h.end) {
 				disturb(h)
-				time.Sleep(time.Duration(h.random.Int64N(int64(time.Second))))
+				<-time.After(time.Duration(h.random.Int64N(int64(time.Second))))
 			}
 		}()
 	}
 	var all sync.WaitGroup
 	for time.Now().Before(h.end) {
-		time.Sleep(time.Second / time.Duration(perSecond))
+		<-time.After(time.Second / time.Duration(perSecond))
 		m := h.members[asked.IntN(len(h.members))]
 		all.Go(func() {
 			m.awaitRunning()
@@ -361,7 +361,7 @@
 		})
 	}
 	all.Wait()
-	time.Sleep(time.Minute) // until what is still held has got through
+	<-time.After(time.Minute) // until what is still held has got through
 }
 
 // awaitRunning blocks while the process is stopped.
@@ -373,7 +373,7 @@
 		if left <= 0 {
 			return
 		}
-		time.Sleep(left)
+		<-time.After(left)
 	}
 }
 
@@ -417,7 +417,7 @@
 		"four are replaced at once":         func(h *silenceHarness) { h.replaceNext(4) },
 		"all are replaced at once, twice in a window": func(h *silenceHarness) {
 			h.replaceNext(len(h.members))
-			time.Sleep(silentWindow / 2)
+			<-time.After(silentWindow / 2)
 		},
 		"a zone is cut off":     func(h *silenceHarness) { h.cutOff(1) },
 		"two zones are cut off": func(h *silenceHarness) { h.cutOff(2) },
@@ -437,7 +437,7 @@
 		m.frozenAt, m.frozen = time.Now(), time.Now().Add(d)
 		m.mu.Unlock()
 	}
-	time.Sleep(d)
+	<-time.After(d)
 }
 
 // replaceNext terminates instances, which are leaving for a second, and starts them anew.
@@ -448,7 +448,7 @@
 		m.leaving = true
 		m.mu.Unlock()
 	}
-	time.Sleep(time.Second)
+	<-time.After(time.Second)
 	for _, m := range next {
 		m.start()
 	}
@@ -461,7 +461,7 @@
 	h.mu.Lock()
 	h.cutAt, h.cut, h.cutZone = time.Now(), time.Now().Add(d), zones
 	h.mu.Unlock()
-	time.Sleep(d + 3*time.Second)
+	<-time.After(d + 3*time.Second)
 }
 
 // The callers of an organisation ask for four times its quota while the instance that keeps its bucket doesn't reply
