fleet: candidates of a bucket, and what the comments on leases claim

A keeper is an instance that keeps origins of streams; the instances that are asked for tokens are candidates, as for slots. isUnacquainted is knowsNoPeer. The comment on leases said that owner and standby never grant more than the quota: a leaving owner and its successor may both grant for up to 0.2 s.

--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -13,9 +13,9 @@
 // The owner of a group of buckets holds a lease of it from the standby, which it renews all the time. While it holds
 // one it grants the whole quota, and the standby doesn't. Once it gets no reply, both know by their own clocks that
 // the lease has ended, the owner first; then each grants half, since neither can know whether the other still runs.
-// So at no time do the two grant more than the quota, however long frames are on their way. A change of the owner
-// is a change of who gets the lease: an instance leases a group only to the one that it considers the owner, and not
-// before the lease of another has ended.
+// So the rates of the two add up to one at most, however long frames are on their way. A change of the owner is a
+// change of who gets the lease: an instance leases a group only to the one that it considers the owner, and not before
+// the lease of another has ended. The exception is the successor of an owner that is leaving, see leavingGrace.
 
 const (
 	// leaseLength is how long a lease lasts, for the owner from when it asked, for the standby from when it granted.
@@ -23,7 +23,7 @@
 	// LeaseInterval is how often owners renew their leases.
 	LeaseInterval = 100 * time.Millisecond
 	// leavingGrace is how long the successor of an owner that is leaving needs no lease: until the others have
-	// heard of that, too.
+	// heard of that, too. The owner itself stops when it next refreshes its view, up to 0.2 s later.
 	leavingGrace = time.Second
 )
 
--- a/internal/fleet/probes.go
+++ b/internal/fleet/probes.go
@@ -17,6 +17,6 @@
 		return true
 	}
 	group := int((k.Digest ^ xxhash.Sum64String(k.Organisation)) % probeGroups)
-	owners := f.keepersOf(shardKey{service: "requests held back", index: group, settledOnly: true})
+	owners := f.ownerAndStandbyOf(shardKey{service: "requests held back", index: group, settledOnly: true})
 	return len(owners) == 0 || owners[0] == f.o.Instance
 }
--- a/internal/fleet/quotas.go
+++ b/internal/fleet/quotas.go
@@ -162,30 +162,30 @@
 		Organisation: o.Name, Rate: q.allowed.raisedRate(o), Burst: o.BurstTokens, Tokens: n,
 		Reserve: reserve(n, rank), Allowance: q.allowed.perWindow(o),
 	}
-	keepers := q.keepers(o.Name)
-	if len(keepers) == 0 {
+	candidates := q.candidates(o.Name)
+	if len(candidates) == 0 {
 		return q.takeLocal(r)
 	}
 	decision := &quotaDecision{late: make(chan *TokenGrant, 1), quotas: q}
 	defer decision.end()
-	passedOver := q.fleet.owners.isUnresponsive(keepers[0], time.Now())
-	for _, keeper := range keepers {
-		if q.fleet.owners.isUnresponsive(keeper, time.Now()) {
+	passedOver := q.fleet.owners.isUnresponsive(candidates[0], time.Now())
+	for _, candidate := range candidates {
+		if q.fleet.owners.isUnresponsive(candidate, time.Now()) {
 			continue
 		}
-		reply, err := q.takeFrom(ctx, keeper, id, r, decision)
+		reply, err := q.takeFrom(ctx, candidate, id, r, decision)
 		decision.expected = decision.expected || errors.Is(err, peer.ErrNoReply)
 		if ctx.Err() != nil || (err == nil && (reply.taken != nil || !reply.partial)) {
 			return reply.taken, reply.wait
 		}
 	}
-	if !slices.Contains(keepers, q.fleet.o.Instance) {
+	if !slices.Contains(candidates, q.fleet.o.Instance) {
 		if taken, _ := q.takeLocal(r); taken != nil {
 			return taken, 0
 		}
 	}
 	if passedOver { // the owner may reply again, and grants most
-		if reply, err := q.takeFrom(ctx, keepers[0], id, r, decision); err == nil {
+		if reply, err := q.takeFrom(ctx, candidates[0], id, r, decision); err == nil {
 			return reply.taken, reply.wait
 		}
 	}
@@ -200,14 +200,14 @@
 }
 
 // takeFrom takes tokens from one of the instances that keep a bucket. An error means that it didn't reply in time.
-func (q *Quotas) takeFrom(ctx context.Context, keeper, id string, r *peer.QuotaRequest, d *quotaDecision) (quotaReply, error) {
-	if keeper == q.fleet.o.Instance {
+func (q *Quotas) takeFrom(ctx context.Context, candidate, id string, r *peer.QuotaRequest, d *quotaDecision) (quotaReply, error) {
+	if candidate == q.fleet.o.Instance {
 		g := q.grant(r)
 		return quotaReply{taken: g.localTokens(r), wait: g.wait, partial: g.partial}, nil
 	}
-	granted := &TokenGrant{organisation: r.Organisation, Count: r.Tokens, Owner: keeper}
-	reply, err := q.peers.TakeQuota(ctx, keeper, r, q.fleet.ackTimeout(), func(late *peer.QuotaReply) {
-		q.fleet.owners.markResponsive(keeper)
+	granted := &TokenGrant{organisation: r.Organisation, Count: r.Tokens, Owner: candidate}
+	reply, err := q.peers.TakeQuota(ctx, candidate, r, q.fleet.ackTimeout(), func(late *peer.QuotaReply) {
+		q.fleet.owners.markResponsive(candidate)
 		if late.Granted {
 			d.grantLate(granted)
 		}
@@ -218,7 +218,7 @@
 	case err == nil:
 		return quotaReply{wait: reply.Wait, partial: reply.Partial}, nil
 	case ctx.Err() == nil: // otherwise the caller has disconnected
-		q.fleet.markUnresponsive(keeper, id, err)
+		q.fleet.markUnresponsive(candidate, id, err)
 	}
 	return quotaReply{wait: ShortRetryAfter}, err
 }
@@ -319,13 +319,13 @@
 	return g.localTokens(r), g.wait
 }
 
-// keepers returns the instances that keep the bucket of an organisation, the owner first; none means that this
+// candidates returns the instances that keep the bucket of an organisation, the owner first; none means that this
 // instance decides.
-func (q *Quotas) keepers(organisation string) []string {
+func (q *Quotas) candidates(organisation string) []string {
 	if q.peers == nil {
 		return nil
 	}
-	return q.fleet.keepersOf(quotaKey(organisation))
+	return q.fleet.ownerAndStandbyOf(quotaKey(organisation))
 }
 
 // ServeTake grants tokens to a peer.
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -98,7 +98,7 @@
 	f.mu.Unlock()
 	role, budget := f.takeRole(s, instances), service.retryBudget
 	switch {
-	case f.isUnacquainted(instances):
+	case f.knowsNoPeer(instances):
 		budget = retrybudget.New(retrybudget.Options{})
 	case role == roleOwner:
 		budget = s.retryBudget
@@ -141,7 +141,7 @@
 	}
 	k := shardKey{service: req.Service, index: shard.index}
 	if req.Attempt == peer.RetryAttempt {
-		return shard, f.keepersOf(k) // the owner has the budget, even if it was silent lately
+		return shard, f.ownerAndStandbyOf(k) // the owner has the budget, even if it was silent lately
 	}
 	return shard, f.ownersOf(k)
 }
@@ -163,9 +163,9 @@
 	return owners
 }
 
-// keepersOf returns the first instances that may own a group, the owner first, whether or not they have replied
-// lately; none means this instance.
-func (f *Fleet) keepersOf(k shardKey) []string {
+// ownerAndStandbyOf returns the owner of a shard or group and its standby, whether or not they have replied lately; none
+// means this instance.
+func (f *Fleet) ownerAndStandbyOf(k shardKey) []string {
 	f.mu.Lock()
 	instances := f.instances
 	f.mu.Unlock()
@@ -183,7 +183,7 @@
 	instances := f.instances
 	f.mu.Unlock()
 	switch {
-	case f.isUnacquainted(instances):
+	case f.knowsNoPeer(instances):
 		return held, roleOther
 	case len(instances) == 1 && instances[0].Settled:
 		return held, roleOwner
@@ -192,9 +192,9 @@
 	}
 }
 
-// isUnacquainted reports whether this instance is one of a fleet of which it knows no other: it has started and
+// knowsNoPeer reports whether this instance is one of a fleet of which it knows no other: it has started and
 // reaches none. There may be any number of instances, and many in this situation.
-func (f *Fleet) isUnacquainted(instances []Instance) bool {
+func (f *Fleet) knowsNoPeer(instances []Instance) bool {
 	return len(instances) == 1 && f.slots != nil && f.slots.FleetSize() != 1
 }
 
