--- a/internal/entry/gauges.go
+++ b/internal/entry/gauges.go
@@ -5,6 +5,8 @@
 func (i *Instance) registerGauges() {
 	i.metrics.Gauge("tacktally_in_flight", func() float64 { return float64(i.proxy.InFlight()) })
 	i.metrics.Gauge("tacktally_revision", func() float64 { return float64(i.view.Revision()) })
+	i.metrics.Gauge("tacktally_config_version", func() float64 { return float64(i.view.Version()) })
+	i.metrics.Gauge("tacktally_evacuations_version", func() float64 { return float64(i.view.CurrentEvacuations().Version) })
 	i.metrics.Gauge("tacktally_config_age_seconds", func() float64 {
 		age, _ := i.view.Age()
 		return age.Seconds()
