--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -113,6 +113,9 @@
 	}
 }
 
+// Conn returns the connection on which the response arrives. It is only to be inspected.
+func (r *Response) Conn() net.Conn { return r.conn.net }
+
 // Close ends the exchange. The connection is kept if the response was read to its end and nothing
 // followed it; otherwise it is closed, which signals the upstream to stop.
 func (r *Response) Close() {
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -47,6 +47,9 @@
 	}
 }
 
+// IsThroughPeer reports whether a connection to an upstream goes through a peer.
+func IsThroughPeer(c net.Conn) bool { return relay.IsRelayed(c) }
+
 // skipIdle reports whether an idle connection is probably broken: it uses the own path, and this instance
 // reaches no upstream.
 func (f *Fleet) skipIdle(c net.Conn) bool { return !relay.IsRelayed(c) && f.Isolated() }
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -233,7 +233,8 @@
 	g.End(j.schedulerResult(r), output)
 	j.recordCrashEvidence(r)
 	if r.status != completed {
-		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.info.ID).Str("key", j.identity.Key.String()).Strs("segments", j.segmentNames()).Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Str("upstream", g.Upstream()).
+		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.info.ID).Str("key", j.identity.Key.String()).Strs("segments", j.segmentNames()).Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Bool("via_peer", j.viaPeer).
+			Bool("head_sent", j.responseStarted).Int64("first_event", j.relayed.first).Int64("last_event", j.relayed.last).Int("skipped", j.relayed.skipped).Str("upstream", g.Upstream()).
 			Str("owner", g.Owner()).Int64("owner_list", g.ListVersion()).Int64("list", j.versions.own).Dur("list_age", j.versions.age).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -135,6 +135,8 @@
 	sentVersion      string                      // version of the upstream of the last attempt when it was sent
 	softwareVersions []string                    // of the upstreams whose events were relayed, by this instance's list
 	reused           bool                        // the last response came on a connection that had served another exchange
+	viaPeer          bool                        // the last response came on a connection through a peer
+	relayed          relayedEvents               // events of a stream
 	sentAfter        time.Duration               // from arrival to the last attempt
 	sentAt           time.Time                   // when the last attempt was sent
 	respondedAt      time.Time                   // when the header of its response arrived
@@ -366,7 +368,10 @@
 	event.Strs("segments", j.segmentNames()).Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.versions.owner).Int64("list", j.versions.own).
 		Dur("list_age", j.versions.age).Int("prompt", j.info.PromptTokens).Dur("timeout", j.info.Timeout).Dur("sent_after", j.sentAfter).Dur("first_after", j.firstAfter).
-		Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Strs("software_versions", j.softwareVersions).Str("after", j.info.LastEventID).Str("origin", j.info.OriginID).Dur("took", took).Msg("")
+		Int("events", j.events).Int64("first_event", j.relayed.first).Str("last_event", j.lastEventID).Int("skipped", j.relayed.skipped).Int("unnumbered", j.relayed.unnumbered).
+		Str("framing", j.framing.String()).Bool("reused", j.reused).Bool("via_peer", j.viaPeer).Strs("software_versions", j.softwareVersions).Str("after", j.info.LastEventID).Str("origin", j.info.OriginID).Dur("took", took).Msg("")
+	h.o.Metrics.Add("tacktally_stream_events_skipped_total", j.relayed.skipped)
+	h.o.Metrics.Add("tacktally_stream_events_unnumbered_total", j.relayed.unnumbered)
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -79,7 +79,8 @@
 	silence := j.startSilenceTimer(g, cancel)
 	defer silence.stop()
 	j.attempts++
-	j.events, j.framing, j.reused = 0, exchange.NoResponse, false
+	j.events, j.framing, j.reused, j.viaPeer = 0, exchange.NoResponse, false, false
+	j.relayed.first, j.relayed.last = 0, 0
 	process := j.handler.o.Fleet.ProcessOf(g.Upstream())
 	j.upstream = g.Upstream()
 	j.owner = g.Owner()
@@ -100,7 +101,7 @@
 	}
 	defer response.Close()
 	j.respondedAt = time.Now()
-	j.framing, j.reused = response.Framing, response.Reused
+	j.framing, j.reused, j.viaPeer = response.Framing, response.Reused, fleet.IsThroughPeer(response.Conn())
 	j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_upstream_responses_total{framing=%q}", j.framing))
 	g.RecordActivity()
 	r := &relay{job: j, ctx: ctx, response: response, silence: silence, onLoad: g.RecordLoad, onData: g.RecordActivity, onFirst: func() {
@@ -348,7 +349,9 @@
 // relayEvent relays one event, unless the caller has received it already.
 func (r *relay) relayEvent(event []byte) attemptResult {
 	id, numbered := sse.ID(event)
+	r.job.relayed.count(id, numbered)
 	if numbered && r.alreadyRelayed(id) {
+		r.job.relayed.skipped++
 		return attemptResult{status: completed}
 	}
 	r.writeHeadOnce()
@@ -362,6 +365,25 @@
 	return attemptResult{status: completed}
 }
 
+// relayedEvents counts the events of a request's runs, for logs and metrics.
+type relayedEvents struct {
+	// first and last are the IDs of the first and the last event of the last attempt.
+	first, last int64
+	// skipped counts events that weren't relayed since the caller has them, unnumbered those without an ID.
+	skipped, unnumbered int
+}
+
+func (e *relayedEvents) count(id int64, numbered bool) {
+	if !numbered {
+		e.unnumbered++
+		return
+	}
+	if e.first == 0 {
+		e.first = id
+	}
+	e.last = id
+}
+
 func (r *relay) alreadyRelayed(id int64) bool {
 	last, err := strconv.ParseInt(r.job.lastEventID, 10, 64)
 	return err == nil && id <= last // no number: nothing was relayed yet
