--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -124,6 +124,13 @@
 	PlannedVersionMix = Mix{Replace: 5, Terminate: 3, Reload: 1, Change: 1}
 )
 
+// ResumedMix is a mix of lost, replaced, paused and disconnected instances while upstreams break streams off and
+// resume them wrongly. With PlannedResumedMix instances are replaced, and nothing else.
+var (
+	ResumedMix        = Mix{Kill: 4, Terminate: 4, Pause: 3, Reload: 1, Change: 3, PeerLink: 2, SourceOutage: 1, SourceLink: 1}
+	PlannedResumedMix = Mix{Terminate: 4, Reload: 2, Change: 4}
+)
+
 // Disconnects reports whether a mix has faults after which instances are out of touch.
 func (m Mix) Disconnects() bool { return m[PeerLink] > 0 || m[Kill] > 0 || m[Pause] > 0 }
 
