--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -79,6 +79,7 @@
 		after = 0 // not announced
 	}
 	load, loadError := loadIn(h)
+	load.Brittle = h.Get("Brittle") != ""
 	return ResponseInfo{Load: load, LoadError: loadError, Limit: limitIn(h), RetryAfter: after, Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
 }
 
@@ -132,7 +133,7 @@
 
 // harness is a handler with scripted upstreams.
 type harness struct {
-	t         *testing.T
+	t         testing.TB
 	view      *view.View
 	fleet     *fleet.Fleet
 	handler   *Handler
@@ -142,6 +143,7 @@
 	revision  int64       // revision of the list of upstreams
 	closing   chan string // upstreams that announced the end of their connection
 	servers   map[string]*httptest.Server
+	onDial    func() // called before each connection to an upstream is opened; may be nil
 	registry  *quarantine.Registry
 
 	mu       sync.Mutex
@@ -154,7 +156,7 @@
 )
 
 // newHarness returns a harness with a route of each kind and an organisation with the key k.
-func newHarness(t *testing.T) *harness {
+func newHarness(t testing.TB) *harness {
 	r := &harness{t: t, closing: make(chan string, 99), servers: map[string]*httptest.Server{}}
 	route := func(name string, kind routing.Kind) routing.Route {
 		return routing.Route{
@@ -177,7 +179,14 @@
 	metrics := telemetry.NewMetrics()
 	log := telemetry.NewLogger(io.Discard, "error", "test")
 	r.registry = quarantine.New(log, func(quarantine.Key) bool { return true })
+	dial := exchange.Dialer(nil)
 	r.fleet = fleet.New(fleet.Options{
+		DialUpstream: func(ctx context.Context, address string) (net.Conn, error) {
+			if r.onDial != nil {
+				r.onDial()
+			}
+			return dial(ctx, address)
+		},
 		Quarantine:     r.registry,
 		ConnectTimeout: time.Second,
 		Limits:         queue.Limits{MaxItems: 100, MaxBytes: 1 << 20},
@@ -217,6 +226,11 @@
 
 // addVersion adds an upstream of a software version.
 func (r *harness) addVersion(id, version string, f http.HandlerFunc) {
+	r.addUpstreamOf("s", id, version, f)
+}
+
+// addUpstreamOf adds an upstream of a service and a software version.
+func (r *harness) addUpstreamOf(service, id, version string, f http.HandlerFunc) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.mu.Lock()
 		r.arrivals = append(r.arrivals, q)
@@ -231,7 +245,7 @@
 		s.Close()
 	})
 	r.servers[id] = s
-	r.upstreams = append(r.upstreams, view.Upstream{ID: id, Service: "s", Address: s.Listener.Addr().String(), Slots: 8, Revision: int64(len(r.upstreams) + 1), Version: version})
+	r.upstreams = append(r.upstreams, view.Upstream{ID: id, Service: service, Address: s.Listener.Addr().String(), Slots: 8, Revision: int64(len(r.upstreams) + 1), Version: version})
 	r.publishUpstreams()
 }
 
