sse: an event with a line that fills the read buffer is read whole

What callers saw: parts of an event twice, or joined to the next event, around a resumption.

Cause: whether a line is blank was decided by the last part that was read of it. The end of a line that fills the 4,096 bytes of the buffer is read apart, looks blank, and ended the event.

Now it is decided by the whole line.

--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -19,21 +19,23 @@
 func Read(r *bufio.Reader, maxBytes int) ([]byte, error) {
 	var event []byte
 	content := false
+	lineStart := 0 // of the current line in event
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := r.ReadSlice('\n') // a part of a line if that is longer than the buffer
+		event = append(event, part...)
 		if len(event) > maxBytes {
 			return nil, fmt.Errorf("%w: over %d bytes", ErrTooLarge, maxBytes)
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			content = true
 			continue
 		case errors.Is(err, io.EOF):
 			return event, io.EOF
 		case err != nil:
 			return nil, err
 		}
+		line := event[lineStart:]
+		lineStart = len(event)
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			content = true
 			continue
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -24,6 +25,23 @@
 	is.Equal(string(rest), "id: 3\ndata")
 }
 
+// Guards against events that are split inside: the end of a line that fills the read buffer was taken for a blank line.
+func TestEventWithALineOfTheBufferSizeIsNotSplit(t *testing.T) {
+	const bufferBytes = 16
+	for _, lineEnd := range []string{"\n", "\r\n"} {
+		for size := bufferBytes - 2; size <= 2*bufferBytes+2; size++ {
+			t.Run(fmt.Sprintf("%d bytes and %q", size, lineEnd), func(t *testing.T) {
+				is := is.New(t)
+				event := "data: " + strings.Repeat("a", size-len("data: ")) + lineEnd + "id: 1" + lineEnd + lineEnd
+				r := bufio.NewReaderSize(strings.NewReader(event+"id: 2\n\n"), bufferBytes)
+				got, err := Read(r, 100)
+				is.NoErr(err)
+				is.Equal(string(got), event)
+			})
+		}
+	}
+}
+
 func TestEventBeyondTheLimitIsAnError(t *testing.T) {
 	is := is.New(t)
 	_, err := Read(bufio.NewReader(strings.NewReader("data: 123456789\n\n")), 8)
