sse: blank lines after an event are no whole event

What callers saw: an event that came with more blank lines than one was relayed only together with the next event.

Cause: HasBufferedEvent looks for a blank line among the buffered bytes, and found those that follow the event which was read; so it wasn't flushed. Blank lines before an event don't count now.

--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -53,6 +53,7 @@
 // won't block.
 func HasBufferedEvent(r *bufio.Reader) bool {
 	buffered, err := r.Peek(r.Buffered())
+	buffered = bytes.TrimLeft(buffered, "\r\n") // blank lines before an event
 	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\r\n\r\n")))
 }
 
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -82,3 +82,14 @@
 	is.NoErr(err)
 	is.True(!HasBufferedEvent(r))
 }
+
+// Guards against events that are relayed only with the next one: blank lines after an event were taken for a whole event.
+func TestBlankLinesAreNoBufferedEvent(t *testing.T) {
+	is := is.New(t)
+	for _, rest := range []string{"\n\n", "\r\n\r\n", "\n\nid: 2\nda"} {
+		r := bufio.NewReader(strings.NewReader("id: 1\ndata: x\n\n" + rest))
+		_, err := Read(r, 1000)
+		is.NoErr(err)
+		is.True(!HasBufferedEvent(r))
+	}
+}
