sse: take the last id line of an event for its ID

Cause: of several id lines the first one was taken, against the standard of server-sent events. Where it was the same in each event, all later events counted as known to the caller. The field was also looked for by its prefix, after a byte order mark not at all, and an ID that contains NUL wasn't ignored.

HasData tells pieces of a stream from comments, for what places them.

--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -57,17 +57,38 @@
 	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\r\n\r\n")))
 }
 
-var idField = []byte("id:")
+var idField, dataField, byteOrderMark = []byte("id"), []byte("data"), []byte("\ufeff")
 
-// ID returns the number in an event's id field; ok is false if it has none.
+// HasData reports whether an event has data. One without any, such as a comment, is no piece of its stream.
+func HasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		name, _ := field(line)
+		if bytes.Equal(name, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
+// ID returns the number in an event's id field; ok is false if it has none. Of several id fields the last one
+// counts, as the standard of server-sent events says.
 func ID(event []byte) (id int64, ok bool) {
 	for line := range bytes.Lines(event) {
-		text, found := bytes.CutPrefix(line, idField)
-		if !found {
-			continue
+		name, value := field(line)
+		if !bytes.Equal(name, idField) || bytes.IndexByte(value, 0) >= 0 {
+			continue // the standard ignores an ID that contains NUL
 		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
-		return id, err == nil
+		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		id, ok = n, err == nil
+	}
+	if !ok {
+		return 0, false
 	}
-	return 0, false
+	return id, true
+}
+
+// field returns the name and the value of a line. A stream may begin with a byte order mark.
+func field(line []byte) (name, value []byte) {
+	name, value, _ = bytes.Cut(bytes.TrimPrefix(bytes.TrimRight(line, "\r\n"), byteOrderMark), []byte(":"))
+	return name, value
 }
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -69,6 +69,40 @@
 	is.True(!ok)
 	_, ok = ID([]byte("id: x\n\n"))
 	is.True(!ok)
+	_, ok = ID([]byte("idx: 1\n\n"))
+	is.True(!ok)
+}
+
+// Guards against a position that isn't the upstream's: the first of several id lines was taken.
+func TestLastIDLineOfAnEventCounts(t *testing.T) {
+	for event, want := range map[string]int64{
+		"\ufeffid: 2\ndata: x\n\n":        2,
+		"id: 1\nid: 2\ndata: x\n\n":       2,
+		"id:1\r\ndata: x\r\nid:2\r\n\r\n": 2,
+		"id: x\nid: 2\ndata: x\n\n":       2,
+		"id: 2\nid: 3\x00\ndata: x\n\n":   2,
+		"id: 1\nid: x\ndata: x\n\n":       0,
+		"id: 1\nid\ndata: x\n\n":          0,
+		"id: 1\nid: \ndata: x\n\n":        0,
+		"id: 1\ndata: id: 2\nidle: 3\n\n": 1,
+	} {
+		t.Run(event, func(t *testing.T) {
+			is := is.New(t)
+			id, ok := ID([]byte(event))
+			is.Equal(id, want)
+			is.Equal(ok, want > 0)
+		})
+	}
+}
+
+func TestOnlyEventsWithADataFieldHaveData(t *testing.T) {
+	is := is.New(t)
+	for event, want := range map[string]bool{
+		"data: x\n\n": true, "\ufeffdata: x\n\n": true, "id: 1\r\ndata:x\r\n\r\n": true, "data\n\n": true,
+		": data: x\n\n": false, "retry: 10\n\n": false, "id: 1\n\n": false, "database: x\n\n": false, "\r\n": false,
+	} {
+		is.Equal(HasData([]byte(event)), want)
+	}
 }
 
 func TestHasBufferedEventCountsOnlyWholeEvents(t *testing.T) {
