proxy: a request isn't sent to the process that replaced the granted one

An upstream's process may be replaced under its ID, at the same address, while a connection for a request is opened. The request was then sent to the new process, though it had been prepared for the old one.

The process is now read before the connections are taken, and compared right before the first byte is written. If another process has the ID by then, the attempt ends with ErrReplaced, one of the reasons why an upstream isn't usable: nothing is recorded against it, and another slot is requested.

TestGrantOfAnotherVersionIsNotUsed passes the process; its assertions are the same.

--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -27,6 +27,8 @@
 	ErrLimitUnknown = fmt.Errorf("%w: it advertises a limit that the grant does not account for", ErrNotUsable)
 	// ErrOtherVersion means that the upstream isn't of the software version that began the stream.
 	ErrOtherVersion = fmt.Errorf("%w: it isn't of the version that began the stream", ErrNotUsable)
+	// ErrReplaced means that the process to send to is no longer on the list; its upstream may have another one.
+	ErrReplaced = fmt.Errorf("%w: its process is no longer on the list", ErrNotUsable)
 	// ErrEvacuated means that operators evacuate the availability zone of the upstream.
 	ErrEvacuated = fmt.Errorf("%w: its availability zone is evacuated", ErrNotUsable)
 )
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -22,12 +22,15 @@
 	return nil
 }
 
-// beforeSend returns an error if the request may no longer be sent to the granted upstream. It is
-// called right before the first byte is written.
-func (j *job) beforeSend(g fleet.Grant) error {
+// beforeSend returns an error if the request may no longer be sent to a process of the granted upstream. It
+// is called right before the first byte is written.
+func (j *job) beforeSend(g fleet.Grant, process string) error {
 	if j.handler.o.Quarantine.Remaining(time.Now(), j.identity) > 0 {
 		return quarantine.ErrQuarantined
 	}
+	if j.handler.o.Fleet.ProcessOf(g.Upstream()) != process {
+		return fleet.ErrReplaced
+	}
 	j.sentAt = time.Now()
 	j.sentVersion = j.handler.o.Fleet.VersionOf(g.Upstream())
 	if j.origin.Restricted && j.sentVersion != j.origin.Version {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -66,6 +66,7 @@
 	if err := j.handler.o.Fleet.CheckUsable(g.Upstream()); err != nil {
 		return attemptResult{status: notUsable, err: err}
 	}
+	process := j.handler.o.Fleet.ProcessOf(g.Upstream()) // before its connections, which a newer process may have
 	connections := j.handler.o.Fleet.ConnectionsTo(g.Upstream())
 	if connections == nil {
 		return attemptResult{status: notUsable, err: fleet.ErrNotListed}
@@ -81,12 +82,11 @@
 	j.attempts++
 	j.events, j.framing, j.reused, j.viaPeer = 0, exchange.NoResponse, false, false
 	j.relayed.first, j.relayed.last = 0, 0
-	process := j.handler.o.Fleet.ProcessOf(g.Upstream())
 	j.upstream = g.Upstream()
 	j.owner = g.Owner()
 	j.sentAfter = time.Since(j.arrived)
 	defer j.handler.running.start(j.handler.o.Fleet.ZoneOf(g.Upstream()))()
-	response, err := connections.Do(ctx, j.exchangeRequest(g, remaining))
+	response, err := connections.Do(ctx, j.exchangeRequest(g, process, remaining))
 	if err != nil {
 		status, err := statusOf(ctx, err)
 		if status != notUsable {
@@ -114,7 +114,7 @@
 	return result
 }
 
-func (j *job) exchangeRequest(g fleet.Grant, remaining time.Duration) *exchange.Request {
+func (j *job) exchangeRequest(g fleet.Grant, process string, remaining time.Duration) *exchange.Request {
 	header := j.header.Clone()
 	p := j.handler.o.Protocol
 	p.SetAttemptHeaders(header, Attempt{Upstream: g.Upstream(), Organisation: j.organisationName(), Remaining: remaining, LastEventID: j.lastEventID})
@@ -125,7 +125,7 @@
 		Header:     header,
 		Body:       j.body,
 		IsResponse: func(h http.Header) bool { return p.IsResponseTo(h, j.info.ID) },
-		BeforeSend: func() error { return j.beforeSend(g) },
+		BeforeSend: func() error { return j.beforeSend(g, process) },
 	}
 }
 
--- a/internal/proxy/version_test.go
+++ b/internal/proxy/version_test.go
@@ -137,9 +137,9 @@
 	r.addVersion("a", "v1", respondsWith("never"))
 	r.addVersion("b", "v2", respondsWith("never"))
 	j := &job{handler: r.handler, origin: scheduler.VersionConstraint{Restricted: true, Version: "v1"}}
-	is.NoErr(j.beforeSend(grantOf{upstream: "a"}))
-	err := j.beforeSend(grantOf{upstream: "b"})
+	is.NoErr(j.beforeSend(grantOf{upstream: "a"}, "a"))
+	err := j.beforeSend(grantOf{upstream: "b"}, "b")
 	is.True(errors.Is(err, fleet.ErrOtherVersion))
 	is.True(errors.Is(err, fleet.ErrNotUsable)) // nothing is recorded against it
-	is.True(errors.Is(j.beforeSend(grantOf{upstream: "unknown"}), fleet.ErrOtherVersion))
+	is.True(errors.Is(j.beforeSend(grantOf{upstream: "unknown"}, ""), fleet.ErrOtherVersion))
 }
