fleet, proxy: a leaving notice holds for the process that sent it

What callers saw: requests refused with 503 although the upstream's next process was ready.

Cause: a leaving notice in a response was recorded for the process that had the upstream's ID when the response came. If the process had been replaced meanwhile, its successor counted as leaving, here and, by gossip, at peers.

The relay now knows the process that its request was sent to, and the notice is recorded for it. A process that is off the list is ignored, as before.

TestLateLeavingNoticeDoesNotConcernTheNextProcess failed: 503 instead of 200. The tests of fleet name processes now instead of upstreams.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -31,11 +31,10 @@
 	lastListed time.Time // when the process was last on the list
 }
 
-// RecordLeavingNotice records that an upstream announced in a response that it is leaving. It reports
+// RecordLeavingNotice records that a process announced in a response that it is leaving. It reports
 // whether there is an update for peers.
-func (f *Fleet) RecordLeavingNotice(id string) bool {
-	process := f.ProcessOf(id)
-	return process != "" && f.addLeavingNotice("its own word", process)
+func (f *Fleet) RecordLeavingNotice(process string) bool {
+	return f.addLeavingNotice("its own word", process)
 }
 
 // MergeLeavingNotices records leaving notices that a peer sent and reports whether any of them is new.
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -21,11 +21,11 @@
 			f.SetUpstreams(view.List{Version: version, Upstreams: upstreams})
 		}
 		a, b := view.Upstream{ID: "a", Service: "app", Address: "10.0.0.1:80", Slots: 4, Incarnation: 1}, view.Upstream{ID: "b", Service: "app", Address: "10.0.0.2:80", Slots: 4}
-		is.True(!f.RecordLeavingNotice("a")) // it isn't on the list
+		is.True(!f.RecordLeavingNotice("a@1")) // it isn't on the list
 		list(1, a, b)
 		is.NoErr(f.CheckUsable("a"))
-		is.True(f.RecordLeavingNotice("a"))
-		is.True(!f.RecordLeavingNotice("a")) // known already
+		is.True(f.RecordLeavingNotice("a@1"))
+		is.True(!f.RecordLeavingNotice("a@1")) // known already
 		is.Equal(f.NextLeavingNotices(), []string{"a@1"})
 		list(2, a, b) // unchanged entry
 		is.True(errors.Is(f.CheckUsable("a"), ErrLeaving))
@@ -61,12 +61,12 @@
 		is := is.New(t)
 		s := newSizedFleet(300, 0)
 		for _, u := range s.list[:200] {
-			is.True(s.fleet.RecordLeavingNotice(u.ID))
+			is.True(s.fleet.RecordLeavingNotice(processName(u.ID, u.Incarnation)))
 		}
 		is.Equal(len(s.fleet.NextLeavingNotices()), maxRecent)
 		is.Equal(len(s.fleet.AllLeavingNotices()), 200)
 		<-time.After(recentFor)
-		is.True(s.fleet.RecordLeavingNotice(s.list[250].ID))
+		is.True(s.fleet.RecordLeavingNotice(processName(s.list[250].ID, s.list[250].Incarnation)))
 		received := map[string]bool{}
 		for range 200/olderPerMessage + 1 {
 			notices := s.fleet.NextLeavingNotices()
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -104,7 +104,7 @@
 	j.framing, j.reused, j.viaPeer = response.Framing, response.Reused, fleet.IsThroughPeer(response.Conn())
 	j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_upstream_responses_total{framing=%q}", j.framing))
 	g.RecordActivity()
-	r := &relay{job: j, ctx: ctx, response: response, silence: silence, onLoad: g.RecordLoad, onData: g.RecordActivity, onFirst: func() {
+	r := &relay{job: j, process: process, ctx: ctx, response: response, silence: silence, onLoad: g.RecordLoad, onData: g.RecordActivity, onFirst: func() {
 		g.RecordFirstToken()
 		j.firstAfter = time.Since(j.arrived)
 		j.handler.o.Metrics.FirstToken(j.route.Kind.String(), j.firstAfter)
@@ -175,6 +175,7 @@
 // relay relays one response to the caller.
 type relay struct {
 	job      *job
+	process  string // of the upstream, when the request was sent
 	ctx      context.Context
 	response *exchange.Response
 	silence  silenceTimer
@@ -189,7 +190,7 @@
 	trusted := !head.Misdirected && (head.Signed || !success)
 	switch {
 	case trusted && head.Leaving:
-		r.job.handler.recordLeaving(r.job.upstream)
+		r.job.handler.recordLeaving(r.process)
 	case r.response.Closing:
 		r.job.handler.o.OnClosing(r.job.upstream)
 	}
@@ -218,9 +219,9 @@
 	}
 }
 
-// recordLeaving records an upstream's leaving notice.
-func (h *Handler) recordLeaving(upstream string) {
-	if h.o.Fleet.RecordLeavingNotice(upstream) {
+// recordLeaving records the leaving notice of an upstream's process.
+func (h *Handler) recordLeaving(process string) {
+	if h.o.Fleet.RecordLeavingNotice(process) {
 		h.o.Announce()
 	}
 }
--- a/internal/proxy/restart_test.go
+++ b/internal/proxy/restart_test.go
@@ -18,6 +18,36 @@
 	r.publishUpstreams()
 }
 
+// restartsDuringFirst is an upstream that restarts under its ID while its first process responds with the
+// given headers; the second one responds with "ok".
+func (r *harness) restartsDuringFirst(id string, first http.HandlerFunc) http.HandlerFunc {
+	arrived := 0
+	return func(w http.ResponseWriter, q *http.Request) {
+		if arrived++; arrived > 1 {
+			respondsWith("ok")(w, q)
+			return
+		}
+		r.restart(id)
+		first(w, q)
+	}
+}
+
+// Guards against refusals for lack of an upstream because of the leaving notice of a process that has
+// been replaced: the notice comes after its successor was listed.
+func TestLateLeavingNoticeDoesNotConcernTheNextProcess(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	r.addUpstream("a", r.restartsDuringFirst("a", func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Leaving", "1")
+		respondsWith("ok")(w, q)
+	}))
+	is.Equal(r.get("once").status, http.StatusOK)
+	is.Equal(r.get("once").status, http.StatusOK) // by the next process
+	is.NoErr(r.fleet.CheckUsable("a"))
+	is.Equal(len(r.fleet.AllLeavingNotices()), 0) // none for peers either
+}
+
 // Guards against a response whose notices are taken for those of the process that was listed before the
 // connection was opened, and against the software version of one process stated for another.
 func TestRequestIsNotSentToAProcessThatReplacedTheGrantedOne(t *testing.T) {
