fleet, rest, proxy: a backoff holds for the process that requested it

What callers saw: requests refused with 502 for as long as the former process of an upstream had requested, although the next one was ready.

Cause: as with leaving notices, the backoff was recorded for the process that had the upstream's ID when the response came. A response of a former process, or its failure, likewise ended the probe of the next one after a backoff, so that all requests were let through at once.

The process that the request was sent to is passed on. BeginBackoff holds the fleet's lock until the backoff has begun, so that a list that replaces the process drops it; Clear and ReleaseClaim ignore other processes.

TestLateBackoffDoesNotConcernTheNextProcess failed: 502 instead of 200. TestEarlierProcessDoesNotEndTheProbeAfterABackoff doesn't compile without the change; it fails with the comparison of processes taken out.

--- a/internal/fleet/advertised_limits_test.go
+++ b/internal/fleet/advertised_limits_test.go
@@ -382,7 +382,7 @@
 	g, problem := f.Acquire(t.Context(), generation())
 	is.True(problem == nil)
 	is.NoErr(f.BeginAttempt(g))
-	f.RecordResponse("i-7")
+	f.RecordResponse("i-7", "i-7")
 	is.True(f.ObserveLimit("i-7", time.Now(), ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: 2}))
 	is.Equal(f.BeginAttempt(g), ErrLimitUnknown)
 	f.SetSlotClient(grantingSlots{peer.SlotGrant{Upstream: "i-7", Limited: true}})
--- a/internal/fleet/backoffs.go
+++ b/internal/fleet/backoffs.go
@@ -14,14 +14,16 @@
 // maxExcluded is the maximum number of upstreams that a request excludes.
 const maxExcluded = 64
 
-// BeginBackoff records that an upstream wants no requests from this instance for the given duration.
-func (f *Fleet) BeginBackoff(id string, wanted time.Duration) {
-	process := f.ProcessOf(id)
-	if process == "" {
+// BeginBackoff records that a process of an upstream wants no requests from this instance for the given duration.
+func (f *Fleet) BeginBackoff(process string, wanted time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock() // until it has begun, so that a list that replaces the process drops it
+	u := f.processes[process]
+	if u == nil {
 		return // no longer on the list, so it gets no more requests
 	}
-	f.backoffs.Begin(time.Now(), id, process, wanted)
-	f.o.Log.Info().Str("event", "upstream_rests").Str("upstream", id).Dur("wanted", wanted).Msg("")
+	f.backoffs.Begin(time.Now(), u.ID, process, wanted)
+	f.o.Log.Info().Str("event", "upstream_rests").Str("upstream", u.ID).Dur("wanted", wanted).Msg("")
 }
 
 // BeginAttempt returns nil if a request may be sent to the upstream of a grant, and the reason otherwise.
@@ -41,11 +43,11 @@
 	return nil
 }
 
-// RecordResponse records that an upstream has answered a request without requesting a backoff.
-func (f *Fleet) RecordResponse(id string) { f.backoffs.Clear(time.Now(), id) }
+// RecordResponse records that a process of an upstream has answered a request without requesting a backoff.
+func (f *Fleet) RecordResponse(id, process string) { f.backoffs.Clear(time.Now(), id, process) }
 
-// RecordNoResponse records that a request that was sent to an upstream got no response.
-func (f *Fleet) RecordNoResponse(id string) { f.backoffs.ReleaseClaim(id) }
+// RecordNoResponse records that a request that was sent to a process of an upstream got no response.
+func (f *Fleet) RecordNoResponse(id, process string) { f.backoffs.ReleaseClaim(id, process) }
 
 // excludedUpstreams returns the listed upstreams that this instance won't send to. They are part of each
 // slot request, since the owner would otherwise keep granting them.
--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -93,7 +93,7 @@
 	entry.Incarnation = 9
 	f.ApplyListChange(view.ListChange{Version: 4, Changed: []view.Upstream{entry}})
 	is.NoErr(f.CheckUsable("i-7"))
-	f.BeginBackoff("i-7", time.Minute)
+	f.BeginBackoff("i-7@9", time.Minute)
 	f.ApplyListChange(view.ListChange{Version: 5, Removed: []string{"i-7"}})
 	entry.Incarnation = 10
 	f.ApplyListChange(view.ListChange{Version: 6, Changed: []view.Upstream{entry}})
--- a/internal/proxy/backoff.go
+++ b/internal/proxy/backoff.go
@@ -18,13 +18,13 @@
 // recordBackoff records a requested backoff: a 503 response may request one, and any other response
 // ends it.
 func (r *relay) recordBackoff(head ResponseInfo) {
-	f, upstream := r.job.handler.o.Fleet, r.job.upstream
+	f := r.job.handler.o.Fleet
 	switch {
 	case head.Misdirected: // it comes from another process
 	case r.response.Status == http.StatusServiceUnavailable && head.RetryAfter > 0:
-		f.BeginBackoff(upstream, head.RetryAfter)
+		f.BeginBackoff(r.process, head.RetryAfter)
 	default:
-		f.RecordResponse(upstream)
+		f.RecordResponse(r.job.upstream, r.process)
 	}
 }
 
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		status, err := statusOf(ctx, err)
 		if status != notUsable {
-			j.handler.o.Fleet.RecordNoResponse(g.Upstream())
+			j.handler.o.Fleet.RecordNoResponse(g.Upstream(), process)
 		}
 		if status == notSent || status == notUsable {
 			j.attempts--
--- a/internal/proxy/restart_test.go
+++ b/internal/proxy/restart_test.go
@@ -48,6 +48,18 @@
 	is.Equal(len(r.fleet.AllLeavingNotices()), 0) // none for peers either
 }
 
+// Guards against refusals during a backoff that a process requested which has been replaced: the response
+// comes after its successor was listed.
+func TestLateBackoffDoesNotConcernTheNextProcess(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	r.addUpstream("a", r.restartsDuringFirst("a", requestsBackoff))
+	r.get("once")
+	is.Equal(r.get("once").status, http.StatusOK) // by the next process
+	is.NoErr(r.fleet.CheckUsable("a"))
+}
+
 // Guards against a response whose notices are taken for those of the process that was listed before the
 // connection was opened, and against the software version of one process stated for another.
 func TestRequestIsNotSentToAProcessThatReplacedTheGrantedOne(t *testing.T) {
--- a/internal/rest/rest.go
+++ b/internal/rest/rest.go
@@ -56,22 +56,22 @@
 	r.byUpstream[upstream] = &backoff{process: process, until: until}
 }
 
-// Clear records that an upstream has answered a request without requesting a backoff. It removes a backoff
-// that has ended.
-func (r *Backoffs) Clear(now time.Time, upstream string) {
+// Clear records that a process of an upstream has answered a request without requesting a backoff. It removes
+// a backoff of that process that has ended.
+func (r *Backoffs) Clear(now time.Time, upstream, process string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s := r.byUpstream[upstream]; s != nil && !now.Before(s.until) {
+	if s := r.byUpstream[upstream]; s != nil && s.process == process && !now.Before(s.until) {
 		delete(r.byUpstream, upstream)
 	}
 }
 
-// ReleaseClaim records that a request that was let through ended without a response, so that another one may
-// be let through.
-func (r *Backoffs) ReleaseClaim(upstream string) {
+// ReleaseClaim records that a request that was let through to a process of an upstream ended without a
+// response, so that another one may be let through.
+func (r *Backoffs) ReleaseClaim(upstream, process string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s := r.byUpstream[upstream]; s != nil {
+	if s := r.byUpstream[upstream]; s != nil && s.process == process {
 		s.probedAt = time.Time{}
 	}
 }
--- a/internal/rest/rest_test.go
+++ b/internal/rest/rest_test.go
@@ -17,7 +17,7 @@
 	is.NoErr(r.Claim(at(0), "a"))
 	r.Begin(at(0), "a", "a", 3*time.Second)
 	r.Begin(at(0.1), "a", "a", time.Second) // an earlier response that arrives later
-	r.Clear(at(1), "a")                     // response to a request sent before the backoff
+	r.Clear(at(1), "a", "a")                // response to a request sent before the backoff
 	is.Equal(r.Check(at(2.9), "a"), ErrBackingOff)
 	is.Equal(r.Claim(at(2.9), "a"), ErrBackingOff)
 	is.Equal(r.Remaining(at(1), "a"), 2*time.Second)
@@ -36,18 +36,34 @@
 	is.Equal(r.Claim(at(1), "a"), ErrBackingOff)
 	is.Equal(r.BackingOff(at(1.1)), []string{"a"})
 	is.Equal(r.Remaining(at(1.1), "a"), probePollInterval)
-	r.ReleaseClaim("a") // the first request got no response
+	r.ReleaseClaim("a", "a") // the first request got no response
 	is.NoErr(r.Claim(at(1.2), "a"))
 	is.NoErr(r.Claim(at(1.2).Add(probeTimeout), "a")) // nor did the second one
 	r.Begin(at(4), "a", "a", time.Second)             // the upstream requests another backoff
 	is.Equal(r.Check(at(4.5), "a"), ErrBackingOff)
 	is.NoErr(r.Claim(at(5), "a"))
-	r.Clear(at(5.1), "a")
+	r.Clear(at(5.1), "a", "a")
 	for range 5 {
 		is.NoErr(r.Claim(at(5.2), "a"))
 	}
 }
 
+// Guards against requests that all go at once after a backoff, since an earlier process of the upstream has
+// answered, or failed, meanwhile.
+func TestEarlierProcessDoesNotEndTheProbeAfterABackoff(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	r.Begin(at(0), "a", "a@2", time.Second)
+	is.NoErr(r.Claim(at(1), "a"))
+	r.Clear(at(1.1), "a", "a@1")
+	is.Equal(r.Claim(at(1.1), "a"), ErrBackingOff)
+	r.ReleaseClaim("a", "a@1")
+	is.Equal(r.Claim(at(1.2), "a"), ErrBackingOff)
+	r.Clear(at(1.3), "a", "a@2")
+	is.NoErr(r.Claim(at(1.3), "a"))
+	is.NoErr(r.Claim(at(1.3), "a"))
+}
+
 func TestBackoffIsBoundedAndBelongsToOneProcess(t *testing.T) {
 	is := is.New(t)
 	r := New()
