fleet, proxy: an advertised limit holds for the process that sent it

What callers saw: requests refused with 429, for lack of a rate that the upstream's current process never asked for.

Cause: as with leaving notices, the limit in a response was recorded for the process that had the upstream's ID when the response came, and passed on to peers. It is now recorded for the process that the request was sent to, if that is still on the list.

TestLateLimitDoesNotConcernTheNextProcess failed: 429 instead of 200.

--- a/internal/fleet/advertised_limits.go
+++ b/internal/fleet/advertised_limits.go
@@ -14,11 +14,10 @@
 // maxLimitsPerRequest is the maximum number of limits in one slot request.
 const maxLimitsPerRequest = 32
 
-// ObserveLimit records the limit in a response of an upstream; sent is when its attempt was sent. It
-// reports whether there is an update for peers.
-func (f *Fleet) ObserveLimit(id string, sent time.Time, o ratelimit.Observation) bool {
-	process := f.ProcessOf(id)
-	if process == "" || !f.limits.Observe(time.Now(), sent, process, o) {
+// ObserveLimit records the limit in a response of a process of an upstream; sent is when its attempt was
+// sent. It reports whether there is an update for peers.
+func (f *Fleet) ObserveLimit(process string, sent time.Time, o ratelimit.Observation) bool {
+	if !f.isListed(process) || !f.limits.Observe(time.Now(), sent, process, o) {
 		return false
 	}
 	f.applyLimits(process)
@@ -87,6 +86,13 @@
 	f.updateGrantLimits()
 }
 
+// isListed reports whether a process is on the list.
+func (f *Fleet) isListed(process string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.processes[process] != nil
+}
+
 // filterListed returns the updates of processes that are on the list and wanted.
 func (f *Fleet) filterListed(updates []ratelimit.Update, wanted func(*upstream) bool) (out []ratelimit.Update) {
 	f.mu.Lock()
--- a/internal/fleet/advertised_limits_test.go
+++ b/internal/fleet/advertised_limits_test.go
@@ -249,7 +249,7 @@
 		}
 	}
 	h.schedule(limitRequestTime, func() {
-		if f.ObserveLimit(u, sent, h.observation()) {
+		if f.ObserveLimit(processName(u, 1), sent, h.observation()) {
 			h.gossip(m)
 		}
 		if f == m.fleet && m.informed.IsZero() {
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -12,7 +12,7 @@
 	if head.Limit.Kind == ratelimit.Unlimited && !head.Signed {
 		return
 	}
-	if r.job.handler.o.Fleet.ObserveLimit(r.job.upstream, r.job.sentAt, head.Limit) {
+	if r.job.handler.o.Fleet.ObserveLimit(r.process, r.job.sentAt, head.Limit) {
 		r.job.handler.o.Announce()
 	}
 }
--- a/internal/proxy/restart_test.go
+++ b/internal/proxy/restart_test.go
@@ -60,6 +60,22 @@
 	is.NoErr(r.fleet.CheckUsable("a"))
 }
 
+// Guards against a limit of requests per second that the next process of an upstream never advertised.
+func TestLateLimitDoesNotConcernTheNextProcess(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	r.addUpstream("a", r.restartsDuringFirst("a", func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Limit", "0")
+		respondsWith("ok")(w, q)
+	}))
+	is.Equal(r.get("once").status, http.StatusOK)
+	is.Equal(r.get("once").status, http.StatusOK) // by the next process
+	_, limited := r.fleet.Limit("a")
+	is.True(!limited)
+	is.Equal(len(r.fleet.AllLimits()), 0) // none for peers either
+}
+
 // Guards against a response whose notices are taken for those of the process that was listed before the
 // connection was opened, and against the software version of one process stated for another.
 func TestRequestIsNotSentToAProcessThatReplacedTheGrantedOne(t *testing.T) {
