fleet, proxy: a brittle state holds for the process that reported it

What callers saw: requests that waited for an upstream with free slots until their deadline (504).

Cause: brittle upstreams were remembered by ID. For 5 s after the last report of a former process, slot requests told the owner that the next one was brittle, and the owner granted it one request at a time. A late report of the former process also replaced that of the next one.

They are remembered by process, and only those on the list are told. Slot requests still name upstreams by ID, so that an owner whose list is newer takes the report for the next process; that is open, by reading.

--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -21,8 +21,8 @@
 // brittleUpstreams are the upstreams that have said to this instance that they are brittle. The zero value
 // has none. It is safe for concurrent use.
 type brittleUpstreams struct {
-	mu   sync.Mutex
-	byID map[string]brittleUpstream
+	mu        sync.Mutex
+	byProcess map[string]brittleUpstream
 }
 
 type brittleUpstream struct {
@@ -31,38 +31,38 @@
 }
 
 // observe records what the load report of a response says.
-func (b *brittleUpstreams) observe(now time.Time, id string, r loadreport.Report) {
+func (b *brittleUpstreams) observe(now time.Time, process string, r loadreport.Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !r.Brittle {
-		delete(b.byID, id)
+		delete(b.byProcess, process)
 		return
 	}
-	if b.byID == nil {
-		b.byID = map[string]brittleUpstream{}
+	if b.byProcess == nil {
+		b.byProcess = map[string]brittleUpstream{}
 	}
-	b.byID[id] = brittleUpstream{maxRefusals: r.MaxRefusals, until: now.Add(brittleFor)}
+	b.byProcess[process] = brittleUpstream{maxRefusals: r.MaxRefusals, until: now.Add(brittleFor)}
 }
 
-// all returns how many refusals in a second the brittle upstreams survive, by ID.
+// all returns how many refusals in a second the brittle upstreams survive, by process.
 func (b *brittleUpstreams) all(now time.Time) map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.byID) == 0 {
+	if len(b.byProcess) == 0 {
 		return nil
 	}
 	out := map[string]int{}
-	for id, u := range b.byID {
+	for process, u := range b.byProcess {
 		if now.Before(u.until) {
-			out[id] = u.maxRefusals
+			out[process] = u.maxRefusals
 		} else {
-			delete(b.byID, id)
+			delete(b.byProcess, process)
 		}
 	}
 	return out
 }
 
-// brittleOf returns the brittle upstreams of a service, for the owner of one of its shards.
+// brittleOf returns the brittle upstreams of a service by ID, for the owner of one of its shards.
 func (f *Fleet) brittleOf(service string) map[string]int {
 	known := f.brittle.all(time.Now())
 	if len(known) == 0 {
@@ -71,13 +71,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]int{}
-	for id, n := range known {
-		if u := f.upstreams[id]; u != nil && u.Service == service && len(out) < maxBrittlePerRequest {
-			out[id] = n
+	for process, n := range known {
+		if u := f.processes[process]; u != nil && u.Service == service && len(out) < maxBrittlePerRequest {
+			out[u.ID] = n
 		}
 	}
 	return out
 }
 
-// ObserveReport records what the load report of a response says of its upstream to this instance.
-func (f *Fleet) ObserveReport(id string, r loadreport.Report) { f.brittle.observe(time.Now(), id, r) }
+// ObserveReport records what the load report of a response says to this instance of the process that sent it.
+func (f *Fleet) ObserveReport(process string, r loadreport.Report) {
+	f.brittle.observe(time.Now(), process, r)
+}
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -15,7 +15,7 @@
 	if head.LoadError != nil {
 		r.job.recordInvalidLoad(head.LoadError)
 	}
-	r.job.handler.o.Fleet.ObserveReport(r.job.upstream, head.Load)
+	r.job.handler.o.Fleet.ObserveReport(r.process, head.Load)
 	if head.Load.IsSet() {
 		r.onLoad(head.Load)
 	}
--- a/internal/proxy/restart_test.go
+++ b/internal/proxy/restart_test.go
@@ -76,6 +76,28 @@
 	is.Equal(len(r.fleet.AllLimits()), 0) // none for peers either
 }
 
+// Guards against refusals for lack of room at the next process of an upstream, since its predecessor was
+// brittle: the report comes after the successor was listed.
+func TestLateBrittleReportDoesNotConcernTheNextProcess(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	arrived, beside := 0, callerResponse{}
+	r.addUpstream("a", func(w http.ResponseWriter, q *http.Request) {
+		switch arrived++; arrived {
+		case 1:
+			r.restart("a")
+			w.Header().Set("Brittle", "1")
+		case 2:
+			beside = r.get("once") // while the next process has one request
+		}
+		respondsWith("ok")(w, q)
+	})
+	is.Equal(r.get("once").status, http.StatusOK)
+	is.Equal(r.get("once").status, http.StatusOK)
+	is.Equal(beside.status, http.StatusOK)
+}
+
 // Guards against a response whose notices are taken for those of the process that was listed before the
 // connection was opened, and against the software version of one process stated for another.
 func TestRequestIsNotSentToAProcessThatReplacedTheGrantedOne(t *testing.T) {
