fleet: ask keepers for a stream's origin also where the list has one version

What callers saw: a stream that was resumed at an upstream of another software version than the one that began it, so that what two versions wrote was joined.

Cause: an instance whose list was current, that is up to 3 s old, and had one version took that one for the origin of any stream. A version that had just appeared, and had begun the stream at another instance, wasn't in its list yet.

FindOrigin now asks the keepers in any case, unless the instance has recorded the origin itself. By the time a stream of the new version has begun, the instance that relays it knows two versions and so sends the origin to the keepers. It costs a resumption one round of queries, of at most 150 ms.

--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -279,7 +279,8 @@
 
 // FindOrigin returns the version that began a stream. It blocks for the keepers' replies if this instance
 // doesn't know it. It is known if an instance has recorded it, or if the service has had no other version
-// within the stream's lifetime. An instance that has started since, or whose list isn't current, relies on
+// within the stream's lifetime: also a current list may lack one that has just appeared and began the stream elsewhere,
+// so that the keepers are asked in any case. An instance that has started since, or whose list isn't current, relies on
 // keepers for the latter: on one that knows, or on the agreement of all zones, as after a restart of the whole
 // fleet or while nobody can read the list. One that doesn't know the other instances yet assumes nothing.
 func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (version string, known bool) {
@@ -289,12 +290,9 @@
 		return version, true
 	}
 	versions := f.recentVersions(now, s.Service, s.Lifetime)
-	if len(versions) == 1 && f.knowsVersionsOf(now, s.Lifetime, s.ListAge) {
-		return versions[0], true
-	}
+	settled := f.knowsVersionsOf(now, s.Lifetime, s.ListAge)
 	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
 	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: s.Lifetime})
-	settled := false
 	for _, r := range replies {
 		if r.Known {
 			f.origins.Record(now, origin.Origin{Request: hash, Service: s.Service, Version: r.Version, Until: now.Add(s.Lifetime)}, true)
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -249,6 +249,39 @@
 	}
 }
 
+// Guards against a stream that goes on at another version than the one that began it, since the instance that its caller
+// turns to hasn't learned yet of a version that has just appeared, and began the stream elsewhere.
+func TestInstanceThatLagsBehindAssumesNoOrigin(t *testing.T) {
+	for _, zones := range []int{1, 2, 4} {
+		for n := range 2 * zones {
+			t.Run(fmt.Sprintf("%d zones, instance %d", zones, n), func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
+					o := newOriginFleet(zones)
+					o.publish("a", "v1")
+					wait.For(t.Context(), originLifetime)
+					late := o.instances[o.list[n].Address]
+					delete(o.instances, o.list[n].Address)
+					o.publish("b", "v2")
+					o.instances[o.list[n].Address] = late
+					for began, i := range o.list {
+						if began == n {
+							continue
+						}
+						for stream := range 20 {
+							request := fmt.Sprint("r", began, "-", stream)
+							o.instances[i.Address].RecordOrigin(request, "s", "v2", originLifetime)
+							version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, ListAge: time.Second})
+							if !known || version != "v2" {
+								t.Fatalf("a stream of version v2, begun at instance %d, is known as one of %q (%v)", began, version, known)
+							}
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // While nobody can read the list, nobody learns of a version: streams go on where all zones are in touch.
 func TestOnlyVersionIsTheOriginDuringAnOutageOfTheSource(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
