proxy, routing: draw the service of a stream by its first request's ID

What callers saw: streams of two services, on routes that are split over several.

Cause: the service of a caller's resumption was drawn anew.

The service of a request on a route with resumable streams is now drawn by a hash of its ID, and that of a resumption by the ID of the stream's first request, so that both get the same one while the weights stay. IDs are spread evenly by the hash, so that the split holds; a new try under the same ID goes to the same service. A resumption that doesn't name the first request is refused as origin_unknown on a split route: which service began the stream can't be known.

Failed before: TestCallersResumptionStaysAtTheServiceThatBeganTheStream (22 of 40 resumptions went to the other service) and TestResumptionOfAnUnnamedStreamOfASplitRouteIsRefused (200 instead of 503). TestServicesOfARoute doesn't compile without the change.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -162,7 +161,7 @@
 	if problem := j.authorise(); problem != nil {
 		return problem
 	}
-	j.service = j.route.ChooseService(rand.Float64())
+	j.service = j.route.ChooseService(j.serviceDraw())
 	j.header = j.handler.o.Protocol.ForwardHeaders(j.request.Header)
 	j.deadline = j.arrived.Add(j.timeout() - responseMargin)
 	if problem := j.readBody(); problem != nil {
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -24,12 +27,29 @@
 	return resumableTimeouts*j.route.Timeout + resumableSlack
 }
 
+// serviceDraw returns the random number that selects the service. For a stream that may be resumed it is that of its first
+// request, since the service that began the stream isn't always known.
+func (j *job) serviceDraw() float64 {
+	if !j.route.Resumable {
+		return rand.Float64()
+	}
+	first := j.info.ID
+	if j.lastEventID != "" {
+		first = j.info.OriginID
+	}
+	const bits = 53 // of the mantissa
+	return float64(xxhash.Sum64String(first)>>(64-bits)) / (1 << bits)
+}
+
 // findOrigin restricts a request that resumes a stream to upstreams of the version that began it. What two
 // versions write doesn't fit together, so that nothing is assumed if the version isn't known.
 func (j *job) findOrigin() *api.Problem {
 	if j.route.Kind != routing.Stream || !j.route.Resumable || j.lastEventID == "" { // any other run is new
 		return nil
 	}
+	if j.info.OriginID == "" && j.route.IsSplit() {
+		return api.Refuse(api.ReasonOriginUnknown, "which service began the stream isn't known, since its first request isn't named; send the request anew without the ID of an event").WithRetryAfter(fleet.ShortRetryAfter)
+	}
 	ctx, cancel := j.context()
 	defer cancel()
 	age, _ := j.handler.o.View.ListAge() // without a list, no version is known
--- /dev/null
+++ b/internal/proxy/service_test.go
@@ -0,0 +1,63 @@
+package proxy
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/routing"
+)
+
+// newTwoServices returns a harness with a service s and a service t, whose upstreams respond with the two events after the
+// one that the request has. The route "resumable" is split over the given services.
+func newTwoServices(t *testing.T, split ...routing.WeightedService) *harness {
+	r := newHarness(t)
+	r.document.Services = append(r.document.Services, routing.Service{Name: "t"})
+	r.document.Routes[3].Split = split
+	r.publish(0)
+	for _, service := range []string{"s", "t"} {
+		r.addUpstreamOf(service, service, "", func(w http.ResponseWriter, q *http.Request) {
+			after, _ := strconv.Atoi(q.Header.Get("After")) // 0 for a new run
+			_, _ = fmt.Fprint(w, versionedBody(service, after+1, after+2))
+		})
+	}
+	return r
+}
+
+// Guards against streams of two services: the service of a caller's resumption was drawn anew.
+func TestCallersResumptionStaysAtTheServiceThatBeganTheStream(t *testing.T) {
+	is := is.New(t)
+	r := newTwoServices(t, routing.WeightedService{Service: "s", Weight: 1}, routing.WeightedService{Service: "t", Weight: 1})
+	begun := map[string]int{}
+	joined := 0
+	for n := range 40 {
+		first := strconv.Itoa(n)
+		got := r.get("resumable", "Id", first)
+		service := "s"
+		if got.body != versionedBody(service, 1, 2) {
+			service = "t"
+		}
+		is.Equal(got.body, versionedBody(service, 1, 2))
+		begun[service]++
+		got = r.get("resumable", "Id", first+"-again", "After", "2", "Origin-Id", first)
+		if got.body != versionedBody(service, 3, 4) {
+			joined++
+		}
+	}
+	is.Equal(joined, 0)
+	is.True(begun["s"] > 8 && begun["t"] > 8) // the split holds
+}
+
+// Guards against streams of two services: the service of a resumption that doesn't name its stream's first request was
+// drawn.
+func TestResumptionOfAnUnnamedStreamOfASplitRouteIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := newTwoServices(t, routing.WeightedService{Service: "s", Weight: 1}, routing.WeightedService{Service: "t", Weight: 1})
+	got := r.get("resumable", "Id", "2", "After", "2")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get("Outcome"), "not-run")
+	is.Equal(r.arrivedIDs(), "")
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -194,6 +194,17 @@
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return t.routes }
 
+// IsSplit reports whether requests go to several services.
+func (r *Route) IsSplit() bool {
+	services := 0
+	for _, s := range r.Split {
+		if s.Weight > 0 {
+			services++
+		}
+	}
+	return services > 1
+}
+
 // ChooseService returns the service for a request, by weight. Draw is a random
 // number that is uniform in [0, 1).
 func (r *Route) ChooseService(draw float64) string {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -64,6 +64,13 @@
 	is.Equal(r.ChooseService(0.9999), "app")
 }
 
+func TestServicesOfARoute(t *testing.T) {
+	is := is.New(t)
+	split := &Route{Split: []WeightedService{{"desk", 90}, {"app", 10}, {"idle", 0}}}
+	is.True(split.IsSplit())
+	is.True(!(&Route{Split: []WeightedService{{"desk", 90}, {"idle", 0}}}).IsSplit())
+}
+
 func TestMayRetryByKind(t *testing.T) {
 	is := is.New(t)
 	is.True((&Route{Kind: Idempotent}).MayRetry())
