fleet, proxy, peer: a stream's origin includes the service that began it

What callers saw: a stream that went on at another service after its route had been moved, or its weights changed.

Cause: an origin told the version that began a stream, but not the service, although instances record both. The service was the one that the route led to at the time of the resumption.

Keepers reply with the service, in a field that earlier versions leave out and ignore; a reply without one means the service that was drawn. The resumption goes to the origin's service, or is refused as origin_unknown if the route no longer leads there. Where no instance that is asked knows the origin and the service has one version, a moved route still isn't noticed.

TestStreamIsNotResumedAtAServiceThatDidNotBeginIt failed: it got the events of the other service. TestServiceThatBeganAStreamIsFoundFromAllInstances doesn't compile without the change; it fails if the service in the reply is ignored. From here on no test shows the draw by the first request's ID: the one instance of those tests knows every origin, and they pass with a random draw, too.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -93,7 +93,7 @@
 	ReasonIssuerUnreachable Reason = "issuer_unreachable"
 	// ReasonNotFirstAttempt: the request retries a caller-chosen ID that no reachable instance holds. Mark the first attempt, or check what it did and use a new ID.
 	ReasonNotFirstAttempt Reason = "not_first_attempt"
-	// ReasonOriginUnknown: the request resumes a stream of which no reachable instance knows the version of the upstreams that began it, and several serve. Retry after the given time, with the ID of the stream's first request, or send the request anew.
+	// ReasonOriginUnknown: the request resumes a stream of which no reachable instance knows the service and the version of the upstreams that began it, and several serve, or the route no longer leads to that service. Retry after the given time, with the ID of the stream's first request, or send the request anew.
 	ReasonOriginUnknown Reason = "origin_unknown"
 	// ReasonUpstreamLost: the connection failed after the request was written. Check what it did before you send it under a new key.
 	ReasonUpstreamLost Reason = "upstream_lost"
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math"
@@ -251,7 +252,9 @@
 func (f *Fleet) ServeOrigin(q *peer.OriginQuery, listAge time.Duration) *peer.OriginReply {
 	now := time.Now()
 	reply := &peer.OriginReply{Settled: f.knowsVersionsOf(now, q.Lifetime, listAge)}
-	reply.Version, reply.Known = f.origins.Version(now, q.Request)
+	if o, known := f.origins.Find(now, q.Request); known {
+		reply.Known, reply.Service, reply.Version = true, o.Service, o.Version
+	}
 	if versions := f.recentVersions(now, q.Service, q.Lifetime); len(versions) == 1 {
 		reply.HasOnlyVersion, reply.OnlyVersion = true, versions[0]
 	}
@@ -270,6 +273,7 @@
 type ResumedStream struct {
 	// Request is the ID of the request that brought its first event, empty if unknown.
 	Request string
+	// Service that began it unless another one is known to have.
 	Service string
 	// Lifetime is how long after its first event it may be resumed.
 	Lifetime time.Duration
@@ -277,17 +281,17 @@
 	ListAge time.Duration
 }
 
-// FindOrigin returns the version that began a stream. It blocks for the keepers' replies if this instance
+// FindOrigin returns the service and the version that began a stream. It blocks for the keepers' replies if this instance
 // doesn't know it. It is known if an instance has recorded it, or if the service has had no other version
 // within the stream's lifetime: also a current list may lack one that has just appeared and began the stream elsewhere,
 // so that the keepers are asked in any case. An instance that has started since, or whose list isn't current, relies on
 // keepers for the latter: on one that knows, or on the agreement of all zones, as after a restart of the whole
 // fleet or while nobody can read the list. One that doesn't know the other instances yet assumes nothing.
-func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (version string, known bool) {
+func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (service, version string, known bool) {
 	now := time.Now()
 	hash := hashOf(s.Request)
-	if version, known := f.origins.Version(now, hash); known {
-		return version, true
+	if o, known := f.origins.Find(now, hash); known {
+		return o.Service, o.Version, true
 	}
 	versions := f.recentVersions(now, s.Service, s.Lifetime)
 	settled := f.knowsVersionsOf(now, s.Lifetime, s.ListAge)
@@ -295,18 +299,19 @@
 	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: s.Lifetime})
 	for _, r := range replies {
 		if r.Known {
-			f.origins.Record(now, origin.Origin{Request: hash, Service: s.Service, Version: r.Version, Until: now.Add(s.Lifetime)}, true)
-			return r.Version, true
+			service := cmp.Or(r.Service, s.Service)
+			f.origins.Record(now, origin.Origin{Request: hash, Service: service, Version: r.Version, Until: now.Add(s.Lifetime)}, true)
+			return service, r.Version, true
 		}
 		if len(versions) != 1 || !r.HasOnlyVersion || r.OnlyVersion != versions[0] {
-			return "", false
+			return "", "", false
 		}
 		settled = settled || r.Settled
 	}
 	if len(versions) != 1 || !(settled || (f.Settled() && f.isEveryZoneIn(replies))) {
-		return "", false
+		return "", "", false
 	}
-	return versions[0], true
+	return s.Service, versions[0], true
 }
 
 // isEveryZoneIn reports whether an instance of each known zone is among the addresses. The zone of this
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -115,7 +115,7 @@
 		if o.killed[address] {
 			continue
 		}
-		version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, ListAge: o.listAge[address]})
+		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, ListAge: o.listAge[address]})
 		if !known {
 			version = ""
 		}
@@ -169,6 +169,24 @@
 	})
 }
 
+// Guards against streams of two services: an instance that asked for a stream's origin was told its version only.
+func TestServiceThatBeganAStreamIsFoundFromAllInstances(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(3)
+		o.publish("a", "v1")
+		o.publish("b", "v2")
+		began := o.list[0].Address
+		o.instances[began].RecordOrigin("r", "s", "v1", originLifetime)
+		for _, f := range o.instances {
+			service, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "t", Lifetime: originLifetime})
+			is.True(known)
+			is.Equal(service, "s")
+			is.Equal(version, "v1")
+		}
+	})
+}
+
 // The only version of a service is that of any stream, unless another one may have begun it: one that has
 // left since, also before this instance started.
 func TestOnlyVersionIsTheOrigin(t *testing.T) {
@@ -270,7 +288,7 @@
 						for stream := range 20 {
 							request := fmt.Sprint("r", began, "-", stream)
 							o.instances[i.Address].RecordOrigin(request, "s", "v2", originLifetime)
-							version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, ListAge: time.Second})
+							_, version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, ListAge: time.Second})
 							if !known || version != "v2" {
 								t.Fatalf("a stream of version v2, begun at instance %d, is known as one of %q (%v)", began, version, known)
 							}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -73,15 +73,15 @@
 	r.pruneAt = min(max(2*len(r.entries), minPrune), MaxEntries)
 }
 
-// Version returns the version that began a stream, if it is known.
-func (r *Registry) Version(now time.Time, request uint64) (version string, known bool) {
+// Find returns the origin of a stream, if it is known.
+func (r *Registry) Find(now time.Time, request uint64) (o Origin, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e, found := r.entries[request]
 	if !found || !now.Before(e.Until) {
-		return "", false
+		return Origin{}, false
 	}
-	return e.Version, true
+	return e.Origin, true
 }
 
 // TakeUnshared returns the origins of a service's streams that only this instance knows, and marks them as
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -17,10 +17,11 @@
 	is := is.New(t)
 	r := New()
 	r.Record(start, originOf(1, "v1", time.Second), false)
-	version, known := r.Version(start, 1)
+	found, known := r.Find(start, 1)
 	is.True(known)
-	is.Equal(version, "v1")
-	_, known = r.Version(start.Add(time.Second), 1)
+	is.Equal(found.Version, "v1")
+	is.Equal(found.Service, "s")
+	_, known = r.Find(start.Add(time.Second), 1)
 	is.True(!known)
 	is.Equal(len(r.All(start.Add(time.Second))), 0)
 }
@@ -31,9 +32,9 @@
 	r := New()
 	r.Record(start, originOf(1, "v1", time.Second), false)
 	r.Record(start, originOf(1, "v2", time.Minute), true)
-	version, known := r.Version(start.Add(30*time.Second), 1)
+	found, known := r.Find(start.Add(30*time.Second), 1)
 	is.True(known)
-	is.Equal(version, "v1")
+	is.Equal(found.Version, "v1")
 	is.Equal(len(r.TakeUnshared(start, "s")), 0)
 }
 
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -35,9 +35,10 @@
 
 // OriginReply is the reply to an OriginQuery.
 type OriginReply struct {
-	// Known reports that Version began the stream.
+	// Known reports that Version of Service began the stream. Peers of earlier versions don't name the service.
 	Known   bool   `cbor:"1,keyasint,omitempty"`
 	Version string `cbor:"2,keyasint,omitempty"`
+	Service string `cbor:"6,keyasint,omitempty"`
 	// HasOnlyVersion reports that the peer has seen no version of the service's upstreams but OnlyVersion
 	// within the Lifetime, or since it started unless Settled.
 	HasOnlyVersion bool   `cbor:"3,keyasint,omitempty"`
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -41,8 +41,8 @@
 	return float64(xxhash.Sum64String(first)>>(64-bits)) / (1 << bits)
 }
 
-// findOrigin restricts a request that resumes a stream to upstreams of the version that began it. What two
-// versions write doesn't fit together, so that nothing is assumed if the version isn't known.
+// findOrigin restricts a request that resumes a stream to upstreams of the service and the version that began it. What two
+// of them write doesn't fit together, so that nothing is assumed if they aren't known.
 func (j *job) findOrigin() *api.Problem {
 	if j.route.Kind != routing.Stream || !j.route.Resumable || j.lastEventID == "" { // any other run is new
 		return nil
@@ -53,10 +53,14 @@
 	ctx, cancel := j.context()
 	defer cancel()
 	age, _ := j.handler.o.View.ListAge() // without a list, no version is known
-	version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{Request: j.info.OriginID, Service: j.service, Lifetime: j.originLifetime(), ListAge: age})
+	service, version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{Request: j.info.OriginID, Service: j.service, Lifetime: j.originLifetime(), ListAge: age})
 	if !known {
 		return api.Refuse(api.ReasonOriginUnknown, "which version of the upstreams began the stream of request %q isn't known; retry after the given time, or send the request anew without the ID of an event", j.info.OriginID).WithRetryAfter(fleet.ShortRetryAfter)
 	}
+	if !j.route.HasService(service) {
+		return api.Refuse(api.ReasonOriginUnknown, "the stream of request %q was begun by service %s, to which the route no longer leads; send the request anew without the ID of an event", j.info.OriginID, service).WithRetryAfter(fleet.ShortRetryAfter)
+	}
+	j.service = service
 	j.origin = scheduler.VersionConstraint{Restricted: true, Version: version}
 	j.handler.o.Fleet.RecordOrigin(j.info.OriginID, j.service, version, j.originLifetime()) // it may be resumed again
 	return nil
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -51,6 +51,21 @@
 	is.True(begun["s"] > 8 && begun["t"] > 8) // the split holds
 }
 
+// Guards against streams of two services: a resumption went to the service that the route has been moved to since.
+func TestStreamIsNotResumedAtAServiceThatDidNotBeginIt(t *testing.T) {
+	is := is.New(t)
+	r := newTwoServices(t, routing.WeightedService{Service: "s", Weight: 1})
+	is.Equal(r.get("resumable", "Id", "1").body, versionedBody("s", 1, 2))
+	r.document.Version++
+	r.document.Routes[3].Split = []routing.WeightedService{{Service: "t", Weight: 1}}
+	r.publish(0)
+	got := r.get("resumable", "Id", "2", "After", "2", "Origin-Id", "1")
+	is.Equal(got.body, "")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get("Outcome"), "not-run")
+	is.Equal(r.arrivedIDs(), "s")
+}
+
 // Guards against streams of two services: the service of a resumption that doesn't name its stream's first request was
 // drawn.
 func TestResumptionOfAnUnnamedStreamOfASplitRouteIsRefused(t *testing.T) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -194,6 +194,11 @@
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return t.routes }
 
+// HasService reports whether requests may go to a service.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == name && s.Weight > 0 })
+}
+
 // IsSplit reports whether requests go to several services.
 func (r *Route) IsSplit() bool {
 	services := 0
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -68,6 +68,8 @@
 	is := is.New(t)
 	split := &Route{Split: []WeightedService{{"desk", 90}, {"app", 10}, {"idle", 0}}}
 	is.True(split.IsSplit())
+	is.True(split.HasService("app"))
+	is.True(!split.HasService("idle"))
 	is.True(!(&Route{Split: []WeightedService{{"desk", 90}, {"idle", 0}}}).IsSplit())
 }
 
