fleet: totals don't go back when a service gets fewer shards

What operators could see: the metrics of load reports and of callers that were told to retry going back within a process, which a rate takes for a restart.

Cause: they are sums over the shards that exist. reshard dropped the counts together with the shards.

The counts of a dropped shard are now added to those of the fleet, under the lock under which the shards are replaced, so that a reader has each shard either in the list or in the sum. The numbers of upstreams and of requests in transit are those of the present and are left out. What is counted at a shard after it was dropped, for requests that it granted before, is still lost.

TestCountsDoNotGoBackWithFewerShards failed: 1 request granted without work where 3 were counted before. Retry counts are added in the same place and have no test of their own for this.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/tacktally/tacktally/internal/reach"
 	"github.com/tacktally/tacktally/internal/rest"
 	"github.com/tacktally/tacktally/internal/retrybudget"
+	"github.com/tacktally/tacktally/internal/retryschedule"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/telemetry"
 )
@@ -90,6 +91,7 @@
 	processes   map[string]*upstream      // the same, by process name
 	connections map[string]*exchange.Pool // to recently used upstreams, by ID
 	version     int64                     // of the list
+	dropped     shardCounts               // of shards that no longer exist
 	instances   []Instance                // this one included, by address
 	evacuated   []string                  // availability zones
 	peerLoads   map[string]peerLoad       // as reported by other instances, by address
@@ -235,11 +237,34 @@
 
 // all returns the shards of all services.
 func (f *Fleet) all() []*shard {
+	out, _ := f.allAndDropped()
+	return out
+}
+
+// shardCounts are counts of shards that no longer exist, so that totals don't go back when a service gets fewer shards.
+// What is counted at a shard afterwards, for requests that it granted before, is lost.
+type shardCounts struct {
+	reports scheduler.LoadReports
+	retries [retryschedule.Ranks]retryschedule.Counts
+}
+
+// add adds the counts of a shard that is dropped.
+func (c *shardCounts) add(s *shard) {
+	reports := s.pool.LoadReports()
+	reports.Upstreams, reports.InTransit = 0, 0 // those of the present
+	c.reports.Add(reports)
+	for rank, counts := range s.pool.RetryCounts() {
+		c.retries[rank] = c.retries[rank].Add(counts)
+	}
+}
+
+// allAndDropped returns all shards, and the counts of those that there were before.
+func (f *Fleet) allAndDropped() ([]*shard, shardCounts) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []*shard
 	for _, s := range f.services {
 		out = append(out, s.shards...)
 	}
-	return out
+	return out, f.dropped
 }
--- a/internal/fleet/load_reports.go
+++ b/internal/fleet/load_reports.go
@@ -58,10 +58,11 @@
 }
 
 // LoadReports summarises the load reports that this instance recorded as the owner of shards, and the
-// requests that it granted because of them. What a shard recorded is lost when its service gets fewer
-// shards.
+// requests that it granted because of them.
 func (f *Fleet) LoadReports() (total scheduler.LoadReports) {
-	for _, s := range f.all() {
+	shards, dropped := f.allAndDropped()
+	total.Add(dropped.reports)
+	for _, s := range shards {
 		total.Add(s.pool.LoadReports())
 	}
 	return total
--- a/internal/fleet/load_summary_test.go
+++ b/internal/fleet/load_summary_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -33,3 +34,27 @@
 	is.Equal(r.Upstreams, shards)
 	is.True(!r.Newest.IsZero())
 }
+
+// Guards against counts that go back within a process, when a service gets fewer shards.
+func TestCountsDoNotGoBackWithFewerShards(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf("10.0.0.1:1", instances(1))
+	var list []view.Upstream
+	for i := range 3 * shardSize {
+		list = append(list, view.Upstream{ID: fmt.Sprintf("u-%d", i), Service: "s", Address: "127.0.0.1:1", Slots: 5})
+	}
+	f.SetUpstreams(view.List{Version: 2, Upstreams: list})
+	for _, s := range f.all() {
+		g, problem := s.pool.Acquire(t.Context(), generation().Request)
+		is.True(problem == nil)
+		s.pool.RecordLoad(g, loadreport.Report{Running: 1, Slots: 5})
+	}
+	before := f.LoadReports()
+	is.Equal(before.WithoutWork, int64(3))
+	f.SetUpstreams(view.List{Version: 3, Upstreams: list[:shardSize]})
+	is.Equal(len(f.all()), 1)
+	after := f.LoadReports()
+	is.Equal(after.WithoutWork, before.WithoutWork)
+	is.Equal(after.Newest, before.Newest)
+	is.True(after.Upstreams <= before.Upstreams) // those of the present
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -220,6 +220,7 @@
 	}
 	for _, sh := range dropped {
 		sh.pool.SetMembers(nil) // waiting requests there are shed when they expire
+		f.dropped.add(sh)
 	}
 	for i, sh := range shards {
 		sh.pool.SetMembers(members[i])
