fleet: loads of an instance reach shards in the order they are stored

What operators could see: an upstream that gets fewer requests than it has slots for, since requests of an instance that was lost, or that have ended, still count there. Seen in tests, not in a fleet.

Cause: SetPeerLoad stores a load under the fleet's lock and passes it to the shards after it, so that of two calls at once one load was kept and the other one counted. reapplyPeerLoads, which runs after upstreams were moved between shards, set loads again that it had read before: also that of an instance which had been removed meanwhile, and which nobody removes again.

A load is now stored and passed on under one lock of its own, which reapplyPeerLoads holds from reading to setting.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,6 +85,10 @@
 type Fleet struct {
 	o Options
 
+	// settingLoads is held while a load of another instance is stored and passed to the shards, so that loads which are set
+	// at once arrive there in the order in which they are stored. It is locked before mu.
+	settingLoads sync.Mutex
+
 	mu          sync.Mutex
 	services    map[string]*service
 	upstreams   map[string]*upstream      // on the list, by ID
@@ -94,7 +98,7 @@
 	dropped     shardCounts               // of shards that no longer exist
 	instances   []Instance                // this one included, by address
 	evacuated   []string                  // availability zones
-	peerLoads   map[string]peerLoad       // as reported by other instances, by address
+	peerLoads   map[string]peerLoad       // as reported by other instances, by address; changed with settingLoads only
 	// leavingNotices are the processes that announced in a response that they are leaving. noticesSent is
 	// the round-robin position of the notices in messages to peers.
 	leavingNotices map[string]leavingNotice
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -17,6 +17,13 @@
 // SetPeerLoad sets the load that another instance has reported; the zero Load removes the instance. Only
 // the shards that the new or the previous load concerns are updated.
 func (f *Fleet) SetPeerLoad(instance string, l scheduler.Load) {
+	f.settingLoads.Lock()
+	defer f.settingLoads.Unlock()
+	f.setPeerLoad(instance, l)
+}
+
+// setPeerLoad is SetPeerLoad for a caller that holds settingLoads.
+func (f *Fleet) setPeerLoad(instance string, l scheduler.Load) {
 	f.mu.Lock()
 	previous := f.peerLoads[instance].shards
 	now := f.shardsWith(l)
@@ -58,11 +65,13 @@
 
 // reapplyPeerLoads sets the loads of other instances again, after upstreams were moved between shards.
 func (f *Fleet) reapplyPeerLoads() {
+	f.settingLoads.Lock()
+	defer f.settingLoads.Unlock()
 	f.mu.Lock()
 	others := maps.Clone(f.peerLoads)
 	f.mu.Unlock()
 	for instance, l := range others {
-		f.SetPeerLoad(instance, l.Load)
+		f.setPeerLoad(instance, l.Load)
 	}
 }
 
