fleet: an older reply about a lease doesn't replace a newer one

What callers could see: requests refused for their limits, since the owner of their buckets grants nothing, or half, although it has the lease. By reading and by a test, not seen in a fleet.

Cause: requests for leases are sent in turn and may wait for a reply longer than the interval. renewed took the last reply to come for the current state: an older refusal ended a lease that had been granted since, an older grant revived one that had been refused, and a reply of the previous standby replaced the lease of the present one.

The time at which the request was sent is kept with the lease, and replies to earlier requests are ignored.

TestOlderReplyChangesNoLease failed in 4 of its 5 cases.

--- a/internal/fleet/leases.go
+++ b/internal/fleet/leases.go
@@ -39,7 +39,8 @@
 type heldLease struct {
 	standby string // that granted it
 	until   time.Time
-	refused bool // by the last reply
+	refused bool      // by the last reply
+	sent    time.Time // when the request was sent that the last reply is to
 }
 
 // grantedLease is the lease of a group that another instance owns.
@@ -48,15 +49,18 @@
 	until time.Time
 }
 
-// renewed records the reply of a standby to a request that was sent at a time.
+// renewed records the reply of a standby to a request that was sent at a time, unless one to a later request is known.
 func (l *bucketLeases) renewed(group int, standby string, sent time.Time, granted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := &l.held[group]
+	if sent.Before(h.sent) {
+		return
+	}
 	if h.standby != standby {
 		*h = heldLease{standby: standby}
 	}
-	h.refused = !granted
+	h.refused, h.sent = !granted, sent
 	switch until := sent.Add(leaseLength); {
 	case !granted:
 		h.until = time.Time{}
--- a/internal/fleet/leases_test.go
+++ b/internal/fleet/leases_test.go
@@ -45,6 +45,36 @@
 	}
 }
 
+// Guards against an owner that grants nothing, or half, since an older reply to it came after a newer one.
+func TestOlderReplyChangesNoLease(t *testing.T) {
+	now := time.Now()
+	sent := now.Add(-2 * LeaseInterval)
+	newer := sent.Add(LeaseInterval)
+	for name, c := range map[string]struct {
+		older, newer bool   // whether the lease was granted
+		olderFrom    string // the standby
+		until        time.Time
+		refused      bool
+	}{
+		"an older refusal":                {older: false, newer: true, olderFrom: "b", until: newer.Add(leaseLength)},
+		"an older grant":                  {older: true, newer: false, olderFrom: "b", refused: true},
+		"both granted":                    {older: true, newer: true, olderFrom: "b", until: newer.Add(leaseLength)},
+		"a grant of the standby before":   {older: true, newer: true, olderFrom: "c", until: newer.Add(leaseLength)},
+		"a refusal of the standby before": {older: false, newer: true, olderFrom: "c", until: newer.Add(leaseLength)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var l bucketLeases
+			l.renewed(3, "b", newer, c.newer)
+			l.renewed(3, c.olderFrom, sent, c.older)
+			held, _ := l.of(3)
+			is.Equal(held.standby, "b")
+			is.Equal(held.until, c.until)
+			is.Equal(held.refused, c.refused)
+		})
+	}
+}
+
 // An instance leases a group to the one that it considers the owner, and to no other while that lease lasts.
 func TestLeaseIsGrantedToOneInstanceAtATime(t *testing.T) {
 	is := is.New(t)
