fleet: rankings of former instances aren't cached for the current ones

What callers could see: requests that wait for an owner which has left, until the instances change again, and origins of streams that are kept by, and asked from, instances that aren't their keepers.

Cause: a request reads the instances under the fleet's lock and looks up their ranking under that of the owners. Where the instances changed in between, the cache had just been emptied, and the request filled it with the ranking of the former instances for all others. Seen by a test, not in a fleet.

The cache now names the instances that its rankings are of. A request that has read others computes its ranking and leaves the cache alone. Owners of shards, and keepers of origins, which share the cache, are affected alike.

TestOwnersAreThoseOfTheCurrentInstances failed at the owner of a shard.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -126,6 +126,29 @@
 	is.Equal(owner(), second) // the others keep their order
 }
 
+// Guards against an owner that has left and is asked until the next change of the instances, since a request which had
+// read the instances before the change determined the owner after it.
+func TestOwnersAreThoseOfTheCurrentInstances(t *testing.T) {
+	is := is.New(t)
+	all := instances(9)
+	f := fleetOf("10.0.0.0:1", all)
+	k := shardKey{service: "s"}
+	f.mu.Lock()
+	before := f.instances
+	f.mu.Unlock()
+	owner := f.ownersOf(k)[0]
+	f.SetInstances(slices.DeleteFunc(slices.Clone(all), func(i Instance) bool { return i.Address == owner }))
+	is.Equal(f.owners.candidates(k, before, time.Now())[0], owner) // a request that is late
+	is.True(f.ownersOf(k)[0] != owner)
+
+	group := groupOf(7)
+	f.owners.originKeepers(group, before)
+	f.mu.Lock()
+	now := f.instances
+	f.mu.Unlock()
+	is.Equal(f.owners.originKeepers(group, now), rankKeepers(group, now))
+}
+
 // Instances with more processor time own more shards.
 func TestOwnershipIsWeightedByProcessorTime(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -61,7 +61,7 @@
 	for _, s := range f.services {
 		f.updateRetryBudgets(s)
 	}
-	f.owners.invalidate()
+	f.owners.setInstances(instances)
 	f.buckets.update(time.Now(), f.o.Instance, instances)
 	return moreReachable
 }
--- a/internal/fleet/owners.go
+++ b/internal/fleet/owners.go
@@ -40,7 +40,9 @@
 // instance may grant of a bound that all instances keep together depends on its role. It is safe for
 // concurrent use.
 type owners struct {
-	mu           sync.Mutex
+	mu sync.Mutex
+	// current are the instances that the cached rankings are of.
+	current      []Instance
 	ranked       map[shardKey][]string // addresses, the owner first
 	unresponsive map[string]time.Time  // since when, by address
 	lastOwner    map[shardKey]string   // as last logged
@@ -55,11 +57,17 @@
 	settledOnly bool
 }
 
-// invalidate drops the cached rankings after a change of instances.
-func (o *owners) invalidate() {
+// setInstances drops the cached rankings after a change of the instances.
+func (o *owners) setInstances(instances []Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.ranked, o.keepers = nil, nil
+	o.current, o.ranked, o.keepers = instances, nil, nil
+}
+
+// areCurrent reports whether rankings of the instances are cached: not those that a caller has read before a change. The
+// caller holds the lock.
+func (o *owners) areCurrent(instances []Instance) bool {
+	return len(instances) > 0 && len(instances) == len(o.current) && &instances[0] == &o.current[0]
 }
 
 // markUnresponsive records that an instance didn't reply to a request.
@@ -74,6 +82,9 @@
 
 // ranking returns the instances that may own a shard, the first owner first. The caller holds the lock.
 func (o *owners) ranking(k shardKey, instances []Instance) []string {
+	if !o.areCurrent(instances) {
+		return rank(k, instances)
+	}
 	ranked, known := o.ranked[k]
 	if !known {
 		ranked = rank(k, instances)
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -220,6 +220,9 @@
 func (o *owners) originKeepers(group int, instances []Instance) []zoneKeepers {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if !o.areCurrent(instances) {
+		return rankKeepers(group, instances)
+	}
 	if keepers, known := o.keepers[group]; known {
 		return keepers
 	}
