fleet: errors of connections tell whether the upstream refuses them

What callers could see: a short stream, or a body, that looks complete, where only peers reach the machine of an upstream that was killed; and a complete one that counts as broken off, where the instance's own path refuses all connections.

Cause: whether a process has terminated is told by connections that it refuses. Where this instance's path is silent and a peer's is refused, the error was that of the own path alone. Where this instance has no path at all, the error wrapped the refusal of that path, which is none of the upstream's.

The error of a peer that has tried is now wrapped as well, and that of an instance without a path only names its cause.

--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -35,7 +35,7 @@
 // Relays opens connections to upstreams through other instances. *relay.Client implements it.
 type Relays interface {
 	// Dial blocks until the connection is established or has failed, or ctx ends. The error wraps
-	// relay.ErrUpstreamUnreachable or relay.ErrNoRelay.
+	// relay.ErrUpstreamUnreachable or relay.ErrNoRelay, and syscall.ECONNREFUSED if the upstream refuses connections.
 	Dial(ctx context.Context, upstream string) (net.Conn, error)
 }
 
@@ -172,6 +172,9 @@
 	if !errors.Is(relayErr, relay.ErrUpstreamUnreachable) && !f.connectsToOthers(id, started) {
 		return nil, f.noPath(time.Now(), id, directErr)
 	}
+	if errors.Is(relayErr, relay.ErrUpstreamUnreachable) {
+		return nil, fmt.Errorf("%w; through a peer: %w", directErr, relayErr)
+	}
 	return nil, directErr
 }
 
@@ -215,9 +218,11 @@
 	}
 }
 
+// noPath records that an upstream couldn't be reached. The error doesn't wrap its cause: a refusal, for one, would
+// show that the upstream has terminated.
 func (f *Fleet) noPath(now time.Time, id string, cause error) error {
 	f.reach.NoPath(now, id)
-	return fmt.Errorf("%w: %w", ErrNoPath, cause)
+	return fmt.Errorf("%w: %v", ErrNoPath, cause)
 }
 
 // DialForPeer opens a connection to an upstream over this instance's own path, for a peer.
--- a/internal/fleet/paths_test.go
+++ b/internal/fleet/paths_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -33,10 +34,11 @@
 	*Fleet
 	reachable map[string]bool
 	relays    fakeRelays
+	failure   error // of connections to upstreams that aren't reachable
 }
 
 func newFakePaths(instances int, reachable ...string) *fakePaths {
-	p := &fakePaths{reachable: map[string]bool{}}
+	p := &fakePaths{reachable: map[string]bool{}, failure: errors.New("refused")}
 	for _, id := range reachable {
 		p.reachable[id] = true
 	}
@@ -44,7 +46,7 @@
 		Instance: "self", ConnectTimeout: time.Second, Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(nil, "error", "self"),
 		DialUpstream: func(_ context.Context, address string) (net.Conn, error) {
 			if !p.reachable[address] {
-				return nil, errors.New("refused")
+				return nil, p.failure
 			}
 			c, _ := net.Pipe()
 			return c, nil
@@ -92,6 +94,38 @@
 	}
 }
 
+// Guards against a terminated process that isn't noticed since only peers reach its machine, and against one that lives and
+// is taken for terminated since this instance's own path refuses all connections.
+func TestWhichFailuresShowThatAnUpstreamRefusesConnections(t *testing.T) {
+	refusedByUpstream := fmt.Errorf("%w: %w", relay.ErrUpstreamUnreachable, syscall.ECONNREFUSED)
+	for name, test := range map[string]struct {
+		paths      *fakePaths
+		own, relay error
+		bypassed   bool
+		refused    bool
+	}{
+		"own path refuses, others are reached":               {newFakePaths(2, "b"), syscall.ECONNREFUSED, relay.ErrNoRelay, false, true},
+		"own path refuses, and so does that of a peer":       {newFakePaths(2), syscall.ECONNREFUSED, refusedByUpstream, false, true},
+		"own path refuses all, no peer can relay":            {newFakePaths(2), syscall.ECONNREFUSED, relay.ErrNoRelay, false, false},
+		"own path is silent, that of a peer refuses":         {newFakePaths(2), os.ErrDeadlineExceeded, refusedByUpstream, false, true},
+		"own path is silent, and so is that of a peer":       {newFakePaths(2), os.ErrDeadlineExceeded, relay.ErrUpstreamUnreachable, false, false},
+		"own path isn't used, that of a peer refuses":        {newFakePaths(2), os.ErrDeadlineExceeded, refusedByUpstream, true, true},
+		"own path isn't used first, refuses, no peer can":    {newFakePaths(2), syscall.ECONNREFUSED, relay.ErrNoRelay, true, false},
+		"own path isn't used, that of a peer is interrupted": {newFakePaths(2), os.ErrDeadlineExceeded, relay.ErrUpstreamUnreachable, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			test.paths.failure, test.paths.relays.err = test.own, test.relay
+			if test.bypassed {
+				test.paths.reach.Bypassed(time.Now(), "a")
+			}
+			_, err := test.paths.connect(t.Context(), "a", "a")
+			is.True(err != nil)
+			is.Equal(errors.Is(err, syscall.ECONNREFUSED), test.refused)
+		})
+	}
+}
+
 // An upstream that only a peer reaches is reached, and from then on through peers at once.
 func TestPeerIsAskedWhereTheOwnPathFails(t *testing.T) {
 	is := is.New(t)
