fleet: a path is compared with those to several other upstreams

What callers could see: a stream of a killed upstream that looks complete, since the upstream isn't known to refuse connections.

Cause: to tell a failed upstream from a failed path, an instance connects to one other upstream, drawn at random. Where that had failed too, as when several are restarted, the instance took its own path for the cause.

Up to three others are tried at once, within the same 50 ms; one that accepts suffices. That is up to two connections more for each failure that is compared.

TestPathIsComparedWithSeveralUpstreams failed: of three other upstreams, one of which accepts, the one that was drawn refused.

--- a/internal/fleet/paths.go
+++ b/internal/fleet/paths.go
@@ -9,6 +9,7 @@
 
 	"github.com/tacktally/tacktally/internal/reach"
 	"github.com/tacktally/tacktally/internal/relay"
+	"github.com/tacktally/tacktally/internal/view"
 )
 
 // A connection to an upstream goes over the network path of this instance or, where that fails, through a
@@ -21,9 +22,11 @@
 	// peerConnectTimeout bounds the time in which an instance opens a connection for a peer, so that the peer
 	// can still ask another one.
 	peerConnectTimeout = 100 * time.Millisecond
-	// comparisonTimeout bounds the time to connect to another upstream, to tell a failed upstream from a
+	// comparisonTimeout bounds the time to connect to other upstreams, to tell a failed upstream from a
 	// failed path. A round trip between regions takes less.
 	comparisonTimeout = 50 * time.Millisecond
+	// maxCompared bounds these other upstreams. There are several, since some may have failed too.
+	maxCompared = 3
 	// probesPerStep bounds the paths that are probed in one step of ProbePaths.
 	probesPerStep = 4
 )
@@ -185,29 +188,40 @@
 	if f.reach.ConnectedSince(since) {
 		return true
 	}
-	other := f.otherUpstream(id)
-	if other == nil {
-		return true
-	}
+	others := f.otherUpstreams(id, maxCompared)
 	ctx, cancel := context.WithTimeoutCause(context.Background(), comparisonTimeout, errConnectTimeout)
 	defer cancel()
-	conn, err := f.dialDirect(ctx, other.ID, other.Address)
-	if err == nil {
-		_ = conn.Close() // unused
+	dials := make(chan dialed, len(others))
+	for _, u := range others {
+		go func() {
+			conn, err := f.dialDirect(ctx, u.ID, u.Address)
+			if err == nil {
+				_ = conn.Close() // unused
+			}
+			dials <- dialed{err: err}
+		}()
 	}
-	return err == nil
+	for range others {
+		if d := <-dials; d.err == nil {
+			return true
+		}
+	}
+	return len(others) == 0
 }
 
-// otherUpstream returns a randomly selected usable upstream other than the given one, or nil.
-func (f *Fleet) otherUpstream(id string) *upstream {
+// otherUpstreams returns at most n randomly selected usable upstreams other than the given one.
+func (f *Fleet) otherUpstreams(id string, n int) (out []view.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, u := range f.upstreams { // in no particular order
+		if len(out) == n {
+			break
+		}
 		if u.ID != id && u.unusable == nil {
-			return u
+			out = append(out, u.Upstream)
 		}
 	}
-	return nil
+	return out
 }
 
 // recordBypass records that a peer has reached an upstream that this instance didn't reach in time.
--- a/internal/fleet/paths_test.go
+++ b/internal/fleet/paths_test.go
@@ -155,6 +155,19 @@
 	is.True(errors.Is(err, relay.ErrNoPath))
 }
 
+// Guards against an upstream that isn't known to refuse connections since another one, with which it is compared, has
+// failed as well.
+func TestPathIsComparedWithSeveralUpstreams(t *testing.T) {
+	is := is.New(t)
+	for range 50 { // others are selected at random
+		p := newFakePaths(2, "c")
+		p.failure = syscall.ECONNREFUSED
+		_, err := p.DialForPeer(t.Context(), "a")
+		is.True(!errors.Is(err, relay.ErrNoPath))
+		is.True(errors.Is(err, syscall.ECONNREFUSED))
+	}
+}
+
 // Pools ask whether to skip an idle connection while they are locked, and the fleet closes pools while it is.
 func TestSkippingIdleConnectionsTakesNoLockOfTheFleet(t *testing.T) {
 	p := newFakePaths(2)
