peer: a heartbeat that was overtaken replaces no state

What operators could see: the load, the revision or the state of an instance going back for a time, as from draining to serving.

Cause: heartbeats state no order, and the last one to come was taken for the current one. They come on two links while one replaces the other, and were built and sent by several goroutines at once: one that was built first could be sent last.

Heartbeats of a process are now numbered, built and sent one at a time. Of one whose number isn't above the last one of its process only what receivers merge counts, such as notices of leaving upstreams; its load, revision, reach and age of the list are dropped (event heartbeat_overtaken). Heartbeats of one peer are handled one at a time. Those of earlier versions have no number and count as before; a restarted instance counts from 1 again under another incarnation. The heartbeat that follows a hello on an accepted link of a sparse mesh is skipped, like all others, where the outbox is full.

The tests don't compile without the change, as heartbeats had no number.

--- a/internal/peer/fleet_size_test.go
+++ b/internal/peer/fleet_size_test.go
@@ -86,6 +86,6 @@
 	is.Equal(m.FleetSize(), 0) // no peer has reported a count
 	m.recordHello(Hello{Address: "127.0.0.1:2", KnownPeers: 80}, nil)
 	is.Equal(m.FleetSize(), 81)
-	m.receiveHeartbeat("127.0.0.1:2", &Heartbeat{KnownPeers: 86})
+	m.receiveHeartbeat("127.0.0.1:2", 1, &Heartbeat{KnownPeers: 86})
 	is.Equal(m.FleetSize(), 87)
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -187,6 +187,9 @@
 	// Reach is whether the sender reaches upstreams over its own network path, so that it can relay
 	// connections.
 	Reach reach.State `cbor:"20,keyasint,omitempty"`
+	// Sequence counts the heartbeats of one process, in the order of the states that they carry; 0 from peers of
+	// earlier versions.
+	Sequence uint64 `cbor:"21,keyasint,omitempty"`
 }
 
 // reach returns whether the sender reaches upstreams, also if it is of an earlier version.
@@ -225,9 +228,18 @@
 		Isolated:          h.Isolated,
 		Reach:             h.Reach,
 		Brief:             true,
+		Sequence:          h.Sequence,
 	}
 }
 
+// merged returns what counts of a heartbeat that others of its process have overtaken: what receivers merge with what
+// they know, and none of the sender's state.
+func (h *Heartbeat) merged() *Heartbeat {
+	out := h.brief()
+	out.SourceReachableMS = 0
+	return out
+}
+
 // FetchRequest requests a peer's state. Its fields describe the state that the requester has.
 type FetchRequest struct {
 	// Parts are the parts of the configuration that the requester has, by their checksums.
--- a/internal/peer/heartbeats.go
+++ b/internal/peer/heartbeats.go
@@ -6,24 +6,61 @@
 	"github.com/tacktally/tacktally/internal/boottime"
 )
 
-// receiveHeartbeat records a peer's heartbeat and passes it to the handler. It ignores heartbeats
-// on a link whose peer hasn't sent its hello.
-func (m *Mesh) receiveHeartbeat(from string, h *Heartbeat) {
+// receiveHeartbeat records the heartbeat of a process of a peer and passes it to the handler. It ignores heartbeats
+// on a link whose peer hasn't sent its hello. Of one that was overtaken, on another link, only what is merged counts.
+func (m *Mesh) receiveHeartbeat(from string, incarnation uint64, h *Heartbeat) {
 	if from == "" {
 		return
 	}
 	m.mu.Lock()
-	if p := m.peers[from]; p != nil {
-		p.lastSeen = boottime.Now()
-		p.lastHeartbeat = h
-		if m.sparse != nil {
-			m.sparse.overlay.SetReported(p.lastSeen, from, h.Draining, h.reach())
-		}
-	}
+	p := m.peers[from]
 	m.mu.Unlock()
+	if p == nil {
+		m.o.Handler.HandleHeartbeat(from, h)
+		return
+	}
+	p.receiving.Lock()
+	defer p.receiving.Unlock()
+	if last, overtaken := m.recordHeartbeat(from, p, incarnation, h); overtaken {
+		m.o.Log.Info().Str("event", "heartbeat_overtaken").Str("peer", from).Uint64("sequence", h.Sequence).Uint64("last", last).Msg("")
+		h = h.merged()
+	}
 	m.o.Handler.HandleHeartbeat(from, h)
 }
 
+// recordHeartbeat records a heartbeat as the last one of its peer, unless a later one of the same process came before:
+// then it returns the number of the last one that counts.
+func (m *Mesh) recordHeartbeat(from string, p *peerState, incarnation uint64, h *Heartbeat) (last uint64, overtaken bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.lastSeen = boottime.Now()
+	if h.Sequence > 0 && incarnation == p.heartbeatOf && h.Sequence <= p.sequence {
+		return p.sequence, true
+	}
+	p.heartbeatOf, p.sequence = incarnation, h.Sequence
+	p.lastHeartbeat = h
+	if m.sparse != nil {
+		m.sparse.overlay.SetReported(p.lastSeen, from, h.Draining, h.reach())
+	}
+	return 0, false
+}
+
+// sendHeartbeats builds a heartbeat and calls send, which must not block, to send it. One is built and sent at a time,
+// so that each link gets them in the order of the states that they carry.
+func (m *Mesh) sendHeartbeats(send func(*Heartbeat)) {
+	m.heartbeating <- struct{}{}
+	defer func() { <-m.heartbeating }()
+	h := m.o.Handler.Heartbeat()
+	m.heartbeats++
+	h.Sequence = m.heartbeats
+	send(h)
+}
+
+// sendHeartbeatOn sends a whole heartbeat on a link, unless its outbox is full: the next one carries the same state.
+func (m *Mesh) sendHeartbeatOn(l *link) {
+	m.sendHeartbeats(func(h *Heartbeat) { l.trySend(&Frame{Type: TypeHeartbeat, Heartbeat: h}) })
+}
+
 // heartbeatLoop sends heartbeats and ends silent links until the mesh is closed.
 func (m *Mesh) heartbeatLoop() {
 	t := time.NewTicker(m.o.Heartbeat)
@@ -84,7 +121,7 @@
 // full, nothing is sent. In a sparse mesh it also starts to dial the peer.
 func (m *Mesh) SendHeartbeat(address string) {
 	if l, _ := m.useLink(address); l != nil {
-		l.trySend(&Frame{Type: TypeHeartbeat, Heartbeat: m.o.Handler.Heartbeat()}) // if the outbox is full, the next heartbeat carries the same state
+		m.sendHeartbeatOn(l)
 	}
 }
 
@@ -109,16 +146,17 @@
 // broadcastHeartbeat sends a heartbeat to every linked peer. Peers of other zones get a brief one
 // unless whole is set.
 func (m *Mesh) broadcastHeartbeat(whole bool) {
-	sameZone, otherZones := m.linksByZone()
-	h := m.o.Handler.Heartbeat()
-	if m.sparse != nil {
-		m.setDraining(h.Draining)
-	}
-	sendAll(sameZone, &Frame{Type: TypeHeartbeat, Heartbeat: h})
-	if !whole {
-		h = h.brief()
-	}
-	sendAll(otherZones, &Frame{Type: TypeHeartbeat, Heartbeat: h})
+	m.sendHeartbeats(func(h *Heartbeat) {
+		sameZone, otherZones := m.linksByZone()
+		if m.sparse != nil {
+			m.setDraining(h.Draining)
+		}
+		sendAll(sameZone, &Frame{Type: TypeHeartbeat, Heartbeat: h})
+		if !whole {
+			h = h.brief()
+		}
+		sendAll(otherZones, &Frame{Type: TypeHeartbeat, Heartbeat: h})
+	})
 }
 
 // sendAll sends one frame on many links. Links whose outbox is full are skipped.
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -128,6 +128,11 @@
 	sparse       *sparseState // nil in a full mesh
 	// pendingOrigins wait for a link, by the address of their peer.
 	pendingOrigins map[string][]StreamOrigin
+
+	// heartbeating has capacity 1 and holds an element while a heartbeat is built and sent; only its holder uses
+	// heartbeats, their number so far.
+	heartbeating chan struct{}
+	heartbeats   uint64
 }
 
 type peerState struct {
@@ -138,15 +143,20 @@
 	lastSeen      time.Time
 	silent        bool       // whether the handler was notified of the silence
 	lastHeartbeat *Heartbeat // nil before the first one of the peer's process
-	link          *link      // dialled by this side; nil while down
-	stop          context.CancelFunc
-	control       linkControl // used in a sparse mesh only
+	// heartbeatOf is the incarnation that has sent the last heartbeat, and sequence its number.
+	heartbeatOf, sequence uint64
+	// receiving is held while a heartbeat is handled: they come on two links while one replaces the other. It is locked
+	// before the mesh's lock.
+	receiving sync.Mutex
+	link      *link // dialled by this side; nil while down
+	stop      context.CancelFunc
+	control   linkControl // used in a sparse mesh only
 }
 
 // NewMesh returns a mesh without peers and starts to send heartbeats. Close stops it.
 func NewMesh(o Options) *Mesh {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &Mesh{o: o, started: boottime.Now(), ctx: ctx, cancel: cancel, peers: map[string]*peerState{}, accepted: map[string]*link{}, pendingOrigins: map[string][]StreamOrigin{}}
+	m := &Mesh{o: o, started: boottime.Now(), ctx: ctx, cancel: cancel, peers: map[string]*peerState{}, accepted: map[string]*link{}, pendingOrigins: map[string][]StreamOrigin{}, heartbeating: make(chan struct{}, 1)}
 	if o.Sparse {
 		m.sparse = newSparseState(m)
 		m.wg.Go(m.maintainLinks)
@@ -301,8 +311,9 @@
 	if f.Hello.Address != address {
 		return fmt.Errorf("%w: dialled %s, whose hello has the address %s; correct its peers.advertise", ErrMalformedFrame, address, f.Hello.Address)
 	}
+	s.incarnation = f.Hello.Incarnation
 	m.recordHello(*f.Hello, l)
-	l.trySend(&Frame{Type: TypeHeartbeat, Heartbeat: m.o.Handler.Heartbeat()})
+	m.sendHeartbeatOn(l)
 	return nil
 }
 
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -74,6 +74,8 @@
 	mesh *Mesh
 	link *link
 	peer string
+	// incarnation of the peer's process, by its hello.
+	incarnation uint64
 
 	mu      sync.Mutex
 	streams map[uint64]*servedStream
@@ -88,14 +90,14 @@
 func (s *servedLink) handle(f *Frame) error {
 	switch f.Type {
 	case TypeHello:
-		s.peer = f.Hello.Address
+		s.peer, s.incarnation = f.Hello.Address, f.Hello.Incarnation
 		if f.Hello.DialledAddress == s.mesh.o.Address {
 			s.mesh.registerAccepted(s.peer, s.link) // a peer that dialled another address will close the link
 		}
 		s.mesh.recordHello(*f.Hello, nil)
 		return s.sendHello()
 	case TypeHeartbeat:
-		s.mesh.receiveHeartbeat(s.peer, f.Heartbeat)
+		s.mesh.receiveHeartbeat(s.peer, s.incarnation, f.Heartbeat)
 	case TypeQuotaRequest:
 		s.link.recordRequest(boottime.Now(), 0)
 		return s.link.send(s.link.ctx, &Frame{Type: TypeQuotaReply, Stream: f.Stream, QuotaReply: s.mesh.o.Handler.ServeQuota(f.QuotaRequest)})
@@ -147,7 +149,8 @@
 	if err != nil || s.mesh.sparse == nil {
 		return err
 	}
-	return s.link.send(s.link.ctx, &Frame{Type: TypeHeartbeat, Heartbeat: s.mesh.o.Handler.Heartbeat()})
+	s.mesh.sendHeartbeatOn(s.link)
+	return nil
 }
 
 func (s *servedLink) stream(id uint64) *servedStream {
