peer: a membership update that was overtaken is ignored

What operators could see, in a sparse mesh: an instance that counts as reachable for good though its hub has withdrawn it.

Cause: updates state no order. One that waited on a link which another one has replaced was merged after the full update on the new link, and the hub doesn't repeat what that contained.

Updates of a process carry the number of the round in which they were sent, and one with a lower number than the last is ignored (event membership_overtaken). Updates for an instance that starts count in any order, since what they say lapses by itself, as do those of earlier versions, which have no number.

The test doesn't compile without the change, as updates had no number. With the comparison taken out, TestOvertakenMembershipUpdateIsIgnored fails in the 3 of its 7 cases in which an update was overtaken.

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -64,6 +64,8 @@
 	Kind    Kind     `cbor:"1,keyasint"`
 	Full    bool     `cbor:"2,keyasint,omitempty"`
 	Records []Record `cbor:"3,keyasint,omitempty"`
+	// Sequence orders the updates of one process to one peer; 0 from senders of earlier versions.
+	Sequence uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // maxPastIncarnations is how many previous incarnations of an address are remembered: records of them
--- a/internal/peer/membership_updates.go
+++ b/internal/peer/membership_updates.go
@@ -4,25 +4,40 @@
 	"time"
 
 	"github.com/tacktally/tacktally/internal/boottime"
-
 	"github.com/tacktally/tacktally/internal/membership"
 )
 
-// mergeMembership merges a membership update from a peer.
-func (m *Mesh) mergeMembership(from string, update *membership.Update) {
+// mergeMembership merges a membership update from a process of a peer, unless a later one came before, on another
+// link: that one began with a full update, and the sender won't repeat what it contained. Bootstrap ones count in any
+// order: what these say lapses by itself.
+func (m *Mesh) mergeMembership(from string, incarnation uint64, update *membership.Update) {
 	if m.sparse == nil || from == "" {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if p := m.peers[from]; p != nil && update.Kind != membership.Bootstrap && !p.control.recordUpdate(incarnation, update.Sequence) {
+		m.o.Log.Info().Str("event", "membership_overtaken").Str("peer", from).Uint64("sequence", update.Sequence).Msg("")
+		return
+	}
 	m.sparse.overlay.Merge(boottime.Now(), from, update)
 	m.sparse.notify()
 }
 
+// recordUpdate records that an update of a peer's process with a number has come. It reports whether it is in order.
+func (c *linkControl) recordUpdate(incarnation, sequence uint64) bool {
+	if sequence > 0 && incarnation == c.updatesOf && sequence < c.updateReceived {
+		return false
+	}
+	c.updatesOf, c.updateReceived = incarnation, sequence
+	return true
+}
+
 // sendUpdates sends each linked peer the membership updates that it is due.
 func (m *Mesh) sendUpdates(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.sparse.rounds++
 	overlay := m.sparse.overlay
 	overlay.SetSelfDraining(m.sparse.draining)
 	overlay.Tick(now)
@@ -78,6 +93,7 @@
 	if len(update.Records) == 0 && !update.Full {
 		return nil
 	}
+	update.Sequence = m.sparse.rounds
 	b, err := Encode(&Frame{Type: TypeMembership, Membership: update})
 	if err != nil {
 		panic("peer: a membership update must always encode: " + err.Error())
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -135,7 +135,7 @@
 			}
 		}
 	case TypeMembership:
-		s.mesh.mergeMembership(s.peer, f.Membership)
+		s.mesh.mergeMembership(s.peer, s.incarnation, f.Membership)
 	default: // a reply to a request of this side
 		s.link.deliver(f)
 	}
--- a/internal/peer/sparse.go
+++ b/internal/peer/sparse.go
@@ -45,7 +45,8 @@
 	overlay   *membership.Overlay
 	wake      chan struct{}
 	lastProbe time.Time
-	draining  bool // this instance's last heartbeat reported that it accepts no new work
+	rounds    uint64 // of updates sent, by which they are numbered
+	draining  bool   // this instance's last heartbeat reported that it accepts no new work
 }
 
 // linkControl controls when a peer is dialled and which updates it is sent. It is guarded by the
@@ -59,6 +60,8 @@
 	updateLink    *link // the link on which the updates below were sent
 	updatesSent   updateCursor
 	bootstrapSent updateCursor
+	// updatesOf is the incarnation that has sent the last update, and updateReceived its number.
+	updatesOf, updateReceived uint64
 }
 
 func newSparseState(m *Mesh) *sparseState {
--- a/internal/peer/sparse_test.go
+++ b/internal/peer/sparse_test.go
@@ -262,3 +262,40 @@
 	_, err = Decode(mustEncode(t, &Frame{Type: TypeMembership}))
 	is.True(errors.Is(err, ErrMalformedFrame))
 }
+
+// Guards against an instance that counts as reachable for good though its hub has withdrawn it, since an older update
+// came after a newer one, on a link that another one had replaced.
+func TestOvertakenMembershipUpdateIsIgnored(t *testing.T) {
+	const hub, lost = "127.0.0.1:2", "127.0.0.1:3"
+	with := func(sequence uint64, kind membership.Kind, full bool) *membership.Update {
+		return &membership.Update{Kind: kind, Full: full, Sequence: sequence, Records: []membership.Record{{Address: lost, Zone: "z", Incarnation: 9, Age: time.Second}}}
+	}
+	for name, c := range map[string]struct {
+		incarnation uint64
+		update      *membership.Update
+		reachable   bool
+	}{
+		"changes that were overtaken":            {1, with(6, membership.Direct, false), false},
+		"a full update that was overtaken":       {1, with(6, membership.Direct, true), false},
+		"of another kind":                        {1, with(6, membership.Indirect, true), false},
+		"later changes":                          {1, with(8, membership.Direct, false), true},
+		"of a process that has started since":    {2, with(1, membership.Direct, true), true},
+		"of a peer that doesn't number its own":  {1, with(0, membership.Direct, false), true},
+		"for an instance that starts, at a time": {1, with(6, membership.Bootstrap, false), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := NewMesh(Options{Address: "127.0.0.1:1", Zone: "z", Heartbeat: time.Hour, SuspectAfter: time.Hour, Handler: &handler{}, Sparse: true, Log: &log.Logger{Level: log.FatalLevel}})
+			t.Cleanup(m.Close)
+			m.recordHello(Hello{Address: hub, Zone: "z", Incarnation: 1}, nil)
+			m.mergeMembership(hub, 1, &membership.Update{Kind: membership.Direct, Full: true, Sequence: 7})
+			m.recordHello(Hello{Address: hub, Zone: "z", Incarnation: c.incarnation}, nil)
+			m.mergeMembership(hub, c.incarnation, c.update)
+			reachable := false
+			for _, p := range m.Peers() {
+				reachable = reachable || p.Address == lost && p.Reachable
+			}
+			is.Equal(reachable, c.reachable)
+		})
+	}
+}
