peer: a former hub withdraws its members on any link

What operators could see, in a sparse mesh: instances that count as reachable at a peer through one that has stopped being a hub, until the link between these two ends.

Cause: an instance that stops being a hub sends an update that withdraws its members. Which kind of updates a peer has was forgotten with the link on which they were sent, so that on the next one nothing seemed to be withdrawn; and a withdrawal for which the outbox had no room counted as sent.

The kind outlives the link, and a withdrawal counts once it is in the outbox; until then it is tried in each round.

TestFormerHubWithdrawsItsMembers failed in 3 of its 4 cases: on another link, with a full outbox, and both.

--- a/internal/peer/membership_updates.go
+++ b/internal/peer/membership_updates.go
@@ -54,12 +54,16 @@
 func (m *Mesh) sendUpdatesTo(now time.Time, address string, p *peerState, l *link, encoded map[updateCursor][]byte) {
 	overlay, c := m.sparse.overlay, &p.control
 	if c.updateLink != l {
-		c.updateLink, c.updatesSent, c.bootstrapSent = l, updateCursor{}, updateCursor{kind: membership.Bootstrap}
+		// The kind sent before stays: what the peer has received of it on the previous link may have to be withdrawn.
+		c.updateLink, c.updatesSent, c.bootstrapSent = l, updateCursor{kind: c.updatesSent.kind}, updateCursor{kind: membership.Bootstrap}
 	}
 	kind := overlay.KindFor(now, address)
 	if c.updatesSent.kind != kind {
-		c.updatesSent = updateCursor{kind: kind}
-		m.sendUpdateOn(now, l, &c.updatesSent, encoded)
+		cursor := updateCursor{kind: kind}
+		m.sendUpdateOn(now, l, &cursor, encoded)
+		if kind != membership.None || cursor.change > 0 { // a withdrawal that wasn't sent is sent with the next updates
+			c.updatesSent = cursor
+		}
 	} else if kind != membership.None {
 		m.sendUpdateOn(now, l, &c.updatesSent, encoded)
 	}
--- a/internal/peer/sparse_test.go
+++ b/internal/peer/sparse_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -11,10 +12,12 @@
 	"github.com/matryer/is"
 
 	"github.com/phuslu/log"
+	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/loadreport"
 
 	"github.com/tacktally/tacktally/internal/membership"
 	"github.com/tacktally/tacktally/internal/reach"
+	"github.com/tacktally/tacktally/internal/virtualtime"
 )
 
 // sparseMesh is an instance with a sparse mesh.
@@ -299,3 +302,52 @@
 		})
 	}
 }
+
+// Guards against a former hub whose members count as reachable at a peer until its link ends, since the update that
+// withdraws them wasn't sent on the link that replaced the one before, or didn't fit in the outbox.
+func TestFormerHubWithdrawsItsMembers(t *testing.T) {
+	const peer = "127.0.0.1:2"
+	for name, c := range map[string]struct {
+		replaced, full bool
+	}{
+		"on the same link":               {},
+		"on another one":                 {replaced: true},
+		"the outbox was full":            {full: true},
+		"on another one, and it is full": {replaced: true, full: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) { // so that the mesh sends no updates itself
+				is := is.New(t)
+				m := NewMesh(Options{Address: "127.0.0.1:1", Zone: "z", Heartbeat: time.Hour, SuspectAfter: time.Hour, Handler: &handler{}, Sparse: true, Log: &log.Logger{Level: log.FatalLevel}})
+				defer m.Close()
+				newLink := func() *link {
+					ctx, cancel := context.WithCancelCause(m.ctx)
+					return &link{out: make(chan []byte, 1), ctx: ctx, cancel: cancel, lastFrame: boottime.Now()}
+				}
+				first, l := newLink(), newLink()
+				if !c.replaced {
+					l = first
+				}
+				m.recordHello(Hello{Address: peer, Zone: "z", Incarnation: 1}, l)
+				m.mu.Lock()
+				control := &m.peers[peer].control
+				control.updateLink, control.updatesSent = first, updateCursor{kind: membership.Direct, change: 1}
+				m.mu.Unlock()
+				m.setDraining(true) // so that it is no hub any more
+				if c.full {
+					l.out <- nil
+					m.sendUpdates(boottime.Now())
+					<-l.out
+				}
+				m.sendUpdates(boottime.Now())
+				is.Equal(len(l.out), 1)
+				f, err := Decode(<-l.out)
+				is.NoErr(err)
+				is.Equal(f.Membership.Kind, membership.None)
+				is.True(f.Membership.Full)
+				m.sendUpdates(boottime.Now())
+				is.Equal(len(l.out), 0) // once
+			})
+		})
+	}
+}
