peer: only the current process of an instance counts

What operators could see after an instance was restarted under its address: its load, revision or state as that of its former process, an instance that counts as reachable, or not, by an update of a hub's former process, and keys that are refused since the former process counts as their issuer.

Cause: links of the former process may outlive it, or be served late, and what came on them last counted as the instance's. Numbers of heartbeats and updates order those of one process only, and incarnations are random: they tell processes apart and state no order.

The links give the order: of two processes, the one on the later link is the successor.

- A link is numbered when this side begins to dial, or when the request for it has arrived, in both cases before a process can send its hello on it.
- A hello of another process on an earlier link than the last hello of the current one is refused, and its link ended.
A live process that is refused so is linked anew, by a later link.
- Links of a process that is replaced are ended, so that nothing more is sent on them: the one it dialled and, in a sparse mesh, the one dialled to it.
In a full mesh the latter ends with the process.
- Heartbeats on links of other processes than the current one count for what is merged only; updates about members are ignored, but for those to an instance that starts.
- A dialled link whose first frame is an update is ended, since the process isn't known and the sender won't repeat the update.
A heartbeat before the hello is treated as that of another process.

Not covered: records of two processes that a hub sends during one pause of the receiver may be taken in the wrong order.

--- a/internal/peer/heartbeats.go
+++ b/internal/peer/heartbeats.go
@@ -28,11 +28,14 @@
 	m.o.Handler.HandleHeartbeat(from, h)
 }
 
-// recordHeartbeat records a heartbeat as the last one of its peer, unless a later one of the same process came before:
-// then it returns the number of the last one that counts.
+// recordHeartbeat records a heartbeat as the last one of its peer, unless a later one of the same process came before,
+// or its process isn't the peer's current one, by the hellos: then it returns the number of the last one that counts.
 func (m *Mesh) recordHeartbeat(from string, p *peerState, incarnation uint64, h *Heartbeat) (last uint64, overtaken bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !p.isCurrent(incarnation) {
+		return p.sequence, true
+	}
 	p.lastSeen = boottime.Now()
 	if h.Sequence > 0 && incarnation == p.heartbeatOf && h.Sequence <= p.sequence {
 		return p.sequence, true
--- a/internal/peer/membership_updates.go
+++ b/internal/peer/membership_updates.go
@@ -1,22 +1,27 @@
 package peer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/membership"
 )
 
+// errUpdateBeforeHello ends a dialled link whose first frame is an update: it isn't known which process has sent it, and
+// the sender won't repeat what it contains on this link.
+var errUpdateBeforeHello = fmt.Errorf("%w: an update about members came before the hello", ErrMalformedFrame)
+
 // mergeMembership merges a membership update from a process of a peer, unless a later one came before, on another
-// link: that one began with a full update, and the sender won't repeat what it contained. Bootstrap ones count in any
-// order: what these say lapses by itself.
+// link: that one began with a full update, and the sender won't repeat what it contained. It ignores updates of
+// former processes, but for Bootstrap ones: what these say lapses by itself.
 func (m *Mesh) mergeMembership(from string, incarnation uint64, update *membership.Update) {
 	if m.sparse == nil || from == "" {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p := m.peers[from]; p != nil && update.Kind != membership.Bootstrap && !p.control.recordUpdate(incarnation, update.Sequence) {
+	if p := m.peers[from]; p != nil && update.Kind != membership.Bootstrap && (!p.isCurrent(incarnation) || !p.control.recordUpdate(incarnation, update.Sequence)) {
 		m.o.Log.Info().Str("event", "membership_overtaken").Str("peer", from).Uint64("sequence", update.Sequence).Msg("")
 		return
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -117,6 +117,10 @@
 	responding atomic.Int64
 	// announcing is whether AnnounceSoon has an announcement to make.
 	announcing atomic.Bool
+	// linksBegun is the number of links that were dialled or accepted.
+	linksBegun atomic.Uint64
+	// receivingHello is held while a hello is handled. It is locked before mu.
+	receivingHello sync.Mutex
 
 	mu            sync.Mutex
 	peers         map[string]*peerState
@@ -136,7 +140,9 @@
 }
 
 type peerState struct {
-	hello         Hello
+	hello Hello
+	// helloOrder is that of the last link on which the process of hello has sent one.
+	helloOrder    uint64
 	knownSince    time.Time // when this instance first learned of the peer
 	started       time.Time // when the peer started, by its hello; zero before that
 	listed        bool
@@ -246,6 +252,7 @@
 
 // dial establishes a link and serves it until it ends. It reports whether the link came up.
 func (m *Mesh) dial(ctx context.Context, address string) (up bool, err error) {
+	order := m.linksBegun.Add(1) // the process that is dialled may be replaced before it replies
 	scheme := "ws://"
 	transport := &http.Transport{DialContext: m.dialer().DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: exchange.MaxHeadBytes}
 	if m.o.TLS != nil {
@@ -269,7 +276,7 @@
 		conn.CloseNow()
 		return false, err
 	}
-	s := newServedLink(m, l, address)
+	s := newServedLink(m, l, address, order)
 	defer s.closeStreams()
 	err = l.run(func(f *Frame) error { return m.handleDialled(s, address, f) })
 	m.mu.Lock()
@@ -305,14 +312,18 @@
 // handleDialled handles a frame on a link that this side dialled.
 func (m *Mesh) handleDialled(s *servedLink, address string, f *Frame) error {
 	l := s.link
-	if f.Type != TypeHello {
+	switch {
+	case f.Type == TypeMembership && !s.identified:
+		return errUpdateBeforeHello
+	case f.Type != TypeHello:
 		return s.handle(f)
 	}
 	if f.Hello.Address != address {
 		return fmt.Errorf("%w: dialled %s, whose hello has the address %s; correct its peers.advertise", ErrMalformedFrame, address, f.Hello.Address)
 	}
-	s.incarnation = f.Hello.Incarnation
-	m.recordHello(*f.Hello, l)
+	if err := s.receiveHello(f.Hello, l); err != nil {
+		return err
+	}
 	m.sendHeartbeatOn(l)
 	return nil
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -22,12 +22,13 @@
 
 // ServeHTTP accepts a link from a peer and serves it until it ends.
 func (m *Mesh) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	order := m.linksBegun.Add(1) // before the peer can send its hello
 	conn, err := websocket.Accept(w, h, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return
 	}
 	l := newLink(m.ctx, conn)
-	s := newServedLink(m, l, "")
+	s := newServedLink(m, l, "", order)
 	defer s.closeStreams()
 	err = l.run(s.handle)
 	m.removeAccepted(s.peer, l)
@@ -37,8 +38,8 @@
 	}
 }
 
-func newServedLink(m *Mesh, l *link, peer string) *servedLink {
-	return &servedLink{mesh: m, link: l, peer: peer, streams: map[uint64]*servedStream{}}
+func newServedLink(m *Mesh, l *link, peer string, order uint64) *servedLink {
+	return &servedLink{mesh: m, link: l, peer: peer, order: order, streams: map[uint64]*servedStream{}}
 }
 
 // errReplaced ends a link whose peer has dialled another one.
@@ -74,8 +75,11 @@
 	mesh *Mesh
 	link *link
 	peer string
-	// incarnation of the peer's process, by its hello.
+	// incarnation of the peer's process, by its hello; identified is whether that has come.
 	incarnation uint64
+	identified  bool
+	// order is the number of the link, in the order in which this side began to dial or to serve them.
+	order uint64
 
 	mu      sync.Mutex
 	streams map[uint64]*servedStream
@@ -90,11 +94,9 @@
 func (s *servedLink) handle(f *Frame) error {
 	switch f.Type {
 	case TypeHello:
-		s.peer, s.incarnation = f.Hello.Address, f.Hello.Incarnation
-		if f.Hello.DialledAddress == s.mesh.o.Address {
-			s.mesh.registerAccepted(s.peer, s.link) // a peer that dialled another address will close the link
+		if err := s.receiveHello(f.Hello, nil); err != nil {
+			return err
 		}
-		s.mesh.recordHello(*f.Hello, nil)
 		return s.sendHello()
 	case TypeHeartbeat:
 		s.mesh.receiveHeartbeat(s.peer, s.incarnation, f.Heartbeat)
