view: log which configuration was in force before the accepted one

What operators saw: nothing by which a version that goes back at one instance could be told from the log alone. config_accepted named the new revision and version only, and it was written after the lock was released, so that the lines of two configurations could come in the other order than these came into force.

The line now also has revision_before and version_before (0: none), and is written under the lock that orders configurations. No behaviour changes.

TestLogNamesTheConfigurationBefore failed: there was no revision_before.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -266,8 +266,6 @@
 		return
 	}
 	v.o.Metrics.Count("tacktally_config_accepted_total")
-	v.o.Log.Info().Str("event", "config_accepted").Int64("revision", c.Revision).Int64("version", table.Version).
-		Int("routes", table.Routes()).Int("bytes", len(c.Content)).Dur("age", v.o.Now().Sub(asOf)).Str("from", from).Msg("")
 	if v.o.OnTable != nil {
 		v.o.OnTable(table)
 	}
@@ -348,12 +346,25 @@
 		v.evacuations.shortenRetention(v.o.Now())
 		v.scheduleRelease()
 	}
+	v.logAccepted(c, table, asOf, from)
 	v.configuration = c
 	v.table = table
 	v.prove(asOf) // a later proof of the previous configuration holds for this one too
 	return true
 }
 
+// logAccepted logs a configuration that is about to come into force, with the one in force until now. The caller
+// holds the lock, so that the lines are in the order in which configurations come into force.
+func (v *View) logAccepted(c Configuration, table *routing.Table, asOf time.Time, from string) {
+	versionBefore := int64(0)
+	if v.table != nil {
+		versionBefore = v.table.Version
+	}
+	v.o.Log.Info().Str("event", "config_accepted").Int64("revision", c.Revision).Int64("version", table.Version).
+		Int64("revision_before", v.configuration.Revision).Int64("version_before", versionBefore).
+		Int("routes", table.Routes()).Int("bytes", len(c.Content)).Dur("age", v.o.Now().Sub(asOf)).Str("from", from).Msg("")
+}
+
 // isNewer compares two configurations by version, then by position.
 func isNewer(version, position, otherVersion, otherPosition int64) bool {
 	return cmp.Or(cmp.Compare(version, otherVersion), cmp.Compare(position, otherPosition)) > 0
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -100,6 +100,20 @@
 	is.True(strings.Contains(line, `cause="the watch was silent"`))
 }
 
+// When a configuration comes into force, the log names the one before it, so that a version that goes back shows.
+func TestLogNamesTheConfigurationBefore(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	v := newVersionedView()
+	v.o.Log = telemetry.NewLogger(&out, "info", "a")
+	v.SetConfiguration(3, []byte("30"), time.Now())
+	v.SetConfiguration(5, []byte("50"), time.Now())
+	line := lastLine(out.String())
+	is.Equal(fieldOf(line, "event"), "config_accepted")
+	is.Equal([]string{fieldOf(line, "revision"), fieldOf(line, "revision_before")}, []string{"5", "3"})
+	is.Equal([]string{fieldOf(line, "version"), fieldOf(line, "version_before")}, []string{"50", "30"})
+}
+
 func lastLine(log string) string {
 	lines := strings.Split(strings.TrimSpace(log), "\n")
 	return lines[len(lines)-1]
