view: count received lists that are older than the one in use

What operators saw: nothing. An older list of upstreams, from the source or from a peer, was ignored without a trace, so that overtaking messages couldn't be told from none.

tacktally_lists_older_total counts them. To count and compare under one lock, MergeUpstreams no longer looks at the version of the list before it takes the lock; the roster ignored older lists before as well. A peer's empty list isn't counted.

TestOlderListsAreCounted failed: 0 in place of 2.

--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -8,6 +8,7 @@
 // SetUpstreams implements Sink. It sets the whole list as of a revision.
 func (v *View) SetUpstreams(list []Upstream, revision int64, asOf time.Time) {
 	v.updateList("source", func(r *roster, now time.Time) {
+		v.countOlder(revision)
 		r.replace(now, list, revision)
 		r.prove(revision, asOf)
 	})
@@ -33,10 +34,11 @@
 // the two are identical as far as is known. If it returns false, they differ though they have the
 // same version, and the differing chunks should be requested from the peer (see KnownState).
 func (v *View) MergeUpstreams(l List, peer string) (identical bool) {
-	if l.Version < v.ListVersion() || l.Version == 0 {
+	if l.Version == 0 {
 		return true
 	}
 	v.updateList("peer "+peer, func(r *roster, now time.Time) {
+		v.countOlder(l.Version)
 		r.merge(now, l)
 		if l.Version == r.version {
 			r.prove(r.complete, l.AsOf)
@@ -45,6 +47,13 @@
 	return v.compare(l, peer)
 }
 
+// countOlder counts a received list if it is older than the one in use. The caller holds the lock.
+func (v *View) countOlder(version int64) {
+	if version < v.upstreams.version {
+		v.o.Metrics.Count("tacktally_lists_older_total")
+	}
+}
+
 // compare records and reports whether the list is identical to the one that a peer sent.
 func (v *View) compare(l List, peer string) (identical bool) {
 	v.mu.Lock()
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -114,6 +114,19 @@
 	is.Equal([]string{fieldOf(line, "version"), fieldOf(line, "version_before")}, []string{"50", "30"})
 }
 
+// Lists that are older than the one in use are counted, from the source and from peers.
+func TestOlderListsAreCounted(t *testing.T) {
+	is := is.New(t)
+	v := newView(nil)
+	v.SetUpstreams([]Upstream{{ID: "a", Revision: 4}}, 4, time.Now())
+	v.SetUpstreams(nil, 3, time.Now())
+	v.MergeUpstreams(List{Version: 2}, "p")
+	v.MergeUpstreams(List{Version: 4}, "p")
+	v.MergeUpstreams(List{}, "p") // no list
+	is.Equal(v.o.Metrics.Value("tacktally_lists_older_total"), uint64(2))
+	is.Equal(v.ListCount(), 1)
+}
+
 func lastLine(log string) string {
 	lines := strings.Split(strings.TrimSpace(log), "\n")
 	return lines[len(lines)-1]
