view: pass configurations on in the order in which they come into force

What callers would see, by reading: services of an older configuration that stay in use at one instance until the next change, although its log shows the newer one. No run of real processes has shown it.

Cause: OnTable was called after the lock was released. Of two configurations that came into force at once, one from the source and one from a peer, the older one could be passed on last, so that the fleet got its services.

passOn takes turns and passes on what is in force when its turn comes. A configuration that was replaced before its turn is left out, and one that was passed on isn't again.

TestConfigurationsArePassedOnInOrder failed ([50 30] in place of [30 50]), and TestReplacedConfigurationIsNotPassedOn ([30 50 70] in place of [30 70]).

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -140,7 +140,8 @@
 	OnUpstreams func(ListChange)
 	// OnEvacuations is called with the evacuated zones after each change of them, one call at a time.
 	OnEvacuations func(zones []string)
-	// OnTable is called after a new configuration came into force.
+	// OnTable is called after a new configuration came into force, one call at a time and in the order of versions. One
+	// that was replaced before its turn is left out.
 	OnTable func(*routing.Table)
 	// Now returns the time by a clock that also advances while the machine is suspended; the default
 	// is boottime.Now.
@@ -167,6 +168,11 @@
 	everReached     bool
 	loggedMalformed map[string]bool      // errors of invalid entries that were logged
 	recheckedAt     map[string]time.Time // when the entries of upstreams that may leave were last read, by ID
+
+	// passing has capacity 1 and holds an element during a call of OnTable, and passedOn is the configuration of the last
+	// call. Only its holder uses passedOn.
+	passing  chan struct{}
+	passedOn *routing.Table
 }
 
 // Configuration is a published configuration as it is sent to peers.
@@ -180,7 +186,7 @@
 	if o.Now == nil {
 		o.Now = boottime.Now
 	}
-	return &View{o: o, upstreams: newRoster(o.SettlePeriod + o.LapseAfter)}
+	return &View{o: o, upstreams: newRoster(o.SettlePeriod + o.LapseAfter), passing: make(chan struct{}, 1)}
 }
 
 // Run follows the source until ctx ends.
@@ -266,9 +272,25 @@
 		return
 	}
 	v.o.Metrics.Count("tacktally_config_accepted_total")
-	if v.o.OnTable != nil {
-		v.o.OnTable(table)
+	v.passOn()
+}
+
+// passOn calls OnTable with the configuration in force, unless that was done. It blocks during calls of others, so
+// that an older configuration can't be passed on after a newer one.
+func (v *View) passOn() {
+	if v.o.OnTable == nil {
+		return
+	}
+	v.passing <- struct{}{}
+	defer func() { <-v.passing }()
+	v.mu.Lock()
+	table := v.table
+	v.mu.Unlock()
+	if table == v.passedOn {
+		return
 	}
+	v.passedOn = table
+	v.o.OnTable(table)
 }
 
 // confirm handles configurations that needn't be decoded: the one in force, older ones of its epoch,
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -114,6 +114,48 @@
 	is.Equal([]string{fieldOf(line, "version"), fieldOf(line, "version_before")}, []string{"50", "30"})
 }
 
+// Guards against services of an older configuration that stay in use, since two came into force at once and the newer
+// one was passed on first.
+func TestConfigurationsArePassedOnInOrder(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := newVersionedView()
+		var passed []int64
+		v.o.OnTable = func(table *routing.Table) {
+			if table.Version == 30 {
+				<-time.After(time.Second) // of the fake clock: the newer one comes meanwhile
+			}
+			passed = append(passed, table.Version)
+		}
+		go v.SetConfiguration(3, []byte("30"), time.Now())
+		synctest.Wait()
+		go v.MergeConfiguration(Configuration{Revision: 5, Content: []byte("50")}, time.Now(), "p")
+		<-time.After(2 * time.Second)
+		synctest.Wait()
+		is.Equal(passed, []int64{30, 50})
+	})
+}
+
+// Guards against a configuration that is passed on although a newer one has come into force before its turn.
+func TestReplacedConfigurationIsNotPassedOn(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := newVersionedView()
+		var passed []int64
+		v.o.OnTable = func(table *routing.Table) {
+			passed = append(passed, table.Version)
+			<-time.After(time.Second)
+		}
+		for n, content := range []string{"30", "50", "70"} {
+			go v.SetConfiguration(int64(n+1), []byte(content), time.Now())
+			synctest.Wait()
+		}
+		<-time.After(5 * time.Second)
+		synctest.Wait()
+		is.Equal(passed, []int64{30, 70})
+	})
+}
+
 // Lists that are older than the one in use are counted, from the source and from peers.
 func TestOlderListsAreCounted(t *testing.T) {
 	is := is.New(t)
