operatorapi: don't fail at a peer that has reported nothing yet

What operators saw: a list of resources that broke off without a response while a peer counted as reachable and its report wasn't known: right after it started, or, by reading, in a sparse mesh where this instance has no link to it.

Cause: Status embeds the peer's report as a pointer that is nil until then, and revisions read the revision through it.

Such a peer is left out of the instances, as unreachable ones are.

TestPeersWithoutAReportHaveNoRevision failed with a nil pointer dereference.

--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -202,7 +202,7 @@
 	st := s.instance.Status()
 	out := []InstanceRevision{{Address: st.Address, Revision: st.Revision, InForce: st.Revision >= wanted}}
 	for _, p := range st.Peers {
-		if p.Reachable {
+		if p.Reachable && p.Report != nil {
 			out = append(out, InstanceRevision{Address: p.Address, Revision: p.Revision, InForce: p.Revision >= wanted})
 		}
 	}
