quarantine: a check without an answer doesn't show a live upstream

Nothing that callers see changes yet. Diagnose returned Alive both for an upstream that accepts connections and for one that no check reached, as in a network partition. Neither is recorded as a crash, so it made no difference; for a response without a stated end it does: an upstream that wasn't reached may have terminated.

Unreached is a diagnosis of its own now. Its users treat it as Alive for the time being.

TestDiagnosisByConnectionChecks expected Alive of an upstream that doesn't respond, and now expects Unreached: the case tells apart what it counted as one. It doesn't compile without the change; with Alive returned in place of Unreached, that case fails.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -83,6 +83,6 @@
 	case quarantine.Inconclusive:
 		d.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", address).Int("neighbours", len(neighbours)).
 			Msg("no other upstream of the set accepts connections from this instance; not recorded as a crash")
-	case quarantine.Alive:
+	case quarantine.Alive, quarantine.Unreached:
 	}
 }
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -101,7 +101,7 @@
 	case quarantine.Inconclusive:
 		h.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", upstream).Int("neighbours", len(neighbours)).
 			Msg("no other upstream of its zone accepts connections from this instance; not recorded as a crash")
-	case quarantine.Alive:
+	case quarantine.Alive, quarantine.Unreached:
 	}
 }
 
--- a/internal/quarantine/diagnose.go
+++ b/internal/quarantine/diagnose.go
@@ -25,14 +25,15 @@
 type Diagnosis uint8
 
 const (
-	// Alive: the upstream accepts connections, or the check failed without a refusal, as in a
-	// network partition, and is no evidence of a crash.
+	// Alive: the upstream accepts connections.
 	Alive Diagnosis = iota
 	// Terminated: the upstream's process has terminated.
 	Terminated
 	// Inconclusive: the upstream and all checked neighbours refuse connections or don't accept
 	// them.
 	Inconclusive
+	// Unreached: the check failed without a refusal, as in a network partition, and is no evidence of a crash.
+	Unreached
 )
 
 // Diagnose checks whether the process of an upstream at which responses were lost has terminated. A
@@ -47,8 +48,10 @@
 		err = upstream(ctx)
 	}
 	switch {
-	case !errors.Is(err, syscall.ECONNREFUSED):
+	case err == nil:
 		return Alive
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return Unreached
 	case len(neighbours) == 0 || anyAccepts(ctx, neighbours):
 		return Terminated
 	default:
--- a/internal/quarantine/diagnose_test.go
+++ b/internal/quarantine/diagnose_test.go
@@ -29,7 +29,7 @@
 		want       Diagnosis
 	}{
 		"it accepts connections":                    {accepts, []ConnectionCheck{accepts}, Alive},
-		"it does not respond":                       {silent, []ConnectionCheck{accepts}, Alive},
+		"it does not respond":                       {silent, []ConnectionCheck{accepts}, Unreached},
 		"it refuses":                                {refuses, []ConnectionCheck{accepts}, Terminated},
 		"it refuses, and so does one of two others": {refuses, []ConnectionCheck{refuses, accepts}, Terminated},
 		"it refuses, and there are no others":       {refuses, nil, Terminated},
