quarantine: diagnose an upstream without the second check's delay

DiagnoseNow checks once what Diagnose checks again after 100 ms. It is for the ends of responses of which a caller has nothing yet and which can be repeated, where a delay costs more than a process that is just about to close its port and counts as alive. It has no user in this commit, and no test of its own; Diagnose does what it did.

--- a/internal/quarantine/diagnose.go
+++ b/internal/quarantine/diagnose.go
@@ -47,6 +47,16 @@
 		wait.For(ctx, recheckDelay)
 		err = upstream(ctx)
 	}
+	return diagnosisOf(ctx, err, neighbours)
+}
+
+// DiagnoseNow is Diagnose without the delay: a process that is about to close its port may count as alive.
+func DiagnoseNow(ctx context.Context, upstream ConnectionCheck, neighbours []ConnectionCheck) Diagnosis {
+	return diagnosisOf(ctx, upstream(ctx), neighbours)
+}
+
+// diagnosisOf returns the diagnosis by the result of the last connection check of the upstream.
+func diagnosisOf(ctx context.Context, err error, neighbours []ConnectionCheck) Diagnosis {
 	switch {
 	case err == nil:
 		return Alive
