view: evacuations aren't known across changes that a watch has missed

What callers would see: requests to a zone that is evacuated, at one instance and, by reading, then at others, as peers prefer the higher revision, until the evacuations are read again.

Cause: a watch that can't go on (its revision was compacted) is followed by a new series, which begins after the list of upstreams was read again. The evacuations aren't part of that read. The changes of the new series were applied to the evacuations from before the gap, and the result was stated as known up to the newest revision, without what began or ended in between.

ApplyZoneChanges is told the revision after which the changes are complete.

Sinks have a new parameter and result there; the tests that call it state the revision that they had implied, and assert what they did.

--- a/internal/view/evacuations.go
+++ b/internal/view/evacuations.go
@@ -68,14 +68,16 @@
 	v.receiveEvacuations(Evacuations{Version: revision, Zones: zones}, "source")
 }
 
-// ApplyZoneChanges implements Sink. It applies changes in order, which are complete up to a
-// revision. Changes at or before the known version are ignored.
-func (v *View) ApplyZoneChanges(changes []ZoneChange, complete int64) {
+// ApplyZoneChanges implements Sink. It applies changes in order, which are complete after one revision and up to
+// another. Changes at or before the known version are ignored, and so are all if the known version is before the former
+// revision: others may be missing in between.
+func (v *View) ApplyZoneChanges(changes []ZoneChange, after, complete int64) (known bool) {
 	v.mu.Lock()
 	e := &v.evacuations
-	if e.version == 0 || complete <= e.version {
+	if e.version == 0 || e.version < after || complete <= e.version {
+		known = e.version > 0 && complete <= e.version
 		v.mu.Unlock()
-		return
+		return known
 	}
 	zones := slices.Clone(e.published)
 	for _, c := range changes {
@@ -92,6 +94,7 @@
 	}
 	v.mu.Unlock()
 	v.receiveEvacuations(Evacuations{Version: complete, Zones: zones}, "source")
+	return true
 }
 
 // MergeEvacuations merges the evacuations that a peer sent, where they are newer.
--- a/internal/view/evacuations_test.go
+++ b/internal/view/evacuations_test.go
@@ -29,7 +29,7 @@
 	is := is.New(t)
 	v := newView(nil)
 	v.evacuations = evacuations{}
-	v.ApplyZoneChanges([]ZoneChange{{Zone: "bole", Evacuated: true, Revision: 4}}, 4)
+	v.ApplyZoneChanges([]ZoneChange{{Zone: "bole", Evacuated: true, Revision: 4}}, 3, 4)
 	is.Equal(v.CurrentEvacuations().Version, int64(0))
 }
 
@@ -68,7 +68,7 @@
 					continue
 				}
 				received = history[until]
-				v.ApplyZoneChanges(changes[watched:until], received.Version)
+				v.ApplyZoneChanges(changes[watched:until], history[watched].Version, received.Version)
 				watched = until
 			}
 			highest = max(highest, received.Version)
--- a/internal/view/restored_test.go
+++ b/internal/view/restored_test.go
@@ -135,8 +135,8 @@
 	}{
 		"nothing":                          {func(*View) {}, both, []string{"piassa"}},
 		"it is published again":            {func(v *View) { v.SetEvacuations(both, in(2, 22)) }, both, both},
-		"it is lifted":                     {func(v *View) { v.ApplyZoneChanges([]ZoneChange{{"bole", false, in(2, 22)}}, in(2, 22)) }, []string{"piassa"}, []string{"piassa"}},
-		"another one is lifted":            {func(v *View) { v.ApplyZoneChanges([]ZoneChange{{"piassa", false, in(2, 22)}}, in(2, 22)) }, []string{"bole"}, nil},
+		"it is lifted":                     {func(v *View) { v.ApplyZoneChanges([]ZoneChange{{"bole", false, in(2, 22)}}, in(2, 21), in(2, 22)) }, []string{"piassa"}, []string{"piassa"}},
+		"another one is lifted":            {func(v *View) { v.ApplyZoneChanges([]ZoneChange{{"piassa", false, in(2, 22)}}, in(2, 21), in(2, 22)) }, []string{"bole"}, nil},
 		"it is published again and lifted": {func(v *View) { v.SetEvacuations(both, in(2, 22)); v.SetEvacuations(nil, in(2, 23)) }, nil, nil},
 		"a second restore":                 {func(v *View) { v.SetEvacuations(nil, in(3, 5)) }, both, nil},
 		"a partitioned peer knows of a third": {func(v *View) {
@@ -146,7 +146,7 @@
 			v.MergeEvacuations(Evacuations{Version: in(1, 30), Zones: []string{"merkato"}}, "p")
 		}, both, []string{"piassa"}},
 		"a peer holds it once it is lifted": {func(v *View) {
-			v.ApplyZoneChanges([]ZoneChange{{"bole", false, in(2, 22)}}, in(2, 22))
+			v.ApplyZoneChanges([]ZoneChange{{"bole", false, in(2, 22)}}, in(2, 21), in(2, 22))
 			v.MergeEvacuations(Evacuations{Version: in(2, 21), Zones: both, Retained: map[string]time.Duration{"bole": time.Hour}}, "p")
 		}, []string{"piassa"}, []string{"piassa"}},
 	} {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -50,8 +50,9 @@
 	// revision. It is called before SetConfiguration with the same read, so that an instance that has
 	// a configuration knows the evacuations as of the same time.
 	SetEvacuations(zones []string, revision int64)
-	// ApplyZoneChanges applies the beginnings and ends of evacuations since, in order, up to a revision.
-	ApplyZoneChanges(changes []ZoneChange, revision int64)
+	// ApplyZoneChanges applies the beginnings and ends of evacuations after one revision and up to another, in order. It
+	// reports whether the evacuations are known up to the latter: not if those up to the former weren't.
+	ApplyZoneChanges(changes []ZoneChange, after, revision int64) (known bool)
 	// SourceReached and SourceUnreachable report whether the source responds.
 	SourceReached()
 	SourceUnreachable(reading string, err error)
