relay: test the bound of a search in virtual time

TestSearchAmongPeersWithoutPathIsBounded was wrong: it allowed each of 150 peers to be asked once in three searches.

Client has a field for the function that asks a peer, which tests replace.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -70,6 +70,8 @@
 // Client opens connections to upstreams through peers. It is safe for concurrent use.
 type Client struct {
 	o ClientOptions
+	// askPeer is ask; tests replace it.
+	askPeer func(ctx context.Context, peer, upstream string) dialed
 
 	// searches limits the peers that are asked beyond alwaysAsked.
 	searches *rate.Limiter
@@ -91,7 +93,9 @@
 	if o.OnReply == nil {
 		o.OnReply = func(string, Reply) {}
 	}
-	return &Client{o: o, searches: rate.NewLimiter(searchesPerSecond, searchesPerSecond), avoided: map[string]time.Time{}, refused: map[refusal]time.Time{}}
+	c := &Client{o: o, searches: rate.NewLimiter(searchesPerSecond, searchesPerSecond), avoided: map[string]time.Time{}, refused: map[refusal]time.Time{}}
+	c.askPeer = c.ask
+	return c
 }
 
 // Dial opens a connection to an upstream through a peer. It asks the next peer when one refuses or doesn't
@@ -223,7 +227,7 @@
 
 // dialThrough opens a connection to an upstream through one peer, and remembers why the peer refused.
 func (c *Client) dialThrough(ctx context.Context, peer, upstream string) dialed {
-	d := c.ask(ctx, peer, upstream)
+	d := c.askPeer(ctx, peer, upstream)
 	if d.reply == NoReply && ctx.Err() != nil {
 		return d // given up
 	}
