relay: test that no byte is missing before an orderly end

A caller that reads later than its upstream sends, 4 MiB over a relayed connection, has all bytes before an end in order, or an error after a prefix of them: closed, half-closed or reset by the upstream, or its relay gone.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -128,6 +128,47 @@
 	}
 }
 
+// Guards against bytes that are lost at the end of a connection whose caller reads later than its upstream sends, where the
+// end looks like one in order.
+func TestNoByteIsMissingBeforeAnOrderlyEnd(t *testing.T) {
+	sent := strings.Repeat("0123456789abcdef", 1<<18) // more than the sockets hold
+	for name, test := range map[string]struct {
+		end     func(p *pair, upstream net.Conn)
+		inOrder bool
+	}{
+		"closed by the upstream":      {func(_ *pair, upstream net.Conn) { _ = upstream.Close() }, true},
+		"half-closed by the upstream": {func(_ *pair, upstream net.Conn) { _ = upstream.(*net.TCPConn).CloseWrite() }, true},
+		"reset by the upstream":       {func(_ *pair, upstream net.Conn) { reset(upstream) }, false},
+		"relay gone":                  {func(p *pair, _ net.Conn) { p.server.Drain(ended()) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t)
+			conn, upstream := p.dial(t)
+			go func() { // blocks until the caller reads, unless the connection ends before
+				_, _ = io.WriteString(upstream, sent)
+				if test.inOrder {
+					test.end(p, upstream)
+				}
+			}()
+			half := make([]byte, len(sent)/2)
+			_, err := io.ReadFull(conn, half)
+			is.NoErr(err)
+			if !test.inOrder {
+				test.end(p, upstream)
+			}
+			rest, err := io.ReadAll(conn)
+			is.True(strings.HasPrefix(sent, string(half)+string(rest)))
+			if test.inOrder {
+				is.NoErr(err)
+				is.Equal(len(half)+len(rest), len(sent))
+			} else {
+				is.True(err != nil && !errors.Is(err, io.EOF))
+			}
+		})
+	}
+}
+
 // The upstream must not go on with a request whose caller has left.
 func TestCloseReachesTheUpstream(t *testing.T) {
 	is := is.New(t)
