relay: tell that the upstream refuses connections of a peer

What callers saw, by reading: at an instance that reaches an upstream through peers only, the end of its process wasn't diagnosed. Its responses without a stated end could look complete, and requests that crash upstreams weren't suspected.

Cause: a diagnosis needs ECONNREFUSED, and a peer whose connection was refused replied the same as one that got no answer.

Refused is a reply of its own. Dial's error wraps ECONNREFUSED too if all peers that can judge the upstream were refused; one that reaches nothing, or is isolated, can't. If the search was cut short, the error doesn't wrap it. Refused has the status of Unreachable (502), by which instances of an earlier version take it for that; a mixed fleet wasn't run.

How instances use the error isn't part of this commit.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -29,6 +29,8 @@
 	ErrUpstreamUnreachable = errors.New("a peer can't reach the upstream either")
 	// ErrLost means that a relayed connection ended because of the relaying peer or the path to it.
 	ErrLost = errors.New("the relaying peer was lost")
+	// errRefused means that the upstream refuses connections of peers that reach others.
+	errRefused = fmt.Errorf("%w: %w", ErrUpstreamUnreachable, syscall.ECONNREFUSED)
 	// errUpstreamBroken means that the upstream has reset a relayed connection.
 	errUpstreamBroken = errors.New("the upstream broke the connection")
 )
@@ -101,7 +103,8 @@
 // Dial opens a connection to an upstream through a peer. It asks the next peer when one refuses or doesn't
 // reply soon, and more of them at once the more have refused. It blocks until a connection is established, no
 // peer is left, or ctx ends. The error wraps ErrUpstreamUnreachable if a peer said so, and ErrNoRelay
-// otherwise; it names the peers and their replies.
+// otherwise; it names the peers and their replies. It wraps syscall.ECONNREFUSED too if all peers that said so were
+// refused the connection.
 func (c *Client) Dial(ctx context.Context, upstream string) (net.Conn, error) {
 	s := &search{client: c, upstream: upstream, peers: c.candidates(time.Now(), upstream), parallel: 1}
 	s.results = make(chan dialed, len(s.peers))
@@ -136,9 +139,10 @@
 	started, ended int
 	// parallel is how many may be asked at the same time.
 	parallel int
-	// unreachable and unknown are how many said so of the upstream.
-	unreachable, unknown int
-	replies              []string
+	// unreachable and unknown are how many said so of the upstream, and refused how many of the former were
+	// refused a connection.
+	unreachable, unknown, refused int
+	replies                       []string
 }
 
 // askNext asks as many of the next peers as may be asked now.
@@ -166,6 +170,9 @@
 	switch d.reply {
 	case Unreachable:
 		s.unreachable++
+	case Refused:
+		s.unreachable++
+		s.refused++
 	case Unknown:
 		s.unknown++
 	default:
@@ -176,7 +183,10 @@
 // failure returns the error of a search that has found no peer, or was ended by cause.
 func (s *search) failure(cause error) error {
 	failed := ErrNoRelay
-	if s.unreachable > 0 {
+	switch {
+	case s.refused > 0 && s.refused == s.unreachable && cause == nil: // otherwise a peer that wasn't asked might reach it
+		failed = errRefused
+	case s.unreachable > 0:
 		failed = ErrUpstreamUnreachable
 	}
 	asked := cmp.Or(strings.Join(s.replies, ", "), "none")
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -182,6 +184,40 @@
 	is.True(err != nil)
 }
 
+// Guards against a terminated upstream that isn't known as such, and one that lives and is taken for terminated: it
+// refuses connections only if each peer that can judge it says so, and such a peer reaches others.
+func TestRefusalByTheUpstreamIsTold(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	for name, test := range map[string]struct {
+		dialErrs []error // of the peers, in order
+		refused  bool
+	}{
+		"one peer, refused":                      {[]error{refused}, true},
+		"one peer, silent":                       {[]error{errors.New("time-out")}, false},
+		"one peer that reaches none":             {[]error{fmt.Errorf("%w: %w", ErrNoPath, refused)}, false},
+		"one peer that is isolated":              {[]error{fmt.Errorf("%w: %w", ErrIsolated, refused)}, false},
+		"two peers, refused":                     {[]error{refused, refused}, true},
+		"two peers, one refused and one silent":  {[]error{refused, errors.New("time-out")}, false},
+		"two peers, one refused and one no path": {[]error{refused, ErrNoPath}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var peers []string
+			var last *pair
+			for _, err := range test.dialErrs {
+				last = newPair(t)
+				last.dialErr = err
+				peers = append(peers, last.client.o.Peers("")[0])
+			}
+			last.client.o.Peers = func(string) []string { return peers }
+			_, err := last.client.Dial(context.Background(), "i-1")
+			is.True(err != nil)
+			is.Equal(errors.Is(err, syscall.ECONNREFUSED), test.refused)
+			is.True(!test.refused || errors.Is(err, ErrUpstreamUnreachable))
+		})
+	}
+}
+
 // What a failed dial says about the upstream depends on what the peer knows.
 func TestRefusals(t *testing.T) {
 	for name, test := range map[string]struct{ dialErr, want error }{
--- a/internal/relay/reply.go
+++ b/internal/relay/reply.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"syscall"
 )
 
 // Reply is how a peer replied to a request to relay a connection.
@@ -18,6 +19,8 @@
 	NoPath Reply = "no_path"
 	// Unreachable: the peer reaches other upstreams, but not this one.
 	Unreachable Reply = "unreachable"
+	// Refused: the peer reaches other upstreams, and this one refuses connections.
+	Refused Reply = "refused"
 	// Unknown: the peer doesn't know the upstream, or may not send to it.
 	Unknown Reply = "unknown"
 	// Busy: the peer relays as many connections as it may.
@@ -42,17 +45,19 @@
 		return Isolated
 	case errors.Is(err, ErrNoPath):
 		return NoPath
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
 	default:
 		return Unreachable
 	}
 }
 
-// status returns the HTTP status of a refusal.
+// status returns the HTTP status of a refusal. By it an instance of an earlier version takes Refused for Unreachable.
 func (r Reply) status() int {
 	switch r {
 	case Unknown:
 		return http.StatusNotFound
-	case Unreachable:
+	case Unreachable, Refused:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
@@ -62,7 +67,7 @@
 // replyOf returns the refusal that a response states.
 func replyOf(response *http.Response) Reply {
 	switch stated := Reply(response.Header.Get(refusalHeader)); stated {
-	case Isolated, NoPath, Unreachable, Unknown, Busy, Draining:
+	case Isolated, NoPath, Unreachable, Refused, Unknown, Busy, Draining:
 		return stated
 	}
 	switch response.StatusCode {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -88,7 +88,7 @@
 }
 
 // ServeHTTP implements http.Handler. It blocks until the relayed connection has ended. A refusal states its
-// reason in a header, and by its status: 404 for Unknown, 502 for Unreachable, and 503 for all others.
+// reason in a header, and by its status: 404 for Unknown, 502 for Unreachable and Refused, and 503 for all others.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &relayed{lastData: time.Now()}
 	if refusal := s.admit(c); refusal != "" {
