relay: don't close a connection that waits for a response as quiet

What callers saw, by reading: a request through a peer that shut down failed if its upstream took longer than a second to its first byte.

Cause: a server that drains closes connections that have carried nothing for a second, which it takes for idle ones between two requests. A connection whose request was sent, and whose response hasn't begun, carries nothing as well.

A connection whose last data went to the upstream isn't quiet now, until a part of the response has come. The time for which Drain is called still bounds it. A pause of more than a second within a response still counts as quiet.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -28,7 +28,8 @@
 	copyBufferBytes = 16 << 10
 	// closeTimeout bounds the time to tell the peer how the connection ended.
 	closeTimeout = time.Second
-	// quietFor is how long a connection must carry nothing until a Server that drains closes it.
+	// quietFor is how long a connection must carry nothing after a part of a response, or before a request, until
+	// a Server that drains closes it.
 	quietFor = time.Second
 	// drainPollInterval is how often a Server that drains looks for quiet connections.
 	drainPollInterval = 50 * time.Millisecond
@@ -70,8 +71,18 @@
 
 	mu       sync.Mutex
 	lastData time.Time
+	// awaitsResponse reports whether the last data was a part of a request.
+	awaitsResponse bool
 }
 
+// direction is that in which a relayed connection carries data.
+type direction bool
+
+const (
+	toUpstream direction = true
+	toPeer     direction = false
+)
+
 // NewServer returns a server that relays nothing yet.
 func NewServer(o ServerOptions) *Server {
 	return &Server{o: o, open: map[*relayed]struct{}{}}
@@ -133,7 +144,7 @@
 	delete(s.open, c)
 }
 
-// Drain refuses new connections and closes those that are quiet. It blocks until none is left, or ctx
+// Drain refuses new connections and closes those that are quiet: those that wait for a response aren't. It blocks until none is left, or ctx
 // ends; then it breaks the remaining ones.
 func (s *Server) Drain(ctx context.Context) {
 	s.mu.Lock()
@@ -164,7 +175,14 @@
 func (c *relayed) isQuiet(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.lastData) >= quietFor
+	return !c.awaitsResponse && now.Sub(c.lastData) >= quietFor
+}
+
+// record records that data is carried.
+func (c *relayed) record(d direction, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastData, c.awaitsResponse = now, d == toUpstream
 }
 
 // run copies bytes in both directions until either side ends.
@@ -173,10 +191,10 @@
 	defer cancel()
 	peer := websocket.NetConn(ctx, c.peer, websocket.MessageBinary)
 	go func() {
-		_, _ = io.CopyBuffer(observed{c, c.upstream}, onlyReader{peer}, make([]byte, copyBufferBytes))
+		_, _ = io.CopyBuffer(observed{c, toUpstream, c.upstream}, onlyReader{peer}, make([]byte, copyBufferBytes))
 		reset(c.upstream) // the peer has given up; ends the other direction
 	}()
-	_, err := io.CopyBuffer(observed{c, peer}, onlyReader{c.upstream}, make([]byte, copyBufferBytes))
+	_, err := io.CopyBuffer(observed{c, toPeer, peer}, onlyReader{c.upstream}, make([]byte, copyBufferBytes))
 	status := websocket.StatusNormalClosure
 	if err != nil {
 		status = statusUpstreamBroken
@@ -186,16 +204,15 @@
 	_ = c.peer.Close(status, "") // if the peer is gone, nobody waits for it
 }
 
-// observed records when data was written.
+// observed records when data was written, and in which direction.
 type observed struct {
-	c *relayed
+	c         *relayed
+	direction direction
 	io.Writer
 }
 
 func (o observed) Write(b []byte) (int, error) {
-	o.c.mu.Lock()
-	o.c.lastData = time.Now()
-	o.c.mu.Unlock()
+	o.c.record(o.direction, time.Now())
 	return o.Writer.Write(b)
 }
 
