proxy: close a caller's connection in order only after the whole response was sent

What callers saw: a response that ends with its connection, of an instance that was killed right before it sent the last bytes, ended in order and so looked complete.

Cause: the connection was set to be closed in order before the response's last bytes were flushed; the kernel then closes it so for a killed process.

Now the response is flushed first. TestConnectionIsClosedInOrderOnlyAfterTheWholeResponse failed in 2 of its 4 cases, those of bodies; streams are flushed anyway.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -332,13 +332,21 @@
 	}
 	j.record(p)
 	if p == nil && j.endsByClose {
-		listen.CallerConnOf(j.request.Context()).CloseInOrder()
+		j.closeInOrder()
 	}
 	if p != nil && j.responseStarted {
 		panic(http.ErrAbortHandler) // closes the connection, so that the response doesn't look complete
 	}
 }
 
+// closeInOrder makes the end of the caller's connection an orderly one, after the whole response was sent: the kernel
+// would end it so even if this process were killed before that. It blocks until the response is sent.
+func (j *job) closeInOrder() {
+	if http.NewResponseController(j.w).Flush() == nil { // otherwise the caller is gone
+		listen.CallerConnOf(j.request.Context()).CloseInOrder()
+	}
+}
+
 func (j *job) record(p *api.Problem) {
 	h := j.handler
 	took := time.Since(j.arrived)
