proxy: send what was relayed of a response before its connection is broken off

What callers saw: the last events before a stream broke off were missing, and sometimes the whole response: they were still buffered. A caller could only resume from further back.

Now they are sent first, for 100 ms at most; a reset of the connection may still overtake them. Two cases of TestEventsWhoseIDsDontIncreaseAreNotDropped need it: without it the caller has no response.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -35,6 +35,8 @@
 	// responseMargin is how long before its timeout a request is given up, so that the response
 	// still reaches the caller in time.
 	responseMargin = 20 * time.Millisecond
+	// brokenFlushTimeout bounds the sending of the last relayed bytes of a response that has broken off.
+	brokenFlushTimeout = 100 * time.Millisecond
 )
 
 // Options configure a Handler.
@@ -335,6 +337,7 @@
 		j.closeInOrder()
 	}
 	if p != nil && j.responseStarted {
+		j.flushBroken()
 		panic(http.ErrAbortHandler) // closes the connection, so that the response doesn't look complete
 	}
 }
@@ -347,6 +350,15 @@
 	}
 }
 
+// flushBroken sends what was relayed of a response that has broken off. A reset of the connection may still overtake it. It
+// blocks for at most brokenFlushTimeout.
+func (j *job) flushBroken() {
+	control := http.NewResponseController(j.w)
+	if control.SetWriteDeadline(time.Now().Add(brokenFlushTimeout)) == nil {
+		_ = control.Flush() // the caller may be gone
+	}
+}
+
 func (j *job) record(p *api.Problem) {
 	h := j.handler
 	took := time.Since(j.arrived)
