--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -131,7 +131,7 @@
 		failedUpstream = g.Upstream()
 		j.handler.o.Metrics.Retried(reason)
 		j.handler.o.Log.Info().Str("event", "retry").Str("request", j.info.ID).Str("reason", string(reason)).
-			Str("upstream", failedUpstream).Int("attempts", j.attempts).Str("after", j.lastEventID).Str("cause", fmt.Sprint(r.err)).Msg("")
+			Str("upstream", failedUpstream).Int("attempts", j.attempts).Str("after", j.position.lastID).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
 
@@ -221,7 +221,7 @@
 // mayAttemptAgain reports whether the request may be sent to one more upstream. Once a part of the
 // response was relayed, only a stream can be resumed.
 func (j *job) mayAttemptAgain() bool {
-	return j.attempts < j.route.MaxAttempts && (!j.responseStarted || j.lastEventID != "")
+	return j.attempts < j.route.MaxAttempts && (!j.responseStarted || j.position.mayResume())
 }
 
 // reportResult reports the result of an attempt to the scheduler and releases the slot.
@@ -234,7 +234,7 @@
 	j.recordCrashEvidence(r)
 	if r.status != completed {
 		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.info.ID).Str("key", j.identity.Key.String()).Strs("segments", j.segmentNames()).Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Bool("via_peer", j.viaPeer).
-			Bool("head_sent", j.responseStarted).Int64("first_event", j.relayed.first).Int64("last_event", j.relayed.last).Int("skipped", j.relayed.skipped).Str("upstream", g.Upstream()).
+			Bool("head_sent", j.responseStarted).Int64("first_event", j.position.run.first).Int64("last_event", j.position.run.last).Int("skipped", j.position.skipped).Str("upstream", g.Upstream()).
 			Str("owner", g.Owner()).Int64("owner_list", g.ListVersion()).Int64("list", j.versions.own).Dur("list_age", j.versions.age).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -129,7 +129,7 @@
 	mayHaveRun       bool
 	responseStarted  bool                        // a part of a response was relayed
 	endsByClose      bool                        // the response that is relayed ends with the caller's connection
-	lastEventID      string                      // ID of the last event that the caller has
+	position         streamPosition              // what the caller has of a stream
 	events           int                         // events in the last response
 	framing          exchange.Framing            // framing of the last response
 	origin           scheduler.VersionConstraint // version that began the stream; not restricted before its first event
@@ -137,7 +137,6 @@
 	softwareVersions []string                    // of the upstreams whose events were relayed, by this instance's list
 	reused           bool                        // the last response came on a connection that had served another exchange
 	viaPeer          bool                        // the last response came on a connection through a peer
-	relayed          relayedEvents               // events of a stream
 	sentAfter        time.Duration               // from arrival to the last attempt
 	sentAt           time.Time                   // when the last attempt was sent
 	respondedAt      time.Time                   // when the header of its response arrived
@@ -152,7 +151,7 @@
 	if j.info, err = j.handler.o.Protocol.ParseRequest(j.request); err != nil {
 		return api.Refuse(api.ReasonInvalidRequest, "%v", err)
 	}
-	j.lastEventID = j.info.LastEventID
+	j.position = newStreamPosition(j.info.LastEventID)
 	j.table, j.configAge = j.handler.o.View.Table()
 	if j.table == nil {
 		return api.Refuse(api.ReasonNoConfiguration, "no configuration has been received yet; retry shortly").WithRetryAfter(fleet.ShortRetryAfter)
@@ -387,10 +386,10 @@
 	event.Strs("segments", j.segmentNames()).Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.versions.owner).Int64("list", j.versions.own).
 		Dur("list_age", j.versions.age).Int("prompt", j.info.PromptTokens).Dur("timeout", j.info.Timeout).Dur("sent_after", j.sentAfter).Dur("first_after", j.firstAfter).
-		Int("events", j.events).Int64("first_event", j.relayed.first).Str("last_event", j.lastEventID).Int("skipped", j.relayed.skipped).Int("unnumbered", j.relayed.unnumbered).
+		Int("events", j.events).Int64("first_event", j.position.run.first).Str("last_event", j.position.lastID).Int("skipped", j.position.skipped).Int("unnumbered", j.position.unnumbered).
 		Str("framing", j.framing.String()).Bool("reused", j.reused).Bool("via_peer", j.viaPeer).Strs("software_versions", j.softwareVersions).Str("after", j.info.LastEventID).Str("origin", j.info.OriginID).Dur("took", took).Msg("")
-	h.o.Metrics.Add("tacktally_stream_events_skipped_total", j.relayed.skipped)
-	h.o.Metrics.Add("tacktally_stream_events_unnumbered_total", j.relayed.unnumbered)
+	h.o.Metrics.Add("tacktally_stream_events_skipped_total", j.position.skipped)
+	h.o.Metrics.Add("tacktally_stream_events_unnumbered_total", j.position.unnumbered)
 	h.o.Metrics.Ended(j.kind(), outcome, took)
 }
 
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -34,7 +34,7 @@
 		return rand.Float64()
 	}
 	first := j.info.ID
-	if j.lastEventID != "" {
+	if j.position.lastID != "" {
 		first = j.info.OriginID
 	}
 	const bits = 53 // of the mantissa
@@ -44,7 +44,7 @@
 // findOrigin restricts a request that resumes a stream to upstreams of the service and the version that began it. What two
 // of them write doesn't fit together, so that nothing is assumed if they aren't known.
 func (j *job) findOrigin() *api.Problem {
-	if j.route.Kind != routing.Stream || !j.route.Resumable || j.lastEventID == "" { // any other run is new
+	if j.route.Kind != routing.Stream || !j.route.Resumable || j.position.lastID == "" { // any other run is new
 		return nil
 	}
 	if j.info.OriginID == "" && j.route.IsSplit() {
--- /dev/null
+++ b/internal/proxy/position.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"strconv"
+
+	"github.com/tacktally/tacktally/internal/sse"
+)
+
+// streamPosition is what the caller has of a stream, over all attempts of its request. An attempt brings a run
+// of the stream.
+type streamPosition struct {
+	// lastID is the ID of the last event that the caller has, by its request or since relayed; empty if it
+	// has none. Last is its number, if it is one.
+	lastID   string
+	last     int64
+	numbered bool
+	// skipped counts events that weren't relayed since the caller has them, unnumbered those that were
+	// relayed without an ID.
+	skipped, unnumbered int
+	run                 streamRun
+}
+
+// streamRun is what the last attempt has brought of a stream.
+type streamRun struct {
+	// numbered reports whether an event with an ID has come; first and last are the IDs of the first and the last one.
+	numbered    bool
+	first, last int64
+}
+
+// newStreamPosition returns the position of a caller that has the events up to lastEventID; none if it is empty.
+func newStreamPosition(lastEventID string) streamPosition {
+	p := streamPosition{lastID: lastEventID}
+	if last, err := strconv.ParseInt(lastEventID, 10, 64); err == nil {
+		p.last, p.numbered = last, true
+	}
+	return p
+}
+
+// beginRun is called when an attempt begins.
+func (p *streamPosition) beginRun() { p.run = streamRun{} }
+
+// mayResume reports whether another run may go on after the last event that the caller has.
+func (p *streamPosition) mayResume() bool { return p.lastID != "" }
+
+// mayBeComplete reports whether a run without an event can be complete: one that goes on after the caller's last event.
+func (p *streamPosition) mayBeComplete() bool { return p.lastID != "" }
+
+// place returns what of the current run is to be relayed when an event has come: nothing if the caller has it
+// already.
+func (p *streamPosition) place(event []byte) ([]byte, error) {
+	id, numbered := sse.ID(event)
+	if !numbered {
+		p.unnumbered++
+		return event, nil
+	}
+	run := &p.run
+	run.last = id
+	if !run.numbered {
+		run.numbered, run.first = true, id
+	}
+	if p.numbered && id <= p.last {
+		p.skipped++
+		return nil, nil
+	}
+	p.last, p.numbered, p.lastID = id, true, strconv.FormatInt(id, 10)
+	return event, nil
+}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -61,6 +61,7 @@
 
 // attempt sends the request to the granted upstream and relays the response.
 func (j *job) attempt(ctx context.Context, g fleet.Grant) attemptResult {
+	j.position.beginRun()
 	age, _ := j.handler.o.View.ListAge()
 	j.versions = listVersions{owner: g.ListVersion(), own: j.handler.o.View.ListVersion(), age: age}
 	if err := j.handler.o.Fleet.CheckUsable(g.Upstream()); err != nil {
@@ -81,7 +82,6 @@
 	defer silence.stop()
 	j.attempts++
 	j.events, j.framing, j.reused, j.viaPeer = 0, exchange.NoResponse, false, false
-	j.relayed.first, j.relayed.last = 0, 0
 	j.upstream = g.Upstream()
 	j.owner = g.Owner()
 	j.sentAfter = time.Since(j.arrived)
@@ -117,7 +117,7 @@
 func (j *job) exchangeRequest(g fleet.Grant, process string, remaining time.Duration) *exchange.Request {
 	header := j.header.Clone()
 	p := j.handler.o.Protocol
-	p.SetAttemptHeaders(header, Attempt{Upstream: g.Upstream(), Organisation: j.organisationName(), Remaining: remaining, LastEventID: j.lastEventID})
+	p.SetAttemptHeaders(header, Attempt{Upstream: g.Upstream(), Organisation: j.organisationName(), Remaining: remaining, LastEventID: j.position.lastID})
 	return &exchange.Request{
 		Method:     j.request.Method,
 		Target:     j.target(),
@@ -340,7 +340,7 @@
 		return nil
 	case sse.IsPartial(event):
 		return errPartialEvent
-	case !started && r.job.lastEventID == "": // one that is resumed may have nothing more
+	case !started && !r.job.position.mayBeComplete():
 		return errNoEvent
 	default:
 		return nil
@@ -349,47 +349,31 @@
 
 // relayEvent relays one event, unless the caller has received it already.
 func (r *relay) relayEvent(event []byte) attemptResult {
-	id, numbered := sse.ID(event)
-	r.job.relayed.count(id, numbered)
-	if numbered && r.alreadyRelayed(id) {
-		r.job.relayed.skipped++
+	return r.relayIfPlaced(r.job.position.place(event))
+}
+
+// relayIfPlaced relays what the position has placed in the stream, unless the run doesn't fit there.
+func (r *relay) relayIfPlaced(placed []byte, err error) attemptResult {
+	if err != nil {
+		r.job.handler.o.Metrics.Count("tacktally_stream_runs_misplaced_total")
+		return r.brokenResult(err)
+	}
+	return r.relayPlaced(placed)
+}
+
+// relayPlaced relays what the position has placed in the stream, if anything.
+func (r *relay) relayPlaced(placed []byte) attemptResult {
+	if len(placed) == 0 {
 		return attemptResult{status: completed}
 	}
 	r.writeHeadOnce()
-	if result := r.job.write(event); result.status != completed {
+	if result := r.job.write(placed); result.status != completed {
 		return result
 	}
 	r.job.recordOrigin()
-	if numbered {
-		r.job.lastEventID = strconv.FormatInt(id, 10)
-	}
 	return attemptResult{status: completed}
 }
 
-// relayedEvents counts the events of a request's runs, for logs and metrics.
-type relayedEvents struct {
-	// first and last are the IDs of the first and the last event of the last attempt.
-	first, last int64
-	// skipped counts events that weren't relayed since the caller has them, unnumbered those without an ID.
-	skipped, unnumbered int
-}
-
-func (e *relayedEvents) count(id int64, numbered bool) {
-	if !numbered {
-		e.unnumbered++
-		return
-	}
-	if e.first == 0 {
-		e.first = id
-	}
-	e.last = id
-}
-
-func (r *relay) alreadyRelayed(id int64) bool {
-	last, err := strconv.ParseInt(r.job.lastEventID, 10, 64)
-	return err == nil && id <= last // no number: nothing was relayed yet
-}
-
 // writeHeadOnce relays the head of a stream, unless a head was relayed before.
 func (r *relay) writeHeadOnce() {
 	if !r.job.responseStarted {
