proxy: relay a new run whole where streams can't be resumed

What callers saw: the beginning of a stream was missing. A caller that names an event ID on a route whose streams can't be resumed gets a new run, and the events up to that ID were left out of it.

Cause: an event ID was taken for a position on every route. Now only where runs may go on after it.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -151,7 +151,6 @@
 	if j.info, err = j.handler.o.Protocol.ParseRequest(j.request); err != nil {
 		return api.Refuse(api.ReasonInvalidRequest, "%v", err)
 	}
-	j.position = newStreamPosition(j.info.LastEventID)
 	j.table, j.configAge = j.handler.o.View.Table()
 	if j.table == nil {
 		return api.Refuse(api.ReasonNoConfiguration, "no configuration has been received yet; retry shortly").WithRetryAfter(fleet.ShortRetryAfter)
@@ -162,6 +161,7 @@
 	if problem := j.authorise(); problem != nil {
 		return problem
 	}
+	j.position = newStreamPosition(j.route.Resumable, j.info.LastEventID)
 	j.service = j.route.ChooseService(j.serviceDraw())
 	j.header = j.handler.o.Protocol.ForwardHeaders(j.request.Header)
 	j.deadline = j.arrived.Add(j.timeout() - responseMargin)
--- a/internal/proxy/position.go
+++ b/internal/proxy/position.go
@@ -9,6 +9,8 @@
 // streamPosition is what the caller has of a stream, over all attempts of its request. An attempt brings a run
 // of the stream.
 type streamPosition struct {
+	// resumable reports whether a run may go on after lastID. Where it may not, no event is left out because of it.
+	resumable bool
 	// lastID is the ID of the last event that the caller has, by its request or since relayed; empty if it
 	// has none. Last is its number, if it is one.
 	lastID   string
@@ -28,9 +30,9 @@
 }
 
 // newStreamPosition returns the position of a caller that has the events up to lastEventID; none if it is empty.
-func newStreamPosition(lastEventID string) streamPosition {
-	p := streamPosition{lastID: lastEventID}
-	if last, err := strconv.ParseInt(lastEventID, 10, 64); err == nil {
+func newStreamPosition(resumable bool, lastEventID string) streamPosition {
+	p := streamPosition{resumable: resumable, lastID: lastEventID}
+	if last, err := strconv.ParseInt(lastEventID, 10, 64); err == nil && resumable {
 		p.last, p.numbered = last, true
 	}
 	return p
