proxy: a new run without an event isn't complete where streams can't be resumed

What callers saw: an empty stream that looks complete. The upstream closed before its first event and stated no end; the caller had named an event ID.

Cause: a run without an event was taken for one that goes on after the caller's last event and has nothing more, also where no run does so.

--- a/internal/proxy/position.go
+++ b/internal/proxy/position.go
@@ -45,7 +45,7 @@
 func (p *streamPosition) mayResume() bool { return p.lastID != "" }
 
 // mayBeComplete reports whether a run without an event can be complete: one that goes on after the caller's last event.
-func (p *streamPosition) mayBeComplete() bool { return p.lastID != "" }
+func (p *streamPosition) mayBeComplete() bool { return p.resumable && p.lastID != "" }
 
 // place returns what of the current run is to be relayed when an event has come: nothing if the caller has it
 // already.
--- a/internal/proxy/response_end_test.go
+++ b/internal/proxy/response_end_test.go
@@ -93,8 +93,8 @@
 		"stream, close before an event": {
 			route: "stream", response: events(""), framing: exchange.ByLength, // refused by the instance
 		},
-		"stream, resumed after its last event": {
-			route: "stream", after: "2", response: events(""), framing: exchange.UntilClose,
+		"resumable, resumed after its last event": {
+			route: "resumable", after: "2", response: events(""), framing: exchange.UntilClose,
 		},
 		"resumable, close before an event": {
 			route: "resumable", response: events(""), second: events("", "1"), framing: exchange.UntilClose, body: eventLines("", "1"),
