proxy: don't flush a stream whose head wasn't sent

Cause: nothing but events that the caller has had come when the stream was flushed, and a flush sends an implicit 200. When the upstream then broke off, the problem was written as its body.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -320,7 +320,7 @@
 			}
 			return attemptResult{status: completed}
 		}
-		if !sse.HasBufferedEvent(reader) {
+		if r.job.responseStarted && !sse.HasBufferedEvent(reader) { // a flush without a head would send status 200
 			if err := control.Flush(); err != nil {
 				return attemptResult{status: callerDisconnected, err: err}
 			}
