proxy: end a stream as broken where the run that resumes it goes on too late

Cause: a run that resumes was taken to go on right after the event asked for. Nobody states by how much IDs increase; where they went by one step until then, a first new ID above the next one by that step shows a gap. A smaller one doesn't: IDs may count tokens. Such a run is given up unrelayed, and resumed elsewhere or by the caller.

Left: a gap before two consecutive IDs were seen.

--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -56,6 +56,7 @@
 		}
 	case r.status == misdirected:
 		j.handler.recordCrash(r.process) // another process has the address, so this one has terminated
+	case errors.Is(r.err, errMisplaced): // the upstream lives
 	case (r.status == lost || r.status == truncated) && !errors.Is(r.err, errSilent) && j.handler.o.Fleet.BlamesUpstream(r.err):
 		check, changed := registry.RecordLostResponse(now, r.process, j.identity, j.hasStarted())
 		if changed {
--- a/internal/proxy/position.go
+++ b/internal/proxy/position.go
@@ -1,11 +1,22 @@
 package proxy
 
 import (
+	"fmt"
 	"strconv"
 
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/sse"
 )
 
+// Errors of runs whose events can't be placed in the stream that the caller has. Such a run ends as broken, so that
+// the stream can be resumed elsewhere, or by its caller.
+var (
+	// errMisplaced is wrapped by the others.
+	errMisplaced = fmt.Errorf("%w: events can't be placed in the stream", exchange.ErrInvalidResponse)
+	// errGap means that a resumed run goes on too late.
+	errGap = fmt.Errorf("%w: a resumed run goes on too late", errMisplaced)
+)
+
 // streamPosition is what the caller has of a stream, over all attempts of its request. An attempt brings a run
 // of the stream.
 type streamPosition struct {
@@ -16,14 +27,24 @@
 	lastID   string
 	last     int64
 	numbered bool
+	// step is the difference between the IDs of consecutive events; irregular if it isn't always the same, 0 if it
+	// isn't known.
+	step int64
 	// skipped counts events that weren't relayed since the caller has them, unnumbered those that were
 	// relayed without an ID.
 	skipped, unnumbered int
 	run                 streamRun
 }
 
+// irregular is the step of a stream whose IDs have no constant difference.
+const irregular = -1
+
 // streamRun is what the last attempt has brought of a stream.
 type streamRun struct {
+	// resumed reports whether the caller had events of the stream when the run began.
+	resumed bool
+	// joined reports whether an event that the caller didn't have was relayed from a resumed run.
+	joined bool
 	// numbered reports whether an event with an ID has come; first and last are the IDs of the first and the last one.
 	numbered    bool
 	first, last int64
@@ -39,7 +60,7 @@
 }
 
 // beginRun is called when an attempt begins.
-func (p *streamPosition) beginRun() { p.run = streamRun{} }
+func (p *streamPosition) beginRun() { p.run = streamRun{resumed: p.numbered} }
 
 // mayResume reports whether another run may go on after the last event that the caller has.
 func (p *streamPosition) mayResume() bool { return p.lastID != "" }
@@ -56,14 +77,33 @@
 		return event, nil
 	}
 	run := &p.run
+	previous, follows := run.last, run.numbered
 	run.last = id
 	if !run.numbered {
 		run.numbered, run.first = true, id
 	}
-	if p.numbered && id <= p.last {
+	switch {
+	case p.numbered && id <= p.last:
 		p.skipped++
 		return nil, nil
+	case run.resumed && !run.joined:
+		if p.step > 0 && id > p.last+p.step {
+			return nil, errGap
+		}
+		run.joined = true
+	case follows:
+		p.observeStep(id - previous)
 	}
 	p.last, p.numbered, p.lastID = id, true, strconv.FormatInt(id, 10)
 	return event, nil
 }
+
+// observeStep records the difference between the IDs of two consecutive events of a run.
+func (p *streamPosition) observeStep(step int64) {
+	switch p.step {
+	case 0, step:
+		p.step = step
+	default:
+		p.step = irregular
+	}
+}
