proxy: end a stream as broken whose event IDs don't increase

What callers saw: pieces were missing from streams that look complete.

Cause: an event whose ID wasn't above the last one was dropped as a repeat, whatever it held. Now it is left out only if it is one of the last 32 events of its run, byte for byte; any other one with data ends the run as broken. The bound keeps 0.5 KB a stream.

--- a/internal/proxy/position.go
+++ b/internal/proxy/position.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"hash/maphash"
+	"slices"
 	"strconv"
 
 	"github.com/tacktally/tacktally/internal/exchange"
@@ -13,6 +15,8 @@
 var (
 	// errMisplaced is wrapped by the others.
 	errMisplaced = fmt.Errorf("%w: events can't be placed in the stream", exchange.ErrInvalidResponse)
+	// errNotIncreasing means that a run has an event whose ID isn't above the one before it.
+	errNotIncreasing = fmt.Errorf("%w: their IDs don't increase", errMisplaced)
 	// errGap means that a resumed run goes on too late.
 	errGap = fmt.Errorf("%w: a resumed run goes on too late", errMisplaced)
 )
@@ -48,6 +52,7 @@
 	// numbered reports whether an event with an ID has come; first and last are the IDs of the first and the last one.
 	numbered    bool
 	first, last int64
+	recent      recentEvents
 }
 
 // newStreamPosition returns the position of a caller that has the events up to lastEventID; none if it is empty.
@@ -77,13 +82,21 @@
 		return event, nil
 	}
 	run := &p.run
+	if run.numbered && id <= run.last {
+		if sse.HasData(event) && !run.recent.has(id, event) {
+			return nil, errNotIncreasing
+		}
+		p.skipped++
+		return nil, nil
+	}
+	run.recent.add(id, event)
 	previous, follows := run.last, run.numbered
 	run.last = id
 	if !run.numbered {
 		run.numbered, run.first = true, id
 	}
 	switch {
-	case p.numbered && id <= p.last:
+	case run.resumed && id <= p.last:
 		p.skipped++
 		return nil, nil
 	case run.resumed && !run.joined:
@@ -107,3 +120,27 @@
 		p.step = irregular
 	}
 }
+
+// recentEvents are the last numbered events of a run, by their checksums.
+type recentEvents struct {
+	events [32]eventChecksum
+	next   int
+}
+
+type eventChecksum struct {
+	id       int64
+	checksum uint64
+}
+
+var checksumSeed = maphash.MakeSeed()
+
+func (r *recentEvents) add(id int64, event []byte) {
+	r.events[r.next%len(r.events)] = eventChecksum{id: id, checksum: maphash.Bytes(checksumSeed, event)}
+	r.next++
+}
+
+// has reports whether the same event, byte for byte, is among the recent ones.
+func (r *recentEvents) has(id int64, event []byte) bool {
+	checksum := maphash.Bytes(checksumSeed, event)
+	return slices.Contains(r.events[:min(r.next, len(r.events))], eventChecksum{id: id, checksum: checksum})
+}
