proxy: a piece without an ID isn't repeated by a resumption

Cause: every piece was taken to have an ID, so that the one after the last ID counted as not yet relayed.

A stream that broke off after such a piece isn't resumed by the instance; its caller knows what it has, and may.

TestPiecesAtTheEndOfARunAreNotRepeated doesn't compile without it.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -219,7 +219,7 @@
 }
 
 // mayAttemptAgain reports whether the request may be sent to one more upstream. Once a part of the
-// response was relayed, only a stream can be resumed.
+// response was relayed, only a stream can be resumed, after an event with an ID.
 func (j *job) mayAttemptAgain() bool {
 	return j.attempts < j.route.MaxAttempts && (!j.responseStarted || j.position.mayResume())
 }
--- a/internal/proxy/position.go
+++ b/internal/proxy/position.go
@@ -19,6 +19,8 @@
 	errNotIncreasing = fmt.Errorf("%w: their IDs don't increase", errMisplaced)
 	// errGap means that a resumed run goes on too late.
 	errGap = fmt.Errorf("%w: a resumed run goes on too late", errMisplaced)
+	// errHeldTooLarge means that a resumed run begins with too many bytes without an event ID.
+	errHeldTooLarge = fmt.Errorf("%w: a resumed run begins with over %d bytes without the ID of an event", errMisplaced, maxEventBytes)
 )
 
 // streamPosition is what the caller has of a stream, over all attempts of its request. An attempt brings a run
@@ -31,11 +33,14 @@
 	lastID   string
 	last     int64
 	numbered bool
+	// unplaced reports whether events with data and without an ID were relayed after lastID. A run that goes on
+	// after lastID may repeat them.
+	unplaced bool
 	// step is the difference between the IDs of consecutive events; irregular if it isn't always the same, 0 if it
 	// isn't known.
 	step int64
 	// skipped counts events that weren't relayed since the caller has them, unnumbered those that were
-	// relayed without an ID.
+	// relayed with data and without an ID.
 	skipped, unnumbered int
 	run                 streamRun
 }
@@ -52,7 +57,10 @@
 	// numbered reports whether an event with an ID has come; first and last are the IDs of the first and the last one.
 	numbered    bool
 	first, last int64
-	recent      recentEvents
+	// held are the events with data and without an ID that came before the first one with an ID. That one tells
+	// whether the caller has them.
+	held   []byte
+	recent recentEvents
 }
 
 // newStreamPosition returns the position of a caller that has the events up to lastEventID; none if it is empty.
@@ -68,19 +76,37 @@
 func (p *streamPosition) beginRun() { p.run = streamRun{resumed: p.numbered} }
 
 // mayResume reports whether another run may go on after the last event that the caller has.
-func (p *streamPosition) mayResume() bool { return p.lastID != "" }
+func (p *streamPosition) mayResume() bool { return p.lastID != "" && !p.unplaced }
 
 // mayBeComplete reports whether a run without an event can be complete: one that goes on after the caller's last event.
 func (p *streamPosition) mayBeComplete() bool { return p.resumable && p.lastID != "" }
 
 // place returns what of the current run is to be relayed when an event has come: nothing if the caller has it
-// already.
+// already, or if what comes next decides that.
 func (p *streamPosition) place(event []byte) ([]byte, error) {
-	id, numbered := sse.ID(event)
-	if !numbered {
+	if id, ok := sse.ID(event); ok {
+		return p.placeNumbered(id, event)
+	}
+	switch {
+	case !sse.HasData(event):
+		return event, nil
+	case p.run.resumed && !p.run.numbered:
+		if len(p.run.held)+len(event) > maxEventBytes {
+			return nil, errHeldTooLarge
+		}
+		p.run.held = append(p.run.held, event...)
+		return nil, nil
+	case p.run.resumed && p.run.last < p.last:
+		p.skipped++
+		return nil, nil
+	default:
 		p.unnumbered++
+		p.unplaced = true
 		return event, nil
 	}
+}
+
+func (p *streamPosition) placeNumbered(id int64, event []byte) ([]byte, error) {
 	run := &p.run
 	if run.numbered && id <= run.last {
 		if sse.HasData(event) && !run.recent.has(id, event) {
@@ -95,6 +121,8 @@
 	if !run.numbered {
 		run.numbered, run.first = true, id
 	}
+	held := run.held
+	run.held = nil
 	switch {
 	case run.resumed && id <= p.last:
 		p.skipped++
@@ -107,8 +135,8 @@
 	case follows:
 		p.observeStep(id - previous)
 	}
-	p.last, p.numbered, p.lastID = id, true, strconv.FormatInt(id, 10)
-	return event, nil
+	p.last, p.numbered, p.lastID, p.unplaced = id, true, strconv.FormatInt(id, 10), false
+	return append(held, event...), nil
 }
 
 // observeStep records the difference between the IDs of two consecutive events of a run.
@@ -121,6 +149,16 @@
 	}
 }
 
+// endRun returns what is to be relayed at the end of a run that is complete.
+func (p *streamPosition) endRun() ([]byte, error) {
+	held := p.run.held
+	p.run.held = nil
+	if len(held) > 0 {
+		p.unplaced = true
+	}
+	return held, nil
+}
+
 // recentEvents are the last numbered events of a run, by their checksums.
 type recentEvents struct {
 	events [32]eventChecksum
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -314,10 +314,13 @@
 			}
 		}
 		if err != nil { // end of the stream
-			r.writeHeadOnce()
-			if r.response.Framing == exchange.UntilClose && !r.job.endsByClose {
+			if r.response.Framing == exchange.UntilClose && r.job.responseStarted && !r.job.endsByClose {
 				return r.brokenResult(errNoStatedEnd)
 			}
+			if result := r.relayRest(); result.status != completed {
+				return result
+			}
+			r.writeHeadOnce()
 			return attemptResult{status: completed}
 		}
 		if r.job.responseStarted && !sse.HasBufferedEvent(reader) { // a flush without a head would send status 200
@@ -352,6 +355,9 @@
 	return r.relayIfPlaced(r.job.position.place(event))
 }
 
+// relayRest relays what is left at the end of a run.
+func (r *relay) relayRest() attemptResult { return r.relayIfPlaced(r.job.position.endRun()) }
+
 // relayIfPlaced relays what the position has placed in the stream, unless the run doesn't fit there.
 func (r *relay) relayIfPlaced(placed []byte, err error) attemptResult {
 	if err != nil {
--- a/internal/proxy/resumption_test.go
+++ b/internal/proxy/resumption_test.go
@@ -127,6 +127,20 @@
 	})
 }
 
+// Guards against the same where the pieces end a run whose end doesn't count, as no end is stated.
+func TestPiecesAtTheEndOfARunAreNotRepeated(t *testing.T) {
+	is := is.New(t)
+	p := newStreamPosition(true, "1")
+	p.beginRun()
+	placed, err := p.place([]byte("data: x\n\n"))
+	is.NoErr(err)
+	is.Equal(len(placed), 0) // held
+	placed, err = p.endRun()
+	is.NoErr(err)
+	is.Equal(string(placed), "data: x\n\n")
+	is.True(!p.mayResume())
+}
+
 // Guards against pieces that come twice: pieces without an ID that were held until the end of a run were relayed
 // although that end, which wasn't stated, was no end of the stream.
 func TestHeldPiecesAreNotRelayedFromABrokenRun(t *testing.T) {
