proxy: end a stream as broken where the run that resumes it ends too early

What callers saw: a stream that looks complete although pieces may be missing: the upstream that resumed ended before the event that the caller has, so that its run wasn't one of the same stream.

--- a/internal/proxy/position.go
+++ b/internal/proxy/position.go
@@ -19,6 +19,8 @@
 	errNotIncreasing = fmt.Errorf("%w: their IDs don't increase", errMisplaced)
 	// errGap means that a resumed run goes on too late.
 	errGap = fmt.Errorf("%w: a resumed run goes on too late", errMisplaced)
+	// errEndsEarly means that a resumed run ended before the last event that the caller has.
+	errEndsEarly = fmt.Errorf("%w: a resumed run ends too early", errMisplaced)
 	// errHeldTooLarge means that a resumed run begins with too many bytes without an event ID.
 	errHeldTooLarge = fmt.Errorf("%w: a resumed run begins with over %d bytes without the ID of an event", errMisplaced, maxEventBytes)
 )
@@ -151,6 +153,9 @@
 
 // endRun returns what is to be relayed at the end of a run that is complete.
 func (p *streamPosition) endRun() ([]byte, error) {
+	if p.run.resumed && p.run.numbered && p.run.last < p.last {
+		return nil, errEndsEarly
+	}
 	held := p.run.held
 	p.run.held = nil
 	if len(held) > 0 {
