proxy: a response without a stated end isn't complete if its upstream's process has terminated

Cause: a process that is killed closes its connections in order, and such an end was taken for the end of the response.

Now the process is checked before the end is passed on: whether an instance has noticed its crash, whether another process has its ID, whether it refuses connections while neighbours accept them. Streams and what was relayed in parts are checked by two connections 0.1 s apart, buffered bodies by one. A check that shows nothing is repeated for 1.5 s; where none has an answer, a request that may be sent again counts as broken off, without blaming the upstream, and any other response is complete. Leaving upstreams and removed ones may have completed their last response, which stays complete here. Responses that state their end cost nothing more.

--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -44,7 +44,7 @@
 func (j *job) recordCrashEvidence(r attemptResult) {
 	registry, now := j.handler.o.Quarantine, time.Now()
 	switch {
-	case (r.status == completed || r.status == upstreamFailed) && j.framing == exchange.UntilClose:
+	case (r.status == completed || r.status == upstreamFailed || errors.Is(r.err, errUnreached)) && j.framing == exchange.UntilClose:
 		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.livenessCheck(j.upstream, r.process), j.handler.o.AnnounceSoon)
 		// A stream that ends so soon may be a crash, which no other request may notice for a while.
 		if j.route.Kind == routing.Stream && !j.hasStarted() && registry.NeedsDiagnosis(now, r.process) {
@@ -62,7 +62,10 @@
 		if changed {
 			j.handler.o.Announce()
 		}
-		if check {
+		switch {
+		case errors.Is(r.err, errTerminated):
+			j.handler.recordCrash(r.process)
+		case check:
 			j.handler.startDiagnosis(j.upstream, r.process)
 		}
 	case r.status == notSent && j.handler.o.Fleet.BlamesUpstream(r.err) && registry.NeedsDiagnosis(now, r.process):
@@ -92,15 +95,12 @@
 // diagnose checks whether the process of an upstream at which responses were lost has terminated,
 // and records a crash if so. It blocks for the connection checks.
 func (h *Handler) diagnose(upstream, process string, connections *exchange.Pool) {
-	var neighbours []quarantine.ConnectionCheck
-	for _, p := range h.o.Fleet.Neighbours(upstream, quarantine.MaxNeighbours) {
-		neighbours = append(neighbours, p.CheckConnection)
-	}
-	switch quarantine.Diagnose(context.Background(), connections.CheckConnection, neighbours) {
+	diagnosis, neighbours := h.diagnoseProcess(context.Background(), upstream, connections, quarantine.Diagnose)
+	switch diagnosis {
 	case quarantine.Terminated:
 		h.recordCrash(process)
 	case quarantine.Inconclusive:
-		h.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", upstream).Int("neighbours", len(neighbours)).
+		h.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", upstream).Int("neighbours", neighbours).
 			Msg("no other upstream of its zone accepts connections from this instance; not recorded as a crash")
 	case quarantine.Alive, quarantine.Unreached:
 	}
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -17,6 +17,7 @@
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/loadreport"
+	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/sse"
 )
@@ -246,6 +247,9 @@
 // relayWhole relays a response that isn't a stream. A small one is buffered until it is complete.
 func (r *relay) relayWhole() attemptResult {
 	buffered, err := io.ReadAll(io.LimitReader(r.response, maxBufferedBytes+1))
+	if err == nil && len(buffered) <= maxBufferedBytes {
+		err = r.checkUnstatedEnd(quarantine.DiagnoseNow) // the caller has nothing yet
+	}
 	if err != nil {
 		return r.brokenResult(err)
 	}
@@ -277,6 +281,9 @@
 			return result
 		}
 		if errors.Is(err, io.EOF) {
+			if err := r.checkUnstatedEnd(quarantine.Diagnose); err != nil {
+				return r.brokenResult(err)
+			}
 			return attemptResult{status: completed}
 		}
 		if err != nil {
@@ -314,6 +321,9 @@
 			}
 		}
 		if err != nil { // end of the stream
+			if err := r.checkUnstatedEnd(quarantine.Diagnose); err != nil {
+				return r.brokenResult(err)
+			}
 			if r.response.Framing == exchange.UntilClose && r.job.responseStarted && !r.job.endsByClose {
 				return r.brokenResult(errNoStatedEnd)
 			}
--- /dev/null
+++ b/internal/proxy/unstated_end.go
@@ -0,0 +1,118 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/exchange"
+	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/quarantine"
+	"github.com/tacktally/tacktally/internal/wait"
+)
+
+const (
+	// unstatedEndTimeout bounds the check of an upstream whose response states no end. Callers give up a stream after two
+	// seconds without an event.
+	unstatedEndTimeout = 1500 * time.Millisecond
+	// unstatedEndPause is how long after a check that shows nothing the next one begins: the peers that are asked may
+	// lack processor time.
+	unstatedEndPause = 100 * time.Millisecond
+)
+
+// Errors of responses that state no end.
+var (
+	// errTerminated means that the response has ended with its upstream's process.
+	errTerminated = fmt.Errorf("%w: the upstream's process has terminated", exchange.ErrTruncated)
+	// errMayBeTerminated means that the upstream refuses connections, and so do its neighbours, or that it was removed
+	// from the list while it could not be reached.
+	errMayBeTerminated = fmt.Errorf("%w: the upstream's process may have terminated", exchange.ErrTruncated)
+	// errUnchecked means that the attempt was given up before it was known whether the process has terminated.
+	errUnchecked = fmt.Errorf("%w: whether the upstream's process has terminated isn't known", exchange.ErrTruncated)
+	// errUnreached means that no check had an answer within unstatedEndTimeout. It says nothing about the upstream.
+	errUnreached = fmt.Errorf("%w: %w", errUnchecked, fleet.ErrNoPath)
+)
+
+// isUnstated reports whether nothing but the close of its connection ends the response, which isn't a failure.
+func (r *relay) isUnstated() bool {
+	return r.response.Framing == exchange.UntilClose && r.response.Status < http.StatusBadRequest
+}
+
+// checkUnstatedEnd returns an error if the response states no end and its upstream's process has terminated: a
+// process that is killed closes its connections in order. Where the request may be sent again, it also does if the
+// process may have terminated, or if no check has an answer within unstatedEndTimeout; another attempt tells whether
+// there is more. Where the request may not be sent again, such a response is complete. An instance that has noticed the
+// crash has told it; otherwise the upstream is diagnosed, by check. One that is leaving, or that the list lacks from the
+// start, may have completed its last response, so that it is complete. checkUnstatedEnd blocks for about unstatedEndTimeout at
+// most.
+func (r *relay) checkUnstatedEnd(check diagnose) error {
+	if !r.isUnstated() {
+		return nil
+	}
+	r.silence.stop() // nothing more will come
+	ctx, cancel := context.WithTimeout(r.ctx, unstatedEndTimeout)
+	defer cancel()
+	for tries := 0; ; tries++ {
+		h, upstream := r.job.handler, r.job.upstream
+		if r.hasCrashed() {
+			return r.terminated(errTerminated)
+		}
+		connections := h.o.Fleet.ConnectionsTo(upstream)
+		switch {
+		case h.isLeaving(upstream), connections == nil && tries == 0:
+			return nil
+		case connections == nil: // it was removed from the list while it gave no answer
+			return r.terminated(errMayBeTerminated)
+		}
+		if h.o.Fleet.ProcessOf(upstream) != r.process {
+			return r.terminated(errTerminated) // another process has the upstream's ID
+		}
+		diagnosis, _ := h.diagnoseProcess(ctx, upstream, connections, check)
+		switch {
+		case h.isLeaving(upstream): // it may have announced so meanwhile
+			return nil
+		case diagnosis == quarantine.Terminated, diagnosis != quarantine.Alive && r.hasCrashed(): // noticed meanwhile
+			return r.terminated(errTerminated)
+		case r.ctx.Err() != nil:
+			return errUnchecked
+		case diagnosis == quarantine.Inconclusive && r.job.route.MayRetry():
+			return r.terminated(errMayBeTerminated)
+		case diagnosis == quarantine.Alive:
+			return nil
+		case ctx.Err() != nil && r.job.route.MayRetry():
+			return errUnreached
+		case ctx.Err() != nil:
+			return nil
+		}
+		wait.For(ctx, unstatedEndPause)
+	}
+}
+
+// hasCrashed reports whether an instance has noticed that the process has terminated while requests were there.
+func (r *relay) hasCrashed() bool {
+	return r.job.handler.o.Quarantine.HasCrashed(time.Now(), r.process)
+}
+
+func (h *Handler) isLeaving(upstream string) bool {
+	return errors.Is(h.o.Fleet.CheckUsable(upstream), fleet.ErrLeaving)
+}
+
+func (r *relay) terminated(err error) error {
+	r.job.handler.o.Metrics.Count("tacktally_unstated_ends_terminated_total")
+	return err
+}
+
+// diagnose is quarantine.Diagnose, or quarantine.DiagnoseNow.
+type diagnose func(ctx context.Context, upstream quarantine.ConnectionCheck, neighbours []quarantine.ConnectionCheck) quarantine.Diagnosis
+
+// diagnoseProcess checks whether the process of an upstream has terminated, and returns how many of its neighbours
+// could be checked as well. It blocks for the connection checks.
+func (h *Handler) diagnoseProcess(ctx context.Context, upstream string, connections *exchange.Pool, check diagnose) (d quarantine.Diagnosis, checked int) {
+	var neighbours []quarantine.ConnectionCheck
+	for _, p := range h.o.Fleet.Neighbours(upstream, quarantine.MaxNeighbours) {
+		neighbours = append(neighbours, p.CheckConnection)
+	}
+	return check(ctx, connections.CheckConnection, neighbours), len(neighbours)
+}
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -247,6 +247,15 @@
 	return r.recordLosses(now, upstream, now)
 }
 
+// HasCrashed reports whether an upstream process is known to have terminated while requests were there. Any instance may
+// have noticed it.
+func (r *Registry) HasCrashed(now time.Time, upstream string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropExpired(now)
+	return r.crashes[upstream] != nil
+}
+
 // recordLosses adds the responses lost at an upstream process to its crash, which it creates if it
 // is unknown. The caller holds the lock.
 func (r *Registry) recordLosses(now time.Time, upstream string, at time.Time) (changed bool) {
