proxy: another attempt confirms the end of a stream whose leaving upstream was killed

What callers saw: a short stream that looks complete, of an upstream that was leaving and was killed.

Cause: the end of a leaving upstream was taken on trust, since one that leaves gracefully closes its port, too, once it has completed its last response; a refusal tells nothing there.

Where the stream can be resumed and the upstream doesn't accept connections, another attempt is made after the caller's last event, within the attempts and the retry budget. If it brings more, the stream goes on. An attempt that is cut off inside the next event shows that there is more. tacktally_unstated_ends_unconfirmed_total counts such ends.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -77,6 +77,8 @@
 	truncated
 	// upstreamFailed: the upstream responded with a failure of its own, which is kept.
 	upstreamFailed
+	// unconfirmed: the whole response may have been relayed; another attempt shows whether there is more.
+	unconfirmed
 	// callerDisconnected: the caller closed its connection.
 	callerDisconnected
 	// deadlineExceeded: the request's deadline passed.
@@ -87,6 +89,9 @@
 func (j *job) run() *api.Problem {
 	ctx, cancel := j.context()
 	defer cancel()
+	ctx, j.cancel = context.WithCancelCause(ctx)
+	defer j.cancel(context.Canceled)
+	defer j.endConfirmation()
 	failedUpstream := ""
 	kind := peer.FirstAttempt
 	var last attemptResult
@@ -184,6 +189,8 @@
 		return api.RetryConnect, decisionIf(mayRequeue, requeue)
 	case notRun, misdirected:
 		return api.RetryUpstreamBusy, decisionIf(j.mayAttemptAgain(), retry)
+	case unconfirmed:
+		return api.RetryResume, decisionIf(j.mayAttemptAgain(), retry)
 	case upstreamFailed:
 		return api.RetryUpstreamFailed, decisionIf(j.route.MayRetry() && j.mayAttemptAgain(), retry)
 	case lost, invalidResponse, truncated:
@@ -227,7 +234,7 @@
 // reportResult reports the result of an attempt to the scheduler and releases the slot.
 func (j *job) reportResult(g fleet.Grant, r attemptResult) {
 	output := 0
-	if r.status == completed {
+	if r.status == completed || r.status == unconfirmed {
 		output = j.outputTokens()
 	}
 	g.End(j.schedulerResult(r), output)
@@ -263,11 +270,19 @@
 }
 
 // finalProblem returns the problem of a request that isn't retried; nil if it was answered.
-func (j *job) finalProblem(r attemptResult) *api.Problem { return j.orUpstreamFailure(j.problemFor(r)) }
+func (j *job) finalProblem(r attemptResult) *api.Problem {
+	if r.status == completed {
+		return nil
+	}
+	return j.orUpstreamFailure(j.problemFor(r))
+}
 
 // orUpstreamFailure relays the kept failure response of an upstream instead of p, if there is one:
-// it is more specific, and signed.
+// it is more specific, and signed. A stream whose end nothing has disproved counts as answered.
 func (j *job) orUpstreamFailure(p *api.Problem) *api.Problem {
+	if j.confirmation != nil && j.request.Context().Err() == nil {
+		return j.unconfirmedProblem()
+	}
 	if p == nil || j.failure == nil || j.responseStarted || p.Reason == api.ReasonCallerGone {
 		return p
 	}
@@ -277,7 +292,7 @@
 // problemFor returns the problem for the last attempt; nil if it completed.
 func (j *job) problemFor(r attemptResult) *api.Problem {
 	switch r.status {
-	case completed:
+	case completed, unconfirmed:
 		return nil
 	case notSent, notUsable:
 		return j.markPossiblyRun(api.Refuse(api.ReasonUnreachable, "no upstream could be reached (%v); retry after the given time", r.err).WithRetryAfter(fleet.ShortRetryAfter))
@@ -312,7 +327,7 @@
 
 var statusNames = map[attemptStatus]string{
 	completed: "done", notSent: "not_sent", notUsable: "not_usable", notRun: "not_run", misdirected: "misdirected", lost: "lost",
-	invalidResponse: "garbage", truncated: "cut", upstreamFailed: "failed", callerDisconnected: "caller_gone", deadlineExceeded: "out_of_time",
+	invalidResponse: "garbage", truncated: "cut", upstreamFailed: "failed", unconfirmed: "unconfirmed", callerDisconnected: "caller_gone", deadlineExceeded: "out_of_time",
 }
 
 // String returns the status as logs show it.
@@ -343,6 +358,7 @@
 // schedulerResults maps the status of an attempt to the result that the scheduler receives.
 var schedulerResults = map[attemptStatus]scheduler.Result{
 	completed:          scheduler.Completed,
+	unconfirmed:        scheduler.Completed,
 	notSent:            scheduler.Unreachable,
 	notUsable:          scheduler.Cancelled,
 	notRun:             scheduler.Busy,
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -44,7 +44,7 @@
 func (j *job) recordCrashEvidence(r attemptResult) {
 	registry, now := j.handler.o.Quarantine, time.Now()
 	switch {
-	case (r.status == completed || r.status == upstreamFailed || errors.Is(r.err, errUnreached)) && j.framing == exchange.UntilClose:
+	case (r.status == completed || r.status == upstreamFailed || r.status == unconfirmed || errors.Is(r.err, errUnreached)) && j.framing == exchange.UntilClose:
 		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.livenessCheck(j.upstream, r.process), j.handler.o.AnnounceSoon)
 		// A stream that ends so soon may be a crash, which no other request may notice for a while.
 		if j.route.Kind == routing.Stream && !j.hasStarted() && registry.NeedsDiagnosis(now, r.process) {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -143,6 +143,9 @@
 	firstAfter       time.Duration               // from arrival to the start of the response
 	status           int                         // HTTP status that was relayed
 	failure          *bufferedResponse           // last failure response of an upstream, not relayed
+	cancel           context.CancelCauseFunc     // ends all attempts
+	unconfirmed      []string                    // processes whose ends of the stream weren't confirmed
+	confirmation     *time.Timer                 // runs while it isn't confirmed that the caller has the whole stream; else nil
 }
 
 // admit identifies the request and checks whether it may run.
--- a/internal/proxy/position.go
+++ b/internal/proxy/position.go
@@ -108,6 +108,12 @@
 	}
 }
 
+// lacks reports whether an event, which may be cut off, shows that the caller doesn't have the whole stream.
+func (p *streamPosition) lacks(event []byte) bool {
+	id, numbered := sse.ID(event)
+	return numbered && id > p.last && sse.HasData(event)
+}
+
 func (p *streamPosition) placeNumbered(id int64, event []byte) ([]byte, error) {
 	run := &p.run
 	if run.numbered && id <= run.last {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -305,6 +305,9 @@
 			return r.brokenResult(err)
 		}
 		if err := r.streamError(event, err, started); err != nil {
+			if r.job.position.lacks(event) {
+				r.job.endConfirmation()
+			}
 			return r.brokenResult(err)
 		}
 		if len(event) > 0 {
@@ -321,7 +324,9 @@
 			}
 		}
 		if err != nil { // end of the stream
-			if err := r.checkUnstatedEnd(quarantine.Diagnose); err != nil {
+			ended := time.Now()
+			err := r.checkUnstatedEnd(quarantine.Diagnose)
+			if err != nil && !errors.Is(err, errUnconfirmed) {
 				return r.brokenResult(err)
 			}
 			if r.response.Framing == exchange.UntilClose && r.job.responseStarted && !r.job.endsByClose {
@@ -331,6 +336,13 @@
 				return result
 			}
 			r.writeHeadOnce()
+			if err != nil && r.mayConfirm() {
+				if err := control.Flush(); err != nil {
+					return attemptResult{status: callerDisconnected, err: err}
+				}
+				r.awaitConfirmation(ended)
+				return attemptResult{status: unconfirmed, err: err}
+			}
 			return attemptResult{status: completed}
 		}
 		if r.job.responseStarted && !sse.HasBufferedEvent(reader) { // a flush without a head would send status 200
@@ -370,6 +382,9 @@
 
 // relayIfPlaced relays what the position has placed in the stream, unless the run doesn't fit there.
 func (r *relay) relayIfPlaced(placed []byte, err error) attemptResult {
+	if errors.Is(err, errGap) || sse.HasData(placed) {
+		r.job.endConfirmation()
+	}
 	if err != nil {
 		r.job.handler.o.Metrics.Count("tacktally_stream_runs_misplaced_total")
 		return r.brokenResult(err)
--- a/internal/proxy/unstated_end.go
+++ b/internal/proxy/unstated_end.go
@@ -5,11 +5,14 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/quarantine"
+	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
@@ -33,6 +36,9 @@
 	errUnchecked = fmt.Errorf("%w: whether the upstream's process has terminated isn't known", exchange.ErrTruncated)
 	// errUnreached means that no check had an answer within unstatedEndTimeout. It says nothing about the upstream.
 	errUnreached = fmt.Errorf("%w: %w", errUnchecked, fleet.ErrNoPath)
+	// errUnconfirmed means that the upstream was leaving and doesn't accept connections: it may have closed its port
+	// before it completed the response.
+	errUnconfirmed = fmt.Errorf("%w: it was leaving", errUnchecked)
 )
 
 // isUnstated reports whether nothing but the close of its connection ends the response, which isn't a failure.
@@ -45,8 +51,8 @@
 // process may have terminated, or if no check has an answer within unstatedEndTimeout; another attempt tells whether
 // there is more. Where the request may not be sent again, such a response is complete. An instance that has noticed the
 // crash has told it; otherwise the upstream is diagnosed, by check. One that is leaving, or that the list lacks from the
-// start, may have completed its last response, so that it is complete. checkUnstatedEnd blocks for about unstatedEndTimeout at
-// most.
+// start, may have completed its last response; where another attempt can confirm that, the error is errUnconfirmed if a
+// leaving one doesn't accept connections. checkUnstatedEnd blocks for about unstatedEndTimeout at most.
 func (r *relay) checkUnstatedEnd(check diagnose) error {
 	if !r.isUnstated() {
 		return nil
@@ -54,14 +60,16 @@
 	r.silence.stop() // nothing more will come
 	ctx, cancel := context.WithTimeout(r.ctx, unstatedEndTimeout)
 	defer cancel()
+	leaving := false // also once its entry is removed
 	for tries := 0; ; tries++ {
 		h, upstream := r.job.handler, r.job.upstream
 		if r.hasCrashed() {
 			return r.terminated(errTerminated)
 		}
 		connections := h.o.Fleet.ConnectionsTo(upstream)
+		leaving = leaving || h.isLeaving(upstream)
 		switch {
-		case h.isLeaving(upstream), connections == nil && tries == 0:
+		case leaving && !r.mayConfirm(), connections == nil && tries == 0:
 			return nil
 		case connections == nil: // it was removed from the list while it gave no answer
 			return r.terminated(errMayBeTerminated)
@@ -70,9 +78,12 @@
 			return r.terminated(errTerminated) // another process has the upstream's ID
 		}
 		diagnosis, _ := h.diagnoseProcess(ctx, upstream, connections, check)
+		leaving = leaving || h.isLeaving(upstream) // it may have announced so meanwhile
 		switch {
-		case h.isLeaving(upstream): // it may have announced so meanwhile
+		case leaving && (diagnosis == quarantine.Alive || !r.mayConfirm()):
 			return nil
+		case leaving && !r.hasCrashed():
+			return errUnconfirmed
 		case diagnosis == quarantine.Terminated, diagnosis != quarantine.Alive && r.hasCrashed(): // noticed meanwhile
 			return r.terminated(errTerminated)
 		case r.ctx.Err() != nil:
@@ -99,6 +110,42 @@
 	return errors.Is(h.o.Fleet.CheckUsable(upstream), fleet.ErrLeaving)
 }
 
+// mayConfirm reports whether another attempt can show whether the stream is complete.
+func (r *relay) mayConfirm() bool {
+	j := r.job
+	return j.route.Kind == routing.Stream && j.route.MayRetry() && j.position.mayResume() && j.mayAttemptAgain()
+}
+
+// awaitConfirmation makes the request end as complete, at the latest unstatedEndTimeout after the end of its last run,
+// unless an attempt brings more of the stream: the caller may have all of it, and gives up a silent one.
+func (r *relay) awaitConfirmation(ended time.Time) {
+	j := r.job
+	j.unconfirmed = append(j.unconfirmed, r.process)
+	j.handler.o.Metrics.Count("tacktally_unstated_ends_unconfirmed_total")
+	if j.confirmation == nil {
+		j.confirmation = time.AfterFunc(time.Until(ended.Add(unstatedEndTimeout)), func() { j.cancel(context.DeadlineExceeded) })
+	}
+}
+
+// endConfirmation is called when the stream has turned out to be incomplete, or the request has ended.
+func (j *job) endConfirmation() {
+	if j.confirmation == nil {
+		return
+	}
+	j.confirmation.Stop()
+	j.confirmation = nil
+}
+
+// unconfirmedProblem returns the problem of a stream whose end wasn't confirmed: nil, unless a process that may have
+// broken it off is known to have crashed meanwhile.
+func (j *job) unconfirmedProblem() *api.Problem {
+	crashed := func(process string) bool { return j.handler.o.Quarantine.HasCrashed(time.Now(), process) }
+	if slices.ContainsFunc(j.unconfirmed, crashed) {
+		return j.problemFor(attemptResult{status: truncated, err: errTerminated})
+	}
+	return nil
+}
+
 func (r *relay) terminated(err error) error {
 	r.job.handler.o.Metrics.Count("tacktally_unstated_ends_terminated_total")
 	return err
