proxy, quarantine, fleet: an orderly termination of a leaving upstream is no crash

What callers saw: streams that a leaving upstream had completed ended as broken, and their requests became suspects of a crash, for which requests are quarantined. A log of it has upstream_crashed for an upstream that had said that it is leaving.

Cause: a stream that ends so soon is diagnosed in the background, and a refusal was taken for a crash there, whereas checkUnstatedEnd knows that a leaving upstream closes its port in order.

Now termination of a leaving process is a crash only if a response broke off there within lossWindow, and a notice is asked for by process (Fleet.IsLeaving).

Tests, each failing without its part: TestTerminationOfALeavingUpstreamIsNoCrash (3 cases), TestEndsAtALeavingUpstreamAreNoCrash (2), TestStreamOfAReplacedLeavingUpstreamIsNotBroken (2), TestLostResponseAfterALeavingTerminationIsDiagnosed and the one after it (don't compile without it).

Left: a peer that lacks the notice still reports such a crash to the others, and one response that breaks off makes the orderly ended ones of that second suspects.

--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -66,6 +67,15 @@
 	return true
 }
 
+// IsLeaving reports whether a process has announced that it is leaving, in a response or by its entry on the list.
+func (f *Fleet) IsLeaving(process string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, announced := f.leavingNotices[process]
+	u := f.processes[process]
+	return announced || u != nil && errors.Is(u.unusable, ErrLeaving)
+}
+
 // AllLeavingNotices returns all processes with a leaving notice, sorted, for a peer that may know none of
 // them.
 func (f *Fleet) AllLeavingNotices() []string {
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -44,7 +44,7 @@
 func (j *job) recordCrashEvidence(r attemptResult) {
 	registry, now := j.handler.o.Quarantine, time.Now()
 	switch {
-	case (r.status == completed || r.status == upstreamFailed || r.status == unconfirmed || errors.Is(r.err, errUnreached)) && j.framing == exchange.UntilClose:
+	case (r.status == completed || r.status == upstreamFailed || r.status == unconfirmed || errors.Is(r.err, errUnreached) || errors.Is(r.err, errNoStatedEnd)) && j.framing == exchange.UntilClose:
 		registry.TrackUnstatedEnd(r.process, j.identity, j.completionBegan(r), j.hasStarted(), j.handler.livenessCheck(j.upstream, r.process), j.handler.o.AnnounceSoon)
 		// A stream that ends so soon may be a crash, which no other request may notice for a while.
 		if j.route.Kind == routing.Stream && !j.hasStarted() && registry.NeedsDiagnosis(now, r.process) {
@@ -55,7 +55,7 @@
 			j.handler.o.AnnounceSoon()
 		}
 	case r.status == misdirected:
-		j.handler.recordCrash(r.process) // another process has the address, so this one has terminated
+		j.handler.recordTermination(r.process, j.handler.o.Fleet.IsLeaving(r.process)) // another process has its address
 	case errors.Is(r.err, errMisplaced): // the upstream lives
 	case (r.status == lost || r.status == truncated) && !errors.Is(r.err, errSilent) && j.handler.o.Fleet.BlamesUpstream(r.err):
 		check, changed := registry.RecordLostResponse(now, r.process, j.identity, j.hasStarted())
@@ -87,18 +87,20 @@
 
 // startDiagnosis diagnoses an upstream in the background, unless it has been removed.
 func (h *Handler) startDiagnosis(upstream, process string) {
+	leaving := h.o.Fleet.IsLeaving(process)
 	if connections := h.o.Fleet.ConnectionsTo(upstream); connections != nil {
-		go h.diagnose(upstream, process, connections)
+		go h.diagnose(upstream, process, leaving, connections, quarantine.Diagnose)
 	}
 }
 
-// diagnose checks whether the process of an upstream at which responses were lost has terminated,
-// and records a crash if so. It blocks for the connection checks.
-func (h *Handler) diagnose(upstream, process string, connections *exchange.Pool) {
-	diagnosis, neighbours := h.diagnoseProcess(context.Background(), upstream, connections, quarantine.Diagnose)
+// diagnose checks whether the process of an upstream at which responses ended or were lost has terminated, by check,
+// and records a crash if so. Leaving reports whether the process was known to be leaving when the diagnosis was due: its
+// entry may be removed since. diagnose blocks for the connection checks.
+func (h *Handler) diagnose(upstream, process string, leaving bool, connections *exchange.Pool, check connectionDiagnosis) {
+	diagnosis, neighbours := h.diagnoseProcess(context.Background(), upstream, connections, check)
 	switch diagnosis {
 	case quarantine.Terminated:
-		h.recordCrash(process)
+		h.recordTermination(process, leaving || h.o.Fleet.IsLeaving(process)) // it may have announced so meanwhile
 	case quarantine.Inconclusive:
 		h.o.Log.Info().Str("event", "crash_in_doubt").Str("upstream", upstream).Int("neighbours", neighbours).
 			Msg("no other upstream of its zone accepts connections from this instance; not recorded as a crash")
@@ -115,6 +117,15 @@
 	}
 }
 
+// recordTermination records a crash, unless the process may have terminated in order since it was leaving.
+func (h *Handler) recordTermination(process string, leaving bool) {
+	if !leaving {
+		h.recordCrash(process)
+	} else if h.o.Quarantine.RecordLeavingTermination(time.Now(), process) {
+		h.o.Announce()
+	}
+}
+
 func (h *Handler) recordCrash(process string) {
 	if h.o.Quarantine.RecordCrash(time.Now(), process) {
 		h.o.Announce()
--- a/internal/proxy/crashes_test.go
+++ b/internal/proxy/crashes_test.go
@@ -140,7 +140,7 @@
 			}
 			key := quarantine.Request{Key: quarantine.KeyOf("crews", "GET", "h.example", "/safe/x", nil)}
 			r.registry.RecordLostResponse(time.Now(), "a", key, false)
-			r.handler.diagnose("a", "a", r.fleet.ConnectionsTo("a"))
+			r.handler.diagnose("a", "a", false, r.fleet.ConnectionsTo("a"), quarantine.Diagnose)
 			is.Equal(r.registry.NextUpdate(time.Now()) != nil, c.crash)
 		})
 	}
--- a/internal/proxy/leaving_end_test.go
+++ b/internal/proxy/leaving_end_test.go
@@ -130,6 +130,89 @@
 	}
 }
 
+// Guards against a leaving upstream that closes its port and is taken for crashed, so that streams which it has completed
+// end as broken, and their requests become suspects.
+func TestTerminationOfALeavingUpstreamIsNoCrash(t *testing.T) {
+	request := quarantine.Request{Key: quarantine.Key{Digest: 1}}
+	leave := func(h *harness) { h.handler.recordLeaving("a") }
+	remove := func(h *harness) { h.removeUpstream("a") }
+	breakOff := func(h *harness) { h.registry.RecordLostResponse(time.Now(), "a", request, false) }
+	nothing := func(*harness) {}
+	for name, c := range map[string]struct {
+		before, during func(h *harness)
+		crash          bool
+	}{
+		"leaving":                               {before: leave, during: nothing},
+		"announces so during the check":         {before: nothing, during: leave},
+		"is removed during the check":           {before: leave, during: remove},
+		"leaving, and a response breaks off":    {before: leave, during: breakOff, crash: true},
+		"not leaving":                           {before: nothing, during: nothing, crash: true},
+		"not leaving, and is removed meanwhile": {before: nothing, during: remove, crash: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.publish(0)
+			h.addUpstream("a", respondsWith("x"))
+			h.registry.RecordUnstatedEnd(time.Now(), "a", request, false)
+			c.before(h)
+			h.handler.diagnose("a", "a", h.fleet.IsLeaving("a"), h.fleet.ConnectionsTo("a"), func(context.Context, quarantine.ConnectionCheck, []quarantine.ConnectionCheck) quarantine.Diagnosis {
+				c.during(h)
+				return quarantine.Terminated
+			})
+			is.Equal(h.registry.HasCrashed(time.Now(), "a"), c.crash)
+		})
+	}
+}
+
+// Guards against the same where another process has the address, and where the end of the run couldn't be passed on.
+func TestEndsAtALeavingUpstreamAreNoCrash(t *testing.T) {
+	for name, result := range map[string]attemptResult{
+		"another process has the address": {status: misdirected},
+		"no stated end to pass on":        {status: truncated, err: errNoStatedEnd},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			h.publish(0)
+			h.addUpstream("a", respondsWith("x"))
+			h.handler.recordLeaving("a")
+			h.registry.RecordUnstatedEnd(time.Now(), "a", quarantine.Request{Key: quarantine.Key{Digest: 1}}, false)
+			result.process = "a"
+			j := &job{handler: h.handler, upstream: "a", route: &routing.Route{Kind: routing.Stream}, framing: exchange.UntilClose}
+			j.recordCrashEvidence(result)
+			h.handler.recordTermination("a", true) // as a diagnosis does
+			is.True(!h.registry.HasCrashed(time.Now(), "a"))
+		})
+	}
+}
+
+// Guards against complete streams that end as broken: the next process under the ID of a leaving upstream is not leaving,
+// and its predecessor was taken for crashed.
+func TestStreamOfAReplacedLeavingUpstreamIsNotBroken(t *testing.T) {
+	for name, route := range map[string]string{"can be resumed": "resumable", "can't be resumed": "stream"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t)
+			for i := range h.document.Routes {
+				h.document.Routes[i].LatencyObjective = 0 // no time-out for the first event
+			}
+			h.publish(0)
+			h.addUpstream("a", hijack(func(c net.Conn) {
+				_, _ = io.WriteString(c, leavingEvents("1", "2"))
+				eventually(t, "the notice is known", func() bool { return h.fleet.IsLeaving("a") })
+				h.upstreams[0].Incarnation++
+				h.upstreams[0].Revision = h.revision + 1
+				h.publishUpstreams()
+			}))
+			h.addUpstream("b", refusesRequest)
+			got := h.read("/"+route+"/x", "", len(eventLines("", "1", "2")), make(chan struct{}))
+			is.NoErr(got.err)
+			is.Equal(got.body, eventLines("", "1", "2"))
+		})
+	}
+}
+
 // Guards against a short stream that looks complete though its upstream is known to have crashed, which was noticed
 // while another attempt was made.
 func TestUnconfirmedEndOfAProcessThatCrashedIsNotComplete(t *testing.T) {
--- a/internal/proxy/unstated_end.go
+++ b/internal/proxy/unstated_end.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -53,32 +52,33 @@
 // crash has told it; otherwise the upstream is diagnosed, by check. One that is leaving, or that the list lacks from the
 // start, may have completed its last response; where another attempt can confirm that, the error is errUnconfirmed if a
 // leaving one doesn't accept connections. checkUnstatedEnd blocks for about unstatedEndTimeout at most.
-func (r *relay) checkUnstatedEnd(check diagnose) error {
+func (r *relay) checkUnstatedEnd(check connectionDiagnosis) error {
 	if !r.isUnstated() {
 		return nil
 	}
 	r.silence.stop() // nothing more will come
 	ctx, cancel := context.WithTimeout(r.ctx, unstatedEndTimeout)
 	defer cancel()
-	leaving := false // also once its entry is removed
+	leaving := false // stays true once its entry is removed
 	for tries := 0; ; tries++ {
 		h, upstream := r.job.handler, r.job.upstream
 		if r.hasCrashed() {
 			return r.terminated(errTerminated)
 		}
 		connections := h.o.Fleet.ConnectionsTo(upstream)
-		leaving = leaving || h.isLeaving(upstream)
+		leaving = leaving || h.o.Fleet.IsLeaving(r.process)
 		switch {
 		case leaving && !r.mayConfirm(), connections == nil && tries == 0:
 			return nil
+		case leaving && h.o.Fleet.ProcessOf(upstream) != r.process: // it may have left in order
+			return errUnconfirmed
 		case connections == nil: // it was removed from the list while it gave no answer
 			return r.terminated(errMayBeTerminated)
-		}
-		if h.o.Fleet.ProcessOf(upstream) != r.process {
-			return r.terminated(errTerminated) // another process has the upstream's ID
+		case h.o.Fleet.ProcessOf(upstream) != r.process: // another process has the upstream's ID
+			return r.terminated(errTerminated)
 		}
 		diagnosis, _ := h.diagnoseProcess(ctx, upstream, connections, check)
-		leaving = leaving || h.isLeaving(upstream) // it may have announced so meanwhile
+		leaving = leaving || h.o.Fleet.IsLeaving(r.process) // it may have announced so meanwhile
 		switch {
 		case leaving && (diagnosis == quarantine.Alive || !r.mayConfirm()):
 			return nil
@@ -106,10 +106,6 @@
 	return r.job.handler.o.Quarantine.HasCrashed(time.Now(), r.process)
 }
 
-func (h *Handler) isLeaving(upstream string) bool {
-	return errors.Is(h.o.Fleet.CheckUsable(upstream), fleet.ErrLeaving)
-}
-
 // mayConfirm reports whether another attempt can show whether the stream is complete.
 func (r *relay) mayConfirm() bool {
 	j := r.job
@@ -151,12 +147,12 @@
 	return err
 }
 
-// diagnose is quarantine.Diagnose, or quarantine.DiagnoseNow.
-type diagnose func(ctx context.Context, upstream quarantine.ConnectionCheck, neighbours []quarantine.ConnectionCheck) quarantine.Diagnosis
+// connectionDiagnosis is quarantine.Diagnose, or quarantine.DiagnoseNow.
+type connectionDiagnosis func(ctx context.Context, upstream quarantine.ConnectionCheck, neighbours []quarantine.ConnectionCheck) quarantine.Diagnosis
 
 // diagnoseProcess checks whether the process of an upstream has terminated, and returns how many of its neighbours
 // could be checked as well. It blocks for the connection checks.
-func (h *Handler) diagnoseProcess(ctx context.Context, upstream string, connections *exchange.Pool, check diagnose) (d quarantine.Diagnosis, checked int) {
+func (h *Handler) diagnoseProcess(ctx context.Context, upstream string, connections *exchange.Pool, check connectionDiagnosis) (d quarantine.Diagnosis, checked int) {
 	var neighbours []quarantine.ConnectionCheck
 	for _, p := range h.o.Fleet.Neighbours(upstream, quarantine.MaxNeighbours) {
 		neighbours = append(neighbours, p.CheckConnection)
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -89,11 +89,13 @@
 	count int
 }
 
-// loss is a lost response, whether a crash caused it or not.
+// loss is a response that broke off, or one that ended without a stated end, whether a crash caused it or not.
 type loss struct {
 	request Request
 	started bool
-	at      time.Time
+	// ended reports whether the response ended in order, without a stated end.
+	ended bool
+	at    time.Time
 }
 
 // Registry is one instance's knowledge of crashes and of the requests that were there. It is safe
@@ -141,7 +143,7 @@
 func (r *Registry) RecordLostResponse(now time.Time, upstream string, q Request, started bool) (check, changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if changed, known := r.recordLoss(now, upstream, q, started); known {
+	if changed, known := r.recordLoss(upstream, loss{request: q, started: started, at: now}); known {
 		return false, changed
 	}
 	return r.startCheck(now, upstream), false
@@ -154,7 +156,7 @@
 func (r *Registry) RecordUnstatedEnd(now time.Time, upstream string, q Request, started bool) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed, _ = r.recordLoss(now, upstream, q, started)
+	changed, _ = r.recordLoss(upstream, loss{request: q, started: started, ended: true, at: now})
 	return changed
 }
 
@@ -214,14 +216,15 @@
 
 // recordLoss adds a loss to the crash of its upstream process, if that is known, and reports whether this
 // changed the crash. Otherwise it keeps the loss for lossWindow. The caller holds the lock.
-func (r *Registry) recordLoss(now time.Time, upstream string, q Request, started bool) (changed, known bool) {
-	started = started || r.responses.has(q.Key)
+func (r *Registry) recordLoss(upstream string, lost loss) (changed, known bool) {
+	now := lost.at
+	lost.started = lost.started || r.responses.has(lost.request.Key)
 	if c := r.crashes[upstream]; c != nil && now.Sub(c.at) < lossWindow {
-		return r.suspect(now, c, q, started), true
+		return r.suspect(now, c, lost.request, lost.started), true
 	}
 	r.dropExpired(now)
 	recent := slices.DeleteFunc(r.losses[upstream], func(l loss) bool { return now.Sub(l.at) > lossWindow })
-	r.losses[upstream] = append(recent, loss{request: q, started: started, at: now})
+	r.losses[upstream] = append(recent, lost)
 	return false, false
 }
 
@@ -247,6 +250,20 @@
 	return r.recordLosses(now, upstream, now)
 }
 
+// RecordLeavingTermination is RecordCrash for a process that was leaving: it also terminates in order, so that it has
+// crashed only if a response broke off there within lossWindow. If none did, the next one needs a diagnosis again.
+func (r *Registry) RecordLeavingTermination(now time.Time, upstream string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropExpired(now)
+	brokeOff := func(l loss) bool { return !l.ended && now.Sub(l.at) <= lossWindow }
+	if !slices.ContainsFunc(r.losses[upstream], brokeOff) {
+		delete(r.checked, upstream)
+		return false
+	}
+	return r.recordLosses(now, upstream, now)
+}
+
 // HasCrashed reports whether an upstream process is known to have terminated while requests were there. Any instance may
 // have noticed it.
 func (r *Registry) HasCrashed(now time.Time, upstream string) bool {
--- a/internal/quarantine/unstated_end_test.go
+++ b/internal/quarantine/unstated_end_test.go
@@ -102,3 +102,28 @@
 	is.True(b.ConfirmResponse(ended.Add(ConfirmAfter), ended, "1", key("x"), time.Time{}))
 	is.Equal(b.Remaining(ended.Add(ConfirmAfter), key("x")), time.Duration(0))
 }
+
+// Guards against a crash of a leaving upstream that isn't noticed: its refusal, which alone shows none, was checked right
+// before a response broke off there.
+func TestLostResponseAfterALeavingTerminationIsDiagnosed(t *testing.T) {
+	is := is.New(t)
+	b := newRegistry(true)
+	b.RecordUnstatedEnd(start, "1", key("x"), false)
+	is.True(b.NeedsDiagnosis(start, "1"))
+	is.True(!b.RecordLeavingTermination(start, "1")) // it may have left in order
+	check, _ := b.RecordLostResponse(start.Add(20*time.Millisecond), "1", key("y"), false)
+	is.True(check)
+	is.True(b.RecordLeavingTermination(start.Add(30*time.Millisecond), "1"))
+	is.True(b.HasCrashed(start.Add(30*time.Millisecond), "1"))
+}
+
+// Guards against a crash that is recorded for a response which broke off long before the upstream left.
+func TestLostResponseLongBeforeALeavingTerminationIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	b := newRegistry(true)
+	b.RecordLostResponse(start, "1", key("x"), false)
+	later := start.Add(lossWindow + time.Millisecond)
+	b.RecordUnstatedEnd(later, "1", key("y"), false)
+	is.True(!b.RecordLeavingTermination(later, "1"))
+	is.True(!b.HasCrashed(later, "1"))
+}
