proxy, quarantine: a crash before a response began isn't that of its process

Cause: whether the process is known to have crashed is asked by its name, and crashes are remembered for ten minutes. Upstreams that don't number their processes keep the name when they start again.

TestCrashBeforeAResponseBeganIsNotThatOfItsProcess doesn't compile without it. Whether the users' upstreams have such entries isn't known.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -144,7 +144,7 @@
 	status           int                         // HTTP status that was relayed
 	failure          *bufferedResponse           // last failure response of an upstream, not relayed
 	cancel           context.CancelCauseFunc     // ends all attempts
-	unconfirmed      []string                    // processes whose ends of the stream weren't confirmed
+	unconfirmed      []unconfirmedRun            // runs of the stream whose ends weren't confirmed
 	confirmation     *time.Timer                 // runs while it isn't confirmed that the caller has the whole stream; else nil
 }
 
--- a/internal/proxy/leaving_end_test.go
+++ b/internal/proxy/leaving_end_test.go
@@ -94,7 +94,7 @@
 			is.Equal(got.err == nil, !c.broken)
 			is.Equal(got.body, c.body)
 			is.Equal(r.arrivedIDs(), c.arrived)
-			is.True(!r.registry.HasCrashed(time.Now(), r.fleet.ProcessOf("a"))) // a refusal doesn't show a crash
+			is.True(!r.registry.HasCrashed(time.Now(), time.Time{}, r.fleet.ProcessOf("a"))) // a refusal doesn't show a crash
 		})
 	}
 }
@@ -124,7 +124,7 @@
 			result := attemptResult{status: unconfirmed, err: err, process: r.process}
 			is.Equal(j.schedulerResult(result), scheduler.Completed) // no evidence against the upstream
 			j.recordCrashEvidence(result)
-			is.True(!h.registry.HasCrashed(time.Now(), r.process))
+			is.True(!h.registry.HasCrashed(time.Now(), time.Time{}, r.process))
 			is.True(h.registry.RecordCrash(time.Now(), r.process)) // counts as lost if a crash becomes known
 		})
 	}
@@ -160,7 +160,7 @@
 				c.during(h)
 				return quarantine.Terminated
 			})
-			is.Equal(h.registry.HasCrashed(time.Now(), "a"), c.crash)
+			is.Equal(h.registry.HasCrashed(time.Now(), time.Time{}, "a"), c.crash)
 		})
 	}
 }
@@ -182,7 +182,7 @@
 			j := &job{handler: h.handler, upstream: "a", route: &routing.Route{Kind: routing.Stream}, framing: exchange.UntilClose}
 			j.recordCrashEvidence(result)
 			h.handler.recordTermination("a", true) // as a diagnosis does
-			is.True(!h.registry.HasCrashed(time.Now(), "a"))
+			is.True(!h.registry.HasCrashed(time.Now(), time.Time{}, "a"))
 		})
 	}
 }
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -264,13 +264,15 @@
 	return r.recordLosses(now, upstream, now)
 }
 
-// HasCrashed reports whether an upstream process is known to have terminated while requests were there. Any instance may
-// have noticed it.
-func (r *Registry) HasCrashed(now time.Time, upstream string) bool {
+// HasCrashed reports whether an upstream process is known to have terminated while requests were there, and not over
+// lossWindow before since: a response that began later came from another process of the same name. Any instance may have
+// noticed the crash.
+func (r *Registry) HasCrashed(now, since time.Time, upstream string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropExpired(now)
-	return r.crashes[upstream] != nil
+	c := r.crashes[upstream]
+	return c != nil && since.Sub(c.at) <= lossWindow
 }
 
 // recordLosses adds the responses lost at an upstream process to its crash, which it creates if it
--- a/internal/quarantine/unstated_end_test.go
+++ b/internal/quarantine/unstated_end_test.go
@@ -114,7 +114,7 @@
 	check, _ := b.RecordLostResponse(start.Add(20*time.Millisecond), "1", key("y"), false)
 	is.True(check)
 	is.True(b.RecordLeavingTermination(start.Add(30*time.Millisecond), "1"))
-	is.True(b.HasCrashed(start.Add(30*time.Millisecond), "1"))
+	is.True(b.HasCrashed(start.Add(30*time.Millisecond), start, "1"))
 }
 
 // Guards against a crash that is recorded for a response which broke off long before the upstream left.
@@ -125,5 +125,18 @@
 	later := start.Add(lossWindow + time.Millisecond)
 	b.RecordUnstatedEnd(later, "1", key("y"), false)
 	is.True(!b.RecordLeavingTermination(later, "1"))
-	is.True(!b.HasCrashed(later, "1"))
+	is.True(!b.HasCrashed(later, start, "1"))
+}
+
+// Guards against responses that end as broken for minutes after a crash, at the next process of the same name: not all
+// upstreams number their processes.
+func TestCrashBeforeAResponseBeganIsNotThatOfItsProcess(t *testing.T) {
+	is := is.New(t)
+	b := newRegistry(true)
+	b.RecordLostResponse(start, "1", key("x"), false)
+	is.True(b.RecordCrash(start, "1"))
+	now := start.Add(time.Minute)
+	is.True(b.HasCrashed(now, start.Add(-time.Second), "1"))
+	is.True(b.HasCrashed(now, start.Add(lossWindow), "1")) // times of peers aren't exact
+	is.True(!b.HasCrashed(now, start.Add(lossWindow+time.Millisecond), "1"))
 }
