client: read events by the standard of server-sent events

What callers saw: around comments and events without data, an event was split or ended the stream as truncated, lines of its data were joined without a line break, and the ID of an event went to the one after it, so that a resumption began at the wrong place.

Cause: an empty comment in an event counted as its end, since its field and its value are both empty; an event counted only once its data was longer than nothing; and an "event" line without data marked the next event as an error.

Now only a blank line ends an event, an event without data is none, and lines of data are joined by a line break.

--- a/client/stream.go
+++ b/client/stream.go
@@ -92,32 +92,51 @@
 
 // event reads the next event of the open stream. An error event is returned as an error.
 func (s *Stream) event() ([]byte, error) {
-	var data []byte
-	id := ""
-	failed := false
+	e := event{data: []byte{}}
 	for s.lines.Scan() {
-		field, value, _ := bytes.Cut(s.lines.Bytes(), []byte(":"))
-		value = bytes.TrimPrefix(value, []byte(" "))
-		switch {
-		case len(field) == 0 && len(value) == 0 && data != nil:
-			if failed {
-				return nil, problemOf(data)
+		switch line := s.lines.Bytes(); {
+		case len(line) > 0:
+			e.addLine(line)
+		case !e.hasData:
+			e.failed = false // an event without data isn't one
+		case e.failed:
+			return nil, problemOf(e.data)
+		default:
+			if e.id != "" {
+				s.request.lastID = e.id
 			}
-			if id != "" {
-				s.request.lastID = id
-			}
-			return data, nil
-		case string(field) == "data":
-			data = append(data, value...)
-		case string(field) == "id":
-			id = string(value)
-		case string(field) == "event":
-			failed = string(value) == "error"
+			return e.data, nil
 		}
 	}
 	return nil, errors.Join(errIncomplete, s.lines.Err())
 }
 
+// event is an event as far as it was read.
+type event struct {
+	data    []byte
+	id      string
+	hasData bool
+	failed  bool
+}
+
+// addLine adds a line with a field or a comment.
+func (e *event) addLine(line []byte) {
+	field, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(field) {
+	case "data":
+		if e.hasData {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(e.data, value...)
+		e.hasData = true
+	case "id":
+		e.id = string(value)
+	case "event":
+		e.failed = string(value) == "error"
+	}
+}
+
 // problemOf returns the problem in the data of an error event.
 func problemOf(data []byte) error {
 	var e struct {
--- /dev/null
+++ b/client/stream_test.go
@@ -0,0 +1,105 @@
+package client_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/client"
+)
+
+// streamScript responds to each request with the next body, of a stream unless it is empty: then with a problem that
+// promises that the request wasn't run. The connection breaks after each of them but the last.
+type streamScript struct {
+	bodies  []string
+	resumed []string // the ID of the last event in each request
+}
+
+func (s *streamScript) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	body := s.bodies[len(s.resumed)]
+	s.resumed = append(s.resumed, h.Header.Get(api.HeaderLastEventID))
+	if body == "" {
+		w.Header().Set("Content-Type", api.ProblemContentType)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"status":503,"outcome":"not-run","reason":"draining"}`)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, body)
+	if len(s.resumed) < len(s.bodies) {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// read returns the pieces of a scripted stream and its error; nil after the last event.
+func (s *streamScript) read(t *testing.T) (pieces []string, err error) {
+	t.Helper()
+	server := httptest.NewServer(s)
+	defer server.Close()
+	stream, err := connect(t, server.URL).Stream(t.Context(), client.Request{Path: "/v1/chat/completions"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	for {
+		data, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return pieces, nil
+		}
+		if err != nil {
+			return pieces, err
+		}
+		pieces = append(pieces, string(data))
+	}
+}
+
+const end = "data: [DONE]\n\n"
+
+// Guards against pieces that are missing, split or repeated where a stream breaks: the client must read events by
+// the standard of server-sent events.
+func TestPiecesOfAStreamAreWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		bodies  []string
+		pieces  []string
+		resumed []string
+	}{
+		"plain":                     {[]string{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n" + end}, []string{"a", "b"}, []string{""}},
+		"broken between events":     {[]string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n" + end}, []string{"a", "b"}, []string{"", "1"}},
+		"broken inside an event":    {[]string{"id: 1\ndata: a\n\nid: 2\ndata: b\n", "id: 2\ndata: b\n\n" + end}, []string{"a", "b"}, []string{"", "1"}},
+		"broken before the last":    {[]string{"id: 1\ndata: a\n\n" + end[:len(end)-1], end}, []string{"a"}, []string{"", "1"}},
+		"CR LF":                     {[]string{"id: 1\r\ndata: a\r\n\r\n" + end}, []string{"a"}, []string{""}},
+		"comment between events":    {[]string{"id: 1\ndata: a\n\n: alive\n\n:\n\nid: 2\ndata: b\n\n" + end}, []string{"a", "b"}, []string{""}},
+		"empty comment in an event": {[]string{"id: 1\ndata: a\n:\ndata: b\n\n" + end}, []string{"a\nb"}, []string{""}},
+		"ID after an empty comment": {[]string{"data: a\n:\nid: 1\n\n", "id: 2\ndata: b\n\n" + end}, []string{"a", "b"}, []string{"", "1"}},
+		"several lines":             {[]string{"id: 1\ndata: a\ndata: b\n\n" + end}, []string{"a\nb"}, []string{""}},
+		"empty data":                {[]string{"id: 1\ndata:\n\n", "id: 2\ndata: b\n\n" + end}, []string{"", "b"}, []string{"", "1"}},
+		"a name without data":       {[]string{"event: error\n\nid: 1\ndata: a\n\n" + end}, []string{"a"}, []string{""}},
+		"ends at the last event":    {[]string{"id: 1\ndata: [DONE] soon\n\nid: 2\ndata: b\n\n" + end}, []string{"[DONE] soon", "b"}, []string{""}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := &streamScript{bodies: c.bodies}
+			pieces, err := s.read(t)
+			is.NoErr(err)
+			is.Equal(pieces, c.pieces)
+			is.Equal(s.resumed, c.resumed)
+		})
+	}
+}
+
+// A stream without IDs isn't resumed, nor is one that ends without its last event taken for complete.
+func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	s := &streamScript{bodies: []string{"data: a\n\n"}}
+	pieces, err := s.read(t)
+	is.Equal(pieces, []string{"a"})
+	is.True(err != nil)
+	is.Equal(len(s.resumed), 1)
+}
