client: a stream that began doesn't end as not run

What callers saw: an error whose outcome is not-run, after pieces of the stream had been returned: a promise that the request can be sent again.

Cause: the error took the outcome of its last attempt. The promise that an attempt didn't run is about that resumption alone.

A stream of which an event with an ID has come ends as unknown now.

--- a/client/client.go
+++ b/client/client.go
@@ -161,7 +161,7 @@
 	if e.Err == nil {
 		e.Err = ctx.Err()
 	}
-	if s.uncertain {
+	if s.uncertain || s.lastID != "" { // the request of a stream that began has run
 		e.Outcome = api.Unknown
 	}
 	return e
--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -94,6 +94,19 @@
 	}
 }
 
+// Guards against a stream that looks as if it had never run, after pieces of it were returned: the promise that an
+// attempt didn't run is about its resumption alone.
+func TestStreamThatBeganDoesNotEndAsNotRun(t *testing.T) {
+	is := is.New(t)
+	s := &streamScript{bodies: []string{"id: 1\ndata: a\n\n", ""}}
+	pieces, err := s.read(t)
+	is.Equal(pieces, []string{"a"})
+	var e *client.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Outcome, api.Unknown)
+	is.Equal(s.resumed, []string{"", "1"})
+}
+
 // A stream without IDs isn't resumed, nor is one that ends without its last event taken for complete.
 func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
 	is := is.New(t)
