client: read streams whose content type has parameters

What callers saw: an error whose outcome is not-run for a stream that the engine had run, where its content type was "text/event-stream; charset=utf-8". The same outcome for a response that is no stream, such as one in JSON, though it was answered.

Cause: the content type was compared as text. The outcome of a response that isn't a stream was left as it was before the attempt.

--- a/client/stream.go
+++ b/client/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 
 	"github.com/go-json-experiment/json"
@@ -46,14 +47,14 @@
 	for {
 		response, err := s.request.attempt(s.ctx)
 		if err == nil {
-			if response.Header.Get("Content-Type") == contentTypeEvents {
+			if media, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type")); media == contentTypeEvents {
 				s.open(response)
 				return nil
 			}
 			_, err = s.request.read(response)
 			if err == nil {
 				err = fmt.Errorf("the response is not a stream; ask for one in the body")
-				s.request.err = err
+				s.request.err, s.request.uncertain = err, true
 				return s.request.newError(s.ctx)
 			}
 		}
--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -116,3 +116,31 @@
 	is.True(err != nil)
 	is.Equal(len(s.resumed), 1)
 }
+
+// Guards against a stream that ran and is reported as not run, since its engine names the character set: the client must
+// read it.
+func TestStreamWithACharacterSetIsRead(t *testing.T) {
+	for contentType, want := range map[string]string{
+		"text/event-stream; charset=utf-8": "",
+		"Text/Event-Stream":                "",
+		"application/json":                 "unknown",
+	} {
+		is := is.New(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", contentType)
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n"+end)
+		}))
+		stream, err := connect(t, server.URL).Stream(t.Context(), client.Request{Path: "/v1/chat/completions"})
+		var e *client.Error
+		if errors.As(err, &e) {
+			is.Equal(string(e.Outcome), want)
+		} else {
+			is.Equal(want, "")
+			data, err := stream.Next()
+			is.NoErr(err)
+			is.Equal(string(data), "a")
+			is.NoErr(stream.Close())
+		}
+		server.Close()
+	}
+}
