upstream: only an event with [DONE] as its data ends a stream

What callers saw: a short stream that looks complete, where an event contained the text "data: [DONE]" in its data, its name or a comment; and one that was resumed or broken at its end, where the engine writes "data:[DONE]" without a space.

Cause: the text was looked for anywhere in an event.

The event's only line of data must be [DONE] now.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -258,3 +258,43 @@
 		}
 	})
 }
+
+// Guards against a stream that is ended by one of its events, or by a part of one, since that contains the text of
+// the last event.
+func TestOnlyTheLastEventEndsAStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		events string
+		status Status
+		output int
+	}{
+		"the last event":              {"data: [DONE]\n\n", Done, 1},
+		"without a space":             {"data:[DONE]\n\n", Done, 1},
+		"with CR LF":                  {"data: [DONE]\r\n\r\n", Done, 1},
+		"after a comment":             {": so far\ndata: [DONE]\n\n", Done, 1},
+		"with a name":                 {"event: end\ndata: [DONE]\n\n", Done, 1},
+		"in the text of an event":     {`data: {"text":"ends with data: [DONE]"}` + "\n\ndata: b\n\ndata: [DONE]\n\n", Done, 3},
+		"begins the text of an event": {"data: [DONE] and more\n\ndata: b\n\ndata: [DONE]\n\n", Done, 3},
+		"first line of an event":      {"data: [DONE]\ndata: more\n\ndata: [DONE]\n\n", Done, 2},
+		"last line of an event":       {"data: more\ndata: [DONE]\n\ndata: [DONE]\n\n", Done, 2},
+		"in a comment":                {": data: [DONE]\ndata: b\n\ndata: [DONE]\n\n", Done, 2},
+		"in a comment alone":          {": data: [DONE]\n\ndata: b\n\ndata: [DONE]\n\n", Done, 2},
+		"in the name of an event":     {"event: data: [DONE]\ndata: b\n\ndata: [DONE]\n\n", Done, 2},
+		"with another space":          {"data:  [DONE]\n\n", Truncated, 2},
+		"inside an event":             {"data: b\n\ndata: [DONE]", Truncated, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := listenRaw(t, func(u *rawUpstream, _ int, conn net.Conn, r *bufio.Reader) {
+				if u.readRequest(r) {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: a\n\n"+c.events)
+				}
+			})
+			client := NewClient(time.Second)
+			defer client.Close()
+			res, _ := do(t, client, u.listener.Addr().String(), model(true), allow)
+			is.Equal(res.Status, c.status)
+			is.Equal(res.OutputTokens, c.output)
+			is.Equal(res.Events, c.output)
+		})
+	}
+}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -24,7 +24,7 @@
 const (
 	contentTypeEvents = "text/event-stream"
 	contentTypeJSON   = "application/json"
-	doneEvent         = "data: [DONE]"
+	doneData          = "[DONE]"
 	maxEventBytes     = 1 << 20
 )
 
@@ -179,7 +179,7 @@
 		if !hasData {
 			continue // a keep-alive comment
 		}
-		done := bytes.Contains(event, []byte(doneEvent))
+		done := isLastEvent(event)
 		if !e.first {
 			e.first = true
 			e.call.OnFirstOutput()
@@ -241,6 +241,19 @@
 	return clean, hasData, true
 }
 
+// isLastEvent reports whether the data of an event is that of the last one of a stream.
+func isLastEvent(event []byte) bool {
+	dataLines, isDone := 0, false
+	for line := range bytes.Lines(event) {
+		value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataField)
+		if ok {
+			dataLines++
+			isDone = string(bytes.TrimPrefix(value, []byte(" "))) == doneData
+		}
+	}
+	return dataLines == 1 && isDone
+}
+
 func hasAnyPrefix(line []byte, prefixes [][]byte) bool {
 	return slices.ContainsFunc(prefixes, func(p []byte) bool { return bytes.HasPrefix(line, p) })
 }
