upstream: blank lines don't separate the ID of an event from its data

What callers saw: an event that is missing after a resumption, where an engine sends more blank lines than one between two events.

Cause: an instance puts an event's ID before what it read of the event, blank lines included. For the caller the ID belongs to an event without data, and a stream that broke there was resumed after an event that the caller didn't have.

Blank lines before an event are dropped now.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -298,3 +300,36 @@
 		})
 	}
 }
+
+// Guards against a caller that has the ID of an event and not its data: blank lines that an engine sends before
+// an event must not separate the two.
+func TestIDOfAnEventIsNotSeparatedFromItsData(t *testing.T) {
+	is := is.New(t)
+	u := listenRaw(t, func(u *rawUpstream, _ int, conn net.Conn, r *bufio.Reader) {
+		if u.readRequest(r) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nEngine-Stream-Id: s\r\nConnection: close\r\n\r\n"+
+				"data: a\n\n\ndata: b\n\n\r\n\r\nevent: x\r\ndata: c\r\n\r\n\ndata: [DONE]\n\n")
+		}
+	})
+	client := NewClient(time.Second)
+	defer client.Close()
+	res, b := do(t, client, u.listener.Addr().String(), model(true), allow)
+	is.Equal(res.Status, Done)
+	is.Equal(res.Events, 3)
+	b.Finish(answer.End{})
+	reader, chunks := b.Reader(), 0
+	for {
+		event, err := reader.Next(t.Context())
+		is.NoErr(err)
+		if event.End != nil {
+			break
+		}
+		if event.Chunk == nil {
+			continue
+		}
+		chunks++
+		lines := strings.Split(strings.ReplaceAll(string(event.Chunk), "\r", ""), "\n")
+		is.True(len(lines) > 2 && !slices.Contains(lines[:len(lines)-2], "")) // one event, ended by the only blank line
+	}
+	is.Equal(chunks, 4)
+}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -223,7 +223,7 @@
 	otherFields = [][]byte{[]byte(":"), []byte("event:"), []byte("retry:")}
 )
 
-// cleanEvent checks the lines of an event and drops its id. HasData is false for an event that
+// cleanEvent checks the lines of an event and drops its id and the blank lines before it. HasData is false for an event that
 // contains only comments.
 func cleanEvent(event []byte) (clean []byte, hasData, ok bool) {
 	for line := range bytes.Lines(event) {
@@ -232,7 +232,11 @@
 			hasData = true
 		case bytes.HasPrefix(line, idField):
 			continue
-		case len(bytes.TrimRight(line, "\r\n")) == 0, hasAnyPrefix(line, otherFields):
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			if len(clean) == 0 {
+				continue // it would separate the event from the ID that is put before it
+			}
+		case hasAnyPrefix(line, otherFields):
 		default:
 			return nil, false, false
 		}
