upstream: a stream whose ID no token may have can't be resumed

What callers saw: event IDs that every instance refuses as a Last-Event-ID, so that an event which the caller had came twice from a retained response, or the resumption was refused.

Cause: the ID that an engine gives its stream was put into the event IDs unchecked, also if it contains other characters than a token may have or is longer than 128 bytes.

Events of such a stream get no ID, as those of one that the engine doesn't name.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -333,3 +333,22 @@
 	}
 	is.Equal(chunks, 4)
 }
+
+// Guards against an ID that a caller can't resume with, and by which an instance doesn't know what the caller has: a
+// stream whose engine gives it an ID that no token may have gets none.
+func TestStreamWithAnInvalidIDCannotBeResumed(t *testing.T) {
+	for _, id := range []string{"a.b", "a/b", "a b", "a?b", strings.Repeat("a", 129)} {
+		is := is.New(t)
+		u := listenRaw(t, func(u *rawUpstream, _ int, conn net.Conn, r *bufio.Reader) {
+			if u.readRequest(r) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nEngine-Stream-Id: "+id+"\r\nConnection: close\r\n\r\ndata: a\n\n")
+			}
+		})
+		client := NewClient(time.Second)
+		res, b := do(t, client, u.listener.Addr().String(), model(true), allow)
+		client.Close()
+		is.Equal(res.Status, Truncated)
+		is.Equal(res.StreamID, "")
+		is.Equal(b.Written(), len("data: a\n\n"))
+	}
+}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -160,7 +160,7 @@
 }
 
 func (e *eventRelay) run(ctx context.Context, body io.Reader) Result {
-	if e.stream == "" {
+	if !isValidStreamID(e.stream) {
 		e.stream = e.call.StreamID
 	}
 	reader := bufio.NewReaderSize(body, chunkBytes)
