upstream: check that an engine resumes a stream where it broke

What callers saw, at instances that serve models themselves: pieces that are missing or come twice around a resumption, in a stream that states its end.

Cause: an instance asks an engine for the events after the first N and takes what comes for event N+1. An engine that goes on elsewhere, or that has another run under the same stream ID since it was restarted at the same address, isn't noticed, as engines state no positions.

The ID of an event now contains a checksum of its data. A resumption asks for the caller's last event once more, and relays what follows only if its checksum fits; otherwise the stream ends as broken. IDs of earlier versions have no checksum and aren't checked. Two equal events in a row can't be told apart.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -253,6 +253,8 @@
 		return answer.End{Problem: api.UnknownOutcome(api.ReasonUpstreamTimeout, "the deadline passed while the upstream ran the request; allow more time, and check what it did before you send it under a new key")}
 	case upstream.Truncated:
 		return answer.End{Problem: api.UnknownOutcome(api.ReasonUpstreamCut, "the upstream's response was truncated (%v); check what the request did, or resume with Last-Event-ID", r.Err)}
+	case upstream.NotResumed:
+		return answer.End{Problem: api.UnknownOutcome(api.ReasonUpstreamLost, "the engine doesn't continue this stream (%v); send the request again, without Last-Event-ID", r.Err)}
 	case upstream.InvalidResponse:
 		return answer.End{Problem: api.UnknownOutcome(api.ReasonUpstreamGarbage, "the upstream's response is invalid (%v); check what the request did, and report this to your operator", r.Err)}
 	case upstream.Cancelled:
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -30,13 +30,13 @@
 		if !wait.For(ctx, time.Duration(a.resumes-1)*resumeDelay) {
 			break
 		}
-		result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(address, truncated.StreamID, truncated.Events), a.buffer)
+		result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(positionOf(address, truncated)), a.buffer)
 		a.outputTokens += result.OutputTokens
 		if result.Status == upstream.Done {
 			return answer.End{}
 		}
 		if result.Status != upstream.Truncated {
-			result.StreamID, result.Events = truncated.StreamID, truncated.Events
+			result.StreamID, result.Events, result.LastChecksum = truncated.StreamID, truncated.Events, truncated.LastChecksum
 		}
 		truncated = result
 	}
@@ -55,21 +55,27 @@
 		return answer.End{Problem: api.UnknownOutcome(api.ReasonUpstreamLost, "the engine of this stream is no longer in service; send the request again, without Last-Event-ID")}
 	}
 	a.generation = a.dispatcher.o.Gate.Detector.Generation()
-	result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(token.Upstream, token.StreamID, token.Events), a.buffer)
+	result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(token), a.buffer)
 	if result.Status == upstream.Truncated && a.mayResume(result) {
 		return a.resume(ctx, token.Upstream, result)
 	}
 	return a.endOf(result)
 }
 
-func (a *attempts) resumeCall(address, stream string, events int) upstream.Call {
+// positionOf returns the position after the events that a truncated stream brought.
+func positionOf(address string, truncated upstream.Result) upstream.ResumeToken {
+	return upstream.ResumeToken{Upstream: address, StreamID: truncated.StreamID, Events: truncated.Events, Checksum: truncated.LastChecksum}
+}
+
+func (a *attempts) resumeCall(after upstream.ResumeToken) upstream.Call {
 	return upstream.Call{
-		Address:       address,
+		Address:       after.Upstream,
 		Request:       a.request,
 		Instance:      a.dispatcher.o.Instance,
 		Revision:      a.snapshot.Revision,
-		StreamID:      stream,
-		SkipEvents:    events,
+		StreamID:      after.StreamID,
+		SkipEvents:    after.Events,
+		LastChecksum:  after.Checksum,
 		BeforeWrite:   a.checkBeforeWrite,
 		OnFirstOutput: func() {},
 	}
--- /dev/null
+++ b/internal/dispatch/resume_test.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/pause"
+	"github.com/tacktally/tacktally/internal/quarantine"
+	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/upstream"
+)
+
+// step is one response of a scripted engine.
+type step struct {
+	status      int    // default 200
+	contentType string // default that of a stream
+	stream      string // ID of the stream; default "s1", none if "-"
+	body        string
+	whole       bool // the response states its end; otherwise its connection breaks
+}
+
+// scriptedEngine responds to each request with the next step. The last one is repeated.
+type scriptedEngine struct {
+	steps   []step
+	targets []string // of the requests received
+}
+
+func (e *scriptedEngine) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	s := e.steps[min(len(e.targets), len(e.steps)-1)]
+	e.targets = append(e.targets, h.URL.RequestURI())
+	switch s.stream {
+	case "":
+		w.Header().Set(upstream.HeaderStreamID, "s1")
+	case "-":
+	default:
+		w.Header().Set(upstream.HeaderStreamID, s.stream)
+	}
+	if s.contentType == "" {
+		s.contentType = "text/event-stream"
+	}
+	w.Header().Set("Content-Type", s.contentType)
+	w.WriteHeader(max(s.status, http.StatusOK))
+	_, _ = io.WriteString(w, s.body)
+	if !s.whole {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// events returns a body with the events from first to last.
+func events(first, last int) string {
+	body := ""
+	for n := first; n <= last; n++ {
+		body += fmt.Sprintf("data: %d\n\n", n)
+	}
+	return body
+}
+
+const done = "data: [DONE]\n\n"
+
+// newScriptedAttempts returns the attempts of a request, and the address of an engine behind a handler.
+func newScriptedAttempts(t *testing.T, e http.Handler, r *request.Request) (a *attempts, address string) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(e)
+	server.Config.ErrorLog = nil
+	server.Start()
+	t.Cleanup(server.Close)
+	client := upstream.NewClient(time.Second)
+	t.Cleanup(client.Close)
+	address = server.Listener.Addr().String()
+	logger := telemetry.NewLogger(io.Discard, "error", "test")
+	r.Deadline = time.Now().Add(time.Minute)
+	return &attempts{
+		dispatcher: &Dispatcher{
+			o: Options{
+				Client: client, Metrics: telemetry.NewMetrics(), Log: logger,
+				Gate: &pause.Gate{Detector: pause.NewDetector()}, Quarantine: quarantine.New(logger, nil),
+			},
+			listed: map[setMember]bool{{"readers", address}: true},
+		},
+		snapshot: &config.Snapshot{}, request: r, buffer: answer.New(true), set: "readers",
+	}, address
+}
+
+func newStreamRequest(nonIdempotent bool) *request.Request {
+	return &request.Request{ID: "r1", Kind: request.Chat, Model: "m", Stream: true, Body: []byte(`{}`), NonIdempotent: nonIdempotent}
+}
+
+// serve sends a request, and resumes its stream as run does.
+func (a *attempts) serve(t *testing.T, address string) answer.End {
+	t.Helper()
+	call := upstream.Call{Address: address, Request: a.request, BeforeWrite: func() error { return nil }, OnFirstOutput: func() {}}
+	result := a.dispatcher.o.Client.Do(t.Context(), call, a.buffer)
+	if result.Status == upstream.Truncated && a.mayResume(result) {
+		return a.resume(t.Context(), address, result)
+	}
+	return a.endOf(result)
+}
+
+// textOf returns the body in a buffer.
+func textOf(t *testing.T, b *answer.Buffer) string {
+	t.Helper()
+	b.Finish(answer.End{})
+	reader := b.Reader()
+	body := ""
+	for {
+		event, err := reader.Next(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if event.End != nil {
+			return body
+		}
+		body += string(event.Chunk)
+	}
+}
+
+// dataOf returns the data of the events in a buffer, separated by spaces. Lines that are no field have a question
+// mark.
+func dataOf(t *testing.T, b *answer.Buffer) string {
+	t.Helper()
+	var data []string
+	for line := range strings.Lines(textOf(t, b)) {
+		if value, ok := strings.CutPrefix(line, "data:"); ok {
+			data = append(data, strings.TrimSpace(value))
+		} else if !strings.HasPrefix(line, "id:") && strings.TrimSpace(line) != "" {
+			data = append(data, "?"+strings.TrimSpace(line))
+		}
+	}
+	return strings.Join(data, " ")
+}
+
+// Guards against events that are missing or come twice: an engine that goes on at another event than the one asked for,
+// or that has another run under the ID of the stream, as after a restart at the same address.
+func TestResumptionAtAnotherEventIsNotRelayed(t *testing.T) {
+	for name, c := range map[string]struct {
+		body  string // of the resumed run
+		want  string // after events 1 to 3
+		whole bool
+	}{
+		"after the last event":           {events(3, 5) + done, "4 5 [DONE]", true},
+		"with comments and names":        {": alive\n\nevent: x\nid: 3\ndata: 3\n\n: alive\n\n" + events(4, 5) + done, "4 5 [DONE]", true},
+		"with CR LF":                     {strings.ReplaceAll(events(3, 5)+done, "\n", "\r\n"), "4 5 [DONE]", true},
+		"at the end":                     {events(3, 3) + done, "[DONE]", true},
+		"too late":                       {events(5, 6) + done, "", false},
+		"one too late":                   {events(4, 6) + done, "", false},
+		"one too early":                  {events(2, 6) + done, "", false},
+		"from its start":                 {events(1, 6) + done, "", false},
+		"with the last event alone":      {done, "", false},
+		"another run":                    {"data: a\n\ndata: b\n\n" + done, "", false},
+		"broken before the next event":   {events(3, 3), "", false},
+		"broken inside the last event":   {"data: 3", "", false},
+		"an event without data is asked": {"event: x\n\n" + events(3, 5) + done, "4 5 [DONE]", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			gone := step{status: 404, contentType: "text/plain", whole: true}
+			e := &scriptedEngine{steps: []step{{body: events(1, 3)}, {body: c.body, whole: true}, gone}}
+			a, address := newScriptedAttempts(t, e, newStreamRequest(false))
+			end := a.serve(t, address)
+			is.Equal(end.Problem == nil, c.whole)
+			is.Equal(dataOf(t, a.buffer), strings.TrimSpace("1 2 3 "+c.want))
+			is.Equal(e.targets[1], "/v1/streams/s1?offset=2")
+
+			// The caller resumes with the ID of the third event.
+			var ids []string
+			for line := range strings.Lines(textOf(t, a.buffer)) {
+				if id, ok := strings.CutPrefix(line, "id: "); ok {
+					ids = append(ids, strings.TrimSpace(id))
+				}
+			}
+			r := newStreamRequest(false)
+			r.LastEventID = ids[2]
+			e.steps, e.targets = []step{{body: c.body, whole: true}, gone}, nil
+			again := &attempts{dispatcher: a.dispatcher, snapshot: a.snapshot, request: r, buffer: answer.New(true), set: a.set}
+			r.Deadline = time.Now().Add(time.Minute)
+			end = again.run(t.Context())
+			is.Equal(end.Problem == nil, c.whole)
+			is.Equal(dataOf(t, again.buffer), c.want)
+			is.Equal(e.targets[0], "/v1/streams/s1?offset=2")
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -65,6 +65,9 @@
 	Truncated
 	// InvalidResponse: the response violates its protocol.
 	InvalidResponse
+	// NotResumed: the engine responded to a resumption with something else than the stream, of which
+	// nothing was relayed.
+	NotResumed
 	// Timeout: the deadline passed after the request was written.
 	Timeout
 	// Cancelled: the caller disconnected after the request was written.
@@ -78,9 +81,10 @@
 	Err error
 	// OutputTokens is the number of output tokens relayed in this call.
 	OutputTokens int
-	// StreamID and Events identify the position at which a truncated stream can be resumed.
-	StreamID string
-	Events   int
+	// StreamID, Events and LastChecksum identify the position at which a truncated stream can be resumed.
+	StreamID     string
+	Events       int
+	LastChecksum uint32
 	// Leaving reports whether the upstream announced in the response that it leaves.
 	Leaving bool
 	// EndUnstated reports that the response is complete only as far as its connection shows: it has neither
@@ -99,9 +103,11 @@
 	// Instance and Revision are set in the head of the response.
 	Instance string
 	Revision int64
-	// StreamID resumes a stream after its first SkipEvents events. Empty for a new request.
-	StreamID   string
-	SkipEvents int
+	// StreamID resumes a stream after its first SkipEvents events, of which the last one has the given
+	// checksum, if that is known. Empty for a new request.
+	StreamID     string
+	SkipEvents   int
+	LastChecksum uint32
 	// BeforeWrite is called before the first byte is written: right before it for a non-idempotent
 	// request, before a connection is selected for an idempotent one. An error stops the call with
 	// NotWritten. It must not block.
@@ -239,13 +245,27 @@
 	return o.Conn.Write(p)
 }
 
+// asksForLastEvent reports whether a resumption asks for the last event that the caller has once more, to check that
+// the engine goes on after it.
+func (c Call) asksForLastEvent() bool {
+	return c.StreamID != "" && c.SkipEvents > 0 && c.LastChecksum != 0
+}
+
+// offset returns how many events of the stream a resumption skips.
+func (c Call) offset() int {
+	if c.asksForLastEvent() {
+		return c.SkipEvents - 1
+	}
+	return c.SkipEvents
+}
+
 // newRequest returns the HTTP request of a call.
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	r := call.Request
 	s := sling.New().Base("http://" + call.Address)
 	switch {
 	case call.StreamID != "":
-		s = s.Get("/v1/streams/" + call.StreamID + "?offset=" + strconv.Itoa(call.SkipEvents))
+		s = s.Get("/v1/streams/" + call.StreamID + "?offset=" + strconv.Itoa(call.offset()))
 	case r.Kind == request.Service:
 		s = serviceCall(s, call.Address, r)
 	case r.Kind == request.Chat:
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -62,7 +62,7 @@
 	media, _, _ := mime.ParseMediaType(head.ContentType)
 	switch {
 	case media == contentTypeEvents && response.StatusCode == http.StatusOK:
-		relayer := &eventRelay{call: call, buffer: b, head: head, events: call.SkipEvents, stream: response.Header.Get(HeaderStreamID)}
+		relayer := &eventRelay{call: call, buffer: b, head: head, events: call.SkipEvents, last: call.LastChecksum, stream: response.Header.Get(HeaderStreamID)}
 		return relayer.run(ctx, response.Body)
 	case media == contentTypeJSON:
 		return relayJSON(ctx, response.Body, b, head)
@@ -147,6 +147,9 @@
 	return Result{Status: Done, OutputTokens: u.Usage.CompletionTokens}
 }
 
+// errOtherPosition means that an engine resumed a stream after another event than the one asked for.
+var errOtherPosition = errors.New("the engine resumed the stream at another event")
+
 // eventRelay relays a stream of server-sent events. It gives each event an ID with which any
 // instance can resume the stream.
 type eventRelay struct {
@@ -154,7 +157,8 @@
 	buffer *answer.Buffer
 	head   answer.Head
 	stream string
-	events int // events relayed, including those before a resume
+	events int    // events relayed, including those before a resume
+	last   uint32 // checksum of the last one; 0 if it isn't known
 	tokens int
 	first  bool
 }
@@ -164,6 +168,7 @@
 		e.stream = e.call.StreamID
 	}
 	reader := bufio.NewReaderSize(body, chunkBytes)
+	known := e.call.asksForLastEvent() // the next event is one that the caller has
 	for {
 		event, err := sse.Read(reader, maxEventBytes)
 		if errors.Is(err, sse.ErrTooLarge) {
@@ -179,6 +184,13 @@
 		if !hasData {
 			continue // a keep-alive comment
 		}
+		if known {
+			if checksumOf(event) != e.call.LastChecksum {
+				return Result{Status: NotResumed, Err: errOtherPosition}
+			}
+			known = false
+			continue
+		}
 		done := isLastEvent(event)
 		if !e.first {
 			e.first = true
@@ -197,6 +209,7 @@
 func (e *eventRelay) write(ctx context.Context, event []byte, done bool) error {
 	if !done {
 		e.events++
+		e.last = checksumOf(event)
 		e.tokens++
 		event = append(e.eventID(), event...)
 	}
@@ -207,12 +220,12 @@
 	if e.stream == "" {
 		return nil
 	}
-	token := ResumeToken{Upstream: e.call.Address, StreamID: e.stream, Events: e.events}
+	token := ResumeToken{Upstream: e.call.Address, StreamID: e.stream, Events: e.events, Checksum: e.last}
 	return append(append([]byte("id: "), token.String()...), '\n')
 }
 
 func (e *eventRelay) result(s Status, err error) Result {
-	return Result{Status: s, Err: err, OutputTokens: e.tokens, StreamID: e.stream, Events: e.events}
+	return Result{Status: s, Err: err, OutputTokens: e.tokens, StreamID: e.stream, Events: e.events, LastChecksum: e.last}
 }
 
 // Fields with which a line of an event may begin; ":" is a comment. Lines with the field id are
--- a/internal/upstream/resume.go
+++ b/internal/upstream/resume.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/base64"
 	"errors"
+	"hash/crc32"
 	"net/netip"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +19,22 @@
 	Upstream string `cbor:"1,keyasint"`
 	StreamID string `cbor:"2,keyasint"`
 	Events   int    `cbor:"3,keyasint"`
+	// Checksum is that of the data of the last of these events; 0 if it isn't known, as in tokens of earlier
+	// versions.
+	Checksum uint32 `cbor:"4,keyasint,omitempty"`
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// checksumOf returns the checksum of an event's data.
+func checksumOf(event []byte) uint32 {
+	sum := uint32(0)
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, dataField) {
+			sum = crc32.Update(sum, castagnoli, bytes.TrimRight(line, "\r\n"))
+		}
+	}
+	return sum
 }
 
 // String returns the token encoded for the id field of an event.
