upstream: only the stream asked for continues a stream

What callers saw: a response in JSON, such as the engine's error, in the middle of a stream that then looks complete; pieces of two streams joined, where an engine responds with another one than was asked for.

Cause: the response to a resumption was relayed as that to a new request is, by its content type, and the stream ID in its head was taken for the stream's.

Nothing is relayed now of a response that isn't a stream with status 200, or that names another stream: the stream ends as broken, and the caller's resumption as unknown.

--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/pause"
@@ -140,6 +141,85 @@
 	return strings.Join(data, " ")
 }
 
+// Guards against a response that isn't the stream, such as an error in JSON, being written into the
+// middle of a stream, which then ended as complete.
+func TestResponseThatIsNoStreamDoesNotContinueAStream(t *testing.T) {
+	first := step{body: events(1, 3)}
+	for name, c := range map[string]struct {
+		second step
+		want   string
+		whole  bool
+	}{
+		"the stream":           {step{body: events(3, 5) + done, whole: true}, "1 2 3 4 5 [DONE]", true},
+		"not found, as JSON":   {step{status: 404, contentType: "application/json", body: `{"error":{}}`, whole: true}, "1 2 3", false},
+		"failed, as JSON":      {step{status: 500, contentType: "application/json", body: `{"error":{}}`, whole: true}, "1 2 3", false},
+		"busy, as JSON":        {step{status: 503, contentType: "application/json", body: `{"error":{}}`, whole: true}, "1 2 3", false},
+		"whole, as JSON":       {step{contentType: "application/json", body: `{"choices":[]}`, whole: true}, "1 2 3", false},
+		"failed, as text":      {step{status: 500, contentType: "text/plain", body: "failed", whole: true}, "1 2 3", false},
+		"failed, as a stream":  {step{status: 500, body: events(3, 5) + done, whole: true}, "1 2 3", false},
+		"nothing":              {step{whole: true}, "1 2 3", false},
+		"closed between two":   {step{body: events(3, 4), whole: true}, "1 2 3 4", false},
+		"closed inside an ID":  {step{body: events(3, 4) + "id", whole: true}, "1 2 3 4", false},
+		"closed before a line": {step{body: events(3, 4) + "data: [DONE]", whole: true}, "1 2 3 4", false},
+	} {
+		for _, nonIdempotent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/%t", name, nonIdempotent), func(t *testing.T) {
+				is := is.New(t)
+				e := &scriptedEngine{steps: []step{first, c.second, {status: 404, contentType: "text/plain", whole: true}}}
+				a, address := newScriptedAttempts(t, e, newStreamRequest(nonIdempotent))
+				end := a.serve(t, address)
+				is.Equal(dataOf(t, a.buffer), c.want)
+				is.Equal(end.Problem == nil, c.whole)
+				is.True(c.whole || end.Problem.Outcome == api.Unknown)
+			})
+		}
+	}
+}
+
+// Guards against pieces of two runs being joined: an engine that resumes another stream than the one
+// asked for.
+func TestAnotherStreamDoesNotContinueAStream(t *testing.T) {
+	is := is.New(t)
+	e := &scriptedEngine{steps: []step{
+		{body: events(1, 3)},
+		{stream: "s2", body: events(3, 5) + done, whole: true},
+	}}
+	a, address := newScriptedAttempts(t, e, newStreamRequest(false))
+	end := a.serve(t, address)
+	is.Equal(dataOf(t, a.buffer), "1 2 3")
+	is.True(end.Problem != nil)
+}
+
+// Guards against another response, such as an error in JSON, being taken for the rest of a stream.
+func TestCallersResumptionIsAnsweredByTheStreamOrAProblem(t *testing.T) {
+	for name, c := range map[string]struct {
+		step  step
+		want  string
+		whole bool
+	}{
+		"the stream":     {step{body: events(4, 5) + done, whole: true}, "4 5 [DONE]", true},
+		"at its end":     {step{body: done, whole: true}, "[DONE]", true},
+		"not found":      {step{status: 404, contentType: "application/json", body: `{"error":{}}`, whole: true}, "", false},
+		"whole, as JSON": {step{contentType: "application/json", body: `{"choices":[]}`, whole: true}, "", false},
+		"another stream": {step{stream: "s2", body: events(4, 5) + done, whole: true}, "", false},
+		"without an ID":  {step{stream: "-", body: events(4, 5) + done, whole: true}, "4 5 [DONE]", true},
+		"no stated end":  {step{body: events(4, 5), whole: true}, "4 5", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newStreamRequest(false)
+			e := &scriptedEngine{steps: []step{c.step, {status: 404, contentType: "text/plain", whole: true}}}
+			a, address := newScriptedAttempts(t, e, r)
+			r.LastEventID = upstream.ResumeToken{Upstream: address, StreamID: "s1", Events: 3}.String()
+			end := a.run(t.Context())
+			is.Equal(dataOf(t, a.buffer), c.want)
+			is.Equal(end.Problem == nil, c.whole)
+			is.True(c.whole || end.Problem.Outcome == api.Unknown)
+			is.Equal(e.targets[0], "/v1/streams/s1?offset=3")
+		})
+	}
+}
+
 // Guards against events that are missing or come twice: an engine that goes on at another event than the one asked for,
 // or that has another run under the ID of the stream, as after a restart at the same address.
 func TestResumptionAtAnotherEventIsNotRelayed(t *testing.T) {
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -60,8 +60,13 @@
 		return result
 	}
 	media, _, _ := mime.ParseMediaType(head.ContentType)
+	isStream := media == contentTypeEvents && response.StatusCode == http.StatusOK
 	switch {
-	case media == contentTypeEvents && response.StatusCode == http.StatusOK:
+	case call.StreamID != "" && !isStream:
+		return Result{Status: NotResumed, Err: fmt.Errorf("engine responded %s with content type %q instead of the stream", response.Status, head.ContentType)}
+	case isStream && call.StreamID != "" && !isSameStream(call, response):
+		return Result{Status: NotResumed, Err: fmt.Errorf("engine responded with stream %q", response.Header.Get(HeaderStreamID))}
+	case isStream:
 		relayer := &eventRelay{call: call, buffer: b, head: head, events: call.SkipEvents, last: call.LastChecksum, stream: response.Header.Get(HeaderStreamID)}
 		return relayer.run(ctx, response.Body)
 	case media == contentTypeJSON:
@@ -71,6 +76,13 @@
 	}
 }
 
+// isSameStream reports whether the response to a resumption is of the stream asked for, as far as the engine names
+// it.
+func isSameStream(call Call, r *http.Response) bool {
+	id := r.Header.Get(HeaderStreamID)
+	return id == "" || id == call.StreamID
+}
+
 // endsWithConnection reports whether a response states neither the length nor the end of its body.
 func endsWithConnection(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
