dispatch: a resumption goes on after the events of an invalid run

What callers saw: events that come twice.

Cause: a run that resumed a stream and ended as invalid after some events was resumed from where it had begun, since only runs that were truncated told their position.

Every run that relayed a part of the stream tells it now.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -35,7 +35,7 @@
 		if result.Status == upstream.Done {
 			return answer.End{}
 		}
-		if result.Status != upstream.Truncated {
+		if result.StreamID == "" { // nothing of the stream came
 			result.StreamID, result.Events, result.LastChecksum = truncated.StreamID, truncated.Events, truncated.LastChecksum
 		}
 		truncated = result
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -176,6 +176,29 @@
 	}
 }
 
+// Guards against events being repeated: a resumed run that ended as invalid after some events was
+// resumed from where it had begun.
+func TestEventsOfAnInvalidRunAreNotRepeated(t *testing.T) {
+	for name, invalid := range map[string]string{
+		"a line that is no field": "hello\n\n",
+		"too large":               "data: " + strings.Repeat("x", 1<<20) + "\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := &scriptedEngine{steps: []step{
+				{body: events(1, 3)},
+				{body: events(3, 5) + invalid, whole: true},
+				{body: events(5, 7) + done, whole: true},
+			}}
+			a, address := newScriptedAttempts(t, e, newStreamRequest(false))
+			end := a.serve(t, address)
+			is.Equal(e.targets[1:], []string{"/v1/streams/s1?offset=2", "/v1/streams/s1?offset=4"})
+			is.Equal(dataOf(t, a.buffer), "1 2 3 4 5 6 7 [DONE]")
+			is.Equal(end.Problem, nil)
+		})
+	}
+}
+
 // Guards against pieces of two runs being joined: an engine that resumes another stream than the one
 // asked for.
 func TestAnotherStreamDoesNotContinueAStream(t *testing.T) {
