dispatch: an event that doesn't fit into a response isn't left out

What callers saw: a stream with an event missing that looks complete, of a request whose response is retained.

Cause: an event was counted before it was written to the buffer of the response. One that didn't fit counted as relayed, and the stream was resumed after it with events that fit.

An event counts once it is in the buffer, and a stream whose next event doesn't fit isn't resumed.

--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -16,9 +17,10 @@
 const resumeDelay = 50 * time.Millisecond
 
 // mayResume reports whether a truncated stream can be resumed at its engine. The engine continues
-// the same run, so non-idempotent requests may be resumed too.
+// the same run, so non-idempotent requests may be resumed too. One whose next event doesn't fit into
+// its buffer can't.
 func (a *attempts) mayResume(r upstream.Result) bool {
-	return r.StreamID != "" && a.request.Kind != request.Service && a.resumes < maxResumes
+	return !errors.Is(r.Err, answer.ErrTooLarge) && r.StreamID != "" && a.request.Kind != request.Service && a.resumes < maxResumes
 }
 
 // resume continues a truncated stream where it stopped, without a second prefill.
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -213,6 +213,22 @@
 	is.True(end.Problem != nil)
 }
 
+// Guards against a missing event: one that didn't fit into a retained response was counted, and the
+// stream went on after it with events that fit.
+func TestEventThatDoesNotFitIsNotLeftOut(t *testing.T) {
+	is := is.New(t)
+	large := "data: " + strings.Repeat("x", 900<<10) + "\n\n"
+	e := &scriptedEngine{steps: []step{
+		{body: strings.Repeat(large, 37), whole: true},
+		{body: events(38, 38) + done, whole: true},
+	}}
+	a, address := newScriptedAttempts(t, e, newStreamRequest(true))
+	end := a.serve(t, address)
+	is.True(end.Problem != nil)
+	is.True(!strings.Contains(dataOf(t, a.buffer), "[DONE]"))
+	is.Equal(len(e.targets), 1)
+}
+
 // Guards against another response, such as an error in JSON, being taken for the rest of a stream.
 func TestCallersResumptionIsAnsweredByTheStreamOrAProblem(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -218,21 +218,25 @@
 	}
 }
 
+// write relays an event, and counts it once it is in the buffer.
 func (e *eventRelay) write(ctx context.Context, event []byte, done bool) error {
-	if !done {
-		e.events++
-		e.last = checksumOf(event)
-		e.tokens++
-		event = append(e.eventID(), event...)
+	if done {
+		return e.buffer.Write(ctx, event)
 	}
-	return e.buffer.Write(ctx, event)
+	next := ResumeToken{Upstream: e.call.Address, StreamID: e.stream, Events: e.events + 1, Checksum: checksumOf(event)}
+	if err := e.buffer.Write(ctx, append(eventID(next), event...)); err != nil {
+		return err
+	}
+	e.events, e.last = next.Events, next.Checksum
+	e.tokens++
+	return nil
 }
 
-func (e *eventRelay) eventID() []byte {
-	if e.stream == "" {
+// eventID returns the line with the ID of an event; nil if its stream can't be resumed.
+func eventID(token ResumeToken) []byte {
+	if token.StreamID == "" {
 		return nil
 	}
-	token := ResumeToken{Upstream: e.call.Address, StreamID: e.stream, Events: e.events, Checksum: e.last}
 	return append(append([]byte("id: "), token.String()...), '\n')
 }
 
