dispatch: tests of killed engines and of streams cut anywhere

TestStreamOfAKilledEngineDoesNotLookComplete: an engine whose process is killed closes its connections in order, and a stream that hasn't had its last event must not be taken for complete.

TestStreamCutAnywhereIsResumedWhole: a connection that breaks at any byte of a stream.

--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -310,3 +313,92 @@
 		})
 	}
 }
+
+// Guards against a stream that looks complete after its engine's process was killed: the kernel closes the connections of
+// such a process in order, and a response without length or chunks states no end.
+func TestStreamOfAKilledEngineDoesNotLookComplete(t *testing.T) {
+	for name, sent := range map[string]string{
+		"before the first event":       "",
+		"between two events":           events(1, 3),
+		"inside an event":              events(1, 3) + "data: 4",
+		"before its blank line":        events(1, 3) + "data: 4\n",
+		"inside the last event":        events(1, 3) + "data: [DONE]",
+		"before the last event's end":  events(1, 3) + "data: [DONE]\n",
+		"inside the ID of an event":    events(1, 3) + "id: 4",
+		"after a comment":              events(1, 3) + ": alive\n\n",
+		"after an event without data":  events(1, 3) + "event: x\n\n",
+		"between two events in chunks": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nEngine-Stream-Id: s1\r\n"
+			response := head + "\r\n" + sent
+			if name == "between two events in chunks" {
+				response = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(events(1, 3)), events(1, 3))
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if h, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.Copy(io.Discard, h.Body)
+					l.Close()
+					_, _ = io.WriteString(c, response)
+				}
+			}()
+			a, _ := newScriptedAttempts(t, &scriptedEngine{}, newStreamRequest(false))
+			end := a.serve(t, l.Addr().String())
+			is.True(end.Problem != nil)
+			is.Equal(end.Problem.Outcome, api.Unknown)
+			if name != "before the first event" {
+				is.Equal(dataOf(t, a.buffer), "1 2 3")
+				is.Equal(end.Problem.Reason, api.ReasonUpstreamCut)
+			}
+		})
+	}
+}
+
+// Guards against pieces that are missing, split or repeated where the connection to an engine breaks, at any byte.
+func TestStreamCutAnywhereIsResumedWhole(t *testing.T) {
+	pieces := []string{
+		"data: a\n\n", ": alive\n\ndata: b\r\n\r\n", "event: x\nid: 7\ndata: c\ndata: d\n\n", "\n\ndata: e\n\n", "event: y\n\ndata: e\n\n",
+		"data:f\n: alive\n\n", `data: {"text":"data: [DONE]"}` + "\n\n",
+	}
+	const want = `a b c d e e f {"text":"data: [DONE]"} [DONE]`
+	whole := strings.Join(pieces, "") + done
+	for _, inOrder := range []bool{false, true} {
+		for cut := range len(whole) {
+			is := is.New(t)
+			first := true
+			engine := http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set(upstream.HeaderStreamID, "s1")
+				if !first {
+					offset, err := strconv.Atoi(h.URL.Query().Get("offset"))
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					_, _ = io.WriteString(w, strings.Join(pieces[offset:], "")+done)
+					return
+				}
+				first = false
+				_, _ = io.WriteString(w, whole[:cut])
+				if !inOrder {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			})
+			a, address := newScriptedAttempts(t, engine, newStreamRequest(false))
+			end := a.serve(t, address)
+			is.Equal(end.Problem, nil)
+			got := strings.ReplaceAll(dataOf(t, a.buffer), "?: alive ", "")
+			got = strings.NewReplacer("?event: x ", "", "?event: y ", "").Replace(got)
+			is.Equal(got, want) // cut at a byte
+		}
+	}
+}
