dispatch: cancel a stream whose deadline passes while it is resumed

What callers saw: a problem that says the response was truncated and can be resumed, after their own deadline. The engine went on working for nobody.

Cause: a stream was cancelled only if its deadline passed in its first run. While it was resumed, for the caller or by it, any end that wasn't the stream's counted as truncated, and no run was cancelled.

A resumption whose deadline has passed ends as a time-out now and is cancelled at the engine, by the ID that is known from the first run. One whose caller has left ends as such and isn't cancelled, since the caller may resume it. No further resumption is tried in either case.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -152,9 +152,7 @@
 	}
 	a.sentAt = time.Now()
 	result := a.dispatcher.o.Client.Do(ctx, call, a.buffer)
-	if result.Status == upstream.Timeout && result.StreamID != "" {
-		go a.cancelStream(g.Upstream.Address, result.StreamID)
-	}
+	a.cancelIfTimedOut(g.Upstream.Address, result)
 	a.outputTokens += result.OutputTokens
 	a.mayHaveRun = a.mayHaveRun || result.Status == upstream.Lost
 	a.recordResult(g, result)
@@ -164,6 +162,14 @@
 // cancelTimeout bounds the call that cancels a stream.
 const cancelTimeout = 2 * time.Second
 
+// cancelIfTimedOut cancels a stream whose deadline has passed, in the background. An engine that hasn't named the
+// stream yet ends the run when its connection is closed.
+func (a *attempts) cancelIfTimedOut(address string, r upstream.Result) {
+	if r.Status == upstream.Timeout && r.StreamID != "" {
+		a.dispatcher.cancellations.Go(func() { a.cancelStream(address, r.StreamID) })
+	}
+}
+
 // cancelStream stops a run whose deadline has passed, since its response is no longer useful. The
 // run of a caller that disconnected isn't cancelled, since the caller may resume it.
 func (a *attempts) cancelStream(address, stream string) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -100,6 +100,8 @@
 	o        Options
 	budget   *retrybudget.Budget
 	inFlight atomic.Int64
+	// cancellations are the calls that cancel streams.
+	cancellations sync.WaitGroup
 
 	mu      sync.Mutex
 	pools   map[string]*pool.Pool
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -25,7 +25,7 @@
 
 // resume continues a truncated stream where it stopped, without a second prefill.
 func (a *attempts) resume(ctx context.Context, address string, truncated upstream.Result) answer.End {
-	for a.mayResume(truncated) {
+	for a.mayResume(truncated) && ctx.Err() == nil {
 		a.resumes++
 		a.generation = a.dispatcher.o.Gate.Detector.Generation()
 		a.dispatcher.recordRetry(a.request, api.RetryResume, truncated.Err)
@@ -42,10 +42,23 @@
 		}
 		truncated = result
 	}
-	truncated.Status = upstream.Truncated
+	truncated.Status = a.statusOfUnresumed(ctx)
+	a.cancelIfTimedOut(address, truncated)
 	return a.endOf(truncated)
 }
 
+// statusOfUnresumed returns how a truncated stream that isn't resumed any more has ended.
+func (a *attempts) statusOfUnresumed(ctx context.Context) upstream.Status {
+	switch {
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded) || !time.Now().Before(a.request.Deadline):
+		return upstream.Timeout
+	case ctx.Err() != nil:
+		return upstream.Cancelled
+	default:
+		return upstream.Truncated
+	}
+}
+
 // resumeForCaller resumes a stream that the caller lost, possibly at another instance. The engine
 // checks that the stream belongs to the organisation.
 func (a *attempts) resumeForCaller(ctx context.Context) answer.End {
@@ -61,6 +74,8 @@
 	if result.Status == upstream.Truncated && a.mayResume(result) {
 		return a.resume(ctx, token.Upstream, result)
 	}
+	result.StreamID = token.StreamID // also where the engine's head came too late
+	a.cancelIfTimedOut(token.Upstream, result)
 	return a.endOf(result)
 }
 
