faults: the test of a stream past its deadline holds both orders

TestStreamPastDeadlineIsCancelled assumed that the engine's head comes before the request's 300 ms have passed. Where it doesn't, the instance hasn't learned the stream's ID and can only close the connection, so that the test waited for a cancellation that can't come.

The stand-in engine ends such a run now when its connection is closed, and tells runs that were abandoned so from those that were cancelled by ID. A cancelled stream ends there without [DONE] for whoever still reads it, and isn't found any more: instances can't tell it from a complete one otherwise.

The test is as strict as before, and states more: the stream that the caller saw is the one cancelled, it can't be resumed and doesn't look complete, and in the other order the engine ends the run and nothing is cancelled by ID. It doesn't compile without the changes of the engine.

--- a/internal/faults/membership_test.go
+++ b/internal/faults/membership_test.go
@@ -13,6 +13,7 @@
 	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/standin/engine"
 	"github.com/tacktally/tacktally/internal/standin/service"
+	"github.com/tacktally/tacktally/internal/upstream"
 )
 
 // An instance that is missing from a stale instance list is still linked: by the instances that knew it,
@@ -59,16 +60,51 @@
 	is.Equal(other.send(call{path: releasePath, body: "b", key: issuer.issue()}).body, service.ResponseBody("b"))
 }
 
-// A stream whose deadline has passed is cancelled at its engine. A stream whose caller has left isn't,
-// since it may be resumed.
+// Guards against an engine that goes on working for nobody after the deadline of a stream: one that has named the
+// stream is told to cancel it, and one that hasn't is told by the closed connection.
 func TestStreamPastDeadlineIsCancelled(t *testing.T) {
 	t.Parallel()
-	is := is.New(t)
-	f := newFleet(t, "fort")
-	hold := make(chan struct{})
-	f.engine.SetFaults(engine.Faults{HoldToken: hold})
-	r := f.daemons[0].send(call{path: chatPath, body: prompt("late", true), timeout: 300 * time.Millisecond})
-	is.Equal(r.outcome, api.Unknown)
-	is.True(strings.Contains(r.body, string(api.ReasonUpstreamTimeout)))
-	f.eventually("the engine has cancelled the stream", func() bool { return f.engine.Cancelled() == 1 })
+	t.Run("head before the deadline", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		f := newFleet(t, "fort")
+		f.engine.SetFaults(engine.Faults{HoldToken: make(chan struct{})})
+		var id upstream.ResumeToken
+		r := f.sendUntilPastDeadline(func(r reply) bool {
+			var relayed bool
+			id, relayed = upstream.EventToken([]byte(r.body))
+			return relayed
+		})
+		is.Equal(r.outcome, api.Unknown)
+		is.True(strings.Contains(r.body, string(api.ReasonUpstreamTimeout)))
+		f.eventually("the engine has cancelled the stream", func() bool { return slices.Contains(f.engine.Cancelled(), id.StreamID) })
+
+		r = f.daemons[0].send(call{path: chatPath, body: prompt("late", true), header: map[string]string{api.HeaderLastEventID: id.String()}})
+		is.Equal(r.outcome, api.Unknown) // a cancelled stream can't be resumed, and doesn't look complete
+		is.Equal(r.problem.Reason, api.ReasonUpstreamLost)
+	})
+	t.Run("head after the deadline", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		f := newFleet(t, "fort")
+		f.engine.SetFaults(engine.Faults{HoldHead: make(chan struct{})})
+		r := f.sendUntilPastDeadline(func(reply) bool { return len(f.engine.Runs()) > 0 })
+		is.Equal(r.outcome, api.Unknown)
+		is.Equal(r.problem.Reason, api.ReasonUpstreamTimeout)
+		f.eventually("the engine has ended the run", func() bool { return f.engine.Abandoned() == len(f.engine.Runs()) })
+		is.Equal(f.engine.Cancelled(), nil)
+	})
+}
+
+// sendUntilPastDeadline sends a stream's request that the engine doesn't complete, with ever longer timeouts until the
+// deadline passes after the request has got as far as reached reports.
+func (f *fleet) sendUntilPastDeadline(reached func(reply) bool) reply {
+	f.t.Helper()
+	for timeout := 300 * time.Millisecond; timeout < 10*time.Second; timeout *= 2 {
+		if r := f.daemons[0].send(call{path: chatPath, body: prompt("late", true), timeout: timeout}); reached(r) {
+			return r
+		}
+	}
+	f.t.Fatal("the deadline was always too early")
+	return reply{}
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,6 +38,8 @@
 	Garbage bool
 	// Hold is received from before each response begins.
 	Hold <-chan struct{}
+	// HoldHead is received from after a stream has begun to run, before the head of its response.
+	HoldHead <-chan struct{}
 	// HoldToken is received from before each token after the first.
 	HoldToken <-chan struct{}
 	// Leaving adds the leaving notice to each response.
@@ -57,7 +60,8 @@
 	order     []string // IDs of streams, oldest first
 	wake      chan struct{}
 	runs      []Run
-	cancelled int
+	cancelled []string
+	abandoned int
 	stop      chan struct{}
 	once      sync.Once
 }
@@ -122,11 +126,19 @@
 	return append([]Run(nil), e.runs...)
 }
 
-// Cancelled returns the number of cancelled runs.
-func (e *Server) Cancelled() int {
+// Cancelled returns the IDs of the streams that were cancelled by ID.
+func (e *Server) Cancelled() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.cancelled
+	return slices.Clone(e.cancelled)
+}
+
+// Abandoned returns the number of streams that ended because their connection was closed before the head
+// of the response, which names the stream.
+func (e *Server) Abandoned() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.abandoned
 }
 
 // PrefilledTokens returns the number of prompt tokens that were prefilled.
@@ -267,6 +279,10 @@
 	}
 	r := e.start(content, b, h.Header.Get(upstream.HeaderOwner))
 	if b.Stream {
+		if !awaitFirstToken(h.Context(), r, faults.HoldHead) {
+			e.abandon(r)
+			return
+		}
 		e.stream(w, h, r, 0)
 		return
 	}
@@ -349,6 +365,9 @@
 			return
 		}
 		if event.End != nil {
+			if event.End.Unstated {
+				panic(http.ErrAbortHandler)
+			}
 			_, _ = io.WriteString(w, "data: [DONE]\n\n")
 			return
 		}
@@ -369,6 +388,23 @@
 	}
 }
 
+// awaitFirstToken blocks until the first token of a stream, and until hold is received from if it isn't nil. It reports
+// whether the connection is still open.
+func awaitFirstToken(ctx context.Context, r *run, hold <-chan struct{}) bool {
+	if _, err := r.buffer.Reader().Next(ctx); err != nil {
+		return false
+	}
+	if hold == nil {
+		return true
+	}
+	select {
+	case <-hold:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // holdToken blocks while Faults.HoldToken does. It reports whether the stream continues.
 func (e *Server) holdToken(ctx context.Context) bool {
 	hold := e.currentFaults().HoldToken
@@ -422,9 +458,20 @@
 	if r := e.find(h); r != nil {
 		e.mu.Lock()
 		e.model.Cancel(r.sequence)
-		e.cancelled++
+		delete(e.streams, r.id)
+		e.cancelled = append(e.cancelled, r.id)
 		e.mu.Unlock()
-		r.buffer.Finish(answer.End{})
+		r.buffer.Finish(answer.End{Unstated: true}) // other readers must not take it for complete
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// abandon ends a run whose stream nobody can resume or cancel, since its ID was never sent.
+func (e *Server) abandon(r *run) {
+	e.mu.Lock()
+	e.model.Cancel(r.sequence)
+	delete(e.streams, r.id)
+	e.abandoned++
+	e.mu.Unlock()
+	r.buffer.Finish(answer.End{})
+}
