callerapi: refuse foreign event IDs under a key too

What callers saw: pieces that come twice. A retry under a key that names an event ID which isn't of an instance got the retained response from its start, as if the caller had none of it.

Cause: such an ID was ignored, and only refused where the request was sent to an engine; one that joins an earlier request isn't.

It is refused as invalid_request before the request is handled.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -122,14 +122,24 @@
 		s.refuse(w, h, r.ID, refuseOverloaded(inFlight))
 		return
 	}
-	b := s.gateway.Handle(h.Context(), snapshot, r)
-	out := &writer{server: s, response: w, control: control, request: r, conn: listen.CallerConnOf(h.Context()), http10: !h.ProtoAtLeast(1, 1)}
-	if last, err := upstream.ParseResumeToken(r.LastEventID); err == nil {
-		out.resumed = &last
+	last, err := lastEvent(r)
+	if err != nil {
+		s.refuse(w, h, r.ID, api.Refuse(api.ReasonInvalidRequest, "%v", err))
+		return
 	}
+	b := s.gateway.Handle(h.Context(), snapshot, r)
+	out := &writer{server: s, response: w, control: control, request: r, conn: listen.CallerConnOf(h.Context()), http10: !h.ProtoAtLeast(1, 1), last: last}
 	out.follow(h.Context(), b)
 }
 
+// lastEvent returns the last event that the caller of a request has; the zero value if it names none.
+func lastEvent(r *request.Request) (upstream.ResumeToken, error) {
+	if r.LastEventID == "" {
+		return upstream.ResumeToken{}, nil
+	}
+	return upstream.ParseResumeToken(r.LastEventID)
+}
+
 // hardLimitFactor is the multiple of callers.maxInFlight up to which requests in flight are decoded,
 // so that their tiers are known. Requests beyond it are refused without being read.
 const hardLimitFactor = 2
@@ -231,8 +241,8 @@
 	stream      bool
 	// endsByClose reports that the response ends with the caller's connection.
 	endsByClose bool
-	// resumed is the last event that the caller received; nil for a new stream.
-	resumed *upstream.ResumeToken
+	// last is the last event that the caller had when it sent the request; the zero value for a new stream.
+	last upstream.ResumeToken
 }
 
 // follow writes the response as it arrives, until it ends or the caller has disconnected.
@@ -306,11 +316,11 @@
 // the one from which the caller resumes. Such events occur when a retry joins a run whose response
 // is retained from its start.
 func (w *writer) alreadyReceived(event []byte) bool {
-	if w.resumed == nil {
+	if w.last.StreamID == "" {
 		return false
 	}
 	t, ok := upstream.EventToken(event)
-	return ok && t.StreamID == w.resumed.StreamID && t.Events <= w.resumed.Events
+	return ok && t.StreamID == w.last.StreamID && t.Events <= w.last.Events
 }
 
 func (w *writer) flush() { _ = w.control.Flush() }
--- a/internal/faults/responses_test.go
+++ b/internal/faults/responses_test.go
@@ -177,3 +177,21 @@
 	is.True(!strings.Contains(f.daemons[1].send(call{path: chatPath, body: body, header: resume, apiKey: otherKey}).body, "data: "))
 	is.Equal(len(f.engine.Runs()), 1)
 }
+
+// Guards against pieces that come twice: a retry under a key that names an event which no instance has sent must not
+// get the retained response from its start, as if it had none of it.
+func TestUnknownEventIDIsRefusedUnderAKey(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	body := prompt("a long dossier", true)
+	key := f.daemons[0].issue()
+	is.Equal(f.daemons[0].send(call{path: chatPath, body: body, key: key}).outcome, api.Answered)
+	for _, p := range f.daemons {
+		for _, k := range []string{"", key} {
+			r := p.send(call{path: chatPath, body: body, key: k, header: map[string]string{api.HeaderLastEventID: "12"}})
+			is.Equal(r.problem.Reason, api.ReasonInvalidRequest)
+		}
+	}
+	is.Equal(len(f.engine.Runs()), 1)
+}
