callerapi: leave out whole events that a resuming caller has

What callers saw: the rest of a large event that they had already, as the beginning of what a retry under a key gets.

Cause: a peer sends a large event in several frames, of which the first alone has the event's ID. Whether the caller has an event was decided for each frame, so that only the first one was left out.

It is decided once for an event, which ends with a blank line. TestResumingCallerGetsWholeNewEventsOnly, with frames of 1 to 100 bytes, failed.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -9,6 +9,7 @@
 package callerapi
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"strconv"
@@ -243,6 +244,11 @@
 	endsByClose bool
 	// last is the last event that the caller had when it sent the request; the zero value for a new stream.
 	last upstream.ResumeToken
+	// insideEvent reports whether the last chunk ended inside an event, received whether the caller has
+	// that event. Tail is the end of what came so far.
+	insideEvent bool
+	received    bool
+	tail        []byte
 }
 
 // follow writes the response as it arrives, until it ends or the caller has disconnected.
@@ -300,10 +306,13 @@
 	w.flush()
 }
 
-func (w *writer) writeChunk(p []byte) bool {
-	if w.alreadyReceived(p) {
-		return true
-	}
+// writeChunk writes a chunk, unless the caller has received its event before.
+func (w *writer) writeChunk(chunk []byte) bool {
+	w.placeChunk(chunk)
+	return w.received || w.write(chunk)
+}
+
+func (w *writer) write(p []byte) bool {
 	_ = w.control.SetWriteDeadline(time.Now().Add(time.Duration(w.server.settings.WriteTimeout)))
 	if _, err := w.response.Write(p); err != nil {
 		return false
@@ -312,17 +321,21 @@
 	return true
 }
 
-// alreadyReceived reports whether the caller has received an event before, since it is at or before
-// the one from which the caller resumes. Such events occur when a retry joins a run whose response
-// is retained from its start.
-func (w *writer) alreadyReceived(event []byte) bool {
-	if w.last.StreamID == "" {
-		return false
+// placeChunk finds out whether the caller has the event of the next chunk. A chunk is an event or, through a peer, a
+// part of a large one; the ID is in its first part.
+func (w *writer) placeChunk(chunk []byte) {
+	if !w.insideEvent {
+		t, ok := upstream.EventToken(chunk)
+		w.received = ok && t.StreamID == w.last.StreamID && t.Events <= w.last.Events // a retry that joins a run gets its response from the start
 	}
-	t, ok := upstream.EventToken(event)
-	return ok && t.StreamID == w.last.StreamID && t.Events <= w.last.Events
+	w.tail = append(w.tail, chunk[max(0, len(chunk)-len(blankLineCRLF)):]...)
+	w.tail = w.tail[max(0, len(w.tail)-len(blankLineCRLF)):]
+	w.insideEvent = !bytes.HasSuffix(w.tail, blankLine) && !bytes.HasSuffix(w.tail, blankLineCRLF)
 }
 
+// The end of a line and the blank line that ends an event.
+var blankLine, blankLineCRLF = []byte("\n\n"), []byte("\n\r\n")
+
 func (w *writer) flush() { _ = w.control.Flush() }
 
 // end ends the response. A response that failed after its head must not look complete: a stream
@@ -352,7 +365,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	w.writeChunk(append(append([]byte("event: error\ndata: "), content...), "\n\n"...))
+	w.write(append(append([]byte("event: error\ndata: "), content...), "\n\n"...))
 	if w.endsByClose {
 		w.conn.CloseInOrder() // the event says that the stream failed
 	}
