callerapi: an error event doesn't continue an event

What callers saw: the text of a problem as the rest of an event, where the link to the instance that serves the request is lost inside a large event.

Cause: the error event of a stream that failed was written wherever the stream had ended.

Where that is inside an event which the caller gets, the connection is closed instead, as for a response that isn't a stream.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -339,7 +339,8 @@
 func (w *writer) flush() { _ = w.control.Flush() }
 
 // end ends the response. A response that failed after its head must not look complete: a stream
-// gets an error event, any other response has its connection closed.
+// gets an error event; any other response, and a stream that ends inside an event, has its
+// connection closed.
 func (w *writer) end(e *answer.End) {
 	if e.Problem == nil {
 		w.setOutcome(e)
@@ -352,7 +353,7 @@
 		w.server.writeProblem(w.response, w.request.ID, e.Problem)
 		return
 	}
-	if !w.stream {
+	if !w.stream || (w.insideEvent && !w.received) {
 		if w.endsByClose {
 			w.conn.Reset()
 		}
--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/upstream"
@@ -54,3 +55,48 @@
 		}
 	}
 }
+
+// Guards against an error that is taken for the rest of an event: a response that ends inside one, as by the loss of
+// the link to the instance that serves it, must have its connection closed.
+func TestErrorEventDoesNotContinueAnEvent(t *testing.T) {
+	whole := "id: x\ndata: 1\n\n"
+	for name, c := range map[string]struct {
+		chunks  []string
+		resumed bool // after the event of the last chunk
+		aborted bool
+	}{
+		"before the first event":       {nil, false, false},
+		"after an event":               {[]string{whole}, false, false},
+		"after an event in two parts":  {[]string{whole[:9], whole[9:]}, false, false},
+		"inside an event":              {[]string{whole, whole[:9]}, false, true},
+		"before the blank line":        {[]string{whole, whole[:len(whole)-1]}, false, true},
+		"inside one that is left out":  {[]string{"id: " + receivedToken.String() + "\ndata: 1"}, true, false},
+		"inside one that isn't":        {[]string{"id: " + receivedToken.String() + "\ndata: 1\n\n", "data: 2"}, true, true},
+		"inside a response in JSON":    {[]string{`{"choices":[`}, false, true},
+		"after one in JSON, of a peer": {[]string{`{"choices":[]}`}, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := answer.New(true)
+			b.Start(answer.Head{Status: http.StatusOK, ContentType: "text/event-stream"})
+			for _, chunk := range c.chunks {
+				is.NoErr(b.Write(t.Context(), []byte(chunk)))
+			}
+			b.Finish(answer.End{Problem: api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut")})
+			recorder := httptest.NewRecorder()
+			w := &writer{server: &Server{}, response: recorder, control: http.NewResponseController(recorder), request: &request.Request{Stream: true}}
+			if c.resumed {
+				w.last = receivedToken
+			}
+			aborted := func() (aborted bool) {
+				defer func() { aborted = recover() != nil }()
+				w.follow(t.Context(), b)
+				return false
+			}()
+			is.Equal(aborted, c.aborted)
+			is.Equal(strings.Contains(recorder.Body.String(), "event: error\n"), !c.aborted)
+		})
+	}
+}
+
+var receivedToken = upstream.ResumeToken{Upstream: "10.0.0.9:1", StreamID: "s", Events: 1}
