callerapi: a retained response continues what its caller has, or fails

What callers saw: a stream that looks whole and isn't. A retry under a key whose first use was a resumption got what followed that one's last event, whatever the retry named: events are missing if it has fewer, or pieces of two streams are joined if it has another one.

Cause: events were only compared with the caller's to leave some out.

The first new event must be the next one of the caller's stream. If it isn't, the response ends with an error event, answer_evicted and outcome unknown, before anything was relayed. As this is known only after the head, the outcome of a stream is always in its trailer, also of one that is complete when its head is sent.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -243,7 +243,9 @@
 	// endsByClose reports that the response ends with the caller's connection.
 	endsByClose bool
 	// last is the last event that the caller had when it sent the request; the zero value for a new stream.
-	last upstream.ResumeToken
+	// Continued reports whether the next one was found. Those after it follow one another.
+	last      upstream.ResumeToken
+	continued bool
 	// insideEvent reports whether the last chunk ended inside an event, received whether the caller has
 	// that event. Tail is the end of what came so far.
 	insideEvent bool
@@ -296,7 +298,7 @@
 		header.Set("Transfer-Encoding", "identity") // makes net/http end the body with the connection; it isn't sent
 		header.Set(api.HeaderOutcome, string(api.Unknown))
 		header.Set(api.HeaderReason, string(api.ReasonUpstreamEndUnstated))
-	case end != nil && end.Outcome() == api.Answered:
+	case end != nil && end.Outcome() == api.Answered && !w.stream: // a stream may turn out not to be what the caller asked for
 		header.Set(api.HeaderOutcome, string(api.Answered))
 	default:
 		header.Add("Trailer", api.HeaderOutcome)
@@ -306,12 +308,20 @@
 	w.flush()
 }
 
-// writeChunk writes a chunk, unless the caller has received its event before.
+// writeChunk writes a chunk, unless the caller has received its event before. It ends the response at an event that
+// doesn't follow the last one.
 func (w *writer) writeChunk(chunk []byte) bool {
-	w.placeChunk(chunk)
+	if !w.placeChunk(chunk) {
+		w.end(&answer.End{Problem: notContinued()})
+		return false
+	}
 	return w.received || w.write(chunk)
 }
 
+func notContinued() *api.Problem {
+	return api.UnknownOutcome(api.ReasonAnswerEvicted, "the response retained under this key doesn't continue the stream after the given event; send the Last-Event-ID with which the key was first used, or a later one of its stream")
+}
+
 func (w *writer) write(p []byte) bool {
 	_ = w.control.SetWriteDeadline(time.Now().Add(time.Duration(w.server.settings.WriteTimeout)))
 	if _, err := w.response.Write(p); err != nil {
@@ -321,16 +331,21 @@
 	return true
 }
 
-// placeChunk finds out whether the caller has the event of the next chunk. A chunk is an event or, through a peer, a
-// part of a large one; the ID is in its first part.
-func (w *writer) placeChunk(chunk []byte) {
-	if !w.insideEvent {
+// placeChunk finds out where in the stream the next chunk is, and reports whether it continues what the caller has. A
+// chunk is an event or, through a peer, a part of a large one; the ID is in its first part.
+func (w *writer) placeChunk(chunk []byte) bool {
+	if !w.insideEvent && !w.continued {
 		t, ok := upstream.EventToken(chunk)
-		w.received = ok && t.StreamID == w.last.StreamID && t.Events <= w.last.Events // a retry that joins a run gets its response from the start
+		if ok && (t.Events > w.last.Events+1 || (w.last.StreamID != "" && t.StreamID != w.last.StreamID)) {
+			return false
+		}
+		w.received = ok && t.Events <= w.last.Events // a retry that joins a run gets its response from the start
+		w.continued = ok && !w.received
 	}
 	w.tail = append(w.tail, chunk[max(0, len(chunk)-len(blankLineCRLF)):]...)
 	w.tail = w.tail[max(0, len(w.tail)-len(blankLineCRLF)):]
 	w.insideEvent = !bytes.HasSuffix(w.tail, blankLine) && !bytes.HasSuffix(w.tail, blankLineCRLF)
+	return true
 }
 
 // The end of a line and the blank line that ends an event.
--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -100,3 +100,51 @@
 }
 
 var receivedToken = upstream.ResumeToken{Upstream: "10.0.0.9:1", StreamID: "s", Events: 1}
+
+// Guards against a stream that looks whole and isn't: a retained response that begins after the caller's position, or
+// is of another stream, must not continue what the caller has. The first use of its key was a resumption.
+func TestRetainedResponseContinuesWhatItsCallerHas(t *testing.T) {
+	token := func(stream string, n int) upstream.ResumeToken {
+		return upstream.ResumeToken{Upstream: "10.0.0.9:1", StreamID: stream, Events: n}
+	}
+	for name, c := range map[string]struct {
+		first, last int // events of the response
+		has         upstream.ResumeToken
+		want        string // data received
+	}{
+		"whole":                      {1, 4, upstream.ResumeToken{}, "1234"},
+		"from the middle":            {1, 4, token("s", 2), "34"},
+		"from its end":               {1, 4, token("s", 4), ""},
+		"from the first one's place": {3, 4, token("s", 2), "34"},
+		"from a later place":         {3, 4, token("s", 3), "4"},
+		"from an earlier place":      {3, 4, token("s", 1), "error"},
+		"from its start":             {3, 4, upstream.ResumeToken{}, "error"},
+		"of another stream":          {1, 4, token("other", 2), "error"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := answer.New(true)
+			b.Start(answer.Head{Status: http.StatusOK, ContentType: "text/event-stream"})
+			for n := c.first; n <= c.last; n++ {
+				is.NoErr(b.Write(t.Context(), fmt.Appendf(nil, "id: %s\ndata: %d\n\n", token("s", n), n)))
+			}
+			is.NoErr(b.Write(t.Context(), []byte("data: [DONE]\n\n")))
+			b.Finish(answer.End{})
+			recorder := httptest.NewRecorder()
+			w := &writer{server: &Server{}, response: recorder, control: http.NewResponseController(recorder), request: &request.Request{Stream: true}, last: c.has}
+			w.follow(t.Context(), b)
+			got := ""
+			for line := range strings.Lines(recorder.Body.String()) {
+				switch data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: "); {
+				case strings.HasPrefix(line, "event: error"):
+					got += "error"
+				case ok && len(data) == 1:
+					got += data
+				}
+			}
+			is.Equal(got, c.want)
+			is.Equal(strings.HasSuffix(recorder.Body.String(), "data: [DONE]\n\n"), c.want != "error")
+			is.Equal(recorder.Result().Trailer.Get(api.HeaderOutcome) == string(api.Answered), c.want != "error")
+		})
+	}
+}
--- a/internal/faults/responses_test.go
+++ b/internal/faults/responses_test.go
@@ -1,7 +1,10 @@
 package faults
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -178,6 +181,59 @@
 	is.Equal(len(f.engine.Runs()), 1)
 }
 
+// Guards against pieces that are missing or come twice where a caller resumes a stream at any instance while its first
+// request is still served, under a key, where the second one joins the first, and without one.
+func TestStreamIsResumedWhileItsFirstRequestIsServed(t *testing.T) {
+	t.Parallel()
+	for _, keyed := range []bool{false, true} {
+		for at := range 2 {
+			t.Run(fmt.Sprintf("keyed %t, at %d", keyed, at), func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, "fort", "fort")
+				hold := make(chan struct{})
+				f.engine.SetFaults(engine.Faults{HoldToken: hold})
+				body := prompt("a long dossier", true)
+				key := ""
+				if keyed {
+					key = f.daemons[0].issue()
+				}
+				h, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.daemons[0].ip+":7001"+chatPath, strings.NewReader(body))
+				is.NoErr(err)
+				h.Header.Set("Authorization", "Bearer "+apiKey)
+				if keyed {
+					h.Header.Set(api.HeaderIdempotencyKey, key)
+				}
+				first, err := f.client.Do(h)
+				is.NoErr(err)
+				defer first.Body.Close()
+				reader := bufio.NewReader(first.Body)
+				line, err := reader.ReadString('\n')
+				is.NoErr(err)
+				id, ok := strings.CutPrefix(strings.TrimSpace(line), "id: ")
+				is.True(ok)
+				got := make(chan reply)
+				go func() {
+					got <- f.daemons[at].send(call{path: chatPath, body: body, key: key, header: map[string]string{api.HeaderLastEventID: id}})
+				}()
+				hold <- struct{}{} // another token, of either of them
+				close(hold)
+				rest, err := io.ReadAll(reader)
+				is.NoErr(err)
+				want := ""
+				for n := 1; n <= 4; n++ {
+					want += engine.Token([]byte(body), n)
+				}
+				is.Equal(streamText(string(rest)), want)
+				r := <-got
+				is.Equal(r.outcome, api.Answered)
+				is.Equal(streamText(r.body), strings.TrimPrefix(want, engine.Token([]byte(body), 1)))
+				is.True(strings.HasSuffix(r.body, "data: [DONE]\n\n"))
+				is.Equal(len(f.engine.Runs()), 1)
+			})
+		}
+	}
+}
+
 // Guards against pieces that come twice: a retry under a key that names an event which no instance has sent must not
 // get the retained response from its start, as if it had none of it.
 func TestUnknownEventIDIsRefusedUnderAKey(t *testing.T) {
