daemon: a brief heartbeat leaves the load of its peer as it is

A brief heartbeat carries no load and no demand, so that both counted as none at the receiver. Instances without routes send no brief ones so far; this is for heartbeats that a later one has overtaken, of which only what is merged is passed on.

No behaviour changes with this commit alone, and no test covers it.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -85,8 +85,10 @@
 	for _, address := range h.Leaving {
 		p.dispatcher.MarkLeaving(address)
 	}
-	p.dispatcher.SetPeerLoad(from, h.Pending)
-	p.organisations.SetPeerDemands(from, h.Demand)
+	if !h.Brief {
+		p.dispatcher.SetPeerLoad(from, h.Pending)
+		p.organisations.SetPeerDemands(from, h.Demand)
+	}
 	p.quarantine.Merge(time.Now(), h.Quarantine) // in a full mesh, updates needn't be forwarded
 	if h.Revision > p.holder.Revision() || h.ListVersion > p.instances.version() {
 		p.mesh.ScheduleFetch(from)
