dispatch: an orderly termination of a leaving engine is no crash

Its termination is a crash only if a response broke off there within lossWindow. TestTerminationOfALeavingEngineIsNoCrash fails without it in the case "leaving".

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -75,9 +75,14 @@
 			neighbours = append(neighbours, check(other))
 		}
 	}
+	leaving := d.isLeaving(set, address)
 	switch quarantine.Diagnose(context.Background(), check(address), neighbours) {
 	case quarantine.Terminated:
-		if d.o.Quarantine.RecordCrash(time.Now(), address) {
+		record := d.o.Quarantine.RecordCrash
+		if leaving || d.isLeaving(set, address) { // it may have announced so meanwhile, or be off the list
+			record = d.o.Quarantine.RecordLeavingTermination
+		}
+		if record(time.Now(), address) {
 			d.o.OnQuarantineChange()
 		}
 	case quarantine.Inconclusive:
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -198,6 +198,13 @@
 	return out
 }
 
+// isLeaving reports whether an upstream of a set is leaving, by the list or by a recent notice.
+func (d *Dispatcher) isLeaving(set, address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.membersLocked(set), func(m scheduler.Member) bool { return m.Address == address && m.Leaving })
+}
+
 // MarkLeaving stops sending new work to an upstream that announced that it leaves, either to this
 // instance or to a peer.
 func (d *Dispatcher) MarkLeaving(address string) {
