--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -51,6 +51,23 @@
 	is.True(begun["s"] > 8 && begun["t"] > 8) // the split holds
 }
 
+// Guards against streams of two services at an instance that doesn't know which one began the stream: its draw must be
+// that of the first request.
+func TestResumptionDrawsAsItsFirstRequestDid(t *testing.T) {
+	is := is.New(t)
+	route := &routing.Route{Kind: routing.Stream, Resumable: true}
+	drawn := map[float64]bool{}
+	for n := range 40 {
+		first := &job{route: route, info: RequestInfo{ID: strconv.Itoa(n)}}
+		resumption := &job{route: route, info: RequestInfo{ID: "other", OriginID: first.info.ID}, position: newStreamPosition(true, "2")}
+		draw := first.serviceDraw()
+		is.True(draw >= 0 && draw < 1)
+		is.Equal(resumption.serviceDraw(), draw)
+		drawn[draw] = true
+	}
+	is.Equal(len(drawn), 40)
+}
+
 // Guards against streams of two services: a resumption went to the service that the route has been moved to since.
 func TestStreamIsNotResumedAtAServiceThatDidNotBeginIt(t *testing.T) {
 	is := is.New(t)
