--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -243,11 +243,11 @@
 	// endsByClose reports that the response ends with the caller's connection.
 	endsByClose bool
 	// last is the last event that the caller had when it sent the request; the zero value for a new stream.
-	// Continued reports whether the next one was found. Those after it follow one another.
+	// continued reports whether the next one was found. Those after it follow one another.
 	last      upstream.ResumeToken
 	continued bool
 	// insideEvent reports whether the last chunk ended inside an event, received whether the caller has
-	// that event. Tail is the end of what came so far.
+	// that event. tail is the end of what came so far.
 	insideEvent bool
 	received    bool
 	tail        []byte
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -144,8 +144,8 @@
 	delete(s.open, c)
 }
 
-// Drain refuses new connections and closes those that are quiet: those that wait for a response aren't. It blocks until none is left, or ctx
-// ends; then it breaks the remaining ones.
+// Drain refuses new connections and closes those that are quiet; those that wait for a response aren't. It blocks until
+// none is left, or ctx ends; then it breaks the remaining ones.
 func (s *Server) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.draining = true
