proxy: a notice that comes after its upstream was replaced counts for the end of its response

The leaving upstream had been replaced under its ID before the head of its last response came.

Cause: notices of processes that are no longer listed are dropped, so that the process counted as terminated. The response that brought the notice remembers it now.

TestStreamOfAReplacedLeavingUpstreamIsNotBroken failed in two more cases. Left: a process that was leaving by its entry on the list alone, and was replaced before its last response ended.

--- a/internal/proxy/leaving_end_test.go
+++ b/internal/proxy/leaving_end_test.go
@@ -190,7 +190,15 @@
 // Guards against complete streams that end as broken: the next process under the ID of a leaving upstream is not leaving,
 // and its predecessor was taken for crashed.
 func TestStreamOfAReplacedLeavingUpstreamIsNotBroken(t *testing.T) {
-	for name, route := range map[string]string{"can be resumed": "resumable", "can't be resumed": "stream"} {
+	for name, c := range map[string]struct {
+		route         string
+		replacedFirst bool // before its notice comes
+	}{
+		"can be resumed":                       {"resumable", false},
+		"can't be resumed":                     {"stream", false},
+		"can be resumed, replaced before it":   {"resumable", true},
+		"can't be resumed, replaced before it": {"stream", true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(t)
@@ -198,15 +206,23 @@
 				h.document.Routes[i].LatencyObjective = 0 // no time-out for the first event
 			}
 			h.publish(0)
-			h.addUpstream("a", hijack(func(c net.Conn) {
-				_, _ = io.WriteString(c, leavingEvents("1", "2"))
-				eventually(t, "the notice is known", func() bool { return h.fleet.IsLeaving("a") })
+			replace := func() {
 				h.upstreams[0].Incarnation++
 				h.upstreams[0].Revision = h.revision + 1
 				h.publishUpstreams()
+			}
+			h.addUpstream("a", hijack(func(conn net.Conn) {
+				if c.replacedFirst {
+					replace()
+				}
+				_, _ = io.WriteString(conn, leavingEvents("1", "2"))
+				if !c.replacedFirst {
+					eventually(t, "the notice is known", func() bool { return h.fleet.IsLeaving("a") })
+					replace()
+				}
 			}))
 			h.addUpstream("b", refusesRequest)
-			got := h.read("/"+route+"/x", "", len(eventLines("", "1", "2")), make(chan struct{}))
+			got := h.read("/"+c.route+"/x", "", len(eventLines("", "1", "2")), make(chan struct{}))
 			is.NoErr(got.err)
 			is.Equal(got.body, eventLines("", "1", "2"))
 		})
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -177,6 +177,7 @@
 type relay struct {
 	job      *job
 	process  string // of the upstream, when the request was sent
+	leaving  bool   // the response announced that the process is leaving
 	ctx      context.Context
 	response *exchange.Response
 	silence  silenceTimer
@@ -191,6 +192,7 @@
 	trusted := !head.Misdirected && (head.Signed || !success)
 	switch {
 	case trusted && head.Leaving:
+		r.leaving = true
 		r.job.handler.recordLeaving(r.process)
 	case r.response.Closing:
 		r.job.handler.o.OnClosing(r.job.upstream)
--- a/internal/proxy/unstated_end.go
+++ b/internal/proxy/unstated_end.go
@@ -59,7 +59,7 @@
 	r.silence.stop() // nothing more will come
 	ctx, cancel := context.WithTimeout(r.ctx, unstatedEndTimeout)
 	defer cancel()
-	leaving := false // stays true once its entry is removed
+	leaving := r.leaving // stays true once its entry is removed
 	for tries := 0; ; tries++ {
 		h, upstream := r.job.handler, r.job.upstream
 		if r.hasCrashed() {
