--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -79,7 +79,7 @@
 	switch quarantine.Diagnose(context.Background(), check(address), neighbours) {
 	case quarantine.Terminated:
 		record := d.o.Quarantine.RecordCrash
-		if leaving || d.isLeaving(set, address) { // it may have announced so meanwhile, or be off the list
+		if leaving || d.isLeaving(set, address) { // it may have announced so, or been removed, meanwhile
 			record = d.o.Quarantine.RecordLeavingTermination
 		}
 		if record(time.Now(), address) {
--- a/internal/fleet/leaving.go
+++ b/internal/fleet/leaving.go
@@ -67,7 +67,8 @@
 	return true
 }
 
-// IsLeaving reports whether a process has announced that it is leaving, in a response or by its entry on the list.
+// IsLeaving reports whether a process has announced that it is leaving: in a response, for processStateTTL after it was last
+// listed, or by its entry while that is on the list.
 func (f *Fleet) IsLeaving(process string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/proxy/unstated_end.go
+++ b/internal/proxy/unstated_end.go
@@ -103,7 +103,7 @@
 
 // hasCrashed reports whether an instance has noticed that the process has terminated while requests were there.
 func (r *relay) hasCrashed() bool {
-	return r.job.handler.o.Quarantine.HasCrashed(time.Now(), r.job.respondedAt, r.process)
+	return r.job.handler.o.Quarantine.HasCrashed(time.Now(), r.job.sentAt, r.process)
 }
 
 // mayConfirm reports whether another attempt can show whether the stream is complete.
@@ -115,14 +115,14 @@
 // unconfirmedRun is a run of a stream whose end wasn't confirmed.
 type unconfirmedRun struct {
 	process string
-	began   time.Time
+	sent    time.Time // its request
 }
 
 // awaitConfirmation makes the request end as complete, at the latest unstatedEndTimeout after the end of its last run,
 // unless an attempt brings more of the stream: the caller may have all of it, and gives up a silent one.
 func (r *relay) awaitConfirmation(ended time.Time) {
 	j := r.job
-	j.unconfirmed = append(j.unconfirmed, unconfirmedRun{process: r.process, began: j.respondedAt})
+	j.unconfirmed = append(j.unconfirmed, unconfirmedRun{process: r.process, sent: j.sentAt})
 	j.handler.o.Metrics.Count("tacktally_unstated_ends_unconfirmed_total")
 	if j.confirmation == nil {
 		j.confirmation = time.AfterFunc(time.Until(ended.Add(unstatedEndTimeout)), func() { j.cancel(context.DeadlineExceeded) })
@@ -141,7 +141,7 @@
 // unconfirmedProblem returns the problem of a stream whose end wasn't confirmed: nil, unless a process that may have
 // broken it off is known to have crashed meanwhile.
 func (j *job) unconfirmedProblem() *api.Problem {
-	crashed := func(u unconfirmedRun) bool { return j.handler.o.Quarantine.HasCrashed(time.Now(), u.began, u.process) }
+	crashed := func(u unconfirmedRun) bool { return j.handler.o.Quarantine.HasCrashed(time.Now(), u.sent, u.process) }
 	if slices.ContainsFunc(j.unconfirmed, crashed) {
 		return j.problemFor(attemptResult{status: truncated, err: errTerminated})
 	}
--- a/internal/quarantine/bounds.go
+++ b/internal/quarantine/bounds.go
@@ -9,6 +9,7 @@
 func (r *Registry) dropExpired(now time.Time) {
 	maps.DeleteFunc(r.losses, func(_ string, list []loss) bool { return now.Sub(list[len(list)-1].at) > lossWindow })
 	maps.DeleteFunc(r.checked, func(_ string, at time.Time) bool { return now.Sub(at) > checkInterval })
+	maps.DeleteFunc(r.left, func(_ string, at time.Time) bool { return now.Sub(at) > lossWindow })
 	maps.DeleteFunc(r.crashes, func(_ string, c *crash) bool { return now.Sub(c.at) > crashRetention })
 	maps.DeleteFunc(r.cleared, func(_ Key, c clearing) bool { return now.Sub(c.learned) > crashRetention })
 	maps.DeleteFunc(r.quarantined, func(_ Key, p period) bool { return now.Sub(p.until) > maxPeriod })
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -61,6 +61,8 @@
 // crash is the termination of one process of an upstream.
 type crash struct {
 	at time.Time
+	// lastAt is when the last process of this name terminated: not all upstreams number their processes.
+	lastAt time.Time
 	// lastChanged is when this instance added the crash or a suspect.
 	lastChanged time.Time
 	suspects    map[Key]suspect // by the key of the whole request
@@ -107,7 +109,8 @@
 	mu          sync.Mutex
 	losses      map[string][]loss // by upstream process, within lossWindow
 	checked     map[string]time.Time
-	crashes     map[string]*crash // by upstream process
+	left        map[string]time.Time // when leaving processes were found to have terminated, within lossWindow
+	crashes     map[string]*crash    // by upstream process
 	quarantined map[Key]period
 	cleared     map[Key]clearing
 	// responses remembers the requests that were recently answered here, and segmentResponses the segments
@@ -130,6 +133,7 @@
 		owns:        owns,
 		losses:      map[string][]loss{},
 		checked:     map[string]time.Time{},
+		left:        map[string]time.Time{},
 		crashes:     map[string]*crash{},
 		quarantined: map[Key]period{},
 		cleared:     map[Key]clearing{},
@@ -225,6 +229,9 @@
 	r.dropExpired(now)
 	recent := slices.DeleteFunc(r.losses[upstream], func(l loss) bool { return now.Sub(l.at) > lossWindow })
 	r.losses[upstream] = append(recent, lost)
+	if at, terminated := r.left[upstream]; terminated && !lost.ended {
+		return r.recordLosses(now, upstream, at), true
+	}
 	return false, false
 }
 
@@ -251,28 +258,28 @@
 }
 
 // RecordLeavingTermination is RecordCrash for a process that was leaving: it also terminates in order, so that it has
-// crashed only if a response broke off there within lossWindow. If none did, the next one needs a diagnosis again.
+// crashed only if a response breaks off there within lossWindow, before or after.
 func (r *Registry) RecordLeavingTermination(now time.Time, upstream string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropExpired(now)
 	brokeOff := func(l loss) bool { return !l.ended && now.Sub(l.at) <= lossWindow }
 	if !slices.ContainsFunc(r.losses[upstream], brokeOff) {
-		delete(r.checked, upstream)
+		r.left[upstream] = now
 		return false
 	}
 	return r.recordLosses(now, upstream, now)
 }
 
 // HasCrashed reports whether an upstream process is known to have terminated while requests were there, and not over
-// lossWindow before since: a response that began later came from another process of the same name. Any instance may have
-// noticed the crash.
-func (r *Registry) HasCrashed(now, since time.Time, upstream string) bool {
+// lossWindow before a request was sent: that went to another process of the same name. Any instance may have noticed the
+// crash.
+func (r *Registry) HasCrashed(now, sent time.Time, upstream string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropExpired(now)
 	c := r.crashes[upstream]
-	return c != nil && since.Sub(c.at) <= lossWindow
+	return c != nil && sent.Sub(c.lastAt) <= lossWindow
 }
 
 // recordLosses adds the responses lost at an upstream process to its crash, which it creates if it
@@ -283,6 +290,9 @@
 		c = r.addCrash(now, upstream, at)
 		changed = true
 	}
+	if at.After(c.lastAt) {
+		c.lastAt = at
+	}
 	lost := r.losses[upstream]
 	delete(r.losses, upstream)
 	for _, l := range lost {
@@ -300,7 +310,7 @@
 	if len(r.crashes) >= maxCrashes {
 		delete(r.crashes, r.oldestCrash())
 	}
-	c := &crash{at: at, lastChanged: now, suspects: map[Key]suspect{}}
+	c := &crash{at: at, lastAt: at, lastChanged: now, suspects: map[Key]suspect{}}
 	r.crashes[upstream] = c
 	return c
 }
--- a/internal/quarantine/unstated_end_test.go
+++ b/internal/quarantine/unstated_end_test.go
@@ -103,18 +103,31 @@
 	is.Equal(b.Remaining(ended.Add(ConfirmAfter), key("x")), time.Duration(0))
 }
 
-// Guards against a crash of a leaving upstream that isn't noticed: its refusal, which alone shows none, was checked right
-// before a response broke off there.
-func TestLostResponseAfterALeavingTerminationIsDiagnosed(t *testing.T) {
-	is := is.New(t)
-	b := newRegistry(true)
-	b.RecordUnstatedEnd(start, "1", key("x"), false)
-	is.True(b.NeedsDiagnosis(start, "1"))
-	is.True(!b.RecordLeavingTermination(start, "1")) // it may have left in order
-	check, _ := b.RecordLostResponse(start.Add(20*time.Millisecond), "1", key("y"), false)
-	is.True(check)
-	is.True(b.RecordLeavingTermination(start.Add(30*time.Millisecond), "1"))
-	is.True(b.HasCrashed(start.Add(30*time.Millisecond), start, "1"))
+// Guards against a crash of a leaving upstream that isn't noticed: it was found to have terminated, which alone shows none,
+// right before a response broke off there. Another process may have its address by then.
+func TestLostResponseAfterALeavingTerminationShowsACrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		after time.Duration
+		crash bool
+	}{
+		"at once":          {0, true},
+		"20 ms later":      {20 * time.Millisecond, true},
+		"lossWindow later": {lossWindow, true},
+		"long after it":    {lossWindow + time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newRegistry(true)
+			b.RecordUnstatedEnd(start, "1", key("x"), false)
+			is.True(b.NeedsDiagnosis(start, "1"))
+			is.True(!b.RecordLeavingTermination(start, "1")) // it may have left in order
+			at := start.Add(c.after)
+			check, changed := b.RecordLostResponse(at, "1", key("y"), false)
+			is.Equal(changed, c.crash)
+			is.Equal(check, !c.crash)
+			is.Equal(b.HasCrashed(at, start, "1"), c.crash)
+		})
+	}
 }
 
 // Guards against a crash that is recorded for a response which broke off long before the upstream left.
@@ -128,8 +141,8 @@
 	is.True(!b.HasCrashed(later, start, "1"))
 }
 
-// Guards against responses that end as broken for minutes after a crash, at the next process of the same name: not all
-// upstreams number their processes.
+// Guards against responses that end as broken for minutes after a crash, at the next process of the same name, and against
+// short ones that look complete once that has crashed, too: not all upstreams number their processes.
 func TestCrashBeforeAResponseBeganIsNotThatOfItsProcess(t *testing.T) {
 	is := is.New(t)
 	b := newRegistry(true)
@@ -139,4 +152,8 @@
 	is.True(b.HasCrashed(now, start.Add(-time.Second), "1"))
 	is.True(b.HasCrashed(now, start.Add(lossWindow), "1")) // times of peers aren't exact
 	is.True(!b.HasCrashed(now, start.Add(lossWindow+time.Millisecond), "1"))
+
+	b.RecordLostResponse(now, "1", key("x"), false)
+	b.RecordCrash(now, "1") // the next process of that name
+	is.True(b.HasCrashed(now, now.Add(-time.Second), "1"))
 }
--- a/internal/quarantine/update.go
+++ b/internal/quarantine/update.go
@@ -268,6 +268,9 @@
 		c = r.addCrash(now, u.Upstream, at)
 		changed = true
 	}
+	if at.After(c.lastAt) {
+		c.lastAt = at
+	}
 	if len(r.losses[u.Upstream]) > 0 {
 		changed = r.recordLosses(now, u.Upstream, at) || changed
 	}
