fleet: test which processes count as leaving

TestProcessesThatAreLeaving fails if a process that was replaced no longer counts by its notice; the list's part is asserted, too.

--- a/internal/fleet/leaving_test.go
+++ b/internal/fleet/leaving_test.go
@@ -43,6 +43,25 @@
 	})
 }
 
+// Guards against an orderly termination that is taken for a crash: what a process announced counts for it, and for no other
+// process of the same upstream.
+func TestProcessesThatAreLeaving(t *testing.T) {
+	is := is.New(t)
+	f := fleetOf("10.0.0.9:1", instances(1))
+	said, listed := view.Upstream{ID: "a", Service: "app", Address: "10.0.0.1:80", Slots: 4, Incarnation: 1}, view.Upstream{ID: "b", Service: "app", Address: "10.0.0.2:80", Slots: 4}
+	f.SetUpstreams(view.List{Version: 1, Upstreams: []view.Upstream{said, listed}})
+	is.True(!f.IsLeaving("a@1"))
+	is.True(!f.IsLeaving("b"))
+	f.RecordLeavingNotice("a@1")
+	is.True(f.IsLeaving("a@1"))
+	said.Incarnation, listed.Leaving = 2, true
+	f.SetUpstreams(view.List{Version: 2, Upstreams: []view.Upstream{said, listed}})
+	is.True(f.IsLeaving("a@1")) // it was replaced
+	is.True(!f.IsLeaving("a@2"))
+	is.True(f.IsLeaving("b"))
+	is.True(!f.IsLeaving("c"))
+}
+
 func TestMergeLeavingNotices(t *testing.T) {
 	is := is.New(t)
 	f := fleetOf("10.0.0.9:1", instances(1))
