fleet: log how the origin of a resumed stream was found

Logs said that an origin is unknown, but of a resumption that went on neither whether its origin was recorded, told by a peer or concluded, nor by whose watch of the list. Each resumption by a caller now logs stream_origin, and tacktally_stream_origins_total counts them by source. No change of logic.

--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -293,15 +293,22 @@
 func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (service, version string, known bool) {
 	now := time.Now()
 	hash := hashOf(s.Request)
+	search := originSearch{stream: s, source: originUnknown}
+	defer func() { f.recordOriginSearch(&search, now, service, version) }()
 	if o, known := f.origins.Find(now, hash); known {
+		search.source = originRecorded
 		return o.Service, o.Version, true
 	}
-	versions := f.recentVersions(now, s.Service, s.Lifetime)
+	search.versions = f.recentVersions(now, s.Service, s.Lifetime)
+	versions := search.versions
 	settled := f.knowsVersionsOf(now, s.Lifetime, s.ListAge)
+	search.settled = settled
 	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
 	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: s.Lifetime})
-	for _, r := range replies {
+	search.asked, search.replied = len(keepers), len(replies)
+	for address, r := range replies {
 		if r.Known {
+			search.source, search.peer = originFromPeer, address
 			service := cmp.Or(r.Service, s.Service)
 			f.origins.Record(now, origin.Origin{Request: hash, Service: service, Version: r.Version, Until: now.Add(s.Lifetime)}, true)
 			return service, r.Version, true
@@ -309,14 +316,69 @@
 		if len(versions) != 1 || !r.HasOnlyVersion || r.OnlyVersion != versions[0] {
 			return "", "", false
 		}
-		settled = settled || r.Settled
+		if r.Settled {
+			search.settledPeers++
+		}
 	}
-	if len(versions) != 1 || !(settled || (f.Settled() && f.isEveryZoneIn(replies))) {
+	switch {
+	case len(versions) != 1:
+		return "", "", false
+	case settled:
+		search.source = originOnlyVersion
+	case search.settledPeers > 0:
+		search.source = originOnlyVersionOfPeer
+	case f.Settled() && f.isEveryZoneIn(replies):
+		search.source = originOnlyVersionOfZones
+	default:
 		return "", "", false
 	}
 	return s.Service, versions[0], true
 }
 
+// originSource is how the origin of a stream that its caller resumes was found, as logs and metrics show it.
+type originSource string
+
+const (
+	// originUnknown: it wasn't found.
+	originUnknown originSource = "unknown"
+	// originRecorded: this instance has recorded it, originFromPeer: a peer has.
+	originRecorded originSource = "recorded"
+	originFromPeer originSource = "peer"
+	// originOnlyVersion: no other version was listed within the stream's lifetime, as far as this instance
+	// knows; originOnlyVersionOfPeer: as far as a peer knows; originOnlyVersionOfZones: as an instance of each
+	// zone says.
+	originOnlyVersion        originSource = "only_version"
+	originOnlyVersionOfPeer  originSource = "only_version_of_peer"
+	originOnlyVersionOfZones originSource = "only_version_of_zones"
+)
+
+// originSearch is a search for the origin of a stream.
+type originSearch struct {
+	stream   ResumedStream
+	source   originSource
+	peer     string   // that knew it
+	versions []string // that were listed within the stream's lifetime, as far as this instance knows
+	settled  bool     // this instance knows all of them
+	// asked and replied are the numbers of peers, and settledPeers that of those which know all versions.
+	asked, replied, settledPeers int
+}
+
+// recordOriginSearch logs and counts a search. It counts from when it began how long this instance has
+// followed the list.
+func (f *Fleet) recordOriginSearch(s *originSearch, began time.Time, service, version string) {
+	f.mu.Lock()
+	followed := time.Duration(0)
+	if !f.listedSince.IsZero() {
+		followed = began.Sub(f.listedSince)
+	}
+	f.mu.Unlock()
+	f.o.Metrics.Count(`tacktally_stream_origins_total{source="` + string(s.source) + `"}`)
+	f.o.Log.Info().Str("event", "stream_origin").Str("origin", s.stream.Request).Str("source", string(s.source)).
+		Str("service", service).Str("software_version", version).Str("peer", s.peer).Strs("versions", s.versions).
+		Bool("settled", s.settled).Dur("followed", followed).Dur("lifetime", s.stream.Lifetime).Dur("list_age", s.stream.ListAge).
+		Int("asked", s.asked).Int("replied", s.replied).Int("settled_peers", s.settledPeers).Dur("took", time.Since(began)).Msg("")
+}
+
 // isEveryZoneIn reports whether an instance of each known zone is among the addresses. The zone of this
 // instance needs another one only if it has any.
 func (f *Fleet) isEveryZoneIn(replies map[string]*peer.OriginReply) bool {
