--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -28,6 +29,7 @@
 	killed    map[string]bool
 
 	listAge  map[string]time.Duration // by instance
+	listed   map[string]view.Upstream // by ID
 	revision int64
 }
 
@@ -36,7 +38,7 @@
 
 // newOriginFleet returns a fleet with two instances in each zone.
 func newOriginFleet(zones int) *originFleet {
-	o := &originFleet{instances: map[string]*Fleet{}, killed: map[string]bool{}, listAge: map[string]time.Duration{}}
+	o := &originFleet{instances: map[string]*Fleet{}, killed: map[string]bool{}, listAge: map[string]time.Duration{}, listed: map[string]view.Upstream{}}
 	for n := range 2 * zones {
 		o.list = append(o.list, Instance{Address: fmt.Sprintf("10.0.0.%d:1", n), Zone: fmt.Sprint("zone-", n%zones), Cores: 0.4, Reachable: true, MayOwn: true, Settled: true})
 	}
@@ -59,6 +61,17 @@
 	return f
 }
 
+// restart starts instances anew, which read the list and are known to all others.
+func (o *originFleet) restart(instances ...Instance) {
+	for _, i := range instances {
+		f := o.start(i)
+		f.ApplyListChange(view.ListChange{Version: o.revision, Changed: slices.Collect(maps.Values(o.listed))})
+	}
+	for _, f := range o.instances {
+		f.SetInstances(slices.Clone(o.list))
+	}
+}
+
 // kill ends instances.
 func (o *originFleet) kill(addresses ...string) {
 	o.mu.Lock()
@@ -81,13 +94,15 @@
 // publish sets the version of an upstream on all instances' lists.
 func (o *originFleet) publish(id, version string) {
 	o.revision++
+	o.listed[id] = view.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 9, Version: version}
 	for _, f := range o.instances {
-		f.ApplyListChange(view.ListChange{Version: o.revision, Changed: []view.Upstream{{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 9, Version: version}}})
+		f.ApplyListChange(view.ListChange{Version: o.revision, Changed: []view.Upstream{o.listed[id]}})
 	}
 }
 
 func (o *originFleet) remove(id string) {
 	o.revision++
+	delete(o.listed, id)
 	for _, f := range o.instances {
 		f.ApplyListChange(view.ListChange{Version: o.revision, Removed: []string{id}})
 	}
@@ -364,3 +379,31 @@
 		is.Equal(o.instances[first.Address].origins.Len(), 1)
 	})
 }
+
+// Guards against streams that are joined from two versions: the former version left the list, then some or all instances
+// were killed, and those that came back took the only version that they found for that of any stream.
+func TestVersionThatLeftBeforeInstancesWereKilledIsNotForgotten(t *testing.T) {
+	const zones = 2
+	for killed := 1; killed <= 2*zones; killed++ {
+		t.Run(fmt.Sprintf("%d of %d killed", killed, 2*zones), func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				o := newOriginFleet(zones)
+				o.publish("a", "v1")
+				wait.For(t.Context(), originLifetime)
+				for n, i := range o.list {
+					o.instances[i.Address].RecordOrigin(fmt.Sprint("r", n), "s", "v1", originLifetime)
+				}
+				o.publish("b", "v2")
+				o.remove("a")
+				o.restart(o.list[:killed]...)
+				for n := range o.list {
+					for version := range o.find(t, fmt.Sprint("r", n)) {
+						if version == "v2" {
+							t.Errorf("stream r%d of version v1 goes on at %s", n, version)
+						}
+					}
+				}
+			})
+		})
+	}
+}
