fleet, peer: instances that start learn which versions were listed before

Only what an instance has seen itself counted as known, so that nobody knew anything for the lifetime of a stream after a rolling restart; streams went on since the instances of all zones agreed on the list of that moment. An instance that has followed the list for less than ten minutes now fetches from a peer that has followed it for longer, by its heartbeat, which versions were listed and when they left. What it knows has no gap: its own list is older than the reply, and the peer's is current. The time is bounded by that for which versions are remembered.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -53,6 +53,9 @@
 	if f.Quarantined {
 		s.Quarantined = p.instance.quarantine.AllQuarantined(time.Now())
 	}
+	if f.ListHistory {
+		s.ListHistory = p.instance.fleet.ListHistory(s.ListAge)
+	}
 	switch {
 	case f.Revision == configuration.Revision:
 	case f.AcceptsParts && len(configuration.Content) > transfer.InlineBytes:
@@ -89,7 +92,7 @@
 func (p *peerHandler) FetchRequest() *peer.FetchRequest {
 	v := p.instance.view
 	known := v.KnownState()
-	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load()}
+	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load(), ListHistory: p.instance.fleet.WantsHistory()}
 }
 
 // MergeState implements peer.Handler. The peer's state was current when it was requested or later,
@@ -118,6 +121,7 @@
 		}
 	}
 	identical := v.MergeUpstreams(list, from)
+	p.instance.fleet.MergeListHistory(from, s.ListHistory)
 	p.instance.fleet.MergeLeavingNotices(from, s.Leaving)
 	p.instance.fleet.MergeLimits(from, s.Limits)
 	if !identical {
@@ -164,6 +168,7 @@
 		Quarantine:        i.quarantine.NextUpdate(time.Now()),
 		Isolated:          reached == reach.Isolated,
 		Reach:             reached,
+		ListFollowedS:     int(i.fleet.Followed().Seconds()),
 	}
 }
 
@@ -192,10 +197,11 @@
 // take some seconds.
 const maxSourceReachable = time.Minute
 
-// isBehind reports whether a heartbeat announces a newer configuration or list, or this instance hasn't fetched the
-// quarantine periods of a peer yet.
+// isBehind reports whether a heartbeat announces a newer configuration or list, or that the peer has followed the list for
+// longer, or this instance hasn't fetched the quarantine periods of a peer yet.
 func (i *Instance) isBehind(h *peer.Heartbeat) bool {
-	return !i.knowsQuarantined.Load() || i.view.IsOlderThan(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion()
+	return !i.knowsQuarantined.Load() || i.view.IsOlderThan(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion() ||
+		i.fleet.LacksHistory(time.Duration(h.ListFollowedS)*time.Second)
 }
 
 // crossZoneFetchDelay is how long an instance waits for its own availability zone to provide newer
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -105,7 +105,7 @@
 	noticesSent    int
 	slots          SlotClient   // nil without peers
 	relays         Relays       // nil without routed.relay
-	listedSince    time.Time    // when the list first arrived
+	followedSince  time.Time    // since when the versions on the list are known: it first arrived, or a peer has followed it
 	originClient   OriginClient // nil without peers
 	origins        *origin.Registry
 
--- /dev/null
+++ b/internal/fleet/list_history.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/tacktally/tacktally/internal/peer"
+)
+
+const (
+	// wantedHistory is the time for which an instance wants to know which versions were listed. One that has
+	// followed the list for less asks peers that have followed it for longer. Few streams can be resumed for longer.
+	wantedHistory = 10 * time.Minute
+	// historyMargin is by how much longer a peer must have followed the list, since heartbeats give whole seconds.
+	historyMargin = 2 * time.Second
+)
+
+// followed returns for how long this instance knows which versions each service has had, versionMemory at most. The caller
+// holds the lock.
+func (f *Fleet) followed(now time.Time) time.Duration {
+	if f.followedSince.IsZero() {
+		return 0
+	}
+	return min(now.Sub(f.followedSince), versionMemory)
+}
+
+// Followed returns for how long this instance, or peers before it, have followed the list, two hours at most.
+func (f *Fleet) Followed() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.followed(time.Now())
+}
+
+// WantsHistory reports whether this instance has followed the list for less than it wants to.
+func (f *Fleet) WantsHistory() bool { return f.Followed() < wantedHistory }
+
+// LacksHistory reports whether a peer that has followed the list for a duration knows of versions that left it before this
+// instance followed it.
+func (f *Fleet) LacksHistory(peerFollowed time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	followed := f.followed(time.Now())
+	return !f.followedSince.IsZero() && followed < wantedHistory && peerFollowed >= followed+historyMargin
+}
+
+// ListHistory returns which versions were listed since this instance has followed the list, nil if its list, of the age
+// listAge, isn't current: others would take it for complete until now.
+func (f *Fleet) ListHistory(listAge time.Duration) *peer.ListHistory {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	h := &peer.ListHistory{Followed: f.followed(now)}
+	if h.Followed == 0 || listAge > currentListAge {
+		return nil
+	}
+	for name, s := range f.services {
+		for version, use := range s.versions {
+			v := peer.ListedVersion{Service: name, Version: version}
+			if use.upstreams == 0 {
+				v.Gone = now.Sub(use.lastSeen)
+			}
+			if len(h.Versions) < peer.MaxListedVersions && v.Gone <= versionMemory {
+				h.Versions = append(h.Versions, v)
+			}
+		}
+	}
+	if len(h.Versions) == peer.MaxListedVersions {
+		return nil // incomplete
+	}
+	return h
+}
+
+// MergeListHistory adds the versions that a peer knows to those of this instance. Together they have followed the list since
+// the peer did, as this instance had a list when the peer replied.
+func (f *Fleet) MergeListHistory(from string, h *peer.ListHistory) {
+	if h == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	before := f.followed(now)
+	if f.followedSince.IsZero() || h.Followed <= before {
+		return
+	}
+	f.followedSince = now.Add(-h.Followed)
+	for _, v := range h.Versions {
+		f.serviceOf(v.Service).sawVersion(v.Version, now.Add(-v.Gone))
+	}
+	f.o.Log.Info().Str("event", "list_history").Str("peer", from).Dur("followed", h.Followed).Dur("followed_before", before).
+		Int("versions", len(h.Versions)).Msg("")
+}
--- /dev/null
+++ b/internal/fleet/list_history_test.go
@@ -0,0 +1,108 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/virtualtime"
+	"github.com/tacktally/tacktally/internal/wait"
+)
+
+// tell sends the history of one instance to another one that lacks it, as heartbeats and fetches do.
+func (o *originFleet) tell(from, to string) {
+	sender, receiver := o.instances[from], o.instances[to]
+	if receiver.LacksHistory(sender.Followed().Truncate(time.Second)) {
+		receiver.MergeListHistory(from, sender.ListHistory(o.listAge[from]))
+	}
+}
+
+// Instances that are replaced one after the other know what the first ones saw: that the only version is the only one, and
+// which one has left.
+func TestInstancesThatReplaceAllOthersKnowTheVersions(t *testing.T) {
+	for _, left := range []bool{false, true} {
+		virtualtime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			o := newOriginFleet(2)
+			o.publish("a", "v1")
+			wait.For(t.Context(), originLifetime)
+			if left {
+				o.publish("b", "v2")
+				o.remove("a")
+			}
+			for n, i := range o.list {
+				wait.For(t.Context(), time.Second)
+				o.restart(i)
+				o.tell(o.list[(n+1)%len(o.list)].Address, i.Address)
+				if n > 0 {
+					o.tell(o.list[n-1].Address, i.Address)
+				}
+			}
+			want := "v1"
+			if left {
+				want = ""
+			}
+			is.Equal(o.find(t, "r"), map[string]bool{want: true})
+		})
+	}
+}
+
+// A history that ends before the instance followed the list, or that may end before now, says nothing of the time between.
+func TestListHistoryWithAGapIsNotUsed(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(1)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		from, to := o.list[0], o.list[1]
+		fresh := o.start(to) // has no list yet
+		is.True(!fresh.LacksHistory(time.Hour))
+		fresh.MergeListHistory(from.Address, o.instances[from.Address].ListHistory(0))
+		is.Equal(fresh.Followed(), time.Duration(0))
+		o.restart(to)
+		o.listAge[from.Address] = 2 * currentListAge
+		o.tell(from.Address, to.Address)
+		is.Equal(o.instances[to.Address].Followed(), time.Duration(0))
+		o.listAge[from.Address] = 0
+		wait.For(t.Context(), time.Second)
+		o.tell(from.Address, to.Address)
+		is.Equal(o.instances[to.Address].Followed(), originLifetime+time.Second)
+	})
+}
+
+// The instance that has followed the list for longer needs no history, nor does one that knows enough.
+func TestListHistoryIsRequestedWhileItIsLacking(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(1)
+		o.publish("a", "v1")
+		f := o.instances[o.list[0].Address]
+		wait.For(t.Context(), time.Minute)
+		is.True(f.WantsHistory())
+		is.True(!f.LacksHistory(time.Minute))
+		is.True(f.LacksHistory(time.Minute + historyMargin))
+		wait.For(t.Context(), wantedHistory)
+		is.True(!f.WantsHistory())
+		is.True(!f.LacksHistory(versionMemory))
+	})
+}
+
+// A version is forgotten after a while, so that nothing is known of the time before.
+func TestHistoryIsAsLongAsVersionsAreRemembered(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(1)
+		o.publish("a", "v1")
+		o.publish("b", "v2")
+		o.remove("a")
+		wait.For(t.Context(), versionMemory+time.Second)
+		o.publish("c", "v2") // forgets v1
+		f := o.instances[o.list[0].Address]
+		is.Equal(f.Followed(), versionMemory)
+		h := f.ListHistory(0)
+		is.True(slices.Equal(h.Versions, []peer.ListedVersion{{Service: "s", Version: "v2"}}))
+	})
+}
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -52,13 +52,20 @@
 	maps.DeleteFunc(s.versions, func(_ string, use *versionUse) bool {
 		return use.upstreams == 0 && now.Sub(use.lastSeen) > versionMemory
 	})
+	s.sawVersion(version, now).upstreams += delta
+}
+
+// sawVersion records that a version was listed at a time, and returns its use. The caller holds the lock.
+func (s *service) sawVersion(version string, at time.Time) *versionUse {
 	use := s.versions[version]
 	if use == nil {
 		use = &versionUse{}
 		s.versions[version] = use
 	}
-	use.upstreams += delta
-	use.lastSeen = now
+	if at.After(use.lastSeen) {
+		use.lastSeen = at
+	}
+	return use
 }
 
 // recentVersions returns the versions of a service's upstreams that are on the list or were there within a
@@ -269,7 +276,7 @@
 func (f *Fleet) knowsVersionsOf(now time.Time, within, listAge time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.listedSince.IsZero() && now.Sub(f.listedSince) >= within && listAge <= currentListAge
+	return f.followed(now) >= within && listAge <= currentListAge
 }
 
 // ResumedStream is a stream that its caller resumes.
@@ -367,10 +374,7 @@
 // followed the list.
 func (f *Fleet) recordOriginSearch(s *originSearch, began time.Time, service, version string) {
 	f.mu.Lock()
-	followed := time.Duration(0)
-	if !f.listedSince.IsZero() {
-		followed = began.Sub(f.listedSince)
-	}
+	followed := f.followed(began)
 	f.mu.Unlock()
 	f.o.Metrics.Count(`tacktally_stream_origins_total{source="` + string(s.source) + `"}`)
 	f.o.Log.Info().Str("event", "stream_origin").Str("origin", s.stream.Request).Str("source", string(s.source)).
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -84,8 +84,8 @@
 	f.mu.Lock()
 	f.version = change.Version
 	now := time.Now()
-	if f.listedSince.IsZero() {
-		f.listedSince = now
+	if f.followedSince.IsZero() {
+		f.followedSince = now
 	}
 	before := f.servicesWithVersions()
 	updated := memberUpdates{}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -190,6 +190,9 @@
 	// Sequence counts the heartbeats of one process, in the order of the states that they carry; 0 from peers of
 	// earlier versions.
 	Sequence uint64 `cbor:"21,keyasint,omitempty"`
+	// ListFollowedS is for how many seconds the sender, or peers before it, have followed the list of upstreams; two
+	// hours at most.
+	ListFollowedS int `cbor:"22,keyasint,omitempty"`
 }
 
 // reach returns whether the sender reaches upstreams, also if it is of an earlier version.
@@ -229,6 +232,7 @@
 		Reach:             h.Reach,
 		Brief:             true,
 		Sequence:          h.Sequence,
+		ListFollowedS:     h.ListFollowedS,
 	}
 }
 
@@ -261,6 +265,8 @@
 	Part *PartRequest `cbor:"7,keyasint,omitempty"`
 	// Quarantined requests all quarantine periods.
 	Quarantined bool `cbor:"8,keyasint,omitempty"`
+	// ListHistory requests the versions that were listed.
+	ListHistory bool `cbor:"9,keyasint,omitempty"`
 }
 
 // PartRequest requests one part of the configuration in force.
@@ -328,6 +334,8 @@
 	Part *Part `cbor:"17,keyasint,omitempty"`
 	// Quarantined are all quarantine periods, if the requester asked for them.
 	Quarantined []quarantine.QuarantineRecord `cbor:"18,keyasint,omitempty"`
+	// ListHistory is set if the requester asked for it and the sender's list is current.
+	ListHistory *ListHistory `cbor:"19,keyasint,omitempty"`
 }
 
 // Pressure announces that work of Rank is about to be shed for lack of capacity in Set.
@@ -422,7 +430,7 @@
 	case TypeCredit:
 		complete = f.Credit > 0
 	case TypeState:
-		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid()) && quarantine.AreValid(f.State.Quarantined)
+		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid()) && quarantine.AreValid(f.State.Quarantined) && f.State.ListHistory.isValid()
 	case TypeFetch:
 		complete = f.Fetch != nil && (f.Fetch.Part == nil || f.Fetch.Part.Offset >= 0)
 	case TypeSlotRequest:
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -46,6 +46,37 @@
 	Settled        bool   `cbor:"5,keyasint,omitempty"`
 }
 
+// MaxListedVersions bounds the versions of a ListHistory.
+const MaxListedVersions = 1 << 12
+
+// ListHistory says which software versions the upstreams of each service have had since the sender, or peers before it, have
+// followed the list.
+type ListHistory struct {
+	Followed time.Duration   `cbor:"1,keyasint"`
+	Versions []ListedVersion `cbor:"2,keyasint,omitempty"`
+}
+
+// ListedVersion is a version of a service's upstreams.
+type ListedVersion struct {
+	Service string `cbor:"1,keyasint"`
+	Version string `cbor:"2,keyasint,omitempty"`
+	// Gone is for how long no upstream on the list has had it; 0 if one has.
+	Gone time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// isValid reports whether the durations and the number of versions are within their bounds. No history is valid.
+func (h *ListHistory) isValid() bool {
+	if h == nil {
+		return true
+	}
+	for _, v := range h.Versions {
+		if v.Service == "" || v.Gone < 0 || v.Gone > maxRemaining {
+			return false
+		}
+	}
+	return h.Followed >= 0 && h.Followed <= maxRemaining && len(h.Versions) < MaxListedVersions
+}
+
 func areValidOrigins(list []StreamOrigin) bool {
 	for _, o := range list {
 		if o.Remaining < 0 || o.Remaining > maxRemaining {
