fleet: who hasn't followed the list doesn't know which versions it had

Callers got streams joined from two versions, 200 and whole: the former version left the list, three or all of four instances were killed, and a resumption went on at the only version that those which came back found. The agreement of an instance of each zone counted as knowledge, also of instances that had all started after the stream began.

Now only an instance that has followed the list for the stream's lifetime, or whose peers before it have, says that there was no other version; also for the agreement of all zones, which is left for outages of the source.

TestResumptionAtAnInstanceThatHasJustStartedIsRefused failed before. TestOnlyVersionIsTheOrigin and TestInstanceThatKnowsNoOthersYetAssumesNoOrigin required the fault: that the version is known right after a restart of all. They now require that it isn't, and is after the stream's lifetime. The instance of the proxy's tests has followed the list for an hour, as most have.

--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -261,7 +261,8 @@
 // ServeOrigin replies to a peer's query of a stream's origin. ListAge is the age of this instance's list.
 func (f *Fleet) ServeOrigin(q *peer.OriginQuery, listAge time.Duration) *peer.OriginReply {
 	now := time.Now()
-	reply := &peer.OriginReply{Settled: f.knowsVersionsOf(now, q.Lifetime, listAge)}
+	followed := f.hasFollowedFor(now, q.Lifetime)
+	reply := &peer.OriginReply{Followed: followed, Settled: followed && listAge <= currentListAge}
 	if o, known := f.origins.Find(now, q.Request); known {
 		reply.Known, reply.Service, reply.Version = true, o.Service, o.Version
 	}
@@ -271,12 +272,12 @@
 	return reply
 }
 
-// knowsVersionsOf reports whether this instance knows all versions that have served within a time: it has
-// followed the list for so long, and the list is current.
-func (f *Fleet) knowsVersionsOf(now time.Time, within, listAge time.Duration) bool {
+// hasFollowedFor reports whether this instance, or peers before it, have followed the list for a duration, so that it knows
+// each version that was listed within that time.
+func (f *Fleet) hasFollowedFor(now time.Time, duration time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.followed(now) >= within && listAge <= currentListAge
+	return f.followed(now) >= duration
 }
 
 // ResumedStream is a stream that its caller resumes.
@@ -308,8 +309,8 @@
 	}
 	search.versions = f.recentVersions(now, s.Service, s.Lifetime)
 	versions := search.versions
-	settled := f.knowsVersionsOf(now, s.Lifetime, s.ListAge)
-	search.settled = settled
+	followed := f.hasFollowedFor(now, s.Lifetime)
+	search.settled = followed && s.ListAge <= currentListAge
 	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
 	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: s.Lifetime})
 	search.asked, search.replied = len(keepers), len(replies)
@@ -330,11 +331,11 @@
 	switch {
 	case len(versions) != 1:
 		return "", "", false
-	case settled:
+	case search.settled:
 		search.source = originOnlyVersion
 	case search.settledPeers > 0:
 		search.source = originOnlyVersionOfPeer
-	case f.Settled() && f.isEveryZoneIn(replies):
+	case followed && f.Settled() && f.hasEveryZoneFollowed(replies):
 		search.source = originOnlyVersionOfZones
 	default:
 		return "", "", false
@@ -352,8 +353,8 @@
 	originRecorded originSource = "recorded"
 	originFromPeer originSource = "peer"
 	// originOnlyVersion: no other version was listed within the stream's lifetime, as far as this instance
-	// knows; originOnlyVersionOfPeer: as far as a peer knows; originOnlyVersionOfZones: as an instance of each
-	// zone says.
+	// knows; originOnlyVersionOfPeer: as far as a peer knows; originOnlyVersionOfZones: as far as an
+	// instance of each zone knows, by lists that may not be current.
 	originOnlyVersion        originSource = "only_version"
 	originOnlyVersionOfPeer  originSource = "only_version_of_peer"
 	originOnlyVersionOfZones originSource = "only_version_of_zones"
@@ -383,15 +384,15 @@
 		Int("asked", s.asked).Int("replied", s.replied).Int("settled_peers", s.settledPeers).Dur("took", time.Since(began)).Msg("")
 }
 
-// isEveryZoneIn reports whether an instance of each known zone is among the addresses. The zone of this
-// instance needs another one only if it has any.
-func (f *Fleet) isEveryZoneIn(replies map[string]*peer.OriginReply) bool {
+// hasEveryZoneFollowed reports whether an instance of each known zone has replied that it has followed the list for the
+// stream's lifetime. The zone of this instance needs another one only if it has any.
+func (f *Fleet) hasEveryZoneFollowed(replies map[string]*peer.OriginReply) bool {
 	f.mu.Lock()
 	instances := f.instances
 	f.mu.Unlock()
 	replied := map[string]bool{}
 	for _, i := range instances {
-		if replies[i.Address] != nil {
+		if r := replies[i.Address]; r != nil && r.Followed {
 			replied[i.Zone] = true
 		}
 	}
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -209,7 +209,10 @@
 		is := is.New(t)
 		o := newOriginFleet(2)
 		o.publish("a", "v1")
-		is.Equal(o.find(t, "r"), map[string]bool{"v1": true}) // the whole fleet has just started
+		is.Equal(o.find(t, "r"), map[string]bool{"": true}) // the whole fleet has just started
+		is.Equal(o.find(t, ""), map[string]bool{"": true})
+		wait.For(t.Context(), originLifetime)
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
 		is.Equal(o.find(t, ""), map[string]bool{"v1": true})
 		o.publish("b", "v2")
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
@@ -238,6 +241,8 @@
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
 		self.Settled = true
 		f.SetInstances([]Instance{self})
+		is.Equal(o.find(t, "r"), map[string]bool{"": true}) // others may have ended
+		wait.For(t.Context(), originLifetime)
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
 	})
 }
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -40,10 +40,13 @@
 	Version string `cbor:"2,keyasint,omitempty"`
 	Service string `cbor:"6,keyasint,omitempty"`
 	// HasOnlyVersion reports that the peer has seen no version of the service's upstreams but OnlyVersion
-	// within the Lifetime, or since it started unless Settled.
+	// within the Lifetime, or since it started unless Followed.
 	HasOnlyVersion bool   `cbor:"3,keyasint,omitempty"`
 	OnlyVersion    string `cbor:"4,keyasint,omitempty"`
-	Settled        bool   `cbor:"5,keyasint,omitempty"`
+	// Followed reports that the peer has followed the list for the Lifetime, and Settled that its list is current as well.
+	// Peers of earlier versions leave Followed out.
+	Followed bool `cbor:"7,keyasint,omitempty"`
+	Settled  bool `cbor:"5,keyasint,omitempty"`
 }
 
 // MaxListedVersions bounds the versions of a ListHistory.
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/loadreport"
+	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/queue"
 	"github.com/tacktally/tacktally/internal/ratelimit"
@@ -145,6 +146,7 @@
 	servers   map[string]*httptest.Server
 	onDial    func() // called before each connection to an upstream is opened; may be nil
 	registry  *quarantine.Registry
+	followed  time.Duration // for which peers have followed the list before this instance
 
 	mu       sync.Mutex
 	arrivals []*http.Request // requests at all upstreams, in order
@@ -157,7 +159,7 @@
 
 // newHarness returns a harness with a route of each kind and an organisation with the key k.
 func newHarness(t testing.TB) *harness {
-	r := &harness{t: t, closing: make(chan string, 99), servers: map[string]*httptest.Server{}}
+	r := &harness{t: t, closing: make(chan string, 99), servers: map[string]*httptest.Server{}, followed: time.Hour}
 	route := func(name string, kind routing.Kind) routing.Route {
 		return routing.Route{
 			Name: name, Host: "h.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 20 * time.Second,
@@ -268,6 +270,7 @@
 	}
 	r.revision++
 	r.view.SetUpstreams(r.upstreams, r.revision, time.Now())
+	r.fleet.MergeListHistory("peer", &peer.ListHistory{Followed: r.followed})
 }
 
 // arrivedIDs returns the IDs of the upstreams that received a request, in order.
--- a/internal/proxy/version_test.go
+++ b/internal/proxy/version_test.go
@@ -119,6 +119,20 @@
 	is.Equal(got.body, versionedBody("v1", 3, 4))
 }
 
+// Guards against streams joined from two versions: an instance that has started since the stream began, like all others,
+// took the only version on the list for the one that had begun it.
+func TestResumptionAtAnInstanceThatHasJustStartedIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.followed = 0
+	r.publish(0)
+	r.addVersion("b", "v2", versionedEvents("v2", 4, 4))
+	got := r.get("resumable", "Id", "2", "After", "2", "Origin-Id", "1")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get("Outcome"), "not-run")
+	is.Equal(r.arrivedIDs(), "")
+}
+
 // grantOf is a grant of an upstream by an owner that doesn't know of versions.
 type grantOf struct {
 	fleet.Grant
