proxy: record a stream's origin once the stream has gone on

The version by which a caller's resumption went on was recorded, and sent to others, as soon as it was concluded, as if somebody had seen it begin the stream; a later resumption relied on it although another version had appeared. It is now recorded with the first event that is relayed, which is what the caller has of it. TestConcludedVersionIsRecordedOnceTheStreamGoesOn failed before, where no event was relayed.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -133,6 +133,7 @@
 	events           int                         // events in the last response
 	framing          exchange.Framing            // framing of the last response
 	origin           scheduler.VersionConstraint // version that began the stream; not restricted before its first event
+	originRecorded   bool                        // the origin has been recorded since an event was relayed
 	sentVersion      string                      // version of the upstream of the last attempt when it was sent
 	softwareVersions []string                    // of the upstreams whose events were relayed, by this instance's list
 	reused           bool                        // the last response came on a connection that had served another exchange
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -62,18 +62,23 @@
 	}
 	j.service = service
 	j.origin = scheduler.VersionConstraint{Restricted: true, Version: version}
-	j.handler.o.Fleet.RecordOrigin(j.info.OriginID, j.service, version, j.originLifetime()) // it may be resumed again
 	return nil
 }
 
-// recordOrigin records the version of the upstream whose event was relayed as that which began the stream,
-// unless another event came before.
+// recordOrigin records the version of the upstream whose event was relayed as that which began the stream, once for
+// each response. A resumed stream may be resumed again; what was concluded of its origin isn't recorded before the stream has gone
+// on by it.
 func (j *job) recordOrigin() {
-	if j.origin.Restricted {
+	if j.originRecorded {
 		return
 	}
+	j.originRecorded = true
+	first := j.info.ID
+	if j.origin.Restricted {
+		first = j.info.OriginID
+	}
 	j.origin = scheduler.VersionConstraint{Restricted: true, Version: j.sentVersion}
 	if j.route.Resumable {
-		j.handler.o.Fleet.RecordOrigin(j.info.ID, j.service, j.sentVersion, j.originLifetime())
+		j.handler.o.Fleet.RecordOrigin(first, j.service, j.sentVersion, j.originLifetime())
 	}
 }
--- a/internal/proxy/version_test.go
+++ b/internal/proxy/version_test.go
@@ -133,6 +133,42 @@
 	is.Equal(r.arrivedIDs(), "")
 }
 
+// Guards against a conclusion that others take for an observation: the version by which a stream went on nowhere was
+// recorded as the one that had begun it.
+func TestConcludedVersionIsRecordedOnceTheStreamGoesOn(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		goOn bool
+	}{
+		{"no event was relayed", false},
+		{"an event was relayed", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness(t)
+			for i := range r.document.Routes {
+				r.document.Routes[i].MaxAttempts = 1
+			}
+			r.publish(0)
+			if c.goOn {
+				r.addVersion("a", "v1", versionedEvents("v1", 3, 5))
+			} else {
+				r.addVersion("a", "v1", refusesRequest)
+			}
+			first := r.get("resumable", "Id", "2", "After", "2", "Origin-Id", "1")
+			is.Equal(first.status == http.StatusOK, c.goOn)
+			r.addVersion("b", "v1", versionedEvents("v1", 5, 5))
+			r.addVersion("c", "v2", versionedEvents("v2", 5, 5))
+			r.removeUpstream("a")
+			second := r.get("resumable", "Id", "3", "After", "3", "Origin-Id", "1")
+			is.Equal(second.status == http.StatusOK, c.goOn)
+			if c.goOn {
+				is.Equal(second.body, versionedBody("v1", 4, 5))
+			}
+		})
+	}
+}
+
 // grantOf is a grant of an upstream by an owner that doesn't know of versions.
 type grantOf struct {
 	fleet.Grant
