fleet: origins of streams are shared while nobody has followed the list for long

After a restart of all instances, streams that began then were refused at any instance but the one that had begun them, for the lifetime of a stream: a service with one version shares no origins, as its only version tells. An instance that doesn't know yet which versions there were now sends them to the keepers. TestStreamsThatBeginAfterARestartOfAllAreKnownToAll failed before. TestOriginsAreSharedWhenAVersionAppears, which requires that nothing is sent before, now waits until the fleet knows the only version.

--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -70,13 +70,18 @@
 
 // recentVersions returns the versions of a service's upstreams that are on the list or were there within a
 // time.
-func (f *Fleet) recentVersions(now time.Time, service string, within time.Duration) (out []string) {
+func (f *Fleet) recentVersions(now time.Time, service string, within time.Duration) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.services[service]
 	if s == nil {
 		return nil
 	}
+	return s.recentVersions(now, within)
+}
+
+// recentVersions returns the versions that are on the list or were there within a time. The caller holds the lock.
+func (s *service) recentVersions(now time.Time, within time.Duration) (out []string) {
 	for version, use := range s.versions {
 		if use.upstreams > 0 || now.Sub(use.lastSeen) < within {
 			out = append(out, version)
@@ -85,6 +90,37 @@
 	return out
 }
 
+// servicesWithVersions returns the services whose upstreams have several versions on the list. The caller holds the lock.
+func (f *Fleet) servicesWithVersions(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	for name, s := range f.services {
+		if len(s.recentVersions(now, 0)) > 1 {
+			out[name] = true
+		}
+	}
+	return out
+}
+
+// sharedOrigins returns the origins that this instance knows and keepers receive: those of services with several
+// versions, or all, while this instance doesn't know which versions there were.
+func (f *Fleet) sharedOrigins(now time.Time) []origin.Origin {
+	f.mu.Lock()
+	services := f.servicesWithVersions(now)
+	all := f.followed(now) < f.originLifetime
+	f.mu.Unlock()
+	if !all && len(services) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(f.origins.All(now), func(o origin.Origin) bool { return !all && !services[o.Service] })
+}
+
+// extendOriginLifetime records for how long a stream may be resumed.
+func (f *Fleet) extendOriginLifetime(lifetime time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.originLifetime = max(f.originLifetime, lifetime)
+}
+
 // hashOf returns the hash by which a request is known to other instances; 0 for no request.
 func hashOf(request string) uint64 {
 	if request == "" {
@@ -94,15 +130,16 @@
 }
 
 // RecordOrigin records that an upstream of a version has begun a stream, which may be resumed for the
-// duration lifetime. Request is the ID of the request that brought the first event. While the service has
-// several versions, the keepers receive it.
+// duration lifetime. Request is the ID of the request that brought the first event. The keepers receive it
+// if other versions may have begun streams of the service within that time.
 func (f *Fleet) RecordOrigin(request, service, version string, lifetime time.Duration) {
 	if request == "" {
 		return
 	}
 	now := time.Now()
 	o := origin.Origin{Request: hashOf(request), Service: service, Version: version, Until: now.Add(lifetime)}
-	shared := f.originClient != nil && len(f.recentVersions(now, service, lifetime)) > 1
+	f.extendOriginLifetime(lifetime)
+	shared := f.originClient != nil && (!f.hasFollowedFor(now, lifetime) || len(f.recentVersions(now, service, lifetime)) > 1)
 	f.origins.Record(now, o, shared)
 	if shared {
 		f.sendOrigins(now, []origin.Origin{o})
@@ -118,31 +155,27 @@
 	}
 }
 
-// HandOverOrigins sends all origins that this instance knows, of services with several versions, to the
-// keepers. It is called when this instance is terminated.
+// HandOverOrigins sends the origins that this instance knows to their keepers. It is called when this instance is
+// terminated.
 func (f *Fleet) HandOverOrigins() {
 	if f.originClient == nil {
 		return
 	}
 	now := time.Now()
-	f.mu.Lock()
-	services := f.servicesWithVersions()
-	f.mu.Unlock()
-	f.sendOrigins(now, slices.DeleteFunc(f.origins.All(now), func(o origin.Origin) bool { return !services[o.Service] }))
+	f.sendOrigins(now, f.sharedOrigins(now))
 }
 
-// sendOriginsToNewKeepers sends the origins that this instance knows, of services with several versions, to
-// keepers that were none among the instances before: they have started, or take over from one that has ended.
+// sendOriginsToNewKeepers sends the origins that this instance knows to keepers that were none among the instances before:
+// they have started, or take over from one that has ended.
 func (f *Fleet) sendOriginsToNewKeepers(before []Instance) {
 	f.mu.Lock()
-	services := f.servicesWithVersions()
 	instances := f.instances
 	f.mu.Unlock()
-	if f.originClient == nil || len(services) == 0 || slices.Equal(before, instances) {
+	if f.originClient == nil || slices.Equal(before, instances) {
 		return
 	}
 	now := time.Now()
-	list := slices.DeleteFunc(f.origins.All(now), func(o origin.Origin) bool { return !services[o.Service] })
+	list := f.sharedOrigins(now)
 	previous := map[int][]string{} // keepers by group
 	f.sendOriginsTo(now, list, func(o origin.Origin, keeper string) bool {
 		group := groupOf(o.Request)
@@ -178,6 +211,7 @@
 func (f *Fleet) MergeOrigins(list []peer.StreamOrigin) {
 	now := time.Now()
 	for _, o := range list {
+		f.extendOriginLifetime(o.Remaining)
 		f.origins.Record(now, origin.Origin{Request: o.Request, Service: o.Service, Version: o.Version, Until: now.Add(o.Remaining)}, true)
 	}
 }
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -173,6 +173,7 @@
 		is := is.New(t)
 		o := newOriginFleet(3)
 		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
 		began := o.list[0].Address
 		o.instances[began].RecordOrigin("r", "s", "v1", originLifetime)
 		for address, f := range o.instances {
@@ -412,3 +413,20 @@
 		})
 	}
 }
+
+// Guards against refusals of streams after all instances were killed: streams that begin then must be resumed at any
+// instance, though nobody has followed the list for long.
+func TestStreamsThatBeginAfterARestartOfAllAreKnownToAll(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(3)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		o.restart(o.list...)
+		for n, i := range o.list {
+			request := fmt.Sprint("r", n)
+			o.instances[i.Address].RecordOrigin(request, "s", "v1", originLifetime)
+			is.Equal(o.find(t, request), map[string]bool{"v1": true})
+		}
+	})
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -87,7 +87,7 @@
 	if f.followedSince.IsZero() {
 		f.followedSince = now
 	}
-	before := f.servicesWithVersions()
+	before := f.servicesWithVersions(now)
 	updated := memberUpdates{}
 	for _, id := range change.Removed {
 		f.removeUpstream(id, updated)
@@ -98,7 +98,7 @@
 	f.pruneProcessState(now)
 	changed := updated.apply()
 	resharded := f.reshardAll()
-	appeared := f.servicesWithVersions()
+	appeared := f.servicesWithVersions(now)
 	f.mu.Unlock()
 	for service := range appeared {
 		if !before[service] {
@@ -113,24 +113,6 @@
 	pollShards(changed)
 }
 
-// servicesWithVersions returns the services whose upstreams have several versions on the list. The caller
-// holds the lock.
-func (f *Fleet) servicesWithVersions() map[string]bool {
-	out := map[string]bool{}
-	for name, s := range f.services {
-		n := 0
-		for _, use := range s.versions {
-			if use.upstreams > 0 {
-				n++
-			}
-		}
-		if n > 1 {
-			out[name] = true
-		}
-	}
-	return out
-}
-
 // removeUpstream removes an upstream and its state. The caller holds the lock.
 func (f *Fleet) removeUpstream(id string, updated memberUpdates) {
 	u := f.upstreams[id]
