fleet: origins outlive the version that began the streams, and keepers that restart

Two gaps left the survivors' knowledge unused once most instances were killed. Origins were handed over and sent to new keepers only while several versions were on the list, so not once the former one had left it. And a keeper that came back at its address before anybody missed it wasn't taken for a new one. The versions of a stream's lifetime count now, and instances are told apart by their incarnation.

--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -27,12 +27,13 @@
 	instances := []fleet.Instance{{Address: i.address, Zone: i.settings.Zone, Cores: i.settings.Routed.Cores, Reachable: true, MayOwn: !i.ready.draining.Load(), Settled: time.Since(i.started) >= settleTime}}
 	for _, p := range i.mesh.Peers() {
 		instances = append(instances, fleet.Instance{
-			Address:   p.Address,
-			Zone:      p.Zone,
-			Cores:     p.Cores,
-			Reachable: p.Reachable,
-			MayOwn:    p.Reachable && !p.Draining,
-			Settled:   !p.Started.IsZero() && time.Since(p.Started) >= settleTime,
+			Address:     p.Address,
+			Incarnation: p.Incarnation,
+			Zone:        p.Zone,
+			Cores:       p.Cores,
+			Reachable:   p.Reachable,
+			MayOwn:      p.Reachable && !p.Draining,
+			Settled:     !p.Started.IsZero() && time.Since(p.Started) >= settleTime,
 		})
 	}
 	i.fleet.SetInstances(instances)
--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -12,6 +12,8 @@
 type Instance struct {
 	// Address is the peer address.
 	Address string
+	// Incarnation identifies its process; 0 if unknown, and for this instance.
+	Incarnation uint64
 	// Zone is the availability zone, empty if unknown.
 	Zone string
 	// Cores is the processor time of the instance, in cores; 0 if unknown.
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -90,19 +90,20 @@
 	return out
 }
 
-// servicesWithVersions returns the services whose upstreams have several versions on the list. The caller holds the lock.
+// servicesWithVersions returns the services that have had several versions within the lifetime of a stream. The caller
+// holds the lock.
 func (f *Fleet) servicesWithVersions(now time.Time) map[string]bool {
 	out := map[string]bool{}
 	for name, s := range f.services {
-		if len(s.recentVersions(now, 0)) > 1 {
+		if len(s.recentVersions(now, f.originLifetime)) > 1 {
 			out[name] = true
 		}
 	}
 	return out
 }
 
-// sharedOrigins returns the origins that this instance knows and keepers receive: those of services with several
-// versions, or all, while this instance doesn't know which versions there were.
+// sharedOrigins returns the origins that this instance knows and keepers receive: those of services that have had several
+// versions within the lifetime of a stream, or all, while this instance doesn't know which versions there were.
 func (f *Fleet) sharedOrigins(now time.Time) []origin.Origin {
 	f.mu.Lock()
 	services := f.servicesWithVersions(now)
@@ -166,7 +167,7 @@
 }
 
 // sendOriginsToNewKeepers sends the origins that this instance knows to keepers that were none among the instances before:
-// they have started, or take over from one that has ended.
+// they have started, also at the address of one that had been a keeper, or take over from one that has ended.
 func (f *Fleet) sendOriginsToNewKeepers(before []Instance) {
 	f.mu.Lock()
 	instances := f.instances
@@ -176,16 +177,32 @@
 	}
 	now := time.Now()
 	list := f.sharedOrigins(now)
+	started := startedSince(before, instances)
 	previous := map[int][]string{} // keepers by group
 	f.sendOriginsTo(now, list, func(o origin.Origin, keeper string) bool {
 		group := groupOf(o.Request)
 		if _, known := previous[group]; !known {
 			previous[group] = f.selectKeepers(rankKeepers(group, before), originZones)
 		}
-		return !slices.Contains(previous[group], keeper)
+		return started[keeper] || !slices.Contains(previous[group], keeper)
 	})
 }
 
+// startedSince returns the addresses at which another process serves than before.
+func startedSince(before, now []Instance) map[string]bool {
+	processes := make(map[string]uint64, len(before))
+	for _, i := range before {
+		processes[i.Address] = i.Incarnation
+	}
+	out := map[string]bool{}
+	for _, i := range now {
+		if previous, known := processes[i.Address]; known && previous != i.Incarnation {
+			out[i.Address] = true
+		}
+	}
+	return out
+}
+
 // sendOrigins sends origins to their keepers.
 func (f *Fleet) sendOrigins(now time.Time, list []origin.Origin) {
 	f.sendOriginsTo(now, list, func(origin.Origin, string) bool { return true })
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -61,9 +61,11 @@
 	return f
 }
 
-// restart starts instances anew, which read the list and are known to all others.
+// restart starts instances anew, which read the list and are known to all others as new processes.
 func (o *originFleet) restart(instances ...Instance) {
+	o.list = slices.Clone(o.list)
 	for _, i := range instances {
+		o.list[slices.IndexFunc(o.list, func(other Instance) bool { return other.Address == i.Address })].Incarnation++
 		f := o.start(i)
 		f.ApplyListChange(view.ListChange{Version: o.revision, Changed: slices.Collect(maps.Values(o.listed))})
 	}
@@ -430,3 +432,30 @@
 		}
 	})
 }
+
+// Guards against refusals, and streams of two versions, after most instances were killed: those that come back must be
+// sent what the others know, though the version that began the streams has left the list, and though they come back so soon, at
+// the same addresses, that nobody has missed them.
+func TestOriginsOutliveVersionAndKeepers(t *testing.T) {
+	for _, zones := range []int{1, 2, 3} {
+		for survivor := range 2 * zones {
+			t.Run(fmt.Sprintf("%d zones, instance %d survives", zones, survivor), func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					o := newOriginFleet(zones)
+					o.publish("a", "v1")
+					wait.For(t.Context(), originLifetime)
+					for n := range 20 {
+						o.instances[o.list[survivor].Address].RecordOrigin(fmt.Sprint("r", n), "s", "v1", originLifetime)
+					}
+					o.publish("b", "v2")
+					o.remove("a")
+					o.restart(slices.DeleteFunc(slices.Clone(o.list), func(i Instance) bool { return i.Address == o.list[survivor].Address })...)
+					for n := range 20 {
+						is.Equal(o.find(t, fmt.Sprint("r", n)), map[string]bool{"v1": true})
+					}
+				})
+			})
+		}
+	}
+}
