--- a/internal/fleet/list_history.go
+++ b/internal/fleet/list_history.go
@@ -79,7 +79,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	before := f.followed(now)
-	if f.followedSince.IsZero() || h.Followed <= before {
+	if f.followedSince.IsZero() || h.Followed < before+historyMargin {
 		return
 	}
 	f.followedSince = now.Add(-h.Followed)
