view: remember where routes led before they changed

An instance knew where a route leads, and not where it led while a stream that is resumed can have begun. The view now keeps, for two hours, the former services of routes that were moved, split anew, removed, or added where another route had matched, and since when it has followed the configuration. An instance that starts learns it from a peer with the same configuration in force, with the versions that were listed. Nothing uses it yet.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -55,6 +55,7 @@
 	}
 	if f.ListHistory {
 		s.ListHistory = p.instance.fleet.ListHistory(s.ListAge)
+		s.RouteHistory = v.RouteHistory()
 	}
 	switch {
 	case f.Revision == configuration.Revision:
@@ -92,7 +93,7 @@
 func (p *peerHandler) FetchRequest() *peer.FetchRequest {
 	v := p.instance.view
 	known := v.KnownState()
-	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load(), ListHistory: p.instance.fleet.WantsHistory()}
+	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load(), ListHistory: p.instance.followed() < wantedHistory}
 }
 
 // MergeState implements peer.Handler. The peer's state was current when it was requested or later,
@@ -122,6 +123,7 @@
 	}
 	identical := v.MergeUpstreams(list, from)
 	p.instance.fleet.MergeListHistory(from, s.ListHistory)
+	v.MergeRouteHistory(s.RouteHistory, from)
 	p.instance.fleet.MergeLeavingNotices(from, s.Leaving)
 	p.instance.fleet.MergeLimits(from, s.Limits)
 	if !identical {
@@ -168,7 +170,7 @@
 		Quarantine:        i.quarantine.NextUpdate(time.Now()),
 		Isolated:          reached == reach.Isolated,
 		Reach:             reached,
-		ListFollowedS:     int(i.fleet.Followed().Seconds()),
+		FollowedS:         int(i.followed().Seconds()),
 	}
 }
 
@@ -197,11 +199,33 @@
 // take some seconds.
 const maxSourceReachable = time.Minute
 
-// isBehind reports whether a heartbeat announces a newer configuration or list, or that the peer has followed the list for
+// isBehind reports whether a heartbeat announces a newer configuration or list, or that the peer has followed them for
 // longer, or this instance hasn't fetched the quarantine periods of a peer yet.
 func (i *Instance) isBehind(h *peer.Heartbeat) bool {
 	return !i.knowsQuarantined.Load() || i.view.IsOlderThan(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion() ||
-		i.fleet.LacksHistory(time.Duration(h.ListFollowedS)*time.Second)
+		i.lacksHistory(time.Duration(h.FollowedS)*time.Second)
+}
+
+const (
+	// wantedHistory is the time for which an instance wants to know which versions were listed and where routes led. One
+	// that has followed list and configuration for less asks peers that have for longer. Few streams can be resumed for
+	// longer.
+	wantedHistory = 10 * time.Minute
+	// historyMargin is by how much longer a peer must have followed them. Heartbeats give whole seconds.
+	historyMargin = 4 * time.Second
+)
+
+// followed returns for how long this instance, or peers before it, have followed the list of upstreams and the
+// configuration.
+func (i *Instance) followed() time.Duration {
+	return min(i.fleet.Followed(), i.view.RoutesFollowed())
+}
+
+// lacksHistory reports whether a peer that has followed list and configuration for a duration knows of versions and routes
+// that this instance doesn't.
+func (i *Instance) lacksHistory(peerFollowed time.Duration) bool {
+	followed := i.followed()
+	return i.fleet.Followed() > 0 && followed < wantedHistory && peerFollowed >= followed+historyMargin
 }
 
 // crossZoneFetchDelay is how long an instance waits for its own availability zone to provide newer
--- a/internal/fleet/list_history.go
+++ b/internal/fleet/list_history.go
@@ -6,13 +6,8 @@
 	"github.com/tacktally/tacktally/internal/peer"
 )
 
-const (
-	// wantedHistory is the time for which an instance wants to know which versions were listed. One that has
-	// followed the list for less asks peers that have followed it for longer. Few streams can be resumed for longer.
-	wantedHistory = 10 * time.Minute
-	// historyMargin is by how much longer a peer must have followed the list, since heartbeats give whole seconds.
-	historyMargin = 2 * time.Second
-)
+// minAddedHistory is by how much longer the history of a peer must be to be used.
+const minAddedHistory = 2 * time.Second
 
 // followed returns for how long this instance knows which versions each service has had, versionMemory at most. The caller
 // holds the lock.
@@ -30,18 +25,6 @@
 	return f.followed(time.Now())
 }
 
-// WantsHistory reports whether this instance has followed the list for less than it wants to.
-func (f *Fleet) WantsHistory() bool { return f.Followed() < wantedHistory }
-
-// LacksHistory reports whether a peer that has followed the list for a duration knows of versions that left it before this
-// instance followed it.
-func (f *Fleet) LacksHistory(peerFollowed time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	followed := f.followed(time.Now())
-	return !f.followedSince.IsZero() && followed < wantedHistory && peerFollowed >= followed+historyMargin
-}
-
 // ListHistory returns which versions were listed since this instance has followed the list, nil if its list, of the age
 // listAge, isn't current: others would take it for complete until now.
 func (f *Fleet) ListHistory(listAge time.Duration) *peer.ListHistory {
@@ -79,7 +62,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	before := f.followed(now)
-	if f.followedSince.IsZero() || h.Followed < before+historyMargin {
+	if f.followedSince.IsZero() || h.Followed < before+minAddedHistory {
 		return
 	}
 	f.followedSince = now.Add(-h.Followed)
--- a/internal/fleet/list_history_test.go
+++ b/internal/fleet/list_history_test.go
@@ -12,12 +12,9 @@
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
-// tell sends the history of one instance to another one that lacks it, as heartbeats and fetches do.
+// tell sends the history of one instance to another one.
 func (o *originFleet) tell(from, to string) {
-	sender, receiver := o.instances[from], o.instances[to]
-	if receiver.LacksHistory(sender.Followed().Truncate(time.Second)) {
-		receiver.MergeListHistory(from, sender.ListHistory(o.listAge[from]))
-	}
+	o.instances[to].MergeListHistory(from, o.instances[from].ListHistory(o.listAge[from]))
 }
 
 // Instances that are replaced one after the other know what the first ones saw: that the only version is the only one, and
@@ -59,7 +56,6 @@
 		wait.For(t.Context(), originLifetime)
 		from, to := o.list[0], o.list[1]
 		fresh := o.start(to) // has no list yet
-		is.True(!fresh.LacksHistory(time.Hour))
 		fresh.MergeListHistory(from.Address, o.instances[from.Address].ListHistory(0))
 		is.Equal(fresh.Followed(), time.Duration(0))
 		o.restart(to)
@@ -73,23 +69,6 @@
 	})
 }
 
-// The instance that has followed the list for longer needs no history, nor does one that knows enough.
-func TestListHistoryIsRequestedWhileItIsLacking(t *testing.T) {
-	virtualtime.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		o := newOriginFleet(1)
-		o.publish("a", "v1")
-		f := o.instances[o.list[0].Address]
-		wait.For(t.Context(), time.Minute)
-		is.True(f.WantsHistory())
-		is.True(!f.LacksHistory(time.Minute))
-		is.True(f.LacksHistory(time.Minute + historyMargin))
-		wait.For(t.Context(), wantedHistory)
-		is.True(!f.WantsHistory())
-		is.True(!f.LacksHistory(versionMemory))
-	})
-}
-
 // A version is forgotten after a while, so that nothing is known of the time before.
 func TestHistoryIsAsLongAsVersionsAreRemembered(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -13,6 +13,7 @@
 	"github.com/tacktally/tacktally/internal/ratelimit"
 	"github.com/tacktally/tacktally/internal/reach"
 	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/view"
 )
 
 // Version is the version of the frames. A link carries frames of one version only.
@@ -190,9 +191,9 @@
 	// Sequence counts the heartbeats of one process, in the order of the states that they carry; 0 from peers of
 	// earlier versions.
 	Sequence uint64 `cbor:"21,keyasint,omitempty"`
-	// ListFollowedS is for how many seconds the sender, or peers before it, have followed the list of upstreams; two
-	// hours at most.
-	ListFollowedS int `cbor:"22,keyasint,omitempty"`
+	// FollowedS is for how many seconds the sender, or peers before it, have followed the list of upstreams and the
+	// configuration; two hours at most.
+	FollowedS int `cbor:"22,keyasint,omitempty"`
 }
 
 // reach returns whether the sender reaches upstreams, also if it is of an earlier version.
@@ -232,7 +233,7 @@
 		Reach:             h.Reach,
 		Brief:             true,
 		Sequence:          h.Sequence,
-		ListFollowedS:     h.ListFollowedS,
+		FollowedS:         h.FollowedS,
 	}
 }
 
@@ -265,7 +266,7 @@
 	Part *PartRequest `cbor:"7,keyasint,omitempty"`
 	// Quarantined requests all quarantine periods.
 	Quarantined bool `cbor:"8,keyasint,omitempty"`
-	// ListHistory requests the versions that were listed.
+	// ListHistory requests the versions that were listed, and where routes led.
 	ListHistory bool `cbor:"9,keyasint,omitempty"`
 }
 
@@ -336,6 +337,8 @@
 	Quarantined []quarantine.QuarantineRecord `cbor:"18,keyasint,omitempty"`
 	// ListHistory is set if the requester asked for it and the sender's list is current.
 	ListHistory *ListHistory `cbor:"19,keyasint,omitempty"`
+	// RouteHistory is set if the requester asked for a ListHistory.
+	RouteHistory *view.RouteHistory `cbor:"20,keyasint,omitempty"`
 }
 
 // Pressure announces that work of Rank is about to be shed for lack of capacity in Set.
@@ -430,7 +433,7 @@
 	case TypeCredit:
 		complete = f.Credit > 0
 	case TypeState:
-		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid()) && quarantine.AreValid(f.State.Quarantined) && f.State.ListHistory.isValid()
+		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid()) && quarantine.AreValid(f.State.Quarantined) && f.State.ListHistory.isValid() && f.State.RouteHistory.IsValid()
 	case TypeFetch:
 		complete = f.Fetch != nil && (f.Fetch.Part == nil || f.Fetch.Part.Offset >= 0)
 	case TypeSlotRequest:
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -174,6 +174,22 @@
 	return nil
 }
 
+// Prefix identifies a route.
+type Prefix struct{ Host, Path string }
+
+// ByPrefix returns all routes that requests may match.
+func (t *Table) ByPrefix() map[Prefix]*Route {
+	out := make(map[Prefix]*Route, t.routes)
+	for host, routes := range t.byHost {
+		for _, r := range routes {
+			if p := (Prefix{host, r.Prefix}); out[p] == nil { // of two alike, the first one matches
+				out[p] = r
+			}
+		}
+	}
+	return out
+}
+
 // NormaliseHost returns a host as routes name it: without a port, in lower case.
 func NormaliseHost(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -159,6 +159,7 @@
 	mu              sync.Mutex
 	configuration   Configuration
 	table           *routing.Table
+	routes          routeHistory
 	lastRefused     refusedConfiguration
 	asOf            time.Time
 	uptimeSince     time.Time // since then, reads that confirmed the configuration were less than LapseAfter apart
@@ -370,6 +371,7 @@
 		v.scheduleRelease()
 	}
 	v.logAccepted(c, table, asOf, from)
+	v.routes.replace(v.o.Now(), v.table, table)
 	v.configuration = c
 	v.table = table
 	v.prove(asOf) // a later proof of the previous configuration holds for this one too
