fleet, proxy: a stream of unknown origin doesn't go on where its route leads since a change

Callers that resumed a stream after their route was moved to another service, its weights had changed, or a route below it had come or gone, got the rest from a service that hadn't begun it, at each instance that isn't told the origin: with one version, origins aren't shared, and the service that the route leads to now was taken for the one that it had led to. Now the version is concluded only if the path led to no other service within the stream's lifetime. A peer of an earlier version that knows the version and doesn't name the service no longer decides that either.

--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -339,12 +339,14 @@
 	Service string
 	// Lifetime is how long after its first event it may be resumed.
 	Lifetime time.Duration
+	// OnlyService reports that no other service can have begun it within that time.
+	OnlyService bool
 	// ListAge is the age of this instance's list.
 	ListAge time.Duration
 }
 
 // FindOrigin returns the service and the version that began a stream. It blocks for the keepers' replies if this instance
-// doesn't know it. It is known if an instance has recorded it, or if the service has had no other version
+// doesn't know it. It is known if an instance has recorded it, or if no other service can have begun it and the service has had no other version
 // within the stream's lifetime: also a current list may lack one that has just appeared and began the stream elsewhere,
 // so that the keepers are asked in any case. An instance that has started since, or whose list isn't current, relies on
 // keepers for the latter: on one that knows, or on the agreement of all zones, as after a restart of the whole
@@ -366,6 +368,9 @@
 	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: s.Lifetime})
 	search.asked, search.replied = len(keepers), len(replies)
 	for address, r := range replies {
+		if r.Known && r.Service == "" && !s.OnlyService {
+			return "", "", false // from a peer of an earlier version
+		}
 		if r.Known {
 			search.source, search.peer = originFromPeer, address
 			service := cmp.Or(r.Service, s.Service)
@@ -380,7 +385,7 @@
 		}
 	}
 	switch {
-	case len(versions) != 1:
+	case !s.OnlyService || len(versions) != 1:
 		return "", "", false
 	case search.settled:
 		search.source = originOnlyVersion
@@ -431,7 +436,7 @@
 	f.o.Metrics.Count(`tacktally_stream_origins_total{source="` + string(s.source) + `"}`)
 	f.o.Log.Info().Str("event", "stream_origin").Str("origin", s.stream.Request).Str("source", string(s.source)).
 		Str("service", service).Str("software_version", version).Str("peer", s.peer).Strs("versions", s.versions).
-		Bool("settled", s.settled).Dur("followed", followed).Dur("lifetime", s.stream.Lifetime).Dur("list_age", s.stream.ListAge).
+		Bool("settled", s.settled).Dur("followed", followed).Dur("lifetime", s.stream.Lifetime).Dur("list_age", s.stream.ListAge).Bool("only_service", s.stream.OnlyService).
 		Int("asked", s.asked).Int("replied", s.replied).Int("settled_peers", s.settledPeers).Dur("took", time.Since(began)).Msg("")
 }
 
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -132,7 +132,7 @@
 		if o.killed[address] {
 			continue
 		}
-		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, ListAge: o.listAge[address]})
+		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: o.listAge[address]})
 		if !known {
 			version = ""
 		}
@@ -311,7 +311,7 @@
 						for stream := range 20 {
 							request := fmt.Sprint("r", began, "-", stream)
 							o.instances[i.Address].RecordOrigin(request, "s", "v2", originLifetime)
-							_, version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, ListAge: time.Second})
+							_, version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: time.Second})
 							if !known || version != "v2" {
 								t.Fatalf("a stream of version v2, begun at instance %d, is known as one of %q (%v)", began, version, known)
 							}
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -221,6 +221,7 @@
 	}
 	r.view.SetEvacuations(nil, 1)
 	r.view.SetConfiguration(r.document.Version, content, time.Now().Add(-age))
+	r.view.MergeRouteHistory(&view.RouteHistory{Revision: r.document.Version, Followed: r.followed}, "peer")
 }
 
 // addUpstream adds an upstream with the handler f. The first one added is selected first.
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,7 +54,12 @@
 	ctx, cancel := j.context()
 	defer cancel()
 	age, _ := j.handler.o.View.ListAge() // without a list, no version is known
-	service, version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{Request: j.info.OriginID, Service: j.service, Lifetime: j.originLifetime(), ListAge: age})
+	path, _, _ := strings.Cut(j.target(), "?")
+	lifetime := j.originLifetime()
+	service, version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{
+		Request: j.info.OriginID, Service: j.service, Lifetime: lifetime, ListAge: age,
+		OnlyService: j.handler.o.View.WasRoutedTo(j.request.Host, path, j.service, lifetime),
+	})
 	if !known {
 		return api.Refuse(api.ReasonOriginUnknown, "which version of the upstreams began the stream of request %q isn't known; retry after the given time, or send the request anew without the ID of an event", j.info.OriginID).WithRetryAfter(fleet.ShortRetryAfter)
 	}
--- a/internal/proxy/service_test.go
+++ b/internal/proxy/service_test.go
@@ -93,3 +93,45 @@
 	is.Equal(got.header.Get("Outcome"), "not-run")
 	is.Equal(r.arrivedIDs(), "")
 }
+
+// Guards against streams of two services: where nobody knows the origin, a resumption went on at the service to which the
+// route leads now, though it had led to another one while the stream can have begun.
+func TestStreamOfUnknownOriginIsRefusedAfterItsRouteChanged(t *testing.T) {
+	toS, toT := []routing.WeightedService{{Service: "s", Weight: 1}}, []routing.WeightedService{{Service: "t", Weight: 1}}
+	split := func(s, t int) []routing.WeightedService {
+		return []routing.WeightedService{{Service: "s", Weight: s}, {Service: "t", Weight: t}}
+	}
+	specific := func(split []routing.WeightedService) func(d *routing.Document) {
+		return func(d *routing.Document) {
+			r := d.Routes[3]
+			r.Name, r.Prefix, r.Split = "specific", "/resumable/x/", split
+			d.Routes = append(d.Routes, r)
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		before func(d *routing.Document)
+		after  func(d *routing.Document)
+		status int
+	}{
+		{"moved", func(d *routing.Document) { d.Routes[3].Split = toS }, func(d *routing.Document) { d.Routes[3].Split = toT }, http.StatusServiceUnavailable},
+		{"weights changed", func(d *routing.Document) { d.Routes[3].Split = split(1, 9) }, func(d *routing.Document) { d.Routes[3].Split = split(9, 1) }, http.StatusServiceUnavailable},
+		{"a more specific route was added", func(d *routing.Document) { d.Routes[3].Split = toS }, specific(toT), http.StatusServiceUnavailable},
+		{"a more specific route was removed", specific(toT), func(d *routing.Document) { d.Routes = d.Routes[:5] }, http.StatusServiceUnavailable},
+		{"its service is the same", func(d *routing.Document) { d.Routes[3].Split = toS }, func(d *routing.Document) { d.Routes[3].MaxAttempts = 1 }, http.StatusOK},
+		{"another route was moved", func(d *routing.Document) { d.Routes[2].Split = toS }, func(d *routing.Document) { d.Routes[2].Split = toT }, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newTwoServices(t, toS...)
+			for _, change := range []func(*routing.Document){c.before, c.after} {
+				r.document.Version++
+				change(&r.document)
+				r.publish(0)
+			}
+			got := r.do(r.request("GET", "/resumable/x/y", "", "Id", "2", "After", "2", "Origin-Id", "1"))
+			is.Equal(got.status, c.status)
+			is.Equal(r.arrivedIDs() == "", c.status != http.StatusOK)
+		})
+	}
+}
