proxy: a stream is resumed by the ID of any of its requests

A caller that resumed a stream twice, and named the request that had brought its last events in place of the first, was refused while the service had several versions: origins were recorded by the ID of the first request alone. They are now recorded for a resumption, too, with its first event. TestStreamIsResumedByTheIDOfAnyOfItsRequests failed before.

--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -72,19 +72,20 @@
 }
 
 // recordOrigin records the version of the upstream whose event was relayed as that which began the stream, once for
-// each response. A resumed stream may be resumed again; what was concluded of its origin isn't recorded before the stream has gone
-// on by it.
+// each response. A resumed stream may be resumed again, by the ID of its first request or of one that went on with it; what was
+// concluded of its origin isn't recorded before the stream has gone on by it.
 func (j *job) recordOrigin() {
 	if j.originRecorded {
 		return
 	}
 	j.originRecorded = true
-	first := j.info.ID
-	if j.origin.Restricted {
-		first = j.info.OriginID
-	}
+	resumes := j.origin.Restricted
 	j.origin = scheduler.VersionConstraint{Restricted: true, Version: j.sentVersion}
-	if j.route.Resumable {
-		j.handler.o.Fleet.RecordOrigin(first, j.service, j.sentVersion, j.originLifetime())
+	if !j.route.Resumable {
+		return
+	}
+	j.handler.o.Fleet.RecordOrigin(j.info.ID, j.service, j.sentVersion, j.originLifetime())
+	if resumes {
+		j.handler.o.Fleet.RecordOrigin(j.info.OriginID, j.service, j.sentVersion, j.originLifetime())
 	}
 }
--- a/internal/proxy/version_test.go
+++ b/internal/proxy/version_test.go
@@ -169,6 +169,25 @@
 	}
 }
 
+// Guards against refusals of streams that are resumed twice: a caller may name the request that brought its last events.
+func TestStreamIsResumedByTheIDOfAnyOfItsRequests(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	for i := range r.document.Routes {
+		r.document.Routes[i].MaxAttempts = 1
+	}
+	r.publish(0)
+	r.addVersion("a", "v1", versionedEvents("v1", 2, 6))
+	is.Equal(r.get("resumable", "Id", "1").body, versionedBody("v1", 1, 2))
+	r.addVersion("b", "v2", versionedEvents("v2", 6, 6))
+	r.addVersion("c", "v1", versionedEvents("v1", 4, 6))
+	r.removeUpstream("a")
+	is.Equal(r.get("resumable", "Id", "2", "After", "2", "Origin-Id", "1").body, versionedBody("v1", 3, 4))
+	r.addVersion("d", "v1", versionedEvents("v1", 6, 6))
+	r.removeUpstream("c")
+	is.Equal(r.get("resumable", "Id", "3", "After", "4", "Origin-Id", "2").body, versionedBody("v1", 5, 6))
+}
+
 // grantOf is a grant of an upstream by an owner that doesn't know of versions.
 type grantOf struct {
 	fleet.Grant
