entry: offer a history only if it has no gap until now

An instance that starts while nobody can read the list, or beside peers with another configuration, asked for histories that it wasn't sent or couldn't use, with each heartbeat.

--- a/internal/entry/history_test.go
+++ b/internal/entry/history_test.go
@@ -20,7 +20,7 @@
 	for _, i := range []*Instance{old, started} {
 		i.knowsQuarantined.Store(true)
 	}
-	heartbeat := &peer.Heartbeat{FollowedS: int(time.Hour.Seconds())}
+	heartbeat := &peer.Heartbeat{Revision: old.view.Revision(), FollowedS: int(time.Hour.Seconds())}
 	is.True(!started.isBehind(heartbeat)) // nothing can be added before it has a list
 	for _, i := range []*Instance{old, started} {
 		i.fleet.ApplyListChange(view.ListChange{Version: 1, Changed: []view.Upstream{{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 1, Version: "v2"}}})
@@ -28,9 +28,12 @@
 	old.fleet.MergeListHistory("former", &peer.ListHistory{Followed: time.Hour, Versions: []peer.ListedVersion{{Service: "s", Version: "v1", Gone: time.Minute}}})
 	old.view.MergeRouteHistory(&view.RouteHistory{Revision: old.view.Revision(), Followed: time.Hour}, "former")
 	from, to := &peerHandler{old}, &peerHandler{started}
-	old.view.SetUpstreams(nil, 1, time.Now()) // its list is current
+	old.view.SetUpstreams(nil, 1, time.Now().Add(-time.Minute)) // nobody can read the list
+	is.Equal(from.Heartbeat().FollowedS, 0)
+	old.view.SetUpstreams(nil, 2, time.Now())
 	is.True(from.Heartbeat().FollowedS >= heartbeat.FollowedS)
 	is.True(started.isBehind(heartbeat))
+	is.True(!started.isBehind(&peer.Heartbeat{Revision: heartbeat.Revision - 1, FollowedS: heartbeat.FollowedS})) // it would have a gap
 	to.MergeState(old.Address(), boottime.Now(), from.State(to.FetchRequest()))
 	is.True(started.followed() >= time.Hour)
 	is.True(!started.isBehind(heartbeat))
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/reach"
@@ -170,7 +171,7 @@
 		Quarantine:        i.quarantine.NextUpdate(time.Now()),
 		Isolated:          reached == reach.Isolated,
 		Reach:             reached,
-		FollowedS:         int(i.followed().Seconds()),
+		FollowedS:         int(i.offeredHistory().Seconds()),
 	}
 }
 
@@ -203,7 +204,7 @@
 // longer, or this instance hasn't fetched the quarantine periods of a peer yet.
 func (i *Instance) isBehind(h *peer.Heartbeat) bool {
 	return !i.knowsQuarantined.Load() || i.view.IsOlderThan(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion() ||
-		i.lacksHistory(time.Duration(h.FollowedS)*time.Second)
+		i.lacksHistory(h)
 }
 
 const (
@@ -221,11 +222,21 @@
 	return min(i.fleet.Followed(), i.view.RoutesFollowed())
 }
 
-// lacksHistory reports whether a peer that has followed list and configuration for a duration knows of versions and routes
-// that this instance doesn't.
-func (i *Instance) lacksHistory(peerFollowed time.Duration) bool {
+// offeredHistory returns for how long before now this instance can tell peers which versions were listed and where routes
+// led; 0 if its list isn't current.
+func (i *Instance) offeredHistory() time.Duration {
+	if age, _ := i.view.ListAge(); !fleet.IsCurrent(age) { // without a list, nothing was followed
+		return 0
+	}
+	return i.followed()
+}
+
+// lacksHistory reports whether the peer that sent a heartbeat can tell of versions and routes that this instance doesn't
+// know.
+func (i *Instance) lacksHistory(h *peer.Heartbeat) bool {
 	followed := i.followed()
-	return i.fleet.Followed() > 0 && followed < wantedHistory && peerFollowed >= followed+historyMargin
+	return i.fleet.Followed() > 0 && followed < wantedHistory && h.Revision == i.view.Revision() &&
+		time.Duration(h.FollowedS)*time.Second >= followed+historyMargin
 }
 
 // crossZoneFetchDelay is how long an instance waits for its own availability zone to provide newer
--- a/internal/fleet/list_history.go
+++ b/internal/fleet/list_history.go
@@ -32,7 +32,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	h := &peer.ListHistory{Followed: f.followed(now)}
-	if h.Followed == 0 || listAge > currentListAge {
+	if h.Followed == 0 || !IsCurrent(listAge) {
 		return nil
 	}
 	for name, s := range f.services {
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -38,6 +38,9 @@
 	QueryOrigin(ctx context.Context, address string, q *peer.OriginQuery, within time.Duration) (*peer.OriginReply, error)
 }
 
+// IsCurrent reports whether a list of an age counts as current.
+func IsCurrent(listAge time.Duration) bool { return listAge <= currentListAge }
+
 // SetOriginClient sets the client for origins of streams. It is called once, before the first request.
 func (f *Fleet) SetOriginClient(c OriginClient) { f.originClient = c }
 
@@ -313,7 +316,7 @@
 func (f *Fleet) ServeOrigin(q *peer.OriginQuery, listAge time.Duration) *peer.OriginReply {
 	now := time.Now()
 	followed := f.hasFollowedFor(now, q.Lifetime)
-	reply := &peer.OriginReply{Followed: followed, Settled: followed && listAge <= currentListAge}
+	reply := &peer.OriginReply{Followed: followed, Settled: followed && IsCurrent(listAge)}
 	if o, known := f.origins.Find(now, q.Request); known {
 		reply.Known, reply.Service, reply.Version = true, o.Service, o.Version
 	}
@@ -346,11 +349,11 @@
 }
 
 // FindOrigin returns the service and the version that began a stream. It blocks for the keepers' replies if this instance
-// doesn't know it. It is known if an instance has recorded it, or if no other service can have begun it and the service has had no other version
-// within the stream's lifetime: also a current list may lack one that has just appeared and began the stream elsewhere,
-// so that the keepers are asked in any case. An instance that has started since, or whose list isn't current, relies on
-// keepers for the latter: on one that knows, or on the agreement of all zones, as after a restart of the whole
-// fleet or while nobody can read the list. One that doesn't know the other instances yet assumes nothing.
+// doesn't know it. It is known if an instance has recorded it, or if no other service can have begun it and the service has
+// had no other version within the stream's lifetime. Also a current list may lack a version that has just appeared and began
+// the stream elsewhere, so that the keepers are asked in any case. That there was no other version is known only to who has
+// followed the list for that time: to this instance or a keeper, if its list is current, or to an instance of each zone, while
+// nobody can read the list. After a restart of all instances nobody knows it, whatever the list has now.
 func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (service, version string, known bool) {
 	now := time.Now()
 	hash := hashOf(s.Request)
@@ -363,7 +366,7 @@
 	search.versions = f.recentVersions(now, s.Service, s.Lifetime)
 	versions := search.versions
 	followed := f.hasFollowedFor(now, s.Lifetime)
-	search.settled = followed && s.ListAge <= currentListAge
+	search.settled = followed && IsCurrent(s.ListAge)
 	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
 	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: s.Lifetime})
 	search.asked, search.replied = len(keepers), len(replies)
