upstream, dispatch: a resumed stream is compared from its start

Callers got streams that were joined from two runs and looked whole: an engine that was replaced or upgraded in place has another run under the ID of a stream, and its event at the place of the caller's last one has the same data, such as a common token, or the run numbers equal events otherwise.

Cause: a resumption was checked by the checksum of the caller's last event alone, and not at all for event IDs without one. What had not been seen of the run, its other events, was taken for equal.

The engine is now asked for the run from its start, and the checksum of all events that the caller has must fit; nothing is relayed before. What the caller has in the end is one run's, whichever process ran it. The event ID carries that checksum in addition to the one of the last event, which instances of the previous version go on checking; IDs that they have written are checked as they do. IDs without any checksum, of earlier versions, aren't resumed: the outcome is unknown.

TestRunOfAnotherProcessDoesNotContinueAStream failed before in 10 of its 12 cases ("a b the" of one run went on with "z [DONE]" of the other, without a problem), and TestEventIDWithoutChecksumIsNotResumed did. The two cases of the same run passed. In the existing tests, engines that are asked to resume send the run from its start, as asked; each case that must not be relayed stays one, and three are added. Their event IDs are now those that an instance writes.

A resumption reads the caller's part of the stream once more from the engine. Open: an engine that gives the ID of one request's stream to another request whose events so far are equal, or whose stream broke before any event.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -165,8 +165,8 @@
 // cancelIfTimedOut cancels a stream whose deadline has passed, in the background. An engine that hasn't named the
 // stream yet ends the run when its connection is closed.
 func (a *attempts) cancelIfTimedOut(address string, r upstream.Result) {
-	if r.Status == upstream.Timeout && r.StreamID != "" {
-		a.dispatcher.cancellations.Go(func() { a.cancelStream(address, r.StreamID) })
+	if r.Status == upstream.Timeout && r.Position.StreamID != "" {
+		a.dispatcher.cancellations.Go(func() { a.cancelStream(address, r.Position.StreamID) })
 	}
 }
 
--- a/internal/dispatch/deadline_test.go
+++ b/internal/dispatch/deadline_test.go
@@ -191,11 +191,11 @@
 		want     string
 	}{
 		"before the head":                       {false, broken, "", 3, "1 2 3"},
-		"after an event":                        {false, broken, events(3, 4), 4, "1 2 3 4"},
-		"in the second resumption":              {false, append(broken, step{body: events(3, 4)}), events(4, 5), 5, "1 2 3 4 5"},
+		"after an event":                        {false, broken, events(1, 4), 4, "1 2 3 4"},
+		"in the second resumption":              {false, append(broken, step{body: events(1, 4)}), events(1, 5), 5, "1 2 3 4 5"},
 		"before the head, by the caller":        {true, nil, "", 0, ""},
-		"after an event, by the caller":         {true, nil, events(4, 5), 2, "4 5"},
-		"broken and resumed, then the deadline": {true, []step{{body: events(4, 5)}}, "", 2, "4 5"},
+		"after an event, by the caller":         {true, nil, events(1, 5), 2, "4 5"},
+		"broken and resumed, then the deadline": {true, []step{{body: events(1, 5)}}, "", 2, "4 5"},
 	} {
 		for _, deadline := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, deadline %t", name, deadline), func(t *testing.T) {
@@ -203,7 +203,7 @@
 				e := &heldEngine{steps: c.steps, held: c.held}
 				a, address := newHeldAttempts(t, e)
 				if c.byCaller {
-					a.request.LastEventID = upstream.ResumeToken{Upstream: address, StreamID: "s1", Events: 3}.String()
+					a.request.LastEventID = lastEventID(t, address, events(1, 3))
 				}
 				cause, reason := context.Canceled, api.ReasonCallerGone
 				var cancelled []string // a caller that left may resume the stream
@@ -240,7 +240,7 @@
 			a, address := newHeldAttempts(t, e)
 			ctx, end := context.WithCancelCause(t.Context())
 			end(c.cause)
-			got := a.resume(ctx, address, upstream.Result{Status: upstream.Truncated, Err: io.ErrUnexpectedEOF, StreamID: "s1", Events: 3})
+			got := a.resume(ctx, address, upstream.Result{Status: upstream.Truncated, Err: io.ErrUnexpectedEOF, Position: upstream.ResumeToken{Upstream: address, StreamID: "s1", Events: 3}})
 			a.dispatcher.cancellations.Wait()
 			is.Equal(got.Reason(), c.reason)
 			targets, cancelled := e.requests()
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -20,7 +20,7 @@
 // the same run, so non-idempotent requests may be resumed too. One whose next event doesn't fit into
 // its buffer can't.
 func (a *attempts) mayResume(r upstream.Result) bool {
-	return !errors.Is(r.Err, answer.ErrTooLarge) && r.StreamID != "" && a.request.Kind != request.Service && a.resumes < maxResumes
+	return !errors.Is(r.Err, answer.ErrTooLarge) && r.Position.StreamID != "" && a.request.Kind != request.Service && a.resumes < maxResumes
 }
 
 // resume continues a truncated stream where it stopped, without a second prefill.
@@ -32,13 +32,13 @@
 		if !wait.For(ctx, time.Duration(a.resumes-1)*resumeDelay) {
 			break
 		}
-		result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(positionOf(address, truncated)), a.buffer)
+		result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(address, truncated.Position), a.buffer)
 		a.outputTokens += result.OutputTokens
 		if result.Status == upstream.Done {
 			return answer.End{}
 		}
-		if result.StreamID == "" { // nothing of the stream came
-			result.StreamID, result.Events, result.LastChecksum = truncated.StreamID, truncated.Events, truncated.LastChecksum
+		if result.Position.StreamID == "" { // nothing of the stream came
+			result.Position = truncated.Position
 		}
 		truncated = result
 	}
@@ -70,29 +70,22 @@
 		return answer.End{Problem: api.UnknownOutcome(api.ReasonUpstreamLost, "the engine of this stream is no longer in service; send the request again, without Last-Event-ID")}
 	}
 	a.generation = a.dispatcher.o.Gate.Detector.Generation()
-	result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(token), a.buffer)
+	result := a.dispatcher.o.Client.Do(ctx, a.resumeCall(token.Upstream, token), a.buffer)
 	if result.Status == upstream.Truncated && a.mayResume(result) {
 		return a.resume(ctx, token.Upstream, result)
 	}
-	result.StreamID = token.StreamID // also where the engine's head came too late
+	result.Position.StreamID = token.StreamID // also where the engine's head came too late
 	a.cancelIfTimedOut(token.Upstream, result)
 	return a.endOf(result)
 }
 
-// positionOf returns the position after the events that a truncated stream brought.
-func positionOf(address string, truncated upstream.Result) upstream.ResumeToken {
-	return upstream.ResumeToken{Upstream: address, StreamID: truncated.StreamID, Events: truncated.Events, Checksum: truncated.LastChecksum}
-}
-
-func (a *attempts) resumeCall(after upstream.ResumeToken) upstream.Call {
+func (a *attempts) resumeCall(address string, after upstream.ResumeToken) upstream.Call {
 	return upstream.Call{
-		Address:       after.Upstream,
+		Address:       address,
 		Request:       a.request,
 		Instance:      a.dispatcher.o.Instance,
 		Revision:      a.snapshot.Revision,
-		StreamID:      after.StreamID,
-		SkipEvents:    after.Events,
-		LastChecksum:  after.Checksum,
+		Resume:        after,
 		BeforeWrite:   a.checkBeforeWrite,
 		OnFirstOutput: func() {},
 	}
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -153,17 +154,17 @@
 		want   string
 		whole  bool
 	}{
-		"the stream":           {step{body: events(3, 5) + done, whole: true}, "1 2 3 4 5 [DONE]", true},
+		"the stream":           {step{body: events(1, 5) + done, whole: true}, "1 2 3 4 5 [DONE]", true},
 		"not found, as JSON":   {step{status: 404, contentType: "application/json", body: `{"error":{}}`, whole: true}, "1 2 3", false},
 		"failed, as JSON":      {step{status: 500, contentType: "application/json", body: `{"error":{}}`, whole: true}, "1 2 3", false},
 		"busy, as JSON":        {step{status: 503, contentType: "application/json", body: `{"error":{}}`, whole: true}, "1 2 3", false},
 		"whole, as JSON":       {step{contentType: "application/json", body: `{"choices":[]}`, whole: true}, "1 2 3", false},
 		"failed, as text":      {step{status: 500, contentType: "text/plain", body: "failed", whole: true}, "1 2 3", false},
-		"failed, as a stream":  {step{status: 500, body: events(3, 5) + done, whole: true}, "1 2 3", false},
+		"failed, as a stream":  {step{status: 500, body: events(1, 5) + done, whole: true}, "1 2 3", false},
 		"nothing":              {step{whole: true}, "1 2 3", false},
-		"closed between two":   {step{body: events(3, 4), whole: true}, "1 2 3 4", false},
-		"closed inside an ID":  {step{body: events(3, 4) + "id", whole: true}, "1 2 3 4", false},
-		"closed before a line": {step{body: events(3, 4) + "data: [DONE]", whole: true}, "1 2 3 4", false},
+		"closed between two":   {step{body: events(1, 4), whole: true}, "1 2 3 4", false},
+		"closed inside an ID":  {step{body: events(1, 4) + "id", whole: true}, "1 2 3 4", false},
+		"closed before a line": {step{body: events(1, 4) + "data: [DONE]", whole: true}, "1 2 3 4", false},
 	} {
 		for _, nonIdempotent := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/%t", name, nonIdempotent), func(t *testing.T) {
@@ -190,12 +191,12 @@
 			is := is.New(t)
 			e := &scriptedEngine{steps: []step{
 				{body: events(1, 3)},
-				{body: events(3, 5) + invalid, whole: true},
-				{body: events(5, 7) + done, whole: true},
+				{body: events(1, 5) + invalid, whole: true},
+				{body: events(1, 7) + done, whole: true},
 			}}
 			a, address := newScriptedAttempts(t, e, newStreamRequest(false))
 			end := a.serve(t, address)
-			is.Equal(e.targets[1:], []string{"/v1/streams/s1?offset=2", "/v1/streams/s1?offset=4"})
+			is.Equal(e.targets[1:], []string{"/v1/streams/s1?offset=0", "/v1/streams/s1?offset=0"})
 			is.Equal(dataOf(t, a.buffer), "1 2 3 4 5 6 7 [DONE]")
 			is.Equal(end.Problem, nil)
 		})
@@ -208,7 +209,7 @@
 	is := is.New(t)
 	e := &scriptedEngine{steps: []step{
 		{body: events(1, 3)},
-		{stream: "s2", body: events(3, 5) + done, whole: true},
+		{stream: "s2", body: events(1, 5) + done, whole: true},
 	}}
 	a, address := newScriptedAttempts(t, e, newStreamRequest(false))
 	end := a.serve(t, address)
@@ -239,30 +240,40 @@
 		want  string
 		whole bool
 	}{
-		"the stream":     {step{body: events(4, 5) + done, whole: true}, "4 5 [DONE]", true},
-		"at its end":     {step{body: done, whole: true}, "[DONE]", true},
+		"the stream":     {step{body: events(1, 5) + done, whole: true}, "4 5 [DONE]", true},
+		"at its end":     {step{body: events(1, 3) + done, whole: true}, "[DONE]", true},
 		"not found":      {step{status: 404, contentType: "application/json", body: `{"error":{}}`, whole: true}, "", false},
 		"whole, as JSON": {step{contentType: "application/json", body: `{"choices":[]}`, whole: true}, "", false},
-		"another stream": {step{stream: "s2", body: events(4, 5) + done, whole: true}, "", false},
-		"without an ID":  {step{stream: "-", body: events(4, 5) + done, whole: true}, "4 5 [DONE]", true},
-		"no stated end":  {step{body: events(4, 5), whole: true}, "4 5", false},
+		"another stream": {step{stream: "s2", body: events(1, 5) + done, whole: true}, "", false},
+		"without an ID":  {step{stream: "-", body: events(1, 5) + done, whole: true}, "4 5 [DONE]", true},
+		"no stated end":  {step{body: events(1, 5), whole: true}, "4 5", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := newStreamRequest(false)
 			e := &scriptedEngine{steps: []step{c.step, {status: 404, contentType: "text/plain", whole: true}}}
 			a, address := newScriptedAttempts(t, e, r)
-			r.LastEventID = upstream.ResumeToken{Upstream: address, StreamID: "s1", Events: 3}.String()
+			r.LastEventID = lastEventID(t, address, events(1, 3))
 			end := a.run(t.Context())
 			is.Equal(dataOf(t, a.buffer), c.want)
 			is.Equal(end.Problem == nil, c.whole)
 			is.True(c.whole || end.Problem.Outcome == api.Unknown)
-			is.Equal(e.targets[0], "/v1/streams/s1?offset=3")
+			is.Equal(e.targets[0], "/v1/streams/s1?offset=0")
 		})
 	}
 }
 
-// Guards against events that are missing or come twice: an engine that goes on at another event than the one asked for,
+// lastEventID returns the ID of the last of the events that an engine at an address has sent in stream s1.
+func lastEventID(t *testing.T, address, sent string) (id string) {
+	t.Helper()
+	a, engine := newScriptedAttempts(t, &scriptedEngine{steps: []step{{body: sent}}}, newStreamRequest(false))
+	call := upstream.Call{Address: engine, Request: a.request, BeforeWrite: func() error { return nil }, OnFirstOutput: func() {}}
+	position := a.dispatcher.o.Client.Do(t.Context(), call, a.buffer).Position
+	position.Upstream = address
+	return position.String()
+}
+
+// Guards against events that are missing or come twice: an engine that sends other events than those from the start,
 // or that has another run under the ID of the stream, as after a restart at the same address.
 func TestResumptionAtAnotherEventIsNotRelayed(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -270,19 +281,23 @@
 		want  string // after events 1 to 3
 		whole bool
 	}{
-		"after the last event":           {events(3, 5) + done, "4 5 [DONE]", true},
-		"with comments and names":        {": alive\n\nevent: x\nid: 3\ndata: 3\n\n: alive\n\n" + events(4, 5) + done, "4 5 [DONE]", true},
-		"with CR LF":                     {strings.ReplaceAll(events(3, 5)+done, "\n", "\r\n"), "4 5 [DONE]", true},
-		"at the end":                     {events(3, 3) + done, "[DONE]", true},
-		"too late":                       {events(5, 6) + done, "", false},
-		"one too late":                   {events(4, 6) + done, "", false},
-		"one too early":                  {events(2, 6) + done, "", false},
-		"from its start":                 {events(1, 6) + done, "", false},
-		"with the last event alone":      {done, "", false},
-		"another run":                    {"data: a\n\ndata: b\n\n" + done, "", false},
-		"broken before the next event":   {events(3, 3), "", false},
-		"broken inside the last event":   {"data: 3", "", false},
-		"an event without data is asked": {"event: x\n\n" + events(3, 5) + done, "4 5 [DONE]", true},
+		"from its start":               {events(1, 5) + done, "4 5 [DONE]", true},
+		"with comments and names":      {": alive\n\n" + events(1, 2) + "event: x\nid: 3\ndata: 3\n\n: alive\n\n" + events(4, 5) + done, "4 5 [DONE]", true},
+		"with CR LF":                   {strings.ReplaceAll(events(1, 5)+done, "\n", "\r\n"), "4 5 [DONE]", true},
+		"at the end":                   {events(1, 3) + done, "[DONE]", true},
+		"too late":                     {events(5, 6) + done, "", false},
+		"from the next event":          {events(4, 6) + done, "", false},
+		"from the last event":          {events(3, 6) + done, "", false},
+		"one too late":                 {events(2, 6) + done, "", false},
+		"one too early":                {events(0, 6) + done, "", false},
+		"without the second event":     {events(1, 1) + events(3, 6) + done, "", false},
+		"with the last event alone":    {done, "", false},
+		"ended before the last event":  {events(1, 2) + done + events(3, 5) + done, "", false},
+		"another run":                  {"data: a\n\ndata: b\n\n" + done, "", false},
+		"another run that is longer":   {"data: a\n\ndata: b\n\ndata: c\n\ndata: d\n\n" + done, "", false},
+		"broken before the next event": {events(1, 3), "", false},
+		"broken inside the last event": {events(1, 2) + "data: 3", "", false},
+		"an event without data first":  {"event: x\n\n" + events(1, 5) + done, "4 5 [DONE]", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -292,7 +307,7 @@
 			end := a.serve(t, address)
 			is.Equal(end.Problem == nil, c.whole)
 			is.Equal(dataOf(t, a.buffer), strings.TrimSpace("1 2 3 "+c.want))
-			is.Equal(e.targets[1], "/v1/streams/s1?offset=2")
+			is.Equal(e.targets[1], "/v1/streams/s1?offset=0")
 
 			// The caller resumes with the ID of the third event.
 			var ids []string
@@ -309,11 +324,103 @@
 			end = again.run(t.Context())
 			is.Equal(end.Problem == nil, c.whole)
 			is.Equal(dataOf(t, again.buffer), c.want)
-			is.Equal(e.targets[0], "/v1/streams/s1?offset=2")
+			is.Equal(e.targets[0], "/v1/streams/s1?offset=0")
 		})
 	}
 }
 
+// upgradedEngine has a run under the ID of stream s1 for each of its processes. The first process ends after its events.
+type upgradedEngine struct {
+	first, second []string // data of the events
+	restarted     bool
+}
+
+func (e *upgradedEngine) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	w.Header().Set(upstream.HeaderStreamID, "s1")
+	w.Header().Set("Content-Type", "text/event-stream")
+	write := func(run []string) {
+		for _, data := range run {
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+		}
+	}
+	if !e.restarted {
+		e.restarted = true
+		write(e.first)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	offset, err := strconv.Atoi(h.URL.Query().Get("offset"))
+	if err != nil || offset > len(e.second) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	write(append(slices.Clone(e.second[offset:]), "[DONE]"))
+}
+
+// Guards against streams that are joined from two versions: an engine that was upgraded at its address has another run
+// under the ID of a stream, whose event at the place of the caller's last one has the same data.
+func TestRunOfAnotherProcessDoesNotContinueAStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second []string
+		want          string // after the events of the first process
+		whole         bool
+	}{
+		"the same run":               {[]string{"a", "b", "the"}, []string{"a", "b", "the", "d"}, "d [DONE]", true},
+		"a common token":             {[]string{"a", "b", "the"}, []string{"x", "y", "the", "z"}, "", false},
+		"an event more before it":    {[]string{"a", "the", "the"}, []string{"a", "b", "the", "the", "d"}, "", false},
+		"an event less before it":    {[]string{"a", "b", "the", "the"}, []string{"a", "the", "the", "the", "d"}, "", false},
+		"other pieces of one text":   {[]string{"a", "bc", "the"}, []string{"ab", "c", "the", "d"}, "", false},
+		"its end at the same length": {[]string{"a", "b", "the"}, []string{"x", "b", "the"}, "", false},
+	} {
+		for _, byCaller := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, by the caller %t", name, byCaller), func(t *testing.T) {
+				is := is.New(t)
+				r := newStreamRequest(true)
+				a, address := newScriptedAttempts(t, &upgradedEngine{first: c.first, second: c.second, restarted: byCaller}, r)
+				has := strings.Join(c.first, " ") + " "
+				var end answer.End
+				if byCaller {
+					r.LastEventID = lastEventID(t, address, "data: "+strings.Join(c.first, "\n\ndata: ")+"\n\n")
+					end, has = a.run(t.Context()), ""
+				} else {
+					end = a.serve(t, address)
+				}
+				is.Equal(dataOf(t, a.buffer), strings.TrimSpace(has+c.want))
+				is.Equal(end.Problem == nil, c.whole)
+				is.True(c.whole || end.Problem.Outcome == api.Unknown)
+			})
+		}
+	}
+}
+
+// Guards against streams that are joined from two runs: an event ID without any checksum says nothing of the events that
+// the caller has.
+func TestEventIDWithoutChecksumIsNotResumed(t *testing.T) {
+	is := is.New(t)
+	r := newStreamRequest(false)
+	a, address := newScriptedAttempts(t, &upgradedEngine{second: []string{"x", "y", "z"}, restarted: true}, r)
+	r.LastEventID = upstream.ResumeToken{Upstream: address, StreamID: "s1", Events: 2}.String()
+	end := a.run(t.Context())
+	is.Equal(dataOf(t, a.buffer), "")
+	is.Equal(end.Problem.Outcome, api.Unknown)
+	is.Equal(end.Problem.Reason, api.ReasonUpstreamLost)
+}
+
+// Event IDs that an instance of the previous version has written have the checksum of their event alone.
+func TestEventIDOfThePreviousVersionIsResumed(t *testing.T) {
+	for want, second := range map[string][]string{"c [DONE]": {"a", "b", "c"}, "": {"a", "x", "c"}} {
+		is := is.New(t)
+		r := newStreamRequest(false)
+		a, address := newScriptedAttempts(t, &upgradedEngine{second: second, restarted: true}, r)
+		token, err := upstream.ParseResumeToken(lastEventID(t, address, "data: a\n\ndata: b\n\n"))
+		is.NoErr(err)
+		token.Content = 0
+		r.LastEventID = token.String()
+		a.run(t.Context())
+		is.Equal(dataOf(t, a.buffer), want)
+	}
+}
+
 // Guards against a stream that looks complete after its engine's process was killed: the kernel closes the connections of
 // such a process in order, and a response without length or chunks states no end.
 func TestStreamOfAKilledEngineDoesNotLookComplete(t *testing.T) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -81,10 +80,8 @@
 	Err error
 	// OutputTokens is the number of output tokens relayed in this call.
 	OutputTokens int
-	// StreamID, Events and LastChecksum identify the position at which a truncated stream can be resumed.
-	StreamID     string
-	Events       int
-	LastChecksum uint32
+	// Position is that at which a truncated stream can be resumed; it has no StreamID if it can't be.
+	Position ResumeToken
 	// Leaving reports whether the upstream announced in the response that it leaves.
 	Leaving bool
 	// EndUnstated reports that the response is complete only as far as its connection shows: it has neither
@@ -103,11 +100,8 @@
 	// Instance and Revision are set in the head of the response.
 	Instance string
 	Revision int64
-	// StreamID resumes a stream after its first SkipEvents events, of which the last one has the given
-	// checksum, if that is known. Empty for a new request.
-	StreamID     string
-	SkipEvents   int
-	LastChecksum uint32
+	// Resume is the position after which a stream is resumed. It has no StreamID for a new request.
+	Resume ResumeToken
 	// BeforeWrite is called before the first byte is written: right before it for a non-idempotent
 	// request, before a connection is selected for an idempotent one. An error stops the call with
 	// NotWritten. It must not block.
@@ -154,6 +148,9 @@
 // Do sends the request once and relays the response into the buffer, which it doesn't finish. It
 // blocks until the response ends or ctx is done.
 func (c *Client) Do(ctx context.Context, call Call, b *answer.Buffer) Result {
+	if !call.Resume.isCheckable() {
+		return Result{Status: NotResumed, Err: errNotCheckable}
+	}
 	h, err := newRequest(ctx, call)
 	if err != nil {
 		return Result{Status: NotWritten, Err: err}
@@ -245,27 +242,13 @@
 	return o.Conn.Write(p)
 }
 
-// asksForLastEvent reports whether a resumption asks for the last event that the caller has once more, to check that
-// the engine goes on after it.
-func (c Call) asksForLastEvent() bool {
-	return c.StreamID != "" && c.SkipEvents > 0 && c.LastChecksum != 0
-}
-
-// offset returns how many events of the stream a resumption skips.
-func (c Call) offset() int {
-	if c.asksForLastEvent() {
-		return c.SkipEvents - 1
-	}
-	return c.SkipEvents
-}
-
 // newRequest returns the HTTP request of a call.
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	r := call.Request
 	s := sling.New().Base("http://" + call.Address)
 	switch {
-	case call.StreamID != "":
-		s = s.Get("/v1/streams/" + call.StreamID + "?offset=" + strconv.Itoa(call.offset()))
+	case call.Resume.StreamID != "":
+		s = s.Get("/v1/streams/" + call.Resume.StreamID + "?offset=0") // from its start, to compare it with what the caller has
 	case r.Kind == request.Service:
 		s = serviceCall(s, call.Address, r)
 	case r.Kind == request.Chat:
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -296,7 +296,7 @@
 			res, _ := do(t, client, u.listener.Addr().String(), model(true), allow)
 			is.Equal(res.Status, c.status)
 			is.Equal(res.OutputTokens, c.output)
-			is.Equal(res.Events, c.output)
+			is.Equal(res.Position.Events, c.output)
 		})
 	}
 }
@@ -315,7 +315,7 @@
 	defer client.Close()
 	res, b := do(t, client, u.listener.Addr().String(), model(true), allow)
 	is.Equal(res.Status, Done)
-	is.Equal(res.Events, 3)
+	is.Equal(res.Position.Events, 3)
 	b.Finish(answer.End{})
 	reader, chunks := b.Reader(), 0
 	for {
@@ -348,7 +348,7 @@
 		res, b := do(t, client, u.listener.Addr().String(), model(true), allow)
 		client.Close()
 		is.Equal(res.Status, Truncated)
-		is.Equal(res.StreamID, "")
+		is.Equal(res.Position.StreamID, "")
 		is.Equal(b.Written(), len("data: a\n\n"))
 	}
 }
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -62,12 +62,12 @@
 	media, _, _ := mime.ParseMediaType(head.ContentType)
 	isStream := media == contentTypeEvents && response.StatusCode == http.StatusOK
 	switch {
-	case call.StreamID != "" && !isStream:
+	case call.Resume.StreamID != "" && !isStream:
 		return Result{Status: NotResumed, Err: fmt.Errorf("engine responded %s with content type %q instead of the stream", response.Status, head.ContentType)}
-	case isStream && call.StreamID != "" && !isSameStream(call, response):
+	case isStream && call.Resume.StreamID != "" && !isSameStream(call, response):
 		return Result{Status: NotResumed, Err: fmt.Errorf("engine responded with stream %q", response.Header.Get(HeaderStreamID))}
 	case isStream:
-		relayer := &eventRelay{call: call, buffer: b, head: head, events: call.SkipEvents, last: call.LastChecksum, stream: response.Header.Get(HeaderStreamID)}
+		relayer := &eventRelay{call: call, buffer: b, head: head, position: startOf(call, response), reached: call.Resume}
 		return relayer.run(ctx, response.Body)
 	case media == contentTypeJSON:
 		return relayJSON(ctx, response.Body, b, head)
@@ -76,11 +76,20 @@
 	}
 }
 
+// startOf returns the position before the first event of a stream. It has no StreamID if the stream can't be resumed.
+func startOf(call Call, r *http.Response) ResumeToken {
+	id := r.Header.Get(HeaderStreamID)
+	if !isValidStreamID(id) {
+		id = call.Resume.StreamID
+	}
+	return ResumeToken{Upstream: call.Address, StreamID: id}
+}
+
 // isSameStream reports whether the response to a resumption is of the stream asked for, as far as the engine names
 // it.
 func isSameStream(call Call, r *http.Response) bool {
 	id := r.Header.Get(HeaderStreamID)
-	return id == "" || id == call.StreamID
+	return id == "" || id == call.Resume.StreamID
 }
 
 // endsWithConnection reports whether a response states neither the length nor the end of its body.
@@ -159,8 +168,12 @@
 	return Result{Status: Done, OutputTokens: u.Usage.CompletionTokens}
 }
 
-// errOtherPosition means that an engine resumed a stream after another event than the one asked for.
-var errOtherPosition = errors.New("the engine resumed the stream at another event")
+var (
+	// errOtherRun means that the engine has another run under the ID of the stream.
+	errOtherRun = errors.New("the events up to the last one received aren't those of the stream")
+	// errNotCheckable means that the caller's position is without a checksum.
+	errNotCheckable = errors.New("Last-Event-ID is of a version that can't be resumed any more")
+)
 
 // eventRelay relays a stream of server-sent events. It gives each event an ID with which any
 // instance can resume the stream.
@@ -168,19 +181,16 @@
 	call   Call
 	buffer *answer.Buffer
 	head   answer.Head
-	stream string
-	events int    // events relayed, including those before a resume
-	last   uint32 // checksum of the last one; 0 if it isn't known
-	tokens int
-	first  bool
+	// position is that in the run of the engine, reached the one that the caller has reached.
+	position ResumeToken
+	reached  ResumeToken
+	tokens   int
+	first    bool
 }
 
 func (e *eventRelay) run(ctx context.Context, body io.Reader) Result {
-	if !isValidStreamID(e.stream) {
-		e.stream = e.call.StreamID
-	}
+	e.reached.Upstream, e.reached.StreamID = e.position.Upstream, e.position.StreamID
 	reader := bufio.NewReaderSize(body, chunkBytes)
-	known := e.call.asksForLastEvent() // the next event is one that the caller has
 	for {
 		event, err := sse.Read(reader, maxEventBytes)
 		if errors.Is(err, sse.ErrTooLarge) {
@@ -196,14 +206,14 @@
 		if !hasData {
 			continue // a keep-alive comment
 		}
-		if known {
-			if checksumOf(event) != e.call.LastChecksum {
-				return Result{Status: NotResumed, Err: errOtherPosition}
+		done := isLastEvent(event)
+		if e.position.Events < e.reached.Events {
+			e.position = e.position.next(event)
+			if done || e.position.Events == e.reached.Events && !e.reached.isSame(e.position) {
+				return Result{Status: NotResumed, Err: errOtherRun}
 			}
-			known = false
 			continue
 		}
-		done := isLastEvent(event)
 		if !e.first {
 			e.first = true
 			e.call.OnFirstOutput()
@@ -223,11 +233,11 @@
 	if done {
 		return e.buffer.Write(ctx, event)
 	}
-	next := ResumeToken{Upstream: e.call.Address, StreamID: e.stream, Events: e.events + 1, Checksum: checksumOf(event)}
+	next := e.position.next(event)
 	if err := e.buffer.Write(ctx, append(eventID(next), event...)); err != nil {
 		return err
 	}
-	e.events, e.last = next.Events, next.Checksum
+	e.position, e.reached = next, next
 	e.tokens++
 	return nil
 }
@@ -241,7 +251,7 @@
 }
 
 func (e *eventRelay) result(s Status, err error) Result {
-	return Result{Status: s, Err: err, OutputTokens: e.tokens, StreamID: e.stream, Events: e.events, LastChecksum: e.last}
+	return Result{Status: s, Err: err, OutputTokens: e.tokens, Position: e.reached}
 }
 
 // Fields with which a line of an event may begin; ":" is a comment. Lines with the field id are
--- a/internal/upstream/resume.go
+++ b/internal/upstream/resume.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"encoding/base64"
+	"encoding/binary"
 	"errors"
 	"hash/crc32"
 	"net/netip"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -19,9 +21,44 @@
 	Upstream string `cbor:"1,keyasint"`
 	StreamID string `cbor:"2,keyasint"`
 	Events   int    `cbor:"3,keyasint"`
-	// Checksum is that of the data of the last of these events; 0 if it isn't known, as in tokens of earlier
-	// versions.
+	// Checksum is that of the data of the last of these events. Instances of earlier versions check it.
 	Checksum uint32 `cbor:"4,keyasint,omitempty"`
+	// Content is the checksum of the data of all these events; 0 in tokens of earlier versions.
+	Content uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// isCheckable reports whether a resumed run can be compared with the events that the caller has.
+func (t ResumeToken) isCheckable() bool { return t.Events == 0 || t.Content != 0 || t.Checksum != 0 }
+
+// next returns the position after one more event.
+func (t ResumeToken) next(event []byte) ResumeToken {
+	t.Events++
+	t.Checksum = checksumOf(event)
+	t.Content = addContent(t.Content, event)
+	return t
+}
+
+// isSame reports whether a position that was reached in a run is this one.
+func (t ResumeToken) isSame(reached ResumeToken) bool {
+	if t.Content != 0 {
+		return reached.Content == t.Content
+	}
+	return reached.Checksum == t.Checksum
+}
+
+// addContent returns the checksum of the events before and the data of one more. It is never 0.
+func addContent(before uint64, event []byte) uint64 {
+	d := xxhash.New()
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], before)
+	_, _ = d.Write(b[:])
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, dataField) {
+			_, _ = d.Write(bytes.TrimRight(line, "\r\n"))
+			_, _ = d.Write([]byte{'\n'})
+		}
+	}
+	return max(d.Sum64(), 1)
 }
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
