upstream, dispatch: a dial that times out is a failure of the engine

An engine that answered no connection attempts was granted request after request until the list dropped it: each waited for the connection time-out first. Nor was it diagnosed after responses were lost there.

Cause: whether this instance stopped an attempt was read from its error. The error of a dialer's own time-out is a context.DeadlineExceeded, as that of a request past its deadline. The other way round, the error with which the guard before the first byte stops a request can be replaced by the transport with one of the connection; the engine then counted as failed.

The call now reports that it was stopped (Result.Aborted): its context has ended, or the guard stopped it, whose error is kept where it arises.

TestDialTimeoutIsAFailureOfTheEngine failed before for both kinds of requests: the circuit stayed closed and no diagnosis began.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -188,7 +188,7 @@
 		case upstream.Cancelled, upstream.Timeout:
 			return core.RecordCancelled(now, g)
 		case upstream.NotWritten:
-			if isLocalAbort(result.Err) {
+			if result.Aborted {
 				return core.RecordCancelled(now, g)
 			}
 			return core.RecordFailure(now, g)
@@ -205,12 +205,6 @@
 	}
 }
 
-// isLocalAbort reports whether an attempt was stopped by this instance or its caller, not by a
-// failure of the upstream.
-func isLocalAbort(err error) bool {
-	return errors.Is(err, errPaused) || errors.Is(err, quarantine.ErrQuarantined) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
-}
-
 // retry reports whether the request is sent again. An upstream that failed is excluded from the next
 // attempt.
 func (a *attempts) retry(g *scheduler.Grant, result upstream.Result) bool {
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -39,7 +39,7 @@
 			o.OnResponseRecorded()
 		}
 	case upstream.NotWritten:
-		if !isLocalAbort(r.Err) && o.Quarantine.NeedsDiagnosis(now, address) {
+		if !r.Aborted && o.Quarantine.NeedsDiagnosis(now, address) {
 			go a.dispatcher.diagnose(a.set, address)
 		}
 	case upstream.Lost, upstream.Truncated:
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -78,6 +78,9 @@
 	Status Status
 	// Err is the cause, for logs and problem details; nil if Status is Done.
 	Err error
+	// Aborted reports that this instance or its caller stopped the call before a byte was written, so that it says
+	// nothing of the upstream.
+	Aborted bool
 	// OutputTokens is the number of output tokens relayed in this call.
 	OutputTokens int
 	// Position is that at which a truncated stream can be resumed; it has no StreamID if it can't be.
@@ -157,7 +160,8 @@
 	}
 	response, wrote, err := c.roundTrip(h, call)
 	if err != nil {
-		return Result{Status: statusOfError(ctx, wrote, Lost), Err: err}
+		status := statusOfError(ctx, wrote, Lost)
+		return Result{Status: status, Err: err, Aborted: status == NotWritten && (ctx.Err() != nil || errors.As(err, new(*abortError)))}
 	}
 	defer response.Body.Close()
 	result := relay(ctx, call, response, b)
@@ -169,7 +173,7 @@
 func (c *Client) roundTrip(h *http.Request, call Call) (*http.Response, bool, error) {
 	if !call.Request.NonIdempotent {
 		if err := call.BeforeWrite(); err != nil {
-			return nil, false, err
+			return nil, false, &abortError{err}
 		}
 		response, err := c.pooled.RoundTrip(h)
 		return response, !isDialError(err), err
@@ -189,9 +193,19 @@
 		},
 	}
 	response, err := transport.RoundTrip(h)
+	if aborted := guarded.aborted.Load(); err != nil && aborted != nil {
+		return nil, guarded.wrote.Load(), aborted // the transport may return another error of the connection instead
+	}
 	return response, guarded.wrote.Load(), err
 }
 
+// abortError is the error of BeforeWrite.
+type abortError struct{ cause error }
+
+func (e *abortError) Error() string { return e.cause.Error() }
+
+func (e *abortError) Unwrap() error { return e.cause }
+
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
@@ -219,6 +233,7 @@
 	used        atomic.Bool
 	checked     bool // only accessed by Write, which one goroutine of the transport calls
 	wrote       atomic.Bool
+	aborted     atomic.Pointer[abortError]
 }
 
 func (o *guardedConn) wrap(conn net.Conn) (net.Conn, error) {
@@ -235,6 +250,7 @@
 	if !o.checked {
 		o.checked = true
 		if err := o.beforeWrite(); err != nil {
+			o.aborted.Store(&abortError{err})
 			return 0, err
 		}
 	}
