gateway: an issuer that started unseen is not taken for gone

A request under a key, sent through an instance that was cut off from the issuer, was told issuer_gone: "the request won't run any more". The issuer was alive: it had restarted during the partition and issued the key since. A caller that relies on the answer and sends the request under a new key has it run twice, if its first sending still waits at the issuer; also between a restart and the next hello, without a partition.

Cause: the incarnation that an instance knows at the issuer's address was taken for a later one than that of the key. It may be an earlier one, since incarnations state no order.

An address has one process at a time. The issuer now counts as gone only if another process was seen at its address after the request came.

TestIssuerThatStartedBehindAPartitionIsNotTakenForGone failed before with reason issuer_gone. TestRestartedPeerIsNewIncarnation passes unchanged: keys of the previous process are told issuer_gone.

--- a/internal/faults/keys_test.go
+++ b/internal/faults/keys_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -117,3 +118,27 @@
 	is.Equal(f.runCount("a"), 1)
 	is.Equal(f.runCount("b")+f.runCount("f"), 0)
 }
+
+// Guards against a request that runs after its caller was told that it won't: an instance that is cut off from the issuer
+// of a key knows the process that was there before, and took the issuer for gone.
+func TestIssuerThatStartedBehindAPartitionIsNotTakenForGone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	f.waitLinked()
+	issuer, other := f.daemons[0], f.daemons[1]
+	partition(issuer, other)
+	issuer.kill()
+	issuer.start()
+	issuer.waitReady()
+	c := call{path: releasePath, body: "a", key: issuer.issue(), timeout: 10 * time.Second}
+	r := other.send(c)
+	is.Equal(r.problem.Reason, api.ReasonIssuerUnreachable)
+	is.Equal(r.outcome, api.Unknown)
+	is.Equal(r.problem.AttemptOutcome, api.NotRun)
+	is.Equal(issuer.send(c).body, service.ResponseBody("a"))
+	heal(issuer, other)
+	f.waitLinked()
+	is.Equal(other.send(c).body, service.ResponseBody("a")) // joins the run
+	is.Equal(f.runCount("a"), 1)
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -18,6 +19,10 @@
 	forwardRetryInterval = 50 * time.Millisecond
 )
 
+// errIssuerUnseen means that the process known at an issuer's address isn't the issuer, and hasn't been seen since the
+// request came: the issuer may have started there later.
+var errIssuerUnseen = errors.New("the process that issued the key hasn't been seen yet")
+
 // forward sends the request to the issuer of its key. It sends the request again when the link
 // fails. This is safe: the issuer recognises the key and joins the retry, whose response is resumed
 // where it stopped.
@@ -40,11 +45,17 @@
 func (g *Gateway) forwardUntilComplete(ctx context.Context, claims idempotency.Claims, r *request.Request, b *answer.Buffer) *api.Problem {
 	var linkLostAt time.Time // start of the time without a link
 	everSent := false
+	began := time.Now()
 	for {
-		if known := g.peers.Incarnation(claims.Issuer); known != 0 && known != uint64(claims.Incarnation) {
+		known, seen := g.peers.Process(claims.Issuer)
+		isOther := known != 0 && known != uint64(claims.Incarnation)
+		if isOther && seen.After(began) {
 			return withAttemptOutcome(issuerGone(), everSent)
 		}
-		sent, err := g.peers.Forward(ctx, claims.Issuer, r, b)
+		sent, err := false, errIssuerUnseen
+		if !isOther {
+			sent, err = g.peers.Forward(ctx, claims.Issuer, r, b)
+		}
 		if err == nil {
 			return nil
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,7 +36,7 @@
 // Peers forwards requests to other instances.
 type Peers interface {
 	Forward(ctx context.Context, address string, r *request.Request, b *answer.Buffer) (sent bool, err error)
-	Incarnation(address string) uint64
+	Process(address string) (incarnation uint64, seen time.Time)
 	Peers() []peer.Status
 }
 
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -107,6 +107,18 @@
 	return 0
 }
 
+// Process returns the incarnation that a peer last announced, 0 if nothing was received from it, and when that process
+// was last seen.
+func (m *Mesh) Process(address string) (incarnation uint64, seen time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[address]
+	if p == nil {
+		return 0, time.Time{}
+	}
+	return p.hello.Incarnation, boottime.ToMonotonic(p.lastSeen)
+}
+
 // Zone returns the availability zone of a peer; empty while it isn't known.
 func (m *Mesh) Zone(address string) string {
 	m.mu.Lock()
