upstream, dispatch: a leaving notice counts from the head of a response

An engine that announced in the head of a stream that it leaves got new requests until the stream had ended, from this instance and its peers, while the list lagged; one that announced it in a resumed stream got them on and on.

Cause: the notice was read from the result of a call, which exists once the response has ended, and by the first call of a request only. The call now reports it at the head (Call.OnLeaving), also of resumptions.

TestLeavingNoticeCountsFromTheHeadOfAStream failed before in both cases: while the stream was open, the engine was still among those that get requests.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -116,6 +116,7 @@
 		Instance:    a.dispatcher.o.Instance,
 		Revision:    a.snapshot.Revision,
 		BeforeWrite: a.checkBeforeWrite,
+		OnLeaving:   func() { a.dispatcher.recordLeavingNotice(g.Upstream.Address) },
 	}
 }
 
@@ -197,12 +198,6 @@
 		}
 	})
 	a.recordCrashEvidence(g.Upstream.Address, result)
-	if result.Leaving {
-		a.dispatcher.MarkLeaving(g.Upstream.Address)
-		if a.dispatcher.o.OnUpstreamLeaving != nil {
-			a.dispatcher.o.OnUpstreamLeaving(g.Upstream.Address)
-		}
-	}
 }
 
 // retry reports whether the request is sent again. An upstream that failed is excluded from the next
--- a/internal/dispatch/deadline_test.go
+++ b/internal/dispatch/deadline_test.go
@@ -34,6 +34,10 @@
 	held string
 	// onHeld is called once that part is sent.
 	onHeld func()
+	// leaving adds the leaving notice to the head of the held response.
+	leaving bool
+	// onRelayed is called once the events that runHeld waits for are in the buffer; nil for no call.
+	onRelayed func()
 	// closed is closed once the connection of the held response is.
 	closed chan struct{}
 	// stopped is closed when the test ends.
@@ -67,6 +71,9 @@
 	if e.held != "" {
 		w.Header().Set(upstream.HeaderStreamID, "s1")
 		w.Header().Set("Content-Type", "text/event-stream")
+		if e.leaving {
+			w.Header().Set(upstream.HeaderLeaving, "true")
+		}
 		_, _ = io.WriteString(w, e.held)
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -129,6 +136,9 @@
 			events--
 		}
 	}
+	if e.onRelayed != nil {
+		e.onRelayed()
+	}
 	end(cause)
 	awaitClosed(t, e.closed, "the connection to the engine is closed")
 	select {
@@ -250,3 +260,26 @@
 		})
 	}
 }
+
+// Guards against new requests to an engine that has announced that it leaves: a notice in the head of a stream counted only
+// once the stream had ended, and one in a resumption never.
+func TestLeavingNoticeCountsFromTheHeadOfAStream(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("resumed by the caller %t", resumed), func(t *testing.T) {
+			is := is.New(t)
+			e := &heldEngine{held: events(1, 4), leaving: true}
+			a, address := newHeldAttempts(t, e)
+			if resumed {
+				a.request.LastEventID = lastEventID(t, address, events(1, 3))
+			}
+			announced := ""
+			a.dispatcher.o.OnUpstreamLeaving = func(address string) { announced = address }
+			var during []string
+			e.onRelayed = func() { during = a.dispatcher.Members(a.set) }
+			is.Equal(a.dispatcher.Members(a.set), []string{address})
+			e.runHeld(t, a, 1, context.Canceled)
+			is.Equal(during, nil)
+			is.Equal(announced, address)
+		})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -205,6 +205,14 @@
 	return slices.ContainsFunc(d.membersLocked(set), func(m scheduler.Member) bool { return m.Address == address && m.Leaving })
 }
 
+// recordLeavingNotice records that an upstream announced in a response to this instance that it leaves.
+func (d *Dispatcher) recordLeavingNotice(address string) {
+	d.MarkLeaving(address)
+	if d.o.OnUpstreamLeaving != nil {
+		d.o.OnUpstreamLeaving(address)
+	}
+}
+
 // MarkLeaving stops sending new work to an upstream that announced that it leaves, either to this
 // instance or to a peer.
 func (d *Dispatcher) MarkLeaving(address string) {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -88,5 +88,6 @@
 		Resume:        after,
 		BeforeWrite:   a.checkBeforeWrite,
 		OnFirstOutput: func() {},
+		OnLeaving:     func() { a.dispatcher.recordLeavingNotice(address) },
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -85,8 +85,6 @@
 	OutputTokens int
 	// Position is that at which a truncated stream can be resumed; it has no StreamID if it can't be.
 	Position ResumeToken
-	// Leaving reports whether the upstream announced in the response that it leaves.
-	Leaving bool
 	// EndUnstated reports that the response is complete only as far as its connection shows: it has neither
 	// a length nor chunks.
 	EndUnstated bool
@@ -112,6 +110,8 @@
 	// OnFirstOutput is called at the first event of a stream, or at the head of a service's
 	// response.
 	OnFirstOutput func()
+	// OnLeaving is called at the head of a response in which the upstream announces that it leaves. May be nil.
+	OnLeaving func()
 }
 
 // Client calls upstreams. It is safe for concurrent use.
@@ -164,9 +164,10 @@
 		return Result{Status: status, Err: err, Aborted: status == NotWritten && (ctx.Err() != nil || errors.As(err, new(*abortError)))}
 	}
 	defer response.Body.Close()
-	result := relay(ctx, call, response, b)
-	result.Leaving = response.Header.Get(HeaderLeaving) == "true"
-	return result
+	if call.OnLeaving != nil && response.Header.Get(HeaderLeaving) == "true" {
+		call.OnLeaving()
+	}
+	return relay(ctx, call, response, b)
 }
 
 // roundTrip returns the response, or an error and whether a byte may have been written.
