dispatch, daemon: a leaving notice ends with its process

Instances without routes. An engine that was started anew at its address got no requests: the one before it had announced that it leaves. The notice held for the address for a minute whatever the list said, up to two minutes as peers repeated it, and longer in the scheduler: until the next change of the list, whenever that came. Refusals, where it was the only engine.

Cause: the notice was recorded for an address. That another process serves there by now wasn't looked for, and the scheduler's mark was only set anew with a list.

A notice is dropped once the list doesn't have the upstream, or has it as live where it was absent or leaving before; one that comes late, in a response to a request sent before that or from a peer with a list from before it, is ignored. Notices that expire are removed from the scheduler by a timer. Where a process is replaced without a trace in the list, a minute after the last notice remains the bound (two through peers).

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -200,12 +200,14 @@
 	list    platform.List
 	first   chan struct{}        // closed when the first list is set
 	leaving map[string]time.Time // time of the last leaving notice, by address
+	// entered is the version of the list with which another process than before was listed at an upstream's address.
+	entered map[string]int64
 	// applying has capacity 1 and holds an element while a list is applied.
 	applying chan struct{}
 }
 
 func newInstanceList() *instanceList {
-	return &instanceList{first: make(chan struct{}), leaving: map[string]time.Time{}, applying: make(chan struct{}, 1)}
+	return &instanceList{first: make(chan struct{}), leaving: map[string]time.Time{}, entered: map[string]int64{}, applying: make(chan struct{}, 1)}
 }
 
 func (i *instanceList) current() platform.List {
@@ -235,11 +237,36 @@
 	}
 	if i.list.Version == 0 {
 		close(i.first)
+	} else {
+		i.replaceUpstreams(platform.UpstreamStates(i.list.Instances), platform.UpstreamStates(l.Instances), l.Version)
 	}
 	i.list = l
 	return true
 }
 
+// replaceUpstreams drops the leaving notices of upstreams that a list of the given version doesn't have, or has for
+// another process than the list before. The caller holds the lock.
+func (i *instanceList) replaceUpstreams(before, now map[string]platform.State, version int64) {
+	for address := range platform.Entered(before, now) {
+		i.entered[address] = version
+		delete(i.leaving, address)
+	}
+	for address := range before {
+		if _, listed := now[address]; !listed {
+			delete(i.entered, address)
+			delete(i.leaving, address)
+		}
+	}
+}
+
+// isOfFormerProcess reports whether what a peer with a list of the given version says of an upstream is about a process
+// that was listed at its address before.
+func (i *instanceList) isOfFormerProcess(address string, version int64) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return version < i.entered[address]
+}
+
 // addLeavingNotice records a leaving notice, and reports whether it is the first one of this
 // upstream.
 func (i *instanceList) addLeavingNotice(address string) bool {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -83,7 +83,9 @@
 // HandleHeartbeat implements peer.Handler.
 func (p *peerHandler) HandleHeartbeat(from string, h *peer.Heartbeat) {
 	for _, address := range h.Leaving {
-		p.dispatcher.MarkLeaving(address)
+		if !p.instances.isOfFormerProcess(address, h.ListVersion) {
+			p.dispatcher.MarkLeaving(address)
+		}
 	}
 	if !h.Brief {
 		p.dispatcher.SetPeerLoad(from, h.Pending)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -116,7 +116,7 @@
 		Instance:    a.dispatcher.o.Instance,
 		Revision:    a.snapshot.Revision,
 		BeforeWrite: a.checkBeforeWrite,
-		OnLeaving:   func() { a.dispatcher.recordLeavingNotice(g.Upstream.Address) },
+		OnLeaving:   func() { a.dispatcher.recordLeavingNotice(g.Upstream.Address, a.sentAt) },
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,9 +50,6 @@
 	maxAttempts = 4
 	// maxResumes bounds how often one stream is resumed.
 	maxResumes = 3
-	// leavingNoticeTTL is the time for which the leaving notice of an upstream counts in addition
-	// to the instance list, which lags behind.
-	leavingNoticeTTL = time.Minute
 )
 
 var errPaused = errors.New("the instance was paused after the decision")
@@ -108,6 +105,12 @@
 	members map[string][]scheduler.Member
 	listed  map[setMember]bool   // all upstreams of the list, including those not used here
 	leaving map[string]time.Time // time of the last leaving notice, by address
+	// expiring reports whether a timer for the end of notices runs.
+	expiring bool
+	// states are those of the upstreams in the last list, by address. entered is when another process than before was
+	// listed at an address.
+	states  map[string]platform.State
+	entered map[string]time.Time
 }
 
 // setMember is an upstream of a set.
@@ -121,6 +124,7 @@
 		pools:   map[string]*pool.Pool{},
 		members: map[string][]scheduler.Member{},
 		leaving: map[string]time.Time{},
+		entered: map[string]time.Time{},
 	}
 }
 
@@ -151,14 +155,13 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.dropFormerNoticesLocked(list)
 	d.listed = all
 	d.members = sets
 	for name := range sets {
 		d.poolLocked(name) // the pool must exist before cache events and peer load arrive
 	}
-	for name, p := range d.pools {
-		p.SetMembers(d.membersLocked(name))
-	}
+	d.updateMembersLocked()
 }
 
 // selectMembers returns the upstreams of the list that this instance uses, by set.
@@ -190,10 +193,7 @@
 func (d *Dispatcher) membersLocked(set string) []scheduler.Member {
 	out := slices.Clone(d.members[set])
 	for i := range out {
-		noticed, ok := d.leaving[out[i].Address]
-		if ok && time.Since(noticed) < leavingNoticeTTL {
-			out[i].Leaving = true
-		}
+		out[i].Leaving = out[i].Leaving || d.isNoticedLocked(out[i])
 	}
 	return out
 }
@@ -205,25 +205,6 @@
 	return slices.ContainsFunc(d.membersLocked(set), func(m scheduler.Member) bool { return m.Address == address && m.Leaving })
 }
 
-// recordLeavingNotice records that an upstream announced in a response to this instance that it leaves.
-func (d *Dispatcher) recordLeavingNotice(address string) {
-	d.MarkLeaving(address)
-	if d.o.OnUpstreamLeaving != nil {
-		d.o.OnUpstreamLeaving(address)
-	}
-}
-
-// MarkLeaving stops sending new work to an upstream that announced that it leaves, either to this
-// instance or to a peer.
-func (d *Dispatcher) MarkLeaving(address string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.leaving[address] = time.Now()
-	for _, p := range d.pools {
-		p.MarkLeaving(address)
-	}
-}
-
 // ShedLower sheds waiting work of lower tiers than rank, at the request of a peer.
 func (d *Dispatcher) ShedLower(set string, rank int) {
 	d.mu.Lock()
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -80,6 +80,7 @@
 }
 
 func (a *attempts) resumeCall(address string, after upstream.ResumeToken) upstream.Call {
+	sentAt := time.Now()
 	return upstream.Call{
 		Address:       address,
 		Request:       a.request,
@@ -88,6 +89,6 @@
 		Resume:        after,
 		BeforeWrite:   a.checkBeforeWrite,
 		OnFirstOutput: func() {},
-		OnLeaving:     func() { a.dispatcher.recordLeavingNotice(address) },
+		OnLeaving:     func() { a.dispatcher.recordLeavingNotice(address, sentAt) },
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -73,6 +73,29 @@
 	Instances []Instance
 }
 
+// UpstreamStates returns the states of the upstreams in a list, by address.
+func UpstreamStates(list []Instance) map[string]State {
+	out := make(map[string]State, len(list))
+	for _, i := range list {
+		if i.Set != "" {
+			out[i.Address] = i.State
+		}
+	}
+	return out
+}
+
+// Entered returns the upstreams that serve in a list and not in the one before, by address: another process may be there.
+// None have entered the first list, before which is nil.
+func Entered(before, list map[string]State) map[string]bool {
+	out := map[string]bool{}
+	for address, state := range list {
+		if before != nil && state == Live && before[address] != Live {
+			out[address] = true
+		}
+	}
+	return out
+}
+
 // ErrUnavailable: the platform's service didn't respond as expected.
 var ErrUnavailable = errors.New("the platform's service is unavailable; serving continues with the known state")
 
