orglimit: a limit's burst is divided when instances become known

After a restart of all instances, an organisation was granted its burst (its tokens of one second) once at each instance instead of once in all, if requests of it came before the list of instances did.

Cause: an instance that hasn't seen the list takes itself for the only one and saves up the whole limit. The list reduced what it granted from then on, not what it had saved up. The same held in part whenever instances were added.

Saved tokens are now divided when the number of instances grows, and the limiter gets a list before the dispatcher does. Debts stay as they are. After a restart of all instances the burst is granted once in all.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -137,9 +137,9 @@
 // returns, requests are served by a list of at least this version.
 func (d *Daemon) applyInstances(l platform.List) {
 	d.instances.apply(l, func() {
+		d.organisations.SetInstances(countTacktallyInstances(l)) // before the list provides capacity
 		d.dispatcher.SetInstances(l.Instances)
 		d.followCaches()
-		d.organisations.SetInstances(countTacktallyInstances(l))
 		d.mesh.SetPeers(peerAddresses(l, d.settings.Peers.Seeds))
 		d.mesh.Announce()
 		d.log.Info().Str("event", "instances").Int64("version", l.Version).Int("count", len(l.Instances)).Msg("applied a new instance list")
--- a/internal/orglimit/orglimit.go
+++ b/internal/orglimit/orglimit.go
@@ -56,11 +56,18 @@
 	return &Limiter{instances: 1, peers: map[string]map[string]float64{}, orgs: map[string]*organisation{}}
 }
 
-// SetInstances sets the number of instances in the platform's list.
+// SetInstances sets the number of instances in the platform's list. Where it grows, the tokens saved up here are divided
+// with the others, which have saved up their own.
 func (l *Limiter) SetInstances(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.instances = max(n, 1)
+	n = max(n, 1)
+	for _, o := range l.orgs {
+		if n > l.instances && o.level > 0 {
+			o.level *= float64(l.instances) / float64(n)
+		}
+	}
+	l.instances = n
 }
 
 // SetPeerDemands sets the demands that a peer reported, in tokens per second by organisation.
--- a/internal/orglimit/orglimit_test.go
+++ b/internal/orglimit/orglimit_test.go
@@ -160,3 +160,52 @@
 	ok, _ := l.Take(now, takeRequest(cost))
 	is.True(ok)
 }
+
+// grantedAtOnce returns the tokens that limiters grant at one time.
+func grantedAtOnce(now time.Time, limiters []*Limiter) (sum float64) {
+	for _, l := range limiters {
+		for {
+			if ok, _ := l.Take(now, takeRequest(cost)); !ok {
+				break
+			}
+			sum += cost
+		}
+	}
+	return sum
+}
+
+// Guards against a burst of many times an organisation's limit after a restart of all instances, or as instances are
+// added: what one saved up while it knew of no others, or of fewer, must not be granted in full.
+func TestBurstIsThatOfTheInstancesThatAreListed(t *testing.T) {
+	for name, c := range map[string]struct {
+		known int // instances in the list before; 0 without a list
+		taken int // tokens of a request that found no upstream
+	}{
+		"list at once":                   {9, 0},
+		"request before the first list":  {0, cost},
+		"large request before the list":  {0, 5 * total},
+		"request while a third is known": {3, cost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(0, 0)
+			limiters := make([]*Limiter, 9)
+			for i := range limiters {
+				l := NewLimiter()
+				if c.known > 0 {
+					l.SetInstances(c.known)
+				}
+				if c.taken > 0 {
+					l.Take(now, takeRequest(c.taken))
+					l.Return("org", c.taken)
+				}
+				now = now.Add(step)
+				l.SetInstances(len(limiters))
+				limiters[i] = l
+			}
+			sum := grantedAtOnce(now, limiters)
+			is.True(sum >= 0.9*total*burst.Seconds())
+			is.True(sum <= total*burst.Seconds()+float64(len(limiters))*cost)
+		})
+	}
+}
