orglimit: a debt isn't forgotten after a minute without requests

An organisation whose requests are large against its limit was granted more than the limit: one that took 100 s of its tokens at once and sent nothing for a minute was granted its burst again after that minute.

Cause: an organisation without requests for a minute is removed, and one that isn't there has no debt. It is now removed once it has saved up its burst, as it would have been created with.

TestDebtOutlastsAPause failed before: the next request was granted 39 s early. A debt isn't known to the next process after a restart: one large request for each restart.

--- a/internal/orglimit/orglimit.go
+++ b/internal/orglimit/orglimit.go
@@ -31,7 +31,7 @@
 	// idleShare is the share of the total kept for an instance that reports no demand, so that its
 	// first requests are granted before its demand is known.
 	idleShare = 0.02
-	// idleTimeout is the time after which an organisation without demand is removed.
+	// idleTimeout is the time after which an organisation without demand is removed, once it has saved up its burst.
 	idleTimeout = time.Minute
 )
 
@@ -47,6 +47,7 @@
 type organisation struct {
 	level      float64 // tokens that may be granted; negative is a debt
 	refilled   time.Time
+	total      float64 // the last limit, in tokens per second
 	demand     float64 // tokens per second requested here, smoothed
 	demandTime time.Time
 }
@@ -86,13 +87,13 @@
 }
 
 // Demands returns the demands to report to the peers, in tokens per second by organisation. It
-// removes organisations without recent demand.
+// removes organisations without recent demand, except for those in debt.
 func (l *Limiter) Demands(now time.Time) map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := map[string]float64{}
 	for name, o := range l.orgs {
-		if now.Sub(o.demandTime) > idleTimeout {
+		if now.Sub(o.demandTime) > idleTimeout && o.isFullAt(now, l.share(now, name, o.total)) {
 			delete(l.orgs, name)
 			continue
 		}
@@ -130,6 +131,7 @@
 		o = &organisation{level: l.share(now, name, total) * burst.Seconds(), refilled: now}
 		l.orgs[name] = o
 	}
+	o.total = total
 	o.addDemand(now, a.Tokens)
 	share := l.share(now, name, total)
 	o.refill(now, share)
@@ -189,3 +191,8 @@
 	o.level = min(o.level+share*now.Sub(o.refilled).Seconds(), max(share*burst.Seconds(), o.level))
 	o.refilled = now
 }
+
+// isFullAt reports whether the organisation has saved up a burst of its share.
+func (o *organisation) isFullAt(now time.Time, share float64) bool {
+	return o.level+share*now.Sub(o.refilled).Seconds() >= share*burst.Seconds()
+}
--- a/internal/orglimit/orglimit_test.go
+++ b/internal/orglimit/orglimit_test.go
@@ -209,3 +209,25 @@
 		})
 	}
 }
+
+// Guards against organisations that use more than their limit by large requests with pauses between them: the debt of the
+// last one was forgotten after a minute without requests.
+func TestDebtOutlastsAPause(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter()
+	now := time.Unix(0, 0)
+	const seconds = 100
+	ok, _ := l.Take(now, takeRequest(seconds*total))
+	is.True(ok)
+	paid := now.Add((seconds - 1) * time.Second) // the first second is the burst
+	for ; now.Before(paid); now = now.Add(heartbeat) {
+		l.Demands(now)
+	}
+	ok, _ = l.Take(paid.Add(-heartbeat), takeRequest(cost))
+	is.True(!ok)
+	ok, _ = l.Take(paid.Add(heartbeat), takeRequest(cost))
+	is.True(ok)
+	// The organisation is removed once it has its burst again.
+	l.Demands(now.Add(2 * idleTimeout))
+	is.Equal(len(l.orgs), 0)
+}
