client, idempotency: keys in hand that can't be used are replaced

Callers of the Go client saw requests fail though all instances served: for one that had idled for longer than the lifetime of a key, a request that must run at most once ended as unknown, "check what it did", though it was never sent on; after a restart or loss of the instance that had issued the keys in hand (8), requests ended as not-run after four attempts each.

Cause: an issuer that doesn't know an expired key takes it for one that may have been used, which is right of the request and wrong of the attempt, and it said nothing of the attempt. The client went on with the other keys in hand of the same issuer, and with the same key where the issuer can't be reached.

The issuer now says of an expired key that this attempt didn't run, as others say of a key whose issuer is gone. A request that was sent to the issuer twice in one attempt says so (Resent), and isn't told that. Where no attempt under a key may have been dispatched, the client goes on under a new key, and drops the keys in hand, for an issuer that is gone or can't be reached and for an expired key.

Failed before: TestKeysInHandOfAnIssuerThatRestartedAreReplaced ("not-run after 4 attempts: gone"), two of the five new cases of TestRetriesByProblem, TestExpiredKeyTellsThatTheAttemptDidNotRun (no attemptOutcome).

--- a/api/problem.go
+++ b/api/problem.go
@@ -72,6 +72,13 @@
 	return &c
 }
 
+// WithUnknownAttempt returns a copy for an attempt that may have reached the issuer of its key before.
+func (p *Problem) WithUnknownAttempt() *Problem {
+	c := *p
+	c.AttemptOutcome = ""
+	return &c
+}
+
 // WithUnknownOutcome returns a copy for a refusal that was decided without asking the issuer of
 // the request's key: this attempt did not run, but another one may have.
 func (p *Problem) WithUnknownOutcome() *Problem {
--- a/client/client.go
+++ b/client/client.go
@@ -302,8 +302,9 @@
 		s.key = ""
 		s.uncertain = false
 		return p.RetryAfterSeconds > 0
-	case p.AttemptOutcome == api.NotRun && !s.uncertain && p.Reason == api.ReasonIssuerGone:
+	case p.AttemptOutcome == api.NotRun && !s.uncertain && isKeyUnusable(p.Reason):
 		s.key = "" // no attempt under it was ever dispatched
+		s.client.dropKeys()
 		return true
 	case p.AttemptOutcome == api.NotRun && p.Reason == api.ReasonIssuerUnreachable:
 		return true
@@ -317,6 +318,11 @@
 	return p.Reason == api.ReasonIssuerUnreachable
 }
 
+// isKeyUnusable reports whether a key can't be used with its issuer, now or any more.
+func isKeyUnusable(r api.Reason) bool {
+	return r == api.ReasonIssuerGone || r == api.ReasonIssuerUnreachable || r == api.ReasonKeyExpired
+}
+
 // acquireKey returns an issued key. It fetches KeysInHand keys if the client has none left.
 func (c *Client) acquireKey(ctx context.Context) (string, error) {
 	c.mu.Lock()
@@ -337,6 +343,13 @@
 	return keys[0], nil
 }
 
+// dropKeys drops the keys in hand, which were likely issued together with one that can't be used.
+func (c *Client) dropKeys() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keys = nil
+}
+
 // releaseKey returns an unused key to the client.
 func (c *Client) releaseKey(key string) {
 	c.mu.Lock()
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -196,14 +196,19 @@
 		attempts      int
 		keys          int // number of different keys sent
 	}{
-		"not-run uses a new key":                      {true, []*api.Problem{retryAfter(api.Refuse(api.ReasonQueueFull, "full")), nil}, api.Answered, 2, 2},
-		"not-run without a retry time ends":           {true, []*api.Problem{api.Refuse(api.ReasonPromptTooLong, "long")}, api.NotRun, 1, 1},
-		"unknown ends a non-idempotent":               {true, []*api.Problem{api.UnknownOutcome(api.ReasonUpstreamLost, "lost"), nil}, api.Unknown, 1, 1},
-		"unknown retries an idempotent":               {false, []*api.Problem{api.UnknownOutcome(api.ReasonUpstreamLost, "lost"), nil}, api.Answered, 2, 0},
-		"issuer unreachable keeps the key":            {true, []*api.Problem{retryAfter(api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut")), nil}, api.Answered, 2, 1},
-		"issuer gone and nothing sent uses a new key": {true, []*api.Problem{api.UnknownOutcome(api.ReasonIssuerGone, "gone").WithAttemptNotRun(), nil}, api.Answered, 2, 2},
-		"issuer gone and perhaps sent ends":           {true, []*api.Problem{api.UnknownOutcome(api.ReasonIssuerGone, "gone")}, api.Unknown, 1, 1},
-		"issuer gone after an uncertain attempt ends": {true, []*api.Problem{retryAfter(api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut")), api.UnknownOutcome(api.ReasonIssuerGone, "gone").WithAttemptNotRun()}, api.Unknown, 2, 1},
+		"not-run uses a new key":                                      {true, []*api.Problem{retryAfter(api.Refuse(api.ReasonQueueFull, "full")), nil}, api.Answered, 2, 2},
+		"not-run without a retry time ends":                           {true, []*api.Problem{api.Refuse(api.ReasonPromptTooLong, "long")}, api.NotRun, 1, 1},
+		"unknown ends a non-idempotent":                               {true, []*api.Problem{api.UnknownOutcome(api.ReasonUpstreamLost, "lost"), nil}, api.Unknown, 1, 1},
+		"unknown retries an idempotent":                               {false, []*api.Problem{api.UnknownOutcome(api.ReasonUpstreamLost, "lost"), nil}, api.Answered, 2, 0},
+		"issuer unreachable keeps the key":                            {true, []*api.Problem{retryAfter(api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut")), nil}, api.Answered, 2, 1},
+		"issuer gone and nothing sent uses a new key":                 {true, []*api.Problem{api.UnknownOutcome(api.ReasonIssuerGone, "gone").WithAttemptNotRun(), nil}, api.Answered, 2, 2},
+		"issuer unreachable and nothing sent uses a new key":          {true, []*api.Problem{retryAfter(api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut").WithAttemptNotRun()), nil}, api.Answered, 2, 2},
+		"issuer unreachable after an uncertain attempt keeps the key": {true, []*api.Problem{retryAfter(api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut")), retryAfter(api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut").WithAttemptNotRun()), nil}, api.Answered, 3, 1},
+		"an expired key that was never sent is replaced":              {true, []*api.Problem{api.UnknownOutcome(api.ReasonKeyExpired, "expired").WithAttemptNotRun(), nil}, api.Answered, 2, 2},
+		"an expired key after an uncertain attempt ends":              {true, []*api.Problem{retryAfter(api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut")), api.UnknownOutcome(api.ReasonKeyExpired, "expired").WithAttemptNotRun()}, api.Unknown, 2, 1},
+		"an expired key that may have been sent ends":                 {true, []*api.Problem{api.UnknownOutcome(api.ReasonKeyExpired, "expired")}, api.Unknown, 1, 1},
+		"issuer gone and perhaps sent ends":                           {true, []*api.Problem{api.UnknownOutcome(api.ReasonIssuerGone, "gone")}, api.Unknown, 1, 1},
+		"issuer gone after an uncertain attempt ends":                 {true, []*api.Problem{retryAfter(api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut")), api.UnknownOutcome(api.ReasonIssuerGone, "gone").WithAttemptNotRun()}, api.Unknown, 2, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -226,6 +231,38 @@
 	}
 }
 
+// Guards against requests that fail though all instances serve: the keys in hand of an issuer that has restarted, or that
+// have expired, took up all attempts.
+func TestKeysInHandOfAnIssuerThatRestartedAreReplaced(t *testing.T) {
+	for _, reason := range []api.Reason{api.ReasonIssuerGone, api.ReasonKeyExpired} {
+		t.Run(string(reason), func(t *testing.T) {
+			is := is.New(t)
+			issuers, batch := 1, 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+				if strings.HasSuffix(h.URL.Path, "idempotency-keys") {
+					batch++
+					fmt.Fprintf(w, `{"keys":["%d-%d-1","%d-%d-2","%d-%d-3","%d-%d-4","%d-%d-5","%d-%d-6"]}`,
+						issuers, batch, issuers, batch, issuers, batch, issuers, batch, issuers, batch, issuers, batch)
+					return
+				}
+				if !strings.HasPrefix(h.Header.Get(api.HeaderIdempotencyKey), fmt.Sprint(issuers)+"-") {
+					(&script{answers: []*api.Problem{api.UnknownOutcome(reason, "gone").WithAttemptNotRun()}, keys: map[string]bool{}}).ServeHTTP(w, h)
+				}
+			}))
+			defer server.Close()
+			c := connect(t, server.URL)
+			r := client.Request{Path: "/x", NonIdempotent: true}
+			_, err := c.Do(t.Context(), r)
+			is.NoErr(err)
+			issuers++
+			result, err := c.Do(t.Context(), r)
+			is.NoErr(err)
+			is.Equal(result.Attempts, 2)
+			is.Equal(batch, 2)
+		})
+	}
+}
+
 // script answers requests with its responses in order.
 type script struct {
 	answers []*api.Problem
--- a/internal/faults/keys_test.go
+++ b/internal/faults/keys_test.go
@@ -142,3 +142,21 @@
 	is.Equal(other.send(c).body, service.ResponseBody("a")) // joins the run
 	is.Equal(f.runCount("a"), 1)
 }
+
+// Guards against a request that counts as perhaps run though it was never sent: one under a key that has expired unused.
+func TestExpiredKeyTellsThatTheAttemptDidNotRun(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newConfiguredFleet(t, func(s *settings.Settings) { s.Idempotency.KeyLifetime = settings.Duration(time.Millisecond) }, "fort", "fort")
+	f.waitLinked()
+	key := f.daemons[0].issue()
+	for _, p := range f.daemons {
+		var r reply
+		f.eventually("the key has expired", func() bool {
+			r = p.send(call{path: releasePath, body: "a", key: key})
+			return r.problem.Reason == api.ReasonKeyExpired
+		})
+		is.Equal(r.outcome, api.Unknown)
+		is.Equal(r.problem.AttemptOutcome, api.NotRun)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -59,7 +59,10 @@
 		if err == nil {
 			return nil
 		}
-		everSent = everSent || sent
+		if sent && !everSent {
+			everSent = true
+			r = resent(r)
+		}
 		if sent || linkLostAt.IsZero() {
 			linkLostAt = time.Now()
 		}
@@ -74,6 +77,13 @@
 	}
 }
 
+// resent returns a copy of a request that is sent to the issuer of its key again.
+func resent(r *request.Request) *request.Request {
+	c := *r
+	c.Resent = true
+	return &c
+}
+
 // withAttemptOutcome adds to p that this attempt was not run, if the request wasn't sent.
 func withAttemptOutcome(p *api.Problem, sent bool) *api.Problem {
 	if sent {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -199,6 +199,9 @@
 func (g *Gateway) dispatchOrJoin(s *config.Snapshot, r *request.Request, u idempotency.Use) *answer.Buffer {
 	b, first, problem := g.o.Registry.Begin(u)
 	if problem != nil {
+		if r.Resent {
+			problem = problem.WithUnknownAttempt()
+		}
 		return g.refuse(r, problem)
 	}
 	if !first {
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -110,7 +110,7 @@
 	if now >= u.Expiry {
 		r.mu.Unlock()
 		return nil, false, api.UnknownOutcome(api.ReasonKeyExpired,
-			"the key has expired and its earlier use is no longer known; it won't run any more: check what it did before you request a new key")
+			"the key has expired and its earlier use is no longer known; it won't run any more: check what it did before you request a new key").WithAttemptNotRun()
 	}
 	e := &entry{use: u, buffer: answer.New(true)}
 	r.entries[u.Key] = e
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -89,6 +89,8 @@
 	// Spilled requests came from another availability zone that had no free capacity. They are not
 	// spilled again.
 	Spilled bool `cbor:"24,keyasint,omitempty"`
+	// Resent requests may have reached the issuer of their key before, in the same attempt of the caller.
+	Resent bool `cbor:"27,keyasint,omitempty"`
 
 	// Arrived and Deadline are on this instance's clock; SetTimes sets them.
 	Arrived  time.Time `cbor:"-"`
