gateway: a starting instance tells nothing of keys that aren't its own

Instances without routes. A request under a key that was forwarded to its issuer's address just as another process started there was told not-run, though the process before may have run it: the new one had no configuration yet and refused the request for that, before it looked whose key it is. By reading, callers saw this within moments of a restart only: the sender knows the process by its hello otherwise, and says issuer_gone.

The key is checked first. A request under the instance's own key that it can't serve for lack of a configuration is told unknown, with attemptOutcome not-run, as at other instances.

TestStartingInstanceDoesNotKnowKeysOfTheProcessBeforeIt failed before with not-run.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,19 +126,26 @@
 	if r.JoinOnly {
 		return g.joinLocal(r)
 	}
-	g.o.Gate.EnsureFresh(ctx)
-	s := g.o.Holder.Current()
-	if s == nil {
-		return g.refuse(r, refuseUnconfigured())
+	if r.NonIdempotent && !g.ownsKeyOf(r) {
+		return g.refuse(r, issuerGone())
 	}
-	if !r.NonIdempotent {
+	s := g.Snapshot(ctx)
+	switch {
+	case s == nil && r.NonIdempotent:
+		return g.refuse(r, refuseUnconfigured().WithUnknownOutcome())
+	case s == nil:
+		return g.refuse(r, refuseUnconfigured())
+	case r.NonIdempotent:
+		return g.serveIssued(s, r)
+	default:
 		return g.serveIdempotent(ctx, s, r)
 	}
+}
+
+// ownsKeyOf reports whether the key of a request names this process.
+func (g *Gateway) ownsKeyOf(r *request.Request) bool {
 	claims, err := idempotency.Parse(r.Key)
-	if err != nil || !g.o.Issuer.Owns(claims) {
-		return g.refuse(r, issuerGone())
-	}
-	return g.serveIssued(s, r)
+	return err == nil && g.o.Issuer.Owns(claims)
 }
 
 func refuseUnconfigured() *api.Problem {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,7 +8,9 @@
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/idempotency"
+	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/telemetry"
 )
@@ -29,3 +31,20 @@
 		is.Equal(end.Problem.AttemptOutcome, want)
 	}
 }
+
+// Guards against a request that may have run and is told that it didn't: its key is of the process that served at the
+// address of an instance before, which has started and has no configuration yet.
+func TestStartingInstanceDoesNotKnowKeysOfTheProcessBeforeIt(t *testing.T) {
+	is := is.New(t)
+	clock, address := idempotency.NewClock(), "10.0.0.1:7003"
+	before := idempotency.NewIssuer(address, 1, clock)
+	g := New(Options{
+		Issuer: idempotency.NewIssuer(address, 2, clock), Clock: clock, Holder: config.NewHolder(), Gate: &pause.Gate{Detector: pause.NewDetector()},
+		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
+	})
+	end := g.ServePeer(t.Context(), &request.Request{NonIdempotent: true, Key: before.Issue("gebremedhin", "", time.Minute)}).Ended()
+	is.Equal(end.Problem.Outcome, api.Unknown)
+	is.Equal(end.Problem.Reason, api.ReasonIssuerGone)
+	end = g.ServePeer(t.Context(), &request.Request{}).Ended()
+	is.Equal(end.Problem.Reason, api.ReasonNoConfiguration)
+}
