gateway: an instance serves once it has read the instance list

After a restart of all instances, a caller that resumed its stream was told that the engine is no longer in service, and to send the request again, though the engine served; new requests were refused for lack of an upstream. Instances counted as ready meanwhile. Under a key, the refusal was kept for all retries.

Cause: an instance with a configuration and without a list took every upstream for one that isn't there. The two come by separate calls, of which one can be late or fail.

Such an instance now refuses as one without a configuration does (no_configuration, with a time to retry after), before it uses a key, and isn't ready.

Whether a list is old isn't known: an engine that a lagging list lacks still counts as out of service.

--- a/api/outcome.go
+++ b/api/outcome.go
@@ -49,7 +49,7 @@
 	ReasonKeyMismatch Reason = "key_mismatch"
 	// ReasonKeyLimit: the instance has issued as many keys as idempotency.maxEntries allows. Retry later, or raise the limit.
 	ReasonKeyLimit Reason = "key_limit"
-	// ReasonNoConfiguration: the instance has not accepted a configuration yet. Retry shortly; check the platform if it persists.
+	// ReasonNoConfiguration: the instance has not accepted a configuration, or not read the instance list, yet. Retry shortly; check the platform if it persists.
 	ReasonNoConfiguration Reason = "no_configuration"
 	// ReasonNoRoute: no route matches the host and path. Correct them, or publish a route.
 	ReasonNoRoute Reason = "no_route"
--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -108,7 +108,7 @@
 	}
 	snapshot := s.gateway.Snapshot(h.Context())
 	if snapshot == nil {
-		s.refuse(w, h, request.NewID(), api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; retry after the given time").WithRetryAfter(time.Second))
+		s.refuse(w, h, request.NewID(), api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration or no instance list yet; retry after the given time").WithRetryAfter(time.Second))
 		return
 	}
 	control := http.NewResponseController(w)
@@ -219,7 +219,7 @@
 func (s *Server) caller(h *http.Request) (*config.Snapshot, *config.Organisation, *api.Problem) {
 	snapshot := s.gateway.Snapshot(h.Context())
 	if snapshot == nil {
-		return nil, nil, api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; retry after the given time").WithRetryAfter(time.Second)
+		return nil, nil, api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration or no instance list yet; retry after the given time").WithRetryAfter(time.Second)
 	}
 	org, problem := request.Authenticate(h, snapshot)
 	return snapshot, org, problem
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -283,6 +283,13 @@
 	return out
 }
 
+// HasList reports whether an instance list is in use.
+func (d *Dispatcher) HasList() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed != nil
+}
+
 // isListed reports whether an address is an upstream of the set in any zone. A stream is resumed at
 // the engine that runs it, which may be in another zone.
 func (d *Dispatcher) isListed(set, address string) bool {
--- a/internal/faults/responses_test.go
+++ b/internal/faults/responses_test.go
@@ -15,6 +15,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/standin/engine"
 	"github.com/tacktally/tacktally/internal/standin/service"
+	"github.com/tacktally/tacktally/internal/upstream"
 )
 
 // A partitioned zone goes on serving. A key that the other side issued is refused immediately, and works
@@ -251,3 +252,40 @@
 	}
 	is.Equal(len(f.engine.Runs()), 1)
 }
+
+// Guards against a stream that its caller gives up though its engine serves it: an instance that had started and hadn't
+// read the instance list yet took the engine for one that is no longer in service, after a restart of all instances.
+func TestStreamIsResumedOnceTheListIsKnown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort")
+	p := f.daemons[0]
+	body := prompt("a dossier", true)
+	whole := p.send(call{path: chatPath, body: body})
+	is.Equal(whole.outcome, api.Answered)
+	events := strings.SplitAfter(whole.body, "\n\n")
+	id, ok := upstream.EventToken([]byte(events[1]))
+	is.True(ok)
+	f.platform.SetListDown(true)
+	p.kill()
+	p.start()
+	f.eventually("the instance has the configuration", func() bool { return p.status().Revision == 1 })
+	is.Equal(p.status().ListVersion, int64(0))
+	again := call{path: chatPath, body: body, header: map[string]string{api.HeaderLastEventID: id.String()}}
+	r := p.send(again)
+	is.Equal(r.problem.Reason, api.ReasonNoConfiguration)
+	is.True(r.problem.RetryAfterSeconds > 0)
+	again.key = "an ID"
+	is.Equal(p.send(again).outcome, api.Unknown)
+	ready, err := f.client.Get("http://" + p.ip + ":7002/readyz")
+	is.NoErr(err)
+	ready.Body.Close()
+	is.Equal(ready.StatusCode, http.StatusServiceUnavailable)
+	f.platform.SetListDown(false)
+	p.waitReady()
+	again.key = ""
+	r = p.send(again)
+	is.Equal(r.outcome, api.Answered)
+	is.Equal(r.body, strings.Join(events[2:], ""))
+	is.Equal(len(f.engine.Runs()), 1)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,8 @@
 	// Displace sheds the least important waiting request that is of a lower tier than rank. It
 	// returns false if there is none.
 	Displace(rank int) bool
+	// HasList reports whether an instance list is in use.
+	HasList() bool
 }
 
 // Peers forwards requests to other instances.
@@ -72,10 +74,14 @@
 // Draining reports whether Drain was called.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
-// Snapshot returns the current configuration, or nil before the first one is accepted. After a
-// pause it blocks until the configuration has been refreshed or the refresh timed out.
+// Snapshot returns the current configuration, or nil before the first one is accepted and an instance list is
+// in use: until then, upstreams that aren't known may be in service. After a pause it blocks until the configuration
+// has been refreshed or the refresh timed out.
 func (g *Gateway) Snapshot(ctx context.Context) *config.Snapshot {
 	g.o.Gate.EnsureFresh(ctx)
+	if !g.o.Dispatcher.HasList() {
+		return nil
+	}
 	return g.o.Holder.Current()
 }
 
@@ -149,7 +155,7 @@
 }
 
 func refuseUnconfigured() *api.Problem {
-	return api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; retry after the given time").WithRetryAfter(time.Second)
+	return api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration or no instance list yet; retry after the given time").WithRetryAfter(time.Second)
 }
 
 func issuerGone() *api.Problem {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,6 +32,11 @@
 	}
 }
 
+// startingDispatcher is that of an instance that has just started.
+type startingDispatcher struct{ Dispatcher }
+
+func (startingDispatcher) HasList() bool { return false }
+
 // Guards against a request that may have run and is told that it didn't: its key is of the process that served at the
 // address of an instance before, which has started and has no configuration yet.
 func TestStartingInstanceDoesNotKnowKeysOfTheProcessBeforeIt(t *testing.T) {
@@ -39,7 +44,7 @@
 	clock, address := idempotency.NewClock(), "10.0.0.1:7003"
 	before := idempotency.NewIssuer(address, 1, clock)
 	g := New(Options{
-		Issuer: idempotency.NewIssuer(address, 2, clock), Clock: clock, Holder: config.NewHolder(), Gate: &pause.Gate{Detector: pause.NewDetector()},
+		Issuer: idempotency.NewIssuer(address, 2, clock), Clock: clock, Holder: config.NewHolder(), Gate: &pause.Gate{Detector: pause.NewDetector()}, Dispatcher: startingDispatcher{},
 		Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
 	})
 	end := g.ServePeer(t.Context(), &request.Request{NonIdempotent: true, Key: before.Issue("gebremedhin", "", time.Minute)}).Ended()
--- a/internal/operatorapi/server.go
+++ b/internal/operatorapi/server.go
@@ -345,6 +345,8 @@
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 	case st.Revision == 0:
 		http.Error(w, "no accepted configuration yet", http.StatusServiceUnavailable)
+	case st.ListVersion == 0:
+		http.Error(w, "no instance list yet", http.StatusServiceUnavailable)
 	default:
 		_, _ = io.WriteString(w, "ready\n")
 	}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -24,6 +24,7 @@
 	changed    chan struct{}     // closed and replaced at each change
 	calls      int
 	frozenList *value // served in place of list once set
+	listDown   bool   // calls for the list fail
 }
 
 type value struct {
@@ -65,6 +66,9 @@
 // SetDown sets whether every call fails, including those that wait.
 func (s *Service) SetDown(down bool) { s.update(func() { s.down = down }) }
 
+// SetListDown sets whether every call for the instance list fails, including those that wait.
+func (s *Service) SetListDown(down bool) { s.update(func() { s.listDown = down }) }
+
 // FreezeList makes the service keep serving the current list, whatever SetInstances publishes later.
 func (s *Service) FreezeList() {
 	s.update(func() {
@@ -136,7 +140,7 @@
 			v = *s.frozenList
 		}
 	}
-	return v, s.down, s.changed
+	return v, s.down || (list && s.listDown), s.changed
 }
 
 // writeValue writes a value with its revision, or 404 if none was published.
