client: a stream is resumed under a new key where its own can't be used

Callers of the Go client lost streams that were to run at most once when the instance that had issued their key restarted: they ended as unknown, though the engine went on and any instance could have resumed them.

Cause: the client took the resumption for another run of the request, which mustn't be made under a new key. A resumption runs nothing. Where the issuer is gone or can't be reached, the key has expired, or a refusal is retained under it, the client now resumes under a new key.

TestStreamIsResumedUnderANewKey failed before in all four cases ("unknown after 2 attempts: gone").

--- a/client/client.go
+++ b/client/client.go
@@ -302,10 +302,13 @@
 		s.key = ""
 		s.uncertain = false
 		return p.RetryAfterSeconds > 0
-	case p.AttemptOutcome == api.NotRun && !s.uncertain && isKeyUnusable(p.Reason):
-		s.key = "" // no attempt under it was ever dispatched
+	case p.AttemptOutcome == api.NotRun && isKeyUnusable(p.Reason) && (!s.uncertain || s.lastID != ""):
+		s.key = "" // no attempt under it was ever dispatched, or the stream is resumed, which runs nothing
 		s.client.dropKeys()
 		return true
+	case p.AttemptOutcome == api.NotRun && s.lastID != "":
+		s.key = "" // under which the refusal is retained
+		return p.RetryAfterSeconds > 0
 	case p.AttemptOutcome == api.NotRun && p.Reason == api.ReasonIssuerUnreachable:
 		return true
 	case p.AttemptOutcome == api.NotRun:
--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -144,3 +147,56 @@
 		server.Close()
 	}
 }
+
+// Guards against a stream that its client gives up though its engine goes on with it: a resumption runs nothing, so that
+// it is made under a new key where the one of the request can't be used any more, as after a restart of its issuer, or
+// retains a refusal.
+func TestStreamIsResumedUnderANewKey(t *testing.T) {
+	for name, problem := range map[string]*api.Problem{
+		"issuer gone":        api.UnknownOutcome(api.ReasonIssuerGone, "gone").WithAttemptNotRun(),
+		"issuer unreachable": api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut").WithAttemptNotRun().WithRetryAfter(time.Millisecond),
+		"key expired":        api.UnknownOutcome(api.ReasonKeyExpired, "expired").WithAttemptNotRun(),
+		"resumption refused": api.Refuse(api.ReasonQueueFull, "full").WithRetryAfter(time.Millisecond).WithUnknownOutcome(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			issued := 0
+			var keys []string
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+				if strings.HasSuffix(h.URL.Path, "idempotency-keys") {
+					issued++
+					_, _ = fmt.Fprintf(w, `{"keys":["%d-1","%d-2"]}`, issued, issued)
+					return
+				}
+				key := h.Header.Get(api.HeaderIdempotencyKey)
+				keys = append(keys, key)
+				switch {
+				case len(keys) == 1:
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				case key == keys[0]:
+					(&script{answers: []*api.Problem{problem}, keys: map[string]bool{}}).ServeHTTP(w, h)
+				default:
+					is.Equal(h.Header.Get(api.HeaderLastEventID), "1")
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.WriteString(w, "id: 2\ndata: b\n\n"+end)
+				}
+			}))
+			defer server.Close()
+			stream, err := connect(t, server.URL).Stream(t.Context(), client.Request{Path: "/v1/chat/completions", NonIdempotent: true})
+			is.NoErr(err)
+			defer stream.Close()
+			for _, want := range []string{"a", "b"} {
+				data, err := stream.Next()
+				is.NoErr(err)
+				is.Equal(string(data), want)
+			}
+			_, err = stream.Next()
+			is.Equal(err, io.EOF)
+			is.Equal(len(keys), 3)
+		})
+	}
+}
