dispatch: a refused resumption doesn't tell that the request didn't run

A caller that resumed a stream which must run at most once was told not-run where the resumption was refused, by a limit or a quarantine, or the engine couldn't be reached, as after a restart of it. The request had run.

Cause: a resumption was taken for a request that no attempt was made of before. Such an end is now unknown, with attemptOutcome not-run. A request that may run repeatedly is told not-run as before.

TestRefusedResumptionDoesNotTellThatTheRequestDidNotRun failed before: not-run for a resumption that must run at most once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -352,6 +352,9 @@
 	defer cancel()
 	started := time.Now()
 	end := d.serve(ctx, s, r, b, started)
+	if r.NonIdempotent && r.LastEventID != "" && end.Outcome() == api.NotRun {
+		end.Problem = end.Problem.WithUnknownOutcome() // only the resumption didn't run
+	}
 	b.Finish(end)
 	d.recordEnd(r, end, time.Since(started))
 }
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -406,6 +406,26 @@
 	is.Equal(end.Problem.Reason, api.ReasonUpstreamLost)
 }
 
+// Guards against a request that has run and is told that it didn't: the resumption of its stream was refused.
+func TestRefusedResumptionDoesNotTellThatTheRequestDidNotRun(t *testing.T) {
+	for _, c := range []struct {
+		nonIdempotent, resumed bool
+		outcome                api.Outcome
+	}{{true, true, api.Unknown}, {true, false, api.NotRun}, {false, true, api.NotRun}} {
+		is := is.New(t)
+		r := newStreamRequest(c.nonIdempotent)
+		a, address := newScriptedAttempts(t, &scriptedEngine{}, r)
+		if c.resumed {
+			r.LastEventID = lastEventID(t, address, events(1, 3))
+		}
+		a.dispatcher.Serve(t.Context(), a.snapshot, r, a.buffer) // which has no models
+		p := a.buffer.Ended().Problem
+		is.Equal(p.Reason, api.ReasonUnknownModel)
+		is.Equal(p.Outcome, c.outcome)
+		is.Equal(p.AttemptOutcome == api.NotRun, c.outcome == api.Unknown)
+	}
+}
+
 // Event IDs that an instance of the previous version has written have the checksum of their event alone.
 func TestEventIDOfThePreviousVersionIsResumed(t *testing.T) {
 	for want, second := range map[string][]string{"c [DONE]": {"a", "b", "c"}, "": {"a", "x", "c"}} {
