faults: nothing runs twice after a restart of all instances

Keys and caller-chosen IDs of before are sent again to each instance: while they start, once they are ready, and once they are linked. All end as unknown, and nothing runs a second time.

--- a/internal/faults/keys_test.go
+++ b/internal/faults/keys_test.go
@@ -160,3 +160,48 @@
 		is.Equal(r.problem.AttemptOutcome, api.NotRun)
 	}
 }
+
+// Nothing runs twice after a restart of all instances, and nothing that may have run is told not-run: keys name a process,
+// and an ID that nobody has seen is run only as a first attempt.
+func TestRestartOfAllInstancesRunsNothingTwice(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort", "pettah")
+	f.waitLinked()
+	again := []call{
+		{path: releasePath, body: "ran", key: f.daemons[0].issue()},
+		{path: releasePath, body: "unused", key: f.daemons[2].issue()},
+		{path: releasePath, body: "chosen", key: "an ID", attempt: "1"},
+	}
+	is.Equal(f.daemons[1].send(again[0]).body, service.ResponseBody("ran"))
+	is.Equal(f.daemons[1].send(again[2]).body, service.ResponseBody("chosen"))
+	for _, p := range f.daemons {
+		p.kill()
+	}
+	for _, p := range f.daemons {
+		p.start()
+	}
+	// Also while the instances don't know each other, the configuration or the list yet.
+	for n := range 3 {
+		if n == 1 {
+			for _, p := range f.daemons {
+				p.waitReady()
+			}
+		}
+		if n == 2 {
+			f.waitLinked()
+		}
+		for _, p := range f.daemons {
+			f.eventually("the instance listens", func() bool { return p.send(call{path: "/"}).status != 0 })
+			for _, c := range again {
+				for _, attempt := range []string{"", "2"} {
+					c.attempt, c.timeout = attempt, 10*time.Second
+					is.Equal(p.send(c).outcome, api.Unknown)
+				}
+			}
+		}
+	}
+	is.Equal(f.runCount("ran"), 1)
+	is.Equal(f.runCount("chosen"), 1)
+	is.Equal(f.runCount("unused"), 0)
+}
