--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -116,6 +116,7 @@
 		Instance:    a.dispatcher.o.Instance,
 		Revision:    a.snapshot.Revision,
 		BeforeWrite: a.checkBeforeWrite,
+		OnLeaving:   func() { a.dispatcher.recordLeavingNotice(g.Upstream.Address, a.sentAt) },
 	}
 }
 
@@ -165,8 +166,8 @@
 // cancelIfTimedOut cancels a stream whose deadline has passed, in the background. An engine that hasn't named the
 // stream yet ends the run when its connection is closed.
 func (a *attempts) cancelIfTimedOut(address string, r upstream.Result) {
-	if r.Status == upstream.Timeout && r.StreamID != "" {
-		a.dispatcher.cancellations.Go(func() { a.cancelStream(address, r.StreamID) })
+	if r.Status == upstream.Timeout && r.Position.StreamID != "" {
+		a.dispatcher.cancellations.Go(func() { a.cancelStream(address, r.Position.StreamID) })
 	}
 }
 
@@ -188,7 +189,7 @@
 		case upstream.Cancelled, upstream.Timeout:
 			return core.RecordCancelled(now, g)
 		case upstream.NotWritten:
-			if isLocalAbort(result.Err) {
+			if result.Aborted {
 				return core.RecordCancelled(now, g)
 			}
 			return core.RecordFailure(now, g)
@@ -197,18 +198,6 @@
 		}
 	})
 	a.recordCrashEvidence(g.Upstream.Address, result)
-	if result.Leaving {
-		a.dispatcher.MarkLeaving(g.Upstream.Address)
-		if a.dispatcher.o.OnUpstreamLeaving != nil {
-			a.dispatcher.o.OnUpstreamLeaving(g.Upstream.Address)
-		}
-	}
-}
-
-// isLocalAbort reports whether an attempt was stopped by this instance or its caller, not by a
-// failure of the upstream.
-func isLocalAbort(err error) bool {
-	return errors.Is(err, errPaused) || errors.Is(err, quarantine.ErrQuarantined) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 }
 
 // retry reports whether the request is sent again. An upstream that failed is excluded from the next
--- a/internal/faults/keys_test.go
+++ b/internal/faults/keys_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -117,3 +118,90 @@
 	is.Equal(f.runCount("a"), 1)
 	is.Equal(f.runCount("b")+f.runCount("f"), 0)
 }
+
+// Guards against a request that runs after its caller was told that it won't: an instance that is cut off from the issuer
+// of a key knows the process that was there before, and took the issuer for gone.
+func TestIssuerThatStartedBehindAPartitionIsNotTakenForGone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort")
+	f.waitLinked()
+	issuer, other := f.daemons[0], f.daemons[1]
+	partition(issuer, other)
+	issuer.kill()
+	issuer.start()
+	issuer.waitReady()
+	c := call{path: releasePath, body: "a", key: issuer.issue(), timeout: 10 * time.Second}
+	r := other.send(c)
+	is.Equal(r.problem.Reason, api.ReasonIssuerUnreachable)
+	is.Equal(r.outcome, api.Unknown)
+	is.Equal(r.problem.AttemptOutcome, api.NotRun)
+	is.Equal(issuer.send(c).body, service.ResponseBody("a"))
+	heal(issuer, other)
+	f.waitLinked()
+	is.Equal(other.send(c).body, service.ResponseBody("a")) // joins the run
+	is.Equal(f.runCount("a"), 1)
+}
+
+// Guards against a request that counts as perhaps run though it was never sent: one under a key that has expired unused.
+func TestExpiredKeyTellsThatTheAttemptDidNotRun(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newConfiguredFleet(t, func(s *settings.Settings) { s.Idempotency.KeyLifetime = settings.Duration(time.Millisecond) }, "fort", "fort")
+	f.waitLinked()
+	key := f.daemons[0].issue()
+	for _, p := range f.daemons {
+		var r reply
+		f.eventually("the key has expired", func() bool {
+			r = p.send(call{path: releasePath, body: "a", key: key})
+			return r.problem.Reason == api.ReasonKeyExpired
+		})
+		is.Equal(r.outcome, api.Unknown)
+		is.Equal(r.problem.AttemptOutcome, api.NotRun)
+	}
+}
+
+// Nothing runs twice after a restart of all instances, and nothing that may have run is told not-run: keys name a process,
+// and an ID that nobody has seen is run only as a first attempt.
+func TestRestartOfAllInstancesRunsNothingTwice(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort", "fort", "pettah")
+	f.waitLinked()
+	again := []call{
+		{path: releasePath, body: "ran", key: f.daemons[0].issue()},
+		{path: releasePath, body: "unused", key: f.daemons[2].issue()},
+		{path: releasePath, body: "chosen", key: "an ID", attempt: "1"},
+	}
+	is.Equal(f.daemons[1].send(again[0]).body, service.ResponseBody("ran"))
+	is.Equal(f.daemons[1].send(again[2]).body, service.ResponseBody("chosen"))
+	for _, p := range f.daemons {
+		p.kill()
+	}
+	for _, p := range f.daemons {
+		p.start()
+	}
+	// Also while the instances don't know each other, the configuration or the list yet.
+	for n := range 3 {
+		if n == 1 {
+			for _, p := range f.daemons {
+				p.waitReady()
+			}
+		}
+		if n == 2 {
+			f.waitLinked()
+		}
+		for _, p := range f.daemons {
+			f.eventually("the instance listens", func() bool { return p.send(call{path: "/"}).status != 0 })
+			for _, c := range again {
+				for _, attempt := range []string{"", "2"} {
+					c.attempt, c.timeout = attempt, 10*time.Second
+					is.Equal(p.send(c).outcome, api.Unknown)
+				}
+			}
+		}
+	}
+	is.Equal(f.runCount("ran"), 1)
+	is.Equal(f.runCount("chosen"), 1)
+	is.Equal(f.runCount("unused"), 0)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,12 +31,14 @@
 	// Displace sheds the least important waiting request that is of a lower tier than rank. It
 	// returns false if there is none.
 	Displace(rank int) bool
+	// HasList reports whether an instance list is in use.
+	HasList() bool
 }
 
 // Peers forwards requests to other instances.
 type Peers interface {
 	Forward(ctx context.Context, address string, r *request.Request, b *answer.Buffer) (sent bool, err error)
-	Incarnation(address string) uint64
+	Process(address string) (incarnation uint64, seen time.Time)
 	Peers() []peer.Status
 }
 
@@ -72,10 +74,14 @@
 // Draining reports whether Drain was called.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
-// Snapshot returns the current configuration, or nil before the first one is accepted. After a
-// pause it blocks until the configuration has been refreshed or the refresh timed out.
+// Snapshot returns the current configuration, or nil before the first one is accepted and an instance list is
+// in use: until then, upstreams that aren't known may be in service. After a pause it blocks until the configuration
+// has been refreshed or the refresh timed out.
 func (g *Gateway) Snapshot(ctx context.Context) *config.Snapshot {
 	g.o.Gate.EnsureFresh(ctx)
+	if !g.o.Dispatcher.HasList() {
+		return nil
+	}
 	return g.o.Holder.Current()
 }
 
@@ -126,23 +132,30 @@
 	if r.JoinOnly {
 		return g.joinLocal(r)
 	}
-	g.o.Gate.EnsureFresh(ctx)
-	s := g.o.Holder.Current()
-	if s == nil {
-		return g.refuse(r, refuseUnconfigured())
+	if r.NonIdempotent && !g.ownsKeyOf(r) {
+		return g.refuse(r, issuerGone())
 	}
-	if !r.NonIdempotent {
+	s := g.Snapshot(ctx)
+	switch {
+	case s == nil && r.NonIdempotent:
+		return g.refuse(r, refuseUnconfigured().WithUnknownOutcome())
+	case s == nil:
+		return g.refuse(r, refuseUnconfigured())
+	case r.NonIdempotent:
+		return g.serveIssued(s, r)
+	default:
 		return g.serveIdempotent(ctx, s, r)
 	}
+}
+
+// ownsKeyOf reports whether the key of a request names this process.
+func (g *Gateway) ownsKeyOf(r *request.Request) bool {
 	claims, err := idempotency.Parse(r.Key)
-	if err != nil || !g.o.Issuer.Owns(claims) {
-		return g.refuse(r, issuerGone())
-	}
-	return g.serveIssued(s, r)
+	return err == nil && g.o.Issuer.Owns(claims)
 }
 
 func refuseUnconfigured() *api.Problem {
-	return api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration yet; retry after the given time").WithRetryAfter(time.Second)
+	return api.Refuse(api.ReasonNoConfiguration, "this instance has no accepted configuration or no instance list yet; retry after the given time").WithRetryAfter(time.Second)
 }
 
 func issuerGone() *api.Problem {
@@ -199,6 +212,9 @@
 func (g *Gateway) dispatchOrJoin(s *config.Snapshot, r *request.Request, u idempotency.Use) *answer.Buffer {
 	b, first, problem := g.o.Registry.Begin(u)
 	if problem != nil {
+		if r.Resent {
+			problem = problem.WithUnknownAttempt()
+		}
 		return g.refuse(r, problem)
 	}
 	if !first {
--- a/internal/orglimit/orglimit.go
+++ b/internal/orglimit/orglimit.go
@@ -31,7 +31,7 @@
 	// idleShare is the share of the total kept for an instance that reports no demand, so that its
 	// first requests are granted before its demand is known.
 	idleShare = 0.02
-	// idleTimeout is the time after which an organisation without demand is removed.
+	// idleTimeout is the time after which an organisation without demand is removed, once it has saved up its burst.
 	idleTimeout = time.Minute
 )
 
@@ -47,6 +47,7 @@
 type organisation struct {
 	level      float64 // tokens that may be granted; negative is a debt
 	refilled   time.Time
+	total      float64 // the last limit, in tokens per second
 	demand     float64 // tokens per second requested here, smoothed
 	demandTime time.Time
 }
@@ -56,11 +57,18 @@
 	return &Limiter{instances: 1, peers: map[string]map[string]float64{}, orgs: map[string]*organisation{}}
 }
 
-// SetInstances sets the number of instances in the platform's list.
+// SetInstances sets the number of instances in the platform's list. Where it grows, the tokens saved up here are divided
+// with the others, which have saved up their own.
 func (l *Limiter) SetInstances(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.instances = max(n, 1)
+	n = max(n, 1)
+	for _, o := range l.orgs {
+		if n > l.instances && o.level > 0 {
+			o.level *= float64(l.instances) / float64(n)
+		}
+	}
+	l.instances = n
 }
 
 // SetPeerDemands sets the demands that a peer reported, in tokens per second by organisation.
@@ -79,13 +87,13 @@
 }
 
 // Demands returns the demands to report to the peers, in tokens per second by organisation. It
-// removes organisations without recent demand.
+// removes organisations without recent demand, except for those in debt.
 func (l *Limiter) Demands(now time.Time) map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := map[string]float64{}
 	for name, o := range l.orgs {
-		if now.Sub(o.demandTime) > idleTimeout {
+		if now.Sub(o.demandTime) > idleTimeout && o.isFullAt(now, l.share(now, name, o.total)) {
 			delete(l.orgs, name)
 			continue
 		}
@@ -123,6 +131,7 @@
 		o = &organisation{level: l.share(now, name, total) * burst.Seconds(), refilled: now}
 		l.orgs[name] = o
 	}
+	o.total = total
 	o.addDemand(now, a.Tokens)
 	share := l.share(now, name, total)
 	o.refill(now, share)
@@ -182,3 +191,8 @@
 	o.level = min(o.level+share*now.Sub(o.refilled).Seconds(), max(share*burst.Seconds(), o.level))
 	o.refilled = now
 }
+
+// isFullAt reports whether the organisation has saved up a burst of its share.
+func (o *organisation) isFullAt(now time.Time, share float64) bool {
+	return o.level+share*now.Sub(o.refilled).Seconds() >= share*burst.Seconds()
+}
--- a/internal/orglimit/orglimit_test.go
+++ b/internal/orglimit/orglimit_test.go
@@ -160,3 +160,74 @@
 	ok, _ := l.Take(now, takeRequest(cost))
 	is.True(ok)
 }
+
+// grantedAtOnce returns the tokens that limiters grant at one time.
+func grantedAtOnce(now time.Time, limiters []*Limiter) (sum float64) {
+	for _, l := range limiters {
+		for {
+			if ok, _ := l.Take(now, takeRequest(cost)); !ok {
+				break
+			}
+			sum += cost
+		}
+	}
+	return sum
+}
+
+// Guards against a burst of many times an organisation's limit after a restart of all instances, or as instances are
+// added: what one saved up while it knew of no others, or of fewer, must not be granted in full.
+func TestBurstIsThatOfTheInstancesThatAreListed(t *testing.T) {
+	for name, c := range map[string]struct {
+		known int // instances in the list before; 0 without a list
+		taken int // tokens of a request that found no upstream
+	}{
+		"list at once":                   {9, 0},
+		"request before the first list":  {0, cost},
+		"large request before the list":  {0, 5 * total},
+		"request while a third is known": {3, cost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(0, 0)
+			limiters := make([]*Limiter, 9)
+			for i := range limiters {
+				l := NewLimiter()
+				if c.known > 0 {
+					l.SetInstances(c.known)
+				}
+				if c.taken > 0 {
+					l.Take(now, takeRequest(c.taken))
+					l.Return("org", c.taken)
+				}
+				now = now.Add(step)
+				l.SetInstances(len(limiters))
+				limiters[i] = l
+			}
+			sum := grantedAtOnce(now, limiters)
+			is.True(sum >= 0.9*total*burst.Seconds())
+			is.True(sum <= total*burst.Seconds()+float64(len(limiters))*cost)
+		})
+	}
+}
+
+// Guards against organisations that use more than their limit by large requests with pauses between them: the debt of the
+// last one was forgotten after a minute without requests.
+func TestDebtOutlastsAPause(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter()
+	now := time.Unix(0, 0)
+	const seconds = 100
+	ok, _ := l.Take(now, takeRequest(seconds*total))
+	is.True(ok)
+	paid := now.Add((seconds - 1) * time.Second) // the first second is the burst
+	for ; now.Before(paid); now = now.Add(heartbeat) {
+		l.Demands(now)
+	}
+	ok, _ = l.Take(paid.Add(-heartbeat), takeRequest(cost))
+	is.True(!ok)
+	ok, _ = l.Take(paid.Add(heartbeat), takeRequest(cost))
+	is.True(ok)
+	// The organisation is removed once it has its burst again.
+	l.Demands(now.Add(2 * idleTimeout))
+	is.Equal(len(l.orgs), 0)
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -79,14 +78,13 @@
 	Status Status
 	// Err is the cause, for logs and problem details; nil if Status is Done.
 	Err error
+	// Aborted reports that this instance or its caller stopped the call before a byte was written, so that it says
+	// nothing of the upstream.
+	Aborted bool
 	// OutputTokens is the number of output tokens relayed in this call.
 	OutputTokens int
-	// StreamID, Events and LastChecksum identify the position at which a truncated stream can be resumed.
-	StreamID     string
-	Events       int
-	LastChecksum uint32
-	// Leaving reports whether the upstream announced in the response that it leaves.
-	Leaving bool
+	// Position is that at which a truncated stream can be resumed; it has no StreamID if it can't be.
+	Position ResumeToken
 	// EndUnstated reports that the response is complete only as far as its connection shows: it has neither
 	// a length nor chunks.
 	EndUnstated bool
@@ -103,11 +101,8 @@
 	// Instance and Revision are set in the head of the response.
 	Instance string
 	Revision int64
-	// StreamID resumes a stream after its first SkipEvents events, of which the last one has the given
-	// checksum, if that is known. Empty for a new request.
-	StreamID     string
-	SkipEvents   int
-	LastChecksum uint32
+	// Resume is the position after which a stream is resumed. It has no StreamID for a new request.
+	Resume ResumeToken
 	// BeforeWrite is called before the first byte is written: right before it for a non-idempotent
 	// request, before a connection is selected for an idempotent one. An error stops the call with
 	// NotWritten. It must not block.
@@ -115,6 +110,8 @@
 	// OnFirstOutput is called at the first event of a stream, or at the head of a service's
 	// response.
 	OnFirstOutput func()
+	// OnLeaving is called at the head of a response in which the upstream announces that it leaves. May be nil.
+	OnLeaving func()
 }
 
 // Client calls upstreams. It is safe for concurrent use.
@@ -154,25 +151,30 @@
 // Do sends the request once and relays the response into the buffer, which it doesn't finish. It
 // blocks until the response ends or ctx is done.
 func (c *Client) Do(ctx context.Context, call Call, b *answer.Buffer) Result {
+	if !call.Resume.isCheckable() {
+		return Result{Status: NotResumed, Err: errNotCheckable}
+	}
 	h, err := newRequest(ctx, call)
 	if err != nil {
 		return Result{Status: NotWritten, Err: err}
 	}
 	response, wrote, err := c.roundTrip(h, call)
 	if err != nil {
-		return Result{Status: statusOfError(ctx, wrote, Lost), Err: err}
+		status := statusOfError(ctx, wrote, Lost)
+		return Result{Status: status, Err: err, Aborted: status == NotWritten && (ctx.Err() != nil || errors.As(err, new(*abortError)))}
 	}
 	defer response.Body.Close()
-	result := relay(ctx, call, response, b)
-	result.Leaving = response.Header.Get(HeaderLeaving) == "true"
-	return result
+	if call.OnLeaving != nil && response.Header.Get(HeaderLeaving) == "true" {
+		call.OnLeaving()
+	}
+	return relay(ctx, call, response, b)
 }
 
 // roundTrip returns the response, or an error and whether a byte may have been written.
 func (c *Client) roundTrip(h *http.Request, call Call) (*http.Response, bool, error) {
 	if !call.Request.NonIdempotent {
 		if err := call.BeforeWrite(); err != nil {
-			return nil, false, err
+			return nil, false, &abortError{err}
 		}
 		response, err := c.pooled.RoundTrip(h)
 		return response, !isDialError(err), err
@@ -192,9 +194,19 @@
 		},
 	}
 	response, err := transport.RoundTrip(h)
+	if aborted := guarded.aborted.Load(); err != nil && aborted != nil {
+		return nil, guarded.wrote.Load(), aborted // the transport may return another error of the connection instead
+	}
 	return response, guarded.wrote.Load(), err
 }
 
+// abortError is the error of BeforeWrite.
+type abortError struct{ cause error }
+
+func (e *abortError) Error() string { return e.cause.Error() }
+
+func (e *abortError) Unwrap() error { return e.cause }
+
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
@@ -222,6 +234,7 @@
 	used        atomic.Bool
 	checked     bool // only accessed by Write, which one goroutine of the transport calls
 	wrote       atomic.Bool
+	aborted     atomic.Pointer[abortError]
 }
 
 func (o *guardedConn) wrap(conn net.Conn) (net.Conn, error) {
@@ -238,6 +251,7 @@
 	if !o.checked {
 		o.checked = true
 		if err := o.beforeWrite(); err != nil {
+			o.aborted.Store(&abortError{err})
 			return 0, err
 		}
 	}
@@ -245,27 +259,13 @@
 	return o.Conn.Write(p)
 }
 
-// asksForLastEvent reports whether a resumption asks for the last event that the caller has once more, to check that
-// the engine goes on after it.
-func (c Call) asksForLastEvent() bool {
-	return c.StreamID != "" && c.SkipEvents > 0 && c.LastChecksum != 0
-}
-
-// offset returns how many events of the stream a resumption skips.
-func (c Call) offset() int {
-	if c.asksForLastEvent() {
-		return c.SkipEvents - 1
-	}
-	return c.SkipEvents
-}
-
 // newRequest returns the HTTP request of a call.
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
 	r := call.Request
 	s := sling.New().Base("http://" + call.Address)
 	switch {
-	case call.StreamID != "":
-		s = s.Get("/v1/streams/" + call.StreamID + "?offset=" + strconv.Itoa(call.offset()))
+	case call.Resume.StreamID != "":
+		s = s.Get("/v1/streams/" + call.Resume.StreamID + "?offset=0") // from its start, to compare it with what the caller has
 	case r.Kind == request.Service:
 		s = serviceCall(s, call.Address, r)
 	case r.Kind == request.Chat:
