exchange: a head that breaks off is a lost response, not an invalid one

Callers got 502 upstream_garbage where an upstream had crashed as it began its response, and a request that crashes its upstreams at that point was never quarantined: only lost responses count as evidence of a crash, and only they make the instance diagnose the upstream. Nothing of such a response was relayed, and the retry rules are the same.

The cause: every error of http.ReadResponse was ErrInvalidResponse. A part of a head gives "malformed MIME header", "malformed HTTP status code" or an unexpected EOF, depending on the byte at which it ends, and the error of the connection is dropped. The connection's reader now keeps its first error; if there is one, the head was cut and the error is ErrNoResponse. Bytes that can't begin a response stay invalid, also if the connection ends after them.

TestRequestThatCrashesUpstreamsInsideTheHeadIsRefused failed with upstream_garbage; without its check of the reason, the request wasn't quarantined within 10 s.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -20,8 +21,8 @@
 var (
 	// ErrNotSent means that no byte of the request was written. It can't have run.
 	ErrNotSent = errors.New("the request was not sent")
-	// ErrNoResponse means that the request was written, at least in part, and no response
-	// arrived. It may have run.
+	// ErrNoResponse means that the request was written, at least in part, and the connection ended before
+	// the whole head of a response had arrived. It may have run.
 	ErrNoResponse = errors.New("no response arrived after the request was sent")
 	// ErrInvalidResponse means that the bytes that arrived are no response to the request. It may
 	// have run.
@@ -45,6 +46,8 @@
 	maxStrayBytes = 64 << 10
 	// maxInterimResponses bounds the 1xx responses that are skipped.
 	maxInterimResponses = 4
+	// protocolPrefix begins each response.
+	protocolPrefix = "HTTP/"
 )
 
 // Request is a request to an upstream.
@@ -223,7 +226,7 @@
 	}
 	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
 	if err != nil {
-		return fmt.Errorf("%w: the response to another request broke off: %w", ErrInvalidResponse, err)
+		return c.parseError(fmt.Errorf("the response to another request broke off: %w", err))
 	}
 	return nil
 }
@@ -232,12 +235,12 @@
 	c.source.bound(MaxHeadBytes)
 	defer c.source.unbound()
 	for range maxInterimResponses {
-		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, errHeadTooLarge) {
-			return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
+		if begin, _ := c.reader.Peek(len(protocolPrefix)); !strings.HasPrefix(protocolPrefix, string(begin)) {
+			return nil, fmt.Errorf("%w: they begin with %q", ErrInvalidResponse, begin)
 		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+			return nil, c.parseError(err)
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
@@ -246,6 +249,15 @@
 	return nil, fmt.Errorf("%w: too many interim responses", ErrInvalidResponse)
 }
 
+// parseError returns the error of an exchange whose response can't be parsed, given that of the parser, which doesn't
+// tell a head that was cut from an invalid one.
+func (c *conn) parseError(err error) error {
+	if c.source.err != nil {
+		return fmt.Errorf("%w (%v): %w", ErrNoResponse, err, c.source.err)
+	}
+	return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+}
+
 // write sends the request. If nothing was written the error wraps ErrNotSent.
 func (c *conn) write(r *Request) error {
 	head := encodeHead(r)
@@ -299,7 +311,8 @@
 type boundedReader struct {
 	from    io.Reader
 	bounded bool
-	left    int // bytes, if bounded
+	left    int   // bytes, if bounded
+	err     error // the first one of from
 }
 
 func (b *boundedReader) bound(bytes int) { b.bounded, b.left = true, bytes }
@@ -308,14 +321,19 @@
 
 // Read implements io.Reader.
 func (b *boundedReader) Read(p []byte) (int, error) {
-	if !b.bounded {
-		return b.from.Read(p)
-	}
-	if b.left == 0 {
+	if b.bounded && b.left == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := b.from.Read(p[:min(len(p), b.left)])
-	b.left -= n
+	if b.bounded {
+		p = p[:min(len(p), b.left)]
+	}
+	n, err := b.from.Read(p)
+	if b.bounded {
+		b.left -= n
+	}
+	if b.err == nil {
+		b.err = err
+	}
 	return n, err
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -232,6 +232,15 @@
 		"closed after the request": {func(_ net.Conn, r *bufio.Reader, _ int) { readRequest(r) }, ErrNoResponse},
 		"reset after the request":  {func(c net.Conn, r *bufio.Reader, _ int) { readRequest(r); reset(c) }, ErrNoResponse},
 		"not HTTP":                 {func(c net.Conn, r *bufio.Reader, _ int) { readRequest(r); _, _ = io.WriteString(c, "what?\r\n\r\n") }, ErrInvalidResponse},
+		"not HTTP, inside a line":  {func(c net.Conn, r *bufio.Reader, _ int) { readRequest(r); _, _ = io.WriteString(c, "wha") }, ErrInvalidResponse},
+		"invalid head, closed": {func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n")
+		}, ErrInvalidResponse},
+		"response to another request, cut": {func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 2\r\n\r\nn")
+		}, ErrNoResponse},
 		"responses to another request": {func(c net.Conn, r *bufio.Reader, _ int) {
 			readRequest(r)
 			_, _ = io.WriteString(c, strings.Repeat("HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 2\r\n\r\nno", 3))
--- a/internal/proxy/crashes_test.go
+++ b/internal/proxy/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -60,6 +61,38 @@
 	is.Equal(r.do(r.request("POST", "/safe/x", "good")).status, http.StatusOK)
 }
 
+// Guards against a request that crashes its upstreams as they begin their response and is never quarantined, since a
+// head that breaks off counted as an invalid response rather than as a lost one.
+func TestRequestThatCrashesUpstreamsInsideTheHeadIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.addUpstream(id, func(w http.ResponseWriter, q *http.Request) {
+			if sent, _ := io.ReadAll(q.Body); string(sent) != "bad" {
+				_, _ = io.WriteString(w, "ok")
+				return
+			}
+			hijack(func(c net.Conn) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSigned: a\r\nContent-Len")
+				_ = r.servers[id].Listener.Close()
+			})(w, q)
+		})
+	}
+	for n := range 2 {
+		lost := r.do(r.request("POST", "/once/x", "bad", "Id", strconv.Itoa(n)))
+		is.Equal(lost.status, http.StatusBadGateway)
+		is.Equal(lost.header.Get("Outcome"), "unknown")
+		is.Equal(lost.header.Get("Reason"), string(api.ReasonUpstreamLost))
+	}
+	bad := quarantine.Request{Key: quarantine.KeyOf("crews", "POST", "h.example", "/once/x", []byte("bad"))}
+	eventually(t, "the request is quarantined", func() bool { return r.registry.Remaining(time.Now(), bad) > 0 })
+	refused := r.do(r.request("POST", "/once/x", "bad", "Id", "3"))
+	is.Equal(refused.header.Get("Reason"), string(api.ReasonCrashesUpstreams))
+	is.Equal(refused.header.Get("Outcome"), "not-run")
+	is.Equal(r.do(r.request("POST", "/once/x", "good")).status, http.StatusOK)
+}
+
 // A request that crashes its upstreams must be quarantined also where its responses state no end, so that a
 // crash ends them as a complete response ends.
 func TestRequestThatCrashesUpstreamsInResponsesWithoutStatedEndIsRefused(t *testing.T) {
