upstream, exchange: a switch of protocols is no response

A service that answers a request with 101 made its caller's response complete: 101 without a body was passed on, with the outcome answered, and retained for retries under the key, though the upstream may have closed the connection right after it. Statuses below 100 were passed on as well. On routes, both were skipped as interim responses, and what followed the switch was read as the response.

The cause: net/http's transport returns 101 as a final response, while every other 1xx is skipped; and the exchange skipped all that is below 200. No request asks for another protocol, as Upgrade isn't forwarded, so such a response is invalid now: outcome unknown, and retried by the usual rules. TestSwitchOfProtocolsIsNoResponse and two cases of TestErrorsShowHowFarAnExchangeGot failed before.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -242,8 +242,11 @@
 		if err != nil {
 			return nil, c.parseError(err)
 		}
-		if response.StatusCode >= http.StatusOK {
+		switch {
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
+		case response.StatusCode < http.StatusContinue, response.StatusCode == http.StatusSwitchingProtocols: // no request asks for it
+			return nil, fmt.Errorf("%w: status %s", ErrInvalidResponse, response.Status)
 		}
 	}
 	return nil, fmt.Errorf("%w: too many interim responses", ErrInvalidResponse)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -237,6 +237,14 @@
 			readRequest(r)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n")
 		}, ErrInvalidResponse},
+		"switch of protocols": {func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+		}, ErrInvalidResponse},
+		"no such status": {func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n")
+		}, ErrInvalidResponse},
 		"response to another request, cut": {func(c net.Conn, r *bufio.Reader, _ int) {
 			readRequest(r)
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 2\r\n\r\nn")
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -207,6 +207,31 @@
 	}
 }
 
+// Guards against an upstream that switches protocols, which nobody asked for: its caller got the head, and whatever
+// followed, as a whole response.
+func TestSwitchOfProtocolsIsNoResponse(t *testing.T) {
+	for name, raw := range map[string]string{
+		"and closes":     "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"and goes on":    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\nConnection: Upgrade\r\n\r\nhello",
+		"and responds":   "HTTP/1.1 101 Switching Protocols\r\n\r\n" + okResponse,
+		"no such status": "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := listenRaw(t, func(u *rawUpstream, _ int, conn net.Conn, r *bufio.Reader) {
+				if u.readRequest(r) {
+					_, _ = io.WriteString(conn, raw)
+				}
+			})
+			client := NewClient(time.Second)
+			defer client.Close()
+			result, b := do(t, client, u.listener.Addr().String(), service("POST", true), allow)
+			if result.Status != InvalidResponse || b.Started() {
+				t.Errorf("%+v, head passed on: %t", result, b.Started())
+			}
+		})
+	}
+}
+
 // A path reaches the service as the caller wrote it, and never names another host.
 func TestPathsAreForwardedUnchanged(t *testing.T) {
 	is := is.New(t)
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -33,6 +33,9 @@
 
 // relay writes one response to the buffer.
 func relay(ctx context.Context, call Call, response *http.Response, b *answer.Buffer) Result {
+	if response.StatusCode < http.StatusOK { // net/http skips interim responses, except a switch of protocols
+		return Result{Status: InvalidResponse, Err: fmt.Errorf("upstream responded %s", response.Status)}
+	}
 	result := relayByKind(ctx, call, response, b)
 	result.ErrorStatus = response.StatusCode >= http.StatusBadRequest
 	return result
