exchange: a response of HTTP/1.0 has no Transfer-Encoding

Callers got 200 with the chunks themselves as the body, size lines included, where an upstream responded in chunks under HTTP/1.0: framed until close, so that a cut anywhere in them looked whole as well, or by the length that the head stated beside them. RFC 9112, section 6.1, takes the framing of such a message for faulty.

Other responses of HTTP/1.0 are passed on as before. TestChunksInAResponseOfHTTP10AreInvalid failed before in all of its six cases.

Instances without routes use net/http's transport, where the header can't be seen; there the response to a call of a service still has the chunks in its body.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,12 +7,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"strings"
 	"time"
 )
@@ -46,8 +48,9 @@
 	maxStrayBytes = 64 << 10
 	// maxInterimResponses bounds the 1xx responses that are skipped.
 	maxInterimResponses = 4
-	// protocolPrefix begins each response.
-	protocolPrefix = "HTTP/"
+	// protocolPrefix begins each response, and currentProtocol those that may have chunks.
+	protocolPrefix  = "HTTP/"
+	currentProtocol = "HTTP/1.1"
 )
 
 // Request is a request to an upstream.
@@ -231,18 +234,15 @@
 	return nil
 }
 
+// readHead reads the head of a final response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.source.bound(MaxHeadBytes)
 	defer c.source.unbound()
 	for range maxInterimResponses {
-		if begin, _ := c.reader.Peek(len(protocolPrefix)); !strings.HasPrefix(protocolPrefix, string(begin)) {
-			return nil, fmt.Errorf("%w: they begin with %q", ErrInvalidResponse, begin)
-		}
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, c.parseError(err)
-		}
+		response, err := c.readAnyHead(method)
 		switch {
+		case err != nil:
+			return nil, err
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		case response.StatusCode < http.StatusContinue, response.StatusCode == http.StatusSwitchingProtocols: // no request asks for it
@@ -252,6 +252,36 @@
 	return nil, fmt.Errorf("%w: too many interim responses", ErrInvalidResponse)
 }
 
+// readAnyHead reads the head of an interim or final response.
+func (c *conn) readAnyHead(method string) (*http.Response, error) {
+	begin, _ := c.reader.Peek(len(currentProtocol))
+	if protocol := begin[:min(len(begin), len(protocolPrefix))]; !strings.HasPrefix(protocolPrefix, string(protocol)) {
+		return nil, fmt.Errorf("%w: they begin with %q", ErrInvalidResponse, begin)
+	}
+	if string(begin) != currentProtocol {
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		c.source.startRecord(buffered)
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	head := c.source.endRecord()
+	if err != nil {
+		return nil, c.parseError(err)
+	}
+	if !response.ProtoAtLeast(1, 1) && hasTransferEncoding(head) {
+		return nil, fmt.Errorf("%w: a Transfer-Encoding in %s", ErrInvalidResponse, response.Proto)
+	}
+	return response, nil
+}
+
+// hasTransferEncoding reports whether a head, which more may follow, has a Transfer-Encoding. net/http drops the header
+// from responses of HTTP/1.0 and takes the encoded body for the body.
+func hasTransferEncoding(head []byte) bool {
+	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	_, _ = reader.ReadLine()             // the status line
+	header, _ := reader.ReadMIMEHeader() // parsed before
+	return header.Get("Transfer-Encoding") != ""
+}
+
 // parseError returns the error of an exchange whose response can't be parsed, given that of the parser, which doesn't
 // tell a head that was cut from an invalid one.
 func (c *conn) parseError(err error) error {
@@ -316,12 +346,27 @@
 	bounded bool
 	left    int   // bytes, if bounded
 	err     error // the first one of from
+
+	recording bool
+	record    []byte // what was read since startRecord
 }
 
 func (b *boundedReader) bound(bytes int) { b.bounded, b.left = true, bytes }
 
 func (b *boundedReader) unbound() { b.bounded = false }
 
+// startRecord starts to record what is read, after the bytes that were read but not consumed.
+func (b *boundedReader) startRecord(unconsumed []byte) {
+	b.recording, b.record = true, bytes.Clone(unconsumed)
+}
+
+// endRecord returns the record; nil if none was started.
+func (b *boundedReader) endRecord() []byte {
+	record := b.record
+	b.recording, b.record = false, nil
+	return record
+}
+
 // Read implements io.Reader.
 func (b *boundedReader) Read(p []byte) (int, error) {
 	if b.bounded && b.left == 0 {
@@ -334,6 +379,9 @@
 	if b.bounded {
 		b.left -= n
 	}
+	if b.recording {
+		b.record = append(b.record, p[:n]...)
+	}
 	if b.err == nil {
 		b.err = err
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -472,3 +472,28 @@
 	is.NoErr(err)
 	is.Equal(p.OpenConnections(), 0) // a closed pool keeps no connections
 }
+
+// Guards against chunks that are passed on as the body itself: net/http ignores the encoding in a response of HTTP/1.0,
+// whose body then seems to end with its connection.
+func TestChunksInAResponseOfHTTP10AreInvalid(t *testing.T) {
+	long := "Long: " + strings.Repeat("x", 2*readBufferBytes) + "\r\n"
+	for name, raw := range map[string]string{
+		"alone":                     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"in lower case":             "HTTP/1.0 200 OK\r\nSigned: a\r\ntransfer-encoding: CHUNKED\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"with a length":             "HTTP/1.0 200 OK\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"after an interim response": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"after a long header":       "HTTP/1.0 200 OK\r\n" + long + "Transfer-Encoding: chunked\r\n" + long + "\r\n2\r\nok\r\n0\r\n\r\n",
+		"of another kind":           "HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
+				readRequest(r)
+				_, _ = io.WriteString(c, raw)
+			})
+			body, err := exchangeOnce(newPool(address), get("1"))
+			is.Equal(body, "")
+			is.True(errors.Is(err, ErrInvalidResponse))
+		})
+	}
+}
