exchange: don't read a response out of the body of another one

After a late response to another request with a body of over 64 KiB, a caller could get a part of that body as its own response: the first 64 KiB were skipped, and the next bytes parsed as a head. Where they are one, with the request's ID, it was accepted, 200 and whole; anything else was invalid by luck. Such a response now ends the exchange as invalid. TestBodyOfAResponseToAnotherRequestIsNoResponse failed before with both framings.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -227,9 +227,12 @@
 	if c.strays > maxStrayResponses {
 		return fmt.Errorf("%w: too many responses to other requests", ErrInvalidResponse)
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
-	if err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1))
+	switch {
+	case err != nil:
 		return c.parseError(fmt.Errorf("the response to another request broke off: %w", err))
+	case n > maxStrayBytes:
+		return fmt.Errorf("%w: a response to another request has over %d bytes", ErrInvalidResponse, maxStrayBytes)
 	}
 	return nil
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -284,6 +285,28 @@
 	is.Equal(p.OpenConnections(), 0)
 }
 
+// Guards against a response that is made up of the body of a response to another request, of which only the first bytes
+// were skipped.
+func TestBodyOfAResponseToAnotherRequestIsNoResponse(t *testing.T) {
+	own := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nno"
+	body := strings.Repeat("x", maxStrayBytes) + own
+	for name, head := range map[string]string{
+		"length":      fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)),
+		"until close": "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
+				readRequest(r)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 0\r\n"+head+body)
+			})
+			got, err := exchangeOnce(newPool(address), get("1"))
+			is.Equal(got, "")
+			is.True(errors.Is(err, ErrInvalidResponse))
+		})
+	}
+}
+
 func TestInterimResponsesAreSkipped(t *testing.T) {
 	is := is.New(t)
 	address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
