exchange: don't skip a response to another request before one to HEAD

Where a late response to another request came before the response to HEAD, its body was parsed as the next head, since it was read as a response to HEAD, which has no body. Whether it has one can't be told, so the exchange ends as invalid. TestResponseToAnotherRequestThanHEADIsInvalid failed before: a body that looks like a head was accepted.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -215,6 +215,9 @@
 		if r.IsResponse == nil || r.IsResponse(response.Header) {
 			return response, nil
 		}
+		if r.Method == http.MethodHead {
+			return nil, fmt.Errorf("%w: a response to another request, which may have a body", ErrInvalidResponse)
+		}
 		if err := c.skipStray(response); err != nil {
 			return nil, err
 		}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -307,6 +307,19 @@
 	}
 }
 
+// Guards against the same where the request is HEAD: a response to HEAD has no body, and one to another request may have.
+func TestResponseToAnotherRequestThanHEADIsInvalid(t *testing.T) {
+	is := is.New(t)
+	address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 26\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n")
+	})
+	r := get("1")
+	r.Method = http.MethodHead
+	_, err := exchangeOnce(newPool(address), r)
+	is.True(errors.Is(err, ErrInvalidResponse))
+}
+
 func TestInterimResponsesAreSkipped(t *testing.T) {
 	is := is.New(t)
 	address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
