client: a failed resumption isn't the end of a stream

Users of the Go client that compare the error of Stream.Next with io.EOF by errors.Is, as its tests do, took a stream for complete that had broken off, where the connection of its last resumption was closed before a response: net/http's error for it wraps io.EOF, and *Error unwraps to it. The error now says so in its text and doesn't wrap io.EOF, as in the exchange with upstreams.

--- a/client/client.go
+++ b/client/client.go
@@ -285,6 +285,9 @@
 		retry = s.handleProblem(p)
 	} else {
 		s.err = err
+		if errors.Is(err, io.EOF) {
+			s.err = fmt.Errorf("%w: %v", errIncomplete, err) // readers of a stream would take it for the end
+		}
 		retry = true // under the same key, so that it joins an earlier attempt
 	}
 	return delay, retry && s.attempts < s.client.o.MaxAttempts
--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -107,6 +107,35 @@
 	is.Equal(s.resumed, []string{"", "1"})
 }
 
+// Guards against a stream that looks whole because its resumption fails: where a connection is closed before a response,
+// the error was one of io.EOF, with which Next reports the end.
+func TestFailedResumptionIsNotTheEnd(t *testing.T) {
+	is := is.New(t)
+	sent := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if sent++; sent == 1 {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	c, err := client.New(client.Options{URL: server.URL, APIKey: "k", MaxAttempts: 2})
+	is.NoErr(err)
+	stream, err := c.Stream(t.Context(), client.Request{Path: "/v1/chat/completions"})
+	is.NoErr(err)
+	defer stream.Close()
+	_, err = stream.Next()
+	is.NoErr(err)
+	_, err = stream.Next()
+	var e *client.Error
+	is.True(errors.As(err, &e))
+	is.True(!errors.Is(err, io.EOF))
+	is.Equal(e.Outcome, api.Unknown)
+	is.Equal(e.Attempts, 2)
+}
+
 // A stream without IDs isn't resumed, nor is one that ends without its last event taken for complete.
 func TestStreamWithoutIDsIsNotRepeated(t *testing.T) {
 	is := is.New(t)
