client: a response that ends with its connection isn't known to be whole

Users of the Go client got the outcome answered for a part of a body, or none of it, where a load balancer in front of the instances passes responses on without a length or chunks, as ones that speak HTTP/1.0 do, and closes its connection early. Result.Outcome promises that this is unknown. The cause: the client looked at the outcome that the instance states, which says nothing about the way from there. It now looks at the framing as well: a response of HTTP/1.x that ends with its connection is unknown.

--- a/client/client.go
+++ b/client/client.go
@@ -89,8 +89,8 @@
 
 // Result is the response to a request that was answered.
 type Result struct {
-	// Outcome is answered, also if the upstream answered with an error status. It is unknown if the upstream
-	// didn't state where its response ends, so that Body may be a part of it.
+	// Outcome is answered, also if the upstream answered with an error status. It is unknown if the upstream,
+	// or a load balancer, didn't state where its response ends, so that Body may be a part of it.
 	Outcome  api.Outcome
 	Status   int
 	Header   http.Header
@@ -255,12 +255,18 @@
 		return nil, s.readProblem(response, body)
 	}
 	outcome := api.Answered
-	if response.Header.Get(api.HeaderOutcome) == string(api.Unknown) || response.Trailer.Get(api.HeaderOutcome) == string(api.Unknown) {
+	if response.Header.Get(api.HeaderOutcome) == string(api.Unknown) || response.Trailer.Get(api.HeaderOutcome) == string(api.Unknown) || endsWithConnection(response) {
 		outcome = api.Unknown
 	}
 	return &Result{Outcome: outcome, Status: response.StatusCode, Header: response.Header, Body: body, Attempts: s.attempts}, nil
 }
 
+// endsWithConnection reports whether nothing but the close of its connection ends a response: whoever closes it may not
+// have passed on all of it. A compressed body states its own end.
+func endsWithConnection(r *http.Response) bool {
+	return r.ProtoMajor == 1 && r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed
+}
+
 func (s *requestState) readProblem(response *http.Response, body []byte) error {
 	var p api.Problem
 	if err := json.Unmarshal(body, &p); err != nil {
