faults: test cut responses with callers that join, and with retries

Ten responses that a service stops in the head or framing, each with a second caller that joins at another instance before the end and retries at both instances after it: none looks whole, none is refused as not run, and the service runs each once.

--- a/internal/faults/responses_test.go
+++ b/internal/faults/responses_test.go
@@ -157,6 +157,47 @@
 	is.Equal(issuer.metric(`tacktally_refusals_total{reason="upstream_end_unstated"}`), 1.0)
 }
 
+// Guards against a response that stops in its head or framing and looks whole to a caller: the first one, one that joins it
+// at another instance, or one that retries later and gets what was retained.
+func TestResponseCutInItsFramingIsWholeForNoCaller(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, "fort", "fort")
+	issuer, other := f.daemons[0], f.daemons[1]
+	arrived, hold := make(chan service.Call), make(chan struct{})
+	for name, raw := range map[string]string{
+		"in the status line":        "HTTP/1.1 200 O",
+		"in the length":             "HTTP/1.1 200 OK\r\nContent-Length: 1",
+		"before the blank line":     "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n",
+		"after an interim response": "HTTP/1.1 103 Early Hints\r\n\r\n",
+		"by a switch of protocols":  "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"in a body":                 "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nhello",
+		"in the size of a chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n1",
+		"before the trailer":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
+		"in the trailer":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nLast: 1\r\n",
+		"between events":            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 18\r\n\r\ndata: 1\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f.service.SetFaults(service.Faults{Raw: raw, Arrived: arrived, Hold: hold})
+			c := call{path: releasePath, body: name, key: issuer.issue()}
+			replies := make(chan reply, 2)
+			go func() { replies <- issuer.send(c) }()
+			<-arrived
+			go func() { replies <- other.send(c) }()
+			f.eventually("the second caller is served", func() bool { return other.metric("tacktally_callers_held") == 1 })
+			hold <- struct{}{}
+			for _, r := range []reply{<-replies, <-replies, issuer.send(c), other.send(c)} {
+				failed := r.status >= http.StatusInternalServerError || strings.Contains(r.body, "event: error\n")
+				is.True(!r.complete || (failed && r.outcome == api.Unknown))
+				is.True(r.status != http.StatusServiceUnavailable) // which promises that it hasn't run
+			}
+			is.Equal(f.runCount(name), 1)
+			f.service.SetFaults(service.Faults{})
+			is.Equal(issuer.send(call{path: lookupPath, body: "a"}).outcome, api.Answered) // closes the circuit of the service
+		})
+	}
+}
+
 // A broken stream is resumed at its engine, unnoticed by the caller and without a second prefill.
 func TestBrokenStreamIsResumed(t *testing.T) {
 	t.Parallel()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -30,6 +30,8 @@
 	Hold <-chan struct{}
 	// Break aborts the connection after a call has run, without a response.
 	Break bool
+	// Raw is written in place of a response, after which the connection is closed. Empty for none.
+	Raw string
 	// TruncateBody aborts the connection before the end of the response body.
 	TruncateBody bool
 	// CutBody ends the response with its connection, in the middle of a body that states no end.
@@ -87,6 +89,10 @@
 	if f.Break {
 		panic(http.ErrAbortHandler)
 	}
+	if f.Raw != "" {
+		writeRaw(w, f.Raw)
+		return
+	}
 	if f.Leaving {
 		w.Header().Set(upstream.HeaderLeaving, "true")
 	}
@@ -109,6 +115,14 @@
 	}
 }
 
+// writeRaw writes bytes to the connection of a response and closes it.
+func writeRaw(w http.ResponseWriter, raw string) {
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_, _ = io.WriteString(c, raw)
+		_ = c.Close()
+	}
+}
+
 // resetAfterFlush resets the connection of a response after what was written of it.
 func resetAfterFlush(w http.ResponseWriter) {
 	control := http.NewResponseController(w)
