--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,12 +7,15 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/textproto"
+	"strings"
 	"time"
 )
 
@@ -20,8 +23,8 @@
 var (
 	// ErrNotSent means that no byte of the request was written. It can't have run.
 	ErrNotSent = errors.New("the request was not sent")
-	// ErrNoResponse means that the request was written, at least in part, and no response
-	// arrived. It may have run.
+	// ErrNoResponse means that the request was written, at least in part, and the connection ended before
+	// the whole head of a response had arrived. It may have run.
 	ErrNoResponse = errors.New("no response arrived after the request was sent")
 	// ErrInvalidResponse means that the bytes that arrived are no response to the request. It may
 	// have run.
@@ -45,6 +48,9 @@
 	maxStrayBytes = 64 << 10
 	// maxInterimResponses bounds the 1xx responses that are skipped.
 	maxInterimResponses = 4
+	// protocolPrefix begins each response, and currentProtocol those that may have chunks.
+	protocolPrefix  = "HTTP/"
+	currentProtocol = "HTTP/1.1"
 )
 
 // Request is a request to an upstream.
@@ -209,6 +215,9 @@
 		if r.IsResponse == nil || r.IsResponse(response.Header) {
 			return response, nil
 		}
+		if r.Method == http.MethodHead {
+			return nil, fmt.Errorf("%w: a response to another request, which may have a body", ErrInvalidResponse)
+		}
 		if err := c.skipStray(response); err != nil {
 			return nil, err
 		}
@@ -221,31 +230,73 @@
 	if c.strays > maxStrayResponses {
 		return fmt.Errorf("%w: too many responses to other requests", ErrInvalidResponse)
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
-	if err != nil {
-		return fmt.Errorf("%w: the response to another request broke off: %w", ErrInvalidResponse, err)
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1))
+	switch {
+	case err != nil:
+		return c.parseError(fmt.Errorf("the response to another request broke off: %w", err))
+	case n > maxStrayBytes:
+		return fmt.Errorf("%w: a response to another request has over %d bytes", ErrInvalidResponse, maxStrayBytes)
 	}
 	return nil
 }
 
+// readHead reads the head of a final response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.source.bound(MaxHeadBytes)
 	defer c.source.unbound()
 	for range maxInterimResponses {
-		if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, errHeadTooLarge) {
-			return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
-		}
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrInvalidResponse, err)
-		}
-		if response.StatusCode >= http.StatusOK {
+		response, err := c.readAnyHead(method)
+		switch {
+		case err != nil:
+			return nil, err
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
+		case response.StatusCode < http.StatusContinue, response.StatusCode == http.StatusSwitchingProtocols: // no request asks for it
+			return nil, fmt.Errorf("%w: status %s", ErrInvalidResponse, response.Status)
 		}
 	}
 	return nil, fmt.Errorf("%w: too many interim responses", ErrInvalidResponse)
 }
 
+// readAnyHead reads the head of an interim or final response.
+func (c *conn) readAnyHead(method string) (*http.Response, error) {
+	begin, _ := c.reader.Peek(len(currentProtocol))
+	if protocol := begin[:min(len(begin), len(protocolPrefix))]; !strings.HasPrefix(protocolPrefix, string(protocol)) {
+		return nil, fmt.Errorf("%w: they begin with %q", ErrInvalidResponse, begin)
+	}
+	if string(begin) != currentProtocol {
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		c.source.startRecord(buffered)
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	head := c.source.endRecord()
+	if err != nil {
+		return nil, c.parseError(err)
+	}
+	if !response.ProtoAtLeast(1, 1) && hasTransferEncoding(head) {
+		return nil, fmt.Errorf("%w: a Transfer-Encoding in %s", ErrInvalidResponse, response.Proto)
+	}
+	return response, nil
+}
+
+// hasTransferEncoding reports whether a head, which more may follow, has a Transfer-Encoding. net/http drops the header
+// from responses of HTTP/1.0 and takes the encoded body for the body.
+func hasTransferEncoding(head []byte) bool {
+	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	_, _ = reader.ReadLine()             // the status line
+	header, _ := reader.ReadMIMEHeader() // parsed before
+	return header.Get("Transfer-Encoding") != ""
+}
+
+// parseError returns the error of an exchange whose response can't be parsed, given that of the parser, which doesn't
+// tell a head that was cut from an invalid one.
+func (c *conn) parseError(err error) error {
+	if c.source.err != nil {
+		return fmt.Errorf("%w (%v): %w", ErrNoResponse, err, c.source.err)
+	}
+	return fmt.Errorf("%w: %w", ErrInvalidResponse, err)
+}
+
 // write sends the request. If nothing was written the error wraps ErrNotSent.
 func (c *conn) write(r *Request) error {
 	head := encodeHead(r)
@@ -299,23 +350,47 @@
 type boundedReader struct {
 	from    io.Reader
 	bounded bool
-	left    int // bytes, if bounded
+	left    int   // bytes, if bounded
+	err     error // the first one of from
+
+	recording bool
+	record    []byte // what was read since startRecord
 }
 
 func (b *boundedReader) bound(bytes int) { b.bounded, b.left = true, bytes }
 
 func (b *boundedReader) unbound() { b.bounded = false }
 
+// startRecord starts to record what is read, after the bytes that were read but not consumed.
+func (b *boundedReader) startRecord(unconsumed []byte) {
+	b.recording, b.record = true, bytes.Clone(unconsumed)
+}
+
+// endRecord returns the record; nil if none was started.
+func (b *boundedReader) endRecord() []byte {
+	record := b.record
+	b.recording, b.record = false, nil
+	return record
+}
+
 // Read implements io.Reader.
 func (b *boundedReader) Read(p []byte) (int, error) {
-	if !b.bounded {
-		return b.from.Read(p)
-	}
-	if b.left == 0 {
+	if b.bounded && b.left == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := b.from.Read(p[:min(len(p), b.left)])
-	b.left -= n
+	if b.bounded {
+		p = p[:min(len(p), b.left)]
+	}
+	n, err := b.from.Read(p)
+	if b.bounded {
+		b.left -= n
+	}
+	if b.recording {
+		b.record = append(b.record, p[:n]...)
+	}
+	if b.err == nil {
+		b.err = err
+	}
 	return n, err
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -232,6 +233,23 @@
 		"closed after the request": {func(_ net.Conn, r *bufio.Reader, _ int) { readRequest(r) }, ErrNoResponse},
 		"reset after the request":  {func(c net.Conn, r *bufio.Reader, _ int) { readRequest(r); reset(c) }, ErrNoResponse},
 		"not HTTP":                 {func(c net.Conn, r *bufio.Reader, _ int) { readRequest(r); _, _ = io.WriteString(c, "what?\r\n\r\n") }, ErrInvalidResponse},
+		"not HTTP, inside a line":  {func(c net.Conn, r *bufio.Reader, _ int) { readRequest(r); _, _ = io.WriteString(c, "wha") }, ErrInvalidResponse},
+		"invalid head, closed": {func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n")
+		}, ErrInvalidResponse},
+		"switch of protocols": {func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+		}, ErrInvalidResponse},
+		"no such status": {func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n")
+		}, ErrInvalidResponse},
+		"response to another request, cut": {func(c net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 2\r\n\r\nn")
+		}, ErrNoResponse},
 		"responses to another request": {func(c net.Conn, r *bufio.Reader, _ int) {
 			readRequest(r)
 			_, _ = io.WriteString(c, strings.Repeat("HTTP/1.1 200 OK\r\nId: 9\r\nContent-Length: 2\r\n\r\nno", 3))
@@ -267,6 +285,41 @@
 	is.Equal(p.OpenConnections(), 0)
 }
 
+// Guards against a response that is made up of the body of a response to another request, of which only the first bytes
+// were skipped.
+func TestBodyOfAResponseToAnotherRequestIsNoResponse(t *testing.T) {
+	own := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nno"
+	body := strings.Repeat("x", maxStrayBytes) + own
+	for name, head := range map[string]string{
+		"length":      fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)),
+		"until close": "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
+				readRequest(r)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 0\r\n"+head+body)
+			})
+			got, err := exchangeOnce(newPool(address), get("1"))
+			is.Equal(got, "")
+			is.True(errors.Is(err, ErrInvalidResponse))
+		})
+	}
+}
+
+// Guards against the same where the request is HEAD: a response to HEAD has no body, and one to another request may have.
+func TestResponseToAnotherRequestThanHEADIsInvalid(t *testing.T) {
+	is := is.New(t)
+	address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 26\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n")
+	})
+	r := get("1")
+	r.Method = http.MethodHead
+	_, err := exchangeOnce(newPool(address), r)
+	is.True(errors.Is(err, ErrInvalidResponse))
+}
+
 func TestInterimResponsesAreSkipped(t *testing.T) {
 	is := is.New(t)
 	address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
@@ -455,3 +508,28 @@
 	is.NoErr(err)
 	is.Equal(p.OpenConnections(), 0) // a closed pool keeps no connections
 }
+
+// Guards against chunks that are passed on as the body itself: net/http ignores the encoding in a response of HTTP/1.0,
+// whose body then seems to end with its connection.
+func TestChunksInAResponseOfHTTP10AreInvalid(t *testing.T) {
+	long := "Long: " + strings.Repeat("x", 2*readBufferBytes) + "\r\n"
+	for name, raw := range map[string]string{
+		"alone":                     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"in lower case":             "HTTP/1.0 200 OK\r\nSigned: a\r\ntransfer-encoding: CHUNKED\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"with a length":             "HTTP/1.0 200 OK\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"after an interim response": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"after a long header":       "HTTP/1.0 200 OK\r\n" + long + "Transfer-Encoding: chunked\r\n" + long + "\r\n2\r\nok\r\n0\r\n\r\n",
+		"of another kind":           "HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
+				readRequest(r)
+				_, _ = io.WriteString(c, raw)
+			})
+			body, err := exchangeOnce(newPool(address), get("1"))
+			is.Equal(body, "")
+			is.True(errors.Is(err, ErrInvalidResponse))
+		})
+	}
+}
