view: a history of routes or of the list begins anew after a gap

Found by review, by scratch tests: an instance that couldn't read configuration or list while a route went from s to t and back, or a version came and went, still counted as having followed both, told others so, and discarded what better informed peers knew, since their history wasn't longer. A change after more than 3 s without a proof now begins the history anew; what peers know of former routes always counts.

TestRouteHistoryBeginsAnewAfterAGap and TestFormerRoutesOfAPeerCountHoweverLongItFollowed failed before, by the scratch tests that they replace.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -158,16 +158,17 @@
 	}
 	i.fleet = i.newFleet()
 	i.view = view.New(view.Options{
-		Source:        o.Source,
-		Lease:         time.Duration(s.Routed.Lease),
-		ServeStale:    s.Routed.StaleKeys == settings.ServeStaleKeys,
-		SettlePeriod:  time.Duration(s.Routed.Settle),
-		LapseAfter:    lapseHeartbeats * time.Duration(s.Routed.UpstreamHeartbeat),
-		OnUpstreams:   i.upstreamsChanged,
-		OnEvacuations: i.evacuationsChanged,
-		OnTable:       i.tableChanged,
-		Metrics:       i.metrics,
-		Log:           i.log,
+		Source:          o.Source,
+		Lease:           time.Duration(s.Routed.Lease),
+		ServeStale:      s.Routed.StaleKeys == settings.ServeStaleKeys,
+		SettlePeriod:    time.Duration(s.Routed.Settle),
+		LapseAfter:      lapseHeartbeats * time.Duration(s.Routed.UpstreamHeartbeat),
+		OnUpstreams:     i.upstreamsChanged,
+		OnEvacuations:   i.evacuationsChanged,
+		OnTable:         i.tableChanged,
+		OnRoutesChanged: func(services []string) { i.fleet.ShareOrigins(services) },
+		Metrics:         i.metrics,
+		Log:             i.log,
 	})
 	allowance := fleet.Allowance{Share: s.Routed.QuotaOverage, Tokens: s.Routed.QuotaSlack, Window: time.Duration(s.Routed.QuotaWindow)}
 	i.quotas = fleet.NewQuotas(i.started, allowance, i.fleet)
--- a/internal/view/changes.go
+++ b/internal/view/changes.go
@@ -20,6 +20,8 @@
 	Changed []Upstream
 	// Removed are the IDs of upstreams that are no longer on the list.
 	Removed []string
+	// Gap reports that others may have been listed and removed between the list before and this one.
+	Gap bool
 }
 
 // state is the state of one upstream on the list, as logs show it.
--- a/internal/view/route_history.go
+++ b/internal/view/route_history.go
@@ -14,8 +14,10 @@
 	routeMemory = 2 * time.Hour
 	// maxFormerRoutes bounds the former services of routes, at most some MB. With more, all are forgotten.
 	maxFormerRoutes = 1 << 13
-	// minAddedHistory is by how much longer the history of a peer must be to be used.
+	// minAddedHistory is by how much longer the history of a peer must be to extend this one.
 	minAddedHistory = 2 * time.Second
+	// maxProofGap is how long the list or the configuration may go unproven until a change counts as the last of several.
+	maxProofGap = 3 * time.Second
 )
 
 // FormerRoute is a service to which requests of a host below a path prefix were sent until their route changed.
@@ -36,62 +38,98 @@
 	Former   []FormerRoute `cbor:"3,keyasint,omitempty"`
 }
 
-// IsValid reports whether the durations are within their bounds. No history is valid.
+// IsValid reports whether the durations and the number of routes are within their bounds. No history is valid.
 func (h *RouteHistory) IsValid() bool {
 	if h == nil {
 		return true
 	}
 	valid := func(d time.Duration) bool { return d >= 0 && d <= routeMemory }
-	return valid(h.Followed) && !slices.ContainsFunc(h.Former, func(r FormerRoute) bool { return !valid(r.Ended) })
+	return valid(h.Followed) && len(h.Former) <= maxFormerRoutes && !slices.ContainsFunc(h.Former, func(r FormerRoute) bool { return !valid(r.Ended) })
 }
 
-// formerRoute identifies a FormerRoute.
-type formerRoute struct {
-	prefix  routing.Prefix
-	service string
-}
+// formerRoute is the prefix of a route and a service.
+type formerRoute struct{ prefix, service string }
 
 // routeHistory is where routes led before. The View's lock protects it.
 type routeHistory struct {
-	since  time.Time                 // since when changes are known, zero before the first configuration
-	former map[formerRoute]time.Time // when the route changed
+	since  time.Time                            // since when changes are known, zero before the first configuration
+	former map[string]map[formerRoute]time.Time // when the route changed, by host
+	count  int
 }
 
-// replace records the changes from one table to the next. Old is nil for the first one.
-func (h *routeHistory) replace(now time.Time, old, next *routing.Table) {
+// replace records the changes from one table to the next, and returns the services of routes that changed. Old is nil for
+// the first table. A gap is that others may have been in force between the two.
+func (h *routeHistory) replace(now time.Time, old, next *routing.Table, gap bool) (services []string) {
 	if old == nil {
 		h.since = now
-		return
+		return nil
 	}
+	changed := map[string]bool{}
 	before, after := old.ByPrefix(), next.ByPrefix()
 	for p, r := range before {
-		if same := after[p]; same == nil || !slices.Equal(same.Split, r.Split) {
-			h.record(now, p, r)
+		if same := after[p]; gap || same == nil || !slices.Equal(same.Split, r.Split) {
+			h.recordSplit(now, p, r, changed)
 		}
 	}
 	for p := range after {
-		if covered := old.Match(p.Host, p.Path); before[p] == nil && covered != nil {
-			h.record(now, p, covered)
+		if before[p] != nil {
+			continue
+		}
+		if covered := old.Match(p.Host, p.Path); covered != nil {
+			h.recordSplit(now, p, covered, changed)
 		}
 	}
-	maps.DeleteFunc(h.former, func(_ formerRoute, ended time.Time) bool { return now.Sub(ended) > routeMemory })
-	if len(h.former) >= maxFormerRoutes {
-		h.since, h.former = now, nil
+	if gap {
+		h.since = now
 	}
+	h.prune(now)
+	return slices.Collect(maps.Keys(changed))
 }
 
-// record records that requests below a prefix were sent by a route until now.
-func (h *routeHistory) record(now time.Time, p routing.Prefix, r *routing.Route) {
-	if h.former == nil {
-		h.former = map[formerRoute]time.Time{}
-	}
+// recordSplit records that requests below a prefix were sent by a route until now, and adds its services to changed.
+func (h *routeHistory) recordSplit(now time.Time, p routing.Prefix, r *routing.Route, changed map[string]bool) {
 	for _, s := range r.Split {
 		if s.Weight > 0 {
-			h.former[formerRoute{p, s.Service}] = now
+			h.record(p.Host, formerRoute{p.Path, s.Service}, now)
+			changed[s.Service] = true
 		}
 	}
 }
 
+// record records when a route to a service changed, unless a later change is known.
+func (h *routeHistory) record(host string, r formerRoute, ended time.Time) {
+	if h.former == nil {
+		h.former = map[string]map[formerRoute]time.Time{}
+	}
+	routes := h.former[host]
+	if routes == nil {
+		routes = map[formerRoute]time.Time{}
+		h.former[host] = routes
+	}
+	known, found := routes[r]
+	if !found {
+		h.count++
+	}
+	if ended.After(known) {
+		routes[r] = ended
+	}
+}
+
+// prune forgets what is older than routeMemory, and all if there is too much.
+func (h *routeHistory) prune(now time.Time) {
+	h.count = 0
+	for host, routes := range h.former {
+		maps.DeleteFunc(routes, func(_ formerRoute, ended time.Time) bool { return now.Sub(ended) > routeMemory })
+		h.count += len(routes)
+		if len(routes) == 0 {
+			delete(h.former, host)
+		}
+	}
+	if h.count > maxFormerRoutes {
+		h.since, h.former, h.count = now, nil, 0
+	}
+}
+
 // followed returns for how long changes are known, routeMemory at most.
 func (h *routeHistory) followed(now time.Time) time.Duration {
 	if h.since.IsZero() {
@@ -100,6 +138,14 @@
 	return min(now.Sub(h.since), routeMemory)
 }
 
+// replaceRoutes records the changes of routes to the next table. The caller holds the lock.
+func (v *View) replaceRoutes(next *routing.Table) {
+	now := v.o.Now()
+	if changed := v.routes.replace(now, v.table, next, now.Sub(v.asOf) > maxProofGap); len(changed) > 0 && v.o.OnRoutesChanged != nil {
+		v.o.OnRoutesChanged(changed)
+	}
+}
+
 // RoutesFollowed returns for how long this instance, or peers before it, have followed where routes lead; two hours at
 // most.
 func (v *View) RoutesFollowed() time.Duration {
@@ -119,8 +165,8 @@
 	if v.routes.followed(now) < within {
 		return false
 	}
-	for r, ended := range v.routes.former {
-		if r.service != service && r.prefix.Host == host && strings.HasPrefix(path, r.prefix.Path) && now.Sub(ended) < within {
+	for r, ended := range v.routes.former[host] {
+		if r.service != service && strings.HasPrefix(path, r.prefix) && now.Sub(ended) < within {
 			return false
 		}
 	}
@@ -133,34 +179,33 @@
 	defer v.mu.Unlock()
 	now := v.o.Now()
 	h := &RouteHistory{Revision: v.configuration.Revision, Followed: v.routes.followed(now)}
-	for r, ended := range v.routes.former {
-		if now.Sub(ended) <= routeMemory {
-			h.Former = append(h.Former, FormerRoute{Host: r.prefix.Host, Prefix: r.prefix.Path, Service: r.service, Ended: now.Sub(ended)})
+	for host, routes := range v.routes.former {
+		for r, ended := range routes {
+			if now.Sub(ended) <= routeMemory {
+				h.Former = append(h.Former, FormerRoute{Host: host, Prefix: r.prefix, Service: r.service, Ended: now.Sub(ended)})
+			}
 		}
 	}
 	return h
 }
 
-// MergeRouteHistory adds what a peer knows of former routes, if both have the same configuration in force: otherwise one
-// that the peer had in force, and this instance never did, would be missing.
+// MergeRouteHistory adds what a peer knows of former routes. It extends what this instance has followed if both have the same
+// configuration in force: otherwise one that the peer had in force, and this instance never did, would be missing.
 func (v *View) MergeRouteHistory(h *RouteHistory, peer string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.o.Now()
-	before := v.routes.followed(now)
-	if h == nil || v.table == nil || h.Revision != v.configuration.Revision || h.Followed < before+minAddedHistory {
+	if h == nil || v.table == nil {
 		return
 	}
-	if v.routes.former == nil {
-		v.routes.former = map[formerRoute]time.Time{}
-	}
-	v.routes.since = now.Add(-h.Followed)
+	now := v.o.Now()
 	for _, r := range h.Former {
-		key := formerRoute{routing.Prefix{Host: r.Host, Path: r.Prefix}, r.Service}
-		if ended := now.Add(-r.Ended); ended.After(v.routes.former[key]) {
-			v.routes.former[key] = ended
-		}
+		v.routes.record(r.Host, formerRoute{r.Prefix, r.Service}, now.Add(-r.Ended))
+	}
+	before := v.routes.followed(now)
+	if h.Revision == v.configuration.Revision && h.Followed >= before+minAddedHistory {
+		v.routes.since = now.Add(-h.Followed)
+		v.o.Log.Info().Str("event", "route_history").Str("peer", peer).Dur("followed", h.Followed).Dur("followed_before", before).
+			Int("former", len(h.Former)).Msg("")
 	}
-	v.o.Log.Info().Str("event", "route_history").Str("peer", peer).Dur("followed", h.Followed).Dur("followed_before", before).
-		Int("former", len(h.Former)).Msg("")
+	v.routes.prune(now)
 }
--- a/internal/view/route_history_test.go
+++ b/internal/view/route_history_test.go
@@ -64,6 +64,7 @@
 				v := newRouteView(c.changes[0])
 				is.True(!v.WasRoutedTo("h:80", c.path, c.service, routeLifetime)) // it has just started
 				wait.For(t.Context(), routeLifetime)
+				v.ConfirmConfiguration(1, time.Now())
 				for n, routes := range c.changes[1:] {
 					v.SetConfiguration(int64(n+2), []byte(routes), time.Now())
 				}
@@ -81,6 +82,7 @@
 		is := is.New(t)
 		peer := newRouteView("/a/=s /b/=s")
 		wait.For(t.Context(), routeLifetime)
+		peer.ConfirmConfiguration(1, time.Now())
 		peer.SetConfiguration(2, []byte("/a/=t /b/=s"), time.Now())
 		fresh := newRouteView("/a/=t /b/=s") // revision 1
 		fresh.MergeRouteHistory(peer.RouteHistory(), "peer")
@@ -98,6 +100,37 @@
 	})
 }
 
+// Guards against streams of two services: an instance that was cut off may have missed where a route led meanwhile, and
+// must not take a history for its own that ends before that.
+func TestRouteHistoryBeginsAnewAfterAGap(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v, peer := newRouteView("/a/=s"), newRouteView("/a/=s")
+		wait.For(t.Context(), routeLifetime)
+		peer.ConfirmConfiguration(1, time.Now())
+		peer.SetConfiguration(2, []byte("/a/=t"), time.Now())
+		peer.SetConfiguration(3, []byte("/a/=s"), time.Now())
+		v.SetConfiguration(3, []byte("/a/=s"), time.Now())
+		is.Equal(v.RoutesFollowed(), time.Duration(0))
+		is.True(!v.WasRoutedTo("h", "/a/x", "s", routeLifetime))
+		v.MergeRouteHistory(peer.RouteHistory(), "peer")
+		is.Equal(v.RoutesFollowed(), routeLifetime)
+		is.True(!v.WasRoutedTo("h", "/a/x", "s", routeLifetime))
+	})
+}
+
+// Guards against streams of two services: what a peer knows of former routes counts, also if it has followed them for less.
+func TestFormerRoutesOfAPeerCountHoweverLongItFollowed(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := newRouteView("/a/=s")
+		wait.For(t.Context(), routeLifetime)
+		v.MergeRouteHistory(&RouteHistory{Revision: 1, Former: []FormerRoute{{Host: "h", Prefix: "/a/", Service: "t", Ended: time.Second}}}, "peer")
+		is.Equal(v.RoutesFollowed(), routeLifetime)
+		is.True(!v.WasRoutedTo("h", "/a/x", "s", routeLifetime))
+	})
+}
+
 // Many changes must not fill the memory; what is forgotten isn't known.
 func TestRouteHistoryIsBounded(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
@@ -105,8 +138,9 @@
 		v := newRouteView("/a/=s")
 		wait.For(t.Context(), 2*routeMemory)
 		is.Equal(v.RoutesFollowed(), routeMemory)
+		v.ConfirmConfiguration(1, time.Now())
 		var many strings.Builder
-		for n := range maxFormerRoutes {
+		for n := range maxFormerRoutes + 1 {
 			fmt.Fprintf(&many, "/%d/=s ", n)
 		}
 		v.SetConfiguration(2, []byte(many.String()), time.Now())
--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -9,6 +9,7 @@
 func (v *View) SetUpstreams(list []Upstream, revision int64, asOf time.Time) {
 	v.updateList("source", func(r *roster, now time.Time) {
 		v.countOlder(revision)
+		r.noteGap(now, revision)
 		r.replace(now, list, revision)
 		r.prove(revision, asOf)
 	})
@@ -39,6 +40,7 @@
 	}
 	v.updateList("peer "+peer, func(r *roster, now time.Time) {
 		v.countOlder(l.Version)
+		r.noteGap(now, l.Version)
 		r.merge(now, l)
 		if l.Version == r.version {
 			r.prove(r.complete, l.AsOf)
@@ -128,6 +130,7 @@
 			Dur("settling", max(r.settlesAt.Sub(now), 0)).Str("from", from).Msg("the source was restored from a copy; upstreams absent from it count as missing while the list settles")
 	}
 	change, states := r.commit(now)
+	change.Gap, r.gap = r.gap, false
 	if states == "" && len(change.Changed) == 0 && version == r.version {
 		return
 	}
@@ -149,6 +152,12 @@
 	v.settleTimer.Reset(t.Sub(v.o.Now()))
 }
 
+// noteGap records whether a list of a version, which takes the place of this one, lacks what was listed between the two: it
+// isn't a continuous series of changes, and this list wasn't proven for long.
+func (r *roster) noteGap(now time.Time, version int64) {
+	r.gap = r.version > 0 && version > r.version && r.age(now) > maxProofGap
+}
+
 // List returns the whole list.
 func (v *View) List() List { return v.ListFor(KnownState{WholeOnly: true}) }
 
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -141,6 +141,9 @@
 	OnUpstreams func(ListChange)
 	// OnEvacuations is called with the evacuated zones after each change of them, one call at a time.
 	OnEvacuations func(zones []string)
+	// OnRoutesChanged is called with the services of routes that changed, before the new configuration comes into force. The
+	// View is locked during the call, so it must not call the View.
+	OnRoutesChanged func(services []string)
 	// OnTable is called after a new configuration came into force, one call at a time and in the order of versions. One
 	// that was replaced before its turn is left out.
 	OnTable func(*routing.Table)
@@ -307,6 +310,9 @@
 	same := bytes.Equal(c.Content, inForce.Content)
 	switch {
 	case same, len(c.Content) == 0 && c.Revision == inForce.Revision:
+		if c.Revision > inForce.Revision {
+			v.replaceRoutes(v.table) // others may have been in force meanwhile
+		}
 		v.configuration.Revision = max(inForce.Revision, c.Revision)
 		v.prove(asOf)
 	case EpochOf(c.Revision) == EpochOf(inForce.Revision) && c.Revision < inForce.Revision, c.Revision == v.lastRefused.revision:
@@ -371,7 +377,7 @@
 		v.scheduleRelease()
 	}
 	v.logAccepted(c, table, asOf, from)
-	v.routes.replace(v.o.Now(), v.table, table)
+	v.replaceRoutes(table)
 	v.configuration = c
 	v.table = table
 	v.prove(asOf) // a later proof of the previous configuration holds for this one too
