fleet: share the origins of streams that others would conclude wrongly, or can't conclude

A service's longest lifetime counts. - A stream that may be resumed for more than two hours made a frame that its receiver refuses.

Their tests: TestOriginsOfChangedRoutesAreShared, TestInstanceWithAnOlderConfigurationAssumesNoOrigin, TestListHistoryBeginsAnewAfterAGap, TestVersionsOfAPeerCountHoweverLongItFollowed, TestKeeperWithoutAListDoesNotPreventAConclusion, TestLongestLifetimeOfAServiceCounts, TestLifetimeOfAnOriginIsBounded.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -282,7 +282,9 @@
 // ServeOrigin implements peer.Handler.
 func (p *peerHandler) ServeOrigin(q *peer.OriginQuery) *peer.OriginReply {
 	age, _ := p.instance.view.ListAge() // without a list, no version is known
-	return p.instance.fleet.ServeOrigin(q, age)
+	reply := p.instance.fleet.ServeOrigin(q, age)
+	reply.ConfigRevision = p.instance.view.Revision()
+	return reply
 }
 
 // HandleQuotaReturn implements peer.Handler.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -103,11 +103,10 @@
 	// the round-robin position of the notices in messages to peers.
 	leavingNotices map[string]leavingNotice
 	noticesSent    int
-	slots          SlotClient    // nil without peers
-	relays         Relays        // nil without routed.relay
-	originLifetime time.Duration // for which streams may be resumed at most, as far as is known
-	followedSince  time.Time     // since when the versions on the list are known: it first arrived, or a peer has followed it
-	originClient   OriginClient  // nil without peers
+	slots          SlotClient   // nil without peers
+	relays         Relays       // nil without routed.relay
+	followedSince  time.Time    // since when the versions on the list are known: it first arrived, or a peer has followed it
+	originClient   OriginClient // nil without peers
 	origins        *origin.Registry
 
 	brittle     brittleUpstreams
@@ -133,6 +132,8 @@
 	spreadUntil time.Time
 	coldStart   scheduler.ColdStart
 	versions    map[string]*versionUse // of its upstreams
+	// originLifetime is for how long its streams may be resumed at most, as far as is known.
+	originLifetime time.Duration
 }
 
 // shard is a subset of a service's upstreams that one instance schedules.
--- a/internal/fleet/list_history.go
+++ b/internal/fleet/list_history.go
@@ -6,7 +6,7 @@
 	"github.com/tacktally/tacktally/internal/peer"
 )
 
-// minAddedHistory is by how much longer the history of a peer must be to be used.
+// minAddedHistory is by how much longer the history of a peer must be to extend this one.
 const minAddedHistory = 2 * time.Second
 
 // followed returns for how long this instance knows which versions each service has had, versionMemory at most. The caller
@@ -52,8 +52,8 @@
 	return h
 }
 
-// MergeListHistory adds the versions that a peer knows to those of this instance. Together they have followed the list since
-// the peer did, as this instance had a list when the peer replied.
+// MergeListHistory adds the versions that a peer knows to those of this instance. If the peer has followed the list for longer,
+// together they have since then, as this instance had a list when the peer replied.
 func (f *Fleet) MergeListHistory(from string, h *peer.ListHistory) {
 	if h == nil {
 		return
@@ -61,14 +61,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	for _, v := range h.Versions {
+		f.serviceOf(v.Service).sawVersion(v.Version, now.Add(-v.Gone))
+	}
 	before := f.followed(now)
 	if f.followedSince.IsZero() || h.Followed < before+minAddedHistory {
 		return
 	}
 	f.followedSince = now.Add(-h.Followed)
-	for _, v := range h.Versions {
-		f.serviceOf(v.Service).sawVersion(v.Version, now.Add(-v.Gone))
-	}
 	f.o.Log.Info().Str("event", "list_history").Str("peer", from).Dur("followed", h.Followed).Dur("followed_before", before).
 		Int("versions", len(h.Versions)).Msg("")
 }
--- a/internal/fleet/list_history_test.go
+++ b/internal/fleet/list_history_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/view"
 	"github.com/tacktally/tacktally/internal/virtualtime"
 	"github.com/tacktally/tacktally/internal/wait"
 )
@@ -87,3 +88,40 @@
 		is.True(slices.Equal(h.Versions, []peer.ListedVersion{{Service: "s", Version: "v2"}}))
 	})
 }
+
+// Guards against streams of two versions: an instance that was cut off may have missed a version that came and went. It
+// tells nobody that it has followed the list, and what others then ask of it they must find at the keepers.
+func TestListHistoryBeginsAnewAfterAGap(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		began := o.list[0].Address
+		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
+		o.revision++
+		for _, f := range o.instances {
+			f.ApplyListChange(view.ListChange{Version: o.revision, Gap: true})
+			is.Equal(f.Followed(), time.Duration(0))
+		}
+		is.Equal(o.find(t, "unknown"), map[string]bool{"": true})
+		o.kill(began)
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+		wait.For(t.Context(), originLifetime)
+		is.Equal(o.find(t, "unknown"), map[string]bool{"v1": true})
+	})
+}
+
+// Guards against streams of two versions: a version that a peer has seen counts, also if the peer has followed the list for less.
+func TestVersionsOfAPeerCountHoweverLongItFollowed(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(1)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		for _, f := range o.instances {
+			f.MergeListHistory("peer", &peer.ListHistory{Followed: time.Second, Versions: []peer.ListedVersion{{Service: "s", Version: "v2", Gone: time.Second}}})
+		}
+		is.Equal(o.find(t, "r"), map[string]bool{"": true})
+	})
+}
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -98,31 +98,42 @@
 func (f *Fleet) servicesWithVersions(now time.Time) map[string]bool {
 	out := map[string]bool{}
 	for name, s := range f.services {
-		if len(s.recentVersions(now, f.originLifetime)) > 1 {
+		if len(s.recentVersions(now, s.originLifetime)) > 1 {
 			out[name] = true
 		}
 	}
 	return out
 }
 
-// sharedOrigins returns the origins that this instance knows and keepers receive: those of services that have had several
-// versions within the lifetime of a stream, or all, while this instance doesn't know which versions there were.
+// sharedOrigins returns the origins that this instance knows and keepers receive: those that it has shared, and those of services
+// that have had several versions within the lifetime of a stream, or of which this instance doesn't know the versions.
 func (f *Fleet) sharedOrigins(now time.Time) []origin.Origin {
 	f.mu.Lock()
 	services := f.servicesWithVersions(now)
-	all := f.followed(now) < f.originLifetime
-	f.mu.Unlock()
-	if !all && len(services) == 0 {
-		return nil
+	for name, s := range f.services {
+		services[name] = services[name] || f.followed(now) < s.originLifetime
 	}
-	return slices.DeleteFunc(f.origins.All(now), func(o origin.Origin) bool { return !all && !services[o.Service] })
+	f.mu.Unlock()
+	return f.origins.Shared(now, services)
+}
+
+// extendLifetime records for how long a stream of a service may be resumed, and returns the longest time for the service.
+func (f *Fleet) extendLifetime(service string, lifetime time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.serviceOf(service)
+	s.originLifetime = max(s.originLifetime, lifetime)
+	return s.originLifetime
 }
 
-// extendOriginLifetime records for how long a stream may be resumed.
-func (f *Fleet) extendOriginLifetime(lifetime time.Duration) {
+// longestLifetime returns for how long a stream of a service may be resumed, as far as is known.
+func (f *Fleet) longestLifetime(service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.originLifetime = max(f.originLifetime, lifetime)
+	if s := f.services[service]; s != nil {
+		return s.originLifetime
+	}
+	return 0
 }
 
 // hashOf returns the hash by which a request is known to other instances; 0 for no request.
@@ -133,23 +144,44 @@
 	return max(xxhash.Sum64String(request), 1)
 }
 
-// RecordOrigin records that an upstream of a version has begun a stream, which may be resumed for the
-// duration lifetime. Request is the ID of the request that brought the first event. The keepers receive it
-// if other versions may have begun streams of the service within that time.
-func (f *Fleet) RecordOrigin(request, service, version string, lifetime time.Duration) {
-	if request == "" {
+// BegunStream is a stream whose first event was relayed.
+type BegunStream struct {
+	// Request is the ID of the request that brought the event.
+	Request string
+	// Service and Version of the upstream.
+	Service, Version string
+	// Lifetime is how long the stream may be resumed.
+	Lifetime time.Duration
+	// OnlyService reports that no other service can have begun streams of its path within that time.
+	OnlyService bool
+}
+
+// RecordOrigin records which service and version began a stream. The keepers receive it if others may have begun
+// streams of its path within its lifetime.
+func (f *Fleet) RecordOrigin(s BegunStream) {
+	if s.Request == "" {
 		return
 	}
 	now := time.Now()
-	o := origin.Origin{Request: hashOf(request), Service: service, Version: version, Until: now.Add(lifetime)}
-	f.extendOriginLifetime(lifetime)
-	shared := f.originClient != nil && (!f.hasFollowedFor(now, lifetime) || len(f.recentVersions(now, service, lifetime)) > 1)
+	remaining := min(s.Lifetime, versionMemory)
+	longest := f.extendLifetime(s.Service, remaining)
+	o := origin.Origin{Request: hashOf(s.Request), Service: s.Service, Version: s.Version, Until: now.Add(remaining)}
+	isOnlyOne := s.OnlyService && f.hasFollowedFor(now, longest) && len(f.recentVersions(now, s.Service, longest)) <= 1
+	shared := f.originClient != nil && !isOnlyOne
 	f.origins.Record(now, o, shared)
 	if shared {
 		f.sendOrigins(now, []origin.Origin{o})
 	}
 }
 
+// ShareOrigins sends the origins of the streams of services that only this instance knows to the keepers: other
+// instances can no longer conclude them.
+func (f *Fleet) ShareOrigins(services []string) {
+	for _, service := range services {
+		f.shareOrigins(service)
+	}
+}
+
 // shareOrigins sends the origins of a service's streams that only this instance knows to the keepers. It is
 // called when a version appears.
 func (f *Fleet) shareOrigins(service string) {
@@ -231,7 +263,7 @@
 func (f *Fleet) MergeOrigins(list []peer.StreamOrigin) {
 	now := time.Now()
 	for _, o := range list {
-		f.extendOriginLifetime(o.Remaining)
+		f.extendLifetime(o.Service, o.Remaining)
 		f.origins.Record(now, origin.Origin{Request: o.Request, Service: o.Service, Version: o.Version, Until: now.Add(o.Remaining)}, true)
 	}
 }
@@ -320,7 +352,9 @@
 	if o, known := f.origins.Find(now, q.Request); known {
 		reply.Known, reply.Service, reply.Version = true, o.Service, o.Version
 	}
-	if versions := f.recentVersions(now, q.Service, q.Lifetime); len(versions) == 1 {
+	versions := f.recentVersions(now, q.Service, q.Lifetime)
+	reply.HasNoVersion = len(versions) == 0
+	if len(versions) == 1 {
 		reply.HasOnlyVersion, reply.OnlyVersion = true, versions[0]
 	}
 	return reply
@@ -342,8 +376,9 @@
 	Service string
 	// Lifetime is how long after its first event it may be resumed.
 	Lifetime time.Duration
-	// OnlyService reports that no other service can have begun it within that time.
-	OnlyService bool
+	// OnlyService reports that no other service can have begun it within that time, by the configuration of ConfigRevision.
+	OnlyService    bool
+	ConfigRevision int64
 	// ListAge is the age of this instance's list.
 	ListAge time.Duration
 }
@@ -363,12 +398,13 @@
 		search.source = originRecorded
 		return o.Service, o.Version, true
 	}
-	search.versions = f.recentVersions(now, s.Service, s.Lifetime)
+	lifetime := max(s.Lifetime, f.longestLifetime(s.Service)) // another route may have begun it
+	search.versions = f.recentVersions(now, s.Service, lifetime)
 	versions := search.versions
-	followed := f.hasFollowedFor(now, s.Lifetime)
+	followed := f.hasFollowedFor(now, lifetime)
 	search.settled = followed && IsCurrent(s.ListAge)
 	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
-	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: s.Lifetime})
+	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: lifetime})
 	search.asked, search.replied = len(keepers), len(replies)
 	for address, r := range replies {
 		if r.Known && r.Service == "" && !s.OnlyService {
@@ -380,7 +416,10 @@
 			f.origins.Record(now, origin.Origin{Request: hash, Service: service, Version: r.Version, Until: now.Add(s.Lifetime)}, true)
 			return service, r.Version, true
 		}
-		if len(versions) != 1 || !r.HasOnlyVersion || r.OnlyVersion != versions[0] {
+		if r.HasNoVersion {
+			continue // it has just started
+		}
+		if len(versions) != 1 || !r.HasOnlyVersion || r.OnlyVersion != versions[0] || r.ConfigRevision > s.ConfigRevision {
 			return "", "", false
 		}
 		if r.Settled {
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -31,6 +31,9 @@
 	listAge  map[string]time.Duration // by instance
 	listed   map[string]view.Upstream // by ID
 	revision int64
+
+	configRevision int64
+	longest        time.Duration // for which an origin that was sent may be resumed
 }
 
 // originLifetime is how long streams may be resumed in these tests.
@@ -111,6 +114,9 @@
 }
 
 func (o *originFleet) SendOrigins(address string, list []peer.StreamOrigin) {
+	for _, origin := range list {
+		o.longest = max(o.longest, origin.Remaining)
+	}
 	if f := o.alive(address); f != nil {
 		f.MergeOrigins(list)
 	}
@@ -121,7 +127,9 @@
 	if f == nil {
 		return nil, peer.ErrNoReply
 	}
-	return f.ServeOrigin(q, o.listAge[address]), nil
+	reply := f.ServeOrigin(q, o.listAge[address])
+	reply.ConfigRevision = o.configRevision
+	return reply, nil
 }
 
 // find returns the versions that the instances that are alive find, empty for none, each once.
@@ -132,7 +140,7 @@
 		if o.killed[address] {
 			continue
 		}
-		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: o.listAge[address]})
+		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ConfigRevision: o.configRevision, ListAge: o.listAge[address]})
 		if !known {
 			version = ""
 		}
@@ -154,9 +162,9 @@
 					o.publish("b", "v2")
 					began := o.list[n].Address
 					for stream := range 20 {
-						o.instances[began].RecordOrigin(fmt.Sprint("r", stream), "s", "v1", originLifetime)
+						o.instances[began].RecordOrigin(BegunStream{Request: fmt.Sprint("r", stream), Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 						is.Equal(o.find(t, fmt.Sprint("r", stream)), map[string]bool{"v1": true})
-						o.instances[began].RecordOrigin(fmt.Sprint("unasked", stream), "s", "v1", originLifetime)
+						o.instances[began].RecordOrigin(BegunStream{Request: fmt.Sprint("unasked", stream), Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 					}
 					is.Equal(o.find(t, "another"), map[string]bool{"": true})
 					o.kill(began)
@@ -177,7 +185,7 @@
 		o.publish("a", "v1")
 		wait.For(t.Context(), originLifetime)
 		began := o.list[0].Address
-		o.instances[began].RecordOrigin("r", "s", "v1", originLifetime)
+		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 		for address, f := range o.instances {
 			is.Equal(f.origins.Len(), map[bool]int{true: 1}[address == began])
 		}
@@ -195,7 +203,7 @@
 		o.publish("a", "v1")
 		o.publish("b", "v2")
 		began := o.list[0].Address
-		o.instances[began].RecordOrigin("r", "s", "v1", originLifetime)
+		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 		for _, f := range o.instances {
 			service, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "t", Lifetime: originLifetime})
 			is.True(known)
@@ -310,7 +318,7 @@
 						}
 						for stream := range 20 {
 							request := fmt.Sprint("r", began, "-", stream)
-							o.instances[i.Address].RecordOrigin(request, "s", "v2", originLifetime)
+							o.instances[i.Address].RecordOrigin(BegunStream{Request: request, Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true})
 							_, version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: time.Second})
 							if !known || version != "v2" {
 								t.Fatalf("a stream of version v2, begun at instance %d, is known as one of %q (%v)", began, version, known)
@@ -346,7 +354,7 @@
 		o := newOriginFleet(3)
 		o.publish("a", "v1")
 		o.publish("b", "v2")
-		o.instances[o.list[0].Address].RecordOrigin("r", "s", "v1", originLifetime)
+		o.instances[o.list[0].Address].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 		for len(o.list) > 1 {
 			ended := o.list[0].Address
 			o.list = slices.Clone(o.list[1:])
@@ -369,7 +377,7 @@
 		o.publish("a", "v1")
 		o.publish("b", "v2")
 		first, last := o.list[0], o.list[len(o.list)-1]
-		o.instances[first.Address].RecordOrigin("r", "s", "v1", originLifetime)
+		o.instances[first.Address].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 		for _, killed := range o.list[1 : len(o.list)-1] {
 			o.kill(killed.Address)
 			o.list = slices.DeleteFunc(slices.Clone(o.list), func(i Instance) bool { return i.Address == killed.Address })
@@ -399,7 +407,7 @@
 				o.publish("a", "v1")
 				wait.For(t.Context(), originLifetime)
 				for n, i := range o.list {
-					o.instances[i.Address].RecordOrigin(fmt.Sprint("r", n), "s", "v1", originLifetime)
+					o.instances[i.Address].RecordOrigin(BegunStream{Request: fmt.Sprint("r", n), Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 				}
 				o.publish("b", "v2")
 				o.remove("a")
@@ -427,7 +435,7 @@
 		o.restart(o.list...)
 		for n, i := range o.list {
 			request := fmt.Sprint("r", n)
-			o.instances[i.Address].RecordOrigin(request, "s", "v1", originLifetime)
+			o.instances[i.Address].RecordOrigin(BegunStream{Request: request, Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 			is.Equal(o.find(t, request), map[string]bool{"v1": true})
 		}
 	})
@@ -446,7 +454,7 @@
 					o.publish("a", "v1")
 					wait.For(t.Context(), originLifetime)
 					for n := range 20 {
-						o.instances[o.list[survivor].Address].RecordOrigin(fmt.Sprint("r", n), "s", "v1", originLifetime)
+						o.instances[o.list[survivor].Address].RecordOrigin(BegunStream{Request: fmt.Sprint("r", n), Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 					}
 					o.publish("b", "v2")
 					o.remove("a")
@@ -459,3 +467,104 @@
 		}
 	}
 }
+
+// Guards against streams of two services: the path of a stream led elsewhere before, or may lead elsewhere, so that others
+// can't conclude what began it.
+func TestOriginsOfChangedRoutesAreShared(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(3)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		for n, i := range o.list {
+			f := o.instances[i.Address]
+			began := BegunStream{Request: fmt.Sprint("after", n), Service: "s", Version: "v1", Lifetime: originLifetime}
+			f.RecordOrigin(began) // its route has changed
+			began.Request, began.OnlyService = fmt.Sprint("before", n), true
+			f.RecordOrigin(began)
+			f.ShareOrigins([]string{"s"}) // its route changes
+		}
+		for n := range o.list {
+			for _, request := range []string{fmt.Sprint("after", n), fmt.Sprint("before", n)} {
+				for _, f := range o.instances {
+					service, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "t", Lifetime: originLifetime})
+					is.True(known)
+					is.Equal(service, "s")
+				}
+			}
+		}
+	})
+}
+
+// Guards against streams of two services at an instance whose configuration lags: it doesn't know that its route has changed.
+func TestInstanceWithAnOlderConfigurationAssumesNoOrigin(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		o.configRevision = 8
+		f := o.instances[o.list[0].Address]
+		for _, c := range []struct {
+			revision int64
+			known    bool
+		}{{7, false}, {8, true}, {9, true}} {
+			_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true, ConfigRevision: c.revision})
+			is.Equal(known, c.known)
+		}
+	})
+}
+
+// Guards against refusals in a rolling restart: a keeper that has no list yet says nothing of versions.
+func TestKeeperWithoutAListDoesNotPreventAConclusion(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		started := o.list[1]
+		o.start(started)
+		for _, i := range o.list {
+			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true})
+			is.Equal(known, i.Address != started.Address)
+			is.Equal(version == "v1", known)
+		}
+	})
+}
+
+// Guards against refusals, and streams of two versions, where routes of a service have several timeouts: the lifetime of the
+// longest counts for what is shared and concluded.
+func TestLongestLifetimeOfAServiceCounts(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(3)
+		o.publish("a", "v1")
+		o.publish("b", "v2")
+		wait.For(t.Context(), 2*originLifetime)
+		for _, i := range o.list { // streams of a long route
+			o.instances[i.Address].RecordOrigin(BegunStream{Request: "long" + i.Address, Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true})
+		}
+		o.remove("a")
+		wait.For(t.Context(), originLifetime/2)
+		began := o.list[0].Address
+		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v2", Lifetime: originLifetime / 4, OnlyService: true})
+		for _, i := range o.list {
+			_, _, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "unknown", Service: "s", Lifetime: originLifetime / 4, OnlyService: true})
+			is.True(!known) // v1 may have begun it by the long route
+			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime / 4, OnlyService: true})
+			is.True(known)
+			is.Equal(version, "v2")
+		}
+	})
+}
+
+// Guards against links that end as a stream begins: a frame may not state that a stream can be resumed for more than two hours.
+func TestLifetimeOfAnOriginIsBounded(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		o.instances[o.list[0].Address].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: 3 * versionMemory, OnlyService: true})
+		is.Equal(o.longest, versionMemory)
+	})
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -84,10 +84,13 @@
 	f.mu.Lock()
 	f.version = change.Version
 	now := time.Now()
-	if f.followedSince.IsZero() {
+	if f.followedSince.IsZero() || change.Gap {
 		f.followedSince = now
 	}
 	before := f.servicesWithVersions(now)
+	if change.Gap {
+		before = nil // others conclude nothing either
+	}
 	updated := memberUpdates{}
 	for _, id := range change.Removed {
 		f.removeUpstream(id, updated)
@@ -99,6 +102,11 @@
 	changed := updated.apply()
 	resharded := f.reshardAll()
 	appeared := f.servicesWithVersions(now)
+	if change.Gap {
+		for name := range f.services {
+			appeared[name] = true
+		}
+	}
 	f.mu.Unlock()
 	for service := range appeared {
 		if !before[service] {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -99,12 +99,12 @@
 	return out
 }
 
-// All returns all origins that haven't expired.
-func (r *Registry) All(now time.Time) (out []Origin) {
+// Shared returns the origins that other instances may know, and all of the given services.
+func (r *Registry) Shared(now time.Time, services map[string]bool) (out []Origin) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.entries {
-		if now.Before(e.Until) {
+		if now.Before(e.Until) && (e.shared || services[e.Service]) {
 			out = append(out, e.Origin)
 		}
 	}
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -23,7 +23,7 @@
 	is.Equal(found.Service, "s")
 	_, known = r.Find(start.Add(time.Second), 1)
 	is.True(!known)
-	is.Equal(len(r.All(start.Add(time.Second))), 0)
+	is.Equal(len(r.Shared(start.Add(time.Second), map[string]bool{"s": true})), 0)
 }
 
 // The first version that began a stream stays its origin, also if the stream is resumed for longer.
@@ -46,7 +46,7 @@
 	is.Equal(len(r.TakeUnshared(start, "other")), 0)
 	is.Equal(r.TakeUnshared(start, "s"), []Origin{originOf(1, "v1", time.Second)})
 	is.Equal(len(r.TakeUnshared(start, "s")), 0)
-	is.Equal(len(r.All(start)), 2)
+	is.Equal(len(r.Shared(start, nil)), 2)
 }
 
 // Without bound, an instance that serves for long would run out of memory.
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -43,6 +43,10 @@
 	// within the Lifetime, or since it started unless Followed.
 	HasOnlyVersion bool   `cbor:"3,keyasint,omitempty"`
 	OnlyVersion    string `cbor:"4,keyasint,omitempty"`
+	// HasNoVersion reports that the peer knows no version of the service; peers of earlier versions leave it out.
+	HasNoVersion bool `cbor:"8,keyasint,omitempty"`
+	// ConfigRevision is the revision of the peer's configuration.
+	ConfigRevision int64 `cbor:"9,keyasint,omitempty"`
 	// Followed reports that the peer has followed the list for the Lifetime, and Settled that its list is current as well.
 	// Peers of earlier versions leave Followed out.
 	Followed bool `cbor:"7,keyasint,omitempty"`
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -54,11 +54,9 @@
 	ctx, cancel := j.context()
 	defer cancel()
 	age, _ := j.handler.o.View.ListAge() // without a list, no version is known
-	path, _, _ := strings.Cut(j.target(), "?")
-	lifetime := j.originLifetime()
 	service, version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{
-		Request: j.info.OriginID, Service: j.service, Lifetime: lifetime, ListAge: age,
-		OnlyService: j.handler.o.View.WasRoutedTo(j.request.Host, path, j.service, lifetime),
+		Request: j.info.OriginID, Service: j.service, Lifetime: j.originLifetime(), ListAge: age,
+		OnlyService: j.isOnlyService(), ConfigRevision: j.handler.o.View.Revision(),
 	})
 	if !known {
 		return api.Refuse(api.ReasonOriginUnknown, "which version of the upstreams began the stream of request %q isn't known; retry after the given time, or send the request anew without the ID of an event", j.info.OriginID).WithRetryAfter(fleet.ShortRetryAfter)
@@ -84,8 +82,17 @@
 	if !j.route.Resumable {
 		return
 	}
-	j.handler.o.Fleet.RecordOrigin(j.info.ID, j.service, j.sentVersion, j.originLifetime())
+	begun := fleet.BegunStream{Request: j.info.ID, Service: j.service, Version: j.sentVersion, Lifetime: j.originLifetime(), OnlyService: j.isOnlyService()}
+	j.handler.o.Fleet.RecordOrigin(begun)
 	if resumes {
-		j.handler.o.Fleet.RecordOrigin(j.info.OriginID, j.service, j.sentVersion, j.originLifetime())
+		begun.Request = j.info.OriginID
+		j.handler.o.Fleet.RecordOrigin(begun)
 	}
 }
+
+// isOnlyService reports whether no other service can have begun a stream of the request's path that may be resumed now. On
+// a split route any may have: a resumption can name another request than the first, by whose ID the service was drawn.
+func (j *job) isOnlyService() bool {
+	path, _, _ := strings.Cut(j.target(), "?")
+	return !j.route.IsSplit() && j.handler.o.View.WasRoutedTo(j.request.Host, path, j.service, j.originLifetime())
+}
