entry: a stream may be resumed for as long as the longest timeout since it began allowed

Found by review: after a route's timeout was lowered from 20 s to 5 s, a version that had left 21 s ago was forgotten for streams that may be resumed for 50 s, and one of them went on at the other version. The longest lifetime of a service's routes since the instance started counts. TestLifetimeOfStreamsOutlivesALowerTimeout failed before (by the review's scratch test).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -294,6 +294,13 @@
 // tableChanged applies a new configuration and announces it to the peers.
 func (i *Instance) tableChanged(t *routing.Table) {
 	i.fleet.SetServices(t.Services())
+	for _, r := range t.ByPrefix() {
+		if r.Resumable {
+			for _, s := range r.Split {
+				i.fleet.ExtendLifetime(s.Service, proxy.OriginLifetime(r))
+			}
+		}
+	}
 	c, _ := i.view.PublishedConfiguration()
 	i.sender.Record(c.Content)
 	i.announceChange()
--- a/internal/entry/history_test.go
+++ b/internal/entry/history_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/view"
 )
 
@@ -40,3 +42,19 @@
 	is.True(!to.FetchRequest().ListHistory)
 	is.Equal(len(started.fleet.ListHistory(0).Versions), 2)
 }
+
+// Guards against streams of two versions: a stream may be resumed for as long as the timeout allowed that was in force when
+// it began, though the timeout has been lowered since.
+func TestLifetimeOfStreamsOutlivesALowerTimeout(t *testing.T) {
+	is := is.New(t)
+	i := newInstance(t, settings.Overload{})
+	for _, timeout := range []time.Duration{20 * time.Second, 5 * time.Second} {
+		table, err := routing.Build(&routing.Document{Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, Resumable: true, Timeout: timeout, MaxAttempts: 1,
+			Split: []routing.WeightedService{{Service: "s", Weight: 1}},
+		}}})
+		is.NoErr(err)
+		i.tableChanged(table)
+	}
+	is.Equal(i.fleet.LongestLifetime("s"), 50*time.Second)
+}
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -117,8 +117,8 @@
 	return f.origins.Shared(now, services)
 }
 
-// extendLifetime records for how long a stream of a service may be resumed, and returns the longest time for the service.
-func (f *Fleet) extendLifetime(service string, lifetime time.Duration) time.Duration {
+// ExtendLifetime records for how long a stream of a service may be resumed, and returns the longest time for the service.
+func (f *Fleet) ExtendLifetime(service string, lifetime time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.serviceOf(service)
@@ -126,8 +126,8 @@
 	return s.originLifetime
 }
 
-// longestLifetime returns for how long a stream of a service may be resumed, as far as is known.
-func (f *Fleet) longestLifetime(service string) time.Duration {
+// LongestLifetime returns for how long a stream of a service may be resumed, as far as is known.
+func (f *Fleet) LongestLifetime(service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s := f.services[service]; s != nil {
@@ -164,7 +164,7 @@
 	}
 	now := time.Now()
 	remaining := min(s.Lifetime, versionMemory)
-	longest := f.extendLifetime(s.Service, remaining)
+	longest := f.ExtendLifetime(s.Service, remaining)
 	o := origin.Origin{Request: hashOf(s.Request), Service: s.Service, Version: s.Version, Until: now.Add(remaining)}
 	isOnlyOne := s.OnlyService && f.hasFollowedFor(now, longest) && len(f.recentVersions(now, s.Service, longest)) <= 1
 	shared := f.originClient != nil && !isOnlyOne
@@ -263,7 +263,7 @@
 func (f *Fleet) MergeOrigins(list []peer.StreamOrigin) {
 	now := time.Now()
 	for _, o := range list {
-		f.extendLifetime(o.Service, o.Remaining)
+		f.ExtendLifetime(o.Service, o.Remaining)
 		f.origins.Record(now, origin.Origin{Request: o.Request, Service: o.Service, Version: o.Version, Until: now.Add(o.Remaining)}, true)
 	}
 }
@@ -398,7 +398,7 @@
 		search.source = originRecorded
 		return o.Service, o.Version, true
 	}
-	lifetime := max(s.Lifetime, f.longestLifetime(s.Service)) // another route may have begun it
+	lifetime := max(s.Lifetime, f.LongestLifetime(s.Service)) // another route may have begun it
 	search.versions = f.recentVersions(now, s.Service, lifetime)
 	versions := search.versions
 	followed := f.hasFollowedFor(now, lifetime)
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -23,9 +23,9 @@
 	resumableSlack    = 10 * time.Second
 )
 
-// originLifetime returns how long after its first event a stream of the route may be resumed.
-func (j *job) originLifetime() time.Duration {
-	return resumableTimeouts*j.route.Timeout + resumableSlack
+// OriginLifetime returns how long after its first event a stream of a route may be resumed.
+func OriginLifetime(r *routing.Route) time.Duration {
+	return resumableTimeouts*r.Timeout + resumableSlack
 }
 
 // serviceDraw returns the random number that selects the service. For a stream that may be resumed it is that of its first
@@ -55,7 +55,7 @@
 	defer cancel()
 	age, _ := j.handler.o.View.ListAge() // without a list, no version is known
 	service, version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{
-		Request: j.info.OriginID, Service: j.service, Lifetime: j.originLifetime(), ListAge: age,
+		Request: j.info.OriginID, Service: j.service, Lifetime: OriginLifetime(j.route), ListAge: age,
 		OnlyService: j.isOnlyService(), ConfigRevision: j.handler.o.View.Revision(),
 	})
 	if !known {
@@ -82,7 +82,7 @@
 	if !j.route.Resumable {
 		return
 	}
-	begun := fleet.BegunStream{Request: j.info.ID, Service: j.service, Version: j.sentVersion, Lifetime: j.originLifetime(), OnlyService: j.isOnlyService()}
+	begun := fleet.BegunStream{Request: j.info.ID, Service: j.service, Version: j.sentVersion, Lifetime: OriginLifetime(j.route), OnlyService: j.isOnlyService()}
 	j.handler.o.Fleet.RecordOrigin(begun)
 	if resumes {
 		begun.Request = j.info.OriginID
@@ -94,5 +94,6 @@
 // a split route any may have: a resumption can name another request than the first, by whose ID the service was drawn.
 func (j *job) isOnlyService() bool {
 	path, _, _ := strings.Cut(j.target(), "?")
-	return !j.route.IsSplit() && j.handler.o.View.WasRoutedTo(j.request.Host, path, j.service, j.originLifetime())
+	lifetime := max(OriginLifetime(j.route), j.handler.o.Fleet.LongestLifetime(j.service))
+	return !j.route.IsSplit() && j.handler.o.View.WasRoutedTo(j.request.Host, path, j.service, lifetime)
 }
