entry, peer: instances that start learn what a survivor was told

Instances that came back together, after most of a fleet had been killed, took requests that crash upstreams, upstreams that had said that they leave, and ones that had advertised a limit for sound, though a survivor knew of all three. An instance fetches the state of a peer once; the state of one that had just started as well, which knows nothing, was taken for all there is. What the survivor knew came with its heartbeats alone: one older quarantine period, eight notices and four limits at a time.

Each heartbeat now says for how long its sender, or peers before it, have been told these things, and an instance fetches the state of a peer that has been for two seconds longer. It then counts as told since then, as well, so that others learn it from either. The request says the same of the requester, and quarantine periods are sent only to one that may lack some.

TestInstancesThatStartTogetherLearnWhatASurvivorKnows: with the former condition (no state fetched yet) the survivor's heartbeat caused no fetch, once the two had fetched from each other.

Instances of earlier versions don't say for how long they have been told; the first state is fetched from any of them, as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,6 +100,7 @@
 	saturatedLog rate.Sometimes
 	// knowsQuarantined reports that a peer has sent all its quarantine periods.
 	knowsQuarantined atomic.Bool
+	informed         informed
 	mesh             *peer.Mesh
 	ready            readiness
 	// relayServer relays connections for peers; nil without routed.relay. relays are the peers that may
@@ -147,6 +148,7 @@
 		i.admission = processor.NewAdmission(s.Routed.Cores)
 	}
 	i.saturatedLog = rate.Sometimes{Interval: saturatedLogInterval}
+	i.informed.since = i.started
 	i.quarantine = quarantine.New(i.log, func(k quarantine.Key) bool { return i.fleet.OwnsProbes(k) })
 	if s.Routed.Relay {
 		i.relayServer = relay.NewServer(relay.ServerOptions{
--- /dev/null
+++ b/internal/entry/informed.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// wantedInformation is the time for which an instance wants to know what the instances have told each other: a
+	// quarantine period lasts an hour at most, and is kept for another one after its end.
+	wantedInformation = 2 * time.Hour
+	// informationMargin is by how much longer a peer must have been informed, since heartbeats give whole seconds.
+	informationMargin = 2 * time.Second
+)
+
+// informed tracks since when an instance knows what the instances tell each other of requests and upstreams: quarantine
+// periods, leaving notices and advertised limits. It hears them from its start on, and fetches earlier ones from a peer that
+// has been informed for longer; one that has just started itself knows none of them either. It is safe for concurrent use.
+type informed struct {
+	mu    sync.Mutex
+	since time.Time
+}
+
+// duration returns for how long the instance, or peers before it, have been informed, wantedInformation at most.
+func (k *informed) duration(now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return min(now.Sub(k.since), wantedInformation)
+}
+
+// lacks reports whether a peer that has been informed for a duration knows what this instance may not.
+func (k *informed) lacks(now time.Time, peer time.Duration) bool {
+	return knowsMore(peer, k.duration(now))
+}
+
+// merged records that all that a peer knows has been merged, which has been informed for a duration.
+func (k *informed) merged(now time.Time, peer time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if since := now.Add(-min(peer, wantedInformation)); since.Before(k.since) {
+		k.since = since
+	}
+}
+
+// knowsMore reports whether an instance that has been informed for one duration knows what one with the other may not.
+func knowsMore(one, other time.Duration) bool { return one >= other+informationMargin }
--- /dev/null
+++ b/internal/entry/informed_test.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/boottime"
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/ratelimit"
+	"github.com/tacktally/tacktally/internal/settings"
+	"github.com/tacktally/tacktally/internal/view"
+)
+
+// hear passes a heartbeat of one instance to another one, which fetches the sender's state if it is behind.
+func hear(from, to *Instance) (fetched bool) {
+	sender, receiver := &peerHandler{from}, &peerHandler{to}
+	if fetched = to.isBehind(&peer.Heartbeat{InformedS: sender.Heartbeat().InformedS}); fetched {
+		receiver.MergeState(from.Address(), boottime.Now(), sender.State(receiver.FetchRequest()))
+	}
+	return fetched
+}
+
+// listUpstreams lists an upstream that leaves and one with a limit at an instance, and returns their processes.
+func listUpstreams(i *Instance) (leaving, limited string) {
+	var all []view.Upstream
+	for _, id := range []string{"leaving", "limited"} {
+		all = append(all, view.Upstream{ID: id, Service: "s", Address: "127.0.0.1:9", Slots: 1})
+	}
+	i.fleet.ApplyListChange(view.ListChange{Version: 1, Changed: all})
+	return i.fleet.ProcessOf("leaving"), i.fleet.ProcessOf("limited")
+}
+
+// Guards against instances that learn from one another, having all just started, that there are no quarantine periods,
+// leaving notices and limits, and don't ask the one that was there before.
+func TestInstancesThatStartTogetherLearnWhatASurvivorKnows(t *testing.T) {
+	is := is.New(t)
+	survivor, first, second := newInstance(t, settings.Overload{}), newInstance(t, settings.Overload{}), newInstance(t, settings.Overload{})
+	survivor.informed.since = time.Now().Add(-time.Hour)
+	quarantineSegments(t, survivor)
+	leaving, limited := "", ""
+	for _, i := range []*Instance{first, second, survivor} {
+		leaving, limited = listUpstreams(i)
+	}
+	is.True(survivor.fleet.RecordLeavingNotice(leaving))
+	is.True(survivor.fleet.ObserveLimit(limited, time.Now(), ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: 3}))
+	is.True(hear(first, second))
+	is.True(hear(second, first))
+	is.True(hear(survivor, first))
+	is.True(hear(first, second)) // which also knows what was before it
+	for _, i := range []*Instance{first, second} {
+		for segment := range uint64(quarantinedSegments) {
+			is.True(i.quarantine.Remaining(time.Now(), crashingRequest(0, segment)) > 0)
+		}
+		is.True(i.fleet.IsLeaving(leaving))
+		_, known := i.fleet.Limit("limited")
+		is.True(known)
+		is.True(!hear(survivor, i))
+	}
+	is.True(!hear(first, second))
+	is.True(hear(first, survivor)) // for the first time; its state is no older
+	is.True(!hear(first, survivor))
+}
+
+// A state that says nothing of the time before its sender started doesn't count for it, and is sent only to one that lacks it.
+func TestStateHasQuarantinePeriodsForWhoLacksThem(t *testing.T) {
+	is := is.New(t)
+	i := newInstance(t, settings.Overload{})
+	i.informed.since = time.Now().Add(-time.Minute)
+	quarantineSegments(t, i)
+	h := &peerHandler{i}
+	is.Equal(len(h.State(&peer.FetchRequest{Quarantined: true}).Quarantined), quarantinedSegments)
+	is.Equal(len(h.State(&peer.FetchRequest{Informed: time.Second}).Quarantined), quarantinedSegments)
+	for _, r := range []*peer.FetchRequest{{}, {Informed: time.Minute}, {Informed: time.Hour}} {
+		s := h.State(r)
+		is.Equal(len(s.Quarantined), 0)
+		is.Equal(s.Informed, time.Duration(0))
+	}
+	h.MergeState("127.0.0.1:9", boottime.Now(), &peer.State{Informed: time.Second}) // it was informed for longer
+	is.True(slices.Contains([]int{60, 61}, h.Heartbeat().InformedS))
+	i.informed.since = time.Now().Add(-2 * wantedInformation)
+	is.Equal(h.Heartbeat().InformedS, int(wantedInformation.Seconds()))
+	is.True(!i.informed.lacks(time.Now(), wantedInformation))
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -50,8 +50,9 @@
 		Missing:     list.Missing,
 		Evacuations: peer.Evacuations(v.CurrentEvacuations()),
 	}
-	if f.Quarantined {
-		s.Quarantined = p.instance.quarantine.AllQuarantined(time.Now())
+	now := time.Now()
+	if d := p.instance.informed.duration(now); f.Quarantined || f.Informed > 0 && knowsMore(d, f.Informed) {
+		s.Quarantined, s.Informed = p.instance.quarantine.AllQuarantined(now), d
 	}
 	if f.ListHistory {
 		s.ListHistory = p.instance.fleet.ListHistory(s.ListAge)
@@ -92,7 +93,7 @@
 func (p *peerHandler) FetchRequest() *peer.FetchRequest {
 	v := p.instance.view
 	known := v.KnownState()
-	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load(), ListHistory: p.instance.fleet.WantsHistory()}
+	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load(), Informed: p.instance.informed.duration(time.Now()), ListHistory: p.instance.fleet.WantsHistory()}
 }
 
 // MergeState implements peer.Handler. The peer's state was current when it was requested or later,
@@ -124,6 +125,7 @@
 	p.instance.fleet.MergeListHistory(from, s.ListHistory)
 	p.instance.fleet.MergeLeavingNotices(from, s.Leaving)
 	p.instance.fleet.MergeLimits(from, s.Limits)
+	p.instance.informed.merged(time.Now(), s.Informed)
 	if !identical {
 		p.instance.mesh.ScheduleFetch(from)
 	}
@@ -169,6 +171,7 @@
 		Isolated:          reached == reach.Isolated,
 		Reach:             reached,
 		ListFollowedS:     int(i.fleet.Followed().Seconds()),
+		InformedS:         int(i.informed.duration(time.Now()).Seconds()),
 	}
 }
 
@@ -198,20 +201,26 @@
 const maxSourceReachable = time.Minute
 
 // isBehind reports whether a heartbeat announces a newer configuration or list, or that the peer has followed the list for
-// longer, or this instance hasn't fetched the quarantine periods of a peer yet.
+// longer, or knows what the instances have told each other before this one started.
 func (i *Instance) isBehind(h *peer.Heartbeat) bool {
-	return !i.knowsQuarantined.Load() || i.view.IsOlderThan(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion() ||
+	return i.isUninformed(h) || i.view.IsOlderThan(h.ConfigVersion, h.Revision) || h.ListVersion > i.view.ListVersion() ||
 		i.fleet.LacksHistory(time.Duration(h.ListFollowedS)*time.Second)
 }
 
+// isUninformed reports whether the sender of a heartbeat has been informed for longer, or this instance hasn't fetched the
+// state of a peer yet; peers of earlier versions don't say for how long they have been informed.
+func (i *Instance) isUninformed(h *peer.Heartbeat) bool {
+	return !i.knowsQuarantined.Load() || i.informed.lacks(time.Now(), time.Duration(h.InformedS)*time.Second)
+}
+
 // crossZoneFetchDelay is how long an instance waits for its own availability zone to provide newer
 // state that another zone announces, since traffic between zones is charged.
 const crossZoneFetchDelay = 600 * time.Millisecond
 
-// catchUp fetches newer state that a peer announces. An instance that lacks a configuration or the quarantine
-// periods of its peers doesn't wait for its own zone.
+// catchUp fetches newer state that a peer announces. An instance that lacks a configuration, or what
+// its peers have told each other, doesn't wait for its own zone.
 func (i *Instance) catchUp(from string, h *peer.Heartbeat) {
-	if i.mesh.Zone(from) == i.settings.Zone || i.view.Revision() == 0 || !i.knowsQuarantined.Load() {
+	if i.mesh.Zone(from) == i.settings.Zone || i.view.Revision() == 0 || i.isUninformed(h) {
 		i.mesh.ScheduleFetch(from)
 		return
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -193,6 +193,9 @@
 	// ListFollowedS is for how many seconds the sender, or peers before it, have followed the list of upstreams; two
 	// hours at most.
 	ListFollowedS int `cbor:"22,keyasint,omitempty"`
+	// InformedS is for how many seconds the sender, or peers before it, have received what the instances tell each other
+	// of requests and upstreams; two hours at most.
+	InformedS int `cbor:"23,keyasint,omitempty"`
 }
 
 // reach returns whether the sender reaches upstreams, also if it is of an earlier version.
@@ -233,6 +236,7 @@
 		Brief:             true,
 		Sequence:          h.Sequence,
 		ListFollowedS:     h.ListFollowedS,
+		InformedS:         h.InformedS,
 	}
 }
 
@@ -267,6 +271,9 @@
 	Quarantined bool `cbor:"8,keyasint,omitempty"`
 	// ListHistory requests the versions that were listed.
 	ListHistory bool `cbor:"9,keyasint,omitempty"`
+	// Informed is for how long the requester, or peers before it, have received what the instances tell each other: a peer
+	// that has for longer sends all quarantine periods.
+	Informed time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // PartRequest requests one part of the configuration in force.
@@ -332,8 +339,10 @@
 	ContentDigest uint64 `cbor:"16,keyasint,omitempty"`
 	// Part is set in the reply to a request for a part, beside Revision and Age.
 	Part *Part `cbor:"17,keyasint,omitempty"`
-	// Quarantined are all quarantine periods, if the requester asked for them.
+	// Quarantined are all quarantine periods, if the requester asked for them or may lack some. Informed is then for how long
+	// the sender, or peers before it, have received them, leaving notices and limits.
 	Quarantined []quarantine.QuarantineRecord `cbor:"18,keyasint,omitempty"`
+	Informed    time.Duration                 `cbor:"20,keyasint,omitempty"`
 	// ListHistory is set if the requester asked for it and the sender's list is current.
 	ListHistory *ListHistory `cbor:"19,keyasint,omitempty"`
 }
@@ -430,7 +439,7 @@
 	case TypeCredit:
 		complete = f.Credit > 0
 	case TypeState:
-		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid()) && quarantine.AreValid(f.State.Quarantined) && f.State.ListHistory.isValid()
+		complete = f.State != nil && (f.State.Part == nil || f.State.Part.isValid()) && quarantine.AreValid(f.State.Quarantined) && f.State.Informed >= 0 && f.State.ListHistory.isValid()
 	case TypeFetch:
 		complete = f.Fetch != nil && (f.Fetch.Part == nil || f.Fetch.Part.Offset >= 0)
 	case TypeSlotRequest:
