membership: instances that start behind a partition know the instances on its other side

An instance that starts is told of the members that are reachable. Within a zone that is cut off it took that zone for the whole fleet, and so granted the whole of each quota, and of the rates of cold upstreams, as soon as it owned them, beside the share of its side that the other side grants; its neighbours, which have known the others, grant the share of theirs.

A full update now also names the members out of reach, with the time since they were last attested, so that the receiver counts them as long as the sender does, a minute at most. It adds only those that it doesn't know, and never as reachable. Members that have said that they leave are left out.

Not covered: all instances start while a partition lasts. Nobody knows then who is on the other side.

Full updates grow by a record of about 45 bytes, by count of its fields, for each member lost within a minute.

--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -142,6 +142,42 @@
 	})
 }
 
+// Guards against an instance that starts on one side of a partition, takes the instances that it reaches for the whole fleet,
+// and grants all of a quota there.
+func TestInstanceThatStartsBehindAPartitionKnowsTheWholeFleet(t *testing.T) {
+	forFleets(t, func(t *testing.T, s *simulated, seeds []string) {
+		n := len(s.instances)
+		s.setPartitioned("zone-2", true)
+		s.converge(t, 4)
+		s.settle(5 * time.Second)
+		for _, started := range []string{addressOf(26), addressOf(6)} { // on either side
+			before := s.instances[started].self
+			s.stop(started)
+			s.start(started, before.Zone, before.Cores, seeds)
+		}
+		s.settle(5 * time.Second)
+		for _, started := range []string{addressOf(26), addressOf(6)} {
+			reachable, known := 0, 1
+			for _, m := range s.instances[started].overlay.Members(s.now) {
+				known++
+				if m.Reachable {
+					reachable++
+				}
+			}
+			t.Logf("%s: %d known, %d of them reachable", started, known, reachable)
+			if known != n || reachable >= n-1 {
+				t.Errorf("%s: %d known, %d of them reachable; the fleet has %d", started, known, reachable, n)
+			}
+		}
+		s.settle(forgetAfter)
+		if known := s.instances[addressOf(26)].overlay.KnownCount(); known >= n-1 {
+			t.Errorf("%d others known after a minute; those that are lost aren't forgotten", known)
+		}
+		s.setPartitioned("zone-2", false)
+		t.Logf("%d rounds", s.converge(t, 40))
+	})
+}
+
 // Two thirds of the instances are lost at once, including seeds and hubs; the others find each other.
 func TestFleetConvergesAfterLossOfTwoThirds(t *testing.T) {
 	for name, lose := range map[string]struct {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -38,6 +38,8 @@
 	Reach reach.State `cbor:"8,keyasint,omitempty"`
 	// Removed withdraws the previous record of the address.
 	Removed bool `cbor:"7,keyasint,omitempty"`
+	// LostFor is the time since the member was last attested, in Update.Lost.
+	LostFor time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Kind is the kind of an update: how its sender knows the members in it, which decides whether the
@@ -64,6 +66,8 @@
 	Kind    Kind     `cbor:"1,keyasint"`
 	Full    bool     `cbor:"2,keyasint,omitempty"`
 	Records []Record `cbor:"3,keyasint,omitempty"`
+	// Lost are, in a Full update, the members that have become unreachable and still count as a part of the fleet.
+	Lost []Record `cbor:"5,keyasint,omitempty"`
 	// Sequence orders the updates of one process to one peer; 0 from senders of earlier versions.
 	Sequence uint64 `cbor:"4,keyasint,omitempty"`
 }
@@ -104,6 +108,14 @@
 	linked, hubLinked, alive bool
 }
 
+// lastKnownAt returns when the member was last attested, or contained in a Bootstrap update.
+func (e *entry) lastKnownAt() time.Time {
+	if e.bootstrappedAt.After(e.lastAliveAt) {
+		return e.bootstrappedAt
+	}
+	return e.lastAliveAt
+}
+
 // update merges received data about the member, and reports whether the data concerns the member's
 // current process. With proof, which a link to the process is, the data replaces another incarnation
 // in any case; an update from a peer may be older than what is known.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -178,6 +178,7 @@
 // Merge merges an update from a peer. An Indirect one also replaces the updates of lost hubs that are
 // still held, see holdPeriod.
 func (t *Table) Merge(now time.Time, from string, update *Update) {
+	defer t.mergeLost(now, update.Lost)
 	if update.Kind == Bootstrap {
 		t.mergeBootstrap(now, update.Records)
 		return
@@ -233,6 +234,33 @@
 	}
 }
 
+// mergeLost adds lost members that aren't known: an instance that starts on one side of a partition would take that side for
+// the whole fleet. They are forgotten when the sender forgets them.
+func (t *Table) mergeLost(now time.Time, records []Record) {
+	for i := range records {
+		r := &records[i]
+		if r.Address == "" || r.Address == t.self.Address || t.members[r.Address] != nil || r.LostFor < 0 || r.LostFor > forgetAfter {
+			continue
+		}
+		e := t.entry(r.Address)
+		e.update(r.member(now), false)
+		e.lastAliveAt = now.Add(-r.LostFor)
+		t.reevaluate(now, e)
+	}
+}
+
+// lost returns the records of the members that aren't reachable and haven't said that they are leaving.
+func (t *Table) lost(now time.Time) (out []Record) {
+	for _, e := range t.members {
+		if known := now.Sub(e.lastKnownAt()); !e.Draining && !t.isReachable(now, e) && known <= forgetAfter {
+			r := e.record(now, false)
+			r.LostFor = known
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // receivedMember returns the member that a record describes. Whether a linked member drains and reaches
 // upstreams is known from the member itself, which takes precedence over the record.
 func (t *Table) receivedMember(now time.Time, e *entry, r *Record) Member {
@@ -308,11 +336,7 @@
 
 func (t *Table) forget(now time.Time) {
 	for address, e := range t.members {
-		last := e.lastAliveAt
-		if e.bootstrappedAt.After(last) {
-			last = e.bootstrappedAt
-		}
-		if !e.alive && now.Sub(last) > forgetAfter {
+		if !e.alive && now.Sub(e.lastKnownAt()) > forgetAfter {
 			delete(t.members, address)
 			t.change++
 		}
@@ -332,6 +356,9 @@
 			update.Records = append(update.Records, e.record(now, removed))
 		}
 	}
+	if update.Full {
+		update.Lost = t.lost(now)
+	}
 	return update, t.change
 }
 
