entry: an instance that was paused learns what was told meanwhile

An instance whose process was stopped for a while got the quarantine periods, leaving notices and limits of that time with the heartbeats after it alone, a few at a time: changes are repeated for two seconds, and a peer ends a link that is silent for as long. It counted as told since its start, without a gap.

It now fetches the state of a peer that was there all the while, once it notices the pause. It still counts as told of what was before, so that those that have started since learn that from it.

TestPausedInstanceLearnsWhatWasToldMeanwhile fails without the note of the pause: the heartbeat of a peer causes no fetch.

Not covered: what was told on the other side of a partition, which still comes with heartbeats once it has ended.

--- a/internal/entry/informed.go
+++ b/internal/entry/informed.go
@@ -15,10 +15,13 @@
 
 // informed tracks since when an instance knows what the instances tell each other of requests and upstreams: quarantine
 // periods, leaving notices and advertised limits. It hears them from its start on, and fetches earlier ones from a peer that
-// has been informed for longer; one that has just started itself knows none of them either. It is safe for concurrent use.
+// has been informed for longer; one that has just started itself knows none of them either. What it missed while it was
+// paused it fetches from a peer that was informed then. It is safe for concurrent use.
 type informed struct {
 	mu    sync.Mutex
 	since time.Time
+	// missedSince is since when the instance may have missed what was told, as it was paused; zero if it hasn't.
+	missedSince time.Time
 }
 
 // duration returns for how long the instance, or peers before it, have been informed, wantedInformation at most.
@@ -30,16 +33,43 @@
 
 // lacks reports whether a peer that has been informed for a duration knows what this instance may not.
 func (k *informed) lacks(now time.Time, peer time.Duration) bool {
-	return knowsMore(peer, k.duration(now))
+	return knowsMore(peer, k.duration(now)) || k.missed(now, peer)
+}
+
+// hasMissed reports whether this instance may have missed what was told within wantedInformation.
+func (k *informed) hasMissed(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.missedSince) < wantedInformation
+}
+
+// missed reports whether a peer that has been informed for a duration was told what this instance may have missed.
+func (k *informed) missed(now time.Time, peer time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.missedSince.IsZero() && !now.Add(-peer).After(k.missedSince)
 }
 
 // merged records that all that a peer knows has been merged, which has been informed for a duration.
 func (k *informed) merged(now time.Time, peer time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if since := now.Add(-min(peer, wantedInformation)); since.Before(k.since) {
+	since := now.Add(-min(peer, wantedInformation))
+	if since.Before(k.since) {
 		k.since = since
 	}
+	if !since.After(k.missedSince) {
+		k.missedSince = time.Time{}
+	}
+}
+
+// interrupted records that this instance was paused, and when it last ran before.
+func (k *informed) interrupted(last time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.missedSince.IsZero() || last.Before(k.missedSince) {
+		k.missedSince = last
+	}
 }
 
 // knowsMore reports whether an instance that has been informed for one duration knows what one with the other may not.
--- a/internal/entry/informed_test.go
+++ b/internal/entry/informed_test.go
@@ -84,3 +84,29 @@
 	is.Equal(h.Heartbeat().InformedS, int(wantedInformation.Seconds()))
 	is.True(!i.informed.lacks(time.Now(), wantedInformation))
 }
+
+// Guards against an instance that was stopped for a while and takes what it was told before and since for all there is.
+func TestPausedInstanceLearnsWhatWasToldMeanwhile(t *testing.T) {
+	is := is.New(t)
+	running, paused, started := newInstance(t, settings.Overload{}), newInstance(t, settings.Overload{}), newInstance(t, settings.Overload{})
+	for _, i := range []*Instance{running, paused} {
+		i.informed.since = time.Now().Add(-time.Hour)
+		i.refreshFleet()
+	}
+	is.True(hear(running, paused)) // for the first time
+	is.True(!hear(running, paused))
+	quarantineSegments(t, running)
+	is.True(!hear(running, paused))
+	paused.lastFleet.pauses-- // it has been paused since the last refresh
+	paused.lastFleet.at = time.Now().Add(-time.Minute)
+	paused.refreshFleet()
+	is.True(!hear(started, paused)) // it wasn't there
+	is.True(hear(running, paused))
+	is.True(paused.quarantine.Remaining(time.Now(), crashingRequest(0, 0)) > 0)
+	is.True(!hear(running, paused))
+	paused.refreshFleet()
+	is.True(!hear(running, paused))
+	is.True(hear(paused, started)) // it still knows what was told before
+	is.Equal(started.quarantine.Count(time.Now()), quarantinedSegments)
+	is.True(!hear(running, started))
+}
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -12,12 +12,17 @@
 	at         time.Time
 	settles    time.Time // when the next instance settles, zero if all had
 	membership membershipSummary
+	pauses     uint32 // the fleet's Pauses
 }
 
 // refreshFleet passes the known instances to the fleet if they have changed, one of them has settled, or
 // settledCheckInterval has passed.
 func (i *Instance) refreshFleet() {
 	i.fleet.RecordRunning()
+	if pauses := i.fleet.Pauses(); pauses != i.lastFleet.pauses {
+		i.lastFleet.pauses = pauses
+		i.informed.interrupted(i.lastFleet.at)
+	}
 	change, now := i.mesh.MembershipChangeCount(), time.Now()
 	settles := !i.lastFleet.settles.IsZero() && !now.Before(i.lastFleet.settles)
 	if change == i.lastFleet.change && !settles && now.Sub(i.lastFleet.at) < settledCheckInterval {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -93,7 +93,8 @@
 func (p *peerHandler) FetchRequest() *peer.FetchRequest {
 	v := p.instance.view
 	known := v.KnownState()
-	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load(), Informed: p.instance.informed.duration(time.Now()), ListHistory: p.instance.fleet.WantsHistory()}
+	now := time.Now()
+	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load() || p.instance.informed.hasMissed(now), Informed: p.instance.informed.duration(now), ListHistory: p.instance.fleet.WantsHistory()}
 }
 
 // MergeState implements peer.Handler. The peer's state was current when it was requested or later,
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -39,6 +39,9 @@
 	f.buckets.resumed(time.Now(), f.o.Instance)
 }
 
+// Pauses returns how often this process was paused.
+func (f *Fleet) Pauses() uint32 { return f.pauses.count.Load() }
+
 // detectPause is called before each grant from a bound that all instances keep together: after a pause the next
 // request may come before the next call of RecordRunning.
 func (f *Fleet) detectPause() {
