soak: releases that overlap, while instances are killed or replaced

Two kinds, rejoined and planned rejoined: versions come in series and come back, the former one leaves by draining, without notice, or serves on; all instances are killed, or all but one, or a zone, or all are terminated a few at a time.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -65,6 +65,11 @@
 	// Restore makes the source unavailable and restores it from an older copy. What it lost is written
 	// again later.
 	Restore Fault = "restore"
+	// Release starts upstreams of another version, after which those of the former ones may leave. KillSeveral kills all
+	// instances, all but one, or those of a zone at once, RestartAll terminates all of them, a few at a time.
+	Release     Fault = "release"
+	KillSeveral Fault = "kill_several"
+	RestartAll  Fault = "restart_all"
 )
 
 // Mix holds the relative frequency of each fault.
@@ -131,8 +136,17 @@
 	PlannedResumedMix = Mix{Terminate: 4, Reload: 2, Change: 4}
 )
 
+// RejoinedMix is a mix of releases of upstreams that overlap, while many instances are lost or replaced. With
+// PlannedRejoinedMix they are replaced alone.
+var (
+	RejoinedMix        = Mix{Release: 6, KillSeveral: 4, Kill: 1, RestartAll: 2, Change: 1}
+	PlannedRejoinedMix = Mix{Release: 5, RestartAll: 3, Change: 1}
+)
+
 // Disconnects reports whether a mix has faults after which instances are out of touch.
-func (m Mix) Disconnects() bool { return m[PeerLink] > 0 || m[Kill] > 0 || m[Pause] > 0 }
+func (m Mix) Disconnects() bool {
+	return m[PeerLink] > 0 || m[Kill] > 0 || m[KillSeveral] > 0 || m[Pause] > 0
+}
 
 // ThrottledMix is a mix of lost and replaced instances that have little processor time each.
 var ThrottledMix = Mix{Kill: 3, Terminate: 4, Pause: 1, Reload: 1, Change: 2}
