--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -139,7 +139,7 @@
 // RejoinedMix is a mix of releases of upstreams that overlap, while many instances are lost or replaced. With
 // PlannedRejoinedMix they are replaced alone.
 var (
-	RejoinedMix        = Mix{Release: 6, KillSeveral: 4, Kill: 1, RestartAll: 2, Change: 1}
+	RejoinedMix        = Mix{Release: 4, KillSeveral: 5, Kill: 1, RestartAll: 2, Change: 1}
 	PlannedRejoinedMix = Mix{Release: 5, RestartAll: 3, Change: 1}
 )
 
