fleet: versions that came and left within a gap of the list aren't known

An instance that was stopped or out of touch while a version came, began streams and left found the former version again, and took it for the only one of that time, as it had followed the list for long. It told so the instances that were killed and came back. TestVersionsWithinAGapOfTheListAreNotKnown and TestGapOfTheListIsClosedByAPeer failed before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,7 +106,7 @@
 	slots          SlotClient    // nil without peers
 	relays         Relays        // nil without routed.relay
 	originLifetime time.Duration // for which streams may be resumed at most, as far as is known
-	followedSince  time.Time     // since when the versions on the list are known: it first arrived, or a peer has followed it
+	followedSince  time.Time     // since when the versions on the list are known: it first arrived, also after a gap, or a peer has followed it
 	originClient   OriginClient  // nil without peers
 	origins        *origin.Registry
 
--- a/internal/fleet/list_history_test.go
+++ b/internal/fleet/list_history_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/view"
 	"github.com/tacktally/tacktally/internal/virtualtime"
 	"github.com/tacktally/tacktally/internal/wait"
 )
@@ -108,3 +109,43 @@
 		is.True(slices.Equal(h.Versions, []peer.ListedVersion{{Service: "s", Version: "v2"}}))
 	})
 }
+
+// Guards against streams of two versions: an instance that was out of touch while a version came and left took the version
+// that it found again for the only one of that time, and told so those that had started since.
+func TestVersionsWithinAGapOfTheListAreNotKnown(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		apart := o.list[0].Address
+		o.instances[apart].RecordOrigin("begun before", "s", "v1", originLifetime)
+		wait.For(t.Context(), 2*currentListAge)
+		o.revision++ // v2 came, began streams at others, and left
+		o.instances[apart].ApplyListChange(view.ListChange{Version: o.revision, Gap: 2 * currentListAge})
+		o.restart(o.list[1:]...)
+		for _, i := range o.list[1:] {
+			o.tell(apart, i.Address)
+		}
+		is.Equal(o.find(t, "r"), map[string]bool{"": true})
+		is.Equal(o.find(t, "begun before"), map[string]bool{"v1": true})
+	})
+}
+
+// The origins that only an instance with a gap knows are found from all others, which learn nothing from it of other versions.
+func TestGapOfTheListIsClosedByAPeer(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		apart := o.instances[o.list[0].Address]
+		apart.ApplyListChange(view.ListChange{Version: o.revision, Gap: currentListAge})
+		is.Equal(apart.Followed(), originLifetime) // current until then
+		apart.ApplyListChange(view.ListChange{Version: o.revision, Gap: currentListAge + 1})
+		is.Equal(apart.Followed(), time.Duration(0))
+		o.tell(o.list[1].Address, o.list[0].Address)
+		is.Equal(apart.Followed(), originLifetime)
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+	})
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -84,7 +84,8 @@
 	f.mu.Lock()
 	f.version = change.Version
 	now := time.Now()
-	if f.followedSince.IsZero() {
+	gap := change.Gap > currentListAge
+	if f.followedSince.IsZero() || gap {
 		f.followedSince = now
 	}
 	before := f.servicesWithVersions(now)
@@ -99,9 +100,13 @@
 	changed := updated.apply()
 	resharded := f.reshardAll()
 	appeared := f.servicesWithVersions(now)
+	services := slices.Collect(maps.Keys(f.services))
 	f.mu.Unlock()
-	for service := range appeared {
-		if !before[service] {
+	if gap {
+		f.o.Log.Info().Str("event", "list_gap").Dur("gap", change.Gap).Int64("version", change.Version).Msg("")
+	}
+	for _, service := range services {
+		if gap || appeared[service] && !before[service] {
 			f.shareOrigins(service)
 		}
 	}
--- a/internal/view/changes.go
+++ b/internal/view/changes.go
@@ -20,6 +20,9 @@
 	Changed []Upstream
 	// Removed are the IDs of upstreams that are no longer on the list.
 	Removed []string
+	// Gap is the age of the list before the update, if its version has risen: what came and left within that time isn't in the
+	// list.
+	Gap time.Duration
 }
 
 // state is the state of one upstream on the list, as logs show it.
--- a/internal/view/list_test.go
+++ b/internal/view/list_test.go
@@ -280,3 +280,18 @@
 	_, states := r.commit(time.Now())
 	is.True(strings.HasSuffix(states, ", 3 more"))
 }
+
+// A newer list tells for how long the one before it hadn't been shown to be current.
+func TestListChangeTellsTheGapBeforeIt(t *testing.T) {
+	is := is.New(t)
+	var gaps []time.Duration
+	v := newView(func(c ListChange) { gaps = append(gaps, c.Gap) })
+	now := time.Now()
+	v.SetUpstreams([]Upstream{{ID: "a", Revision: 1}}, 1, now.Add(-time.Hour))
+	v.SetUpstreams([]Upstream{{ID: "a", Revision: 1}}, 2, now)
+	v.MergeUpstreams(List{Version: 3, AsOf: now, Upstreams: []Upstream{{ID: "a", Revision: 1}}}, "peer")
+	is.Equal(len(gaps), 3)
+	is.Equal(gaps[0], time.Duration(0))
+	is.True(gaps[1] >= time.Hour)
+	is.True(gaps[2] < time.Hour)
+}
--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -118,7 +118,7 @@
 	defer v.mu.Unlock()
 	r := &v.upstreams
 	now := v.o.Now()
-	version := r.version
+	version, age := r.version, r.age(now)
 	f(r, now)
 	if next, found := r.nextSettle(); found {
 		v.scheduleSettle(next)
@@ -128,6 +128,9 @@
 			Dur("settling", max(r.settlesAt.Sub(now), 0)).Str("from", from).Msg("the source was restored from a copy; upstreams absent from it count as missing while the list settles")
 	}
 	change, states := r.commit(now)
+	if version != r.version {
+		change.Gap = age
+	}
 	if states == "" && len(change.Changed) == 0 && version == r.version {
 		return
 	}
