--- a/internal/fleet/list_history_test.go
+++ b/internal/fleet/list_history_test.go
@@ -101,7 +101,7 @@
 		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 		o.revision++
 		for _, f := range o.instances {
-			f.ApplyListChange(view.ListChange{Version: o.revision, Gap: true})
+			f.ApplyListChange(view.ListChange{Version: o.revision, Gap: 2 * currentListAge})
 			is.Equal(f.Followed(), time.Duration(0))
 		}
 		is.Equal(o.find(t, "unknown"), map[string]bool{"": true})
@@ -125,3 +125,43 @@
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
 	})
 }
+
+// Guards against streams of two versions: an instance that was out of touch while a version came and left took the version
+// that it found again for the only one of that time, and told so those that had started since.
+func TestVersionsWithinAGapOfTheListAreNotKnown(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		apart := o.list[0].Address
+		o.instances[apart].RecordOrigin(BegunStream{Request: "begun before", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
+		wait.For(t.Context(), 2*currentListAge)
+		o.revision++ // v2 came, began streams at others, and left
+		o.instances[apart].ApplyListChange(view.ListChange{Version: o.revision, Gap: 2 * currentListAge})
+		o.restart(o.list[1:]...)
+		for _, i := range o.list[1:] {
+			o.tell(apart, i.Address)
+		}
+		is.Equal(o.find(t, "r"), map[string]bool{"": true})
+		is.Equal(o.find(t, "begun before"), map[string]bool{"v1": true})
+	})
+}
+
+// The origins that only an instance with a gap knows are found from all others, which learn nothing from it of other versions.
+func TestGapOfTheListIsClosedByAPeer(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		apart := o.instances[o.list[0].Address]
+		apart.ApplyListChange(view.ListChange{Version: o.revision})
+		is.Equal(apart.Followed(), originLifetime) // current until then
+		apart.ApplyListChange(view.ListChange{Version: o.revision, Gap: 2 * currentListAge})
+		is.Equal(apart.Followed(), time.Duration(0))
+		o.tell(o.list[1].Address, o.list[0].Address)
+		is.Equal(apart.Followed(), originLifetime)
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+	})
+}
--- a/internal/view/route_history.go
+++ b/internal/view/route_history.go
@@ -16,8 +16,8 @@
 	maxFormerRoutes = 1 << 13
 	// minAddedHistory is by how much longer the history of a peer must be to extend this one.
 	minAddedHistory = 2 * time.Second
-	// maxProofGap is how long the list or the configuration may go unproven until a change counts as the last of several.
-	maxProofGap = 3 * time.Second
+	// maxProofGap is how long the configuration may go unproven until a change counts as the last of several.
+	maxProofGap = CurrentListAge
 )
 
 // FormerRoute is a service to which requests of a host below a path prefix were sent until their route changed.
--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -5,11 +5,13 @@
 	"time"
 )
 
+// fromSource names the source in logs.
+const fromSource = "source"
+
 // SetUpstreams implements Sink. It sets the whole list as of a revision.
 func (v *View) SetUpstreams(list []Upstream, revision int64, asOf time.Time) {
-	v.updateList("source", func(r *roster, now time.Time) {
+	v.updateList(fromSource, func(r *roster, now time.Time) {
 		v.countOlder(revision)
-		r.noteGap(now, revision)
 		r.replace(now, list, revision)
 		r.prove(revision, asOf)
 	})
@@ -17,7 +19,7 @@
 
 // ApplyChanges implements Sink.
 func (v *View) ApplyChanges(changes []Change, complete int64, asOf time.Time) {
-	v.updateList("source", func(r *roster, now time.Time) {
+	v.updateList(fromSource, func(r *roster, now time.Time) {
 		r.apply(now, changes, complete)
 		r.prove(complete, asOf)
 	})
@@ -40,7 +42,6 @@
 	}
 	v.updateList("peer "+peer, func(r *roster, now time.Time) {
 		v.countOlder(l.Version)
-		r.noteGap(now, l.Version)
 		r.merge(now, l)
 		if l.Version == r.version {
 			r.prove(r.complete, l.AsOf)
@@ -120,7 +121,7 @@
 	defer v.mu.Unlock()
 	r := &v.upstreams
 	now := v.o.Now()
-	version := r.version
+	version, complete, age := r.version, r.complete, r.age(now)
 	f(r, now)
 	if next, found := r.nextSettle(); found {
 		v.scheduleSettle(next)
@@ -130,8 +131,11 @@
 			Dur("settling", max(r.settlesAt.Sub(now), 0)).Str("from", from).Msg("the source was restored from a copy; upstreams absent from it count as missing while the list settles")
 	}
 	change, states := r.commit(now)
-	change.Gap, r.gap = r.gap, false
-	if states == "" && len(change.Changed) == 0 && version == r.version {
+	unchanged := from == fromSource && complete == r.complete
+	if age > CurrentListAge && r.age(now) < age && !unchanged {
+		change.Gap = age
+	}
+	if change.Gap == 0 && states == "" && len(change.Changed) == 0 && version == r.version {
 		return
 	}
 	v.o.Log.Info().Str("event", "upstreams").Int64("version", r.version).Int64("complete", r.complete).
@@ -152,12 +156,6 @@
 	v.settleTimer.Reset(t.Sub(v.o.Now()))
 }
 
-// noteGap records whether a list of a version, which takes the place of this one, lacks what was listed between the two: it
-// isn't a continuous series of changes, and this list wasn't proven for long.
-func (r *roster) noteGap(now time.Time, version int64) {
-	r.gap = r.version > 0 && version > r.version && r.age(now) > maxProofGap
-}
-
 // List returns the whole list.
 func (v *View) List() List { return v.ListFor(KnownState{WholeOnly: true}) }
 
