view: many invalid entries don't fill the log

With more than 64 invalid entries, each heartbeat of each of them wrote a line to the log of each instance that reads the source, and each read of the list wrote all: a thousand such entries with a heartbeat of two seconds are 500 lines a second. An error is logged once as long as it is remembered, and all were forgotten with the 65th, so that none was remembered.

Once 64 errors are remembered, others aren't logged within a minute of the first. The metric tacktally_source_malformed_total still counts all.

TestManyMalformedEntriesAreLoggedSeldom fails on the code before: 192 lines for 192 entries, instead of 64.

--- a/internal/view/source_state.go
+++ b/internal/view/source_state.go
@@ -61,30 +61,34 @@
 	line.Msg("")
 }
 
-// maxMalformedLogged is the number of errors of invalid entries that are remembered as logged. All
-// are forgotten when there is one more.
-const maxMalformedLogged = 64
+const (
+	// maxMalformedLogged bounds the errors of invalid entries that are remembered as logged, and malformedLogPeriod is
+	// how long others aren't logged at all once there are as many: each heartbeat of an invalid entry repeats its error.
+	maxMalformedLogged = 64
+	malformedLogPeriod = time.Minute
+)
 
 // ReportMalformed implements Sink. It logs an error once, however often the invalid entry is read, as
 // long as the error is remembered (see maxMalformedLogged).
 func (v *View) ReportMalformed(err error) {
 	v.o.Metrics.Count("tacktally_source_malformed_total")
-	if v.wasLogged(err.Error()) {
-		return
+	if v.shouldLogMalformed(err.Error()) {
+		v.o.Log.Error().Str("event", "entry_malformed").Str("cause", err.Error()).Msg("the malformed entry is left out; fix the process that registers it")
 	}
-	v.o.Log.Error().Str("event", "entry_malformed").Str("cause", err.Error()).Msg("the malformed entry is left out; fix the process that registers it")
 }
 
-// wasLogged reports whether the error of an invalid entry was logged before, and records it as logged.
-func (v *View) wasLogged(cause string) bool {
+// shouldLogMalformed reports whether the error of an invalid entry is logged, and records it as logged.
+func (v *View) shouldLogMalformed(cause string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.loggedMalformed[cause] {
-		return true
-	}
-	if v.loggedMalformed == nil || len(v.loggedMalformed) >= maxMalformedLogged {
-		v.loggedMalformed = map[string]bool{}
+	now := v.o.Now()
+	full := len(v.loggedMalformed) >= maxMalformedLogged
+	switch {
+	case v.loggedMalformed[cause], full && now.Sub(v.malformedSince) < malformedLogPeriod:
+		return false
+	case full, v.loggedMalformed == nil:
+		v.loggedMalformed, v.malformedSince = map[string]bool{}, now
 	}
 	v.loggedMalformed[cause] = true
-	return false
+	return true
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -168,6 +168,7 @@
 	reachable       bool
 	everReached     bool
 	loggedMalformed map[string]bool      // errors of invalid entries that were logged
+	malformedSince  time.Time            // when the first of them was logged
 	recheckedAt     map[string]time.Time // when the entries of upstreams that may leave were last read, by ID
 
 	// passing has capacity 1 and holds an element during a call of OnTable, and passedOn is the configuration of the last
