proxy: a client error of another process isn't relayed as the upstream's

Callers got a final 401 or 404 to requests that were in order, and didn't retry them: an entry of another writer had the address of one of our instances. To that instance the request came without its API key, which upstreams don't receive, or the path was unknown to its listener for peers. Any HTTP server at the address of an entry has the same effect.

A success without the upstream's signature was refused before, a client error without it was not. Upstreams echo the request's ID, so a client error with neither a signature nor an ID now counts as no response of the upstream: an idempotent request is sent elsewhere, another one ends as unknown, and the circuit breaker counts the attempt as lost. Refusals that say that the request didn't run, and responses of upstreams with an ID or a signature, are handled as before.

--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -81,7 +81,7 @@
 	}
 	load, loadError := loadIn(h)
 	load.Brittle = h.Get("Brittle") != ""
-	return ResponseInfo{Load: load, LoadError: loadError, Limit: limitIn(h), RetryAfter: after, Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
+	return ResponseInfo{Load: load, LoadError: loadError, Limit: limitIn(h), RetryAfter: after, Signed: h.Get("Signed") != "", Identified: h.Get("Id") != "", NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
 }
 
 // loadIn returns the load report, of which the header has the running requests only.
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -69,6 +69,8 @@
 type ResponseInfo struct {
 	// Signed reports whether the response carries the upstream's own signature.
 	Signed bool
+	// Identified reports whether the response carries the ID of the request.
+	Identified bool
 	// NotRun reports that the upstream didn't run the request and won't run it.
 	NotRun bool
 	// Misdirected reports that another upstream now has the address.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -151,7 +151,11 @@
 		"its own failure, stream":     {respondsWithFailure, "stream", "a", 500, ""},
 		"its own failure, once":       {respondsWithFailure, "once", "a", 500, ""},
 		"its own client error":        {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(409) }, "safe", "a", 409, ""},
-		"its own 503, after it ran":   {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, "once", "a", 503, ""},
+		// Guards against the refusal of another process at the address of an entry: callers don't retry it.
+		"another's client error, idempotent": {writesRaw("HTTP/1.1 401 Unauthorized\r\nContent-Length: 0\r\n\r\n"), "safe", "a b", 200, ""},
+		"another's client error, once":       {writesRaw("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"), "once", "a", 502, "unknown"},
+		"its own unsigned client error":      {writesRaw("HTTP/1.1 404 Not Found\r\nId: 1\r\nContent-Length: 0\r\n\r\n"), "safe", "a", 404, ""},
+		"its own 503, after it ran":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, "once", "a", 503, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -60,6 +60,10 @@
 // errUnsigned means that a success lacks the upstream's signature.
 var errUnsigned = errors.New("successful response without the upstream's signature")
 
+// errNotOfUpstream means that nothing in a client error says that it comes from an upstream. Callers don't retry such an
+// error, and another process may have the address of an entry.
+var errNotOfUpstream = errors.New("client error without a signature and the request's ID")
+
 // attempt sends the request to the granted upstream and relays the response.
 func (j *job) attempt(ctx context.Context, g fleet.Grant) attemptResult {
 	j.position.beginRun()
@@ -213,6 +217,8 @@
 	switch {
 	case success && !head.Signed:
 		return attemptResult{status: invalidResponse, err: errUnsigned}
+	case isClientError(r.response.Status) && !head.Signed && !head.Identified:
+		return attemptResult{status: invalidResponse, err: fmt.Errorf("%w: status %d", errNotOfUpstream, r.response.Status)}
 	case r.job.responseStarted && !success:
 		return attemptResult{status: truncated, err: fmt.Errorf("status %d in response to a resumed stream", r.response.Status)}
 	case success && r.job.route.Kind == routing.Stream:
@@ -222,6 +228,8 @@
 	}
 }
 
+func isClientError(status int) bool { return status >= 400 && status < 500 }
+
 // recordLeaving records the leaving notice of an upstream's process.
 func (h *Handler) recordLeaving(process string) {
 	if h.o.Fleet.RecordLeavingNotice(process) {
