platform client: an invalid entry of the instance list costs no other entry

Instances without routes that read a list with one invalid entry (a field of another type, a field twice, text that isn't UTF-8, a number out of range, or nesting beyond the decoder's limit) refused the list as a whole, and each later one until the entry was gone: new upstreams got no requests, and upstreams that left kept getting them. Entries without an address, with port 0 or a port out of range were listed.

The array is now split into its elements first, each of which is decoded on its own. Those that are invalid are left out, and reported with the list. Splitting needs no decoder, whose limit of nesting applies to the whole array.

TestInvalidEntryCostsNoOtherEntry fails in all 10 cases on the code before.

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -137,6 +137,9 @@
 // returns, requests are served by a list of at least this version.
 func (d *Daemon) applyInstances(l platform.List) {
 	d.instances.apply(l, func() {
+		if l.Invalid != nil {
+			d.recordPlatformError("instances", l.Invalid)
+		}
 		d.dispatcher.SetInstances(l.Instances)
 		d.followCaches()
 		d.organisations.SetInstances(countTacktallyInstances(l))
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,12 +11,14 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -71,6 +73,8 @@
 type List struct {
 	Version   int64
 	Instances []Instance
+	// Invalid describes the entries that were left out; nil if there were none.
+	Invalid error
 }
 
 // ErrUnavailable: the platform's service didn't respond as expected.
@@ -149,14 +153,79 @@
 	return c.get(ctx, "/v1/config/"+key, 0, 0)
 }
 
+// decodeList decodes a list. Entries that are invalid are left out, so that they cost no other entry.
 func decodeList(version int64, content []byte) (List, error) {
 	l := List{Version: version}
-	if err := json.Unmarshal(content, &l.Instances); err != nil {
-		return l, fmt.Errorf("%w: decode the instance list: %w", ErrUnavailable, err)
+	entries, ok := splitArray(content)
+	if !ok {
+		return l, fmt.Errorf("%w: the instance list is not a JSON array", ErrUnavailable)
+	}
+	invalid := 0
+	for n, content := range entries {
+		i, err := decodeInstance(content)
+		if err == nil {
+			l.Instances = append(l.Instances, i)
+			continue
+		}
+		if invalid++; l.Invalid == nil {
+			l.Invalid = fmt.Errorf("entry %d of the instance list: %w", n, err)
+		}
+	}
+	if invalid > 1 {
+		l.Invalid = fmt.Errorf("%d invalid entries; the first is %w", invalid, l.Invalid)
 	}
 	return l, nil
 }
 
+func decodeInstance(content []byte) (Instance, error) {
+	var i Instance
+	if err := json.Unmarshal(content, &i); err != nil {
+		return Instance{}, err
+	}
+	address, err := netip.ParseAddrPort(i.Address)
+	switch {
+	case err != nil:
+		return Instance{}, fmt.Errorf("address is not IP:port: %w", err)
+	case address.Port() == 0:
+		return Instance{}, errors.New("address has port 0")
+	}
+	return i, nil
+}
+
+// splitArray returns the elements of a JSON array, none for null. Elements may be invalid themselves: a decoder would
+// refuse the array as a whole for one that is nested too deeply.
+func splitArray(content []byte) (elements [][]byte, ok bool) {
+	content = bytes.TrimSpace(content)
+	if string(content) == "null" {
+		return nil, true
+	}
+	if len(content) < 2 || content[0] != '[' || content[len(content)-1] != ']' {
+		return nil, false
+	}
+	content = content[1 : len(content)-1]
+	start, depth, quoted := 0, 0, false
+	for n := 0; n < len(content); n++ {
+		switch c := content[n]; {
+		case quoted && c == '\\':
+			n++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '{' || c == '[':
+			depth++
+		case c == '}' || c == ']':
+			depth--
+		case c == ',' && depth == 0:
+			elements = append(elements, content[start:n])
+			start = n + 1
+		}
+	}
+	if len(elements) > 0 || len(bytes.TrimSpace(content)) > 0 {
+		elements = append(elements, content[start:])
+	}
+	return elements, depth == 0 && !quoted
+}
+
 // WatchConfig calls f with the value of key, at once and after each change, until ctx is done. It
 // blocks until then. Errors are passed to onError, and the watch continues.
 func (c *Client) WatchConfig(ctx context.Context, key string, f func(revision int64, content []byte), onError func(error)) {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -51,3 +52,43 @@
 		t.Errorf("a silent watch times out only after %v", bound)
 	}
 }
+
+// Guards against an instance list that isn't followed any more because of one invalid entry.
+func TestInvalidEntryCostsNoOtherEntry(t *testing.T) {
+	const valid = `{"address":"10.0.0.1:80","zone":"bole","set":"app","state":"live"}`
+	for name, entry := range map[string]string{
+		"null":                    `null`,
+		"a number":                `1e999`,
+		"no address":              `{"zone":"bole","set":"app","state":"live"}`,
+		"port beyond the range":   strings.Replace(valid, ":80", ":99999", 1),
+		"port 0":                  strings.Replace(valid, ":80", ":0", 1),
+		"a number for an address": strings.Replace(valid, `"10.0.0.1:80"`, "1e400", 1),
+		"a field twice":           strings.Replace(valid, "{", `{"zone":"other",`, 1),
+		"deeply nested":           strings.Replace(valid, "{", `{"x":`+strings.Repeat("[", 50_000)+strings.Repeat("]", 50_000)+",", 1),
+		"not UTF-8":               strings.Replace(valid, "bole", "\xff", 1),
+		"a lone surrogate":        strings.Replace(valid, "bole", `\udc80`, 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := decodeList(7, []byte(" ["+valid+","+entry+", "+strings.Replace(valid, "bole", `\"],[`, 1)+"]\n"))
+			is.NoErr(err)
+			is.Equal(l.Instances, []Instance{{Address: "10.0.0.1:80", Zone: "bole", Set: "app", State: Live}, {Address: "10.0.0.1:80", Zone: `"],[`, Set: "app", State: Live}})
+			is.True(l.Invalid != nil)
+			is.True(strings.Contains(l.Invalid.Error(), "entry 1"))
+		})
+	}
+}
+
+func TestDecodeList(t *testing.T) {
+	is := is.New(t)
+	for _, content := range []string{"[]", " [ ]\n", "null"} {
+		l, err := decodeList(7, []byte(content))
+		is.NoErr(err)
+		is.NoErr(l.Invalid)
+		is.Equal(len(l.Instances), 0)
+	}
+	for _, content := range []string{"", "[", "{}", `[{"address":"10.0.0.1:80"]`, `["]`} {
+		_, err := decodeList(7, []byte(content))
+		is.True(err != nil)
+	}
+}
