peer: text that isn't valid UTF-8 doesn't end a link

A caller whose request ID had a byte that isn't valid UTF-8 ended the link to the instance that schedules its upstreams, with each of its requests: all slots granted on that link were lost, and the requests that waited there with them. HTTP headers may have any bytes beyond ASCII. Requests of instances without routes are forwarded with all headers, and responses with those of the upstream. The encoder writes such text as it is, and the decoder refused the frame as malformed, which ends the link.

The decoder of frames now accepts such text, which is only compared, logged and passed on. Instances of earlier versions still refuse it, so that slot requests carry the ID, which is for logs, with U+FFFD in place of such bytes.

--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/tacktally/tacktally/api"
@@ -253,7 +254,7 @@
 	out := &peer.SlotRequest{
 		Service:           s.service,
 		Shard:             s.index,
-		ID:                req.ID,
+		ID:                strings.ToValidUTF8(req.ID, "\ufffd"), // peers of earlier versions refuse other text
 		Digest:            req.Identity.Digest,
 		Rank:              r.Rank,
 		Organisation:      r.Organisation,
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -364,6 +364,8 @@
 		MaxNestedLevels:  16,
 		MaxArrayElements: 1 << 16,
 		MaxMapPairs:      1 << 16,
+		// Headers of callers and upstreams may have any bytes beyond ASCII.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic("peer: " + err.Error())
--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -275,3 +275,16 @@
 	_, err = p.a.TakeQuota(t.Context(), "127.0.0.1:1", &QuotaRequest{Organisation: "crews", Rate: 1}, time.Minute, nil)
 	is.True(errors.Is(err, ErrUnreachable))
 }
+
+// Guards against a caller whose request ID ends links: all slots granted on a link are lost with it. Callers and
+// upstreams may send headers with any bytes beyond ASCII.
+func TestTextThatIsNotUTF8KeepsTheLink(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	first, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "free"}, time.Minute)
+	is.NoErr(err)
+	second, _, err := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "free", ID: "\xff"}, time.Minute)
+	is.NoErr(err)
+	is.Equal(second.Grant.Upstream, "u")
+	is.True(!first.Lost())
+}
