--- a/internal/view/roster.go
+++ b/internal/view/roster.go
@@ -23,7 +23,6 @@
 // their upstreams are running. So an entry that is removed around an outage is kept as missing until
 // the source has been back for a while, and is sent to peers as missing.
 type roster struct {
-	gap      bool // the update in progress leaves a gap, see ListChange
 	version  int64
 	complete int64     // revision of the source up to which changes are known
 	asOf     time.Time // when the read was sent that last showed the list to be current
