view, fleet: a gap of the list is also one after which no entry differs

A version that came beside another one and left leaves the list as it was, so that its version doesn't rise, and at an instance that reads from peers nothing does. The list tells of a gap whenever it is shown to be current after it wasn't, unless the source shows that nothing happened. TestListChangeTellsTheGapBeforeIt: the same entries read again told of no gap before.

--- a/internal/fleet/list_history_test.go
+++ b/internal/fleet/list_history_test.go
@@ -140,9 +140,9 @@
 		o.publish("a", "v1")
 		wait.For(t.Context(), originLifetime)
 		apart := o.instances[o.list[0].Address]
-		apart.ApplyListChange(view.ListChange{Version: o.revision, Gap: currentListAge})
+		apart.ApplyListChange(view.ListChange{Version: o.revision})
 		is.Equal(apart.Followed(), originLifetime) // current until then
-		apart.ApplyListChange(view.ListChange{Version: o.revision, Gap: currentListAge + 1})
+		apart.ApplyListChange(view.ListChange{Version: o.revision, Gap: 2 * currentListAge})
 		is.Equal(apart.Followed(), time.Duration(0))
 		o.tell(o.list[1].Address, o.list[0].Address)
 		is.Equal(apart.Followed(), originLifetime)
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -12,6 +12,7 @@
 
 	"github.com/tacktally/tacktally/internal/origin"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/view"
 )
 
 const (
@@ -24,9 +25,8 @@
 	// originTimeout bounds the time in which keepers reply to a query. A processor may be throttled for
 	// 100 ms.
 	originTimeout = 150 * time.Millisecond
-	// currentListAge is the age up to which a list counts as current. It is twice the longest default of
-	// routed.proveEvery, so that one proof may be late.
-	currentListAge = 3 * time.Second
+	// currentListAge is the age up to which a list counts as current.
+	currentListAge = view.CurrentListAge
 	// versionMemory is how long a version is remembered that no upstream has any more.
 	versionMemory = 2 * time.Hour
 )
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -84,7 +84,7 @@
 	f.mu.Lock()
 	f.version = change.Version
 	now := time.Now()
-	gap := change.Gap > currentListAge
+	gap := change.Gap > 0
 	if f.followedSince.IsZero() || gap {
 		f.followedSince = now
 	}
--- a/internal/view/changes.go
+++ b/internal/view/changes.go
@@ -9,6 +9,10 @@
 	"time"
 )
 
+// CurrentListAge is the age up to which a list counts as current. It is twice the longest default of routed.proveEvery, so
+// that one proof may be late.
+const CurrentListAge = 3 * time.Second
+
 // maxNamed is the number of upstreams that one log line names at most.
 const maxNamed = 12
 
@@ -20,8 +24,8 @@
 	Changed []Upstream
 	// Removed are the IDs of upstreams that are no longer on the list.
 	Removed []string
-	// Gap is the age of the list before the update, if its version has risen: what came and left within that time isn't in the
-	// list.
+	// Gap is the age of the list before the update, if it wasn't current any more: what came and left within that time
+	// isn't known. 0 if the list was current, or if the source has shown that nothing changed meanwhile.
 	Gap time.Duration
 }
 
--- a/internal/view/list_test.go
+++ b/internal/view/list_test.go
@@ -281,17 +281,32 @@
 	is.True(strings.HasSuffix(states, ", 3 more"))
 }
 
-// A newer list tells for how long the one before it hadn't been shown to be current.
+// Guards against an instance that takes the list which it finds again for the one of all the time between: also if no entry
+// differs, others may have come and left.
 func TestListChangeTellsTheGapBeforeIt(t *testing.T) {
-	is := is.New(t)
-	var gaps []time.Duration
-	v := newView(func(c ListChange) { gaps = append(gaps, c.Gap) })
-	now := time.Now()
-	v.SetUpstreams([]Upstream{{ID: "a", Revision: 1}}, 1, now.Add(-time.Hour))
-	v.SetUpstreams([]Upstream{{ID: "a", Revision: 1}}, 2, now)
-	v.MergeUpstreams(List{Version: 3, AsOf: now, Upstreams: []Upstream{{ID: "a", Revision: 1}}}, "peer")
-	is.Equal(len(gaps), 3)
-	is.Equal(gaps[0], time.Duration(0))
-	is.True(gaps[1] >= time.Hour)
-	is.True(gaps[2] < time.Hour)
+	list := []Upstream{{ID: "a", Revision: 1}}
+	old, now := time.Now().Add(-time.Hour), time.Now()
+	for name, c := range map[string]struct {
+		asOf   time.Time // of the list before
+		update func(v *View)
+		gap    bool
+	}{
+		"read again, changed":          {old, func(v *View) { v.SetUpstreams([]Upstream{{ID: "b", Revision: 4}}, 4, now) }, true},
+		"read again, the same entries": {old, func(v *View) { v.SetUpstreams(list, 4, now) }, true},
+		"read again, nothing happened": {old, func(v *View) { v.SetUpstreams(list, 3, now) }, false},
+		"proven":                       {old, func(v *View) { v.ProveCurrent(3, now) }, false},
+		"changes":                      {old, func(v *View) { v.ApplyChanges(nil, 4, now) }, true},
+		"a peer's, newer":              {old, func(v *View) { v.MergeUpstreams(List{Version: 4, AsOf: now, Upstreams: list}, "p") }, true},
+		"a peer's, of the version":     {old, func(v *View) { v.MergeUpstreams(List{Version: 3, AsOf: now}, "p") }, true},
+		"a peer's, as old":             {old, func(v *View) { v.MergeUpstreams(List{Version: 3, AsOf: old}, "p") }, false},
+		"current, changed":             {now, func(v *View) { v.SetUpstreams([]Upstream{{ID: "b", Revision: 4}}, 4, now) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			gap := false
+			v := newView(func(c ListChange) { gap = c.Gap > 0 })
+			v.SetUpstreams(list, 3, c.asOf)
+			c.update(v)
+			is.New(t).Equal(gap, c.gap)
+		})
+	}
 }
--- a/internal/view/upstreams.go
+++ b/internal/view/upstreams.go
@@ -5,9 +5,12 @@
 	"time"
 )
 
+// fromSource names the source in logs.
+const fromSource = "source"
+
 // SetUpstreams implements Sink. It sets the whole list as of a revision.
 func (v *View) SetUpstreams(list []Upstream, revision int64, asOf time.Time) {
-	v.updateList("source", func(r *roster, now time.Time) {
+	v.updateList(fromSource, func(r *roster, now time.Time) {
 		v.countOlder(revision)
 		r.replace(now, list, revision)
 		r.prove(revision, asOf)
@@ -16,7 +19,7 @@
 
 // ApplyChanges implements Sink.
 func (v *View) ApplyChanges(changes []Change, complete int64, asOf time.Time) {
-	v.updateList("source", func(r *roster, now time.Time) {
+	v.updateList(fromSource, func(r *roster, now time.Time) {
 		r.apply(now, changes, complete)
 		r.prove(complete, asOf)
 	})
@@ -118,7 +121,7 @@
 	defer v.mu.Unlock()
 	r := &v.upstreams
 	now := v.o.Now()
-	version, age := r.version, r.age(now)
+	version, complete, age := r.version, r.complete, r.age(now)
 	f(r, now)
 	if next, found := r.nextSettle(); found {
 		v.scheduleSettle(next)
@@ -128,10 +131,11 @@
 			Dur("settling", max(r.settlesAt.Sub(now), 0)).Str("from", from).Msg("the source was restored from a copy; upstreams absent from it count as missing while the list settles")
 	}
 	change, states := r.commit(now)
-	if version != r.version {
+	unchanged := from == fromSource && complete == r.complete
+	if age > CurrentListAge && r.age(now) < age && !unchanged {
 		change.Gap = age
 	}
-	if states == "" && len(change.Changed) == 0 && version == r.version {
+	if change.Gap == 0 && states == "" && len(change.Changed) == 0 && version == r.version {
 		return
 	}
 	v.o.Log.Info().Str("event", "upstreams").Int64("version", r.version).Int64("complete", r.complete).
