suite: thirty minutes for a package

The package with the soak has two more kinds of soak and two tests with real processes, some two minutes; beside load 15 to 25 its tests were under way after 15 minutes. The limit ends tests that hang; no test's own bound changes.

--- a/tools/suite/main.go
+++ b/tools/suite/main.go
@@ -18,7 +18,7 @@
 const knownRed = "KNOWN-RED.txt"
 
 // packageTimeout bounds the tests of one package. The package with the soak runs for several minutes.
-const packageTimeout = "20m"
+const packageTimeout = "30m"
 
 // packages selects all packages of both modules of the workspace.
 var packages = []string{"./...", "./tools/..."}
