--- a/tools/suite/main_test.go
+++ b/tools/suite/main_test.go
@@ -33,10 +33,10 @@
 
 func TestSkippedTestsAreMatchedExactly(t *testing.T) {
 	got := strings.Join(arguments([]string{"TestA", "TestB/4/saying"}, []string{"-count=1"}), " ")
-	if want := "test -race -timeout 20m -skip ^TestA$|^TestB$/^4$/^saying$ -count=1 ./... ./tools/..."; got != want {
+	if want := "test -race -timeout 30m -skip ^TestA$|^TestB$/^4$/^saying$ -count=1 ./... ./tools/..."; got != want {
 		t.Errorf("%q, want %q", got, want)
 	}
-	if got := strings.Join(arguments(nil, nil), " "); got != "test -race -timeout 20m ./... ./tools/..." {
+	if got := strings.Join(arguments(nil, nil), " "); got != "test -race -timeout 30m ./... ./tools/..." {
 		t.Errorf("%q", got)
 	}
 }
