fleet: a version is concluded only if a keeper replied, or the list is confirmed since

Each origin is sent to one instance of each of the first two zones in the ranking.

TestListProvenSinceTheRequestNeedsNoKeepers shows that streams go on while keepers are silent.

--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -298,6 +298,27 @@
 	return out
 }
 
+// sharedKeepers returns the other instances that each instance sends the origin of a stream to, whatever its zone: one of
+// each of the first two zones in the ranking, or both of the only zone.
+func (f *Fleet) sharedKeepers(request uint64) (out []string) {
+	f.mu.Lock()
+	instances := f.instances
+	f.mu.Unlock()
+	ranked := f.owners.originKeepers(groupOf(request), instances)
+	for _, z := range ranked[:min(len(ranked), originZones-1)] {
+		n := 1
+		if len(ranked) == 1 {
+			n = len(z.addresses)
+		}
+		for _, address := range z.addresses[:n] {
+			if address != f.o.Instance {
+				out = append(out, address)
+			}
+		}
+	}
+	return out
+}
+
 // groupOf returns the group that a stream is in.
 func groupOf(request uint64) int { return int(request % originGroups) }
 
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -132,6 +132,12 @@
 	return reply, nil
 }
 
+// listOf returns the age of a list that has a given age now, and is never confirmed again.
+func listOf(age time.Duration) func() time.Duration {
+	confirmed := time.Now().Add(-age)
+	return func() time.Duration { return time.Since(confirmed) }
+}
+
 // find returns the versions that the instances that are alive find, empty for none, each once.
 func (o *originFleet) find(t *testing.T, request string) map[string]bool {
 	t.Helper()
@@ -140,7 +146,7 @@
 		if o.killed[address] {
 			continue
 		}
-		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ConfigRevision: o.configRevision, ListAge: o.listAge[address]})
+		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ConfigRevision: o.configRevision, ListAge: listOf(o.listAge[address])})
 		if !known {
 			version = ""
 		}
@@ -205,7 +211,7 @@
 		began := o.list[0].Address
 		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 		for _, f := range o.instances {
-			service, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "t", Lifetime: originLifetime})
+			service, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "t", Lifetime: originLifetime, ListAge: listOf(0)})
 			is.True(known)
 			is.Equal(service, "s")
 			is.Equal(version, "v1")
@@ -319,7 +325,7 @@
 						for stream := range 20 {
 							request := fmt.Sprint("r", began, "-", stream)
 							o.instances[i.Address].RecordOrigin(BegunStream{Request: request, Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true})
-							_, version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: time.Second})
+							_, version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: listOf(time.Second)})
 							if !known || version != "v2" {
 								t.Fatalf("a stream of version v2, begun at instance %d, is known as one of %q (%v)", began, version, known)
 							}
@@ -331,6 +337,69 @@
 	}
 }
 
+// Guards against a stream that goes on at another version than the one that began it, since the instance that its caller turns to
+// lacks a version that has just appeared, and those that were told of the stream don't reply.
+func TestOriginThatSilentKeepersMayKnowIsNotAssumed(t *testing.T) {
+	for _, zones := range []int{2, 4} {
+		for stream := range 20 {
+			t.Run(fmt.Sprintf("%d zones, stream %d", zones, stream), func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					o := newOriginFleet(zones)
+					o.publish("a", "v1")
+					wait.For(t.Context(), originLifetime)
+					late, began := o.list[0].Address, o.list[1].Address
+					f := o.instances[late]
+					delete(o.instances, late)
+					o.publish("b", "v2")
+					request := fmt.Sprint("r", stream)
+					o.instances[began].RecordOrigin(BegunStream{Request: request, Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true})
+					for _, i := range o.list[1:] {
+						o.kill(i.Address)
+					}
+					confirmed := time.Now().Add(maxListProofWait / 2) // by a read that is sent then, and shows v2
+					before := listOf(time.Second)
+					readLater := func() time.Duration {
+						if time.Now().Before(confirmed) {
+							return before()
+						}
+						f.ApplyListChange(view.ListChange{Version: o.revision, Changed: []view.Upstream{o.listed["b"]}})
+						return time.Since(confirmed)
+					}
+					for _, listAge := range []func() time.Duration{before, readLater} {
+						_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: listAge})
+						is.True(!known)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against refusals while keepers don't reply: what a read shows that is sent after the request holds.
+func TestListProvenSinceTheRequestNeedsNoKeepers(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(2)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		for _, i := range o.list[1:] {
+			o.kill(i.Address)
+		}
+		proven := time.Now().Add(maxListProofWait / 2)
+		before := listOf(time.Second)
+		age := func() time.Duration {
+			if time.Now().Before(proven) {
+				return before()
+			}
+			return time.Since(proven)
+		}
+		_, version, known := o.instances[o.list[0].Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: age})
+		is.True(known)
+		is.Equal(version, "v1")
+	})
+}
+
 // While nobody can read the list, nobody learns of a version: streams go on where all zones are in touch.
 func TestOnlyVersionIsTheOriginDuringAnOutageOfTheSource(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
@@ -487,7 +556,7 @@
 		for n := range o.list {
 			for _, request := range []string{fmt.Sprint("after", n), fmt.Sprint("before", n)} {
 				for _, f := range o.instances {
-					service, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "t", Lifetime: originLifetime})
+					service, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "t", Lifetime: originLifetime, ListAge: listOf(0)})
 					is.True(known)
 					is.Equal(service, "s")
 				}
@@ -509,7 +578,7 @@
 			revision int64
 			known    bool
 		}{{7, false}, {8, true}, {9, true}} {
-			_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true, ConfigRevision: c.revision})
+			_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true, ConfigRevision: c.revision, ListAge: listOf(0)})
 			is.Equal(known, c.known)
 		}
 	})
@@ -525,7 +594,7 @@
 		started := o.list[1]
 		o.start(started)
 		for _, i := range o.list {
-			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true})
+			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: listOf(0)})
 			is.Equal(known, i.Address != started.Address)
 			is.Equal(version == "v1", known)
 		}
@@ -549,9 +618,9 @@
 		began := o.list[0].Address
 		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v2", Lifetime: originLifetime / 4, OnlyService: true})
 		for _, i := range o.list {
-			_, _, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "unknown", Service: "s", Lifetime: originLifetime / 4, OnlyService: true})
+			_, _, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "unknown", Service: "s", Lifetime: originLifetime / 4, OnlyService: true, ListAge: listOf(0)})
 			is.True(!known) // v1 may have begun it by the long route
-			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime / 4, OnlyService: true})
+			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime / 4, OnlyService: true, ListAge: listOf(0)})
 			is.True(known)
 			is.Equal(version, "v2")
 		}
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -53,9 +53,8 @@
 	}
 	ctx, cancel := j.context()
 	defer cancel()
-	age, _ := j.handler.o.View.ListAge() // without a list, no version is known
 	service, version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{
-		Request: j.info.OriginID, Service: j.service, Lifetime: OriginLifetime(j.route), ListAge: age,
+		Request: j.info.OriginID, Service: j.service, Lifetime: OriginLifetime(j.route), ListAge: j.handler.listAge,
 		OnlyService: j.isOnlyService(), ConfigRevision: j.handler.o.View.Revision(),
 	})
 	if !known {
@@ -69,6 +68,12 @@
 	return nil
 }
 
+// listAge returns the time since the read was sent that last confirmed the list. Without a list, no version is known.
+func (h *Handler) listAge() time.Duration {
+	age, _ := h.o.View.ListAge()
+	return age
+}
+
 // recordOrigin records the version of the upstream whose event was relayed as that which began the stream, once for
 // each response. A resumed stream may be resumed again, by the ID of its first request or of one that went on with it; what was
 // concluded of its origin isn't recorded before the stream has gone on by it.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -67,8 +67,7 @@
 // attempt sends the request to the granted upstream and relays the response.
 func (j *job) attempt(ctx context.Context, g fleet.Grant) attemptResult {
 	j.position.beginRun()
-	age, _ := j.handler.o.View.ListAge()
-	j.versions = listVersions{owner: g.ListVersion(), own: j.handler.o.View.ListVersion(), age: age}
+	j.versions = listVersions{owner: g.ListVersion(), own: j.handler.o.View.ListVersion(), age: j.handler.listAge()}
 	if err := j.handler.o.Fleet.CheckUsable(g.Upstream()); err != nil {
 		return attemptResult{status: notUsable, err: err}
 	}
