entry: a test that the fleet is told of peers' processes

That keepers which restart at their address are sent the origins anew depends on the incarnation that entry passes on; only tests with real processes covered it. The mapping is a function of its own now, with a table test that fails without the incarnation (all five cases).

--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/peer"
 )
 
 // fleetState is the state that was last passed to the fleet.
@@ -31,20 +32,25 @@
 	i.lastFleet.change, i.lastFleet.at, i.lastFleet.settles = change, now, i.nextSettled(now)
 	instances := []fleet.Instance{{Address: i.address, Zone: i.settings.Zone, Cores: i.settings.Routed.Cores, Reachable: true, MayOwn: !i.ready.draining.Load(), Settled: time.Since(i.started) >= settleTime}}
 	for _, p := range i.mesh.Peers() {
-		instances = append(instances, fleet.Instance{
-			Address:     p.Address,
-			Incarnation: p.Incarnation,
-			Zone:        p.Zone,
-			Cores:       p.Cores,
-			Reachable:   p.Reachable,
-			MayOwn:      p.Reachable && !p.Draining,
-			Settled:     !p.Started.IsZero() && time.Since(p.Started) >= settleTime,
-		})
+		instances = append(instances, fleetInstance(p, now))
 	}
 	i.fleet.SetInstances(instances)
 	i.logMembership(instances)
 }
 
+// fleetInstance returns a peer as the fleet sees it.
+func fleetInstance(p peer.Status, now time.Time) fleet.Instance {
+	return fleet.Instance{
+		Address:     p.Address,
+		Incarnation: p.Incarnation,
+		Zone:        p.Zone,
+		Cores:       p.Cores,
+		Reachable:   p.Reachable,
+		MayOwn:      p.Reachable && !p.Draining,
+		Settled:     !p.Started.IsZero() && now.Sub(p.Started) >= settleTime,
+	}
+}
+
 // nextSettled returns when the next of the known instances will have settled, zero if all have.
 func (i *Instance) nextSettled(now time.Time) (next time.Time) {
 	consider := func(started time.Time) {
--- /dev/null
+++ b/internal/entry/membership_test.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/peer"
+)
+
+// Guards against refusals of streams whose keepers have restarted at their address: the fleet tells the new process from the
+// former one by its incarnation.
+func TestFleetKnowsTheProcessesOfPeers(t *testing.T) {
+	now := time.Now()
+	serving := peer.Status{Address: "10.0.0.1:1", Incarnation: 7, Zone: "z", Cores: 0.5, Reachable: true, Started: now.Add(-settleTime)}
+	for name, c := range map[string]struct {
+		change func(*peer.Status)
+		want   fleet.Instance
+	}{
+		"serving":      {func(*peer.Status) {}, fleet.Instance{Reachable: true, MayOwn: true, Settled: true}},
+		"draining":     {func(p *peer.Status) { p.Draining = true }, fleet.Instance{Reachable: true, Settled: true}},
+		"not reached":  {func(p *peer.Status) { p.Reachable = false }, fleet.Instance{Settled: true}},
+		"just started": {func(p *peer.Status) { p.Started = now }, fleet.Instance{Reachable: true, MayOwn: true}},
+		"start is not known": {func(p *peer.Status) { p.Started = time.Time{} },
+			fleet.Instance{Reachable: true, MayOwn: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := serving
+			c.change(&p)
+			c.want.Address, c.want.Incarnation, c.want.Zone, c.want.Cores = p.Address, p.Incarnation, p.Zone, p.Cores
+			is.Equal(fleetInstance(p, now), c.want)
+		})
+	}
+}
