fleet: what instances out of reach may have recorded needs a proof of list and configuration

What callers saw: streams joined from two versions, at an instance whose list lacked a version that had just appeared.

A conclusion now needs list and configuration confirmed by reads sent after the search began, within 1 s, while any other instance is unreachable that didn't leave in order, or unless a shared keeper has replied that has run for longer than a current list may lag. Versions and route are judged again after the wait. The reply's field Settled is Complete now; it is the same on the wire.

Replaces TestOriginThatSilentKeepersMayKnowIsNotAssumed, whose cases it has.

--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -5,6 +5,7 @@
 
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/view"
 )
 
 // fleetState is the state that was last passed to the fleet.
@@ -47,7 +48,9 @@
 		Cores:       p.Cores,
 		Reachable:   p.Reachable,
 		MayOwn:      p.Reachable && !p.Draining,
+		Draining:    p.Draining,
 		Settled:     !p.Started.IsZero() && now.Sub(p.Started) >= settleTime,
+		Established: !p.Started.IsZero() && now.Sub(p.Started) > view.CurrentListAge,
 	}
 }
 
--- a/internal/entry/membership_test.go
+++ b/internal/entry/membership_test.go
@@ -14,14 +14,15 @@
 // former one by its incarnation.
 func TestFleetKnowsTheProcessesOfPeers(t *testing.T) {
 	now := time.Now()
-	serving := peer.Status{Address: "10.0.0.1:1", Incarnation: 7, Zone: "z", Cores: 0.5, Reachable: true, Started: now.Add(-settleTime)}
+	serving := peer.Status{Address: "10.0.0.1:1", Incarnation: 7, Zone: "z", Cores: 0.5, Reachable: true, Started: now.Add(-time.Minute)}
 	for name, c := range map[string]struct {
 		change func(*peer.Status)
 		want   fleet.Instance
 	}{
-		"serving":      {func(*peer.Status) {}, fleet.Instance{Reachable: true, MayOwn: true, Settled: true}},
-		"draining":     {func(p *peer.Status) { p.Draining = true }, fleet.Instance{Reachable: true, Settled: true}},
-		"not reached":  {func(p *peer.Status) { p.Reachable = false }, fleet.Instance{Settled: true}},
+		"serving":      {func(*peer.Status) {}, fleet.Instance{Reachable: true, MayOwn: true, Settled: true, Established: true}},
+		"draining":     {func(p *peer.Status) { p.Draining = true }, fleet.Instance{Reachable: true, Draining: true, Settled: true, Established: true}},
+		"not reached":  {func(p *peer.Status) { p.Reachable = false }, fleet.Instance{Settled: true, Established: true}},
+		"settled":      {func(p *peer.Status) { p.Started = now.Add(-settleTime) }, fleet.Instance{Reachable: true, MayOwn: true, Settled: true}},
 		"just started": {func(p *peer.Status) { p.Started = now }, fleet.Instance{Reachable: true, MayOwn: true}},
 		"start is not known": {func(p *peer.Status) { p.Started = time.Time{} },
 			fleet.Instance{Reachable: true, MayOwn: true}},
--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -23,8 +23,12 @@
 	Reachable bool
 	// MayOwn reports whether the instance may own shards: it is reachable and not leaving.
 	MayOwn bool
+	// Draining reports whether the instance is leaving, or has left in order.
+	Draining bool
 	// Settled reports whether the instance has run long enough to know the others.
 	Settled bool
+	// Established reports whether the instance has run for longer than a current list may lag behind (CurrentListAge).
+	Established bool
 }
 
 // SetInstances sets the instances that share the upstreams, including this one.
--- a/internal/fleet/list_history_test.go
+++ b/internal/fleet/list_history_test.go
@@ -82,7 +82,7 @@
 		o.publish("c", "v2") // forgets v1
 		f := o.instances[o.list[0].Address]
 		is.Equal(f.Followed(), versionMemory)
-		_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: versionMemory + 2*time.Second, OnlyService: true, ListAge: listOf(0)})
+		_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: versionMemory + 2*time.Second, OnlyService: always, ConfigAge: listOf(0), ListAge: listOf(0)})
 		is.True(!known)
 		h := f.ListHistory(0)
 		is.True(slices.Equal(h.Versions, []peer.ListedVersion{{Service: "s", Version: "v2"}}))
--- a/internal/fleet/origin_search.go
+++ b/internal/fleet/origin_search.go
@@ -13,16 +13,17 @@
 )
 
 const (
-	// maxListProofWait bounds the wait for a proof of the list. Callers give up a stream after two seconds without an event.
-	maxListProofWait = time.Second
-	listProofPoll    = 20 * time.Millisecond
+	// maxProofWait bounds the wait for a proof of list and configuration. Callers give up a stream after two seconds without an
+	// event.
+	maxProofWait = time.Second
+	proofPoll    = 20 * time.Millisecond
 )
 
 // ServeOrigin replies to a peer's query of a stream's origin. ListAge is the age of this instance's list.
 func (f *Fleet) ServeOrigin(q *peer.OriginQuery, listAge time.Duration) *peer.OriginReply {
 	now := time.Now()
 	followed := f.hasFollowedFor(now, q.Lifetime)
-	reply := &peer.OriginReply{Followed: followed, Settled: followed && IsCurrent(listAge)}
+	reply := &peer.OriginReply{Followed: followed, Complete: followed && IsCurrent(listAge)}
 	if o, known := f.origins.Find(now, q.Request); known {
 		reply.Known, reply.Service, reply.Version = true, o.Service, o.Version
 	}
@@ -50,38 +51,36 @@
 	Service string
 	// Lifetime is how long after its first event it may be resumed.
 	Lifetime time.Duration
-	// OnlyService reports that no other service can have begun it within that time, by the configuration of ConfigRevision.
-	OnlyService    bool
+	// OnlyService reports whether no other service can have begun it within that time, by the configuration in force.
+	OnlyService func() bool
+	// ConfigRevision is that of the configuration in force when the request arrived.
 	ConfigRevision int64
-	// ListAge returns the time since the read was sent that last confirmed this instance's list.
-	ListAge func() time.Duration
+	// ListAge and ConfigAge return the time since the reads were sent that last confirmed this instance's list and configuration.
+	ListAge, ConfigAge func() time.Duration
 }
 
-// FindOrigin returns the service and the version that began a stream. It blocks for the keepers' replies if this instance
-// doesn't know it. It is known if an instance has recorded it, or if no other service can have begun it and the service has
-// had no other version within the stream's lifetime. Also a current list may lack a version that has just appeared and began
-// the stream elsewhere, so that the keepers are asked in any case. That there was no other version is known only to who has
-// followed the list for that time: to this instance or a keeper, if its list is current, or to an instance of each zone, while
-// nobody can read the list. After a restart of all instances nobody knows it, whatever the list has now. Where no keeper replies
-// that is sent each origin, the list must have been confirmed since the request arrived.
+// FindOrigin returns the service and the version that began a stream. If this instance hasn't recorded the origin, it blocks
+// for the keepers' replies, even where its list has one version: the list may lack one that has just appeared.
+//
+// An origin that nobody has recorded is concluded if only one service and one version can have begun the stream. Only an
+// instance that has followed the list for the stream's lifetime knows that: this one or a keeper, if its list is current, or,
+// while the source can't be read, one of each zone. If an instance may have recorded it that is out of reach, FindOrigin also waits
+// for a proof of list and configuration.
 func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (service, version string, known bool) {
 	now := time.Now()
 	hash := hashOf(s.Request)
-	search := originSearch{stream: s, source: originUnknown, listAge: s.ListAge()}
+	search := originSearch{stream: s, source: originUnknown}
 	defer func() { f.recordOriginSearch(&search, now, service, version) }()
 	if o, known := f.origins.Find(now, hash); known {
 		search.source = originRecorded
 		return o.Service, o.Version, true
 	}
-	lifetime := max(s.Lifetime, f.LongestLifetime(s.Service)) // another route may have begun it
-	search.followed = f.hasFollowedFor(now, lifetime)
-	search.settled = search.followed && IsCurrent(search.listAge)
-	keepers := f.keepers(hash, math.MaxInt) // of all zones: the instance that recorded it may be in any
-	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: lifetime})
+	search.lifetime = max(s.Lifetime, f.LongestLifetime(s.Service)) // another route may have begun it
+	keepers := f.keepers(hash, math.MaxInt)                         // of all zones: the instance that recorded it may be in any
+	replies := f.queryKeepers(ctx, keepers, &peer.OriginQuery{Request: hash, Service: s.Service, Lifetime: search.lifetime})
 	search.asked, search.replied = len(keepers), len(replies)
-	search.versions = f.recentVersions(now, s.Service, lifetime) // one may have appeared meanwhile
 	for address, r := range replies {
-		if r.Known && r.Service == "" && !s.OnlyService {
+		if r.Known && r.Service == "" && !s.OnlyService() {
 			return "", "", false // from a peer of an earlier version
 		}
 		if r.Known {
@@ -91,68 +90,86 @@
 			return service, r.Version, true
 		}
 	}
-	if !f.isOnlyVersion(&search, replies) {
-		return "", "", false
-	}
-	if len(keepers) > 0 && !f.hasSharedKeeperReplied(hash, replies) {
+	source := f.findOnlyVersion(&search, now, replies)
+	if source != originUnknown && f.mayBeRecordedOutOfReach(hash, replies) {
 		search.awaitedProof = true
-		if !awaitListProof(ctx, now, s.ListAge) || len(f.recentVersions(now, s.Service, lifetime)) != 1 {
-			search.source = originUnknown
+		if !awaitProof(ctx, now, s) {
 			return "", "", false
 		}
+		source = f.findOnlyVersion(&search, now, replies) // another version or route may have appeared
+	}
+	if source == originUnknown {
+		return "", "", false
 	}
+	search.source = source
 	return s.Service, search.versions[0], true
 }
 
-// isOnlyVersion reports whether the version that this instance knows is that of all upstreams which were on the list within the
-// stream's lifetime, by its list and by keepers that haven't recorded the stream.
-func (f *Fleet) isOnlyVersion(search *originSearch, replies map[string]*peer.OriginReply) bool {
-	s, versions := search.stream, search.versions
-	if !s.OnlyService || len(versions) != 1 {
-		return false
+// findOnlyVersion returns how it is known that only one service and one version can have begun the stream, by this instance's list and
+// by keepers that haven't recorded the stream; originUnknown if it isn't.
+func (f *Fleet) findOnlyVersion(search *originSearch, now time.Time, replies map[string]*peer.OriginReply) originSource {
+	s := search.stream
+	versions := f.recentVersions(now, s.Service, search.lifetime)
+	search.versions, search.listAge, search.onlyService = versions, s.ListAge(), s.OnlyService()
+	followed := f.hasFollowedFor(now, search.lifetime)
+	search.complete, search.completePeers = followed && IsCurrent(search.listAge), 0
+	if !search.onlyService || len(versions) != 1 {
+		return originUnknown
 	}
 	for _, r := range replies {
 		if r.HasNoVersion {
 			continue // it has just started
 		}
 		if !r.HasOnlyVersion || r.OnlyVersion != versions[0] || r.ConfigRevision > s.ConfigRevision {
-			return false
+			return originUnknown
 		}
-		if r.Settled {
-			search.settledPeers++
+		if r.Complete {
+			search.completePeers++
 		}
 	}
 	switch {
-	case search.settled:
-		search.source = originOnlyVersion
-	case search.settledPeers > 0:
-		search.source = originOnlyVersionOfPeer
-	case search.followed && f.Settled() && f.hasEveryZoneFollowed(replies):
-		search.source = originOnlyVersionOfZones
+	case search.complete:
+		return originOnlyVersion
+	case search.completePeers > 0:
+		return originOnlyVersionOfPeer
+	case followed && f.Settled() && f.hasEveryZoneFollowed(replies):
+		return originOnlyVersionOfZones
 	default:
-		return false
+		return originUnknown
 	}
-	return true
 }
 
-// hasSharedKeeperReplied reports whether an instance has replied that each instance sends the stream's origin to. If none has, the
-// origin may be recorded, and not found.
-func (f *Fleet) hasSharedKeeperReplied(request uint64, replies map[string]*peer.OriginReply) bool {
-	return slices.ContainsFunc(f.sharedKeepers(request), func(address string) bool {
+// mayBeRecordedOutOfReach reports whether an instance may have recorded the stream that this one didn't reach: another one isn't reachable,
+// or no shared keeper has replied that has run for long enough to have been sent the origin.
+func (f *Fleet) mayBeRecordedOutOfReach(request uint64, replies map[string]*peer.OriginReply) bool {
+	f.mu.Lock()
+	instances := f.instances
+	f.mu.Unlock()
+	established, others := map[string]bool{}, false
+	for _, i := range instances {
+		if i.Address == f.o.Instance || i.Draining && !i.Reachable { // it handed over its origins
+			continue
+		}
+		if !i.Reachable {
+			return true
+		}
+		established[i.Address], others = i.Established, true
+	}
+	return others && !slices.ContainsFunc(f.sharedKeepers(request), func(address string) bool {
 		r := replies[address]
-		return r != nil && !r.HasNoVersion // one without a list has just started
+		return r != nil && !r.HasNoVersion && established[address]
 	})
 }
 
-// awaitListProof waits until this instance's list is confirmed by a read that was sent after a request for the stream, which
-// shows each version that can have begun it. It reports whether it was, within maxListProofWait.
-func awaitListProof(ctx context.Context, since time.Time, listAge func() time.Duration) bool {
+// awaitProof waits until this instance's list and configuration are confirmed by reads that were sent after the search began, and
+// so show each version and route by which the stream can have begun. It reports whether they were, within maxProofWait.
+func awaitProof(ctx context.Context, began time.Time, s ResumedStream) bool {
 	for {
-		waited := time.Since(since)
-		if listAge() <= waited {
+		waited := time.Since(began)
+		if max(s.ListAge(), s.ConfigAge()) <= waited {
 			return true
 		}
-		if waited >= maxListProofWait || !wait.For(ctx, listProofPoll) {
+		if waited >= maxProofWait || !wait.For(ctx, proofPoll) {
 			return false
 		}
 	}
@@ -179,15 +196,17 @@
 type originSearch struct {
 	stream   ResumedStream
 	source   originSource
-	peer     string   // that knew it
-	versions []string // that were listed within the stream's lifetime, as far as this instance knows
+	peer     string        // that knew it
+	lifetime time.Duration // the longest for which a stream of the service may be resumed
+	versions []string      // that were listed within it, as far as this instance knows
 	listAge  time.Duration
-	followed bool // this instance has followed the list for the stream's lifetime
-	settled  bool // it knows all of the versions: its list is current, too
-	// awaitedProof reports that the search waited for a proof of the list, since no keeper replied that may know the origin.
+	// onlyService reports that no other service can have begun the stream, and complete that this instance knows all
+	// versions: it has followed the list for the lifetime, and the list is current.
+	onlyService, complete bool
+	// awaitedProof reports that the search waited for a proof, since an instance out of reach may have recorded the stream.
 	awaitedProof bool
-	// asked and replied are the numbers of peers, and settledPeers that of those which know all versions.
-	asked, replied, settledPeers int
+	// asked and replied are the numbers of peers, and completePeers that of those which know all versions.
+	asked, replied, completePeers int
 }
 
 // recordOriginSearch logs and counts a search. It counts from when it began how long this instance has
@@ -199,8 +218,8 @@
 	f.o.Metrics.Count(`tacktally_stream_origins_total{source="` + string(s.source) + `"}`)
 	f.o.Log.Info().Str("event", "stream_origin").Str("origin", s.stream.Request).Str("source", string(s.source)).
 		Str("service", service).Str("software_version", version).Str("peer", s.peer).Strs("versions", s.versions).
-		Bool("settled", s.settled).Dur("followed", followed).Dur("lifetime", s.stream.Lifetime).Dur("list_age", s.listAge).Bool("only_service", s.stream.OnlyService).
-		Int("asked", s.asked).Int("replied", s.replied).Int("settled_peers", s.settledPeers).Bool("awaited_proof", s.awaitedProof).Dur("took", time.Since(began)).Msg("")
+		Bool("settled", s.complete).Dur("followed", followed).Dur("lifetime", s.stream.Lifetime).Dur("list_age", s.listAge).Bool("only_service", s.onlyService).
+		Int("asked", s.asked).Int("replied", s.replied).Int("settled_peers", s.completePeers).Bool("awaited_proof", s.awaitedProof).Dur("took", time.Since(began)).Msg("")
 }
 
 // hasEveryZoneFollowed reports whether an instance of each known zone has replied that it has followed the list for the
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -298,8 +298,8 @@
 	return out
 }
 
-// sharedKeepers returns the other instances that each instance sends the origin of a stream to, whatever its zone: one of
-// each of the first two zones in the ranking, or both of the only zone.
+// sharedKeepers returns the keepers of a stream's origin that are the same for recorders of all zones, without this instance: the
+// first one of each of the first two zones in the ranking, or both of the only zone.
 func (f *Fleet) sharedKeepers(request uint64) (out []string) {
 	f.mu.Lock()
 	instances := f.instances
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -43,7 +43,7 @@
 func newOriginFleet(zones int) *originFleet {
 	o := &originFleet{instances: map[string]*Fleet{}, killed: map[string]bool{}, listAge: map[string]time.Duration{}, listed: map[string]view.Upstream{}}
 	for n := range 2 * zones {
-		o.list = append(o.list, Instance{Address: fmt.Sprintf("10.0.0.%d:1", n), Zone: fmt.Sprint("zone-", n%zones), Cores: 0.4, Reachable: true, MayOwn: true, Settled: true})
+		o.list = append(o.list, Instance{Address: fmt.Sprintf("10.0.0.%d:1", n), Zone: fmt.Sprint("zone-", n%zones), Cores: 0.4, Reachable: true, MayOwn: true, Settled: true, Established: true})
 	}
 	for _, i := range o.list {
 		o.start(i)
@@ -68,7 +68,9 @@
 func (o *originFleet) restart(instances ...Instance) {
 	o.list = slices.Clone(o.list)
 	for _, i := range instances {
-		o.list[slices.IndexFunc(o.list, func(other Instance) bool { return other.Address == i.Address })].Incarnation++
+		at := slices.IndexFunc(o.list, func(other Instance) bool { return other.Address == i.Address })
+		o.list[at].Incarnation++
+		o.list[at].Established = false
 		f := o.start(i)
 		f.ApplyListChange(view.ListChange{Version: o.revision, Changed: slices.Collect(maps.Values(o.listed))})
 	}
@@ -138,6 +140,10 @@
 	return func() time.Duration { return time.Since(confirmed) }
 }
 
+func always() bool { return true }
+
+func never() bool { return false }
+
 // find returns the versions that the instances that are alive find, empty for none, each once.
 func (o *originFleet) find(t *testing.T, request string) map[string]bool {
 	t.Helper()
@@ -146,7 +152,7 @@
 		if o.killed[address] {
 			continue
 		}
-		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ConfigRevision: o.configRevision, ListAge: listOf(o.listAge[address])})
+		_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: always, ConfigRevision: o.configRevision, ConfigAge: listOf(0), ListAge: listOf(o.listAge[address])})
 		if !known {
 			version = ""
 		}
@@ -211,7 +217,7 @@
 		began := o.list[0].Address
 		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
 		for _, f := range o.instances {
-			service, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "t", Lifetime: originLifetime, ListAge: listOf(0)})
+			service, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "t", Lifetime: originLifetime, OnlyService: never, ConfigAge: listOf(0), ListAge: listOf(0)})
 			is.True(known)
 			is.Equal(service, "s")
 			is.Equal(version, "v1")
@@ -325,7 +331,7 @@
 						for stream := range 20 {
 							request := fmt.Sprint("r", began, "-", stream)
 							o.instances[i.Address].RecordOrigin(BegunStream{Request: request, Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true})
-							_, version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: listOf(time.Second)})
+							_, version, known := late.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: always, ConfigAge: listOf(0), ListAge: listOf(time.Second)})
 							if !known || version != "v2" {
 								t.Fatalf("a stream of version v2, begun at instance %d, is known as one of %q (%v)", began, version, known)
 							}
@@ -338,46 +344,137 @@
 }
 
 // Guards against a stream that goes on at another version than the one that began it, since the instance that its caller turns to
-// lacks a version that has just appeared, and those that were told of the stream don't reply.
-func TestOriginThatSilentKeepersMayKnowIsNotAssumed(t *testing.T) {
-	for _, zones := range []int{2, 4} {
-		for stream := range 20 {
-			t.Run(fmt.Sprintf("%d zones, stream %d", zones, stream), func(t *testing.T) {
-				virtualtime.Test(t, func(t *testing.T) {
-					is := is.New(t)
-					o := newOriginFleet(zones)
-					o.publish("a", "v1")
-					wait.For(t.Context(), originLifetime)
-					late, began := o.list[0].Address, o.list[1].Address
-					f := o.instances[late]
-					delete(o.instances, late)
-					o.publish("b", "v2")
-					request := fmt.Sprint("r", stream)
-					o.instances[began].RecordOrigin(BegunStream{Request: request, Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true})
-					for _, i := range o.list[1:] {
-						o.kill(i.Address)
-					}
-					confirmed := time.Now().Add(maxListProofWait / 2) // by a read that is sent then, and shows v2
-					before := listOf(time.Second)
-					readLater := func() time.Duration {
-						if time.Now().Before(confirmed) {
-							return before()
+// lacks a version that has just appeared, and those that were told of the stream are out of reach.
+func TestOriginThatIsRecordedOutOfReachIsNotAssumed(t *testing.T) {
+	for name, c := range map[string]struct {
+		lags func(i, last Instance) bool // the other instances that lack v2, too
+		// lose makes all instances that know the stream of v2 unable to say so.
+		lose func(o *originFleet, knowing []Instance)
+	}{
+		"they are silent": {lose: func(o *originFleet, knowing []Instance) { o.killAll(knowing) }},
+		"they are known to be unreachable": {lose: func(o *originFleet, knowing []Instance) {
+			o.killAll(knowing)
+			o.markUnreachable(knowing)
+		}},
+		"the last zone is unreachable, others lag as well": {
+			lags: func(i, last Instance) bool { return i.Zone != last.Zone },
+			lose: func(o *originFleet, knowing []Instance) {
+				o.killAll(knowing)
+				o.markUnreachable(knowing)
+			},
+		},
+		"all have just restarted with a list that lags": {lose: func(o *originFleet, knowing []Instance) {
+			for _, i := range knowing {
+				o.startWithFirstVersion(i)
+			}
+		}},
+	} {
+		for _, zones := range []int{1, 2, 3, 4} {
+			for stream := range 10 {
+				t.Run(fmt.Sprintf("%s, %d zones, stream %d", name, zones, stream), func(t *testing.T) {
+					virtualtime.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						o := newOriginFleet(zones)
+						o.publish("a", "v1")
+						wait.For(t.Context(), originLifetime)
+						last := o.list[len(o.list)-1]
+						lagging := map[string]*Fleet{}
+						var knowing []Instance
+						for n, i := range o.list {
+							if n == 0 || c.lags != nil && c.lags(i, last) {
+								lagging[i.Address] = o.instances[i.Address]
+								delete(o.instances, i.Address)
+							} else {
+								knowing = append(knowing, i)
+							}
 						}
-						f.ApplyListChange(view.ListChange{Version: o.revision, Changed: []view.Upstream{o.listed["b"]}})
-						return time.Since(confirmed)
-					}
-					for _, listAge := range []func() time.Duration{before, readLater} {
-						_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: listAge})
-						is.True(!known)
-					}
+						o.publish("b", "v2")
+						request := fmt.Sprint("r", stream)
+						o.instances[last.Address].RecordOrigin(BegunStream{Request: request, Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true})
+						maps.Copy(o.instances, lagging)
+						c.lose(o, knowing)
+						f := lagging[o.list[0].Address]
+						f.SetInstances(slices.Clone(o.list))
+						confirmed := time.Now().Add(maxProofWait / 2) // by a read that is sent then, and shows v2
+						before := listOf(time.Second)
+						readLater := func() time.Duration {
+							if time.Now().Before(confirmed) {
+								return before()
+							}
+							f.ApplyListChange(view.ListChange{Version: o.revision, Changed: []view.Upstream{o.listed["b"]}})
+							return time.Since(confirmed)
+						}
+						for _, listAge := range []func() time.Duration{before, readLater} {
+							_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "s", Lifetime: originLifetime, OnlyService: always, ConfigAge: listOf(0), ListAge: listAge})
+							is.True(!known)
+						}
+					})
 				})
-			})
+			}
+		}
+	}
+}
+
+func (o *originFleet) killAll(instances []Instance) {
+	for _, i := range instances {
+		o.kill(i.Address)
+	}
+}
+
+// markUnreachable makes instances known as unreachable to all.
+func (o *originFleet) markUnreachable(unreachable []Instance) {
+	o.list = slices.Clone(o.list)
+	for n, i := range o.list {
+		if slices.Contains(unreachable, i) {
+			o.list[n].Reachable, o.list[n].MayOwn = false, false
 		}
 	}
 }
 
+// startWithFirstVersion restarts an instance, whose list has the upstream a alone.
+func (o *originFleet) startWithFirstVersion(i Instance) {
+	o.list = slices.Clone(o.list)
+	at := slices.Index(o.list, i)
+	o.list[at].Incarnation++
+	o.list[at].Established = false
+	o.start(o.list[at]).ApplyListChange(view.ListChange{Version: 1, Changed: []view.Upstream{o.listed["a"]}})
+}
+
+// Guards against a stream that goes on at another service than the one that began it: a route may have been moved since the
+// configuration was confirmed, which instances out of reach know.
+func TestRouteIsConfirmedWhereInstancesAreOutOfReach(t *testing.T) {
+	for name, c := range map[string]struct {
+		confirmed   bool // the configuration, since the request
+		onlyService bool // by the configuration that the proof brings
+		known       bool
+	}{
+		"not confirmed":            {false, true, false},
+		"confirmed":                {true, true, true},
+		"confirmed by another one": {true, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
+				o := newOriginFleet(2)
+				o.publish("a", "v1")
+				wait.For(t.Context(), originLifetime)
+				for _, i := range o.list[1:] {
+					o.kill(i.Address)
+				}
+				configAge := listOf(time.Second)
+				if c.confirmed {
+					configAge = listOf(0)
+				}
+				asked := 0
+				onlyService := func() bool { asked++; return asked == 1 || c.onlyService }
+				_, _, known := o.instances[o.list[0].Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: onlyService, ConfigAge: configAge, ListAge: listOf(0)})
+				is.New(t).Equal(known, c.known)
+			})
+		})
+	}
+}
+
 // Guards against refusals while keepers don't reply: what a read shows that is sent after the request holds.
-func TestListProvenSinceTheRequestNeedsNoKeepers(t *testing.T) {
+func TestListConfirmedSinceTheRequestNeedsNoKeepers(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		o := newOriginFleet(2)
@@ -386,17 +483,18 @@
 		for _, i := range o.list[1:] {
 			o.kill(i.Address)
 		}
-		proven := time.Now().Add(maxListProofWait / 2)
-		before := listOf(time.Second)
+		began, before := time.Now(), listOf(time.Second)
+		confirmed := began.Add(maxProofWait / 2)
 		age := func() time.Duration {
-			if time.Now().Before(proven) {
+			if time.Now().Before(confirmed) {
 				return before()
 			}
-			return time.Since(proven)
+			return time.Since(confirmed)
 		}
-		_, version, known := o.instances[o.list[0].Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: age})
+		_, version, known := o.instances[o.list[0].Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: always, ConfigAge: listOf(0), ListAge: age})
 		is.True(known)
 		is.Equal(version, "v1")
+		is.True(time.Since(began) >= maxProofWait/2)
 	})
 }
 
@@ -556,7 +654,7 @@
 		for n := range o.list {
 			for _, request := range []string{fmt.Sprint("after", n), fmt.Sprint("before", n)} {
 				for _, f := range o.instances {
-					service, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "t", Lifetime: originLifetime, ListAge: listOf(0)})
+					service, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: request, Service: "t", Lifetime: originLifetime, OnlyService: never, ConfigAge: listOf(0), ListAge: listOf(0)})
 					is.True(known)
 					is.Equal(service, "s")
 				}
@@ -578,7 +676,7 @@
 			revision int64
 			known    bool
 		}{{7, false}, {8, true}, {9, true}} {
-			_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true, ConfigRevision: c.revision, ListAge: listOf(0)})
+			_, _, known := f.FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: always, ConfigRevision: c.revision, ConfigAge: listOf(0), ListAge: listOf(0)})
 			is.Equal(known, c.known)
 		}
 	})
@@ -594,7 +692,7 @@
 		started := o.list[1]
 		o.start(started)
 		for _, i := range o.list {
-			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: true, ListAge: listOf(0)})
+			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime, OnlyService: always, ConfigAge: listOf(0), ListAge: listOf(0)})
 			is.Equal(known, i.Address != started.Address)
 			is.Equal(version == "v1", known)
 		}
@@ -618,9 +716,9 @@
 		began := o.list[0].Address
 		o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v2", Lifetime: originLifetime / 4, OnlyService: true})
 		for _, i := range o.list {
-			_, _, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "unknown", Service: "s", Lifetime: originLifetime / 4, OnlyService: true, ListAge: listOf(0)})
+			_, _, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "unknown", Service: "s", Lifetime: originLifetime / 4, OnlyService: always, ConfigAge: listOf(0), ListAge: listOf(0)})
 			is.True(!known) // v1 may have begun it by the long route
-			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime / 4, OnlyService: true, ListAge: listOf(0)})
+			_, version, known := o.instances[i.Address].FindOrigin(t.Context(), ResumedStream{Request: "r", Service: "s", Lifetime: originLifetime / 4, OnlyService: always, ConfigAge: listOf(0), ListAge: listOf(0)})
 			is.True(known)
 			is.Equal(version, "v2")
 		}
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -47,13 +47,13 @@
 	HasNoVersion bool `cbor:"8,keyasint,omitempty"`
 	// ConfigRevision is the revision of the peer's configuration.
 	ConfigRevision int64 `cbor:"9,keyasint,omitempty"`
-	// Followed reports that the peer has followed the list for the Lifetime, and Settled that its list is current as well.
+	// Followed reports that the peer has followed the list for the Lifetime, and Complete that its list is current as well.
 	// Peers of earlier versions leave Followed out.
 	Followed bool `cbor:"7,keyasint,omitempty"`
-	Settled  bool `cbor:"5,keyasint,omitempty"`
+	Complete bool `cbor:"5,keyasint,omitempty"`
 }
 
-// MaxListedVersions bounds the versions of a ListHistory.
+// MaxListedVersions is the number of versions from which on a ListHistory counts as incomplete.
 const MaxListedVersions = 1 << 12
 
 // ListHistory says which software versions the upstreams of each service have had since the sender, or peers before it, have
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -54,8 +54,8 @@
 	ctx, cancel := j.context()
 	defer cancel()
 	service, version, known := j.handler.o.Fleet.FindOrigin(ctx, fleet.ResumedStream{
-		Request: j.info.OriginID, Service: j.service, Lifetime: OriginLifetime(j.route), ListAge: j.handler.listAge,
-		OnlyService: j.isOnlyService(), ConfigRevision: j.handler.o.View.Revision(),
+		Request: j.info.OriginID, Service: j.service, Lifetime: OriginLifetime(j.route), OnlyService: j.isOnlyService,
+		ConfigRevision: j.handler.o.View.Revision(), ListAge: j.handler.listAge, ConfigAge: j.handler.configAge,
 	})
 	if !known {
 		return api.Refuse(api.ReasonOriginUnknown, "which version of the upstreams began the stream of request %q isn't known; retry after the given time, or send the request anew without the ID of an event", j.info.OriginID).WithRetryAfter(fleet.ShortRetryAfter)
@@ -74,6 +74,12 @@
 	return age
 }
 
+// configAge returns the time since the read was sent that last confirmed the configuration.
+func (h *Handler) configAge() time.Duration {
+	age, _ := h.o.View.Age()
+	return age
+}
+
 // recordOrigin records the version of the upstream whose event was relayed as that which began the stream, once for
 // each response. A resumed stream may be resumed again, by the ID of its first request or of one that went on with it; what was
 // concluded of its origin isn't recorded before the stream has gone on by it.
