entry: after a pause, an instance offers only what it was told since

What callers saw: a crashing request that was quarantined reached further upstreams at an instance that had just started: it had fetched the quarantine periods from a peer that was paused when they began, and then counted as informed for as long as that peer, so that it asked nobody else. What a paused instance lacks was tracked for its own fetches alone.

It now offers, in heartbeats and states, what it was told since the end of the pause, until it has fetched the rest. TestPausedInstanceOffersOnlyWhatItWasToldSince fails without it (found by a review).

--- a/internal/entry/informed.go
+++ b/internal/entry/informed.go
@@ -20,8 +20,9 @@
 type informed struct {
 	mu    sync.Mutex
 	since time.Time
-	// missedSince is since when the instance may have missed what was told, as it was paused; zero if it hasn't.
-	missedSince time.Time
+	// missedSince is since when the instance may have missed what was told, as it was paused; zero if it hasn't. It may have until
+	// missedUntil.
+	missedSince, missedUntil time.Time
 }
 
 // duration returns for how long the instance, or peers before it, have been informed, wantedInformation at most.
@@ -31,6 +32,17 @@
 	return min(now.Sub(k.since), wantedInformation)
 }
 
+// offered returns for how long the instance can tell peers what it was told: all the time, or since the end of a pause.
+func (k *informed) offered(now time.Time) time.Duration {
+	duration := k.duration(now)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.missedSince.IsZero() {
+		return duration
+	}
+	return min(duration, now.Sub(k.missedUntil))
+}
+
 // lacks reports whether a peer that has been informed for a duration knows what this instance may not.
 func (k *informed) lacks(now time.Time, peer time.Duration) bool {
 	return knowsMore(peer, k.duration(now)) || k.missed(now, peer)
@@ -50,7 +62,7 @@
 	return !k.missedSince.IsZero() && !now.Add(-peer).After(k.missedSince)
 }
 
-// merged records that all that a peer knows has been merged, which has been informed for a duration.
+// merged records that the state of a peer that has been informed for a duration has been merged.
 func (k *informed) merged(now time.Time, peer time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -63,10 +75,11 @@
 	}
 }
 
-// interrupted records that this instance was paused, and when it last ran before.
-func (k *informed) interrupted(last time.Time) {
+// interrupted records that this instance was paused until now, and when it last ran before.
+func (k *informed) interrupted(now, last time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.missedUntil = now
 	if k.missedSince.IsZero() || last.Before(k.missedSince) {
 		k.missedSince = last
 	}
--- a/internal/entry/informed_test.go
+++ b/internal/entry/informed_test.go
@@ -14,8 +14,8 @@
 	"github.com/tacktally/tacktally/internal/view"
 )
 
-// hear passes a heartbeat of one instance to another one, which fetches the sender's state if it is behind.
-func hear(from, to *Instance) (fetched bool) {
+// deliverHeartbeat passes a heartbeat of one instance to another one, which fetches the sender's state if it is behind.
+func deliverHeartbeat(from, to *Instance) (fetched bool) {
 	sender, receiver := &peerHandler{from}, &peerHandler{to}
 	if fetched = to.isBehind(&peer.Heartbeat{InformedS: sender.Heartbeat().InformedS}); fetched {
 		receiver.MergeState(from.Address(), boottime.Now(), sender.State(receiver.FetchRequest()))
@@ -46,10 +46,10 @@
 	}
 	is.True(survivor.fleet.RecordLeavingNotice(leaving))
 	is.True(survivor.fleet.ObserveLimit(limited, time.Now(), ratelimit.Observation{Kind: ratelimit.Limited, PerSecond: 3}))
-	is.True(hear(first, second))
-	is.True(hear(second, first))
-	is.True(hear(survivor, first))
-	is.True(hear(first, second)) // which also knows what was before it
+	is.True(deliverHeartbeat(first, second))
+	is.True(deliverHeartbeat(second, first))
+	is.True(deliverHeartbeat(survivor, first))
+	is.True(deliverHeartbeat(first, second)) // which also knows what was before it
 	for _, i := range []*Instance{first, second} {
 		for segment := range uint64(quarantinedSegments) {
 			is.True(i.quarantine.Remaining(time.Now(), crashingRequest(0, segment)) > 0)
@@ -57,14 +57,14 @@
 		is.True(i.fleet.IsLeaving(leaving))
 		_, known := i.fleet.Limit("limited")
 		is.True(known)
-		is.True(!hear(survivor, i))
+		is.True(!deliverHeartbeat(survivor, i))
 	}
-	is.True(!hear(first, second))
-	is.True(hear(first, survivor)) // for the first time; its state is no older
-	is.True(!hear(first, survivor))
+	is.True(!deliverHeartbeat(first, second))
+	is.True(deliverHeartbeat(first, survivor)) // for the first time; its state is no older
+	is.True(!deliverHeartbeat(first, survivor))
 }
 
-// A state that says nothing of the time before its sender started doesn't count for it, and is sent only to one that lacks it.
+// Guards against states that carry all quarantine periods to each peer, and against one that lacks them and counts as complete.
 func TestStateHasQuarantinePeriodsForWhoLacksThem(t *testing.T) {
 	is := is.New(t)
 	i := newInstance(t, settings.Overload{})
@@ -93,20 +93,38 @@
 		i.informed.since = time.Now().Add(-time.Hour)
 		i.refreshFleet()
 	}
-	is.True(hear(running, paused)) // for the first time
-	is.True(!hear(running, paused))
+	is.True(deliverHeartbeat(running, paused)) // for the first time
+	is.True(!deliverHeartbeat(running, paused))
 	quarantineSegments(t, running)
-	is.True(!hear(running, paused))
+	is.True(!deliverHeartbeat(running, paused))
 	paused.lastFleet.pauses-- // it has been paused since the last refresh
 	paused.lastFleet.at = time.Now().Add(-time.Minute)
 	paused.refreshFleet()
-	is.True(!hear(started, paused)) // it wasn't there
-	is.True(hear(running, paused))
+	is.True(!deliverHeartbeat(started, paused)) // it wasn't there
+	is.True(deliverHeartbeat(running, paused))
 	is.True(paused.quarantine.Remaining(time.Now(), crashingRequest(0, 0)) > 0)
-	is.True(!hear(running, paused))
+	is.True(!deliverHeartbeat(running, paused))
 	paused.refreshFleet()
-	is.True(!hear(running, paused))
-	is.True(hear(paused, started)) // it still knows what was told before
+	is.True(!deliverHeartbeat(running, paused))
+	is.True(deliverHeartbeat(paused, started)) // it still knows what was told before
+	is.Equal(started.quarantine.Count(time.Now()), quarantinedSegments)
+	is.True(!deliverHeartbeat(running, started))
+}
+
+// Guards against an instance that takes what a peer was told before and after a pause for all there is.
+func TestPausedInstanceOffersOnlyWhatItWasToldSince(t *testing.T) {
+	is := is.New(t)
+	running, paused, started := newInstance(t, settings.Overload{}), newInstance(t, settings.Overload{}), newInstance(t, settings.Overload{})
+	for _, i := range []*Instance{running, paused} {
+		i.informed.since = time.Now().Add(-time.Hour)
+		i.refreshFleet()
+	}
+	deliverHeartbeat(running, paused) // for the first time
+	quarantineSegments(t, running)
+	paused.lastFleet.pauses-- // it has been paused since the last refresh
+	paused.lastFleet.at = time.Now().Add(-time.Minute)
+	paused.refreshFleet()
+	is.True(deliverHeartbeat(paused, started)) // for the first time
+	is.True(deliverHeartbeat(running, started))
 	is.Equal(started.quarantine.Count(time.Now()), quarantinedSegments)
-	is.True(!hear(running, started))
 }
--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -23,7 +23,7 @@
 	i.fleet.RecordRunning()
 	if pauses := i.fleet.Pauses(); pauses != i.lastFleet.pauses {
 		i.lastFleet.pauses = pauses
-		i.informed.interrupted(i.lastFleet.at)
+		i.informed.interrupted(time.Now(), i.lastFleet.at)
 	}
 	change, now := i.mesh.MembershipChangeCount(), time.Now()
 	settles := !i.lastFleet.settles.IsZero() && !now.Before(i.lastFleet.settles)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -52,7 +52,7 @@
 		Evacuations: peer.Evacuations(v.CurrentEvacuations()),
 	}
 	now := time.Now()
-	if d := p.instance.informed.duration(now); f.Quarantined || f.Informed > 0 && knowsMore(d, f.Informed) {
+	if d := p.instance.informed.offered(now); f.Quarantined || f.Informed > 0 && knowsMore(d, f.Informed) {
 		s.Quarantined, s.Informed = p.instance.quarantine.AllQuarantined(now), d
 	}
 	if f.ListHistory {
@@ -96,7 +96,16 @@
 	v := p.instance.view
 	known := v.KnownState()
 	now := time.Now()
-	return &peer.FetchRequest{Revision: v.Revision(), ListVersion: known.Version, AcceptsDelta: true, ListChecksums: known.Checksums, AcceptsParts: true, Quarantined: !p.instance.knowsQuarantined.Load() || p.instance.informed.hasMissed(now), Informed: p.instance.informed.duration(now), ListHistory: p.instance.followed() < wantedHistory}
+	return &peer.FetchRequest{
+		Revision:      v.Revision(),
+		ListVersion:   known.Version,
+		AcceptsDelta:  true,
+		ListChecksums: known.Checksums,
+		AcceptsParts:  true,
+		Quarantined:   !p.instance.knowsQuarantined.Load() || p.instance.informed.hasMissed(now),
+		Informed:      p.instance.informed.duration(now),
+		ListHistory:   p.instance.followed() < wantedHistory,
+	}
 }
 
 // MergeState implements peer.Handler. The peer's state was current when it was requested or later,
@@ -175,7 +184,7 @@
 		Isolated:          reached == reach.Isolated,
 		Reach:             reached,
 		FollowedS:         int(i.offeredHistory().Seconds()),
-		InformedS:         int(i.informed.duration(time.Now()).Seconds()),
+		InformedS:         int(i.informed.offered(time.Now()).Seconds()),
 	}
 }
 
