--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -279,12 +279,12 @@
 	return response, nil
 }
 
-// hasTransferEncoding reports whether a head, which more may follow, has a Transfer-Encoding. net/http drops the header
+// hasTransferEncoding reports whether a head, which a part of the body may follow, has a Transfer-Encoding. net/http drops the header
 // from responses of HTTP/1.0 and takes the encoded body for the body.
 func hasTransferEncoding(head []byte) bool {
 	reader := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
 	_, _ = reader.ReadLine()             // the status line
-	header, _ := reader.ReadMIMEHeader() // parsed before
+	header, _ := reader.ReadMIMEHeader() // http.ReadResponse has accepted it
 	return header.Get("Transfer-Encoding") != ""
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -105,7 +105,7 @@
 	noticesSent    int
 	slots          SlotClient   // nil without peers
 	relays         Relays       // nil without routed.relay
-	followedSince  time.Time    // since when the versions on the list are known: it first arrived, also after a gap, or a peer has followed it
+	followedSince  time.Time    // since when each version that was listed is known, see list_history.go
 	originClient   OriginClient // nil without peers
 	origins        *origin.Registry
 
--- a/internal/fleet/list_history_test.go
+++ b/internal/fleet/list_history_test.go
@@ -13,13 +13,13 @@
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
-// tell sends the history of one instance to another one.
-func (o *originFleet) tell(from, to string) {
+// sendHistory sends the history of one instance to another one.
+func (o *originFleet) sendHistory(from, to string) {
 	o.instances[to].MergeListHistory(from, o.instances[from].ListHistory(o.listAge[from]))
 }
 
-// Instances that are replaced one after the other know what the first ones saw: that the only version is the only one, and
-// which one has left.
+// Guards against refusals, and streams of two versions, after a rolling restart: each instance that starts learns from a peer which
+// versions were listed.
 func TestInstancesThatReplaceAllOthersKnowTheVersions(t *testing.T) {
 	for _, left := range []bool{false, true} {
 		virtualtime.Test(t, func(t *testing.T) {
@@ -34,9 +34,9 @@
 			for n, i := range o.list {
 				wait.For(t.Context(), time.Second)
 				o.restart(i)
-				o.tell(o.list[(n+1)%len(o.list)].Address, i.Address)
+				o.sendHistory(o.list[(n+1)%len(o.list)].Address, i.Address)
 				if n > 0 {
-					o.tell(o.list[n-1].Address, i.Address)
+					o.sendHistory(o.list[n-1].Address, i.Address)
 				}
 			}
 			want := "v1"
@@ -48,7 +48,8 @@
 	}
 }
 
-// A history that ends before the instance followed the list, or that may end before now, says nothing of the time between.
+// Guards against streams of two versions: a history that ends before the instance had a list, or that isn't up to date, doesn't
+// cover the time between.
 func TestListHistoryWithAGapIsNotUsed(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -61,16 +62,16 @@
 		is.Equal(fresh.Followed(), time.Duration(0))
 		o.restart(to)
 		o.listAge[from.Address] = 2 * currentListAge
-		o.tell(from.Address, to.Address)
+		o.sendHistory(from.Address, to.Address)
 		is.Equal(o.instances[to.Address].Followed(), time.Duration(0))
 		o.listAge[from.Address] = 0
 		wait.For(t.Context(), time.Second)
-		o.tell(from.Address, to.Address)
+		o.sendHistory(from.Address, to.Address)
 		is.Equal(o.instances[to.Address].Followed(), originLifetime+time.Second)
 	})
 }
 
-// A version is forgotten after a while, so that nothing is known of the time before.
+// Guards against streams of two versions: a version that was forgotten must not count as one that never was.
 func TestHistoryIsAsLongAsVersionsAreRemembered(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -90,7 +91,7 @@
 }
 
 // Guards against streams of two versions: an instance that was cut off may have missed a version that came and went. It
-// tells nobody that it has followed the list, and what others then ask of it they must find at the keepers.
+// offers no history until it has followed the list anew, and sends the origins that only it has recorded to the keepers.
 func TestListHistoryBeginsAnewAfterAGap(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -141,14 +142,14 @@
 		o.instances[apart].ApplyListChange(view.ListChange{Version: o.revision, Gap: 2 * currentListAge})
 		o.restart(o.list[1:]...)
 		for _, i := range o.list[1:] {
-			o.tell(apart, i.Address)
+			o.sendHistory(apart, i.Address)
 		}
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
 		is.Equal(o.find(t, "begun before"), map[string]bool{"v1": true})
 	})
 }
 
-// The origins that only an instance with a gap knows are found from all others, which learn nothing from it of other versions.
+// Guards against refusals after a gap: a peer without one tells which versions were listed meanwhile, so that they are known again.
 func TestGapOfTheListIsClosedByAPeer(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -160,7 +161,7 @@
 		is.Equal(apart.Followed(), originLifetime) // current until then
 		apart.ApplyListChange(view.ListChange{Version: o.revision, Gap: 2 * currentListAge})
 		is.Equal(apart.Followed(), time.Duration(0))
-		o.tell(o.list[1].Address, o.list[0].Address)
+		o.sendHistory(o.list[1].Address, o.list[0].Address)
 		is.Equal(apart.Followed(), originLifetime)
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
 	})
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -88,8 +88,8 @@
 	return out
 }
 
-// Entered returns the upstreams that serve in a list and not in the one before, by address: another process may be there.
-// None have entered the first list, before which is nil.
+// Entered returns the addresses of the upstreams that are live in a list and weren't in the one before: another process may
+// serve there. Before is nil for the first list, for which there are none.
 func Entered(before, list map[string]State) map[string]bool {
 	out := map[string]bool{}
 	for address, state := range list {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -79,6 +79,7 @@
 	}
 }
 
+// Guards against an empty list that counts as an error, and a truncated one that counts as empty.
 func TestDecodeList(t *testing.T) {
 	is := is.New(t)
 	for _, content := range []string{"[]", " [ ]\n", "null"} {
