fleet: origins are shared also if a peer's history tells of a version first

Callers saw streams refused as of unknown origin after the instance that began them was killed, though a keeper of its zone served on.

An instance shares the origins that only it knows when a service's second version appears with a change of its list. A peer's history adds versions as well: a peer takes its list for a reply, applies a change, and then takes its history, so that the version comes before the list has it. By the time it was listed, it was known already, and the origins were never shared.

The window is the time between two calls in one reply, to a fetch that no change of the list has caused.

--- a/internal/fleet/list_history.go
+++ b/internal/fleet/list_history.go
@@ -53,22 +53,37 @@
 }
 
 // MergeListHistory adds the versions that a peer knows to those of this instance. If the peer has followed the list for longer,
-// together they have since then, as this instance had a list when the peer replied.
+// together they have since then, as this instance had a list when the peer replied. A version may come with the history before it
+// comes with the list, so that origins which only this instance knows are shared here too.
 func (f *Fleet) MergeListHistory(from string, h *peer.ListHistory) {
-	if h == nil {
-		return
+	if h != nil {
+		f.ShareOrigins(f.mergeListHistory(from, h))
 	}
+}
+
+// mergeListHistory adds the history of a peer, and returns the services that have several versions only by it.
+func (f *Fleet) mergeListHistory(from string, h *peer.ListHistory) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	several := f.servicesWithVersions(now)
 	for _, v := range h.Versions {
 		f.serviceOf(v.Service).sawVersion(v.Version, now.Add(-v.Gone))
 	}
-	before := f.followed(now)
-	if f.followedSince.IsZero() || h.Followed < before+minAddedHistory {
-		return
+	if before := f.followed(now); !f.followedSince.IsZero() && h.Followed >= before+minAddedHistory {
+		f.followedSince = now.Add(-h.Followed)
+		f.o.Log.Info().Str("event", "list_history").Str("peer", from).Dur("followed", h.Followed).Dur("followed_before", before).
+			Int("versions", len(h.Versions)).Msg("")
+	}
+	return addedServices(several, f.servicesWithVersions(now))
+}
+
+// addedServices returns the services that are in the second set only.
+func addedServices(before, now map[string]bool) (out []string) {
+	for service := range now {
+		if !before[service] {
+			out = append(out, service)
+		}
 	}
-	f.followedSince = now.Add(-h.Followed)
-	f.o.Log.Info().Str("event", "list_history").Str("peer", from).Dur("followed", h.Followed).Dur("followed_before", before).
-		Int("versions", len(h.Versions)).Msg("")
+	return out
 }
--- a/internal/fleet/list_history_test.go
+++ b/internal/fleet/list_history_test.go
@@ -127,6 +127,32 @@
 	})
 }
 
+// Guards against refusals of streams that an instance knew which was killed: it had shared their origins with no keeper, since a
+// peer's history told it of the second version before its list did.
+func TestOriginsAreSharedWhenAPeerTellsOfAVersion(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		virtualtime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			o := newOriginFleet(2)
+			o.publish("a", "v1")
+			wait.For(t.Context(), originLifetime)
+			began := o.list[1].Address
+			o.instances[began].RecordOrigin(BegunStream{Request: "r", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
+			o.instances[began].MergeListHistory("peer", &peer.ListHistory{Followed: originLifetime, Versions: []peer.ListedVersion{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}}})
+			if listed {
+				o.publish("b", "v2")
+			}
+			o.kill(began)
+			for _, i := range o.list {
+				if i.Address != began && i.Zone == o.list[1].Zone {
+					is.Equal(o.instances[i.Address].origins.Len(), 1)
+				}
+			}
+			is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
+		})
+	}
+}
+
 // Guards against streams of two versions: an instance that was out of touch while a version came and left took the version
 // that it found again for the only one of that time, and told so those that had started since.
 func TestVersionsWithinAGapOfTheListAreNotKnown(t *testing.T) {
