fleet: an origin that is recorded while a version appears is shared

Callers could see a stream refused as of unknown origin after the instance that began it was killed, where its first event was relayed at the moment at which a second version appeared: the version was read, then the other origins were shared, then this one was recorded as known to this instance alone, and nothing shared it later.

The decision and the record are now one step under the fleet's lock, which a change of the list takes too.

--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -161,17 +161,25 @@
 		return
 	}
 	now := time.Now()
-	remaining := min(s.Lifetime, versionMemory)
-	longest := f.ExtendLifetime(s.Service, remaining)
-	o := origin.Origin{Request: hashOf(s.Request), Service: s.Service, Version: s.Version, Until: now.Add(remaining)}
-	isOnlyOne := s.OnlyService && f.hasFollowedFor(now, longest) && len(f.recentVersions(now, s.Service, longest)) <= 1
-	shared := f.originClient != nil && !isOnlyOne
-	f.origins.Record(now, o, shared)
-	if shared {
+	o := origin.Origin{Request: hashOf(s.Request), Service: s.Service, Version: s.Version, Until: now.Add(min(s.Lifetime, versionMemory))}
+	if f.recordOrigin(now, o, s.OnlyService) {
 		f.sendOrigins(now, []origin.Origin{o})
 	}
 }
 
+// recordOrigin records an origin, and reports whether the keepers must receive it now. A version that appears at the same
+// time comes before it, or finds it among those to share.
+func (f *Fleet) recordOrigin(now time.Time, o origin.Origin, onlyService bool) (shared bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.serviceOf(o.Service)
+	s.originLifetime = max(s.originLifetime, o.Until.Sub(now))
+	isOnlyOne := onlyService && f.followed(now) >= s.originLifetime && len(s.recentVersions(now, s.originLifetime)) <= 1
+	shared = f.originClient != nil && !isOnlyOne
+	f.origins.Record(now, o, shared)
+	return shared
+}
+
 // ShareOrigins sends the origins of the streams of services that only this instance knows to the keepers: other
 // instances can no longer conclude them.
 func (f *Fleet) ShareOrigins(services []string) {
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -116,9 +117,11 @@
 }
 
 func (o *originFleet) SendOrigins(address string, list []peer.StreamOrigin) {
+	o.mu.Lock()
 	for _, origin := range list {
 		o.longest = max(o.longest, origin.Remaining)
 	}
+	o.mu.Unlock()
 	if f := o.alive(address); f != nil {
 		f.MergeOrigins(list)
 	}
@@ -207,6 +210,37 @@
 	})
 }
 
+// Guards against refusals of streams that an instance knew which was killed: one that began while a version appeared was recorded
+// as that of the only version after the origins had been shared.
+func TestOriginIsSharedIfAVersionAppearsMeanwhile(t *testing.T) {
+	const fleets, callers, streams = 100, 4, 100
+	for range fleets {
+		virtualtime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			o := newOriginFleet(2)
+			o.publish("a", "v1")
+			wait.For(t.Context(), originLifetime)
+			f := o.instances[o.list[0].Address]
+			var running sync.WaitGroup
+			for c := range callers {
+				running.Go(func() {
+					for n := range streams {
+						f.RecordOrigin(BegunStream{Request: fmt.Sprint(c, "-", n), Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
+					}
+				})
+			}
+			running.Go(func() {
+				for f.origins.Len() < callers*streams/10 {
+					runtime.Gosched()
+				}
+				f.ApplyListChange(view.ListChange{Version: o.revision + 1, Changed: []view.Upstream{{ID: "b", Service: "s", Address: "127.0.0.1:1", Slots: 9, Version: "v2"}}})
+			})
+			running.Wait()
+			is.Equal(len(f.origins.TakeUnshared(time.Now(), "s")), 0)
+		})
+	}
+}
+
 // Guards against streams of two services: an instance that asked for a stream's origin was told its version only.
 func TestServiceThatBeganAStreamIsFoundFromAllInstances(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
