peer: origins that were sent on a link are sent anew if it ends

Callers saw streams refused as of unknown origin after the instance that began them was killed, though a keeper of its zone served on: all 20 of an instance in one run of TestStreamsResumedAfterInstancesWereKilled/v1_leaves_never,_settled,_3_of_4_killed.

When a version appears, an instance sends a keeper all its origins in one frame, once. A frame that was queued or written counted as sent. If the keeper gets no processor time for suspectAfter, either side ends the link as silent, and what the keeper hadn't read was lost: the origins were marked as shared, the keeper was the same process as before, and nothing sent them again.

The keeper may get an origin twice, which changes nothing.

TestOriginsAreSentAnewAfterTheirLinkHasEnded, for links that either side dialled: 3 of 3 cases failed before.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -47,6 +47,11 @@
 	unanswered   int       // consecutive requests without a reply in time
 	openRequests int       // requests of the peer that are open
 	lastRequest  time.Time // when the peer last sent a request
+	// origins are those that were last sent, originCount their number, and originsTaken whether the link has ended and they
+	// are sent elsewhere.
+	origins      []sentOrigins
+	originCount  int
+	originsTaken bool
 }
 
 const (
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -285,6 +285,7 @@
 	}
 	m.mu.Unlock()
 	m.reportLinkLost(address)
+	m.resendOrigins(address, l)
 	return true, err
 }
 
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/tacktally/tacktally/internal/boottime"
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
@@ -101,9 +102,10 @@
 )
 
 // SendOrigins sends origins to a peer. It doesn't block. If no link to the peer is up, they wait for one in the
-// background, for originDelivery.
+// background, for originDelivery. Those that were sent on a link within originDelivery before its end are sent anew, since the
+// peer may not have read them.
 func (m *Mesh) SendOrigins(address string, list []StreamOrigin) {
-	if l := m.reachableLink(address); l != nil && m.knowsOrigins(address) {
+	if l := m.reachableLink(address); l != nil && m.knowsOrigins(address) && l.keepOrigins(boottime.Now(), list) {
 		sendOrigins(l, list)
 		return
 	}
@@ -129,11 +131,63 @@
 	list := m.pendingOrigins[address]
 	delete(m.pendingOrigins, address)
 	m.mu.Unlock()
-	if err == nil && m.knowsOrigins(address) {
+	switch {
+	case err != nil || !m.knowsOrigins(address):
+	case l.keepOrigins(boottime.Now(), list):
 		sendOrigins(l, list)
+	default: // the link has just ended
+		m.SendOrigins(address, list)
 	}
 }
 
+// resendOrigins sends the origins anew that a peer may not have read before its link ended.
+func (m *Mesh) resendOrigins(address string, ended *link) {
+	if list := ended.takeOrigins(boottime.Now()); len(list) > 0 && m.ctx.Err() == nil {
+		m.SendOrigins(address, list)
+	}
+}
+
+// sentOrigins are origins that were sent on a link.
+type sentOrigins struct {
+	at   time.Time
+	list []StreamOrigin
+}
+
+// keepOrigins records origins that are about to be sent on the link, maxOrigins at most for originDelivery. It reports whether
+// it did: not once they were taken.
+func (l *link) keepOrigins(now time.Time, list []StreamOrigin) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.originsTaken {
+		return false
+	}
+	list = list[max(len(list)-maxOrigins, 0):]
+	l.origins = append(l.origins, sentOrigins{now, list})
+	l.originCount += len(list)
+	for now.Sub(l.origins[0].at) >= originDelivery || l.originCount > maxOrigins {
+		l.originCount -= len(l.origins[0].list)
+		l.origins[0] = sentOrigins{}
+		l.origins = l.origins[1:]
+	}
+	return true
+}
+
+// takeOrigins returns the recorded origins of streams that can still be resumed, once. It is called when the link has ended.
+func (l *link) takeOrigins(now time.Time) (out []StreamOrigin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.origins {
+		elapsed := now.Sub(s.at)
+		for _, o := range s.list {
+			if o.Remaining -= elapsed; o.Remaining > 0 && elapsed < originDelivery {
+				out = append(out, o)
+			}
+		}
+	}
+	l.originsTaken, l.origins, l.originCount = true, nil, 0
+	return out
+}
+
 func sendOrigins(l *link, list []StreamOrigin) {
 	for len(list) > 0 {
 		n := min(len(list), maxOrigins)
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/internal/boottime"
 )
 
 func TestOriginsAreSentAndQueried(t *testing.T) {
@@ -37,6 +40,86 @@
 	is.Equal(<-hb.slots, "origins 2")
 }
 
+// stalledHandler handles heartbeats only once resume is closed.
+type stalledHandler struct {
+	*handler
+	stalled, resume chan struct{}
+}
+
+func (h *stalledHandler) HandleHeartbeat(string, *Heartbeat) {
+	select {
+	case h.stalled <- struct{}{}:
+	default:
+	}
+	<-h.resume
+}
+
+// Guards against refusals of streams that an instance knew which was killed: what it had written of their origins to a link was lost
+// with the link, which a keeper that had got no processor time ended unread.
+func TestOriginsAreSentAnewAfterTheirLinkHasEnded(t *testing.T) {
+	for name, c := range map[string]struct{ sparse, dialledByPeer bool }{
+		"full":                        {},
+		"sparse":                      {sparse: true},
+		"sparse, the peer dialled it": {sparse: true, dialledByPeer: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			hb := &stalledHandler{&handler{slots: make(chan string, 9)}, make(chan struct{}, 1), make(chan struct{})}
+			a, addressA := newMeshOf(t, &handler{merged: make(chan *State, 9)}, c.sparse)
+			b, addressB := newMeshOf(t, hb, c.sparse)
+			if c.dialledByPeer {
+				b.SetPeers([]string{addressA})
+			} else {
+				a.SetPeers([]string{addressB})
+			}
+			<-hb.stalled
+			link := a.reachableLink(addressB)
+			a.SendOrigins(addressB, []StreamOrigin{{Request: 1, Service: "s", Remaining: time.Minute}, {Request: 2, Service: "s", Remaining: time.Minute}})
+			eventually(t, func() bool { return link.unwritten.Load() == 0 })
+			b.mu.Lock()
+			unread := b.accepted[addressA]
+			if c.dialledByPeer {
+				unread = b.peers[addressA].link
+			}
+			b.mu.Unlock()
+			unread.cancel(errSilent)
+			is.NoErr(unread.conn.CloseNow())
+			close(hb.resume)
+			select {
+			case received := <-hb.slots:
+				is.Equal(received, "origins 2")
+			case <-time.After(originDelivery):
+				t.Error("the origins are lost")
+			}
+		})
+	}
+}
+
+// What is sent anew after the end of a link is bounded in number and time, and is taken once.
+func TestLinkKeepsTheLastOriginsOnly(t *testing.T) {
+	is := is.New(t)
+	start := boottime.Now()
+	origins := func(n int) []StreamOrigin {
+		return slices.Repeat([]StreamOrigin{{Request: uint64(n), Service: "s", Remaining: time.Minute}}, n)
+	}
+	l := &link{}
+	is.True(l.keepOrigins(start, origins(3)))
+	is.True(l.keepOrigins(start.Add(time.Second), origins(2)))
+	is.True(l.keepOrigins(start.Add(originDelivery+time.Second/2), []StreamOrigin{{Request: 9, Service: "s", Remaining: time.Millisecond}}))
+	is.Equal(l.takeOrigins(start.Add(originDelivery+3*time.Second/4)), []StreamOrigin{
+		{Request: 2, Service: "s", Remaining: time.Minute - originDelivery + time.Second/4},
+		{Request: 2, Service: "s", Remaining: time.Minute - originDelivery + time.Second/4},
+	})
+	is.True(!l.keepOrigins(start, origins(1)))
+	is.Equal(len(l.takeOrigins(start)), 0)
+	full := &link{}
+	for range 3 {
+		is.True(full.keepOrigins(start, origins(maxOrigins-1)))
+	}
+	is.True(full.keepOrigins(start, origins(1)))
+	is.Equal(len(full.takeOrigins(start)), maxOrigins)
+}
+
 // A peer of an earlier version would end the link at a frame that it doesn't know.
 func TestPeerThatKnowsNoOriginsIsNotAsked(t *testing.T) {
 	is := is.New(t)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -121,10 +121,15 @@
 }
 
 func newMesh(t *testing.T, h Handler) (*Mesh, string) {
+	t.Helper()
+	return newMeshOf(t, h, false)
+}
+
+func newMeshOf(t *testing.T, h Handler, sparse bool) (*Mesh, string) {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
 	address := server.Listener.Addr().String()
-	m := NewMesh(Options{Address: address, Heartbeat: 20 * time.Millisecond, SuspectAfter: time.Minute, Handler: h, Log: &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Incarnation: 1})
+	m := NewMesh(Options{Address: address, Heartbeat: 20 * time.Millisecond, SuspectAfter: time.Minute, Handler: h, Sparse: sparse, Log: &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Incarnation: 1})
 	server.Config.Handler = m
 	server.Start()
 	t.Cleanup(func() {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -36,6 +36,7 @@
 	if m.sparse != nil && s.peer != "" {
 		m.reportLinkLost(s.peer)
 	}
+	m.resendOrigins(s.peer, l)
 }
 
 func newServedLink(m *Mesh, l *link, peer string, order uint64) *servedLink {
