fleet: no proof of the list is awaited while nobody can read it

While the source is away, an origin is concluded if an instance of each zone has followed the list. A proof is awaited only where the conclusion rests on a current list.

TestOnlyVersionIsTheOriginDuringAnOutageOfTheSource has the case now, and fails without the change.

--- a/internal/fleet/origin_search.go
+++ b/internal/fleet/origin_search.go
@@ -64,8 +64,8 @@
 //
 // An origin that nobody has recorded is concluded if only one service and one version can have begun the stream. Only an
 // instance that has followed the list for the stream's lifetime knows that: this one or a keeper, if its list is current, or,
-// while the source can't be read, one of each zone. If an instance may have recorded it that is out of reach, FindOrigin also waits
-// for a proof of list and configuration.
+// while the source can't be read, one of each zone. If an instance may have recorded it that is out of reach, and the source can be
+// read, FindOrigin also waits for a proof of list and configuration.
 func (f *Fleet) FindOrigin(ctx context.Context, s ResumedStream) (service, version string, known bool) {
 	now := time.Now()
 	hash := hashOf(s.Request)
@@ -91,7 +91,8 @@
 		}
 	}
 	source := f.findOnlyVersion(&search, now, replies)
-	if source != originUnknown && f.mayBeRecordedOutOfReach(hash, replies) {
+	isListCurrent := source == originOnlyVersion || source == originOnlyVersionOfPeer // otherwise no proof can come
+	if isListCurrent && f.mayBeRecordedOutOfReach(hash, replies) {
 		search.awaitedProof = true
 		if !awaitProof(ctx, now, s) {
 			return "", "", false
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -543,7 +543,13 @@
 			o.listAge[i.Address] = time.Minute
 		}
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true})
-		o.kill(o.list[1].Address, o.list[3].Address) // a zone
+		o.kill(o.list[1].Address)
+		o.markUnreachable(o.list[1:2])
+		for _, i := range o.list {
+			o.instances[i.Address].SetInstances(slices.Clone(o.list))
+		}
+		is.Equal(o.find(t, "r"), map[string]bool{"v1": true, "": true}) // "" in its zone, where no other one replies
+		o.kill(o.list[3].Address) // the zone
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
 	})
 }
