--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -549,7 +549,7 @@
 			o.instances[i.Address].SetInstances(slices.Clone(o.list))
 		}
 		is.Equal(o.find(t, "r"), map[string]bool{"v1": true, "": true}) // "" in its zone, where no other one replies
-		o.kill(o.list[3].Address) // the zone
+		o.kill(o.list[3].Address)                                       // the zone
 		is.Equal(o.find(t, "r"), map[string]bool{"": true})
 	})
 }
