--- a/internal/entry/informed.go
+++ b/internal/entry/informed.go
@@ -20,8 +20,8 @@
 type informed struct {
 	mu    sync.Mutex
 	since time.Time
-	// missedSince is since when the instance may have missed what was told, as it was paused; zero if it hasn't. It may have until
-	// missedUntil.
+	// missedSince and missedUntil bound the time within which the instance may have missed what was told, as it was paused;
+	// missedSince is zero if it hasn't.
 	missedSince, missedUntil time.Time
 }
 
@@ -32,7 +32,8 @@
 	return min(now.Sub(k.since), wantedInformation)
 }
 
-// offered returns for how long the instance can tell peers what it was told: all the time, or since the end of a pause.
+// offered returns for how long the instance can tell peers what it was told: since it has been informed, or since the end of a pause of which it
+// hasn't fetched what it missed.
 func (k *informed) offered(now time.Time) time.Duration {
 	duration := k.duration(now)
 	k.mu.Lock()
--- a/internal/fleet/origin_search.go
+++ b/internal/fleet/origin_search.go
@@ -106,8 +106,8 @@
 	return s.Service, search.versions[0], true
 }
 
-// findOnlyVersion returns how it is known that only one service and one version can have begun the stream, by this instance's list and
-// by keepers that haven't recorded the stream; originUnknown if it isn't.
+// findOnlyVersion returns how it is known that only one service and one version can have begun the stream; originUnknown if it isn't.
+// The replies are of keepers that haven't recorded the stream.
 func (f *Fleet) findOnlyVersion(search *originSearch, now time.Time, replies map[string]*peer.OriginReply) originSource {
 	s := search.stream
 	versions := f.recentVersions(now, s.Service, search.lifetime)
@@ -140,15 +140,15 @@
 	}
 }
 
-// mayBeRecordedOutOfReach reports whether an instance may have recorded the stream that this one didn't reach: another one isn't reachable,
-// or no shared keeper has replied that has run for long enough to have been sent the origin.
+// mayBeRecordedOutOfReach reports whether an instance that this one didn't reach may have recorded the stream: another instance is
+// unreachable, or no shared keeper has replied that has run for long enough to have been sent the origin.
 func (f *Fleet) mayBeRecordedOutOfReach(request uint64, replies map[string]*peer.OriginReply) bool {
 	f.mu.Lock()
 	instances := f.instances
 	f.mu.Unlock()
 	established, others := map[string]bool{}, false
 	for _, i := range instances {
-		if i.Address == f.o.Instance || i.Draining && !i.Reachable { // it handed over its origins
+		if i.Address == f.o.Instance || i.Draining && !i.Reachable { // it left in order
 			continue
 		}
 		if !i.Reachable {
