proxy: logs tell an upstream's silence, a refused replacement and the end of the grace period apart

Change: attempt_failed has silent and, during a shutdown, grace_left; request_ended has body_after, replacement_refused and grace_left. New metrics: tacktally_attempts_ended_for_silence_total, tacktally_replacements_refused_total by reason. Drain is told when remaining requests are aborted; no decision depends on it yet.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -164,12 +164,13 @@
 func (i *Instance) shutDown(s *servers) {
 	i.log.Info().Str("event", "draining").Int("in_flight", i.proxy.InFlight()).Msg("")
 	i.ready.draining.Store(true)
-	i.proxy.Drain()
-	i.mesh.Announce()
-	i.fleet.HandOverOrigins()
 	grace := time.Duration(i.settings.Routed.Grace)
 	ctx, cancel := context.WithTimeout(context.Background(), grace-shutdownMargin)
 	defer cancel()
+	end, _ := ctx.Deadline()
+	i.proxy.Drain(end)
+	i.mesh.Announce()
+	i.fleet.HandOverOrigins()
 	wait.For(ctx, min(drainListenTime, grace/2))
 	var relayed sync.WaitGroup
 	if i.relayServer != nil {
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -101,6 +101,7 @@
 			return j.orUpstreamFailure(j.markPossiblyRun(problem))
 		}
 		g, problem := j.handler.o.Fleet.Acquire(ctx, j.acquireRequest(failedUpstream, kind))
+		j.recordReplacement(kind, problem)
 		if problem == nil || kind == peer.FirstAttempt {
 			kind = peer.RequeuedAttempt
 		}
@@ -140,6 +141,14 @@
 	}
 }
 
+// recordReplacement records the decision on an attempt, if that is in place of a failed one.
+func (j *job) recordReplacement(kind peer.AttemptKind, p *api.Problem) {
+	if kind == peer.RetryAttempt && p != nil {
+		j.replacement = p.Reason
+		j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_replacements_refused_total{reason=%q}", p.Reason))
+	}
+}
+
 // acquireRequest returns the request for a slot. failedUpstream is the upstream at which the last
 // attempt failed, empty if there was none.
 func (j *job) acquireRequest(failedUpstream string, kind peer.AttemptKind) *fleet.AcquireRequest {
@@ -240,9 +249,16 @@
 	g.End(j.schedulerResult(r), output)
 	j.recordCrashEvidence(r)
 	if r.status != completed {
-		j.handler.o.Log.Info().Str("event", "attempt_failed").Str("request", j.info.ID).Str("key", j.identity.Key.String()).Strs("segments", j.segmentNames()).Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Bool("via_peer", j.viaPeer).
+		event := j.handler.o.Log.Info().Str("event", "attempt_failed")
+		if left, stopping := j.handler.graceLeft(); stopping {
+			event = event.Dur("grace_left", left)
+		}
+		if errors.Is(r.err, errSilent) {
+			j.handler.o.Metrics.Count("tacktally_attempts_ended_for_silence_total")
+		}
+		event.Str("request", j.info.ID).Str("key", j.identity.Key.String()).Strs("segments", j.segmentNames()).Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Bool("via_peer", j.viaPeer).
 			Bool("head_sent", j.responseStarted).Int64("first_event", j.position.run.first).Int64("last_event", j.position.run.last).Int("skipped", j.position.skipped).Str("upstream", g.Upstream()).
-			Str("owner", g.Owner()).Int64("owner_list", g.ListVersion()).Int64("list", j.versions.own).Dur("list_age", j.versions.age).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
+			Str("owner", g.Owner()).Int64("owner_list", g.ListVersion()).Int64("list", j.versions.own).Dur("list_age", j.versions.age).Dur("silent", time.Since(j.heardAt)).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -70,7 +70,7 @@
 type Handler struct {
 	o        Options
 	inFlight atomic.Int64
-	draining atomic.Bool
+	shutdown atomic.Pointer[shutdown] // nil unless the instance is shutting down
 	running  zoneCounter
 	// invalidLoadLog bounds the log lines of invalid load reports.
 	invalidLoadLog rate.Sometimes
@@ -84,14 +84,28 @@
 // InFlight returns how many requests are being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
-// Drain makes every response from now on close its connection.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// shutdown is what the handler knows of the instance's shutdown.
+type shutdown struct {
+	end time.Time // requests that still run are aborted then
+}
+
+// Drain makes every response from now on close its connection. Requests that still run at end are aborted then.
+func (h *Handler) Drain(end time.Time) { h.shutdown.Store(&shutdown{end: end}) }
+
+// graceLeft returns how long requests may still run; false if the instance isn't shutting down.
+func (h *Handler) graceLeft() (time.Duration, bool) {
+	s := h.shutdown.Load()
+	if s == nil {
+		return 0, false
+	}
+	return time.Until(s.end), true
+}
 
 // ServeHTTP implements http.Handler. It blocks until the response is written.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
-	if h.draining.Load() || (h.o.CloseCallers != nil && h.o.CloseCallers()) {
+	if h.shutdown.Load() != nil || (h.o.CloseCallers != nil && h.o.CloseCallers()) {
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{handler: h, w: w, request: r, arrived: time.Now(), suspended: boottime.Suspended()}
@@ -138,9 +152,12 @@
 	softwareVersions []string                    // of the upstreams whose events were relayed, by this instance's list
 	reused           bool                        // the last response came on a connection that had served another exchange
 	viaPeer          bool                        // the last response came on a connection through a peer
+	bodyAfter        time.Duration               // from arrival to the end of the body
 	sentAfter        time.Duration               // from arrival to the last attempt
 	sentAt           time.Time                   // when the last attempt was sent
 	respondedAt      time.Time                   // when the header of its response arrived
+	heardAt          time.Time                   // when its upstream last sent anything, or it was sent
+	replacement      api.Reason                  // why an attempt in place of a failed one was last refused; empty if none was
 	firstAfter       time.Duration               // from arrival to the start of the response
 	status           int                         // HTTP status that was relayed
 	failure          *bufferedResponse           // last failure response of an upstream, not relayed
@@ -172,6 +189,7 @@
 	if problem := j.readBody(); problem != nil {
 		return problem
 	}
+	j.bodyAfter = time.Since(j.arrived)
 	key := quarantine.KeyOf(j.organisationName(), j.request.Method, j.request.Host, j.target(), j.body)
 	j.identity = quarantine.RequestOf(key, j.info.PromptSegments)
 	if left := j.handler.o.Quarantine.Admit(j.arrived, j.identity); left > 0 {
@@ -387,7 +405,10 @@
 	if limit, limited := h.o.Fleet.Limit(j.upstream); limited {
 		event = event.Float64("upstream_limit", limit)
 	}
-	event.Strs("segments", j.segmentNames()).Str("route", route).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
+	if left, stopping := h.graceLeft(); stopping {
+		event = event.Dur("grace_left", left)
+	}
+	event.Strs("segments", j.segmentNames()).Str("route", route).Dur("body_after", j.bodyAfter).Str("replacement_refused", string(j.replacement)).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.versions.owner).Int64("list", j.versions.own).
 		Dur("list_age", j.versions.age).Int("prompt", j.info.PromptTokens).Dur("timeout", j.info.Timeout).Dur("sent_after", j.sentAfter).Dur("first_after", j.firstAfter).
 		Int("events", j.events).Int64("first_event", j.position.run.first).Str("last_event", j.position.lastID).Int("skipped", j.position.skipped).Int("unnumbered", j.position.unnumbered).
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -67,6 +67,7 @@
 // attempt sends the request to the granted upstream and relays the response.
 func (j *job) attempt(ctx context.Context, g fleet.Grant) attemptResult {
 	j.position.beginRun()
+	j.heardAt = time.Now()
 	j.versions = listVersions{owner: g.ListVersion(), own: j.handler.o.View.ListVersion(), age: j.handler.listAge()}
 	if err := j.handler.o.Fleet.CheckUsable(g.Upstream()); err != nil {
 		return attemptResult{status: notUsable, err: err}
@@ -105,6 +106,7 @@
 	}
 	defer response.Close()
 	j.respondedAt = time.Now()
+	j.heardAt = j.respondedAt
 	j.framing, j.reused, j.viaPeer = response.Framing, response.Reused, fleet.IsThroughPeer(response.Conn())
 	j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_upstream_responses_total{framing=%q}", j.framing))
 	g.RecordActivity()
@@ -283,6 +285,7 @@
 	pace := newPace(r.job.route.Kind, r.response.Framing)
 	for {
 		n, err := r.response.Read(chunk)
+		r.job.heardAt = time.Now()
 		if err := awaitPace(r.ctx, pace, n); err != nil {
 			return r.brokenResult(err)
 		}
@@ -326,6 +329,7 @@
 				r.onFirst()
 			}
 			r.job.events++
+			r.job.heardAt = time.Now()
 			r.silence.restart()
 			r.onData()
 			if result := r.relayEvent(event); result.status != completed {
