proxy: a long body isn't cut since it takes longer than an upstream may take to begin

Callers saw responses over 256 kB of idempotent requests end in the middle, without any stop and from sound upstreams, if they took longer than two and a half times the objective. Cause: the timer for the begin of a response went on while its body was relayed; a part had been sent by then, so that no other attempt could follow. Evidence: TestLongBodyOfAnIdempotentRequestIsNotCut failed before (unexpected EOF). Change: the timer stops once a part is relayed.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -277,6 +277,7 @@
 		}
 		return r.job.writeResponse(complete)
 	}
+	r.silence.stop() // no other attempt could go on from here
 	r.job.writeHead(r.response.Status, r.response.Header, r.response.Framing, r.response.ContentLength)
 	if result := r.job.write(buffered); result.status != completed {
 		return result
