proxy: the time that a caller takes to read is no silence of the upstream

Callers that didn't read a stream for 1.5 s or longer saw it cut, if the retry budget had nothing for another attempt. Cause: the timer for the next event ran while the event before was written. Evidence: TestStreamIsNotCutWhileItsCallerReadsSlowly failed before (unexpected EOF). Change: the timer runs only while an event is read.

--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -157,8 +157,14 @@
 	staleAfter = 2 * time.Second
 )
 
-// newHarness returns a harness with a route of each kind and an organisation with the key k.
+// newHarness returns a harness with a route of each kind and an organisation with the key k. One retry is allowed for each
+// first attempt.
 func newHarness(t testing.TB) *harness {
+	return newHarnessWithRetries(t, retrybudget.Bound{Share: 2, Extra: 20, Window: 10 * time.Second})
+}
+
+// newHarnessWithRetries returns the same harness with another bound for retries.
+func newHarnessWithRetries(t testing.TB, retries retrybudget.Bound) *harness {
 	r := &harness{t: t, closing: make(chan string, 99), servers: map[string]*httptest.Server{}, followed: time.Hour}
 	route := func(name string, kind routing.Kind) routing.Route {
 		return routing.Route{
@@ -192,7 +198,7 @@
 		Quarantine:     r.registry,
 		ConnectTimeout: time.Second,
 		Limits:         queue.Limits{MaxItems: 100, MaxBytes: 1 << 20},
-		RetryBudget:    retrybudget.Bound{Share: 2, Extra: 20, Window: 10 * time.Second}, // one retry for each first attempt
+		RetryBudget:    retries,
 		Metrics:        metrics,
 		Log:            log,
 	})
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -313,7 +313,13 @@
 	started := false
 	pace := newPace(r.job.route.Kind, r.response.Framing)
 	for {
+		if r.job.events > 0 {
+			r.silence.restart()
+		}
 		event, err := sse.Read(reader, maxEventBytes)
+		if len(event) > 0 {
+			r.silence.stop() // the time until the next one is read is the caller's
+		}
 		if err := awaitPace(r.ctx, pace, len(event)); err != nil {
 			return r.brokenResult(err)
 		}
@@ -331,7 +337,6 @@
 			}
 			r.job.events++
 			r.job.heardAt = time.Now()
-			r.silence.restart()
 			r.onData()
 			if result := r.relayEvent(event); result.status != completed {
 				return result
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -1,14 +1,17 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
@@ -45,3 +48,26 @@
 	is.Equal(len(got.body), 2*len(part))
 	is.Equal(r.arrivedIDs(), "a")
 }
+
+// Guards against a stream that is cut since its caller reads slowly: that is no silence of the upstream.
+func TestStreamIsNotCutWhileItsCallerReadsSlowly(t *testing.T) {
+	is := is.New(t)
+	r := newHarnessWithRetries(t, retrybudget.Bound{Window: time.Hour})
+	r.shorten()
+	const events = 800
+	var stream strings.Builder // larger than the buffers of all sockets
+	for n := range events {
+		fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", n+1, strings.Repeat("a", 64<<10))
+	}
+	r.addUpstream("a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(stream.Len()))
+		_, _ = io.WriteString(w, stream.String()) // the other side may have closed
+	})
+	response, err := http.DefaultClient.Do(r.request("GET", "/resumable/x", ""))
+	is.NoErr(err)
+	defer response.Body.Close()
+	wait.For(t.Context(), minIdleTimeout+300*time.Millisecond)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(strings.Count(string(body), "id: "), events)
+}
