proxy: an attempt at a silent upstream ends only once another one is granted

Cause: the attempt was ended first, and its replacement requested afterwards. Change: silenceWatch requests the replacement while the attempt goes on, again and again with longer pauses, and ends the attempt in favour of the grant. Whichever comes first counts, the next part of the response or the grant; a grant that isn't needed any more is returned with the result unused, and the retry budget gets its charge back. An attempt that ends while its upstream is silent still reports so to the owner.

--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -9,6 +9,7 @@
 
 	"github.com/tacktally/tacktally/internal/loadreport"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/retrybudget"
 	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/view"
 )
@@ -89,7 +90,8 @@
 	// arrived.
 	RecordFirstToken()
 	RecordActivity()
-	// End releases the slot and reports how the request ended, with its number of output tokens.
+	// End releases the slot and reports how the request ended, with its number of output tokens. With the result
+	// scheduler.Unused the retry budget gets back what the grant was charged.
 	End(r scheduler.Result, output int)
 }
 
@@ -99,6 +101,8 @@
 	shard       *shard
 	grant       *scheduler.Grant
 	listVersion int64
+	retryBudget *retrybudget.Budget // charged for the attempt
+	attempt     peer.AttemptKind
 	load        pendingLoad
 }
 
@@ -120,6 +124,9 @@
 // refusal, and doesn't count this request; so the request is ended first.
 func (g *localGrant) End(r scheduler.Result, output int) {
 	g.fleet.endGrant(g.shard, g.grant, "", r, output)
+	if r == scheduler.Unused {
+		refund(g.retryBudget, g.attempt)
+	}
 	g.fleet.recordLoad(g.shard, g.grant, g.load.take())
 }
 
--- a/internal/fleet/retry_budget_test.go
+++ b/internal/fleet/retry_budget_test.go
@@ -49,6 +49,33 @@
 	}
 }
 
+// Guards against a retry budget that replacements use up which aren't needed any more.
+func TestUnusedRetryIsRefunded(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSizedFleet(1, 0)
+		s.fleet.SetSlotClient(nil) // the only instance
+		s.fleet.o.RetryBudget = retrybudget.Bound{Extra: 3, Window: time.Second}
+		s.fleet.updateRetryBudgets(s.fleet.services["s"])
+		req := generation()
+		req.Attempt = peer.RetryAttempt
+		_, problem := s.fleet.Acquire(t.Context(), req)
+		is.Equal(problem.Reason, api.ReasonRetryBudget) // it starts empty
+		<-time.After(2 * time.Second)                   // it holds one retry
+		for range 2 {
+			g, problem := s.fleet.Acquire(t.Context(), req)
+			is.True(problem == nil)
+			g.End(scheduler.Unused, 0)
+		}
+		g, problem := s.fleet.Acquire(t.Context(), req)
+		is.True(problem == nil)
+		g.End(scheduler.Completed, 1)
+		_, problem = s.fleet.Acquire(t.Context(), req)
+		is.True(problem != nil)
+		is.Equal(problem.Reason, api.ReasonRetryBudget)
+	})
+}
+
 // A retry is refused if the budget is empty, and one that gets no slot costs nothing.
 func TestRetryIsChargedOnlyIfGranted(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -71,7 +71,7 @@
 		refund(retryBudget, req.Attempt)
 		return nil, problem
 	}
-	return &localGrant{fleet: f, shard: shard, grant: grant, listVersion: f.listVersion()}, nil
+	return &localGrant{fleet: f, shard: shard, grant: grant, listVersion: f.listVersion(), retryBudget: retryBudget, attempt: req.Attempt}, nil
 }
 
 // charge withdraws a retry from the budget, or deposits a first attempt.
@@ -362,6 +362,9 @@
 	}
 	end := f.serveGrant(ctx, shard, r, s, decision.Grant)
 	f.endGrant(shard, decision.Grant, s.Peer, end.result, end.output)
+	if end.result == scheduler.Unused {
+		refund(retryBudget, r.Attempt)
+	}
 	f.recordLoad(shard, decision.Grant, end.load)
 }
 
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -52,6 +52,10 @@
 	process string
 	// failure is a failure response of the upstream that wasn't relayed; nil if there is none.
 	failure *bufferedResponse
+	// replacement is the grant for which the attempt was ended, since its upstream was silent; nil if it wasn't.
+	replacement fleet.Grant
+	// silent reports that the upstream had been silent for too long when the attempt ended for another reason.
+	silent bool
 }
 
 // attemptStatus is the status of an attempt.
@@ -98,10 +102,14 @@
 	connectFailures, unusableGrants := 0, 0
 	for {
 		if problem := j.checkQuarantine(); problem != nil {
+			last.releaseReplacement()
 			return j.orUpstreamFailure(j.markPossiblyRun(problem))
 		}
-		g, problem := j.handler.o.Fleet.Acquire(ctx, j.acquireRequest(failedUpstream, kind))
-		j.recordReplacement(kind, problem)
+		g, problem := last.replacement, (*api.Problem)(nil)
+		if g == nil {
+			g, problem = j.handler.o.Fleet.Acquire(ctx, j.acquireRequest(failedUpstream, kind, j.origin))
+			j.recordReplacement(kind, problem)
+		}
 		if problem == nil || kind == peer.FirstAttempt {
 			kind = peer.RequeuedAttempt
 		}
@@ -128,6 +136,7 @@
 		}
 		reason, next := j.decideRetry(ctx, r, connectFailures < maxConnectFailures && unusableGrants < maxUnusableGrants)
 		if next == noRetry {
+			r.releaseReplacement()
 			return j.finalProblem(r)
 		}
 		if next == retry {
@@ -141,6 +150,13 @@
 	}
 }
 
+// releaseReplacement returns the replacement if there is one, since nothing will be sent.
+func (r *attemptResult) releaseReplacement() {
+	if r.replacement != nil {
+		r.replacement.End(scheduler.Unused, 0)
+	}
+}
+
 // recordReplacement records the decision on an attempt, if that is in place of a failed one.
 func (j *job) recordReplacement(kind peer.AttemptKind, p *api.Problem) {
 	if kind == peer.RetryAttempt && p != nil {
@@ -150,12 +166,12 @@
 }
 
 // acquireRequest returns the request for a slot. failedUpstream is the upstream at which the last
-// attempt failed, empty if there was none.
-func (j *job) acquireRequest(failedUpstream string, kind peer.AttemptKind) *fleet.AcquireRequest {
-	return &fleet.AcquireRequest{ID: j.info.ID, Identity: j.identity, Service: j.service, Request: j.schedulerRequest(failedUpstream), Segments: j.info.PromptSegments, Attempt: kind}
+// attempt failed, empty if there was none; origin is the version that its upstream must have.
+func (j *job) acquireRequest(failedUpstream string, kind peer.AttemptKind, origin scheduler.VersionConstraint) *fleet.AcquireRequest {
+	return &fleet.AcquireRequest{ID: j.info.ID, Identity: j.identity, Service: j.service, Request: j.schedulerRequest(failedUpstream, origin), Segments: j.info.PromptSegments, Attempt: kind}
 }
 
-func (j *job) schedulerRequest(failedUpstream string) *scheduler.Request {
+func (j *job) schedulerRequest(failedUpstream string, origin scheduler.VersionConstraint) *scheduler.Request {
 	return &scheduler.Request{
 		Rank:              j.rank(),
 		Organisation:      j.organisationName(),
@@ -171,7 +187,7 @@
 		Bytes:             len(j.body),
 		FailedUpstream:    failedUpstream,
 		RegionConstraint:  scheduler.RegionConstraint(routing.RegionConstraintOf(j.route, j.organisation)),
-		VersionConstraint: j.origin,
+		VersionConstraint: origin,
 	}
 }
 
@@ -266,6 +282,9 @@
 // network path says nothing about the upstream.
 func (j *job) schedulerResult(r attemptResult) scheduler.Result {
 	result := schedulerResultOf(r.status, j.status)
+	if r.silent && result == scheduler.Cancelled && j.handler.o.Fleet.BlamesUpstream(errSilent) {
+		return scheduler.Silent
+	}
 	failed := result == scheduler.Unreachable || result == scheduler.LostResponse
 	switch {
 	case failed && !j.handler.o.Fleet.BlamesUpstream(r.err):
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -197,8 +197,8 @@
 func TestRequestIsSentElsewhereAfterASlowConnectFailure(t *testing.T) {
 	is := is.New(t)
 	j := job{route: &routing.Route{LatencyObjective: time.Second}}
-	is.Equal(j.schedulerRequest("").MaxWait, time.Duration(maxWaitShare*float64(time.Second)))
-	is.Equal(j.schedulerRequest("a").MaxWait, time.Duration(0)) // bounded by the deadline alone
+	is.Equal(j.schedulerRequest("", j.origin).MaxWait, time.Duration(maxWaitShare*float64(time.Second)))
+	is.Equal(j.schedulerRequest("a", j.origin).MaxWait, time.Duration(0)) // bounded by the deadline alone
 	r := newHarness(t)
 	r.publish(0)
 	closedListener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -65,7 +65,7 @@
 var errNotOfUpstream = errors.New("client error without a signature and the request's ID")
 
 // attempt sends the request to the granted upstream and relays the response.
-func (j *job) attempt(ctx context.Context, g fleet.Grant) attemptResult {
+func (j *job) attempt(ctx context.Context, g fleet.Grant) (result attemptResult) {
 	j.position.beginRun()
 	j.heardAt = time.Now()
 	j.versions = listVersions{owner: g.ListVersion(), own: j.handler.o.View.ListVersion(), age: j.handler.listAge()}
@@ -83,8 +83,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(context.Canceled)
-	silence := j.startSilenceTimer(g, cancel)
-	defer silence.stop()
+	silence := j.watchSilence(ctx, g, cancel)
+	defer func() { result.replacement, result.silent = silence.close() }()
 	j.attempts++
 	j.events, j.framing, j.reused, j.viaPeer = 0, exchange.NoResponse, false, false
 	j.upstream = g.Upstream()
@@ -115,7 +115,7 @@
 		j.firstAfter = time.Since(j.arrived)
 		j.handler.o.Metrics.FirstToken(j.route.Kind.String(), j.firstAfter)
 	}}
-	result := r.run()
+	result = r.run()
 	result.process = process
 	return result
 }
@@ -135,49 +135,6 @@
 	}
 }
 
-// silenceTimer ends an attempt at an upstream that sends nothing for too long. It runs only for
-// requests that can be retried at another upstream.
-type silenceTimer struct {
-	timer *time.Timer // nil if the attempt has no timer
-	idle  time.Duration
-}
-
-func (j *job) startSilenceTimer(g fleet.Grant, cancel context.CancelCauseFunc) silenceTimer {
-	if !j.route.MayRetry() || j.attempts+1 >= j.route.MaxAttempts || j.route.LatencyObjective == 0 {
-		return silenceTimer{}
-	}
-	firstTimeout := max(time.Duration(responseTimeoutFactor*float64(j.route.LatencyObjective)), predictedTimeoutFactor*g.PredictedFirstToken())
-	return silenceTimer{
-		timer: time.AfterFunc(firstTimeout, func() { cancel(errSilent) }),
-		idle:  idleTimeout(j.route.MaxEventInterval),
-	}
-}
-
-// idleTimeout returns how long an upstream may be silent within a stream; 0 means without bound.
-func idleTimeout(maxEventInterval time.Duration) time.Duration {
-	if maxEventInterval == 0 {
-		return 0
-	}
-	return max(idleTimeoutFactor*maxEventInterval, minIdleTimeout)
-}
-
-func (s silenceTimer) stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
-
-// restart starts the idle timeout after an event.
-func (s silenceTimer) restart() {
-	switch {
-	case s.timer == nil:
-	case s.idle == 0:
-		s.timer.Stop()
-	default:
-		s.timer.Reset(s.idle)
-	}
-}
-
 // relay relays one response to the caller.
 type relay struct {
 	job      *job
@@ -185,7 +142,7 @@
 	leaving  bool   // the response announced that the process is leaving
 	ctx      context.Context
 	response *exchange.Response
-	silence  silenceTimer
+	silence  *silenceWatch
 	onLoad   func(loadreport.Report) // called with a valid load report, before onFirst
 	onFirst  func()                  // called when a successful response begins
 	onData   func()                  // called for each event
@@ -257,7 +214,9 @@
 
 // relayWhole relays a response that isn't a stream. A small one is buffered until it is complete.
 func (r *relay) relayWhole() attemptResult {
-	buffered, err := io.ReadAll(io.LimitReader(r.response, maxBufferedBytes+1))
+	r.silence.heard()
+	body := watchedBody{relay: r}
+	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
 	if err == nil && len(buffered) <= maxBufferedBytes {
 		err = r.checkUnstatedEnd(quarantine.DiagnoseNow) // the caller has nothing yet
 	}
@@ -277,7 +236,6 @@
 		}
 		return r.job.writeResponse(complete)
 	}
-	r.silence.stop() // no other attempt could go on from here
 	r.job.writeHead(r.response.Status, r.response.Header, r.response.Framing, r.response.ContentLength)
 	if result := r.job.write(buffered); result.status != completed {
 		return result
@@ -285,8 +243,7 @@
 	chunk := make([]byte, copyBufferBytes)
 	pace := newPace(r.job.route.Kind, r.response.Framing)
 	for {
-		n, err := r.response.Read(chunk)
-		r.job.heardAt = time.Now()
+		n, err := body.Read(chunk)
 		if err := awaitPace(r.ctx, pace, n); err != nil {
 			return r.brokenResult(err)
 		}
@@ -313,12 +270,10 @@
 	started := false
 	pace := newPace(r.job.route.Kind, r.response.Framing)
 	for {
-		if r.job.events > 0 {
-			r.silence.restart()
-		}
+		r.silence.listen()
 		event, err := sse.Read(reader, maxEventBytes)
-		if len(event) > 0 {
-			r.silence.stop() // the time until the next one is read is the caller's
+		if len(event) > 0 && !r.heard() {
+			return r.brokenResult(errSilent)
 		}
 		if err := awaitPace(r.ctx, pace, len(event)); err != nil {
 			return r.brokenResult(err)
@@ -336,7 +291,6 @@
 				r.onFirst()
 			}
 			r.job.events++
-			r.job.heardAt = time.Now()
 			r.onData()
 			if result := r.relayEvent(event); result.status != completed {
 				return result
--- /dev/null
+++ b/internal/proxy/silence.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/routing"
+	"github.com/tacktally/tacktally/internal/scheduler"
+	"github.com/tacktally/tacktally/internal/wait"
+)
+
+// maxSearchPause bounds the pause between two requests for a replacement. It doubles after each refusal, since others may
+// be waiting for the same retry budget.
+const maxSearchPause = time.Second
+
+// silenceWatch requests a slot at another upstream when that of an attempt has sent nothing for too long, and ends the
+// attempt once it is granted: the upstream may only be slow, and without a replacement nothing would be left for the
+// caller. Whichever comes first counts, the next part of the response or the grant. It watches only requests that can be
+// retried; a nil silenceWatch watches nothing. listen, heard and close are called by the goroutine of the request.
+type silenceWatch struct {
+	job      *job
+	ctx      context.Context // of the attempt
+	cancel   context.CancelCauseFunc
+	upstream string
+	idle     time.Duration // silence that is too long after a part of the response; 0 for none
+
+	mu          sync.Mutex
+	timer       *time.Timer
+	listening   bool
+	due         time.Time                   // when the silence is too long, while listening
+	origin      scheduler.VersionConstraint // version that a replacement must have
+	endSearch   context.CancelFunc          // nil if there is no search
+	searches    sync.WaitGroup
+	replacement fleet.Grant // the attempt was ended for it; nil if it wasn't
+}
+
+// watchSilence starts to watch an attempt that is about to be sent; it returns nil if that can't be retried. The caller
+// calls close at its end.
+func (j *job) watchSilence(ctx context.Context, g fleet.Grant, cancel context.CancelCauseFunc) *silenceWatch {
+	if !j.route.MayRetry() || j.attempts+1 >= j.route.MaxAttempts || j.route.LatencyObjective == 0 {
+		return nil
+	}
+	first := max(time.Duration(responseTimeoutFactor*float64(j.route.LatencyObjective)), predictedTimeoutFactor*g.PredictedFirstToken())
+	s := &silenceWatch{job: j, ctx: ctx, cancel: cancel, upstream: g.Upstream(), idle: first, listening: true, due: time.Now().Add(first), origin: j.origin}
+	if j.route.Kind == routing.Stream {
+		s.idle = idleTimeout(j.route.MaxEventInterval)
+	}
+	s.timer = time.AfterFunc(first, s.expired)
+	return s
+}
+
+// idleTimeout returns how long an upstream may be silent within a stream; 0 means without bound.
+func idleTimeout(maxEventInterval time.Duration) time.Duration {
+	if maxEventInterval == 0 {
+		return 0
+	}
+	return max(idleTimeoutFactor*maxEventInterval, minIdleTimeout)
+}
+
+// heard is called with each part of the response that has arrived, and reports whether that came before a replacement; it
+// must not be relayed otherwise. The time from here to listen isn't the upstream's.
+func (s *silenceWatch) heard() bool {
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listening = false
+	s.timer.Stop()
+	if s.endSearch != nil {
+		s.endSearch()
+		s.endSearch = nil
+	}
+	return s.replacement == nil
+}
+
+// listen is called before the next part of a response is read. It watches only while another attempt could go on
+// from what the caller has.
+func (s *silenceWatch) listen() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listening || s.replacement != nil || s.idle == 0 || !s.job.mayAttemptAgain() {
+		return
+	}
+	s.listening, s.due, s.origin = true, time.Now().Add(s.idle), s.job.origin
+	s.timer.Reset(s.idle)
+}
+
+// expired searches for a replacement until one is granted, or the upstream is heard.
+func (s *silenceWatch) expired() {
+	s.mu.Lock()
+	if !s.listening || s.endSearch != nil || time.Now().Before(s.due) { // the timer was reset meanwhile
+		s.mu.Unlock()
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	s.endSearch = cancel
+	origin := s.origin
+	s.searches.Add(1)
+	s.mu.Unlock()
+	defer s.searches.Done()
+	s.job.handler.o.Metrics.Count("tacktally_silent_attempts_total")
+	for pause := fleet.ShortRetryAfter; ; pause = min(2*pause, maxSearchPause) {
+		g, problem := s.job.handler.o.Fleet.Acquire(ctx, s.job.acquireRequest(s.upstream, peer.RetryAttempt, origin))
+		switch {
+		case problem == nil:
+			s.replace(ctx, g)
+			return
+		case ctx.Err() != nil:
+			return
+		}
+		s.job.handler.o.Metrics.Count(fmt.Sprintf("tacktally_replacements_refused_total{reason=%q}", problem.Reason))
+		s.job.handler.o.Log.Info().Str("event", "silent_attempt_kept").Str("request", s.job.info.ID).Str("upstream", s.upstream).
+			Str("replacement_refused", string(problem.Reason)).Msg("")
+		if !wait.For(ctx, max(pause, problem.RetryAfter)) {
+			return
+		}
+	}
+}
+
+// replace ends the attempt in favour of g, unless the upstream was heard meanwhile.
+func (s *silenceWatch) replace(ctx context.Context, g fleet.Grant) {
+	s.mu.Lock()
+	replaces := ctx.Err() == nil
+	if replaces {
+		s.replacement = g
+	}
+	s.mu.Unlock()
+	if !replaces {
+		g.End(scheduler.Unused, 0)
+		return
+	}
+	s.cancel(errSilent)
+}
+
+// close ends the watch. It returns the grant for which the attempt was ended, nil if it wasn't, and whether the attempt
+// has ended during a search.
+func (s *silenceWatch) close() (replacement fleet.Grant, silent bool) {
+	if s == nil {
+		return nil, false
+	}
+	s.mu.Lock()
+	silent = s.endSearch != nil
+	s.mu.Unlock()
+	s.heard()
+	s.searches.Wait()
+	return s.replacement, silent
+}
+
+// watchedBody reads the body of a response, each part of which ends a silence.
+type watchedBody struct{ relay *relay }
+
+// Read implements io.Reader.
+func (b watchedBody) Read(p []byte) (int, error) {
+	b.relay.silence.listen()
+	n, err := b.relay.response.Read(p)
+	if n > 0 && !b.relay.heard() {
+		return 0, errSilent
+	}
+	return n, err
+}
+
+// heard records that a part of the response has arrived, and reports whether it may be relayed.
+func (r *relay) heard() bool {
+	r.job.heardAt = time.Now()
+	return r.silence.heard()
+}
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,6 +37,52 @@
 	}
 }
 
+// Guards against responses that are cut since their upstream was silent while the retry budget had nothing for another one.
+func TestSilentUpstreamIsKeptWithoutAnother(t *testing.T) {
+	for route, c := range map[string]struct {
+		silence time.Duration
+		parts   []string
+	}{
+		"safe":      {300 * time.Millisecond, []string{"", "ok"}},
+		"resumable": {minIdleTimeout + 300*time.Millisecond, []string{"id: 1\ndata: 1\n\n", "id: 2\ndata: 2\n\n"}},
+	} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := newHarnessWithRetries(t, retrybudget.Bound{Window: time.Hour})
+			r.shorten()
+			r.addUpstream("a", func(w http.ResponseWriter, q *http.Request) {
+				wait.For(q.Context(), c.silence) // longer than the objective allows
+				writesParts(c.silence, c.parts...)(w, q)
+			})
+			r.addUpstream("b", respondsWith("never"))
+			got := r.get(route)
+			is.NoErr(got.err)
+			is.Equal(got.status, 200)
+			is.Equal(r.arrivedIDs(), "a")
+			is.Equal(got.body, strings.Join(c.parts, ""))
+			is.Equal(r.arrivedIDs(), "a")
+		})
+	}
+}
+
+// Guards against a silent upstream that is never replaced, since the first request for another one was refused.
+func TestSilentUpstreamIsReplacedOnceTheRetryBudgetAllowsIt(t *testing.T) {
+	is := is.New(t)
+	r := newHarnessWithRetries(t, retrybudget.Bound{Extra: 20, Window: 10 * time.Second}) // the owner's budget fills with time
+	r.shorten()
+	left := make(chan struct{})
+	r.addUpstream("a", hijack(func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 1)) // blocks until the other side closes
+		close(left)
+	}))
+	r.addUpstream("b", respondsWith("ok"))
+	got := r.get("safe")
+	is.Equal(got.body, "ok")
+	is.Equal(r.arrivedIDs(), "a b")
+	<-left
+}
+
 // Guards against a long body that is cut since it takes longer than an upstream may take to begin its response.
 func TestLongBodyOfAnIdempotentRequestIsNotCut(t *testing.T) {
 	is := is.New(t)
@@ -71,3 +119,38 @@
 	is.NoErr(err)
 	is.Equal(strings.Count(string(body), "id: "), events)
 }
+
+// Guards against streams with events that come twice or are missing, where the upstream goes on at the moment at which
+// another one is granted.
+func TestUpstreamThatGoesOnWhileAnotherIsGranted(t *testing.T) {
+	const events = 4
+	r := newHarnessWithRetries(t, retrybudget.Bound{Share: 2, Extra: 1000, Window: time.Second})
+	r.shorten()
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		last := 0
+		_, _ = fmt.Sscan(q.Header.Get("After"), &last)
+		for n := last + 1; n <= events; n++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, n)
+			_ = http.NewResponseController(w).Flush()
+			if n == 2 && last == 0 {
+				wait.For(q.Context(), minIdleTimeout)
+			}
+		}
+	}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.addUpstream(id, serve)
+	}
+	var want strings.Builder
+	for n := range events {
+		fmt.Fprintf(&want, "id: %d\ndata: %d\n\n", n+1, n+1)
+	}
+	var callers sync.WaitGroup
+	for range 24 {
+		callers.Go(func() {
+			if got := r.get("resumable"); got.err != nil || got.body != want.String() {
+				t.Errorf("got %q, %v", got.body, got.err)
+			}
+		})
+	}
+	callers.Wait()
+}
--- a/internal/scheduler/result.go
+++ b/internal/scheduler/result.go
@@ -24,10 +24,12 @@
 	Misdirected
 	// Silent: the request was sent, and abandoned since the upstream sent nothing for too long.
 	Silent
+	// Unused: a retry was granted, and is no longer needed. It says nothing about the upstream.
+	Unused
 	resultCount // number of results
 )
 
-var resultNames = [resultCount]string{"cancelled", "completed", "upstream_error", "lost_response", "unreachable", "busy", "misdirected", "silent"}
+var resultNames = [resultCount]string{"cancelled", "completed", "upstream_error", "lost_response", "unreachable", "busy", "misdirected", "silent", "unused"}
 
 // String returns the result as logs show it.
 func (r Result) String() string {
