proxy: an instance that shuts down refuses what would probably run longer than its grace period

Callers whose request was complete late in the grace period, or that took long, had their connection closed without an answer, also those that may not be repeated: nobody could tell whether they had run. Cause: a request was passed on whatever was left of the grace period, and the end of it closed the connections. Change: before a request is first sent, and again once it has its slot, what is left is compared with how long the last 32 requests of its route ran. While callers may still be sent here, it is refused if more than a tenth of those took longer than what is left; later, if any took longer than half of it, or none is known. The refusal is a 503 that promises that nothing has run, on a connection that closes. At the end of the grace period a request without a part of a response gets a final one (503 or 502).

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -160,7 +160,7 @@
 
 // shutDown reports the instance as not ready, keeps serving for drainListenTime since callers may
 // still be sent here, then accepts no new connections, and waits for running requests until the
-// grace period ends.
+// grace period ends. Requests that would probably run longer are refused.
 func (i *Instance) shutDown(s *servers) {
 	i.log.Info().Str("event", "draining").Int("in_flight", i.proxy.InFlight()).Msg("")
 	i.ready.draining.Store(true)
@@ -168,10 +168,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace-shutdownMargin)
 	defer cancel()
 	end, _ := ctx.Deadline()
-	i.proxy.Drain(end)
+	listenTime := min(drainListenTime, grace/2)
+	i.proxy.Drain(time.Now().Add(listenTime), end)
 	i.mesh.Announce()
 	i.fleet.HandOverOrigins()
-	wait.For(ctx, min(drainListenTime, grace/2))
+	wait.For(ctx, listenTime)
 	var relayed sync.WaitGroup
 	if i.relayServer != nil {
 		relayed.Go(func() { i.relayServer.Drain(ctx) })
@@ -182,6 +183,7 @@
 	if i.proxy.InFlight() > 0 {
 		i.log.Warn().Str("event", "drain_timeout").Int("in_flight", i.proxy.InFlight()).Msg("grace period is over; remaining requests are aborted")
 	}
+	i.proxy.Abort()
 	relayed.Wait()
 	_ = s.callers.Close() // aborts the requests that still run
 	for _, o := range s.others {
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -85,6 +85,8 @@
 	unconfirmed
 	// callerDisconnected: the caller closed its connection.
 	callerDisconnected
+	// aborted: the instance shut down.
+	aborted
 	// deadlineExceeded: the request's deadline passed.
 	deadlineExceeded
 )
@@ -95,6 +97,7 @@
 	defer cancel()
 	ctx, j.cancel = context.WithCancelCause(ctx)
 	defer j.cancel(context.Canceled)
+	defer context.AfterFunc(j.handler.aborted, func() { j.cancel(errShuttingDown) })()
 	defer j.endConfirmation()
 	failedUpstream := ""
 	kind := peer.FirstAttempt
@@ -105,6 +108,9 @@
 			last.releaseReplacement()
 			return j.orUpstreamFailure(j.markPossiblyRun(problem))
 		}
+		if problem := j.checkGrace(); problem != nil {
+			return problem
+		}
 		g, problem := last.replacement, (*api.Problem)(nil)
 		if g == nil {
 			g, problem = j.handler.o.Fleet.Acquire(ctx, j.acquireRequest(failedUpstream, kind, j.origin))
@@ -119,9 +125,16 @@
 		if problem != nil && problem.Reason == api.ReasonRetryBudget {
 			return j.finalProblem(last)
 		}
+		if problem != nil && errors.Is(context.Cause(ctx), errShuttingDown) {
+			problem = j.drainingProblem()
+		}
 		if problem != nil {
 			return j.orUpstreamFailure(j.markPossiblyRun(j.orBackoffProblem(problem)))
 		}
+		if problem := j.checkGrace(); problem != nil { // it may have waited long
+			g.End(scheduler.Unused, 0)
+			return problem
+		}
 		r := j.attempt(ctx, g)
 		j.reportResult(g, r)
 		switch r.status {
@@ -259,6 +272,9 @@
 // reportResult reports the result of an attempt to the scheduler and releases the slot.
 func (j *job) reportResult(g fleet.Grant, r attemptResult) {
 	output := 0
+	if r.status == completed && j.status < http.StatusInternalServerError {
+		j.handler.durations.record(j.route, time.Since(j.sentAt))
+	}
 	if r.status == completed || r.status == unconfirmed {
 		output = j.outputTokens()
 	}
@@ -341,6 +357,8 @@
 		return api.UnknownOutcome(api.ReasonUpstreamCut, "the upstream's response was truncated: %v", r.err)
 	case callerDisconnected:
 		return api.UnknownOutcome(api.ReasonCallerGone, "the caller closed the connection")
+	case aborted:
+		return api.UnknownOutcome(api.ReasonUpstreamLost, "the instance shut down while an upstream was processing the request")
 	case deadlineExceeded:
 		return api.UnknownOutcome(api.ReasonUpstreamTimeout, "the deadline passed while an upstream was processing the request")
 	default:
@@ -362,7 +380,7 @@
 
 var statusNames = map[attemptStatus]string{
 	completed: "done", notSent: "not_sent", notUsable: "not_usable", notRun: "not_run", misdirected: "misdirected", lost: "lost",
-	invalidResponse: "garbage", truncated: "cut", upstreamFailed: "failed", unconfirmed: "unconfirmed", callerDisconnected: "caller_gone", deadlineExceeded: "out_of_time",
+	invalidResponse: "garbage", truncated: "cut", upstreamFailed: "failed", unconfirmed: "unconfirmed", callerDisconnected: "caller_gone", aborted: "aborted", deadlineExceeded: "out_of_time",
 }
 
 // String returns the status as logs show it.
@@ -379,6 +397,8 @@
 		return notSent, err
 	case errors.Is(cause, errSilent):
 		return lost, errSilent
+	case errors.Is(cause, errShuttingDown):
+		return aborted, cause
 	case errors.Is(cause, context.DeadlineExceeded):
 		return deadlineExceeded, cause
 	case errors.Is(cause, context.Canceled):
@@ -403,6 +423,7 @@
 	truncated:          scheduler.LostResponse,
 	upstreamFailed:     scheduler.UpstreamError,
 	callerDisconnected: scheduler.Cancelled,
+	aborted:            scheduler.Cancelled,
 	deadlineExceeded:   scheduler.Cancelled,
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -71,36 +71,26 @@
 	o        Options
 	inFlight atomic.Int64
 	shutdown atomic.Pointer[shutdown] // nil unless the instance is shutting down
-	running  zoneCounter
+	// aborted ends with Abort.
+	aborted context.Context
+	abort   context.CancelCauseFunc
+	// durations are those of requests that were answered.
+	durations routeDurations
+	running   zoneCounter
 	// invalidLoadLog bounds the log lines of invalid load reports.
 	invalidLoadLog rate.Sometimes
 }
 
 // New returns a handler with the given options.
 func New(o Options) *Handler {
-	return &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}}
+	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}}
+	h.aborted, h.abort = context.WithCancelCause(context.Background())
+	return h
 }
 
 // InFlight returns how many requests are being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
-// shutdown is what the handler knows of the instance's shutdown.
-type shutdown struct {
-	end time.Time // requests that still run are aborted then
-}
-
-// Drain makes every response from now on close its connection. Requests that still run at end are aborted then.
-func (h *Handler) Drain(end time.Time) { h.shutdown.Store(&shutdown{end: end}) }
-
-// graceLeft returns how long requests may still run; false if the instance isn't shutting down.
-func (h *Handler) graceLeft() (time.Duration, bool) {
-	s := h.shutdown.Load()
-	if s == nil {
-		return 0, false
-	}
-	return time.Until(s.end), true
-}
-
 // ServeHTTP implements http.Handler. It blocks until the response is written.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -332,7 +332,7 @@
 	r := newHarness(t)
 	r.publish(0)
 	r.addUpstream("a", respondsWith("ok"))
-	r.handler.Drain(time.Now().Add(time.Minute))
+	r.handler.Drain(time.Now().Add(time.Minute), time.Now().Add(time.Minute))
 	c, err := net.Dial("tcp", r.server.Listener.Addr().String())
 	is.NoErr(err)
 	defer c.Close()
--- /dev/null
+++ b/internal/proxy/shutdown_test.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/routing"
+)
+
+// Guards against requests that are passed on though the instance ends before their response, and against refusals of those
+// for which there is time.
+func TestRequestIsRefusedIfTheGracePeriodIsTooShortForIt(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		listenLeft, left time.Duration
+		timeout          time.Duration
+		took             []time.Duration // by recent requests
+		mayHaveRun       bool
+		refused          bool
+	}{
+		"unknown, callers are still sent here":           {second, 7 * second, 20 * second, nil, false, false},
+		"unknown, late":                                  {-second, 4 * second, 20 * second, nil, false, true},
+		"short, late":                                    {-second, second, 20 * second, []time.Duration{second / 10}, false, false},
+		"short, very late":                               {-second, second / 8, 20 * second, []time.Duration{second / 10}, false, true},
+		"long, late":                                     {-second, 4 * second, 20 * second, []time.Duration{3 * second}, false, true},
+		"long, callers are still sent here":              {second, 7 * second, 20 * second, []time.Duration{8 * second}, false, true},
+		"one of many is long, callers are sent here":     {second, 7 * second, 20 * second, append(make([]time.Duration, 12), 8*second), false, false},
+		"one of many is long, late":                      {-second, 7 * second, 20 * second, append(make([]time.Duration, 12), 8*second), false, true},
+		"it was long, but no longer is":                  {-second, 4 * second, 20 * second, append([]time.Duration{8 * second}, make([]time.Duration, recentRequests)...), false, false},
+		"its caller waits no longer than that":           {-second, 4 * second, 3 * second, []time.Duration{8 * second}, false, false},
+		"an earlier attempt may have run, so one is due": {-second, 4 * second, 20 * second, []time.Duration{8 * second}, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newHarness(t)
+			now := time.Now()
+			route := &routing.Route{Host: "h", Prefix: "/a/"}
+			for _, took := range c.took {
+				r.handler.durations.record(route, took)
+			}
+			r.handler.durations.record(&routing.Route{Host: "h", Prefix: "/b/"}, time.Hour)
+			j := &job{handler: r.handler, route: &routing.Route{Host: "h", Prefix: "/a/"}, deadline: now.Add(c.timeout), mayHaveRun: c.mayHaveRun}
+			is.True(j.checkGrace() == nil) // it isn't shutting down
+			r.handler.Drain(now.Add(c.listenLeft), now.Add(c.left))
+			problem := j.checkGrace()
+			is.Equal(problem != nil, c.refused)
+			if c.refused {
+				is.Equal(problem.Reason, api.ReasonDraining)
+				is.Equal(problem.Outcome, api.NotRun)
+				is.True(problem.RetryAfter > 0)
+			}
+		})
+	}
+}
+
+// Guards against connections that are closed without a response at the end of the grace period.
+func TestRequestsAtTheEndOfTheGracePeriodGetAResponse(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.publish(0)
+	began := make(chan struct{})
+	r.addUpstream("a", func(_ http.ResponseWriter, q *http.Request) {
+		close(began)
+		<-q.Context().Done()
+	})
+	running := make(chan callerResponse)
+	go func() { running <- r.get("once") }()
+	<-began
+	r.handler.Abort()
+	got := <-running
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(got.header.Get("Outcome"), string(api.Unknown)) // it may have run
+	is.Equal(r.handler.InFlight(), 0)
+	got = r.get("once")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.header.Get("Reason"), string(api.ReasonDraining))
+	is.Equal(r.arrivedIDs(), "a")
+}
