entry: final responses at the end of the grace period are sent before connections close

A response that is written right before the server is closed may still be in its buffers. The server waits up to 100 ms for the connections to become idle; Abort itself doesn't wait.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -30,6 +30,8 @@
 	// shutdownMargin is the time before the end of the grace period at which remaining requests are
 	// aborted, so that the process can exit by itself.
 	shutdownMargin = 300 * time.Millisecond
+	// abortTimeout bounds the sending of the final responses of aborted requests.
+	abortTimeout = 100 * time.Millisecond
 	// callerConnectionShare is the share of the file descriptors that callers' connections may use.
 	// The rest is for upstreams and peers. 8,000 idle connections cost 11 KB each.
 	callerConnectionShare = 0.6
@@ -185,7 +187,10 @@
 	}
 	i.proxy.Abort()
 	relayed.Wait()
-	_ = s.callers.Close() // aborts the requests that still run
+	abortCtx, cancelAbort := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancelAbort()
+	_ = s.callers.Shutdown(abortCtx) // waits until the final responses are sent
+	_ = s.callers.Close()
 	for _, o := range s.others {
 		_ = o.Close()
 	}
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"time"
@@ -9,7 +8,6 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/routing"
-	"github.com/tacktally/tacktally/internal/wait"
 )
 
 const (
@@ -23,9 +21,6 @@
 	recentRequests = 32
 	// maxTimedRoutes bounds the routes whose durations are kept.
 	maxTimedRoutes = 4096
-	// abortTimeout bounds the time that aborted requests have for their final responses.
-	abortTimeout      = 100 * time.Millisecond
-	abortPollInterval = 5 * time.Millisecond
 )
 
 // errShuttingDown ends the requests that still run at the end of the grace period.
@@ -52,15 +47,8 @@
 	return time.Until(s.end), true
 }
 
-// Abort ends the requests that still run. Callers that have no part of a response get a final one. Abort blocks until all
-// requests have ended, for abortTimeout at most.
-func (h *Handler) Abort() {
-	h.abort(errShuttingDown)
-	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
-	defer cancel()
-	for h.InFlight() > 0 && wait.For(ctx, abortPollInterval) {
-	}
-}
+// Abort ends the requests that still run. Callers that have no part of a response get a final one. It doesn't block.
+func (h *Handler) Abort() { h.abort(errShuttingDown) }
 
 // checkGrace returns a problem if the instance is shutting down and the request, which wasn't sent yet, would probably be
 // aborted: another instance can serve it, and nobody could tell whether an aborted one has run.
