--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -111,11 +111,7 @@
 		if problem := j.checkGrace(); problem != nil {
 			return problem
 		}
-		g, problem := last.replacement, (*api.Problem)(nil)
-		if g == nil {
-			g, problem = j.handler.o.Fleet.Acquire(ctx, j.acquireRequest(failedUpstream, kind, j.origin))
-			j.recordReplacement(kind, problem)
-		}
+		g, problem := j.acquire(ctx, last.replacement, failedUpstream, kind)
 		if problem == nil || kind == peer.FirstAttempt {
 			kind = peer.RequeuedAttempt
 		}
@@ -125,9 +121,6 @@
 		if problem != nil && problem.Reason == api.ReasonRetryBudget {
 			return j.finalProblem(last)
 		}
-		if problem != nil && errors.Is(context.Cause(ctx), errShuttingDown) {
-			problem = j.drainingProblem()
-		}
 		if problem != nil {
 			return j.orUpstreamFailure(j.markPossiblyRun(j.orBackoffProblem(problem)))
 		}
@@ -170,12 +163,27 @@
 	}
 }
 
-// recordReplacement records the decision on an attempt, if that is in place of a failed one.
-func (j *job) recordReplacement(kind peer.AttemptKind, p *api.Problem) {
-	if kind == peer.RetryAttempt && p != nil {
-		j.replacement = p.Reason
-		j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_replacements_refused_total{reason=%q}", p.Reason))
+// acquire returns the grant for the next attempt, which is the replacement if the last one was ended for it.
+func (j *job) acquire(ctx context.Context, replacement fleet.Grant, failedUpstream string, kind peer.AttemptKind) (fleet.Grant, *api.Problem) {
+	if replacement != nil {
+		return replacement, nil
+	}
+	g, problem := j.handler.o.Fleet.Acquire(ctx, j.acquireRequest(failedUpstream, kind, j.origin))
+	if problem == nil {
+		return g, nil
+	}
+	if kind == peer.RetryAttempt {
+		j.replacement = problem.Reason
+		j.countRefusedReplacement(problem)
 	}
+	if errors.Is(context.Cause(ctx), errShuttingDown) {
+		return nil, j.drainingProblem()
+	}
+	return nil, problem
+}
+
+func (j *job) countRefusedReplacement(p *api.Problem) {
+	j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_replacements_refused_total{reason=%q}", p.Reason))
 }
 
 // acquireRequest returns the request for a slot. failedUpstream is the upstream at which the last
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -117,7 +116,7 @@
 		case ctx.Err() != nil:
 			return
 		}
-		s.job.handler.o.Metrics.Count(fmt.Sprintf("tacktally_replacements_refused_total{reason=%q}", problem.Reason))
+		s.job.countRefusedReplacement(problem)
 		s.job.handler.o.Log.Info().Str("event", "silent_attempt_kept").Str("request", s.job.info.ID).Str("upstream", s.upstream).
 			Str("replacement_refused", string(problem.Reason)).Msg("")
 		if !wait.For(ctx, max(pause, problem.RetryAfter)) {
