proxy: requests that still run tell how long those of their route may take

An instance that shuts down compared what is left with requests that had ended: where they suddenly take longer, it passed on what it would cut. Ages of requests that run count, too, and retries belong to the duration of their request. Evidence: the case "those before were short, but one runs longer" of TestRequestIsRefusedIfTheGracePeriodIsTooShortForIt failed without it.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -92,13 +92,16 @@
 )
 
 // run makes attempts until the request is answered or given up.
-func (j *job) run() *api.Problem {
+func (j *job) run() (problem *api.Problem) {
 	ctx, cancel := j.context()
 	defer cancel()
 	ctx, j.cancel = context.WithCancelCause(ctx)
 	defer j.cancel(context.Canceled)
 	defer context.AfterFunc(j.handler.aborted, func() { j.cancel(errShuttingDown) })()
 	defer j.endConfirmation()
+	defer func() {
+		j.handler.durations.end(time.Now(), j, problem == nil && j.status < http.StatusInternalServerError)
+	}()
 	failedUpstream := ""
 	kind := peer.FirstAttempt
 	var last attemptResult
@@ -128,6 +131,7 @@
 			g.End(scheduler.Unused, 0)
 			return problem
 		}
+		j.handler.durations.begin(time.Now(), j)
 		r := j.attempt(ctx, g)
 		j.reportResult(g, r)
 		switch r.status {
@@ -280,9 +284,6 @@
 // reportResult reports the result of an attempt to the scheduler and releases the slot.
 func (j *job) reportResult(g fleet.Grant, r attemptResult) {
 	output := 0
-	if r.status == completed && j.status < http.StatusInternalServerError {
-		j.handler.durations.record(j.route, time.Since(j.sentAt))
-	}
 	if r.status == completed || r.status == unconfirmed {
 		output = j.outputTokens()
 	}
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -21,28 +21,38 @@
 		took             []time.Duration // by recent requests
 		mayHaveRun       bool
 		refused          bool
+		running          int // requests since 4 s
 	}{
-		"unknown, callers are still sent here":           {second, 7 * second, 20 * second, nil, false, false},
-		"unknown, late":                                  {-second, 4 * second, 20 * second, nil, false, true},
-		"short, late":                                    {-second, second, 20 * second, []time.Duration{second / 10}, false, false},
-		"short, very late":                               {-second, second / 8, 20 * second, []time.Duration{second / 10}, false, true},
-		"long, late":                                     {-second, 4 * second, 20 * second, []time.Duration{3 * second}, false, true},
-		"long, callers are still sent here":              {second, 7 * second, 20 * second, []time.Duration{8 * second}, false, true},
-		"one of many is long, callers are sent here":     {second, 7 * second, 20 * second, append(make([]time.Duration, 12), 8*second), false, false},
-		"one of many is long, late":                      {-second, 7 * second, 20 * second, append(make([]time.Duration, 12), 8*second), false, true},
-		"it was long, but no longer is":                  {-second, 4 * second, 20 * second, append([]time.Duration{8 * second}, make([]time.Duration, recentRequests)...), false, false},
-		"its caller waits no longer than that":           {-second, 4 * second, 3 * second, []time.Duration{8 * second}, false, false},
-		"an earlier attempt may have run, so one is due": {-second, 4 * second, 20 * second, []time.Duration{8 * second}, true, false},
+		"unknown, callers are still sent here":           {second, 7 * second, 20 * second, nil, false, false, 0},
+		"unknown, late":                                  {-second, 4 * second, 20 * second, nil, false, true, 0},
+		"short, late":                                    {-second, second, 20 * second, []time.Duration{second / 10}, false, false, 0},
+		"short, very late":                               {-second, second / 8, 20 * second, []time.Duration{second / 10}, false, true, 0},
+		"long, late":                                     {-second, 4 * second, 20 * second, []time.Duration{3 * second}, false, true, 0},
+		"long, callers are still sent here":              {second, 7 * second, 20 * second, []time.Duration{8 * second}, false, true, 0},
+		"one of many is long, callers are sent here":     {second, 7 * second, 20 * second, append(make([]time.Duration, 12), 8*second), false, false, 0},
+		"one of many is long, late":                      {-second, 7 * second, 20 * second, append(make([]time.Duration, 12), 8*second), false, true, 0},
+		"it was long, but no longer is":                  {-second, 4 * second, 20 * second, append([]time.Duration{8 * second}, make([]time.Duration, recentRequests)...), false, false, 0},
+		"those before were short, but one runs longer":   {-second, 4 * second, 20 * second, make([]time.Duration, 12), false, true, 1},
+		"its caller waits no longer than that":           {-second, 4 * second, 3 * second, []time.Duration{8 * second}, false, false, 0},
+		"an earlier attempt may have run, so one is due": {-second, 4 * second, 20 * second, []time.Duration{8 * second}, true, false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			r := newHarness(t)
 			now := time.Now()
 			route := &routing.Route{Host: "h", Prefix: "/a/"}
+			record := func(route *routing.Route, took time.Duration) {
+				ended := &job{route: route}
+				r.handler.durations.begin(now.Add(-took), ended)
+				r.handler.durations.end(now, ended, true)
+			}
 			for _, took := range c.took {
-				r.handler.durations.record(route, took)
+				record(route, took)
+			}
+			record(&routing.Route{Host: "h", Prefix: "/b/"}, time.Hour)
+			for range c.running {
+				r.handler.durations.begin(now.Add(-4*second), &job{route: route})
 			}
-			r.handler.durations.record(&routing.Route{Host: "h", Prefix: "/b/"}, time.Hour)
 			j := &job{handler: r.handler, route: &routing.Route{Host: "h", Prefix: "/a/"}, deadline: now.Add(c.timeout), mayHaveRun: c.mayHaveRun}
 			is.True(j.checkGrace() == nil) // it isn't shutting down
 			r.handler.Drain(now.Add(c.listenLeft), now.Add(c.left))
