proxy: while callers are still sent to an instance that shuts down, it refuses only what is more likely cut than answered

Callers of a route with long streams were refused by each instance that was stopped, under load, and found no place elsewhere: it was enough that a tenth of the recent requests took longer than what was left. Change: the share is a half. Once callers reach other instances nothing changes.

--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -10,8 +10,9 @@
 
 const (
 	// maxLateShare is the share of a route's recent requests that may have taken longer than the grace period lasts, for a
-	// new one to be sent while callers may still be sent to this instance.
-	maxLateShare = 0.1
+	// new one to be sent while callers may still be sent to this instance. Above it, a new one is more likely to be cut
+	// than answered.
+	maxLateShare = 0.5
 	// lateMargin is how many times the longest recent request the grace period must last after that: a caller that is
 	// refused is served elsewhere.
 	lateMargin = 2
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -30,6 +30,7 @@
 		"long, late":                                     {-second, 4 * second, 20 * second, []time.Duration{3 * second}, false, true, 0},
 		"long, callers are still sent here":              {second, 7 * second, 20 * second, []time.Duration{8 * second}, false, true, 0},
 		"one of many is long, callers are sent here":     {second, 7 * second, 20 * second, append(make([]time.Duration, 12), 8*second), false, false, 0},
+		"most are long, callers are still sent here":     {second, 7 * second, 20 * second, []time.Duration{0, 8 * second, 8 * second}, false, true, 0},
 		"one of many is long, late":                      {-second, 7 * second, 20 * second, append(make([]time.Duration, 12), 8*second), false, true, 0},
 		"it was long, but no longer is":                  {-second, 4 * second, 20 * second, append([]time.Duration{8 * second}, make([]time.Duration, recentRequests)...), false, false, 0},
 		"those before were short, but one runs longer":   {-second, 4 * second, 20 * second, make([]time.Duration, 12), false, true, 1},
