daemon: callers of requests that outlast drain.timeout get a final response

What callers saw: at the end of drain.timeout the instance closed its connections. Callers without any part of a response got none, streams ended without a reason, and requests that still waited for a slot, which certainly hadn't run, looked as if they might have. Cause: shutDown called http.Server.Shutdown with a context that was done already, then Close, and nothing ended the requests before. Evidence: TestRequestsThatOutlastTheDrainTimeoutGetAResponse and TestQueuedRequestsAndStreamsAtTheEndOfTheDrainTimeout (real processes) failed before: of four requests that were running, three got no response, and the fourth, which a peer had forwarded, issuer_unreachable after 3 s; a queued request got none. The dispatcher now aborts its requests first, and the gateway those that it has forwarded: not-run (draining) where nothing was written, otherwise unknown (upstream_lost, upstream_cut; issuer_unreachable where another instance still runs the request). The daemon then waits up to 0.5 s until callers and peers have the responses. The dispatcher that the tests of resumptions build gets a context, which Serve now needs.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -265,7 +265,7 @@
 func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.drained) }) }
 
 // shutDown refuses new work and waits for the requests in flight, for at most Drain.Timeout if that
-// is set.
+// is set. Requests that take longer are aborted with a final response.
 func (d *Daemon) shutDown(s *servers) {
 	d.gateway.Drain()
 	d.mesh.Announce()
@@ -276,27 +276,39 @@
 		ctx, cancel = context.WithTimeout(ctx, t)
 		defer cancel()
 	}
+	if d.waitIdle(ctx) {
+		s.shutDownCallers(ctx)
+	} else {
+		d.log.Warn().Str("event", "drain_timeout").Int("in_flight", d.dispatcher.InFlight()).Msg("drain timed out; aborting the requests in flight")
+		d.dispatcher.Abort()
+		d.gateway.Abort()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
 	d.waitIdle(ctx)
 	s.shutDownCallers(ctx)
 }
 
+// abortTimeout bounds the sending of the last responses after Drain.Timeout.
+const abortTimeout = 500 * time.Millisecond
+
 // idlePollInterval is how often a daemon that shuts down checks whether requests are in flight.
 const idlePollInterval = 10 * time.Millisecond
 
 // waitIdle blocks until no request is in flight, here or as a response to a peer that forwarded one,
-// or ctx is done. A request ends before its last frame is written, and a peer that loses its
-// response can only tell its caller that the outcome is unknown.
-func (d *Daemon) waitIdle(ctx context.Context) {
+// or ctx is done, and reports which. A request ends before its last frame is written, and a peer that
+// loses its response can only tell its caller that the outcome is unknown.
+func (d *Daemon) waitIdle(ctx context.Context) bool {
 	t := time.NewTicker(idlePollInterval)
 	defer t.Stop()
 	for d.dispatcher.InFlight() > 0 || d.callers.InFlight() > 0 || d.mesh.IsResponding() {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			d.log.Warn().Str("event", "drain_timeout").Int("in_flight", d.dispatcher.InFlight()).Msg("drain timed out; stopping with requests in flight")
-			return
+			return false
 		}
 	}
+	return true
 }
 
 func readToken(path string) (string, error) {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -121,9 +121,12 @@
 }
 
 // checkBeforeWrite is called before the first byte is written. It returns an error if the process
-// was paused since the grant was requested, if the deadline has passed, or if the request is
-// quarantined.
+// was paused since the grant was requested, if the deadline has passed, if the request is
+// quarantined, or if the requests are aborted: the slots of others that end may be granted meanwhile.
 func (a *attempts) checkBeforeWrite() error {
+	if a.dispatcher.aborted.Load() {
+		return errShuttingDown
+	}
 	if a.dispatcher.o.Gate.Detector.Generation() != a.generation {
 		return errPaused
 	}
@@ -206,6 +209,9 @@
 	d := a.dispatcher
 	switch result.Status {
 	case upstream.NotWritten:
+		if errors.Is(result.Err, errShuttingDown) {
+			return false
+		}
 		if errors.Is(result.Err, errPaused) {
 			d.recordRetry(a.request, api.RetryPaused, result.Err)
 			return true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -54,6 +54,8 @@
 
 var errPaused = errors.New("the instance was paused after the decision")
 
+var errShuttingDown = errors.New("the instance is shutting down")
+
 // Options configures a Dispatcher.
 type Options struct {
 	// Instance is this instance's peer address.
@@ -97,6 +99,9 @@
 	o        Options
 	budget   *retrybudget.Budget
 	inFlight atomic.Int64
+	aborted  atomic.Bool     // set before serving is done
+	serving  context.Context // done once Abort was called
+	abort    context.CancelFunc
 	// cancellations are the calls that cancel streams.
 	cancellations sync.WaitGroup
 
@@ -118,8 +123,11 @@
 
 // New returns a dispatcher without upstreams.
 func New(o Options) *Dispatcher {
+	serving, abort := context.WithCancel(context.Background())
 	return &Dispatcher{
 		o:       o,
+		serving: serving,
+		abort:   abort,
 		budget:  retrybudget.New(retrybudget.Options{Share: o.RetryBudgetShare, Initial: initialRetryBudget, Max: maxRetryBudget}),
 		pools:   map[string]*pool.Pool{},
 		members: map[string][]scheduler.Member{},
@@ -228,6 +236,13 @@
 	return worst != nil && worst.Displace(rank)
 }
 
+// Abort ends the requests that are being served: their buffers end with a Problem, and those that wait aren't sent any more.
+// It doesn't block.
+func (d *Dispatcher) Abort() {
+	d.aborted.Store(true)
+	d.abort()
+}
+
 // InFlight returns the number of requests being served.
 func (d *Dispatcher) InFlight() int { return int(d.inFlight.Load()) }
 
@@ -350,8 +365,14 @@
 	defer d.inFlight.Add(-1)
 	ctx, cancel := context.WithDeadlineCause(ctx, r.Deadline, context.DeadlineExceeded)
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	defer context.AfterFunc(d.serving, func() { abort(errShuttingDown) })()
 	started := time.Now()
 	end := d.serve(ctx, s, r, b, started)
+	if end.Problem != nil && d.aborted.Load() {
+		end.Problem = abortedProblem(end.Outcome(), b.Started())
+	}
 	if r.NonIdempotent && r.LastEventID != "" && end.Outcome() == api.NotRun {
 		end.Problem = end.Problem.WithUnknownOutcome() // only the resumption didn't run
 	}
@@ -359,6 +380,18 @@
 	d.recordEnd(r, end, time.Since(started))
 }
 
+// abortedProblem returns the problem of a request that the shutdown of the instance ended with the given outcome.
+func abortedProblem(o api.Outcome, began bool) *api.Problem {
+	switch {
+	case o == api.NotRun:
+		return api.Refuse(api.ReasonDraining, "this instance is shutting down; send the request again, another instance will serve it").WithRetryAfter(time.Second)
+	case began:
+		return api.UnknownOutcome(api.ReasonUpstreamCut, "this instance shut down while the upstream was responding; check what the request did, or resume with Last-Event-ID")
+	default:
+		return api.UnknownOutcome(api.ReasonUpstreamLost, "this instance shut down while the upstream ran the request; check what it did before you send it under a new key")
+	}
+}
+
 func (d *Dispatcher) recordEnd(r *request.Request, end answer.End, took time.Duration) {
 	d.o.Metrics.Ended(r.Tier, end.Outcome(), took)
 	event := d.o.Log.Info().Str("event", "request_ended").Str("request", r.ID).Str("key", identityOf(r).Key.String()).
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -87,6 +87,7 @@
 	r.Deadline = time.Now().Add(time.Minute)
 	return &attempts{
 		dispatcher: &Dispatcher{
+			serving: t.Context(),
 			o: Options{
 				Client: client, Metrics: telemetry.NewMetrics(), Log: logger,
 				Gate: &pause.Gate{Detector: pause.NewDetector()}, Quarantine: quarantine.New(logger, nil),
--- a/internal/dispatch/spill.go
+++ b/internal/dispatch/spill.go
@@ -18,7 +18,7 @@
 func (a *attempts) spill(ctx context.Context, p *api.Problem) (answer.End, bool) {
 	d := a.dispatcher
 	r := a.request
-	if d.o.Spill == nil || r.NonIdempotent || r.Spilled || a.buffer.Started() || !isCapacityRefusal(p.Reason) {
+	if d.o.Spill == nil || d.aborted.Load() || r.NonIdempotent || r.Spilled || a.buffer.Started() || !isCapacityRefusal(p.Reason) {
 		return answer.End{}, false
 	}
 	away := *r
--- a/internal/faults/shutdown_test.go
+++ b/internal/faults/shutdown_test.go
@@ -13,6 +13,7 @@
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/platform"
+	"github.com/tacktally/tacktally/internal/settings"
 	"github.com/tacktally/tacktally/internal/standin/engine"
 	"github.com/tacktally/tacktally/internal/standin/service"
 )
@@ -75,6 +76,91 @@
 	is.Equal(leaving.command.ProcessState.ExitCode(), 0)
 }
 
+// Guards against connections that are closed without an answer at the end of drain.timeout: callers of requests that still
+// run are told so, also those of requests that an instance has forwarded.
+func TestRequestsThatOutlastTheDrainTimeoutGetAResponse(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newConfiguredFleet(t, func(s *settings.Settings) { s.Drain.Timeout = settings.Duration(300 * time.Millisecond) }, "fort", "fort")
+	leaving, other := f.daemons[0], f.daemons[1]
+	arrived, hold := make(chan service.Call, 9), make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	f.service.SetFaults(service.Faults{Arrived: arrived, Hold: hold})
+	calls := map[string]struct {
+		at   *process
+		call call
+		want api.Reason
+	}{
+		"under a key of its own":           {leaving, call{path: releasePath, body: "a", key: leaving.issue()}, api.ReasonUpstreamLost},
+		"idempotent":                       {leaving, call{path: lookupPath, body: "b"}, api.ReasonUpstreamLost},
+		"forwarded by another instance":    {other, call{path: releasePath, body: "c", key: leaving.issue()}, api.ReasonUpstreamLost},
+		"forwarded to the issuer of a key": {leaving, call{path: releasePath, body: "d", key: other.issue()}, api.ReasonIssuerUnreachable},
+	}
+	var mu sync.Mutex
+	var sent sync.WaitGroup
+	replies := map[string]reply{}
+	for name, c := range calls {
+		sent.Go(func() {
+			r := c.at.send(c.call)
+			mu.Lock()
+			defer mu.Unlock()
+			replies[name] = r
+		})
+	}
+	for range calls {
+		<-arrived
+	}
+	leaving.signal(syscall.SIGTERM)
+	<-leaving.exited
+	sent.Wait()
+	is.Equal(leaving.command.ProcessState.ExitCode(), 0)
+	for name, c := range calls {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(replies[name].outcome, api.Unknown)
+			is.Equal(replies[name].problem.Reason, c.want)
+		})
+	}
+}
+
+// Guards against a request that waits when drain.timeout ends and is told that it may have run, or nothing, and against a
+// stream that ends then without a reason.
+func TestQueuedRequestsAndStreamsAtTheEndOfTheDrainTimeout(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newConfiguredFleet(t, func(s *settings.Settings) { s.Drain.Timeout = settings.Duration(300 * time.Millisecond) }, "fort")
+	leaving := f.daemons[0]
+	arrived, hold, token := make(chan service.Call, 9), make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	t.Cleanup(func() { close(token) })
+	f.service.SetFaults(service.Faults{Arrived: arrived, Hold: hold})
+	f.engine.SetFaults(engine.Faults{HoldToken: token})
+	var sent sync.WaitGroup
+	for range 8 { // as many as run at a time
+		sent.Go(func() { leaving.send(call{path: lookupPath, body: "a"}) })
+		<-arrived
+	}
+	queued := make([]reply, 2)
+	sent.Go(func() { queued[0] = leaving.send(call{path: lookupPath, body: "queued"}) })
+	sent.Go(func() { queued[1] = leaving.send(call{path: releasePath, body: "queued", key: leaving.issue()}) })
+	f.eventually("requests are queued", func() bool { return leaving.status().InFlight == 10 })
+	var stream reply
+	sent.Go(func() { stream = leaving.send(call{path: chatPath, body: prompt("b", true)}) })
+	token <- struct{}{}
+	f.eventually("the stream has begun", func() bool { return leaving.metric(`tacktally_first_token_seconds_count{tier="counter"}`) == 1 })
+	leaving.signal(syscall.SIGTERM)
+	<-leaving.exited
+	sent.Wait()
+	for _, r := range queued {
+		is.Equal(r.outcome, api.NotRun)
+		is.Equal(r.problem.Reason, api.ReasonDraining)
+	}
+	is.Equal(f.runCount("queued"), 0)
+	is.Equal(stream.outcome, api.Unknown)
+	is.True(strings.Contains(stream.body, "event: error\n"))
+	is.True(strings.Contains(stream.body, string(api.ReasonUpstreamCut)))
+}
+
 // A leaving upstream gets no new request, whether the instance list or, while the list is stale, the
 // upstream itself announces it.
 func TestLeavingUpstreamGetsNoNewRequests(t *testing.T) {
--- a/internal/gateway/caller_chosen.go
+++ b/internal/gateway/caller_chosen.go
@@ -100,7 +100,11 @@
 	}()
 	select {
 	case b := <-found:
-		b.OnEnd(func(answer.End, int) { cancel() })
+		stop := context.AfterFunc(g.serving, cancel)
+		b.OnEnd(func(answer.End, int) {
+			stop()
+			cancel()
+		})
 		return b
 	case <-none:
 		cancel()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -31,6 +31,7 @@
 	go func() {
 		ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 		defer cancel()
+		defer context.AfterFunc(g.serving, cancel)()
 		problem := g.forwardUntilComplete(ctx, claims, r, b)
 		if problem != nil {
 			g.refuse(r, problem)
@@ -66,6 +67,10 @@
 		if sent || linkLostAt.IsZero() {
 			linkLostAt = time.Now()
 		}
+		if g.serving.Err() != nil {
+			p := api.UnknownOutcome(api.ReasonIssuerUnreachable, "this instance is shutting down; retry with the same key, another instance will forward it").WithRetryAfter(time.Second)
+			return withAttemptOutcome(p, everSent)
+		}
 		if ctx.Err() != nil || time.Since(linkLostAt) > forwardMaxWait {
 			p := api.UnknownOutcome(api.ReasonIssuerUnreachable, "the instance that issued the key can't be reached (%v); retry with the same key later, or check what the request did", err).WithRetryAfter(time.Second)
 			return withAttemptOutcome(p, everSent)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,10 +60,15 @@
 	o        Options
 	peers    Peers
 	draining atomic.Bool
+	serving  context.Context // done once Abort was called
+	abort    context.CancelFunc
 }
 
 // New returns a gateway. SetPeers must be called before it is used.
-func New(o Options) *Gateway { return &Gateway{o: o} }
+func New(o Options) *Gateway {
+	serving, abort := context.WithCancel(context.Background())
+	return &Gateway{o: o, serving: serving, abort: abort}
+}
 
 // SetPeers sets the links to other instances.
 func (g *Gateway) SetPeers(p Peers) { g.peers = p }
@@ -71,6 +76,9 @@
 // Drain makes the gateway refuse requests that it hasn't dispatched.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Abort ends the requests that are forwarded to peers, with a Problem. It doesn't block.
+func (g *Gateway) Abort() { g.abort() }
+
 // Draining reports whether Drain was called.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -167,8 +167,9 @@
 
 // Drain configures the graceful shutdown.
 type Drain struct {
-	// Timeout is the time after which requests still in progress are aborted. Default 0: waits
-	// until the last of their deadlines.
+	// Timeout is the time after which requests still in progress are aborted, with a response that
+	// says so; the instance ends within 0.5 s more. Default 0: waits until the last of their
+	// deadlines.
 	Timeout Duration `json:"timeout,omitzero"`
 }
 
