callerapi: a request that is refused anyway displaces no queued one

What callers saw: beyond callers.maxInFlight, each request of a higher tier took a queued request of a lower tier off the queue, also where it was itself refused next: by an instance that was shutting down, for each request that still came, or for a malformed Last-Event-ID. Cause: the place was made before these two checks. Evidence: both cases of TestRefusedRequestsDisplaceNothing failed before (a queued request ended as not-run instead of answered). Now Last-Event-ID is checked first, and an instance that shuts down displaces nothing: the gateway refuses what is new, and lets retries join.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -119,15 +119,15 @@
 		return
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	if inFlight > s.settings.MaxInFlight && !s.displaceLower(snapshot, r) {
-		s.refuse(w, h, r.ID, refuseOverloaded(inFlight))
-		return
-	}
 	last, err := lastEvent(r)
 	if err != nil {
 		s.refuse(w, h, r.ID, api.Refuse(api.ReasonInvalidRequest, "%v", err))
 		return
 	}
+	if inFlight > s.settings.MaxInFlight && !s.gateway.Draining() && !s.displaceLower(snapshot, r) {
+		s.refuse(w, h, r.ID, refuseOverloaded(inFlight))
+		return
+	}
 	b := s.gateway.Handle(h.Context(), snapshot, r)
 	out := &writer{server: s, response: w, control: control, request: r, conn: listen.CallerConnOf(h.Context()), http10: !h.ProtoAtLeast(1, 1), last: last}
 	out.follow(h.Context(), b)
--- a/internal/faults/overload_test.go
+++ b/internal/faults/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -71,6 +72,46 @@
 	all.Wait()
 }
 
+// Guards against queued requests that are displaced for one that is refused anyway: by an instance that is shutting down,
+// or since it names no event of a stream.
+func TestRefusedRequestsDisplaceNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		draining bool
+		call     call
+		want     api.Reason
+	}{
+		"shutting down":           {true, call{path: lookupPath, body: "x", tier: "counter"}, api.ReasonDraining},
+		"malformed Last-Event-ID": {false, call{path: chatPath, body: prompt("x", true), tier: "counter", header: map[string]string{api.HeaderLastEventID: "x"}}, api.ReasonInvalidRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := newConfiguredFleet(t, func(s *settings.Settings) { s.Callers.MaxInFlight = 9 }, "fort")
+			p := f.daemons[0]
+			hold := make(chan struct{})
+			f.service.SetFaults(service.Faults{Hold: hold})
+			var all sync.WaitGroup
+			lower := make(chan reply, 9)
+			for n := 1; n <= 9; n++ { // 8 run, 1 is queued
+				all.Go(func() { lower <- p.send(call{path: lookupPath, body: "low", tier: "desk"}) })
+				f.eventually("the request is in flight", func() bool { return p.status().InFlight == n })
+			}
+			if c.draining {
+				p.signal(syscall.SIGTERM)
+				f.eventually("the instance drains", func() bool { return p.status().Draining })
+			}
+			r := p.send(c.call)
+			is.Equal(r.problem.Reason, c.want)
+			is.Equal(r.outcome, api.NotRun)
+			close(hold)
+			all.Wait()
+			for range 9 {
+				is.Equal((<-lower).outcome, api.Answered)
+			}
+		})
+	}
+}
+
 // Across the instances of a zone: before a request of a higher tier is refused at one, the queued
 // requests of lower tiers at the other are displaced.
 func TestHigherTierIsNeverShedBeforeLowerTierOfPeer(t *testing.T) {
