client: a stream under a key that was cut is resumed under a new one

What users saw: a non-idempotent stream ended as unknown at an error event with upstream_cut, as at an instance that shuts down, though its engine went on with it and the client had an ID to resume it by. The same stream was resumed if its connection broke instead. Cause: handleProblem took every unknown outcome of a non-idempotent request for final. Evidence: TestStreamThatWasCutIsResumedUnderANewKey failed before ("unknown after 1 attempts"). A resumption runs nothing; the key of the request retains the part that was relayed, so that a new one is used, as for refused resumptions. Result: the tests of package client pass with the race detector.

--- a/client/client.go
+++ b/client/client.go
@@ -324,6 +324,10 @@
 		return p.RetryAfterSeconds > 0 // under the same key, which may have been sent before
 	}
 	s.uncertain = true
+	if p.Reason == api.ReasonUpstreamCut && s.lastID != "" {
+		s.key = "" // which retains what was relayed; the stream is resumed, which runs nothing
+		return true
+	}
 	if !s.request.NonIdempotent {
 		return true
 	}
--- a/client/stream_test.go
+++ b/client/stream_test.go
@@ -229,3 +229,38 @@
 		})
 	}
 }
+
+// Guards against a stream that its client gives up though its engine goes on with it: the instance that relayed it has shut
+// down, or couldn't resume it. Its key retains the part that was relayed.
+func TestStreamThatWasCutIsResumedUnderANewKey(t *testing.T) {
+	is := is.New(t)
+	issued := 0
+	var keys, resumed []string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+		if strings.HasSuffix(h.URL.Path, "idempotency-keys") {
+			issued++
+			_, _ = fmt.Fprintf(w, `{"keys":["%d-1","%d-2"]}`, issued, issued)
+			return
+		}
+		keys = append(keys, h.Header.Get(api.HeaderIdempotencyKey))
+		resumed = append(resumed, h.Header.Get(api.HeaderLastEventID))
+		w.Header().Set("Content-Type", "text/event-stream")
+		if len(keys) == 1 || keys[len(keys)-1] == keys[0] {
+			_, _ = io.WriteString(w, "id: 1\ndata: a\n\nevent: error\ndata: {\"error\":{\"status\":502,\"outcome\":\"unknown\",\"reason\":\"upstream_cut\"}}\n\n")
+			return
+		}
+		_, _ = io.WriteString(w, "id: 2\ndata: b\n\n"+end)
+	}))
+	defer server.Close()
+	stream, err := connect(t, server.URL).Stream(t.Context(), client.Request{Path: "/v1/chat/completions", NonIdempotent: true})
+	is.NoErr(err)
+	defer stream.Close()
+	for _, want := range []string{"a", "b"} {
+		data, err := stream.Next()
+		is.NoErr(err)
+		is.Equal(string(data), want)
+	}
+	_, err = stream.Next()
+	is.Equal(err, io.EOF)
+	is.Equal(resumed, []string{"", "1"})
+}
