callerapi: responses of an instance that is shutting down close their connections

What callers saw: on a kept connection each retry came back to the instance that had refused it (draining), until its last request had ended and the process with it. A load balancer of connections sent it nowhere else. Refusals, and responses that begin during the shutdown, now have Connection: close, as those of routed requests do. Idle connections aren't closed at its beginning: a request that crosses the close would get no answer. The unit tests of package callerapi build their server with a gateway, which writing a head now asks.

--- a/internal/callerapi/server.go
+++ b/internal/callerapi/server.go
@@ -80,6 +80,7 @@
 	c := *p
 	c.RequestID = id
 	header := w.Header()
+	s.closeIfDraining(header)
 	header.Set("Content-Type", api.ProblemContentType)
 	header.Set(api.HeaderOutcome, string(c.Outcome))
 	header.Set(api.HeaderReason, string(c.Reason))
@@ -98,6 +99,14 @@
 	_ = json.MarshalWrite(w, &c)
 }
 
+// closeIfDraining makes a response of an instance that is shutting down close its connection, so that the caller's next
+// request may reach another instance.
+func (s *Server) closeIfDraining(header http.Header) {
+	if s.gateway.Draining() {
+		header.Set("Connection", "close")
+	}
+}
+
 // serve serves a model request or a call to a service. It blocks until the response is written.
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
 	inFlight := int(s.inFlight.Add(1))
@@ -279,6 +288,7 @@
 	w.headWritten = true
 	w.stream = h.ContentType == "text/event-stream" || w.request.Stream
 	header := w.response.Header()
+	w.server.closeIfDraining(header)
 	for field, values := range h.Header {
 		header[http.CanonicalHeaderKey(field)] = values
 	}
--- a/internal/callerapi/server_test.go
+++ b/internal/callerapi/server_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/answer"
+	"github.com/tacktally/tacktally/internal/gateway"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/upstream"
 )
@@ -45,7 +46,7 @@
 			for received := range 5 {
 				is := is.New(t)
 				recorder := httptest.NewRecorder()
-				w := &writer{server: &Server{}, response: recorder, control: http.NewResponseController(recorder), request: &request.Request{Stream: true}}
+				w := &writer{server: &Server{gateway: gateway.New(gateway.Options{})}, response: recorder, control: http.NewResponseController(recorder), request: &request.Request{Stream: true}}
 				if received > 0 {
 					w.last = upstream.ResumeToken{Upstream: engine, StreamID: stream, Events: received}
 				}
@@ -84,7 +85,7 @@
 			}
 			b.Finish(answer.End{Problem: api.UnknownOutcome(api.ReasonIssuerUnreachable, "cut")})
 			recorder := httptest.NewRecorder()
-			w := &writer{server: &Server{}, response: recorder, control: http.NewResponseController(recorder), request: &request.Request{Stream: true}}
+			w := &writer{server: &Server{gateway: gateway.New(gateway.Options{})}, response: recorder, control: http.NewResponseController(recorder), request: &request.Request{Stream: true}}
 			if c.resumed {
 				w.last = receivedToken
 			}
@@ -131,7 +132,7 @@
 			is.NoErr(b.Write(t.Context(), []byte("data: [DONE]\n\n")))
 			b.Finish(answer.End{})
 			recorder := httptest.NewRecorder()
-			w := &writer{server: &Server{}, response: recorder, control: http.NewResponseController(recorder), request: &request.Request{Stream: true}, last: c.has}
+			w := &writer{server: &Server{gateway: gateway.New(gateway.Options{})}, response: recorder, control: http.NewResponseController(recorder), request: &request.Request{Stream: true}, last: c.has}
 			w.follow(t.Context(), b)
 			got := ""
 			for line := range strings.Lines(recorder.Body.String()) {
--- a/internal/faults/shutdown_test.go
+++ b/internal/faults/shutdown_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -161,6 +163,48 @@
 	is.True(strings.Contains(stream.body, string(api.ReasonUpstreamCut)))
 }
 
+// Guards against callers that are refused until an instance has ended: their kept connections lead back to it, where a load
+// balancer chooses an instance for each connection.
+func TestDrainingInstanceEndsKeptConnections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort")
+	leaving := f.daemons[0]
+	arrived, hold := make(chan service.Call, 9), make(chan struct{})
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	post := func(body string) (status int, closes bool) {
+		h, err := http.NewRequest(http.MethodPost, "http://"+leaving.ip+":7001"+lookupPath, strings.NewReader(body))
+		if err != nil {
+			return 0, false
+		}
+		h.Header.Set("Authorization", "Bearer "+apiKey)
+		r, err := (&http.Client{Transport: transport, Timeout: testTimeout}).Do(h)
+		if err != nil {
+			return 0, false
+		}
+		defer r.Body.Close()
+		_, _ = io.Copy(io.Discard, r.Body)
+		return r.StatusCode, r.Close
+	}
+	status, closes := post("a")
+	is.Equal(status, http.StatusOK)
+	is.True(!closes)
+	f.service.SetFaults(service.Faults{Arrived: arrived, Hold: hold})
+	var held sync.WaitGroup
+	held.Go(func() { status, closes = post("b") })
+	<-arrived
+	leaving.signal(syscall.SIGTERM)
+	f.eventually("the instance drains", func() bool { return leaving.status().Draining })
+	refused, refusedCloses := post("c")
+	close(hold)
+	held.Wait()
+	is.Equal(refused, http.StatusServiceUnavailable)
+	is.True(refusedCloses)
+	is.Equal(status, http.StatusOK)
+	is.True(closes)
+}
+
 // A leaving upstream gets no new request, whether the instance list or, while the list is stale, the
 // upstream itself announces it.
 func TestLeavingUpstreamGetsNoNewRequests(t *testing.T) {
