client: keys in hand of an issuer that is shutting down are replaced

What users saw: during a planned stop of one instance, a non-idempotent request ended as not-run after four attempts, a second apart, though the other instances served: each attempt took the next of the eight keys that this instance had issued, which refuses them all (draining). Evidence: the case "draining" of TestKeysInHandOfAnIssuerThatRestartedAreReplaced failed before ("not-run after 4 attempts"). A draining refusal under a key comes from its issuer, so that the client now drops the keys in hand, as it does for issuers that are gone. Result: the second attempt succeeds; the tests of package client pass with the race detector. The test's cases now run in parallel, since the new one waits for the second that the refusal names.

--- a/client/client.go
+++ b/client/client.go
@@ -308,6 +308,9 @@
 		return true
 	case p.Outcome == api.NotRun:
 		// The key is void: no attempt under it ran, and none will.
+		if s.key != "" && p.Reason == api.ReasonDraining {
+			s.client.dropKeys() // its issuer refuses those in hand too
+		}
 		s.key = ""
 		s.uncertain = false
 		return p.RetryAfterSeconds > 0
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -231,11 +231,16 @@
 	}
 }
 
-// Guards against requests that fail though all instances serve: the keys in hand of an issuer that has restarted, or that
-// have expired, took up all attempts.
+// Guards against requests that fail though all instances serve, or all but one that is shutting down: the keys in hand of
+// that one, or of an issuer that has restarted, or that have expired, took up all attempts.
 func TestKeysInHandOfAnIssuerThatRestartedAreReplaced(t *testing.T) {
-	for _, reason := range []api.Reason{api.ReasonIssuerGone, api.ReasonKeyExpired} {
-		t.Run(string(reason), func(t *testing.T) {
+	for _, problem := range []*api.Problem{
+		api.UnknownOutcome(api.ReasonIssuerGone, "gone").WithAttemptNotRun(),
+		api.UnknownOutcome(api.ReasonKeyExpired, "gone").WithAttemptNotRun(),
+		api.Refuse(api.ReasonDraining, "leaves").WithRetryAfter(time.Second),
+	} {
+		t.Run(string(problem.Reason), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			issuers, batch := 1, 0
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
@@ -246,7 +251,7 @@
 					return
 				}
 				if !strings.HasPrefix(h.Header.Get(api.HeaderIdempotencyKey), fmt.Sprint(issuers)+"-") {
-					(&script{answers: []*api.Problem{api.UnknownOutcome(reason, "gone").WithAttemptNotRun()}, keys: map[string]bool{}}).ServeHTTP(w, h)
+					(&script{answers: []*api.Problem{problem}, keys: map[string]bool{}}).ServeHTTP(w, h)
 				}
 			}))
 			defer server.Close()
