gateway: an admitted request is in flight before its goroutine runs

What could happen: a request under a key goes on when its caller leaves. It was counted as in flight by its own goroutine, so that between its admission and that goroutine's first step nothing counted it once the caller, or the link of the peer that forwarded it, had gone: a shutdown at this moment didn't wait for it, and cut it while it ran. Evidence: found by reading, not seen in a run of processes. TestAdmittedRequestsAreInFlightAtOnce fails 20 of 20 times where the goroutine counts, and passes now. The gateway counts on admission, and the shutdown waits for its count.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -301,7 +301,7 @@
 func (d *Daemon) waitIdle(ctx context.Context) bool {
 	t := time.NewTicker(idlePollInterval)
 	defer t.Stop()
-	for d.dispatcher.InFlight() > 0 || d.callers.InFlight() > 0 || d.mesh.IsResponding() {
+	for d.gateway.InFlight() > 0 || d.callers.InFlight() > 0 || d.mesh.IsResponding() {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	o        Options
 	peers    Peers
 	draining atomic.Bool
+	inFlight atomic.Int64
 	serving  context.Context // done once Abort was called
 	abort    context.CancelFunc
 }
@@ -79,6 +80,19 @@
 // Abort ends the requests that are forwarded to peers, with a Problem. It doesn't block.
 func (g *Gateway) Abort() { g.abort() }
 
+// InFlight returns the number of requests that were admitted to be served here and that haven't ended. It includes those
+// whose callers have left.
+func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
+
+// dispatch serves a request in the background.
+func (g *Gateway) dispatch(ctx context.Context, s *config.Snapshot, r *request.Request, b *answer.Buffer) {
+	g.inFlight.Add(1)
+	go func() {
+		defer g.inFlight.Add(-1)
+		g.o.Dispatcher.Serve(ctx, s, r, b)
+	}()
+}
+
 // Draining reports whether Drain was called.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
@@ -194,7 +208,7 @@
 		return g.refuse(r, refuseDraining())
 	}
 	b := answer.New(false)
-	go g.o.Dispatcher.Serve(ctx, s, r, b)
+	g.dispatch(ctx, s, r, b)
 	return b
 }
 
@@ -235,6 +249,6 @@
 		b.Finish(answer.End{Problem: p}) // the key stays refused, so that not-run remains true
 		return b
 	}
-	go g.o.Dispatcher.Serve(context.Background(), s, r, b)
+	g.dispatch(context.Background(), s, r, b)
 	return b
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,18 +1,22 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/config"
 	"github.com/tacktally/tacktally/internal/idempotency"
 	"github.com/tacktally/tacktally/internal/pause"
 	"github.com/tacktally/tacktally/internal/request"
 	"github.com/tacktally/tacktally/internal/telemetry"
+	"github.com/tacktally/tacktally/internal/virtualtime"
 )
 
 // Guards against a request that may have run and is told that the attempt didn't: its key expired between two sendings of
@@ -53,3 +57,46 @@
 	end = g.ServePeer(t.Context(), &request.Request{}).Ended()
 	is.Equal(end.Problem.Reason, api.ReasonNoConfiguration)
 }
+
+// heldDispatcher holds each request before it serves it.
+type heldDispatcher struct {
+	Dispatcher
+	hold, served chan struct{}
+}
+
+func (d *heldDispatcher) Serve(_ context.Context, _ *config.Snapshot, _ *request.Request, b *answer.Buffer) {
+	<-d.hold
+	b.Finish(answer.End{})
+	close(d.served)
+}
+
+// Guards against a shutdown that doesn't wait for a request that was admitted and isn't counted yet: its caller may have
+// left, so that nothing else counts it.
+func TestAdmittedRequestsAreInFlightAtOnce(t *testing.T) {
+	for _, nonIdempotent := range []bool{false, true} {
+		virtualtime.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			clock := idempotency.NewClock()
+			d := &heldDispatcher{hold: make(chan struct{}), served: make(chan struct{})}
+			g := New(Options{
+				Issuer: idempotency.NewIssuer("10.0.0.1:7003", 1, clock), Clock: clock, Dispatcher: d,
+				Registry: idempotency.NewRegistry(idempotency.Limits{Lifetime: time.Minute, MaxEntries: 9}, clock), Lifetime: time.Minute,
+				Metrics: telemetry.NewMetrics(), Log: telemetry.NewLogger(io.Discard, "error", "test"),
+			})
+			r := &request.Request{NonIdempotent: nonIdempotent, Organisation: "gebremedhin"}
+			if nonIdempotent {
+				key, problem := g.Issue(r.Organisation, "")
+				is.True(problem == nil)
+				r.Key = key
+			}
+			ctx, leave := context.WithCancel(t.Context())
+			g.Handle(ctx, nil, r)
+			leave()
+			is.Equal(g.InFlight(), 1)
+			close(d.hold)
+			<-d.served
+			synctest.Wait()
+			is.Equal(g.InFlight(), 0)
+		})
+	}
+}
