faults: a test of a request whose body ends during a shutdown

The request is counted from its head on, so that the shutdown waits for its body, and it is refused (draining, not-run).

--- a/internal/faults/shutdown_test.go
+++ b/internal/faults/shutdown_test.go
@@ -205,6 +205,39 @@
 	is.True(closes)
 }
 
+// Guards against a connection that is closed without an answer since the body of its request ends during a shutdown.
+func TestBodyThatEndsDuringAShutdownGetsAResponse(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, "fort")
+	leaving := f.daemons[0]
+	body, rest := io.Pipe()
+	h, err := http.NewRequest(http.MethodPost, "http://"+leaving.ip+":7001"+lookupPath, body)
+	is.NoErr(err)
+	h.ContentLength = 2
+	h.Header.Set("Authorization", "Bearer "+apiKey)
+	reasons := make(chan string, 1)
+	go func() {
+		defer close(reasons)
+		r, err := f.client.Do(h)
+		if err != nil {
+			return
+		}
+		r.Body.Close()
+		reasons <- r.Header.Get(api.HeaderReason)
+	}()
+	_, err = rest.Write([]byte("a"))
+	is.NoErr(err)
+	f.eventually("the request has arrived", func() bool { return leaving.metric("tacktally_callers_held") == 1 })
+	leaving.signal(syscall.SIGTERM)
+	f.eventually("the instance drains", func() bool { return leaving.status().Draining })
+	_, err = rest.Write([]byte("b"))
+	is.NoErr(err)
+	is.Equal(<-reasons, string(api.ReasonDraining))
+	<-leaving.exited
+	is.Equal(f.runCount("ab"), 0)
+}
+
 // A leaving upstream gets no new request, whether the instance list or, while the list is stale, the
 // upstream itself announces it.
 func TestLeavingUpstreamGetsNoNewRequests(t *testing.T) {
