--- a/client/client.go
+++ b/client/client.go
@@ -308,6 +308,9 @@
 		return true
 	case p.Outcome == api.NotRun:
 		// The key is void: no attempt under it ran, and none will.
+		if s.key != "" && p.Reason == api.ReasonDraining {
+			s.client.dropKeys() // its issuer refuses those in hand too
+		}
 		s.key = ""
 		s.uncertain = false
 		return p.RetryAfterSeconds > 0
@@ -324,6 +327,10 @@
 		return p.RetryAfterSeconds > 0 // under the same key, which may have been sent before
 	}
 	s.uncertain = true
+	if p.Reason == api.ReasonUpstreamCut && s.lastID != "" {
+		s.key = "" // which retains what was relayed; the stream is resumed, which runs nothing
+		return true
+	}
 	if !s.request.NonIdempotent {
 		return true
 	}
