exchange: close idle connections that can't be used any more

An instance keeps idle connections through a peer that is shutting down until their idle timeout, up to 20 s, though it uses them no more. The peer that relays them can't tell them from connections whose response is silent.

CloseExpired, which runs every second, now also closes idle connections whose IsUsable method says no: those through peers that drain or are out of reach. It asks without the lock of the fleet, as that takes the locks of the relays and of the mesh.

TestIdleConnectionsThatCantBeUsedAreClosed failed before (2 open connections in place of 1).

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -485,6 +486,49 @@
 	is.Equal(body, "ok")
 }
 
+// leavingConn is a connection that can't be used any more from some time on.
+type leavingConn struct {
+	net.Conn
+	leaving *atomic.Bool
+}
+
+func (c leavingConn) IsUsable() bool { return !c.leaving.Load() }
+
+// Guards against idle connections through a peer that is shutting down, which waits for them: it can't tell them from those
+// whose response is silent.
+func TestIdleConnectionsThatCantBeUsedAreClosed(t *testing.T) {
+	is := is.New(t)
+	more := make(chan struct{})
+	address := server(t, func(c net.Conn, r *bufio.Reader, n int) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+		if n == 0 {
+			<-more
+		}
+		_, _ = io.WriteString(c, "k")
+		readRequest(r) // until it is closed
+	})
+	var leaving atomic.Bool
+	p := NewPool(Options{Dial: func(ctx context.Context) (net.Conn, error) {
+		c, err := Dialer(nil)(ctx, address)
+		return leavingConn{c, &leaving}, err
+	}})
+	running, err := p.Do(t.Context(), get("1"))
+	is.NoErr(err)
+	defer running.Close()
+	_, err = exchangeOnce(p, get("2"))
+	is.NoErr(err)
+	p.CloseExpired(time.Now())
+	is.Equal(p.OpenConnections(), 2)
+	leaving.Store(true)
+	p.CloseExpired(time.Now())
+	is.Equal(p.OpenConnections(), 1)
+	close(more)
+	body, err := io.ReadAll(running)
+	is.NoErr(err)
+	is.Equal(string(body), "ok")
+}
+
 func TestCloseEndsIdleConnections(t *testing.T) {
 	is := is.New(t)
 	address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -132,13 +132,13 @@
 	}
 }
 
-// CloseExpired closes the connections whose idle timeout has passed.
+// CloseExpired closes the connections whose idle timeout has passed, and idle ones that can't be used any more.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	remaining := p.idle[:0]
 	var expired []*conn
 	for _, c := range p.idle {
-		if now.Before(c.expires) {
+		if now.Before(c.expires) && isUsable(c.net) {
 			remaining = append(remaining, c)
 		} else {
 			expired = append(expired, c)
@@ -221,10 +221,15 @@
 	return defaultIdleTimeout
 }
 
-// isStillIdle reports whether neither data nor EOF has arrived on an idle connection, and its IsUsable
-// method, if it has one, returns true.
+// isUsable returns what the IsUsable method of an idle connection does; true if it has none.
+func isUsable(n net.Conn) bool {
+	u, ok := n.(interface{ IsUsable() bool })
+	return !ok || u.IsUsable()
+}
+
+// isStillIdle reports whether neither data nor EOF has arrived on an idle connection, and it is usable.
 func isStillIdle(n net.Conn) bool {
-	if u, ok := n.(interface{ IsUsable() bool }); ok && !u.IsUsable() {
+	if !isUsable(n) {
 		return false
 	}
 	t, ok := n.(syscall.Conn)
--- a/internal/fleet/connections.go
+++ b/internal/fleet/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"strconv"
 	"time"
@@ -105,13 +106,18 @@
 	return out
 }
 
-// CloseExpired closes connections that were idle for too long, and drops the pools that have no open
-// connection any more.
+// CloseExpired closes connections that were idle for too long or can't be used any more, and drops the pools that have
+// no open connection.
 func (f *Fleet) CloseExpired(now time.Time) {
+	f.mu.Lock()
+	pools := maps.Clone(f.connections)
+	f.mu.Unlock()
+	for _, p := range pools {
+		p.CloseExpired(now) // asks what peers may relay, which takes other locks
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, p := range f.connections {
-		p.CloseExpired(now)
 		if p.OpenConnections() == 0 {
 			f.closeConnections(id)
 		}
