relay: a relay that shuts down waits for silent responses

Callers of a peer got streams that were cut about a second after their last event, though their upstream would have gone on and the relay had seconds of its grace period left.

A relay that drains closed each connection that had carried nothing for 1 s after a part of a response, taking the silence for its end. It can't see where a response ends; the peer that uses the connection can. Drain now waits until the peers have closed their connections, at most until its grace period ends. Peers know within 0.2 s that an instance is shutting down, 2.3 s before it drains its connections, use idle ones through it no more and close them every second. A relay without connections still leaves at once.

TestDrainWaitsForConnectionsInUse waited for that second; it now closes the connection, and asserts that the relay has waited until then.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -266,41 +266,14 @@
 	is.NoErr(err)
 	_, err = io.ReadFull(conn, make([]byte, 4))
 	is.NoErr(err)
-	<-drained // quiet by now
-	is.Equal(p.server.Connections(), 0)
-}
-
-// Guards against responses that a peer which shuts down breaks off because their first byte takes long: a connection that
-// waits for a response isn't quiet.
-func TestConnectionThatWaitsForAResponseIsNotQuiet(t *testing.T) {
-	is := is.New(t)
-	p := newPair(t)
-	conn, upstream := p.dial(t)
-	is.True(p.isQuietLater(t)) // nothing was requested
-	relayedTo := func(to, from net.Conn) {
-		_, err := io.WriteString(from, "part")
-		is.NoErr(err)
-		_, err = io.ReadFull(to, make([]byte, 4))
-		is.NoErr(err)
+	select {
+	case <-drained:
+		t.Error("drained while a connection was in use")
+	default:
 	}
-	relayedTo(upstream, conn)
-	is.True(!p.isQuietLater(t))
-	relayedTo(conn, upstream)
-	is.True(p.isQuietLater(t))
-}
-
-// isQuietLater reports whether the only relayed connection is quiet after quietFor without data.
-func (p *pair) isQuietLater(t *testing.T) bool {
-	t.Helper()
-	p.server.mu.Lock()
-	defer p.server.mu.Unlock()
-	if len(p.server.open) != 1 {
-		t.Fatalf("%d connections are relayed, not one", len(p.server.open))
-	}
-	for c := range p.server.open {
-		return c.isQuiet(time.Now().Add(quietFor))
-	}
-	return false
+	_ = conn.Close()
+	<-drained
+	is.Equal(p.server.Connections(), 0)
 }
 
 // An instance doesn't wait for a peer that is gone, and asks the next one.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -28,10 +28,7 @@
 	copyBufferBytes = 16 << 10
 	// closeTimeout bounds the time to tell the peer how the connection ended.
 	closeTimeout = time.Second
-	// quietFor is how long a connection must carry nothing after a part of a response, or before a request, until
-	// a Server that drains closes it.
-	quietFor = time.Second
-	// drainPollInterval is how often a Server that drains looks for quiet connections.
+	// drainPollInterval is how often a Server that drains checks whether connections are left.
 	drainPollInterval = 50 * time.Millisecond
 )
 
@@ -68,21 +65,8 @@
 type relayed struct {
 	peer     *websocket.Conn
 	upstream net.Conn
-
-	mu       sync.Mutex
-	lastData time.Time
-	// awaitsResponse reports whether the last data was a part of a request.
-	awaitsResponse bool
 }
 
-// direction is that in which a relayed connection carries data.
-type direction bool
-
-const (
-	toUpstream direction = true
-	toPeer     direction = false
-)
-
 // NewServer returns a server that relays nothing yet.
 func NewServer(o ServerOptions) *Server {
 	return &Server{o: o, open: map[*relayed]struct{}{}}
@@ -101,7 +85,7 @@
 // ServeHTTP implements http.Handler. It blocks until the relayed connection has ended. A refusal states its
 // reason in a header, and by its status: 404 for Unknown, 502 for Unreachable and Refused, and 503 for all others.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &relayed{lastData: time.Now()}
+	c := &relayed{}
 	if refusal := s.admit(c); refusal != "" {
 		refuse(w, refusal)
 		return
@@ -144,25 +128,24 @@
 	delete(s.open, c)
 }
 
-// Drain refuses new connections and closes those that are quiet; those that wait for a response aren't. It blocks until
-// none is left, or ctx ends; then it breaks the remaining ones.
+// Drain refuses new connections and blocks until none is left, or ctx ends; then it breaks the remaining ones. Only peers
+// know which connections carry a response, however long it is silent. Those that know that this instance is shutting down
+// close the others; those of earlier versions do so after their idle timeout.
 func (s *Server) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
-	for s.Connections() > 0 && ctx.Err() == nil {
-		s.breakOff(func(c *relayed) bool { return c.isQuiet(time.Now()) })
-		wait.For(ctx, drainPollInterval)
+	for s.Connections() > 0 && wait.For(ctx, drainPollInterval) {
 	}
-	s.breakOff(func(*relayed) bool { return true })
+	s.breakOff()
 }
 
-// breakOff ends the selected connections. It doesn't wait until they are removed.
-func (s *Server) breakOff(selected func(*relayed) bool) {
+// breakOff ends all connections. It doesn't wait until they are removed.
+func (s *Server) breakOff() {
 	s.mu.Lock()
 	var peers []*websocket.Conn
 	for c := range s.open {
-		if c.peer != nil && selected(c) {
+		if c.peer != nil {
 			peers = append(peers, c.peer)
 		}
 	}
@@ -172,29 +155,16 @@
 	}
 }
 
-func (c *relayed) isQuiet(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.awaitsResponse && now.Sub(c.lastData) >= quietFor
-}
-
-// record records that data is carried.
-func (c *relayed) record(d direction, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastData, c.awaitsResponse = now, d == toUpstream
-}
-
 // run copies bytes in both directions until either side ends.
 func (c *relayed) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	peer := websocket.NetConn(ctx, c.peer, websocket.MessageBinary)
 	go func() {
-		_, _ = io.CopyBuffer(observed{c, toUpstream, c.upstream}, onlyReader{peer}, make([]byte, copyBufferBytes))
+		_, _ = io.CopyBuffer(onlyWriter{c.upstream}, onlyReader{peer}, make([]byte, copyBufferBytes))
 		reset(c.upstream) // the peer has given up; ends the other direction
 	}()
-	_, err := io.CopyBuffer(observed{c, toPeer, peer}, onlyReader{c.upstream}, make([]byte, copyBufferBytes))
+	_, err := io.CopyBuffer(onlyWriter{peer}, onlyReader{c.upstream}, make([]byte, copyBufferBytes))
 	status := websocket.StatusNormalClosure
 	if err != nil {
 		status = statusUpstreamBroken
@@ -204,20 +174,11 @@
 	_ = c.peer.Close(status, "") // if the peer is gone, nobody waits for it
 }
 
-// observed records when data was written, and in which direction.
-type observed struct {
-	c         *relayed
-	direction direction
-	io.Writer
-}
-
-func (o observed) Write(b []byte) (int, error) {
-	o.c.record(o.direction, time.Now())
-	return o.Writer.Write(b)
-}
-
-// onlyReader hides the other methods of a connection, which io.Copy would use instead of the buffer.
-type onlyReader struct{ io.Reader }
+// onlyReader and onlyWriter hide the other methods of a connection, which io.Copy would use instead of the buffer.
+type (
+	onlyReader struct{ io.Reader }
+	onlyWriter struct{ io.Writer }
+)
 
 // reset closes a connection and discards what was not sent, so that nothing reaches the upstream after
 // the request was given up.
