peer: nothing is sent on a link that has ended

A request that waited for a slot at an owner which ended was refused now and then with "caller_gone", though its caller was there, the request hadn't run, and the next owner could have granted it a slot.

When the owner closes its links, the wait of each request in its queue ends as if the requester had cancelled it, which is sent as a refusal. send takes any of the cases that are ready: room in the outbox, the end of the link, and that of the request; and so does the loop that writes. Mostly the frame was dropped, and the requester asked the next owner at once. send now checks for the two ends first: without a decision the requester asks the next owner.

TestNothingIsSentAfterTheEnd failed before in each of its cases.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -211,8 +211,14 @@
 	}
 }
 
-// send queues a frame for writing. It blocks while the outbox is full.
+// send queues a frame for writing, unless the link or ctx has ended. It blocks while the outbox is full.
 func (l *link) send(ctx context.Context, f *Frame) error {
+	switch {
+	case l.ctx.Err() != nil:
+		return context.Cause(l.ctx)
+	case ctx.Err() != nil:
+		return ctx.Err()
+	}
 	b, err := Encode(f)
 	if err != nil {
 		return err
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -86,6 +86,12 @@
 	case "full":
 		_ = s.SendRefusal(ctx, SlotRefusal{Reason: "queue_full", RetryAfter: time.Second})
 		return
+	case "ending":
+		s.SendQueued()
+		close(h.begun)
+		<-ctx.Done()
+		_ = s.SendRefusal(ctx, SlotRefusal{Reason: "caller_gone"})
+		return
 	case "busy":
 		s.SendQueued()
 		<-h.hold
--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -294,3 +294,53 @@
 	is.Equal(second.Grant.Upstream, "u")
 	is.True(!first.Lost())
 }
+
+// Guards against a decision on a request that is sent although its link has ended, or its peer has cancelled it: it says
+// that the caller has gone.
+func TestNothingIsSentAfterTheEnd(t *testing.T) {
+	const tries = 100 // a select takes any of the cases that are ready
+	for name, test := range map[string]struct{ linkEnds, cancelled bool }{
+		"the link has ended":         {true, false},
+		"the request was cancelled":  {false, true},
+		"the link ends the requests": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPair(t)
+			l := p.b.reachableLink(p.a.o.Address)
+			for l == nil { // until it is linked in this direction, too
+				l = p.b.reachableLink(p.a.o.Address)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if test.cancelled {
+				cancel()
+			}
+			if test.linkEnds {
+				l.cancel(ErrLinkClosed)
+			}
+			for range tries {
+				is.True(l.send(ctx, &Frame{Type: TypeSlotRefused, Stream: 1, SlotRefusal: &SlotRefusal{Reason: "caller_gone"}}) != nil)
+			}
+		})
+	}
+}
+
+// Guards against requests that wait at an owner which ends, and are refused as if their callers had gone: the next owner is
+// to be asked.
+func TestNoDecisionComesFromAnOwnerThatEnds(t *testing.T) {
+	const rounds = 200 // what a link still carries when it ends is a matter of chance
+	for range rounds {
+		p := newPair(t)
+		refused := make(chan *SlotRefusal)
+		go func() {
+			_, refusal, _ := p.a.AcquireSlot(t.Context(), p.addressB, &SlotRequest{Service: "ending"}, time.Minute)
+			refused <- refusal
+		}()
+		<-p.hb.begun
+		p.b.cancel()
+		if refusal := <-refused; refusal != nil {
+			t.Fatalf("refused: %v", refusal)
+		}
+	}
+}
