entry: an instance that is leaving gives up what it owns at its next refresh

An owner that got a SIGTERM took itself for the owner for up to a second, as it refreshes its view of the fleet every 0.2 s only if its peers have changed, and its own leaving is no such change. Its peers know within 0.2 s. The successor needs no lease of buckets for a second after that, since the other one is said to stop within 0.2 s (docs/design/shared-bounds.md): both granted the whole quota meanwhile, and both charged the owner's part of a retry budget.

refreshFleet now also passes the instances on when this one has begun to leave. Callers whose requests it accepts are then served by the successor's grants, as those of all others.

TestInstanceThatIsLeavingOwnsNothingFromItsNextRefreshOn failed before.

--- a/internal/entry/membership.go
+++ b/internal/entry/membership.go
@@ -15,10 +15,11 @@
 	settles    time.Time // when the next instance settles, zero if all had
 	membership membershipSummary
 	pauses     uint32 // the fleet's Pauses
+	draining   bool   // this instance was leaving
 }
 
-// refreshFleet passes the known instances to the fleet if they have changed, one of them has settled, or
-// settledCheckInterval has passed.
+// refreshFleet passes the known instances to the fleet if they have changed, one of them has settled, this one has begun
+// to leave, or settledCheckInterval has passed.
 func (i *Instance) refreshFleet() {
 	i.fleet.RecordRunning()
 	if pauses := i.fleet.Pauses(); pauses != i.lastFleet.pauses {
@@ -27,11 +28,12 @@
 	}
 	change, now := i.mesh.MembershipChangeCount(), time.Now()
 	settles := !i.lastFleet.settles.IsZero() && !now.Before(i.lastFleet.settles)
-	if change == i.lastFleet.change && !settles && now.Sub(i.lastFleet.at) < settledCheckInterval {
+	draining := i.ready.draining.Load()
+	if change == i.lastFleet.change && !settles && draining == i.lastFleet.draining && now.Sub(i.lastFleet.at) < settledCheckInterval {
 		return
 	}
-	i.lastFleet.change, i.lastFleet.at, i.lastFleet.settles = change, now, i.nextSettled(now)
-	instances := []fleet.Instance{{Address: i.address, Zone: i.settings.Zone, Cores: i.settings.Routed.Cores, Reachable: true, MayOwn: !i.ready.draining.Load(), Settled: time.Since(i.started) >= settleTime}}
+	i.lastFleet.change, i.lastFleet.at, i.lastFleet.settles, i.lastFleet.draining = change, now, i.nextSettled(now), draining
+	instances := []fleet.Instance{{Address: i.address, Zone: i.settings.Zone, Cores: i.settings.Routed.Cores, Reachable: true, MayOwn: !draining, Settled: time.Since(i.started) >= settleTime}}
 	for _, p := range i.mesh.Peers() {
 		instances = append(instances, fleetInstance(p, now))
 	}
--- a/internal/entry/membership_test.go
+++ b/internal/entry/membership_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/peer"
+	"github.com/tacktally/tacktally/internal/settings"
 )
 
 // Guards against refusals of streams whose keepers have restarted at their address: the fleet tells the new process from the
@@ -36,3 +37,20 @@
 		})
 	}
 }
+
+// Guards against an owner that grants for up to settledCheckInterval after others were told that it is leaving, beside its
+// successor, which grants the whole at once.
+func TestInstanceThatIsLeavingOwnsNothingFromItsNextRefreshOn(t *testing.T) {
+	is := is.New(t)
+	i := newInstance(t, settings.Overload{})
+	refreshes := func() bool {
+		before := i.lastFleet.at
+		i.refreshFleet()
+		return i.lastFleet.at.After(before)
+	}
+	i.lastFleet.at = time.Now() // it has just refreshed
+	is.True(!refreshes())
+	i.ready.draining.Store(true)
+	is.True(refreshes())
+	is.True(!refreshes())
+}
