fleet: an instance that is terminated hands over the origins of an only version, too

A caller whose stream began at an instance that was terminated was refused when it resumed the stream elsewhere, if another version of the service had appeared after that instance ended: as in a rollout of instances and workers at the same time.

While a service has one version, an instance sends nobody which version began a stream, since all others conclude it. When another version appears, it sends those that only it knows; but it can't once it has ended, and HandOverOrigins left them out. It now sends all that haven't expired, and each new one until the process ends. What others are told is as true as what the instance concludes from itself; it is as much as each instance sends when a version appears.

TestOriginsOfTheOnlyVersionAreHandedOver failed before: neither a stream from before the signal nor one from the grace period was found.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,6 +108,7 @@
 	followedSince  time.Time    // since when each version that was listed is known, see list_history.go
 	originClient   OriginClient // nil without peers
 	origins        *origin.Registry
+	leaving        bool // this instance is being terminated
 
 	brittle     brittleUpstreams
 	backoffs    *rest.Backoffs
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -174,7 +174,7 @@
 	defer f.mu.Unlock()
 	s := f.serviceOf(o.Service)
 	s.originLifetime = max(s.originLifetime, o.Until.Sub(now))
-	isOnlyOne := onlyService && f.followed(now) >= s.originLifetime && len(s.recentVersions(now, s.originLifetime)) <= 1
+	isOnlyOne := !f.leaving && onlyService && f.followed(now) >= s.originLifetime && len(s.recentVersions(now, s.originLifetime)) <= 1
 	shared = f.originClient != nil && !isOnlyOne
 	f.origins.Record(now, o, shared)
 	return shared
@@ -197,14 +197,21 @@
 	}
 }
 
-// HandOverOrigins sends the origins that this instance knows to their keepers. It is called when this instance is
-// terminated.
+// HandOverOrigins sends the origins that this instance knows to their keepers, and from now on each new one, whatever
+// versions there are: another one may appear after this instance has ended. It is called when it is terminated.
 func (f *Fleet) HandOverOrigins() {
 	if f.originClient == nil {
 		return
 	}
+	all := map[string]bool{}
+	f.mu.Lock()
+	f.leaving = true
+	for name := range f.services {
+		all[name] = true
+	}
+	f.mu.Unlock()
 	now := time.Now()
-	f.sendOrigins(now, f.sharedOrigins(now))
+	f.sendOrigins(now, f.origins.Shared(now, all))
 }
 
 // sendOriginsToNewKeepers sends the origins that this instance knows to keepers that were none among the instances before:
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -113,6 +113,31 @@
 	})
 }
 
+// Guards against refusals of streams that began at an instance which was terminated, while their service had one version,
+// if another one appears afterwards: nobody else can conclude the version then.
+func TestOriginsOfTheOnlyVersionAreHandedOver(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(3)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		left := o.list[0].Address
+		f := o.instances[left]
+		f.RecordOrigin(BegunStream{Request: "before", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
+		f.HandOverOrigins()
+		f.RecordOrigin(BegunStream{Request: "in the grace period", Service: "s", Version: "v1", Lifetime: originLifetime, OnlyService: true})
+		delete(o.instances, left)
+		o.list = slices.Clone(o.list[1:])
+		for _, f := range o.instances {
+			f.SetInstances(slices.Clone(o.list))
+		}
+		o.publish("b", "v2")
+		for _, request := range []string{"before", "in the grace period"} {
+			is.Equal(o.find(t, request), map[string]bool{"v1": true})
+		}
+	})
+}
+
 // When a keeper is killed, the instance that takes its place must get the origins, and one that comes back as
 // well: otherwise they would be gone with the last instance that got them when the stream began.
 func TestNewKeepersGetTheOrigins(t *testing.T) {
