--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +49,7 @@
 	mu      sync.Mutex
 	target  string
 	faults  []*linkFault  // active faults; the last one applies
+	holds   []*hold       // in effect
 	changed chan struct{} // closed and replaced at each change
 	conns   map[*net.TCPConn]struct{}
 	stuck   map[*net.TCPConn]struct{} // connections that forward nothing until the proxy is closed
@@ -57,6 +60,11 @@
 
 type linkFault struct{ mode Mode }
 
+// hold selects what is held back, by the caller's IP address and the direction.
+type hold struct {
+	selects func(caller netip.Addr, forward bool) bool
+}
+
 // NewProxy returns a proxy that listens on a free port of loopback until Close.
 func NewProxy(target string) (*Proxy, error) { return newProxy(target, false) }
 
@@ -116,6 +124,23 @@
 	})
 }
 
+// Hold forwards nothing of what is selected by the caller's IP address and the direction, forward from the caller, until the
+// returned function is called. Connections stay open, and what was held back is then forwarded.
+func (p *Proxy) Hold(selects func(caller netip.Addr, forward bool) bool) (undo func()) {
+	h := &hold{selects}
+	p.change(func() { p.holds = append(p.holds, h) })
+	return func() {
+		p.change(func() { p.holds = slices.DeleteFunc(p.holds, func(other *hold) bool { return other == h }) })
+	}
+}
+
+// isHeld reports whether a direction of a caller's connection forwards nothing.
+func (p *Proxy) isHeld(caller netip.Addr, forward bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.holds, func(h *hold) bool { return h.selects(caller, forward) })
+}
+
 // Close stops listening and resets all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close() // no connection is accepted any more, also if it fails
@@ -213,10 +238,11 @@
 // pump forwards bytes in one direction until either side closes.
 func (p *Proxy) pump(to, from *net.TCPConn, forward bool) {
 	buffer := make([]byte, chunkBytes)
+	caller := callerOf(to, from, forward)
 	for {
 		n, err := from.Read(buffer)
 		p.limit(n, forward)
-		p.hold(from, forward)
+		p.hold(from, caller, forward)
 		if wasReset(from) { // data that was held back is lost when its sender resets
 			p.end(to, from)
 			return
@@ -238,6 +264,15 @@
 	}
 }
 
+// callerOf returns the IP address of the caller of a connection.
+func callerOf(to, from *net.TCPConn, forward bool) netip.Addr {
+	caller := to
+	if forward {
+		caller = from
+	}
+	return caller.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+}
+
 // limit blocks until n bytes may be forwarded at the rate of the link.
 func (p *Proxy) limit(n int, forward bool) {
 	p.mu.Lock()
@@ -269,11 +304,11 @@
 }
 
 // hold blocks while a chunk that was read from a connection may not be forwarded.
-func (p *Proxy) hold(from *net.TCPConn, forward bool) {
+func (p *Proxy) hold(from *net.TCPConn, caller netip.Addr, forward bool) {
 	for {
 		mode, changed, closed := p.state()
 		switch {
-		case p.isStuck(from) && !closed:
+		case (p.isStuck(from) || p.isHeld(caller, forward)) && !closed:
 		case closed || mode == Pass || mode == Resets || mode == RefusesNew || (mode == OneWay && forward):
 			return
 		case mode == Slow:
