fleet: a stream's only version isn't concluded while a keeper that was asked is silent

Callers resumed streams at one of two instances that both were cut off from the store and from the others, and heard nothing of them, for less than it takes to notice: streams that a version which had just joined had begun went on at the former one.

The other instance that was cut off replied, as a shared keeper. That one keeper has replied shows that the sender of an origin would have reached it only if it is in touch with the sender itself. That others didn't reply shows that it may not be.

Now each keeper that was asked must reply; where one doesn't, list and configuration must be confirmed by reads sent after the request, as where an instance is unreachable. Keepers that are known to be unreachable or that leave aren't asked, so that this waits only until they count as such.

--- a/internal/fleet/origin_search.go
+++ b/internal/fleet/origin_search.go
@@ -92,7 +92,7 @@
 	}
 	source := f.findOnlyVersion(&search, now, replies)
 	isListCurrent := source == originOnlyVersion || source == originOnlyVersionOfPeer // otherwise no proof can come
-	if isListCurrent && f.mayBeRecordedOutOfReach(hash, replies) {
+	if isListCurrent && f.mayBeRecordedOutOfReach(hash, keepers, replies) {
 		search.awaitedProof = true
 		if !awaitProof(ctx, now, s) {
 			return "", "", false
@@ -140,9 +140,13 @@
 	}
 }
 
-// mayBeRecordedOutOfReach reports whether an instance that this one didn't reach may have recorded the stream: another instance is
-// unreachable, or no shared keeper has replied that has run for long enough to have been sent the origin.
-func (f *Fleet) mayBeRecordedOutOfReach(request uint64, replies map[string]*peer.OriginReply) bool {
+// mayBeRecordedOutOfReach reports whether an instance that this one didn't reach may have recorded the stream: a keeper that was
+// asked hasn't replied, so that others may be cut off as well which still count as reachable, another instance is unreachable, or no
+// shared keeper has replied that has run for long enough to have been sent the origin.
+func (f *Fleet) mayBeRecordedOutOfReach(request uint64, asked []string, replies map[string]*peer.OriginReply) bool {
+	if len(replies) < len(asked) {
+		return true
+	}
 	f.mu.Lock()
 	instances := f.instances
 	f.mu.Unlock()
--- a/internal/fleet/origin_search_test.go
+++ b/internal/fleet/origin_search_test.go
@@ -159,6 +159,10 @@
 		lose func(o *originFleet, knowing []Instance)
 	}{
 		"they are silent": {lose: func(o *originFleet, knowing []Instance) { o.killAll(knowing) }},
+		"they are silent, others lag as well": {
+			lags: func(i, last Instance) bool { return i.Zone != last.Zone },
+			lose: func(o *originFleet, knowing []Instance) { o.killAll(knowing) },
+		},
 		"they are known to be unreachable": {lose: func(o *originFleet, knowing []Instance) {
 			o.killAll(knowing)
 			o.markUnreachable(knowing)
