fleet: a stream of a version that has just appeared begins once others can know its origin

Callers resumed streams at one of three instances that were cut off from the store and from the fourth one, for less than it takes to notice: streams that a version which had just joined had begun at the fourth went on at the former version.

All keepers that were asked replied: they were cut off together, their lists without the version counted as current (up to 3 s), and the fourth one still counted as reachable, for peers.suspectAfter. What it had sent them of the streams' origins hadn't arrived. No instance on that side can tell. The fourth can: nobody confirms what it sends.

While a version has been listed for less than 3 s beside others, the first event of a new stream of it is relayed only once a shared keeper replies that it knows the origin: any other instance asks that keeper, and concludes nothing without its reply. Where nobody replies, or an instance was lost within the last second, which others may notice later, it is relayed after 1 s at most; the others have noticed by then, where peers.suspectAfter is below that. Nothing is refused. Where keepers are in touch it takes one round trip.

With the default peers.suspectAfter of 2 s, an instance that is cut off relays streams of a new version before the others have noticed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,6 +108,7 @@
 	followedSince  time.Time    // since when each version that was listed is known, see list_history.go
 	originClient   OriginClient // nil without peers
 	origins        *origin.Registry
+	lostInstance   time.Time // when another instance became unreachable last, without having left
 
 	brittle     brittleUpstreams
 	backoffs    *rest.Backoffs
--- a/internal/fleet/instances.go
+++ b/internal/fleet/instances.go
@@ -44,6 +44,15 @@
 	f.updateGrantLimits()
 }
 
+// lostSince reports whether an instance that was reachable isn't any more, and didn't leave.
+func lostSince(before, now []Instance) bool {
+	reachable := make(map[string]bool, len(before))
+	for _, i := range before {
+		reachable[i.Address] = i.Reachable
+	}
+	return slices.ContainsFunc(now, func(i Instance) bool { return reachable[i.Address] && !i.Reachable && !i.Draining })
+}
+
 // probeOpenCircuits lets one request probe each upstream whose circuit is open. An instance that was
 // partitioned off has opened the circuits of upstreams on the other side; it may own their shard again as
 // soon as it is back, and would refuse all requests to them while the circuits are open.
@@ -62,6 +71,9 @@
 		return false
 	}
 	moreReachable = countReachable(instances) > countReachable(f.instances)
+	if lostSince(f.instances, instances) {
+		f.lostInstance = time.Now()
+	}
 	f.instances = instances
 	f.hasPeers.Store(len(instances) > 1)
 	for _, s := range f.services {
--- a/internal/fleet/stream_origins.go
+++ b/internal/fleet/stream_origins.go
@@ -11,6 +11,7 @@
 	"github.com/tacktally/tacktally/internal/origin"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/view"
+	"github.com/tacktally/tacktally/internal/wait"
 )
 
 const (
@@ -23,6 +24,9 @@
 	// originTimeout bounds the time in which keepers reply to a query. A processor may be throttled for
 	// 100 ms.
 	originTimeout = 150 * time.Millisecond
+	// maxShareWait bounds the time in which keepers confirm an origin, and sharePoll is the time between two queries.
+	maxShareWait = time.Second
+	sharePoll    = 10 * time.Millisecond
 	// currentListAge is the age up to which a list counts as current.
 	currentListAge = view.CurrentListAge
 	// versionMemory is how long a version is remembered that no upstream has any more.
@@ -45,6 +49,7 @@
 // versionUse is how a version of a service's upstreams is used.
 type versionUse struct {
 	upstreams int       // number on the list
+	since     time.Time // when the first of them appeared there
 	lastSeen  time.Time // when the last of them left the list
 }
 
@@ -53,7 +58,11 @@
 	maps.DeleteFunc(s.versions, func(_ string, use *versionUse) bool {
 		return use.upstreams == 0 && now.Sub(use.lastSeen) > versionMemory
 	})
-	s.sawVersion(version, now).upstreams += delta
+	use := s.sawVersion(version, now)
+	if use.upstreams == 0 {
+		use.since = now
+	}
+	use.upstreams += delta
 }
 
 // sawVersion records that a version was listed at a time, and returns its use. The caller holds the lock.
@@ -180,6 +189,55 @@
 	return shared
 }
 
+// AwaitShared blocks until the origin of a stream that was recorded is known to a keeper that all instances ask, if the version has just
+// appeared. Others that lack it, with a list that still counts as current, would take another version for the only one, and can't tell
+// that this instance is cut off from them before it counts as unreachable. That may be later than they do here, so that it also waits
+// where an instance was just lost. AwaitShared returns after maxShareWait in any case.
+func (f *Fleet) AwaitShared(ctx context.Context, s BegunStream) {
+	began := time.Now()
+	if s.Request == "" || f.originClient == nil || !f.isNewAmongOthers(began, s) {
+		return
+	}
+	q := &peer.OriginQuery{Request: hashOf(s.Request), Service: s.Service, Lifetime: s.Lifetime}
+	for now := began; now.Sub(began) < maxShareWait; now = time.Now() {
+		if !f.hasJustLostInstance(now) && f.isShared(ctx, q) || !wait.For(ctx, sharePoll) {
+			return
+		}
+	}
+}
+
+// hasJustLostInstance reports whether another instance became unreachable within maxShareWait.
+func (f *Fleet) hasJustLostInstance(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lostInstance.IsZero() && now.Sub(f.lostInstance) < maxShareWait
+}
+
+// isNewAmongOthers reports whether the version of a stream appeared within currentListAge, while there were others.
+func (f *Fleet) isNewAmongOthers(now time.Time, s BegunStream) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.services[s.Service]
+	if known == nil || known.versions[s.Version] == nil {
+		return false
+	}
+	return now.Sub(known.versions[s.Version].since) <= currentListAge && len(known.recentVersions(now, known.originLifetime)) > 1
+}
+
+// isShared reports whether a shared keeper knows a stream that this instance has recorded, or there is no other one.
+func (f *Fleet) isShared(ctx context.Context, q *peer.OriginQuery) bool {
+	keepers := slices.DeleteFunc(f.sharedKeepers(q.Request), func(address string) bool { return address == f.o.Instance })
+	if len(keepers) == 0 {
+		return true
+	}
+	for _, r := range f.queryKeepers(ctx, keepers, q) {
+		if r.Known {
+			return true
+		}
+	}
+	return false
+}
+
 // ShareOrigins sends the origins of the streams of services that only this instance knows to the keepers: other
 // instances can no longer conclude them.
 func (f *Fleet) ShareOrigins(services []string) {
@@ -306,8 +364,8 @@
 	return out
 }
 
-// sharedKeepers returns the keepers of a stream's origin that are the same for recorders of all zones, without this instance: the
-// first one of each of the first two zones in the ranking, or both of the only zone.
+// sharedKeepers returns the keepers of a stream's origin that are the same for recorders of all zones: the first one of each of the
+// first two zones in the ranking, or both of the only zone.
 func (f *Fleet) sharedKeepers(request uint64) (out []string) {
 	f.mu.Lock()
 	instances := f.instances
@@ -318,11 +376,7 @@
 		if len(ranked) == 1 {
 			n = len(z.addresses)
 		}
-		for _, address := range z.addresses[:n] {
-			if address != f.o.Instance {
-				out = append(out, address)
-			}
-		}
+		out = append(out, z.addresses[:n]...)
 	}
 	return out
 }
--- a/internal/fleet/stream_origins_test.go
+++ b/internal/fleet/stream_origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"runtime"
 	"slices"
 	"sync"
@@ -223,3 +224,70 @@
 		is.Equal(o.longest, versionMemory)
 	})
 }
+
+// Guards against streams that go on at another version than the one that began them: an instance that was cut off while a version
+// appeared, and all others lack it, isn't known to be unreachable yet.
+func TestStreamOfANewVersionBeginsOnceOthersCanKnowIt(t *testing.T) {
+	const suspectAfter, later = 500 * time.Millisecond, 200 * time.Millisecond // at the recorder; at the others
+	for _, zones := range []int{1, 2, 3} {
+		for stream := range 20 {
+			t.Run(fmt.Sprintf("%d zones, stream %d", zones, stream), func(t *testing.T) {
+				virtualtime.Test(t, func(t *testing.T) {
+					o := newOriginFleet(zones)
+					o.publish("a", "v1")
+					wait.For(t.Context(), originLifetime)
+					last, others := o.list[len(o.list)-1], o.list[:len(o.list)-1]
+					lagging := maps.Clone(o.instances)
+					delete(lagging, last.Address)
+					o.instances = map[string]*Fleet{last.Address: o.instances[last.Address]}
+					o.publish("b", "v2")
+					recorder, began := o.instances[last.Address], time.Now()
+					maps.Copy(o.instances, lagging)
+					o.killAll(others) // as the recorder sees them
+					time.AfterFunc(suspectAfter, func() {
+						seen := slices.Clone(o.list)
+						for n := range others {
+							seen[n].Reachable, seen[n].MayOwn = false, false
+						}
+						recorder.SetInstances(seen)
+					})
+					wait.For(t.Context(), time.Duration(stream)*50*time.Millisecond)
+					begun := BegunStream{Request: fmt.Sprint("r", stream), Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true}
+					recorder.RecordOrigin(begun)
+					recorder.AwaitShared(t.Context(), begun)
+					o.killed = map[string]bool{last.Address: true} // as the others see it
+					if time.Since(began) >= suspectAfter+later {
+						o.markUnreachable([]Instance{last})
+					}
+					for address, f := range lagging {
+						f.SetInstances(slices.Clone(o.list))
+						_, version, known := f.FindOrigin(t.Context(), ResumedStream{Request: begun.Request, Service: "s", Lifetime: originLifetime, OnlyService: always, ConfigAge: listOf(time.Second), ListAge: listOf(time.Second)})
+						if known {
+							t.Errorf("%s takes the stream of v2 for one of %s", address, version)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against delays: where keepers are in touch, a stream of a new version begins at once.
+func TestStreamOfANewVersionBeginsAtOnceWhereKeepersAreInTouch(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newOriginFleet(3)
+		o.publish("a", "v1")
+		wait.For(t.Context(), originLifetime)
+		o.publish("b", "v2")
+		began := time.Now()
+		for _, f := range o.instances {
+			for stream := range 10 {
+				begun := BegunStream{Request: fmt.Sprint("r", f.o.Instance, stream), Service: "s", Version: "v2", Lifetime: originLifetime, OnlyService: true}
+				f.RecordOrigin(begun)
+				f.AwaitShared(t.Context(), begun)
+			}
+		}
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
--- a/internal/proxy/origin.go
+++ b/internal/proxy/origin.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// shareOrigin records the origin of a new stream before its first event is relayed, and blocks until others can learn of it. Its caller
+// may break it off at that event, and turn to an instance that doesn't know the version yet.
+func (j *job) shareOrigin() {
+	if j.originRecorded || j.origin.Restricted || !j.route.Resumable {
+		return
+	}
+	j.recordOrigin()
+	ctx, cancel := j.context()
+	defer cancel()
+	j.handler.o.Fleet.AwaitShared(ctx, fleet.BegunStream{Request: j.info.ID, Service: j.service, Version: j.sentVersion, Lifetime: OriginLifetime(j.route)})
+}
+
 // isOnlyService reports whether no other service can have begun a stream of the request's path that may be resumed now. On
 // a split route any may have: a resumption can name another request than the first, by whose ID the service was drawn.
 func (j *job) isOnlyService() bool {
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -370,6 +370,7 @@
 	if len(placed) == 0 {
 		return attemptResult{status: completed}
 	}
+	r.job.shareOrigin()
 	r.writeHeadOnce()
 	if result := r.job.write(placed); result.status != completed {
 		return result
