--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,7 +108,8 @@
 	followedSince  time.Time    // since when each version that was listed is known, see list_history.go
 	originClient   OriginClient // nil without peers
 	origins        *origin.Registry
-	leaving        bool // this instance is being terminated
+	leaving        bool      // this instance is being terminated
+	lostInstance   time.Time // when another instance became unreachable last, without having left
 
 	brittle     brittleUpstreams
 	backoffs    *rest.Backoffs
