proxy: a silent upstream is not replaced by itself

Callers whose request had one usable upstream (the only one of its service, or of the version that began the stream) got a second run of it at the same upstream, which was only slow: it cost an attempt and a retry, and the first run was ended for it. Cause: the scheduler leaves out the upstream that failed only if there is another. That suits an attempt that has ended, but the watch of a silent upstream takes any grant for a replacement. Change: a grant at the same process is returned unused, and the search goes on. Evidence: TestSilentUpstreamIsNotReplacedByItself failed before ("a a", with one upstream); go test -race ./internal/proxy passes.

--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -83,7 +83,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(context.Canceled)
-	silence := j.watchSilence(ctx, g, cancel)
+	silence := j.watchSilence(ctx, g, process, cancel)
 	defer func() { result.replacement, result.silent = silence.close() }()
 	j.attempts++
 	j.events, j.framing, j.reused, j.viaPeer = 0, exchange.NoResponse, false, false
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/routing"
@@ -25,6 +26,7 @@
 	ctx      context.Context // of the attempt
 	cancel   context.CancelCauseFunc
 	upstream string
+	process  string        // of the upstream, when the attempt began
 	idle     time.Duration // silence that is too long after a part of the response; 0 for none
 
 	mu          sync.Mutex
@@ -39,12 +41,12 @@
 
 // watchSilence starts to watch an attempt that is about to be sent; it returns nil if that can't be retried. The caller
 // calls close at its end.
-func (j *job) watchSilence(ctx context.Context, g fleet.Grant, cancel context.CancelCauseFunc) *silenceWatch {
+func (j *job) watchSilence(ctx context.Context, g fleet.Grant, process string, cancel context.CancelCauseFunc) *silenceWatch {
 	if !j.route.MayRetry() || j.attempts+1 >= j.route.MaxAttempts || j.route.LatencyObjective == 0 {
 		return nil
 	}
 	first := max(time.Duration(responseTimeoutFactor*float64(j.route.LatencyObjective)), predictedTimeoutFactor*g.PredictedFirstToken())
-	s := &silenceWatch{job: j, ctx: ctx, cancel: cancel, upstream: g.Upstream(), idle: first, listening: true, due: time.Now().Add(first), origin: j.origin}
+	s := &silenceWatch{job: j, ctx: ctx, cancel: cancel, upstream: g.Upstream(), process: process, idle: first, listening: true, due: time.Now().Add(first), origin: j.origin}
 	if j.route.Kind == routing.Stream {
 		s.idle = idleTimeout(j.route.MaxEventInterval)
 	}
@@ -108,7 +110,7 @@
 	defer s.searches.Done()
 	s.job.handler.o.Metrics.Count("tacktally_silent_attempts_total")
 	for pause := fleet.ShortRetryAfter; ; pause = min(2*pause, maxSearchPause) {
-		g, problem := s.job.handler.o.Fleet.Acquire(ctx, s.job.acquireRequest(s.upstream, peer.RetryAttempt, origin))
+		g, problem := s.acquire(ctx, origin)
 		switch {
 		case problem == nil:
 			s.replace(ctx, g)
@@ -125,6 +127,20 @@
 	}
 }
 
+// acquire requests a slot at another upstream. The scheduler grants one at the same upstream if it has no other.
+func (s *silenceWatch) acquire(ctx context.Context, origin scheduler.VersionConstraint) (fleet.Grant, *api.Problem) {
+	f := s.job.handler.o.Fleet
+	g, problem := f.Acquire(ctx, s.job.acquireRequest(s.upstream, peer.RetryAttempt, origin))
+	if problem != nil {
+		return nil, problem
+	}
+	if g.Upstream() == s.upstream && f.ProcessOf(s.upstream) == s.process {
+		g.End(scheduler.Unused, 0)
+		return nil, api.Refuse(api.ReasonNoUpstream, "no other upstream can take the request")
+	}
+	return g, nil
+}
+
 // replace ends the attempt in favour of g, unless the upstream was heard meanwhile.
 func (s *silenceWatch) replace(ctx context.Context, g fleet.Grant) {
 	s.mu.Lock()
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -184,3 +184,18 @@
 		is.True(problem == nil)
 	}
 }
+
+// Guards against an attempt that is ended in favour of another one at the same silent upstream.
+func TestSilentUpstreamIsNotReplacedByItself(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.shorten()
+	r.addUpstream("a", func(w http.ResponseWriter, q *http.Request) {
+		wait.For(q.Context(), 500*time.Millisecond) // longer than the objective allows
+		_, _ = io.WriteString(w, "ok")
+	})
+	got := r.get("safe")
+	is.NoErr(got.err)
+	is.Equal(got.body, "ok")
+	is.Equal(r.arrivedIDs(), "a")
+}
