proxy: an upstream that refuses a request uses up no attempt if a silent one was given up for it

Callers saw 502, or streams cut, where a silent upstream would have gone on: the one that was granted in its place refused the request (503 before running it), and a route with two attempts had none left. Cause: a grant is a slot, no promise of the upstream; the attempt that was given up and the refusal counted as two attempts. Change: the refusal of a replacement counts as no attempt, since nothing ran there. Each further one is charged to the retry budget as before, and each cycle of a silence and a refusal uses up one attempt, so that it ends. Evidence: TestSilentUpstreamIsNotGivenUpForOneThatRefuses failed before (502), 3 of 3 runs, and passes, 10 of 10 with -race. Where the retry budget has nothing for the second retry, such a request still ends without a response.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -136,6 +136,10 @@
 		r := j.attempt(ctx, g)
 		j.reportResult(g, r)
 		switch r.status {
+		case notRun, misdirected:
+			if last.replacement != nil {
+				j.attempts-- // the attempt that was ended for it might have been answered
+			}
 		case notSent:
 			connectFailures++
 		case notUsable:
--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,3 +200,26 @@
 	is.Equal(got.body, "ok")
 	is.Equal(r.arrivedIDs(), "a")
 }
+
+// Guards against a response that is given up in favour of an upstream that then refuses the request.
+func TestSilentUpstreamIsNotGivenUpForOneThatRefuses(t *testing.T) {
+	is := is.New(t)
+	r := newHarnessWithRetries(t, retrybudget.Bound{Share: 4, Extra: 20, Window: 10 * time.Second}) // two retries
+	r.shorten()
+	var arrived atomic.Int32
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		if arrived.Add(1) == 2 {
+			refusesRequest(w, q)
+			return
+		}
+		wait.For(q.Context(), 500*time.Millisecond) // longer than the objective allows
+		_, _ = io.WriteString(w, "ok")
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		r.addUpstream(id, serve)
+	}
+	got := r.get("safe")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, "ok")
+}
