--- a/internal/proxy/silence_test.go
+++ b/internal/proxy/silence_test.go
@@ -8,12 +8,17 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/fleet"
+	"github.com/tacktally/tacktally/internal/peer"
 	"github.com/tacktally/tacktally/internal/retrybudget"
+	"github.com/tacktally/tacktally/internal/scheduler"
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
@@ -154,3 +159,67 @@
 	}
 	callers.Wait()
 }
+
+// Guards against a slot that stays taken after its request was refused, since the instance began to shut down.
+func TestReplacementIsReleasedIfTheRequestIsRefusedLate(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.shorten()
+	r.addUpstream("a", respondsWith("never"))
+	r.addUpstream("b", respondsWith("never"))
+	var once sync.Once
+	r.onDial = func() {
+		once.Do(func() {
+			now := time.Now()
+			r.handler.Drain(now, now.Add(6*time.Second))
+			wait.For(t.Context(), 300*time.Millisecond) // longer than the objective allows
+		})
+	}
+	got := r.get("safe")
+	is.Equal(got.header.Get("Reason"), string(api.ReasonDraining))
+	is.Equal(r.arrivedIDs(), "")
+	for range 8 { // all slots of b
+		_, problem := r.fleet.Acquire(t.Context(), &fleet.AcquireRequest{Service: "s", Attempt: peer.RequeuedAttempt, Request: &scheduler.Request{
+			Share: 1, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), MaxWait: 10 * time.Millisecond, AllowLate: true,
+		}})
+		is.True(problem == nil)
+	}
+}
+
+// Guards against an attempt that is ended in favour of another one at the same silent upstream.
+func TestSilentUpstreamIsNotReplacedByItself(t *testing.T) {
+	is := is.New(t)
+	r := newHarness(t)
+	r.shorten()
+	r.addUpstream("a", func(w http.ResponseWriter, q *http.Request) {
+		wait.For(q.Context(), 500*time.Millisecond) // longer than the objective allows
+		_, _ = io.WriteString(w, "ok")
+	})
+	got := r.get("safe")
+	is.NoErr(got.err)
+	is.Equal(got.body, "ok")
+	is.Equal(r.arrivedIDs(), "a")
+}
+
+// Guards against a response that is given up in favour of an upstream that then refuses the request.
+func TestSilentUpstreamIsNotGivenUpForOneThatRefuses(t *testing.T) {
+	is := is.New(t)
+	r := newHarnessWithRetries(t, retrybudget.Bound{Share: 4, Extra: 20, Window: 10 * time.Second}) // two retries
+	r.shorten()
+	var arrived atomic.Int32
+	serve := func(w http.ResponseWriter, q *http.Request) {
+		if arrived.Add(1) == 2 {
+			refusesRequest(w, q)
+			return
+		}
+		wait.For(q.Context(), 500*time.Millisecond) // longer than the objective allows
+		_, _ = io.WriteString(w, "ok")
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		r.addUpstream(id, serve)
+	}
+	got := r.get("safe")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(got.body, "ok")
+}
