proxy: the owner learns of a silence while the attempt goes on; a stream that isn't confirmed is cut with the grace period

Callers of requests that came after a silence was noticed were sent to the same upstream and waited there, too: the owner learned of it by the end of the attempt alone, and without a replacement that now goes on. A stream whose end another attempt was confirming looked complete when Abort ended that attempt: no longer. Also from the review: silent_attempt_kept is logged once a search, an attempt that was never sent isn't reported as silent, and plainer names.

--- a/internal/fleet/slots.go
+++ b/internal/fleet/slots.go
@@ -56,6 +56,7 @@
 		}
 		f.markUnresponsive(owner, req.ID, err)
 	}
+	shard.recordOngoingSilence(req.Request)
 	retryBudget, problem := f.chargeByRole(shard, req.Attempt)
 	if problem != nil {
 		return nil, problem
@@ -131,11 +132,23 @@
 	return now
 }
 
+// recordOngoingSilence records the silence of the upstream that a request still waits for, if it is one of the shard.
+func (s *shard) recordOngoingSilence(r *scheduler.Request) {
+	if r.SilentFor > 0 {
+		s.pool.Apply(func(now time.Time, core *scheduler.Core) scheduler.Decisions {
+			return core.RecordOngoingSilence(now, r.FailedUpstream, r.SilentFor)
+		})
+	}
+}
+
 // shardAndOwners returns a shard and the instances to request a slot from, in order; none means that this
 // instance decides.
 func (f *Fleet) shardAndOwners(req *AcquireRequest) (*shard, []string) {
 	f.mu.Lock()
 	shard := f.serviceOf(req.Service).selectShard(time.Now())
+	if silent := f.upstreams[req.Request.FailedUpstream]; silent != nil && silent.Service == req.Service && req.Request.SilentFor > 0 {
+		shard = silent.shard // whose owner is told of the silence
+	}
 	f.mu.Unlock()
 	if f.slots == nil {
 		return shard, nil
@@ -276,6 +289,7 @@
 		Regions:           r.RegionConstraint.Regions,
 		RestrictedVersion: r.VersionConstraint.Restricted,
 		Version:           r.VersionConstraint.Version,
+		SilentFor:         r.SilentFor,
 	}
 	for _, p := range req.Segments {
 		out.Segments = append(out.Segments, peer.PromptSegment{PrefixHash: p.Hash, Tokens: p.Tokens, ID: p.ID})
@@ -314,6 +328,7 @@
 		Bytes:             r.Bytes,
 		Digest:            r.Digest,
 		FailedUpstream:    r.FailedUpstream,
+		SilentFor:         r.SilentFor,
 		ExcludedUpstreams: r.ExcludedUpstreams,
 		Zone:              r.Zone,
 		RegionConstraint:  scheduler.RegionConstraint{Restricted: r.Restricted, Regions: r.Regions},
@@ -338,13 +353,14 @@
 	}
 	f.MergeLimits(s.Peer, r.Limits)
 	shard := f.shardAt(r.Service, r.Shard)
+	request := schedulerRequest(time.Now(), r)
+	shard.recordOngoingSilence(request)
 	retryBudget, p := f.chargeByRole(shard, r.Attempt)
 	if p != nil {
 		err := s.SendRefusal(ctx, peer.SlotRefusal{Reason: string(p.Reason), Detail: p.Detail, RetryAfter: p.RetryAfter})
 		f.logSlot(r, s.Peer, "refused", string(p.Reason), err)
 		return
 	}
-	request := schedulerRequest(time.Now(), r)
 	request.Region = f.o.Regions[r.Zone]
 	shard.pool.LearnBrittle(r.Brittle)
 	waiting := shard.pool.Submit(request)
--- a/internal/peer/slots.go
+++ b/internal/peer/slots.go
@@ -64,6 +64,8 @@
 	// RestrictedVersion requests run only at upstreams of the software version Version.
 	RestrictedVersion bool   `cbor:"24,keyasint,omitempty"`
 	Version           string `cbor:"25,keyasint,omitempty"`
+	// SilentFor is how long the failed upstream has sent nothing, where the request still waits for it.
+	SilentFor time.Duration `cbor:"26,keyasint,omitempty"`
 }
 
 // AttemptKind is what a slot request is to the retry budget.
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -182,7 +182,7 @@
 		return g, nil
 	}
 	if kind == peer.RetryAttempt {
-		j.replacement = problem.Reason
+		j.replacementRefusal = problem.Reason
 		j.countRefusedReplacement(problem)
 	}
 	if errors.Is(context.Cause(ctx), errShuttingDown) {
@@ -312,7 +312,7 @@
 // network path says nothing about the upstream.
 func (j *job) schedulerResult(r attemptResult) scheduler.Result {
 	result := schedulerResultOf(r.status, j.status)
-	if r.silent && result == scheduler.Cancelled && j.handler.o.Fleet.BlamesUpstream(errSilent) {
+	if r.silent && r.status != notUsable && result == scheduler.Cancelled && j.handler.o.Fleet.BlamesUpstream(errSilent) {
 		return scheduler.Silent
 	}
 	failed := result == scheduler.Unreachable || result == scheduler.LostResponse
@@ -345,7 +345,7 @@
 // orUpstreamFailure relays the kept failure response of an upstream instead of p, if there is one:
 // it is more specific, and signed. A stream whose end nothing has disproved counts as answered.
 func (j *job) orUpstreamFailure(p *api.Problem) *api.Problem {
-	if j.confirmation != nil && j.request.Context().Err() == nil {
+	if j.confirmation != nil && j.request.Context().Err() == nil && j.handler.aborted.Err() == nil {
 		return j.unconfirmedProblem()
 	}
 	if p == nil || j.failure == nil || j.responseStarted || p.Reason == api.ReasonCallerGone {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -126,34 +126,34 @@
 	identity     quarantine.Request // identifies the request by its content, equal for each retry of the caller
 	tokens       *fleet.TokenGrant  // charged to the organisation's quota
 
-	attempts         int
-	upstream         string       // upstream of the last attempt
-	owner            string       // instance that granted it, empty for this one
-	versions         listVersions // upstream list versions at the last attempt
-	mayHaveRun       bool
-	responseStarted  bool                        // a part of a response was relayed
-	endsByClose      bool                        // the response that is relayed ends with the caller's connection
-	position         streamPosition              // what the caller has of a stream
-	events           int                         // events in the last response
-	framing          exchange.Framing            // framing of the last response
-	origin           scheduler.VersionConstraint // version that began the stream; not restricted before its first event
-	originRecorded   bool                        // the origin has been recorded since an event was relayed
-	sentVersion      string                      // version of the upstream of the last attempt when it was sent
-	softwareVersions []string                    // of the upstreams whose events were relayed, by this instance's list
-	reused           bool                        // the last response came on a connection that had served another exchange
-	viaPeer          bool                        // the last response came on a connection through a peer
-	bodyAfter        time.Duration               // from arrival to the end of the body
-	sentAfter        time.Duration               // from arrival to the last attempt
-	sentAt           time.Time                   // when the last attempt was sent
-	respondedAt      time.Time                   // when the header of its response arrived
-	heardAt          time.Time                   // when its upstream last sent anything, or it was sent
-	replacement      api.Reason                  // why an attempt in place of a failed one was last refused; empty if none was
-	firstAfter       time.Duration               // from arrival to the start of the response
-	status           int                         // HTTP status that was relayed
-	failure          *bufferedResponse           // last failure response of an upstream, not relayed
-	cancel           context.CancelCauseFunc     // ends all attempts
-	unconfirmed      []unconfirmedRun            // runs of the stream whose ends weren't confirmed
-	confirmation     *time.Timer                 // runs while it isn't confirmed that the caller has the whole stream; else nil
+	attempts           int
+	upstream           string       // upstream of the last attempt
+	owner              string       // instance that granted it, empty for this one
+	versions           listVersions // upstream list versions at the last attempt
+	mayHaveRun         bool
+	responseStarted    bool                        // a part of a response was relayed
+	endsByClose        bool                        // the response that is relayed ends with the caller's connection
+	position           streamPosition              // what the caller has of a stream
+	events             int                         // events in the last response
+	framing            exchange.Framing            // framing of the last response
+	origin             scheduler.VersionConstraint // version that began the stream; not restricted before its first event
+	originRecorded     bool                        // the origin has been recorded since an event was relayed
+	sentVersion        string                      // version of the upstream of the last attempt when it was sent
+	softwareVersions   []string                    // of the upstreams whose events were relayed, by this instance's list
+	reused             bool                        // the last response came on a connection that had served another exchange
+	viaPeer            bool                        // the last response came on a connection through a peer
+	bodyAfter          time.Duration               // from arrival to the end of the body
+	sentAfter          time.Duration               // from arrival to the last attempt
+	sentAt             time.Time                   // when the last attempt was sent
+	respondedAt        time.Time                   // when the header of its response arrived
+	heardAt            time.Time                   // when its upstream last sent anything, or it was sent
+	replacementRefusal api.Reason                  // why an attempt in place of a failed one was last refused; empty if none was
+	firstAfter         time.Duration               // from arrival to the start of the response
+	status             int                         // HTTP status that was relayed
+	failure            *bufferedResponse           // last failure response of an upstream, not relayed
+	cancel             context.CancelCauseFunc     // ends all attempts
+	unconfirmed        []unconfirmedRun            // runs of the stream whose ends weren't confirmed
+	confirmation       *time.Timer                 // runs while it isn't confirmed that the caller has the whole stream; else nil
 }
 
 // admit identifies the request and checks whether it may run.
@@ -398,7 +398,7 @@
 	if left, stopping := h.graceLeft(); stopping {
 		event = event.Dur("grace_left", left)
 	}
-	event.Strs("segments", j.segmentNames()).Str("route", route).Dur("body_after", j.bodyAfter).Str("replacement_refused", string(j.replacement)).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
+	event.Strs("segments", j.segmentNames()).Str("route", route).Dur("body_after", j.bodyAfter).Str("replacement_refused", string(j.replacementRefusal)).Str("outcome", string(outcome)).Int("status", j.status).Int("attempts", j.attempts).
 		Str("upstream", j.upstream).Str("owner", j.owner).Int64("owner_list", j.versions.owner).Int64("list", j.versions.own).
 		Dur("list_age", j.versions.age).Int("prompt", j.info.PromptTokens).Dur("timeout", j.info.Timeout).Dur("sent_after", j.sentAfter).Dur("first_after", j.firstAfter).
 		Int("events", j.events).Int64("first_event", j.position.run.first).Str("last_event", j.position.lastID).Int("skipped", j.position.skipped).Int("unnumbered", j.position.unnumbered).
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -214,7 +214,7 @@
 
 // relayWhole relays a response that isn't a stream. A small one is buffered until it is complete.
 func (r *relay) relayWhole() attemptResult {
-	r.silence.heard()
+	r.silence.partReceived()
 	body := watchedBody{relay: r}
 	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
 	if err == nil && len(buffered) <= maxBufferedBytes {
@@ -270,9 +270,9 @@
 	started := false
 	pace := newPace(r.job.route.Kind, r.response.Framing)
 	for {
-		r.silence.listen()
+		r.silence.awaitPart()
 		event, err := sse.Read(reader, maxEventBytes)
-		if len(event) > 0 && !r.heard() {
+		if len(event) > 0 && !r.recordPart() {
 			return r.brokenResult(errSilent)
 		}
 		if err := awaitPace(r.ctx, pace, len(event)); err != nil {
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -13,8 +13,8 @@
 	// new one to be sent while callers may still be sent to this instance. Above it, a new one is more likely to be cut
 	// than answered.
 	maxLateShare = 0.5
-	// lateMargin is how many times the longest recent request the grace period must last after that: a caller that is
-	// refused is served elsewhere.
+	// lateMargin is how many times as long as the longest recent request the grace period must last after listenEnd: a
+	// caller that is refused is served elsewhere.
 	lateMargin = 2
 )
 
@@ -27,13 +27,13 @@
 	end       time.Time // requests that still run are aborted then
 }
 
-// Drain makes every response from now on close its connection, and refuses requests that would probably still run at end,
+// Drain makes the response to each request that arrives from now on close its connection, and refuses requests that would probably still run at end,
 // when Abort is called. Callers may still be sent to this instance until listenEnd.
 func (h *Handler) Drain(listenEnd, end time.Time) {
 	h.shutdown.Store(&shutdown{listenEnd: listenEnd, end: end})
 }
 
-// graceLeft returns how long requests may still run; false if the instance isn't shutting down.
+// graceLeft returns, for logs, how long requests may still run; false if the instance isn't shutting down.
 func (h *Handler) graceLeft() (time.Duration, bool) {
 	s := h.shutdown.Load()
 	if s == nil {
@@ -45,7 +45,7 @@
 // Abort ends the requests that still run. Callers that have no part of a response get a final one. It doesn't block.
 func (h *Handler) Abort() { h.abort(errShuttingDown) }
 
-// checkGrace returns a problem if the instance is shutting down and the request, which wasn't sent yet, would probably be
+// checkGrace returns a problem if the instance is shutting down and the request, which has run nowhere, would probably be
 // aborted: another instance can serve it, and nobody could tell whether an aborted one has run.
 func (j *job) checkGrace() *api.Problem {
 	s := j.handler.shutdown.Load()
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -20,19 +20,20 @@
 // silenceWatch requests a slot at another upstream when that of an attempt has sent nothing for too long, and ends the
 // attempt once it is granted: the upstream may only be slow, and without a replacement nothing would be left for the
 // caller. Whichever comes first counts, the next part of the response or the grant. It watches only requests that can be
-// retried; a nil silenceWatch watches nothing. listen, heard and close are called by the goroutine of the request.
+// retried; a nil silenceWatch watches nothing. awaitPart, partReceived and close are called by the goroutine of the request.
 type silenceWatch struct {
 	job      *job
 	ctx      context.Context // of the attempt
 	cancel   context.CancelCauseFunc
 	upstream string
 	process  string        // of the upstream, when the attempt began
-	idle     time.Duration // silence that is too long after a part of the response; 0 for none
+	timeout  time.Duration // silence that is too long after a part of the response; 0 for none
 
 	mu          sync.Mutex
 	timer       *time.Timer
-	listening   bool
-	due         time.Time                   // when the silence is too long, while listening
+	awaiting    bool
+	due         time.Time                   // when the silence is too long, while awaiting a part
+	since       time.Time                   // when the upstream last sent something, while awaiting a part
 	origin      scheduler.VersionConstraint // version that a replacement must have
 	endSearch   context.CancelFunc          // nil if there is no search
 	searches    sync.WaitGroup
@@ -46,9 +47,10 @@
 		return nil
 	}
 	first := max(time.Duration(responseTimeoutFactor*float64(j.route.LatencyObjective)), predictedTimeoutFactor*g.PredictedFirstToken())
-	s := &silenceWatch{job: j, ctx: ctx, cancel: cancel, upstream: g.Upstream(), process: process, idle: first, listening: true, due: time.Now().Add(first), origin: j.origin}
+	now := time.Now()
+	s := &silenceWatch{job: j, ctx: ctx, cancel: cancel, upstream: g.Upstream(), process: process, timeout: first, awaiting: true, since: now, due: now.Add(first), origin: j.origin}
 	if j.route.Kind == routing.Stream {
-		s.idle = idleTimeout(j.route.MaxEventInterval)
+		s.timeout = idleTimeout(j.route.MaxEventInterval)
 	}
 	s.timer = time.AfterFunc(first, s.expired)
 	return s
@@ -62,15 +64,15 @@
 	return max(idleTimeoutFactor*maxEventInterval, minIdleTimeout)
 }
 
-// heard is called with each part of the response that has arrived, and reports whether that came before a replacement; it
-// must not be relayed otherwise. The time from here to listen isn't the upstream's.
-func (s *silenceWatch) heard() bool {
+// partReceived is called with each part of the response that has arrived, and reports whether that came before a replacement; it
+// must not be relayed otherwise. The time from here to awaitPart isn't the upstream's.
+func (s *silenceWatch) partReceived() bool {
 	if s == nil {
 		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listening = false
+	s.awaiting = false
 	s.timer.Stop()
 	if s.endSearch != nil {
 		s.endSearch()
@@ -79,38 +81,53 @@
 	return s.replacement == nil
 }
 
-// listen is called before the next part of a response is read. It watches only while another attempt could go on
+// awaitPart is called before the next part of a response is read. It watches only while another attempt could go on
 // from what the caller has.
-func (s *silenceWatch) listen() {
+func (s *silenceWatch) awaitPart() {
 	if s == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.listening || s.replacement != nil || s.idle == 0 || !s.job.mayAttemptAgain() {
+	if s.awaiting || s.replacement != nil || s.timeout == 0 || !s.job.mayAttemptAgain() {
 		return
 	}
-	s.listening, s.due, s.origin = true, time.Now().Add(s.idle), s.job.origin
-	s.timer.Reset(s.idle)
+	s.awaiting, s.since, s.origin = true, time.Now(), s.job.origin
+	s.due = s.since.Add(s.timeout)
+	s.timer.Reset(s.timeout)
 }
 
-// expired searches for a replacement until one is granted, or the upstream is heard.
+// expired searches for a replacement until one is granted, or a part of the response arrives.
 func (s *silenceWatch) expired() {
 	s.mu.Lock()
-	if !s.listening || s.endSearch != nil || time.Now().Before(s.due) { // the timer was reset meanwhile
+	if !s.awaiting || s.endSearch != nil || time.Now().Before(s.due) { // the timer was reset meanwhile
 		s.mu.Unlock()
 		return
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	s.endSearch = cancel
-	origin := s.origin
+	r := s.job.acquireRequest(s.upstream, peer.RetryAttempt, s.origin)
+	if s.job.handler.o.Fleet.BlamesUpstream(errSilent) {
+		r.Request.SilentFor = time.Since(s.since) // tells the owner, so that other requests go elsewhere
+	}
 	s.searches.Add(1)
 	s.mu.Unlock()
 	defer s.searches.Done()
-	s.job.handler.o.Metrics.Count("tacktally_silent_attempts_total")
+	s.search(ctx, r)
+}
+
+// search requests a replacement until one is granted or ctx ends. Only the first request tells the owner of the silence.
+func (s *silenceWatch) search(ctx context.Context, r *fleet.AcquireRequest) {
+	o := s.job.handler.o
+	origin := r.Request.VersionConstraint
+	g, problem := s.acquire(ctx, r)
+	o.Metrics.Count("tacktally_silent_attempts_total")
+	if problem != nil && ctx.Err() == nil {
+		o.Log.Info().Str("event", "silent_attempt_kept").Str("request", s.job.info.ID).Str("upstream", s.upstream).
+			Str("replacement_refused", string(problem.Reason)).Msg("")
+	}
 	for pause := fleet.ShortRetryAfter; ; pause = min(2*pause, maxSearchPause) {
-		g, problem := s.acquire(ctx, origin)
 		switch {
 		case problem == nil:
 			s.replace(ctx, g)
@@ -119,18 +136,17 @@
 			return
 		}
 		s.job.countRefusedReplacement(problem)
-		s.job.handler.o.Log.Info().Str("event", "silent_attempt_kept").Str("request", s.job.info.ID).Str("upstream", s.upstream).
-			Str("replacement_refused", string(problem.Reason)).Msg("")
 		if !wait.For(ctx, max(pause, problem.RetryAfter)) {
 			return
 		}
+		g, problem = s.acquire(ctx, s.job.acquireRequest(s.upstream, peer.RetryAttempt, origin))
 	}
 }
 
 // acquire requests a slot at another upstream. The scheduler grants one at the same upstream if it has no other.
-func (s *silenceWatch) acquire(ctx context.Context, origin scheduler.VersionConstraint) (fleet.Grant, *api.Problem) {
+func (s *silenceWatch) acquire(ctx context.Context, r *fleet.AcquireRequest) (fleet.Grant, *api.Problem) {
 	f := s.job.handler.o.Fleet
-	g, problem := f.Acquire(ctx, s.job.acquireRequest(s.upstream, peer.RetryAttempt, origin))
+	g, problem := f.Acquire(ctx, r)
 	if problem != nil {
 		return nil, problem
 	}
@@ -141,7 +157,7 @@
 	return g, nil
 }
 
-// replace ends the attempt in favour of g, unless the upstream was heard meanwhile.
+// replace ends the attempt in favour of g, unless a part of the response has arrived meanwhile.
 func (s *silenceWatch) replace(ctx context.Context, g fleet.Grant) {
 	s.mu.Lock()
 	replaces := ctx.Err() == nil
@@ -165,7 +181,7 @@
 	s.mu.Lock()
 	silent = s.endSearch != nil
 	s.mu.Unlock()
-	s.heard()
+	s.partReceived()
 	s.searches.Wait()
 	return s.replacement, silent
 }
@@ -175,16 +191,16 @@
 
 // Read implements io.Reader.
 func (b watchedBody) Read(p []byte) (int, error) {
-	b.relay.silence.listen()
+	b.relay.silence.awaitPart()
 	n, err := b.relay.response.Read(p)
-	if n > 0 && !b.relay.heard() {
+	if n > 0 && !b.relay.recordPart() {
 		return 0, errSilent
 	}
 	return n, err
 }
 
-// heard records that a part of the response has arrived, and reports whether it may be relayed.
-func (r *relay) heard() bool {
+// recordPart records that a part of the response has arrived, and reports whether it may be relayed.
+func (r *relay) recordPart() bool {
 	r.job.heardAt = time.Now()
-	return r.silence.heard()
+	return r.silence.partReceived()
 }
--- a/internal/proxy/unstated_end.go
+++ b/internal/proxy/unstated_end.go
@@ -56,7 +56,7 @@
 	if !r.isUnstated() {
 		return nil
 	}
-	r.silence.heard() // nothing more will come
+	r.silence.partReceived() // nothing more will come
 	ctx, cancel := context.WithTimeout(r.ctx, unstatedEndTimeout)
 	defer cancel()
 	leaving := r.leaving // stays true once its entry is removed
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -85,6 +85,8 @@
 	// FailedUpstream is the ID of an upstream that has already failed this request. It is used
 	// again only if the request has no other.
 	FailedUpstream string
+	// SilentFor is how long the failed upstream has sent nothing, where the request still waits for it; 0 otherwise.
+	SilentFor time.Duration
 	// ExcludedUpstreams are the IDs of upstreams to which the instance that sends the request may
 	// not send.
 	ExcludedUpstreams []string
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -408,9 +408,23 @@
 	if u.SeenAfter(now.Add(-aliveFor)) || (u.Failures > 0 && g.GrantedAt.Before(u.FailedAt)) {
 		return c.Poll(now)
 	}
+	openForSilence(now, u)
+	return c.Poll(now)
+}
+
+func openForSilence(now time.Time, u *balancer.Upstream) {
 	u.Failures = max(u.Failures, 1)
 	u.FailedAt = now
 	u.CircuitOpenUntil = now.Add(minOpenPeriod)
+}
+
+// RecordOngoingSilence does the same for a request that still waits for its upstream, which has sent it nothing for a time.
+func (c *Core) RecordOngoingSilence(now time.Time, upstream string, silentFor time.Duration) Decisions {
+	u, since := c.byID[upstream], now.Add(-silentFor)
+	if u == nil || u.SeenAfter(now.Add(-aliveFor)) || (u.Failures > 0 && since.Before(u.FailedAt)) {
+		return Decisions{}
+	}
+	openForSilence(now, u)
 	return c.Poll(now)
 }
 
--- a/internal/scheduler/result.go
+++ b/internal/scheduler/result.go
@@ -24,7 +24,8 @@
 	Misdirected
 	// Silent: the request was sent, and abandoned since the upstream sent nothing for too long.
 	Silent
-	// Unused: a retry was granted, and is no longer needed. It says nothing about the upstream.
+	// Unused: the request wasn't sent, since its grant is no longer needed. It says nothing about the upstream, and the
+	// retry budget gets back what the grant was charged.
 	Unused
 	resultCount // number of results
 )
