platform: a soak of responses around planned stops

Responses were cut around planned stops, and no soak had workers that fall silent, short retry budgets or requests that end late in the grace period.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -83,6 +83,9 @@
 // PlannedMix is a mix of the planned work of operators, without a fault.
 var PlannedMix = Mix{Terminate: 4, Reload: 2, Change: 3}
 
+// StoppingMix is a mix of planned stops, reloads and new configurations, without a fault.
+var StoppingMix = Mix{Terminate: 5, Reload: 4, Change: 3}
+
 // EvacuationMix is a mix of evacuations and of cold starts of upstreams, together with faults in which
 // instances lose what they know of them. PlannedEvacuationMix is the same without a fault.
 var (
