proxy: what all requests hold of unfinished responses is bounded together

Callers of an instance lost their requests with the process: upstreams sent bytes without an end, and the instance held them until it had no memory left.

Cause: one event may have 1 MB and a buffered body 256 kB, each with the memory of its growth, events that are held for their place in a resumed stream another 1 MB, and a failure is kept while another upstream is tried. Each bound holds for one request; nothing bounded all together.

Now these parts take what they need beyond 4 kB from a budget, an eighth of routed.memoryMB (package membudget). While a buffer grows, both copies count. Where the budget is exhausted, a stream ends as with an event that is too large, which is no evidence of a crash, and a body is relayed as it comes, as large ones are. Events and bodies up to 4 kB need no budget, so that sound small ones go on beside them. The buffer of events is used again for the next one.

Evidence: TestUnfinishedEventsTogetherAreBounded and TestUnfinishedBodiesTogetherAreBounded failed with the budget unbounded, as before: all 32 requests held their parts until their deadlines (upstream_timeout, 504). Ruled out by reading: refusals (200 bytes are kept, 32 kB read), comments (they are relayed).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -185,6 +185,7 @@
 		OnClosing:    i.view.RecheckUpstream,
 		CloseCallers: func() bool { return i.admission != nil && i.admission.Overloaded() },
 		StaleAfter:   time.Duration(s.Routed.InForce),
+		MemoryBytes:  int64(s.Routed.MemoryMB) << 20,
 		Metrics:      i.metrics,
 		Log:          i.log,
 	})
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -145,7 +145,7 @@
 		default:
 		}
 		if r.failure != nil {
-			j.failure = r.failure
+			j.keepFailure(r.failure)
 		}
 		reason, next := j.decideRetry(ctx, r, connectFailures < maxConnectFailures && unusableGrants < maxUnusableGrants)
 		if next == noRetry {
--- a/internal/proxy/crashes.go
+++ b/internal/proxy/crashes.go
@@ -56,7 +56,7 @@
 		}
 	case r.status == misdirected:
 		j.handler.recordTermination(r.process, j.handler.o.Fleet.IsLeaving(r.process)) // another process has its address
-	case errors.Is(r.err, errMisplaced): // the upstream lives
+	case errors.Is(r.err, errMisplaced), errors.Is(r.err, errOutOfMemory): // the upstream lives
 	case (r.status == lost || r.status == truncated) && !errors.Is(r.err, errSilent) && j.handler.o.Fleet.BlamesUpstream(r.err):
 		check, changed := registry.RecordLostResponse(now, r.process, j.identity, j.hasStarted())
 		if changed {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -17,6 +17,7 @@
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/listen"
+	"github.com/tacktally/tacktally/internal/membudget"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -62,8 +63,11 @@
 	// that the configuration lacks: the entry may have been added since. The request gets a
 	// retryable problem instead.
 	StaleAfter time.Duration
-	Metrics    *telemetry.Metrics
-	Log        *log.Logger
+	// MemoryBytes is the memory of the process. A share of it bounds what all requests together hold of unfinished
+	// responses; 0 means without bound.
+	MemoryBytes int64
+	Metrics     *telemetry.Metrics
+	Log         *log.Logger
 }
 
 // Handler serves callers' requests. Its http.Server must have listen.ConnContext. It is safe for concurrent use.
@@ -79,11 +83,13 @@
 	running   zoneCounter
 	// invalidLoadLog bounds the log lines of invalid load reports.
 	invalidLoadLog rate.Sometimes
+	// memory is what unfinished responses take their memory from; nil without a bound.
+	memory *membudget.Budget
 }
 
 // New returns a handler with the given options.
 func New(o Options) *Handler {
-	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}}
+	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}, memory: newBufferMemory(o.MemoryBytes)}
 	h.aborted, h.abort = context.WithCancelCause(context.Background())
 	return h
 }
@@ -99,6 +105,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{handler: h, w: w, request: r, arrived: time.Now(), suspended: boottime.Suspended()}
+	defer j.release()
 	problem := j.admit()
 	if problem == nil {
 		problem = j.run()
@@ -173,6 +180,7 @@
 		return problem
 	}
 	j.position = newStreamPosition(j.route.Resumable, j.info.LastEventID)
+	j.position.memory = j.handler.memory
 	j.service = j.route.ChooseService(j.serviceDraw())
 	j.header = j.handler.o.Protocol.ForwardHeaders(j.request.Header)
 	j.deadline = j.arrived.Add(j.timeout() - responseMargin)
@@ -191,6 +199,12 @@
 	return j.takeQuota()
 }
 
+// release gives back the memory of what is held of responses.
+func (j *job) release() {
+	j.keepFailure(nil)
+	j.position.release()
+}
+
 // organisationName returns the name of the organisation, empty on public routes.
 func (j *job) organisationName() string {
 	if j.organisation == nil {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -155,6 +155,8 @@
 const (
 	leaseTime  = 5 * time.Second
 	staleAfter = 2 * time.Second
+	// harnessMemoryBytes is the memory setting of the harness.
+	harnessMemoryBytes = 8 << 20
 )
 
 // newHarness returns a harness with a route of each kind and an organisation with the key k. One retry is allowed for each
@@ -204,7 +206,8 @@
 	})
 	r.view = view.New(view.Options{Source: fakeSource{}, Lease: leaseTime, SettlePeriod: time.Second, OnUpstreams: r.fleet.ApplyListChange, Metrics: metrics, Log: log})
 	r.handler = New(Options{
-		View: r.view, Fleet: r.fleet, Protocol: fakeProtocol{}, Quotas: fleet.NewQuotas(time.Now().Add(-time.Hour), fleet.Allowance{}, r.fleet),
+		MemoryBytes: harnessMemoryBytes,
+		View:        r.view, Fleet: r.fleet, Protocol: fakeProtocol{}, Quotas: fleet.NewQuotas(time.Now().Add(-time.Hour), fleet.Allowance{}, r.fleet),
 		Quarantine: r.registry, Announce: func() {}, AnnounceSoon: func() {},
 		OnClosing:  func(upstream string) { r.closing <- upstream },
 		StaleAfter: staleAfter, Metrics: metrics, Log: log,
--- /dev/null
+++ b/internal/proxy/memory.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/tacktally/tacktally/internal/exchange"
+	"github.com/tacktally/tacktally/internal/membudget"
+)
+
+// bufferMemoryShare is the share of the process's memory that unfinished parts of responses may take together: events,
+// bodies that are buffered until they are complete, and failures that are kept while another upstream is tried.
+const bufferMemoryShare = 0.125
+
+// errOutOfMemory means that a response wasn't read on, since those of other requests take the memory for such parts.
+var errOutOfMemory = fmt.Errorf("%w: an unfinished part is large", exchange.ErrInvalidResponse)
+
+// outOfMemory adds errOutOfMemory to membudget.ErrExhausted; other errors are returned unchanged.
+func outOfMemory(err error) error {
+	if errors.Is(err, membudget.ErrExhausted) {
+		return fmt.Errorf("%w; %w", errOutOfMemory, err)
+	}
+	return err
+}
+
+// newBufferMemory returns the budget of a process with the given memory in bytes; nil if that is 0.
+func newBufferMemory(memoryBytes int64) *membudget.Budget {
+	if memoryBytes == 0 {
+		return nil
+	}
+	return membudget.New(int64(bufferMemoryShare * float64(memoryBytes)))
+}
--- a/internal/proxy/position.go
+++ b/internal/proxy/position.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/tacktally/tacktally/internal/exchange"
+	"github.com/tacktally/tacktally/internal/membudget"
 	"github.com/tacktally/tacktally/internal/sse"
 )
 
@@ -45,6 +46,8 @@
 	// relayed with data and without an ID.
 	skipped, unnumbered int
 	run                 streamRun
+	// memory is what held events take their memory from; nil without a bound.
+	memory *membudget.Budget
 }
 
 // irregular is the step of a stream whose IDs have no constant difference.
@@ -61,7 +64,7 @@
 	first, last int64
 	// held are the events with data and without an ID that came before the first one with an ID. That one tells
 	// whether the caller has them.
-	held   []byte
+	held   membudget.Buffer
 	recent recentEvents
 }
 
@@ -75,7 +78,13 @@
 }
 
 // beginRun is called when an attempt begins.
-func (p *streamPosition) beginRun() { p.run = streamRun{resumed: p.numbered} }
+func (p *streamPosition) beginRun() {
+	p.release()
+	p.run = streamRun{resumed: p.numbered, held: membudget.Buffer{Budget: p.memory}}
+}
+
+// release gives back the memory of held events.
+func (p *streamPosition) release() { p.run.held.Release() }
 
 // mayResume reports whether another run may go on after the last event that the caller has.
 func (p *streamPosition) mayResume() bool { return p.lastID != "" && !p.unplaced }
@@ -84,7 +93,7 @@
 func (p *streamPosition) mayBeComplete() bool { return p.resumable && p.lastID != "" }
 
 // place returns what of the current run is to be relayed when an event has come: nothing if the caller has it
-// already, or if what comes next decides that.
+// already, or if what comes next decides that. The bytes are valid until the next call.
 func (p *streamPosition) place(event []byte) ([]byte, error) {
 	if id, ok := sse.ID(event); ok {
 		return p.placeNumbered(id, event)
@@ -93,11 +102,10 @@
 	case !sse.HasData(event):
 		return event, nil
 	case p.run.resumed && !p.run.numbered:
-		if len(p.run.held)+len(event) > maxEventBytes {
+		if p.run.held.Len()+len(event) > maxEventBytes {
 			return nil, errHeldTooLarge
 		}
-		p.run.held = append(p.run.held, event...)
-		return nil, nil
+		return nil, outOfMemory(p.run.held.Append(event))
 	case p.run.resumed && p.run.last < p.last:
 		p.skipped++
 		return nil, nil
@@ -116,6 +124,9 @@
 
 func (p *streamPosition) placeNumbered(id int64, event []byte) ([]byte, error) {
 	run := &p.run
+	if run.numbered {
+		run.held.Release() // relayed before
+	}
 	if run.numbered && id <= run.last {
 		if sse.HasData(event) && !run.recent.has(id, event) {
 			return nil, errNotIncreasing
@@ -129,10 +140,9 @@
 	if !run.numbered {
 		run.numbered, run.first = true, id
 	}
-	held := run.held
-	run.held = nil
 	switch {
 	case run.resumed && id <= p.last:
+		run.held.Release()
 		p.skipped++
 		return nil, nil
 	case run.resumed && !run.joined:
@@ -143,8 +153,14 @@
 	case follows:
 		p.observeStep(id - previous)
 	}
+	if run.held.Len() > 0 {
+		if err := run.held.Append(event); err != nil {
+			return nil, outOfMemory(err)
+		}
+		event = run.held.Bytes()
+	}
 	p.last, p.numbered, p.lastID, p.unplaced = id, true, strconv.FormatInt(id, 10), false
-	return append(held, event...), nil
+	return event, nil
 }
 
 // observeStep records the difference between the IDs of two consecutive events of a run.
@@ -157,17 +173,16 @@
 	}
 }
 
-// endRun returns what is to be relayed at the end of a run that is complete.
+// endRun returns what is to be relayed at the end of a run that is complete. The bytes are valid until release.
 func (p *streamPosition) endRun() ([]byte, error) {
 	if p.run.resumed && p.run.numbered && p.run.last < p.last {
 		return nil, errEndsEarly
 	}
-	held := p.run.held
-	p.run.held = nil
-	if len(held) > 0 {
-		p.unplaced = true
+	if p.run.numbered || p.run.held.Len() == 0 {
+		return nil, nil // what was held has been relayed
 	}
-	return held, nil
+	p.unplaced = true
+	return p.run.held.Bytes(), nil
 }
 
 // recentEvents are the last numbered events of a run, by their checksums.
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -17,6 +17,7 @@
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/listen"
 	"github.com/tacktally/tacktally/internal/loadreport"
+	"github.com/tacktally/tacktally/internal/membudget"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/sse"
@@ -212,12 +213,23 @@
 	return fmt.Errorf("status %d %s", r.response.Status, strings.TrimSpace(string(body)))
 }
 
-// relayWhole relays a response that isn't a stream. A small one is buffered until it is complete.
-func (r *relay) relayWhole() attemptResult {
+// relayWhole relays a response that isn't a stream. A small one is buffered until it is complete, if there is memory
+// for it.
+func (r *relay) relayWhole() (result attemptResult) {
 	r.silence.heard()
 	body := watchedBody{relay: r}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes+1))
-	if err == nil && len(buffered) <= maxBufferedBytes {
+	buffered := membudget.Buffer{Budget: r.job.handler.memory}
+	defer func() {
+		if result.failure == nil {
+			buffered.Release()
+		}
+	}()
+	err := buffered.ReadAtMost(body, maxBufferedBytes+1)
+	whole := err == nil && buffered.Len() <= maxBufferedBytes
+	if errors.Is(err, membudget.ErrExhausted) {
+		err = nil
+	}
+	if whole {
 		err = r.checkUnstatedEnd(quarantine.DiagnoseNow) // the caller has nothing yet
 	}
 	if err != nil {
@@ -226,8 +238,8 @@
 	if r.response.Status < http.StatusInternalServerError {
 		r.onFirst() // not for a failure, which comes sooner than a successful response
 	}
-	if len(buffered) <= maxBufferedBytes {
-		complete := &bufferedResponse{status: r.response.Status, header: r.response.Header, framing: r.response.Framing, length: int64(len(buffered)), body: buffered}
+	if whole {
+		complete := &bufferedResponse{status: r.response.Status, header: r.response.Header, framing: r.response.Framing, length: int64(buffered.Len()), body: &buffered}
 		if r.job.request.Method == http.MethodHead {
 			complete.length = r.response.ContentLength // that of the body which GET would have
 		}
@@ -237,10 +249,11 @@
 		return r.job.writeResponse(complete)
 	}
 	r.job.writeHead(r.response.Status, r.response.Header, r.response.Framing, r.response.ContentLength)
-	if result := r.job.write(buffered); result.status != completed {
+	if result := r.job.write(buffered.Bytes()); result.status != completed {
 		return result
 	}
-	chunk := make([]byte, copyBufferBytes)
+	chunk := make([]byte, min(max(buffered.Len(), membudget.FreeBytes), copyBufferBytes)) // small while memory is short
+	buffered.Release()
 	pace := newPace(r.job.route.Kind, r.response.Framing)
 	for {
 		n, err := body.Read(chunk)
@@ -269,9 +282,12 @@
 	r.job.events = 0
 	started := false
 	pace := newPace(r.job.route.Kind, r.response.Framing)
+	buffer := membudget.Buffer{Budget: r.job.handler.memory}
+	defer buffer.Release()
 	for {
 		r.silence.listen()
-		event, err := sse.Read(reader, maxEventBytes)
+		buffer.Reset()
+		event, err := sse.ReadInto(&buffer, reader, maxEventBytes)
 		if len(event) > 0 && !r.heard() {
 			return r.brokenResult(errSilent)
 		}
@@ -333,7 +349,7 @@
 	case err == nil:
 		return nil
 	case !errors.Is(err, io.EOF):
-		return err
+		return outOfMemory(err)
 	case r.response.Framing != exchange.UntilClose:
 		return nil
 	case sse.IsPartial(event):
@@ -391,7 +407,15 @@
 	header  http.Header
 	framing exchange.Framing
 	length  int64 // of the body, -1 if unknown
-	body    []byte
+	body    *membudget.Buffer
+}
+
+// keepFailure keeps a failure response in place of the one before.
+func (j *job) keepFailure(a *bufferedResponse) {
+	if j.failure != nil {
+		j.failure.body.Release()
+	}
+	j.failure = a
 }
 
 // mayRetryFailure reports whether a response is a failure of the upstream, and the request may be
@@ -403,7 +427,7 @@
 // writeResponse relays a complete response.
 func (j *job) writeResponse(a *bufferedResponse) attemptResult {
 	j.writeHead(a.status, a.header, a.framing, a.length)
-	return j.write(a.body)
+	return j.write(a.body.Bytes())
 }
 
 // writeUpstreamFailure relays the failure that was kept while another upstream was tried.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -271,7 +271,8 @@
 	// closed to admit new ones. Default 4096.
 	MaxFiles int `json:"maxFiles,omitzero"`
 	// MemoryMB is the memory of the process, in MiB. The garbage collector runs more often once
-	// half of it is in use. Default 256.
+	// half of it is in use. An eighth of it bounds what all requests together hold of unfinished
+	// responses. Default 256.
 	MemoryMB int `json:"memoryMB,omitzero"`
 	// Relay lets instances that can't reach an upstream over their own network path send requests to it
 	// through peers that can, and relay such connections for their peers. Default false.
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"github.com/tacktally/tacktally/internal/membudget"
 )
 
 // ErrTooLarge means that an event exceeds the size limit.
@@ -17,15 +19,22 @@
 // event are part of it. At the end of the stream it returns io.EOF with the bytes after the last
 // event; on any other error it returns no bytes.
 func Read(r *bufio.Reader, maxBytes int) ([]byte, error) {
-	var event []byte
+	return ReadInto(new(membudget.Buffer), r, maxBytes)
+}
+
+// ReadInto is like Read, with the event in a buffer, which must be empty. The error may also be membudget.ErrExhausted.
+func ReadInto(b *membudget.Buffer, r *bufio.Reader, maxBytes int) ([]byte, error) {
 	content := false
-	lineStart := 0 // of the current line in event
+	lineStart := 0 // of the current line in the event
 	for {
-		part, err := r.ReadSlice('\n') // a part of a line if that is longer than the buffer
-		event = append(event, part...)
-		if len(event) > maxBytes {
+		part, err := r.ReadSlice('\n') // a part of a line if that is longer than the reader's buffer
+		if b.Len()+len(part) > maxBytes {
 			return nil, fmt.Errorf("%w: over %d bytes", ErrTooLarge, maxBytes)
 		}
+		if err := b.Append(part); err != nil {
+			return nil, err
+		}
+		event := b.Bytes()
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
