answer, upstream: a response in small pieces takes no more memory than its bounds

An instance without routes that reads a service's body byte by byte, while the caller reads slowly or the response is retained, holds a multiple of what its bounds say.

Cause: relayBody gave each piece to the buffer with the 4 kB in which it was read, and the buffer counted only the bytes of the piece. The window of 256 kB was thus up to 1 GB for one request.

Now a piece is copied to memory of its size, and counts at least 64 bytes against the bounds.

TestSmallChunksCountWithTheirOverhead failed: 262,144 chunks of one byte were in the window instead of 4,096.

--- a/internal/answer/buffer.go
+++ b/internal/answer/buffer.go
@@ -21,6 +21,12 @@
 // MaxRetainedBytes bounds one retained response, in bytes.
 const MaxRetainedBytes = 32 << 20
 
+// minCharge is the least that a chunk counts against these bounds, in bytes: its memory is more than its content.
+const minCharge = 64
+
+// charge returns how many bytes a chunk counts against the bounds.
+func charge(chunk []byte) int { return max(len(chunk), minCharge) }
+
 // ErrTooLarge means that a retained response exceeds MaxRetainedBytes.
 var ErrTooLarge = errors.New("the response to a non-idempotent request is larger than 32 MiB, more than an instance retains for retries; let the service respond with less, such as a reference")
 
@@ -83,6 +89,7 @@
 	chunks   [][]byte
 	dropped  int // chunks that the reader of a Buffer that isn't retained has read
 	bytes    int // bytes in chunks
+	charged  int // bytes that chunks count against the bounds
 	written  int // total bytes written
 	end      *End
 	changed  chan struct{}
@@ -154,13 +161,14 @@
 			b.mu.Unlock()
 			return nil
 		}
-		if b.retained && b.bytes+len(chunk) > MaxRetainedBytes {
+		if b.retained && b.charged+charge(chunk) > MaxRetainedBytes {
 			b.mu.Unlock()
 			return ErrTooLarge
 		}
-		if b.retained || b.bytes < StreamWindowBytes {
+		if b.retained || b.charged < StreamWindowBytes {
 			b.chunks = append(b.chunks, chunk)
 			b.bytes += len(chunk)
+			b.charged += charge(chunk)
 			b.written += len(chunk)
 			b.wake()
 			b.mu.Unlock()
@@ -269,6 +277,7 @@
 			b.chunks = b.chunks[at+1:]
 			b.dropped = r.next
 			b.bytes -= len(chunk)
+			b.charged -= charge(chunk)
 			b.wake()
 		}
 		return Event{Chunk: chunk}, nil, true
--- a/internal/answer/buffer_test.go
+++ b/internal/answer/buffer_test.go
@@ -79,3 +79,30 @@
 	is.NoErr(b.Write(t.Context(), make([]byte, MaxRetainedBytes)))
 	is.Equal(b.Write(t.Context(), []byte("x")), ErrTooLarge)
 }
+
+// Guards against an instance that runs out of memory: many small chunks took a multiple of the window, since only their
+// bytes were counted.
+func TestSmallChunksCountWithTheirOverhead(t *testing.T) {
+	is := is.New(t)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	b := New(false)
+	chunks := 0
+	for b.Write(ended, []byte("x")) == nil && chunks < StreamWindowBytes {
+		chunks++
+	}
+	is.Equal(chunks, StreamWindowBytes/minCharge)
+	r := b.Reader()
+	for range chunks {
+		_, err := r.Next(t.Context())
+		is.NoErr(err)
+	}
+	is.Equal(b.charged, 0)
+
+	retained := New(true)
+	chunks = 0
+	for retained.Write(t.Context(), []byte("x")) == nil && chunks < MaxRetainedBytes/minCharge+1 {
+		chunks++
+	}
+	is.Equal(chunks, MaxRetainedBytes/minCharge)
+}
--- a/internal/upstream/relay.go
+++ b/internal/upstream/relay.go
@@ -126,11 +126,11 @@
 }
 
 func relayBody(ctx context.Context, body io.Reader, b *answer.Buffer) Result {
+	chunk := make([]byte, chunkBytes)
 	for {
-		chunk := make([]byte, chunkBytes)
 		n, err := body.Read(chunk)
 		if n > 0 {
-			if werr := b.Write(ctx, chunk[:n:n]); werr != nil {
+			if werr := b.Write(ctx, bytes.Clone(chunk[:n])); werr != nil {
 				return Result{Status: statusOfError(ctx, true, Truncated), Err: werr}
 			}
 		}
