client: a response or an event without an end fails instead of being read on

A caller with the Go client ran out of memory when what it read had no end: a body, a problem, a list of keys, or an event of many lines. Only the line of an event was bounded; a response was read to its end, and if it broke off, once more for each attempt.

Now a body has at most MaxResponseBytes (64 MiB by default), an event 1 MiB of data; beyond that the request ends with ErrTooLarge, and isn't retried, since another attempt would bring the same. Its outcome is unknown.

--- a/client/client.go
+++ b/client/client.go
@@ -27,6 +27,8 @@
 const (
 	DefaultKeysInHand  = 8
 	DefaultMaxAttempts = 4
+	// DefaultMaxResponseBytes is 64 MiB.
+	DefaultMaxResponseBytes = 64 << 20
 	// defaultRetryDelay is the retry delay if the response gives none.
 	defaultRetryDelay = 200 * time.Millisecond
 )
@@ -43,8 +45,14 @@
 	KeysInHand int
 	// MaxAttempts is the maximum number of attempts of a request. Default 4.
 	MaxAttempts int
+	// MaxResponseBytes bounds the body of a response that isn't a stream, in bytes. Default 64 MiB.
+	MaxResponseBytes int64
 }
 
+// ErrTooLarge is the Err of a request whose response has more than MaxResponseBytes, or an event of more than 1 MiB. It
+// isn't retried.
+var ErrTooLarge = errors.New("the response is too large")
+
 // Client sends requests to tacktally. It is safe for concurrent use.
 type Client struct {
 	o Options
@@ -67,6 +75,9 @@
 	if o.MaxAttempts == 0 {
 		o.MaxAttempts = DefaultMaxAttempts
 	}
+	if o.MaxResponseBytes == 0 {
+		o.MaxResponseBytes = DefaultMaxResponseBytes
+	}
 	return &Client{o: o}, nil
 }
 
@@ -246,7 +257,7 @@
 // read reads a whole response. A problem is returned as the error.
 func (s *requestState) read(response *http.Response) (*Result, error) {
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(s.client.bound(response.Body))
 	if err != nil {
 		s.uncertain = true
 		return nil, fmt.Errorf("%w: %w", errIncomplete, err)
@@ -261,6 +272,27 @@
 	return &Result{Outcome: outcome, Status: response.StatusCode, Header: response.Header, Body: body, Attempts: s.attempts}, nil
 }
 
+// bound returns a reader of at most MaxResponseBytes. If there are more, it returns ErrTooLarge.
+func (c *Client) bound(body io.Reader) io.Reader {
+	return &boundedReader{reader: body, left: c.o.MaxResponseBytes}
+}
+
+// boundedReader returns ErrTooLarge after left bytes.
+type boundedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if int64(n) > r.left {
+		n, err = int(r.left), ErrTooLarge
+	}
+	r.left -= int64(n)
+	return n, err
+}
+
 // endsWithConnection reports whether nothing but the close of its connection ends a response: whoever closes it may not
 // have passed on all of it. A compressed body states its own end.
 func endsWithConnection(r *http.Response) bool {
@@ -294,7 +326,7 @@
 		if errors.Is(err, io.EOF) {
 			s.err = fmt.Errorf("%w: %v", errIncomplete, err) // readers of a stream would take it for the end
 		}
-		retry = true // under the same key, so that it joins an earlier attempt
+		retry = !errors.Is(err, ErrTooLarge) // under the same key, so that it joins an earlier attempt
 	}
 	return delay, retry && s.attempts < s.client.o.MaxAttempts
 }
@@ -380,17 +412,18 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	body := c.bound(response.Body)
 	if response.StatusCode != http.StatusOK {
 		var p api.Problem
-		if err := json.UnmarshalRead(response.Body, &p); err != nil {
-			return nil, fmt.Errorf("fetch idempotency keys: the instance answered %s", response.Status)
+		if err := json.UnmarshalRead(body, &p); err != nil {
+			return nil, fmt.Errorf("fetch idempotency keys: the instance answered %s: %w", response.Status, err)
 		}
 		return nil, &p
 	}
 	var list struct {
 		Keys []string `json:"keys"`
 	}
-	if err := json.UnmarshalRead(response.Body, &list); err != nil {
+	if err := json.UnmarshalRead(body, &list); err != nil {
 		return nil, err
 	}
 	if len(list.Keys) == 0 {
--- a/client/stream.go
+++ b/client/stream.go
@@ -98,6 +98,9 @@
 		switch line := s.lines.Bytes(); {
 		case len(line) > 0:
 			e.addLine(line)
+			if len(e.data) > maxEventBytes {
+				return nil, ErrTooLarge
+			}
 		case !e.hasData:
 			e.failed = false // an event without data isn't one
 		case e.failed:
@@ -109,6 +112,9 @@
 			return e.data, nil
 		}
 	}
+	if errors.Is(s.lines.Err(), bufio.ErrTooLong) {
+		return nil, ErrTooLarge
+	}
 	return nil, errors.Join(errIncomplete, s.lines.Err())
 }
 
