proxy: the bodies of callers' requests are bounded together

An instance could run out of memory by the bodies of its callers: each may have limits.max_body_bytes (4 MiB by default), is held until its request ends, and was allocated as a whole before a byte of it had come. Nothing bounded all of them, and callers' connections are thousands.

Now bodies take what they need beyond 4 kB from a budget of their own, a quarter of routed.memoryMB, as their bytes arrive. Where it is exhausted, the request is refused as not run, with a time to retry (queue_full, which the platform gets as 503), and its connection is closed, since its body wasn't read.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"sync/atomic"
 )
 
@@ -65,7 +66,7 @@
 
 // Append appends p. The error is ErrExhausted, and the content unchanged, if the budget is exhausted.
 func (b *Buffer) Append(p []byte) error {
-	if err := b.grow(len(b.bytes) + len(p)); err != nil {
+	if err := b.grow(len(b.bytes)+len(p), math.MaxInt); err != nil {
 		return err
 	}
 	b.bytes = append(b.bytes, p...)
@@ -78,9 +79,13 @@
 // ReadAtMost appends what r has up to its end, or until the content has limit bytes. The error is that of r, or
 // ErrExhausted; the content is what was read until then.
 func (b *Buffer) ReadAtMost(r io.Reader, limit int) error {
+	room := minReadBytes
+	if limit <= FreeBytes {
+		room = limit
+	}
 	for len(b.bytes) < limit {
-		if cap(b.bytes)-len(b.bytes) == 0 {
-			if err := b.grow(min(len(b.bytes)+minReadBytes, limit)); err != nil {
+		if cap(b.bytes) == len(b.bytes) {
+			if err := b.grow(min(len(b.bytes)+room, limit), limit); err != nil {
 				return err
 			}
 		}
@@ -96,8 +101,8 @@
 	return nil
 }
 
-// grow makes room for need bytes. While the content is copied, both copies are taken from the budget.
-func (b *Buffer) grow(need int) error {
+// grow makes room for need bytes, and for no more than limit. While the content is copied, both copies are taken from the budget.
+func (b *Buffer) grow(need, limit int) error {
 	if need <= cap(b.bytes) {
 		return nil
 	}
@@ -105,6 +110,7 @@
 	if cap(b.bytes) < FreeBytes {
 		size = max(need, min(2*cap(b.bytes), FreeBytes))
 	}
+	size = min(size, limit)
 	taken := size
 	if size <= FreeBytes {
 		taken = 0
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -64,7 +64,7 @@
 	// retryable problem instead.
 	StaleAfter time.Duration
 	// MemoryBytes is the memory of the process. A share of it bounds what all requests together hold of unfinished
-	// responses; 0 means without bound.
+	// responses, and another one their bodies; 0 means without bounds.
 	MemoryBytes int64
 	Metrics     *telemetry.Metrics
 	Log         *log.Logger
@@ -85,11 +85,13 @@
 	invalidLoadLog rate.Sometimes
 	// memory is what unfinished responses take their memory from; nil without a bound.
 	memory *membudget.Budget
+	// bodyMemory is what the bodies of callers take their memory from; nil without a bound.
+	bodyMemory *membudget.Budget
 }
 
 // New returns a handler with the given options.
 func New(o Options) *Handler {
-	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}, memory: newBufferMemory(o.MemoryBytes)}
+	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}, memory: newMemory(bufferMemoryShare, o.MemoryBytes), bodyMemory: newMemory(bodyMemoryShare, o.MemoryBytes)}
 	h.aborted, h.abort = context.WithCancelCause(context.Background())
 	return h
 }
@@ -130,6 +132,7 @@
 	service      string
 	header       http.Header // headers to forward
 	body         []byte
+	bodyBuffer   membudget.Buffer   // that of body
 	identity     quarantine.Request // identifies the request by its content, equal for each retry of the caller
 	tokens       *fleet.TokenGrant  // charged to the organisation's quota
 
@@ -201,6 +204,7 @@
 
 // release gives back the memory of what is held of responses.
 func (j *job) release() {
+	j.bodyBuffer.Release()
 	j.keepFailure(nil)
 	j.position.release()
 }
@@ -289,18 +293,22 @@
 	stall := time.AfterFunc(bodyTimeout, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	defer stall.Stop()
 	body := http.MaxBytesReader(j.w, j.request.Body, limit)
-	var err error
+	j.bodyBuffer.Budget = j.handler.bodyMemory
+	length := limit
 	if j.request.ContentLength > 0 {
-		j.body = make([]byte, j.request.ContentLength)
-		_, err = io.ReadFull(body, j.body)
-	} else {
-		j.body, err = io.ReadAll(body)
+		length = j.request.ContentLength
 	}
+	err := j.bodyBuffer.ReadAtMost(body, int(length))
+	j.body = j.bodyBuffer.Bytes()
 	if err == nil {
 		_, err = body.Read(make([]byte, 1)) // reads to EOF, so that net/http notices a caller that disconnects
 	}
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, membudget.ErrExhausted):
+		j.w.Header().Set("Connection", "close")
+		_ = control.SetReadDeadline(time.Now().Add(refusedBodyLinger))
+		return api.Refuse(api.ReasonQueueFull, "the bodies of other requests take the memory for them; retry after the given time").WithRetryAfter(fleet.ShortRetryAfter)
 	case errors.Is(err, io.EOF):
 		return nil
 	case errors.As(err, &large):
--- a/internal/proxy/memory.go
+++ b/internal/proxy/memory.go
@@ -12,6 +12,10 @@
 // bodies that are buffered until they are complete, and failures that are kept while another upstream is tried.
 const bufferMemoryShare = 0.125
 
+// bodyMemoryShare is the share of the process's memory that the bodies of callers may take together. A body is held
+// until its request ends, so that it can be sent again.
+const bodyMemoryShare = 0.25
+
 // errOutOfMemory means that a response wasn't read on, since those of other requests take the memory for such parts.
 var errOutOfMemory = fmt.Errorf("%w: an unfinished part is large", exchange.ErrInvalidResponse)
 
@@ -23,10 +27,10 @@
 	return err
 }
 
-// newBufferMemory returns the budget of a process with the given memory in bytes; nil if that is 0.
-func newBufferMemory(memoryBytes int64) *membudget.Budget {
+// newMemory returns a share of a process's memory, in bytes, as a budget; nil if that memory is 0.
+func newMemory(share float64, memoryBytes int64) *membudget.Budget {
 	if memoryBytes == 0 {
 		return nil
 	}
-	return membudget.New(int64(bufferMemoryShare * float64(memoryBytes)))
+	return membudget.New(int64(share * float64(memoryBytes)))
 }
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -118,6 +118,48 @@
 	is.Equal(r.handler.memory.Taken(), int64(0))
 }
 
+// Guards against an instance that runs out of memory: callers begin bodies, each of which is bounded, but all of them
+// aren't, and don't go on.
+func TestBodiesOfCallersTogetherAreBounded(t *testing.T) {
+	for name, length := range map[string]int64{"stated length": unfinishedBytes + 1, "chunks": -1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const mostBodies = int(bodyMemoryShare*harnessMemoryBytes) / unfinishedBytes
+			r := newHarness(t)
+			r.document.Limits.MaxBodyBytes = 1 << 20
+			r.publish(0)
+			r.addUpstream("a", respondsWith("ok"))
+			responses := make(chan callerResponse, unfinishedRequests)
+			var ends []func()
+			for range unfinishedRequests {
+				body, rest := io.Pipe()
+				ends = append(ends, func() { _ = rest.Close() })
+				q := r.request("POST", "/safe/x", "")
+				q.Body, q.ContentLength = body, length
+				go func() { responses <- r.do(q) }()
+				go func() { _, _ = rest.Write(make([]byte, unfinishedBytes)) }()
+			}
+			for range unfinishedRequests - mostBodies {
+				a := <-responses
+				is.NoErr(a.err)
+				is.Equal(a.header.Get("Reason"), string(api.ReasonQueueFull))
+				is.Equal(a.header.Get("Outcome"), string(api.NotRun))
+				is.True(a.header.Get("Retry-After") != "")
+			}
+			is.True(r.handler.bodyMemory.Taken() <= int64(bodyMemoryShare*harnessMemoryBytes))
+			is.Equal(r.do(r.request("POST", "/safe/x", "small")).body, "ok")
+			for _, end := range ends {
+				end()
+			}
+			for range mostBodies {
+				<-responses
+			}
+			r.server.Close()
+			is.Equal(r.handler.bodyMemory.Taken(), int64(0))
+		})
+	}
+}
+
 // Guards against memory that is never given back: a failure response is kept while another upstream is tried.
 func TestMemoryOfAKeptFailureIsGivenBack(t *testing.T) {
 	is := is.New(t)
@@ -142,7 +184,7 @@
 // Guards against pieces of a resumed stream that are held without a bound for all requests together, or never given back.
 func TestHeldEventsTakeTheMemoryOfUnfinishedResponses(t *testing.T) {
 	is := is.New(t)
-	memory := newBufferMemory(harnessMemoryBytes)
+	memory := newMemory(bufferMemoryShare, harnessMemoryBytes)
 	piece := []byte("data: " + strings.Repeat("x", unfinishedBytes) + "\n\n")
 	p := newStreamPosition(true, "1")
 	p.memory = memory
@@ -154,7 +196,7 @@
 	p.beginRun()
 	is.Equal(memory.Taken(), int64(0))
 
-	p.memory = newBufferMemory(1)
+	p.memory = newMemory(bufferMemoryShare, 1)
 	p.beginRun()
 	_, err = p.place(piece)
 	is.True(err != nil)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -272,7 +272,7 @@
 	MaxFiles int `json:"maxFiles,omitzero"`
 	// MemoryMB is the memory of the process, in MiB. The garbage collector runs more often once
 	// half of it is in use. An eighth of it bounds what all requests together hold of unfinished
-	// responses. Default 256.
+	// responses, and a quarter their bodies. Default 256.
 	MemoryMB int `json:"memoryMB,omitzero"`
 	// Relay lets instances that can't reach an upstream over their own network path send requests to it
 	// through peers that can, and relay such connections for their peers. Default false.
