proxy: large events of all streams are read at a common pace

Beside streams whose events had no end, other services got a small part of their answers.

Cause: such an event is read as fast as it comes, up to 1 MB, and then the stream ends, the request is retried at once, and so is the caller's. The pace of a stream counts whole events only and lets each stream have a burst of more than the largest event, so that it never applies.

Now the parts of events beyond 4 kB are read at 32 MB/s for all requests together, after a burst of 4 MB. Small events don't wait. The time for which a large one waits is no silence of its upstream.

Evidence: TestLargeEventsAreReadAtACommonPace failed (the event was read to its limit: upstream_garbage), and so did TestPaceOfLargeEventsIsNoSilence without the call that ends the silence.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -87,11 +87,13 @@
 	memory *membudget.Budget
 	// bodyMemory is what the bodies of callers take their memory from; nil without a bound.
 	bodyMemory *membudget.Budget
+	// largeEvents is the pace at which large events are read, for all requests.
+	largeEvents *rate.Limiter
 }
 
 // New returns a handler with the given options.
 func New(o Options) *Handler {
-	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}, memory: newMemory(bufferMemoryShare, o.MemoryBytes), bodyMemory: newMemory(bodyMemoryShare, o.MemoryBytes)}
+	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}, memory: newMemory(bufferMemoryShare, o.MemoryBytes), bodyMemory: newMemory(bodyMemoryShare, o.MemoryBytes), largeEvents: newLargeEventPace()}
 	h.aborted, h.abort = context.WithCancelCause(context.Background())
 	return h
 }
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -277,13 +277,13 @@
 
 // relayStream relays a stream, each event as soon as it is complete.
 func (r *relay) relayStream() attemptResult {
-	reader := bufio.NewReaderSize(r.response, eventBufferBytes)
+	buffer := membudget.Buffer{Budget: r.job.handler.memory}
+	defer buffer.Release()
+	reader := bufio.NewReaderSize(eventReader{relay: r, event: &buffer}, eventBufferBytes)
 	control := http.NewResponseController(r.job.w)
 	r.job.events = 0
 	started := false
 	pace := newPace(r.job.route.Kind, r.response.Framing)
-	buffer := membudget.Buffer{Budget: r.job.handler.memory}
-	defer buffer.Release()
 	for {
 		r.silence.listen()
 		buffer.Reset()
