proxy: a request refused for the memory of bodies is read on for a moment

Callers that still sent their body when it was refused had a reset connection in place of the refusal.

Cause: the connection was closed with bytes that weren't read, which makes the kernel reset it. The rest is now read and dropped, for refusedBodyLinger and up to the limit of a body, before the refusal is sent.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -310,6 +310,7 @@
 	case errors.Is(err, membudget.ErrExhausted):
 		j.w.Header().Set("Connection", "close")
 		_ = control.SetReadDeadline(time.Now().Add(refusedBodyLinger))
+		_, _ = io.Copy(io.Discard, body) // unread bytes would reset the connection before the caller has the response
 		return api.Refuse(api.ReasonQueueFull, "the bodies of other requests take the memory for them; retry after the given time").WithRetryAfter(fleet.ShortRetryAfter)
 	case errors.Is(err, io.EOF):
 		return nil
