--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -17,6 +17,7 @@
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/fleet"
 	"github.com/tacktally/tacktally/internal/listen"
+	"github.com/tacktally/tacktally/internal/membudget"
 	"github.com/tacktally/tacktally/internal/quarantine"
 	"github.com/tacktally/tacktally/internal/routing"
 	"github.com/tacktally/tacktally/internal/scheduler"
@@ -62,8 +63,11 @@
 	// that the configuration lacks: the entry may have been added since. The request gets a
 	// retryable problem instead.
 	StaleAfter time.Duration
-	Metrics    *telemetry.Metrics
-	Log        *log.Logger
+	// MemoryBytes is the memory of the process. A share of it bounds what all requests together hold of unfinished
+	// responses, and another one their bodies; 0 means without bounds.
+	MemoryBytes int64
+	Metrics     *telemetry.Metrics
+	Log         *log.Logger
 }
 
 // Handler serves callers' requests. Its http.Server must have listen.ConnContext. It is safe for concurrent use.
@@ -79,11 +83,17 @@
 	running   zoneCounter
 	// invalidLoadLog bounds the log lines of invalid load reports.
 	invalidLoadLog rate.Sometimes
+	// memory is what unfinished responses take their memory from; nil without a bound.
+	memory *membudget.Budget
+	// bodyMemory is what the bodies of callers take their memory from; nil without a bound.
+	bodyMemory *membudget.Budget
+	// largeEvents is the pace at which large events are read, for all requests.
+	largeEvents *rate.Limiter
 }
 
 // New returns a handler with the given options.
 func New(o Options) *Handler {
-	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}}
+	h := &Handler{o: o, invalidLoadLog: rate.Sometimes{Interval: invalidLoadLogInterval}, memory: newMemory(bufferMemoryShare, o.MemoryBytes), bodyMemory: newMemory(bodyMemoryShare, o.MemoryBytes), largeEvents: newLargeEventPace()}
 	h.aborted, h.abort = context.WithCancelCause(context.Background())
 	return h
 }
@@ -99,6 +109,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{handler: h, w: w, request: r, arrived: time.Now(), suspended: boottime.Suspended()}
+	defer j.release()
 	problem := j.admit()
 	if problem == nil {
 		problem = j.run()
@@ -123,6 +134,7 @@
 	service      string
 	header       http.Header // headers to forward
 	body         []byte
+	bodyBuffer   membudget.Buffer   // that of body
 	identity     quarantine.Request // identifies the request by its content, equal for each retry of the caller
 	tokens       *fleet.TokenGrant  // charged to the organisation's quota
 
@@ -173,6 +185,7 @@
 		return problem
 	}
 	j.position = newStreamPosition(j.route.Resumable, j.info.LastEventID)
+	j.position.memory = j.handler.memory
 	j.service = j.route.ChooseService(j.serviceDraw())
 	j.header = j.handler.o.Protocol.ForwardHeaders(j.request.Header)
 	j.deadline = j.arrived.Add(j.timeout() - responseMargin)
@@ -191,6 +204,13 @@
 	return j.takeQuota()
 }
 
+// release gives back the memory of what is held of responses.
+func (j *job) release() {
+	j.bodyBuffer.Release()
+	j.keepFailure(nil)
+	j.position.release()
+}
+
 // organisationName returns the name of the organisation, empty on public routes.
 func (j *job) organisationName() string {
 	if j.organisation == nil {
@@ -275,18 +295,23 @@
 	stall := time.AfterFunc(bodyTimeout, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	defer stall.Stop()
 	body := http.MaxBytesReader(j.w, j.request.Body, limit)
-	var err error
+	j.bodyBuffer.Budget = j.handler.bodyMemory
+	length := limit
 	if j.request.ContentLength > 0 {
-		j.body = make([]byte, j.request.ContentLength)
-		_, err = io.ReadFull(body, j.body)
-	} else {
-		j.body, err = io.ReadAll(body)
+		length = j.request.ContentLength
 	}
+	err := j.bodyBuffer.ReadAtMost(body, int(length))
+	j.body = j.bodyBuffer.Bytes()
 	if err == nil {
 		_, err = body.Read(make([]byte, 1)) // reads to EOF, so that net/http notices a caller that disconnects
 	}
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, membudget.ErrExhausted):
+		j.w.Header().Set("Connection", "close")
+		_ = control.SetReadDeadline(time.Now().Add(refusedBodyLinger))
+		_, _ = io.Copy(io.Discard, body) // unread bytes would reset the connection before the caller has the response
+		return api.Refuse(api.ReasonQueueFull, "the bodies of other requests take the memory for them; retry after the given time").WithRetryAfter(fleet.ShortRetryAfter)
 	case errors.Is(err, io.EOF):
 		return nil
 	case errors.As(err, &large):
