--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -89,9 +89,9 @@
 		defer cancel()
 		drained := make(chan struct{})
 		go func() { s.Drain(ctx); close(drained) }()
-		time.Sleep(silence)
+		<-time.After(silence)
 		carry(t, upstream, conn, "event 1")
-		time.Sleep(silence)
+		<-time.After(silence)
 		carry(t, upstream, conn, "event 2")
 		is.Equal(s.Connections(), 1)
 		_ = conn.Close() // the response was complete
