--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -304,7 +304,7 @@
 		}
 		event.Str("request", j.info.ID).Str("key", j.identity.Key.String()).Strs("segments", j.segmentNames()).Int("events", j.events).Str("framing", j.framing.String()).Bool("reused", j.reused).Bool("via_peer", j.viaPeer).
 			Bool("head_sent", j.responseStarted).Int64("first_event", j.position.run.first).Int64("last_event", j.position.run.last).Int("skipped", j.position.skipped).Str("upstream", g.Upstream()).
-			Str("owner", g.Owner()).Int64("owner_list", g.ListVersion()).Int64("list", j.versions.own).Dur("list_age", j.versions.age).Dur("silent", time.Since(j.heardAt)).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
+			Str("owner", g.Owner()).Int64("owner_list", g.ListVersion()).Int64("list", j.versions.own).Dur("list_age", j.versions.age).Dur("silent", time.Since(j.lastPartAt)).Str("status", r.status.String()).Str("cause", fmt.Sprint(r.err)).Msg("")
 	}
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -158,7 +158,7 @@
 	sentAfter          time.Duration               // from arrival to the last attempt
 	sentAt             time.Time                   // when the last attempt was sent
 	respondedAt        time.Time                   // when the header of its response arrived
-	heardAt            time.Time                   // when its upstream last sent anything, or it was sent
+	lastPartAt         time.Time                   // when its upstream last sent anything, or it was sent
 	replacementRefusal api.Reason                  // why an attempt in place of a failed one was last refused; empty if none was
 	firstAfter         time.Duration               // from arrival to the start of the response
 	status             int                         // HTTP status that was relayed
--- a/internal/proxy/relay.go
+++ b/internal/proxy/relay.go
@@ -68,7 +68,7 @@
 // attempt sends the request to the granted upstream and relays the response.
 func (j *job) attempt(ctx context.Context, g fleet.Grant) (result attemptResult) {
 	j.position.beginRun()
-	j.heardAt = time.Now()
+	j.lastPartAt = time.Now()
 	j.versions = listVersions{owner: g.ListVersion(), own: j.handler.o.View.ListVersion(), age: j.handler.listAge()}
 	if err := j.handler.o.Fleet.CheckUsable(g.Upstream()); err != nil {
 		return attemptResult{status: notUsable, err: err}
@@ -107,7 +107,7 @@
 	}
 	defer response.Close()
 	j.respondedAt = time.Now()
-	j.heardAt = j.respondedAt
+	j.lastPartAt = j.respondedAt
 	j.framing, j.reused, j.viaPeer = response.Framing, response.Reused, fleet.IsThroughPeer(response.Conn())
 	j.handler.o.Metrics.Count(fmt.Sprintf("tacktally_upstream_responses_total{framing=%q}", j.framing))
 	g.RecordActivity()
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -27,8 +27,8 @@
 	end       time.Time // requests that still run are aborted then
 }
 
-// Drain makes the response to each request that arrives from now on close its connection, and refuses requests that would probably still run at end,
-// when Abort is called. Callers may still be sent to this instance until listenEnd.
+// Drain makes the response to each request that arrives from now on close its connection, and refuses requests that would
+// probably still run at end, when Abort is called. Callers may still be sent to this instance until listenEnd.
 func (h *Handler) Drain(listenEnd, end time.Time) {
 	h.shutdown.Store(&shutdown{listenEnd: listenEnd, end: end})
 }
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// acquire requests a slot at another upstream. The scheduler grants one at the same upstream if it has no other.
+// acquire requests a slot at another upstream. The scheduler grants one at the same upstream if it has no other; that is
+// returned, since another run there would only begin anew.
 func (s *silenceWatch) acquire(ctx context.Context, r *fleet.AcquireRequest) (fleet.Grant, *api.Problem) {
 	f := s.job.handler.o.Fleet
 	g, problem := f.Acquire(ctx, r)
@@ -201,6 +202,6 @@
 
 // recordPart records that a part of the response has arrived, and reports whether it may be relayed.
 func (r *relay) recordPart() bool {
-	r.job.heardAt = time.Now()
+	r.job.lastPartAt = time.Now()
 	return r.silence.partReceived()
 }
