review: late bytes of a refusal alone break the promise

The second copy of a refusal without an ID rested on workers that leave the ID out of their refusals. The workers of the case do so now, and the bytes that follow an answer late are those of the platform's example of a refusal.

--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -27,10 +26,8 @@
 	waiting int
 	answers int // so far
 	freed   chan struct{}
-	// shed reports whether the worker is to refuse a request though it has room, and double whether a second copy of the
-	// n-th answer follows late, when the next request has come on its connection.
-	shed   func() bool
-	double func(n int) bool
+	// garbled reports whether more bytes follow the n-th answer, late: when the next request has come on its connection.
+	garbled func(n int) bool
 	// answer, if set, returns the answer to a request that has run, given the one that a sound worker gives. It is set
 	// before the first request.
 	answer func(r *http.Request, whole []byte) []byte
@@ -42,8 +39,7 @@
 		return nil, err
 	}
 	w := &worker{id: id, service: service, zone: zone, slots: 6, queue: 24, work: 15 * time.Millisecond, record: r, listener: l, freed: make(chan struct{})}
-	w.shed = func() bool { return false }
-	w.double = func(int) bool { return false }
+	w.garbled = func(int) bool { return false }
 	go w.serve()
 	return w, nil
 }
@@ -54,10 +50,11 @@
 		w.service, w.listener.Addr(), w.zone, w.slots, state)
 }
 
-func (w *worker) set(shed func() bool, double func(n int) bool) {
+// garble sets which answers are followed by more bytes.
+func (w *worker) garble(garbled func(n int) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.shed, w.double = shed, double
+	w.garbled = garbled
 }
 
 func (w *worker) serve() {
@@ -74,7 +71,7 @@
 func (w *worker) serveConn(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
-	var extra []byte // the second copy of the last answer
+	follows := false // more bytes follow the last answer
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -84,9 +81,9 @@
 			return
 		}
 		id := r.Header.Get("Tacktally-Attempt-Id")
-		if extra != nil {
-			w.record.add("worker %s sends its last answer a second time, %q, before it answers %s", w.id, firstLine(extra), id)
-			if _, err := conn.Write(extra); err != nil {
+		if follows {
+			w.record.add("worker %s sends more bytes after its last answer, before it answers %s", w.id, id)
+			if _, err := conn.Write([]byte(shedExample)); err != nil {
 				return
 			}
 		}
@@ -94,23 +91,20 @@
 		if _, err := conn.Write(answer); err != nil {
 			return
 		}
-		extra = nil
-		w.mu.Lock()
-		w.answers++
-		if w.double(w.answers) {
-			extra = answer
-		}
-		w.mu.Unlock()
+		follows = w.isGarbled()
 	}
 }
 
-func firstLine(b []byte) string {
-	line, _, _ := strings.Cut(string(b), "\r\n")
-	return line
+// isGarbled counts an answer, and reports whether more bytes follow it.
+func (w *worker) isGarbled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers++
+	return w.garbled(w.answers)
 }
 
-// refusal is what a worker answers that sheds a request, as the platform's examples of messages show it.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nTacktally-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+// shedExample is the refusal of a worker as the platform's examples of messages show it, without an attempt ID.
+const shedExample = "HTTP/1.1 503 Service Unavailable\r\nTacktally-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 // handle runs or refuses a request and returns the answer.
 func (w *worker) handle(r *http.Request, id string) []byte {
@@ -119,7 +113,7 @@
 	}
 	if !w.admit() {
 		w.record.add("worker %s refuses %s", w.id, id)
-		return []byte(refusal)
+		return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nTacktally-Attempt-Id: %s\r\nTacktally-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
 	}
 	defer w.release()
 	w.record.ran(id, w.id)
@@ -143,7 +137,7 @@
 func (w *worker) admit() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.shed() || (w.running >= w.slots && w.waiting >= w.queue) {
+	if w.running >= w.slots && w.waiting >= w.queue {
 		return false
 	}
 	w.waiting++
