--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -122,3 +122,6 @@
 	}
 	return 0
 }
+
+// again marks the ID of a booking that is sent once more after a refusal.
+const again = "-again"
