--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -53,6 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
+	started.addFolder(folder)
 	c := &cluster{record: r, store: standin.New(), folder: folder}
 	c.store.Put("op/config", configuration)
 	var seeds []string
@@ -101,14 +101,11 @@
 	ended   chan struct{}
 }
 
-func (d *daemon) allocate() error {
+func (d *daemon) allocate() (err error) {
 	for _, address := range []*string{&d.front, &d.ready, &d.control, &d.metrics} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		if *address, err = freeAddress(); err != nil {
 			return err
 		}
-		*address = l.Addr().String()
-		defer l.Close()
 	}
 	return nil
 }
@@ -148,12 +145,12 @@
 	defer d.mu.Unlock()
 	d.command = exec.Command(daemonProgram, "--settings", d.settings)
 	d.command.Stdout, d.command.Stderr = log, log
-	if err := d.command.Start(); err != nil {
+	if err := started.start(d.command); err != nil {
 		return err
 	}
 	d.ended = make(chan struct{})
 	go func(c *exec.Cmd, ended chan struct{}) {
-		_ = c.Wait() // its exit code doesn't matter
+		started.wait(c)
 		close(ended)
 	}(d.command, d.ended)
 	d.record.add("daemon %d started", d.number)
@@ -174,10 +171,10 @@
 // kill ends the process and waits until it has ended.
 func (d *daemon) kill() {
 	d.mu.Lock()
-	started, ended := d.command != nil, d.ended
+	ended := d.ended
 	d.mu.Unlock()
-	if !started {
-		return
+	if ended == nil {
+		return // it was never started
 	}
 	d.signal(syscall.SIGCONT)
 	d.signal(syscall.SIGKILL)
--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -80,12 +80,11 @@
 }
 
 func startEngine(r *record, id, zone string) (*engine, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeAddress()
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, address: l.Addr().String(), zone: zone, record: r, ended: make(chan struct{})}
-	_ = l.Close() // the process listens there
+	e := &engine{id: id, address: address, zone: zone, record: r, ended: make(chan struct{})}
 	program, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -96,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := e.command.Start(); err != nil {
+	if err := started.start(e.command); err != nil {
 		return nil, err
 	}
 	go e.follow(out)
@@ -115,7 +114,7 @@
 			e.record.add("worker %s has sent the whole stream %s", e.id, id)
 		}
 	}
-	_ = e.command.Wait() // it was killed
+	started.wait(e.command)
 }
 
 // kill ends the process at once, and waits until it has ended.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -36,6 +36,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig2 CASE FOLDER")
 		return failed
 	}
+	endOnSignal()
 	r, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rig2:", err)
