--- a/review/rig2/cluster.go
+++ b/review/rig2/cluster.go
@@ -136,7 +136,7 @@
 }
 
 func (d *daemon) start() error {
-	log, err := os.OpenFile(filepath.Join(d.folder, fmt.Sprintf("daemon-%d.log", d.number)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(d.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -191,3 +191,20 @@
 	}
 	return false
 }
+
+func (d *daemon) logPath() string {
+	return filepath.Join(d.folder, fmt.Sprintf("daemon-%d.log", d.number))
+}
+
+// maxRecordedLog bounds what recordLog adds, in bytes.
+const maxRecordedLog = 2000
+
+// recordLog adds the end of the daemon's log to the record.
+func (d *daemon) recordLog() {
+	content, err := os.ReadFile(d.logPath())
+	if err != nil {
+		d.record.add("the log of daemon %d can't be read: %v", d.number, err)
+		return
+	}
+	d.record.add("the end of the log of daemon %d: %s", d.number, content[max(len(content)-maxRecordedLog, 0):])
+}
--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -54,6 +54,7 @@
 func (c *cluster) awaitReady() error {
 	for _, d := range c.daemons {
 		if !d.awaitReady(readyTimeout) {
+			d.recordLog()
 			return errors.New("a daemon is not ready")
 		}
 	}
--- a/review/rig2/ports.go
+++ b/review/rig2/ports.go
@@ -3,34 +3,30 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
+	"os"
 )
 
-// Ports of processes are drawn below those that the kernel gives to connections, which could take one before its process
-// listens.
+// Ports of processes lie below those that the kernel gives to connections, which could take one before its process listens.
+// Each run has a range of its own, by its process ID, so that runs at the same time don't take each other's.
 const (
-	minPort   = 12000
-	maxPort   = 30000
-	portDraws = 100
+	minPort    = 12000
+	portRanges = 440
+	rangePorts = 40
 )
 
-// drawnPorts are the ports that were given away. Only the goroutine of the case uses them.
-var drawnPorts = map[int]bool{}
+// nextPort is the number of the next port within the range. Only the goroutine of the case uses it.
+var nextPort = 0
 
 // freeAddress returns a loopback address at which nothing listens, another one each time.
 func freeAddress() (string, error) {
-	for range portDraws {
-		port := minPort + rand.IntN(maxPort-minPort)
-		if drawnPorts[port] {
-			continue
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+	for ; nextPort < rangePorts; nextPort++ {
+		address := fmt.Sprintf("127.0.0.1:%d", minPort+os.Getpid()%portRanges*rangePorts+nextPort)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue // another process has it
 		}
-		drawnPorts[port] = true
+		nextPort++
 		return address, l.Close()
 	}
 	return "", errors.New("no free port was found")
