review: the next process of a worker makes its last stream look complete

A worker is killed and is back at its address while a daemon is frozen. The daemon's check of the connection is answered by the next process, so that streams without a stated end are ended in order after a part of their events; the other daemons reset theirs.

--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -74,6 +74,7 @@
 // engine is a model worker, a process of its own.
 type engine struct {
 	id, address, zone string
+	born              int64 // Unix milliseconds of its start, 0 if its entry doesn't tell it
 	record            *record
 	command           *exec.Cmd
 	ended             chan struct{}
@@ -84,6 +85,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return startEngineAt(r, id, zone, address)
+}
+
+func startEngineAt(r *record, id, zone, address string) (*engine, error) {
 	e := &engine{id: id, address: address, zone: zone, record: r, ended: make(chan struct{})}
 	program, err := os.Executable()
 	if err != nil {
@@ -124,6 +129,10 @@
 }
 
 func (e *engine) entry(state string, sequence int) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":10,"state":%q,"cold_remaining_ms":0,"sequence":%d}`,
-		desk, e.address, e.zone, state, sequence)
+	born := ""
+	if e.born != 0 {
+		born = fmt.Sprintf(`,"born":%d`, e.born)
+	}
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":10,"state":%q,"cold_remaining_ms":0,"sequence":%d%s}`,
+		desk, e.address, e.zone, state, sequence, born)
 }
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -21,6 +21,7 @@
 	"late-refusal":  lateRefusal,
 	"plain-refusal": plainRefusal,
 	"spot":          spot,
+	"rebirth":       rebirth,
 }
 
 func main() { os.Exit(play()) }
