proxy: don't relay refusals that the upstream doesn't confirm

What callers saw: a booking was answered 503, with the upstream's signature, and had run. Callers take 408, 421, 429 and 503 for a promise that nothing has run, and send the booking again.

Cause: relay.run sent such a request to no other upstream, since the response lacks the statement that it wasn't run, but relayed the status as it came. Instance and caller drew different conclusions from it.

TestWhichFailuresAreRetried had the case and expected the 503: that row was wrong and now expects 502 with an unknown outcome.

Change: Protocol says which statuses imply that a request wasn't run. A response with one of them and without the statement counts as a failure of the upstream: the request is sent elsewhere if it may run again, and ends as 502 without signature and body otherwise. The head decides, so that it holds for large bodies and streams as well. If all upstreams ask for a backoff, callers of requests that may run again still get its time.

--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -364,7 +364,7 @@
 	case notRun, misdirected:
 		return j.markPossiblyRun(api.Refuse(api.ReasonUpstreamRefused, "the upstream refused the request (%v); retry after the given time", r.err).WithRetryAfter(j.retryAfter()))
 	case upstreamFailed:
-		return api.UnknownOutcome(api.ReasonUpstreamLost, "the upstream responded with a failure: %v", r.err)
+		return j.withBackoff(api.UnknownOutcome(api.ReasonUpstreamLost, "the upstream responded with a failure: %v", r.err))
 	case invalidResponse:
 		return api.UnknownOutcome(api.ReasonUpstreamGarbage, "the upstream's response is invalid: %v", r.err)
 	case truncated:
@@ -388,7 +388,7 @@
 	case p.Reason == api.ReasonDeadlineExpired:
 		return api.UnknownOutcome(api.ReasonUpstreamTimeout, "an earlier attempt may have run: %s", p.Detail)
 	default:
-		return api.UnknownOutcome(api.ReasonUpstreamLost, "an earlier attempt may have run: %s", p.Detail)
+		return j.withBackoff(api.UnknownOutcome(api.ReasonUpstreamLost, "an earlier attempt may have run: %s", p.Detail))
 	}
 }
 
--- a/internal/proxy/backoff.go
+++ b/internal/proxy/backoff.go
@@ -51,6 +51,14 @@
 	return api.Refuse(api.ReasonUpstreamRefused, "all upstreams have requested backoff; retry after the given time").WithRetryAfter(j.retryAfter())
 }
 
+// withBackoff returns p with a retry delay if the request may be repeated and all upstreams are backing off.
+func (j *job) withBackoff(p *api.Problem) *api.Problem {
+	if !j.route.MayRetry() || j.handler.o.Fleet.ShortestBackoff(j.service) == 0 {
+		return p
+	}
+	return p.WithRetryAfter(j.retryAfter())
+}
+
 // retryAfter returns when a caller may retry a request that an upstream refused: soon, or once the
 // first upstream may be used again if all are backing off.
 func (j *job) retryAfter() time.Duration {
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -73,6 +73,9 @@
 	Identified bool
 	// NotRun reports that the upstream didn't run the request and won't run it.
 	NotRun bool
+	// ImpliesNotRun reports that callers take the status to mean that the request hasn't run and won't run. Unless
+	// NotRun or Misdirected is set, the upstream doesn't say so.
+	ImpliesNotRun bool
 	// Misdirected reports that another upstream now has the address.
 	Misdirected bool
 	// Leaving reports that the upstream announces that it is leaving.
