exchange: end a body as truncated if its reset was reported to the writer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The caller got the part as the whole response.

Cause: a kernel reports a connection's failure once, to the first call after it. A long request is written by a goroutine of its own; where its Write got ECONNRESET, the Read beside it got an orderly end, and nobody looked at the writer's error.

Evidence: TestResetDuringAnUploadTruncatesTheBody holds the reader until the writer has its error: before, each such body was complete.

Change: internal/tcp.Conn returns a failure that a Write has met from the Read that finds the end of the stream. A Write that waits is ended, so that the reader doesn't wait for it.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -17,6 +17,8 @@
 	"net/textproto"
 	"strings"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/tcp"
 )
 
 // Errors that show how far an exchange got.
@@ -139,6 +141,7 @@
 // conn is one connection to an upstream.
 type conn struct {
 	net         net.Conn
+	stream      net.Conn // net, for reads and writes
 	source      *boundedReader
 	reader      *bufio.Reader // of source
 	pool        *Pool
@@ -302,15 +305,15 @@
 	head := encodeHead(r)
 	c.bodyWritten = nil
 	if len(r.Body) <= maxInlineBodyBytes {
-		return writeError(c.net.Write(append(head, r.Body...)))
+		return writeError(c.stream.Write(append(head, r.Body...)))
 	}
-	if err := writeError(c.net.Write(head)); err != nil {
+	if err := writeError(c.stream.Write(head)); err != nil {
 		return err
 	}
 	done := make(chan error, 1)
 	c.bodyWritten = done
 	go func() {
-		_, err := c.net.Write(r.Body)
+		_, err := c.stream.Write(r.Body)
 		done <- err
 	}()
 	return nil
@@ -396,6 +399,7 @@
 
 // newConnOn returns the connection that sends and receives over n.
 func newConnOn(n net.Conn, p *Pool) *conn {
-	source := &boundedReader{from: n}
-	return &conn{net: n, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), pool: p}
+	stream := tcp.NewConn(n)
+	source := &boundedReader{from: stream}
+	return &conn{net: n, stream: stream, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), pool: p}
 }
--- a/internal/listen/limited_listener.go
+++ b/internal/listen/limited_listener.go
@@ -1,13 +1,14 @@
 package listen
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/tacktally/tacktally/internal/tcp"
 )
 
 // LimitedListener limits the number of open connections of callers. At the limit it still
@@ -83,8 +84,8 @@
 	if c.reading.Load() {
 		return c.Conn.Read(b)
 	}
-	if tcp, ok := c.Conn.(syscall.Conn); ok {
-		if err := awaitUnread(tcp); err != nil {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		if err := tcp.AwaitUnread(conn); err != nil {
 			return 0, err
 		}
 		if !c.listener.markReading(c) {
@@ -99,19 +100,6 @@
 	return n, err
 }
 
-// awaitUnread blocks until there is something to read on a connection, or an error to return by a read. It takes
-// nothing.
-func awaitUnread(conn syscall.Conn) error {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-	})
-}
-
 // SetLinger sets the linger option of a TCP connection, for CallerConn.
 func (c *limitedConn) SetLinger(seconds int) error {
 	if tcp, ok := c.Conn.(tcpConn); ok {
--- a/internal/proxy/harness_test.go
+++ b/internal/proxy/harness_test.go
@@ -164,12 +164,18 @@
 
 // newHarness returns a harness with a route of each kind and an organisation with the key k. One retry is allowed for each
 // first attempt.
-func newHarness(t testing.TB) *harness {
-	return newHarnessWithRetries(t, retrybudget.Bound{Share: 2, Extra: 20, Window: 10 * time.Second})
-}
+func newHarness(t testing.TB) *harness { return newHarnessWithRetries(t, harnessRetries) }
+
+// harnessRetries is the bound for retries of a harness.
+var harnessRetries = retrybudget.Bound{Share: 2, Extra: 20, Window: 10 * time.Second}
 
 // newHarnessWithRetries returns the same harness with another bound for retries.
 func newHarnessWithRetries(t testing.TB, retries retrybudget.Bound) *harness {
+	return newHarnessWith(t, retries, harnessMemoryBytes)
+}
+
+// newHarnessWith returns the same harness with another bound for retries and another memory setting.
+func newHarnessWith(t testing.TB, retries retrybudget.Bound, memoryBytes int64) *harness {
 	r := &harness{t: t, closing: make(chan string, 99), servers: map[string]*httptest.Server{}, followed: time.Hour}
 	route := func(name string, kind routing.Kind) routing.Route {
 		return routing.Route{
@@ -202,14 +208,14 @@
 		},
 		Quarantine:     r.registry,
 		ConnectTimeout: time.Second,
-		Limits:         queue.Limits{MaxItems: 100, MaxBytes: 1 << 20},
+		Limits:         queue.Limits{MaxItems: 100, MaxBytes: memoryBytes / 8},
 		RetryBudget:    retries,
 		Metrics:        metrics,
 		Log:            log,
 	})
 	r.view = view.New(view.Options{Source: fakeSource{}, Lease: leaseTime, SettlePeriod: time.Second, OnUpstreams: r.fleet.ApplyListChange, Metrics: metrics, Log: log})
 	r.handler = New(Options{
-		MemoryBytes: harnessMemoryBytes,
+		MemoryBytes: memoryBytes,
 		View:        r.view, Fleet: r.fleet, Protocol: fakeProtocol{}, Quotas: fleet.NewQuotas(time.Now().Add(-time.Hour), fleet.Allowance{}, r.fleet),
 		Quarantine: r.registry, Announce: func() {}, AnnounceSoon: func() {},
 		OnClosing:  func(upstream string) { r.closing <- upstream },
