relay: tell the peer of a reset that the copying of the request has met

What callers saw: through a peer, a part of a response until close, reset during an upload, as the whole one; and now and then a whole response as a broken one.

Cause: one goroutine copies to the upstream and another one from it. If the first one met the reset, the second one found an orderly end, and the peer was told so (as in exchange). The first one then reset the connection, and with it discarded what had arrived of a response that had ended in order.

Evidence: TestEndOfRelayedConnectionDuringAnUpload fails before for a reset and for a close with unread bytes, and now and then for a reset after an orderly end.

Change: the server reads and writes through tcp.Conn; a write that fails ends the copying of the request only. The rest of it is discarded until the peer gives up or the response ends.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/tacktally/tacktally/internal/tcp"
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
@@ -160,11 +161,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	peer := websocket.NetConn(ctx, c.peer, websocket.MessageBinary)
+	upstream := tcp.NewConn(c.upstream)
 	go func() {
-		_, _ = io.CopyBuffer(onlyWriter{c.upstream}, onlyReader{peer}, make([]byte, copyBufferBytes))
+		_, _ = io.CopyBuffer(&requestWriter{to: upstream}, onlyReader{peer}, make([]byte, copyBufferBytes))
 		reset(c.upstream) // the peer has given up; ends the other direction
 	}()
-	_, err := io.CopyBuffer(onlyWriter{peer}, onlyReader{c.upstream}, make([]byte, copyBufferBytes))
+	_, err := io.CopyBuffer(onlyWriter{peer}, onlyReader{upstream}, make([]byte, copyBufferBytes))
 	status := websocket.StatusNormalClosure
 	if err != nil {
 		status = statusUpstreamBroken
@@ -174,6 +176,22 @@
 	_ = c.peer.Close(status, "") // if the peer is gone, nobody waits for it
 }
 
+// requestWriter writes to an upstream until that fails, and discards the rest: the response, which may be complete without it,
+// shows how the connection has ended.
+type requestWriter struct {
+	to     io.Writer
+	failed bool
+}
+
+// Write implements io.Writer. It never fails.
+func (w *requestWriter) Write(p []byte) (int, error) {
+	if !w.failed {
+		_, err := w.to.Write(p)
+		w.failed = err != nil
+	}
+	return len(p), nil
+}
+
 // onlyReader and onlyWriter hide the other methods of a connection, which io.Copy would use instead of the buffer.
 type (
 	onlyReader struct{ io.Reader }
