upstream, client: report resets during uploads to the reader of the response

What callers saw: of instances without routes, a part of a service's response until close as the whole one, after a reset during an upload; the Go client returned it as a result.

Cause: as in exchange. net/http's Transport writes and reads in goroutines of its own, and the reset is reported to one of them.

Change: both dial through tcp.Dial.

--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 	"github.com/go-json-experiment/json"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/tcp"
 	"github.com/tacktally/tacktally/internal/wait"
 )
 
@@ -67,7 +68,9 @@
 		return nil, errors.New("client: URL or APIKey is empty; set both")
 	}
 	if o.HTTP == nil {
-		o.HTTP = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.DialContext = tcp.Dial(transport.DialContext)
+		o.HTTP = &http.Client{Transport: transport}
 	}
 	if o.KeysInHand == 0 {
 		o.KeysInHand = DefaultKeysInHand
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -21,6 +21,7 @@
 	"github.com/tacktally/tacktally/internal/answer"
 	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/request"
+	"github.com/tacktally/tacktally/internal/tcp"
 )
 
 // Headers between the daemon and engines.
@@ -126,7 +127,7 @@
 	return &Client{
 		dialer: dialer,
 		pooled: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            tcp.Dial(dialer.DialContext),
 			MaxIdleConnsPerHost:    maxIdlePerHost,
 			IdleConnTimeout:        idleConnTimeout,
 			DisableCompression:     true,
@@ -190,7 +191,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return guarded.wrap(conn)
+			return guarded.wrap(tcp.NewConn(conn))
 		},
 	}
 	response, err := transport.RoundTrip(h)
