exchange: refuse heads whose field names hold a blank

What callers saw: an upstream in trouble sent a head in which the name of a field held a blank. The caller got it as an answer: with that line, or, for "Content-Length : 2" and "Transfer-Encoding : chunked", with a body that isn't the upstream's.

Cause: net/textproto lets names hold blanks, under which they are other fields, so that the body is framed without them; and takes a line that begins with a blank for a part of the value before (a folded line, which no sender may send). What net/http accepts was taken for a response.

Evidence: TestInvalidHeadsAreNoResponses fails before for blanks in the name of any field and for folded lines: in final and interim responses, in responses to other requests and, but for folded lines, in trailers. Control bytes, DEL and bytes above ASCII were refused already. TestInvalidHeadsAreNotRelayed shows it at the caller, also in 500s.

Change: names and values of what net/http has parsed are checked, and the bytes of the head for folded lines. The response is invalid: the request is sent elsewhere if it may run again, and ends as 502 otherwise. Trailers are checked at the end of the body, which is truncated then.

TestResponseCutAtAnyByteIsNotComplete had a head with folded lines among the valid ones. RFC 9112, 5.2, lets a proxy refuse those; the row is a test of its own now, TestFoldedHeadCutAtAnyByteIsNoResponse, in which the whole head is refused as well. FuzzAcceptedHeadsAreThoseOfTheProtocol compares whatever is accepted with a parser of RFC 9112.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -50,9 +50,8 @@
 	maxStrayBytes = 64 << 10
 	// maxInterimResponses bounds the 1xx responses that are skipped.
 	maxInterimResponses = 4
-	// protocolPrefix begins each response, and currentProtocol those that may have chunks.
-	protocolPrefix  = "HTTP/"
-	currentProtocol = "HTTP/1.1"
+	// protocolPrefix begins each response.
+	protocolPrefix = "HTTP/"
 )
 
 // Request is a request to an upstream.
@@ -106,6 +105,9 @@
 		}
 		return n, fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
+	if err := checkFields(r.response.Trailer); err != nil {
+		return n, fmt.Errorf("%w: %w in a trailer", ErrTruncated, err)
+	}
 	r.complete = true
 	return n, io.EOF
 }
@@ -239,8 +241,9 @@
 		return c.parseError(fmt.Errorf("the response to another request broke off: %w", err))
 	case n > maxStrayBytes:
 		return fmt.Errorf("%w: a response to another request has over %d bytes", ErrInvalidResponse, maxStrayBytes)
+	default:
+		return checkFields(response.Trailer)
 	}
-	return nil
 }
 
 // readHead reads the head of a final response.
@@ -263,19 +266,23 @@
 
 // readAnyHead reads the head of an interim or final response.
 func (c *conn) readAnyHead(method string) (*http.Response, error) {
-	begin, _ := c.reader.Peek(len(currentProtocol))
-	if protocol := begin[:min(len(begin), len(protocolPrefix))]; !strings.HasPrefix(protocolPrefix, string(protocol)) {
+	begin, _ := c.reader.Peek(len(protocolPrefix))
+	if !strings.HasPrefix(protocolPrefix, string(begin)) {
 		return nil, fmt.Errorf("%w: they begin with %q", ErrInvalidResponse, begin)
 	}
-	if string(begin) != currentProtocol {
-		buffered, _ := c.reader.Peek(c.reader.Buffered())
-		c.source.startRecord(buffered)
-	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.source.startRecord(buffered)
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	head := c.source.endRecord()
 	if err != nil {
 		return nil, c.parseError(err)
 	}
+	if err := checkFields(response.Header); err != nil {
+		return nil, err
+	}
+	if hasFoldedLine(head) {
+		return nil, fmt.Errorf("%w: a line of the head begins with a blank", ErrInvalidResponse)
+	}
 	if !response.ProtoAtLeast(1, 1) && hasTransferEncoding(head) {
 		return nil, fmt.Errorf("%w: a Transfer-Encoding in %s", ErrInvalidResponse, response.Proto)
 	}
@@ -357,7 +364,7 @@
 	err     error // the first one of from
 
 	recording bool
-	record    []byte // what was read since startRecord
+	record    []byte // what was read between startRecord and endRecord
 }
 
 func (b *boundedReader) bound(bytes int) { b.bounded, b.left = true, bytes }
@@ -369,7 +376,7 @@
 	b.recording, b.record = true, bytes.Clone(unconsumed)
 }
 
-// endRecord returns the record; nil if none was started.
+// endRecord returns the record.
 func (b *boundedReader) endRecord() []byte {
 	record := b.record
 	b.recording, b.record = false, nil
