exchange: refuse statuses and versions that don't exist

What callers saw: reported from other systems of this kind, a status 000 as an answer. Here 000 to 099 were refused, and 600 to 999 passed on; so were responses of HTTP/0.9, 2.x and 3.x over a connection of HTTP/1.1.

Cause: http.ReadResponse takes any three digits for a status, and any version; only those below 100 were refused, as a part of the handling of interim responses.

Evidence: TestInvalidHeadsAreNoResponses fails before for 600, 999 and the four versions, TestInvalidHeadsAreNotRelayed for 600 and 999.

Change: a status is 100 to 599 (RFC 9110, 15), in interim and skipped responses as well, and the major version 1.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -257,7 +257,7 @@
 			return nil, err
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
-		case response.StatusCode < http.StatusContinue, response.StatusCode == http.StatusSwitchingProtocols: // no request asks for it
+		case response.StatusCode == http.StatusSwitchingProtocols: // no request asks for it
 			return nil, fmt.Errorf("%w: status %s", ErrInvalidResponse, response.Status)
 		}
 	}
@@ -277,7 +277,10 @@
 	if err != nil {
 		return nil, c.parseError(err)
 	}
-	if err := checkFields(response.Header); err != nil {
+	if response.ProtoMajor != 1 {
+		return nil, fmt.Errorf("%w: a response of %s", ErrInvalidResponse, response.Proto)
+	}
+	if err := checkHead(response.StatusCode, response.Header); err != nil {
 		return nil, err
 	}
 	if hasFoldedLine(head) {
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -8,9 +8,20 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// checkFields returns an error if a field of a header, or of the trailers, has an invalid name or value. Net/http lets the names
-// of fields hold blanks: a Content-Length or Transfer-Encoding with a blank in its name is another field to it, so that the
-// body ends elsewhere.
+// maxStatus is the greatest status code that has a meaning (RFC 9110, section 15).
+const maxStatus = 599
+
+// checkHead returns an error if a head that net/http has parsed isn't one of RFC 9112. Net/http takes any number of three
+// digits for a status, and lets the names of header fields hold blanks: a Content-Length or Transfer-Encoding with a blank in
+// its name is another field to it, so that the body ends elsewhere.
+func checkHead(status int, header http.Header) error {
+	if status < http.StatusContinue || status > maxStatus {
+		return fmt.Errorf("%w: status %03d", ErrInvalidResponse, status)
+	}
+	return checkFields(header)
+}
+
+// checkFields returns an error if a field of a header, or of the trailers, has an invalid name or value.
 func checkFields(header http.Header) error {
 	for name, values := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -57,6 +57,12 @@
 		heads[name+", in trailers"] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nFirst: 1\r\n" + line + "\r\n\r\n"
 		heads[name+", in trailers of a response to another request"] = "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nFirst: 1\r\n" + line + "\r\n\r\n" + ok
 	}
+	for _, status := range []string{"000", "001", "099", "600", "999", "0", "20", "2000", "-20", "+20", "2x0", "\x01\x0200"} {
+		heads["status "+strconv.Quote(status)] = "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok"
+	}
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/2.7", "HTTP/3.0"} {
+		heads["version "+version] = version + " 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	}
 	for name, line := range map[string]string{"blank": " Content-Length: 2", "blanks": "  b", "tab": "\tContent-Length: 2", "blank and no name": " : value"} {
 		heads["line after a "+name] = "HTTP/1.1 200 OK\r\nFirst: 1\r\n" + line + "\r\n\r\nok"
 		heads["first line after a "+name] = "HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nok"
@@ -194,6 +200,7 @@
 		f.Add("HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n\r\nok", false)
 	}
 	for _, head := range []string{
+		"HTTP/1.1 000 None\r\n", "HTTP/1.1 099 Odd\r\n", "HTTP/1.1 600 Odd\r\n", "HTTP/0.9 200 OK\r\n", "HTTP/1.2 200 OK\r\n", "HTTP/2.7 200 OK\r\n",
 		"HTTP/1.1 200 O\x01K\r\n", "HTTP/1.1  200 OK\r\n", "HTTP/1.1 200\r\n", "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n", "HTTP/1.1 200 OK\r\nX: 1\r\n Content-Length: 2\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
--- a/internal/proxy/invalid_head_test.go
+++ b/internal/proxy/invalid_head_test.go
@@ -12,6 +12,9 @@
 func TestInvalidHeadsAreNotRelayed(t *testing.T) {
 	const signed = "Id: 1\r\nSigned: a\r\n"
 	for name, raw := range map[string]string{
+		"status 000":                     "HTTP/1.1 000 None\r\n" + signed + "Content-Length: 2\r\n\r\nok",
+		"status 600":                     "HTTP/1.1 600 Odd\r\n" + signed + "Content-Length: 2\r\n\r\nok",
+		"status 999":                     "HTTP/1.1 999 Odd\r\n" + signed + "Content-Length: 2\r\n\r\nok",
 		"blank in a name":                "HTTP/1.1 200 OK\r\n" + signed + "Na me: value\r\nContent-Length: 2\r\n\r\nok",
 		"blank in the name of a length":  "HTTP/1.1 200 OK\r\n" + signed + "Content-Length : 2\r\n\r\nok, and more",
 		"blank in an encoding's name":    "HTTP/1.1 200 OK\r\n" + signed + "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
