exchange: check heads at all readers that use net/http's transport

What callers saw: of instances without routes, the answer of a service with "Content-Length : 2" or "Transfer-Encoding : chunked", whose body isn't the service's; a status 600 or above as an answer.

Change: exchange.Strict wraps a transport and checks status, names, values, interim responses and trailers.

--- a/client/client.go
+++ b/client/client.go
@@ -20,6 +20,7 @@
 	"github.com/go-json-experiment/json"
 
 	"github.com/tacktally/tacktally/api"
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/tcp"
 	"github.com/tacktally/tacktally/internal/wait"
 )
@@ -70,7 +71,7 @@
 	if o.HTTP == nil {
 		transport := http.DefaultTransport.(*http.Transport).Clone()
 		transport.DialContext = tcp.Dial(transport.DialContext)
-		o.HTTP = &http.Client{Transport: transport}
+		o.HTTP = &http.Client{Transport: exchange.Strict(transport)}
 	}
 	if o.KeysInHand == 0 {
 		o.KeysInHand = DefaultKeysInHand
--- a/internal/cacheevents/cacheevents.go
+++ b/internal/cacheevents/cacheevents.go
@@ -76,7 +76,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Follower{
 		sink:   sink,
-		http:   &http.Client{Timeout: longPollWait + timeoutMargin, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: exchange.MaxHeadBytes}},
+		http:   &http.Client{Timeout: longPollWait + timeoutMargin, Transport: exchange.Strict(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: exchange.MaxHeadBytes})},
 		ctx:    ctx,
 		cancel: cancel,
 		stops:  map[string]context.CancelFunc{},
--- a/internal/exchange/head.go
+++ b/internal/exchange/head.go
@@ -2,8 +2,13 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -49,3 +54,57 @@
 	}
 	return false
 }
+
+// Strict returns a transport that fails with ErrInvalidResponse where next accepts a response that isn't one of RFC 9112: see
+// checkHead. Reading a body to its end fails so if its trailers are invalid.
+func Strict(next http.RoundTripper) *StrictTransport { return &StrictTransport{next: next} }
+
+// StrictTransport is a transport that Strict has returned.
+type StrictTransport struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t *StrictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.next.RoundTrip(r.WithContext(checkInterim(r.Context())))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response.StatusCode, response.Header); err != nil {
+		_ = response.Body.Close() // not read
+		return nil, err
+	}
+	if len(response.TransferEncoding) > 0 { // otherwise there are no trailers, and a switch of protocols needs its own body
+		response.Body = &strictBody{ReadCloser: response.Body, response: response}
+	}
+	return response, nil
+}
+
+// checkInterim returns a context in which interim responses are checked.
+func checkInterim(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error { return checkHead(status, http.Header(header)) },
+	})
+}
+
+// CloseIdleConnections closes the idle connections of the transport below.
+func (t *StrictTransport) CloseIdleConnections() {
+	if c, ok := t.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
+// strictBody checks the trailers at the end of a body.
+type strictBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *strictBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if invalid := checkFields(b.response.Trailer); invalid != nil {
+			return n, invalid
+		}
+	}
+	return n, err
+}
--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -115,6 +115,54 @@
 	}
 }
 
+// Guards against a transport of net/http that accepts such heads.
+func TestStrictTransportFailsOnInvalidHeads(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	heads := map[string]string{
+		"status 000": "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
+		"status 099": "HTTP/1.1 099 Odd\r\nContent-Length: 2\r\n\r\nok",
+		"status 600": "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok",
+	}
+	for name, line := range invalidFields {
+		heads[name] = "HTTP/1.1 200 OK\r\nFirst: 1\r\n" + line + "\r\n\r\nok"
+		heads[name+", in an interim response"] = "HTTP/1.1 103 Early Hints\r\nFirst: 1\r\n" + line + "\r\n\r\n" + ok
+		heads[name+", in trailers"] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nFirst: 1\r\n" + line + "\r\n\r\n"
+	}
+	for name, raw := range heads {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
+				readRequest(r)
+				_, _ = io.WriteString(c, raw)
+			})
+			client := &http.Client{Transport: Strict(&http.Transport{DisableKeepAlives: true})}
+			response, err := client.Get("http://" + address)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			is.True(err != nil)
+		})
+	}
+}
+
+// A strict transport passes on what it doesn't refuse.
+func TestStrictTransportPassesResponsesOn(t *testing.T) {
+	is := is.New(t)
+	address := server(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Last\r\n\r\n2\r\nok\r\n0\r\nLast: 1\r\n\r\n")
+	})
+	client := &http.Client{Transport: Strict(&http.Transport{DisableKeepAlives: true})}
+	response, err := client.Get("http://" + address)
+	is.NoErr(err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "ok")
+	is.Equal(response.Trailer.Get("Last"), "1")
+}
+
 // parsedHead is a final head as RFC 9112 defines it, of which bare line feeds and superfluous blanks in the status line are
 // tolerated.
 type parsedHead struct {
--- a/internal/orders/reconciler.go
+++ b/internal/orders/reconciler.go
@@ -30,6 +30,7 @@
 
 	"github.com/tacktally/tacktally/api"
 	"github.com/tacktally/tacktally/internal/config"
+	"github.com/tacktally/tacktally/internal/exchange"
 	"github.com/tacktally/tacktally/internal/telemetry"
 )
 
@@ -133,7 +134,7 @@
 	return &Reconciler{
 		instance: i,
 		loads:    rate.NewLimiter(rate.Limit(float64(loadsPerMinute)/60), loadsPerMinute),
-		http:     &http.Client{Timeout: callTimeout},
+		http:     &http.Client{Timeout: callTimeout, Transport: exchange.Strict(http.DefaultTransport)},
 		metrics:  m,
 		log:      l,
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -259,7 +259,7 @@
 		scheme = "wss://"
 		transport.TLSClientConfig = m.o.TLS()
 	}
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: exchange.Strict(transport)}
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, _, err := websocket.Dial(dialCtx, scheme+address+Path, &websocket.DialOptions{
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -117,7 +117,7 @@
 		MaxIdleConnsPerHost:    4,
 		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 	}
-	return &Client{base: base, wait: wait, http: &http.Client{Timeout: wait + watchTimeoutMargin, Transport: transport}}
+	return &Client{base: base, wait: wait, http: &http.Client{Timeout: wait + watchTimeoutMargin, Transport: exchange.Strict(transport)}}
 }
 
 // Close closes idle connections.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -275,7 +275,7 @@
 		return raw, nil
 	}}
 	target := "ws://" + peer + Path + "?" + url.Values{upstreamParameter: {upstream}}.Encode()
-	conn, response, err := websocket.Dial(dialCtx, target, &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}, CompressionMode: websocket.CompressionDisabled})
+	conn, response, err := websocket.Dial(dialCtx, target, &websocket.DialOptions{HTTPClient: &http.Client{Transport: exchange.Strict(transport)}, CompressionMode: websocket.CompressionDisabled})
 	switch {
 	case err == nil:
 		raw.framed = true
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -118,7 +118,7 @@
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
 	dialer *net.Dialer
-	pooled *http.Transport
+	pooled *exchange.StrictTransport
 }
 
 // NewClient returns a client that waits for at most connectTimeout to open a connection.
@@ -126,13 +126,13 @@
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &Client{
 		dialer: dialer,
-		pooled: &http.Transport{
+		pooled: exchange.Strict(&http.Transport{
 			DialContext:            tcp.Dial(dialer.DialContext),
 			MaxIdleConnsPerHost:    maxIdlePerHost,
 			IdleConnTimeout:        idleConnTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: exchange.MaxHeadBytes,
-		},
+		}),
 	}
 }
 
@@ -161,7 +161,7 @@
 	}
 	response, wrote, err := c.roundTrip(h, call)
 	if err != nil {
-		status := statusOfError(ctx, wrote, Lost)
+		status := statusOfError(ctx, wrote, statusOfResponseError(err))
 		return Result{Status: status, Err: err, Aborted: status == NotWritten && (ctx.Err() != nil || errors.As(err, new(*abortError)))}
 	}
 	defer response.Body.Close()
@@ -194,7 +194,7 @@
 			return guarded.wrap(tcp.NewConn(conn))
 		},
 	}
-	response, err := transport.RoundTrip(h)
+	response, err := exchange.Strict(transport).RoundTrip(h)
 	if aborted := guarded.aborted.Load(); err != nil && aborted != nil {
 		return nil, guarded.wrote.Load(), aborted // the transport may return another error of the connection instead
 	}
@@ -226,6 +226,14 @@
 	}
 }
 
+// statusOfResponseError returns the status of a call that was written and has no response.
+func statusOfResponseError(err error) Status {
+	if errors.Is(err, exchange.ErrInvalidResponse) {
+		return InvalidResponse
+	}
+	return Lost
+}
+
 var errSecondConnection = errors.New("refused a second connection for a non-idempotent request")
 
 // guardedConn allows a single connection to be opened, and calls beforeWrite before its first byte.
