platform: soak workers that send invalid responses

Workers refuse requests with 408, 429 or 503 after they have run them, send heads that are none, and answer long uploads early, with a part of a body until close and a reset, while instances are killed, terminated, reloaded, paused and replaced. The checks are the ledger's own.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -124,6 +124,9 @@
 // relaying peers that such a response passes.
 var UnstatedEndMix = Mix{Replace: 6, UpstreamLink: 3, Partition: 2, Kill: 4, Terminate: 2, Pause: 2, PeerLink: 1, Reload: 1, Change: 1}
 
+// InvalidResponseMix is a mix of lost, replaced, paused and disconnected instances while upstreams send invalid responses.
+var InvalidResponseMix = Mix{Kill: 3, Terminate: 3, Reload: 2, Pause: 2, Replace: 2, PeerLink: 2, SourceOutage: 1, Change: 3}
+
 // VersionMix is a mix of upstreams of several versions that come and go, while the instances that know which one
 // began a stream are killed, terminated, paused and disconnected. With PlannedVersionMix instances stay in
 // touch.
